--- /dev/null
+++ b/src/main/java/sycamorehill/cli/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Command line of the one binary.
+ */
+package sycamorehill.cli;
