Fix the shared types: identifiers, tickets, events, effects, the composed reducer

Cause: parts that are written side by side need the same data, events and effects. Change: the model layer, one reducer composed of ten parts that raise events for each other, wire formats of the outside systems, a fake platform that loses, delays and repeats calls. Before: an empty binary. No behaviour is measured yet. Conclusion: the parts can be written apart.

--- /dev/null
+++ b/src/main/java/sycamorehill/logic/admission/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Limits, queues and early refusal.
+ */
+package sycamorehill.logic.admission;
--- /dev/null
+++ b/src/main/java/sycamorehill/logic/group/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Forming, repairing and draining of model groups.
+ */
+package sycamorehill.logic.group;
--- /dev/null
+++ b/src/main/java/sycamorehill/logic/health/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Targets put aside and taken back.
+ */
+package sycamorehill.logic.health;
--- /dev/null
+++ b/src/main/java/sycamorehill/logic/membership/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Which nodes of ours are alive.
+ */
+package sycamorehill.logic.membership;
--- /dev/null
+++ b/src/main/java/sycamorehill/logic/node/NodeReducer.java
@@ -0,0 +1,101 @@
+package sycamorehill.logic.node;
+
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.function.BiFunction;
+import java.util.function.Function;
+
+import sycamorehill.logic.Reducer;
+import sycamorehill.logic.Step;
+import sycamorehill.logic.admission.AdmissionReducer;
+import sycamorehill.logic.group.GroupReducer;
+import sycamorehill.logic.health.HealthReducer;
+import sycamorehill.logic.membership.MembershipReducer;
+import sycamorehill.logic.observation.ObservationReducer;
+import sycamorehill.logic.order.OrderReducer;
+import sycamorehill.logic.quarantine.QuarantineReducer;
+import sycamorehill.logic.request.RequestReducer;
+import sycamorehill.logic.routing.RoutingReducer;
+import sycamorehill.logic.ticket.TicketReducer;
+import sycamorehill.model.effect.Effect;
+import sycamorehill.model.effect.NodeEffect;
+import sycamorehill.model.event.Event;
+
+/**
+ * Feeds each event to every part, in a fixed order, and then the events that the parts
+ * raised, until none is left: one step for one event from outside.
+ */
+public final class NodeReducer {
+
+	private static final int MOST_RAISED_EVENTS = 100_000;
+
+	private final List<Part<?>> parts = List.of(
+			new Part<>(AdmissionReducer.create(), NodeState::admission, NodeState::withAdmission),
+			new Part<>(RoutingReducer.create(), NodeState::routing, NodeState::withRouting),
+			new Part<>(RequestReducer.create(), NodeState::request, NodeState::withRequest),
+			new Part<>(HealthReducer.create(), NodeState::health, NodeState::withHealth),
+			new Part<>(QuarantineReducer.create(), NodeState::quarantine, NodeState::withQuarantine),
+			new Part<>(OrderReducer.create(), NodeState::order, NodeState::withOrder),
+			new Part<>(TicketReducer.create(), NodeState::ticket, NodeState::withTicket),
+			new Part<>(MembershipReducer.create(), NodeState::membership, NodeState::withMembership),
+			new Part<>(ObservationReducer.create(), NodeState::observation, NodeState::withObservation),
+			new Part<>(GroupReducer.create(), NodeState::group, NodeState::withGroup));
+
+	private NodeReducer() {
+	}
+
+	/**
+	 * Creates the reducer.
+	 * @return the reducer
+	 */
+	public static NodeReducer create() {
+		return new NodeReducer();
+	}
+
+	/**
+	 * Takes one event in.
+	 * @param state the node's state
+	 * @param now monotonic time of this node
+	 * @param event what happened
+	 * @return the state after it and what is to be done outside
+	 */
+	public Step<NodeState> reduce(NodeState state, Instant now, Event event) {
+		List<Effect> outside = new ArrayList<>();
+		Deque<Event> events = new ArrayDeque<>();
+		events.add(event);
+		NodeState current = state;
+		int taken = 0;
+		while (!events.isEmpty()) {
+			if (++taken > MOST_RAISED_EVENTS) {
+				throw new IllegalStateException("events raise each other without end, beginning with " + event);
+			}
+			Event next = events.poll();
+			for (Part<?> part : this.parts) {
+				current = part.reduce(current, now, next, outside, events);
+			}
+		}
+		return Step.of(current, outside);
+	}
+
+	private record Part<S>(Reducer<S> reducer, Function<NodeState, S> read, BiFunction<NodeState, S, NodeState> write) {
+
+		NodeState reduce(NodeState state, Instant now, Event event, List<Effect> outside, Deque<Event> events) {
+			S before = this.read.apply(state);
+			Step<S> step = this.reducer.reduce(before, now, event, StateView.of(state, now));
+			for (Effect effect : step.effects()) {
+				if (effect instanceof NodeEffect.Raise raise) {
+					events.add(raise.event());
+				}
+				else {
+					outside.add(effect);
+				}
+			}
+			return (step.state() != before) ? this.write.apply(state, step.state()) : state;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/src/main/java/sycamorehill/logic/node/StateView.java
@@ -0,0 +1,85 @@
+package sycamorehill.logic.node;
+
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+
+import sycamorehill.logic.NodeView;
+import sycamorehill.model.group.Allocation;
+import sycamorehill.model.group.VmSight;
+import sycamorehill.model.identity.NodeIdentity;
+import sycamorehill.model.identity.ServiceName;
+import sycamorehill.model.identity.VmName;
+import sycamorehill.model.membership.LiveNodes;
+import sycamorehill.model.policy.Policy;
+import sycamorehill.model.request.Fingerprint;
+import sycamorehill.model.request.RouteQuery;
+import sycamorehill.model.target.ServingTarget;
+import sycamorehill.model.ticket.Truth;
+
+/**
+ * What the parts read of each other, taken from one state of the node.
+ */
+final class StateView implements NodeView {
+
+	private final NodeState state;
+
+	private final Instant now;
+
+	private StateView(NodeState state, Instant now) {
+		this.state = state;
+		this.now = now;
+	}
+
+	static StateView of(NodeState state, Instant now) {
+		return new StateView(state, now);
+	}
+
+	@Override
+	public NodeIdentity self() {
+		return this.state.self();
+	}
+
+	@Override
+	public Policy policy() {
+		return this.state.policy();
+	}
+
+	@Override
+	public Optional<Truth> truth() {
+		return Optional.empty();
+	}
+
+	@Override
+	public LiveNodes liveNodes() {
+		return LiveNodes.none();
+	}
+
+	@Override
+	public List<ServingTarget> servingTargets(ServiceName service) {
+		return List.of();
+	}
+
+	@Override
+	public Optional<ServingTarget> chooseTarget(RouteQuery query) {
+		return servingTargets(query.request().service()).stream()
+			.filter((target) -> !query.excluded().contains(target.name()))
+			.findFirst();
+	}
+
+	@Override
+	public boolean quarantined(Fingerprint fingerprint) {
+		return false;
+	}
+
+	@Override
+	public Optional<VmSight> sight(VmName vm) {
+		return Optional.empty();
+	}
+
+	@Override
+	public Optional<Allocation> allocation() {
+		return Optional.empty();
+	}
+
+}
--- /dev/null
+++ b/src/main/java/sycamorehill/logic/node/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The one reducer of a node, composed of its parts.
+ */
+package sycamorehill.logic.node;
--- /dev/null
+++ b/src/main/java/sycamorehill/logic/order/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * At-most-once orders by claims.
+ */
+package sycamorehill.logic.order;
--- /dev/null
+++ b/src/main/java/sycamorehill/logic/quarantine/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Content that crashes targets.
+ */
+package sycamorehill.logic.quarantine;
--- /dev/null
+++ b/src/main/java/sycamorehill/logic/routing/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The choice of a target.
+ */
+package sycamorehill.logic.routing;
--- /dev/null
+++ b/src/main/java/sycamorehill/logic/ticket/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Filing, folding and spreading of tickets.
+ */
+package sycamorehill.logic.ticket;
--- /dev/null
+++ b/src/main/java/sycamorehill/model/effect/NodeEffect.java
@@ -0,0 +1,33 @@
+package sycamorehill.model.effect;
+
+import sycamorehill.model.event.Event;
+import sycamorehill.model.log.LogLine;
+
+/**
+ * Effects on the node itself.
+ */
+public sealed interface NodeEffect extends Effect {
+
+	/**
+	 * Feeds an event to all parts of the reducer within the same step.
+	 *
+	 * @param event the event
+	 */
+	record Raise(Event event) implements NodeEffect {
+	}
+
+	/**
+	 * Writes a numbered log line.
+	 *
+	 * @param line the line
+	 */
+	record WriteLog(LogLine line) implements NodeEffect {
+	}
+
+	/**
+	 * Ends the process: everything in flight is over.
+	 */
+	record Exit() implements NodeEffect {
+	}
+
+}
--- /dev/null
+++ b/src/main/java/sycamorehill/model/effect/PeerEffect.java
@@ -0,0 +1,20 @@
+package sycamorehill.model.effect;
+
+import sycamorehill.model.identity.NodeIdentity;
+import sycamorehill.model.peer.PeerMessage;
+
+/**
+ * Effects on other nodes.
+ */
+public sealed interface PeerEffect extends Effect {
+
+	/**
+	 * Sends a message, without a promise that it arrives.
+	 *
+	 * @param to the node
+	 * @param message the message
+	 */
+	record Send(NodeIdentity to, PeerMessage message) implements PeerEffect {
+	}
+
+}
--- /dev/null
+++ b/src/main/java/sycamorehill/model/event/PeerEvent.java
@@ -0,0 +1,30 @@
+package sycamorehill.model.event;
+
+import sycamorehill.model.identity.NodeIdentity;
+import sycamorehill.model.identity.NodeName;
+import sycamorehill.model.peer.PeerMessage;
+
+/**
+ * Events of the other nodes.
+ */
+public sealed interface PeerEvent extends Event {
+
+	/**
+	 * Another node sent a message.
+	 *
+	 * @param from the sender
+	 * @param message the message
+	 */
+	record MessageReceived(NodeIdentity from, PeerMessage message) implements PeerEvent {
+	}
+
+	/**
+	 * A message could not be sent.
+	 *
+	 * @param to the node
+	 * @param message the message
+	 */
+	record SendFailed(NodeName to, PeerMessage message) implements PeerEvent {
+	}
+
+}
--- /dev/null
+++ b/src/main/java/sycamorehill/model/group/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Model groups, the allocation of VMs and what is seen of them.
+ */
+package sycamorehill.model.group;
--- /dev/null
+++ b/src/main/java/sycamorehill/model/identity/Address.java
@@ -0,0 +1,58 @@
+package sycamorehill.model.identity;
+
+/**
+ * An IP number and a port.
+ *
+ * @param host the IP number
+ * @param port the port, 1 to 65535
+ */
+public record Address(String host, int port) {
+
+	private static final int HIGHEST_PORT = 65535;
+
+	/**
+	 * Refuses a missing host or a port out of range.
+	 */
+	public Address {
+		if (host == null || host.isBlank()) {
+			throw new IllegalArgumentException("an address needs a host");
+		}
+		if (port < 1 || port > HIGHEST_PORT) {
+			throw new IllegalArgumentException("a port must be from 1 to " + HIGHEST_PORT + ", not " + port);
+		}
+	}
+
+	/**
+	 * Creates the address.
+	 * @param host the IP number
+	 * @param port the port
+	 * @return the address
+	 */
+	public static Address of(String host, int port) {
+		return new Address(host, port);
+	}
+
+	/**
+	 * Reads HOST:PORT.
+	 * @param text the text
+	 * @return the address
+	 */
+	public static Address parse(String text) {
+		int colon = text.lastIndexOf(':');
+		if (colon < 1) {
+			throw new IllegalArgumentException("expected HOST:PORT, not '" + text + "'");
+		}
+		try {
+			return new Address(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+		}
+		catch (NumberFormatException ex) {
+			throw new IllegalArgumentException("expected HOST:PORT, not '" + text + "'", ex);
+		}
+	}
+
+	@Override
+	public String toString() {
+		return this.host + ":" + this.port;
+	}
+
+}
--- /dev/null
+++ b/src/main/java/sycamorehill/model/identity/DataCentreName.java
@@ -0,0 +1,36 @@
+package sycamorehill.model.identity;
+
+/**
+ * Name of a data centre (zone).
+ *
+ * @param value the text of the name, never blank
+ */
+public record DataCentreName(String value) implements Comparable<DataCentreName> {
+
+	/**
+	 * Refuses a blank name.
+	 */
+	public DataCentreName {
+		Names.requireName(value);
+	}
+
+	/**
+	 * Creates the name.
+	 * @param value the text, never blank
+	 * @return the name
+	 */
+	public static DataCentreName of(String value) {
+		return new DataCentreName(value);
+	}
+
+	@Override
+	public int compareTo(DataCentreName other) {
+		return this.value.compareTo(other.value);
+	}
+
+	@Override
+	public String toString() {
+		return this.value;
+	}
+
+}
--- /dev/null
+++ b/src/main/java/sycamorehill/model/identity/WorkspaceName.java
@@ -0,0 +1,36 @@
+package sycamorehill.model.identity;
+
+/**
+ * Name of a workspace: the tenant that a caller belongs to.
+ *
+ * @param value the text of the name, never blank
+ */
+public record WorkspaceName(String value) implements Comparable<WorkspaceName> {
+
+	/**
+	 * Refuses a blank name.
+	 */
+	public WorkspaceName {
+		Names.requireName(value);
+	}
+
+	/**
+	 * Creates the name.
+	 * @param value the text, never blank
+	 * @return the name
+	 */
+	public static WorkspaceName of(String value) {
+		return new WorkspaceName(value);
+	}
+
+	@Override
+	public int compareTo(WorkspaceName other) {
+		return this.value.compareTo(other.value);
+	}
+
+	@Override
+	public String toString() {
+		return this.value;
+	}
+
+}
--- /dev/null
+++ b/src/main/java/sycamorehill/model/identity/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Identifiers: names, incarnations, numbers and addresses.
+ */
+package sycamorehill.model.identity;
--- /dev/null
+++ b/src/main/java/sycamorehill/model/log/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Numbered log events as data.
+ */
+package sycamorehill.model.log;
--- /dev/null
+++ b/src/main/java/sycamorehill/model/membership/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Nodes of ours and what is known of their being alive.
+ */
+package sycamorehill.model.membership;
--- /dev/null
+++ b/src/main/java/sycamorehill/model/order/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Claims of orders that may run at most once.
+ */
+package sycamorehill.model.order;
--- /dev/null
+++ b/src/main/java/sycamorehill/model/platform/PlatformRequest.java
@@ -0,0 +1,66 @@
+package sycamorehill.model.platform;
+
+import java.time.Duration;
+
+/**
+ * One call to the object API.
+ */
+public sealed interface PlatformRequest {
+
+	/**
+	 * Reads one object live.
+	 *
+	 * @param key the object
+	 */
+	record Read(ObjectKey key) implements PlatformRequest {
+	}
+
+	/**
+	 * Creates an object only if it does not exist.
+	 *
+	 * @param key the object
+	 * @param value its value
+	 */
+	record Create(ObjectKey key, PlatformValue value) implements PlatformRequest {
+	}
+
+	/**
+	 * Replaces an object only if it still has the version.
+	 *
+	 * @param key the object
+	 * @param value its new value
+	 * @param expectedVersion the version that it must still have
+	 */
+	record Update(ObjectKey key, PlatformValue value, long expectedVersion) implements PlatformRequest {
+	}
+
+	/**
+	 * Deletes an object only if it still has the version.
+	 *
+	 * @param key the object
+	 * @param expectedVersion the version that it must still have
+	 */
+	record Delete(ObjectKey key, long expectedVersion) implements PlatformRequest {
+	}
+
+	/**
+	 * Lists the objects of a kind by name.
+	 *
+	 * @param kind the kind
+	 * @param afterName only names behind this one, empty for all
+	 * @param limit the most objects
+	 */
+	record ListObjects(ObjectKind kind, String afterName, int limit) implements PlatformRequest {
+	}
+
+	/**
+	 * Waits for a change of a kind. Counts as one call while it waits.
+	 *
+	 * @param kind the kind
+	 * @param afterVersion answers as soon as an object has a higher version
+	 * @param longestWait how long the platform may hold the call
+	 */
+	record Watch(ObjectKind kind, long afterVersion, Duration longestWait) implements PlatformRequest {
+	}
+
+}
--- /dev/null
+++ b/src/main/java/sycamorehill/model/policy/Policy.java
@@ -0,0 +1,31 @@
+package sycamorehill.model.policy;
+
+/**
+ * All tunable bounds of a node.
+ *
+ * @param admission queues, limits and concurrency
+ * @param routing the choice of a target
+ * @param request attempts, retries and stalls
+ * @param health putting targets aside
+ * @param quarantine content that crashes targets
+ * @param order claims of orders
+ * @param ticket ticket filing and spreading
+ * @param membership heartbeats
+ * @param group group control
+ * @param observation sight of target VMs
+ */
+public record Policy(AdmissionPolicy admission, RoutingPolicy routing, RequestPolicy request, HealthPolicy health,
+		QuarantinePolicy quarantine, OrderPolicy order, TicketPolicy ticket, MembershipPolicy membership,
+		GroupPolicy group, ObservationPolicy observation) {
+
+	/**
+	 * The values that hold where the settings say nothing.
+	 * @return the standard values
+	 */
+	public static Policy standard() {
+		return new Policy(AdmissionPolicy.standard(), RoutingPolicy.standard(), RequestPolicy.standard(),
+				HealthPolicy.standard(), QuarantinePolicy.standard(), OrderPolicy.standard(), TicketPolicy.standard(),
+				MembershipPolicy.standard(), GroupPolicy.standard(), ObservationPolicy.standard());
+	}
+
+}
--- /dev/null
+++ b/src/main/java/sycamorehill/model/policy/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tunable bounds of the decisions, from the settings.
+ */
+package sycamorehill.model.policy;
--- /dev/null
+++ b/src/main/java/sycamorehill/model/request/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Requests of callers, attempts and their outcomes.
+ */
+package sycamorehill.model.request;
--- /dev/null
+++ b/src/main/java/sycamorehill/standin/package-info.java
@@ -0,0 +1,5 @@
+/**
+ * Small stand-ins of outside systems: platform, VM list, weight store, engines and plain
+ * services.
+ */
+package sycamorehill.standin;
--- /dev/null
+++ b/src/test/java/sycamorehill/support/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Hand-written fakes that several tests share.
+ */
+package sycamorehill.support;
