Keep the package model.target under version control

Cause: the ignore rule target/ matched the source package of that name, so a clean clone did not compile. Conclusion: the clean clone is what is to be tested.

--- /dev/null
+++ b/src/main/java/sycamorehill/model/target/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * What requests are routed to.
+ */
+package sycamorehill.model.target;
