--- /dev/null
+++ b/src/main/java/sycamorehill/http/BodyTooLargeException.java
@@ -0,0 +1,23 @@
+package sycamorehill.http;
+
+/**
+ * A body is larger than its reader is willing to hold.
+ */
+public final class BodyTooLargeException extends RuntimeException {
+
+	private static final long serialVersionUID = 1L;
+
+	private BodyTooLargeException(String message) {
+		super(message);
+	}
+
+	/**
+	 * Creates the failure.
+	 * @param mostBytes the bound that was passed
+	 * @return the failure
+	 */
+	public static BodyTooLargeException over(int mostBytes) {
+		return new BodyTooLargeException("the body is larger than " + mostBytes + " bytes");
+	}
+
+}
