--- /dev/null
+++ b/src/main/java/sycamorehill/engine/AttemptFailures.java
@@ -0,0 +1,31 @@
+package sycamorehill.engine;
+
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.TimeoutException;
+
+import sycamorehill.http.HttpCaller;
+import sycamorehill.http.NotSentException;
+import sycamorehill.model.request.AttemptResult;
+
+/**
+ * Sorts the failure of an attempt: only where no byte was written is it certain that
+ * nothing ran.
+ */
+final class AttemptFailures {
+
+	private AttemptFailures() {
+	}
+
+	static AttemptResult result(Throwable failure) {
+		Throwable cause = (failure instanceof CompletionException) ? failure.getCause() : failure;
+		Throwable sorted = HttpCaller.sorted(cause);
+		if (sorted instanceof NotSentException) {
+			return new AttemptResult.NothingSent(sorted.getMessage());
+		}
+		if (sorted instanceof TimeoutException) {
+			return new AttemptResult.Broken(false, "no byte came for too long");
+		}
+		return new AttemptResult.Broken(true, String.valueOf(sorted));
+	}
+
+}
--- /dev/null
+++ b/src/main/java/sycamorehill/engine/CompletionStream.java
@@ -0,0 +1,131 @@
+package sycamorehill.engine;
+
+import java.io.IOException;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicBoolean;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.servicetalk.buffer.api.Buffer;
+import io.servicetalk.concurrent.Cancellable;
+import io.servicetalk.concurrent.api.Publisher;
+import io.servicetalk.concurrent.api.TerminalSignalConsumer;
+import io.servicetalk.http.api.StreamingHttpClient;
+import io.servicetalk.http.api.StreamingHttpResponse;
+
+import sycamorehill.http.Bodies;
+import sycamorehill.http.EventStreamReader;
+import sycamorehill.http.HttpCall;
+import sycamorehill.http.HttpCaller;
+import sycamorehill.model.request.AttemptResult;
+
+/**
+ * Reads the tokens of one completion. The listener hears the end exactly once: a stream
+ * that ends without its end mark is broken, however quietly it ended.
+ */
+final class CompletionStream {
+
+	private static final int OK = 200;
+
+	private static final int MOST_REFUSAL_BYTES = 16 * 1024;
+
+	private final ObjectMapper json;
+
+	private final AttemptListener listener;
+
+	private final EventStreamReader reader = EventStreamReader.create();
+
+	private final AtomicBoolean over = new AtomicBoolean();
+
+	private volatile Cancellable cancellable = Cancellable.IGNORE_CANCEL;
+
+	private CompletionStream(ObjectMapper json, AttemptListener listener) {
+		this.json = json;
+		this.listener = listener;
+	}
+
+	static CompletionStream start(StreamingHttpClient client, HttpCall call, ObjectMapper json,
+			AttemptListener listener) {
+		CompletionStream stream = new CompletionStream(json, listener);
+		stream.cancellable = client.request(HttpCaller.request(client, call))
+			.flatMapPublisher(stream::payload)
+			.timeout(call.timeout())
+			.whenFinally(stream.terminal())
+			.forEach(stream::read);
+		return stream;
+	}
+
+	void cancel() {
+		this.over.set(true);
+		this.cancellable.cancel();
+	}
+
+	private Publisher<Buffer> payload(StreamingHttpResponse response) {
+		if (response.status().code() == OK) {
+			return response.payloadBody();
+		}
+		return Bodies.text(response.payloadBody(), MOST_REFUSAL_BYTES).flatMapPublisher((body) -> {
+			end(refusal(response, body));
+			return Publisher.<Buffer>empty();
+		});
+	}
+
+	private static AttemptResult refusal(StreamingHttpResponse response, String body) {
+		String detail = response.status().code() + " " + body;
+		return TargetRefusal
+			.read((name) -> Optional.ofNullable(response.headers().get(name)).map(CharSequence::toString), detail)
+			.orElseGet(() -> new AttemptResult.FailedWhileRunning(detail));
+	}
+
+	private void read(Buffer buffer) {
+		for (String data : this.reader.read(buffer)) {
+			take(data);
+		}
+	}
+
+	private void take(String data) {
+		JsonNode event;
+		try {
+			event = this.json.readTree(data);
+		}
+		catch (IOException ex) {
+			end(new AttemptResult.Broken(false, "the engine sent a line that can't be read"));
+			this.cancellable.cancel();
+			return;
+		}
+		if (event.path("end").asBoolean()) {
+			end(new AttemptResult.Whole(event.path("tokens").asInt(), Optional.empty()));
+		}
+		else if (!this.over.get()) {
+			this.listener.token(event.path("index").asInt(), event.path("token").asText());
+		}
+	}
+
+	private void end(AttemptResult result) {
+		if (this.over.compareAndSet(false, true)) {
+			this.listener.ended(result);
+		}
+	}
+
+	private TerminalSignalConsumer terminal() {
+		return new TerminalSignalConsumer() {
+
+			@Override
+			public void onComplete() {
+				end(new AttemptResult.Broken(true, "the stream ended without its end mark"));
+			}
+
+			@Override
+			public void onError(Throwable throwable) {
+				end(AttemptFailures.result(throwable));
+			}
+
+			@Override
+			public void cancel() {
+				end(new AttemptResult.Broken(false, "cancelled"));
+			}
+
+		};
+	}
+
+}
--- /dev/null
+++ b/src/main/java/sycamorehill/engine/EngineClient.java
@@ -0,0 +1,40 @@
+package sycamorehill.engine;
+
+import java.util.concurrent.CompletableFuture;
+
+import sycamorehill.model.group.EngineOrder;
+import sycamorehill.model.group.EngineOrderResult;
+import sycamorehill.model.group.VmReport;
+import sycamorehill.model.identity.Address;
+
+/**
+ * A model engine on one target VM.
+ */
+public interface EngineClient {
+
+	/**
+	 * Asks for the engine's report of itself.
+	 * @param address where it listens
+	 * @return the report; fails with {@link sycamorehill.http.NotSentException} if the
+	 * address refused the connection
+	 */
+	CompletableFuture<VmReport> report(Address address);
+
+	/**
+	 * Gives an order, once.
+	 * @param address where it listens
+	 * @param order the order
+	 * @return how it ended; the future itself never fails
+	 */
+	CompletableFuture<EngineOrderResult> order(Address address, EngineOrder order);
+
+	/**
+	 * Sends a completion and reads its tokens.
+	 * @param address the head of the group
+	 * @param call what to complete
+	 * @param listener hears the tokens in order, then the end, exactly once
+	 * @return stops the stream and cancels the work at the engine
+	 */
+	AttemptHandle complete(Address address, CompletionCall call, AttemptListener listener);
+
+}
--- /dev/null
+++ b/src/main/java/sycamorehill/engine/EngineOrderBody.java
@@ -0,0 +1,35 @@
+package sycamorehill.engine;
+
+import java.util.List;
+
+import com.fasterxml.jackson.annotation.JsonInclude;
+
+import sycamorehill.model.group.EngineOrder;
+import sycamorehill.model.group.GroupIdentity;
+import sycamorehill.model.identity.VmName;
+
+/**
+ * Body of an order on the wire.
+ *
+ * @param type join or leave
+ * @param group the group
+ * @param members all members, the head first; null for leave
+ * @param model the model; null for leave
+ * @param modelVersion its version; null for leave
+ * @param fencingNumber fencing number of the controller
+ */
+@JsonInclude(JsonInclude.Include.NON_NULL)
+record EngineOrderBody(String type, GroupBody group, List<String> members, String model, String modelVersion,
+		long fencingNumber) {
+
+	static EngineOrderBody of(EngineOrder order) {
+		if (order instanceof EngineOrder.Join join) {
+			List<String> members = join.members().stream().map(VmName::value).toList();
+			return new EngineOrderBody("join", GroupBody.of(join.group()), members, join.model(), join.modelVersion(),
+					join.fencingNumber());
+		}
+		GroupIdentity left = ((EngineOrder.Leave) order).group();
+		return new EngineOrderBody("leave", GroupBody.of(left), null, null, null, order.fencingNumber());
+	}
+
+}
--- /dev/null
+++ b/src/main/java/sycamorehill/engine/HttpEngine.java
@@ -0,0 +1,126 @@
+package sycamorehill.engine;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+
+import sycamorehill.http.HttpAnswer;
+import sycamorehill.http.HttpCall;
+import sycamorehill.http.HttpCaller;
+import sycamorehill.http.HttpClientPool;
+import sycamorehill.http.NotSentException;
+import sycamorehill.model.group.EngineOrder;
+import sycamorehill.model.group.EngineOrderResult;
+import sycamorehill.model.group.VmReport;
+import sycamorehill.model.identity.Address;
+
+/**
+ * Model engines over HTTP, as docs/WIRE.md gives it.
+ */
+public final class HttpEngine implements EngineClient {
+
+	private static final Duration REPORT_TIMEOUT = Duration.ofSeconds(1);
+
+	private static final Duration ORDER_TIMEOUT = Duration.ofSeconds(2);
+
+	private static final Duration CANCEL_TIMEOUT = Duration.ofSeconds(2);
+
+	private static final String JSON_TYPE = "application/json";
+
+	private static final int OK = 200;
+
+	private static final int ACCEPTED = 202;
+
+	private static final int CONFLICT = 409;
+
+	private final HttpClientPool pool;
+
+	private final HttpCaller caller;
+
+	private final ObjectMapper json;
+
+	private HttpEngine(HttpClientPool pool, ObjectMapper json) {
+		this.pool = pool;
+		this.caller = HttpCaller.create(pool);
+		this.json = json;
+	}
+
+	/**
+	 * Creates the adapter.
+	 * @param pool the clients to use
+	 * @param json reads and writes bodies
+	 * @return the adapter
+	 */
+	public static HttpEngine create(HttpClientPool pool, ObjectMapper json) {
+		return new HttpEngine(pool, json);
+	}
+
+	@Override
+	public CompletableFuture<VmReport> report(Address address) {
+		return this.caller.call(HttpCall.of(address, "GET", "/engine/report", REPORT_TIMEOUT)).thenApply(this::report);
+	}
+
+	@Override
+	public CompletableFuture<EngineOrderResult> order(Address address, EngineOrder order) {
+		HttpCall call = HttpCall.of(address, "POST", "/engine/orders", ORDER_TIMEOUT)
+			.withBody(written(EngineOrderBody.of(order)), JSON_TYPE);
+		return this.caller.call(call).thenApply(HttpEngine::orderResult).exceptionally(HttpEngine::orderFailure);
+	}
+
+	@Override
+	public AttemptHandle complete(Address address, CompletionCall call, AttemptListener listener) {
+		HttpCall http = HttpCall.of(address, "POST", "/engine/completions", call.patience())
+			.withBody(written(CompletionBody.of(call)), JSON_TYPE)
+			.withHeader(TargetHeaders.ATTEMPT, call.attempt().toString())
+			.withHeader(TargetHeaders.GENERATION, Long.toString(call.generation()));
+		CompletionStream stream = CompletionStream.start(this.pool.client(address), http, this.json, listener);
+		return () -> {
+			stream.cancel();
+			String attempt = URLEncoder.encode(call.attempt().toString(), StandardCharsets.UTF_8);
+			this.caller.call(HttpCall.of(address, "DELETE", "/engine/completions/" + attempt, CANCEL_TIMEOUT));
+		};
+	}
+
+	private VmReport report(HttpAnswer answer) {
+		if (answer.status() != OK) {
+			throw new IllegalStateException("the engine answered " + answer.status() + " to a report");
+		}
+		try {
+			return this.json.readValue(answer.body(), VmReportBody.class).report();
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+	private String written(Object body) {
+		try {
+			return this.json.writeValueAsString(body);
+		}
+		catch (JsonProcessingException ex) {
+			throw new IllegalStateException("a body of ours can't be written", ex);
+		}
+	}
+
+	private static EngineOrderResult orderResult(HttpAnswer answer) {
+		if (answer.status() == ACCEPTED) {
+			return EngineOrderResult.ACCEPTED;
+		}
+		if (answer.status() == CONFLICT) {
+			return answer.body().contains("fenced") ? EngineOrderResult.REFUSED_FENCED : EngineOrderResult.REFUSED;
+		}
+		return EngineOrderResult.NOT_KNOWN;
+	}
+
+	private static EngineOrderResult orderFailure(Throwable failure) {
+		return (failure.getCause() instanceof NotSentException) ? EngineOrderResult.REFUSED
+				: EngineOrderResult.NOT_KNOWN;
+	}
+
+}
--- /dev/null
+++ b/src/main/java/sycamorehill/engine/TargetHeaders.java
@@ -0,0 +1,21 @@
+package sycamorehill.engine;
+
+/**
+ * Headers between us and targets, as docs/WIRE.md gives them.
+ */
+final class TargetHeaders {
+
+	static final String ATTEMPT = "Attempt-Id";
+
+	static final String GENERATION = "Group-Generation";
+
+	static final String NOT_RUN = "Not-Run";
+
+	static final String LEAVING = "Leaving";
+
+	static final String RETRY_AFTER = "Retry-After";
+
+	private TargetHeaders() {
+	}
+
+}
--- /dev/null
+++ b/src/main/java/sycamorehill/engine/TargetRefusal.java
@@ -0,0 +1,43 @@
+package sycamorehill.engine;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.function.Function;
+
+import sycamorehill.model.request.AttemptResult;
+
+/**
+ * Reads the refusal of a target out of an answer's headers.
+ */
+final class TargetRefusal {
+
+	private static final String TRUE = "true";
+
+	private TargetRefusal() {
+	}
+
+	static Optional<AttemptResult> read(Function<String, Optional<String>> headers, String detail) {
+		if (!isTrue(headers.apply(TargetHeaders.NOT_RUN))) {
+			return Optional.empty();
+		}
+		boolean leaving = isTrue(headers.apply(TargetHeaders.LEAVING));
+		Duration retryAfter = headers.apply(TargetHeaders.RETRY_AFTER)
+			.map(TargetRefusal::seconds)
+			.orElse(Duration.ZERO);
+		return Optional.of(new AttemptResult.RefusedBeforeRunning(leaving, retryAfter, detail));
+	}
+
+	private static boolean isTrue(Optional<String> header) {
+		return header.filter(TRUE::equalsIgnoreCase).isPresent();
+	}
+
+	private static Duration seconds(String text) {
+		try {
+			return Duration.ofSeconds(Long.parseLong(text.strip()));
+		}
+		catch (NumberFormatException ex) {
+			return Duration.ZERO;
+		}
+	}
+
+}
--- /dev/null
+++ b/src/main/java/sycamorehill/engine/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Adapters of targets: model engines and plain services.
+ */
+package sycamorehill.engine;
--- /dev/null
+++ b/src/main/java/sycamorehill/runtime/ControlLoop.java
@@ -0,0 +1,167 @@
+package sycamorehill.runtime;
+
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.Timer;
+
+import sycamorehill.logic.Step;
+import sycamorehill.logic.node.NodeReducer;
+import sycamorehill.logic.node.NodeState;
+import sycamorehill.model.effect.Effect;
+import sycamorehill.model.event.Event;
+import sycamorehill.model.event.NodeEvent;
+
+/**
+ * The one thread that holds control state: it takes events in order, steps the reducer
+ * and hands the effects out. Others read the last published state, which is immutable.
+ */
+public final class ControlLoop implements EventSink, AutoCloseable {
+
+	private static final Duration TICK = Duration.ofMillis(100);
+
+	private final BlockingQueue<Event> events = new LinkedBlockingQueue<>();
+
+	private final NodeReducer reducer = NodeReducer.create();
+
+	private final InstantSource clock;
+
+	private final InstantSource wallClock;
+
+	private final EffectPort effects;
+
+	private final Timer steps;
+
+	private final Counter failures;
+
+	private final BrokenInvariantHandler brokenInvariant;
+
+	private final Thread thread;
+
+	private volatile NodeState state;
+
+	private volatile boolean closed;
+
+	private ControlLoop(NodeState initial, InstantSource clock, InstantSource wallClock, EffectPort effects,
+			MetricRegistry metrics, BrokenInvariantHandler brokenInvariant) {
+		this.state = initial;
+		this.clock = clock;
+		this.wallClock = wallClock;
+		this.effects = effects;
+		this.steps = metrics.timer("control.step");
+		this.failures = metrics.counter("control.effect-failures");
+		metrics.register("control.events-waiting", (Gauge<Integer>) this.events::size);
+		this.brokenInvariant = brokenInvariant;
+		this.thread = new Thread(this::run, "control");
+	}
+
+	/**
+	 * Creates the loop; {@link #start} starts its thread.
+	 * @param initial the state before the first event
+	 * @param clock monotonic time
+	 * @param wallClock wall clock, for records only
+	 * @param effects carries effects out
+	 * @param metrics where the loop counts
+	 * @param brokenInvariant hears of a step that threw: the process can't go on
+	 * @return the loop
+	 */
+	public static ControlLoop create(NodeState initial, InstantSource clock, InstantSource wallClock,
+			EffectPort effects, MetricRegistry metrics, BrokenInvariantHandler brokenInvariant) {
+		return new ControlLoop(initial, clock, wallClock, effects, metrics, brokenInvariant);
+	}
+
+	/**
+	 * Starts the thread.
+	 * @param seed feeds every random choice of the decisions
+	 */
+	public void start(long seed) {
+		post(new NodeEvent.Started(seed));
+		this.thread.start();
+	}
+
+	@Override
+	public void post(Event event) {
+		this.events.add(event);
+	}
+
+	/**
+	 * The state after the last step.
+	 * @return the state
+	 */
+	public NodeState state() {
+		return this.state;
+	}
+
+	private void run() {
+		long nextTick = System.nanoTime();
+		try {
+			while (!this.closed) {
+				long wait = nextTick - System.nanoTime();
+				Event event = (wait > 0) ? this.events.poll(wait, TimeUnit.NANOSECONDS) : null;
+				if (event != null) {
+					step(event);
+				}
+				else {
+					step(new NodeEvent.Ticked(this.wallClock.instant()));
+					nextTick = System.nanoTime() + TICK.toNanos();
+				}
+			}
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	private void step(Event event) {
+		try (Timer.Context ignored = this.steps.time()) {
+			Step<NodeState> step = this.reducer.reduce(this.state, this.clock.instant(), event);
+			this.state = step.state();
+			step.effects().forEach(this::carryOut);
+		}
+		catch (RuntimeException ex) {
+			this.closed = true;
+			this.brokenInvariant.broken(event, ex);
+		}
+	}
+
+	private void carryOut(Effect effect) {
+		try {
+			this.effects.carryOut(effect);
+		}
+		catch (RuntimeException ex) {
+			// An edge that fails must not stop the decisions: its answer stays out, which
+			// every part takes for "not known" after its timeout.
+			this.failures.inc();
+			org.tinylog.Logger.error(ex, "SYC-1003 an effect could not be carried out: {}",
+					effect.getClass().getSimpleName());
+		}
+	}
+
+	@Override
+	public void close() {
+		this.closed = true;
+		this.thread.interrupt();
+	}
+
+	/**
+	 * Hears of a step that threw.
+	 */
+	@FunctionalInterface
+	public interface BrokenInvariantHandler {
+
+		/**
+		 * Ends the process.
+		 * @param event the event whose step threw
+		 * @param cause what was thrown
+		 */
+		void broken(Event event, RuntimeException cause);
+
+	}
+
+}
--- /dev/null
+++ b/src/main/java/sycamorehill/runtime/OperatorPort.java
@@ -0,0 +1,17 @@
+package sycamorehill.runtime;
+
+import sycamorehill.model.effect.OperatorEffect;
+
+/**
+ * Answers waiting operators.
+ */
+@FunctionalInterface
+public interface OperatorPort {
+
+	/**
+	 * Answers an operator.
+	 * @param effect the answer
+	 */
+	void carryOut(OperatorEffect effect);
+
+}
