--- /dev/null
+++ b/src/main/java/sycamorehill/engine/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Adapters to targets: model engines and plain services.
+ */
+package sycamorehill.engine;
