--- a/src/main/java/sycamorehill/engine/package-info.java
+++ b/src/main/java/sycamorehill/engine/package-info.java
@@ -1,4 +1,4 @@
 /**
- * Adapters of targets: model engines and plain services.
+ * Adapters to targets: model engines and plain services.
  */
 package sycamorehill.engine;
--- /dev/null
+++ b/src/main/java/sycamorehill/gateway/ChatChunk.java
@@ -0,0 +1,38 @@
+package sycamorehill.gateway;
+
+import java.util.List;
+
+import com.fasterxml.jackson.annotation.JsonInclude;
+import com.fasterxml.jackson.annotation.JsonProperty;
+
+/**
+ * One event of a streamed chat completion.
+ *
+ * @param id identifies the completion
+ * @param object the kind of body
+ * @param created wall clock of the start in seconds
+ * @param model the service that answers
+ * @param choices one choice
+ */
+record ChatChunk(String id, String object, long created, String model, List<Choice> choices) {
+
+	private static final String KIND = "chat.completion.chunk";
+
+	static ChatChunk token(String id, long created, String model, String token) {
+		return new ChatChunk(id, KIND, created, model, List.of(new Choice(0, new Delta(token), null)));
+	}
+
+	static ChatChunk stop(String id, long created, String model) {
+		return new ChatChunk(id, KIND, created, model, List.of(new Choice(0, new Delta(null), "stop")));
+	}
+
+	record Choice(int index, Delta delta, @JsonProperty("finish_reason") String finishReason) {
+
+	}
+
+	@JsonInclude(JsonInclude.Include.NON_NULL)
+	record Delta(String content) {
+
+	}
+
+}
