--- a/src/main/java/sycamorehill/gateway/ChatChunk.java
+++ b/src/main/java/sycamorehill/gateway/ChatChunk.java
@@ -26,10 +26,22 @@
 		return new ChatChunk(id, KIND, created, model, List.of(new Choice(0, new Delta(null), "stop")));
 	}
 
+	/**
+	 * A part of one answer to the chat.
+	 *
+	 * @param index its place
+	 * @param delta what is added
+	 * @param finishReason why it ended, null before the end
+	 */
 	record Choice(int index, Delta delta, @JsonProperty("finish_reason") String finishReason) {
 
 	}
 
+	/**
+	 * Text that is added.
+	 *
+	 * @param content the text, null at the end
+	 */
 	@JsonInclude(JsonInclude.Include.NON_NULL)
 	record Delta(String content) {
 
--- a/src/main/java/sycamorehill/gateway/ChatCompletion.java
+++ b/src/main/java/sycamorehill/gateway/ChatCompletion.java
@@ -21,10 +21,24 @@
 				List.of(new Choice(0, new ChatMessage("assistant", content), "stop")), usage);
 	}
 
+	/**
+	 * One answer to the chat.
+	 *
+	 * @param index its place
+	 * @param message what was generated
+	 * @param finishReason why it ended
+	 */
 	record Choice(int index, ChatMessage message, @JsonProperty("finish_reason") String finishReason) {
 
 	}
 
+	/**
+	 * Tokens of the call.
+	 *
+	 * @param promptTokens estimated tokens of the prompt
+	 * @param completionTokens generated tokens
+	 * @param totalTokens both together
+	 */
 	record Usage(@JsonProperty("prompt_tokens") int promptTokens,
 			@JsonProperty("completion_tokens") int completionTokens, @JsonProperty("total_tokens") int totalTokens) {
 
