Decide the life of a request: attempts, retries, resumes and its outcome

The path from a caller to a target had no decisions. The request part now keeps each request from its arrival to its one final answer, retries only idempotent work within a budget per service, and takes the worst of all attempts as the outcome. A stopping node exits when nothing is in flight. Measured so far by unit tests only.

--- /dev/null
+++ b/src/main/java/sycamorehill/logic/request/AttemptHistory.java
@@ -0,0 +1,137 @@
+package sycamorehill.logic.request;
+
+import java.time.Duration;
+import java.util.Optional;
+
+import org.pcollections.HashTreePSet;
+import org.pcollections.PSet;
+
+import sycamorehill.model.identity.TargetName;
+import sycamorehill.model.request.AttemptResult;
+import sycamorehill.model.request.Refusal;
+import sycamorehill.model.request.RefusalReason;
+import sycamorehill.model.request.RequestOutcome;
+
+/**
+ * What came of the attempts of one request that have ended.
+ *
+ * @param started attempts begun, a running one among them
+ * @param failedTargets targets that failed the request; they are not tried again
+ * @param evidence the worst over all attempts
+ * @param refusalReason why the worst of them did not serve the request
+ * @param detail what it said
+ * @param retryAfter the longest time to come back that a target gave
+ * @param tokens tokens delivered to the caller over all attempts
+ */
+record AttemptHistory(int started, PSet<TargetName> failedTargets, RunEvidence evidence, RefusalReason refusalReason,
+		String detail, Duration retryAfter, int tokens) {
+
+	static AttemptHistory none() {
+		return new AttemptHistory(0, HashTreePSet.empty(), RunEvidence.NOT_RUN, RefusalReason.NO_TARGET,
+				"no target may be given work now", Duration.ZERO, 0);
+	}
+
+	AttemptHistory begun() {
+		return new AttemptHistory(this.started + 1, this.failedTargets, this.evidence, this.refusalReason, this.detail,
+				this.retryAfter, this.tokens);
+	}
+
+	/**
+	 * Adds an attempt that did not give the whole answer.
+	 * @param target where it ran
+	 * @param delivered tokens delivered so far
+	 * @param result how it ended
+	 * @return the longer history
+	 */
+	AttemptHistory ended(TargetName target, int delivered, AttemptResult result) {
+		RunEvidence found = evidenceOf(result);
+		boolean decides = found.compareTo(this.evidence) >= 0;
+		return new AttemptHistory(this.started, this.failedTargets.plus(target), this.evidence.worse(found),
+				decides ? reasonOf(result) : this.refusalReason, decides ? detailOf(result) : this.detail,
+				longer(this.retryAfter, retryAfterOf(result)), Math.max(this.tokens, delivered));
+	}
+
+	/**
+	 * Adds an attempt that was given up while it may have been running.
+	 * @return the longer history
+	 */
+	AttemptHistory abandoned() {
+		return new AttemptHistory(this.started, this.failedTargets, RunEvidence.UNKNOWN, this.refusalReason,
+				this.detail, this.retryAfter, this.tokens);
+	}
+
+	AttemptHistory whole(int delivered) {
+		return new AttemptHistory(this.started, this.failedTargets, this.evidence, this.refusalReason, this.detail,
+				this.retryAfter, Math.max(this.tokens, delivered));
+	}
+
+	/**
+	 * The final answer when nothing more is tried. The worst of all attempts decides, not
+	 * the last: after an attempt that broke off, a target that refuses does not make the
+	 * request "not run", or the caller would send an order that ran a second time.
+	 * @param comeBack when the caller may come back, at the least
+	 * @return the outcome
+	 */
+	RequestOutcome outcome(Duration comeBack) {
+		return outcome(this.refusalReason, this.detail, comeBack);
+	}
+
+	RequestOutcome outcome(RefusalReason reason, String text, Duration comeBack) {
+		Refusal refusal = Refusal.of(reason, text, longer(this.retryAfter, comeBack));
+		return switch (this.evidence) {
+			case NOT_RUN -> new RequestOutcome.NotRun(refusal);
+			case FAILED -> new RequestOutcome.Failed(refusal);
+			case UNKNOWN -> new RequestOutcome.Unknown(refusal);
+		};
+	}
+
+	private static RunEvidence evidenceOf(AttemptResult result) {
+		if (result instanceof AttemptResult.RefusedBeforeRunning || result instanceof AttemptResult.NothingSent) {
+			return RunEvidence.NOT_RUN;
+		}
+		return (result instanceof AttemptResult.FailedWhileRunning) ? RunEvidence.FAILED : RunEvidence.UNKNOWN;
+	}
+
+	private static RefusalReason reasonOf(AttemptResult result) {
+		if (result instanceof AttemptResult.RefusedBeforeRunning) {
+			return RefusalReason.TARGET_REFUSED;
+		}
+		if (result instanceof AttemptResult.NothingSent) {
+			return RefusalReason.NO_TARGET;
+		}
+		if (result instanceof AttemptResult.Cancelled) {
+			return RefusalReason.CALLER_GONE;
+		}
+		return (result instanceof AttemptResult.FailedWhileRunning) ? RefusalReason.TARGET_FAILED
+				: RefusalReason.TARGET_LOST;
+	}
+
+	private static String detailOf(AttemptResult result) {
+		if (result instanceof AttemptResult.RefusedBeforeRunning refused) {
+			return "the target refused before running it: " + refused.detail();
+		}
+		if (result instanceof AttemptResult.NothingSent nothingSent) {
+			return "no target could be reached: " + nothingSent.detail();
+		}
+		if (result instanceof AttemptResult.FailedWhileRunning failed) {
+			return "the target failed while running it: " + failed.detail();
+		}
+		if (result instanceof AttemptResult.Broken broken) {
+			return "the target was lost while running it: " + broken.detail();
+		}
+		return "the request was cancelled";
+	}
+
+	private static Duration retryAfterOf(AttemptResult result) {
+		return Optional.of(result)
+			.filter(AttemptResult.RefusedBeforeRunning.class::isInstance)
+			.map(AttemptResult.RefusedBeforeRunning.class::cast)
+			.map(AttemptResult.RefusedBeforeRunning::retryAfter)
+			.orElse(Duration.ZERO);
+	}
+
+	private static Duration longer(Duration one, Duration other) {
+		return (one.compareTo(other) >= 0) ? one : other;
+	}
+
+}
--- /dev/null
+++ b/src/main/java/sycamorehill/logic/request/NodeStop.java
@@ -0,0 +1,69 @@
+package sycamorehill.logic.request;
+
+import java.time.Instant;
+import java.util.Comparator;
+import java.util.List;
+
+import sycamorehill.model.effect.NodeEffect;
+import sycamorehill.model.log.LogEvent;
+import sycamorehill.model.log.LogLine;
+import sycamorehill.model.request.RefusalReason;
+
+/**
+ * A planned stop: the process ends when nothing is in flight any more.
+ */
+final class NodeStop {
+
+	private NodeStop() {
+	}
+
+	static void request(RequestStep step) {
+		if (step.state().stop().isEmpty()) {
+			step.replace(step.state().withStop(new StopProgress(step.now(), false)));
+		}
+	}
+
+	/**
+	 * Ends the process once the grace is over and nothing is in flight. An idle node that
+	 * exited at once would cut off the requests that the balancer, which has not yet
+	 * noticed, still sends to it.
+	 * @param step the step
+	 */
+	static void check(RequestStep step) {
+		if (step.state().stop().isEmpty() || step.state().stop().get().exited()) {
+			return;
+		}
+		Instant since = step.state().stop().get().since();
+		boolean graceOver = !step.now().isBefore(since.plus(step.policy().stopGrace()));
+		boolean boundPassed = !step.now().isBefore(since.plus(step.policy().stopBound()));
+		if (!graceOver || (step.state().inFlight() > 0 && !boundPassed)) {
+			return;
+		}
+		step.replace(step.state().withStop(new StopProgress(since, true)));
+		cutOff(step);
+		step.emit(new NodeEffect.Exit());
+	}
+
+	private static void cutOff(RequestStep step) {
+		List<ActiveRequest> left = step.state()
+			.active()
+			.values()
+			.stream()
+			.sorted(Comparator.comparingLong((request) -> request.identifier().number()))
+			.toList();
+		int number = 0;
+		for (ActiveRequest request : left) {
+			number++;
+			log(step, LogEvent.REQUEST_CUT, number + " of " + left.size() + ": " + request.identifier() + " for "
+					+ request.description().service() + " after " + request.history().started() + " attempts");
+			AttemptHistory history = request.running().isPresent() ? request.history().abandoned() : request.history();
+			step.finish(request, history.outcome(RefusalReason.NODE_STOPPING, "the node stopped", step.comeBack()));
+		}
+		log(step, LogEvent.REQUESTS_DRAINED, left.size() + " requests cut off");
+	}
+
+	private static void log(RequestStep step, LogEvent event, String detail) {
+		step.emit(new NodeEffect.WriteLog(LogLine.of(event, detail)));
+	}
+
+}
--- /dev/null
+++ b/src/main/java/sycamorehill/logic/request/RandomSequence.java
@@ -0,0 +1,58 @@
+package sycamorehill.logic.request;
+
+import java.time.Duration;
+
+/**
+ * Random numbers as a value: the same seed gives the same numbers (SplitMix64).
+ *
+ * @param position where the sequence stands
+ */
+public record RandomSequence(long position) {
+
+	private static final long STEP = 0x9E3779B97F4A7C15L;
+
+	private static final long FIRST_FACTOR = 0xBF58476D1CE4E5B9L;
+
+	private static final long SECOND_FACTOR = 0x94D049BB133111EBL;
+
+	private static final double FRACTION = 0x1.0p-53;
+
+	/**
+	 * Creates the sequence of a seed.
+	 * @param seed the seed
+	 * @return the sequence
+	 */
+	public static RandomSequence of(long seed) {
+		return new RandomSequence(seed);
+	}
+
+	/**
+	 * The sequence after its present number.
+	 * @return the rest of the sequence
+	 */
+	public RandomSequence next() {
+		return new RandomSequence(this.position + STEP);
+	}
+
+	/**
+	 * The present number as a fraction.
+	 * @return from 0 to below 1
+	 */
+	public double fraction() {
+		long mixed = this.position + STEP;
+		mixed = (mixed ^ (mixed >>> 30)) * FIRST_FACTOR;
+		mixed = (mixed ^ (mixed >>> 27)) * SECOND_FACTOR;
+		mixed = mixed ^ (mixed >>> 31);
+		return (mixed >>> 11) * FRACTION;
+	}
+
+	/**
+	 * A random duration between half of one and the whole.
+	 * @param longest the longest
+	 * @return the duration
+	 */
+	public Duration jittered(Duration longest) {
+		return Duration.ofNanos((long) (longest.toNanos() * (0.5 + 0.5 * fraction())));
+	}
+
+}
--- a/src/main/java/sycamorehill/logic/request/RequestReducer.java
+++ b/src/main/java/sycamorehill/logic/request/RequestReducer.java
@@ -1,14 +1,25 @@
 package sycamorehill.logic.request;
 
+import java.time.Duration;
 import java.time.Instant;
+import java.util.Optional;
 
 import sycamorehill.logic.NodeView;
 import sycamorehill.logic.Reducer;
 import sycamorehill.logic.Step;
 import sycamorehill.model.event.Event;
+import sycamorehill.model.event.NodeEvent;
+import sycamorehill.model.event.RequestEvent;
+import sycamorehill.model.identity.RequestIdentifier;
+import sycamorehill.model.identity.ServiceName;
+import sycamorehill.model.request.AttemptResult;
+import sycamorehill.model.request.Refusal;
+import sycamorehill.model.request.RefusalReason;
+import sycamorehill.model.request.RequestOutcome;
 
 /**
- * The life of a request: attempts, retries, resumes and its outcome.
+ * The life of a request: attempts, retries, resumes and its outcome. A request is kept
+ * from its arrival to its final answer, of which there is exactly one.
  */
 public final class RequestReducer implements Reducer<RequestState> {
 
@@ -25,7 +36,142 @@
 
 	@Override
 	public Step<RequestState> reduce(RequestState state, Instant now, Event event, NodeView view) {
-		return Step.of(state);
+		RequestStep step = new RequestStep(state, now, view);
+		if (event instanceof RequestEvent requestEvent) {
+			request(step, requestEvent);
+		}
+		else if (event instanceof NodeEvent.Started started) {
+			step.replace(state.withRandom(RandomSequence.of(started.seed())));
+		}
+		else if (event instanceof NodeEvent.StopRequested) {
+			NodeStop.request(step);
+		}
+		else if (event instanceof NodeEvent.Ticked) {
+			wake(step);
+			NodeStop.check(step);
+		}
+		return step.result();
+	}
+
+	private static void request(RequestStep step, RequestEvent event) {
+		if (event instanceof RequestEvent.Arrived arrived) {
+			arrived(step, arrived);
+		}
+		else if (event instanceof RequestEvent.Cleared cleared) {
+			cleared(step, cleared);
+		}
+		else if (event instanceof RequestEvent.AttemptDue due) {
+			find(step, due.request()).filter((request) -> request.running().isEmpty()).ifPresent(step::seekTarget);
+		}
+		else if (event instanceof RequestEvent.FirstToken first) {
+			find(step, step.state().attempts().get(first.attempt()))
+				.ifPresent((request) -> step.put(request.withBegun().withWakeAt(Optional.empty())));
+		}
+		else if (event instanceof RequestEvent.AttemptEnded ended) {
+			find(step, step.state().attempts().get(ended.attempt()))
+				.ifPresent((request) -> attemptEnded(step, request, ended));
+		}
+		else if (event instanceof RequestEvent.Refused refused) {
+			find(step, refused.request()).ifPresent((request) -> refused(step, request, refused.outcome()));
+		}
+		else if (event instanceof RequestEvent.CallerGone gone) {
+			find(step, gone.request()).ifPresent((request) -> callerGone(step, request));
+		}
+	}
+
+	private static void arrived(RequestStep step, RequestEvent.Arrived event) {
+		if (find(step, event.request().identifier()).isEmpty()) {
+			step.put(ActiveRequest.arrived(event.request()));
+		}
+	}
+
+	private static Optional<ActiveRequest> find(RequestStep step, RequestIdentifier identifier) {
+		return Optional.ofNullable(identifier).map(step.state().active()::get);
+	}
+
+	private static void cleared(RequestStep step, RequestEvent.Cleared event) {
+		Optional<ActiveRequest> found = find(step, event.request().identifier());
+		if (found.isEmpty()) {
+			alreadyFinished(step, event);
+			return;
+		}
+		ServiceName service = event.request().service();
+		step.setBudgets(service, step.budgets(service).earned(step.policy()));
+		Instant waitEnd = step.now().plus(step.policy().targetWait());
+		Instant deadline = event.request().deadline();
+		step.seekTarget(found.get().cleared(event.handling(), waitEnd.isBefore(deadline) ? waitEnd : deadline));
+	}
+
+	private static void alreadyFinished(RequestStep step, RequestEvent.Cleared event) {
+		// The caller went away while the request was queued or its order was being
+		// claimed,
+		// so it has its final answer already. The claim would be held for ever if nobody
+		// told
+		// the orders that nothing will run.
+		RequestOutcome notRun = new RequestOutcome.NotRun(
+				Refusal.of(RefusalReason.CALLER_GONE, "the caller went away before it was sent"));
+		step.raise(new RequestEvent.Finished(event.request(), event.handling(), notRun, 0, Optional.empty()));
+	}
+
+	private static void attemptEnded(RequestStep step, ActiveRequest request, RequestEvent.AttemptEnded event) {
+		RunningAttempt running = request.running().orElseThrow();
+		step.raise(new RequestEvent.AttemptClosed(request.description(), running.identifier(), running.target(),
+				event.result()));
+		if (event.result() instanceof AttemptResult.Whole whole) {
+			step.finish(request.ended(request.history().whole(event.deliveredTokens())), new RequestOutcome.Completed(),
+					whole.recorded());
+			return;
+		}
+		AttemptHistory history = request.history()
+			.ended(running.target().name(), event.deliveredTokens(), event.result());
+		RetryRule.apply(step, request.ended(history), event.result());
+	}
+
+	private static void refused(RequestStep step, ActiveRequest request, RequestOutcome outcome) {
+		// Another part refused the request. If an attempt may have run before, "not run"
+		// would be false, and the attempts decide.
+		if (request.history().started() > 0 && outcome instanceof RequestOutcome.NotRun notRun) {
+			AttemptHistory history = request.running().isPresent() ? request.history().abandoned() : request.history();
+			Duration comeBack = notRun.refusal().retryAfter().orElse(Duration.ZERO);
+			step.finish(request, history.outcome(notRun.refusal().reason(), notRun.refusal().detail(), comeBack));
+			return;
+		}
+		step.finish(request, outcome);
+	}
+
+	private static void callerGone(RequestStep step, ActiveRequest request) {
+		// Work that may be repeated is cancelled when its caller has gone, as nobody will
+		// read it. An order that was sent runs on: to break it off could leave half of it
+		// done, and its answer is kept for the caller's next call.
+		if (request.running().isPresent() && !request.repeatable()) {
+			step.put(request.withCallerGone());
+			return;
+		}
+		AttemptHistory history = request.running().isPresent() ? request.history().abandoned() : request.history();
+		step.finish(request, history.outcome(RefusalReason.CALLER_GONE, "the caller went away", Duration.ZERO));
+	}
+
+	private static void wake(RequestStep step) {
+		while (!step.state().wakeups().isEmpty()) {
+			Wakeup first = step.state().wakeups().first();
+			if (first.at().isAfter(step.now())) {
+				return;
+			}
+			ActiveRequest request = step.state().active().get(first.request()).withWakeAt(Optional.empty());
+			step.put(request);
+			if (request.running().isPresent()) {
+				notBegunByDeadline(step, request);
+			}
+			else {
+				step.seekTarget(request);
+			}
+		}
+	}
+
+	private static void notBegunByDeadline(RequestStep step, ActiveRequest request) {
+		AttemptHistory history = request.history().abandoned();
+		step.finish(request, history.outcome(RefusalReason.DEADLINE_TOO_SHORT,
+				"its answer had not begun by its deadline and was cancelled", step.comeBack()));
 	}
 
 }
--- a/src/main/java/sycamorehill/model/event/RequestEvent.java
+++ b/src/main/java/sycamorehill/model/event/RequestEvent.java
@@ -125,4 +125,13 @@
 	record TargetDied(ServingTarget target, List<Fingerprint> running) implements RequestEvent {
 	}
 
+	/**
+	 * Raised by the request part after the other parts have taken the end of an attempt
+	 * in: a further attempt is due.
+	 *
+	 * @param request the request
+	 */
+	record AttemptDue(RequestIdentifier request) implements RequestEvent {
+	}
+
 }
--- a/src/main/java/sycamorehill/model/log/LogEvent.java
+++ b/src/main/java/sycamorehill/model/log/LogEvent.java
@@ -9,7 +9,13 @@
 	NODE_STARTED(1001, LogLevel.INFO),
 
 	/** The node was told to stop. */
-	NODE_STOPPING(1002, LogLevel.INFO);
+	NODE_STOPPING(1002, LogLevel.INFO),
+
+	/** Everything in flight is over; the stopping node exits. */
+	REQUESTS_DRAINED(1101, LogLevel.INFO),
+
+	/** A stopping node cut a request off at its bound. */
+	REQUEST_CUT(1102, LogLevel.WARN);
 
 	private final int number;
 
--- a/src/main/java/sycamorehill/model/request/AttemptResult.java
+++ b/src/main/java/sycamorehill/model/request/AttemptResult.java
@@ -53,4 +53,12 @@
 	record Broken(boolean connectionLost, String detail) implements AttemptResult {
 	}
 
+	/**
+	 * The attempt was given up by the node itself; it says nothing about the target.
+	 *
+	 * @param detail why
+	 */
+	record Cancelled(String detail) implements AttemptResult {
+	}
+
 }
--- /dev/null
+++ b/src/test/java/sycamorehill/logic/request/RequestReducerTests.java
@@ -0,0 +1,256 @@
+package sycamorehill.logic.request;
+
+import java.time.Duration;
+import java.util.Optional;
+
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import sycamorehill.model.effect.NodeEffect;
+import sycamorehill.model.effect.RequestEffect;
+import sycamorehill.model.event.NodeEvent;
+import sycamorehill.model.event.RequestEvent;
+import sycamorehill.model.identity.AttemptIdentifier;
+import sycamorehill.model.identity.TargetName;
+import sycamorehill.model.request.AttemptResult;
+import sycamorehill.model.request.Handling;
+import sycamorehill.model.request.RecordedAnswer;
+import sycamorehill.model.request.Refusal;
+import sycamorehill.model.request.RefusalReason;
+import sycamorehill.model.request.RequestDescription;
+import sycamorehill.model.request.RequestOutcome;
+import sycamorehill.support.SampleRequests;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class RequestReducerTests {
+
+	private static final AttemptResult BROKEN = new AttemptResult.Broken(true, "reset");
+
+	private static final AttemptResult STALLED = new AttemptResult.Broken(false, "nothing came");
+
+	private static final AttemptResult REFUSED = new AttemptResult.RefusedBeforeRunning(false, Duration.ofSeconds(7),
+			"full");
+
+	private static final AttemptResult NOTHING_SENT = new AttemptResult.NothingSent("connection refused");
+
+	private final RequestDescription request = SampleRequests.request("n1", 1, "a");
+
+	private final RequestRun run = new RequestRun();
+
+	@BeforeEach
+	void twoTargets() {
+		this.run.view().targets().add(SampleRequests.target("t1"));
+		this.run.view().targets().add(SampleRequests.target("t2"));
+	}
+
+	@Test
+	void wholeAnswerCompletesTheRequest() {
+		this.run.clear(this.request, Handling.REPEATABLE).end(new AttemptResult.Whole(5, Optional.empty()));
+		assertThat(this.run.outcomes()).containsExactly(new RequestOutcome.Completed());
+	}
+
+	@Test
+	void brokenStreamGoesOnOnAnotherTarget() {
+		this.run.clear(this.request, Handling.REPEATABLE).firstToken().end(3, BROKEN);
+		assertThat(this.run.starts()).extracting((start) -> start.target().name())
+			.containsExactly(TargetName.of("t1"), TargetName.of("t2"));
+	}
+
+	@Test
+	void attemptsNeverShareAnIdentifier() {
+		this.run.clear(this.request, Handling.REPEATABLE).end(BROKEN);
+		assertThat(this.run.starts()).extracting(RequestEffect.StartAttempt::attempt).doesNotHaveDuplicates();
+	}
+
+	// A caller is told that its order was not run, sends it again, and it is delivered
+	// twice. The first attempt broke off after it was sent, the second target refused,
+	// and
+	// only the last answer was passed on.
+	@Test
+	void refusalAfterBrokenAttemptIsUnknown() {
+		this.run.clear(this.request, Handling.REPEATABLE).end(BROKEN).end(REFUSED);
+		assertThat(this.run.outcomes()).hasSize(1).first().isInstanceOf(RequestOutcome.Unknown.class);
+	}
+
+	// A booking is made twice: the connection broke after the target had got it, and it
+	// was sent to a second target.
+	@Test
+	void brokenOrderIsNotSentAgain() {
+		this.run.clear(this.request, Handling.ONCE_WITH_KEY).end(BROKEN).pass(Duration.ofMinutes(1));
+		assertThat(this.run.starts()).hasSize(1);
+	}
+
+	@Test
+	void failedOrderIsNotSentAgain() {
+		this.run.clear(this.request, Handling.ONCE_WITHOUT_KEY).end(new AttemptResult.FailedWhileRunning("error"));
+		assertThat(this.run.outcomes()).hasSize(1).first().isInstanceOf(RequestOutcome.Failed.class);
+	}
+
+	@Test
+	void orderThatReachedNoTargetGoesToAnother() {
+		this.run.clear(this.request, Handling.ONCE_WITH_KEY).end(NOTHING_SENT);
+		assertThat(this.run.starts()).hasSize(2);
+	}
+
+	@Test
+	void refusalByEveryTargetIsNotRun() {
+		this.run.clear(this.request, Handling.ONCE_WITH_KEY)
+			.end(REFUSED)
+			.pass(Duration.ofSeconds(1))
+			.end(REFUSED)
+			.pass(Duration.ofSeconds(1));
+		assertThat(this.run.outcomes()).hasSize(1).first().isInstanceOf(RequestOutcome.NotRun.class);
+	}
+
+	@Test
+	void refusalCarriesTheTargetsTimeToComeBack() {
+		this.run.view().targets().remove(1);
+		this.run.clear(this.request, Handling.REPEATABLE).end(REFUSED).pass(Duration.ofSeconds(1));
+		RequestOutcome.NotRun outcome = (RequestOutcome.NotRun) this.run.outcomes().get(0);
+		assertThat(outcome.refusal().retryAfter()).contains(Duration.ofSeconds(7));
+	}
+
+	@Test
+	void requestWaitsForATargetToAppear() {
+		this.run.view().targets().clear();
+		this.run.clear(this.request, Handling.REPEATABLE);
+		this.run.view().targets().add(SampleRequests.target("t3"));
+		this.run.pass(Duration.ofMillis(300));
+		assertThat(this.run.starts()).hasSize(1);
+	}
+
+	@Test
+	void requestWithoutTargetIsRefusedAfterABoundedWait() {
+		this.run.view().targets().clear();
+		this.run.clear(this.request, Handling.REPEATABLE).pass(Duration.ofSeconds(3));
+		assertThat(this.run.outcomes()).hasSize(1)
+			.first()
+			.isInstanceOfSatisfying(RequestOutcome.NotRun.class,
+					(outcome) -> assertThat(outcome.refusal().reason()).isEqualTo(RefusalReason.NO_TARGET));
+	}
+
+	@Test
+	void callerThatHasGoneCancelsItsAttempt() {
+		this.run.clear(this.request, Handling.REPEATABLE);
+		AttemptIdentifier attempt = this.run.lastAttempt();
+		this.run.feed(new RequestEvent.CallerGone(this.request.identifier()));
+		assertThat(this.run.effects()).contains(new RequestEffect.CancelAttempt(attempt));
+	}
+
+	// A caller hangs up while its order runs and asks again with the same key. It hears
+	// "unknown" for ever, because the order was cancelled half way and its answer
+	// dropped.
+	@Test
+	void orderWhoseCallerLeftRunsOnAndItsAnswerIsKept() {
+		Optional<RecordedAnswer> answer = Optional.of(new RecordedAnswer(200, "text/plain", "booked"));
+		this.run.clear(this.request, Handling.ONCE_WITH_KEY)
+			.feed(new RequestEvent.CallerGone(this.request.identifier()))
+			.end(new AttemptResult.Whole(0, answer));
+		assertThat(this.run.finished()).extracting(RequestEvent.Finished::answer).containsExactly(answer);
+	}
+
+	// A caller leaves while its order is being claimed, and its next call with the same
+	// key
+	// hears "still running" for ever, because nobody releases the claim.
+	@Test
+	void orderClearedAfterItsCallerLeftIsNotSentAndIsReportedAsNotRun() {
+		this.run.feed(new RequestEvent.Arrived(this.request))
+			.feed(new RequestEvent.CallerGone(this.request.identifier()))
+			.feed(new RequestEvent.Cleared(this.request, Handling.ONCE_WITH_KEY));
+		assertThat(this.run.starts()).isEmpty();
+		assertThat(this.run.finished()).last()
+			.satisfies((finished) -> assertThat(finished.outcome()).isInstanceOf(RequestOutcome.NotRun.class));
+	}
+
+	@Test
+	void refusalByAnotherPartIsTheFinalAnswer() {
+		RequestOutcome refusal = new RequestOutcome.NotRun(Refusal.of(RefusalReason.OVERLOADED, "full"));
+		this.run.feed(new RequestEvent.Arrived(this.request))
+			.feed(new RequestEvent.Refused(this.request.identifier(), refusal))
+			.feed(new RequestEvent.Refused(this.request.identifier(), refusal));
+		assertThat(this.run.outcomes()).containsExactly(refusal);
+	}
+
+	// An order that has been sent is told "not run", because another part refused it
+	// late.
+	@Test
+	void refusalByAnotherPartWhileAnAttemptRunsIsUnknown() {
+		RequestOutcome refusal = new RequestOutcome.NotRun(Refusal.of(RefusalReason.OVERLOADED, "full"));
+		this.run.clear(this.request, Handling.ONCE_WITH_KEY)
+			.feed(new RequestEvent.Refused(this.request.identifier(), refusal));
+		assertThat(this.run.outcomes()).hasSize(1).first().isInstanceOf(RequestOutcome.Unknown.class);
+	}
+
+	@Test
+	void endOfAnAttemptThatWasGivenUpChangesNothing() {
+		this.run.clear(this.request, Handling.REPEATABLE);
+		AttemptIdentifier first = this.run.lastAttempt();
+		this.run.end(BROKEN)
+			.feed(new RequestEvent.AttemptEnded(first, 5, new AttemptResult.Whole(5, Optional.empty())));
+		assertThat(this.run.outcomes()).isEmpty();
+	}
+
+	@Test
+	void answerThatHasNotBegunByItsDeadlineIsGivenUp() {
+		this.run.clear(this.request, Handling.REPEATABLE).pass(SampleRequests.DEADLINE);
+		assertThat(this.run.outcomes()).hasSize(1).first().isInstanceOf(RequestOutcome.Unknown.class);
+	}
+
+	@Test
+	void answerThatHasBegunOutlivesItsDeadline() {
+		this.run.clear(this.request, Handling.REPEATABLE).firstToken().pass(SampleRequests.DEADLINE.multipliedBy(2));
+		assertThat(this.run.outcomes()).isEmpty();
+	}
+
+	@Test
+	void quarantinedRequestIsNotSent() {
+		this.run.view().quarantine().add(this.request.fingerprint());
+		this.run.clear(this.request, Handling.REPEATABLE);
+		assertThat(this.run.starts()).isEmpty();
+	}
+
+	// All targets slow down, every request times out and is sent again, and the targets
+	// get
+	// three times the load that slowed them down.
+	@Test
+	void retriesEndWhenTheServicesBudgetIsSpent() {
+		for (int number = 0; number < 100; number++) {
+			this.run.clear(SampleRequests.request("n1", number, "c" + number), Handling.REPEATABLE)
+				.end(STALLED)
+				.pass(Duration.ofMillis(200));
+		}
+		assertThat(this.run.starts()).hasSizeBetween(120, 130);
+	}
+
+	@Test
+	void stoppingNodeFinishesWhatIsInFlight() {
+		this.run.clear(this.request, Handling.REPEATABLE)
+			.firstToken()
+			.feed(new NodeEvent.StopRequested())
+			.pass(Duration.ofMinutes(1));
+		assertThat(this.run.effects()).doesNotContain(new NodeEffect.Exit());
+		this.run.end(new AttemptResult.Whole(5, Optional.empty())).pass(Duration.ofSeconds(1));
+		assertThat(this.run.effects()).contains(new NodeEffect.Exit());
+	}
+
+	@Test
+	void stoppingNodeThatIsIdleStaysForTheBalancersGrace() {
+		this.run.feed(new NodeEvent.StopRequested()).pass(Duration.ofSeconds(4));
+		assertThat(this.run.effects()).isEmpty();
+	}
+
+	@Test
+	void stoppingNodeTellsWhatItCutOffAtItsBound() {
+		this.run.clear(this.request, Handling.REPEATABLE)
+			.firstToken()
+			.feed(new NodeEvent.StopRequested())
+			.pass(Duration.ofMinutes(11));
+		assertThat(RequestRun.only(this.run.effects(), NodeEffect.WriteLog.class))
+			.extracting((log) -> log.line().detail())
+			.first()
+			.asString()
+			.startsWith("1 of 1: ");
+	}
+
+}
--- /dev/null
+++ b/src/test/java/sycamorehill/logic/request/RequestRun.java
@@ -0,0 +1,121 @@
+package sycamorehill.logic.request;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+
+import sycamorehill.logic.Step;
+import sycamorehill.model.effect.Effect;
+import sycamorehill.model.effect.NodeEffect;
+import sycamorehill.model.effect.RequestEffect;
+import sycamorehill.model.event.Event;
+import sycamorehill.model.event.NodeEvent;
+import sycamorehill.model.event.RequestEvent;
+import sycamorehill.model.identity.AttemptIdentifier;
+import sycamorehill.model.request.AttemptResult;
+import sycamorehill.model.request.Handling;
+import sycamorehill.model.request.RequestDescription;
+import sycamorehill.model.request.RequestOutcome;
+import sycamorehill.support.FixedView;
+
+/**
+ * Feeds events to the request part alone and keeps what came out.
+ */
+final class RequestRun {
+
+	private static final Duration TICK = Duration.ofMillis(100);
+
+	private final RequestReducer reducer = RequestReducer.create();
+
+	private final FixedView view = FixedView.of("n1");
+
+	private final List<Effect> effects = new ArrayList<>();
+
+	private final List<Event> raised = new ArrayList<>();
+
+	private RequestState state = RequestState.initial();
+
+	private Instant now = Instant.EPOCH;
+
+	FixedView view() {
+		return this.view;
+	}
+
+	RequestState state() {
+		return this.state;
+	}
+
+	List<Effect> effects() {
+		return this.effects;
+	}
+
+	RequestRun feed(Event event) {
+		Deque<Event> events = new ArrayDeque<>(List.of(event));
+		while (!events.isEmpty()) {
+			Step<RequestState> step = this.reducer.reduce(this.state, this.now, events.poll(), this.view);
+			this.state = step.state();
+			for (Effect effect : step.effects()) {
+				if (effect instanceof NodeEffect.Raise raise) {
+					events.add(raise.event());
+					this.raised.add(raise.event());
+				}
+				else {
+					this.effects.add(effect);
+				}
+			}
+		}
+		return this;
+	}
+
+	RequestRun clear(RequestDescription request, Handling handling) {
+		return feed(new RequestEvent.Arrived(request)).feed(new RequestEvent.Cleared(request, handling));
+	}
+
+	RequestRun pass(Duration duration) {
+		Instant end = this.now.plus(duration);
+		while (this.now.isBefore(end)) {
+			this.now = this.now.plus(TICK);
+			feed(new NodeEvent.Ticked(this.now));
+		}
+		return this;
+	}
+
+	RequestRun firstToken() {
+		return feed(new RequestEvent.FirstToken(lastAttempt()));
+	}
+
+	RequestRun end(AttemptResult result) {
+		return end(0, result);
+	}
+
+	RequestRun end(int delivered, AttemptResult result) {
+		return feed(new RequestEvent.AttemptEnded(lastAttempt(), delivered, result));
+	}
+
+	AttemptIdentifier lastAttempt() {
+		List<RequestEffect.StartAttempt> starts = starts();
+		return starts.get(starts.size() - 1).attempt();
+	}
+
+	List<RequestEffect.StartAttempt> starts() {
+		return only(this.effects, RequestEffect.StartAttempt.class);
+	}
+
+	List<RequestOutcome> outcomes() {
+		return only(this.effects, RequestEffect.FinishRequest.class).stream()
+			.map(RequestEffect.FinishRequest::outcome)
+			.toList();
+	}
+
+	List<RequestEvent.Finished> finished() {
+		return only(this.raised, RequestEvent.Finished.class);
+	}
+
+	static <T> List<T> only(List<?> things, Class<T> type) {
+		return things.stream().filter(type::isInstance).map(type::cast).toList();
+	}
+
+}
