--- a/src/main/java/sycamorehill/logic/request/RetryRule.java
+++ b/src/main/java/sycamorehill/logic/request/RetryRule.java
@@ -63,7 +63,8 @@
 	}
 
 	private static boolean hasPlaceToGo(RequestStep step, ActiveRequest request) {
-		// A stream that has begun waits a little for a target; any other request is better
+		// A stream that has begun waits a little for a target; any other request is
+		// better
 		// told at once than after a wait for nothing.
 		return request.begun() || step.chooseTarget(request).isPresent();
 	}
