Use one prefix hashing for gateway and stand-ins

Cause: two ways of hashing prompt blocks would never match the engines' cache events. Change: the gateway uses engine.PromptPrefixes.

--- a/src/main/java/sycamorehill/gateway/CallerRequestReader.java
+++ b/src/main/java/sycamorehill/gateway/CallerRequestReader.java
@@ -12,6 +12,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.servicetalk.http.api.HttpRequestMetaData;
 
+import sycamorehill.engine.PromptPrefixes;
 import sycamorehill.model.identity.NodeIncarnation;
 import sycamorehill.model.identity.RequestIdentifier;
 import sycamorehill.model.identity.ServiceName;
@@ -62,7 +63,7 @@
 		String prompt = chat.prompt();
 		RequestDescription description = new RequestDescription(nextIdentifier(), keyHash(head), service, "POST",
 				"/v1/chat/completions", prompt.length() / CHARACTERS_PER_TOKEN + 1, chat.tokens(),
-				ContentHashes.prefixes(prompt), priority(head), deadline(head), Optional.empty(),
+				PromptPrefixes.hashes(prompt), priority(head), deadline(head), Optional.empty(),
 				ContentHashes.fingerprint(service, "POST", body));
 		return new CallerCall(description, prompt, chat.stream(), "", Optional.empty(), Optional.empty(), "");
 	}
--- a/src/main/java/sycamorehill/gateway/ContentHashes.java
+++ b/src/main/java/sycamorehill/gateway/ContentHashes.java
@@ -3,11 +3,8 @@
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
-import java.util.ArrayList;
 import java.util.HexFormat;
-import java.util.List;
 
-import com.dynatrace.hash4j.hashing.HashStream64;
 import com.dynatrace.hash4j.hashing.HashValue128;
 import com.dynatrace.hash4j.hashing.Hashing;
 
@@ -20,10 +17,6 @@
  */
 final class ContentHashes {
 
-	private static final int PREFIX_BLOCK_CHARACTERS = 256;
-
-	private static final int MOST_PREFIX_BLOCKS = 32;
-
 	private ContentHashes() {
 	}
 
@@ -57,16 +50,4 @@
 		return new OrderKey(hash.getMostSignificantBits(), hash.getLeastSignificantBits());
 	}
 
-	static List<Long> prefixes(String prompt) {
-		List<Long> hashes = new ArrayList<>();
-		HashStream64 stream = Hashing.komihash5_0().hashStream();
-		int blocks = Math.min(MOST_PREFIX_BLOCKS, prompt.length() / PREFIX_BLOCK_CHARACTERS);
-		for (int block = 0; block < blocks; block++) {
-			int from = block * PREFIX_BLOCK_CHARACTERS;
-			stream.putChars(prompt.subSequence(from, from + PREFIX_BLOCK_CHARACTERS));
-			hashes.add(stream.getAsLong());
-		}
-		return List.copyOf(hashes);
-	}
-
 }
