Carry messages between nodes over authenticated TCP frames

Cause: heartbeats, tickets, reports and claims need a way between our own processes that no stranger can inject into. The sender's identity travels once for each connection, not in each frame, to save bytes; the code stands outside the map so that nothing of a stranger is parsed.

--- a/src/main/java/sycamorehill/model/log/LogEvent.java
+++ b/src/main/java/sycamorehill/model/log/LogEvent.java
@@ -9,7 +9,13 @@
 	NODE_STARTED(1001, LogLevel.INFO),
 
 	/** The node was told to stop. */
-	NODE_STOPPING(1002, LogLevel.INFO);
+	NODE_STOPPING(1002, LogLevel.INFO),
+
+	/** A connection of or to another node was closed because of what came over it. */
+	PEER_CONNECTION_REFUSED(1301, LogLevel.WARN),
+
+	/** A message to another node was larger than a frame may be and was dropped. */
+	PEER_MESSAGE_TOO_LARGE(1302, LogLevel.WARN);
 
 	private final int number;
 
--- /dev/null
+++ b/src/main/java/sycamorehill/peer/AcceptedConnection.java
@@ -0,0 +1,179 @@
+package sycamorehill.peer;
+
+import java.io.IOException;
+import java.security.SecureRandom;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.timeout.IdleStateEvent;
+
+import sycamorehill.model.event.PeerEvent;
+import sycamorehill.model.identity.NodeIdentity;
+import sycamorehill.model.log.LogEvent;
+import sycamorehill.model.log.LogLine;
+import sycamorehill.model.peer.PeerMessage;
+import sycamorehill.peer.PeerMessageCodec.PeerHello;
+
+/**
+ * The receiving end of one connection: sends a challenge, checks each frame and hands the
+ * messages on. Whatever is wrong closes this connection only.
+ */
+final class AcceptedConnection extends SimpleChannelInboundHandler<ByteBuf> {
+
+	private static final SecureRandom RANDOM = new SecureRandom();
+
+	private final PeerContext context;
+
+	private final PeerFrameDecoder decoder;
+
+	private final AtomicInteger strangers;
+
+	private FrameAuthenticator authenticator;
+
+	private NodeIdentity sender;
+
+	private long received;
+
+	private boolean acknowledging;
+
+	private boolean closed;
+
+	private AcceptedConnection(PeerContext context, PeerFrameDecoder decoder, AtomicInteger strangers) {
+		this.context = context;
+		this.decoder = decoder;
+		this.strangers = strangers;
+	}
+
+	static AcceptedConnection create(PeerContext context, PeerFrameDecoder decoder, AtomicInteger strangers) {
+		return new AcceptedConnection(context, decoder, strangers);
+	}
+
+	@Override
+	public void channelActive(ChannelHandlerContext channel) {
+		if (this.strangers.incrementAndGet() > PeerProtocol.MOST_STRANGERS) {
+			refuse(channel, "too many connections that have not proven themselves");
+			return;
+		}
+		byte[] nonce = new byte[PeerProtocol.NONCE_BYTES];
+		RANDOM.nextBytes(nonce);
+		this.authenticator = FrameAuthenticator.create(this.context.secret(), nonce);
+		channel.writeAndFlush(channel.alloc().buffer().writeBytes(nonce));
+		channel.executor()
+			.schedule(() -> closeStranger(channel), PeerProtocol.STRANGER_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+	}
+
+	@Override
+	public void channelInactive(ChannelHandlerContext channel) {
+		if (this.sender == null) {
+			this.strangers.decrementAndGet();
+		}
+		this.closed = true;
+	}
+
+	@Override
+	protected void channelRead0(ChannelHandlerContext channel, ByteBuf buffer) {
+		if (this.closed) {
+			return;
+		}
+		byte[] frame = ByteBufUtil.getBytes(buffer);
+		if (!this.authenticator.isNext(frame)) {
+			refuse(channel, "a wrong message authentication code");
+			return;
+		}
+		this.context.counters().received(frame.length + PeerProtocol.LENGTH_BYTES);
+		try {
+			if (this.sender == null) {
+				readHello(channel, frame);
+			}
+			else {
+				readMessage(channel, frame);
+			}
+		}
+		catch (IOException | RuntimeException ex) {
+			refuse(channel, "a frame that can't be read: " + ex.getClass().getSimpleName());
+		}
+	}
+
+	@Override
+	public void exceptionCaught(ChannelHandlerContext channel, Throwable cause) {
+		Throwable root = (cause.getCause() != null) ? cause.getCause() : cause;
+		if (root instanceof IOException) {
+			channel.close();
+			return;
+		}
+		refuse(channel, root.toString());
+	}
+
+	@Override
+	public void userEventTriggered(ChannelHandlerContext channel, Object event) {
+		if (event instanceof IdleStateEvent) {
+			channel.close();
+		}
+	}
+
+	private void readHello(ChannelHandlerContext channel, byte[] frame) throws IOException {
+		PeerHello hello = this.context.codec().readHello(frame, FrameAuthenticator.CODE_BYTES);
+		if (hello.version() < PeerProtocol.OLDEST_VERSION) {
+			refuse(channel, "protocol version " + hello.version());
+			return;
+		}
+		if (!this.context.self().incarnation().node().equals(hello.recipient())) {
+			refuse(channel, "it means the node " + hello.recipient());
+			return;
+		}
+		if (hello.sender() == null) {
+			refuse(channel, "no sender");
+			return;
+		}
+		this.sender = hello.sender();
+		this.strangers.decrementAndGet();
+		this.decoder.trust();
+	}
+
+	private void readMessage(ChannelHandlerContext channel, byte[] frame) throws IOException {
+		Optional<PeerMessage> message = this.context.codec().read(frame, FrameAuthenticator.CODE_BYTES);
+		this.received++;
+		acknowledgeSoon(channel);
+		if (message.isEmpty()) {
+			this.context.counters().unknownType();
+			return;
+		}
+		this.context.events().accept(new PeerEvent.MessageReceived(this.sender, message.get()));
+	}
+
+	private void acknowledgeSoon(ChannelHandlerContext channel) {
+		if (this.acknowledging) {
+			return;
+		}
+		this.acknowledging = true;
+		channel.executor().schedule(() -> {
+			this.acknowledging = false;
+			channel.writeAndFlush(channel.alloc().buffer().writeLong(this.received));
+		}, PeerProtocol.ACKNOWLEDGE_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
+	}
+
+	private void closeStranger(ChannelHandlerContext channel) {
+		if (this.sender == null && !this.closed) {
+			refuse(channel, "no proof within " + PeerProtocol.STRANGER_TIMEOUT);
+		}
+	}
+
+	private void refuse(ChannelHandlerContext channel, String fault) {
+		if (this.closed) {
+			return;
+		}
+		this.closed = true;
+		this.context.counters().refusedConnection();
+		String from = (this.sender != null) ? this.sender.incarnation().toString() : "a stranger";
+		this.context.log()
+			.accept(LogLine.of(LogEvent.PEER_CONNECTION_REFUSED,
+					"from=" + from + " address=" + channel.channel().remoteAddress() + " fault=" + fault));
+		channel.close();
+	}
+
+}
--- /dev/null
+++ b/src/main/java/sycamorehill/peer/NettyPeerTransport.java
@@ -0,0 +1,153 @@
+package sycamorehill.peer;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.LengthFieldPrepender;
+import io.netty.handler.timeout.IdleStateHandler;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import org.tinylog.Logger;
+
+import sycamorehill.model.event.PeerEvent;
+import sycamorehill.model.identity.Address;
+import sycamorehill.model.identity.NodeIdentity;
+import sycamorehill.model.identity.NodeName;
+import sycamorehill.model.log.LogLine;
+import sycamorehill.model.peer.PeerMessage;
+
+/**
+ * The transport over TCP. Connections carry messages one way: each node dials the nodes
+ * that it sends to.
+ */
+public final class NettyPeerTransport implements PeerTransport {
+
+	private static final int THREADS = 2;
+
+	private static final int CONNECT_TIMEOUT_MILLIS = 2000;
+
+	private static final int ACCEPTED_IDLE_SECONDS = 150;
+
+	private static final Duration CLOSE_TIMEOUT = Duration.ofSeconds(5);
+
+	private final PeerContext context;
+
+	private final EventLoopGroup group;
+
+	private final Bootstrap bootstrap;
+
+	private final AtomicInteger strangers = new AtomicInteger();
+
+	private final Map<NodeName, PeerLink> links = new ConcurrentHashMap<>();
+
+	private final Channel listener;
+
+	private NettyPeerTransport(PeerContext context, EventLoopGroup group, Address bind, int port) {
+		this.context = context;
+		this.group = group;
+		this.bootstrap = new Bootstrap().channel(NioSocketChannel.class)
+			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+			.option(ChannelOption.TCP_NODELAY, true);
+		this.listener = new ServerBootstrap().group(group)
+			.channel(NioServerSocketChannel.class)
+			.option(ChannelOption.SO_REUSEADDR, true)
+			.childOption(ChannelOption.TCP_NODELAY, true)
+			.childHandler(acceptor())
+			.bind(new InetSocketAddress(bind.host(), port))
+			.syncUninterruptibly()
+			.channel();
+	}
+
+	/**
+	 * Starts listening.
+	 * @param self who this node is
+	 * @param bind where to listen
+	 * @param sharedSecret known to all nodes and nobody else
+	 * @param events takes messages and failures; called by traffic threads and must not
+	 * block
+	 * @return the transport
+	 */
+	public static NettyPeerTransport start(NodeIdentity self, Address bind, byte[] sharedSecret,
+			Consumer<PeerEvent> events) {
+		PeerContext context = new PeerContext(self, sharedSecret.clone(), PeerMessageCodec.standard(),
+				PeerCounters.create(), events, NettyPeerTransport::writeLog);
+		return start(context, bind, bind.port());
+	}
+
+	static NettyPeerTransport start(PeerContext context, Address bind, int port) {
+		EventLoopGroup group = new NioEventLoopGroup(THREADS, new DefaultThreadFactory("peer", true));
+		try {
+			return new NettyPeerTransport(context, group, bind, port);
+		}
+		catch (RuntimeException ex) {
+			group.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+			throw ex;
+		}
+	}
+
+	@Override
+	public CompletableFuture<Void> send(NodeIdentity to, PeerMessage message) {
+		return this.links.computeIfAbsent(to.incarnation().node(), (name) -> link(to)).send(to, message);
+	}
+
+	@Override
+	public Address listenAddress() {
+		InetSocketAddress local = (InetSocketAddress) this.listener.localAddress();
+		return Address.of(local.getAddress().getHostAddress(), local.getPort());
+	}
+
+	/**
+	 * What the transport has done so far.
+	 * @return the counters, which go on counting
+	 */
+	public PeerCounters counters() {
+		return this.context.counters();
+	}
+
+	@Override
+	public void close() {
+		this.listener.close();
+		this.links.values().forEach(PeerLink::close);
+		this.group.shutdownGracefully(0, CLOSE_TIMEOUT.toSeconds(), TimeUnit.SECONDS);
+	}
+
+	private PeerLink link(NodeIdentity to) {
+		EventLoop loop = this.group.next();
+		return PeerLink.create(this.context, loop, this.bootstrap, to);
+	}
+
+	private ChannelInitializer<Channel> acceptor() {
+		return new ChannelInitializer<>() {
+
+			@Override
+			protected void initChannel(Channel channel) {
+				PeerFrameDecoder decoder = PeerFrameDecoder.create();
+				channel.pipeline()
+					.addLast(decoder, new LengthFieldPrepender(PeerProtocol.LENGTH_BYTES),
+							new IdleStateHandler(ACCEPTED_IDLE_SECONDS, 0, 0), AcceptedConnection
+								.create(NettyPeerTransport.this.context, decoder, NettyPeerTransport.this.strangers));
+			}
+
+		};
+	}
+
+	private static void writeLog(LogLine line) {
+		Logger.warn("{} {}", line.event().code(), line.detail());
+	}
+
+}
--- /dev/null
+++ b/src/main/java/sycamorehill/peer/PeerMessageCodec.java
@@ -0,0 +1,117 @@
+package sycamorehill.peer;
+
+import java.io.IOException;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.ObjectReader;
+import com.fasterxml.jackson.databind.ObjectWriter;
+
+import sycamorehill.json.ModelJson;
+import sycamorehill.model.identity.NodeIdentity;
+import sycamorehill.model.identity.NodeName;
+import sycamorehill.model.peer.PeerMessage;
+
+/**
+ * Turns messages into bytes and back. Each type of message has a name that never changes
+ * its meaning; a name that this build does not know is passed over, so that nodes of two
+ * versions can talk.
+ */
+public final class PeerMessageCodec {
+
+	private final Map<String, ObjectReader> readers = new HashMap<>();
+
+	private final Map<Class<?>, String> names = new HashMap<>();
+
+	private final ObjectMapper mapper = ModelJson.messagePack();
+
+	private final ObjectWriter writer = this.mapper.writer();
+
+	private final ObjectReader envelopeReader = this.mapper.readerFor(PeerEnvelope.class);
+
+	private final ObjectReader helloReader = this.mapper.readerFor(PeerHello.class);
+
+	private PeerMessageCodec() {
+	}
+
+	/**
+	 * Creates a codec that knows no message yet.
+	 * @return the codec
+	 */
+	public static PeerMessageCodec empty() {
+		return new PeerMessageCodec();
+	}
+
+	/**
+	 * Creates the codec of this build. Every message of {@code sycamorehill.model.peer}
+	 * has a line here.
+	 * @return the codec
+	 */
+	public static PeerMessageCodec standard() {
+		return empty();
+	}
+
+	/**
+	 * Adds a type of message.
+	 * @param name its name on the wire
+	 * @param type its class
+	 * @return this codec
+	 */
+	public PeerMessageCodec register(String name, Class<? extends PeerMessage> type) {
+		if (this.readers.put(name, this.mapper.readerFor(type)) != null || this.names.put(type, name) != null) {
+			throw new IllegalArgumentException("registered twice: " + name);
+		}
+		return this;
+	}
+
+	byte[] write(PeerMessage message) throws JsonProcessingException {
+		String name = this.names.get(message.getClass());
+		if (name == null) {
+			throw new IllegalArgumentException("not registered: " + message.getClass());
+		}
+		return this.writer.writeValueAsBytes(new PeerEnvelope(name, this.writer.writeValueAsBytes(message)));
+	}
+
+	Optional<PeerMessage> read(byte[] bytes, int offset) throws IOException {
+		PeerEnvelope envelope = this.envelopeReader.readValue(bytes, offset, bytes.length - offset);
+		ObjectReader reader = (envelope.type() != null) ? this.readers.get(envelope.type()) : null;
+		if (reader == null || envelope.body() == null) {
+			return Optional.empty();
+		}
+		return Optional.of(reader.readValue(envelope.body()));
+	}
+
+	byte[] writeHello(PeerHello hello) throws JsonProcessingException {
+		return this.writer.writeValueAsBytes(hello);
+	}
+
+	PeerHello readHello(byte[] bytes, int offset) throws IOException {
+		return this.helloReader.readValue(bytes, offset, bytes.length - offset);
+	}
+
+	/**
+	 * A frame after the first: the body is kept as bytes, so that an unknown type costs
+	 * no parsing.
+	 *
+	 * @param type name of the message's type
+	 * @param body the message
+	 */
+	record PeerEnvelope(String type, byte[] body) {
+	}
+
+	/**
+	 * The first frame of a connection; what it says holds for all later ones, so that
+	 * they need not repeat it.
+	 *
+	 * @param version protocol version of the sender
+	 * @param sender who sends
+	 * @param recipient whom the sender means: a challenge that a stranger passes on from
+	 * another node is of no use to it
+	 */
+	record PeerHello(int version, NodeIdentity sender, NodeName recipient) {
+	}
+
+}
