--- a/src/main/java/sycamorehill/model/log/LogEvent.java
+++ b/src/main/java/sycamorehill/model/log/LogEvent.java
@@ -11,6 +11,12 @@
 	/** The node was told to stop. */
 	NODE_STOPPING(1002, LogLevel.INFO),
 
+	/** Everything in flight is over; the stopping node exits. */
+	REQUESTS_DRAINED(1101, LogLevel.INFO),
+
+	/** A stopping node cut a request off at its bound. */
+	REQUEST_CUT(1102, LogLevel.WARN),
+
 	/** A connection of or to another node was closed because of what came over it. */
 	PEER_CONNECTION_REFUSED(1301, LogLevel.WARN),
 
