--- a/src/main/java/sycamorehill/model/log/LogEvent.java
+++ b/src/main/java/sycamorehill/model/log/LogEvent.java
@@ -15,7 +15,13 @@
 	REQUESTS_DRAINED(1101, LogLevel.INFO),
 
 	/** A stopping node cut a request off at its bound. */
-	REQUEST_CUT(1102, LogLevel.WARN);
+	REQUEST_CUT(1102, LogLevel.WARN),
+
+	/** A connection of or to another node was closed because of what came over it. */
+	PEER_CONNECTION_REFUSED(1301, LogLevel.WARN),
+
+	/** A message to another node was larger than a frame may be and was dropped. */
+	PEER_MESSAGE_TOO_LARGE(1302, LogLevel.WARN);
 
 	private final int number;
 
