--- /dev/null
+++ b/src/main/java/sycamorehill/logic/membership/Introduction.java
@@ -0,0 +1,110 @@
+package sycamorehill.logic.membership;
+
+import java.time.Duration;
+import java.time.Instant;
+
+import org.pcollections.PMap;
+
+import sycamorehill.model.identity.NodeIdentity;
+import sycamorehill.model.identity.NodeName;
+import sycamorehill.model.membership.NodeAnnouncement;
+import sycamorehill.model.platform.ObjectKey;
+import sycamorehill.model.platform.ObjectKind;
+import sycamorehill.model.platform.PlatformAnswer;
+import sycamorehill.model.platform.PlatformRequest;
+import sycamorehill.model.platform.StoredObject;
+
+/**
+ * Meets the other nodes through the platform, at a low rate: each node keeps an
+ * announcement under its name, and reads those of the others at start-up; later only
+ * delegates and nodes without a living peer read them again.
+ */
+final class Introduction {
+
+	private static final int MOST_NODES = 1000;
+
+	private Introduction() {
+	}
+
+	static void ticked(MembershipTurn turn) {
+		if (!turn.state().calls().isEmpty() || !turn.state().budget().allows(turn.now())) {
+			return;
+		}
+		if (due(turn, turn.state().introducedAt(), introductionInterval(turn))) {
+			turn.call(MembershipCall.LIST_ANNOUNCEMENTS,
+					new PlatformRequest.ListObjects(ObjectKind.NODE, "", MOST_NODES));
+		}
+		else if (!turn.state().stopping()
+				&& due(turn, turn.state().announcedAt(), turn.policy().announcementInterval())) {
+			turn.call(MembershipCall.READ_ANNOUNCEMENT, new PlatformRequest.Read(ownKey(turn)));
+		}
+	}
+
+	static void answered(MembershipTurn turn, MembershipCall purpose, PlatformAnswer answer) {
+		boolean failed = answer instanceof PlatformAnswer.NotTaken || answer instanceof PlatformAnswer.NotKnown;
+		if (failed) {
+			Duration retryAfter = (answer instanceof PlatformAnswer.NotTaken notTaken) ? notTaken.retryAfter()
+					: Duration.ZERO;
+			turn.set(turn.state().withBudget(turn.state().budget().failed(turn.now(), retryAfter)));
+			return;
+		}
+		turn.set(turn.state().withBudget(turn.state().budget().succeeded()));
+		switch (purpose) {
+			case LIST_ANNOUNCEMENTS -> introduced(turn, (PlatformAnswer.Listed) answer);
+			case READ_ANNOUNCEMENT -> compare(turn, answer);
+			case WRITE_ANNOUNCEMENT -> written(turn, answer);
+		}
+	}
+
+	private static void introduced(MembershipTurn turn, PlatformAnswer.Listed answer) {
+		PMap<NodeName, NodeIdentity> contacts = turn.state().contacts();
+		for (StoredObject object : answer.objects()) {
+			NodeIdentity identity = ((NodeAnnouncement) object.value()).identity();
+			NodeName name = identity.incarnation().node();
+			boolean own = name.equals(turn.self().incarnation().node());
+			if (!own && !turn.state().liveNodes().nodes().containsKey(name)) {
+				contacts = contacts.plus(name, identity);
+			}
+		}
+		turn.set(turn.state().withContacts(contacts).introduced(turn.now()));
+	}
+
+	private static void compare(MembershipTurn turn, PlatformAnswer answer) {
+		NodeAnnouncement own = new NodeAnnouncement(turn.self(), turn.state().wallClock().toEpochMilli());
+		if (answer instanceof PlatformAnswer.Found found) {
+			if (((NodeAnnouncement) found.object().value()).identity().equals(turn.self())) {
+				turn.set(turn.state().announced(turn.now()));
+				return;
+			}
+			turn.call(MembershipCall.WRITE_ANNOUNCEMENT,
+					new PlatformRequest.Update(ownKey(turn), own, found.object().version()));
+		}
+		else {
+			turn.call(MembershipCall.WRITE_ANNOUNCEMENT, new PlatformRequest.Create(ownKey(turn), own));
+		}
+	}
+
+	private static void written(MembershipTurn turn, PlatformAnswer answer) {
+		if (answer instanceof PlatformAnswer.Written) {
+			turn.set(turn.state().announced(turn.now()));
+		}
+	}
+
+	private static Duration introductionInterval(MembershipTurn turn) {
+		boolean alone = turn.state().liveNodes().nodes().size() <= 1;
+		if (alone) {
+			return turn.policy().shortestInterval().multipliedBy(2);
+		}
+		return Delegates.isDelegate(turn.view()) ? turn.policy().introductionInterval()
+				: turn.policy().announcementInterval();
+	}
+
+	private static boolean due(MembershipTurn turn, Instant last, Duration interval) {
+		return last.equals(Instant.MIN) || !turn.now().isBefore(last.plus(interval));
+	}
+
+	private static ObjectKey ownKey(MembershipTurn turn) {
+		return ObjectKey.of(ObjectKind.NODE, turn.self().incarnation().node().value());
+	}
+
+}
--- /dev/null
+++ b/src/main/java/sycamorehill/logic/membership/MembershipTurn.java
@@ -0,0 +1,103 @@
+package sycamorehill.logic.membership;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+
+import sycamorehill.logic.NodeView;
+import sycamorehill.logic.Step;
+import sycamorehill.model.effect.Effect;
+import sycamorehill.model.effect.NodeEffect;
+import sycamorehill.model.effect.PeerEffect;
+import sycamorehill.model.effect.PlatformEffect;
+import sycamorehill.model.identity.CallIdentifier;
+import sycamorehill.model.identity.CallOwner;
+import sycamorehill.model.identity.NodeIdentity;
+import sycamorehill.model.log.LogEvent;
+import sycamorehill.model.log.LogLine;
+import sycamorehill.model.peer.PeerMessage;
+import sycamorehill.model.platform.PlatformRequest;
+import sycamorehill.model.policy.MembershipPolicy;
+
+/**
+ * One step under way: the state as changed so far and the effects gathered. It lives no
+ * longer than the step.
+ */
+final class MembershipTurn {
+
+	private final Instant now;
+
+	private final NodeView view;
+
+	private final List<Effect> effects = new ArrayList<>();
+
+	private MembershipState state;
+
+	private MembershipTurn(MembershipState state, Instant now, NodeView view) {
+		this.state = state;
+		this.now = now;
+		this.view = view;
+	}
+
+	static MembershipTurn of(MembershipState state, Instant now, NodeView view) {
+		return new MembershipTurn(state, now, view);
+	}
+
+	Step<MembershipState> end() {
+		return Step.of(this.state, List.copyOf(this.effects));
+	}
+
+	MembershipState state() {
+		return this.state;
+	}
+
+	Instant now() {
+		return this.now;
+	}
+
+	NodeView view() {
+		return this.view;
+	}
+
+	NodeIdentity self() {
+		return this.view.self();
+	}
+
+	MembershipPolicy policy() {
+		return this.view.policy().membership();
+	}
+
+	void set(MembershipState changed) {
+		this.state = changed;
+	}
+
+	void log(LogEvent event, String detail) {
+		this.effects.add(new NodeEffect.WriteLog(LogLine.of(event, detail)));
+	}
+
+	void send(NodeIdentity to, PeerMessage message) {
+		this.effects.add(new PeerEffect.Send(to, message));
+	}
+
+	void call(MembershipCall purpose, PlatformRequest request) {
+		long number = this.state.nextCall();
+		this.state = this.state.withCalls(this.state.calls().plus(number, purpose), number + 1)
+			.withBudget(this.state.budget().called(this.now));
+		this.effects.add(new PlatformEffect.Call(CallIdentifier.of(CallOwner.MEMBERSHIP, number), request,
+				policy().callTimeout()));
+	}
+
+	/**
+	 * Closes a call. An answer that comes twice finds the call closed and is dropped.
+	 * @param number the call
+	 * @return what it was made for, or null if it is not open
+	 */
+	MembershipCall close(long number) {
+		MembershipCall purpose = this.state.calls().get(number);
+		if (purpose != null) {
+			this.state = this.state.withCalls(this.state.calls().minus(number), this.state.nextCall());
+		}
+		return purpose;
+	}
+
+}
--- a/src/main/java/sycamorehill/logic/node/StateView.java
+++ b/src/main/java/sycamorehill/logic/node/StateView.java
@@ -47,12 +47,12 @@
 
 	@Override
 	public Optional<Truth> truth() {
-		return Optional.empty();
+		return this.state.ticket().log().truth();
 	}
 
 	@Override
 	public LiveNodes liveNodes() {
-		return LiveNodes.none();
+		return this.state.membership().liveNodes();
 	}
 
 	@Override
--- /dev/null
+++ b/src/main/java/sycamorehill/logic/ticket/TicketTurn.java
@@ -0,0 +1,122 @@
+package sycamorehill.logic.ticket;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+
+import sycamorehill.logic.NodeView;
+import sycamorehill.logic.Step;
+import sycamorehill.model.effect.Effect;
+import sycamorehill.model.effect.NodeEffect;
+import sycamorehill.model.effect.PeerEffect;
+import sycamorehill.model.effect.PlatformEffect;
+import sycamorehill.model.identity.CallIdentifier;
+import sycamorehill.model.identity.CallOwner;
+import sycamorehill.model.identity.NodeIdentity;
+import sycamorehill.model.log.LogEvent;
+import sycamorehill.model.log.LogLine;
+import sycamorehill.model.peer.PeerMessage;
+import sycamorehill.model.platform.PlatformRequest;
+import sycamorehill.model.policy.TicketPolicy;
+
+/**
+ * One step under way: the state as changed so far and the effects gathered. It lives no
+ * longer than the step.
+ */
+final class TicketTurn {
+
+	private final Instant now;
+
+	private final NodeView view;
+
+	private final List<Effect> effects = new ArrayList<>();
+
+	private TicketState state;
+
+	private TicketTurn(TicketState state, Instant now, NodeView view) {
+		this.state = state;
+		this.now = now;
+		this.view = view;
+	}
+
+	static TicketTurn of(TicketState state, Instant now, NodeView view) {
+		return new TicketTurn(state, now, view);
+	}
+
+	Step<TicketState> end() {
+		return Step.of(this.state, List.copyOf(this.effects));
+	}
+
+	TicketState state() {
+		return this.state;
+	}
+
+	TruthLog log() {
+		return this.state.log();
+	}
+
+	Synchronisation sync() {
+		return this.state.sync();
+	}
+
+	Instant now() {
+		return this.now;
+	}
+
+	NodeView view() {
+		return this.view;
+	}
+
+	TicketPolicy policy() {
+		return this.view.policy().ticket();
+	}
+
+	void set(TicketState changed) {
+		this.state = changed;
+	}
+
+	void set(TruthLog changed) {
+		this.state = this.state.withLog(changed);
+	}
+
+	void set(Synchronisation changed) {
+		this.state = this.state.withSync(changed);
+	}
+
+	void add(Effect effect) {
+		this.effects.add(effect);
+	}
+
+	void log(LogEvent event, String detail) {
+		this.effects.add(new NodeEffect.WriteLog(LogLine.of(event, detail)));
+	}
+
+	void send(NodeIdentity to, PeerMessage message) {
+		this.effects.add(new PeerEffect.Send(to, message));
+	}
+
+	void call(TicketCall purpose, PlatformRequest request) {
+		call(purpose, request, policy().callTimeout());
+	}
+
+	void call(TicketCall purpose, PlatformRequest request, Duration timeout) {
+		long number = this.state.nextCall();
+		this.state = this.state.withCalls(this.state.calls().plus(number, purpose), number + 1);
+		this.effects.add(new PlatformEffect.Call(CallIdentifier.of(CallOwner.TICKETS, number), request, timeout));
+	}
+
+	/**
+	 * Closes a call. An answer that comes twice finds the call closed and is dropped.
+	 * @param number the call
+	 * @return what it was made for, or null if it is not open
+	 */
+	TicketCall close(long number) {
+		TicketCall purpose = this.state.calls().get(number);
+		if (purpose != null) {
+			this.state = this.state.withCalls(this.state.calls().minus(number), this.state.nextCall());
+		}
+		return purpose;
+	}
+
+}
--- a/src/main/java/sycamorehill/model/log/LogEvent.java
+++ b/src/main/java/sycamorehill/model/log/LogEvent.java
@@ -9,7 +9,31 @@
 	NODE_STARTED(1001, LogLevel.INFO),
 
 	/** The node was told to stop. */
-	NODE_STOPPING(1002, LogLevel.INFO);
+	NODE_STOPPING(1002, LogLevel.INFO),
+
+	/** Tickets were folded in. */
+	TICKETS_IN_FORCE(1401, LogLevel.INFO),
+
+	/** A whole truth was taken from the platform or a peer. */
+	TRUTH_ADOPTED(1402, LogLevel.INFO),
+
+	/** A filing has its outcome. */
+	FILING_ANSWERED(1403, LogLevel.INFO),
+
+	/** The platform has lost tickets that are in force. */
+	PLATFORM_CAME_BACK_OLDER(1404, LogLevel.ERROR),
+
+	/** The platform shows again what it had lost. */
+	PLATFORM_RESTORED(1405, LogLevel.INFO),
+
+	/** A ticket or snapshot was written by a newer version. */
+	TICKET_FORMAT_UNKNOWN(1406, LogLevel.ERROR),
+
+	/** A node was heard for the first time or again. */
+	NODE_ALIVE(1501, LogLevel.INFO),
+
+	/** A node has not been heard of for too long. */
+	NODE_DEAD(1502, LogLevel.WARN);
 
 	private final int number;
 
--- a/src/main/java/sycamorehill/model/membership/LiveNodes.java
+++ b/src/main/java/sycamorehill/model/membership/LiveNodes.java
@@ -35,4 +35,13 @@
 			.toList();
 	}
 
+	/**
+	 * The nodes of a data centre.
+	 * @param dataCentre the data centre
+	 * @return its live nodes, stopping ones among them, by name
+	 */
+	public List<LiveNode> in(DataCentreName dataCentre) {
+		return this.nodes.values().stream().filter((node) -> node.identity().dataCentre().equals(dataCentre)).toList();
+	}
+
 }
