--- a/src/main/java/sycamorehill/model/log/LogEvent.java
+++ b/src/main/java/sycamorehill/model/log/LogEvent.java
@@ -11,6 +11,12 @@
 	/** The node was told to stop. */
 	NODE_STOPPING(1002, LogLevel.INFO),
 
+	/** Everything in flight is over; the stopping node exits. */
+	REQUESTS_DRAINED(1101, LogLevel.INFO),
+
+	/** A stopping node cut a request off at its bound. */
+	REQUEST_CUT(1102, LogLevel.WARN),
+
 	/** Tickets were folded in. */
 	TICKETS_IN_FORCE(1401, LogLevel.INFO),
 
--- a/src/test/java/sycamorehill/support/NodeGroup.java
+++ b/src/test/java/sycamorehill/support/NodeGroup.java
@@ -258,7 +258,7 @@
 		NodeIdentity from = member.node.self();
 		int copies = (this.random.nextDouble() < this.lost) ? 0 : ((this.random.nextDouble() < this.doubled) ? 2 : 1);
 		for (int copy = 0; copy < copies; copy++) {
-			Duration delay = Duration.ofMicros(500 + this.random.nextInt(5000));
+			Duration delay = Duration.ofNanos(500_000 + this.random.nextInt(5_000_000));
 			this.schedule.add(delay, () -> deliver(from, send));
 		}
 	}
