Add settings, operators' interface, node assembly, load and local system

Cause: the parts could not be run. Change: INI settings checked whole, operators' HTTP, the node, the command line, an open-loop load that checks every answer, the local system.

--- /dev/null
+++ b/src/main/java/sycamorehill/cli/OutputFormat.java
@@ -0,0 +1,14 @@
+package sycamorehill.cli;
+
+/**
+ * How a command prints.
+ */
+public enum OutputFormat {
+
+	/** For people. */
+	text,
+
+	/** For programs. */
+	json
+
+}
--- /dev/null
+++ b/src/main/java/sycamorehill/cli/StateCommand.java
@@ -0,0 +1,35 @@
+package sycamorehill.cli;
+
+import com.github.rvesse.airline.annotations.Command;
+
+import sycamorehill.http.HttpAnswer;
+import sycamorehill.model.ticket.ItemInForce;
+import sycamorehill.operator.StateBody;
+
+/**
+ * Prints the current truth.
+ */
+@Command(name = "state", description = "The current truth: every service, model group and workspace, each with the ticket that set it")
+public final class StateCommand extends NodeCommand {
+
+	private static final int OK = 200;
+
+	@Override
+	public int run() throws Exception {
+		HttpAnswer answer = get("/operator/state");
+		if (answer.status() != OK) {
+			throw CommandException.of(ExitCode.REFUSED, tree(answer).path("detail").asText());
+		}
+		print(answer, () -> printText(value(answer, StateBody.class)));
+		return ExitCode.DONE;
+	}
+
+	private static void printText(StateBody state) {
+		System.out.println("in force: ticket " + state.number());
+		for (ItemInForce item : state.items()) {
+			System.out.printf("%-12s %-30s set by ticket %d%n", item.item().key().kind(), item.item().key().name(),
+					item.setBy());
+		}
+	}
+
+}
--- a/src/main/java/sycamorehill/cli/SycamorehillCommand.java
+++ b/src/main/java/sycamorehill/cli/SycamorehillCommand.java
@@ -1,5 +1,10 @@
 package sycamorehill.cli;
 
+import com.github.rvesse.airline.Cli;
+import com.github.rvesse.airline.builder.CliBuilder;
+import com.github.rvesse.airline.help.Help;
+import com.github.rvesse.airline.parser.errors.ParseException;
+
 /**
  * Entry point of the binary.
  */
@@ -13,7 +18,55 @@
 	 * @param arguments the command line
 	 */
 	public static void main(String[] arguments) {
-		System.out.println("sycamorehill");
+		System.exit(run(arguments));
+	}
+
+	/**
+	 * Runs one command.
+	 * @param arguments the command line
+	 * @return the exit code
+	 */
+	static int run(String... arguments) {
+		try {
+			Object command = cli().parse(arguments);
+			return execute(command);
+		}
+		catch (ParseException ex) {
+			System.err.println(ex.getMessage() + " ('sycamorehill help' lists the commands)");
+			return ExitCode.BAD_USAGE;
+		}
+		catch (CommandException ex) {
+			System.err.println(ex.getMessage());
+			return ex.exitCode();
+		}
+		catch (Exception ex) {
+			System.err.println("failed: " + ex);
+			return ExitCode.NOT_KNOWN;
+		}
+	}
+
+	private static int execute(Object command) throws Exception {
+		if (command instanceof CliCommand ours) {
+			return ours.run();
+		}
+		((Runnable) command).run();
+		return ExitCode.DONE;
+	}
+
+	@SuppressWarnings("unchecked")
+	private static Cli<Object> cli() {
+		CliBuilder<Object> builder = Cli.<Object>builder("sycamorehill")
+			.withDescription("Serving system for models whose replicas span several VMs")
+			.withDefaultCommand((Class<Object>) (Class<?>) Help.class)
+			.withCommands(Help.class, ServeCommand.class, StateCommand.class, DumpCommand.class, LocalCommand.class,
+					StandInCommand.class);
+		builder.withGroup("ticket")
+			.withDescription("File and read change tickets")
+			.withCommands(TicketFileCommand.class, TicketShowCommand.class, TicketListCommand.class);
+		builder.withGroup("settings")
+			.withDescription("Check settings")
+			.withCommands(SettingsCheckCommand.class);
+		return builder.build();
 	}
 
 }
--- a/src/main/java/sycamorehill/gateway/CallerRequestReader.java
+++ b/src/main/java/sycamorehill/gateway/CallerRequestReader.java
@@ -19,6 +19,7 @@
 import sycamorehill.model.request.OrderKey;
 import sycamorehill.model.request.Priority;
 import sycamorehill.model.request.RequestDescription;
+import sycamorehill.model.ticket.WorkspaceKeys;
 
 /**
  * Reads callers' requests; what it can't read is refused with every word of why.
@@ -119,7 +120,7 @@
 
 	private static String keyHash(HttpRequestMetaData head) {
 		return header(head, "Authorization").filter((text) -> text.startsWith(BEARER))
-			.map((text) -> ContentHashes.keyHash(text.substring(BEARER.length()).strip()))
+			.map((text) -> WorkspaceKeys.hash(text.substring(BEARER.length()).strip()))
 			.orElse("");
 	}
 
--- a/src/main/java/sycamorehill/gateway/ContentHashes.java
+++ b/src/main/java/sycamorehill/gateway/ContentHashes.java
@@ -1,8 +1,5 @@
 package sycamorehill.gateway;
 
-import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
 import java.util.HexFormat;
 
 import com.dynatrace.hash4j.hashing.HashValue128;
@@ -20,16 +17,6 @@
 	private ContentHashes() {
 	}
 
-	static String keyHash(String key) {
-		try {
-			byte[] hash = MessageDigest.getInstance("SHA-256").digest(key.getBytes(StandardCharsets.UTF_8));
-			return HexFormat.of().formatHex(hash);
-		}
-		catch (NoSuchAlgorithmException ex) {
-			throw new IllegalStateException("every Java runtime has SHA-256", ex);
-		}
-	}
-
 	static Fingerprint fingerprint(ServiceName service, String method, String body) {
 		HashValue128 hash = Hashing.murmur3_128()
 			.hashStream()
--- /dev/null
+++ b/src/main/java/sycamorehill/load/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Open-loop load on callers' interfaces, which checks every answer.
+ */
+package sycamorehill.load;
--- /dev/null
+++ b/src/main/java/sycamorehill/local/OperatorClient.java
@@ -0,0 +1,80 @@
+package sycamorehill.local;
+
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+
+import sycamorehill.http.HttpAnswer;
+import sycamorehill.http.HttpCall;
+import sycamorehill.http.HttpCaller;
+import sycamorehill.model.identity.Address;
+import sycamorehill.model.ticket.FilingOutcome;
+import sycamorehill.model.ticket.TicketDraft;
+import sycamorehill.model.ticket.TicketForce;
+
+/**
+ * Files and reads tickets as an operator's program does.
+ */
+public final class OperatorClient {
+
+	private static final Duration TIMEOUT = Duration.ofSeconds(20);
+
+	private final HttpCaller caller;
+
+	private final ObjectMapper json;
+
+	private OperatorClient(HttpCaller caller, ObjectMapper json) {
+		this.caller = caller;
+		this.json = json;
+	}
+
+	/**
+	 * Creates a client.
+	 * @param caller makes the calls
+	 * @param json reads and writes bodies
+	 * @return the client
+	 */
+	public static OperatorClient create(HttpCaller caller, ObjectMapper json) {
+		return new OperatorClient(caller, json);
+	}
+
+	/**
+	 * Files a ticket.
+	 * @param node the operators' address of a node
+	 * @param draft the ticket
+	 * @return what the node answered
+	 */
+	public CompletableFuture<FilingOutcome> file(Address node, TicketDraft draft) {
+		try {
+			HttpCall call = HttpCall.of(node, "POST", "/operator/tickets", TIMEOUT)
+				.withBody(this.json.writeValueAsString(draft), "application/json");
+			return this.caller.call(call).thenApply((answer) -> read(answer, FilingOutcome.class));
+		}
+		catch (JsonProcessingException ex) {
+			return CompletableFuture.failedFuture(ex);
+		}
+	}
+
+	/**
+	 * Asks where a ticket is in force.
+	 * @param node the operators' address of a node
+	 * @param number the ticket
+	 * @return where it is in force
+	 */
+	public CompletableFuture<TicketForce> show(Address node, long number) {
+		return this.caller.call(HttpCall.of(node, "GET", "/operator/tickets/" + number, TIMEOUT))
+			.thenApply((answer) -> read(answer, TicketForce.class));
+	}
+
+	private <T> T read(HttpAnswer answer, Class<T> type) {
+		try {
+			return this.json.readValue(answer.body(), type);
+		}
+		catch (JsonProcessingException ex) {
+			throw new IllegalStateException("the node answered " + answer.status() + " " + answer.body(), ex);
+		}
+	}
+
+}
--- /dev/null
+++ b/src/main/java/sycamorehill/operator/OperatorAnswer.java
@@ -0,0 +1,33 @@
+package sycamorehill.operator;
+
+/**
+ * An answer to an operator.
+ *
+ * @param status the HTTP status
+ * @param body what is written as JSON
+ */
+record OperatorAnswer(int status, Object body) {
+
+	static final int OK = 200;
+
+	static final int CREATED = 201;
+
+	static final int BAD_REQUEST = 400;
+
+	static final int NOT_FOUND = 404;
+
+	static final int CONFLICT = 409;
+
+	static final int UNAVAILABLE = 503;
+
+	static final int NOT_KNOWN = 504;
+
+	static OperatorAnswer of(int status, Object body) {
+		return new OperatorAnswer(status, body);
+	}
+
+	static OperatorAnswer fault(int status, String detail) {
+		return new OperatorAnswer(status, new OperatorFault(detail));
+	}
+
+}
--- /dev/null
+++ b/src/main/java/sycamorehill/operator/OperatorFault.java
@@ -0,0 +1,10 @@
+package sycamorehill.operator;
+
+/**
+ * Why an operator's call was not carried out.
+ *
+ * @param detail one sentence for people
+ */
+public record OperatorFault(String detail) {
+
+}
--- /dev/null
+++ b/src/main/java/sycamorehill/operator/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The operators' interface over HTTP: tickets, state and dump.
+ */
+package sycamorehill.operator;
--- /dev/null
+++ b/src/main/java/sycamorehill/runtime/StateReader.java
@@ -0,0 +1,38 @@
+package sycamorehill.runtime;
+
+import java.util.List;
+import java.util.function.Supplier;
+
+import com.codahale.metrics.MetricRegistry;
+
+import sycamorehill.logic.node.NodeState;
+import sycamorehill.model.ticket.Ticket;
+import sycamorehill.model.ticket.Truth;
+import sycamorehill.operator.NodeReader;
+
+/**
+ * Answers operators from the last published state, without asking the control thread.
+ */
+record StateReader(Supplier<NodeState> state, MetricRegistry registry) implements NodeReader {
+
+	@Override
+	public Truth truth() {
+		return this.state.get().truth().orElse(null);
+	}
+
+	@Override
+	public List<Ticket> tickets() {
+		return this.state.get().tickets();
+	}
+
+	@Override
+	public Object dump() {
+		return NodeDump.of(this.state.get());
+	}
+
+	@Override
+	public Object metrics() {
+		return MetricsSnapshot.of(this.registry);
+	}
+
+}
--- /dev/null
+++ b/src/main/java/sycamorehill/settings/NodeSettingsReader.java
@@ -0,0 +1,102 @@
+package sycamorehill.settings;
+
+import java.nio.file.Path;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+import sycamorehill.model.identity.Address;
+import sycamorehill.model.identity.DataCentreName;
+import sycamorehill.model.identity.NodeName;
+import sycamorehill.model.policy.Policy;
+
+/**
+ * Reads a node's settings.
+ */
+public final class NodeSettingsReader {
+
+	private static final String NODE = "node";
+
+	private static final String PLATFORM = "platform";
+
+	private static final int SHORTEST_SECRET = 16;
+
+	private NodeSettingsReader() {
+	}
+
+	/**
+	 * Reads a file.
+	 * @param file the file
+	 * @return the settings or every fault
+	 */
+	public static SettingsOutcome<NodeSettings> read(Path file) {
+		return read(SettingsSource.read(file));
+	}
+
+	/**
+	 * Reads a text.
+	 * @param text INI
+	 * @return the settings or every fault
+	 */
+	public static SettingsOutcome<NodeSettings> parse(String text) {
+		return read(SettingsSource.parse(text));
+	}
+
+	private static SettingsOutcome<NodeSettings> read(SettingsSource source) {
+		NodeSettings settings = new NodeSettings(NodeName.of(source.requiredText(NODE, "name")),
+				DataCentreName.of(source.requiredText(NODE, "data-centre")), dataCentres(source),
+				source.requiredAddress(NODE, "caller-address"), source.requiredAddress(NODE, "operator-address"),
+				source.requiredAddress(NODE, "peer-address"), source.requiredAddress(PLATFORM, "address"),
+				secret(source), policy(source));
+		checkTogether(source, settings);
+		List<SettingFault> faults = source.faults();
+		return faults.isEmpty() ? new SettingsOutcome.Sound<>(settings) : new SettingsOutcome.Faulty<>(faults);
+	}
+
+	private static List<DataCentreName> dataCentres(SettingsSource source) {
+		List<String> names = source.list(NODE, "data-centres", List.of());
+		if (names.isEmpty()) {
+			source.fault(NODE, "data-centres", "missing: expected all data centres with commas between them");
+		}
+		return names.stream().filter((name) -> !name.isEmpty()).map(DataCentreName::of).toList();
+	}
+
+	private static String secret(SettingsSource source) {
+		String secret = source.requiredText(NODE, "shared-secret");
+		if (secret.length() < SHORTEST_SECRET && !secret.equals("missing")) {
+			source.fault(NODE, "shared-secret", "expected at least " + SHORTEST_SECRET + " characters");
+		}
+		return secret;
+	}
+
+	private static Policy policy(SettingsSource source) {
+		Policy standard = Policy.standard();
+		return new Policy(PolicySection.read(source, "admission", standard.admission()),
+				PolicySection.read(source, "routing", standard.routing()),
+				PolicySection.read(source, "request", standard.request()),
+				PolicySection.read(source, "health", standard.health()),
+				PolicySection.read(source, "quarantine", standard.quarantine()),
+				PolicySection.read(source, "order", standard.order()),
+				PolicySection.read(source, "ticket", standard.ticket()),
+				PolicySection.read(source, "membership", standard.membership()),
+				PolicySection.read(source, "group", standard.group()),
+				PolicySection.read(source, "observation", standard.observation()));
+	}
+
+	private static void checkTogether(SettingsSource source, NodeSettings settings) {
+		if (!settings.dataCentres().isEmpty() && !settings.dataCentres().contains(settings.dataCentre())) {
+			source.fault(NODE, "data-centre", "expected one of data-centres " + settings.dataCentres());
+		}
+		Set<Address> addresses = new HashSet<>();
+		checkFree(source, addresses, "caller-address", settings.callerAddress());
+		checkFree(source, addresses, "operator-address", settings.operatorAddress());
+		checkFree(source, addresses, "peer-address", settings.peerAddress());
+	}
+
+	private static void checkFree(SettingsSource source, Set<Address> taken, String key, Address address) {
+		if (address.port() > 1 && !taken.add(address)) {
+			source.fault(NODE, key, "expected an address that no other server of the node has");
+		}
+	}
+
+}
--- /dev/null
+++ b/src/main/java/sycamorehill/settings/StandInSettingsReader.java
@@ -0,0 +1,66 @@
+package sycamorehill.settings;
+
+import java.nio.file.Path;
+import java.util.List;
+
+import sycamorehill.model.identity.DataCentreName;
+import sycamorehill.model.identity.ServiceName;
+import sycamorehill.standin.EngineTiming;
+import sycamorehill.standin.StandInSettings;
+
+/**
+ * Reads settings of the stand-ins.
+ */
+public final class StandInSettingsReader {
+
+	private static final String SECTION = "stand-in";
+
+	private static final String TIMING = "timing";
+
+	private static final int HIGHEST_PORT = 65535;
+
+	private static final int MOST_DOMAINS = 64;
+
+	private static final int MOST_VMS = 256;
+
+	private StandInSettingsReader() {
+	}
+
+	/**
+	 * Reads a file.
+	 * @param file the file
+	 * @return the settings or every fault
+	 */
+	public static SettingsOutcome<StandInSettings> read(Path file) {
+		return read(SettingsSource.read(file));
+	}
+
+	/**
+	 * Reads a text.
+	 * @param text INI
+	 * @return the settings or every fault
+	 */
+	public static SettingsOutcome<StandInSettings> parse(String text) {
+		return read(SettingsSource.parse(text));
+	}
+
+	private static SettingsOutcome<StandInSettings> read(SettingsSource source) {
+		List<DataCentreName> dataCentres = source.list(SECTION, "data-centres", List.of("fukuoka"))
+			.stream()
+			.map(DataCentreName::of)
+			.toList();
+		List<ServiceName> services = source.list(SECTION, "plain-services", List.of("order-desk"))
+			.stream()
+			.map(ServiceName::of)
+			.toList();
+		StandInSettings settings = new StandInSettings(source.text(SECTION, "host", "127.0.0.1"),
+				(int) source.wholeNumber(SECTION, "platform-port", 0, HIGHEST_PORT, 0), dataCentres,
+				(int) source.wholeNumber(SECTION, "domains-per-data-centre", 1, MOST_DOMAINS, 2),
+				(int) source.wholeNumber(SECTION, "vms-per-domain", 1, MOST_VMS, 3), services,
+				PolicySection.read(source, TIMING, EngineTiming.standard()),
+				source.wholeNumber(SECTION, "seed", 0, Long.MAX_VALUE, 1));
+		List<SettingFault> faults = source.faults();
+		return faults.isEmpty() ? new SettingsOutcome.Sound<>(settings) : new SettingsOutcome.Faulty<>(faults);
+	}
+
+}
--- /dev/null
+++ b/src/main/java/sycamorehill/settings/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Settings of processes in INI, checked whole.
+ */
+package sycamorehill.settings;
