--- /dev/null
+++ b/src/main/java/sycamorehill/logic/admission/RequestCheck.java
@@ -0,0 +1,63 @@
+package sycamorehill.logic.admission;
+
+import java.time.Duration;
+import java.util.Optional;
+
+import sycamorehill.logic.NodeView;
+import sycamorehill.model.request.Handling;
+import sycamorehill.model.request.Refusal;
+import sycamorehill.model.request.RefusalReason;
+import sycamorehill.model.request.RequestDescription;
+import sycamorehill.model.ticket.ServiceItem;
+import sycamorehill.model.ticket.Truth;
+import sycamorehill.model.ticket.WorkspaceItem;
+
+/**
+ * What must hold of a request before limits and queues are asked.
+ *
+ * @param refusal why it is refused, empty if it passes
+ * @param workspace whose it is, present if it passes
+ * @param handling how often it may be sent
+ */
+record RequestCheck(Optional<Refusal> refusal, Optional<WorkspaceItem> workspace, Handling handling) {
+
+	private static final Duration TRUTH_WAIT = Duration.ofSeconds(1);
+
+	/**
+	 * Checks a request against the state in force.
+	 * @param request the request
+	 * @param view what the other parts know
+	 * @return the result
+	 */
+	static RequestCheck of(RequestDescription request, NodeView view) {
+		Optional<Truth> truth = view.truth();
+		if (truth.isEmpty()) {
+			return refused(Refusal.of(RefusalReason.NODE_NOT_READY, "the node does not know the state in force yet",
+					TRUTH_WAIT));
+		}
+		Optional<WorkspaceItem> workspace = truth.get().workspaceByKeyHash(request.keyHash());
+		if (workspace.isEmpty()) {
+			return refused(Refusal.of(RefusalReason.UNAUTHENTICATED, "the workspace key is missing or unknown"));
+		}
+		Optional<ServiceItem> service = truth.get().service(request.service());
+		if (service.isEmpty()) {
+			return refused(Refusal.of(RefusalReason.UNKNOWN_SERVICE, "no service " + request.service()));
+		}
+		if (view.quarantined(request.fingerprint())) {
+			return refused(Refusal.of(RefusalReason.QUARANTINED, "targets that ran this content crashed"));
+		}
+		return new RequestCheck(Optional.empty(), workspace, handling(request, service.get()));
+	}
+
+	private static RequestCheck refused(Refusal refusal) {
+		return new RequestCheck(Optional.of(refusal), Optional.empty(), Handling.ONCE_WITHOUT_KEY);
+	}
+
+	private static Handling handling(RequestDescription request, ServiceItem service) {
+		if (service.repeatable(request.method(), request.path())) {
+			return Handling.REPEATABLE;
+		}
+		return request.orderKey().isPresent() ? Handling.ONCE_WITH_KEY : Handling.ONCE_WITHOUT_KEY;
+	}
+
+}
--- /dev/null
+++ b/src/test/java/sycamorehill/logic/admission/FakeView.java
@@ -0,0 +1,135 @@
+package sycamorehill.logic.admission;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import sycamorehill.logic.NodeView;
+import sycamorehill.model.group.Allocation;
+import sycamorehill.model.group.VmSight;
+import sycamorehill.model.identity.Address;
+import sycamorehill.model.identity.DataCentreName;
+import sycamorehill.model.identity.NodeIdentity;
+import sycamorehill.model.identity.NodeIncarnation;
+import sycamorehill.model.identity.NodeName;
+import sycamorehill.model.identity.ServiceName;
+import sycamorehill.model.identity.VmName;
+import sycamorehill.model.membership.LiveNodes;
+import sycamorehill.model.policy.Policy;
+import sycamorehill.model.request.Fingerprint;
+import sycamorehill.model.request.RouteQuery;
+import sycamorehill.model.target.ServingTarget;
+import sycamorehill.model.ticket.Item;
+import sycamorehill.model.ticket.ItemInForce;
+import sycamorehill.model.ticket.Truth;
+
+/**
+ * What the other parts know, set by hand.
+ */
+public final class FakeView implements NodeView {
+
+	private final NodeIdentity self;
+
+	private final List<ItemInForce> items = new ArrayList<>();
+
+	private final Set<Fingerprint> quarantined = new HashSet<>();
+
+	private final Map<VmName, VmSight> sights = new HashMap<>();
+
+	private List<ServingTarget> targets = List.of();
+
+	private LiveNodes liveNodes = LiveNodes.none();
+
+	private Policy policy = Policy.standard();
+
+	private FakeView(NodeIdentity self) {
+		this.self = self;
+	}
+
+	public static FakeView of(String node, String dataCentre) {
+		return new FakeView(new NodeIdentity(NodeIncarnation.of(NodeName.of(node), 1), DataCentreName.of(dataCentre),
+				Address.of("127.0.0.1", 1000)));
+	}
+
+	public FakeView with(Item... more) {
+		for (Item item : more) {
+			this.items.add(new ItemInForce(item, 1));
+		}
+		return this;
+	}
+
+	public FakeView quarantine(Fingerprint fingerprint) {
+		this.quarantined.add(fingerprint);
+		return this;
+	}
+
+	public FakeView targets(List<ServingTarget> changed) {
+		this.targets = List.copyOf(changed);
+		return this;
+	}
+
+	public FakeView liveNodes(LiveNodes changed) {
+		this.liveNodes = changed;
+		return this;
+	}
+
+	public FakeView policy(Policy changed) {
+		this.policy = changed;
+		return this;
+	}
+
+	public FakeView sight(VmSight sight) {
+		this.sights.put(sight.report().vm(), sight);
+		return this;
+	}
+
+	@Override
+	public NodeIdentity self() {
+		return this.self;
+	}
+
+	@Override
+	public Policy policy() {
+		return this.policy;
+	}
+
+	@Override
+	public Optional<Truth> truth() {
+		return this.items.isEmpty() ? Optional.empty() : Optional.of(Truth.of(1, this.items));
+	}
+
+	@Override
+	public LiveNodes liveNodes() {
+		return this.liveNodes;
+	}
+
+	@Override
+	public List<ServingTarget> servingTargets(ServiceName service) {
+		return this.targets;
+	}
+
+	@Override
+	public Optional<ServingTarget> chooseTarget(RouteQuery query) {
+		return this.targets.stream().findFirst();
+	}
+
+	@Override
+	public boolean quarantined(Fingerprint fingerprint) {
+		return this.quarantined.contains(fingerprint);
+	}
+
+	@Override
+	public Optional<VmSight> sight(VmName vm) {
+		return Optional.ofNullable(this.sights.get(vm));
+	}
+
+	@Override
+	public Optional<Allocation> allocation() {
+		return Optional.empty();
+	}
+
+}
