--- a/src/main/java/sycamorehill/cli/DumpCommand.java
+++ b/src/main/java/sycamorehill/cli/DumpCommand.java
@@ -7,7 +7,8 @@
 /**
  * Prints one process's state.
  */
-@Command(name = "dump", description = "One node's state: views and their ages, leases, queues, groups, peers, shares (always JSON)")
+@Command(name = "dump",
+		description = "One node's state: views and their ages, leases, queues, groups, peers, shares (always JSON)")
 public final class DumpCommand extends NodeCommand {
 
 	@Override
--- a/src/main/java/sycamorehill/cli/LocalCommand.java
+++ b/src/main/java/sycamorehill/cli/LocalCommand.java
@@ -18,10 +18,12 @@
 /**
  * Runs the whole system in one process.
  */
-@Command(name = "local", description = "The whole system in one process on loopback: three data centres of two nodes, with stand-ins")
+@Command(name = "local",
+		description = "The whole system in one process on loopback: three data centres of two nodes, with stand-ins")
 public final class LocalCommand implements CliCommand {
 
-	@Option(name = "--run-for", title = "DURATION", description = "Drives a small load for an ISO 8601 duration such as PT20S, prints a report and ends")
+	@Option(name = "--run-for", title = "DURATION",
+			description = "Drives a small load for an ISO 8601 duration such as PT20S, prints a report and ends")
 	private String runFor = "";
 
 	@Option(name = "--chats", title = "NUMBER", description = "Completions a second of the load (30)")
@@ -58,7 +60,8 @@
 			return this.runFor.isEmpty() ? Duration.ZERO : Duration.parse(this.runFor);
 		}
 		catch (DateTimeParseException ex) {
-			throw CommandException.of(ExitCode.BAD_USAGE, "--run-for: expected an ISO 8601 duration such as PT20S, not '" + this.runFor + "'");
+			throw CommandException.of(ExitCode.BAD_USAGE,
+					"--run-for: expected an ISO 8601 duration such as PT20S, not '" + this.runFor + "'");
 		}
 	}
 
@@ -81,10 +84,12 @@
 					node.settings().callerAddress(), node.settings().operatorAddress());
 		}
 		Address callers = system.nodes().get(0).settings().callerAddress();
-		System.out.println("try: curl -N http://" + callers + "/v1/chat/completions -H 'Authorization: Bearer stable-key-1'"
+		System.out.println("try: curl -N http://" + callers
+				+ "/v1/chat/completions -H 'Authorization: Bearer stable-key-1'"
 				+ " -d '{\"model\":\"drafting\",\"stream\":true,\"max_tokens\":8,\"messages\":[{\"role\":\"user\",\"content\":\"hello\"}]}'");
-		System.out.println("try: curl http://" + callers + "/services/order-desk/orders -H 'Authorization: Bearer stable-key-1'"
-				+ " -H 'Idempotency-Key: first' -d '{\"item\":\"hay\"}'");
+		System.out.println(
+				"try: curl http://" + callers + "/services/order-desk/orders -H 'Authorization: Bearer stable-key-1'"
+						+ " -H 'Idempotency-Key: first' -d '{\"item\":\"hay\"}'");
 	}
 
 }
--- a/src/main/java/sycamorehill/cli/NodeCommand.java
+++ b/src/main/java/sycamorehill/cli/NodeCommand.java
@@ -80,9 +80,11 @@
 		}
 		catch (ExecutionException ex) {
 			if (ex.getCause() instanceof NotSentException) {
-				throw CommandException.of(ExitCode.NOT_REACHABLE, this.node + " can't be reached: " + ex.getCause().getMessage());
+				throw CommandException.of(ExitCode.NOT_REACHABLE,
+						this.node + " can't be reached: " + ex.getCause().getMessage());
 			}
-			String detail = (ex.getCause() instanceof TimeoutException) ? "no answer in time" : String.valueOf(ex.getCause());
+			String detail = (ex.getCause() instanceof TimeoutException) ? "no answer in time"
+					: String.valueOf(ex.getCause());
 			throw CommandException.of(ExitCode.NOT_KNOWN, this.node + ": " + detail);
 		}
 	}
--- a/src/main/java/sycamorehill/cli/SettingsCheckCommand.java
+++ b/src/main/java/sycamorehill/cli/SettingsCheckCommand.java
@@ -12,7 +12,8 @@
 /**
  * Checks a settings file.
  */
-@Command(name = "check", description = "Every fault in a node's settings file, with section, key, value and what was expected")
+@Command(name = "check",
+		description = "Every fault in a node's settings file, with section, key, value and what was expected")
 public final class SettingsCheckCommand implements CliCommand {
 
 	@Arguments(title = "FILE", description = "A node's settings in INI")
--- a/src/main/java/sycamorehill/cli/StandInCommand.java
+++ b/src/main/java/sycamorehill/cli/StandInCommand.java
@@ -13,7 +13,8 @@
 /**
  * Runs the stand-ins of all outside systems.
  */
-@Command(name = "stand-in", description = "Stand-ins of platform, VM list, weight store, engines and plain services, with fault switches over HTTP")
+@Command(name = "stand-in",
+		description = "Stand-ins of platform, VM list, weight store, engines and plain services, with fault switches over HTTP")
 public final class StandInCommand implements CliCommand {
 
 	@Option(name = "--settings", title = "FILE", description = "Settings of the stand-ins in INI")
@@ -22,12 +23,14 @@
 
 	@Override
 	public int run() throws Exception {
-		try (StandInCluster cluster = StandInCluster.start(SoundSettings.of(StandInSettingsReader.read(Path.of(this.settings))))) {
+		try (StandInCluster cluster = StandInCluster
+			.start(SoundSettings.of(StandInSettingsReader.read(Path.of(this.settings))))) {
 			System.out.println("platform " + cluster.platformAddress());
-			cluster.engines().forEach((engine) -> System.out.println("engine " + engine.name() + " " + engine.address()));
+			cluster.engines()
+				.forEach((engine) -> System.out.println("engine " + engine.name() + " " + engine.address()));
 			cluster.plainTargets()
-				.forEach((service, targets) -> targets
-					.forEach((target) -> System.out.println("plain " + service + " " + target.name() + " " + target.address())));
+				.forEach((service, targets) -> targets.forEach((target) -> System.out
+					.println("plain " + service + " " + target.name() + " " + target.address())));
 			System.out.flush();
 			CountDownLatch stop = new CountDownLatch(1);
 			StopSignals.install(stop::countDown);
--- a/src/main/java/sycamorehill/cli/StateCommand.java
+++ b/src/main/java/sycamorehill/cli/StateCommand.java
@@ -9,7 +9,8 @@
 /**
  * Prints the current truth.
  */
-@Command(name = "state", description = "The current truth: every service, model group and workspace, each with the ticket that set it")
+@Command(name = "state",
+		description = "The current truth: every service, model group and workspace, each with the ticket that set it")
 public final class StateCommand extends NodeCommand {
 
 	private static final int OK = 200;
--- a/src/main/java/sycamorehill/cli/SycamorehillCommand.java
+++ b/src/main/java/sycamorehill/cli/SycamorehillCommand.java
@@ -63,9 +63,7 @@
 		builder.withGroup("ticket")
 			.withDescription("File and read change tickets")
 			.withCommands(TicketFileCommand.class, TicketShowCommand.class, TicketListCommand.class);
-		builder.withGroup("settings")
-			.withDescription("Check settings")
-			.withCommands(SettingsCheckCommand.class);
+		builder.withGroup("settings").withDescription("Check settings").withCommands(SettingsCheckCommand.class);
 		return builder.build();
 	}
 
--- a/src/main/java/sycamorehill/cli/TicketFileCommand.java
+++ b/src/main/java/sycamorehill/cli/TicketFileCommand.java
@@ -57,7 +57,8 @@
 			System.out.println("refused" + (body.has("detail") ? ": " + body.path("detail").asText() : ""));
 			body.path("faults").forEach((fault) -> System.out.println("  " + fault.asText()));
 			body.path("presentItems")
-				.forEach((item) -> System.out.println("  now: ticket " + item.path("setBy").asLong() + " " + item.path("item")));
+				.forEach((item) -> System.out
+					.println("  now: ticket " + item.path("setBy").asLong() + " " + item.path("item")));
 		}
 	}
 
--- a/src/main/java/sycamorehill/cli/TicketShowCommand.java
+++ b/src/main/java/sycamorehill/cli/TicketShowCommand.java
@@ -35,7 +35,8 @@
 		for (JsonNode dataCentre : force.path("dataCentres")) {
 			System.out.printf("%-16s in force on %d of %d nodes%s%n", dataCentre.path("dataCentre").asText(),
 					dataCentre.path("nodesInForce").asInt(), dataCentre.path("nodesKnown").asInt(),
-					dataCentre.path("inForceSince").isNull() ? "" : " since " + dataCentre.path("inForceSince").asText());
+					dataCentre.path("inForceSince").isNull() ? ""
+							: " since " + dataCentre.path("inForceSince").asText());
 			dataCentre.path("missing").forEach((missing) -> System.out.println("  missing: " + missing.asText()));
 		}
 	}
--- a/src/main/java/sycamorehill/load/CallerClient.java
+++ b/src/main/java/sycamorehill/load/CallerClient.java
@@ -76,8 +76,7 @@
 			.withHeader("Priority", chat.priority())
 			.withHeader("Request-Timeout", Double.toString(chat.timeout().toMillis() / 1000.0));
 		return client.request(HttpCaller.request(client, call))
-			.flatMap((response) -> read(response, reader).ignoreElements().toSingle()
-				.map((done) -> reader.result()))
+			.flatMap((response) -> read(response, reader).ignoreElements().toSingle().map((done) -> reader.result()))
 			.timeout(chat.timeout().multipliedBy(2))
 			.onErrorReturn((failure) -> reader.broken(String.valueOf(failure)))
 			.toCompletionStage()
@@ -122,7 +121,8 @@
 		CallOutcome outcome = answer.header("Outcome")
 			.map(CallerClient::outcome)
 			.orElse((answer.status() < FIRST_ERROR) ? CallOutcome.COMPLETED : CallOutcome.FAILED);
-		return new CallResult(outcome, answer.status(), answer.body(), Optional.empty(), List.of(), detail(answer.body()));
+		return new CallResult(outcome, answer.status(), answer.body(), Optional.empty(), List.of(),
+				detail(answer.body()));
 	}
 
 	private String detail(String body) {
--- a/src/main/java/sycamorehill/load/LoadReport.java
+++ b/src/main/java/sycamorehill/load/LoadReport.java
@@ -8,7 +8,8 @@
  *
  * @param chats completions by outcome
  * @param orders orders by outcome
- * @param ordersRepeated orders sent again under the same key through another node, by outcome
+ * @param ordersRepeated orders sent again under the same key through another node, by
+ * outcome
  * @param refusals refusals by reason
  * @param firstToken time to the first token, from the planned start, in milliseconds
  * @param tokenGap time between tokens in milliseconds
--- a/src/main/java/sycamorehill/local/FirstTicket.java
+++ b/src/main/java/sycamorehill/local/FirstTicket.java
@@ -43,11 +43,11 @@
 	static TicketDraft create(List<DataCentreName> dataCentres, Map<ServiceName, List<PlainTarget>> plainTargets) {
 		List<ItemChange> changes = new ArrayList<>();
 		changes.add(ItemChange.set(ServiceItem.model(CHAT, "drafting-model", "1"), 0));
-		changes.add(ItemChange.set(ServiceItem.plain(ORDERS, plainTargets.get(ORDERS),
-				List.of(new RepeatRule("GET", "/", true))), 0));
+		changes.add(ItemChange
+			.set(ServiceItem.plain(ORDERS, plainTargets.get(ORDERS), List.of(new RepeatRule("GET", "/", true))), 0));
 		for (DataCentreName dataCentre : dataCentres) {
-			changes.add(ItemChange.set(new ModelGroupItem(GroupSetName.of("drafting-" + dataCentre), CHAT, dataCentre, 2,
-					MEMBERS, 0, false, true), 0));
+			changes.add(ItemChange.set(new ModelGroupItem(GroupSetName.of("drafting-" + dataCentre), CHAT, dataCentre,
+					2, MEMBERS, 0, false, true), 0));
 		}
 		for (int number = 0; number < KEYS.size(); number++) {
 			changes.add(ItemChange.set(new WorkspaceItem(WorkspaceName.of("stable-" + (number + 1)),
--- a/src/main/java/sycamorehill/logic/node/NodeState.java
+++ b/src/main/java/sycamorehill/logic/node/NodeState.java
@@ -1,5 +1,10 @@
 package sycamorehill.logic.node;
 
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Optional;
+
 import sycamorehill.logic.admission.AdmissionState;
 import sycamorehill.logic.group.GroupState;
 import sycamorehill.logic.health.HealthState;
@@ -12,6 +17,8 @@
 import sycamorehill.logic.ticket.TicketState;
 import sycamorehill.model.identity.NodeIdentity;
 import sycamorehill.model.policy.Policy;
+import sycamorehill.model.ticket.Ticket;
+import sycamorehill.model.ticket.Truth;
 
 /**
  * Everything that a node knows and that its decisions rest on: a value.
@@ -45,6 +52,33 @@
 				MembershipState.initial(), ObservationState.initial(), GroupState.initial());
 	}
 
+	/**
+	 * The state in force, once the node has one.
+	 * @return the truth
+	 */
+	public Optional<Truth> truth() {
+		return this.ticket.log().truth();
+	}
+
+	/**
+	 * The tickets that the node still keeps.
+	 * @return the tickets, newest first
+	 */
+	public List<Ticket> tickets() {
+		List<Ticket> tickets = new ArrayList<>(this.ticket.log().tickets().values());
+		Collections.reverse(tickets);
+		return List.copyOf(tickets);
+	}
+
+	/**
+	 * Whether the balancer may send new callers: the node knows the state in force and
+	 * does not stop.
+	 * @return whether it is ready
+	 */
+	public boolean ready() {
+		return truth().isPresent() && this.request.stop().isEmpty();
+	}
+
 	NodeState withAdmission(AdmissionState changed) {
 		return new NodeState(this.self, this.policy, changed, this.routing, this.request, this.health, this.quarantine,
 				this.order, this.ticket, this.membership, this.observation, this.group);
--- a/src/main/java/sycamorehill/logic/node/StateView.java
+++ b/src/main/java/sycamorehill/logic/node/StateView.java
@@ -15,6 +15,8 @@
 import sycamorehill.model.request.Fingerprint;
 import sycamorehill.model.request.RouteQuery;
 import sycamorehill.model.target.ServingTarget;
+import sycamorehill.model.ticket.ServiceItem;
+import sycamorehill.model.ticket.ServiceKind;
 import sycamorehill.model.ticket.Truth;
 
 /**
@@ -57,6 +59,10 @@
 
 	@Override
 	public List<ServingTarget> servingTargets(ServiceName service) {
+		Optional<ServiceItem> item = truth().flatMap((truth) -> truth.service(service));
+		if (item.isPresent() && item.get().kind() == ServiceKind.PLAIN) {
+			return PlainTargets.of(item.get());
+		}
 		return List.of();
 	}
 
--- a/src/main/java/sycamorehill/model/log/LogEvent.java
+++ b/src/main/java/sycamorehill/model/log/LogEvent.java
@@ -11,6 +11,12 @@
 	/** The node was told to stop. */
 	NODE_STOPPING(1002, LogLevel.INFO),
 
+	/** An effect could not be carried out. */
+	EFFECT_FAILED(1003, LogLevel.ERROR),
+
+	/** A step of the decisions threw; the process ends. */
+	INVARIANT_BROKEN(1004, LogLevel.ERROR),
+
 	/** Everything in flight is over; the stopping node exits. */
 	REQUESTS_DRAINED(1101, LogLevel.INFO),
 
--- a/src/main/java/sycamorehill/model/ticket/WorkspaceKeys.java
+++ b/src/main/java/sycamorehill/model/ticket/WorkspaceKeys.java
@@ -6,8 +6,8 @@
 import java.util.HexFormat;
 
 /**
- * Hashes workspace keys. Only the hash is kept, so that a log, a dump or the platform never
- * shows a key that could be used.
+ * Hashes workspace keys. Only the hash is kept, so that a log, a dump or the platform
+ * never shows a key that could be used.
  */
 public final class WorkspaceKeys {
 
--- a/src/main/java/sycamorehill/runtime/ControlLoop.java
+++ b/src/main/java/sycamorehill/runtime/ControlLoop.java
@@ -17,6 +17,7 @@
 import sycamorehill.model.effect.Effect;
 import sycamorehill.model.event.Event;
 import sycamorehill.model.event.NodeEvent;
+import sycamorehill.model.log.LogEvent;
 
 /**
  * The one thread that holds control state: it takes events in order, steps the reducer
@@ -138,8 +139,7 @@
 			// An edge that fails must not stop the decisions: its answer stays out, which
 			// every part takes for "not known" after its timeout.
 			this.failures.inc();
-			org.tinylog.Logger.error(ex, "SYC-1003 an effect could not be carried out: {}",
-					effect.getClass().getSimpleName());
+			EventLog.failure(LogEvent.EFFECT_FAILED, effect.getClass().getSimpleName(), ex);
 		}
 	}
 
--- a/src/main/java/sycamorehill/runtime/EventLog.java
+++ b/src/main/java/sycamorehill/runtime/EventLog.java
@@ -2,6 +2,7 @@
 
 import org.tinylog.Logger;
 
+import sycamorehill.model.log.LogEvent;
 import sycamorehill.model.log.LogLine;
 
 /**
@@ -25,4 +26,14 @@
 		}
 	}
 
+	/**
+	 * Writes a line about something that threw, with where it was thrown.
+	 * @param event the numbered event
+	 * @param detail what was being done
+	 * @param cause what was thrown
+	 */
+	public static void failure(LogEvent event, String detail, Throwable cause) {
+		Logger.error(cause, event.code() + " " + event + " " + detail);
+	}
+
 }
--- a/src/main/java/sycamorehill/runtime/Node.java
+++ b/src/main/java/sycamorehill/runtime/Node.java
@@ -142,8 +142,7 @@
 	}
 
 	private void broken(Event event, RuntimeException cause) {
-		org.tinylog.Logger.error(cause, LogEvent.INVARIANT_BROKEN.code() + " an invariant broke in the step of {}",
-				event.getClass().getSimpleName());
+		EventLog.failure(LogEvent.INVARIANT_BROKEN, event.getClass().getSimpleName(), cause);
 		this.end.complete(NodeEnd.BROKEN);
 	}
 
--- a/src/main/java/sycamorehill/settings/NodeSettingsReader.java
+++ b/src/main/java/sycamorehill/settings/NodeSettingsReader.java
@@ -35,7 +35,7 @@
 
 	/**
 	 * Reads a text.
-	 * @param text INI
+	 * @param text the settings in INI
 	 * @return the settings or every fault
 	 */
 	public static SettingsOutcome<NodeSettings> parse(String text) {
--- a/src/main/java/sycamorehill/settings/StandInSettingsReader.java
+++ b/src/main/java/sycamorehill/settings/StandInSettingsReader.java
@@ -37,7 +37,7 @@
 
 	/**
 	 * Reads a text.
-	 * @param text INI
+	 * @param text the settings in INI
 	 * @return the settings or every fault
 	 */
 	public static SettingsOutcome<StandInSettings> parse(String text) {
