Put failing, slow and leaving targets aside within bounds

A target that refused connections, paused or lagged went on getting its share of work. The health part now judges each target from this node's own attempts, puts at most two thirds of a service's targets aside for failures and a third for slowness, never the last, and lets them return with one request. A target's own word that it leaves goes to the other nodes at once. StateView leaves out what health leaves out. Measured so far by unit tests only.

--- a/src/main/java/sycamorehill/logic/request/RandomSequence.java
+++ b/src/main/java/sycamorehill/logic/RandomSequence.java
@@ -1,4 +1,4 @@
-package sycamorehill.logic.request;
+package sycamorehill.logic;
 
 import java.time.Duration;
 
--- /dev/null
+++ b/src/main/java/sycamorehill/logic/health/FirstTokenTimes.java
@@ -0,0 +1,25 @@
+package sycamorehill.logic.health;
+
+import java.time.Duration;
+
+/**
+ * Moving average of a target's times to the first token.
+ *
+ * @param averageMillis the average
+ * @param samples how many there were
+ */
+record FirstTokenTimes(double averageMillis, int samples) {
+
+	private static final double WEIGHT = 0.2;
+
+	static FirstTokenTimes none() {
+		return new FirstTokenTimes(0, 0);
+	}
+
+	FirstTokenTimes with(Duration time) {
+		double millis = time.toNanos() / 1.0e6;
+		double weight = Math.max(WEIGHT, 1.0 / (this.samples + 1));
+		return new FirstTokenTimes(this.averageMillis + weight * (millis - this.averageMillis), this.samples + 1);
+	}
+
+}
--- a/src/main/java/sycamorehill/logic/health/HealthReducer.java
+++ b/src/main/java/sycamorehill/logic/health/HealthReducer.java
@@ -3,12 +3,18 @@
 import java.time.Instant;
 
 import sycamorehill.logic.NodeView;
+import sycamorehill.logic.RandomSequence;
 import sycamorehill.logic.Reducer;
 import sycamorehill.logic.Step;
 import sycamorehill.model.event.Event;
+import sycamorehill.model.event.NodeEvent;
+import sycamorehill.model.event.PeerEvent;
+import sycamorehill.model.event.RequestEvent;
+import sycamorehill.model.peer.TargetLeaving;
 
 /**
- * Targets put aside and taken back.
+ * Puts targets aside that fail, stall, lag behind their siblings or leave, and lets them
+ * return with little work at first.
  */
 public final class HealthReducer implements Reducer<HealthState> {
 
@@ -25,7 +31,28 @@
 
 	@Override
 	public Step<HealthState> reduce(HealthState state, Instant now, Event event, NodeView view) {
-		return Step.of(state);
+		HealthStep step = new HealthStep(state, now, view);
+		if (event instanceof RequestEvent.AttemptStarted started) {
+			step.started(started);
+		}
+		else if (event instanceof RequestEvent.FirstToken first) {
+			step.firstToken(first.attempt());
+		}
+		else if (event instanceof RequestEvent.AttemptClosed closed) {
+			step.closed(closed);
+		}
+		else if (event instanceof NodeEvent.Ticked) {
+			step.checkWaiting();
+			step.forgetUnused();
+		}
+		else if (event instanceof NodeEvent.Started started) {
+			return Step.of(state.withRandom(RandomSequence.of(started.seed())));
+		}
+		else if (event instanceof PeerEvent.MessageReceived received
+				&& received.message() instanceof TargetLeaving leaving) {
+			step.leavingTold(leaving);
+		}
+		return step.result();
 	}
 
 }
--- /dev/null
+++ b/src/main/java/sycamorehill/logic/health/HealthStep.java
@@ -0,0 +1,216 @@
+package sycamorehill.logic.health;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import sycamorehill.logic.NodeView;
+import sycamorehill.logic.Step;
+import sycamorehill.model.effect.Effect;
+import sycamorehill.model.effect.NodeEffect;
+import sycamorehill.model.effect.PeerEffect;
+import sycamorehill.model.event.RequestEvent;
+import sycamorehill.model.identity.AttemptIdentifier;
+import sycamorehill.model.identity.TargetName;
+import sycamorehill.model.log.LogEvent;
+import sycamorehill.model.log.LogLine;
+import sycamorehill.model.peer.TargetLeaving;
+import sycamorehill.model.policy.HealthPolicy;
+import sycamorehill.model.request.AttemptResult;
+import sycamorehill.model.target.ServingTarget;
+
+/**
+ * Collects the changes and effects of one step of the health part; it lives no longer
+ * than the step.
+ */
+final class HealthStep {
+
+	private static final int MOST_DOUBLINGS = 16;
+
+	private static final Duration FORGET_EVERY = Duration.ofMinutes(1);
+
+	private final Instant now;
+
+	private final NodeView view;
+
+	private final HealthPolicy policy;
+
+	private final List<Effect> effects = new ArrayList<>();
+
+	private HealthState state;
+
+	HealthStep(HealthState state, Instant now, NodeView view) {
+		this.state = state;
+		this.now = now;
+		this.view = view;
+		this.policy = view.policy().health();
+	}
+
+	Step<HealthState> result() {
+		return Step.of(this.state, this.effects);
+	}
+
+	void started(RequestEvent.AttemptStarted event) {
+		ServingTarget target = event.target();
+		this.state = this.state.with(target.name(), present(target).started(this.now));
+		Instant checkAt = this.now.plus(this.policy.firstTokenCheck());
+		this.state = this.state.with(event.attempt(), new PendingAttempt(target, this.now, Optional.of(checkAt)));
+	}
+
+	void firstToken(AttemptIdentifier attempt) {
+		PendingAttempt pending = this.state.attempts().get(attempt);
+		if (pending != null && pending.checkAt().isPresent()) {
+			this.state = this.state.with(attempt, pending.withCheckAt(Optional.empty()));
+			measured(pending);
+		}
+	}
+
+	void closed(RequestEvent.AttemptClosed event) {
+		if (event.result() instanceof AttemptResult.Whole) {
+			firstToken(event.attempt());
+		}
+		this.state = this.state.without(event.attempt());
+		TargetName name = event.target().name();
+		Optional<TargetHealth> found = this.state.of(event.target());
+		// The end of an attempt on an earlier generation says nothing about this one.
+		if (found.isEmpty()) {
+			return;
+		}
+		this.state = this.state.with(name, after(name, found.get().closed(), event.result()));
+		if (event.result() instanceof AttemptResult.RefusedBeforeRunning refused && refused.leaving()) {
+			leavingHeard(event.target());
+		}
+	}
+
+	private TargetHealth after(TargetName name, TargetHealth health, AttemptResult result) {
+		if (result instanceof AttemptResult.Whole) {
+			return health.succeeded(this.policy.fullAllowance());
+		}
+		if (result instanceof AttemptResult.NothingSent || result instanceof AttemptResult.Broken) {
+			return judged(name, health.connectionFailed());
+		}
+		return (result instanceof AttemptResult.FailedWhileRunning) ? judged(name, health.runFailed()) : health;
+	}
+
+	/**
+	 * Notes that a target is leaving, as another node heard from it. The mark is kept for
+	 * a target that this node has not used yet, too.
+	 * @param message the other node's word
+	 */
+	void leavingTold(TargetLeaving message) {
+		LeavingMark known = this.state.leaving().get(message.target());
+		if (known == null || known.generation() <= message.generation()) {
+			markLeaving(message.target(), message.generation());
+		}
+	}
+
+	private void leavingHeard(ServingTarget target) {
+		boolean news = !this.state.leaving(target, this.now);
+		long generation = TargetHealth.generationOf(target);
+		markLeaving(target.name(), generation);
+		if (!news) {
+			return;
+		}
+		log(LogEvent.TARGET_LEAVING, target.name() + " says that it is leaving");
+		TargetLeaving message = new TargetLeaving(target.name(), generation);
+		this.view.liveNodes()
+			.nodes()
+			.values()
+			.stream()
+			.filter((node) -> !node.identity().equals(this.view.self()))
+			.forEach((node) -> this.effects.add(new PeerEffect.Send(node.identity(), message)));
+	}
+
+	private void markLeaving(TargetName name, long generation) {
+		// A generation of a group never comes back, so its mark does not lapse: the VM
+		// list
+		// may show its VM live again. The address of a plain service may.
+		Instant until = (generation > 0) ? Instant.MAX : this.now.plus(this.policy.leavingMark());
+		this.state = this.state.with(name, new LeavingMark(generation, until));
+	}
+
+	/**
+	 * Counts attempts that have long waited for their first token as slow: a paused
+	 * target sends none, and would otherwise look as quick as before its pause.
+	 */
+	void checkWaiting() {
+		while (!this.state.checks().isEmpty() && !this.state.checks().first().at().isAfter(this.now)) {
+			AttemptIdentifier attempt = this.state.checks().first().attempt();
+			PendingAttempt pending = this.state.attempts().get(attempt);
+			Duration waited = Duration.between(pending.startedAt(), this.now);
+			this.state = this.state.with(attempt, pending.withCheckAt(Optional.of(this.now.plus(waited))));
+			measured(pending);
+		}
+	}
+
+	private void measured(PendingAttempt pending) {
+		Optional<TargetHealth> found = this.state.of(pending.target());
+		if (found.isEmpty()) {
+			return;
+		}
+		TargetName name = pending.target().name();
+		TargetHealth health = found.get();
+		Duration time = Duration.between(pending.startedAt(), this.now);
+		health = health.withFirstTokens(health.firstTokens().with(time));
+		this.state = this.state.with(name, health);
+		if (!health.putAside(this.now) && StragglerRule.isStraggler(this.state, name, this.policy)) {
+			this.state = this.state.with(name, putAside(name, health, AsideReason.SLOW));
+		}
+	}
+
+	private TargetHealth judged(TargetName name, TargetHealth health) {
+		boolean failed = health.connectionFailures() >= this.policy.connectionFailures()
+				|| health.runFailures() >= this.policy.runFailures();
+		// A returning target is on trial: its first failure is enough.
+		boolean onTrial = health.allowance().isPresent();
+		return (failed || onTrial) ? putAside(name, health, AsideReason.FAILED) : health;
+	}
+
+	private TargetHealth putAside(TargetName name, TargetHealth health, AsideReason reason) {
+		// Attempts that were under way together fail together: that is one failure, and
+		// must not double the time several times over.
+		if (health.putAside(this.now)) {
+			return health;
+		}
+		int doublings = Math.min(health.timesAside(), MOST_DOUBLINGS);
+		Duration doubled = this.policy.asideFirst().multipliedBy(1L << doublings);
+		Duration longest = (doubled.compareTo(this.policy.asideLongest()) < 0) ? doubled : this.policy.asideLongest();
+		Duration time = this.state.random().jittered(longest);
+		this.state = this.state.withRandom(this.state.random().next());
+		log(LogEvent.TARGET_ASIDE, name + " is put aside for " + time.toMillis() + " ms: " + reason);
+		return health.withAside(new AsideMark(reason, this.now.plus(time)), this.policy.returnAllowance());
+	}
+
+	private TargetHealth present(ServingTarget target) {
+		TargetHealth known = this.state.targets().get(target.name());
+		if (known == null) {
+			return TargetHealth.trusted(target, this.now);
+		}
+		long generation = TargetHealth.generationOf(target);
+		return (known.generation() == generation) ? known : known.renewed(generation, this.policy.returnAllowance());
+	}
+
+	/**
+	 * Forgets targets that have long not been used, once a minute.
+	 */
+	void forgetUnused() {
+		if (this.now.isBefore(this.state.forgetAt())) {
+			return;
+		}
+		Instant usedBefore = this.now.minus(this.policy.forget());
+		List<TargetName> unused = this.state.targets()
+			.entrySet()
+			.stream()
+			.filter((entry) -> entry.getValue().inFlight() == 0 && entry.getValue().usedAt().isBefore(usedBefore))
+			.map((entry) -> entry.getKey())
+			.toList();
+		this.state = this.state.withTargets(this.state.targets().minusAll(unused), this.now.plus(FORGET_EVERY));
+	}
+
+	private void log(LogEvent event, String detail) {
+		this.effects.add(new NodeEffect.WriteLog(LogLine.of(event, detail)));
+	}
+
+}
--- /dev/null
+++ b/src/main/java/sycamorehill/logic/health/StragglerRule.java
@@ -0,0 +1,42 @@
+package sycamorehill.logic.health;
+
+import java.util.Arrays;
+
+import sycamorehill.model.identity.TargetName;
+import sycamorehill.model.policy.HealthPolicy;
+
+/**
+ * Tells a straggler by comparison with the other targets of its service: when all slow
+ * down together, none of them is one.
+ */
+final class StragglerRule {
+
+	private static final int FEWEST_SIBLINGS = 2;
+
+	private StragglerRule() {
+	}
+
+	static boolean isStraggler(HealthState state, TargetName name, HealthPolicy policy) {
+		TargetHealth health = state.targets().get(name);
+		if (health.firstTokens().samples() < policy.stragglerSamples()) {
+			return false;
+		}
+		double[] siblings = state.targets()
+			.entrySet()
+			.stream()
+			.filter((entry) -> !entry.getKey().equals(name))
+			.map((entry) -> entry.getValue())
+			.filter((other) -> other.service().equals(health.service())
+					&& other.firstTokens().samples() >= policy.stragglerSamples())
+			.mapToDouble((other) -> other.firstTokens().averageMillis())
+			.toArray();
+		if (siblings.length < FEWEST_SIBLINGS) {
+			return false;
+		}
+		Arrays.sort(siblings);
+		double median = siblings[siblings.length / 2];
+		double average = health.firstTokens().averageMillis();
+		return average > median * policy.stragglerFactor() && average > median + policy.stragglerMargin().toMillis();
+	}
+
+}
--- a/src/main/java/sycamorehill/logic/node/StateView.java
+++ b/src/main/java/sycamorehill/logic/node/StateView.java
@@ -57,6 +57,10 @@
 
 	@Override
 	public List<ServingTarget> servingTargets(ServiceName service) {
+		return this.state.health().usable(knownTargets(service), this.now, policy().health());
+	}
+
+	private List<ServingTarget> knownTargets(ServiceName service) {
 		return List.of();
 	}
 
--- a/src/main/java/sycamorehill/logic/request/RequestReducer.java
+++ b/src/main/java/sycamorehill/logic/request/RequestReducer.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 
 import sycamorehill.logic.NodeView;
+import sycamorehill.logic.RandomSequence;
 import sycamorehill.logic.Reducer;
 import sycamorehill.logic.Step;
 import sycamorehill.model.event.Event;
--- a/src/main/java/sycamorehill/logic/request/RequestState.java
+++ b/src/main/java/sycamorehill/logic/request/RequestState.java
@@ -7,6 +7,7 @@
 import org.pcollections.PSortedSet;
 import org.pcollections.TreePSet;
 
+import sycamorehill.logic.RandomSequence;
 import sycamorehill.model.identity.AttemptIdentifier;
 import sycamorehill.model.identity.RequestIdentifier;
 import sycamorehill.model.identity.ServiceName;
--- a/src/main/java/sycamorehill/model/log/LogEvent.java
+++ b/src/main/java/sycamorehill/model/log/LogEvent.java
@@ -15,7 +15,13 @@
 	REQUESTS_DRAINED(1101, LogLevel.INFO),
 
 	/** A stopping node cut a request off at its bound. */
-	REQUEST_CUT(1102, LogLevel.WARN);
+	REQUEST_CUT(1102, LogLevel.WARN),
+
+	/** This node gives a target no work for a while. */
+	TARGET_ASIDE(1111, LogLevel.WARN),
+
+	/** A target said that it is leaving. */
+	TARGET_LEAVING(1112, LogLevel.INFO);
 
 	private final int number;
 
--- /dev/null
+++ b/src/test/java/sycamorehill/logic/health/HealthReducerTests.java
@@ -0,0 +1,204 @@
+package sycamorehill.logic.health;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.IntStream;
+
+import org.junit.jupiter.api.Test;
+
+import sycamorehill.model.effect.PeerEffect;
+import sycamorehill.model.event.PeerEvent;
+import sycamorehill.model.group.GroupIdentity;
+import sycamorehill.model.identity.AttemptIdentifier;
+import sycamorehill.model.identity.GroupName;
+import sycamorehill.model.identity.GroupSetName;
+import sycamorehill.model.membership.LiveNode;
+import sycamorehill.model.peer.TargetLeaving;
+import sycamorehill.model.request.AttemptResult;
+import sycamorehill.model.target.ServingTarget;
+import sycamorehill.support.FixedView;
+import sycamorehill.support.SampleRequests;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class HealthReducerTests {
+
+	private static final AttemptResult REFUSED_CONNECTION = new AttemptResult.NothingSent("refused");
+
+	private static final AttemptResult LEAVING = new AttemptResult.RefusedBeforeRunning(true, Duration.ZERO, "");
+
+	private static final Duration QUICK = Duration.ofMillis(50);
+
+	private static final Duration SLOW = Duration.ofMillis(900);
+
+	private final HealthRun run = new HealthRun();
+
+	private final List<ServingTarget> targets = IntStream.range(0, 6)
+		.mapToObj((number) -> SampleRequests.target("t" + number))
+		.toList();
+
+	private final ServingTarget first = this.targets.get(0);
+
+	@Test
+	void failedConnectionsPutATargetAside() {
+		fail(this.first);
+		assertThat(this.run.usable(this.targets)).doesNotContain(this.first);
+	}
+
+	@Test
+	void oneFailedConnectionDoesNot() {
+		this.run.end(this.first, REFUSED_CONNECTION);
+		assertThat(this.run.usable(this.targets)).contains(this.first);
+	}
+
+	@Test
+	void targetPutAsideIsTriedAgain() {
+		fail(this.first);
+		assertThat(this.run.pass(Duration.ofSeconds(1)).usable(this.targets)).contains(this.first);
+	}
+
+	@Test
+	void eachTimeAsideIsLonger() {
+		fail(this.first);
+		this.run.pass(Duration.ofSeconds(1)).end(this.first, REFUSED_CONNECTION).pass(Duration.ofMillis(900));
+		assertThat(this.run.usable(this.targets)).doesNotContain(this.first);
+	}
+
+	// A target comes back after a pause, gets all the waiting work at once, and falls
+	// over
+	// again: callers see one failure after another.
+	@Test
+	void returningTargetBeginsWithOneRequest() {
+		fail(this.first);
+		this.run.pass(Duration.ofSeconds(1)).start(this.first);
+		assertThat(this.run.usable(this.targets)).doesNotContain(this.first);
+	}
+
+	@Test
+	void returningTargetMayTakeMoreAfterAWholeAnswer() {
+		fail(this.first);
+		this.run.pass(Duration.ofSeconds(1)).whole(this.first, QUICK).start(this.first);
+		assertThat(this.run.usable(this.targets)).contains(this.first);
+	}
+
+	// This node's link to the other data centres breaks. Every target behind it fails,
+	// all
+	// are put aside, and callers hear "no target" although some are well.
+	@Test
+	void failuresPutAtMostTwoThirdsAside() {
+		this.targets.forEach(this::fail);
+		assertThat(this.run.usable(this.targets)).hasSize(2);
+	}
+
+	@Test
+	void lastTargetIsNeverPutAside() {
+		fail(this.first);
+		assertThat(this.run.usable(List.of(this.first))).containsExactly(this.first);
+	}
+
+	@Test
+	void stragglerIsPutAside() {
+		measureAll(1);
+		assertThat(this.run.usable(this.targets)).doesNotContain(this.first).hasSize(5);
+	}
+
+	@Test
+	void nobodyIsAStragglerWhenAllAreSlow() {
+		measureAll(this.targets.size());
+		assertThat(this.run.usable(this.targets)).hasSize(6);
+	}
+
+	@Test
+	void atMostAThirdIsPutAsideForSlowness() {
+		List<ServingTarget> nine = IntStream.range(0, 9)
+			.mapToObj((number) -> SampleRequests.target("s" + number))
+			.toList();
+		measure(nine, 4);
+		assertThat(this.run.usable(nine)).hasSize(6);
+	}
+
+	// A target pauses with requests on it. No answer is slow, because none comes, and it
+	// goes on getting its share of all work until each request has run out of patience.
+	@Test
+	void pausedTargetIsPutAsideBeforeItsRequestsTimeOut() {
+		measureAll(0);
+		IntStream.range(0, 8).forEach((number) -> this.run.start(this.first));
+		this.run.pass(Duration.ofSeconds(1)).pass(Duration.ofSeconds(1));
+		assertThat(this.run.usable(this.targets)).doesNotContain(this.first);
+	}
+
+	@Test
+	void targetThatSaysItLeavesGetsNoNewWork() {
+		this.run.end(this.first, LEAVING);
+		assertThat(this.run.usable(List.of(this.first))).isEmpty();
+	}
+
+	@Test
+	void otherNodesAreToldOfALeavingTargetOnce() {
+		FixedView other = FixedView.of("n2");
+		this.run.view().live(new LiveNode(other.self(), false, Instant.EPOCH));
+		this.run.end(this.first, LEAVING).end(this.first, LEAVING);
+		assertThat(this.run.effects().stream().filter(PeerEffect.Send.class::isInstance))
+			.containsExactly(new PeerEffect.Send(other.self(), new TargetLeaving(this.first.name(), 0)));
+	}
+
+	@Test
+	void leavingTargetOfAnotherNodesWordGetsNoNewWork() {
+		tell(new TargetLeaving(this.first.name(), 0));
+		assertThat(this.run.usable(this.targets)).doesNotContain(this.first);
+	}
+
+	// A group is rebuilt after its leaving member was replaced. It stays empty, because
+	// the
+	// word about its earlier generation is taken for the new one.
+	@Test
+	void wordOfAnEarlierGenerationDoesNotTouchTheNewOne() {
+		GroupName name = GroupName.of(GroupSetName.of("s"), 0);
+		tell(new TargetLeaving(name.target(), 1));
+		assertThat(this.run.usable(List.of(group(name, 2)))).hasSize(1);
+		assertThat(this.run.usable(List.of(group(name, 1)))).isEmpty();
+	}
+
+	@Test
+	void cancelledAttemptSaysNothingOfTheTarget() {
+		AttemptResult cancelled = new AttemptResult.Cancelled("caller gone");
+		this.run.end(this.first, cancelled).end(this.first, cancelled);
+		assertThat(this.run.usable(this.targets)).contains(this.first);
+	}
+
+	private ServingTarget group(GroupName name, long generation) {
+		return new ServingTarget(name.target(), SampleRequests.SERVICE, this.first.dataCentre(), this.first.address(),
+				Optional.of(GroupIdentity.of(name, generation)), List.of());
+	}
+
+	private void tell(TargetLeaving message) {
+		this.run.feed(new PeerEvent.MessageReceived(FixedView.of("n2").self(), message));
+	}
+
+	private void fail(ServingTarget target) {
+		this.run.end(target, REFUSED_CONNECTION).end(target, REFUSED_CONNECTION);
+	}
+
+	private void measureAll(int slowOnes) {
+		measure(this.targets, slowOnes);
+	}
+
+	private void measure(List<ServingTarget> all, int slowOnes) {
+		for (int round = 0; round < 8; round++) {
+			List<AttemptIdentifier> attempts = all.stream().map(this.run::start).toList();
+			this.run.pass(QUICK);
+			answer(all, attempts, slowOnes, all.size());
+			this.run.pass(SLOW.minus(QUICK));
+			answer(all, attempts, 0, slowOnes);
+		}
+	}
+
+	private void answer(List<ServingTarget> all, List<AttemptIdentifier> attempts, int from, int to) {
+		for (int number = from; number < to; number++) {
+			this.run.close(all.get(number), attempts.get(number), new AttemptResult.Whole(1, Optional.empty()));
+		}
+	}
+
+}
--- a/src/test/java/sycamorehill/support/FixedView.java
+++ b/src/test/java/sycamorehill/support/FixedView.java
@@ -16,6 +16,7 @@
 import sycamorehill.model.identity.NodeName;
 import sycamorehill.model.identity.ServiceName;
 import sycamorehill.model.identity.VmName;
+import sycamorehill.model.membership.LiveNode;
 import sycamorehill.model.membership.LiveNodes;
 import sycamorehill.model.policy.Policy;
 import sycamorehill.model.request.Fingerprint;
@@ -36,6 +37,8 @@
 
 	private final Set<Fingerprint> quarantine = new HashSet<>();
 
+	private LiveNodes liveNodes = LiveNodes.none();
+
 	private FixedView(NodeIdentity self) {
 		this.self = self;
 	}
@@ -67,6 +70,14 @@
 		return this.quarantine;
 	}
 
+	/**
+	 * Adds a live node.
+	 * @param node the node
+	 */
+	public void live(LiveNode node) {
+		this.liveNodes = new LiveNodes(this.liveNodes.nodes().plus(node.identity().incarnation().node(), node));
+	}
+
 	@Override
 	public NodeIdentity self() {
 		return this.self;
@@ -84,7 +95,7 @@
 
 	@Override
 	public LiveNodes liveNodes() {
-		return LiveNodes.none();
+		return this.liveNodes;
 	}
 
 	@Override
