--- a/src/main/java/sycamorehill/peer/PeerMessageCodec.java
+++ b/src/main/java/sycamorehill/peer/PeerMessageCodec.java
@@ -14,6 +14,7 @@
 import sycamorehill.model.identity.NodeIdentity;
 import sycamorehill.model.identity.NodeName;
 import sycamorehill.model.peer.PeerMessage;
+import sycamorehill.model.peer.TargetLeaving;
 
 /**
  * Turns messages into bytes and back. Each type of message has a name that never changes
@@ -51,7 +52,7 @@
 	 * @return the codec
 	 */
 	public static PeerMessageCodec standard() {
-		return empty();
+		return empty().register("target-leaving", TargetLeaving.class);
 	}
 
 	/**
