--- a/src/main/java/sycamorehill/logic/node/StateView.java
+++ b/src/main/java/sycamorehill/logic/node/StateView.java
@@ -59,6 +59,10 @@
 
 	@Override
 	public List<ServingTarget> servingTargets(ServiceName service) {
+		return this.state.health().usable(knownTargets(service), this.now, policy().health());
+	}
+
+	private List<ServingTarget> knownTargets(ServiceName service) {
 		Optional<ServiceItem> item = truth().flatMap((truth) -> truth.service(service));
 		if (item.isPresent() && item.get().kind() == ServiceKind.PLAIN) {
 			return PlainTargets.of(item.get());
--- a/src/main/java/sycamorehill/model/log/LogEvent.java
+++ b/src/main/java/sycamorehill/model/log/LogEvent.java
@@ -23,6 +23,18 @@
 	/** A stopping node cut a request off at its bound. */
 	REQUEST_CUT(1102, LogLevel.WARN),
 
+	/** This node gives a target no work for a while. */
+	TARGET_ASIDE(1111, LogLevel.WARN),
+
+	/** A target said that it is leaving. */
+	TARGET_LEAVING(1112, LogLevel.INFO),
+
+	/** A target died while it ran requests. */
+	TARGET_DIED(1121, LogLevel.WARN),
+
+	/** A second target died while it ran the same content. */
+	CONTENT_QUARANTINED(1122, LogLevel.ERROR),
+
 	/** A connection of or to another node was closed because of what came over it. */
 	PEER_CONNECTION_REFUSED(1301, LogLevel.WARN),
 
