--- a/src/main/java/sycamorehill/local/OperatorClient.java
+++ b/src/main/java/sycamorehill/local/OperatorClient.java
@@ -19,6 +19,8 @@
  */
 public final class OperatorClient {
 
+	private static final int NO_DECISION = 504;
+
 	private static final Duration TIMEOUT = Duration.ofSeconds(20);
 
 	private final HttpCaller caller;
@@ -69,6 +71,9 @@
 	}
 
 	private <T> T read(HttpAnswer answer, Class<T> type) {
+		if (answer.status() == NO_DECISION && type == TicketForce.class) {
+			throw new IllegalStateException("the node did not say where the ticket is in force: " + answer.body());
+		}
 		try {
 			return this.json.readValue(answer.body(), type);
 		}
