Observe the VMs, control the groups of a data centre and route only to whole groups

Cause: nothing saw a VM, formed a group or told the router which groups may serve. Change: ObservationReducer reads the VM list and asks every engine of the own data centre for its report; GroupReducer takes the fenced lease, plans the allocation in passes, writes it by conditional update and orders engines only on a confirmed allocation; ServingGroups answers which groups are whole by fresh sight of every member. Conclusion: the path from a ticket to a served request can be wired.

--- a/src/main/java/sycamorehill/logic/NodeView.java
+++ b/src/main/java/sycamorehill/logic/NodeView.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 
 import sycamorehill.model.group.Allocation;
+import sycamorehill.model.group.Fleet;
 import sycamorehill.model.group.VmSight;
 import sycamorehill.model.identity.NodeIdentity;
 import sycamorehill.model.identity.ServiceName;
@@ -79,4 +80,12 @@
 	 */
 	Optional<Allocation> allocation();
 
+	/**
+	 * What is known of the VMs of this node's data centre.
+	 * @return the fleet
+	 */
+	default Fleet fleet() {
+		return Fleet.empty();
+	}
+
 }
--- /dev/null
+++ b/src/main/java/sycamorehill/logic/group/AllocationDraft.java
@@ -0,0 +1,140 @@
+package sycamorehill.logic.group;
+
+import java.util.List;
+import java.util.Objects;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+import org.pcollections.TreePMap;
+
+import sycamorehill.model.group.Allocation;
+import sycamorehill.model.group.GroupIdentity;
+import sycamorehill.model.group.GroupPhase;
+import sycamorehill.model.group.GroupRecord;
+import sycamorehill.model.identity.GroupName;
+import sycamorehill.model.identity.GroupSetName;
+import sycamorehill.model.identity.VmName;
+
+/**
+ * An allocation under change, within one decision.
+ */
+final class AllocationDraft {
+
+	private final Allocation before;
+
+	private final TreeMap<GroupName, GroupRecord> groups;
+
+	private final TreeMap<VmName, GroupSetName> standbys;
+
+	private final Set<VmName> claimed = new TreeSet<>();
+
+	private long nextGeneration;
+
+	private AllocationDraft(Allocation before) {
+		this.before = before;
+		this.groups = new TreeMap<>(before.groups());
+		this.standbys = new TreeMap<>(before.standbys());
+		this.nextGeneration = before.nextGeneration();
+		before.groups().values().forEach((record) -> this.claimed.addAll(record.members()));
+		this.claimed.addAll(before.standbys().keySet());
+	}
+
+	static AllocationDraft of(Allocation before) {
+		return new AllocationDraft(before);
+	}
+
+	List<GroupRecord> groups() {
+		return List.copyOf(this.groups.values());
+	}
+
+	List<GroupRecord> groups(GroupSetName set) {
+		return this.groups.values().stream().filter((record) -> record.identity().name().set().equals(set)).toList();
+	}
+
+	List<VmName> standbys(GroupSetName set) {
+		return this.standbys.keySet().stream().filter((vm) -> this.standbys.get(vm).equals(set)).toList();
+	}
+
+	List<VmName> standbys() {
+		return List.copyOf(this.standbys.keySet());
+	}
+
+	GroupSetName standbyFor(VmName vm) {
+		return this.standbys.get(vm);
+	}
+
+	boolean isClaimed(VmName vm) {
+		return this.claimed.contains(vm);
+	}
+
+	void replace(GroupRecord record) {
+		GroupRecord old = this.groups.put(record.identity().name(), record);
+		if (old != null) {
+			this.claimed.removeAll(old.members());
+		}
+		for (VmName vm : record.members()) {
+			this.standbys.remove(vm);
+			this.claimed.add(vm);
+		}
+	}
+
+	/**
+	 * Puts a group in its next generation, to be loaded.
+	 * @param name the group
+	 * @param members its members, the head first
+	 * @param shape what it is to load
+	 * @param reason why, for readers
+	 * @param failures failed loads since it last served
+	 */
+	void form(GroupName name, List<VmName> members, GroupShape shape, String reason, int failures) {
+		GroupIdentity identity = GroupIdentity.of(name, this.nextGeneration++);
+		replace(new GroupRecord(identity, shape.service(), shape.model(), shape.modelVersion(), members,
+				GroupPhase.FORMING, shape.ticket(), reason, failures));
+	}
+
+	void remove(GroupName name) {
+		GroupRecord old = this.groups.remove(name);
+		this.claimed.removeAll(old.members());
+	}
+
+	void claimStandby(VmName vm, GroupSetName set) {
+		this.standbys.put(vm, set);
+		this.claimed.add(vm);
+	}
+
+	void releaseStandby(VmName vm) {
+		this.standbys.remove(vm);
+		this.claimed.remove(vm);
+	}
+
+	/**
+	 * The changed allocation.
+	 * @param fencingNumber the controller's fencing number
+	 * @param writer the mark of the write
+	 * @return the new allocation, or the one before if nothing has changed
+	 */
+	Allocation finish(long fencingNumber, String writer) {
+		boolean same = this.groups.equals(this.before.groups()) && this.standbys.equals(this.before.standbys())
+				&& fencingNumber == this.before.fencingNumber();
+		if (same) {
+			return this.before;
+		}
+		requireEachVmOnce();
+		return new Allocation(this.before.dataCentre(), fencingNumber, writer, this.nextGeneration,
+				TreePMap.from(this.groups), TreePMap.from(this.standbys));
+	}
+
+	// Failure: one VM in two groups, each of which would load over the other for ever.
+	private void requireEachVmOnce() {
+		Set<VmName> seen = new TreeSet<>(this.standbys.keySet());
+		for (GroupRecord record : this.groups.values()) {
+			for (VmName vm : record.members()) {
+				if (!seen.add(Objects.requireNonNull(vm))) {
+					throw new IllegalStateException("VM " + vm + " would be claimed twice");
+				}
+			}
+		}
+	}
+
+}
--- /dev/null
+++ b/src/main/java/sycamorehill/logic/group/Controller.java
@@ -0,0 +1,135 @@
+package sycamorehill.logic.group;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+
+import org.pcollections.HashTreePMap;
+import org.pcollections.PMap;
+
+import sycamorehill.logic.NodeView;
+import sycamorehill.model.group.Allocation;
+import sycamorehill.model.group.EngineState;
+import sycamorehill.model.group.Fleet;
+import sycamorehill.model.group.GroupRecord;
+import sycamorehill.model.group.VmSight;
+import sycamorehill.model.identity.GroupName;
+import sycamorehill.model.identity.VmName;
+import sycamorehill.model.log.LogEvent;
+import sycamorehill.model.ticket.ItemInForce;
+import sycamorehill.model.ticket.ItemKey;
+import sycamorehill.model.ticket.ItemKind;
+import sycamorehill.model.ticket.ModelGroupItem;
+import sycamorehill.model.ticket.ServiceItem;
+import sycamorehill.model.ticket.ServiceKind;
+import sycamorehill.model.ticket.Truth;
+
+/**
+ * The decisions of the node that holds the lease.
+ */
+final class Controller {
+
+	private Controller() {
+	}
+
+	static void tick(GroupTurn turn) {
+		if (turn.now().isBefore(turn.state().nextDecisionAt())) {
+			return;
+		}
+		turn.change(turn.state().withNextDecisionAt(turn.now().plus(turn.policy().decisionInterval())));
+		watch(turn);
+		decide(turn);
+	}
+
+	/**
+	 * Keeps the times since which groups and VMs have been as they are.
+	 * @param turn the step
+	 */
+	private static void watch(GroupTurn turn) {
+		Optional<Allocation> known = turn.state().allocation().known();
+		if (known.isEmpty() || !turn.state().lease().holds(turn.now())) {
+			return;
+		}
+		Fleet fleet = turn.view().fleet();
+		Set<VmName> claimed = new TreeSet<>(known.get().standbys().keySet());
+		PMap<GroupName, PhaseSince> phases = HashTreePMap.empty();
+		for (GroupRecord record : known.get().groups().values()) {
+			claimed.addAll(record.members());
+			phases = phases.plus(record.identity().name(), since(turn.state(), record, turn.now()));
+		}
+		PMap<VmName, Instant> failures = turn.state().failedAt();
+		for (VmName vm : claimed) {
+			if (fleet.sight(vm).map(VmSight::report).filter((seen) -> seen.state() == EngineState.FAILED).isPresent()) {
+				failures = failures.plus(vm, turn.now());
+			}
+		}
+		Silences silences = turn.state()
+			.silences()
+			.look(fleet, claimed, turn.now(), turn.view().policy().observation().reportInterval());
+		turn.change(turn.state().withWatch(phases, silences, failures));
+	}
+
+	private static PhaseSince since(GroupState state, GroupRecord record, Instant now) {
+		PhaseSince before = state.phaseSince().get(record.identity().name());
+		boolean same = before != null && before.identity().equals(record.identity())
+				&& before.phase() == record.phase();
+		return same ? before : new PhaseSince(record.identity(), record.phase(), now);
+	}
+
+	/**
+	 * Decides, if this node may: it holds the lease, its view holds its own last write,
+	 * and it knows the truth and the VM list.
+	 * @param turn the step
+	 */
+	static void decide(GroupTurn turn) {
+		GroupState state = turn.state();
+		Optional<Truth> truth = turn.view().truth();
+		boolean ready = state.lease().holds(turn.now()) && state.allocation().known().isPresent()
+				&& state.allocation().attempt().isEmpty() && turn.view().fleet().listedAt().isPresent();
+		if (!ready || truth.isEmpty()) {
+			return;
+		}
+		Allocation allocation = state.allocation().known().get();
+		PlanContext context = context(turn, truth.get());
+		String mark = turn.view().self().incarnation() + "/" + state.nextCall();
+		Allocation next = GroupPlanner.plan(allocation, context, state.lease().fencingNumber(), mark);
+		if (next != allocation) {
+			logChanges(turn, allocation, next);
+			AllocationTurns.write(turn, next);
+			return;
+		}
+		OrderDesk.give(turn, EngineOrders.wishes(allocation, context));
+	}
+
+	private static PlanContext context(GroupTurn turn, Truth truth) {
+		GroupState state = turn.state();
+		return new PlanContext(turn.now(), turn.view().fleet(), shapes(turn.view(), truth), state.silences(),
+				state.phaseSince(), state.failedAt(), turn.view().policy().observation(), turn.policy());
+	}
+
+	private static List<GroupShape> shapes(NodeView view, Truth truth) {
+		List<GroupShape> shapes = new ArrayList<>();
+		for (ItemInForce set : truth.groupSets(view.self().dataCentre())) {
+			ModelGroupItem item = (ModelGroupItem) set.item();
+			Optional<ServiceItem> service = truth.service(item.service())
+				.filter((found) -> found.kind() == ServiceKind.MODEL);
+			long setBy = truth.setBy(ItemKey.of(ItemKind.SERVICE, item.service().value()));
+			service.ifPresent((found) -> shapes.add(GroupShape.of(set, found, setBy)));
+		}
+		return shapes;
+	}
+
+	private static void logChanges(GroupTurn turn, Allocation before, Allocation next) {
+		for (GroupRecord record : next.groups().values()) {
+			GroupRecord old = before.groups().get(record.identity().name());
+			if (!record.equals(old)) {
+				turn.log(LogEvent.GROUP_CHANGED, record.identity().name() + " generation "
+						+ record.identity().generation() + " " + record.phase() + ": " + record.reason());
+			}
+		}
+	}
+
+}
--- /dev/null
+++ b/src/main/java/sycamorehill/logic/group/GroupShape.java
@@ -0,0 +1,34 @@
+package sycamorehill.logic.group;
+
+import sycamorehill.model.group.GroupRecord;
+import sycamorehill.model.identity.ServiceName;
+import sycamorehill.model.ticket.ItemInForce;
+import sycamorehill.model.ticket.ModelGroupItem;
+import sycamorehill.model.ticket.ServiceItem;
+
+/**
+ * What the truth asks of each group of a set.
+ *
+ * @param set the set
+ * @param service what its groups answer
+ * @param model the model to load
+ * @param modelVersion its version
+ * @param ticket the later of the tickets that set the set and the service
+ */
+record GroupShape(ModelGroupItem set, ServiceName service, String model, String modelVersion, long ticket) {
+
+	static GroupShape of(ItemInForce set, ServiceItem service, long serviceSetBy) {
+		return new GroupShape((ModelGroupItem) set.item(), service.name(), service.model(), service.modelVersion(),
+				Math.max(set.setBy(), serviceSetBy));
+	}
+
+	int members() {
+		return this.set.membersPerGroup();
+	}
+
+	boolean fits(GroupRecord record) {
+		return record.service().equals(this.service) && record.model().equals(this.model)
+				&& record.modelVersion().equals(this.modelVersion) && record.members().size() == members();
+	}
+
+}
--- /dev/null
+++ b/src/main/java/sycamorehill/logic/group/GroupTurn.java
@@ -0,0 +1,108 @@
+package sycamorehill.logic.group;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+
+import sycamorehill.logic.NodeView;
+import sycamorehill.logic.Step;
+import sycamorehill.model.effect.Effect;
+import sycamorehill.model.effect.NodeEffect;
+import sycamorehill.model.effect.PlatformEffect;
+import sycamorehill.model.identity.CallIdentifier;
+import sycamorehill.model.identity.CallOwner;
+import sycamorehill.model.log.LogEvent;
+import sycamorehill.model.log.LogLine;
+import sycamorehill.model.platform.PlatformRequest;
+import sycamorehill.model.policy.GroupPolicy;
+
+/**
+ * One step under way: the state so far and the effects so far.
+ */
+final class GroupTurn {
+
+	private final List<Effect> effects = new ArrayList<>();
+
+	private final Instant now;
+
+	private final NodeView view;
+
+	private GroupState state;
+
+	private GroupTurn(GroupState state, Instant now, NodeView view) {
+		this.state = state;
+		this.now = now;
+		this.view = view;
+	}
+
+	static GroupTurn of(GroupState state, Instant now, NodeView view) {
+		return new GroupTurn(state, now, view);
+	}
+
+	GroupState state() {
+		return this.state;
+	}
+
+	Instant now() {
+		return this.now;
+	}
+
+	NodeView view() {
+		return this.view;
+	}
+
+	GroupPolicy policy() {
+		return this.view.policy().group();
+	}
+
+	void change(GroupState changed) {
+		this.state = changed;
+	}
+
+	void emit(Effect effect) {
+		this.effects.add(effect);
+	}
+
+	void log(LogEvent event, String detail) {
+		emit(new NodeEffect.WriteLog(LogLine.of(event, detail)));
+	}
+
+	long nextCall() {
+		long number = this.state.nextCall();
+		this.state = this.state.withNextCall(number + 1);
+		return number;
+	}
+
+	/**
+	 * Calls the platform, unless a call of the same purpose is still under way.
+	 * @param purpose what the call is for
+	 * @param request the call
+	 * @return whether it was made
+	 */
+	boolean call(PendingCall.Purpose purpose, PlatformRequest request) {
+		if (this.state.isPending(purpose)) {
+			return false;
+		}
+		long number = nextCall();
+		Instant givenUpAt = this.now.plus(policy().callTimeout().multipliedBy(2));
+		this.state = this.state
+			.withPending(this.state.pending().plus(number, new PendingCall(number, purpose, givenUpAt)));
+		emit(new PlatformEffect.Call(CallIdentifier.of(CallOwner.GROUPS, number), request, policy().callTimeout()));
+		return true;
+	}
+
+	// Failure: an answer never comes, and a call of its purpose would be under way for
+	// ever.
+	void dropGivenUp() {
+		for (PendingCall call : this.state.pending().values()) {
+			if (!call.givenUpAt().isAfter(this.now)) {
+				this.state = this.state.withPending(this.state.pending().minus(call.number()));
+			}
+		}
+	}
+
+	Step<GroupState> end() {
+		return Step.of(this.state, List.copyOf(this.effects));
+	}
+
+}
--- a/src/main/java/sycamorehill/logic/node/StateView.java
+++ b/src/main/java/sycamorehill/logic/node/StateView.java
@@ -5,7 +5,9 @@
 import java.util.Optional;
 
 import sycamorehill.logic.NodeView;
+import sycamorehill.logic.group.ServingGroups;
 import sycamorehill.model.group.Allocation;
+import sycamorehill.model.group.Fleet;
 import sycamorehill.model.group.VmSight;
 import sycamorehill.model.identity.NodeIdentity;
 import sycamorehill.model.identity.ServiceName;
@@ -15,6 +17,9 @@
 import sycamorehill.model.request.Fingerprint;
 import sycamorehill.model.request.RouteQuery;
 import sycamorehill.model.target.ServingTarget;
+import sycamorehill.model.ticket.PlainTarget;
+import sycamorehill.model.ticket.ServiceItem;
+import sycamorehill.model.ticket.ServiceKind;
 import sycamorehill.model.ticket.Truth;
 
 /**
@@ -57,7 +62,18 @@
 
 	@Override
 	public List<ServingTarget> servingTargets(ServiceName service) {
-		return List.of();
+		Optional<ServiceItem> item = truth().flatMap((truth) -> truth.service(service));
+		if (item.filter((found) -> found.kind() == ServiceKind.PLAIN).isPresent()) {
+			return item.get().plainTargets().stream().map((target) -> plain(service, target)).toList();
+		}
+		return allocation()
+			.map((known) -> ServingGroups.own(known, fleet(), service, this.now, policy().observation().freshness()))
+			.orElse(List.of());
+	}
+
+	private static ServingTarget plain(ServiceName service, PlainTarget target) {
+		return new ServingTarget(target.name(), service, target.dataCentre(), target.address(), Optional.empty(),
+				List.of());
 	}
 
 	@Override
@@ -74,12 +90,17 @@
 
 	@Override
 	public Optional<VmSight> sight(VmName vm) {
-		return Optional.empty();
+		return fleet().sight(vm);
 	}
 
 	@Override
 	public Optional<Allocation> allocation() {
-		return Optional.empty();
+		return this.state.group().allocation().known();
+	}
+
+	@Override
+	public Fleet fleet() {
+		return this.state.observation().fleet();
 	}
 
 }
--- /dev/null
+++ b/src/main/java/sycamorehill/logic/observation/FleetUpdates.java
@@ -0,0 +1,138 @@
+package sycamorehill.logic.observation;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+
+import org.pcollections.HashTreePMap;
+import org.pcollections.PMap;
+
+import sycamorehill.model.group.Fleet;
+import sycamorehill.model.group.LeavingMark;
+import sycamorehill.model.group.VmEntry;
+import sycamorehill.model.group.VmReport;
+import sycamorehill.model.group.VmSight;
+import sycamorehill.model.group.VmStatus;
+import sycamorehill.model.identity.DataCentreName;
+import sycamorehill.model.identity.VmName;
+
+/**
+ * Takes lists, reports and failures into what is known of the VMs.
+ */
+final class FleetUpdates {
+
+	private FleetUpdates() {
+	}
+
+	/**
+	 * Takes in a read of the VM list. An entry of another data centre is passed over: two
+	 * data centres would otherwise both claim the VM.
+	 * @param fleet what was known
+	 * @param list the entries
+	 * @param dataCentre the own data centre
+	 * @param now own monotonic time
+	 * @param leavingMemory how long a VM counts as leaving after the last sign of it
+	 * @return what is known now
+	 */
+	static Fleet list(Fleet fleet, List<VmEntry> list, DataCentreName dataCentre, Instant now, Duration leavingMemory) {
+		PMap<VmName, VmEntry> entries = HashTreePMap.empty();
+		PMap<VmName, LeavingMark> leaving = fleet.leaving();
+		PMap<VmName, VmSight> sights = fleet.sights();
+		for (VmEntry entry : list) {
+			if (!entry.dataCentre().equals(dataCentre)) {
+				continue;
+			}
+			VmEntry before = fleet.entries().get(entry.name());
+			entries = entries.plus(entry.name(), entry);
+			if (before != null && !before.instance().equals(entry.instance())) {
+				sights = sights.minus(entry.name());
+			}
+			leaving = mark(leaving, entry, now, leavingMemory);
+		}
+		return new Fleet(entries, Optional.of(now), sights, leaving, fleet.refusals());
+	}
+
+	// Failure: a lagging list shows a VM live again that has already said that it leaves,
+	// and work goes to a VM about to vanish. It shows as streams cut off at its stop. The
+	// mark outlives the list until the VM was replaced, or every sign has said for
+	// longer than any lag that it stays.
+	private static PMap<VmName, LeavingMark> mark(PMap<VmName, LeavingMark> leaving, VmEntry entry, Instant now,
+			Duration leavingMemory) {
+		if (entry.status() == VmStatus.LEAVING) {
+			return leaving.plus(entry.name(), new LeavingMark(entry.instance(), now));
+		}
+		LeavingMark mark = leaving.get(entry.name());
+		if (mark == null) {
+			return leaving;
+		}
+		boolean replaced = !mark.instance().isEmpty() && !mark.instance().equals(entry.instance());
+		boolean stays = mark.lastSign().plus(leavingMemory).isBefore(now);
+		return (replaced || stays) ? leaving.minus(entry.name()) : leaving;
+	}
+
+	/**
+	 * Takes in a report, own or passed on by a peer.
+	 * @param fleet what was known
+	 * @param sight the sight
+	 * @return what is known now
+	 */
+	static Fleet report(Fleet fleet, VmSight sight) {
+		VmReport report = sight.report();
+		VmName vm = report.vm();
+		Fleet marked = report.leaving() ? leaving(fleet, vm, sight.seenAt()) : fleet;
+		VmSight before = fleet.sights().get(vm);
+		if (before != null && !supersedes(sight, before)) {
+			return marked;
+		}
+		PMap<VmName, Instant> refusals = marked.refusals();
+		return new Fleet(marked.entries(), marked.listedAt(), marked.sights().plus(vm, sight), marked.leaving(),
+				refusals.containsKey(vm) ? refusals.minus(vm) : refusals);
+	}
+
+	// Failure: an answer that was delayed on its way arrives after a later one and shows
+	// a member in a generation that it has left. The engine's own sequence orders the
+	// reports of one life; between lives the time of asking does.
+	private static boolean supersedes(VmSight sight, VmSight before) {
+		if (sight.report().instance().equals(before.report().instance())) {
+			return sight.report().sequence() > before.report().sequence()
+					|| (sight.report().sequence() == before.report().sequence()
+							&& sight.seenAt().isAfter(before.seenAt()));
+		}
+		return sight.seenAt().isAfter(before.seenAt());
+	}
+
+	/**
+	 * Takes in that a VM will go.
+	 * @param fleet what was known
+	 * @param vm the VM
+	 * @param sign own monotonic time of the sign
+	 * @return what is known now
+	 */
+	static Fleet leaving(Fleet fleet, VmName vm, Instant sign) {
+		LeavingMark before = fleet.leaving().get(vm);
+		VmEntry entry = fleet.entries().get(vm);
+		String instance = (entry != null) ? entry.instance() : "";
+		if (before != null && before.lastSign().isAfter(sign)) {
+			return fleet;
+		}
+		return new Fleet(fleet.entries(), fleet.listedAt(), fleet.sights(),
+				fleet.leaving().plus(vm, new LeavingMark(instance, sign)), fleet.refusals());
+	}
+
+	/**
+	 * Takes in that an engine's address refused the connection.
+	 * @param fleet what was known
+	 * @param vm the VM
+	 * @param now own monotonic time
+	 * @return what is known now
+	 */
+	static Fleet refused(Fleet fleet, VmName vm, Instant now) {
+		if (fleet.refusals().containsKey(vm)) {
+			return fleet;
+		}
+		return new Fleet(fleet.entries(), fleet.listedAt(), fleet.sights(), fleet.leaving(),
+				fleet.refusals().plus(vm, now));
+	}
+
+}
--- a/src/main/java/sycamorehill/model/group/GroupRecord.java
+++ b/src/main/java/sycamorehill/model/group/GroupRecord.java
@@ -16,9 +16,10 @@
  * @param phase what is wanted of it
  * @param ticket the ticket that its shape follows
  * @param reason why it is in this phase, for readers
+ * @param failures failed loads since it last served
  */
 public record GroupRecord(GroupIdentity identity, ServiceName service, String model, String modelVersion,
-		List<VmName> members, GroupPhase phase, long ticket, String reason) {
+		List<VmName> members, GroupPhase phase, long ticket, String reason, int failures) {
 
 	/**
 	 * Takes a copy of the members.
@@ -27,6 +28,18 @@
 		members = List.copyOf(members);
 	}
 
+	/**
+	 * The same group in another phase.
+	 * @param changed the phase
+	 * @param why the reason, for readers
+	 * @return the changed record
+	 */
+	public GroupRecord withPhase(GroupPhase changed, String why) {
+		int count = (changed == GroupPhase.SERVING) ? 0 : this.failures;
+		return new GroupRecord(this.identity, this.service, this.model, this.modelVersion, this.members, changed,
+				this.ticket, why, count);
+	}
+
 	/**
 	 * The member that takes the requests.
 	 * @return the head
--- a/src/main/java/sycamorehill/model/log/LogEvent.java
+++ b/src/main/java/sycamorehill/model/log/LogEvent.java
@@ -9,7 +9,19 @@
 	NODE_STARTED(1001, LogLevel.INFO),
 
 	/** The node was told to stop. */
-	NODE_STOPPING(1002, LogLevel.INFO);
+	NODE_STOPPING(1002, LogLevel.INFO),
+
+	/** The node controls the groups of its data centre. */
+	GROUP_CONTROL_TAKEN(1701, LogLevel.INFO),
+
+	/** A group changes its phase, members or generation. */
+	GROUP_CHANGED(1702, LogLevel.INFO),
+
+	/** A write of the allocation was refused or its answer was lost. */
+	GROUP_ALLOCATION_CONFLICT(1703, LogLevel.INFO),
+
+	/** An engine has seen a higher fencing number. */
+	GROUP_ORDER_FENCED(1704, LogLevel.WARN);
 
 	private final int number;
 
