--- a/src/test/java/sycamorehill/json/ModelJsonTests.java
+++ b/src/test/java/sycamorehill/json/ModelJsonTests.java
@@ -122,7 +122,7 @@
 	private static Allocation allocation() {
 		GroupName name = GroupName.of(GroupSetName.of("set"), 0);
 		GroupRecord group = new GroupRecord(GroupIdentity.of(name, 3), ServiceName.of("chat"), "m", "1",
-				List.of(VmName.of("vm-1"), VmName.of("vm-2")), GroupPhase.SERVING, 7, "new");
+				List.of(VmName.of("vm-1"), VmName.of("vm-2")), GroupPhase.SERVING, 7, "new", 2);
 		return new Allocation(DATA_CENTRE, 2, "n1-1:5", 4, HashTreePMap.singleton(name, group),
 				HashTreePMap.singleton(VmName.of("vm-3"), GroupSetName.of("set")));
 	}
