--- a/src/main/java/sycamorehill/model/log/LogEvent.java
+++ b/src/main/java/sycamorehill/model/log/LogEvent.java
@@ -17,6 +17,12 @@
 	/** A stopping node cut a request off at its bound. */
 	REQUEST_CUT(1102, LogLevel.WARN),
 
+	/** A connection of or to another node was closed because of what came over it. */
+	PEER_CONNECTION_REFUSED(1301, LogLevel.WARN),
+
+	/** A message to another node was larger than a frame may be and was dropped. */
+	PEER_MESSAGE_TOO_LARGE(1302, LogLevel.WARN),
+
 	/** The node controls the groups of its data centre. */
 	GROUP_CONTROL_TAKEN(1701, LogLevel.INFO),
 
