--- a/src/main/java/sycamorehill/model/log/LogEvent.java
+++ b/src/main/java/sycamorehill/model/log/LogEvent.java
@@ -23,6 +23,30 @@
 	/** A message to another node was larger than a frame may be and was dropped. */
 	PEER_MESSAGE_TOO_LARGE(1302, LogLevel.WARN),
 
+	/** Tickets were folded in. */
+	TICKETS_IN_FORCE(1401, LogLevel.INFO),
+
+	/** A whole truth was taken from the platform or a peer. */
+	TRUTH_ADOPTED(1402, LogLevel.INFO),
+
+	/** A filing has its outcome. */
+	FILING_ANSWERED(1403, LogLevel.INFO),
+
+	/** The platform has lost tickets that are in force. */
+	PLATFORM_CAME_BACK_OLDER(1404, LogLevel.ERROR),
+
+	/** The platform shows again what it had lost. */
+	PLATFORM_RESTORED(1405, LogLevel.INFO),
+
+	/** A ticket or snapshot was written by a newer version. */
+	TICKET_FORMAT_UNKNOWN(1406, LogLevel.ERROR),
+
+	/** A node was heard for the first time or again. */
+	NODE_ALIVE(1501, LogLevel.INFO),
+
+	/** A node has not been heard of for too long. */
+	NODE_DEAD(1502, LogLevel.WARN),
+
 	/** The node controls the groups of its data centre. */
 	GROUP_CONTROL_TAKEN(1701, LogLevel.INFO),
 
--- a/src/test/java/sycamorehill/json/ModelJsonTests.java
+++ b/src/test/java/sycamorehill/json/ModelJsonTests.java
@@ -43,6 +43,7 @@
 import sycamorehill.model.request.Refusal;
 import sycamorehill.model.request.RefusalReason;
 import sycamorehill.model.request.RequestOutcome;
+import sycamorehill.model.ticket.AcceptedFiling;
 import sycamorehill.model.ticket.Item;
 import sycamorehill.model.ticket.ItemChange;
 import sycamorehill.model.ticket.ItemInForce;
@@ -146,7 +147,7 @@
 						new ItemInForce(new ModelGroupItem(GroupSetName.of("set"), ServiceName.of("chat"), DATA_CENTRE,
 								2, 4, 1, false, true), 2),
 						new ItemInForce(new WorkspaceItem(WorkspaceName.of("w"), "hash", 1.5, 2.5, 3, 1), 3)),
-				1);
+				1, 4, List.of(new AcceptedFiling(FilingIdentifier.of("f1"), 8)));
 	}
 
 }
