--- a/src/main/java/sycamorehill/logic/group/Controller.java
+++ b/src/main/java/sycamorehill/logic/group/Controller.java
@@ -68,7 +68,8 @@
 		}
 		Silences silences = turn.state()
 			.silences()
-			.look(fleet, claimed, turn.now(), turn.view().policy().observation().reportInterval());
+			.look(fleet, known.get().groups().values(), known.get().standbys().keySet(), turn.now(),
+					turn.view().policy().observation().reportInterval());
 		turn.change(turn.state().withWatch(phases, silences, failures));
 	}
 
--- a/src/main/java/sycamorehill/logic/group/DrainPass.java
+++ b/src/main/java/sycamorehill/logic/group/DrainPass.java
@@ -50,7 +50,7 @@
 
 	private static Optional<List<VmName>> members(AllocationDraft draft, PlanContext context, GroupShape shape,
 			GroupRecord record) {
-		List<VmName> good = record.members().stream().filter((vm) -> context.usable(vm) && !context.dead(vm)).toList();
+		List<VmName> good = record.members().stream().filter((vm) -> context.usable(vm) && !context.silent(vm)).toList();
 		List<VmName> kept = good.stream().limit(shape.members()).toList();
 		return MemberChoice.replacements(context, draft, shape, kept).map((replacements) -> {
 			List<VmName> members = new ArrayList<>(kept);
--- a/src/main/java/sycamorehill/logic/group/PlanContext.java
+++ b/src/main/java/sycamorehill/logic/group/PlanContext.java
@@ -52,7 +52,11 @@
 	}
 
 	boolean dead(VmName vm) {
-		return this.silences.dead(vm, this.now, this.policy.weights().deadAfter());
+		return this.silences.dead(vm, this.now, this.policy.repair());
+	}
+
+	boolean silent(VmName vm) {
+		return this.silences.since().containsKey(vm);
 	}
 
 	/**
--- a/src/main/java/sycamorehill/logic/group/RepairPass.java
+++ b/src/main/java/sycamorehill/logic/group/RepairPass.java
@@ -25,7 +25,9 @@
 					broken.add(record);
 				}
 			}
-			merge(draft, context, shape, broken);
+			if (context.policy().repair().mergesBroken()) {
+				merge(draft, context, shape, broken);
+			}
 		}
 	}
 
@@ -51,8 +53,19 @@
 		if (record.phase() == GroupPhase.DRAINING) {
 			return false;
 		}
-		boolean loaded = record.phase() == GroupPhase.SERVING;
-		return record.members().stream().anyMatch((vm) -> context.dead(vm) || (loaded && context.lost(vm, record)));
+		if (record.members().stream().anyMatch(context::dead)) {
+			return true;
+		}
+		return record.phase() == GroupPhase.SERVING && failedInside(context, record);
+	}
+
+	// An engine that restarted in no group, or a replica that says it has failed although
+	// all its members still answer.
+	private static boolean failedInside(PlanContext context, GroupRecord record) {
+		boolean wrong = record.members()
+			.stream()
+			.anyMatch((vm) -> context.lost(vm, record) || context.failed(vm, record.identity()));
+		return wrong && record.members().stream().noneMatch(context::silent);
 	}
 
 	private static boolean repair(AllocationDraft draft, PlanContext context, GroupShape shape, GroupRecord record) {
@@ -95,7 +108,7 @@
 	}
 
 	private static List<VmName> kept(PlanContext context, GroupRecord record) {
-		return record.members().stream().filter((vm) -> context.usable(vm) && !context.dead(vm)).toList();
+		return record.members().stream().filter((vm) -> context.usable(vm) && !context.silent(vm)).toList();
 	}
 
 	private static List<VmName> joined(List<VmName> kept, List<VmName> replacements) {
--- a/src/main/java/sycamorehill/logic/group/Silences.java
+++ b/src/main/java/sycamorehill/logic/group/Silences.java
@@ -6,12 +6,20 @@
 import java.util.Map;
 
 import org.pcollections.HashTreePMap;
+import org.pcollections.HashTreePSet;
 import org.pcollections.PMap;
+import org.pcollections.PSet;
 
+import sycamorehill.model.group.EngineState;
 import sycamorehill.model.group.Fleet;
+import sycamorehill.model.group.GroupPhase;
+import sycamorehill.model.group.GroupRecord;
 import sycamorehill.model.group.VmEntry;
+import sycamorehill.model.group.VmReport;
+import sycamorehill.model.group.VmSight;
 import sycamorehill.model.identity.FabricDomain;
 import sycamorehill.model.identity.VmName;
+import sycamorehill.model.policy.RepairRules;
 
 /**
  * VMs that are claimed and not seen, with the time since which this node has watched them
@@ -20,37 +28,72 @@
  * @param since own monotonic time of the beginning of each silence
  * @param lookedAt own monotonic time of the last look
  * @param trusted whether the own view is good enough to tell the dead
+ * @param gone VMs of which another sign than silence says that they are dead
  */
-public record Silences(PMap<VmName, Instant> since, Instant lookedAt, boolean trusted) {
+public record Silences(PMap<VmName, Instant> since, Instant lookedAt, boolean trusted, PSet<VmName> gone) {
+
+	private static final int SILENT_INTERVALS = 3;
+
+	private static final Duration REFUSED_LONG_ENOUGH = Duration.ofSeconds(2);
 
 	private static final Duration LONGEST_GAP = Duration.ofSeconds(3);
 
 	static Silences none() {
-		return new Silences(HashTreePMap.empty(), Instant.MIN, false);
+		return new Silences(HashTreePMap.empty(), Instant.MIN, false, HashTreePSet.empty());
 	}
 
 	/**
 	 * Looks at the claimed VMs.
 	 * @param fleet what is known of the VMs
-	 * @param claimed the VMs that matter
+	 * @param groups the groups
+	 * @param standbys the VMs claimed ahead of time
 	 * @param now own monotonic time
 	 * @param reportInterval how often engines are asked
 	 * @return the silences after this look
 	 */
-	Silences look(Fleet fleet, Iterable<VmName> claimed, Instant now, Duration reportInterval) {
+	Silences look(Fleet fleet, Iterable<GroupRecord> groups, Iterable<VmName> standbys, Instant now,
+			Duration reportInterval) {
 		// Failure: this node was paused, and on waking every sight that it has is old: it
 		// would take the whole data centre for dead and rebuild it. A silence counts only
 		// while the node itself was looking.
 		boolean paused = this.lookedAt.equals(Instant.MIN) || this.lookedAt.plus(LONGEST_GAP).isBefore(now);
 		PMap<VmName, Instant> before = paused ? HashTreePMap.empty() : this.since;
+		Duration bound = reportInterval.multipliedBy(SILENT_INTERVALS);
 		PMap<VmName, Instant> after = HashTreePMap.empty();
-		Duration bound = reportInterval.multipliedBy(2);
-		for (VmName vm : claimed) {
-			if (fleet.freshSight(vm, now, bound).isEmpty()) {
-				after = after.plus(vm, before.getOrDefault(vm, now));
+		PSet<VmName> signs = HashTreePSet.empty();
+		for (VmName vm : standbys) {
+			after = silent(fleet, vm, now, bound) ? after.plus(vm, before.getOrDefault(vm, now)) : after;
+		}
+		for (GroupRecord record : groups) {
+			boolean replicaFailed = record.phase() == GroupPhase.SERVING && saysFailed(fleet, record, now, bound);
+			for (VmName vm : record.members()) {
+				if (silent(fleet, vm, now, bound)) {
+					after = after.plus(vm, before.getOrDefault(vm, now));
+					signs = (replicaFailed || refused(fleet, vm, now)) ? signs.plus(vm) : signs;
+				}
 			}
 		}
-		return new Silences(after, now, !paused && someDomainIsSeen(fleet, now, bound));
+		return new Silences(after, now, !paused && someDomainIsSeen(fleet, now, bound), signs);
+	}
+
+	private static boolean silent(Fleet fleet, VmName vm, Instant now, Duration bound) {
+		return fleet.freshSight(vm, now, bound).isEmpty();
+	}
+
+	private static boolean saysFailed(Fleet fleet, GroupRecord record, Instant now, Duration bound) {
+		return record.members()
+			.stream()
+			.anyMatch((vm) -> fleet.freshSight(vm, now, bound)
+				.map(VmSight::report)
+				.filter((report) -> report.state() == EngineState.FAILED)
+				.flatMap(VmReport::group)
+				.filter(record.identity()::equals)
+				.isPresent());
+	}
+
+	private static boolean refused(Fleet fleet, VmName vm, Instant now) {
+		Instant first = fleet.refusals().get(vm);
+		return first != null && !first.plus(REFUSED_LONG_ENOUGH).isAfter(now);
 	}
 
 	// Failure: the own links are cut, every VM is silent, and the controller would
@@ -72,14 +115,21 @@
 	 * Whether a VM is taken for dead.
 	 * @param vm the VM
 	 * @param now own monotonic time
-	 * @param deadAfter the silence that counts as death
+	 * @param rules how groups are repaired
 	 * @return whether its group has to go on without it
 	 */
-	boolean dead(VmName vm, Instant now, Duration deadAfter) {
+	boolean dead(VmName vm, Instant now, RepairRules rules) {
+		if (rules.readsSigns() && this.trusted && this.gone.contains(vm)) {
+			return true;
+		}
 		Instant start = this.since.get(vm);
-		return this.trusted && start != null && !start.plus(deadAfter).isAfter(now);
+		return this.trusted && start != null && !start.plus(rules.deadAfter()).isAfter(now);
 	}
 
+	/**
+	 * The VMs that are silent.
+	 * @return the VMs
+	 */
 	Iterable<VmName> silent() {
 		return this.since.keySet();
 	}
--- a/src/main/java/sycamorehill/logic/group/StandbyPass.java
+++ b/src/main/java/sycamorehill/logic/group/StandbyPass.java
@@ -11,6 +11,7 @@
 import sycamorehill.model.identity.FabricDomain;
 import sycamorehill.model.identity.GroupSetName;
 import sycamorehill.model.identity.VmName;
+import sycamorehill.model.policy.RepairRules;
 
 /**
  * Claims standbys from what is left, and gives back those that are of no use.
@@ -35,7 +36,7 @@
 
 	private static void adjust(AllocationDraft draft, PlanContext context, GroupShape shape) {
 		GroupSetName set = shape.set().name();
-		int wanted = Math.max(shape.set().standbys(), context.policy().weights().keepsStandby() ? 1 : 0);
+		int wanted = wanted(draft, context, shape);
 		List<VmName> claimed = draft.standbys(set);
 		claimed.stream().skip(wanted).forEach(draft::releaseStandby);
 		for (int count = claimed.size(); count < wanted && groupsFormed(draft, shape); count++) {
@@ -47,6 +48,17 @@
 		}
 	}
 
+	private static int wanted(AllocationDraft draft, PlanContext context, GroupShape shape) {
+		RepairRules rules = context.policy().repair();
+		long domains = draft.groups(shape.set().name())
+			.stream()
+			.map((record) -> context.domain(record.head()))
+			.distinct()
+			.count();
+		int byRules = rules.standbyInEachDomain() ? rules.standbys() * (int) domains : rules.standbys();
+		return Math.max(shape.set().standbys(), byRules);
+	}
+
 	private static boolean groupsFormed(AllocationDraft draft, GroupShape shape) {
 		return draft.groups(shape.set().name())
 			.stream()
--- a/src/main/java/sycamorehill/model/policy/GroupPolicy.java
+++ b/src/main/java/sycamorehill/model/policy/GroupPolicy.java
@@ -21,12 +21,12 @@
  * stops
  * @param drainLongest after it a drained group is changed although its head still counts
  * running work; only for members that go anyway
- * @param weights what downtime and stranded accelerators cost the user
+ * @param repair how groups are repaired, from the user's weights
  */
 public record GroupPolicy(Duration leaseLength, Duration leaseRenewal, Duration decisionInterval,
 		Duration allocationInterval, Duration callTimeout, Duration orderWindow, Duration orderRetry,
 		Duration orderRetryLongest, int concurrentLoads, int failedLoadsBeforeStop, Duration drainLongest,
-		GroupWeights weights) {
+		RepairRules repair) {
 
 	/**
 	 * The values that hold where the settings say nothing.
@@ -35,18 +35,38 @@
 	public static GroupPolicy standard() {
 		return new GroupPolicy(Duration.ofSeconds(6), Duration.ofSeconds(2), Duration.ofMillis(500),
 				Duration.ofSeconds(2), Duration.ofSeconds(2), Duration.ofSeconds(2), Duration.ofSeconds(4),
-				Duration.ofMinutes(2), 4, 3, Duration.ofMinutes(2), GroupWeights.standard());
+				Duration.ofMinutes(2), 4, 3, Duration.ofMinutes(2), GroupWeights.standard().rules());
 	}
 
 	/**
 	 * The same bounds with other weights.
-	 * @param changed the weights
+	 * @param weights what downtime and stranded accelerators cost the user
 	 * @return the changed policy
 	 */
-	public GroupPolicy withWeights(GroupWeights changed) {
+	public GroupPolicy withWeights(GroupWeights weights) {
+		return withRepair(weights.rules());
+	}
+
+	/**
+	 * The same bounds with other rules of repair.
+	 * @param changed the rules
+	 * @return the changed policy
+	 */
+	public GroupPolicy withRepair(RepairRules changed) {
 		return new GroupPolicy(this.leaseLength, this.leaseRenewal, this.decisionInterval, this.allocationInterval,
 				this.callTimeout, this.orderWindow, this.orderRetry, this.orderRetryLongest, this.concurrentLoads,
 				this.failedLoadsBeforeStop, this.drainLongest, changed);
 	}
 
+	/**
+	 * The same bounds with another number of loads at once.
+	 * @param changed the number
+	 * @return the changed policy
+	 */
+	public GroupPolicy withConcurrentLoads(int changed) {
+		return new GroupPolicy(this.leaseLength, this.leaseRenewal, this.decisionInterval, this.allocationInterval,
+				this.callTimeout, this.orderWindow, this.orderRetry, this.orderRetryLongest, changed,
+				this.failedLoadsBeforeStop, this.drainLongest, this.repair);
+	}
+
 }
--- a/src/main/java/sycamorehill/model/policy/GroupWeights.java
+++ b/src/main/java/sycamorehill/model/policy/GroupWeights.java
@@ -12,11 +12,11 @@
  */
 public record GroupWeights(double downtimeShare) {
 
-	private static final Duration SHORTEST_SILENCE = Duration.ofSeconds(6);
+	private static final Duration LONGEST_SILENCE = Duration.ofSeconds(20);
 
-	private static final Duration LONGEST_SILENCE = Duration.ofSeconds(12);
+	private static final Duration SHORTEST_SILENCE = Duration.ofSeconds(10);
 
-	private static final double SPARES_FROM = 0.6;
+	private static final double STANDBY_FROM = 0.6;
 
 	/**
 	 * Refuses a share out of range.
@@ -36,21 +36,13 @@
 	}
 
 	/**
-	 * How long a member may be silent before it is taken for dead: a rebuild strands its
-	 * whole group for a load, a wait costs downtime.
-	 * @return the silence
+	 * What the weights mean for repairs.
+	 * @return the rules
 	 */
-	public Duration deadAfter() {
+	public RepairRules rules() {
 		long range = LONGEST_SILENCE.toMillis() - SHORTEST_SILENCE.toMillis();
-		return LONGEST_SILENCE.minusMillis(Math.round(range * this.downtimeShare));
-	}
-
-	/**
-	 * Whether VMs are claimed ahead of time although a ticket asks for none.
-	 * @return whether one standby is kept for each set whose VMs are at hand
-	 */
-	public boolean keepsStandby() {
-		return this.downtimeShare >= SPARES_FROM;
+		Duration silence = LONGEST_SILENCE.minusMillis(Math.round(range * this.downtimeShare));
+		return new RepairRules(silence, (this.downtimeShare >= STANDBY_FROM) ? 1 : 0, false, true, true);
 	}
 
 }
