--- a/src/main/java/sycamorehill/logic/node/StateView.java
+++ b/src/main/java/sycamorehill/logic/node/StateView.java
@@ -62,6 +62,10 @@
 
 	@Override
 	public List<ServingTarget> servingTargets(ServiceName service) {
+		return this.state.health().usable(knownTargets(service), this.now, policy().health());
+	}
+
+	private List<ServingTarget> knownTargets(ServiceName service) {
 		Optional<ServiceItem> item = truth().flatMap((truth) -> truth.service(service));
 		if (item.filter((found) -> found.kind() == ServiceKind.PLAIN).isPresent()) {
 			return item.get().plainTargets().stream().map((target) -> plain(service, target)).toList();
