--- a/src/main/java/sycamorehill/model/log/LogEvent.java
+++ b/src/main/java/sycamorehill/model/log/LogEvent.java
@@ -63,7 +63,19 @@
 	NODE_ALIVE(1501, LogLevel.INFO),
 
 	/** A node has not been heard of for too long. */
-	NODE_DEAD(1502, LogLevel.WARN);
+	NODE_DEAD(1502, LogLevel.WARN),
+
+	/** The node controls the groups of its data centre. */
+	GROUP_CONTROL_TAKEN(1701, LogLevel.INFO),
+
+	/** A group changes its phase, members or generation. */
+	GROUP_CHANGED(1702, LogLevel.INFO),
+
+	/** A write of the allocation was refused or its answer was lost. */
+	GROUP_ALLOCATION_CONFLICT(1703, LogLevel.INFO),
+
+	/** An engine has seen a higher fencing number. */
+	GROUP_ORDER_FENCED(1704, LogLevel.WARN);
 
 	private final int number;
 
