--- a/src/main/java/sycamorehill/logic/node/StateView.java
+++ b/src/main/java/sycamorehill/logic/node/StateView.java
@@ -67,12 +67,6 @@
 
 	private List<ServingTarget> knownTargets(ServiceName service) {
 		Optional<ServiceItem> item = truth().flatMap((truth) -> truth.service(service));
-<<<<<<< HEAD
-		if (item.isPresent() && item.get().kind() == ServiceKind.PLAIN) {
-			return PlainTargets.of(item.get());
-		}
-		return List.of();
-=======
 		if (item.filter((found) -> found.kind() == ServiceKind.PLAIN).isPresent()) {
 			return item.get().plainTargets().stream().map((target) -> plain(service, target)).toList();
 		}
