Know the live nodes by few heartbeats, and say where a ticket is in force

Cause: heartbeats from every node to every other grow with the square of the nodes: about 15 KB a second in a data centre of 103 nodes at one a second. Change: a node sends heartbeats to the two delegates of its data centre only; the delegates vouch for the set of live nodes by its hash, push changes, and exchange both with the delegates of the other data centres. A delegate counts a node as alive only if it or another delegate hears it itself, so two delegates can't keep a dead node by relying on each other. Heartbeats carry the ticket number: where a ticket is in force is asked of the delegates on demand. Checked by tests with kills, pauses, one-way cuts, replaced data centres.

--- a/src/main/java/sycamorehill/experiment/ControlNode.java
+++ b/src/main/java/sycamorehill/experiment/ControlNode.java
@@ -26,6 +26,7 @@
 import sycamorehill.model.request.Fingerprint;
 import sycamorehill.model.request.RouteQuery;
 import sycamorehill.model.target.ServingTarget;
+import sycamorehill.model.ticket.Ticket;
 import sycamorehill.model.ticket.Truth;
 
 /**
@@ -93,6 +94,11 @@
 		return this.ticket.log().truth();
 	}
 
+	@Override
+	public Optional<Ticket> ticket(long number) {
+		return this.ticket.log().ticket(number);
+	}
+
 	@Override
 	public LiveNodes liveNodes() {
 		return this.membership.liveNodes();
--- a/src/main/java/sycamorehill/logic/NodeView.java
+++ b/src/main/java/sycamorehill/logic/NodeView.java
@@ -13,6 +13,7 @@
 import sycamorehill.model.request.Fingerprint;
 import sycamorehill.model.request.RouteQuery;
 import sycamorehill.model.target.ServingTarget;
+import sycamorehill.model.ticket.Ticket;
 import sycamorehill.model.ticket.Truth;
 
 /**
@@ -38,6 +39,15 @@
 	 */
 	Optional<Truth> truth();
 
+	/**
+	 * An accepted ticket.
+	 * @param number its number
+	 * @return the ticket, if the node still keeps it
+	 */
+	default Optional<Ticket> ticket(long number) {
+		return Optional.empty();
+	}
+
 	/**
 	 * The nodes taken to be alive.
 	 * @return the nodes, this one among them
--- /dev/null
+++ b/src/main/java/sycamorehill/logic/membership/DataCentreView.java
@@ -0,0 +1,127 @@
+package sycamorehill.logic.membership;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+
+import com.dynatrace.hash4j.hashing.Hashing;
+import org.pcollections.PMap;
+import org.pcollections.TreePMap;
+
+import sycamorehill.model.identity.DataCentreName;
+import sycamorehill.model.identity.NodeName;
+import sycamorehill.model.peer.MemberEntry;
+import sycamorehill.model.peer.MembersChanged;
+
+/**
+ * The live nodes of one data centre as its delegates vouch for them.
+ *
+ * @param members the nodes by name
+ * @param hash of all members; does not depend on their order
+ * @param vouchedAt own monotonic time of the last word for exactly this set,
+ * {@link Instant#MIN} before the first
+ * @param askedAt when the whole set was last asked for
+ * @param pushed the members as last pushed to the nodes of this data centre
+ * @param pushedHash of the pushed members
+ * @param steps how many times delegates were passed over since the last word
+ */
+record DataCentreView(PMap<NodeName, MemberEntry> members, long hash, Instant vouchedAt, Instant askedAt,
+		PMap<NodeName, MemberEntry> pushed, long pushedHash, int steps) {
+
+	static DataCentreView empty(Instant now) {
+		return new DataCentreView(TreePMap.empty(), 0, now, Instant.MIN, TreePMap.empty(), 0, 0);
+	}
+
+	/**
+	 * Whether a delegate has ever given its word.
+	 * @return whether the members mean anything
+	 */
+	boolean known() {
+		return !this.vouchedAt.equals(Instant.MIN);
+	}
+
+	DataCentreView with(MemberEntry entry) {
+		MemberEntry member = new MemberEntry(entry.identity(), entry.stopping(), true);
+		NodeName name = member.identity().incarnation().node();
+		MemberEntry old = this.members.get(name);
+		if (member.equals(old)) {
+			return this;
+		}
+		long changed = this.hash ^ hash(old) ^ hash(member);
+		return new DataCentreView(this.members.plus(name, member), changed, this.vouchedAt, this.askedAt, this.pushed,
+				this.pushedHash, this.steps);
+	}
+
+	DataCentreView without(NodeName name) {
+		MemberEntry old = this.members.get(name);
+		if (old == null) {
+			return this;
+		}
+		return new DataCentreView(this.members.minus(name), this.hash ^ hash(old), this.vouchedAt, this.askedAt,
+				this.pushed, this.pushedHash, this.steps);
+	}
+
+	DataCentreView replaced(List<MemberEntry> entries) {
+		DataCentreView view = new DataCentreView(TreePMap.empty(), 0, this.vouchedAt, this.askedAt, this.pushed,
+				this.pushedHash, this.steps);
+		for (MemberEntry entry : entries) {
+			view = view.with(entry);
+		}
+		return view;
+	}
+
+	DataCentreView vouched(Instant time) {
+		return new DataCentreView(this.members, this.hash, time, this.askedAt, this.pushed, this.pushedHash, 0);
+	}
+
+	DataCentreView asked(Instant time) {
+		return new DataCentreView(this.members, this.hash, this.vouchedAt, time, this.pushed, this.pushedHash,
+				this.steps);
+	}
+
+	DataCentreView stepped() {
+		return new DataCentreView(this.members, this.hash, this.vouchedAt, this.askedAt, this.pushed, this.pushedHash,
+				this.steps + 1);
+	}
+
+	DataCentreView afterPush() {
+		return new DataCentreView(this.members, this.hash, this.vouchedAt, this.askedAt, this.members, this.hash,
+				this.steps);
+	}
+
+	/**
+	 * What has changed since the last push.
+	 * @param dataCentre the name of this data centre
+	 * @return the change from the pushed to the present members
+	 */
+	MembersChanged change(DataCentreName dataCentre) {
+		List<MemberEntry> present = new ArrayList<>();
+		List<NodeName> gone = new ArrayList<>();
+		for (Map.Entry<NodeName, MemberEntry> entry : this.members.entrySet()) {
+			if (!Objects.equals(this.pushed.get(entry.getKey()), entry.getValue())) {
+				present.add(entry.getValue());
+			}
+		}
+		for (NodeName name : this.pushed.keySet()) {
+			if (!this.members.containsKey(name)) {
+				gone.add(name);
+			}
+		}
+		return new MembersChanged(dataCentre, this.pushedHash, this.hash, present, gone);
+	}
+
+	private static long hash(MemberEntry member) {
+		if (member == null) {
+			return 0;
+		}
+		return Hashing.komihash5_0()
+			.hashStream()
+			.putString(member.identity().incarnation().node().value())
+			.putLong(member.identity().incarnation().number())
+			.putBoolean(member.stopping())
+			.getAsLong();
+	}
+
+}
--- a/src/main/java/sycamorehill/logic/membership/Delegates.java
+++ b/src/main/java/sycamorehill/logic/membership/Delegates.java
@@ -6,6 +6,7 @@
 import com.dynatrace.hash4j.hashing.Hashing;
 
 import sycamorehill.logic.NodeView;
+import sycamorehill.model.identity.DataCentreName;
 import sycamorehill.model.identity.NodeIdentity;
 import sycamorehill.model.membership.LiveNode;
 
@@ -47,6 +48,16 @@
 			.anyMatch((node) -> node.identity().incarnation().equals(self.incarnation()));
 	}
 
+	/**
+	 * The delegates of a data centre as a node sees them.
+	 * @param view what the node knows
+	 * @param dataCentre the data centre
+	 * @return the delegates, the first choice first
+	 */
+	public static List<LiveNode> in(NodeView view, DataCentreName dataCentre) {
+		return of(view.liveNodes().dutiful(dataCentre), view.policy().membership().delegates());
+	}
+
 	static long weight(NodeIdentity identity) {
 		return Hashing.komihash5_0().hashCharsToLong(SALT + identity.incarnation().node());
 	}
--- /dev/null
+++ b/src/main/java/sycamorehill/logic/membership/ForceQuestion.java
@@ -0,0 +1,26 @@
+package sycamorehill.logic.membership;
+
+import java.time.Instant;
+
+import org.pcollections.PMap;
+
+import sycamorehill.model.identity.DataCentreName;
+import sycamorehill.model.identity.OperatorCallIdentifier;
+import sycamorehill.model.ticket.DataCentreForce;
+
+/**
+ * An operator who waits to hear where a ticket is in force.
+ *
+ * @param call the waiting operator
+ * @param number the ticket
+ * @param until when the answer goes out with what has come in
+ * @param answers what each data centre has said
+ */
+record ForceQuestion(OperatorCallIdentifier call, long number, Instant until,
+		PMap<DataCentreName, DataCentreForce> answers) {
+
+	ForceQuestion with(DataCentreForce force) {
+		return new ForceQuestion(this.call, this.number, this.until, this.answers.plus(force.dataCentre(), force));
+	}
+
+}
--- a/src/main/java/sycamorehill/logic/membership/Introduction.java
+++ b/src/main/java/sycamorehill/logic/membership/Introduction.java
@@ -3,8 +3,8 @@
 import java.time.Duration;
 import java.time.Instant;
 
-import org.pcollections.PMap;
-
+import sycamorehill.logic.membership.MembershipState.IntroductionState;
+import sycamorehill.logic.platform.Jitter;
 import sycamorehill.model.identity.NodeIdentity;
 import sycamorehill.model.identity.NodeName;
 import sycamorehill.model.membership.NodeAnnouncement;
@@ -27,15 +27,16 @@
 	}
 
 	static void ticked(MembershipTurn turn) {
-		if (!turn.state().calls().isEmpty() || !turn.state().budget().allows(turn.now())) {
+		IntroductionState introduction = turn.state().introduction();
+		if (!introduction.calls().isEmpty() || !introduction.budget().allows(turn.now())) {
 			return;
 		}
-		if (due(turn, turn.state().introducedAt(), introductionInterval(turn))) {
+		if (due(turn, introduction.introducedAt(), introductionInterval(turn))) {
 			turn.call(MembershipCall.LIST_ANNOUNCEMENTS,
 					new PlatformRequest.ListObjects(ObjectKind.NODE, "", MOST_NODES));
 		}
-		else if (!turn.state().stopping()
-				&& due(turn, turn.state().announcedAt(), turn.policy().announcementInterval())) {
+		else if (!turn.state().stopping() && !turn.now().isBefore(introduction.announceFrom())
+				&& due(turn, introduction.announcedAt(), turn.policy().announcementInterval())) {
 			turn.call(MembershipCall.READ_ANNOUNCEMENT, new PlatformRequest.Read(ownKey(turn)));
 		}
 	}
@@ -45,10 +46,11 @@
 		if (failed) {
 			Duration retryAfter = (answer instanceof PlatformAnswer.NotTaken notTaken) ? notTaken.retryAfter()
 					: Duration.ZERO;
-			turn.set(turn.state().withBudget(turn.state().budget().failed(turn.now(), retryAfter)));
+			IntroductionState introduction = turn.state().introduction();
+			set(turn, introduction.withBudget(introduction.budget().failed(turn.now(), retryAfter)));
 			return;
 		}
-		turn.set(turn.state().withBudget(turn.state().budget().succeeded()));
+		set(turn, turn.state().introduction().withBudget(turn.state().introduction().budget().succeeded()));
 		switch (purpose) {
 			case LIST_ANNOUNCEMENTS -> introduced(turn, (PlatformAnswer.Listed) answer);
 			case READ_ANNOUNCEMENT -> compare(turn, answer);
@@ -57,23 +59,34 @@
 	}
 
 	private static void introduced(MembershipTurn turn, PlatformAnswer.Listed answer) {
-		PMap<NodeName, NodeIdentity> contacts = turn.state().contacts();
+		Sightings sightings = turn.sightings();
 		for (StoredObject object : answer.objects()) {
 			NodeIdentity identity = ((NodeAnnouncement) object.value()).identity();
 			NodeName name = identity.incarnation().node();
 			boolean own = name.equals(turn.self().incarnation().node());
 			if (!own && !turn.state().liveNodes().nodes().containsKey(name)) {
-				contacts = contacts.plus(name, identity);
+				sightings = sightings.withContact(identity);
 			}
 		}
-		turn.set(turn.state().withContacts(contacts).introduced(turn.now()));
+		turn.set(sightings);
+		IntroductionState introduction = turn.state().introduction();
+		Instant from = introduction.announceFrom();
+		if (from.equals(Instant.MIN)) {
+			// All nodes may have started together: their first writes are spread over a
+			// time that grows with their number.
+			Duration range = Duration.ofSeconds(1)
+				.multipliedBy(answer.objects().size())
+				.dividedBy(turn.policy().announcementsPerSecond());
+			from = turn.now().plus(Jitter.within(range, introduction.budget().randomState()));
+		}
+		set(turn, introduction.introduced(turn.now(), from));
 	}
 
 	private static void compare(MembershipTurn turn, PlatformAnswer answer) {
 		NodeAnnouncement own = new NodeAnnouncement(turn.self(), turn.state().wallClock().toEpochMilli());
 		if (answer instanceof PlatformAnswer.Found found) {
 			if (((NodeAnnouncement) found.object().value()).identity().equals(turn.self())) {
-				turn.set(turn.state().announced(turn.now()));
+				set(turn, turn.state().introduction().announced(turn.now()));
 				return;
 			}
 			turn.call(MembershipCall.WRITE_ANNOUNCEMENT,
@@ -86,17 +99,20 @@
 
 	private static void written(MembershipTurn turn, PlatformAnswer answer) {
 		if (answer instanceof PlatformAnswer.Written) {
-			turn.set(turn.state().announced(turn.now()));
+			set(turn, turn.state().introduction().announced(turn.now()));
 		}
 	}
 
+	private static void set(MembershipTurn turn, IntroductionState introduction) {
+		turn.set(turn.state().withIntroduction(introduction));
+	}
+
 	private static Duration introductionInterval(MembershipTurn turn) {
 		boolean alone = turn.state().liveNodes().nodes().size() <= 1;
 		if (alone) {
 			return turn.policy().shortestInterval().multipliedBy(2);
 		}
-		return Delegates.isDelegate(turn.view()) ? turn.policy().introductionInterval()
-				: turn.policy().announcementInterval();
+		return turn.delegate() ? turn.policy().introductionInterval() : turn.policy().announcementInterval();
 	}
 
 	private static boolean due(MembershipTurn turn, Instant last, Duration interval) {
--- a/src/main/java/sycamorehill/logic/membership/MembershipReducer.java
+++ b/src/main/java/sycamorehill/logic/membership/MembershipReducer.java
@@ -1,27 +1,26 @@
 package sycamorehill.logic.membership;
 
-import java.time.Duration;
 import java.time.Instant;
 
-import org.pcollections.PMap;
-
 import sycamorehill.logic.NodeView;
 import sycamorehill.logic.Reducer;
 import sycamorehill.logic.Step;
 import sycamorehill.logic.platform.CallBudget;
 import sycamorehill.model.event.Event;
 import sycamorehill.model.event.NodeEvent;
+import sycamorehill.model.event.OperatorEvent;
 import sycamorehill.model.event.PeerEvent;
 import sycamorehill.model.event.PlatformEvent;
 import sycamorehill.model.identity.CallOwner;
-import sycamorehill.model.identity.NodeIdentity;
-import sycamorehill.model.identity.NodeName;
-import sycamorehill.model.log.LogEvent;
-import sycamorehill.model.membership.LiveNode;
-import sycamorehill.model.membership.LiveNodes;
+import sycamorehill.model.membership.NodeContact;
+import sycamorehill.model.peer.ForceAsked;
+import sycamorehill.model.peer.ForceSent;
 import sycamorehill.model.peer.Heartbeat;
+import sycamorehill.model.peer.MembersAsked;
+import sycamorehill.model.peer.MembersChanged;
+import sycamorehill.model.peer.MembersSent;
+import sycamorehill.model.peer.PeerMessage;
 import sycamorehill.model.policy.MembershipPolicy;
-import sycamorehill.model.ticket.Truth;
 
 /**
  * Which nodes of ours are alive.
@@ -55,12 +54,14 @@
 		}
 		else if (event instanceof NodeEvent.StopRequested) {
 			turn.set(turn.state().stop());
-			heard(turn, turn.self(), true);
-			sendHeartbeats(turn);
+			Heartbeats.beat(turn);
+			Liveness.refresh(turn);
+		}
+		else if (event instanceof PeerEvent.MessageReceived received) {
+			received(turn, received);
 		}
-		else if (event instanceof PeerEvent.MessageReceived received
-				&& received.message() instanceof Heartbeat heartbeat) {
-			heard(turn, received.from(), heartbeat.stopping());
+		else if (event instanceof OperatorEvent.TicketForceAsked asked) {
+			ForceSteps.asked(turn, asked);
 		}
 		else if (event instanceof PlatformEvent.Answered answered && answered.call().owner() == CallOwner.MEMBERSHIP) {
 			MembershipCall purpose = turn.close(answered.call().number());
@@ -73,54 +74,48 @@
 
 	private static void started(MembershipTurn turn, long seed) {
 		MembershipPolicy policy = turn.policy();
-		turn.set(turn.state()
-			.withBudget(CallBudget.create(CALLS_PER_SECOND, CALL_BURST, policy.firstBackoff(), policy.longestBackoff(),
-					seed + 1)));
-		heard(turn, turn.self(), false);
+		CallBudget budget = CallBudget.create(CALLS_PER_SECOND, CALL_BURST, policy.firstBackoff(),
+				policy.longestBackoff(), seed + 1);
+		turn.set(turn.state().withIntroduction(turn.state().introduction().withBudget(budget)));
+		for (NodeContact contact : policy.contacts()) {
+			if (!contact.node().equals(turn.self().incarnation().node())) {
+				turn.set(turn.sightings().withContact(contact.unknownLife()));
+			}
+		}
+		Liveness.refresh(turn);
 		Introduction.ticked(turn);
 	}
 
 	private static void ticked(MembershipTurn turn) {
 		Introduction.ticked(turn);
-		if (turn.now().isBefore(turn.state().nextHeartbeat())) {
-			return;
+		Liveness.ticked(turn);
+		ForceSteps.ticked(turn);
+		boolean advanced = turn.ticketNumber() != turn.state().timers().toldNumber();
+		if (advanced || !turn.now().isBefore(turn.state().timers().nextHeartbeat())) {
+			Heartbeats.beat(turn);
 		}
-		turn.set(turn.state().withNextHeartbeat(turn.now().plus(turn.policy().shortestInterval())));
-		heard(turn, turn.self(), turn.state().stopping());
-		sendHeartbeats(turn);
-		forget(turn);
 	}
 
-	private static void sendHeartbeats(MembershipTurn turn) {
-		long number = turn.view().truth().map(Truth::number).orElse(-1L);
-		Heartbeat heartbeat = new Heartbeat(turn.state().stopping(), number);
-		for (NodeIdentity contact : turn.state().contacts().values()) {
-			turn.send(contact, heartbeat);
+	private static void received(MembershipTurn turn, PeerEvent.MessageReceived received) {
+		PeerMessage message = received.message();
+		if (message instanceof Heartbeat heartbeat) {
+			Hearing.heartbeat(turn, received.from(), heartbeat);
 		}
-	}
-
-	private static void heard(MembershipTurn turn, NodeIdentity node, boolean stopping) {
-		NodeName name = node.incarnation().node();
-		PMap<NodeName, LiveNode> nodes = turn.state().liveNodes().nodes();
-		if (!nodes.containsKey(name)) {
-			turn.log(LogEvent.NODE_ALIVE, node.incarnation().toString());
+		else if (message instanceof MembersAsked asked) {
+			Hearing.asked(turn, received.from(), asked);
 		}
-		turn.set(turn.state().withLiveNodes(new LiveNodes(nodes.plus(name, new LiveNode(node, stopping, turn.now())))));
-		if (!node.equals(turn.self())) {
-			turn.set(turn.state().withContacts(turn.state().contacts().plus(name, node)));
+		else if (message instanceof MembersSent sent) {
+			Hearing.sent(turn, received.from(), sent);
 		}
-	}
-
-	private static void forget(MembershipTurn turn) {
-		Duration bound = turn.policy().shortestInterval().multipliedBy(turn.policy().missedHeartbeats());
-		PMap<NodeName, LiveNode> nodes = turn.state().liveNodes().nodes();
-		for (LiveNode node : turn.state().liveNodes().nodes().values()) {
-			if (node.heardAt().plus(bound).isBefore(turn.now())) {
-				nodes = nodes.minus(node.identity().incarnation().node());
-				turn.log(LogEvent.NODE_DEAD, node.identity().incarnation().toString());
-			}
+		else if (message instanceof MembersChanged changed) {
+			Hearing.changed(turn, changed);
+		}
+		else if (message instanceof ForceAsked asked) {
+			ForceSteps.questionReceived(turn, received.from(), asked);
+		}
+		else if (message instanceof ForceSent sent) {
+			ForceSteps.answerReceived(turn, sent);
 		}
-		turn.set(turn.state().withLiveNodes(new LiveNodes(nodes)));
 	}
 
 }
--- a/src/main/java/sycamorehill/logic/membership/MembershipState.java
+++ b/src/main/java/sycamorehill/logic/membership/MembershipState.java
@@ -7,27 +7,22 @@
 import org.pcollections.PMap;
 
 import sycamorehill.logic.platform.CallBudget;
-import sycamorehill.model.identity.NodeIdentity;
 import sycamorehill.model.identity.NodeName;
 import sycamorehill.model.membership.LiveNodes;
 
 /**
  * State of the part: which nodes of ours are alive.
  *
- * @param liveNodes the nodes taken to be alive
- * @param contacts the last identity known of each other node, alive or not
- * @param calls what each open platform call was made for
- * @param nextCall the number of the next platform call
- * @param budget when the next platform call may be made
- * @param announcedAt when the own announcement was last confirmed
- * @param introducedAt when the announcements were last read
- * @param nextHeartbeat when the next heartbeats go out
+ * @param liveNodes the nodes taken to be alive, drawn from the sightings
+ * @param sightings what was heard of the others
+ * @param progress how far the nodes of the own data centre are with the tickets
+ * @param introduction calls to the platform that introduce the nodes to each other
+ * @param timers when what is due
  * @param wallClock the last wall clock time, for records that people read
  * @param stopping whether this node has been told to stop
  */
-public record MembershipState(LiveNodes liveNodes, PMap<NodeName, NodeIdentity> contacts,
-		PMap<Long, MembershipCall> calls, long nextCall, CallBudget budget, Instant announcedAt, Instant introducedAt,
-		Instant nextHeartbeat, Instant wallClock, boolean stopping) {
+public record MembershipState(LiveNodes liveNodes, Sightings sightings, Progress progress,
+		IntroductionState introduction, MembershipTimers timers, Instant wallClock, boolean stopping) {
 
 	/**
 	 * The state of a fresh node.
@@ -35,53 +30,103 @@
 	 */
 	public static MembershipState initial() {
 		CallBudget none = CallBudget.create(0, 0, Duration.ZERO, Duration.ZERO, 0);
-		return new MembershipState(LiveNodes.none(), HashTreePMap.empty(), HashTreePMap.empty(), 1, none, Instant.MIN,
-				Instant.MIN, Instant.MIN, Instant.EPOCH, false);
+		return new MembershipState(LiveNodes.none(), Sightings.none(), Progress.none(),
+				new IntroductionState(HashTreePMap.empty(), 1, none, Instant.MIN, Instant.MIN, Instant.MIN),
+				new MembershipTimers(Instant.MIN, Instant.MIN, -1, NodeName.of("-")), Instant.EPOCH, false);
 	}
 
 	MembershipState withLiveNodes(LiveNodes changed) {
-		return new MembershipState(changed, this.contacts, this.calls, this.nextCall, this.budget, this.announcedAt,
-				this.introducedAt, this.nextHeartbeat, this.wallClock, this.stopping);
+		return new MembershipState(changed, this.sightings, this.progress, this.introduction, this.timers,
+				this.wallClock, this.stopping);
 	}
 
-	MembershipState withContacts(PMap<NodeName, NodeIdentity> changed) {
-		return new MembershipState(this.liveNodes, changed, this.calls, this.nextCall, this.budget, this.announcedAt,
-				this.introducedAt, this.nextHeartbeat, this.wallClock, this.stopping);
+	MembershipState withSightings(Sightings changed) {
+		return new MembershipState(this.liveNodes, changed, this.progress, this.introduction, this.timers,
+				this.wallClock, this.stopping);
 	}
 
-	MembershipState withCalls(PMap<Long, MembershipCall> changed, long next) {
-		return new MembershipState(this.liveNodes, this.contacts, changed, next, this.budget, this.announcedAt,
-				this.introducedAt, this.nextHeartbeat, this.wallClock, this.stopping);
+	MembershipState withProgress(Progress changed) {
+		return new MembershipState(this.liveNodes, this.sightings, changed, this.introduction, this.timers,
+				this.wallClock, this.stopping);
 	}
 
-	MembershipState withBudget(CallBudget changed) {
-		return new MembershipState(this.liveNodes, this.contacts, this.calls, this.nextCall, changed, this.announcedAt,
-				this.introducedAt, this.nextHeartbeat, this.wallClock, this.stopping);
+	MembershipState withIntroduction(IntroductionState changed) {
+		return new MembershipState(this.liveNodes, this.sightings, this.progress, changed, this.timers, this.wallClock,
+				this.stopping);
 	}
 
-	MembershipState announced(Instant time) {
-		return new MembershipState(this.liveNodes, this.contacts, this.calls, this.nextCall, this.budget, time,
-				this.introducedAt, this.nextHeartbeat, this.wallClock, this.stopping);
+	MembershipState withTimers(MembershipTimers changed) {
+		return new MembershipState(this.liveNodes, this.sightings, this.progress, this.introduction, changed,
+				this.wallClock, this.stopping);
 	}
 
-	MembershipState introduced(Instant time) {
-		return new MembershipState(this.liveNodes, this.contacts, this.calls, this.nextCall, this.budget,
-				this.announcedAt, time, this.nextHeartbeat, this.wallClock, this.stopping);
+	MembershipState withWallClock(Instant time) {
+		return new MembershipState(this.liveNodes, this.sightings, this.progress, this.introduction, this.timers, time,
+				this.stopping);
 	}
 
-	MembershipState withNextHeartbeat(Instant time) {
-		return new MembershipState(this.liveNodes, this.contacts, this.calls, this.nextCall, this.budget,
-				this.announcedAt, this.introducedAt, time, this.wallClock, this.stopping);
+	MembershipState stop() {
+		return new MembershipState(this.liveNodes, this.sightings, this.progress, this.introduction, this.timers,
+				this.wallClock, true);
 	}
 
-	MembershipState stop() {
-		return new MembershipState(this.liveNodes, this.contacts, this.calls, this.nextCall, this.budget,
-				this.announcedAt, this.introducedAt, this.nextHeartbeat, this.wallClock, true);
+	/**
+	 * Calls to the platform that introduce the nodes to each other.
+	 *
+	 * @param calls what each open call was made for
+	 * @param nextCall the number of the next call
+	 * @param budget when the next call may be made
+	 * @param announcedAt when the own announcement was last confirmed
+	 * @param announceFrom the earliest time of the own announcement
+	 * @param introducedAt when the announcements were last read
+	 */
+	record IntroductionState(PMap<Long, MembershipCall> calls, long nextCall, CallBudget budget, Instant announcedAt,
+			Instant announceFrom, Instant introducedAt) {
+
+		IntroductionState withCalls(PMap<Long, MembershipCall> changed, long next) {
+			return new IntroductionState(changed, next, this.budget, this.announcedAt, this.announceFrom,
+					this.introducedAt);
+		}
+
+		IntroductionState withBudget(CallBudget changed) {
+			return new IntroductionState(this.calls, this.nextCall, changed, this.announcedAt, this.announceFrom,
+					this.introducedAt);
+		}
+
+		IntroductionState announced(Instant time) {
+			return new IntroductionState(this.calls, this.nextCall, this.budget, time, this.announceFrom,
+					this.introducedAt);
+		}
+
+		IntroductionState introduced(Instant time, Instant announcementFrom) {
+			return new IntroductionState(this.calls, this.nextCall, this.budget, this.announcedAt, announcementFrom,
+					time);
+		}
+
 	}
 
-	MembershipState withWallClock(Instant time) {
-		return new MembershipState(this.liveNodes, this.contacts, this.calls, this.nextCall, this.budget,
-				this.announcedAt, this.introducedAt, this.nextHeartbeat, time, this.stopping);
+	/**
+	 * When what is due.
+	 *
+	 * @param nextHeartbeat when the next heartbeats go out
+	 * @param nextPush when the next changes may be pushed
+	 * @param toldNumber the ticket number in the last heartbeats
+	 * @param lastProbe the node that was probed last
+	 */
+	record MembershipTimers(Instant nextHeartbeat, Instant nextPush, long toldNumber, NodeName lastProbe) {
+
+		MembershipTimers beaten(Instant next, long number) {
+			return new MembershipTimers(next, this.nextPush, number, this.lastProbe);
+		}
+
+		MembershipTimers pushed(Instant next) {
+			return new MembershipTimers(this.nextHeartbeat, next, this.toldNumber, this.lastProbe);
+		}
+
+		MembershipTimers probed(NodeName node) {
+			return new MembershipTimers(this.nextHeartbeat, this.nextPush, this.toldNumber, node);
+		}
+
 	}
 
 }
--- a/src/main/java/sycamorehill/logic/membership/MembershipTurn.java
+++ b/src/main/java/sycamorehill/logic/membership/MembershipTurn.java
@@ -1,5 +1,6 @@
 package sycamorehill.logic.membership;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
@@ -12,12 +13,14 @@
 import sycamorehill.model.effect.PlatformEffect;
 import sycamorehill.model.identity.CallIdentifier;
 import sycamorehill.model.identity.CallOwner;
+import sycamorehill.model.identity.DataCentreName;
 import sycamorehill.model.identity.NodeIdentity;
 import sycamorehill.model.log.LogEvent;
 import sycamorehill.model.log.LogLine;
 import sycamorehill.model.peer.PeerMessage;
 import sycamorehill.model.platform.PlatformRequest;
 import sycamorehill.model.policy.MembershipPolicy;
+import sycamorehill.model.ticket.Truth;
 
 /**
  * One step under way: the state as changed so far and the effects gathered. It lives no
@@ -79,10 +82,69 @@
 		this.effects.add(new PeerEffect.Send(to, message));
 	}
 
+	void set(Sightings changed) {
+		this.state = this.state.withSightings(changed);
+	}
+
+	void set(Progress changed) {
+		this.state = this.state.withProgress(changed);
+	}
+
+	Sightings sightings() {
+		return this.state.sightings();
+	}
+
+	Progress progress() {
+		return this.state.progress();
+	}
+
+	DataCentreName ownDataCentre() {
+		return self().dataCentre();
+	}
+
+	DataCentreView ownView() {
+		return this.state.sightings().view(ownDataCentre(), this.now);
+	}
+
+	boolean delegate() {
+		return !this.state.sightings().delegateSince().equals(Instant.MIN);
+	}
+
+	/**
+	 * The time between two heartbeats: it grows with the data centre, so that a delegate
+	 * receives no more of them than the policy says.
+	 * @return the interval
+	 */
+	Duration interval() {
+		Duration grown = Duration.ofSeconds(1)
+			.multipliedBy(ownView().members().size())
+			.dividedBy(policy().heartbeatsPerSecond());
+		return (grown.compareTo(policy().shortestInterval()) > 0) ? grown : policy().shortestInterval();
+	}
+
+	/**
+	 * How long silence is borne.
+	 * @return the bound
+	 */
+	Duration bound() {
+		Duration interval = interval();
+		return interval.multipliedBy(policy().missedHeartbeats()).plus(interval.dividedBy(2));
+	}
+
+	long ticketNumber() {
+		return this.view.truth().map(Truth::number).orElse(-1L);
+	}
+
+	void add(Effect effect) {
+		this.effects.add(effect);
+	}
+
 	void call(MembershipCall purpose, PlatformRequest request) {
-		long number = this.state.nextCall();
-		this.state = this.state.withCalls(this.state.calls().plus(number, purpose), number + 1)
-			.withBudget(this.state.budget().called(this.now));
+		MembershipState.IntroductionState introduction = this.state.introduction();
+		long number = introduction.nextCall();
+		this.state = this.state
+			.withIntroduction(introduction.withCalls(introduction.calls().plus(number, purpose), number + 1)
+				.withBudget(introduction.budget().called(this.now)));
 		this.effects.add(new PlatformEffect.Call(CallIdentifier.of(CallOwner.MEMBERSHIP, number), request,
 				policy().callTimeout()));
 	}
@@ -93,9 +155,11 @@
 	 * @return what it was made for, or null if it is not open
 	 */
 	MembershipCall close(long number) {
-		MembershipCall purpose = this.state.calls().get(number);
+		MembershipState.IntroductionState introduction = this.state.introduction();
+		MembershipCall purpose = introduction.calls().get(number);
 		if (purpose != null) {
-			this.state = this.state.withCalls(this.state.calls().minus(number), this.state.nextCall());
+			this.state = this.state
+				.withIntroduction(introduction.withCalls(introduction.calls().minus(number), introduction.nextCall()));
 		}
 		return purpose;
 	}
--- a/src/main/java/sycamorehill/logic/node/StateView.java
+++ b/src/main/java/sycamorehill/logic/node/StateView.java
@@ -15,6 +15,7 @@
 import sycamorehill.model.request.Fingerprint;
 import sycamorehill.model.request.RouteQuery;
 import sycamorehill.model.target.ServingTarget;
+import sycamorehill.model.ticket.Ticket;
 import sycamorehill.model.ticket.Truth;
 
 /**
@@ -50,6 +51,11 @@
 		return this.state.ticket().log().truth();
 	}
 
+	@Override
+	public Optional<Ticket> ticket(long number) {
+		return this.state.ticket().log().ticket(number);
+	}
+
 	@Override
 	public LiveNodes liveNodes() {
 		return this.state.membership().liveNodes();
--- /dev/null
+++ b/src/main/java/sycamorehill/model/peer/ForceSent.java
@@ -0,0 +1,12 @@
+package sycamorehill.model.peer;
+
+import sycamorehill.model.ticket.DataCentreForce;
+
+/**
+ * Where a ticket is in force in one data centre.
+ *
+ * @param call the asker's number for the question
+ * @param force what the delegate knows
+ */
+public record ForceSent(long call, DataCentreForce force) implements PeerMessage {
+}
--- a/src/main/java/sycamorehill/model/policy/MembershipPolicy.java
+++ b/src/main/java/sycamorehill/model/policy/MembershipPolicy.java
@@ -3,7 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 
-import sycamorehill.model.identity.Address;
+import sycamorehill.model.membership.NodeContact;
 
 /**
  * Bounds of heartbeats.
@@ -24,7 +24,7 @@
  */
 public record MembershipPolicy(Duration shortestInterval, int heartbeatsPerSecond, int missedHeartbeats, int delegates,
 		Duration introductionInterval, Duration announcementInterval, Duration callTimeout, Duration firstBackoff,
-		Duration longestBackoff, int announcementsPerSecond, List<Address> contacts) {
+		Duration longestBackoff, int announcementsPerSecond, List<NodeContact> contacts) {
 
 	/**
 	 * Takes a copy of the contacts.
@@ -44,13 +44,13 @@
 
 	/**
 	 * The same bounds with other contacts.
-	 * @param addresses where other nodes may be met
+	 * @param nodes where other nodes may be met
 	 * @return the bounds
 	 */
-	public MembershipPolicy withContacts(List<Address> addresses) {
+	public MembershipPolicy withContacts(List<NodeContact> nodes) {
 		return new MembershipPolicy(this.shortestInterval, this.heartbeatsPerSecond, this.missedHeartbeats,
 				this.delegates, this.introductionInterval, this.announcementInterval, this.callTimeout,
-				this.firstBackoff, this.longestBackoff, this.announcementsPerSecond, addresses);
+				this.firstBackoff, this.longestBackoff, this.announcementsPerSecond, nodes);
 	}
 
 }
--- a/src/main/java/sycamorehill/peer/PeerMessageCodec.java
+++ b/src/main/java/sycamorehill/peer/PeerMessageCodec.java
@@ -13,7 +13,16 @@
 import sycamorehill.json.ModelJson;
 import sycamorehill.model.identity.NodeIdentity;
 import sycamorehill.model.identity.NodeName;
+import sycamorehill.model.peer.ForceAsked;
+import sycamorehill.model.peer.ForceSent;
+import sycamorehill.model.peer.Heartbeat;
+import sycamorehill.model.peer.MembersAsked;
+import sycamorehill.model.peer.MembersChanged;
+import sycamorehill.model.peer.MembersSent;
 import sycamorehill.model.peer.PeerMessage;
+import sycamorehill.model.peer.TicketsAsked;
+import sycamorehill.model.peer.TicketsSent;
+import sycamorehill.model.peer.TruthSent;
 
 /**
  * Turns messages into bytes and back. Each type of message has a name that never changes
@@ -51,7 +60,15 @@
 	 * @return the codec
 	 */
 	public static PeerMessageCodec standard() {
-		return empty();
+		return empty().register("heartbeat", Heartbeat.class)
+			.register("members-asked", MembersAsked.class)
+			.register("members-sent", MembersSent.class)
+			.register("members-changed", MembersChanged.class)
+			.register("tickets-asked", TicketsAsked.class)
+			.register("tickets-sent", TicketsSent.class)
+			.register("truth-sent", TruthSent.class)
+			.register("force-asked", ForceAsked.class)
+			.register("force-sent", ForceSent.class);
 	}
 
 	/**
--- /dev/null
+++ b/src/test/java/sycamorehill/logic/membership/MembershipTests.java
@@ -0,0 +1,215 @@
+package sycamorehill.logic.membership;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.SplittableRandom;
+
+import org.junit.jupiter.api.Test;
+
+import sycamorehill.experiment.ControlNode;
+import sycamorehill.model.identity.DataCentreName;
+import sycamorehill.model.identity.NodeName;
+import sycamorehill.model.membership.LiveNode;
+import sycamorehill.support.NodeGroup;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Who is taken to be alive, with kills, pauses, cuts and restarts.
+ */
+class MembershipTests {
+
+	private static final DataCentreName FUKUOKA = DataCentreName.of("fukuoka");
+
+	private static final int LARGE = 20;
+
+	private final NodeGroup group = NodeGroup.create(new SplittableRandom(11));
+
+	@Test
+	void sixNodesOfThreeDataCentresKnowEachOther() {
+		startSix();
+		assertThat(this.group.nodes()).allMatch((node) -> node.liveNodes().nodes().size() == 6);
+	}
+
+	@Test
+	void killedNodeIsDroppedEverywhere() {
+		startSix();
+		this.group.kill("node-1");
+		this.group.runFor(Duration.ofSeconds(8));
+		assertThat(this.group.nodes()).noneMatch((node) -> knows(node, "node-1"));
+	}
+
+	@Test
+	void killedNodeOfALargeDataCentreIsDroppedEverywhere() {
+		startLarge();
+		this.group.kill("node-3");
+		this.group.runFor(Duration.ofSeconds(10));
+		assertThat(this.group.nodes()).noneMatch((node) -> knows(node, "node-3"));
+	}
+
+	@Test
+	void killedDelegatesAreReplacedAndDropped() {
+		// Both nodes that speak for a data centre die at once. Without successors the
+		// whole
+		// data centre would fall silent for the others, although all its other nodes run.
+		startLarge();
+		List<String> delegates = delegates();
+		delegates.forEach(this.group::kill);
+		this.group.runFor(Duration.ofSeconds(25));
+		assertThat(this.group.nodes())
+			.allMatch((node) -> node.liveNodes().in(FUKUOKA).size() == LARGE - delegates.size());
+	}
+
+	@Test
+	void nodeThatADelegateCannotHearStaysAliveByTheOther() {
+		// One link fails one way: a node's heartbeats no longer reach one of the two
+		// delegates.
+		// If one observer's silence were enough, a healthy node would be taken for dead.
+		startLarge();
+		String deaf = delegates().get(0);
+		String unheard = ordinary();
+		this.group.cut((from, to) -> from.incarnation().node().value().equals(unheard)
+				&& to.incarnation().node().value().equals(deaf));
+		this.group.runFor(Duration.ofSeconds(30));
+		assertThat(this.group.nodes()).allMatch((node) -> knows(node, unheard));
+	}
+
+	@Test
+	void deadNodeIsNotKeptAliveByDelegatesThatRelyOnEachOther() {
+		// A node reaches only one delegate, then dies. The other delegate had it on the
+		// first
+		// one's word; if it passed that on as its own, both would keep the dead node for
+		// ever.
+		startLarge();
+		String deaf = delegates().get(0);
+		String unheard = ordinary();
+		this.group.cut((from, to) -> from.incarnation().node().value().equals(unheard)
+				&& to.incarnation().node().value().equals(deaf));
+		this.group.runFor(Duration.ofSeconds(10));
+		this.group.kill(unheard);
+		this.group.runFor(Duration.ofSeconds(15));
+		assertThat(this.group.nodes()).noneMatch((node) -> knows(node, unheard));
+	}
+
+	@Test
+	void pausedNodeIsDroppedAndComesBack() {
+		startSix();
+		this.group.pause("node-2", Duration.ofSeconds(10));
+		this.group.runFor(Duration.ofSeconds(8));
+		boolean dropped = !knows(this.group.node("node-1"), "node-2");
+		this.group.runFor(Duration.ofSeconds(6));
+		assertThat(dropped && knows(this.group.node("node-5"), "node-2")).isTrue();
+	}
+
+	@Test
+	void restartedNodeIsANewIncarnation() {
+		startSix();
+		long before = this.group.node("node-1").self().incarnation().number();
+		this.group.start("node-1", "fukuoka");
+		this.group.runFor(Duration.ofSeconds(5));
+		assertThat(this.group.nodes()).allMatch((node) -> incarnation(node, "node-1") > before);
+	}
+
+	@Test
+	void stoppingNodeTakesNoDuties() {
+		startSix();
+		this.group.stop("node-1");
+		this.group.runFor(Duration.ofSeconds(3));
+		assertThat(this.group.nodes()).allMatch((node) -> node.liveNodes().dutiful(FUKUOKA).size() == 1);
+	}
+
+	@Test
+	void cutOffDataCentreKeepsItsOwnNodes() {
+		startSix();
+		cutOff("fukuoka");
+		this.group.runFor(Duration.ofSeconds(15));
+		assertThat(this.group.node("node-1").liveNodes().nodes().keySet()).containsExactly(NodeName.of("node-1"),
+				NodeName.of("node-2"));
+	}
+
+	@Test
+	void dataCentreIsFoundAgainAfterACut() {
+		startSix();
+		cutOff("fukuoka");
+		this.group.runFor(Duration.ofSeconds(60));
+		this.group.cut((from, to) -> false);
+		this.group.runFor(Duration.ofSeconds(10));
+		assertThat(this.group.nodes()).allMatch((node) -> node.liveNodes().nodes().size() == 6);
+	}
+
+	@Test
+	void dataCentreReplacedInAnOutageIsFoundByTheOthers() {
+		// All nodes of a data centre are replaced at the same addresses while the
+		// platform is
+		// down: nothing introduces them. The others still know the addresses and try
+		// them.
+		startSix();
+		this.group.platform().down(true);
+		this.group.start("node-1", "fukuoka");
+		this.group.start("node-2", "fukuoka");
+		this.group.runFor(Duration.ofSeconds(12));
+		assertThat(this.group.nodes()).allMatch((node) -> node.liveNodes().nodes().size() == 6);
+	}
+
+	@Test
+	void allNodesOfALargeDataCentreReplacedAtOnceFindEachOther() {
+		startLarge();
+		for (int index = 1; index <= LARGE; index++) {
+			this.group.start("node-" + index, "fukuoka");
+		}
+		this.group.runFor(Duration.ofSeconds(20));
+		assertThat(this.group.nodes()).allMatch((node) -> node.liveNodes().nodes().size() == LARGE + 2);
+	}
+
+	private void startSix() {
+		String[] dataCentres = { "fukuoka", "kumamoto", "kagoshima" };
+		for (int index = 0; index < 6; index++) {
+			this.group.start("node-" + (index + 1), dataCentres[index / 2]);
+		}
+		this.group.runFor(Duration.ofSeconds(6));
+	}
+
+	private void startLarge() {
+		for (int index = 1; index <= LARGE; index++) {
+			this.group.start("node-" + index, "fukuoka");
+		}
+		this.group.start("other-1", "kumamoto");
+		this.group.start("other-2", "kumamoto");
+		this.group.runFor(Duration.ofSeconds(15));
+		assertThat(this.group.nodes()).allMatch((node) -> node.liveNodes().nodes().size() == LARGE + 2);
+	}
+
+	private List<String> delegates() {
+		return Delegates.in(this.group.node("node-1"), FUKUOKA)
+			.stream()
+			.map((node) -> node.identity().incarnation().node().value())
+			.toList();
+	}
+
+	private String ordinary() {
+		List<String> delegates = delegates();
+		return this.group.node("node-1")
+			.liveNodes()
+			.in(FUKUOKA)
+			.stream()
+			.map((node) -> node.identity().incarnation().node().value())
+			.filter((name) -> !delegates.contains(name))
+			.findFirst()
+			.orElseThrow();
+	}
+
+	private void cutOff(String dataCentre) {
+		DataCentreName name = DataCentreName.of(dataCentre);
+		this.group.cut((from, to) -> from.dataCentre().equals(name) != to.dataCentre().equals(name));
+	}
+
+	private static boolean knows(ControlNode node, String name) {
+		return node.liveNodes().nodes().containsKey(NodeName.of(name));
+	}
+
+	private static long incarnation(ControlNode node, String name) {
+		LiveNode live = node.liveNodes().nodes().get(NodeName.of(name));
+		return (live != null) ? live.identity().incarnation().number() : 0;
+	}
+
+}
