--- a/src/main/java/sycamorehill/model/log/LogEvent.java
+++ b/src/main/java/sycamorehill/model/log/LogEvent.java
@@ -17,6 +17,18 @@
 	/** A stopping node cut a request off at its bound. */
 	REQUEST_CUT(1102, LogLevel.WARN),
 
+	/** This node gives a target no work for a while. */
+	TARGET_ASIDE(1111, LogLevel.WARN),
+
+	/** A target said that it is leaving. */
+	TARGET_LEAVING(1112, LogLevel.INFO),
+
+	/** A target died while it ran requests. */
+	TARGET_DIED(1121, LogLevel.WARN),
+
+	/** A second target died while it ran the same content. */
+	CONTENT_QUARANTINED(1122, LogLevel.ERROR),
+
 	/** A connection of or to another node was closed because of what came over it. */
 	PEER_CONNECTION_REFUSED(1301, LogLevel.WARN),
 
@@ -45,7 +57,19 @@
 	NODE_ALIVE(1501, LogLevel.INFO),
 
 	/** A node has not been heard of for too long. */
-	NODE_DEAD(1502, LogLevel.WARN);
+	NODE_DEAD(1502, LogLevel.WARN),
+
+	/** The node controls the groups of its data centre. */
+	GROUP_CONTROL_TAKEN(1701, LogLevel.INFO),
+
+	/** A group changes its phase, members or generation. */
+	GROUP_CHANGED(1702, LogLevel.INFO),
+
+	/** A write of the allocation was refused or its answer was lost. */
+	GROUP_ALLOCATION_CONFLICT(1703, LogLevel.INFO),
+
+	/** An engine has seen a higher fencing number. */
+	GROUP_ORDER_FENCED(1704, LogLevel.WARN);
 
 	private final int number;
 
--- a/src/main/java/sycamorehill/peer/PeerMessageCodec.java
+++ b/src/main/java/sycamorehill/peer/PeerMessageCodec.java
@@ -23,6 +23,7 @@
 import sycamorehill.model.peer.TicketsAsked;
 import sycamorehill.model.peer.TicketsSent;
 import sycamorehill.model.peer.TruthSent;
+import sycamorehill.model.peer.TargetLeaving;
 
 /**
  * Turns messages into bytes and back. Each type of message has a name that never changes
@@ -68,7 +69,8 @@
 			.register("tickets-sent", TicketsSent.class)
 			.register("truth-sent", TruthSent.class)
 			.register("force-asked", ForceAsked.class)
-			.register("force-sent", ForceSent.class);
+			.register("force-sent", ForceSent.class)
+			.register("target-leaving", TargetLeaving.class);
 	}
 
 	/**
