--- a/src/main/java/sycamorehill/logic/node/StateView.java
+++ b/src/main/java/sycamorehill/logic/node/StateView.java
@@ -17,10 +17,10 @@
 import sycamorehill.model.request.Fingerprint;
 import sycamorehill.model.request.RouteQuery;
 import sycamorehill.model.target.ServingTarget;
-import sycamorehill.model.ticket.Ticket;
 import sycamorehill.model.ticket.PlainTarget;
 import sycamorehill.model.ticket.ServiceItem;
 import sycamorehill.model.ticket.ServiceKind;
+import sycamorehill.model.ticket.Ticket;
 import sycamorehill.model.ticket.Truth;
 
 /**
--- a/src/main/java/sycamorehill/peer/PeerMessageCodec.java
+++ b/src/main/java/sycamorehill/peer/PeerMessageCodec.java
@@ -20,10 +20,10 @@
 import sycamorehill.model.peer.MembersChanged;
 import sycamorehill.model.peer.MembersSent;
 import sycamorehill.model.peer.PeerMessage;
+import sycamorehill.model.peer.TargetLeaving;
 import sycamorehill.model.peer.TicketsAsked;
 import sycamorehill.model.peer.TicketsSent;
 import sycamorehill.model.peer.TruthSent;
-import sycamorehill.model.peer.TargetLeaving;
 
 /**
  * Turns messages into bytes and back. Each type of message has a name that never changes
