--- a/src/main/java/sycamorehill/peer/PeerMessageCodec.java
+++ b/src/main/java/sycamorehill/peer/PeerMessageCodec.java
@@ -13,8 +13,17 @@
 import sycamorehill.json.ModelJson;
 import sycamorehill.model.identity.NodeIdentity;
 import sycamorehill.model.identity.NodeName;
+import sycamorehill.model.peer.ForceAsked;
+import sycamorehill.model.peer.ForceSent;
+import sycamorehill.model.peer.Heartbeat;
+import sycamorehill.model.peer.MembersAsked;
+import sycamorehill.model.peer.MembersChanged;
+import sycamorehill.model.peer.MembersSent;
 import sycamorehill.model.peer.PeerMessage;
 import sycamorehill.model.peer.TargetLeaving;
+import sycamorehill.model.peer.TicketsAsked;
+import sycamorehill.model.peer.TicketsSent;
+import sycamorehill.model.peer.TruthSent;
 
 /**
  * Turns messages into bytes and back. Each type of message has a name that never changes
@@ -52,7 +61,16 @@
 	 * @return the codec
 	 */
 	public static PeerMessageCodec standard() {
-		return empty().register("target-leaving", TargetLeaving.class);
+		return empty().register("heartbeat", Heartbeat.class)
+			.register("members-asked", MembersAsked.class)
+			.register("members-sent", MembersSent.class)
+			.register("members-changed", MembersChanged.class)
+			.register("tickets-asked", TicketsAsked.class)
+			.register("tickets-sent", TicketsSent.class)
+			.register("truth-sent", TruthSent.class)
+			.register("force-asked", ForceAsked.class)
+			.register("force-sent", ForceSent.class)
+			.register("target-leaving", TargetLeaving.class);
 	}
 
 	/**
