--- a/src/main/java/sycamorehill/logic/ticket/Folding.java
+++ b/src/main/java/sycamorehill/logic/ticket/Folding.java
@@ -15,7 +15,7 @@
 	private Folding() {
 	}
 
-	static void append(TicketTurn turn, List<Ticket> tickets) {
+	static void append(TicketTurn turn, List<Ticket> tickets, TicketSource source) {
 		TicketPolicy policy = turn.policy();
 		long before = turn.log().number();
 		for (Ticket ticket : tickets) {
@@ -23,7 +23,7 @@
 		}
 		if (turn.log().number() > before) {
 			turn.log(LogEvent.TICKETS_IN_FORCE, "ticket " + turn.log().number());
-			SpreadSteps.advanced(turn, before);
+			SpreadSteps.advanced(turn, before, source);
 		}
 	}
 
@@ -32,7 +32,6 @@
 		turn.set(turn.log().adopt(snapshot, turn.policy().keptFilings()));
 		if (turn.log().number() > before) {
 			turn.log(LogEvent.TRUTH_ADOPTED, "ticket " + turn.log().number());
-			SpreadSteps.advanced(turn, before);
 		}
 	}
 
--- a/src/main/java/sycamorehill/logic/ticket/SpreadSteps.java
+++ b/src/main/java/sycamorehill/logic/ticket/SpreadSteps.java
@@ -3,6 +3,7 @@
 import java.util.List;
 
 import sycamorehill.logic.membership.Delegates;
+import sycamorehill.model.identity.DataCentreName;
 import sycamorehill.model.identity.NodeIdentity;
 import sycamorehill.model.membership.LiveNode;
 import sycamorehill.model.peer.Heartbeat;
@@ -26,14 +27,19 @@
 	 * Tells the others that the truth has advanced.
 	 * @param turn the step under way
 	 * @param before the number before
+	 * @param source where the tickets came from
 	 */
-	static void advanced(TicketTurn turn, long before) {
+	static void advanced(TicketTurn turn, long before, TicketSource source) {
+		boolean delegate = Delegates.isDelegate(turn.view());
+		if (source == TicketSource.OWN_DELEGATE || (!delegate && source != TicketSource.PLATFORM)) {
+			return;
+		}
 		List<Ticket> tickets = (before >= 0) ? turn.log().after(before, turn.policy().pageSize()) : List.of();
 		if (tickets.isEmpty()) {
 			return;
 		}
 		TicketsSent message = new TicketsSent(tickets);
-		for (LiveNode node : receivers(turn)) {
+		for (LiveNode node : receivers(turn, delegate)) {
 			turn.send(node.identity(), message);
 		}
 	}
@@ -68,12 +74,17 @@
 		return turn.state().peers().ahead(turn.log().number(), turn.now());
 	}
 
-	private static List<LiveNode> receivers(TicketTurn turn) {
+	static TicketSource source(TicketTurn turn, NodeIdentity from) {
+		DataCentreName own = turn.view().self().dataCentre();
+		boolean delegate = from.dataCentre().equals(own)
+				&& Delegates.in(turn.view(), own).stream().anyMatch((node) -> node.identity().equals(from));
+		return delegate ? TicketSource.OWN_DELEGATE : TicketSource.OTHER_NODE;
+	}
+
+	private static List<LiveNode> receivers(TicketTurn turn, boolean delegate) {
 		NodeIdentity self = turn.view().self();
-		List<LiveNode> nodes = turn.view().liveNodes().dutiful(self.dataCentre());
-		List<LiveNode> delegates = Delegates.of(nodes, turn.view().policy().membership().delegates());
-		boolean delegate = delegates.stream().anyMatch((node) -> node.identity().equals(self));
-		List<LiveNode> receivers = delegate ? turn.view().liveNodes().in(self.dataCentre()) : delegates;
+		List<LiveNode> receivers = delegate ? turn.view().liveNodes().in(self.dataCentre())
+				: Delegates.in(turn.view(), self.dataCentre());
 		return receivers.stream().filter((node) -> !node.identity().equals(self)).toList();
 	}
 
--- a/src/main/java/sycamorehill/logic/ticket/SynchronisationSteps.java
+++ b/src/main/java/sycamorehill/logic/ticket/SynchronisationSteps.java
@@ -116,7 +116,7 @@
 		if (!(answer instanceof PlatformAnswer.Listed found)) {
 			failed(turn, answer);
 		}
-		else if (!found.objects().isEmpty() || found.version() < turn.sync().version()) {
+		else if (!found.objects().isEmpty() || found.version() < turn.sync().version() || overdue(turn)) {
 			begin(turn);
 		}
 	}
@@ -136,6 +136,13 @@
 		FilingSteps.platformFailed(turn);
 	}
 
+	// Also without any change seen: a platform that came back older may have grown past
+	// the
+	// version that this node waits for.
+	private static boolean overdue(TicketTurn turn) {
+		return turn.sync().lastSuccess().plus(turn.policy().longestUnsynchronised()).isBefore(turn.now());
+	}
+
 	private static void readSnapshot(TicketTurn turn) {
 		turn.set(turn.sync().withBudget(turn.sync().budget().called(turn.now())));
 		turn.call(TicketCall.READ_SNAPSHOT, new PlatformRequest.Read(TicketNames.SNAPSHOT));
@@ -163,7 +170,7 @@
 
 	private static void fold(TicketTurn turn) {
 		long before = turn.log().number();
-		Folding.append(turn, turn.sync().listed());
+		Folding.append(turn, turn.sync().listed(), TicketSource.PLATFORM);
 		if (turn.sync().pageFull() && turn.log().number() > before) {
 			list(turn);
 			return;
--- a/src/main/java/sycamorehill/logic/ticket/TicketReducer.java
+++ b/src/main/java/sycamorehill/logic/ticket/TicketReducer.java
@@ -73,11 +73,14 @@
 	private static void ticked(TicketTurn turn, Instant wallClock) {
 		turn.set(turn.state().withWallClock(wallClock));
 		FilingSteps.ticked(turn);
-		if (turn.sync().wanted() && !turn.sync().running()) {
+		boolean repairing = turn.sync().behind()
+				&& turn.sync().lastSuccess().plus(turn.policy().longestBackoff()).isBefore(turn.now());
+		if ((turn.sync().wanted() || repairing) && !turn.sync().running()) {
 			SynchronisationSteps.begin(turn);
 		}
 		if (Delegates.isDelegate(turn.view())) {
 			SynchronisationSteps.watch(turn);
+			CompactionSteps.ticked(turn);
 		}
 	}
 
@@ -90,7 +93,7 @@
 			SpreadSteps.asked(turn, received.from(), asked);
 		}
 		else if (message instanceof TicketsSent sent) {
-			Folding.append(turn, sent.tickets());
+			Folding.append(turn, sent.tickets(), SpreadSteps.source(turn, received.from()));
 		}
 		else if (message instanceof TruthSent sent) {
 			Folding.adopt(turn, sent.snapshot());
@@ -108,7 +111,10 @@
 			case LIST_TICKETS -> SynchronisationSteps.listed(turn, answer);
 			case WATCH_TICKETS -> SynchronisationSteps.watched(turn, answer);
 			case CREATE_TICKET -> FilingSteps.created(turn, answer);
-			default -> throw new IllegalStateException("no call was made for " + purpose);
+			case READ_OLD_SNAPSHOT -> CompactionSteps.oldSnapshotRead(turn, answer);
+			case WRITE_SNAPSHOT -> CompactionSteps.snapshotWritten(turn, answer);
+			case LIST_OLD_TICKETS -> CompactionSteps.oldTicketsListed(turn, answer);
+			case DELETE_TICKET -> CompactionSteps.ticketDeleted(turn, answer);
 		}
 	}
 
--- a/src/main/java/sycamorehill/logic/ticket/TicketState.java
+++ b/src/main/java/sycamorehill/logic/ticket/TicketState.java
@@ -20,10 +20,11 @@
  * @param calls what each open platform call was made for
  * @param nextCall the number of the next platform call
  * @param wallClock the last wall clock time, for records that people read
+ * @param compaction renewing the snapshot
  * @param peers what the other nodes have told of their tickets
  */
 public record TicketState(TruthLog log, Synchronisation sync, PVector<Filing> filings, PMap<Long, TicketCall> calls,
-		long nextCall, Instant wallClock, PeerTickets peers) {
+		long nextCall, Instant wallClock, Compaction compaction, PeerTickets peers) {
 
 	/**
 	 * The state of a fresh node.
@@ -32,31 +33,42 @@
 	public static TicketState initial() {
 		CallBudget none = CallBudget.create(0, 0, Duration.ZERO, Duration.ZERO, 0);
 		return new TicketState(TruthLog.empty(), Synchronisation.initial(none), TreePVector.empty(),
-				HashTreePMap.empty(), 1, Instant.EPOCH, PeerTickets.none());
+				HashTreePMap.empty(), 1, Instant.EPOCH, Compaction.initial(), PeerTickets.none());
 	}
 
 	TicketState withLog(TruthLog changed) {
-		return new TicketState(changed, this.sync, this.filings, this.calls, this.nextCall, this.wallClock, this.peers);
+		return new TicketState(changed, this.sync, this.filings, this.calls, this.nextCall, this.wallClock,
+				this.compaction, this.peers);
 	}
 
 	TicketState withSync(Synchronisation changed) {
-		return new TicketState(this.log, changed, this.filings, this.calls, this.nextCall, this.wallClock, this.peers);
+		return new TicketState(this.log, changed, this.filings, this.calls, this.nextCall, this.wallClock,
+				this.compaction, this.peers);
 	}
 
 	TicketState withFilings(PVector<Filing> changed) {
-		return new TicketState(this.log, this.sync, changed, this.calls, this.nextCall, this.wallClock, this.peers);
+		return new TicketState(this.log, this.sync, changed, this.calls, this.nextCall, this.wallClock, this.compaction,
+				this.peers);
 	}
 
 	TicketState withCalls(PMap<Long, TicketCall> changed, long next) {
-		return new TicketState(this.log, this.sync, this.filings, changed, next, this.wallClock, this.peers);
+		return new TicketState(this.log, this.sync, this.filings, changed, next, this.wallClock, this.compaction,
+				this.peers);
 	}
 
 	TicketState withWallClock(Instant time) {
-		return new TicketState(this.log, this.sync, this.filings, this.calls, this.nextCall, time, this.peers);
+		return new TicketState(this.log, this.sync, this.filings, this.calls, this.nextCall, time, this.compaction,
+				this.peers);
 	}
 
 	TicketState withPeers(PeerTickets changed) {
-		return new TicketState(this.log, this.sync, this.filings, this.calls, this.nextCall, this.wallClock, changed);
+		return new TicketState(this.log, this.sync, this.filings, this.calls, this.nextCall, this.wallClock,
+				this.compaction, changed);
+	}
+
+	TicketState withCompaction(Compaction changed) {
+		return new TicketState(this.log, this.sync, this.filings, this.calls, this.nextCall, this.wallClock, changed,
+				this.peers);
 	}
 
 }
--- a/src/main/java/sycamorehill/logic/ticket/TicketTurn.java
+++ b/src/main/java/sycamorehill/logic/ticket/TicketTurn.java
@@ -84,6 +84,10 @@
 		this.state = this.state.withSync(changed);
 	}
 
+	void set(Compaction changed) {
+		this.state = this.state.withCompaction(changed);
+	}
+
 	void add(Effect effect) {
 		this.effects.add(effect);
 	}
--- a/src/main/java/sycamorehill/model/log/LogEvent.java
+++ b/src/main/java/sycamorehill/model/log/LogEvent.java
@@ -53,6 +53,9 @@
 	/** A ticket or snapshot was written by a newer version. */
 	TICKET_FORMAT_UNKNOWN(1406, LogLevel.ERROR),
 
+	/** The snapshot was renewed. */
+	SNAPSHOT_WRITTEN(1407, LogLevel.INFO),
+
 	/** A node was heard for the first time or again. */
 	NODE_ALIVE(1501, LogLevel.INFO),
 
--- a/src/main/java/sycamorehill/model/policy/Policy.java
+++ b/src/main/java/sycamorehill/model/policy/Policy.java
@@ -28,4 +28,24 @@
 				MembershipPolicy.standard(), GroupPolicy.standard(), ObservationPolicy.standard());
 	}
 
+	/**
+	 * The same policy with other bounds of tickets.
+	 * @param changed the bounds
+	 * @return the policy
+	 */
+	public Policy withTicket(TicketPolicy changed) {
+		return new Policy(this.admission, this.routing, this.request, this.health, this.quarantine, this.order, changed,
+				this.membership, this.group, this.observation);
+	}
+
+	/**
+	 * The same policy with other bounds of heartbeats.
+	 * @param changed the bounds
+	 * @return the policy
+	 */
+	public Policy withMembership(MembershipPolicy changed) {
+		return new Policy(this.admission, this.routing, this.request, this.health, this.quarantine, this.order,
+				this.ticket, changed, this.group, this.observation);
+	}
+
 }
--- a/src/main/java/sycamorehill/model/policy/TicketPolicy.java
+++ b/src/main/java/sycamorehill/model/policy/TicketPolicy.java
@@ -9,6 +9,7 @@
  * @param watchWait how long the platform may hold a watch
  * @param shortestWatch the least time between two watches, for a platform that does not
  * hold them
+ * @param longestUnsynchronised a delegate reads the log at least this often
  * @param firstBackoff the wait after the first failed platform call
  * @param longestBackoff the longest wait between failed platform calls
  * @param filingPatience after it the filer hears that the outcome is not known
@@ -21,9 +22,10 @@
  * @param forcePatience how long an answer on where a ticket is in force waits for other
  * data centres
  */
-public record TicketPolicy(Duration callTimeout, Duration watchWait, Duration shortestWatch, Duration firstBackoff,
-		Duration longestBackoff, Duration filingPatience, int filingAttempts, int historyTickets, int keptTickets,
-		int snapshotEvery, int keptFilings, int pageSize, Duration forcePatience) {
+public record TicketPolicy(Duration callTimeout, Duration watchWait, Duration shortestWatch,
+		Duration longestUnsynchronised, Duration firstBackoff, Duration longestBackoff, Duration filingPatience,
+		int filingAttempts, int historyTickets, int keptTickets, int snapshotEvery, int keptFilings, int pageSize,
+		Duration forcePatience) {
 
 	/**
 	 * The values that hold where the settings say nothing.
@@ -31,8 +33,8 @@
 	 */
 	public static TicketPolicy standard() {
 		return new TicketPolicy(Duration.ofSeconds(2), Duration.ofSeconds(30), Duration.ofMillis(500),
-				Duration.ofMillis(250), Duration.ofSeconds(15), Duration.ofSeconds(15), 20, 400, 400, 40, 2000, 100,
-				Duration.ofSeconds(2));
+				Duration.ofMinutes(5), Duration.ofMillis(250), Duration.ofSeconds(15), Duration.ofSeconds(15), 20, 400,
+				400, 40, 2000, 100, Duration.ofSeconds(2));
 	}
 
 }
--- /dev/null
+++ b/src/test/java/sycamorehill/logic/ticket/CompactionTests.java
@@ -0,0 +1,175 @@
+package sycamorehill.logic.ticket;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.SplittableRandom;
+
+import org.junit.jupiter.api.Test;
+
+import sycamorehill.model.platform.ObjectKind;
+import sycamorehill.model.platform.PlatformAnswer;
+import sycamorehill.model.platform.PlatformRequest;
+import sycamorehill.model.platform.PlatformValue;
+import sycamorehill.model.policy.TicketPolicy;
+import sycamorehill.model.ticket.FilingOutcome;
+import sycamorehill.model.ticket.Ticket;
+import sycamorehill.model.ticket.TicketValue;
+import sycamorehill.model.ticket.TruthSnapshot;
+import sycamorehill.support.Drafts;
+import sycamorehill.support.FakePlatform;
+import sycamorehill.support.NodeGroup;
+import sycamorehill.support.Policies;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Snapshots, deletion of old tickets, and a platform that came back older.
+ */
+class CompactionTests {
+
+	private final SplittableRandom random = new SplittableRandom(3);
+
+	private final NodeGroup group = NodeGroup.create(this.random, Policies.shortHistory());
+
+	@Test
+	void oldTicketsAreDeletedBehindASnapshot() {
+		startThree();
+		fileTickets(1, 30);
+		TicketPolicy policy = Policies.shortHistory().ticket();
+		long first = tickets().get(0);
+		assertThat(snapshot().number() - first).isBetween((long) policy.keptTickets() - 1, (long) policy.keptTickets());
+	}
+
+	@Test
+	void newcomerReadsTheTruthWithoutHistory() {
+		startThree();
+		fileTickets(1, 30);
+		this.group.start("node-9", "fukuoka");
+		this.group.runFor(Duration.ofSeconds(1));
+		assertThat(this.group.node("node-9").truth()).isEqualTo(this.group.node("node-1").truth());
+	}
+
+	@Test
+	void nodeThatWasPausedWhileItsNextNumberWasDeletedFilesNoGhost() {
+		// A node is paused for long. Meanwhile the tickets that it lacks are filed and
+		// deleted
+		// behind a snapshot, so that its next number is free again in the platform. A
+		// create
+		// under that number would succeed, be called accepted, and be in force nowhere.
+		startThree();
+		this.group.pause("node-3", Duration.ofSeconds(120));
+		fileTickets(1, 30);
+		this.group.runFor(Duration.ofSeconds(120));
+		var call = this.group.file("node-3", Drafts.service("late", "late", "1", 0));
+		this.group.runFor(Duration.ofSeconds(3));
+		assertThat(this.group.outcome(call)).isEqualTo(new FilingOutcome.Accepted(31));
+	}
+
+	@Test
+	void lateCreateUnderADeletedNumberIsNotFolded() {
+		// A create of a node that died is delivered by the network after its number was
+		// taken by
+		// another ticket and deleted again. The ghost stands in the log below the
+		// snapshot.
+		startThree();
+		fileTickets(1, 30);
+		long ghost = tickets().get(0) - 2;
+		TicketValue value = new TicketValue(
+				new Ticket(ghost, this.group.now(), Drafts.service("ghost", "ghost", "1", 0)), "dead", 1);
+		this.group.platform().look(new PlatformRequest.Create(TicketNames.ticket(ghost), value));
+		this.group.start("node-9", "fukuoka");
+		fileTickets(31, 1);
+		assertThat(this.group.nodes())
+			.allMatch((node) -> node.truth().get().number() == 31 && node.truth().get().items().size() == 1);
+	}
+
+	@Test
+	void platformThatCameBackOlderTakesNoNodeBack() {
+		// The platform is restored from a backup that lacks the last tickets. A node that
+		// believed it would put old state in force again.
+		startThree();
+		fileTickets(1, 5);
+		PlatformValue[] backup = { value(1), value(2), value(3) };
+		FakePlatform older = FakePlatform.create(this.random);
+		for (PlatformValue ticket : backup) {
+			long number = ((TicketValue) ticket).ticket().number();
+			older.look(new PlatformRequest.Create(TicketNames.ticket(number), ticket));
+		}
+		this.group.replacePlatform(older);
+		this.group.runFor(Duration.ofSeconds(40));
+		assertThat(this.group.nodes()).allMatch((node) -> node.truth().get().number() == 5);
+	}
+
+	@Test
+	void ticketsLostByThePlatformKeepTheirNumbers() {
+		// After the restore of a backup the numbers of the lost tickets are free again. A
+		// filing
+		// that took one would be a second ticket of that number, in force only on new
+		// nodes.
+		startThree();
+		fileTickets(1, 5);
+		this.group.replacePlatform(FakePlatform.create(this.random));
+		this.group.runFor(Duration.ofSeconds(60));
+		var call = this.group.file("node-2", Drafts.service("f6", "drafting", "6", 5));
+		this.group.runFor(Duration.ofSeconds(3));
+		assertThat(this.group.outcome(call)).isEqualTo(new FilingOutcome.Accepted(6));
+	}
+
+	@Test
+	void filingIsRefusedWhileThePlatformIsOlder() {
+		startThree();
+		fileTickets(1, 5);
+		this.group.replacePlatform(FakePlatform.create(this.random));
+		var call = this.group.file("node-2", Drafts.service("f6", "drafting", "6", 5));
+		this.group.runFor(Duration.ofMillis(300));
+		assertThat(this.group.outcome(call)).isInstanceOf(FilingOutcome.Refused.class);
+	}
+
+	@Test
+	void newcomerTakesTheTruthOfItsPeersWhileThePlatformIsDown() {
+		startThree();
+		fileTickets(1, 5);
+		this.group.platform().down(true);
+		this.group.start("node-3", "fukuoka");
+		this.group.runFor(Duration.ofSeconds(10));
+		assertThat(this.group.node("node-3").truth()).isEqualTo(this.group.node("node-1").truth());
+	}
+
+	@Test
+	void nodeWithoutPlatformAndPeersHasNoTruth() {
+		this.group.platform().down(true);
+		this.group.start("node-1", "fukuoka");
+		this.group.runFor(Duration.ofSeconds(30));
+		assertThat(this.group.node("node-1").truth()).isEmpty();
+	}
+
+	private void startThree() {
+		for (int index = 1; index <= 3; index++) {
+			this.group.start("node-" + index, "fukuoka");
+		}
+		this.group.runFor(Duration.ofSeconds(5));
+	}
+
+	private void fileTickets(int first, int count) {
+		for (int number = first; number < first + count; number++) {
+			this.group.file("node-1", Drafts.service("f" + number, "drafting", "" + number, number - 1L));
+			this.group.runFor(Duration.ofSeconds(1));
+		}
+		this.group.runFor(Duration.ofSeconds(5));
+	}
+
+	private List<Long> tickets() {
+		PlatformAnswer.Listed listed = (PlatformAnswer.Listed) this.group.platform()
+			.look(new PlatformRequest.ListObjects(ObjectKind.TICKET, "", 1000));
+		return listed.objects().stream().map((object) -> Long.valueOf(object.key().name())).toList();
+	}
+
+	private TruthSnapshot snapshot() {
+		return (TruthSnapshot) this.group.platform().object(TicketNames.SNAPSHOT).value();
+	}
+
+	private PlatformValue value(long number) {
+		return this.group.platform().object(TicketNames.ticket(number)).value();
+	}
+
+}
