--- a/src/test/java/sycamorehill/support/NodeGroup.java
+++ b/src/test/java/sycamorehill/support/NodeGroup.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.BiPredicate;
+import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 
 import sycamorehill.experiment.ControlNode;
@@ -68,6 +69,9 @@
 
 	private BiPredicate<NodeIdentity, NodeIdentity> cut = (from, to) -> false;
 
+	private Consumer<ControlNode> observer = (node) -> {
+	};
+
 	private double lost;
 
 	private double doubled;
@@ -144,6 +148,10 @@
 		}
 	}
 
+	public void observe(Consumer<ControlNode> afterEachStep) {
+		this.observer = afterEachStep;
+	}
+
 	public FakePlatform platform() {
 		return this.platform;
 	}
@@ -295,6 +303,7 @@
 			}
 			var step = this.node.reduce(now, event);
 			this.node = step.state();
+			NodeGroup.this.observer.accept(this.node);
 			step.effects().forEach((effect) -> carryOut(this, effect));
 		}
 
