--- a/src/main/java/sycamorehill/cli/StateCommand.java
+++ b/src/main/java/sycamorehill/cli/StateCommand.java
@@ -1,6 +1,7 @@
 package sycamorehill.cli;
 
 import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.Option;
 
 import sycamorehill.http.HttpAnswer;
 import sycamorehill.model.ticket.ItemInForce;
@@ -15,9 +16,13 @@
 
 	private static final int OK = 200;
 
+	@Option(name = "--at", title = "NUMBER",
+			description = "The truth after this ticket, while the node keeps its history")
+	private long at = -1;
+
 	@Override
 	public int run() throws Exception {
-		HttpAnswer answer = get("/operator/state");
+		HttpAnswer answer = get("/operator/state" + ((this.at < 0) ? "" : "?at=" + this.at));
 		if (answer.status() != OK) {
 			throw CommandException.of(ExitCode.REFUSED, tree(answer).path("detail").asText());
 		}
--- a/src/main/java/sycamorehill/cli/SycamorehillCommand.java
+++ b/src/main/java/sycamorehill/cli/SycamorehillCommand.java
@@ -59,10 +59,11 @@
 			.withDescription("Serving system for models whose replicas span several VMs")
 			.withDefaultCommand((Class<Object>) (Class<?>) Help.class)
 			.withCommands(Help.class, ServeCommand.class, StateCommand.class, DumpCommand.class, LocalCommand.class,
-					StandInCommand.class);
+					StandInCommand.class, LoadCommand.class);
 		builder.withGroup("ticket")
 			.withDescription("File and read change tickets")
-			.withCommands(TicketFileCommand.class, TicketShowCommand.class, TicketListCommand.class);
+			.withCommands(TicketFileCommand.class, TicketShowCommand.class, TicketListCommand.class,
+					TicketCheckCommand.class);
 		builder.withGroup("settings").withDescription("Check settings").withCommands(SettingsCheckCommand.class);
 		return builder.build();
 	}
--- a/src/main/java/sycamorehill/load/LoadRecorder.java
+++ b/src/main/java/sycamorehill/load/LoadRecorder.java
@@ -76,9 +76,13 @@
 
 	/**
 	 * Compares with what the targets really ran.
-	 * @param runsByKey runs of each key, from the targets' own records
+	 * @param runsByKey runs of each key, from the targets' own records; empty if they
+	 * can't be asked
 	 */
 	synchronized void checkRuns(Map<String, Long> runsByKey) {
+		if (runsByKey.isEmpty()) {
+			return;
+		}
 		this.orderAnswers.forEach((key, seen) -> {
 			long runs = runsByKey.getOrDefault(key, 0L);
 			if (runs > 1) {
--- a/src/main/java/sycamorehill/operator/NodeReader.java
+++ b/src/main/java/sycamorehill/operator/NodeReader.java
@@ -1,6 +1,7 @@
 package sycamorehill.operator;
 
 import java.util.List;
+import java.util.Optional;
 
 import sycamorehill.model.ticket.Ticket;
 import sycamorehill.model.ticket.Truth;
@@ -12,9 +13,16 @@
 
 	/**
 	 * The state in force on the node.
-	 * @return the truth, or null before the node has one
+	 * @return the truth, once the node has one
 	 */
-	Truth truth();
+	Optional<Truth> truth();
+
+	/**
+	 * The state after a ticket.
+	 * @param number the ticket
+	 * @return the truth, while the node keeps the history that far
+	 */
+	Optional<Truth> truthAfter(long number);
 
 	/**
 	 * The tickets that the node still keeps.
--- a/src/main/java/sycamorehill/operator/OperatorServer.java
+++ b/src/main/java/sycamorehill/operator/OperatorServer.java
@@ -39,6 +39,8 @@
 
 	private static final String TICKETS = "/operator/tickets";
 
+	private static final String STATE = "/operator/state";
+
 	private static final int MOST_TICKET_BYTES = 1024 * 1024;
 
 	private static final Duration PATIENCE = Duration.ofSeconds(15);
@@ -106,12 +108,14 @@
 		if (path.startsWith(TICKETS + "/")) {
 			return force(path.substring(TICKETS.length() + 1));
 		}
+		if (path.equals(STATE)) {
+			return done(state(request.queryParameter("at")));
+		}
 		return done(read(path));
 	}
 
 	private OperatorAnswer read(String path) {
 		return switch (path) {
-			case "/operator/state" -> state();
 			case "/operator/dump" -> OperatorAnswer.of(OperatorAnswer.OK, this.node.dump());
 			case "/metrics" -> OperatorAnswer.of(OperatorAnswer.OK, this.node.metrics());
 			default -> OperatorAnswer.fault(OperatorAnswer.NOT_FOUND,
@@ -119,12 +123,25 @@
 		};
 	}
 
-	private OperatorAnswer state() {
-		Truth truth = this.node.truth();
-		if (truth == null) {
-			return OperatorAnswer.fault(OperatorAnswer.UNAVAILABLE,
-					"the node has no state yet: neither the platform nor a peer has given it one");
+	private OperatorAnswer state(String at) {
+		if (at == null) {
+			return this.node.truth()
+				.map(OperatorServer::state)
+				.orElseGet(() -> OperatorAnswer.fault(OperatorAnswer.UNAVAILABLE,
+						"the node has no state yet: neither the platform nor a peer has given it one"));
+		}
+		try {
+			return this.node.truthAfter(Long.parseLong(at))
+				.map(OperatorServer::state)
+				.orElseGet(() -> OperatorAnswer.fault(OperatorAnswer.NOT_FOUND,
+						"the node does not keep the state after ticket " + at));
 		}
+		catch (NumberFormatException ex) {
+			return OperatorAnswer.fault(OperatorAnswer.BAD_REQUEST, "'at' must be a ticket's number, not '" + at + "'");
+		}
+	}
+
+	private static OperatorAnswer state(Truth truth) {
 		return OperatorAnswer.of(OperatorAnswer.OK, StateBody.of(truth));
 	}
 
--- a/src/main/java/sycamorehill/runtime/StateReader.java
+++ b/src/main/java/sycamorehill/runtime/StateReader.java
@@ -1,6 +1,7 @@
 package sycamorehill.runtime;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.function.Supplier;
 
 import com.codahale.metrics.MetricRegistry;
@@ -16,8 +17,13 @@
 record StateReader(Supplier<NodeState> state, MetricRegistry registry) implements NodeReader {
 
 	@Override
-	public Truth truth() {
-		return this.state.get().truth().orElse(null);
+	public Optional<Truth> truth() {
+		return this.state.get().truth();
+	}
+
+	@Override
+	public Optional<Truth> truthAfter(long number) {
+		return this.state.get().ticket().log().at(number);
 	}
 
 	@Override
--- a/src/main/java/sycamorehill/settings/NodeSettingsReader.java
+++ b/src/main/java/sycamorehill/settings/NodeSettingsReader.java
@@ -1,6 +1,7 @@
 package sycamorehill.settings;
 
 import java.nio.file.Path;
+import java.util.Arrays;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -8,6 +9,10 @@
 import sycamorehill.model.identity.Address;
 import sycamorehill.model.identity.DataCentreName;
 import sycamorehill.model.identity.NodeName;
+import sycamorehill.model.membership.NodeContact;
+import sycamorehill.model.policy.GroupPolicy;
+import sycamorehill.model.policy.GroupWeights;
+import sycamorehill.model.policy.MembershipPolicy;
 import sycamorehill.model.policy.Policy;
 
 /**
@@ -19,6 +24,12 @@
 
 	private static final String PLATFORM = "platform";
 
+	private static final String MEMBERSHIP = "membership";
+
+	private static final String GROUP = "group";
+
+	private static final int CONTACT_PARTS = 3;
+
 	private static final int SHORTEST_SECRET = 16;
 
 	private NodeSettingsReader() {
@@ -77,10 +88,32 @@
 				PolicySection.read(source, "health", standard.health()),
 				PolicySection.read(source, "quarantine", standard.quarantine()),
 				PolicySection.read(source, "order", standard.order()),
-				PolicySection.read(source, "ticket", standard.ticket()),
-				PolicySection.read(source, "membership", standard.membership()),
-				PolicySection.read(source, "group", standard.group()),
-				PolicySection.read(source, "observation", standard.observation()));
+				PolicySection.read(source, "ticket", standard.ticket()), membership(source, standard.membership()),
+				group(source, standard.group()), PolicySection.read(source, "observation", standard.observation()));
+	}
+
+	private static MembershipPolicy membership(SettingsSource source, MembershipPolicy standard) {
+		List<NodeContact> contacts = source.value(MEMBERSHIP, "contacts",
+				"NAME@DATA-CENTRE@HOST:PORT with commas between", NodeSettingsReader::contacts, (found) -> true,
+				List.of());
+		return PolicySection.read(source, MEMBERSHIP, standard).withContacts(contacts);
+	}
+
+	private static List<NodeContact> contacts(String text) {
+		return Arrays.stream(text.split(",")).map(String::strip).map(NodeSettingsReader::contact).toList();
+	}
+
+	private static NodeContact contact(String text) {
+		String[] parts = text.split("@");
+		if (parts.length != CONTACT_PARTS) {
+			throw new IllegalArgumentException("not NAME@DATA-CENTRE@HOST:PORT: " + text);
+		}
+		return new NodeContact(NodeName.of(parts[0]), DataCentreName.of(parts[1]), Address.parse(parts[2]));
+	}
+
+	private static GroupPolicy group(SettingsSource source, GroupPolicy standard) {
+		double downtimeShare = source.number(GROUP, "downtime-share", 0, 1, GroupWeights.standard().downtimeShare());
+		return PolicySection.read(source, GROUP, standard).withWeights(new GroupWeights(downtimeShare));
 	}
 
 	private static void checkTogether(SettingsSource source, NodeSettings settings) {
--- /dev/null
+++ b/src/test/java/sycamorehill/process/BinaryProcess.java
@@ -0,0 +1,101 @@
+package sycamorehill.process;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * One process of the binary under test.
+ */
+final class BinaryProcess implements AutoCloseable {
+
+	private static final String BINARY = "target/sycamorehill";
+
+	private static final String JAVA_OPTIONS = "-XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Xmx128m";
+
+	private final Process process;
+
+	private final List<String> lines = new ArrayList<>();
+
+	private final Thread reader;
+
+	private BinaryProcess(Process process) {
+		this.process = process;
+		this.reader = new Thread(this::read, "process-output");
+		this.reader.setDaemon(true);
+		this.reader.start();
+	}
+
+	static BinaryProcess start(String... arguments) throws IOException {
+		List<String> command = new ArrayList<>(List.of("sh", BINARY));
+		command.addAll(Arrays.asList(arguments));
+		ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
+		builder.environment().put("SYCAMOREHILL_JAVA_OPTIONS", JAVA_OPTIONS);
+		return new BinaryProcess(builder.start());
+	}
+
+	static int run(String... arguments) throws Exception {
+		try (BinaryProcess process = start(arguments)) {
+			return process.awaitExit();
+		}
+	}
+
+	int awaitExit() throws InterruptedException {
+		if (!this.process.waitFor(60, TimeUnit.SECONDS)) {
+			throw new IllegalStateException("the process does not end: " + output());
+		}
+		this.reader.join();
+		return this.process.exitValue();
+	}
+
+	void stopByPlan() {
+		this.process.destroy();
+	}
+
+	void kill() throws InterruptedException {
+		this.process.destroyForcibly().waitFor();
+	}
+
+	synchronized List<String> output() {
+		return List.copyOf(this.lines);
+	}
+
+	List<String> awaitLines(String prefix, int count) throws InterruptedException {
+		for (int attempt = 0; attempt < 600; attempt++) {
+			List<String> found = output().stream().filter((line) -> line.startsWith(prefix)).toList();
+			if (found.size() >= count) {
+				return found;
+			}
+			if (!this.process.isAlive()) {
+				break;
+			}
+			TimeUnit.MILLISECONDS.sleep(50);
+		}
+		throw new IllegalStateException("no line '" + prefix + "' in " + output());
+	}
+
+	private void read() {
+		try (BufferedReader input = this.process.inputReader(StandardCharsets.UTF_8)) {
+			for (String line = input.readLine(); line != null; line = input.readLine()) {
+				add(line);
+			}
+		}
+		catch (IOException ex) {
+			add("output broke off: " + ex.getMessage());
+		}
+	}
+
+	private synchronized void add(String line) {
+		this.lines.add(line);
+	}
+
+	@Override
+	public void close() throws InterruptedException {
+		kill();
+	}
+
+}
--- /dev/null
+++ b/src/test/java/sycamorehill/process/ProcessSystem.java
@@ -0,0 +1,208 @@
+package sycamorehill.process;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Clock;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+
+import sycamorehill.http.HttpCaller;
+import sycamorehill.http.HttpClientPool;
+import sycamorehill.json.ModelJson;
+import sycamorehill.load.CallOutcome;
+import sycamorehill.load.CallerClient;
+import sycamorehill.load.LoadPlan;
+import sycamorehill.load.LoadReport;
+import sycamorehill.load.LoadRunner;
+import sycamorehill.load.TargetRuns;
+import sycamorehill.local.FreePorts;
+import sycamorehill.local.OperatorClient;
+import sycamorehill.model.identity.Address;
+import sycamorehill.model.identity.DataCentreName;
+import sycamorehill.model.identity.FilingIdentifier;
+import sycamorehill.model.identity.GroupSetName;
+import sycamorehill.model.identity.ServiceName;
+import sycamorehill.model.identity.TargetName;
+import sycamorehill.model.identity.WorkspaceName;
+import sycamorehill.model.ticket.ItemChange;
+import sycamorehill.model.ticket.ModelGroupItem;
+import sycamorehill.model.ticket.PlainTarget;
+import sycamorehill.model.ticket.ServiceItem;
+import sycamorehill.model.ticket.TicketDraft;
+import sycamorehill.model.ticket.TicketForce;
+import sycamorehill.model.ticket.WorkspaceItem;
+import sycamorehill.model.ticket.WorkspaceKeys;
+import sycamorehill.runtime.MonotonicClock;
+
+/**
+ * Stand-ins and three data centres of nodes, each a process of the binary.
+ */
+final class ProcessSystem implements AutoCloseable {
+
+	static final List<String> DATA_CENTRES = List.of("fukuoka", "kumamoto", "kagoshima");
+
+	private static final String KEY = "process-test-key";
+
+	private final HttpClientPool pool = HttpClientPool.create(Duration.ofSeconds(1));
+
+	private final ObjectMapper json = ModelJson.json();
+
+	private final MonotonicClock clock = MonotonicClock.start(Clock.systemUTC());
+
+	private final List<NodeProcess> nodes = new ArrayList<>();
+
+	private final Path folder;
+
+	private final BinaryProcess standIns;
+
+	private final Address platform;
+
+	private final List<PlainTarget> plainTargets;
+
+	private ProcessSystem(Path folder) throws Exception {
+		this.folder = folder;
+		Path settings = folder.resolve("stand-in.ini");
+		Files.writeString(settings, "[stand-in]\ndata-centres = " + String.join(",", DATA_CENTRES) + "\n");
+		this.standIns = BinaryProcess.start("stand-in", "--settings", settings.toString());
+		this.plainTargets = this.standIns.awaitLines("plain ", DATA_CENTRES.size())
+			.stream()
+			.map(ProcessSystem::plainTarget)
+			.toList();
+		this.platform = Address.parse(this.standIns.awaitLines("platform ", 1).get(0).split(" ")[1]);
+	}
+
+	static ProcessSystem start(Path folder, int nodesPerDataCentre) throws Exception {
+		ProcessSystem system = new ProcessSystem(folder);
+		for (String dataCentre : DATA_CENTRES) {
+			for (int number = 1; number <= nodesPerDataCentre; number++) {
+				system.startNode(dataCentre + "-" + number, dataCentre, system.platform);
+			}
+		}
+		return system;
+	}
+
+	NodeProcess startNode(String name, String dataCentre, Address platformAddress) throws IOException {
+		List<Address> addresses = FreePorts.find(3);
+		String contacts = this.nodes.stream()
+			.map(NodeProcess::contact)
+			.reduce((one, other) -> one + "," + other)
+			.orElse("");
+		String text = "[node]\nname = " + name + "\ndata-centre = " + dataCentre + "\ndata-centres = "
+				+ String.join(",", DATA_CENTRES) + "\ncaller-address = " + addresses.get(0) + "\noperator-address = "
+				+ addresses.get(1) + "\npeer-address = " + addresses.get(2)
+				+ "\nshared-secret = process-test-secret\n[platform]\naddress = " + platformAddress + "\n"
+				+ (contacts.isEmpty() ? "" : "[membership]\ncontacts = " + contacts + "\n");
+		Path file = Files.writeString(this.folder.resolve(name + ".ini"), text);
+		NodeProcess node = new NodeProcess(name, dataCentre, addresses.get(0), addresses.get(1), addresses.get(2),
+				BinaryProcess.start("serve", "--settings", file.toString()));
+		this.nodes.add(node);
+		return node;
+	}
+
+	List<NodeProcess> nodes() {
+		return List.copyOf(this.nodes);
+	}
+
+	Address platform() {
+		return this.platform;
+	}
+
+	void remove(NodeProcess node) {
+		this.nodes.remove(node);
+	}
+
+	Path writeFirstTicket() throws IOException {
+		List<ItemChange> changes = new ArrayList<>();
+		changes.add(ItemChange.set(ServiceItem.model(ServiceName.of("drafting"), "model", "1"), 0));
+		changes.add(ItemChange.set(ServiceItem.plain(ServiceName.of("order-desk"), this.plainTargets, List.of()), 0));
+		for (String dataCentre : DATA_CENTRES) {
+			changes.add(ItemChange.set(new ModelGroupItem(GroupSetName.of("drafting-" + dataCentre),
+					ServiceName.of("drafting"), DataCentreName.of(dataCentre), 2, 2, 0, false, true), 0));
+		}
+		changes.add(ItemChange
+			.set(new WorkspaceItem(WorkspaceName.of("stable"), WorkspaceKeys.hash(KEY), 10_000, 1e9, 5000, 1), 0));
+		return write(new TicketDraft(FilingIdentifier.of("first"), "test", "first services", changes));
+	}
+
+	Path write(TicketDraft draft) throws IOException {
+		return Files.writeString(this.folder.resolve(draft.filing() + ".json"), this.json.writeValueAsString(draft));
+	}
+
+	int file(Path ticket) throws Exception {
+		return BinaryProcess.run("ticket", "file", ticket.toString(), "--node",
+				this.nodes.get(0).operators().toString());
+	}
+
+	boolean awaitInForce(long number, int dataCentres) throws Exception {
+		OperatorClient operator = OperatorClient.create(HttpCaller.create(this.pool), this.json);
+		for (int attempt = 0; attempt < 200; attempt++) {
+			TicketForce force = operator.show(this.nodes.get(0).operators(), number).get();
+			boolean everywhere = force.dataCentres()
+				.stream()
+				.allMatch((one) -> one.nodesKnown() > 0 && one.missing().isEmpty());
+			if (everywhere && force.dataCentres().size() == dataCentres) {
+				return true;
+			}
+			TimeUnit.MILLISECONDS.sleep(100);
+		}
+		return false;
+	}
+
+	boolean awaitServing() throws Exception {
+		for (int attempt = 0; attempt < 60; attempt++) {
+			LoadReport trial = load(Duration.ofMillis(500), 20, 0, attempt);
+			if (trial.chats().keySet().equals(Set.of(CallOutcome.COMPLETED))) {
+				return true;
+			}
+		}
+		return false;
+	}
+
+	LoadReport load(Duration duration, double chats, double orders, long seed) throws InterruptedException {
+		List<Address> callers = this.nodes.stream().map(NodeProcess::callers).toList();
+		LoadPlan plan = new LoadPlan(callers, List.of(KEY), "drafting", "order-desk", chats, orders, 24,
+				Duration.ofSeconds(10), duration, seed);
+		return LoadRunner.create(plan, CallerClient.create(this.pool, this.clock, this.json), this.clock)
+			.run(this::runs);
+	}
+
+	private Map<String, Long> runs() {
+		return TargetRuns.byKey(HttpCaller.create(this.pool), this.json,
+				this.plainTargets.stream().map(PlainTarget::address).toList());
+	}
+
+	private static PlainTarget plainTarget(String line) {
+		String[] words = line.split(" ");
+		String dataCentre = words[2].substring(words[1].length() + 1);
+		return new PlainTarget(TargetName.of(words[2]), DataCentreName.of(dataCentre), Address.parse(words[3]));
+	}
+
+	@Override
+	public void close() throws Exception {
+		for (NodeProcess node : this.nodes) {
+			node.process().close();
+		}
+		this.standIns.close();
+		this.pool.close();
+	}
+
+	/**
+	 * One node's process and addresses.
+	 */
+	record NodeProcess(String name, String dataCentre, Address callers, Address operators, Address peers,
+			BinaryProcess process) {
+
+		String contact() {
+			return this.name + "@" + this.dataCentre + "@" + this.peers;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/src/test/java/sycamorehill/process/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests that start the binary as separate processes.
+ */
+package sycamorehill.process;
