--- a/src/main/java/sycamorehill/model/log/LogEvent.java
+++ b/src/main/java/sycamorehill/model/log/LogEvent.java
@@ -11,12 +11,30 @@
 	/** The node was told to stop. */
 	NODE_STOPPING(1002, LogLevel.INFO),
 
+	/** An effect could not be carried out. */
+	EFFECT_FAILED(1003, LogLevel.ERROR),
+
+	/** A step of the decisions threw; the process ends. */
+	INVARIANT_BROKEN(1004, LogLevel.ERROR),
+
 	/** Everything in flight is over; the stopping node exits. */
 	REQUESTS_DRAINED(1101, LogLevel.INFO),
 
 	/** A stopping node cut a request off at its bound. */
 	REQUEST_CUT(1102, LogLevel.WARN),
 
+	/** This node gives a target no work for a while. */
+	TARGET_ASIDE(1111, LogLevel.WARN),
+
+	/** A target said that it is leaving. */
+	TARGET_LEAVING(1112, LogLevel.INFO),
+
+	/** A target died while it ran requests. */
+	TARGET_DIED(1121, LogLevel.WARN),
+
+	/** A second target died while it ran the same content. */
+	CONTENT_QUARANTINED(1122, LogLevel.ERROR),
+
 	/** Idempotency keys can't be claimed in time; orders are refused as not run. */
 	ORDER_CLAIMS_UNAVAILABLE(1201, LogLevel.WARN),
 
@@ -30,7 +48,46 @@
 	PEER_CONNECTION_REFUSED(1301, LogLevel.WARN),
 
 	/** A message to another node was larger than a frame may be and was dropped. */
-	PEER_MESSAGE_TOO_LARGE(1302, LogLevel.WARN);
+	PEER_MESSAGE_TOO_LARGE(1302, LogLevel.WARN),
+
+	/** Tickets were folded in. */
+	TICKETS_IN_FORCE(1401, LogLevel.INFO),
+
+	/** A whole truth was taken from the platform or a peer. */
+	TRUTH_ADOPTED(1402, LogLevel.INFO),
+
+	/** A filing has its outcome. */
+	FILING_ANSWERED(1403, LogLevel.INFO),
+
+	/** The platform has lost tickets that are in force. */
+	PLATFORM_CAME_BACK_OLDER(1404, LogLevel.ERROR),
+
+	/** The platform shows again what it had lost. */
+	PLATFORM_RESTORED(1405, LogLevel.INFO),
+
+	/** A ticket or snapshot was written by a newer version. */
+	TICKET_FORMAT_UNKNOWN(1406, LogLevel.ERROR),
+
+	/** The snapshot was renewed. */
+	SNAPSHOT_WRITTEN(1407, LogLevel.INFO),
+
+	/** A node was heard for the first time or again. */
+	NODE_ALIVE(1501, LogLevel.INFO),
+
+	/** A node has not been heard of for too long. */
+	NODE_DEAD(1502, LogLevel.WARN),
+
+	/** The node controls the groups of its data centre. */
+	GROUP_CONTROL_TAKEN(1701, LogLevel.INFO),
+
+	/** A group changes its phase, members or generation. */
+	GROUP_CHANGED(1702, LogLevel.INFO),
+
+	/** A write of the allocation was refused or its answer was lost. */
+	GROUP_ALLOCATION_CONFLICT(1703, LogLevel.INFO),
+
+	/** An engine has seen a higher fencing number. */
+	GROUP_ORDER_FENCED(1704, LogLevel.WARN);
 
 	private final int number;
 
--- a/src/main/java/sycamorehill/peer/PeerMessageCodec.java
+++ b/src/main/java/sycamorehill/peer/PeerMessageCodec.java
@@ -17,7 +17,17 @@
 import sycamorehill.model.peer.OrderClaimRequest;
 import sycamorehill.model.peer.OrderSettlement;
 import sycamorehill.model.peer.OrderSettlementReply;
+import sycamorehill.model.peer.ForceAsked;
+import sycamorehill.model.peer.ForceSent;
+import sycamorehill.model.peer.Heartbeat;
+import sycamorehill.model.peer.MembersAsked;
+import sycamorehill.model.peer.MembersChanged;
+import sycamorehill.model.peer.MembersSent;
 import sycamorehill.model.peer.PeerMessage;
+import sycamorehill.model.peer.TargetLeaving;
+import sycamorehill.model.peer.TicketsAsked;
+import sycamorehill.model.peer.TicketsSent;
+import sycamorehill.model.peer.TruthSent;
 
 /**
  * Turns messages into bytes and back. Each type of message has a name that never changes
@@ -59,6 +69,16 @@
 			.register("order-claim-reply", OrderClaimReply.class)
 			.register("order-settlement", OrderSettlement.class)
 			.register("order-settlement-reply", OrderSettlementReply.class);
+		return empty().register("heartbeat", Heartbeat.class)
+			.register("members-asked", MembersAsked.class)
+			.register("members-sent", MembersSent.class)
+			.register("members-changed", MembersChanged.class)
+			.register("tickets-asked", TicketsAsked.class)
+			.register("tickets-sent", TicketsSent.class)
+			.register("truth-sent", TruthSent.class)
+			.register("force-asked", ForceAsked.class)
+			.register("force-sent", ForceSent.class)
+			.register("target-leaving", TargetLeaving.class);
 	}
 
 	/**
--- a/src/test/java/sycamorehill/json/ModelJsonTests.java
+++ b/src/test/java/sycamorehill/json/ModelJsonTests.java
@@ -43,6 +43,7 @@
 import sycamorehill.model.request.Refusal;
 import sycamorehill.model.request.RefusalReason;
 import sycamorehill.model.request.RequestOutcome;
+import sycamorehill.model.ticket.AcceptedFiling;
 import sycamorehill.model.ticket.Item;
 import sycamorehill.model.ticket.ItemChange;
 import sycamorehill.model.ticket.ItemInForce;
@@ -122,7 +123,7 @@
 	private static Allocation allocation() {
 		GroupName name = GroupName.of(GroupSetName.of("set"), 0);
 		GroupRecord group = new GroupRecord(GroupIdentity.of(name, 3), ServiceName.of("chat"), "m", "1",
-				List.of(VmName.of("vm-1"), VmName.of("vm-2")), GroupPhase.SERVING, 7, "new");
+				List.of(VmName.of("vm-1"), VmName.of("vm-2")), GroupPhase.SERVING, 7, "new", 2);
 		return new Allocation(DATA_CENTRE, 2, "n1-1:5", 4, HashTreePMap.singleton(name, group),
 				HashTreePMap.singleton(VmName.of("vm-3"), GroupSetName.of("set")));
 	}
@@ -146,7 +147,7 @@
 						new ItemInForce(new ModelGroupItem(GroupSetName.of("set"), ServiceName.of("chat"), DATA_CENTRE,
 								2, 4, 1, false, true), 2),
 						new ItemInForce(new WorkspaceItem(WorkspaceName.of("w"), "hash", 1.5, 2.5, 3, 1), 3)),
-				1);
+				1, 4, List.of(new AcceptedFiling(FilingIdentifier.of("f1"), 8)));
 	}
 
 }
