--- a/src/main/java/sycamorehill/peer/PeerMessageCodec.java
+++ b/src/main/java/sycamorehill/peer/PeerMessageCodec.java
@@ -13,16 +13,16 @@
 import sycamorehill.json.ModelJson;
 import sycamorehill.model.identity.NodeIdentity;
 import sycamorehill.model.identity.NodeName;
-import sycamorehill.model.peer.OrderClaimReply;
-import sycamorehill.model.peer.OrderClaimRequest;
-import sycamorehill.model.peer.OrderSettlement;
-import sycamorehill.model.peer.OrderSettlementReply;
 import sycamorehill.model.peer.ForceAsked;
 import sycamorehill.model.peer.ForceSent;
 import sycamorehill.model.peer.Heartbeat;
 import sycamorehill.model.peer.MembersAsked;
 import sycamorehill.model.peer.MembersChanged;
 import sycamorehill.model.peer.MembersSent;
+import sycamorehill.model.peer.OrderClaimReply;
+import sycamorehill.model.peer.OrderClaimRequest;
+import sycamorehill.model.peer.OrderSettlement;
+import sycamorehill.model.peer.OrderSettlementReply;
 import sycamorehill.model.peer.PeerMessage;
 import sycamorehill.model.peer.TargetLeaving;
 import sycamorehill.model.peer.TicketsAsked;
@@ -65,20 +65,22 @@
 	 * @return the codec
 	 */
 	public static PeerMessageCodec standard() {
-		return empty().register("order-claim", OrderClaimRequest.class)
-			.register("order-claim-reply", OrderClaimReply.class)
-			.register("order-settlement", OrderSettlement.class)
-			.register("order-settlement-reply", OrderSettlementReply.class);
-		return empty().register("heartbeat", Heartbeat.class)
-			.register("members-asked", MembersAsked.class)
-			.register("members-sent", MembersSent.class)
-			.register("members-changed", MembersChanged.class)
-			.register("tickets-asked", TicketsAsked.class)
-			.register("tickets-sent", TicketsSent.class)
-			.register("truth-sent", TruthSent.class)
-			.register("force-asked", ForceAsked.class)
-			.register("force-sent", ForceSent.class)
-			.register("target-leaving", TargetLeaving.class);
+		PeerMessageCodec codec = empty();
+		codec.register("order-claim", OrderClaimRequest.class);
+		codec.register("order-claim-reply", OrderClaimReply.class);
+		codec.register("order-settlement", OrderSettlement.class);
+		codec.register("order-settlement-reply", OrderSettlementReply.class);
+		codec.register("heartbeat", Heartbeat.class);
+		codec.register("members-asked", MembersAsked.class);
+		codec.register("members-sent", MembersSent.class);
+		codec.register("members-changed", MembersChanged.class);
+		codec.register("tickets-asked", TicketsAsked.class);
+		codec.register("tickets-sent", TicketsSent.class);
+		codec.register("truth-sent", TruthSent.class);
+		codec.register("force-asked", ForceAsked.class);
+		codec.register("force-sent", ForceSent.class);
+		codec.register("target-leaving", TargetLeaving.class);
+		return codec;
 	}
 
 	/**
