Issue order numbers that need no platform

Cause: orders with a key stop while the platform is down; and half of all hashed keys carried the bit that marks an issued number. Change: GET /v1/order-numbers gives a number whose claim the issuing incarnation keeps in its memory; the gateway marks each key as issued or as the caller's own. Conclusion: callers' own keys always go to the platform, issued ones never.

--- a/src/main/java/sycamorehill/gateway/CallerGateway.java
+++ b/src/main/java/sycamorehill/gateway/CallerGateway.java
@@ -37,6 +37,8 @@
 
 	private static final String CHAT_PATH = "/v1/chat/completions";
 
+	private static final String ORDER_NUMBERS_PATH = "/v1/order-numbers";
+
 	private static final int MOST_BODY_BYTES = 1024 * 1024;
 
 	private static final Duration BODY_TIMEOUT = Duration.ofSeconds(30);
@@ -124,6 +126,10 @@
 				.flatMap((body) -> call(request, body, factory))
 				.onErrorResume((failure) -> Single.succeeded(refusal(failure, factory)));
 		}
+		if (path.equals(ORDER_NUMBERS_PATH)) {
+			return Single.succeeded(this.writer.whole(factory, SuccessStatus.OK, "application/json",
+					this.reader.orderNumberBody(), OutcomeName.COMPLETED, NO_REQUEST));
+		}
 		return Single.succeeded(health(path, factory));
 	}
 
--- a/src/main/java/sycamorehill/gateway/CallerRequestReader.java
+++ b/src/main/java/sycamorehill/gateway/CallerRequestReader.java
@@ -1,5 +1,6 @@
 package sycamorehill.gateway;
 
+import java.security.SecureRandom;
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
@@ -16,6 +17,7 @@
 import sycamorehill.model.identity.NodeIncarnation;
 import sycamorehill.model.identity.RequestIdentifier;
 import sycamorehill.model.identity.ServiceName;
+import sycamorehill.model.order.OrderNumbers;
 import sycamorehill.model.request.OrderKey;
 import sycamorehill.model.request.Priority;
 import sycamorehill.model.request.RequestDescription;
@@ -48,6 +50,8 @@
 
 	private final AtomicLong requests = new AtomicLong();
 
+	private final SecureRandom random = new SecureRandom();
+
 	private CallerRequestReader(NodeIncarnation self, InstantSource clock, ObjectMapper json) {
 		this.self = self;
 		this.clock = clock;
@@ -85,6 +89,16 @@
 		return new CallerCall(description, "", false, path + query, header(head, "Content-Type"), key, body);
 	}
 
+	/**
+	 * Issues an order number, which the caller may send as the idempotency key of one
+	 * order. It needs no platform.
+	 * @return the JSON body
+	 */
+	String orderNumberBody() {
+		String number = OrderNumbers.issue(this.self, this.clock.instant(), this.random.nextLong());
+		return "{\"orderNumber\": \"" + number + "\"}\n";
+	}
+
 	private ChatRequestBody chatBody(String body) {
 		ChatRequestBody chat;
 		try {
--- a/src/main/java/sycamorehill/gateway/ContentHashes.java
+++ b/src/main/java/sycamorehill/gateway/ContentHashes.java
@@ -6,6 +6,7 @@
 import com.dynatrace.hash4j.hashing.Hashing;
 
 import sycamorehill.model.identity.ServiceName;
+import sycamorehill.model.order.OrderNumbers;
 import sycamorehill.model.request.Fingerprint;
 import sycamorehill.model.request.OrderKey;
 
@@ -34,7 +35,8 @@
 			.putString(service.value())
 			.putString(idempotencyKey)
 			.get();
-		return new OrderKey(hash.getMostSignificantBits(), hash.getLeastSignificantBits());
+		OrderKey hashed = new OrderKey(hash.getMostSignificantBits(), hash.getLeastSignificantBits());
+		return OrderNumbers.mark(hashed, idempotencyKey);
 	}
 
 }
