--- a/src/main/java/sycamorehill/logic/admission/AdmissionState.java
+++ b/src/main/java/sycamorehill/logic/admission/AdmissionState.java
@@ -1,16 +1,116 @@
 package sycamorehill.logic.admission;
 
+import java.time.Instant;
+import java.util.Optional;
+
+import org.pcollections.HashTreePMap;
+import org.pcollections.PMap;
+import org.pcollections.PSortedSet;
+import org.pcollections.TreePSet;
+
+import sycamorehill.model.identity.AttemptIdentifier;
+import sycamorehill.model.identity.RequestIdentifier;
+import sycamorehill.model.identity.ServiceName;
+import sycamorehill.model.identity.WorkspaceName;
+
 /**
  * State of the part: limits, queues and early refusal.
+ *
+ * @param services load by service
+ * @param waiting requests that wait
+ * @param departures waiting requests by when they are refused at the latest
+ * @param flights requests admitted and not finished
+ * @param attempts attempts sent whose first token is awaited
+ * @param limits workspace limits
+ * @param stopFrom from when a stopping node refuses requests
+ * @param nextPlace numbers the requests that wait
  */
-public record AdmissionState() {
+public record AdmissionState(PMap<ServiceName, ServiceLoad> services, PMap<RequestIdentifier, Waiting> waiting,
+		PSortedSet<Departure> departures, PMap<RequestIdentifier, Flight> flights,
+		PMap<AttemptIdentifier, Sent> attempts, LimitState limits, Optional<Instant> stopFrom, long nextPlace) {
 
 	/**
 	 * The state of a fresh node.
 	 * @return the state before the first event
 	 */
 	public static AdmissionState initial() {
-		return new AdmissionState();
+		return new AdmissionState(HashTreePMap.empty(), HashTreePMap.empty(), TreePSet.empty(), HashTreePMap.empty(),
+				HashTreePMap.empty(), LimitState.initial(), Optional.empty(), 0);
+	}
+
+	AdmissionState withService(ServiceName service, ServiceLoad load) {
+		return new AdmissionState(this.services.plus(service, load), this.waiting, this.departures, this.flights,
+				this.attempts, this.limits, this.stopFrom, this.nextPlace);
+	}
+
+	AdmissionState withLimits(LimitState changed) {
+		return (changed == this.limits) ? this : new AdmissionState(this.services, this.waiting, this.departures,
+				this.flights, this.attempts, changed, this.stopFrom, this.nextPlace);
+	}
+
+	AdmissionState withWaiting(Waiting added) {
+		Departure departure = new Departure(added.leaveBy(), added.place().number(), added.request().identifier());
+		return new AdmissionState(this.services, this.waiting.plus(added.request().identifier(), added),
+				this.departures.plus(departure), this.flights, this.attempts, this.limits, this.stopFrom,
+				this.nextPlace + 1);
+	}
+
+	AdmissionState withoutWaiting(Waiting gone) {
+		Departure departure = new Departure(gone.leaveBy(), gone.place().number(), gone.request().identifier());
+		return new AdmissionState(this.services, this.waiting.minus(gone.request().identifier()),
+				this.departures.minus(departure), this.flights, this.attempts, this.limits, this.stopFrom,
+				this.nextPlace);
+	}
+
+	AdmissionState withFlights(PMap<RequestIdentifier, Flight> changed) {
+		return new AdmissionState(this.services, this.waiting, this.departures, changed, this.attempts, this.limits,
+				this.stopFrom, this.nextPlace);
+	}
+
+	AdmissionState withAttempts(PMap<AttemptIdentifier, Sent> changed) {
+		return new AdmissionState(this.services, this.waiting, this.departures, this.flights, changed, this.limits,
+				this.stopFrom, this.nextPlace);
+	}
+
+	AdmissionState stoppingFrom(Instant from) {
+		return new AdmissionState(this.services, this.waiting, this.departures, this.flights, this.attempts,
+				this.limits, Optional.of(from), this.nextPlace);
+	}
+
+	/**
+	 * A waiting request's last moment.
+	 *
+	 * @param at the moment
+	 * @param number tells requests of the same moment apart
+	 * @param request the request
+	 */
+	record Departure(Instant at, long number, RequestIdentifier request) implements Comparable<Departure> {
+
+		@Override
+		public int compareTo(Departure other) {
+			int byTime = this.at.compareTo(other.at);
+			return (byTime != 0) ? byTime : Long.compare(this.number, other.number);
+		}
+
+	}
+
+	/**
+	 * A request that was admitted.
+	 *
+	 * @param workspace whose it is
+	 * @param service what it asked for
+	 * @param tokens tokens that were admitted for its answer
+	 */
+	record Flight(WorkspaceName workspace, ServiceName service, int tokens) {
+	}
+
+	/**
+	 * An attempt whose first token is awaited.
+	 *
+	 * @param service what it asked for
+	 * @param at when it was sent
+	 */
+	record Sent(ServiceName service, Instant at) {
 	}
 
 }
--- /dev/null
+++ b/src/main/java/sycamorehill/logic/admission/ServiceLoad.java
@@ -0,0 +1,68 @@
+package sycamorehill.logic.admission;
+
+import java.time.Duration;
+import java.time.Instant;
+
+import sycamorehill.model.policy.AdmissionPolicy;
+
+/**
+ * The load of one service on this node.
+ *
+ * @param queue requests that wait
+ * @param limit most requests in flight
+ * @param inFlight requests in flight
+ * @param estimate time to the first token
+ * @param rate smoothed finished requests a second
+ * @param rateAt when the rate was brought up to date
+ */
+record ServiceLoad(FairQueue queue, ConcurrencyLimit limit, int inFlight, LatencyEstimate estimate, double rate,
+		Instant rateAt) {
+
+	private static final double RATE_SECONDS = 2;
+
+	private static final double NANOS = 1e9;
+
+	static ServiceLoad fresh(AdmissionPolicy policy, Instant now) {
+		return new ServiceLoad(FairQueue.empty(), ConcurrencyLimit.gradient(policy), 0, LatencyEstimate.none(), 0, now);
+	}
+
+	ServiceLoad with(FairQueue changed) {
+		return new ServiceLoad(changed, this.limit, this.inFlight, this.estimate, this.rate, this.rateAt);
+	}
+
+	ServiceLoad admit(FairQueue changed) {
+		return new ServiceLoad(changed, this.limit, this.inFlight + 1, this.estimate, this.rate, this.rateAt);
+	}
+
+	ServiceLoad finish(Instant now) {
+		double fade = Math.exp(-Duration.between(this.rateAt, now).toNanos() / NANOS / RATE_SECONDS);
+		return new ServiceLoad(this.queue, this.limit, this.inFlight - 1, this.estimate,
+				this.rate * fade + 1 / RATE_SECONDS, now);
+	}
+
+	ServiceLoad measured(Duration latency, Instant now) {
+		return new ServiceLoad(this.queue, this.limit.measured(latency, this.inFlight, now), this.inFlight,
+				this.estimate.measured(latency), this.rate, this.rateAt);
+	}
+
+	/**
+	 * How long a number of requests ahead take, by the rate of late.
+	 * @param ahead requests ahead
+	 * @return the wait, zero while nothing was measured
+	 */
+	Duration waitBehind(double ahead) {
+		if (this.rate <= 0 || ahead <= 0) {
+			return Duration.ZERO;
+		}
+		return Duration.ofNanos((long) (ahead / this.rate * NANOS));
+	}
+
+	boolean hasRoom() {
+		return this.inFlight < this.limit.limit();
+	}
+
+	boolean idle() {
+		return this.inFlight == 0 && this.queue.size() == 0;
+	}
+
+}
--- /dev/null
+++ b/src/main/java/sycamorehill/logic/admission/TicketedDataCentres.java
@@ -0,0 +1,44 @@
+package sycamorehill.logic.admission;
+
+import org.pcollections.PMap;
+import org.pcollections.TreePMap;
+
+import sycamorehill.model.identity.DataCentreName;
+import sycamorehill.model.ticket.Item;
+import sycamorehill.model.ticket.ItemInForce;
+import sycamorehill.model.ticket.ModelGroupItem;
+import sycamorehill.model.ticket.PlainTarget;
+import sycamorehill.model.ticket.ServiceItem;
+import sycamorehill.model.ticket.Truth;
+
+/**
+ * The data centres that tickets name. All nodes with the same truth find the same, cut
+ * off or not.
+ */
+final class TicketedDataCentres {
+
+	private TicketedDataCentres() {
+	}
+
+	static PMap<DataCentreName, Boolean> of(Truth truth) {
+		PMap<DataCentreName, Boolean> named = TreePMap.empty();
+		for (ItemInForce found : truth.items().values()) {
+			named = named.plusAll(of(found.item()));
+		}
+		return named;
+	}
+
+	private static PMap<DataCentreName, Boolean> of(Item item) {
+		PMap<DataCentreName, Boolean> named = TreePMap.empty();
+		if (item instanceof ModelGroupItem set) {
+			named = named.plus(set.dataCentre(), true);
+		}
+		else if (item instanceof ServiceItem service) {
+			for (PlainTarget target : service.plainTargets()) {
+				named = named.plus(target.dataCentre(), true);
+			}
+		}
+		return named;
+	}
+
+}
--- /dev/null
+++ b/src/main/java/sycamorehill/logic/admission/Wants.java
@@ -0,0 +1,72 @@
+package sycamorehill.logic.admission;
+
+import java.time.Instant;
+
+import org.pcollections.HashTreePMap;
+import org.pcollections.PMap;
+
+import sycamorehill.model.identity.NodeIdentity;
+import sycamorehill.model.peer.ShareAmounts;
+import sycamorehill.model.peer.ShareAsk;
+
+/**
+ * What other nodes have asked this one for, as their coordinator.
+ *
+ * @param asked the last ask of each node
+ */
+record Wants(PMap<NodeIdentity, Want> asked) {
+
+	static Wants none() {
+		return new Wants(HashTreePMap.empty());
+	}
+
+	Wants plus(NodeIdentity node, Want want) {
+		return new Wants(this.asked.plus(node, want));
+	}
+
+	/**
+	 * Drops what was not asked for again.
+	 * @param now the time
+	 * @return the wants that still hold
+	 */
+	Wants at(Instant now) {
+		PMap<NodeIdentity, Want> kept = this.asked;
+		for (var entry : this.asked.entrySet()) {
+			if (!entry.getValue().until().isAfter(now)) {
+				kept = kept.minus(entry.getKey());
+			}
+		}
+		return (kept != this.asked) ? new Wants(kept) : this;
+	}
+
+	/**
+	 * The sum of the wants.
+	 * @param withOtherDataCentres whether those of other data centres count
+	 * @return the sum
+	 */
+	ShareAmounts total(boolean withOtherDataCentres) {
+		ShareAmounts total = ShareAmounts.NONE;
+		for (Want want : this.asked.values()) {
+			if (withOtherDataCentres || want.scope() == ShareAsk.Scope.TO_COORDINATOR) {
+				total = total.plus(want.amounts());
+			}
+		}
+		return total;
+	}
+
+	boolean isEmpty() {
+		return this.asked.isEmpty();
+	}
+
+	/**
+	 * One want.
+	 *
+	 * @param amounts what is wanted
+	 * @param number of the ask, for later answers to it
+	 * @param scope where it came from
+	 * @param until when it is forgotten unless asked again
+	 */
+	record Want(ShareAmounts amounts, long number, ShareAsk.Scope scope, Instant until) {
+	}
+
+}
