--- /dev/null
+++ b/src/main/java/sycamorehill/model/policy/GroupWeights.java
@@ -0,0 +1,48 @@
+package sycamorehill.model.policy;
+
+import java.time.Duration;
+
+/**
+ * The one knob of group control: what a second of group downtime costs against a second
+ * of a stranded accelerator. Everything that trades one for the other is worked out from
+ * it.
+ *
+ * @param downtimeShare from 0, only stranded accelerators count, to 1, only downtime
+ * counts
+ */
+public record GroupWeights(double downtimeShare) {
+
+	private static final Duration LONGEST_SILENCE = Duration.ofSeconds(20);
+
+	private static final Duration SHORTEST_SILENCE = Duration.ofSeconds(10);
+
+	private static final double STANDBY_FROM = 0.6;
+
+	/**
+	 * Refuses a share out of range.
+	 */
+	public GroupWeights {
+		if (!(downtimeShare >= 0 && downtimeShare <= 1)) {
+			throw new IllegalArgumentException("the downtime share must be from 0 to 1, not " + downtimeShare);
+		}
+	}
+
+	/**
+	 * The weights that hold where the settings say nothing.
+	 * @return both count alike
+	 */
+	public static GroupWeights standard() {
+		return new GroupWeights(0.5);
+	}
+
+	/**
+	 * What the weights mean for repairs.
+	 * @return the rules
+	 */
+	public RepairRules rules() {
+		long range = LONGEST_SILENCE.toMillis() - SHORTEST_SILENCE.toMillis();
+		Duration silence = LONGEST_SILENCE.minusMillis(Math.round(range * this.downtimeShare));
+		return new RepairRules(silence, (this.downtimeShare >= STANDBY_FROM) ? 1 : 0, false, true, true);
+	}
+
+}
