--- a/src/main/java/sycamorehill/peer/PeerMessageCodec.java
+++ b/src/main/java/sycamorehill/peer/PeerMessageCodec.java
@@ -24,6 +24,8 @@
 import sycamorehill.model.peer.OrderSettlement;
 import sycamorehill.model.peer.OrderSettlementReply;
 import sycamorehill.model.peer.PeerMessage;
+import sycamorehill.model.peer.ShareAsk;
+import sycamorehill.model.peer.ShareLoan;
 import sycamorehill.model.peer.TargetLeaving;
 import sycamorehill.model.peer.TicketsAsked;
 import sycamorehill.model.peer.TicketsSent;
@@ -80,6 +82,8 @@
 		codec.register("force-asked", ForceAsked.class);
 		codec.register("force-sent", ForceSent.class);
 		codec.register("target-leaving", TargetLeaving.class);
+		codec.register("share-ask", ShareAsk.class);
+		codec.register("share-loan", ShareLoan.class);
 		return codec;
 	}
 
