--- /dev/null
+++ b/src/test/java/sycamorehill/settings/ExamplesTests.java
@@ -0,0 +1,33 @@
+package sycamorehill.settings;
+
+import java.nio.file.Path;
+
+import org.assertj.core.api.Assertions;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * The examples that users start from.
+ */
+class ExamplesTests {
+
+	@ParameterizedTest
+	@ValueSource(strings = { "examples/kurokawa-node.ini", "examples/agnishikha-node.ini" })
+	void exampleNodesAreSound(String file) {
+		Assertions.assertThat(NodeSettingsReader.read(Path.of(file))).isInstanceOf(SettingsOutcome.Sound.class);
+	}
+
+	@Test
+	void exampleStandInsAreSound() {
+		Assertions.assertThat(StandInSettingsReader.read(Path.of("examples/stand-in.ini")))
+			.isInstanceOf(SettingsOutcome.Sound.class);
+	}
+
+	@Test
+	void exampleLoadIsSound() {
+		Assertions.assertThat(LoadSettingsReader.read(Path.of("examples/load.ini")))
+			.isInstanceOf(SettingsOutcome.Sound.class);
+	}
+
+}
