Isolate and quarantine content that crashes targets

One request could take down one target after another, through its own retries and its caller's. What a target ran when its connection was lost is now suspected on all nodes at once and runs alone among suspects, at a place that one arbiter node gives; a second death quarantines the content everywhere and clears what ran beside it. History tests with three nodes and six targets found and now hold five faults: a release that overtook the quarantine, late frames taken for life, a place given back by another target's judgement, copies sent at the same moment, a wait that was not prolonged.

--- a/src/main/java/sycamorehill/logic/NodeView.java
+++ b/src/main/java/sycamorehill/logic/NodeView.java
@@ -66,6 +66,16 @@
 	 */
 	boolean quarantined(Fingerprint fingerprint);
 
+	/**
+	 * Whether content is suspected of crashing targets, so that it may run only where no
+	 * other suspect runs.
+	 * @param fingerprint the content
+	 * @return whether it has to be isolated
+	 */
+	default boolean suspected(Fingerprint fingerprint) {
+		return false;
+	}
+
 	/**
 	 * The last sight of a VM, of this data centre or of another.
 	 * @param vm the VM
--- a/src/main/java/sycamorehill/logic/node/StateView.java
+++ b/src/main/java/sycamorehill/logic/node/StateView.java
@@ -73,7 +73,12 @@
 
 	@Override
 	public boolean quarantined(Fingerprint fingerprint) {
-		return false;
+		return this.state.quarantine().quarantined(fingerprint, this.now);
+	}
+
+	@Override
+	public boolean suspected(Fingerprint fingerprint) {
+		return this.state.quarantine().suspected(fingerprint, this.now);
 	}
 
 	@Override
--- /dev/null
+++ b/src/main/java/sycamorehill/logic/quarantine/ArbiterState.java
@@ -0,0 +1,46 @@
+package sycamorehill.logic.quarantine;
+
+import org.pcollections.HashTreePMap;
+import org.pcollections.PMap;
+import org.pcollections.PVector;
+import org.pcollections.TreePVector;
+
+import sycamorehill.model.identity.TargetName;
+import sycamorehill.model.peer.SuspectEntry;
+import sycamorehill.model.request.Fingerprint;
+
+/**
+ * What a node keeps as the arbiter of services.
+ *
+ * @param slots targets kept for one suspect each
+ * @param suspects what the other nodes are to be told at the next tick
+ * @param cleared what is no longer suspected, as they are to be told
+ */
+record ArbiterState(PMap<TargetName, IsolationSlot> slots, PVector<SuspectEntry> suspects,
+		PVector<Fingerprint> cleared) {
+
+	static ArbiterState initial() {
+		return new ArbiterState(HashTreePMap.empty(), TreePVector.empty(), TreePVector.empty());
+	}
+
+	ArbiterState with(IsolationSlot slot) {
+		return new ArbiterState(this.slots.plus(slot.target(), slot), this.suspects, this.cleared);
+	}
+
+	ArbiterState without(TargetName target) {
+		return new ArbiterState(this.slots.minus(target), this.suspects, this.cleared);
+	}
+
+	ArbiterState withSuspect(SuspectEntry entry) {
+		return new ArbiterState(this.slots, this.suspects.plus(entry), this.cleared);
+	}
+
+	ArbiterState withCleared(Fingerprint fingerprint) {
+		return new ArbiterState(this.slots, this.suspects, this.cleared.plus(fingerprint));
+	}
+
+	ArbiterState spread() {
+		return new ArbiterState(this.slots, TreePVector.empty(), TreePVector.empty());
+	}
+
+}
--- /dev/null
+++ b/src/main/java/sycamorehill/logic/quarantine/Arbiters.java
@@ -0,0 +1,41 @@
+package sycamorehill.logic.quarantine;
+
+import java.util.Comparator;
+
+import com.dynatrace.hash4j.hashing.Hashing;
+
+import sycamorehill.logic.NodeView;
+import sycamorehill.model.identity.NodeIdentity;
+import sycamorehill.model.identity.ServiceName;
+
+/**
+ * Chooses for each service one live node, its arbiter, that keeps suspects apart. Each
+ * data centre that is cut off has its own.
+ */
+final class Arbiters {
+
+	private static final String SALT = "arbiter/";
+
+	private Arbiters() {
+	}
+
+	static NodeIdentity of(NodeView view, ServiceName service) {
+		return view.liveNodes()
+			.nodes()
+			.values()
+			.stream()
+			.filter((node) -> !node.stopping())
+			.map((node) -> node.identity())
+			.max(Comparator.comparingLong((node) -> weight(node, service)))
+			.orElse(view.self());
+	}
+
+	static boolean isSelf(NodeView view, NodeIdentity node) {
+		return node.incarnation().equals(view.self().incarnation());
+	}
+
+	private static long weight(NodeIdentity node, ServiceName service) {
+		return Hashing.komihash5_0().hashCharsToLong(SALT + service + "/" + node.incarnation().node());
+	}
+
+}
--- /dev/null
+++ b/src/main/java/sycamorehill/logic/quarantine/BrokenContent.java
@@ -0,0 +1,11 @@
+package sycamorehill.logic.quarantine;
+
+/**
+ * Content that a target ran when it broke off.
+ *
+ * @param isolated whether no other suspect ran there
+ * @param repeated whether a target had died running it before
+ */
+record BrokenContent(boolean isolated, boolean repeated) {
+
+}
--- /dev/null
+++ b/src/main/java/sycamorehill/logic/quarantine/ContentBook.java
@@ -0,0 +1,70 @@
+package sycamorehill.logic.quarantine;
+
+import java.time.Instant;
+import java.util.Optional;
+
+import org.pcollections.HashTreePMap;
+import org.pcollections.PMap;
+import org.pcollections.PSortedSet;
+import org.pcollections.TreePSet;
+
+import sycamorehill.model.request.Fingerprint;
+
+/**
+ * What is remembered of content, each for its time and no more than a bound: what would
+ * be forgotten first makes room.
+ *
+ * @param <V> what is remembered
+ * @param entries by content
+ * @param byTime by when it is forgotten
+ */
+record ContentBook<V>(PMap<Fingerprint, Entry<V>> entries, PSortedSet<ContentDeadline> byTime) {
+
+	static <V> ContentBook<V> empty() {
+		return new ContentBook<>(HashTreePMap.empty(), TreePSet.empty());
+	}
+
+	Optional<V> at(Fingerprint fingerprint, Instant now) {
+		return Optional.ofNullable(this.entries.get(fingerprint))
+			.filter((entry) -> now.isBefore(entry.until()))
+			.map(Entry::value);
+	}
+
+	ContentBook<V> with(Fingerprint fingerprint, V value, Instant until, int most) {
+		ContentBook<V> cleared = without(fingerprint);
+		if (cleared.entries.size() >= most) {
+			cleared = cleared.without(cleared.byTime.first().fingerprint());
+		}
+		return new ContentBook<>(cleared.entries.plus(fingerprint, new Entry<>(value, until)),
+				cleared.byTime.plus(new ContentDeadline(until, fingerprint)));
+	}
+
+	ContentBook<V> without(Fingerprint fingerprint) {
+		Entry<V> old = this.entries.get(fingerprint);
+		if (old == null) {
+			return this;
+		}
+		return new ContentBook<>(this.entries.minus(fingerprint),
+				this.byTime.minus(new ContentDeadline(old.until(), fingerprint)));
+	}
+
+	ContentBook<V> withoutExpired(Instant now) {
+		ContentBook<V> kept = this;
+		while (!kept.byTime.isEmpty() && !now.isBefore(kept.byTime.first().at())) {
+			kept = kept.without(kept.byTime.first().fingerprint());
+		}
+		return kept;
+	}
+
+	/**
+	 * What is remembered and until when.
+	 *
+	 * @param <V> what is remembered
+	 * @param value the value
+	 * @param until when it is forgotten
+	 */
+	record Entry<V>(V value, Instant until) {
+
+	}
+
+}
--- /dev/null
+++ b/src/main/java/sycamorehill/logic/quarantine/QuarantineStep.java
@@ -0,0 +1,220 @@
+package sycamorehill.logic.quarantine;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import sycamorehill.logic.NodeView;
+import sycamorehill.logic.Step;
+import sycamorehill.model.effect.Effect;
+import sycamorehill.model.effect.NodeEffect;
+import sycamorehill.model.effect.PeerEffect;
+import sycamorehill.model.event.Event;
+import sycamorehill.model.identity.NodeIdentity;
+import sycamorehill.model.identity.TargetName;
+import sycamorehill.model.log.LogEvent;
+import sycamorehill.model.log.LogLine;
+import sycamorehill.model.peer.PeerMessage;
+import sycamorehill.model.policy.QuarantinePolicy;
+import sycamorehill.model.request.Fingerprint;
+
+/**
+ * Collects the changes and effects of one step of the quarantine part; it lives no longer
+ * than the step.
+ */
+final class QuarantineStep {
+
+	private static final Duration SAME_DEATH = Duration.ofSeconds(5);
+
+	private final Instant now;
+
+	private final NodeView view;
+
+	private final List<Effect> effects = new ArrayList<>();
+
+	private QuarantineState state;
+
+	QuarantineStep(QuarantineState state, Instant now, NodeView view) {
+		this.state = state;
+		this.now = now;
+		this.view = view;
+	}
+
+	Step<QuarantineState> result() {
+		return Step.of(this.state, this.effects);
+	}
+
+	QuarantineState state() {
+		return this.state;
+	}
+
+	void replace(QuarantineState changed) {
+		this.state = changed;
+	}
+
+	Instant now() {
+		return this.now;
+	}
+
+	NodeView view() {
+		return this.view;
+	}
+
+	QuarantinePolicy policy() {
+		return this.view.policy().quarantine();
+	}
+
+	void raise(Event event) {
+		this.effects.add(new NodeEffect.Raise(event));
+	}
+
+	void log(LogEvent event, String detail) {
+		this.effects.add(new NodeEffect.WriteLog(LogLine.of(event, detail)));
+	}
+
+	void send(NodeIdentity to, PeerMessage message) {
+		this.effects.add(new PeerEffect.Send(to, message));
+	}
+
+	void sendToOthers(PeerMessage message) {
+		others().forEach((node) -> send(node, message));
+	}
+
+	List<NodeIdentity> others() {
+		return this.view.liveNodes()
+			.nodes()
+			.values()
+			.stream()
+			.map((node) -> node.identity())
+			.filter((node) -> !node.equals(this.view.self()))
+			.toList();
+	}
+
+	boolean quarantined(Fingerprint fingerprint) {
+		return this.state.quarantined(fingerprint, this.now);
+	}
+
+	Optional<Suspect> suspect(Fingerprint fingerprint) {
+		return this.state.suspects().at(fingerprint, this.now);
+	}
+
+	/**
+	 * Remembers that a target died while it ran content.
+	 * @param fingerprint the content
+	 * @param target the target
+	 */
+	void addDeath(Fingerprint fingerprint, TargetName target) {
+		if (quarantined(fingerprint) || explained(target)) {
+			return;
+		}
+		noteDeath(target);
+		Suspect suspect = suspect(fingerprint).orElse(Suspect.none()).with(target, this.now, SAME_DEATH);
+		Instant until = this.now.plus(policy().suspicion());
+		this.state = this.state
+			.withSuspects(this.state.suspects().with(fingerprint, suspect, until, policy().mostContents()));
+	}
+
+	private void noteDeath(TargetName target) {
+		if (!this.state.recentDeaths().containsKey(target)) {
+			this.state = this.state.withRecentDeaths(this.state.recentDeaths().plus(target, this.now));
+		}
+	}
+
+	/**
+	 * Takes a target's death back from content.
+	 * @param fingerprint the content
+	 * @param target the target that lives
+	 * @return whether nothing else is held against the content
+	 */
+	boolean removeDeath(Fingerprint fingerprint, TargetName target) {
+		Optional<Suspect> found = suspect(fingerprint);
+		if (found.isEmpty()) {
+			return false;
+		}
+		Suspect rest = found.get().without(target);
+		if (rest.deaths().isEmpty()) {
+			clear(fingerprint);
+			return true;
+		}
+		Instant until = this.state.suspects().entries().get(fingerprint).until();
+		this.state = this.state
+			.withSuspects(this.state.suspects().with(fingerprint, rest, until, policy().mostContents()));
+		return false;
+	}
+
+	void clear(Fingerprint fingerprint) {
+		this.state = this.state.withSuspects(this.state.suspects().without(fingerprint));
+	}
+
+	/**
+	 * Refuses content from now on, or for longer.
+	 * @param fingerprint the content
+	 * @param until until when at the least
+	 */
+	void quarantine(Fingerprint fingerprint, Instant until) {
+		clear(fingerprint);
+		ContentBook.Entry<Instant> known = this.state.quarantine().entries().get(fingerprint);
+		if (known == null || known.until().isBefore(until)) {
+			this.state = this.state
+				.withQuarantine(this.state.quarantine().with(fingerprint, this.now, until, policy().mostContents()));
+		}
+	}
+
+	/**
+	 * Clears what targets ran beside content that crashed them: their deaths say nothing
+	 * about it.
+	 * @param targets the targets
+	 */
+	void explain(List<TargetName> targets) {
+		for (TargetName target : targets) {
+			this.state = this.state.withExplained(this.state.explained().plus(target, this.now));
+		}
+		// Suspects are few, and this comes with a quarantine only.
+		List<Fingerprint> suspects = List.copyOf(this.state.suspects().entries().keySet());
+		for (Fingerprint fingerprint : suspects) {
+			targets.forEach((target) -> removeDeath(fingerprint, target));
+		}
+	}
+
+	boolean explained(TargetName target) {
+		return this.state.explained().containsKey(target);
+	}
+
+	/**
+	 * Whether so many targets died lately that it is not the work of one request, but of
+	 * a dark fabric domain or a lost link.
+	 * @return whether it was a mass of deaths
+	 */
+	boolean massDeaths() {
+		return this.state.recentDeaths().size() >= policy().massDeaths();
+	}
+
+	/**
+	 * Forgets what is over. The maps by target hold the last seconds only and are mostly
+	 * empty.
+	 */
+	void expire() {
+		this.state = this.state.withSuspects(this.state.suspects().withoutExpired(this.now))
+			.withQuarantine(this.state.quarantine().withoutExpired(this.now));
+		Instant before = this.now.minus(SAME_DEATH);
+		for (TargetName target : List.copyOf(this.state.recentDeaths().keySet())) {
+			if (this.state.recentDeaths().get(target).isBefore(before)) {
+				this.state = this.state.withRecentDeaths(this.state.recentDeaths().minus(target));
+			}
+		}
+		for (TargetName target : List.copyOf(this.state.explained().keySet())) {
+			if (this.state.explained().get(target).isBefore(before)) {
+				this.state = this.state.withExplained(this.state.explained().minus(target));
+			}
+		}
+		for (TargetName target : List.copyOf(this.state.breaks().keySet())) {
+			TargetBreak found = this.state.breaks().get(target);
+			if (found.settled() && found.since().isBefore(before)) {
+				this.state = this.state.withBreaks(this.state.breaks().minus(target));
+			}
+		}
+	}
+
+}
--- a/src/main/java/sycamorehill/logic/request/RequestReducer.java
+++ b/src/main/java/sycamorehill/logic/request/RequestReducer.java
@@ -64,6 +64,10 @@
 		else if (event instanceof RequestEvent.AttemptDue due) {
 			find(step, due.request()).filter((request) -> request.running().isEmpty()).ifPresent(step::seekTarget);
 		}
+		else if (event instanceof RequestEvent.IsolationGranted granted) {
+			find(step, granted.request()).filter((request) -> request.running().isEmpty())
+				.ifPresent((request) -> step.start(request, granted.target()));
+		}
 		else if (event instanceof RequestEvent.FirstToken first) {
 			find(step, step.state().attempts().get(first.attempt()))
 				.ifPresent((request) -> step.put(request.withBegun().withWakeAt(Optional.empty())));
--- a/src/main/java/sycamorehill/logic/request/RequestStep.java
+++ b/src/main/java/sycamorehill/logic/request/RequestStep.java
@@ -82,16 +82,22 @@
 	 */
 	void seekTarget(ActiveRequest request) {
 		if (this.view.quarantined(request.description().fingerprint())) {
-			finish(request, request.history()
-				.outcome(RefusalReason.QUARANTINED, "the request has crashed the targets that ran it", comeBack()));
+			finish(request,
+					request.history()
+						.outcome(RefusalReason.QUARANTINED, "its content has crashed the targets that ran it",
+								this.view.policy().quarantine().quarantine()));
+			return;
+		}
+		if (this.view.suspected(request.description().fingerprint())) {
+			awaitIsolation(request);
 			return;
 		}
 		Optional<ServingTarget> target = chooseTarget(request);
 		if (target.isPresent()) {
 			start(request, target.get());
 		}
-		else {
-			awaitTarget(request);
+		else if (!awaitNextLook(request)) {
+			finish(request, request.history().outcome(comeBack()));
 		}
 	}
 
@@ -99,7 +105,25 @@
 		return this.view.chooseTarget(new RouteQuery(request.description(), request.history().failedTargets()));
 	}
 
-	private void start(ActiveRequest request, ServingTarget target) {
+	private void awaitIsolation(ActiveRequest request) {
+		ActiveRequest waiting = request;
+		if (!request.isolated()) {
+			Instant until = this.now.plus(this.view.policy().quarantine().isolationWait());
+			Instant deadline = request.description().deadline();
+			waiting = request.withIsolation((request.begun() || until.isBefore(deadline)) ? until : deadline);
+		}
+		if (awaitNextLook(waiting)) {
+			raise(new RequestEvent.IsolationWanted(request.description(), request.history().failedTargets()));
+		}
+		else {
+			finish(request,
+					request.history()
+						.outcome(RefusalReason.NO_TARGET, "targets died running it, and none was free to run it apart",
+								comeBack()));
+		}
+	}
+
+	void start(ActiveRequest request, ServingTarget target) {
 		AttemptIdentifier identifier = AttemptIdentifier.of(this.view.self().incarnation(), this.state.attemptsDrawn());
 		this.state = this.state.withAttemptDrawn();
 		Optional<Instant> wakeAt = (request.repeatable() && !request.begun())
@@ -110,14 +134,14 @@
 		raise(new RequestEvent.AttemptStarted(request.description(), identifier, target));
 	}
 
-	private void awaitTarget(ActiveRequest request) {
+	private boolean awaitNextLook(ActiveRequest request) {
 		if (!this.now.isBefore(request.giveUpAt())) {
-			finish(request, request.history().outcome(comeBack()));
-			return;
+			return false;
 		}
 		Instant recheckAt = this.now.plus(policy().recheck());
 		Instant wakeAt = recheckAt.isBefore(request.giveUpAt()) ? recheckAt : request.giveUpAt();
 		put(request.withWakeAt(Optional.of(wakeAt)));
+		return true;
 	}
 
 	/**
--- a/src/main/java/sycamorehill/model/event/RequestEvent.java
+++ b/src/main/java/sycamorehill/model/event/RequestEvent.java
@@ -2,9 +2,11 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 
 import sycamorehill.model.identity.AttemptIdentifier;
 import sycamorehill.model.identity.RequestIdentifier;
+import sycamorehill.model.identity.TargetName;
 import sycamorehill.model.request.AttemptResult;
 import sycamorehill.model.request.Fingerprint;
 import sycamorehill.model.request.Handling;
@@ -134,4 +136,24 @@
 	record AttemptDue(RequestIdentifier request) implements RequestEvent {
 	}
 
+	/**
+	 * Raised by the request part: the content is suspected of crashing targets and is to
+	 * run where no other suspect runs.
+	 *
+	 * @param request the request
+	 * @param excluded targets that have already failed it
+	 */
+	record IsolationWanted(RequestDescription request, Set<TargetName> excluded) implements RequestEvent {
+	}
+
+	/**
+	 * Raised by the quarantine part: a suspected request may run on a target, on which no
+	 * other suspect runs meanwhile.
+	 *
+	 * @param request the request
+	 * @param target the target
+	 */
+	record IsolationGranted(RequestIdentifier request, ServingTarget target) implements RequestEvent {
+	}
+
 }
--- a/src/main/java/sycamorehill/peer/PeerMessageCodec.java
+++ b/src/main/java/sycamorehill/peer/PeerMessageCodec.java
@@ -13,7 +13,15 @@
 import sycamorehill.json.ModelJson;
 import sycamorehill.model.identity.NodeIdentity;
 import sycamorehill.model.identity.NodeName;
+import sycamorehill.model.peer.ContentQuarantined;
+import sycamorehill.model.peer.IsolationAnswered;
+import sycamorehill.model.peer.IsolationAsked;
+import sycamorehill.model.peer.IsolationReleased;
 import sycamorehill.model.peer.PeerMessage;
+import sycamorehill.model.peer.QuarantineDigest;
+import sycamorehill.model.peer.SuspectCleared;
+import sycamorehill.model.peer.SuspectReported;
+import sycamorehill.model.peer.SuspectsSpread;
 import sycamorehill.model.peer.TargetLeaving;
 
 /**
@@ -52,7 +60,15 @@
 	 * @return the codec
 	 */
 	public static PeerMessageCodec standard() {
-		return empty().register("target-leaving", TargetLeaving.class);
+		return empty().register("target-leaving", TargetLeaving.class)
+			.register("suspect-reported", SuspectReported.class)
+			.register("suspect-cleared", SuspectCleared.class)
+			.register("suspects-spread", SuspectsSpread.class)
+			.register("isolation-asked", IsolationAsked.class)
+			.register("isolation-answered", IsolationAnswered.class)
+			.register("isolation-released", IsolationReleased.class)
+			.register("content-quarantined", ContentQuarantined.class)
+			.register("quarantine-digest", QuarantineDigest.class);
 	}
 
 	/**
