--- a/src/main/java/sycamorehill/logic/quarantine/ArbiterRule.java
+++ b/src/main/java/sycamorehill/logic/quarantine/ArbiterRule.java
@@ -37,12 +37,27 @@
 	 * @return the answer
 	 */
 	static IsolationAnswered ask(QuarantineStep step, IsolationAsked ask) {
+		learnDeaths(step, ask);
 		boolean refused = step.quarantined(ask.fingerprint()) || tooEarly(step, ask.fingerprint());
 		Optional<TargetName> target = refused ? Optional.empty() : choose(step, ask);
 		target.ifPresent((name) -> take(step, ask, name));
 		return new IsolationAnswered(ask.request(), ask.service(), ask.fingerprint(), target);
 	}
 
+	private static void learnDeaths(QuarantineStep step, IsolationAsked ask) {
+		// The question may overtake the report of the death, or reach a new arbiter that
+		// was
+		// never told of it.
+		for (TargetName target : ask.died()) {
+			boolean known = step.suspect(ask.fingerprint())
+				.filter((suspect) -> suspect.deaths().containsKey(target))
+				.isPresent();
+			if (!known) {
+				reported(step, new SuspectReported(ask.service(), new SuspectEntry(target, ask.fingerprint())));
+			}
+		}
+	}
+
 	private static boolean tooEarly(QuarantineStep step, Fingerprint fingerprint) {
 		// Copies of the content that its caller sent at the same moment die at nearly the
 		// same time. Their deaths have to be told before it runs again, or a third target
--- a/src/main/java/sycamorehill/logic/quarantine/IsolationRule.java
+++ b/src/main/java/sycamorehill/logic/quarantine/IsolationRule.java
@@ -34,7 +34,8 @@
 		}
 		step.replace(step.state().withAsks(step.state().asks().plus(request, new IsolationAsk(step.now()))));
 		ServiceName service = event.request().service();
-		IsolationAsked ask = new IsolationAsked(request, service, fingerprint, List.copyOf(event.excluded()));
+		IsolationAsked ask = new IsolationAsked(request, service, fingerprint, List.copyOf(event.excluded()),
+				List.copyOf(step.suspect(fingerprint).orElse(Suspect.none()).deaths().keySet()));
 		NodeIdentity arbiter = Arbiters.of(step.view(), service);
 		if (Arbiters.isSelf(step.view(), arbiter)) {
 			answered(step, ArbiterRule.ask(step, ask));
--- a/src/main/java/sycamorehill/model/peer/IsolationAsked.java
+++ b/src/main/java/sycamorehill/model/peer/IsolationAsked.java
@@ -15,15 +15,17 @@
  * @param service the service
  * @param fingerprint its content
  * @param excluded targets that have already failed it
+ * @param died targets that died running its content, as the sender knows
  */
 public record IsolationAsked(RequestIdentifier request, ServiceName service, Fingerprint fingerprint,
-		List<TargetName> excluded) implements PeerMessage {
+		List<TargetName> excluded, List<TargetName> died) implements PeerMessage {
 
 	/**
-	 * Takes a copy of the list.
+	 * Takes copies of the lists.
 	 */
 	public IsolationAsked {
 		excluded = List.copyOf(excluded);
+		died = List.copyOf(died);
 	}
 
 }
--- a/src/test/java/sycamorehill/history/PoisonousRequestTests.java
+++ b/src/test/java/sycamorehill/history/PoisonousRequestTests.java
@@ -79,7 +79,7 @@
 	// die
 	// before anything is suspected, and the third copy must not run.
 	@ParameterizedTest
-	@ValueSource(longs = { 1, 2, 3, 4, 5 })
+	@ValueSource(longs = { 1, 2, 3, 4, 5, 16 })
 	void copiesSentAtTheSameMomentCrashNoThirdTarget(long seed) {
 		HistoryWorld world = loaded(seed);
 		world.call(0, Handling.REPEATABLE, CONTENT);
