--- a/src/main/java/sycamorehill/logic/NodeView.java
+++ b/src/main/java/sycamorehill/logic/NodeView.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 
 import sycamorehill.model.group.Allocation;
+import sycamorehill.model.group.Fleet;
 import sycamorehill.model.group.VmSight;
 import sycamorehill.model.identity.NodeIdentity;
 import sycamorehill.model.identity.ServiceName;
@@ -13,6 +14,7 @@
 import sycamorehill.model.request.Fingerprint;
 import sycamorehill.model.request.RouteQuery;
 import sycamorehill.model.target.ServingTarget;
+import sycamorehill.model.ticket.Ticket;
 import sycamorehill.model.ticket.Truth;
 
 /**
@@ -38,6 +40,15 @@
 	 */
 	Optional<Truth> truth();
 
+	/**
+	 * An accepted ticket.
+	 * @param number its number
+	 * @return the ticket, if the node still keeps it
+	 */
+	default Optional<Ticket> ticket(long number) {
+		return Optional.empty();
+	}
+
 	/**
 	 * The nodes taken to be alive.
 	 * @return the nodes, this one among them
@@ -89,4 +100,12 @@
 	 */
 	Optional<Allocation> allocation();
 
+	/**
+	 * What is known of the VMs of this node's data centre.
+	 * @return the fleet
+	 */
+	default Fleet fleet() {
+		return Fleet.empty();
+	}
+
 }
--- a/src/main/java/sycamorehill/peer/PeerMessageCodec.java
+++ b/src/main/java/sycamorehill/peer/PeerMessageCodec.java
@@ -14,15 +14,28 @@
 import sycamorehill.model.identity.NodeIdentity;
 import sycamorehill.model.identity.NodeName;
 import sycamorehill.model.peer.ContentQuarantined;
+import sycamorehill.model.peer.ForceAsked;
+import sycamorehill.model.peer.ForceSent;
+import sycamorehill.model.peer.Heartbeat;
 import sycamorehill.model.peer.IsolationAnswered;
 import sycamorehill.model.peer.IsolationAsked;
 import sycamorehill.model.peer.IsolationReleased;
+import sycamorehill.model.peer.MembersAsked;
+import sycamorehill.model.peer.MembersChanged;
+import sycamorehill.model.peer.MembersSent;
+import sycamorehill.model.peer.OrderClaimReply;
+import sycamorehill.model.peer.OrderClaimRequest;
+import sycamorehill.model.peer.OrderSettlement;
+import sycamorehill.model.peer.OrderSettlementReply;
 import sycamorehill.model.peer.PeerMessage;
 import sycamorehill.model.peer.QuarantineDigest;
 import sycamorehill.model.peer.SuspectCleared;
 import sycamorehill.model.peer.SuspectReported;
 import sycamorehill.model.peer.SuspectsSpread;
 import sycamorehill.model.peer.TargetLeaving;
+import sycamorehill.model.peer.TicketsAsked;
+import sycamorehill.model.peer.TicketsSent;
+import sycamorehill.model.peer.TruthSent;
 
 /**
  * Turns messages into bytes and back. Each type of message has a name that never changes
@@ -60,15 +73,30 @@
 	 * @return the codec
 	 */
 	public static PeerMessageCodec standard() {
-		return empty().register("target-leaving", TargetLeaving.class)
-			.register("suspect-reported", SuspectReported.class)
-			.register("suspect-cleared", SuspectCleared.class)
-			.register("suspects-spread", SuspectsSpread.class)
-			.register("isolation-asked", IsolationAsked.class)
-			.register("isolation-answered", IsolationAnswered.class)
-			.register("isolation-released", IsolationReleased.class)
-			.register("content-quarantined", ContentQuarantined.class)
-			.register("quarantine-digest", QuarantineDigest.class);
+		PeerMessageCodec codec = empty();
+		codec.register("order-claim", OrderClaimRequest.class);
+		codec.register("order-claim-reply", OrderClaimReply.class);
+		codec.register("order-settlement", OrderSettlement.class);
+		codec.register("order-settlement-reply", OrderSettlementReply.class);
+		codec.register("heartbeat", Heartbeat.class);
+		codec.register("members-asked", MembersAsked.class);
+		codec.register("members-sent", MembersSent.class);
+		codec.register("members-changed", MembersChanged.class);
+		codec.register("tickets-asked", TicketsAsked.class);
+		codec.register("tickets-sent", TicketsSent.class);
+		codec.register("truth-sent", TruthSent.class);
+		codec.register("force-asked", ForceAsked.class);
+		codec.register("force-sent", ForceSent.class);
+		codec.register("target-leaving", TargetLeaving.class);
+		codec.register("suspect-reported", SuspectReported.class);
+		codec.register("suspect-cleared", SuspectCleared.class);
+		codec.register("suspects-spread", SuspectsSpread.class);
+		codec.register("isolation-asked", IsolationAsked.class);
+		codec.register("isolation-answered", IsolationAnswered.class);
+		codec.register("isolation-released", IsolationReleased.class);
+		codec.register("content-quarantined", ContentQuarantined.class);
+		codec.register("quarantine-digest", QuarantineDigest.class);
+		return codec;
 	}
 
 	/**
--- a/src/test/java/sycamorehill/json/ModelJsonTests.java
+++ b/src/test/java/sycamorehill/json/ModelJsonTests.java
@@ -123,7 +123,7 @@
 	private static Allocation allocation() {
 		GroupName name = GroupName.of(GroupSetName.of("set"), 0);
 		GroupRecord group = new GroupRecord(GroupIdentity.of(name, 3), ServiceName.of("chat"), "m", "1",
-				List.of(VmName.of("vm-1"), VmName.of("vm-2")), GroupPhase.SERVING, 7, "new");
+				List.of(VmName.of("vm-1"), VmName.of("vm-2")), GroupPhase.SERVING, 7, "new", 2);
 		return new Allocation(DATA_CENTRE, 2, "n1-1:5", 4, HashTreePMap.singleton(name, group),
 				HashTreePMap.singleton(VmName.of("vm-3"), GroupSetName.of("set")));
 	}
@@ -132,7 +132,7 @@
 		OrderKey key = new OrderKey(-1, 42);
 		OrderClaim claim = new OrderClaim(key, new Fingerprint("ab"), INCARNATION, "m1", OrderStatus.RECORDED,
 				Optional.of(new RecordedAnswer(200, "application/json", "{}")), 1000);
-		return new OrderShard(5, HashTreePMap.singleton(key, claim), "w");
+		return new OrderShard(5, 2, true, HashTreePMap.singleton(key, claim), "w");
 	}
 
 	private static TicketValue ticket() {
