--- a/src/main/java/sycamorehill/peer/PeerMessageCodec.java
+++ b/src/main/java/sycamorehill/peer/PeerMessageCodec.java
@@ -29,6 +29,8 @@
 import sycamorehill.model.peer.OrderSettlementReply;
 import sycamorehill.model.peer.PeerMessage;
 import sycamorehill.model.peer.QuarantineDigest;
+import sycamorehill.model.peer.ShareAsk;
+import sycamorehill.model.peer.ShareLoan;
 import sycamorehill.model.peer.SuspectCleared;
 import sycamorehill.model.peer.SuspectReported;
 import sycamorehill.model.peer.SuspectsSpread;
@@ -96,6 +98,8 @@
 		codec.register("isolation-released", IsolationReleased.class);
 		codec.register("content-quarantined", ContentQuarantined.class);
 		codec.register("quarantine-digest", QuarantineDigest.class);
+		codec.register("share-ask", ShareAsk.class);
+		codec.register("share-loan", ShareLoan.class);
 		return codec;
 	}
 
