--- a/src/main/java/sycamorehill/runtime/ControlLoop.java
+++ b/src/main/java/sycamorehill/runtime/ControlLoop.java
@@ -91,6 +91,14 @@
 		this.events.add(event);
 	}
 
+	/**
+	 * Identifies the control thread, to read what it costs.
+	 * @return the thread's identifier
+	 */
+	public long threadIdentifier() {
+		return this.thread.getId();
+	}
+
 	/**
 	 * The state after the last step.
 	 * @return the state
--- a/src/main/java/sycamorehill/runtime/EffectRunner.java
+++ b/src/main/java/sycamorehill/runtime/EffectRunner.java
@@ -2,8 +2,11 @@
 
 import java.time.Instant;
 import java.time.InstantSource;
+import java.util.Locale;
 import java.util.concurrent.CompletionException;
 
+import com.codahale.metrics.MetricRegistry;
+
 import sycamorehill.engine.EngineClient;
 import sycamorehill.http.NotSentException;
 import sycamorehill.model.effect.Effect;
@@ -17,6 +20,7 @@
 import sycamorehill.model.event.PlatformEvent;
 import sycamorehill.model.event.TargetEvent;
 import sycamorehill.model.group.EngineOrderResult;
+import sycamorehill.model.identity.CallOwner;
 import sycamorehill.platform.PlatformClient;
 import sycamorehill.platform.VmListClient;
 
@@ -43,8 +47,11 @@
 
 	private final Runnable exit;
 
+	private final MetricRegistry metrics;
+
 	EffectRunner(EventSink events, InstantSource clock, PlatformClient platform, VmListClient vmList,
-			EngineClient engines, PeerSender peers, RequestPort requests, OperatorPort operators, Runnable exit) {
+			EngineClient engines, PeerSender peers, RequestPort requests, OperatorPort operators, Runnable exit,
+			MetricRegistry metrics) {
 		this.events = events;
 		this.clock = clock;
 		this.platform = platform;
@@ -54,11 +61,13 @@
 		this.requests = requests;
 		this.operators = operators;
 		this.exit = exit;
+		this.metrics = metrics;
 	}
 
 	@Override
 	public void carryOut(Effect effect) {
 		if (effect instanceof RequestEffect request) {
+			countRequest(request);
 			this.requests.carryOut(request);
 		}
 		else if (effect instanceof PlatformEffect.Call call) {
@@ -82,6 +91,7 @@
 	}
 
 	private void call(PlatformEffect.Call call) {
+		count("platform.calls." + name(call.call().owner()));
 		Instant sentAt = this.clock.instant();
 		this.platform.call(call.request(), call.timeout())
 			.thenAccept((answer) -> this.events.post(new PlatformEvent.Answered(call.call(), answer, sentAt)));
@@ -107,6 +117,7 @@
 	}
 
 	private void askReport(TargetEffect.AskReport ask) {
+		count("engine.reports-asked");
 		Instant askedAt = this.clock.instant();
 		this.engines.report(ask.address()).whenComplete((report, failure) -> {
 			if (failure == null) {
@@ -119,6 +130,7 @@
 	}
 
 	private void sendOrder(TargetEffect.SendOrder order) {
+		count("engine.orders-sent");
 		// A process paused between the decision and this line must not send any more: an
 		// engine that ignores fencing would obey an order that was overtaken meanwhile.
 		if (this.clock.instant().isAfter(order.notAfter())) {
@@ -130,6 +142,7 @@
 	}
 
 	private void readVmList(TargetEffect.ReadVmList list) {
+		count("platform.calls.vm-list");
 		this.vmList.read(list.dataCentre()).whenComplete((entries, failure) -> {
 			if (failure == null) {
 				this.events.post(new TargetEvent.VmListRead(list.dataCentre(), entries));
@@ -140,6 +153,23 @@
 		});
 	}
 
+	private void countRequest(RequestEffect effect) {
+		if (effect instanceof RequestEffect.StartAttempt) {
+			count("request.attempts");
+		}
+		else if (effect instanceof RequestEffect.FinishRequest finish) {
+			count("request.finished." + finish.outcome().getClass().getSimpleName().toLowerCase(Locale.ROOT));
+		}
+	}
+
+	private void count(String name) {
+		this.metrics.counter(name).inc();
+	}
+
+	private static String name(CallOwner owner) {
+		return owner.name().toLowerCase(Locale.ROOT);
+	}
+
 	private static Throwable cause(Throwable failure) {
 		return (failure instanceof CompletionException) ? failure.getCause() : failure;
 	}
--- a/src/main/java/sycamorehill/runtime/Node.java
+++ b/src/main/java/sycamorehill/runtime/Node.java
@@ -5,6 +5,7 @@
 import java.security.SecureRandom;
 import java.time.Duration;
 import java.time.InstantSource;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 
 import com.codahale.metrics.MetricRegistry;
@@ -27,7 +28,6 @@
 import sycamorehill.operator.OperatorCalls;
 import sycamorehill.operator.OperatorServer;
 import sycamorehill.peer.NettyPeerTransport;
-import sycamorehill.peer.PeerTransport;
 import sycamorehill.platform.HttpPlatform;
 import sycamorehill.platform.HttpVmList;
 import sycamorehill.settings.NodeSettings;
@@ -49,7 +49,7 @@
 
 	private final ControlLoop loop;
 
-	private final PeerTransport peers;
+	private final NettyPeerTransport peers;
 
 	private final CallerGateway gateway;
 
@@ -73,10 +73,14 @@
 		EffectRunner effects = new EffectRunner(events, clock,
 				HttpPlatform.create(caller, settings.platformAddress(), json),
 				HttpVmList.create(caller, settings.platformAddress(), json), engines, this.peers::send,
-				this.gateway.requests(), operatorCalls, () -> this.end.complete(NodeEnd.STOPPED));
+				this.gateway.requests(), operatorCalls, () -> this.end.complete(NodeEnd.STOPPED), this.metrics);
 		this.loop = ControlLoop.create(NodeState.initial(self, settings.policy()), clock, wallClock, effects,
 				this.metrics, this::broken);
 		events.connect(this.loop);
+		NodeMetrics values = NodeMetrics.of(this.metrics);
+		values.process(this.loop.threadIdentifier());
+		values.peers(this.peers.counters());
+		values.state(this.loop::state, clock);
 		this.operators = OperatorServer.create(operatorCalls, new StateReader(this.loop::state, this.metrics), events,
 				json);
 		EventLog.write(LogLine.of(LogEvent.NODE_STARTED, self.incarnation() + " in " + settings.dataCentre()));
@@ -137,6 +141,14 @@
 		return this.loop.state();
 	}
 
+	/**
+	 * The names of all metrics that the node has so far.
+	 * @return the names
+	 */
+	Set<String> metricNames() {
+		return this.metrics.getNames();
+	}
+
 	private boolean ready() {
 		return this.loop.state().ready();
 	}
