Compare the settings reference with the code, plot loads

Cause: a settings page drifts from the code. Change: readers record what they ask for; a test compares docs/SETTINGS.md with it; settings list prints it; load prints progress and plots percentiles. Before: no reference. Conclusion: a new policy component turns the test red until it is documented.

--- a/src/main/java/sycamorehill/cli/LoadCommand.java
+++ b/src/main/java/sycamorehill/cli/LoadCommand.java
@@ -14,6 +14,7 @@
 import sycamorehill.http.HttpClientPool;
 import sycamorehill.json.ModelJson;
 import sycamorehill.load.CallerClient;
+import sycamorehill.load.LoadChart;
 import sycamorehill.load.LoadReport;
 import sycamorehill.load.LoadRunner;
 import sycamorehill.load.TargetRuns;
@@ -37,6 +38,9 @@
 	@Option(name = "--output", title = "FORMAT", description = "text (the standard) or json")
 	private OutputFormat output = OutputFormat.text;
 
+	@Option(name = "--plot", title = "FILE", description = "Writes a PNG picture of the times by percentile")
+	private String plot = "";
+
 	@Override
 	public int run() throws Exception {
 		LoadSettings sound = SoundSettings.of(LoadSettingsReader.read(Path.of(this.settings)));
@@ -44,7 +48,11 @@
 		MonotonicClock clock = MonotonicClock.start(Clock.systemUTC());
 		try (HttpClientPool pool = HttpClientPool.create(CONNECT_TIMEOUT)) {
 			CallerClient client = CallerClient.create(pool, clock, json);
-			LoadReport report = LoadRunner.create(sound.plan(), client, clock).run(() -> runs(pool, json, sound));
+			LoadReport report = LoadRunner.create(sound.plan(), client, clock, System.err::println)
+				.run(() -> runs(pool, json, sound));
+			if (!this.plot.isEmpty()) {
+				LoadChart.write(report, Path.of(this.plot));
+			}
 			System.out.println((this.output == OutputFormat.json)
 					? json.writerWithDefaultPrettyPrinter().writeValueAsString(report) : report.text());
 			return report.violations().isEmpty() ? ExitCode.DONE : ExitCode.REFUSED;
--- a/src/main/java/sycamorehill/cli/SycamorehillCommand.java
+++ b/src/main/java/sycamorehill/cli/SycamorehillCommand.java
@@ -64,7 +64,9 @@
 			.withDescription("File and read change tickets")
 			.withCommands(TicketFileCommand.class, TicketShowCommand.class, TicketListCommand.class,
 					TicketCheckCommand.class);
-		builder.withGroup("settings").withDescription("Check settings").withCommands(SettingsCheckCommand.class);
+		builder.withGroup("settings")
+			.withDescription("Check settings")
+			.withCommands(SettingsCheckCommand.class, SettingsListCommand.class);
 		return builder.build();
 	}
 
--- a/src/main/java/sycamorehill/load/LoadReport.java
+++ b/src/main/java/sycamorehill/load/LoadReport.java
@@ -28,8 +28,8 @@
 		return String.format(
 				"completions      %s%norders           %s%norders repeated  %s%nrefusals         %s%n"
 						+ "first token, ms  %s%ntoken gap, ms    %s%ntokens           %d%nviolations       %s%n",
-				this.chats, this.orders, this.ordersRepeated, this.refusals, this.firstToken, this.tokenGap,
-				this.tokens, this.violations.isEmpty() ? "none" : this.violations);
+				this.chats, this.orders, this.ordersRepeated, this.refusals, this.firstToken.text(),
+				this.tokenGap.text(), this.tokens, this.violations.isEmpty() ? "none" : this.violations);
 	}
 
 }
--- a/src/main/java/sycamorehill/load/LoadRunner.java
+++ b/src/main/java/sycamorehill/load/LoadRunner.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.Phaser;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 
 import sycamorehill.model.identity.Address;
@@ -23,6 +24,8 @@
 
 	private static final double AGAIN_SHARE = 0.3;
 
+	private static final Duration PROGRESS_INTERVAL = Duration.ofSeconds(5);
+
 	private static final int PROMPT_STEMS = 20;
 
 	private static final double NANOS_PER_SECOND = 1e9;
@@ -37,12 +40,15 @@
 
 	private final LoadRecorder recorder = LoadRecorder.create();
 
+	private final Consumer<String> progress;
+
 	private final Phaser open = new Phaser(1);
 
-	private LoadRunner(LoadPlan plan, CallerClient client, InstantSource clock) {
+	private LoadRunner(LoadPlan plan, CallerClient client, InstantSource clock, Consumer<String> progress) {
 		this.plan = plan;
 		this.client = client;
 		this.clock = clock;
+		this.progress = progress;
 		this.random = new SplittableRandom(plan.seed());
 	}
 
@@ -51,10 +57,12 @@
 	 * @param plan what load
 	 * @param client makes the calls
 	 * @param clock monotonic time
+	 * @param progress hears now and then how far the load is
 	 * @return the runner
 	 */
-	public static LoadRunner create(LoadPlan plan, CallerClient client, InstantSource clock) {
-		return new LoadRunner(plan, client, clock);
+	public static LoadRunner create(LoadPlan plan, CallerClient client, InstantSource clock,
+			Consumer<String> progress) {
+		return new LoadRunner(plan, client, clock, progress);
 	}
 
 	/**
@@ -68,12 +76,18 @@
 		Instant nextChat = start.plus(gap(this.plan.chatsPerSecond()));
 		Instant nextOrder = start.plus(gap(this.plan.ordersPerSecond()));
 		Instant end = start.plus(this.plan.duration());
+		Instant nextProgress = start.plus(PROGRESS_INTERVAL);
 		int number = 0;
 		while (nextChat.isBefore(end) || nextOrder.isBefore(end)) {
 			boolean chat = nextChat.isBefore(nextOrder);
 			Instant planned = chat ? nextChat : nextOrder;
 			waitUntil(planned);
 			number++;
+			if (planned.isAfter(nextProgress)) {
+				this.progress.accept(Duration.between(start, planned).toSeconds() + " s: " + number + " calls started, "
+						+ (this.open.getRegisteredParties() - 1) + " open");
+				nextProgress = nextProgress.plus(PROGRESS_INTERVAL);
+			}
 			if (chat) {
 				chat(number, planned);
 				nextChat = planned.plus(gap(this.plan.chatsPerSecond()));
--- a/src/main/java/sycamorehill/local/LocalSystem.java
+++ b/src/main/java/sycamorehill/local/LocalSystem.java
@@ -175,7 +175,8 @@
 
 	private LoadReport run(LoadPlan plan) throws InterruptedException {
 		CallerClient client = CallerClient.create(this.clients, this.clock, this.json);
-		return LoadRunner.create(plan, client, this.clock).run(this::runsByKey);
+		return LoadRunner.create(plan, client, this.clock, (line) -> {
+		}).run(this::runsByKey);
 	}
 
 	private Map<String, Long> runsByKey() {
--- a/src/main/java/sycamorehill/settings/NodeSettingsReader.java
+++ b/src/main/java/sycamorehill/settings/NodeSettingsReader.java
@@ -53,6 +53,16 @@
 		return read(SettingsSource.parse(text));
 	}
 
+	/**
+	 * Every setting of a node.
+	 * @return the definitions, section by section
+	 */
+	public static List<SettingDefinition> definitions() {
+		SettingsSource source = SettingsSource.parse("");
+		read(source);
+		return source.definitions();
+	}
+
 	private static SettingsOutcome<NodeSettings> read(SettingsSource source) {
 		NodeSettings settings = new NodeSettings(NodeName.of(source.requiredText(NODE, "name")),
 				DataCentreName.of(source.requiredText(NODE, "data-centre")), dataCentres(source),
--- a/src/main/java/sycamorehill/settings/SettingsSource.java
+++ b/src/main/java/sycamorehill/settings/SettingsSource.java
@@ -35,6 +35,8 @@
 
 	private final Set<String> knownKeys = new HashSet<>();
 
+	private final List<SettingDefinition> definitions = new ArrayList<>();
+
 	private final Set<String> knownSections = new TreeSet<>();
 
 	private SettingsSource(INIConfiguration configuration) {
@@ -92,7 +94,7 @@
 	<T> T required(String section, String key, String expected, Function<String, T> parse, Predicate<T> sound,
 			T substitute) {
 		if (raw(section, key).isEmpty()) {
-			know(section, key);
+			know(section, key, expected, "");
 			fault(section, key, "missing: expected " + expected);
 			return substitute;
 		}
@@ -128,7 +130,7 @@
 
 	<T> T value(String section, String key, String expected, Function<String, T> parse, Predicate<T> sound,
 			T standard) {
-		know(section, key);
+		know(section, key, expected, String.valueOf(standard));
 		Optional<String> raw = raw(section, key);
 		if (raw.isEmpty()) {
 			return standard;
@@ -175,7 +177,16 @@
 		});
 	}
 
-	private void know(String section, String key) {
+	/**
+	 * What was asked for so far.
+	 * @return the definitions in the order of asking
+	 */
+	List<SettingDefinition> definitions() {
+		return List.copyOf(this.definitions);
+	}
+
+	private void know(String section, String key, String expected, String standard) {
+		this.definitions.add(new SettingDefinition(section, key, expected, standard));
 		this.knownSections.add(section);
 		this.knownKeys.add(section + "/" + key);
 	}
--- a/src/test/java/sycamorehill/process/ProcessSystem.java
+++ b/src/test/java/sycamorehill/process/ProcessSystem.java
@@ -169,8 +169,8 @@
 		List<Address> callers = this.nodes.stream().map(NodeProcess::callers).toList();
 		LoadPlan plan = new LoadPlan(callers, List.of(KEY), "drafting", "order-desk", chats, orders, 24,
 				Duration.ofSeconds(10), duration, seed);
-		return LoadRunner.create(plan, CallerClient.create(this.pool, this.clock, this.json), this.clock)
-			.run(this::runs);
+		return LoadRunner.create(plan, CallerClient.create(this.pool, this.clock, this.json), this.clock, (line) -> {
+		}).run(this::runs);
 	}
 
 	private Map<String, Long> runs() {
--- /dev/null
+++ b/src/test/java/sycamorehill/settings/SettingsReferenceTests.java
@@ -0,0 +1,48 @@
+package sycamorehill.settings;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+
+import org.assertj.core.api.Assertions;
+import org.junit.jupiter.api.Test;
+
+/**
+ * The reference of settings in docs.
+ */
+class SettingsReferenceTests {
+
+	@Test
+	void docsListExactlyTheSettingsAndStandardValuesOfTheCode() throws IOException {
+		List<String> coded = NodeSettingsReader.definitions()
+			.stream()
+			.map(SettingsReferenceTests::line)
+			.sorted()
+			.toList();
+		Assertions.assertThat(documented()).isEqualTo(coded);
+	}
+
+	private static List<String> documented() throws IOException {
+		List<String> lines = new ArrayList<>();
+		String section = "";
+		for (String line : Files.readAllLines(Path.of("docs/SETTINGS.md"))) {
+			if (line.startsWith("## [")) {
+				section = line.substring("## [".length(), line.indexOf(']'));
+			}
+			else if (line.startsWith("| `")) {
+				String[] cells = line.split("\\|");
+				lines.add(section + " " + cells[1].strip() + " " + cells[2].strip());
+			}
+		}
+		return lines.stream().sorted().toList();
+	}
+
+	private static String line(SettingDefinition definition) {
+		String standard = definition.standard();
+		String shown = (standard.isEmpty() || standard.equals("[]")) ? "none" : "`" + standard + "`";
+		return definition.section() + " `" + definition.key() + "` " + shown;
+	}
+
+}
