--- a/src/test/java/sycamorehill/process/ProcessSystem.java
+++ b/src/test/java/sycamorehill/process/ProcessSystem.java
@@ -13,6 +13,7 @@
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 
+import sycamorehill.http.HttpCall;
 import sycamorehill.http.HttpCaller;
 import sycamorehill.http.HttpClientPool;
 import sycamorehill.json.ModelJson;
@@ -64,6 +65,8 @@
 
 	private final Address platform;
 
+	private final CuttableLink platformLink;
+
 	private final List<PlainTarget> plainTargets;
 
 	private ProcessSystem(Path folder) throws Exception {
@@ -76,18 +79,39 @@
 			.map(ProcessSystem::plainTarget)
 			.toList();
 		this.platform = Address.parse(this.standIns.awaitLines("platform ", 1).get(0).split(" ")[1]);
+		this.platformLink = CuttableLink.to(this.platform);
 	}
 
 	static ProcessSystem start(Path folder, int nodesPerDataCentre) throws Exception {
+		return start(folder, nodesPerDataCentre, "");
+	}
+
+	static ProcessSystem start(Path folder, int nodesPerDataCentre, String linkedDataCentre) throws Exception {
 		ProcessSystem system = new ProcessSystem(folder);
 		for (String dataCentre : DATA_CENTRES) {
+			Address seen = dataCentre.equals(linkedDataCentre) ? system.platformLink.address() : system.platform;
 			for (int number = 1; number <= nodesPerDataCentre; number++) {
-				system.startNode(dataCentre + "-" + number, dataCentre, system.platform);
+				system.startNode(dataCentre + "-" + number, dataCentre, seen);
 			}
 		}
 		return system;
 	}
 
+	CuttableLink platformLink() {
+		return this.platformLink;
+	}
+
+	List<NodeProcess> nodesIn(String dataCentre) {
+		return this.nodes.stream().filter((node) -> node.dataCentre().equals(dataCentre)).toList();
+	}
+
+	void platformFault(String fault) {
+		String body = "{\"target\": \"platform\", \"fault\": \"" + fault + "\", \"share\": 1, \"seed\": 1}";
+		HttpCall call = HttpCall.of(this.platform, "POST", "/faults", Duration.ofSeconds(5))
+			.withBody(body, "application/json");
+		HttpCaller.create(this.pool).call(call).join();
+	}
+
 	NodeProcess startNode(String name, String dataCentre, Address platformAddress) throws IOException {
 		List<Address> addresses = FreePorts.find(3);
 		String contacts = this.nodes.stream()
@@ -156,8 +180,12 @@
 	}
 
 	boolean awaitServing() throws Exception {
+		return awaitServing(this.nodes);
+	}
+
+	boolean awaitServing(List<NodeProcess> asked) throws Exception {
 		for (int attempt = 0; attempt < 60; attempt++) {
-			LoadReport trial = load(Duration.ofMillis(500), 20, 0, attempt);
+			LoadReport trial = load(asked, Duration.ofMillis(500), 20, 0, attempt);
 			if (trial.chats().keySet().equals(Set.of(CallOutcome.COMPLETED))) {
 				return true;
 			}
@@ -166,7 +194,12 @@
 	}
 
 	LoadReport load(Duration duration, double chats, double orders, long seed) throws InterruptedException {
-		List<Address> callers = this.nodes.stream().map(NodeProcess::callers).toList();
+		return load(this.nodes, duration, chats, orders, seed);
+	}
+
+	LoadReport load(List<NodeProcess> asked, Duration duration, double chats, double orders, long seed)
+			throws InterruptedException {
+		List<Address> callers = asked.stream().map(NodeProcess::callers).toList();
 		LoadPlan plan = new LoadPlan(callers, List.of(KEY), "drafting", "order-desk", chats, orders, 24,
 				Duration.ofSeconds(10), duration, seed);
 		return LoadRunner.create(plan, CallerClient.create(this.pool, this.clock, this.json), this.clock, (line) -> {
@@ -189,6 +222,7 @@
 		for (NodeProcess node : this.nodes) {
 			node.process().close();
 		}
+		this.platformLink.close();
 		this.standIns.close();
 		this.pool.close();
 	}
