--- a/src/test/java/sycamorehill/history/CallerRecord.java
+++ b/src/test/java/sycamorehill/history/CallerRecord.java
@@ -30,6 +30,8 @@
 
 	boolean nodeDied;
 
+	boolean foreign;
+
 	CallerRecord(RequestDescription request, Handling handling) {
 		this.request = request;
 		this.handling = handling;
--- a/src/test/java/sycamorehill/history/HistoryNode.java
+++ b/src/test/java/sycamorehill/history/HistoryNode.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Optional;
 
 import sycamorehill.experiment.RequestPathNode;
 import sycamorehill.logic.request.TokenDecision;
@@ -143,6 +144,7 @@
 		TokenDecision decision = caller.relay.token(attempt, index);
 		caller.relay = decision.relay();
 		if (decision.verdict() == TokenVerdict.DELIVER) {
+			caller.foreign |= !this.attempts.containsKey(attempt);
 			caller.tokens.add(token);
 			caller.lastByteAt = this.world.now();
 			if (index == 0) {
@@ -165,7 +167,7 @@
 		}
 		TokenVerdict verdict = caller.relay.endMark(attempt, tokens).verdict();
 		if (verdict == TokenVerdict.WHOLE) {
-			ended(attempt, new AttemptResult.Whole(tokens, java.util.Optional.empty()));
+			ended(attempt, new AttemptResult.Whole(tokens, Optional.empty()));
 		}
 		else if (verdict == TokenVerdict.CUT) {
 			ended(attempt, new AttemptResult.Broken(false, "the end came too early"));
--- a/src/test/java/sycamorehill/history/HistoryWorld.java
+++ b/src/test/java/sycamorehill/history/HistoryWorld.java
@@ -12,6 +12,7 @@
 import sycamorehill.experiment.RequestPathNode;
 import sycamorehill.model.event.Event;
 import sycamorehill.model.event.NodeEvent;
+import sycamorehill.model.event.RequestEvent;
 import sycamorehill.model.identity.Address;
 import sycamorehill.model.identity.AttemptIdentifier;
 import sycamorehill.model.identity.DataCentreName;
@@ -170,6 +171,20 @@
 		return caller;
 	}
 
+	void leave(int node, CallerRecord caller) {
+		HistoryNode entry = this.nodes.get(node);
+		if (entry.callers.containsKey(caller.request.identifier())) {
+			entry.feed(new RequestEvent.CallerGone(caller.request.identifier()));
+		}
+	}
+
+	int runs(CallerRecord caller) {
+		return this.targets.values()
+			.stream()
+			.mapToInt((target) -> target.runs.getOrDefault(caller.request.identifier(), 0))
+			.sum();
+	}
+
 	void restart(int node) {
 		HistoryNode old = this.nodes.get(node);
 		old.die();
