--- a/src/test/java/sycamorehill/logic/health/HealthReducerTests.java
+++ b/src/test/java/sycamorehill/logic/health/HealthReducerTests.java
@@ -62,7 +62,7 @@
 	@Test
 	void eachTimeAsideIsLonger() {
 		fail(this.first);
-		this.run.pass(Duration.ofSeconds(1)).end(this.first, REFUSED_CONNECTION).pass(Duration.ofMillis(900));
+		this.run.pass(Duration.ofSeconds(1)).end(this.first, REFUSED_CONNECTION).pass(Duration.ofSeconds(1));
 		assertThat(this.run.usable(this.targets)).doesNotContain(this.first);
 	}
 
@@ -83,6 +83,16 @@
 		assertThat(this.run.usable(this.targets)).contains(this.first);
 	}
 
+	// All targets of a service come back together after an outage. Each has its one
+	// request,
+	// and callers hear "no target" although all are idle but for it.
+	@Test
+	void targetsThatReturnTogetherTakeMoreThanTheirAllowance() {
+		fail(this.first);
+		this.run.pass(Duration.ofSeconds(1)).start(this.first);
+		assertThat(this.run.usable(List.of(this.first))).containsExactly(this.first);
+	}
+
 	// This node's link to the other data centres breaks. Every target behind it fails,
 	// all
 	// are put aside, and callers hear "no target" although some are well.
--- /dev/null
+++ b/src/test/java/sycamorehill/logic/quarantine/QuarantineReducerTests.java
@@ -0,0 +1,221 @@
+package sycamorehill.logic.quarantine;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+
+import org.junit.jupiter.api.Test;
+
+import sycamorehill.model.event.Event;
+import sycamorehill.model.event.NodeEvent;
+import sycamorehill.model.event.PeerEvent;
+import sycamorehill.model.event.RequestEvent;
+import sycamorehill.model.group.EngineState;
+import sycamorehill.model.group.VmReport;
+import sycamorehill.model.group.VmSight;
+import sycamorehill.model.identity.AttemptIdentifier;
+import sycamorehill.model.identity.VmName;
+import sycamorehill.model.peer.ContentQuarantined;
+import sycamorehill.model.peer.PeerMessage;
+import sycamorehill.model.peer.QuarantineEntry;
+import sycamorehill.model.peer.SuspectEntry;
+import sycamorehill.model.peer.SuspectReported;
+import sycamorehill.model.peer.SuspectsSpread;
+import sycamorehill.model.request.AttemptResult;
+import sycamorehill.model.request.Fingerprint;
+import sycamorehill.model.request.Handling;
+import sycamorehill.model.request.Refusal;
+import sycamorehill.model.request.RefusalReason;
+import sycamorehill.model.request.RequestDescription;
+import sycamorehill.model.request.RequestOutcome;
+import sycamorehill.model.target.ServingTarget;
+import sycamorehill.support.FixedView;
+import sycamorehill.support.SampleRequests;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class QuarantineReducerTests {
+
+	private static final Fingerprint GUILTY = new Fingerprint("guilty");
+
+	private static final Fingerprint BYSTANDER = new Fingerprint("bystander");
+
+	private static final ServingTarget FIRST = SampleRequests.target("t1");
+
+	private static final ServingTarget SECOND = SampleRequests.target("t2");
+
+	private final FixedView view = FixedView.of("n1");
+
+	private QuarantineState state = QuarantineState.initial();
+
+	private Instant now = Instant.EPOCH;
+
+	private long attempts;
+
+	@Test
+	void contentThatATargetRanWhenItsConnectionWasLostIsSuspected() {
+		lose(start(GUILTY, FIRST), GUILTY, FIRST);
+		assertThat(this.state.suspected(GUILTY, this.now)).isTrue();
+	}
+
+	@Test
+	void wholeAnswerClearsASuspect() {
+		lose(start(GUILTY, FIRST), GUILTY, FIRST);
+		close(start(GUILTY, SECOND), GUILTY, SECOND, new AttemptResult.Whole(1, Optional.empty()));
+		assertThat(this.state.suspected(GUILTY, this.now)).isFalse();
+	}
+
+	// The callers whose requests ran beside the guilty one go on waiting for a place to
+	// run
+	// alone, although it is known by now what crashed the target.
+	@Test
+	void bystandersAreClearedWhenTheGuiltyOneIsFound() {
+		AttemptIdentifier guilty = start(GUILTY, FIRST);
+		AttemptIdentifier bystander = start(BYSTANDER, FIRST);
+		lose(guilty, GUILTY, FIRST);
+		lose(bystander, BYSTANDER, FIRST);
+		pass(Duration.ofSeconds(1));
+		lose(start(GUILTY, SECOND), GUILTY, SECOND);
+		pass(Duration.ofSeconds(3));
+		assertThat(this.state.quarantined(GUILTY, this.now)).isTrue();
+		assertThat(this.state.suspected(BYSTANDER, this.now)).isFalse();
+	}
+
+	// The word about a death comes back from the arbiter after the content has been sent
+	// again. If its time counted, the next death would look like the first, and a third
+	// target would die.
+	@Test
+	void sameDeathToldAgainStaysAtItsFirstTime() {
+		lose(start(GUILTY, FIRST), GUILTY, FIRST);
+		pass(Duration.ofMillis(100));
+		AttemptIdentifier again = start(GUILTY, SECOND);
+		pass(Duration.ofMillis(100));
+		tell(new SuspectsSpread(List.of(new SuspectEntry(FIRST.name(), GUILTY)), List.of()));
+		lose(again, GUILTY, SECOND);
+		pass(Duration.ofSeconds(3));
+		assertThat(this.state.quarantined(GUILTY, this.now)).isTrue();
+	}
+
+	// A fabric domain goes dark. A common prompt ran on several of its targets, and all
+	// callers that send it are refused for a day.
+	@Test
+	void contentIsNotBlamedForAMassOfDeaths() {
+		report("t1", "a");
+		report("t2", "b");
+		report("t3", "c");
+		report("t1", "guilty");
+		report("t2", "guilty");
+		assertThat(this.state.quarantined(GUILTY, this.now)).isFalse();
+	}
+
+	@Test
+	void contentThatAloneRanOnTwoDeadTargetsIsQuarantined() {
+		report("t1", "guilty");
+		report("t2", "guilty");
+		assertThat(this.state.quarantined(GUILTY, this.now)).isTrue();
+	}
+
+	// A plain service crashes and is up again within a second. Its next answer looks like
+	// a
+	// sign that it never died, and the content crashes it again and again.
+	@Test
+	void answerOfARestartedTargetDoesNotClearTheContent() {
+		lose(start(GUILTY, FIRST), GUILTY, FIRST);
+		pass(Duration.ofMillis(300));
+		AttemptIdentifier next = start(BYSTANDER, FIRST);
+		pass(Duration.ofMillis(600));
+		feed(new RequestEvent.FirstToken(next));
+		assertThat(this.state.suspected(GUILTY, this.now)).isTrue();
+	}
+
+	@Test
+	void answerToAnAttemptThatWasUnderWayClearsTheContent() {
+		AttemptIdentifier other = start(BYSTANDER, FIRST);
+		pass(Duration.ofMillis(100));
+		lose(start(GUILTY, FIRST), GUILTY, FIRST);
+		pass(Duration.ofMillis(600));
+		feed(new RequestEvent.FirstToken(other));
+		assertThat(this.state.suspected(GUILTY, this.now)).isFalse();
+	}
+
+	// This node's link to a group breaks, and what ran there is held to have killed it,
+	// while other nodes see the group serve.
+	@Test
+	void freshSightOfTheTargetClearsTheContent() {
+		VmName member = VmName.of("v1");
+		ServingTarget group = new ServingTarget(FIRST.name(), FIRST.service(), FIRST.dataCentre(), FIRST.address(),
+				Optional.empty(), List.of(member));
+		lose(start(GUILTY, group), GUILTY, group);
+		pass(Duration.ofSeconds(1));
+		VmReport report = new VmReport(member, "i1", EngineState.READY, Optional.empty(), false, 0, 0, 0, 0, 1);
+		this.view.sights().put(member, new VmSight(report, this.now));
+		pass(Duration.ofSeconds(2));
+		assertThat(this.state.suspected(GUILTY, this.now)).isFalse();
+	}
+
+	// A caller sends its content every hour. The quarantine lapses after a day, and two
+	// more
+	// targets die.
+	@Test
+	void quarantineLastsAsLongAsTheContentIsSent() {
+		tell(new ContentQuarantined(new QuarantineEntry(GUILTY, Duration.ofHours(24)), List.of()));
+		this.now = this.now.plus(Duration.ofHours(23));
+		RequestOutcome refused = new RequestOutcome.NotRun(Refusal.of(RefusalReason.QUARANTINED, ""));
+		feed(new RequestEvent.Finished(request(GUILTY), Handling.REPEATABLE, refused, 0, Optional.empty()));
+		this.now = this.now.plus(Duration.ofHours(2));
+		assertThat(this.state.quarantined(GUILTY, this.now)).isTrue();
+	}
+
+	@Test
+	void quarantineLapses() {
+		tell(new ContentQuarantined(new QuarantineEntry(GUILTY, Duration.ofHours(24)), List.of()));
+		pass(Duration.ofHours(24));
+		assertThat(this.state.quarantinedCount()).isZero();
+	}
+
+	@Test
+	void suspectsAreBounded() {
+		for (int number = 0; number < 5000; number++) {
+			report("t1", "c" + number);
+		}
+		assertThat(this.state.suspectCount()).isEqualTo(4096);
+	}
+
+	private void report(String target, String content) {
+		tell(new SuspectReported(SampleRequests.SERVICE,
+				new SuspectEntry(SampleRequests.target(target).name(), new Fingerprint(content))));
+	}
+
+	private void tell(PeerMessage message) {
+		feed(new PeerEvent.MessageReceived(FixedView.of("n2").self(), message));
+	}
+
+	private AttemptIdentifier start(Fingerprint content, ServingTarget target) {
+		AttemptIdentifier attempt = AttemptIdentifier.of(this.view.self().incarnation(), this.attempts++);
+		feed(new RequestEvent.AttemptStarted(request(content), attempt, target));
+		return attempt;
+	}
+
+	private void lose(AttemptIdentifier attempt, Fingerprint content, ServingTarget target) {
+		close(attempt, content, target, new AttemptResult.Broken(true, "reset"));
+	}
+
+	private void close(AttemptIdentifier attempt, Fingerprint content, ServingTarget target, AttemptResult result) {
+		feed(new RequestEvent.AttemptClosed(request(content), attempt, target, result));
+	}
+
+	private RequestDescription request(Fingerprint content) {
+		return SampleRequests.request("n1", content.value().length(), content.value());
+	}
+
+	private void pass(Duration duration) {
+		this.now = this.now.plus(duration);
+		feed(new NodeEvent.Ticked(this.now));
+	}
+
+	private void feed(Event event) {
+		this.state = QuarantineReducer.create().reduce(this.state, this.now, event, this.view).state();
+	}
+
+}
--- a/src/test/java/sycamorehill/logic/request/RequestReducerTests.java
+++ b/src/test/java/sycamorehill/logic/request/RequestReducerTests.java
@@ -160,7 +160,8 @@
 			.feed(new RequestEvent.Cleared(this.request, Handling.ONCE_WITH_KEY));
 		assertThat(this.run.starts()).isEmpty();
 		assertThat(this.run.finished()).last()
-			.satisfies((finished) -> assertThat(finished.outcome()).isInstanceOf(RequestOutcome.NotRun.class));
+			.satisfies((finished) -> assertThat(finished.outcome()).isInstanceOf(RequestOutcome.NotRun.class))
+			.satisfies((finished) -> assertThat(finished.handling()).isEqualTo(Handling.ONCE_WITH_KEY));
 	}
 
 	@Test
--- a/src/test/java/sycamorehill/support/FixedView.java
+++ b/src/test/java/sycamorehill/support/FixedView.java
@@ -1,8 +1,10 @@
 package sycamorehill.support;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 
@@ -37,6 +39,8 @@
 
 	private final Set<Fingerprint> quarantine = new HashSet<>();
 
+	private final Map<VmName, VmSight> sights = new HashMap<>();
+
 	private LiveNodes liveNodes = LiveNodes.none();
 
 	private FixedView(NodeIdentity self) {
@@ -70,6 +74,14 @@
 		return this.quarantine;
 	}
 
+	/**
+	 * The last sights of VMs.
+	 * @return the sights, to be changed by tests
+	 */
+	public Map<VmName, VmSight> sights() {
+		return this.sights;
+	}
+
 	/**
 	 * Adds a live node.
 	 * @param node the node
@@ -117,7 +129,7 @@
 
 	@Override
 	public Optional<VmSight> sight(VmName vm) {
-		return Optional.empty();
+		return Optional.ofNullable(this.sights.get(vm));
 	}
 
 	@Override
