--- a/src/main/java/sycamorehill/logic/admission/AdmissionStep.java
+++ b/src/main/java/sycamorehill/logic/admission/AdmissionStep.java
@@ -31,6 +31,8 @@
  */
 final class AdmissionStep {
 
+	private static final int YOUNG_PART = 4;
+
 	private final NodeView view;
 
 	private final AdmissionPolicy policy;
@@ -120,6 +122,9 @@
 			if (inTime(first, load)) {
 				load = admit(first, load, entry);
 			}
+			else if (isYoung(first)) {
+				load = load.with(load.queue().hold(next.get()));
+			}
 			else {
 				load = drop(first, load, tooLate(load));
 			}
@@ -182,7 +187,7 @@
 	private void enqueue(RequestDescription request, Handling handling, WorkspaceItem workspace, ServiceLoad load,
 			LimitState.Entry entry) {
 		Instant countsFrom = this.now.plus(this.policy.priorityStep().multipliedBy(behind(request.priority())));
-		Instant lastStart = request.deadline().minus(load.estimate().bound());
+		Instant lastStart = request.deadline().minus(load.estimate().rest());
 		Instant longest = this.now.plus(this.policy.longestWait());
 		Waiting waiting = new Waiting(request, handling, workspace.name(),
 				new Waiting.Place(countsFrom, this.state.nextPlace()), this.now,
@@ -210,7 +215,15 @@
 	private boolean inTime(Waiting waiting, ServiceLoad load) {
 		// An estimate that stays too high would refuse everything, and nothing would ever
 		// be measured again to lower it: while nothing is in flight, the next goes on.
-		return load.inFlight() == 0 || !this.now.plus(load.estimate().bound()).isAfter(waiting.request().deadline());
+		return load.inFlight() == 0 || !this.now.plus(load.estimate().bound(this.now)).isAfter(waiting.request().deadline());
+	}
+
+	// Latency that is high for a moment is no reason to refuse what has just come: the
+	// estimate falls while nothing is sent. It would hit small workspaces hardest, whose
+	// requests never wait behind their own.
+	private boolean isYoung(Waiting waiting) {
+		Duration patience = Duration.between(waiting.arrivedAt(), waiting.request().deadline());
+		return this.now.isBefore(waiting.arrivedAt().plus(patience.dividedBy(YOUNG_PART)));
 	}
 
 	private ServiceLoad admit(Waiting waiting, ServiceLoad load, LimitState.Entry entry) {
--- a/src/main/java/sycamorehill/logic/admission/Forecast.java
+++ b/src/main/java/sycamorehill/logic/admission/Forecast.java
@@ -32,7 +32,8 @@
 		// A share of 0 may mean that loans are on their way: it waits for them.
 		Duration limitWait = (share > 0 && missing > 0) ? Duration.ofMillis((long) (missing / share * MILLIS))
 				: Duration.ZERO;
-		return new Forecast(load.waitBehind(ahead), limitWait, load.estimate().bound(), load.idle(), now);
+		Duration firstToken = (ahead > 0) ? load.estimate().bound(now) : load.estimate().rest();
+		return new Forecast(load.waitBehind(ahead), limitWait, firstToken, load.idle(), now);
 	}
 
 	Optional<Refusal> refusal(RequestDescription request, AdmissionPolicy policy) {
--- a/src/main/java/sycamorehill/logic/admission/ServiceLoad.java
+++ b/src/main/java/sycamorehill/logic/admission/ServiceLoad.java
@@ -42,7 +42,7 @@
 
 	ServiceLoad measured(Duration latency, Instant now) {
 		return new ServiceLoad(this.queue, this.limit.measured(latency, this.inFlight, now), this.inFlight,
-				this.estimate.measured(latency), this.rate, this.rateAt);
+				this.estimate.measured(latency, now), this.rate, this.rateAt);
 	}
 
 	/**
--- a/src/main/java/sycamorehill/logic/node/StateView.java
+++ b/src/main/java/sycamorehill/logic/node/StateView.java
@@ -6,6 +6,8 @@
 
 import sycamorehill.logic.NodeView;
 import sycamorehill.logic.group.ServingGroups;
+import sycamorehill.logic.routing.RouteContext;
+import sycamorehill.logic.routing.TargetChooser;
 import sycamorehill.model.group.Allocation;
 import sycamorehill.model.group.Fleet;
 import sycamorehill.model.group.VmSight;
@@ -28,6 +30,8 @@
  */
 final class StateView implements NodeView {
 
+	private static final TargetChooser CHOOSER = TargetChooser.predicted();
+
 	private final NodeState state;
 
 	private final Instant now;
@@ -88,9 +92,10 @@
 
 	@Override
 	public Optional<ServingTarget> chooseTarget(RouteQuery query) {
-		return servingTargets(query.request().service()).stream()
+		List<ServingTarget> targets = servingTargets(query.request().service()).stream()
 			.filter((target) -> !query.excluded().contains(target.name()))
-			.findFirst();
+			.toList();
+		return CHOOSER.choose(targets, new RouteContext(query.request(), this.state.routing(), this, this.now));
 	}
 
 	@Override
--- /dev/null
+++ b/src/test/java/sycamorehill/logic/routing/TargetChooserTests.java
@@ -0,0 +1,206 @@
+package sycamorehill.logic.routing;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+import org.junit.jupiter.api.Test;
+
+import sycamorehill.logic.admission.FakeView;
+import sycamorehill.logic.admission.Requests;
+import sycamorehill.model.event.RequestEvent;
+import sycamorehill.model.group.EngineState;
+import sycamorehill.model.group.GroupIdentity;
+import sycamorehill.model.group.VmReport;
+import sycamorehill.model.group.VmSight;
+import sycamorehill.model.identity.Address;
+import sycamorehill.model.identity.AttemptIdentifier;
+import sycamorehill.model.identity.DataCentreName;
+import sycamorehill.model.identity.GroupName;
+import sycamorehill.model.identity.GroupSetName;
+import sycamorehill.model.identity.NodeIncarnation;
+import sycamorehill.model.identity.NodeName;
+import sycamorehill.model.identity.VmName;
+import sycamorehill.model.request.AttemptResult;
+import sycamorehill.model.request.RequestDescription;
+import sycamorehill.model.target.ServingTarget;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class TargetChooserTests {
+
+	private static final Instant START = Instant.EPOCH.plusSeconds(100);
+
+	private final FakeView view = FakeView.of("n", "here");
+
+	private final RoutingReducer reducer = RoutingReducer.create();
+
+	private RoutingState state = RoutingState.initial();
+
+	private Instant now = START;
+
+	@Test
+	void withoutTargetsNoneIsChosen() {
+		for (TargetChooser chooser : List.of(TargetChooser.random(), TargetChooser.twoChoices(),
+				TargetChooser.leastOutstanding(), TargetChooser.predicted())) {
+			assertThat(chooser.choose(List.of(), context(1))).isEmpty();
+		}
+	}
+
+	@Test
+	void aLessLoadedTargetIsChosen() {
+		ServingTarget busy = target(0, "here", 20, 0);
+		ServingTarget idle = target(1, "here", 2, 0);
+		assertThat(choose(1, busy, idle)).isEqualTo(idle);
+	}
+
+	/**
+	 * A report says that a target is idle, and this node sends it one request after the
+	 * other until the next report: they all wait there, beside idle targets.
+	 */
+	@Test
+	void ownRequestsSinceTheReportCount() {
+		ServingTarget first = target(0, "here", 0, 0);
+		ServingTarget second = target(1, "here", 1, 0);
+		this.now = START.plusMillis(50);
+		start(1, first);
+		start(2, first);
+		assertThat(choose(3, first, second)).isEqualTo(second);
+	}
+
+	@Test
+	void ownRequestsThatEndedSinceTheReportDoNotCount() {
+		ServingTarget first = target(0, "here", 0, 0);
+		start(1, first);
+		start(2, first);
+		this.now = START.plusMillis(10);
+		first = target(0, "here", 2, 0);
+		ServingTarget second = target(1, "here", 1, 0);
+		this.now = START.plusMillis(50);
+		end(1, first);
+		end(2, first);
+		assertThat(choose(3, first, second)).isEqualTo(first);
+	}
+
+	@Test
+	void theOwnDataCentreIsChosenWhileItsWaitIsShort() {
+		ServingTarget own = target(0, "here", 2, 0);
+		ServingTarget away = target(1, "there", 0, 0);
+		assertThat(choose(1, own, away)).isEqualTo(own);
+	}
+
+	@Test
+	void aLongWaitSpillsOverToAnotherDataCentre() {
+		ServingTarget own = target(0, "here", 16, 30);
+		ServingTarget away = target(1, "there", 0, 0);
+		assertThat(choose(1, own, away)).isEqualTo(away);
+	}
+
+	/**
+	 * A target answers eight times slower than its siblings with the same load. Without
+	 * its own ratio it draws as many requests as they do.
+	 */
+	@Test
+	void aTargetThatIsSlowerThanItsLoadSaysIsAvoided() {
+		ServingTarget slow = target(0, "here", 0, 0);
+		ServingTarget other = target(1, "here", 3, 0);
+		for (long number = 1; number <= 5; number++) {
+			start(number, slow);
+			this.now = this.now.plusMillis(400);
+			this.state = this.reducer
+				.reduce(this.state, this.now, new RequestEvent.FirstToken(attempt(number)), this.view)
+				.state();
+			end(number, slow);
+		}
+		assertThat(choose(9, slow, other)).isEqualTo(other);
+	}
+
+	@Test
+	void aPromptGoesWhereItsPrefixWasSent() {
+		ServingTarget one = target(0, "here", 1, 0);
+		ServingTarget home = target(1, "here", 2, 0);
+		start(1, home);
+		assertThat(choose(2, one, home)).isEqualTo(home);
+	}
+
+	/**
+	 * All callers share one long prefix. If it drew every request, one target would take
+	 * the whole load.
+	 */
+	@Test
+	void aPrefixDoesNotDrawRequestsToATargetThatIsTooBusy() {
+		ServingTarget one = target(0, "here", 1, 0);
+		ServingTarget home = target(1, "here", 12, 0);
+		start(1, home);
+		assertThat(choose(2, one, home)).isEqualTo(one);
+	}
+
+	@Test
+	void equalTargetsAreAllChosenInTurn() {
+		ServingTarget one = target(0, "here", 1, 0);
+		ServingTarget other = target(1, "here", 1, 0);
+		Set<ServingTarget> chosen = new HashSet<>();
+		for (long number = 1; number <= 40; number++) {
+			chosen.add(choose(number, one, other));
+		}
+		assertThat(chosen).hasSize(2);
+	}
+
+	@Test
+	void theSameStateAndRequestGiveTheSameChoice() {
+		List<ServingTarget> targets = new ArrayList<>();
+		for (int number = 0; number < 30; number++) {
+			targets.add(target(number, "here", 1, 0));
+		}
+		assertThat(TargetChooser.predicted().choose(targets, context(7)))
+			.isEqualTo(TargetChooser.predicted().choose(targets, context(7)));
+	}
+
+	private ServingTarget choose(long number, ServingTarget... targets) {
+		return TargetChooser.predicted().choose(List.of(targets), context(number)).orElseThrow();
+	}
+
+	private RouteContext context(long number) {
+		return new RouteContext(request(number), this.state, this.view, this.now);
+	}
+
+	private RequestDescription request(long number) {
+		RequestDescription plain = Requests.chat(number, "w", this.now);
+		return new RequestDescription(plain.identifier(), plain.keyHash(), plain.service(), plain.method(),
+				plain.path(), 2000, plain.maximumTokens(), List.of(11L, 12L, 13L), plain.priority(), plain.deadline(),
+				plain.orderKey(), plain.fingerprint());
+	}
+
+	private void start(long number, ServingTarget target) {
+		this.state = this.reducer
+			.reduce(this.state, this.now,
+					new RequestEvent.AttemptStarted(request(number), attempt(number), target), this.view)
+			.state();
+	}
+
+	private void end(long number, ServingTarget target) {
+		this.state = this.reducer
+			.reduce(this.state, this.now, new RequestEvent.AttemptClosed(request(number), attempt(number), target,
+					new AttemptResult.Whole(1, Optional.empty())), this.view)
+			.state();
+	}
+
+	private static AttemptIdentifier attempt(long number) {
+		return AttemptIdentifier.of(NodeIncarnation.of(NodeName.of("n"), 1), number);
+	}
+
+	private ServingTarget target(int number, String dataCentre, int running, int queued) {
+		VmName vm = VmName.of("vm-" + number);
+		GroupIdentity group = GroupIdentity.of(GroupName.of(GroupSetName.of("set"), number), 1);
+		VmReport report = new VmReport(vm, "life", EngineState.READY, Optional.of(group), false, running, queued, 0, 0,
+				1);
+		this.view.sight(new VmSight(report, this.now.plus(Duration.ofMillis(1))));
+		return new ServingTarget(group.name().target(), Requests.CHAT, DataCentreName.of(dataCentre),
+				Address.of("127.0.0.1", 1), Optional.of(group), List.of(vm));
+	}
+
+}
