--- a/src/main/java/sycamorehill/logic/admission/AdmissionStep.java
+++ b/src/main/java/sycamorehill/logic/admission/AdmissionStep.java
@@ -215,7 +215,8 @@
 	private boolean inTime(Waiting waiting, ServiceLoad load) {
 		// An estimate that stays too high would refuse everything, and nothing would ever
 		// be measured again to lower it: while nothing is in flight, the next goes on.
-		return load.inFlight() == 0 || !this.now.plus(load.estimate().bound(this.now)).isAfter(waiting.request().deadline());
+		return load.inFlight() == 0
+				|| !this.now.plus(load.estimate().bound(this.now)).isAfter(waiting.request().deadline());
 	}
 
 	// Latency that is high for a moment is no reason to refuse what has just come: the
--- a/src/main/java/sycamorehill/logic/routing/RoutingReducer.java
+++ b/src/main/java/sycamorehill/logic/routing/RoutingReducer.java
@@ -54,7 +54,8 @@
 		RouteContext context = new RouteContext(event.request(), state, view, now);
 		double predicted = PredictedChooser.firstToken(event.target(), context, true);
 		OpenAttempt attempt = new OpenAttempt(event.target().name(), now, predicted, false);
-		TargetLoad load = state.load(event.target().name()).sent(event.attempt().number(), now, context.sight(event.target()));
+		TargetLoad load = state.load(event.target().name())
+			.sent(event.attempt().number(), now, context.sight(event.target()));
 		PrefixHomes homes = state.homes()
 			.sent(event.request().prefixHashes(), event.target().name(), now,
 					view.policy().routing().rememberedPrefixes());
--- a/src/test/java/sycamorehill/logic/routing/TargetChooserTests.java
+++ b/src/test/java/sycamorehill/logic/routing/TargetChooserTests.java
@@ -43,6 +43,8 @@
 
 	private Instant now = START;
 
+	private boolean samePrompt;
+
 	@Test
 	void withoutTargetsNoneIsChosen() {
 		for (TargetChooser chooser : List.of(TargetChooser.random(), TargetChooser.twoChoices(),
@@ -121,6 +123,7 @@
 
 	@Test
 	void aPromptGoesWhereItsPrefixWasSent() {
+		this.samePrompt = true;
 		ServingTarget one = target(0, "here", 1, 0);
 		ServingTarget home = target(1, "here", 2, 0);
 		start(1, home);
@@ -133,6 +136,7 @@
 	 */
 	@Test
 	void aPrefixDoesNotDrawRequestsToATargetThatIsTooBusy() {
+		this.samePrompt = true;
 		ServingTarget one = target(0, "here", 1, 0);
 		ServingTarget home = target(1, "here", 12, 0);
 		start(1, home);
@@ -170,22 +174,25 @@
 
 	private RequestDescription request(long number) {
 		RequestDescription plain = Requests.chat(number, "w", this.now);
+		long first = this.samePrompt ? 1 : 10 * number;
 		return new RequestDescription(plain.identifier(), plain.keyHash(), plain.service(), plain.method(),
-				plain.path(), 2000, plain.maximumTokens(), List.of(11L, 12L, 13L), plain.priority(), plain.deadline(),
-				plain.orderKey(), plain.fingerprint());
+				plain.path(), 2000, plain.maximumTokens(), List.of(first, first + 1, first + 2), plain.priority(),
+				plain.deadline(), plain.orderKey(), plain.fingerprint());
 	}
 
 	private void start(long number, ServingTarget target) {
 		this.state = this.reducer
-			.reduce(this.state, this.now,
-					new RequestEvent.AttemptStarted(request(number), attempt(number), target), this.view)
+			.reduce(this.state, this.now, new RequestEvent.AttemptStarted(request(number), attempt(number), target),
+					this.view)
 			.state();
 	}
 
 	private void end(long number, ServingTarget target) {
 		this.state = this.reducer
-			.reduce(this.state, this.now, new RequestEvent.AttemptClosed(request(number), attempt(number), target,
-					new AttemptResult.Whole(1, Optional.empty())), this.view)
+			.reduce(this.state, this.now,
+					new RequestEvent.AttemptClosed(request(number), attempt(number), target,
+							new AttemptResult.Whole(1, Optional.empty())),
+					this.view)
 			.state();
 	}
 
