Measure the spread of tickets and the cost of control, and cut both

Cause: a trial of the cost showed 9.5 KB a second at a delegate of 13 nodes: each heartbeat named all data centres with their hashes. It also showed that only one delegate watched: a list that came back at version 0, before the first write, counted as no list. Change: a heartbeat carries one hash of all that its sender knows and the ages; hashes by data centre go only to a receiver that last showed another hash. Two delegates whose sets differ take each other's word from the list of members, so that a dead node no longer stands on a word from before its death. Whether a node is a delegate is kept, not computed on each tick.

--- a/src/main/java/sycamorehill/experiment/ControlNode.java
+++ b/src/main/java/sycamorehill/experiment/ControlNode.java
@@ -99,6 +99,11 @@
 		return this.ticket.log().ticket(number);
 	}
 
+	@Override
+	public boolean delegate() {
+		return this.membership.delegate();
+	}
+
 	@Override
 	public LiveNodes liveNodes() {
 		return this.membership.liveNodes();
--- a/src/main/java/sycamorehill/logic/NodeView.java
+++ b/src/main/java/sycamorehill/logic/NodeView.java
@@ -55,6 +55,15 @@
 	 */
 	LiveNodes liveNodes();
 
+	/**
+	 * Whether this node speaks for its data centre towards the platform and the other
+	 * data centres.
+	 * @return whether it is one of the delegates
+	 */
+	default boolean delegate() {
+		return false;
+	}
+
 	/**
 	 * The targets of a service that may be given work: whole groups freshly seen, or the
 	 * addresses of a plain service, without those put aside or leaving.
--- a/src/main/java/sycamorehill/logic/membership/Delegates.java
+++ b/src/main/java/sycamorehill/logic/membership/Delegates.java
@@ -36,18 +36,6 @@
 			.toList();
 	}
 
-	/**
-	 * Whether this node speaks for its data centre.
-	 * @param view what the node knows
-	 * @return whether it is among the delegates
-	 */
-	public static boolean isDelegate(NodeView view) {
-		NodeIdentity self = view.self();
-		List<LiveNode> nodes = view.liveNodes().dutiful(self.dataCentre());
-		return of(nodes, view.policy().membership().delegates()).stream()
-			.anyMatch((node) -> node.identity().incarnation().equals(self.incarnation()));
-	}
-
 	/**
 	 * The delegates of a data centre as a node sees them.
 	 * @param view what the node knows
--- a/src/main/java/sycamorehill/logic/membership/DirectContact.java
+++ b/src/main/java/sycamorehill/logic/membership/DirectContact.java
@@ -12,11 +12,12 @@
  * @param former number of the incarnation before it that this node has heard, 0 for none
  * @param stopping whether it takes no new duties
  * @param ticketNumber the last ticket that it had in force
+ * @param viewHash of the live nodes that it knew
  * @param heardAt own monotonic time of its last heartbeat
  * @param interval when it meant to send the next one
  */
-record DirectContact(NodeIdentity identity, long former, boolean stopping, long ticketNumber, Instant heardAt,
-		Duration interval) {
+record DirectContact(NodeIdentity identity, long former, boolean stopping, long ticketNumber, long viewHash,
+		Instant heardAt, Duration interval) {
 
 	/**
 	 * Whether the node has been silent for too long.
--- a/src/main/java/sycamorehill/logic/membership/Hearing.java
+++ b/src/main/java/sycamorehill/logic/membership/Hearing.java
@@ -4,7 +4,9 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.List;
+import java.util.Set;
 
 import sycamorehill.model.identity.DataCentreName;
 import sycamorehill.model.identity.NodeIdentity;
@@ -34,8 +36,8 @@
 		if (turn.delegate() && from.dataCentre().equals(turn.ownDataCentre())) {
 			admit(turn, new MemberEntry(from, heartbeat.stopping(), true));
 		}
-		for (DataCentreVouch vouch : heartbeat.vouches()) {
-			vouched(turn, from, vouch);
+		for (DataCentreVouch vouch : vouches(turn, heartbeat)) {
+			vouched(turn, from, vouch, heartbeat.unheard());
 		}
 		if (heartbeat.wantsReply()) {
 			Heartbeats.reply(turn, from);
@@ -61,11 +63,8 @@
 		DataCentreView view = turn.sightings().view(dataCentre, Instant.MIN);
 		remember(turn, message.members());
 		if (turn.delegate() && dataCentre.equals(turn.ownDataCentre())) {
-			boolean near = from.dataCentre().equals(dataCentre);
-			for (MemberEntry entry : message.members()) {
-				if (near && entry.heard() && !Heartbeats.heard(turn, entry.identity().incarnation().node())) {
-					admit(turn, entry);
-				}
+			if (from.dataCentre().equals(dataCentre)) {
+				sentByDelegate(turn, from, message);
 			}
 			return;
 		}
@@ -76,6 +75,22 @@
 		set(turn, dataCentre, view, view.replaced(message.members()).vouched(vouchedAt));
 	}
 
+	// Two delegates whose sets differ for a while: what the other one hears itself counts
+	// here too, and what it does not hear no longer stands on its earlier word.
+	private static void sentByDelegate(MembershipTurn turn, NodeIdentity from, MembersSent message) {
+		Set<NodeName> unheard = new HashSet<>(turn.ownView().members().keySet());
+		for (MemberEntry entry : message.members()) {
+			NodeName name = entry.identity().incarnation().node();
+			if (entry.heard()) {
+				unheard.remove(name);
+			}
+			if (entry.heard() && !Heartbeats.heard(turn, name)) {
+				admit(turn, entry);
+			}
+		}
+		turn.set(turn.sightings().withWord(from.incarnation().node(), new DelegateWord(turn.now(), unheard)));
+	}
+
 	static void changed(MembershipTurn turn, MembersChanged change) {
 		DataCentreName dataCentre = change.dataCentre();
 		DataCentreView view = turn.sightings().views().get(dataCentre);
@@ -129,7 +144,7 @@
 		}
 		long former = newLife ? known.identity().incarnation().number() : ((known != null) ? known.former() : 0);
 		DirectContact contact = new DirectContact(from, former, heartbeat.stopping(), heartbeat.ticketNumber(),
-				turn.now(), Duration.ofMillis(heartbeat.intervalMillis()));
+				heartbeat.viewHash(), turn.now(), Duration.ofMillis(heartbeat.intervalMillis()));
 		turn.set(turn.sightings().withDirect(turn.sightings().direct().plus(name, contact)).withContact(from));
 		if (known == null || newLife || known.stopping() != heartbeat.stopping()
 				|| Heartbeats.silent(turn, known, turn.now())) {
@@ -141,7 +156,21 @@
 		return true;
 	}
 
-	private static void vouched(MembershipTurn turn, NodeIdentity from, DataCentreVouch vouch) {
+	private static List<DataCentreVouch> vouches(MembershipTurn turn, Heartbeat heartbeat) {
+		if (heartbeat.agesMillis().isEmpty() || heartbeat.viewHash() != turn.sightings().hash()) {
+			return heartbeat.vouches();
+		}
+		List<DataCentreVouch> vouches = new ArrayList<>();
+		Iterator<Integer> ages = heartbeat.agesMillis().iterator();
+		turn.sightings().known().forEach((name, view) -> {
+			if (ages.hasNext()) {
+				vouches.add(new DataCentreVouch(name, view.hash(), ages.next()));
+			}
+		});
+		return vouches;
+	}
+
+	private static void vouched(MembershipTurn turn, NodeIdentity from, DataCentreVouch vouch, List<NodeName> unheard) {
 		DataCentreName dataCentre = vouch.dataCentre();
 		DataCentreView view = turn.sightings().view(dataCentre, Instant.MIN);
 		boolean same = view.hash() == vouch.hash();
@@ -154,7 +183,7 @@
 			}
 			else if (vouch.ageMillis() == 0 && from.dataCentre().equals(dataCentre)) {
 				turn.set(turn.sightings()
-					.withWord(from.incarnation().node(), new DelegateWord(turn.now(), new HashSet<>(vouch.unheard()))));
+					.withWord(from.incarnation().node(), new DelegateWord(turn.now(), new HashSet<>(unheard))));
 			}
 			return;
 		}
--- a/src/main/java/sycamorehill/logic/membership/Heartbeats.java
+++ b/src/main/java/sycamorehill/logic/membership/Heartbeats.java
@@ -30,12 +30,7 @@
 		turn.set(turn.state()
 			.withTimers(turn.state().timers().beaten(turn.now().plus(turn.interval()), turn.ticketNumber())));
 		for (LiveNode delegate : delegates(turn, turn.ownDataCentre())) {
-			if (turn.delegate()) {
-				turn.send(delegate.identity(), heartbeat(turn, false, vouches(turn, true)));
-			}
-			else {
-				turn.send(delegate.identity(), heartbeat(turn, true, List.of()));
-			}
+			turn.send(delegate.identity(), turn.delegate() ? word(turn, delegate.identity()) : question(turn));
 		}
 		if (turn.delegate()) {
 			beatAcross(turn);
@@ -44,7 +39,7 @@
 	}
 
 	static void reply(MembershipTurn turn, NodeIdentity to) {
-		turn.send(to, heartbeat(turn, false, vouches(turn, false)));
+		turn.send(to, word(turn, to));
 	}
 
 	/**
@@ -73,7 +68,7 @@
 		for (DataCentreName dataCentre : turn.sightings().views().keySet()) {
 			if (!dataCentre.equals(turn.ownDataCentre())) {
 				for (LiveNode delegate : delegates(turn, dataCentre)) {
-					turn.send(delegate.identity(), heartbeat(turn, false, vouches(turn, false)));
+					turn.send(delegate.identity(), word(turn, delegate.identity()));
 				}
 			}
 		}
@@ -85,7 +80,7 @@
 		int probes = Math.min(silent.size(), alone ? PROBES_WHEN_ALONE : 1);
 		for (int index = 0; index < probes; index++) {
 			NodeIdentity contact = silent.get(index);
-			turn.send(contact, heartbeat(turn, true, List.of()));
+			turn.send(contact, question(turn));
 			turn.set(turn.state().withTimers(turn.state().timers().probed(contact.incarnation().node())));
 		}
 	}
@@ -105,23 +100,27 @@
 		return later;
 	}
 
-	private static Heartbeat heartbeat(MembershipTurn turn, boolean wantsReply, List<DataCentreVouch> vouches) {
-		return new Heartbeat(turn.state().stopping(), turn.ticketNumber(), (int) turn.interval().toMillis(), wantsReply,
-				vouches);
+	private static Heartbeat question(MembershipTurn turn) {
+		return new Heartbeat(turn.state().stopping(), turn.ticketNumber(), (int) turn.interval().toMillis(), true,
+				turn.sightings().hash(), List.of(), List.of(), List.of());
 	}
 
-	private static List<DataCentreVouch> vouches(MembershipTurn turn, boolean betweenDelegates) {
+	// What this node knows: in full only for a receiver that last showed another hash.
+	private static Heartbeat word(MembershipTurn turn, NodeIdentity to) {
+		long hash = turn.sightings().hash();
+		DirectContact contact = turn.sightings().direct().get(to.incarnation().node());
+		boolean same = contact != null && contact.viewHash() == hash;
+		List<Integer> ages = new ArrayList<>();
 		List<DataCentreVouch> vouches = new ArrayList<>();
-		for (Map.Entry<DataCentreName, DataCentreView> entry : turn.sightings().views().entrySet()) {
-			boolean own = entry.getKey().equals(turn.ownDataCentre());
-			if (!entry.getValue().known()) {
-				continue;
-			}
-			List<NodeName> unheard = (own && betweenDelegates) ? unheard(turn) : List.of();
-			vouches.add(new DataCentreVouch(entry.getKey(), entry.getValue().hash(),
-					ageMillis(turn, entry.getKey(), entry.getValue()), unheard));
+		for (Map.Entry<DataCentreName, DataCentreView> entry : turn.sightings().known().entrySet()) {
+			int age = ageMillis(turn, entry.getKey(), entry.getValue());
+			ages.add(age);
+			vouches.add(new DataCentreVouch(entry.getKey(), entry.getValue().hash(), age));
 		}
-		return vouches;
+		boolean betweenDelegates = turn.delegate() && to.dataCentre().equals(turn.ownDataCentre());
+		return new Heartbeat(turn.state().stopping(), turn.ticketNumber(), (int) turn.interval().toMillis(), false,
+				hash, same ? ages : List.of(), betweenDelegates ? unheard(turn) : List.of(),
+				same ? List.of() : vouches);
 	}
 
 	private static List<NodeName> unheard(MembershipTurn turn) {
--- a/src/main/java/sycamorehill/logic/membership/Liveness.java
+++ b/src/main/java/sycamorehill/logic/membership/Liveness.java
@@ -9,6 +9,7 @@
 import org.pcollections.PMap;
 import org.pcollections.TreePMap;
 
+import sycamorehill.logic.membership.MembershipState.MembershipTimers;
 import sycamorehill.model.identity.DataCentreName;
 import sycamorehill.model.identity.NodeIdentity;
 import sycamorehill.model.identity.NodeName;
@@ -27,6 +28,10 @@
 
 	private static final Duration LOST_KEPT = Duration.ofMinutes(10);
 
+	private static final Duration LONGEST_UNDRAWN = Duration.ofSeconds(10);
+
+	private static final long STOPPING_FACTOR = 31;
+
 	private static final int MOST_STEPS = 2;
 
 	private static final int FORGOTTEN_AFTER_BOUNDS = 20;
@@ -47,13 +52,38 @@
 		}
 		dropSilentDataCentres(turn);
 		forgetSilentContacts(turn);
-		refresh(turn);
+		refreshIfChanged(turn);
 		if (turn.delegate()) {
 			push(turn);
 			ForceSteps.measure(turn);
 		}
 	}
 
+	// Drawing anew costs as much as there are nodes: once a second it would be the
+	// largest
+	// part of this reducer's processor time.
+	private static void refreshIfChanged(MembershipTurn turn) {
+		MembershipTimers timers = turn.state().timers();
+		long from = signature(turn);
+		if (from != timers.drawnFrom() || !timers.drawnAt().plus(LONGEST_UNDRAWN).isAfter(turn.now())) {
+			refresh(turn);
+			turn.set(turn.state().withTimers(turn.state().timers().drawn(from, turn.now())));
+		}
+	}
+
+	private static long signature(MembershipTurn turn) {
+		long signature = turn.state().stopping() ? 1 : 0;
+		for (DataCentreView view : turn.sightings().views().values()) {
+			signature ^= view.hash();
+		}
+		for (DirectContact contact : turn.sightings().direct().values()) {
+			if (!Heartbeats.silent(turn, contact, turn.now())) {
+				signature += contact.identity().incarnation().hashCode() * (contact.stopping() ? STOPPING_FACTOR : 1L);
+			}
+		}
+		return signature;
+	}
+
 	/**
 	 * Draws the live nodes anew and sees whether this node is a delegate.
 	 * @param turn the step under way
--- a/src/main/java/sycamorehill/logic/membership/MembershipState.java
+++ b/src/main/java/sycamorehill/logic/membership/MembershipState.java
@@ -32,7 +32,16 @@
 		CallBudget none = CallBudget.create(0, 0, Duration.ZERO, Duration.ZERO, 0);
 		return new MembershipState(LiveNodes.none(), Sightings.none(), Progress.none(),
 				new IntroductionState(HashTreePMap.empty(), 1, none, Instant.MIN, Instant.MIN, Instant.MIN),
-				new MembershipTimers(Instant.MIN, Instant.MIN, -1, NodeName.of("-")), Instant.EPOCH, false);
+				new MembershipTimers(Instant.MIN, Instant.MIN, -1, NodeName.of("-"), 0, Instant.MIN), Instant.EPOCH,
+				false);
+	}
+
+	/**
+	 * Whether this node is a delegate of its data centre.
+	 * @return whether it speaks for it
+	 */
+	public boolean delegate() {
+		return !this.sightings.delegateSince().equals(Instant.MIN);
 	}
 
 	MembershipState withLiveNodes(LiveNodes changed) {
@@ -112,19 +121,28 @@
 	 * @param nextPush when the next changes may be pushed
 	 * @param toldNumber the ticket number in the last heartbeats
 	 * @param lastProbe the node that was probed last
+	 * @param drawnFrom hash of the sightings from which the live nodes were drawn
+	 * @param drawnAt when they were drawn
 	 */
-	record MembershipTimers(Instant nextHeartbeat, Instant nextPush, long toldNumber, NodeName lastProbe) {
+	record MembershipTimers(Instant nextHeartbeat, Instant nextPush, long toldNumber, NodeName lastProbe,
+			long drawnFrom, Instant drawnAt) {
 
 		MembershipTimers beaten(Instant next, long number) {
-			return new MembershipTimers(next, this.nextPush, number, this.lastProbe);
+			return new MembershipTimers(next, this.nextPush, number, this.lastProbe, this.drawnFrom, this.drawnAt);
 		}
 
 		MembershipTimers pushed(Instant next) {
-			return new MembershipTimers(this.nextHeartbeat, next, this.toldNumber, this.lastProbe);
+			return new MembershipTimers(this.nextHeartbeat, next, this.toldNumber, this.lastProbe, this.drawnFrom,
+					this.drawnAt);
+		}
+
+		MembershipTimers drawn(long from, Instant at) {
+			return new MembershipTimers(this.nextHeartbeat, this.nextPush, this.toldNumber, this.lastProbe, from, at);
 		}
 
 		MembershipTimers probed(NodeName node) {
-			return new MembershipTimers(this.nextHeartbeat, this.nextPush, this.toldNumber, node);
+			return new MembershipTimers(this.nextHeartbeat, this.nextPush, this.toldNumber, node, this.drawnFrom,
+					this.drawnAt);
 		}
 
 	}
--- a/src/main/java/sycamorehill/logic/membership/MembershipTurn.java
+++ b/src/main/java/sycamorehill/logic/membership/MembershipTurn.java
@@ -107,7 +107,7 @@
 	}
 
 	boolean delegate() {
-		return !this.state.sightings().delegateSince().equals(Instant.MIN);
+		return this.state.delegate();
 	}
 
 	/**
--- a/src/main/java/sycamorehill/logic/membership/Sightings.java
+++ b/src/main/java/sycamorehill/logic/membership/Sightings.java
@@ -1,7 +1,12 @@
 package sycamorehill.logic.membership;
 
 import java.time.Instant;
+import java.util.Map;
+import java.util.SortedMap;
+import java.util.TreeMap;
 
+import com.dynatrace.hash4j.hashing.HashStream64;
+import com.dynatrace.hash4j.hashing.Hashing;
 import org.pcollections.HashTreePMap;
 import org.pcollections.PMap;
 import org.pcollections.TreePMap;
@@ -52,6 +57,30 @@
 				this.delegateSince, this.contacts.plus(name, identity));
 	}
 
+	/**
+	 * Hash of everything that delegates vouch for.
+	 * @return the hash, equal on nodes that know the same
+	 */
+	long hash() {
+		HashStream64 stream = Hashing.komihash5_0().hashStream();
+		known().forEach((name, view) -> stream.putString(name.value()).putLong(view.hash()));
+		return stream.getAsLong();
+	}
+
+	/**
+	 * The data centres of which a delegate's word has come.
+	 * @return the views, by name
+	 */
+	SortedMap<DataCentreName, DataCentreView> known() {
+		SortedMap<DataCentreName, DataCentreView> known = new TreeMap<>();
+		for (Map.Entry<DataCentreName, DataCentreView> entry : this.views.entrySet()) {
+			if (entry.getValue().known()) {
+				known.put(entry.getKey(), entry.getValue());
+			}
+		}
+		return known;
+	}
+
 	DataCentreView view(DataCentreName dataCentre, Instant now) {
 		DataCentreView view = this.views.get(dataCentre);
 		return (view != null) ? view : DataCentreView.empty(now);
--- a/src/main/java/sycamorehill/logic/node/StateView.java
+++ b/src/main/java/sycamorehill/logic/node/StateView.java
@@ -61,6 +61,11 @@
 		return this.state.ticket().log().ticket(number);
 	}
 
+	@Override
+	public boolean delegate() {
+		return this.state.membership().delegate();
+	}
+
 	@Override
 	public LiveNodes liveNodes() {
 		return this.state.membership().liveNodes();
--- a/src/main/java/sycamorehill/logic/ticket/SpreadSteps.java
+++ b/src/main/java/sycamorehill/logic/ticket/SpreadSteps.java
@@ -30,7 +30,7 @@
 	 * @param source where the tickets came from
 	 */
 	static void advanced(TicketTurn turn, long before, TicketSource source) {
-		boolean delegate = Delegates.isDelegate(turn.view());
+		boolean delegate = turn.view().delegate();
 		if (source == TicketSource.OWN_DELEGATE || (!delegate && source != TicketSource.PLATFORM)) {
 			return;
 		}
--- a/src/main/java/sycamorehill/logic/ticket/Synchronisation.java
+++ b/src/main/java/sycamorehill/logic/ticket/Synchronisation.java
@@ -15,7 +15,7 @@
  * @param anchor the node's own last ticket when the last list was asked for
  * @param listed tickets of the last page, held until the snapshot has been read
  * @param pageFull whether there may be more pages
- * @param version the platform's version as of the last list
+ * @param version the platform's version as of the last list, -1 before the first
  * @param behind whether the platform was found to have lost tickets that this node has
  * @param budget when the next call may be made
  * @param watching whether a watch is waiting
@@ -27,7 +27,7 @@
 		Instant lastSuccess) {
 
 	static Synchronisation initial(CallBudget budget) {
-		return new Synchronisation(0, false, false, -1, List.of(), false, 0, false, budget, false, Instant.MIN,
+		return new Synchronisation(0, false, false, -1, List.of(), false, -1, false, budget, false, Instant.MIN,
 				Instant.MIN);
 	}
 
--- a/src/main/java/sycamorehill/logic/ticket/SynchronisationSteps.java
+++ b/src/main/java/sycamorehill/logic/ticket/SynchronisationSteps.java
@@ -101,7 +101,7 @@
 	 */
 	static void watch(TicketTurn turn) {
 		Synchronisation sync = turn.sync();
-		boolean ready = !sync.watching() && !sync.running() && !sync.wanted() && sync.version() > 0;
+		boolean ready = !sync.watching() && !sync.running() && !sync.wanted() && sync.version() >= 0;
 		if (!ready || turn.now().isBefore(sync.nextWatch()) || !sync.budget().allows(turn.now())) {
 			return;
 		}
--- a/src/main/java/sycamorehill/logic/ticket/TicketReducer.java
+++ b/src/main/java/sycamorehill/logic/ticket/TicketReducer.java
@@ -5,7 +5,6 @@
 import sycamorehill.logic.NodeView;
 import sycamorehill.logic.Reducer;
 import sycamorehill.logic.Step;
-import sycamorehill.logic.membership.Delegates;
 import sycamorehill.logic.platform.CallBudget;
 import sycamorehill.model.event.Event;
 import sycamorehill.model.event.NodeEvent;
@@ -78,7 +77,7 @@
 		if ((turn.sync().wanted() || repairing) && !turn.sync().running()) {
 			SynchronisationSteps.begin(turn);
 		}
-		if (Delegates.isDelegate(turn.view())) {
+		if (turn.view().delegate()) {
 			SynchronisationSteps.watch(turn);
 			CompactionSteps.ticked(turn);
 		}
--- a/src/main/java/sycamorehill/model/policy/MembershipPolicy.java
+++ b/src/main/java/sycamorehill/model/policy/MembershipPolicy.java
@@ -38,7 +38,7 @@
 	 * @return the standard values
 	 */
 	public static MembershipPolicy standard() {
-		return new MembershipPolicy(Duration.ofSeconds(1), 16, 3, 2, Duration.ofSeconds(30), Duration.ofMinutes(10),
+		return new MembershipPolicy(Duration.ofSeconds(1), 12, 3, 2, Duration.ofSeconds(30), Duration.ofMinutes(10),
 				Duration.ofSeconds(2), Duration.ofMillis(500), Duration.ofSeconds(30), 100, List.of());
 	}
 
--- a/src/main/java/sycamorehill/peer/PeerMessageCodec.java
+++ b/src/main/java/sycamorehill/peer/PeerMessageCodec.java
@@ -86,6 +86,26 @@
 		return this;
 	}
 
+	/**
+	 * The bytes of a message on the wire with the frame around it, without those of TCP.
+	 * @param message the message
+	 * @return the length
+	 * @throws JsonProcessingException if the message can't be written
+	 */
+	public int frameLength(PeerMessage message) throws JsonProcessingException {
+		return PeerProtocol.LENGTH_BYTES + FrameAuthenticator.CODE_BYTES + write(message).length;
+	}
+
+	/**
+	 * The message as its receiver reads it.
+	 * @param message the message as its sender made it
+	 * @return the message after writing and reading
+	 * @throws IOException if it can't be read
+	 */
+	public PeerMessage copy(PeerMessage message) throws IOException {
+		return read(write(message), 0).orElseThrow();
+	}
+
 	byte[] write(PeerMessage message) throws JsonProcessingException {
 		String name = this.names.get(message.getClass());
 		if (name == null) {
