--- /dev/null
+++ b/src/test/java/sycamorehill/logic/platform/CallBudgetTests.java
@@ -0,0 +1,76 @@
+package sycamorehill.logic.platform;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * When the next platform call may be made.
+ */
+class CallBudgetTests {
+
+	private static final Duration FIRST = Duration.ofMillis(250);
+
+	private static final Duration LONGEST = Duration.ofSeconds(15);
+
+	private static final Instant NOW = Instant.EPOCH;
+
+	@Test
+	void burstIsBounded() {
+		CallBudget budget = budget(1).called(NOW).called(NOW);
+		assertThat(budget.allows(NOW)).isFalse();
+	}
+
+	@Test
+	void creditComesBackWithTime() {
+		CallBudget budget = budget(1).called(NOW).called(NOW);
+		assertThat(budget.allows(NOW.plusSeconds(1))).isTrue();
+	}
+
+	@Test
+	void successEndsTheBackoff() {
+		assertThat(failed(budget(1), 10).succeeded().allows(NOW)).isTrue();
+	}
+
+	@Test
+	void platformsOwnWordIsKept() {
+		CallBudget budget = budget(1).failed(NOW, Duration.ofSeconds(3));
+		assertThat(budget.allows(NOW.plusSeconds(2))).isFalse();
+	}
+
+	@Test
+	void nodesComeBackAtDifferentTimes() {
+		// An hour's outage ends. If all nodes waited equally long after their failures,
+		// they
+		// would call in the same moment and the platform would throttle them all again.
+		List<Instant> ends = new ArrayList<>();
+		for (int node = 0; node < 400; node++) {
+			ends.add(failed(budget(node), 12).notBefore());
+		}
+		long inOneSecond = ends.stream().filter((end) -> end.isBefore(NOW.plusSeconds(1))).count();
+		assertThat(inOneSecond).isLessThan(60);
+	}
+
+	@Test
+	void backoffIsBounded() {
+		assertThat(failed(budget(1), 100).notBefore()).isBeforeOrEqualTo(NOW.plus(LONGEST));
+	}
+
+	private static CallBudget budget(long seed) {
+		return CallBudget.create(1, 2, FIRST, LONGEST, seed * 7919);
+	}
+
+	private static CallBudget failed(CallBudget budget, int times) {
+		CallBudget failed = budget;
+		for (int time = 0; time < times; time++) {
+			failed = failed.failed(NOW, Duration.ZERO);
+		}
+		return failed;
+	}
+
+}
--- /dev/null
+++ b/src/test/java/sycamorehill/logic/ticket/SnapshotSizeTests.java
@@ -0,0 +1,50 @@
+package sycamorehill.logic.ticket;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+
+import sycamorehill.json.ModelJson;
+import sycamorehill.model.identity.FilingIdentifier;
+import sycamorehill.model.identity.WorkspaceName;
+import sycamorehill.model.policy.TicketPolicy;
+import sycamorehill.model.ticket.AcceptedFiling;
+import sycamorehill.model.ticket.ItemInForce;
+import sycamorehill.model.ticket.TruthSnapshot;
+import sycamorehill.model.ticket.WorkspaceItem;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * The snapshot against the size limit of the platform's objects.
+ */
+class SnapshotSizeTests {
+
+	private static final int OBJECT_LIMIT = 1024 * 1024;
+
+	@Test
+	void largestAcceptedTruthFitsIntoOneObject() throws Exception {
+		// If the validator let the truth grow past what one object holds, no snapshot
+		// could be
+		// written any more: the log would grow for ever, and later tickets could never be
+		// refused for it, because they are accepted already.
+		List<ItemInForce> items = new ArrayList<>();
+		long bytes = 0;
+		while (bytes <= TicketValidator.MOST_TRUTH_BYTES) {
+			String name = "workspace-with-a-long-name-" + items.size();
+			WorkspaceItem item = new WorkspaceItem(WorkspaceName.of(name), "f".repeat(64), 123456.789, 1234567.89,
+					Integer.MAX_VALUE, 1000);
+			items.add(new ItemInForce(item, 1_000_000 + items.size()));
+			bytes += ItemRules.bytes(item);
+		}
+		List<AcceptedFiling> filings = new ArrayList<>();
+		for (int filing = 0; filing < TicketPolicy.standard().keptFilings(); filing++) {
+			String identifier = "0123456789abcdef0123456789abcdef" + filing;
+			filings.add(new AcceptedFiling(FilingIdentifier.of(identifier), 1_000_000 + filing));
+		}
+		TruthSnapshot snapshot = new TruthSnapshot(2_000_000, items, 1, 1_999_600, filings);
+		assertThat(ModelJson.json().writeValueAsBytes(snapshot).length).isLessThan(OBJECT_LIMIT);
+	}
+
+}
--- /dev/null
+++ b/src/test/java/sycamorehill/logic/ticket/SpreadTests.java
@@ -0,0 +1,161 @@
+package sycamorehill.logic.ticket;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.SplittableRandom;
+
+import org.junit.jupiter.api.Test;
+
+import sycamorehill.model.identity.DataCentreName;
+import sycamorehill.model.identity.OperatorCallIdentifier;
+import sycamorehill.model.ticket.DataCentreForce;
+import sycamorehill.support.Drafts;
+import sycamorehill.support.FakePlatform;
+import sycamorehill.support.NodeGroup;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * How tickets reach the nodes, and what is known of it.
+ */
+class SpreadTests {
+
+	private static final DataCentreName FUKUOKA = DataCentreName.of("fukuoka");
+
+	private static final String[] DATA_CENTRES = { "fukuoka", "kumamoto", "kagoshima" };
+
+	private final NodeGroup group = NodeGroup.create(new SplittableRandom(5));
+
+	@Test
+	void dataCentreWithoutThePlatformGetsTicketsFromTheOthers() {
+		startSix();
+		this.group.platformReachable("fukuoka", false);
+		this.group.runFor(Duration.ofSeconds(10));
+		file("node-5", 1);
+		assertThat(this.group.node("node-1").truth().get().number()).isEqualTo(1);
+	}
+
+	@Test
+	void cutOffDataCentreCatchesUpAfterTheCut() {
+		startSix();
+		cutOffFukuoka();
+		file("node-5", 1);
+		file("node-5", 2);
+		this.group.cut((from, to) -> false);
+		this.group.platformReachable("fukuoka", true);
+		this.group.runFor(Duration.ofSeconds(20));
+		assertThat(this.group.nodes()).allMatch((node) -> node.truth().get().number() == 2);
+	}
+
+	@Test
+	void everyPushLostIsMadeGoodByHeartbeats() {
+		// All pushes of a ticket are lost and a node that is no delegate has nobody to
+		// tell it:
+		// callers there would be served by the old state for good.
+		for (int index = 1; index <= 8; index++) {
+			this.group.start("node-" + index, "fukuoka");
+		}
+		this.group.runFor(Duration.ofSeconds(8));
+		this.group.links(1, 0);
+		this.group.file("node-1", Drafts.service("f1", "drafting", "1", 0));
+		this.group.runFor(Duration.ofMillis(500));
+		this.group.links(0, 0);
+		this.group.runFor(Duration.ofSeconds(5));
+		assertThat(this.group.nodes()).allMatch((node) -> node.truth().get().number() == 1);
+	}
+
+	@Test
+	void forceNamesEveryDataCentreThatHasTheTicket() {
+		startSix();
+		file("node-1", 1);
+		assertThat(force("node-4", 1)).hasSize(3)
+			.allMatch((force) -> force.nodesInForce() == 2 && force.inForceSince().isPresent());
+	}
+
+	@Test
+	void forceNamesNodesThatLackTheTicket() {
+		startSix();
+		file("node-1", 1);
+		this.group.pause("node-6", Duration.ofSeconds(3));
+		this.group.file("node-1", Drafts.service("f2", "drafting", "2", 1));
+		this.group.runFor(Duration.ofMillis(500));
+		DataCentreForce kagoshima = force("node-1", 2).stream()
+			.filter((force) -> force.dataCentre().equals(DataCentreName.of("kagoshima")))
+			.findFirst()
+			.orElseThrow();
+		assertThat(kagoshima.missing()).singleElement().asString().contains("node-6: had ticket 1");
+	}
+
+	@Test
+	void forceSaysThatACutOffDataCentreDoesNotAnswer() {
+		startSix();
+		cutOffFukuoka();
+		file("node-5", 1);
+		DataCentreForce fukuoka = force("node-5", 1).stream()
+			.filter((force) -> force.dataCentre().equals(FUKUOKA))
+			.findFirst()
+			.orElseThrow();
+		assertThat(fukuoka.missing()).singleElement().asString().contains("no delegate of fukuoka has answered");
+	}
+
+	@Test
+	void allNodesReplacedInAnOutageHaveNoTruthUntilItEnds() {
+		startSix();
+		file("node-1", 1);
+		this.group.platform().down(true);
+		for (int index = 1; index <= 6; index++) {
+			this.group.kill("node-" + index);
+		}
+		for (int index = 1; index <= 6; index++) {
+			this.group.start("node-" + index, DATA_CENTRES[(index - 1) / 2]);
+		}
+		this.group.runFor(Duration.ofSeconds(20));
+		boolean none = this.group.nodes().stream().allMatch((node) -> node.truth().isEmpty());
+		this.group.platform().down(false);
+		this.group.runFor(Duration.ofSeconds(45));
+		assertThat(none).isTrue();
+		assertThat(this.group.nodes()).allMatch((node) -> node.truth().get().number() == 1);
+	}
+
+	@Test
+	void filingWaitsForATicketThatOnlyAPeerHas() {
+		// The platform came back empty, and a restarted node has read it so. A peer still
+		// holds
+		// ticket 1. If the restarted node filed now, a second ticket 1 would be accepted.
+		this.group.start("node-1", "fukuoka");
+		this.group.start("node-2", "fukuoka");
+		this.group.runFor(Duration.ofSeconds(5));
+		file("node-1", 1);
+		this.group.replacePlatform(FakePlatform.create(new SplittableRandom(9)));
+		this.group.start("node-2", "fukuoka");
+		this.group.runFor(Duration.ofSeconds(2));
+		this.group.file("node-2", Drafts.service("other", "other", "1", 0));
+		this.group.runFor(Duration.ofSeconds(40));
+		assertThat(this.group.nodes()).allMatch((node) -> node.ticket().log().ticket(1).isEmpty()
+				|| node.ticket().log().ticket(1).get().draft().filing().value().equals("f1"));
+	}
+
+	private void startSix() {
+		for (int index = 0; index < 6; index++) {
+			this.group.start("node-" + (index + 1), DATA_CENTRES[index / 2]);
+		}
+		this.group.runFor(Duration.ofSeconds(6));
+	}
+
+	private void file(String node, int number) {
+		this.group.file(node, Drafts.service("f" + number, "drafting", "" + number, number - 1L));
+		this.group.runFor(Duration.ofSeconds(2));
+	}
+
+	private void cutOffFukuoka() {
+		this.group.cut((from, to) -> from.dataCentre().equals(FUKUOKA) != to.dataCentre().equals(FUKUOKA));
+		this.group.platformReachable("fukuoka", false);
+	}
+
+	private List<DataCentreForce> force(String node, long number) {
+		OperatorCallIdentifier call = this.group.askForce(node, number);
+		this.group.runFor(Duration.ofSeconds(3));
+		return this.group.force(call).dataCentres();
+	}
+
+}
