--- a/src/main/java/sycamorehill/experiment/group/TrialEngine.java
+++ b/src/main/java/sycamorehill/experiment/group/TrialEngine.java
@@ -36,6 +36,8 @@
 
 	private List<VmName> members = List.of();
 
+	private List<VmName> membersBefore = List.of();
+
 	private Duration loadLeft = Duration.ZERO;
 
 	private Optional<GroupIdentity> readyIn = Optional.empty();
@@ -44,6 +46,8 @@
 
 	private Instant pausedUntil = Instant.MIN;
 
+	private Instant troubledAt = Instant.MIN;
+
 	private boolean down;
 
 	private boolean refuses;
@@ -110,6 +114,10 @@
 		return this.members;
 	}
 
+	List<VmName> membersBefore() {
+		return this.membersBefore;
+	}
+
 	/**
 	 * How many loads it has begun.
 	 * @return the count
@@ -146,6 +154,10 @@
 		return answers(now) && this.state == EngineState.READY && this.group.equals(Optional.of(identity));
 	}
 
+	boolean wasTroubled(Instant since) {
+		return !this.troubledAt.isBefore(since);
+	}
+
 	/**
 	 * Whether the engine was ready in a group at some time since a bound.
 	 * @param identity the group and generation
@@ -157,6 +169,9 @@
 	}
 
 	void advance(Instant now, Duration step, double rate) {
+		if (!answers(now) || this.leaving) {
+			this.troubledAt = now;
+		}
 		if (this.state == EngineState.LOADING && answers(now)) {
 			this.loadLeft = this.loadLeft.minusNanos((long) (step.toNanos() * rate));
 			if (this.loadLeft.compareTo(Duration.ZERO) <= 0) {
@@ -190,6 +205,7 @@
 	}
 
 	private void become(EngineState changed, Optional<GroupIdentity> changedGroup, List<VmName> changedMembers) {
+		this.membersBefore = this.members;
 		this.state = changed;
 		this.group = changedGroup;
 		this.members = changedMembers;
--- a/src/main/java/sycamorehill/logic/group/AllocationTurns.java
+++ b/src/main/java/sycamorehill/logic/group/AllocationTurns.java
@@ -1,7 +1,13 @@
 package sycamorehill.logic.group;
 
+import java.time.Duration;
+
+import org.pcollections.PMap;
+
 import sycamorehill.model.event.PlatformEvent;
 import sycamorehill.model.group.Allocation;
+import sycamorehill.model.group.GroupRecord;
+import sycamorehill.model.identity.GroupName;
 import sycamorehill.model.log.LogEvent;
 import sycamorehill.model.platform.ObjectKey;
 import sycamorehill.model.platform.ObjectKind;
@@ -16,8 +22,10 @@
 	private AllocationTurns() {
 	}
 
-	static void tick(GroupTurn turn) {
-		if (!turn.now().isBefore(turn.state().allocation().nextReadAt())) {
+	// Only the stewards read the allocation: the calls must not grow with the nodes. The
+	// others hear from the stewards which groups serve.
+	static void tick(GroupTurn turn, boolean steward) {
+		if (steward && !turn.now().isBefore(turn.state().allocation().nextReadAt())) {
 			readNow(turn);
 		}
 	}
@@ -36,15 +44,22 @@
 
 	static void read(GroupTurn turn, PlatformEvent.Answered answered) {
 		AllocationState state = turn.state().allocation();
+		AllocationState read = state;
 		if (answered.answer() instanceof PlatformAnswer.Found found
 				&& found.object().value() instanceof Allocation allocation) {
-			turn.change(turn.state()
-				.withAllocation(state.confirmed(allocation, found.object().version(), answered.sentAt())));
+			read = state.confirmed(allocation, found.object().version(), answered.sentAt());
 		}
 		else if (answered.answer() instanceof PlatformAnswer.Missing) {
-			Allocation empty = Allocation.empty(turn.view().self().dataCentre());
-			turn.change(turn.state().withAllocation(state.confirmed(empty, 0, answered.sentAt())));
+			read = state.confirmed(Allocation.empty(turn.view().self().dataCentre()), 0, answered.sentAt());
+		}
+		boolean own = state.attempt().isPresent() && read.known().equals(state.attempt());
+		if (own) {
+			logChanges(turn, state);
 		}
+		// A read that overtakes an own write does not settle it.
+		boolean writing = turn.state().isPending(PendingCall.Purpose.WRITE_ALLOCATION);
+		turn.change(turn.state()
+			.withAllocation((writing && state.attempt().isPresent()) ? read.withAttempt(state.attempt().get()) : read));
 	}
 
 	/**
@@ -67,11 +82,15 @@
 			return;
 		}
 		if (answered.answer() instanceof PlatformAnswer.Written written) {
+			logChanges(turn, state);
 			turn.change(turn.state()
 				.withAllocation(state.confirmed(state.attempt().get(), written.version(), answered.sentAt())));
 		}
-		else if (answered.answer() instanceof PlatformAnswer.NotTaken) {
-			turn.change(turn.state().withAllocation(state.withoutAttempt()));
+		else if (answered.answer() instanceof PlatformAnswer.NotTaken notTaken) {
+			// Failure: the platform refuses at once, and the next decision writes at once
+			// again: thousands of calls a second at a platform that asks for fewer.
+			Duration wait = notTaken.retryAfter().plus(turn.policy().decisionInterval());
+			turn.change(turn.state().withAllocation(state.withoutAttempt()).withNextDecisionAt(turn.now().plus(wait)));
 		}
 		else {
 			// Failure: the answer is lost although the write took effect. The read that
@@ -82,6 +101,23 @@
 		}
 	}
 
+	private static void logChanges(GroupTurn turn, AllocationState state) {
+		PMap<GroupName, GroupRecord> before = state.known().orElseThrow().groups();
+		PMap<GroupName, GroupRecord> next = state.attempt().orElseThrow().groups();
+		for (GroupRecord record : next.values()) {
+			if (!record.equals(before.get(record.identity().name()))) {
+				turn.log(LogEvent.GROUP_CHANGED, record.identity().name() + " generation "
+						+ record.identity().generation() + " " + record.phase() + ": " + record.reason());
+			}
+		}
+		for (GroupRecord record : before.values()) {
+			if (!next.containsKey(record.identity().name())) {
+				turn.log(LogEvent.GROUP_CHANGED, record.identity().name() + " generation "
+						+ record.identity().generation() + " given up: " + record.reason());
+			}
+		}
+	}
+
 	private static ObjectKey key(GroupTurn turn) {
 		return ObjectKey.of(ObjectKind.ALLOCATION, turn.view().self().dataCentre().value());
 	}
--- a/src/main/java/sycamorehill/logic/group/Controller.java
+++ b/src/main/java/sycamorehill/logic/group/Controller.java
@@ -11,14 +11,15 @@
 import org.pcollections.PMap;
 
 import sycamorehill.logic.NodeView;
+import sycamorehill.model.effect.TargetEffect;
 import sycamorehill.model.group.Allocation;
 import sycamorehill.model.group.EngineState;
 import sycamorehill.model.group.Fleet;
 import sycamorehill.model.group.GroupRecord;
+import sycamorehill.model.group.VmEntry;
 import sycamorehill.model.group.VmSight;
 import sycamorehill.model.identity.GroupName;
 import sycamorehill.model.identity.VmName;
-import sycamorehill.model.log.LogEvent;
 import sycamorehill.model.ticket.ItemInForce;
 import sycamorehill.model.ticket.ItemKey;
 import sycamorehill.model.ticket.ItemKind;
@@ -32,6 +33,8 @@
  */
 final class Controller {
 
+	private static final int MOST_ASKED = 8;
+
 	private Controller() {
 	}
 
@@ -68,9 +71,23 @@
 		}
 		Silences silences = turn.state()
 			.silences()
-			.look(fleet, known.get().groups().values(), known.get().standbys().keySet(), turn.now(),
+			.look(fleet, known.get().groups().values(), known.get().standbys().keySet(),
+					turn.view().liveNodes().dutiful(turn.view().self().dataCentre()).size() > 1, turn.now(),
 					turn.view().policy().observation().reportInterval());
 		turn.change(turn.state().withWatch(phases, silences, failures));
+		askSilent(turn, silences);
+	}
+
+	// Before a VM is taken for dead the controller asks it itself, as well as its
+	// observers do: what they say may be late.
+	private static void askSilent(GroupTurn turn, Silences silences) {
+		int asked = 0;
+		for (VmName vm : silences.silent()) {
+			VmEntry entry = turn.view().fleet().entries().get(vm);
+			if (entry != null && asked++ < MOST_ASKED) {
+				turn.emit(new TargetEffect.AskReport(vm, entry.address()));
+			}
+		}
 	}
 
 	private static PhaseSince since(GroupState state, GroupRecord record, Instant now) {
@@ -98,7 +115,6 @@
 		String mark = turn.view().self().incarnation() + "/" + state.nextCall();
 		Allocation next = GroupPlanner.plan(allocation, context, state.lease().fencingNumber(), mark);
 		if (next != allocation) {
-			logChanges(turn, allocation, next);
 			AllocationTurns.write(turn, next);
 			return;
 		}
@@ -123,14 +139,4 @@
 		return shapes;
 	}
 
-	private static void logChanges(GroupTurn turn, Allocation before, Allocation next) {
-		for (GroupRecord record : next.groups().values()) {
-			GroupRecord old = before.groups().get(record.identity().name());
-			if (!record.equals(old)) {
-				turn.log(LogEvent.GROUP_CHANGED, record.identity().name() + " generation "
-						+ record.identity().generation() + " " + record.phase() + ": " + record.reason());
-			}
-		}
-	}
-
 }
--- a/src/main/java/sycamorehill/logic/group/GroupReducer.java
+++ b/src/main/java/sycamorehill/logic/group/GroupReducer.java
@@ -8,9 +8,12 @@
 import sycamorehill.logic.observation.Rendezvous;
 import sycamorehill.model.event.Event;
 import sycamorehill.model.event.NodeEvent;
+import sycamorehill.model.event.PeerEvent;
 import sycamorehill.model.event.PlatformEvent;
 import sycamorehill.model.event.TargetEvent;
 import sycamorehill.model.identity.CallOwner;
+import sycamorehill.model.peer.GroupsSent;
+import sycamorehill.model.platform.PlatformAnswer;
 
 /**
  * Forming, repairing and draining of model groups.
@@ -41,6 +44,11 @@
 			OrderDesk.answered(turn, answered);
 			return turn.end();
 		}
+		if (event instanceof PeerEvent.MessageReceived received && received.message() instanceof GroupsSent groups) {
+			GroupTurn turn = GroupTurn.of(state, now, view);
+			GroupSpread.received(turn, received.from(), groups);
+			return turn.end();
+		}
 		if (event instanceof NodeEvent.StopRequested) {
 			GroupTurn turn = GroupTurn.of(state.stop(), now, view);
 			LeaseTurns.giveBack(turn);
@@ -53,8 +61,9 @@
 		turn.dropGivenUp();
 		boolean steward = !turn.state().stopping() && Rendezvous.isSteward(turn.view());
 		LeaseTurns.tick(turn, steward);
-		AllocationTurns.tick(turn);
+		AllocationTurns.tick(turn, steward);
 		Controller.tick(turn);
+		GroupSpread.tick(turn, steward);
 		return turn.end();
 	}
 
@@ -70,11 +79,17 @@
 			case READ_ALLOCATION -> AllocationTurns.read(turn, answered);
 			case WRITE_ALLOCATION -> AllocationTurns.written(turn, answered);
 		}
-		if (call.purpose() == PendingCall.Purpose.READ_ALLOCATION
-				|| call.purpose() == PendingCall.Purpose.WRITE_ALLOCATION) {
+		boolean allocation = call.purpose() == PendingCall.Purpose.READ_ALLOCATION
+				|| call.purpose() == PendingCall.Purpose.WRITE_ALLOCATION;
+		if (allocation && isConfirmed(answered.answer())) {
 			Controller.decide(turn);
 		}
 		return turn.end();
 	}
 
+	private static boolean isConfirmed(PlatformAnswer answer) {
+		return answer instanceof PlatformAnswer.Found || answer instanceof PlatformAnswer.Missing
+				|| answer instanceof PlatformAnswer.Written;
+	}
+
 }
--- a/src/main/java/sycamorehill/logic/group/ServingGroups.java
+++ b/src/main/java/sycamorehill/logic/group/ServingGroups.java
@@ -4,14 +4,21 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 
+import sycamorehill.logic.NodeView;
 import sycamorehill.model.group.Allocation;
 import sycamorehill.model.group.Fleet;
 import sycamorehill.model.group.GroupPhase;
 import sycamorehill.model.group.GroupRecord;
 import sycamorehill.model.group.VmEntry;
+import sycamorehill.model.group.VmSight;
+import sycamorehill.model.identity.DataCentreName;
 import sycamorehill.model.identity.ServiceName;
+import sycamorehill.model.identity.VmName;
+import sycamorehill.model.peer.GroupFacts;
 import sycamorehill.model.target.ServingTarget;
 
 /**
@@ -23,25 +30,82 @@
 	}
 
 	/**
-	 * The groups of the own data centre that may be given work.
-	 * @param allocation the allocation as last seen
-	 * @param fleet what is known of the VMs
+	 * The groups of all data centres that may be given work.
+	 * @param state what the node knows of groups
+	 * @param view the node's view
 	 * @param service the service
 	 * @param now own monotonic time
-	 * @param freshness the oldest sight of a member that counts
-	 * @return the targets, by name
+	 * @return the targets, by data centre and name
 	 */
-	public static List<ServingTarget> own(Allocation allocation, Fleet fleet, ServiceName service, Instant now,
-			Duration freshness) {
+	public static List<ServingTarget> of(GroupState state, NodeView view, ServiceName service, Instant now) {
+		DataCentreName own = view.self().dataCentre();
+		Map<String, ServingTarget> targets = new TreeMap<>();
+		state.spread().groups().forEach((dataCentre, groups) -> {
+			if (!dataCentre.equals(own) || groups.version() >= state.allocation().version()) {
+				spread(dataCentre, groups, view, service, now).forEach((target) -> targets.put(key(target), target));
+			}
+		});
+		long spreadVersion = state.spread().groups().getOrDefault(own, SpreadGroups.none()).version();
+		if (state.allocation().version() >= spreadVersion) {
+			state.allocation()
+				.known()
+				.ifPresent((allocation) -> own(allocation, view, service, now)
+					.forEach((target) -> targets.put(key(target), target)));
+		}
+		return List.copyOf(targets.values());
+	}
+
+	private static String key(ServingTarget target) {
+		return target.dataCentre() + "/" + target.name();
+	}
+
+	private static List<ServingTarget> own(Allocation allocation, NodeView view, ServiceName service, Instant now) {
+		Duration freshness = view.policy().observation().freshness();
 		List<ServingTarget> targets = new ArrayList<>();
 		for (GroupRecord record : allocation.groups().values()) {
-			if (record.service().equals(service) && serves(record, fleet, now, freshness)) {
-				target(allocation, fleet, record).ifPresent(targets::add);
+			if (record.service().equals(service) && serves(record, view.fleet(), now, freshness)) {
+				target(allocation, view.fleet(), record).ifPresent(targets::add);
+			}
+		}
+		return targets;
+	}
+
+	private static List<ServingTarget> spread(DataCentreName dataCentre, SpreadGroups groups, NodeView view,
+			ServiceName service, Instant now) {
+		Instant oldest = now.minus(view.policy().observation().freshness());
+		boolean own = dataCentre.equals(view.self().dataCentre());
+		List<ServingTarget> targets = new ArrayList<>();
+		for (SpreadGroup group : groups.groups().values()) {
+			Optional<GroupFacts> facts = group.facts().filter((known) -> known.service().equals(service));
+			if (facts.isEmpty() || group.seenAt().isBefore(oldest)) {
+				continue;
+			}
+			boolean leaving = own && facts.get().members().stream().anyMatch(view.fleet()::isLeaving);
+			if (!leaving) {
+				targets.add(new ServingTarget(group.identity().name().target(), service, dataCentre,
+						facts.get().address(), Optional.of(group.identity()), facts.get().members()));
 			}
 		}
 		return targets;
 	}
 
+	/**
+	 * The sight of a group's head as the stewards spread it.
+	 * @param state what the node knows of groups
+	 * @param head the head
+	 * @return the sight, if the VM is the head of a known group
+	 */
+	public static Optional<VmSight> headSight(GroupState state, VmName head) {
+		for (SpreadGroups groups : state.spread().groups().values()) {
+			for (SpreadGroup group : groups.groups().values()) {
+				if (group.facts().filter((facts) -> facts.members().get(0).equals(head)).isPresent()) {
+					return Optional.of(group.headSight(head));
+				}
+			}
+		}
+		return Optional.empty();
+	}
+
 	/**
 	 * Whether a group may be given work. Failure: the head still answers although a
 	 * member is gone, was replaced at the same address, or has joined another group; it
--- a/src/main/java/sycamorehill/logic/group/Silences.java
+++ b/src/main/java/sycamorehill/logic/group/Silences.java
@@ -28,18 +28,23 @@
  * @param since own monotonic time of the beginning of each silence
  * @param lookedAt own monotonic time of the last look
  * @param trusted whether the own view is good enough to tell the dead
+ * @param companyAt own monotonic time at which another node was last heard of
+ * @param deserted whether the other nodes have fallen silent of late
  * @param gone VMs of which another sign than silence says that they are dead
  */
-public record Silences(PMap<VmName, Instant> since, Instant lookedAt, boolean trusted, PSet<VmName> gone) {
+public record Silences(PMap<VmName, Instant> since, Instant lookedAt, boolean trusted, Instant companyAt,
+		boolean deserted, PSet<VmName> gone) {
 
 	private static final int SILENT_INTERVALS = 3;
 
 	private static final Duration REFUSED_LONG_ENOUGH = Duration.ofSeconds(2);
 
+	private static final Duration DESERTED = Duration.ofMinutes(2);
+
 	private static final Duration LONGEST_GAP = Duration.ofSeconds(3);
 
 	static Silences none() {
-		return new Silences(HashTreePMap.empty(), Instant.MIN, false, HashTreePSet.empty());
+		return new Silences(HashTreePMap.empty(), Instant.MIN, false, Instant.MIN, false, HashTreePSet.empty());
 	}
 
 	/**
@@ -47,11 +52,12 @@
 	 * @param fleet what is known of the VMs
 	 * @param groups the groups
 	 * @param standbys the VMs claimed ahead of time
+	 * @param company whether another node of the data centre is heard of
 	 * @param now own monotonic time
 	 * @param reportInterval how often engines are asked
 	 * @return the silences after this look
 	 */
-	Silences look(Fleet fleet, Iterable<GroupRecord> groups, Iterable<VmName> standbys, Instant now,
+	Silences look(Fleet fleet, Iterable<GroupRecord> groups, Iterable<VmName> standbys, boolean company, Instant now,
 			Duration reportInterval) {
 		// Failure: this node was paused, and on waking every sight that it has is old: it
 		// would take the whole data centre for dead and rebuild it. A silence counts only
@@ -73,7 +79,15 @@
 				}
 			}
 		}
-		return new Silences(after, now, !paused && someDomainIsSeen(fleet, now, bound), signs);
+		// Failure: this node's link to one VM is cut and so are its links to the nodes
+		// that
+		// still see the VM; it would rebuild a group that serves. When all other nodes
+		// have
+		// fallen silent a moment ago, silence of a VM proves nothing.
+		Instant heard = company ? now : this.companyAt;
+		boolean lately = !heard.equals(Instant.MIN) && heard.plus(DESERTED).isAfter(now);
+		boolean trust = !paused && someDomainIsSeen(fleet, now, bound);
+		return new Silences(after, now, trust, heard, !company && lately, signs);
 	}
 
 	private static boolean silent(Fleet fleet, VmName vm, Instant now, Duration bound) {
@@ -119,11 +133,17 @@
 	 * @return whether its group has to go on without it
 	 */
 	boolean dead(VmName vm, Instant now, RepairRules rules) {
+		// Failure: a node that controlled the groups minutes ago takes the lease again
+		// and
+		// decides on what it watched then.
+		if (this.lookedAt.equals(Instant.MIN) || this.lookedAt.plus(LONGEST_GAP).isBefore(now)) {
+			return false;
+		}
 		if (rules.readsSigns() && this.trusted && this.gone.contains(vm)) {
 			return true;
 		}
 		Instant start = this.since.get(vm);
-		return this.trusted && start != null && !start.plus(rules.deadAfter()).isAfter(now);
+		return this.trusted && !this.deserted && start != null && !start.plus(rules.deadAfter()).isAfter(now);
 	}
 
 	/**
--- a/src/main/java/sycamorehill/logic/node/StateView.java
+++ b/src/main/java/sycamorehill/logic/node/StateView.java
@@ -70,9 +70,7 @@
 		if (item.filter((found) -> found.kind() == ServiceKind.PLAIN).isPresent()) {
 			return item.get().plainTargets().stream().map((target) -> plain(service, target)).toList();
 		}
-		return allocation()
-			.map((known) -> ServingGroups.own(known, fleet(), service, this.now, policy().observation().freshness()))
-			.orElse(List.of());
+		return ServingGroups.of(this.state.group(), this, service, this.now);
 	}
 
 	private static ServingTarget plain(ServiceName service, PlainTarget target) {
@@ -94,7 +92,7 @@
 
 	@Override
 	public Optional<VmSight> sight(VmName vm) {
-		return fleet().sight(vm);
+		return fleet().sight(vm).or(() -> ServingGroups.headSight(this.state.group(), vm));
 	}
 
 	@Override
--- a/src/main/java/sycamorehill/logic/observation/FleetUpdates.java
+++ b/src/main/java/sycamorehill/logic/observation/FleetUpdates.java
@@ -93,7 +93,7 @@
 	// Failure: an answer that was delayed on its way arrives after a later one and shows
 	// a member in a generation that it has left. The engine's own sequence orders the
 	// reports of one life; between lives the time of asking does.
-	private static boolean supersedes(VmSight sight, VmSight before) {
+	static boolean supersedes(VmSight sight, VmSight before) {
 		if (sight.report().instance().equals(before.report().instance())) {
 			return sight.report().sequence() > before.report().sequence()
 					|| (sight.report().sequence() == before.report().sequence()
@@ -102,6 +102,22 @@
 		return sight.seenAt().isAfter(before.seenAt());
 	}
 
+	/**
+	 * Takes in that a VM was seen again as it was.
+	 * @param fleet what was known
+	 * @param vm the VM
+	 * @param seenAt own monotonic time of the sight
+	 * @return what is known now
+	 */
+	static Fleet refresh(Fleet fleet, VmName vm, Instant seenAt) {
+		VmSight before = fleet.sights().get(vm);
+		if (before == null || !seenAt.isAfter(before.seenAt())) {
+			return fleet;
+		}
+		return new Fleet(fleet.entries(), fleet.listedAt(),
+				fleet.sights().plus(vm, new VmSight(before.report(), seenAt)), fleet.leaving(), fleet.refusals());
+	}
+
 	/**
 	 * Takes in that a VM will go.
 	 * @param fleet what was known
--- a/src/main/java/sycamorehill/logic/observation/ObservationState.java
+++ b/src/main/java/sycamorehill/logic/observation/ObservationState.java
@@ -1,40 +1,61 @@
 package sycamorehill.logic.observation;
 
 import java.time.Instant;
-import java.util.Optional;
 
+import org.pcollections.HashTreePSet;
+import org.pcollections.PSet;
 import org.pcollections.PSortedSet;
 import org.pcollections.TreePSet;
 
 import sycamorehill.model.group.Fleet;
+import sycamorehill.model.identity.VmName;
 
 /**
  * State of the part: which target VMs were seen, and in which state.
  *
  * @param fleet what is known of the VMs
+ * @param observed the VMs that this node asks
  * @param turns when each engine is asked next, the earliest first
- * @param nextListAt when the VM list is read next, empty before the first tick
+ * @param scheduled the VMs that have a turn
+ * @param nextListAt when the VM list is read next
+ * @param nextDutyAt when it is next looked at which VMs this node observes
+ * @param sharing what passes between observers and stewards
  */
-public record ObservationState(Fleet fleet, PSortedSet<AskTurn> turns, Optional<Instant> nextListAt) {
+public record ObservationState(Fleet fleet, PSet<VmName> observed, PSortedSet<AskTurn> turns, PSet<VmName> scheduled,
+		Instant nextListAt, Instant nextDutyAt, SharingState sharing) {
 
 	/**
 	 * The state of a fresh node.
 	 * @return the state before the first event
 	 */
 	public static ObservationState initial() {
-		return new ObservationState(Fleet.empty(), TreePSet.empty(), Optional.empty());
+		return new ObservationState(Fleet.empty(), HashTreePSet.empty(), TreePSet.empty(), HashTreePSet.empty(),
+				Instant.MIN, Instant.MIN, SharingState.initial());
 	}
 
 	ObservationState withFleet(Fleet changed) {
-		return new ObservationState(changed, this.turns, this.nextListAt);
+		return new ObservationState(changed, this.observed, this.turns, this.scheduled, this.nextListAt,
+				this.nextDutyAt, this.sharing);
 	}
 
-	ObservationState withTurns(PSortedSet<AskTurn> changed) {
-		return new ObservationState(this.fleet, changed, this.nextListAt);
+	ObservationState withDuty(PSet<VmName> changed, Instant next) {
+		return new ObservationState(this.fleet, changed, this.turns, this.scheduled, this.nextListAt, next,
+				this.sharing);
+	}
+
+	ObservationState withTurns(PSortedSet<AskTurn> changed, PSet<VmName> changedScheduled) {
+		return new ObservationState(this.fleet, this.observed, changed, changedScheduled, this.nextListAt,
+				this.nextDutyAt, this.sharing);
 	}
 
 	ObservationState withNextListAt(Instant changed) {
-		return new ObservationState(this.fleet, this.turns, Optional.of(changed));
+		return new ObservationState(this.fleet, this.observed, this.turns, this.scheduled, changed, this.nextDutyAt,
+				this.sharing);
+	}
+
+	ObservationState withSharing(SharingState changed) {
+		return new ObservationState(this.fleet, this.observed, this.turns, this.scheduled, this.nextListAt,
+				this.nextDutyAt, changed);
 	}
 
 }
--- /dev/null
+++ b/src/main/java/sycamorehill/logic/observation/ObserverDuty.java
@@ -0,0 +1,72 @@
+package sycamorehill.logic.observation;
+
+import java.util.List;
+
+import com.dynatrace.hash4j.hashing.Hashing;
+import org.pcollections.HashTreePSet;
+import org.pcollections.PSet;
+
+import sycamorehill.logic.NodeView;
+import sycamorehill.model.identity.NodeName;
+import sycamorehill.model.identity.VmName;
+import sycamorehill.model.membership.LiveNode;
+import sycamorehill.model.policy.ObservationPolicy;
+
+/**
+ * Which VMs this node observes. VMs are hashed into shares of about equal size; each
+ * share has a few observers, picked by rendezvous hashing over the live nodes.
+ */
+final class ObserverDuty {
+
+	private ObserverDuty() {
+	}
+
+	/**
+	 * The VMs that this node observes.
+	 * @param vms all VMs of the data centre
+	 * @param count how many they are
+	 * @param view the node's view
+	 * @return the VMs; all of them while the node knows of no other node
+	 */
+	static PSet<VmName> of(Iterable<VmName> vms, int count, NodeView view) {
+		ObservationPolicy policy = view.policy().observation();
+		List<LiveNode> nodes = view.liveNodes().dutiful(view.self().dataCentre());
+		PSet<VmName> observed = HashTreePSet.empty();
+		if (count == 0) {
+			return observed;
+		}
+		int shares = (count + policy.vmsPerShare() - 1) / policy.vmsPerShare();
+		boolean[] mine = new boolean[shares];
+		for (int share = 0; share < shares; share++) {
+			mine[share] = nodes.size() <= policy.observersPerVm() || observes(nodes, share, policy, view);
+		}
+		for (VmName vm : vms) {
+			if (mine[share(vm, shares)]) {
+				observed = observed.plus(vm);
+			}
+		}
+		return observed;
+	}
+
+	private static int share(VmName vm, int shares) {
+		return (int) Math.floorMod(Hashing.komihash5_0().hashCharsToLong(vm.value()), (long) shares);
+	}
+
+	private static boolean observes(List<LiveNode> nodes, int share, ObservationPolicy policy, NodeView view) {
+		NodeName self = view.self().incarnation().node();
+		long own = weight(self, share);
+		long before = nodes.stream()
+			.map((node) -> node.identity().incarnation().node())
+			.filter((node) -> !node.equals(self))
+			.filter((node) -> weight(node, share) < own)
+			.limit(policy.observersPerVm())
+			.count();
+		boolean dutiful = nodes.stream().anyMatch((node) -> node.identity().incarnation().node().equals(self));
+		return dutiful && before < policy.observersPerVm();
+	}
+
+	private static long weight(NodeName node, int share) {
+		return Hashing.komihash5_0().hashStream().putInt(share).putString(node.value()).getAsLong();
+	}
+
+}
--- /dev/null
+++ b/src/main/java/sycamorehill/logic/observation/SightSharing.java
@@ -0,0 +1,135 @@
+package sycamorehill.logic.observation;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+
+import org.pcollections.HashTreePSet;
+import org.pcollections.PSet;
+
+import sycamorehill.logic.NodeView;
+import sycamorehill.model.effect.Effect;
+import sycamorehill.model.effect.PeerEffect;
+import sycamorehill.model.group.Fleet;
+import sycamorehill.model.group.VmReport;
+import sycamorehill.model.group.VmSight;
+import sycamorehill.model.identity.NodeIdentity;
+import sycamorehill.model.identity.VmName;
+import sycamorehill.model.peer.VmSightsSent;
+import sycamorehill.model.policy.ObservationPolicy;
+
+/**
+ * Sends the own sights to the stewards of the data centre and takes in those of others. A
+ * message carries whole reports only where something has changed; a hash over the rest
+ * tells the reader whether it knows the same.
+ */
+final class SightSharing {
+
+	private static final int WHOLES_AFTER_CHANGE = 2;
+
+	private static final int WHOLE_EACH = 8;
+
+	private SightSharing() {
+	}
+
+	static ObservationState send(ObservationState state, Instant now, NodeView view, List<Effect> effects) {
+		ObservationPolicy policy = view.policy().observation();
+		SharingState sharing = state.sharing();
+		List<VmSight> seen = seen(state, now, policy);
+		long hash = hash(seen);
+		boolean changed = hash != sharing.lastHash();
+		if (!changed && now.isBefore(sharing.nextAt())) {
+			return state;
+		}
+		int wholes = changed ? WHOLES_AFTER_CHANGE : Math.max(0, sharing.wholesLeft() - 1);
+		boolean whole = changed || sharing.wholesLeft() > 0 || sharing.round() % WHOLE_EACH == 0;
+		VmSightsSent message = message(seen, now, hash, whole);
+		for (NodeIdentity steward : Rendezvous.stewards(view, view.self().dataCentre())) {
+			if (!steward.equals(view.self())) {
+				effects.add(new PeerEffect.Send(steward, message));
+			}
+		}
+		return state.withSharing(sharing.sent(now.plus(policy.digestInterval()), hash, wholes));
+	}
+
+	private static List<VmSight> seen(ObservationState state, Instant now, ObservationPolicy policy) {
+		Instant oldest = now.minus(policy.freshness());
+		List<VmSight> seen = new ArrayList<>();
+		for (VmName vm : state.observed()) {
+			VmSight sight = state.sharing().own().get(vm);
+			if (sight != null && sight.seenAt().isAfter(oldest)) {
+				seen.add(sight);
+			}
+		}
+		return seen;
+	}
+
+	private static VmSightsSent message(List<VmSight> seen, Instant now, long hash, boolean whole) {
+		List<VmReport> reports = new ArrayList<>();
+		List<Integer> ages = new ArrayList<>();
+		int oldest = 0;
+		for (VmSight sight : seen) {
+			int age = (int) Duration.between(sight.seenAt(), now).toMillis();
+			oldest = Math.max(oldest, age);
+			if (whole || isLoaded(sight.report())) {
+				reports.add(sight.report());
+				ages.add(age);
+			}
+		}
+		return new VmSightsSent(now.toEpochMilli(), whole, reports, ages, hash, oldest);
+	}
+
+	private static boolean isLoaded(VmReport report) {
+		return report.running() + report.queued() > 0 || report.tokensPerSecond() > 0;
+	}
+
+	private static long hash(List<VmSight> sights) {
+		long hash = 0;
+		for (VmSight sight : sights) {
+			hash += Standing.of(sight.report());
+		}
+		return hash;
+	}
+
+	static ObservationState received(ObservationState state, Instant now, NodeIdentity from, VmSightsSent message) {
+		SenderClocks clocks = state.sharing().clocks().received(from.incarnation(), now, message.sentAt());
+		long delay = clocks.delay(from.incarnation(), now, message.sentAt());
+		Fleet fleet = state.fleet();
+		PSet<VmName> vms = HashTreePSet.empty();
+		for (int index = 0; index < message.reports().size(); index++) {
+			VmReport report = message.reports().get(index);
+			Instant seenAt = now.minusMillis(delay + message.ages().get(index));
+			fleet = FleetUpdates.report(fleet, new VmSight(report, seenAt));
+			vms = vms.plus(report.vm());
+		}
+		SharingState sharing = state.sharing().withClocks(clocks);
+		if (message.whole()) {
+			return state.withFleet(fleet).withSharing(sharing.withObserver(from.incarnation().node(), vms));
+		}
+		Instant seenAt = now.minusMillis(delay + message.oldest());
+		PSet<VmName> unchanged = sharing.observers().getOrDefault(from.incarnation().node(), HashTreePSet.empty());
+		return state.withFleet(refresh(fleet, unchanged, message.hash(), seenAt)).withSharing(sharing);
+	}
+
+	// Failure: the message that told of a change is lost, and the next one, which says
+	// "unchanged", makes the old sight fresh: a group would serve with a member missing.
+	// The hash over what the sender sees must match what this node knows of just these
+	// VMs; if not, nothing is made fresher and the next whole message settles it.
+	private static Fleet refresh(Fleet fleet, PSet<VmName> vms, long hash, Instant seenAt) {
+		long known = 0;
+		for (VmName vm : vms) {
+			VmSight sight = fleet.sights().get(vm);
+			known += (sight != null) ? Standing.of(sight.report()) : 0;
+		}
+		if (known != hash) {
+			return fleet;
+		}
+		Fleet refreshed = fleet;
+		for (VmName vm : vms) {
+			refreshed = FleetUpdates.refresh(refreshed, vm, seenAt);
+		}
+		return refreshed;
+	}
+
+}
