Count no silence that was watched alone

Cause: a controller cut off from the other nodes counted a VM's silence and acted on it the moment the others were back, before their sights came. Change: silences begin anew after a time alone.

--- a/src/main/java/sycamorehill/experiment/group/TrialEngine.java
+++ b/src/main/java/sycamorehill/experiment/group/TrialEngine.java
@@ -50,6 +50,8 @@
 
 	private boolean down;
 
+	private boolean restarted;
+
 	private boolean refuses;
 
 	private boolean leaving;
@@ -169,8 +171,9 @@
 	}
 
 	void advance(Instant now, Duration step, double rate) {
-		if (!answers(now) || this.leaving) {
+		if (!answers(now) || this.leaving || this.restarted) {
 			this.troubledAt = now;
+			this.restarted = false;
 		}
 		if (this.state == EngineState.LOADING && answers(now)) {
 			this.loadLeft = this.loadLeft.minusNanos((long) (step.toNanos() * rate));
@@ -235,6 +238,7 @@
 	 */
 	public void restart() {
 		this.down = false;
+		this.restarted = true;
 		this.leaving = false;
 		this.life++;
 		this.sequence = 0;
