--- a/src/main/java/sycamorehill/logic/node/StateView.java
+++ b/src/main/java/sycamorehill/logic/node/StateView.java
@@ -20,6 +20,7 @@
 import sycamorehill.model.ticket.PlainTarget;
 import sycamorehill.model.ticket.ServiceItem;
 import sycamorehill.model.ticket.ServiceKind;
+import sycamorehill.model.ticket.Ticket;
 import sycamorehill.model.ticket.Truth;
 
 /**
@@ -55,6 +56,11 @@
 		return this.state.ticket().log().truth();
 	}
 
+	@Override
+	public Optional<Ticket> ticket(long number) {
+		return this.state.ticket().log().ticket(number);
+	}
+
 	@Override
 	public LiveNodes liveNodes() {
 		return this.state.membership().liveNodes();
--- a/src/main/java/sycamorehill/model/log/LogEvent.java
+++ b/src/main/java/sycamorehill/model/log/LogEvent.java
@@ -11,6 +11,12 @@
 	/** The node was told to stop. */
 	NODE_STOPPING(1002, LogLevel.INFO),
 
+	/** An effect could not be carried out. */
+	EFFECT_FAILED(1003, LogLevel.ERROR),
+
+	/** A step of the decisions threw; the process ends. */
+	INVARIANT_BROKEN(1004, LogLevel.ERROR),
+
 	/** Everything in flight is over; the stopping node exits. */
 	REQUESTS_DRAINED(1101, LogLevel.INFO),
 
@@ -29,6 +35,15 @@
 	/** A second target died while it ran the same content. */
 	CONTENT_QUARANTINED(1122, LogLevel.ERROR),
 
+	/** Idempotency keys can't be claimed in time; orders are refused as not run. */
+	ORDER_CLAIMS_UNAVAILABLE(1201, LogLevel.WARN),
+
+	/** A shard keeps as many claims as it may; orders are refused as not run. */
+	ORDER_SHARD_FULL(1202, LogLevel.ERROR),
+
+	/** Whether an order ran can't be told. */
+	ORDER_OUTCOME_UNKNOWN(1203, LogLevel.WARN),
+
 	/** A connection of or to another node was closed because of what came over it. */
 	PEER_CONNECTION_REFUSED(1301, LogLevel.WARN),
 
@@ -53,6 +68,9 @@
 	/** A ticket or snapshot was written by a newer version. */
 	TICKET_FORMAT_UNKNOWN(1406, LogLevel.ERROR),
 
+	/** The snapshot was renewed. */
+	SNAPSHOT_WRITTEN(1407, LogLevel.INFO),
+
 	/** A node was heard for the first time or again. */
 	NODE_ALIVE(1501, LogLevel.INFO),
 
