--- a/src/main/java/sycamorehill/peer/PeerMessageCodec.java
+++ b/src/main/java/sycamorehill/peer/PeerMessageCodec.java
@@ -15,6 +15,7 @@
 import sycamorehill.model.identity.NodeName;
 import sycamorehill.model.peer.ForceAsked;
 import sycamorehill.model.peer.ForceSent;
+import sycamorehill.model.peer.GroupsSent;
 import sycamorehill.model.peer.Heartbeat;
 import sycamorehill.model.peer.MembersAsked;
 import sycamorehill.model.peer.MembersChanged;
@@ -28,6 +29,7 @@
 import sycamorehill.model.peer.TicketsAsked;
 import sycamorehill.model.peer.TicketsSent;
 import sycamorehill.model.peer.TruthSent;
+import sycamorehill.model.peer.VmSightsSent;
 
 /**
  * Turns messages into bytes and back. Each type of message has a name that never changes
@@ -80,6 +82,8 @@
 		codec.register("force-asked", ForceAsked.class);
 		codec.register("force-sent", ForceSent.class);
 		codec.register("target-leaving", TargetLeaving.class);
+		codec.register("vm-sights", VmSightsSent.class);
+		codec.register("groups", GroupsSent.class);
 		return codec;
 	}
 
