--- a/src/main/java/sycamorehill/experiment/group/GroupTrial.java
+++ b/src/main/java/sycamorehill/experiment/group/GroupTrial.java
@@ -70,7 +70,7 @@
 
 	private final RandomGenerator random;
 
-	private final TrialFigures figures = new TrialFigures();
+	private TrialFigures figures = new TrialFigures();
 
 	private final TrialVms vms;
 
@@ -161,6 +161,13 @@
 		return this.figures;
 	}
 
+	/**
+	 * Begins to measure anew.
+	 */
+	public void restartFigures() {
+		this.figures = new TrialFigures();
+	}
+
 	/**
 	 * The random choices of the trial.
 	 * @return the generator
--- a/src/main/java/sycamorehill/experiment/group/TrialFigures.java
+++ b/src/main/java/sycamorehill/experiment/group/TrialFigures.java
@@ -17,6 +17,8 @@
 
 	private Duration stranded = Duration.ZERO;
 
+	private Duration bound = Duration.ZERO;
+
 	private long platformCalls;
 
 	private long streams;
@@ -33,6 +35,10 @@
 		this.stranded = this.stranded.plus(step.multipliedBy(vms));
 	}
 
+	void bound(Duration time) {
+		this.bound = this.bound.plus(time);
+	}
+
 	void platformCall() {
 		this.platformCalls++;
 	}
@@ -69,6 +75,15 @@
 		return this.stranded.toNanos() / NANOSECONDS;
 	}
 
+	/**
+	 * Seconds of downtime that no repair could have avoided: for each failure that struck
+	 * a group the shorter of its length and of one report and one load alone.
+	 * @return the seconds
+	 */
+	public double boundSeconds() {
+		return this.bound.toNanos() / NANOSECONDS;
+	}
+
 	/**
 	 * Calls to the platform.
 	 * @return the count
--- a/src/main/java/sycamorehill/experiment/group/TrialNode.java
+++ b/src/main/java/sycamorehill/experiment/group/TrialNode.java
@@ -74,6 +74,19 @@
 		this.clockOffset = clockOffset;
 	}
 
+	/**
+	 * Another node with the same state.
+	 * @return the copy
+	 */
+	TrialNode copy() {
+		TrialNode copy = new TrialNode(this.self, this.policy, this.clockOffset);
+		copy.truth = this.truth;
+		copy.liveNodes = this.liveNodes;
+		copy.observation = this.observation;
+		copy.group = this.group;
+		return copy;
+	}
+
 	Instant clock(Instant trialTime) {
 		return trialTime.plus(this.clockOffset);
 	}
--- a/src/main/java/sycamorehill/experiment/group/TrialVms.java
+++ b/src/main/java/sycamorehill/experiment/group/TrialVms.java
@@ -86,6 +86,41 @@
 		engine.die(refuses);
 	}
 
+	/**
+	 * Pauses a VM.
+	 * @param engine the VM
+	 * @param time for how long
+	 */
+	public void pause(TrialEngine engine, Duration time) {
+		bound(List.of(engine), time);
+		engine.pause(this.trial.now().plus(time));
+	}
+
+	/**
+	 * Ends VMs for a while, together.
+	 * @param struck the VMs
+	 * @param refuses whether their addresses refuse connections
+	 * @param time after which they start again in no group
+	 */
+	public void outage(List<TrialEngine> struck, boolean refuses, Duration time) {
+		bound(struck, time);
+		for (TrialEngine engine : struck) {
+			die(engine, refuses);
+			this.trial.at(time, engine::restart);
+		}
+	}
+
+	private void bound(List<TrialEngine> struck, Duration time) {
+		Duration repair = this.settings.policy().observation().reportInterval().plus(this.settings.load());
+		long groups = struck.stream()
+			.filter((engine) -> engine.state() == EngineState.READY)
+			.map(TrialEngine::group)
+			.distinct()
+			.count();
+		Duration shorter = (time.compareTo(repair) < 0) ? time : repair;
+		this.trial.figures().bound(shorter.multipliedBy(groups));
+	}
+
 	void advance() {
 		Instant now = this.trial.now();
 		long loading = this.engines.values().stream().filter((each) -> each.state() == EngineState.LOADING).count();
--- /dev/null
+++ b/src/test/java/sycamorehill/logic/group/GroupChangeTests.java
@@ -0,0 +1,152 @@
+package sycamorehill.logic.group;
+
+import java.time.Duration;
+import java.util.Collection;
+
+import org.assertj.core.api.Assertions;
+import org.junit.jupiter.api.Test;
+
+import sycamorehill.experiment.group.GroupTrial;
+import sycamorehill.experiment.group.TrialEngine;
+import sycamorehill.experiment.group.TrialNode;
+import sycamorehill.model.group.GroupPhase;
+import sycamorehill.model.group.GroupRecord;
+import sycamorehill.model.identity.VmName;
+
+class GroupChangeTests {
+
+	private static Collection<GroupRecord> groups(GroupTrial trial) {
+		return trial.allocation(Trials.DATA_CENTRE).groups().values();
+	}
+
+	private static int serving(GroupTrial trial) {
+		return (int) groups(trial).stream().filter((group) -> group.phase() == GroupPhase.SERVING).count();
+	}
+
+	private static void requireAtLeast(GroupTrial trial, int groups, Duration time) {
+		for (int second = 0; second < time.toSeconds(); second++) {
+			trial.run(Duration.ofSeconds(1));
+			Assertions.assertThat(serving(trial)).isGreaterThanOrEqualTo(groups);
+		}
+	}
+
+	@Test
+	void aNewModelVersionIsRolledThroughWhileTheServiceServes() {
+		GroupTrial trial = Trials.formed(1, 3, 0);
+		trial.file(Trials.service("2"));
+		requireAtLeast(trial, 2, Duration.ofMinutes(8));
+		Assertions.assertThat(groups(trial))
+			.hasSize(3)
+			.allMatch((group) -> group.modelVersion().equals("2") && group.phase() == GroupPhase.SERVING);
+		Assertions.assertThat(trial.figures().violations()).isEmpty();
+		Assertions.assertThat(trial.figures().brokenStreams()).isZero();
+	}
+
+	// No VM is left over to build the new groups beside the old ones.
+	@Test
+	void aFullDataCentreIsRolledThroughOneGroupAtATime() {
+		GroupTrial trial = Trials.formed(2, 4, 0);
+		trial.file(Trials.service("2"));
+		requireAtLeast(trial, 3, Duration.ofMinutes(8));
+		Assertions.assertThat(groups(trial)).hasSize(4).allMatch((group) -> group.modelVersion().equals("2"));
+		Assertions.assertThat(trial.figures().brokenStreams()).isZero();
+	}
+
+	@Test
+	void fewerGroupsAreDrainedAndGivenUp() {
+		GroupTrial trial = Trials.formed(3, 3, 0);
+		trial.file(Trials.set(1, 0));
+		trial.run(Duration.ofMinutes(2));
+		Assertions.assertThat(groups(trial)).hasSize(1);
+		Assertions.assertThat(trial.figures().brokenStreams()).isZero();
+	}
+
+	// The new version can't be loaded. Operators see the service go on with the old one,
+	// and the reason in the group's record.
+	@Test
+	void aVersionThatFailsToLoadStopsTheChange() {
+		GroupTrial trial = Trials.formed(4, 3, 0);
+		trial.engines().values().forEach((engine) -> engine.failLoads(true));
+		trial.file(Trials.service("2"));
+		requireAtLeast(trial, 3, Duration.ofMinutes(6));
+		Assertions.assertThat(groups(trial))
+			.filteredOn((group) -> group.phase() == GroupPhase.FAILED)
+			.singleElement()
+			.satisfies((group) -> Assertions.assertThat(group.reason()).contains("load of model 2 failed"));
+		Assertions.assertThat(trial.engines().values()).allMatch((engine) -> engine.loads() <= 4);
+	}
+
+	@Test
+	void aTicketBackToTheOldVersionEndsAStoppedChange() {
+		GroupTrial trial = Trials.formed(5, 3, 0);
+		trial.engines().values().forEach((engine) -> engine.failLoads(true));
+		trial.file(Trials.service("2"));
+		trial.run(Duration.ofMinutes(3));
+		trial.engines().values().forEach((engine) -> engine.failLoads(false));
+		trial.file(Trials.service("1"));
+		trial.run(Duration.ofMinutes(3));
+		Assertions.assertThat(groups(trial))
+			.hasSize(3)
+			.allMatch((group) -> group.modelVersion().equals("1") && group.phase() == GroupPhase.SERVING);
+	}
+
+	// A node is cut off from its peers and the platform, does not hear of the drain and
+	// goes on sending streams until its sight of the group has aged.
+	@Test
+	void aNodeThatDoesNotHearOfTheDrainLosesNoStream() {
+		GroupTrial trial = Trials.formed(6, 3, 0);
+		TrialNode deaf = trial.nodes().stream().filter((node) -> !node.controls(trial.now())).findFirst().get();
+		deaf.cutFromPeers(true);
+		deaf.cutFromPlatform(true);
+		trial.at(Duration.ofSeconds(90), () -> {
+			deaf.cutFromPeers(false);
+			deaf.cutFromPlatform(false);
+		});
+		trial.file(Trials.set(1, 0));
+		trial.run(Duration.ofMinutes(4));
+		Assertions.assertThat(groups(trial)).hasSize(1);
+		Assertions.assertThat(trial.figures().violations()).isEmpty();
+		Assertions.assertThat(trial.figures().brokenStreams()).isZero();
+	}
+
+	// The VM list says that a member will go. Work sent there now would be cut off.
+	@Test
+	void aLeavingMemberDoomsItsGroupAndTheReplacementIsBegunAtOnce() {
+		GroupTrial trial = Trials.formed(7, 2, 0);
+		GroupRecord record = groups(trial).iterator().next();
+		VmName leaving = record.members().get(1);
+		trial.engines().get(leaving).leave();
+		trial.run(Duration.ofSeconds(8));
+		Assertions.assertThat(groups(trial))
+			.anyMatch((group) -> group.identity().equals(record.identity()) && group.phase() == GroupPhase.DRAINING)
+			.anyMatch((group) -> group.phase() == GroupPhase.FORMING);
+		trial.run(Duration.ofMinutes(2));
+		Assertions.assertThat(serving(trial)).isEqualTo(2);
+		Assertions.assertThat(groups(trial)).noneMatch((group) -> group.members().contains(leaving));
+		Assertions.assertThat(trial.figures().brokenStreams()).isZero();
+	}
+
+	// A controller is paused with orders in its hand, past its lease; another one builds
+	// the groups differently; the first one wakes and sends. The engines ignore fencing.
+	@Test
+	void aControllerThatWakesLateDoesNoHarm() {
+		for (long seed = 1; seed <= 20; seed++) {
+			GroupTrial trial = Trials.formed(seed, 2, 0);
+			trial.engines().values().forEach(TrialEngine::ignoreFencing);
+			trial.file(Trials.service("2"));
+			trial.run(Duration.ofMillis(trial.random().nextInt(500, 12_000)));
+			trial.nodes()
+				.stream()
+				.filter((node) -> node.controls(trial.now()))
+				.forEach((node) -> node.pause(trial.now().plusSeconds(20)));
+			trial.file(Trials.service("3"));
+			trial.run(Duration.ofMinutes(5));
+			Assertions.assertThat(trial.figures().violations()).isEmpty();
+			Assertions.assertThat(groups(trial))
+				.hasSize(2)
+				.allMatch((group) -> group.modelVersion().equals("3") && group.phase() == GroupPhase.SERVING);
+			Assertions.assertThat(trial.figures().brokenStreams()).isZero();
+		}
+	}
+
+}
--- /dev/null
+++ b/src/test/java/sycamorehill/logic/group/GroupRepairTests.java
@@ -0,0 +1,249 @@
+package sycamorehill.logic.group;
+
+import java.time.Duration;
+import java.util.Collection;
+import java.util.List;
+
+import org.assertj.core.api.Assertions;
+import org.junit.jupiter.api.Test;
+
+import sycamorehill.experiment.group.GroupTrial;
+import sycamorehill.experiment.group.TrialEngine;
+import sycamorehill.experiment.group.TrialNode;
+import sycamorehill.model.group.Allocation;
+import sycamorehill.model.group.GroupPhase;
+import sycamorehill.model.group.GroupRecord;
+import sycamorehill.model.identity.VmName;
+
+class GroupRepairTests {
+
+	private static final Duration NOTICED = Duration.ofSeconds(6);
+
+	private static final Duration REPAIRED = Duration.ofSeconds(60);
+
+	private static Allocation allocation(GroupTrial trial) {
+		return trial.allocation(Trials.DATA_CENTRE);
+	}
+
+	private static Collection<GroupRecord> groups(GroupTrial trial) {
+		return allocation(trial).groups().values();
+	}
+
+	private static GroupRecord first(GroupTrial trial) {
+		return groups(trial).iterator().next();
+	}
+
+	private static TrialEngine engine(GroupTrial trial, VmName vm) {
+		return trial.engines().get(vm);
+	}
+
+	private static double downtime(GroupTrial trial, Duration time) {
+		double before = trial.figures().downtimeSeconds();
+		trial.run(time);
+		return trial.figures().downtimeSeconds() - before;
+	}
+
+	// A caller's stream stalls for good. The VM of one member pauses; the head still
+	// answers, so a check of the head alone would go on sending work to the group.
+	@Test
+	void aGroupWithASilentMemberGetsNoWork() {
+		GroupTrial trial = Trials.formed(1, 2, 0);
+		VmName member = first(trial).members().get(2);
+		engine(trial, member).pause(trial.now().plusSeconds(12));
+		trial.run(NOTICED);
+		Assertions.assertThat(downtime(trial, Duration.ofSeconds(4))).isEqualTo(4);
+		Assertions.assertThat(trial.figures().violations()).isEmpty();
+	}
+
+	// The member comes back as if nothing had happened. A rebuild would have cost a load
+	// of the whole group.
+	@Test
+	void aMemberThatWasOnlyPausedCostsNoRebuild() {
+		GroupTrial trial = Trials.formed(1, 2, 0);
+		long generation = allocation(trial).nextGeneration();
+		engine(trial, first(trial).members().get(2)).pause(trial.now().plusSeconds(12));
+		trial.run(Duration.ofSeconds(14));
+		Assertions.assertThat(downtime(trial, Duration.ofSeconds(10))).isZero();
+		Assertions.assertThat(allocation(trial).nextGeneration()).isEqualTo(generation);
+	}
+
+	@Test
+	void aDeadMemberIsReplacedFromItsDomain() {
+		GroupTrial trial = Trials.formed(2, 3, 0);
+		TrialEngine dead = engine(trial, first(trial).members().get(1));
+		trial.vms().die(dead, false);
+		trial.run(REPAIRED);
+		Assertions.assertThat(first(trial).phase()).isEqualTo(GroupPhase.SERVING);
+		Assertions.assertThat(first(trial).members())
+			.doesNotContain(dead.name())
+			.allMatch((vm) -> engine(trial, vm).domain().equals(dead.domain()));
+		Assertions.assertThat(downtime(trial, Duration.ofSeconds(5))).isZero();
+	}
+
+	@Test
+	void aStandbyTakesTheDeadMembersPlace() {
+		GroupTrial trial = Trials.formed(2, 3, 2);
+		GroupRecord record = groups(trial).stream()
+			.filter((group) -> allocation(trial).standbys()
+				.keySet()
+				.stream()
+				.anyMatch((vm) -> engine(trial, vm).domain().equals(engine(trial, group.head()).domain())))
+			.findFirst()
+			.orElseThrow();
+		Collection<VmName> standbys = allocation(trial).standbys().keySet();
+		trial.vms().die(engine(trial, record.members().get(1)), true);
+		trial.run(REPAIRED);
+		Assertions.assertThat(allocation(trial).groups().get(record.identity().name()).members())
+			.anyMatch(standbys::contains);
+	}
+
+	// A whole rack goes dark: every VM of one domain is gone at once.
+	@Test
+	void groupsOfALostDomainAreBuiltWhereTheyFit() {
+		GroupTrial trial = Trials.formed(3, 2, 0);
+		TrialEngine head = engine(trial, first(trial).head());
+		trial.engines()
+			.values()
+			.stream()
+			.filter((each) -> each.domain().equals(head.domain()))
+			.forEach((each) -> trial.vms().die(each, false));
+		trial.run(REPAIRED);
+		Assertions.assertThat(groups(trial)).hasSize(2).allMatch((group) -> group.phase() == GroupPhase.SERVING);
+		Assertions.assertThat(downtime(trial, Duration.ofSeconds(5))).isZero();
+	}
+
+	// Two groups lose a member each, and no VM is left over.
+	@Test
+	void ofTwoBrokenGroupsOneServesWithTheOthersMembers() {
+		GroupTrial trial = Trials.formed(4, 4, 0);
+		for (GroupRecord record : groups(trial)) {
+			if (engine(trial, record.head()).domain().equals(engine(trial, first(trial).head()).domain())) {
+				trial.vms().die(engine(trial, record.members().get(1)), true);
+			}
+		}
+		trial.run(REPAIRED);
+		Assertions.assertThat(downtime(trial, Duration.ofSeconds(10))).isEqualTo(10);
+	}
+
+	@Test
+	void aVmThatDiesDuringTheLoadIsReplaced() {
+		GroupTrial trial = Trials.create(5);
+		trial.file(Trials.service("1"), Trials.set(1, 0));
+		trial.run(Duration.ofSeconds(6));
+		trial.vms().die(engine(trial, first(trial).members().get(1)), true);
+		trial.run(REPAIRED);
+		Assertions.assertThat(downtime(trial, Duration.ofSeconds(5))).isZero();
+	}
+
+	// The engine process restarts within a second: the VM answers again, at the same
+	// address and under the same name, but has lost its group.
+	@Test
+	void aReplacedVmUnderTheSameNameIsNoMember() {
+		GroupTrial trial = Trials.formed(6, 1, 0);
+		long generation = first(trial).identity().generation();
+		TrialEngine member = engine(trial, first(trial).members().get(1));
+		trial.vms().die(member, true);
+		member.restart();
+		trial.run(REPAIRED);
+		Assertions.assertThat(trial.figures().violations()).isEmpty();
+		Assertions.assertThat(first(trial).identity().generation()).isGreaterThan(generation);
+		Assertions.assertThat(downtime(trial, Duration.ofSeconds(5))).isZero();
+	}
+
+	// One node loses its link to a member. The other one still sees it.
+	@Test
+	void oneObserversCutLinkStopsNoGroup() {
+		GroupTrial trial = Trials.formed(7, 1, 0);
+		for (TrialNode node : trial.nodes()) {
+			node.cutFrom(first(trial).members().get(1), true);
+			Assertions.assertThat(downtime(trial, Duration.ofSeconds(40))).isZero();
+			node.cutFrom(first(trial).members().get(1), false);
+		}
+	}
+
+	// All nodes of the data centre stop for half a minute, as when their host is frozen.
+	// On waking every sight is old, and every VM looks dead.
+	@Test
+	void aPauseOfAllNodesRebuildsNothing() {
+		GroupTrial trial = Trials.formed(8, 3, 0);
+		long generation = allocation(trial).nextGeneration();
+		trial.nodes().forEach((node) -> node.pause(trial.now().plusSeconds(30)));
+		trial.run(REPAIRED);
+		Assertions.assertThat(allocation(trial).nextGeneration()).isEqualTo(generation);
+	}
+
+	// The nodes' own switch fails: no VM answers any of them.
+	@Test
+	void aCutFromAllVmsRebuildsNothing() {
+		GroupTrial trial = Trials.formed(9, 3, 0);
+		long generation = allocation(trial).nextGeneration();
+		cutAll(trial, true);
+		trial.run(REPAIRED);
+		cutAll(trial, false);
+		trial.run(Duration.ofSeconds(5));
+		Assertions.assertThat(allocation(trial).nextGeneration()).isEqualTo(generation);
+	}
+
+	private static void cutAll(GroupTrial trial, boolean isCut) {
+		List<VmName> vms = List.copyOf(trial.engines().keySet());
+		trial.nodes().forEach((node) -> vms.forEach((vm) -> node.cutFrom(vm, isCut)));
+	}
+
+	// A node that controlled the groups a while ago, and saw a VM silent then, takes the
+	// lease again. The VM has been back for long.
+	@Test
+	void aNewTermDecidesOnNothingWatchedInAnEarlierOne() {
+		GroupTrial trial = Trials.formed(10, 1, 0);
+		TrialNode controller = trial.nodes().stream().filter((node) -> node.controls(trial.now())).findFirst().get();
+		engine(trial, first(trial).members().get(1)).pause(trial.now().plusSeconds(8));
+		trial.run(Duration.ofSeconds(7));
+		controller.pause(trial.now().plusSeconds(20));
+		trial.run(Duration.ofSeconds(40));
+		long generation = allocation(trial).nextGeneration();
+		TrialNode other = trial.nodes().stream().filter((node) -> node != controller).findFirst().get();
+		other.pause(trial.now().plusSeconds(20));
+		trial.run(REPAIRED);
+		Assertions.assertThat(allocation(trial).nextGeneration()).isEqualTo(generation);
+	}
+
+	// The platform is down for a minute: groups serve on, because wholeness is seen and
+	// not read from the platform.
+	@Test
+	void groupsServeThroughAnOutageOfThePlatform() {
+		FaultyTrialPlatform platform = FaultyTrialPlatform.create(11);
+		GroupTrial trial = Trials.create(11, platform);
+		trial.file(Trials.service("1"), Trials.set(3, 0));
+		trial.run(Trials.FORMED);
+		platform.faults().down(true);
+		Assertions.assertThat(downtime(trial, REPAIRED)).isZero();
+	}
+
+	// Every second answer of the platform is lost although the write took effect.
+	@Test
+	void lostAnswersFormNoGroupTwice() {
+		FaultyTrialPlatform platform = FaultyTrialPlatform.create(12);
+		GroupTrial trial = Trials.create(12, platform);
+		platform.faults().faults(0, 0.5, 0);
+		trial.file(Trials.service("1"), Trials.set(3, 0));
+		trial.run(Duration.ofMinutes(4));
+		Assertions.assertThat(groups(trial)).hasSize(3);
+		Assertions.assertThat(allocation(trial).nextGeneration()).isEqualTo(4);
+	}
+
+	// A controller is paused while a group loads; another one takes over.
+	@Test
+	void aLoadUnderWayIsNotStartedAgainByANewController() {
+		GroupTrial trial = Trials.create(13);
+		trial.engines().values().forEach(TrialEngine::ignoreFencing);
+		trial.file(Trials.service("1"), Trials.set(1, 0));
+		trial.run(Duration.ofSeconds(6));
+		trial.nodes()
+			.stream()
+			.filter((node) -> node.controls(trial.now()))
+			.forEach((node) -> node.pause(trial.now().plusSeconds(30)));
+		trial.run(REPAIRED);
+		Assertions.assertThat(first(trial).phase()).isEqualTo(GroupPhase.SERVING);
+		Assertions.assertThat(trial.engines().values()).allMatch((each) -> each.loads() <= 1);
+	}
+
+}
--- /dev/null
+++ b/src/test/java/sycamorehill/logic/observation/SightSharingTests.java
@@ -0,0 +1,58 @@
+package sycamorehill.logic.observation;
+
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+
+import org.assertj.core.api.Assertions;
+import org.junit.jupiter.api.Test;
+
+import sycamorehill.model.group.EngineState;
+import sycamorehill.model.group.VmReport;
+import sycamorehill.model.identity.Address;
+import sycamorehill.model.identity.DataCentreName;
+import sycamorehill.model.identity.NodeIdentity;
+import sycamorehill.model.identity.NodeIncarnation;
+import sycamorehill.model.identity.NodeName;
+import sycamorehill.model.identity.VmName;
+import sycamorehill.model.peer.VmSightsSent;
+
+class SightSharingTests {
+
+	private static final NodeIdentity FROM = new NodeIdentity(NodeIncarnation.of(NodeName.of("n"), 1),
+			DataCentreName.of("dc0"), Address.of("10.0.0.2", 7));
+
+	private static final VmName VM = VmName.of("vm-1");
+
+	private static VmReport report(EngineState state, long sequence) {
+		return new VmReport(VM, "i", state, Optional.empty(), false, 0, 0, 0, 0, sequence);
+	}
+
+	private static ObservationState received(ObservationState state, int second, VmSightsSent message) {
+		return SightSharing.received(state, Instant.ofEpochSecond(second), FROM, message);
+	}
+
+	private static VmSightsSent unchanged(int second, EngineState state) {
+		return new VmSightsSent(second * 1000L, false, List.of(), List.of(), Standing.of(report(state, 1)), 100);
+	}
+
+	private static ObservationState seenReady() {
+		VmSightsSent whole = new VmSightsSent(1000, true, List.of(report(EngineState.READY, 1)), List.of(100), 0, 100);
+		return received(ObservationState.initial(), 1, whole);
+	}
+
+	@Test
+	void unchangedSightsAreMadeFresh() {
+		ObservationState state = received(seenReady(), 4, unchanged(4, EngineState.READY));
+		Assertions.assertThat(state.fleet().sight(VM).orElseThrow().seenAt()).isEqualTo(Instant.ofEpochMilli(3900));
+	}
+
+	// The message that told of a failed member is lost; the next one says "unchanged". A
+	// reader that took its own old view for the sender's would keep the group serving.
+	@Test
+	void unchangedSightsOfAnotherStandingMakeNothingFresh() {
+		ObservationState state = received(seenReady(), 4, unchanged(4, EngineState.FAILED));
+		Assertions.assertThat(state.fleet().sight(VM).orElseThrow().seenAt()).isEqualTo(Instant.ofEpochMilli(900));
+	}
+
+}
