--- a/src/main/java/sycamorehill/experiment/group/TrialFigures.java
+++ b/src/main/java/sycamorehill/experiment/group/TrialFigures.java
@@ -77,7 +77,8 @@
 
 	/**
 	 * Seconds of downtime that no repair could have avoided: for each failure that struck
-	 * a group the shorter of its length and of one report and one load alone.
+	 * a group one report and one load alone where VMs were left to repair it, else the
+	 * failure itself.
 	 * @return the seconds
 	 */
 	public double boundSeconds() {
--- a/src/main/java/sycamorehill/logic/group/Silences.java
+++ b/src/main/java/sycamorehill/logic/group/Silences.java
@@ -63,7 +63,8 @@
 		// would take the whole data centre for dead and rebuild it. A silence counts only
 		// while the node itself was looking.
 		boolean paused = this.lookedAt.equals(Instant.MIN) || this.lookedAt.plus(LONGEST_GAP).isBefore(now);
-		PMap<VmName, Instant> before = (paused || this.deserted) ? HashTreePMap.empty() : this.since;
+		boolean blind = paused || this.deserted || !this.trusted;
+		PMap<VmName, Instant> before = blind ? HashTreePMap.empty() : this.since;
 		Duration bound = reportInterval.multipliedBy(SILENT_INTERVALS);
 		PMap<VmName, Instant> after = HashTreePMap.empty();
 		PSet<VmName> signs = HashTreePSet.empty();
