Repair groups with claimed standbys while the platform is silent

Cause: a data centre cut off from the platform could repair nothing, because every change of a group is a write. Change: the last holder of the lease, if the other stewards hear nothing of the platform either, replaces dead members by standbys that the allocation had claimed, in generations that nobody else gives; at the platform's return they are written down. A lease that nobody could renew is waited for anew.

--- a/src/main/java/sycamorehill/experiment/group/GroupExperiment.java
+++ b/src/main/java/sycamorehill/experiment/group/GroupExperiment.java
@@ -40,6 +40,7 @@
 	private static final List<Contender> CONTENDERS = List.of(
 			new Contender("Kurokawa, weights 0.2", standard().withWeights(new GroupWeights(0.2))),
 			new Contender("Agnishikha, weights 0.8", standard().withWeights(new GroupWeights(0.8))),
+			new Contender("weights 1.0, standby for each set", standard().withWeights(new GroupWeights(1.0))),
 			new Contender("rebuild at once, no spare", baseline(0)),
 			new Contender("rebuild at once, spare a domain", baseline(1)));
 
--- a/src/main/java/sycamorehill/experiment/group/TrialCheck.java
+++ b/src/main/java/sycamorehill/experiment/group/TrialCheck.java
@@ -15,6 +15,7 @@
 import sycamorehill.model.group.GroupPhase;
 import sycamorehill.model.group.GroupRecord;
 import sycamorehill.model.identity.DataCentreName;
+import sycamorehill.model.identity.GroupName;
 import sycamorehill.model.identity.VmName;
 import sycamorehill.model.target.ServingTarget;
 import sycamorehill.model.ticket.ItemInForce;
@@ -34,7 +35,7 @@
 
 	private final List<Stream> streams = new ArrayList<>();
 
-	private final Map<DataCentreName, Set<GroupIdentity>> routed = new HashMap<>();
+	private final Map<DataCentreName, Map<GroupIdentity, List<VmName>>> routed = new HashMap<>();
 
 	private final GroupTrial trial;
 
@@ -62,8 +63,8 @@
 			}
 			List<ServingTarget> targets = targets(node);
 			for (ServingTarget target : targets) {
-				this.routed.computeIfAbsent(target.dataCentre(), (name) -> new HashSet<>())
-					.add(target.group().orElseThrow());
+				this.routed.computeIfAbsent(target.dataCentre(), (name) -> new HashMap<>())
+					.put(target.group().orElseThrow(), target.members());
 				requireWhole(node, target);
 			}
 			if (!targets.isEmpty()) {
@@ -186,27 +187,37 @@
 				.filter((set) -> set.dataCentre().equals(dataCentre))
 				.mapToInt(ModelGroupItem::groups)
 				.sum();
-			Set<GroupIdentity> seen = this.routed.getOrDefault(dataCentre, Set.of());
-			int serving = 0;
-			int strandedVms = (int) allocation.standbys().keySet().stream().filter(this::isUp).count();
-			for (GroupRecord record : allocation.groups().values()) {
-				if (serves(record, seen)) {
-					serving++;
-				}
-				else {
-					strandedVms += (int) record.members().stream().filter(this::isUp).count();
-				}
+			Map<GroupName, List<VmName>> serving = serving(dataCentre, allocation);
+			Set<VmName> busy = new HashSet<>();
+			serving.values().forEach(busy::addAll);
+			Set<VmName> claimed = new HashSet<>(allocation.standbys().keySet());
+			allocation.groups().values().forEach((record) -> claimed.addAll(record.members()));
+			int idle = (int) claimed.stream().filter((vm) -> isUp(vm) && !busy.contains(vm)).count();
+			this.trial.figures().down(Math.max(0, wanted - serving.size()), GroupTrial.STEP);
+			this.trial.figures().stranded(idle, GroupTrial.STEP);
+		}
+	}
+
+	// A group serves if some node sends work to it and it is whole in truth; one that
+	// drains still serves what it runs.
+	private Map<GroupName, List<VmName>> serving(DataCentreName dataCentre, Allocation allocation) {
+		Map<GroupName, List<VmName>> serving = new HashMap<>();
+		for (GroupRecord record : allocation.groups().values()) {
+			if (record.phase() == GroupPhase.DRAINING && isWhole(record.identity(), record.members())) {
+				serving.put(record.identity().name(), record.members());
 			}
-			this.trial.figures().down(Math.max(0, wanted - serving), GroupTrial.STEP);
-			this.trial.figures().stranded(strandedVms, GroupTrial.STEP);
 		}
+		this.routed.getOrDefault(dataCentre, Map.of()).forEach((identity, members) -> {
+			if (isWhole(identity, members)) {
+				serving.put(identity.name(), members);
+			}
+		});
+		return serving;
 	}
 
-	private boolean serves(GroupRecord record, Set<GroupIdentity> seen) {
-		boolean routedTo = seen.contains(record.identity()) || record.phase() == GroupPhase.DRAINING;
-		return routedTo && record.members()
-			.stream()
-			.allMatch((vm) -> this.trial.engines().get(vm).isReadyIn(record.identity(), this.trial.now()));
+	private boolean isWhole(GroupIdentity identity, List<VmName> members) {
+		return members.stream()
+			.allMatch((vm) -> this.trial.engines().get(vm).isReadyIn(identity, this.trial.now()));
 	}
 
 	private boolean isUp(VmName vm) {
--- a/src/main/java/sycamorehill/logic/group/Controller.java
+++ b/src/main/java/sycamorehill/logic/group/Controller.java
@@ -43,17 +43,22 @@
 			return;
 		}
 		turn.change(turn.state().withNextDecisionAt(turn.now().plus(turn.policy().decisionInterval())));
-		watch(turn);
+		boolean offline = !turn.state().lease().holds(turn.now()) && OfflineController.mayAct(turn);
+		watch(turn, offline);
 		decide(turn);
+		if (offline && turn.view().truth().isPresent()) {
+			OfflineController.act(turn, context(turn, turn.view().truth().get()));
+		}
 	}
 
 	/**
 	 * Keeps the times since which groups and VMs have been as they are.
 	 * @param turn the step
+	 * @param offline whether this node repairs while the platform is silent
 	 */
-	private static void watch(GroupTurn turn) {
-		Optional<Allocation> known = turn.state().allocation().known();
-		if (known.isEmpty() || !turn.state().lease().holds(turn.now())) {
+	private static void watch(GroupTurn turn, boolean offline) {
+		Optional<Allocation> known = turn.state().effective();
+		if (known.isEmpty() || !(offline || turn.state().lease().holds(turn.now()))) {
 			return;
 		}
 		Fleet fleet = turn.view().fleet();
@@ -110,11 +115,11 @@
 		if (!ready || truth.isEmpty()) {
 			return;
 		}
-		Allocation allocation = state.allocation().known().get();
+		Allocation allocation = state.effective().orElseThrow();
 		PlanContext context = context(turn, truth.get());
 		String mark = turn.view().self().incarnation() + "/" + state.nextCall();
 		Allocation next = GroupPlanner.plan(allocation, context, state.lease().fencingNumber(), mark);
-		if (next != allocation) {
+		if (next != state.allocation().known().get()) {
 			AllocationTurns.write(turn, next);
 			return;
 		}
--- a/src/main/java/sycamorehill/logic/group/EngineOrders.java
+++ b/src/main/java/sycamorehill/logic/group/EngineOrders.java
@@ -50,7 +50,7 @@
 	// left alone. So this order is harmless however late it arrives.
 	private static Optional<Wish> leave(Allocation allocation, PlanContext context, VmEntry entry) {
 		Optional<GroupIdentity> group = report(context, entry.name()).flatMap(VmReport::group);
-		if (group.isEmpty() || group.get().generation() >= allocation.nextGeneration()) {
+		if (group.isEmpty() || !isPast(allocation, group.get().generation())) {
 			return Optional.empty();
 		}
 		GroupRecord record = allocation.groups().get(group.get().name());
@@ -63,6 +63,13 @@
 		return Optional.of(new Wish(entry, order));
 	}
 
+	// A generation given while the platform was silent was given up if a later controller
+	// has written the allocation without it.
+	private static boolean isPast(Allocation allocation, long generation) {
+		return (generation < OfflineState.FIRST_GENERATION) ? generation < allocation.nextGeneration()
+				: OfflineState.fencingNumber(generation) <= allocation.fencingNumber();
+	}
+
 	private static void join(Allocation allocation, PlanContext context, GroupRecord record, List<Wish> wishes) {
 		for (VmName vm : record.members()) {
 			VmEntry entry = context.fleet().entries().get(vm);
--- a/src/main/java/sycamorehill/logic/group/GroupReducer.java
+++ b/src/main/java/sycamorehill/logic/group/GroupReducer.java
@@ -13,6 +13,7 @@
 import sycamorehill.model.event.TargetEvent;
 import sycamorehill.model.identity.CallOwner;
 import sycamorehill.model.peer.GroupsSent;
+import sycamorehill.model.peer.PlatformSilent;
 import sycamorehill.model.platform.PlatformAnswer;
 
 /**
@@ -49,6 +50,11 @@
 			GroupSpread.received(turn, received.from(), groups);
 			return turn.end();
 		}
+		if (event instanceof PeerEvent.MessageReceived received && received.message() instanceof PlatformSilent word) {
+			GroupTurn turn = GroupTurn.of(state, now, view);
+			OfflineController.heard(turn, received.from(), word);
+			return turn.end();
+		}
 		if (event instanceof NodeEvent.StopRequested) {
 			GroupTurn turn = GroupTurn.of(state.stop(), now, view);
 			LeaseTurns.giveBack(turn);
@@ -62,6 +68,7 @@
 		boolean steward = !turn.state().stopping() && Rendezvous.isSteward(turn.view());
 		LeaseTurns.tick(turn, steward);
 		AllocationTurns.tick(turn, steward);
+		OfflineController.tick(turn, steward);
 		Controller.tick(turn);
 		GroupSpread.tick(turn, steward);
 		return turn.end();
--- a/src/main/java/sycamorehill/logic/group/GroupSpread.java
+++ b/src/main/java/sycamorehill/logic/group/GroupSpread.java
@@ -44,7 +44,7 @@
 	}
 
 	static void tick(GroupTurn turn, boolean steward) {
-		Optional<Allocation> allocation = turn.state().allocation().known();
+		Optional<Allocation> allocation = turn.state().effective();
 		if (!steward || allocation.isEmpty()) {
 			return;
 		}
--- a/src/main/java/sycamorehill/logic/group/GroupState.java
+++ b/src/main/java/sycamorehill/logic/group/GroupState.java
@@ -1,10 +1,12 @@
 package sycamorehill.logic.group;
 
 import java.time.Instant;
+import java.util.Optional;
 
 import org.pcollections.HashTreePMap;
 import org.pcollections.PMap;
 
+import sycamorehill.model.group.Allocation;
 import sycamorehill.model.identity.GroupName;
 import sycamorehill.model.identity.VmName;
 
@@ -20,13 +22,14 @@
  * @param silences claimed VMs that are silent
  * @param failedAt when a load last failed on a VM
  * @param spread the spreading of serving groups between nodes
+ * @param offline repairs made while the platform is silent
  * @param nextCall the number of the next call
  * @param nextDecisionAt when the controller decides next
  * @param stopping whether the node stops and takes no duties
  */
 public record GroupState(LeaseState lease, AllocationState allocation, PMap<Long, PendingCall> pending,
 		PMap<VmName, OrderTrack> orders, PMap<GroupName, PhaseSince> phaseSince, Silences silences,
-		PMap<VmName, Instant> failedAt, SpreadState spread, long nextCall, Instant nextDecisionAt, boolean stopping) {
+		PMap<VmName, Instant> failedAt, SpreadState spread, OfflineState offline, long nextCall, Instant nextDecisionAt, boolean stopping) {
 
 	/**
 	 * The state of a fresh node.
@@ -35,53 +38,66 @@
 	public static GroupState initial() {
 		return new GroupState(LeaseState.initial(), AllocationState.initial(), HashTreePMap.empty(),
 				HashTreePMap.empty(), HashTreePMap.empty(), Silences.none(), HashTreePMap.empty(),
-				SpreadState.initial(), 1, Instant.MIN, false);
+				SpreadState.initial(), OfflineState.initial(), 1, Instant.MIN, false);
 	}
 
 	GroupState withLease(LeaseState changed) {
 		return new GroupState(changed, this.allocation, this.pending, this.orders, this.phaseSince, this.silences,
-				this.failedAt, this.spread, this.nextCall, this.nextDecisionAt, this.stopping);
+				this.failedAt, this.spread, this.offline, this.nextCall, this.nextDecisionAt, this.stopping);
 	}
 
 	GroupState withAllocation(AllocationState changed) {
 		return new GroupState(this.lease, changed, this.pending, this.orders, this.phaseSince, this.silences,
-				this.failedAt, this.spread, this.nextCall, this.nextDecisionAt, this.stopping);
+				this.failedAt, this.spread, this.offline, this.nextCall, this.nextDecisionAt, this.stopping);
 	}
 
 	GroupState withPending(PMap<Long, PendingCall> changed) {
 		return new GroupState(this.lease, this.allocation, changed, this.orders, this.phaseSince, this.silences,
-				this.failedAt, this.spread, this.nextCall, this.nextDecisionAt, this.stopping);
+				this.failedAt, this.spread, this.offline, this.nextCall, this.nextDecisionAt, this.stopping);
 	}
 
 	GroupState withOrders(PMap<VmName, OrderTrack> changed) {
 		return new GroupState(this.lease, this.allocation, this.pending, changed, this.phaseSince, this.silences,
-				this.failedAt, this.spread, this.nextCall, this.nextDecisionAt, this.stopping);
+				this.failedAt, this.spread, this.offline, this.nextCall, this.nextDecisionAt, this.stopping);
 	}
 
 	GroupState withWatch(PMap<GroupName, PhaseSince> changedPhases, Silences changedSilences,
 			PMap<VmName, Instant> changedFailures) {
 		return new GroupState(this.lease, this.allocation, this.pending, this.orders, changedPhases, changedSilences,
-				changedFailures, this.spread, this.nextCall, this.nextDecisionAt, this.stopping);
+				changedFailures, this.spread, this.offline, this.nextCall, this.nextDecisionAt, this.stopping);
 	}
 
 	GroupState withSpread(SpreadState changed) {
 		return new GroupState(this.lease, this.allocation, this.pending, this.orders, this.phaseSince, this.silences,
-				this.failedAt, changed, this.nextCall, this.nextDecisionAt, this.stopping);
+				this.failedAt, changed, this.offline, this.nextCall, this.nextDecisionAt, this.stopping);
+	}
+
+	GroupState withOffline(OfflineState changed) {
+		return new GroupState(this.lease, this.allocation, this.pending, this.orders, this.phaseSince, this.silences,
+				this.failedAt, this.spread, changed, this.nextCall, this.nextDecisionAt, this.stopping);
+	}
+
+	/**
+	 * The allocation with what was repaired while the platform was silent.
+	 * @return the allocation, empty before the first read
+	 */
+	Optional<Allocation> effective() {
+		return this.allocation.known().map((known) -> this.offline.applyTo(known, this.allocation.version()));
 	}
 
 	GroupState withNextCall(long changed) {
 		return new GroupState(this.lease, this.allocation, this.pending, this.orders, this.phaseSince, this.silences,
-				this.failedAt, this.spread, changed, this.nextDecisionAt, this.stopping);
+				this.failedAt, this.spread, this.offline, changed, this.nextDecisionAt, this.stopping);
 	}
 
 	GroupState withNextDecisionAt(Instant changed) {
 		return new GroupState(this.lease, this.allocation, this.pending, this.orders, this.phaseSince, this.silences,
-				this.failedAt, this.spread, this.nextCall, changed, this.stopping);
+				this.failedAt, this.spread, this.offline, this.nextCall, changed, this.stopping);
 	}
 
 	GroupState stop() {
 		return new GroupState(this.lease, this.allocation, this.pending, this.orders, this.phaseSince, this.silences,
-				this.failedAt, this.spread, this.nextCall, this.nextDecisionAt, true);
+				this.failedAt, this.spread, this.offline, this.nextCall, this.nextDecisionAt, true);
 	}
 
 	boolean isPending(PendingCall.Purpose purpose) {
--- a/src/main/java/sycamorehill/logic/group/LeaseState.java
+++ b/src/main/java/sycamorehill/logic/group/LeaseState.java
@@ -14,18 +14,19 @@
  * @param attempt the own last write whose effect is not yet known or has taken effect
  * @param heldUntil until when the own lease holds, on the own monotonic clock
  * @param nextAt when the next call is made
+ * @param readAt own monotonic time at which the lease was last seen in the platform
  * @param readFirst whether the view may miss a write, so that a read comes before the
  * next one
  */
 public record LeaseState(Optional<ControllerLease> seen, long version, Instant seenSince,
-		Optional<LeaseAttempt> attempt, Instant heldUntil, Instant nextAt, boolean readFirst) {
+		Optional<LeaseAttempt> attempt, Instant heldUntil, Instant nextAt, Instant readAt, boolean readFirst) {
 
 	/**
 	 * Nothing known yet.
 	 * @return the state before the first event
 	 */
 	public static LeaseState initial() {
-		return new LeaseState(Optional.empty(), 0, Instant.MIN, Optional.empty(), Instant.MIN, Instant.MIN, true);
+		return new LeaseState(Optional.empty(), 0, Instant.MIN, Optional.empty(), Instant.MIN, Instant.MIN, Instant.MIN, true);
 	}
 
 	/**
@@ -45,29 +46,34 @@
 		return this.seen.map(ControllerLease::fencingNumber).orElse(0L);
 	}
 
+	// Failure: the platform was silent for minutes, nobody could renew, and at its return
+	// another node takes the lease before the holder can; what the holder did meanwhile is
+	// undone. The lease is waited for anew when the reads have been cut off.
 	LeaseState withSeen(ControllerLease lease, long changedVersion, Instant now) {
-		boolean same = this.seen.filter(lease::equals).isPresent();
+		boolean gap = !this.readAt.equals(Instant.MIN) && this.readAt.plus(lease.length()).isBefore(now);
+		boolean same = !gap && this.seen.filter(lease::equals).isPresent();
 		return new LeaseState(Optional.of(lease), changedVersion, same ? this.seenSince : now, this.attempt,
-				this.heldUntil, this.nextAt, false);
+				this.heldUntil, this.nextAt, now, false);
 	}
 
 	LeaseState withAttempt(LeaseAttempt changed) {
 		return new LeaseState(this.seen, this.version, this.seenSince, Optional.of(changed), this.heldUntil,
-				this.nextAt, this.readFirst);
+				this.nextAt, this.readAt, this.readFirst);
 	}
 
 	LeaseState withHeldUntil(Instant changed) {
 		return new LeaseState(this.seen, this.version, this.seenSince, this.attempt, changed, this.nextAt,
-				this.readFirst);
+				this.readAt, this.readFirst);
 	}
 
 	LeaseState withNextAt(Instant changed) {
 		return new LeaseState(this.seen, this.version, this.seenSince, this.attempt, this.heldUntil, changed,
-				this.readFirst);
+				this.readAt, this.readFirst);
 	}
 
 	LeaseState mustRead() {
-		return new LeaseState(this.seen, this.version, this.seenSince, this.attempt, this.heldUntil, this.nextAt, true);
+		return new LeaseState(this.seen, this.version, this.seenSince, this.attempt, this.heldUntil, this.nextAt,
+				this.readAt, true);
 	}
 
 	/**
--- a/src/main/java/sycamorehill/logic/group/OrderDesk.java
+++ b/src/main/java/sycamorehill/logic/group/OrderDesk.java
@@ -51,6 +51,17 @@
 		}
 	}
 
+	/**
+	 * Gives orders that rest on no live read, because the platform is silent to the whole
+	 * data centre: nobody can have changed the allocation meanwhile.
+	 * @param turn the step
+	 * @param wishes the orders
+	 */
+	static void giveUnread(GroupTurn turn, List<Wish> wishes) {
+		Instant notAfter = turn.now().plus(turn.policy().orderWindow());
+		wishes.stream().filter((wish) -> isDue(turn, wish)).forEach((wish) -> send(turn, wish, notAfter));
+	}
+
 	private static boolean isDue(GroupTurn turn, Wish wish) {
 		OrderTrack track = turn.state().orders().get(wish.entry().name());
 		return track == null || !track.order().equals(wish.order()) || !turn.now().isBefore(track.notBefore());
--- a/src/main/java/sycamorehill/logic/group/ServingGroups.java
+++ b/src/main/java/sycamorehill/logic/group/ServingGroups.java
@@ -47,8 +47,7 @@
 		});
 		long spreadVersion = state.spread().groups().getOrDefault(own, SpreadGroups.none()).version();
 		if (state.allocation().version() >= spreadVersion) {
-			state.allocation()
-				.known()
+			state.effective()
 				.ifPresent((allocation) -> own(allocation, view, service, now)
 					.forEach((target) -> targets.put(key(target), target)));
 		}
--- a/src/main/java/sycamorehill/model/log/LogEvent.java
+++ b/src/main/java/sycamorehill/model/log/LogEvent.java
@@ -87,7 +87,10 @@
 	GROUP_ALLOCATION_CONFLICT(1703, LogLevel.INFO),
 
 	/** An engine has seen a higher fencing number. */
-	GROUP_ORDER_FENCED(1704, LogLevel.WARN);
+	GROUP_ORDER_FENCED(1704, LogLevel.WARN),
+
+	/** A group is repaired with a standby while the platform is silent. */
+	GROUP_REPAIRED_OFFLINE(1705, LogLevel.WARN);
 
 	private final int number;
 
--- a/src/main/java/sycamorehill/peer/PeerMessageCodec.java
+++ b/src/main/java/sycamorehill/peer/PeerMessageCodec.java
@@ -25,6 +25,7 @@
 import sycamorehill.model.peer.OrderSettlement;
 import sycamorehill.model.peer.OrderSettlementReply;
 import sycamorehill.model.peer.PeerMessage;
+import sycamorehill.model.peer.PlatformSilent;
 import sycamorehill.model.peer.ShareAsk;
 import sycamorehill.model.peer.ShareLoan;
 import sycamorehill.model.peer.TargetLeaving;
@@ -88,6 +89,7 @@
 		codec.register("share-loan", ShareLoan.class);
 		codec.register("vm-sights", VmSightsSent.class);
 		codec.register("groups", GroupsSent.class);
+		codec.register("platform-silent", PlatformSilent.class);
 		return codec;
 	}
 
--- /dev/null
+++ b/src/test/java/sycamorehill/logic/group/GroupControlTests.java
@@ -0,0 +1,143 @@
+package sycamorehill.logic.group;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+
+import org.assertj.core.api.Assertions;
+import org.junit.jupiter.api.Test;
+import org.pcollections.HashTreePMap;
+import org.pcollections.TreePMap;
+
+import sycamorehill.logic.group.LeaseState.LeaseAttempt;
+import sycamorehill.model.effect.PlatformEffect;
+import sycamorehill.model.effect.TargetEffect;
+import sycamorehill.model.group.Allocation;
+import sycamorehill.model.group.ControllerLease;
+import sycamorehill.model.group.EngineOrder;
+import sycamorehill.model.group.EngineState;
+import sycamorehill.model.group.Fleet;
+import sycamorehill.model.group.GroupIdentity;
+import sycamorehill.model.group.VmEntry;
+import sycamorehill.model.group.VmReport;
+import sycamorehill.model.group.VmSight;
+import sycamorehill.model.group.VmStatus;
+import sycamorehill.model.identity.Address;
+import sycamorehill.model.identity.DataCentreName;
+import sycamorehill.model.identity.FabricDomain;
+import sycamorehill.model.identity.GroupName;
+import sycamorehill.model.identity.GroupSetName;
+import sycamorehill.model.identity.NodeIncarnation;
+import sycamorehill.model.identity.NodeName;
+import sycamorehill.model.identity.VmName;
+import sycamorehill.model.platform.ObjectKey;
+import sycamorehill.model.platform.ObjectKind;
+import sycamorehill.model.platform.PlatformAnswer;
+import sycamorehill.model.platform.StoredObject;
+import sycamorehill.model.policy.GroupPolicy;
+import sycamorehill.model.policy.ObservationPolicy;
+import sycamorehill.support.FixedView;
+
+class GroupControlTests {
+
+	private static final DataCentreName DATA_CENTRE = DataCentreName.of("dc0");
+
+	private static final VmName VM = VmName.of("vm-1");
+
+	private static final Instant NOW = Instant.ofEpochSecond(1000);
+
+	private static final VmEntry ENTRY = new VmEntry(VM, DATA_CENTRE, FabricDomain.of("d"), Address.of("10.0.0.1", 9),
+			VmStatus.LIVE, "i");
+
+	private static final NodeIncarnation HOLDER = NodeIncarnation.of(NodeName.of("n"), 1);
+
+	private static Allocation allocation(long nextGeneration) {
+		return new Allocation(DATA_CENTRE, 1, "w", nextGeneration, TreePMap.empty(), TreePMap.empty());
+	}
+
+	private static PlanContext contextWithVmIn(long generation) {
+		GroupIdentity group = GroupIdentity.of(GroupName.of(GroupSetName.of("s"), 0), generation);
+		VmReport report = new VmReport(VM, "i", EngineState.READY, Optional.of(group), false, 0, 0, 0, 0, 1);
+		Fleet fleet = new Fleet(HashTreePMap.singleton(VM, ENTRY), Optional.of(NOW),
+				HashTreePMap.singleton(VM, new VmSight(report, NOW)), HashTreePMap.empty(), HashTreePMap.empty());
+		return new PlanContext(NOW, fleet, List.of(), Silences.none(), HashTreePMap.empty(), HashTreePMap.empty(),
+				ObservationPolicy.standard(), GroupPolicy.standard());
+	}
+
+	private static GroupTurn turn(Duration sinceConfirmed) {
+		AllocationState state = AllocationState.initial().confirmed(allocation(5), 3, NOW.minus(sinceConfirmed));
+		return GroupTurn.of(GroupState.initial().withAllocation(state), NOW, FixedView.of("n"));
+	}
+
+	private static List<EngineOrders.Wish> wishes() {
+		GroupIdentity group = GroupIdentity.of(GroupName.of(GroupSetName.of("s"), 0), 4);
+		return List.of(new EngineOrders.Wish(ENTRY, new EngineOrder.Leave(group, 1)));
+	}
+
+	// A controller with an old view meets a group that was formed since, and would order
+	// its VMs out of it, streams and all.
+	@Test
+	void aGroupNewerThanTheViewIsLeftAlone() {
+		Assertions.assertThat(EngineOrders.wishes(allocation(5), contextWithVmIn(5))).isEmpty();
+	}
+
+	@Test
+	void aGroupThatWasGivenUpIsLeft() {
+		Assertions.assertThat(EngineOrders.wishes(allocation(5), contextWithVmIn(4)))
+			.extracting(EngineOrders.Wish::order)
+			.allMatch(EngineOrder.Leave.class::isInstance)
+			.hasSize(1);
+	}
+
+	// A controller is paused between its look at the allocation and its orders.
+	@Test
+	void ordersOnAnAllocationNotJustReadWaitForALiveRead() {
+		GroupTurn turn = turn(Duration.ofSeconds(20));
+		OrderDesk.give(turn, wishes());
+		Assertions.assertThat(turn.end().effects()).singleElement().isInstanceOf(PlatformEffect.Call.class);
+	}
+
+	@Test
+	void anOrderCarriesTheTimeAfterWhichItMustNotBeSent() {
+		GroupTurn turn = turn(Duration.ofMillis(300));
+		OrderDesk.give(turn, wishes());
+		Assertions.assertThat(turn.end().effects())
+			.singleElement()
+			.isInstanceOfSatisfying(TargetEffect.SendOrder.class, (order) -> Assertions.assertThat(order.notAfter())
+				.isEqualTo(NOW.minusMillis(300).plus(GroupPolicy.standard().orderWindow())));
+	}
+
+	// A read that was answered by a lagging copy comes after the own write.
+	@Test
+	void aStaleReadDoesNotTakeTheAllocationBack() {
+		AllocationState state = AllocationState.initial().confirmed(allocation(5), 8, NOW);
+		Assertions.assertThat(state.confirmed(allocation(4), 7, NOW.plusSeconds(1))).isEqualTo(state);
+	}
+
+	// The answer of a renewal comes four seconds late. Counted from the answer, the lease
+	// would hold four seconds longer than the others wait.
+	@Test
+	void theLeaseHoldsFromBeforeTheRenewalWasSent() {
+		ControllerLease lease = new ControllerLease(DATA_CENTRE, HOLDER, 1, Duration.ofSeconds(6), 1);
+		LeaseState sent = LeaseState.initial().withAttempt(new LeaseAttempt(lease, NOW));
+		LeaseState held = LeaseKeeper.written(sent, NOW.plusSeconds(4), new PlatformAnswer.Written(1));
+		Assertions.assertThat(held.holds(NOW.plusSeconds(5))).isTrue();
+		Assertions.assertThat(held.holds(NOW.plusSeconds(6))).isFalse();
+	}
+
+	@Test
+	void anotherNodesLeaseIsTakenOnlyAfterItsWholeLengthUnchanged() {
+		FixedView view = FixedView.of("other");
+		ControllerLease lease = new ControllerLease(DATA_CENTRE, HOLDER, 1, Duration.ofSeconds(6), 1);
+		PlatformAnswer found = new PlatformAnswer.Found(
+				new StoredObject(ObjectKey.of(ObjectKind.CONTROLLER_LEASE, "dc0"), 4, lease));
+		LeaseState first = LeaseKeeper.read(LeaseState.initial(), NOW, found);
+		LeaseState later = LeaseKeeper.read(first, NOW.plusSeconds(5), found);
+		Assertions.assertThat(LeaseKeeper.write(later, NOW.plusSeconds(5), view.self(), GroupPolicy.standard()))
+			.isEmpty();
+		Assertions.assertThat(LeaseKeeper.write(later, NOW.plusSeconds(6), view.self(), GroupPolicy.standard()))
+			.isPresent();
+	}
+
+}
--- /dev/null
+++ b/src/test/java/sycamorehill/logic/group/GroupOfflineTests.java
@@ -0,0 +1,115 @@
+package sycamorehill.logic.group;
+
+import java.time.Duration;
+
+import org.assertj.core.api.Assertions;
+import org.junit.jupiter.api.Test;
+
+import sycamorehill.experiment.group.GroupTrial;
+import sycamorehill.experiment.group.PlainTrialPlatform;
+import sycamorehill.experiment.group.TrialEngine;
+import sycamorehill.model.group.Allocation;
+import sycamorehill.model.group.GroupRecord;
+import sycamorehill.model.identity.VmName;
+
+class GroupOfflineTests {
+
+	private static final Duration REPAIRED = Duration.ofSeconds(60);
+
+	private final PlainTrialPlatform platform = PlainTrialPlatform.create();
+
+	private GroupTrial formed(int standbys) {
+		GroupTrial trial = Trials.create(21, this.platform);
+		trial.file(Trials.service("1"), Trials.set(2, standbys));
+		trial.run(Trials.FORMED);
+		return trial;
+	}
+
+	private static Allocation allocation(GroupTrial trial) {
+		return trial.allocation(Trials.DATA_CENTRE);
+	}
+
+	/**
+	 * A group in whose domain a standby is held, if any is.
+	 */
+	private static GroupRecord repairable(GroupTrial trial) {
+		Allocation allocation = allocation(trial);
+		return allocation.groups()
+			.values()
+			.stream()
+			.filter((group) -> allocation.standbys()
+				.keySet()
+				.stream()
+				.anyMatch((vm) -> domain(trial, vm).equals(domain(trial, group.head()))))
+			.findFirst()
+			.orElse(allocation.groups().values().iterator().next());
+	}
+
+	private static Object domain(GroupTrial trial, VmName vm) {
+		return trial.engines().get(vm).domain();
+	}
+
+	private static double downtime(GroupTrial trial) {
+		double before = trial.figures().downtimeSeconds();
+		trial.run(Duration.ofSeconds(10));
+		return trial.figures().downtimeSeconds() - before;
+	}
+
+	private void killDuringOutage(GroupTrial trial) {
+		this.platform.down(true);
+		trial.run(Duration.ofSeconds(15));
+		TrialEngine member = trial.engines().get(repairable(trial).members().get(1));
+		trial.vms().die(member, true);
+		trial.run(REPAIRED);
+	}
+
+	// The data centre is cut off from the platform, and a member dies. A standby that was
+	// claimed before takes its place; nothing has to be written for that.
+	@Test
+	void aClaimedStandbyRepairsAGroupWhileThePlatformIsDown() {
+		GroupTrial trial = formed(2);
+		killDuringOutage(trial);
+		Assertions.assertThat(downtime(trial)).isZero();
+		Assertions.assertThat(trial.figures().violations()).isEmpty();
+	}
+
+	// The platform comes back. The repair is written down and not undone.
+	@Test
+	void theRepairStandsWhenThePlatformIsBack() {
+		GroupTrial trial = formed(2);
+		killDuringOutage(trial);
+		this.platform.down(false);
+		double before = trial.figures().downtimeSeconds();
+		trial.run(REPAIRED);
+		Assertions.assertThat(trial.figures().downtimeSeconds()).isEqualTo(before);
+		Assertions.assertThat(allocation(trial).groups().values())
+			.anyMatch((group) -> group.identity().generation() >= OfflineState.FIRST_GENERATION);
+	}
+
+	// Without a claim a free VM may be another controller's by now.
+	@Test
+	void aFreeVmIsNotTakenWhileThePlatformIsDown() {
+		GroupTrial trial = formed(0);
+		killDuringOutage(trial);
+		Assertions.assertThat(downtime(trial)).isEqualTo(10);
+	}
+
+	// Only the controller's own link to the platform is cut; the other node takes over
+	// and repairs. Two repairs of one group would tear it apart.
+	@Test
+	void aControllerThatIsCutOffAloneRepairsNothing() {
+		GroupTrial trial = formed(2);
+		trial.nodes()
+			.stream()
+			.filter((node) -> node.controls(trial.now()))
+			.findFirst()
+			.orElseThrow()
+			.cutFromPlatform(true);
+		trial.run(Duration.ofSeconds(3));
+		trial.vms().die(trial.engines().get(repairable(trial).members().get(1)), true);
+		trial.run(REPAIRED);
+		Assertions.assertThat(trial.log()).noneMatch((line) -> line.contains("GROUP_REPAIRED_OFFLINE"));
+		Assertions.assertThat(downtime(trial)).isZero();
+	}
+
+}
