Measure the traffic of sights, and test strangers and lonely controllers

Cause: a guard's mutant (any generation counts as a member) stayed green; nothing measured what the sights cost on the wire.

--- a/src/main/java/sycamorehill/experiment/group/GroupTrial.java
+++ b/src/main/java/sycamorehill/experiment/group/GroupTrial.java
@@ -72,6 +72,8 @@
 
 	private TrialFigures figures = new TrialFigures();
 
+	private final TrialTraffic traffic = new TrialTraffic();
+
 	private final TrialVms vms;
 
 	private final TrialCheck check;
@@ -184,6 +186,10 @@
 		return this.vms;
 	}
 
+	TrialTraffic traffic() {
+		return this.traffic;
+	}
+
 	TrialCheck check() {
 		return this.check;
 	}
@@ -333,6 +339,7 @@
 	private void peer(TrialNode node, PeerEffect.Send send) {
 		for (TrialNode other : this.nodes) {
 			if (other.self().equals(send.to()) && node.reachesPeers() && other.reachesPeers()) {
+				this.traffic.message(node, other, send.message());
 				at(PEER_DELAY, () -> deliver(other, new PeerEvent.MessageReceived(node.self(), send.message())));
 			}
 		}
--- a/src/main/java/sycamorehill/experiment/group/TrialVms.java
+++ b/src/main/java/sycamorehill/experiment/group/TrialVms.java
@@ -176,6 +176,7 @@
 			this.trial.at(LINK, () -> this.trial.deliver(node, list(read.dataCentre())));
 		}
 		else if (effect instanceof TargetEffect.AskReport ask) {
+			this.trial.traffic().ask(node);
 			ask(node, ask);
 		}
 		else if (effect instanceof TargetEffect.SendOrder order) {
--- a/src/test/java/sycamorehill/logic/group/GroupControlTests.java
+++ b/src/test/java/sycamorehill/logic/group/GroupControlTests.java
@@ -19,6 +19,8 @@
 import sycamorehill.model.group.EngineState;
 import sycamorehill.model.group.Fleet;
 import sycamorehill.model.group.GroupIdentity;
+import sycamorehill.model.group.GroupPhase;
+import sycamorehill.model.group.GroupRecord;
 import sycamorehill.model.group.VmEntry;
 import sycamorehill.model.group.VmReport;
 import sycamorehill.model.group.VmSight;
@@ -30,6 +32,7 @@
 import sycamorehill.model.identity.GroupSetName;
 import sycamorehill.model.identity.NodeIncarnation;
 import sycamorehill.model.identity.NodeName;
+import sycamorehill.model.identity.ServiceName;
 import sycamorehill.model.identity.VmName;
 import sycamorehill.model.platform.ObjectKey;
 import sycamorehill.model.platform.ObjectKind;
@@ -75,6 +78,21 @@
 		return List.of(new EngineOrders.Wish(ENTRY, new EngineOrder.Leave(group, 1)));
 	}
 
+	private static boolean servesWithVmIn(long generation) {
+		GroupIdentity group = GroupIdentity.of(GroupName.of(GroupSetName.of("s"), 0), 4);
+		GroupRecord record = new GroupRecord(group, ServiceName.of("s"), "m", "1", List.of(VM), GroupPhase.SERVING, 1,
+				"", 0);
+		return ServingGroups.serves(record, contextWithVmIn(generation).fleet(), NOW, Duration.ofSeconds(5));
+	}
+
+	// A member comes back from a long pause, still ready in a generation that was given
+	// up while it was away. With it the replica would mix two memberships.
+	@Test
+	void aMemberOfAnOlderGenerationIsAStranger() {
+		Assertions.assertThat(servesWithVmIn(4)).isTrue();
+		Assertions.assertThat(servesWithVmIn(3)).isFalse();
+	}
+
 	// A controller with an old view meets a group that was formed since, and would order
 	// its VMs out of it, streams and all.
 	@Test
--- a/src/test/java/sycamorehill/logic/group/GroupRepairTests.java
+++ b/src/test/java/sycamorehill/logic/group/GroupRepairTests.java
@@ -161,6 +161,21 @@
 		}
 	}
 
+	// The controller loses its links to the other node and to a member, both at once. The
+	// other node still sees the member and sends work to its group.
+	@Test
+	void aControllerCutOffFromItsPeersBelievesNoSilence() {
+		GroupTrial trial = Trials.formed(7, 1, 0);
+		long generation = allocation(trial).nextGeneration();
+		TrialNode controller = trial.nodes().stream().filter((node) -> node.controls(trial.now())).findFirst().get();
+		controller.cutFromPeers(true);
+		controller.cutFrom(first(trial).members().get(1), true);
+		trial.run(REPAIRED);
+		controller.cutFromPeers(false);
+		trial.run(Duration.ofSeconds(5));
+		Assertions.assertThat(allocation(trial).nextGeneration()).isEqualTo(generation);
+	}
+
 	// All nodes of the data centre stop for half a minute, as when their host is frozen.
 	// On waking every sight is old, and every VM looks dead.
 	@Test
