Test that silences of an earlier term do not count

Cause: the guard against it stayed green without it. Change: two tests of Silences. Conclusion: the guard has its test.

--- a/src/test/java/sycamorehill/logic/group/GroupControlTests.java
+++ b/src/test/java/sycamorehill/logic/group/GroupControlTests.java
@@ -93,6 +93,35 @@
 		Assertions.assertThat(servesWithVmIn(3)).isFalse();
 	}
 
+	private static Silences look(Silences before, int second) {
+		VmName other = VmName.of("vm-2");
+		VmReport report = new VmReport(other, "i", EngineState.IDLE, Optional.empty(), false, 0, 0, 0, 0, 1);
+		VmEntry entry = new VmEntry(other, DATA_CENTRE, ENTRY.domain(), ENTRY.address(), VmStatus.LIVE, "i");
+		Fleet fleet = new Fleet(HashTreePMap.singleton(VM, ENTRY).plus(other, entry), Optional.of(NOW),
+				HashTreePMap.singleton(other, new VmSight(report, NOW.plusSeconds(second))), HashTreePMap.empty(),
+				HashTreePMap.empty());
+		return before.look(fleet, List.of(), List.of(VM), true, NOW.plusSeconds(second), Duration.ofSeconds(1));
+	}
+
+	// A node watches a VM fall silent, loses the lease, takes it again a minute later and
+	// happens to find the VM silent for a moment: it may have served all the time between.
+	@Test
+	void aSilenceOfAnEarlierTermDoesNotCount() {
+		Silences watched = look(look(look(Silences.none(), 0), 1), 2);
+		Silences later = look(watched, 60);
+		Silences after = look(look(later, 61), 62);
+		Assertions.assertThat(after.dead(VM, NOW.plusSeconds(62), GroupPolicy.standard().repair())).isFalse();
+	}
+
+	@Test
+	void aLongSilenceThatWasWatchedIsADeath() {
+		Silences watched = Silences.none();
+		for (int second = 0; second < 40; second++) {
+			watched = look(watched, second);
+		}
+		Assertions.assertThat(watched.dead(VM, NOW.plusSeconds(40), GroupPolicy.standard().repair())).isTrue();
+	}
+
 	// A controller with an old view meets a group that was formed since, and would order
 	// its VMs out of it, streams and all.
 	@Test
