--- a/src/test/java/sycamorehill/logic/group/GroupControlTests.java
+++ b/src/test/java/sycamorehill/logic/group/GroupControlTests.java
@@ -108,7 +108,8 @@
 	}
 
 	// A node watches a VM fall silent, loses the lease, takes it again a minute later and
-	// happens to find the VM silent for a moment: it may have served all the time between.
+	// happens to find the VM silent for a moment: it may have served all the time
+	// between.
 	@Test
 	void aSilenceOfAnEarlierTermDoesNotCount() {
 		Silences watched = look(look(look(Silences.none(), 0), 1), 2);
