Make two routing tests fail without the rule they hold

Cause: with the rule taken out they stayed green: own requests since a report were counted anyway by the floor of own open ones, and a full target lost by its load alone. Change: their targets differ by just the rule; a test for the wait at a full target is new.

--- a/src/test/java/sycamorehill/logic/routing/TargetChooserTests.java
+++ b/src/test/java/sycamorehill/logic/routing/TargetChooserTests.java
@@ -66,8 +66,8 @@
 	 */
 	@Test
 	void ownRequestsSinceTheReportCount() {
-		ServingTarget first = target(0, "here", 0, 0);
-		ServingTarget second = target(1, "here", 1, 0);
+		ServingTarget first = target(0, "here", 3, 0);
+		ServingTarget second = target(1, "here", 4, 0);
 		this.now = START.plusMillis(50);
 		start(1, first);
 		start(2, first);
@@ -102,6 +102,13 @@
 		assertThat(choose(1, own, away)).isEqualTo(away);
 	}
 
+	@Test
+	void aFullTargetIsAvoidedThoughItRunsNoMoreThanAnother() {
+		ServingTarget full = target(0, "here", 4, 1);
+		ServingTarget other = target(1, "here", 6, 0);
+		assertThat(choose(1, full, other)).isEqualTo(other);
+	}
+
 	/**
 	 * A target answers eight times slower than its siblings with the same load. Without
 	 * its own ratio it draws as many requests as they do.
