--- a/src/main/java/sycamorehill/experiment/VirtualTime.java
+++ b/src/main/java/sycamorehill/experiment/VirtualTime.java
@@ -6,8 +6,7 @@
 import java.util.PriorityQueue;
 
 /**
- * Work at virtual times, in their order; work of the same time in the order in which it
- * was added, so that a seed gives one history.
+ * Runs actions in the order of a virtual time.
  */
 final class VirtualTime {
 
@@ -18,35 +17,29 @@
 
 	private long added;
 
-	private VirtualTime() {
-	}
-
-	static VirtualTime create() {
-		return new VirtualTime();
-	}
-
 	Instant now() {
 		return this.now;
 	}
 
-	void after(Duration delay, Runnable work) {
-		this.entries.add(new Entry(this.now.plus(delay), this.added++, work));
+	void after(Duration delay, Runnable action) {
+		this.entries.add(new Entry(this.now.plus(delay), this.added++, action));
 	}
 
-	void after(double seconds, Runnable work) {
-		after(Duration.ofNanos((long) (seconds * 1e9)), work);
+	void after(double seconds, Runnable action) {
+		after(Duration.ofNanos((long) (seconds * 1e9)), action);
 	}
 
 	void runUntil(Instant end) {
-		while (!this.entries.isEmpty() && !this.entries.peek().at().isAfter(end)) {
+		while (!this.entries.isEmpty() && this.entries.peek().at().isBefore(end)) {
 			Entry entry = this.entries.poll();
 			this.now = entry.at();
-			entry.work().run();
+			entry.action().run();
 		}
 		this.now = end;
 	}
 
-	private record Entry(Instant at, long order, Runnable work) {
+	private record Entry(Instant at, long order, Runnable action) {
+
 	}
 
 }
