--- a/src/main/java/sycamorehill/experiment/OverloadExperiment.java
+++ b/src/main/java/sycamorehill/experiment/OverloadExperiment.java
@@ -104,7 +104,7 @@
 	}
 
 	private static void runOnce(Way way, double load, long seed, Result result) {
-		VirtualTime time = VirtualTime.create();
+		VirtualTime time = new VirtualTime();
 		Map<VmName, EngineModel> engines = new LinkedHashMap<>();
 		for (int number = 0; number < ENGINES; number++) {
 			EngineModel engine = EngineModel.create(time, number, HERE, ModelLoad.SERVICE, 1);
--- a/src/main/java/sycamorehill/experiment/RoutingExperiment.java
+++ b/src/main/java/sycamorehill/experiment/RoutingExperiment.java
@@ -97,7 +97,7 @@
 	}
 
 	private static void runOnce(TargetChooser chooser, double load, long seed, Result result) {
-		VirtualTime time = VirtualTime.create();
+		VirtualTime time = new VirtualTime();
 		Map<VmName, EngineModel> engines = engines(time);
 		ModelNode.Setup setup = new ModelNode.Setup(Policy.standard(), Truth.empty(), chooser, engines,
 				engines.values().stream().map(EngineModel::target).toList());
