--- a/src/test/java/sycamorehill/process/ProcessSystem.java
+++ b/src/test/java/sycamorehill/process/ProcessSystem.java
@@ -13,6 +13,7 @@
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 
+import sycamorehill.cli.ExitCode;
 import sycamorehill.http.HttpCall;
 import sycamorehill.http.HttpCaller;
 import sycamorehill.http.HttpClientPool;
