--- a/src/main/java/sycamorehill/experiment/ExperimentFleet.java
+++ b/src/main/java/sycamorehill/experiment/ExperimentFleet.java
@@ -42,7 +42,7 @@
 
 	private static final Duration DEADLINE = Duration.ofSeconds(8);
 
-	private final VirtualTime time = VirtualTime.create();
+	private final VirtualTime time = new VirtualTime();
 
 	private final Random random;
 
