--- a/src/test/java/sycamorehill/logic/quarantine/QuarantineReducerTests.java
+++ b/src/test/java/sycamorehill/logic/quarantine/QuarantineReducerTests.java
@@ -16,6 +16,7 @@
 import sycamorehill.model.group.VmSight;
 import sycamorehill.model.identity.AttemptIdentifier;
 import sycamorehill.model.identity.VmName;
+import sycamorehill.model.membership.LiveNode;
 import sycamorehill.model.peer.ContentQuarantined;
 import sycamorehill.model.peer.PeerMessage;
 import sycamorehill.model.peer.QuarantineEntry;
@@ -87,6 +88,7 @@
 	// target would die.
 	@Test
 	void sameDeathToldAgainStaysAtItsFirstTime() {
+		this.view.live(new LiveNode(FixedView.of("n2").self(), false, Instant.EPOCH));
 		lose(start(GUILTY, FIRST), GUILTY, FIRST);
 		pass(Duration.ofMillis(100));
 		AttemptIdentifier again = start(GUILTY, SECOND);
