--- a/src/main/java/sycamorehill/experiment/VirtualTime.java
+++ b/src/main/java/sycamorehill/experiment/VirtualTime.java
@@ -25,6 +25,10 @@
 		this.entries.add(new Entry(this.now.plus(delay), this.added++, action));
 	}
 
+	void after(double seconds, Runnable action) {
+		after(Duration.ofNanos((long) (seconds * 1e9)), action);
+	}
+
 	void runUntil(Instant end) {
 		while (!this.entries.isEmpty() && this.entries.peek().at().isBefore(end)) {
 			Entry entry = this.entries.poll();
