--- a/src/test/java/sycamorehill/logic/group/GroupControlTests.java
+++ b/src/test/java/sycamorehill/logic/group/GroupControlTests.java
@@ -173,6 +173,29 @@
 		Assertions.assertThat(EngineOrders.wishes(forming, contextWithVmIn(4))).isEmpty();
 	}
 
+	private static boolean drainedAfter(int seconds, int sightAge) {
+		GroupIdentity group = GroupIdentity.of(GroupName.of(GroupSetName.of("s"), 0), 4);
+		GroupRecord record = new GroupRecord(group, ServiceName.of("s"), "m", "1", List.of(VM), GroupPhase.DRAINING, 1,
+				"", 0);
+		PhaseSince since = new PhaseSince(group, GroupPhase.DRAINING, NOW.minusSeconds(seconds));
+		VmReport report = new VmReport(VM, "i", EngineState.READY, Optional.of(group), false, 0, 0, 0, 0, 1);
+		Fleet fleet = new Fleet(HashTreePMap.singleton(VM, ENTRY), Optional.of(NOW),
+				HashTreePMap.singleton(VM, new VmSight(report, NOW.minusSeconds(sightAge))), HashTreePMap.empty(),
+				HashTreePMap.empty());
+		return new PlanContext(NOW, fleet, List.of(), Silences.none(), HashTreePMap.singleton(group.name(), since),
+				HashTreePMap.empty(), ObservationPolicy.standard(), GroupPolicy.standard())
+			.drained(record);
+	}
+
+	// The head counts no work for a moment, and a node that has not heard of the drain yet
+	// sends the next stream just before the engine is ordered to leave.
+	@Test
+	void aCountOfZeroEndsADrainOnlyAfterAllNodesHaveStoppedSending() {
+		Assertions.assertThat(drainedAfter(5, 0)).isFalse();
+		Assertions.assertThat(drainedAfter(9, 4)).isFalse();
+		Assertions.assertThat(drainedAfter(9, 1)).isTrue();
+	}
+
 	// A controller is paused between its look at the allocation and its orders.
 	@Test
 	void ordersOnAnAllocationNotJustReadWaitForALiveRead() {
