--- a/src/test/java/sycamorehill/logic/group/GroupControlTests.java
+++ b/src/test/java/sycamorehill/logic/group/GroupControlTests.java
@@ -13,6 +13,7 @@
 import sycamorehill.logic.group.LeaseState.LeaseAttempt;
 import sycamorehill.model.effect.PlatformEffect;
 import sycamorehill.model.effect.TargetEffect;
+import sycamorehill.model.event.PlatformEvent;
 import sycamorehill.model.group.Allocation;
 import sycamorehill.model.group.ControllerLease;
 import sycamorehill.model.group.EngineOrder;
@@ -26,6 +27,8 @@
 import sycamorehill.model.group.VmSight;
 import sycamorehill.model.group.VmStatus;
 import sycamorehill.model.identity.Address;
+import sycamorehill.model.identity.CallIdentifier;
+import sycamorehill.model.identity.CallOwner;
 import sycamorehill.model.identity.DataCentreName;
 import sycamorehill.model.identity.FabricDomain;
 import sycamorehill.model.identity.GroupName;
@@ -221,6 +224,21 @@
 		Assertions.assertThat(state.confirmed(allocation(4), 7, NOW.plusSeconds(1))).isEqualTo(state);
 	}
 
+	// A read is answered while the own write is still under way. Taken for settled, the
+	// write would be planned a second time, and its answer belong to nothing.
+	@Test
+	void aReadThatOvertakesAnOwnWriteDoesNotSettleIt() {
+		AllocationState writing = AllocationState.initial().confirmed(allocation(5), 3, NOW).withAttempt(allocation(6));
+		PendingCall write = new PendingCall(1, PendingCall.Purpose.WRITE_ALLOCATION, NOW.plusSeconds(4));
+		GroupTurn turn = GroupTurn.of(
+				GroupState.initial().withAllocation(writing).withPending(HashTreePMap.singleton(1L, write)), NOW,
+				FixedView.of("n"));
+		StoredObject object = new StoredObject(ObjectKey.of(ObjectKind.ALLOCATION, "east"), 3, allocation(5));
+		AllocationTurns.read(turn, new PlatformEvent.Answered(CallIdentifier.of(CallOwner.GROUPS, 2),
+				new PlatformAnswer.Found(object), NOW));
+		Assertions.assertThat(turn.state().allocation().attempt()).isPresent();
+	}
+
 	// The answer of a renewal comes four seconds late. Counted from the answer, the lease
 	// would hold four seconds longer than the others wait.
 	@Test
