Spread groups at once when nodes come, so that nodes replaced in an outage serve

Cause: a node that starts while the platform is down learns which groups serve only from its peers, and they sent it the whole facts only every tenth round (about 20 s) or after a change of groups; until then it refused every request with no-target. Ruled out: the truth (adopted from a peer within 2 s) and the membership (both other nodes known). Change: the set of live incarnations counts as a change. Also: the gauge of the allocation's age no longer overflows on a node that never saw one. Before: nodesReplacedWhileThePlatformIsDown... red after 39 s and 153 s, metrics answered 'long overflow'. After: both process tests green (37 s together). Conclusion: arrival is a change for those who arrive.

--- a/src/main/java/sycamorehill/logic/group/GroupSpread.java
+++ b/src/main/java/sycamorehill/logic/group/GroupSpread.java
@@ -5,9 +5,12 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import java.util.stream.Collectors;
 
 import sycamorehill.logic.observation.Rendezvous;
 import sycamorehill.logic.observation.SenderClocks;
@@ -51,7 +54,11 @@
 		List<GroupRecord> serving = serving(turn, allocation.get());
 		List<GroupIdentity> identities = serving.stream().map(GroupRecord::identity).toList();
 		SpreadState spread = turn.state().spread();
-		int hash = 31 * identities.hashCode() + Long.hashCode(turn.state().allocation().version());
+		// A node that starts while the platform is down learns of groups only from here:
+		// without
+		// its arrival in the hash it would refuse every request until facts go round by
+		// themselves.
+		int hash = Objects.hash(identities, turn.state().allocation().version(), incarnations(turn));
 		boolean changed = hash != spread.lastSent();
 		if (!changed && turn.now().isBefore(spread.nextAt())) {
 			return;
@@ -69,6 +76,16 @@
 		}
 	}
 
+	private static Set<NodeIncarnation> incarnations(GroupTurn turn) {
+		return turn.view()
+			.liveNodes()
+			.nodes()
+			.values()
+			.stream()
+			.map((node) -> node.identity().incarnation())
+			.collect(Collectors.toSet());
+	}
+
 	private static List<GroupRecord> serving(GroupTurn turn, Allocation allocation) {
 		Duration freshness = turn.view().policy().observation().freshness();
 		return allocation.groups()
--- a/src/main/java/sycamorehill/runtime/NodeMetrics.java
+++ b/src/main/java/sycamorehill/runtime/NodeMetrics.java
@@ -12,6 +12,7 @@
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
 
+import sycamorehill.logic.group.AllocationState;
 import sycamorehill.logic.node.NodeState;
 import sycamorehill.model.ticket.Truth;
 import sycamorehill.peer.PeerCounters;
@@ -25,6 +26,8 @@
 
 	private static final long NO_TRUTH = -1;
 
+	private static final long NEVER_SEEN = -1;
+
 	private final MetricRegistry registry;
 
 	private NodeMetrics(MetricRegistry registry) {
@@ -75,8 +78,13 @@
 		whole("state.ready", () -> state.get().ready() ? 1 : 0);
 		whole("state.groups",
 				() -> state.get().group().allocation().known().map((known) -> known.groups().size()).orElse(0));
-		whole("state.allocation-age-milliseconds",
-				() -> Duration.between(state.get().group().allocation().confirmedAt(), clock.instant()).toMillis());
+		whole("state.allocation-age-milliseconds", () -> age(state.get(), clock));
+	}
+
+	private static long age(NodeState state, InstantSource clock) {
+		AllocationState allocation = state.group().allocation();
+		return allocation.known().isPresent() ? Duration.between(allocation.confirmedAt(), clock.instant()).toMillis()
+				: NEVER_SEEN;
 	}
 
 	private void whole(String name, LongSupplier value) {
