--- a/src/main/java/sycamorehill/experiment/group/GroupExperiment.java
+++ b/src/main/java/sycamorehill/experiment/group/GroupExperiment.java
@@ -48,7 +48,8 @@
 
 	/**
 	 * Runs the experiment.
-	 * @param arguments the number of seeds, the first seed, a part of the name of a policy
+	 * @param arguments the number of seeds, the first seed, a part of the name of a
+	 * policy
 	 */
 	public static void main(String[] arguments) {
 		long seeds = (arguments.length > 0) ? Long.parseLong(arguments[0]) : 10;
--- a/src/main/java/sycamorehill/experiment/group/SightTrafficExperiment.java
+++ b/src/main/java/sycamorehill/experiment/group/SightTrafficExperiment.java
@@ -80,8 +80,8 @@
 		double[] sent = rates(trial, (node) -> traffic.sent(node) / seconds);
 		double[] received = rates(trial, (node) -> traffic.received(node) / seconds);
 		double[] asked = rates(trial, (node) -> traffic.asked(node) / seconds);
-		double[] all = rates(trial, (node) -> (traffic.sent(node) + traffic.received(node)
-				+ REPORT_BYTES * traffic.asked(node)) / seconds);
+		double[] all = rates(trial,
+				(node) -> (traffic.sent(node) + traffic.received(node) + REPORT_BYTES * traffic.asked(node)) / seconds);
 		out.printf(Locale.ROOT, "%-32s %10.0f %10.0f %10.0f %10.0f %10.2f %10.0f%n", name, mean(sent), max(sent),
 				mean(received), max(received), mean(asked), max(all));
 	}
--- a/src/main/java/sycamorehill/experiment/group/TrialCheck.java
+++ b/src/main/java/sycamorehill/experiment/group/TrialCheck.java
@@ -216,8 +216,7 @@
 	}
 
 	private boolean isWhole(GroupIdentity identity, List<VmName> members) {
-		return members.stream()
-			.allMatch((vm) -> this.trial.engines().get(vm).isReadyIn(identity, this.trial.now()));
+		return members.stream().allMatch((vm) -> this.trial.engines().get(vm).isReadyIn(identity, this.trial.now()));
 	}
 
 	private boolean isUp(VmName vm) {
--- a/src/main/java/sycamorehill/logic/group/GroupState.java
+++ b/src/main/java/sycamorehill/logic/group/GroupState.java
@@ -29,7 +29,8 @@
  */
 public record GroupState(LeaseState lease, AllocationState allocation, PMap<Long, PendingCall> pending,
 		PMap<VmName, OrderTrack> orders, PMap<GroupName, PhaseSince> phaseSince, Silences silences,
-		PMap<VmName, Instant> failedAt, SpreadState spread, OfflineState offline, long nextCall, Instant nextDecisionAt, boolean stopping) {
+		PMap<VmName, Instant> failedAt, SpreadState spread, OfflineState offline, long nextCall, Instant nextDecisionAt,
+		boolean stopping) {
 
 	/**
 	 * The state of a fresh node.
--- a/src/main/java/sycamorehill/logic/group/LeaseState.java
+++ b/src/main/java/sycamorehill/logic/group/LeaseState.java
@@ -26,7 +26,8 @@
 	 * @return the state before the first event
 	 */
 	public static LeaseState initial() {
-		return new LeaseState(Optional.empty(), 0, Instant.MIN, Optional.empty(), Instant.MIN, Instant.MIN, Instant.MIN, true);
+		return new LeaseState(Optional.empty(), 0, Instant.MIN, Optional.empty(), Instant.MIN, Instant.MIN, Instant.MIN,
+				true);
 	}
 
 	/**
@@ -47,7 +48,8 @@
 	}
 
 	// Failure: the platform was silent for minutes, nobody could renew, and at its return
-	// another node takes the lease before the holder can; what the holder did meanwhile is
+	// another node takes the lease before the holder can; what the holder did meanwhile
+	// is
 	// undone. The lease is waited for anew when the reads have been cut off.
 	LeaseState withSeen(ControllerLease lease, long changedVersion, Instant now) {
 		boolean gap = !this.readAt.equals(Instant.MIN) && this.readAt.plus(lease.length()).isBefore(now);
@@ -62,8 +64,8 @@
 	}
 
 	LeaseState withHeldUntil(Instant changed) {
-		return new LeaseState(this.seen, this.version, this.seenSince, this.attempt, changed, this.nextAt,
-				this.readAt, this.readFirst);
+		return new LeaseState(this.seen, this.version, this.seenSince, this.attempt, changed, this.nextAt, this.readAt,
+				this.readFirst);
 	}
 
 	LeaseState withNextAt(Instant changed) {
--- a/src/main/java/sycamorehill/logic/group/OfflineController.java
+++ b/src/main/java/sycamorehill/logic/group/OfflineController.java
@@ -46,8 +46,7 @@
 		if (!silent || turn.now().isBefore(turn.state().offline().nextWordAt())) {
 			return;
 		}
-		turn.change(
-				turn.state().withOffline(turn.state().offline().withNextWordAt(turn.now().plus(WORD_INTERVAL))));
+		turn.change(turn.state().withOffline(turn.state().offline().withNextWordAt(turn.now().plus(WORD_INTERVAL))));
 		for (NodeIdentity other : others(turn)) {
 			turn.emit(new PeerEffect.Send(other, new PlatformSilent(allocation.version())));
 		}
@@ -60,7 +59,8 @@
 	}
 
 	// Failure: only this node's link to the platform is cut, another node takes the lease
-	// and repairs the same group with the same standby, and each orders the VMs out of the
+	// and repairs the same group with the same standby, and each orders the VMs out of
+	// the
 	// other's group. So this node repairs only if it held the lease last, and the other
 	// stewards, of which there must be one, hear nothing of the platform either.
 	static boolean mayAct(GroupTurn turn) {
@@ -141,9 +141,11 @@
 			return;
 		}
 		long generation = OfflineState.generation(allocation.fencingNumber(), turn.state().offline().repairs());
-		repaired(turn, new GroupRecord(GroupIdentity.of(record.identity().name(), generation), record.service(),
-				record.model(), record.modelVersion(), members, GroupPhase.FORMING, record.ticket(),
-				"repaired with a standby while the platform is silent", 0), true);
+		repaired(turn,
+				new GroupRecord(GroupIdentity.of(record.identity().name(), generation), record.service(),
+						record.model(), record.modelVersion(), members, GroupPhase.FORMING, record.ticket(),
+						"repaired with a standby while the platform is silent", 0),
+				true);
 	}
 
 	private static boolean sharesDomain(PlanContext context, GroupRecord record, VmName standby) {
--- a/src/main/java/sycamorehill/logic/group/OfflineState.java
+++ b/src/main/java/sycamorehill/logic/group/OfflineState.java
@@ -45,7 +45,8 @@
 	}
 
 	/**
-	 * The fencing number behind a generation that was given while the platform was silent.
+	 * The fencing number behind a generation that was given while the platform was
+	 * silent.
 	 * @param generation the generation
 	 * @return the fencing number
 	 */
--- a/src/test/java/sycamorehill/logic/group/GroupControlTests.java
+++ b/src/test/java/sycamorehill/logic/group/GroupControlTests.java
@@ -111,7 +111,8 @@
 	}
 
 	// A node watches a VM fall silent, loses the lease, takes it again a minute later and
-	// happens to find the VM silent for a moment: it may have served all the time between.
+	// happens to find the VM silent for a moment: it may have served all the time
+	// between.
 	@Test
 	void aSilenceOfAnEarlierTermDoesNotCount() {
 		Silences watched = look(look(look(Silences.none(), 0), 1), 2);
@@ -190,7 +191,8 @@
 			.drained(record);
 	}
 
-	// The head counts no work for a moment, and a node that has not heard of the drain yet
+	// The head counts no work for a moment, and a node that has not heard of the drain
+	// yet
 	// sends the next stream just before the engine is ordered to leave.
 	@Test
 	void aCountOfZeroEndsADrainOnlyAfterAllNodesHaveStoppedSending() {
