--- a/src/test/java/sycamorehill/logic/ticket/SpreadTests.java
+++ b/src/test/java/sycamorehill/logic/ticket/SpreadTests.java
@@ -124,8 +124,10 @@
 
 	@Test
 	void filingIsRefusedWhileAPeerHasATicketThatThePlatformLacks() {
-		// The platform came back empty and a restarted node has read it so. A peer tells of
-		// ticket 3 and can't give it yet. If the restarted node filed now, a second ticket 1
+		// The platform came back empty and a restarted node has read it so. A peer tells
+		// of
+		// ticket 3 and can't give it yet. If the restarted node filed now, a second
+		// ticket 1
 		// would be accepted.
 		this.group.start("node-1", "fukuoka");
 		this.group.runFor(Duration.ofSeconds(5));
