--- a/src/main/java/sycamorehill/peer/PeerMessageCodec.java
+++ b/src/main/java/sycamorehill/peer/PeerMessageCodec.java
@@ -16,6 +16,7 @@
 import sycamorehill.model.peer.ContentQuarantined;
 import sycamorehill.model.peer.ForceAsked;
 import sycamorehill.model.peer.ForceSent;
+import sycamorehill.model.peer.GroupsSent;
 import sycamorehill.model.peer.Heartbeat;
 import sycamorehill.model.peer.IsolationAnswered;
 import sycamorehill.model.peer.IsolationAsked;
@@ -28,6 +29,7 @@
 import sycamorehill.model.peer.OrderSettlement;
 import sycamorehill.model.peer.OrderSettlementReply;
 import sycamorehill.model.peer.PeerMessage;
+import sycamorehill.model.peer.PlatformSilent;
 import sycamorehill.model.peer.QuarantineDigest;
 import sycamorehill.model.peer.ShareAsk;
 import sycamorehill.model.peer.ShareLoan;
@@ -38,6 +40,7 @@
 import sycamorehill.model.peer.TicketsAsked;
 import sycamorehill.model.peer.TicketsSent;
 import sycamorehill.model.peer.TruthSent;
+import sycamorehill.model.peer.VmSightsSent;
 
 /**
  * Turns messages into bytes and back. Each type of message has a name that never changes
@@ -100,6 +103,9 @@
 		codec.register("quarantine-digest", QuarantineDigest.class);
 		codec.register("share-ask", ShareAsk.class);
 		codec.register("share-loan", ShareLoan.class);
+		codec.register("vm-sights", VmSightsSent.class);
+		codec.register("groups", GroupsSent.class);
+		codec.register("platform-silent", PlatformSilent.class);
 		return codec;
 	}
 
--- /dev/null
+++ b/src/test/java/sycamorehill/logic/group/GroupControlTests.java
@@ -0,0 +1,269 @@
+package sycamorehill.logic.group;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+
+import org.assertj.core.api.Assertions;
+import org.junit.jupiter.api.Test;
+import org.pcollections.HashTreePMap;
+import org.pcollections.TreePMap;
+
+import sycamorehill.logic.group.LeaseState.LeaseAttempt;
+import sycamorehill.model.effect.PlatformEffect;
+import sycamorehill.model.effect.TargetEffect;
+import sycamorehill.model.event.PlatformEvent;
+import sycamorehill.model.group.Allocation;
+import sycamorehill.model.group.ControllerLease;
+import sycamorehill.model.group.EngineOrder;
+import sycamorehill.model.group.EngineState;
+import sycamorehill.model.group.Fleet;
+import sycamorehill.model.group.GroupIdentity;
+import sycamorehill.model.group.GroupPhase;
+import sycamorehill.model.group.GroupRecord;
+import sycamorehill.model.group.VmEntry;
+import sycamorehill.model.group.VmReport;
+import sycamorehill.model.group.VmSight;
+import sycamorehill.model.group.VmStatus;
+import sycamorehill.model.identity.Address;
+import sycamorehill.model.identity.CallIdentifier;
+import sycamorehill.model.identity.CallOwner;
+import sycamorehill.model.identity.DataCentreName;
+import sycamorehill.model.identity.FabricDomain;
+import sycamorehill.model.identity.GroupName;
+import sycamorehill.model.identity.GroupSetName;
+import sycamorehill.model.identity.NodeIncarnation;
+import sycamorehill.model.identity.NodeName;
+import sycamorehill.model.identity.ServiceName;
+import sycamorehill.model.identity.VmName;
+import sycamorehill.model.platform.ObjectKey;
+import sycamorehill.model.platform.ObjectKind;
+import sycamorehill.model.platform.PlatformAnswer;
+import sycamorehill.model.platform.StoredObject;
+import sycamorehill.model.policy.GroupPolicy;
+import sycamorehill.model.policy.ObservationPolicy;
+import sycamorehill.support.FixedView;
+
+class GroupControlTests {
+
+	private static final DataCentreName DATA_CENTRE = DataCentreName.of("dc0");
+
+	private static final VmName VM = VmName.of("vm-1");
+
+	private static final Instant NOW = Instant.ofEpochSecond(1000);
+
+	private static final VmEntry ENTRY = new VmEntry(VM, DATA_CENTRE, FabricDomain.of("d"), Address.of("10.0.0.1", 9),
+			VmStatus.LIVE, "i");
+
+	private static final NodeIncarnation HOLDER = NodeIncarnation.of(NodeName.of("n"), 1);
+
+	private static Allocation allocation(long nextGeneration) {
+		return new Allocation(DATA_CENTRE, 1, "w", nextGeneration, TreePMap.empty(), TreePMap.empty());
+	}
+
+	private static PlanContext contextWithVmIn(long generation) {
+		GroupIdentity group = GroupIdentity.of(GroupName.of(GroupSetName.of("s"), 0), generation);
+		VmReport report = new VmReport(VM, "i", EngineState.READY, Optional.of(group), false, 0, 0, 0, 0, 1);
+		Fleet fleet = new Fleet(HashTreePMap.singleton(VM, ENTRY), Optional.of(NOW),
+				HashTreePMap.singleton(VM, new VmSight(report, NOW)), HashTreePMap.empty(), HashTreePMap.empty());
+		return new PlanContext(NOW, fleet, List.of(), Silences.none(), HashTreePMap.empty(), HashTreePMap.empty(),
+				ObservationPolicy.standard(), GroupPolicy.standard());
+	}
+
+	private static GroupTurn turn(Duration sinceConfirmed) {
+		AllocationState state = AllocationState.initial().confirmed(allocation(5), 3, NOW.minus(sinceConfirmed));
+		return GroupTurn.of(GroupState.initial().withAllocation(state), NOW, FixedView.of("n"));
+	}
+
+	private static List<EngineOrders.Wish> wishes() {
+		GroupIdentity group = GroupIdentity.of(GroupName.of(GroupSetName.of("s"), 0), 4);
+		return List.of(new EngineOrders.Wish(ENTRY, new EngineOrder.Leave(group, 1)));
+	}
+
+	private static boolean servesWithVmIn(long generation) {
+		GroupIdentity group = GroupIdentity.of(GroupName.of(GroupSetName.of("s"), 0), 4);
+		GroupRecord record = new GroupRecord(group, ServiceName.of("s"), "m", "1", List.of(VM), GroupPhase.SERVING, 1,
+				"", 0);
+		return ServingGroups.serves(record, contextWithVmIn(generation).fleet(), NOW, Duration.ofSeconds(5));
+	}
+
+	// A member comes back from a long pause, still ready in a generation that was given
+	// up while it was away. With it the replica would mix two memberships.
+	@Test
+	void aMemberOfAnOlderGenerationIsAStranger() {
+		Assertions.assertThat(servesWithVmIn(4)).isTrue();
+		Assertions.assertThat(servesWithVmIn(3)).isFalse();
+	}
+
+	private static Silences look(Silences before, int second) {
+		return look(before, second, true);
+	}
+
+	private static Silences look(Silences before, int second, boolean company) {
+		VmName other = VmName.of("vm-2");
+		VmReport report = new VmReport(other, "i", EngineState.IDLE, Optional.empty(), false, 0, 0, 0, 0, 1);
+		VmEntry entry = new VmEntry(other, DATA_CENTRE, ENTRY.domain(), ENTRY.address(), VmStatus.LIVE, "i");
+		Fleet fleet = new Fleet(HashTreePMap.singleton(VM, ENTRY).plus(other, entry), Optional.of(NOW),
+				HashTreePMap.singleton(other, new VmSight(report, NOW.plusSeconds(second))), HashTreePMap.empty(),
+				HashTreePMap.empty());
+		return before.look(fleet, List.of(), List.of(VM), company, NOW.plusSeconds(second), Duration.ofSeconds(1));
+	}
+
+	// A node watches a VM fall silent, loses the lease, takes it again a minute later and
+	// happens to find the VM silent for a moment: it may have served all the time
+	// between.
+	@Test
+	void aSilenceOfAnEarlierTermDoesNotCount() {
+		Silences watched = look(look(look(Silences.none(), 0), 1), 2);
+		Silences later = look(watched, 60);
+		Silences after = look(look(later, 61), 62);
+		Assertions.assertThat(after.dead(VM, NOW.plusSeconds(62), GroupPolicy.standard().repair())).isFalse();
+	}
+
+	// The node takes the lease again, and a read is answered before it has looked once.
+	@Test
+	void nothingIsDecidedOnWhatWasWatchedLongAgo() {
+		Silences watched = Silences.none();
+		for (int second = 0; second < 40; second++) {
+			watched = look(watched, second);
+		}
+		Assertions.assertThat(watched.dead(VM, NOW.plusSeconds(100), GroupPolicy.standard().repair())).isFalse();
+	}
+
+	// The other nodes fall silent, and so does a VM: the fault may be on this side.
+	@Test
+	void aSilenceWatchedAloneIsNoDeath() {
+		Silences watched = look(Silences.none(), 0);
+		for (int second = 1; second < 60; second++) {
+			watched = look(watched, second, false);
+		}
+		Assertions.assertThat(watched.dead(VM, NOW.plusSeconds(60), GroupPolicy.standard().repair())).isFalse();
+	}
+
+	@Test
+	void aLongSilenceThatWasWatchedIsADeath() {
+		Silences watched = Silences.none();
+		for (int second = 0; second < 40; second++) {
+			watched = look(watched, second);
+		}
+		Assertions.assertThat(watched.dead(VM, NOW.plusSeconds(40), GroupPolicy.standard().repair())).isTrue();
+	}
+
+	// A controller with an old view meets a group that was formed since, and would order
+	// its VMs out of it, streams and all.
+	@Test
+	void aGroupNewerThanTheViewIsLeftAlone() {
+		Assertions.assertThat(EngineOrders.wishes(allocation(5), contextWithVmIn(5))).isEmpty();
+	}
+
+	@Test
+	void aGroupThatWasGivenUpIsLeft() {
+		Assertions.assertThat(EngineOrders.wishes(allocation(5), contextWithVmIn(4)))
+			.extracting(EngineOrders.Wish::order)
+			.allMatch(EngineOrder.Leave.class::isInstance)
+			.hasSize(1);
+	}
+
+	// A new controller finds a group loading. Ordered again, an engine that ignores the
+	// repeat would begin its load anew.
+	@Test
+	void anEngineThatIsAlreadyLoadingIsNotOrderedAgain() {
+		GroupIdentity group = GroupIdentity.of(GroupName.of(GroupSetName.of("s"), 0), 4);
+		GroupRecord record = new GroupRecord(group, ServiceName.of("s"), "m", "1", List.of(VM), GroupPhase.FORMING, 1,
+				"", 0);
+		Allocation forming = new Allocation(DATA_CENTRE, 1, "w", 5, TreePMap.singleton(group.name(), record),
+				TreePMap.empty());
+		Assertions.assertThat(EngineOrders.wishes(forming, contextWithVmIn(4))).isEmpty();
+	}
+
+	private static boolean drainedAfter(int seconds, int sightAge) {
+		GroupIdentity group = GroupIdentity.of(GroupName.of(GroupSetName.of("s"), 0), 4);
+		GroupRecord record = new GroupRecord(group, ServiceName.of("s"), "m", "1", List.of(VM), GroupPhase.DRAINING, 1,
+				"", 0);
+		PhaseSince since = new PhaseSince(group, GroupPhase.DRAINING, NOW.minusSeconds(seconds));
+		VmReport report = new VmReport(VM, "i", EngineState.READY, Optional.of(group), false, 0, 0, 0, 0, 1);
+		Fleet fleet = new Fleet(HashTreePMap.singleton(VM, ENTRY), Optional.of(NOW),
+				HashTreePMap.singleton(VM, new VmSight(report, NOW.minusSeconds(sightAge))), HashTreePMap.empty(),
+				HashTreePMap.empty());
+		return new PlanContext(NOW, fleet, List.of(), Silences.none(), HashTreePMap.singleton(group.name(), since),
+				HashTreePMap.empty(), ObservationPolicy.standard(), GroupPolicy.standard())
+			.drained(record);
+	}
+
+	// The head counts no work for a moment, and a node that has not heard of the drain
+	// yet
+	// sends the next stream just before the engine is ordered to leave.
+	@Test
+	void aCountOfZeroEndsADrainOnlyAfterAllNodesHaveStoppedSending() {
+		Assertions.assertThat(drainedAfter(5, 0)).isFalse();
+		Assertions.assertThat(drainedAfter(9, 4)).isFalse();
+		Assertions.assertThat(drainedAfter(9, 1)).isTrue();
+	}
+
+	// A controller is paused between its look at the allocation and its orders.
+	@Test
+	void ordersOnAnAllocationNotJustReadWaitForALiveRead() {
+		GroupTurn turn = turn(Duration.ofSeconds(20));
+		OrderDesk.give(turn, wishes());
+		Assertions.assertThat(turn.end().effects()).singleElement().isInstanceOf(PlatformEffect.Call.class);
+	}
+
+	@Test
+	void anOrderCarriesTheTimeAfterWhichItMustNotBeSent() {
+		GroupTurn turn = turn(Duration.ofMillis(300));
+		OrderDesk.give(turn, wishes());
+		Assertions.assertThat(turn.end().effects())
+			.singleElement()
+			.isInstanceOfSatisfying(TargetEffect.SendOrder.class, (order) -> Assertions.assertThat(order.notAfter())
+				.isEqualTo(NOW.minusMillis(300).plus(GroupPolicy.standard().orderWindow())));
+	}
+
+	// A read that was answered by a lagging copy comes after the own write.
+	@Test
+	void aStaleReadDoesNotTakeTheAllocationBack() {
+		AllocationState state = AllocationState.initial().confirmed(allocation(5), 8, NOW);
+		Assertions.assertThat(state.confirmed(allocation(4), 7, NOW.plusSeconds(1))).isEqualTo(state);
+	}
+
+	// A read is answered while the own write is still under way. Taken for settled, the
+	// write would be planned a second time, and its answer belong to nothing.
+	@Test
+	void aReadThatOvertakesAnOwnWriteDoesNotSettleIt() {
+		AllocationState writing = AllocationState.initial().confirmed(allocation(5), 3, NOW).withAttempt(allocation(6));
+		PendingCall write = new PendingCall(1, PendingCall.Purpose.WRITE_ALLOCATION, NOW.plusSeconds(4));
+		GroupTurn turn = GroupTurn.of(
+				GroupState.initial().withAllocation(writing).withPending(HashTreePMap.singleton(1L, write)), NOW,
+				FixedView.of("n"));
+		StoredObject object = new StoredObject(ObjectKey.of(ObjectKind.ALLOCATION, "east"), 3, allocation(5));
+		AllocationTurns.read(turn, new PlatformEvent.Answered(CallIdentifier.of(CallOwner.GROUPS, 2),
+				new PlatformAnswer.Found(object), NOW));
+		Assertions.assertThat(turn.state().allocation().attempt()).isPresent();
+	}
+
+	// The answer of a renewal comes four seconds late. Counted from the answer, the lease
+	// would hold four seconds longer than the others wait.
+	@Test
+	void theLeaseHoldsFromBeforeTheRenewalWasSent() {
+		ControllerLease lease = new ControllerLease(DATA_CENTRE, HOLDER, 1, Duration.ofSeconds(6), 1);
+		LeaseState sent = LeaseState.initial().withAttempt(new LeaseAttempt(lease, NOW));
+		LeaseState held = LeaseKeeper.written(sent, NOW.plusSeconds(4), new PlatformAnswer.Written(1));
+		Assertions.assertThat(held.holds(NOW.plusSeconds(5))).isTrue();
+		Assertions.assertThat(held.holds(NOW.plusSeconds(6))).isFalse();
+	}
+
+	@Test
+	void anotherNodesLeaseIsTakenOnlyAfterItsWholeLengthUnchanged() {
+		FixedView view = FixedView.of("other");
+		ControllerLease lease = new ControllerLease(DATA_CENTRE, HOLDER, 1, Duration.ofSeconds(6), 1);
+		PlatformAnswer found = new PlatformAnswer.Found(
+				new StoredObject(ObjectKey.of(ObjectKind.CONTROLLER_LEASE, "dc0"), 4, lease));
+		LeaseState first = LeaseKeeper.read(LeaseState.initial(), NOW, found);
+		LeaseState later = LeaseKeeper.read(first, NOW.plusSeconds(5), found);
+		Assertions.assertThat(LeaseKeeper.write(later, NOW.plusSeconds(5), view.self(), GroupPolicy.standard()))
+			.isEmpty();
+		Assertions.assertThat(LeaseKeeper.write(later, NOW.plusSeconds(6), view.self(), GroupPolicy.standard()))
+			.isPresent();
+	}
+
+}
