--- /dev/null
+++ b/src/main/java/sycamorehill/experiment/OrderTrialView.java
@@ -0,0 +1,58 @@
+package sycamorehill.experiment;
+
+import java.util.List;
+import java.util.Optional;
+
+import sycamorehill.logic.NodeView;
+import sycamorehill.model.group.Allocation;
+import sycamorehill.model.group.VmSight;
+import sycamorehill.model.identity.NodeIdentity;
+import sycamorehill.model.identity.ServiceName;
+import sycamorehill.model.identity.VmName;
+import sycamorehill.model.membership.LiveNodes;
+import sycamorehill.model.policy.Policy;
+import sycamorehill.model.request.Fingerprint;
+import sycamorehill.model.request.RouteQuery;
+import sycamorehill.model.target.ServingTarget;
+import sycamorehill.model.ticket.Truth;
+
+/**
+ * What the order part reads of the others in a trial.
+ *
+ * @param self who the node is
+ * @param policy the bounds
+ * @param liveNodes the nodes alive
+ */
+record OrderTrialView(NodeIdentity self, Policy policy, LiveNodes liveNodes) implements NodeView {
+
+	@Override
+	public Optional<Truth> truth() {
+		return Optional.empty();
+	}
+
+	@Override
+	public List<ServingTarget> servingTargets(ServiceName service) {
+		return List.of();
+	}
+
+	@Override
+	public Optional<ServingTarget> chooseTarget(RouteQuery query) {
+		return Optional.empty();
+	}
+
+	@Override
+	public boolean quarantined(Fingerprint fingerprint) {
+		return false;
+	}
+
+	@Override
+	public Optional<VmSight> sight(VmName vm) {
+		return Optional.empty();
+	}
+
+	@Override
+	public Optional<Allocation> allocation() {
+		return Optional.empty();
+	}
+
+}
--- a/src/main/java/sycamorehill/logic/order/ShardPages.java
+++ b/src/main/java/sycamorehill/logic/order/ShardPages.java
@@ -25,9 +25,9 @@
 	 * A page of this estimated size is sealed; with the last batch it stays far below a
 	 * megabyte.
 	 */
-	static final int SEALED_BYTES = 128 * 1024;
+	static final int SEALED_BYTES = 32 * 1024;
 
-	private static final int PAGES_PER_READ = 8;
+	private static final int PAGES_PER_READ = 16;
 
 	private ShardPages() {
 	}
--- a/src/main/java/sycamorehill/peer/PeerLink.java
+++ b/src/main/java/sycamorehill/peer/PeerLink.java
@@ -126,12 +126,16 @@
 		boolean moved = !to.peerAddress().equals(this.peer.peerAddress());
 		this.peer = to;
 		if (moved) {
+			// The old connection is let go of before it is closed, or its end would count
+			// as a
+			// failure of the new address.
+			Channel old = this.channel;
+			this.channel = null;
+			this.open = false;
 			this.failures = 0;
 			this.notBeforeNanos = System.nanoTime();
-			if (this.channel != null) {
-				this.channel.close();
-				this.channel = null;
-				this.open = false;
+			if (old != null) {
+				old.close();
 			}
 		}
 	}
--- a/src/test/java/sycamorehill/logic/order/OrderHistory.java
+++ b/src/test/java/sycamorehill/logic/order/OrderHistory.java
@@ -61,6 +61,8 @@
 
 	final HistoryFaults faults = new HistoryFaults();
 
+	String answerText = "run ";
+
 	private final Duration clockSkew;
 
 	private long lastIncarnation = 1;
@@ -181,7 +183,7 @@
 					Optional.empty());
 			return;
 		}
-		Run run = new Run(call, now(), new RecordedAnswer(200, "text/plain", "run " + this.runs.size()));
+		Run run = new Run(call, now(), new RecordedAnswer(200, "text/plain", this.answerText + this.runs.size()));
 		this.runs.add(run);
 		if (draw < this.faults.targetRefuses + this.faults.targetLost) {
 			answerLater(node, call, new RequestOutcome.Unknown(Refusal.of(RefusalReason.TARGET_LOST, "broken")),
--- a/src/test/java/sycamorehill/logic/order/OrderHistoryTests.java
+++ b/src/test/java/sycamorehill/logic/order/OrderHistoryTests.java
@@ -34,7 +34,7 @@
 
 	private static final Duration FAULTY_TIME = Duration.ofSeconds(40);
 
-	private static final OrderPolicy POLICY = policy();
+	private static final OrderPolicy POLICY = Policies.shards(3);
 
 	static LongStream seeds() {
 		return LongStream.range(0, Long.getLong("order.seeds", 40)).map((i) -> i + Long.getLong("order.firstSeed", 1));
@@ -197,12 +197,4 @@
 			.allMatch((call) -> call.outcome().orElseThrow() instanceof RequestOutcome.Completed);
 	}
 
-	private static OrderPolicy policy() {
-		OrderPolicy standard = OrderPolicy.standard();
-		return new OrderPolicy(3, standard.commitInterval(), standard.commitBurst(), standard.settlementDelay(),
-				standard.claimPatience(), standard.claimRetry(), standard.settlementRetry(), standard.platformTimeout(),
-				standard.viewBound(), standard.retention(), standard.largestAnswer(), standard.mostClaims(),
-				standard.mostHeld(), standard.issuedLifetime());
-	}
-
 }
--- a/src/test/java/sycamorehill/logic/order/OrderNode.java
+++ b/src/test/java/sycamorehill/logic/order/OrderNode.java
@@ -19,6 +19,7 @@
 import sycamorehill.model.membership.LiveNode;
 import sycamorehill.model.membership.LiveNodes;
 import sycamorehill.model.policy.OrderPolicy;
+import sycamorehill.model.policy.Policy;
 
 /**
  * One node of a history: a state, a clock of its own and what waits while it is paused.
@@ -31,7 +32,7 @@
 
 	private final Duration clockOffset;
 
-	private final OrderPolicy policy;
+	private final Policy policy;
 
 	private final Deque<Runnable> waiting = new ArrayDeque<>();
 
@@ -46,7 +47,7 @@
 	OrderNode(int index, Duration clockOffset, OrderPolicy policy) {
 		this.name = NodeName.of("n" + index);
 		this.clockOffset = clockOffset;
-		this.policy = policy;
+		this.policy = OrderView.policy(policy);
 		restart(1);
 	}
 
@@ -93,6 +94,10 @@
 		return step.effects();
 	}
 
+	NodeIdentity keeperOf(int shard) {
+		return ShardPlacement.keeper(shard, new OrderView(this.identity, this.policy, this.liveNodes));
+	}
+
 	void pause() {
 		this.paused = true;
 	}
--- a/src/test/java/sycamorehill/logic/order/OrderView.java
+++ b/src/test/java/sycamorehill/logic/order/OrderView.java
@@ -21,18 +21,16 @@
  * What the order part reads of the others, given by hand.
  *
  * @param self who the node is
- * @param orders the bounds
+ * @param policy the bounds
  * @param liveNodes the nodes alive
  */
-record OrderView(NodeIdentity self, OrderPolicy orders, LiveNodes liveNodes) implements NodeView {
+record OrderView(NodeIdentity self, Policy policy, LiveNodes liveNodes) implements NodeView {
 
-	private static final Policy STANDARD = Policy.standard();
-
-	@Override
-	public Policy policy() {
-		return new Policy(STANDARD.admission(), STANDARD.routing(), STANDARD.request(), STANDARD.health(),
-				STANDARD.quarantine(), this.orders, STANDARD.ticket(), STANDARD.membership(), STANDARD.group(),
-				STANDARD.observation());
+	static Policy policy(OrderPolicy orders) {
+		Policy standard = Policy.standard();
+		return new Policy(standard.admission(), standard.routing(), standard.request(), standard.health(),
+				standard.quarantine(), orders, standard.ticket(), standard.membership(), standard.group(),
+				standard.observation());
 	}
 
 	@Override
--- /dev/null
+++ b/src/test/java/sycamorehill/logic/order/Policies.java
@@ -0,0 +1,27 @@
+package sycamorehill.logic.order;
+
+import java.time.Duration;
+
+import sycamorehill.model.policy.OrderPolicy;
+
+/**
+ * Bounds for tests.
+ */
+final class Policies {
+
+	private Policies() {
+	}
+
+	static OrderPolicy shards(int shards) {
+		return of(shards, OrderPolicy.standard().retention(), OrderPolicy.standard().mostClaims());
+	}
+
+	static OrderPolicy of(int shards, Duration retention, int mostClaims) {
+		OrderPolicy standard = OrderPolicy.standard();
+		return new OrderPolicy(shards, standard.commitInterval(), standard.commitBurst(), standard.settlementDelay(),
+				standard.claimPatience(), standard.claimRetry(), standard.settlementRetry(), standard.platformTimeout(),
+				standard.viewBound(), retention, standard.largestAnswer(), mostClaims, standard.mostHeld(),
+				standard.issuedLifetime());
+	}
+
+}
--- a/src/test/java/sycamorehill/peer/NettyPeerTransportTests.java
+++ b/src/test/java/sycamorehill/peer/NettyPeerTransportTests.java
@@ -173,15 +173,15 @@
 
 	@Test
 	void restartedNodeIsReachedAtItsNewAddress() throws Exception {
-		try (PeerNode one = PeerNode.start("n1")) {
-			try (PeerNode before = PeerNode.start("n2")) {
-				one.transport.send(before.identity(), Note.of("before")).get(20, TimeUnit.SECONDS);
-				Assertions.assertThat(before.nextMessage()).isEqualTo(Note.of("before"));
-			}
-			try (PeerNode after = PeerNode.start("n2")) {
-				one.transport.send(after.identity(), Note.of("after")).get(20, TimeUnit.SECONDS);
-				Assertions.assertThat(after.nextMessage()).isEqualTo(Note.of("after"));
-			}
+		// A node is replaced while its old process still hangs with its connections open.
+		// What is sent to the new one must not go on to the old one.
+		try (PeerNode one = PeerNode.start("n1");
+				PeerNode before = PeerNode.start("n2");
+				PeerNode after = PeerNode.start("n2")) {
+			one.transport.send(before.identity(), Note.of("before")).get(20, TimeUnit.SECONDS);
+			Assertions.assertThat(before.nextMessage()).isEqualTo(Note.of("before"));
+			one.transport.send(after.identity(), Note.of("after")).get(20, TimeUnit.SECONDS);
+			Assertions.assertThat(after.nextMessage()).isEqualTo(Note.of("after"));
 		}
 	}
 
