--- a/src/test/java/sycamorehill/logic/order/OrderTrapTests.java
+++ b/src/test/java/sycamorehill/logic/order/OrderTrapTests.java
@@ -237,28 +237,43 @@
 		this.history = new OrderHistory(1, 1, Policies.shards(1));
 	}
 
+	@Test
+	void releaseReachesAPausedKeeperThoughTheHolderDies() {
+		// A keeper is paused with a claim in its queue. The caller hears "not run", the
+		// release is sent at once, and then the node dies. Without the release the claim
+		// would
+		// belong to a dead node, and the caller's next call would hear "unknown" for an
+		// order
+		// that never ran.
+		Assertions.assertThat(nextCallAfterAPause(0)).contains(new RequestOutcome.Completed());
+	}
+
 	@Test
 	void claimOfACallThatGaveUpIsNotCommittedAfterAPause() {
-		// A keeper is paused with a claim in its queue. The caller hears "not run" and
-		// its
-		// node dies. Committed after the pause, the claim would belong to a dead node and
-		// the
-		// caller's next call would hear "unknown" for an order that never ran.
+		// The same, but the release is lost with the node. The keeper itself must see
+		// that
+		// the claim in its queue is older than any caller waits.
+		Assertions.assertThat(nextCallAfterAPause(1)).contains(new RequestOutcome.Completed());
+	}
+
+	private Optional<RequestOutcome> nextCallAfterAPause(double releaseLost) {
 		OrderNode keeper = keeper();
 		OrderNode holder = this.history.nodes.stream().filter((node) -> node != keeper).findFirst().orElseThrow();
 		this.history.platform.down(true);
 		this.history.call(holder, KEY, "a");
 		pass(0.3);
 		keeper.pause();
+		this.history.faults.messageLost = releaseLost;
 		pass(4);
 		this.history.restart(holder);
+		this.history.faults.none();
 		this.history.platform.down(false);
 		this.history.resume(keeper);
 		this.history.nodes.forEach(this.history::see);
 		pass(8);
 		Call next = this.history.call(holder, KEY, "a");
 		pass(5);
-		Assertions.assertThat(next.outcome()).contains(new RequestOutcome.Completed());
+		return next.outcome();
 	}
 
 	@Test
