--- a/src/test/java/sycamorehill/process/ProcessSystem.java
+++ b/src/test/java/sycamorehill/process/ProcessSystem.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 
 import sycamorehill.cli.ExitCode;
@@ -171,6 +172,32 @@
 		return exit;
 	}
 
+	List<String> allocatedVms() throws IOException {
+		HttpCall call = HttpCall.of(this.platform, "GET", "/v1/objects/allocations?after=&limit=10",
+				Duration.ofSeconds(5));
+		List<String> vms = new ArrayList<>();
+		for (JsonNode object : this.json.readTree(HttpCaller.create(this.pool).call(call).join().body())
+			.path("objects")) {
+			object.path("value")
+				.path("groups")
+				.forEach((group) -> group.path("members").forEach((member) -> vms.add(member.asText())));
+		}
+		return vms;
+	}
+
+	List<Long> ticketsInForce(NodeProcess except) throws IOException {
+		List<Long> numbers = new ArrayList<>();
+		for (NodeProcess node : this.nodes) {
+			if (!node.equals(except)) {
+				HttpCall call = HttpCall.of(node.operators(), "GET", "/operator/state", Duration.ofSeconds(5));
+				numbers.add(this.json.readTree(HttpCaller.create(this.pool).call(call).join().body())
+					.path("number")
+					.asLong());
+			}
+		}
+		return numbers;
+	}
+
 	boolean awaitInForce(long number, int dataCentres) throws Exception {
 		OperatorClient operator = OperatorClient.create(HttpCaller.create(this.pool), this.json);
 		for (int attempt = 0; attempt < 200; attempt++) {
--- a/src/test/java/sycamorehill/process/ThinPathProcessTests.java
+++ b/src/test/java/sycamorehill/process/ThinPathProcessTests.java
@@ -40,6 +40,8 @@
 			Assertions.assertThat(report.violations()).isEmpty();
 			Assertions.assertThat(report.chats()).containsKey(CallOutcome.COMPLETED);
 			Assertions.assertThat(report.orders()).containsKey(CallOutcome.COMPLETED);
+			Assertions.assertThat(system.allocatedVms()).doesNotHaveDuplicates().isNotEmpty();
+			Assertions.assertThat(system.ticketsInForce(victim)).containsOnly(1L);
 		}
 	}
 
