Resume a stream only on the model version that it began with

Cause: a target carried no model version, so a stream that broke while its service was rolled could go on with tokens of the other model and end whole. Change: targets and spread group facts carry the version; a request that has begun excludes targets of another version, also when it is isolated. Conclusion: with no target of its version left the stream ends in an error.

--- a/src/main/java/sycamorehill/logic/group/GroupSpread.java
+++ b/src/main/java/sycamorehill/logic/group/GroupSpread.java
@@ -104,7 +104,8 @@
 			sets.computeIfAbsent(record.identity().name().set(), (set) -> new Columns()).add(record, fleet, turn.now());
 			if (withFacts) {
 				VmEntry head = fleet.entries().get(record.head());
-				facts.add(new GroupFacts(record.identity(), record.service(), head.address(), record.members()));
+				facts.add(new GroupFacts(record.identity(), record.service(), head.address(), record.members(),
+						record.modelVersion()));
 			}
 		}
 		List<GroupSetSights> columns = sets.entrySet()
--- a/src/main/java/sycamorehill/logic/group/ServingGroups.java
+++ b/src/main/java/sycamorehill/logic/group/ServingGroups.java
@@ -81,8 +81,9 @@
 			}
 			boolean leaving = own && facts.get().members().stream().anyMatch(view.fleet()::isLeaving);
 			if (!leaving) {
-				targets.add(new ServingTarget(group.identity().name().target(), service, dataCentre,
-						facts.get().address(), Optional.of(group.identity()), facts.get().members()));
+				targets
+					.add(new ServingTarget(group.identity().name().target(), service, dataCentre, facts.get().address(),
+							Optional.of(group.identity()), facts.get().members(), facts.get().modelVersion()));
 			}
 		}
 		return targets;
@@ -128,8 +129,9 @@
 		if (head == null) {
 			return Optional.empty();
 		}
-		return Optional.of(new ServingTarget(record.identity().name().target(), record.service(),
-				allocation.dataCentre(), head.address(), Optional.of(record.identity()), record.members()));
+		return Optional
+			.of(new ServingTarget(record.identity().name().target(), record.service(), allocation.dataCentre(),
+					head.address(), Optional.of(record.identity()), record.members(), record.modelVersion()));
 	}
 
 }
--- a/src/main/java/sycamorehill/logic/request/RequestStep.java
+++ b/src/main/java/sycamorehill/logic/request/RequestStep.java
@@ -3,8 +3,10 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 
 import sycamorehill.logic.NodeView;
 import sycamorehill.logic.Step;
@@ -15,6 +17,7 @@
 import sycamorehill.model.event.RequestEvent;
 import sycamorehill.model.identity.AttemptIdentifier;
 import sycamorehill.model.identity.ServiceName;
+import sycamorehill.model.identity.TargetName;
 import sycamorehill.model.policy.RequestPolicy;
 import sycamorehill.model.request.AttemptResult;
 import sycamorehill.model.request.Handling;
@@ -102,7 +105,27 @@
 	}
 
 	Optional<ServingTarget> chooseTarget(ActiveRequest request) {
-		return this.view.chooseTarget(new RouteQuery(request.description(), request.history().failedTargets()));
+		return this.view.chooseTarget(new RouteQuery(request.description(), excluded(request)));
+	}
+
+	/**
+	 * The targets that a request must not be sent to. Failure: while a service is rolled
+	 * to another model version, a stream that broke midway would go on with tokens of the
+	 * other model; the caller would see one answer, whole by its end mark, made of two.
+	 * So what has begun goes on only on the version that it began with, or ends in an
+	 * error.
+	 * @param request the request
+	 * @return targets that have failed it, and those with another version
+	 */
+	Set<TargetName> excluded(ActiveRequest request) {
+		Set<TargetName> excluded = new HashSet<>(request.history().failedTargets());
+		if (request.begun()) {
+			this.view.servingTargets(request.description().service())
+				.stream()
+				.filter((target) -> !target.modelVersion().equals(request.begunWith().get()))
+				.forEach((target) -> excluded.add(target.name()));
+		}
+		return excluded;
 	}
 
 	private void awaitIsolation(ActiveRequest request) {
@@ -113,7 +136,7 @@
 			waiting = request.withIsolation((request.begun() || until.isBefore(deadline)) ? until : deadline);
 		}
 		if (awaitNextLook(waiting)) {
-			raise(new RequestEvent.IsolationWanted(request.description(), request.history().failedTargets()));
+			raise(new RequestEvent.IsolationWanted(request.description(), excluded(request)));
 		}
 		else {
 			finish(request,
--- a/src/main/java/sycamorehill/model/peer/GroupFacts.java
+++ b/src/main/java/sycamorehill/model/peer/GroupFacts.java
@@ -14,14 +14,17 @@
  * @param service what it answers
  * @param address where its head takes requests
  * @param members its VMs, the head first
+ * @param modelVersion the version of its model
  */
-public record GroupFacts(GroupIdentity identity, ServiceName service, Address address, List<VmName> members) {
+public record GroupFacts(GroupIdentity identity, ServiceName service, Address address, List<VmName> members,
+		String modelVersion) {
 
 	/**
-	 * Takes a copy of the members.
+	 * Takes a copy of the members; an older sender gives no version.
 	 */
 	public GroupFacts {
 		members = List.copyOf(members);
+		modelVersion = (modelVersion != null) ? modelVersion : "";
 	}
 
 }
--- a/src/test/java/sycamorehill/logic/request/RequestReducerTests.java
+++ b/src/test/java/sycamorehill/logic/request/RequestReducerTests.java
@@ -57,6 +57,40 @@
 			.containsExactly(TargetName.of("t1"), TargetName.of("t2"));
 	}
 
+	// A caller reads one answer whose first half is of one model version and whose second
+	// half is of another. A service is rolled to a new version, a stream breaks midway,
+	// and
+	// the nearest target has the new version already.
+	@Test
+	void brokenStreamGoesOnOnlyOnTheModelVersionThatItBeganWith() {
+		versions("1", "2", "1");
+		this.run.clear(this.request, Handling.REPEATABLE).firstToken().end(3, BROKEN);
+		assertThat(this.run.starts()).extracting((start) -> start.target().name())
+			.containsExactly(TargetName.of("t1"), TargetName.of("t3"));
+	}
+
+	@Test
+	void brokenStreamWithNoTargetOfItsModelVersionLeftEndsInAnError() {
+		versions("1", "2", "2");
+		this.run.clear(this.request, Handling.REPEATABLE).firstToken().end(3, BROKEN).pass(Duration.ofSeconds(30));
+		assertThat(this.run.outcomes()).hasSize(1).first().isInstanceOf(RequestOutcome.Unknown.class);
+	}
+
+	@Test
+	void requestThatHasNotBegunMayGoToAnotherModelVersion() {
+		versions("1", "2", "2");
+		this.run.clear(this.request, Handling.REPEATABLE).end(0, BROKEN).pass(Duration.ofSeconds(1));
+		assertThat(this.run.starts()).extracting((start) -> start.target().name())
+			.containsExactly(TargetName.of("t1"), TargetName.of("t2"));
+	}
+
+	private void versions(String first, String second, String third) {
+		this.run.view().targets().clear();
+		this.run.view().targets().add(SampleRequests.target("t1", first));
+		this.run.view().targets().add(SampleRequests.target("t2", second));
+		this.run.view().targets().add(SampleRequests.target("t3", third));
+	}
+
 	@Test
 	void attemptsNeverShareAnIdentifier() {
 		this.run.clear(this.request, Handling.REPEATABLE).end(BROKEN);
--- a/src/test/java/sycamorehill/support/SampleRequests.java
+++ b/src/test/java/sycamorehill/support/SampleRequests.java
@@ -56,4 +56,15 @@
 				Address.of("127.0.0.1", TARGET_PORT), Optional.empty(), List.of());
 	}
 
+	/**
+	 * Creates a target with a model version.
+	 * @param name its name
+	 * @param modelVersion the version that it has loaded
+	 * @return the target
+	 */
+	public static ServingTarget target(String name, String modelVersion) {
+		return new ServingTarget(TargetName.of(name), SERVICE, DataCentreName.of("east"),
+				Address.of("127.0.0.1", TARGET_PORT), Optional.empty(), List.of(), modelVersion);
+	}
+
 }
