Weigh nodes for duties in one place

Cause: five parts had each written rendezvous hashing again, with three hash functions. Before: five pieces.

--- a/src/main/java/sycamorehill/logic/admission/Coordinators.java
+++ b/src/main/java/sycamorehill/logic/admission/Coordinators.java
@@ -6,8 +6,7 @@
 import java.util.Optional;
 import java.util.TreeMap;
 
-import com.dynatrace.hash4j.hashing.Hashing;
-
+import sycamorehill.logic.placement.RendezvousHash;
 import sycamorehill.model.identity.DataCentreName;
 import sycamorehill.model.identity.NodeIdentity;
 import sycamorehill.model.identity.WorkspaceName;
@@ -43,8 +42,7 @@
 		NodeIdentity best = null;
 		long bestWeight = 0;
 		for (NodeIdentity node : nodes(dataCentre)) {
-			long weight = Hashing.xxh3_64()
-				.hashCharsToLong(workspace.value() + '/' + node.incarnation().node().value());
+			long weight = RendezvousHash.weight(workspace.value(), node.incarnation().node());
 			if (best == null || weight > bestWeight) {
 				best = node;
 				bestWeight = weight;
--- a/src/main/java/sycamorehill/logic/membership/Delegates.java
+++ b/src/main/java/sycamorehill/logic/membership/Delegates.java
@@ -3,9 +3,8 @@
 import java.util.Comparator;
 import java.util.List;
 
-import com.dynatrace.hash4j.hashing.Hashing;
-
 import sycamorehill.logic.NodeView;
+import sycamorehill.logic.placement.RendezvousHash;
 import sycamorehill.model.identity.DataCentreName;
 import sycamorehill.model.identity.NodeIdentity;
 import sycamorehill.model.membership.LiveNode;
@@ -18,7 +17,7 @@
  */
 public final class Delegates {
 
-	private static final String SALT = "delegate/";
+	private static final String DUTY = "delegate";
 
 	private Delegates() {
 	}
@@ -47,7 +46,7 @@
 	}
 
 	static long weight(NodeIdentity identity) {
-		return Hashing.komihash5_0().hashCharsToLong(SALT + identity.incarnation().node());
+		return RendezvousHash.weight(DUTY, identity.incarnation().node());
 	}
 
 }
--- a/src/main/java/sycamorehill/logic/observation/Rendezvous.java
+++ b/src/main/java/sycamorehill/logic/observation/Rendezvous.java
@@ -3,9 +3,8 @@
 import java.util.Comparator;
 import java.util.List;
 
-import com.dynatrace.hash4j.hashing.Hashing;
-
 import sycamorehill.logic.NodeView;
+import sycamorehill.logic.placement.RendezvousHash;
 import sycamorehill.model.identity.DataCentreName;
 import sycamorehill.model.identity.NodeIdentity;
 import sycamorehill.model.membership.LiveNode;
@@ -59,11 +58,7 @@
 	}
 
 	private static long weight(LiveNode node, String duty) {
-		return Hashing.komihash5_0()
-			.hashStream()
-			.putString(duty)
-			.putString(node.identity().incarnation().node().value())
-			.getAsLong();
+		return RendezvousHash.weight(duty, node.identity().incarnation().node());
 	}
 
 }
--- a/src/main/java/sycamorehill/logic/order/ShardPlacement.java
+++ b/src/main/java/sycamorehill/logic/order/ShardPlacement.java
@@ -1,9 +1,7 @@
 package sycamorehill.logic.order;
 
-import com.dynatrace.hash4j.hashing.Hasher64;
-import com.dynatrace.hash4j.hashing.Hashing;
-
 import sycamorehill.logic.NodeView;
+import sycamorehill.logic.placement.RendezvousHash;
 import sycamorehill.model.identity.NodeIdentity;
 import sycamorehill.model.identity.NodeName;
 import sycamorehill.model.membership.LiveNode;
@@ -17,7 +15,7 @@
  */
 final class ShardPlacement {
 
-	private static final Hasher64 HASHER = Hashing.wyhashFinal4();
+	private static final String DUTY_PREFIX = "order-shard/";
 
 	private ShardPlacement() {
 	}
@@ -69,7 +67,7 @@
 	}
 
 	private static long score(int shard, NodeName node) {
-		return HASHER.hashStream().putInt(shard).putString(node.value()).getAsLong();
+		return RendezvousHash.weight(DUTY_PREFIX + shard, node);
 	}
 
 }
--- /dev/null
+++ b/src/main/java/sycamorehill/logic/placement/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Which node takes which duty.
+ */
+package sycamorehill.logic.placement;
--- a/src/main/java/sycamorehill/logic/quarantine/Arbiters.java
+++ b/src/main/java/sycamorehill/logic/quarantine/Arbiters.java
@@ -2,9 +2,8 @@
 
 import java.util.Comparator;
 
-import com.dynatrace.hash4j.hashing.Hashing;
-
 import sycamorehill.logic.NodeView;
+import sycamorehill.logic.placement.RendezvousHash;
 import sycamorehill.model.identity.NodeIdentity;
 import sycamorehill.model.identity.ServiceName;
 
@@ -14,7 +13,7 @@
  */
 final class Arbiters {
 
-	private static final String SALT = "arbiter/";
+	private static final String DUTY_PREFIX = "arbiter/";
 
 	private Arbiters() {
 	}
@@ -35,7 +34,7 @@
 	}
 
 	private static long weight(NodeIdentity node, ServiceName service) {
-		return Hashing.komihash5_0().hashCharsToLong(SALT + service + "/" + node.incarnation().node());
+		return RendezvousHash.weight(DUTY_PREFIX + service, node.incarnation().node());
 	}
 
 }
