--- a/src/test/java/sycamorehill/settings/ExamplesTests.java
+++ b/src/test/java/sycamorehill/settings/ExamplesTests.java
@@ -1,5 +1,7 @@
 package sycamorehill.settings;
 
+import java.io.IOException;
+import java.nio.file.Files;
 import java.nio.file.Path;
 
 import org.assertj.core.api.Assertions;
@@ -7,6 +9,11 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
+import sycamorehill.json.ModelJson;
+import sycamorehill.logic.ticket.TicketValidator;
+import sycamorehill.model.ticket.TicketDraft;
+import sycamorehill.model.ticket.Truth;
+
 /**
  * The examples that users start from.
  */
@@ -30,4 +37,11 @@
 			.isInstanceOf(SettingsOutcome.Sound.class);
 	}
 
+	@Test
+	void exampleTicketIsSoundForAnEmptyTruth() throws IOException {
+		TicketDraft draft = ModelJson.json()
+			.readValue(Files.readString(Path.of("examples/first-ticket.json")), TicketDraft.class);
+		Assertions.assertThat(TicketValidator.validate(draft, Truth.empty()).faults()).isEmpty();
+	}
+
 }
