Let one view and one copy method serve the order part's trials and tests

Cause: the experiment and the history tests each held the same hand-written view of the other parts, and each spelt out the copy of all policies to change one. Change: tests use experiment.OrderTrialView; Policy.withOrder makes the copy.

--- a/src/main/java/sycamorehill/experiment/OrderTrial.java
+++ b/src/main/java/sycamorehill/experiment/OrderTrial.java
@@ -127,10 +127,7 @@
 	}
 
 	private Policy policy() {
-		Policy standard = Policy.standard();
-		return new Policy(standard.admission(), standard.routing(), standard.request(), standard.health(),
-				standard.quarantine(), this.setting.policy(), standard.ticket(), standard.membership(),
-				standard.group(), standard.observation());
+		return Policy.standard().withOrder(this.setting.policy());
 	}
 
 	private void run() {
--- a/src/main/java/sycamorehill/experiment/OrderTrialView.java
+++ b/src/main/java/sycamorehill/experiment/OrderTrialView.java
@@ -17,13 +17,13 @@
 import sycamorehill.model.ticket.Truth;
 
 /**
- * What the order part reads of the others in a trial.
+ * What the order part reads of the others, in a trial or a history test.
  *
  * @param self who the node is
  * @param policy the bounds
  * @param liveNodes the nodes alive
  */
-record OrderTrialView(NodeIdentity self, Policy policy, LiveNodes liveNodes) implements NodeView {
+public record OrderTrialView(NodeIdentity self, Policy policy, LiveNodes liveNodes) implements NodeView {
 
 	@Override
 	public Optional<Truth> truth() {
--- a/src/main/java/sycamorehill/model/policy/Policy.java
+++ b/src/main/java/sycamorehill/model/policy/Policy.java
@@ -48,4 +48,14 @@
 				this.ticket, changed, this.group, this.observation);
 	}
 
+	/**
+	 * The same bounds with other ones for claims.
+	 * @param changed the bounds of claims
+	 * @return the changed policy
+	 */
+	public Policy withOrder(OrderPolicy changed) {
+		return new Policy(this.admission, this.routing, this.request, this.health, this.quarantine, changed,
+				this.ticket, this.membership, this.group, this.observation);
+	}
+
 }
--- a/src/test/java/sycamorehill/logic/order/ClaimRulesTests.java
+++ b/src/test/java/sycamorehill/logic/order/ClaimRulesTests.java
@@ -6,6 +6,7 @@
 import org.assertj.core.api.Assertions;
 import org.junit.jupiter.api.Test;
 
+import sycamorehill.experiment.OrderTrialView;
 import sycamorehill.model.identity.Address;
 import sycamorehill.model.identity.DataCentreName;
 import sycamorehill.model.identity.NodeIdentity;
@@ -17,6 +18,7 @@
 import sycamorehill.model.order.OrderVerdict;
 import sycamorehill.model.peer.OrderClaimReply;
 import sycamorehill.model.policy.OrderPolicy;
+import sycamorehill.model.policy.Policy;
 import sycamorehill.model.request.Fingerprint;
 import sycamorehill.model.request.OrderKey;
 
@@ -30,7 +32,7 @@
 			DataCentreName.of("here"), Address.of("10.0.0.1", 1000));
 
 	private static final ClaimRules RULES = ClaimRules
-		.of(new OrderView(HOLDER, OrderView.policy(OrderPolicy.standard()), LiveNodes.none()), 0);
+		.of(new OrderTrialView(HOLDER, Policy.standard().withOrder(OrderPolicy.standard()), LiveNodes.none()), 0);
 
 	@Test
 	void releaseOfAClaimThatIsNotSeenIsWritten() {
--- a/src/test/java/sycamorehill/logic/order/OrderNode.java
+++ b/src/test/java/sycamorehill/logic/order/OrderNode.java
@@ -8,6 +8,7 @@
 
 import org.pcollections.TreePMap;
 
+import sycamorehill.experiment.OrderTrialView;
 import sycamorehill.logic.Step;
 import sycamorehill.model.effect.Effect;
 import sycamorehill.model.event.Event;
@@ -47,7 +48,7 @@
 	OrderNode(int index, Duration clockOffset, OrderPolicy policy) {
 		this.name = NodeName.of("n" + index);
 		this.clockOffset = clockOffset;
-		this.policy = OrderView.policy(policy);
+		this.policy = Policy.standard().withOrder(policy);
 		restart(1);
 	}
 
@@ -89,13 +90,13 @@
 
 	List<Effect> reduce(Instant now, Event event) {
 		Step<OrderState> step = REDUCER.reduce(this.state, clock(now), event,
-				new OrderView(this.identity, this.policy, this.liveNodes));
+				new OrderTrialView(this.identity, this.policy, this.liveNodes));
 		this.state = step.state();
 		return step.effects();
 	}
 
 	NodeIdentity keeperOf(int shard) {
-		return ShardPlacement.keeper(shard, new OrderView(this.identity, this.policy, this.liveNodes));
+		return ShardPlacement.keeper(shard, new OrderTrialView(this.identity, this.policy, this.liveNodes));
 	}
 
 	void pause() {
