--- a/src/main/java/sycamorehill/engine/TargetHeaders.java
+++ b/src/main/java/sycamorehill/engine/TargetHeaders.java
@@ -5,7 +5,7 @@
  */
 final class TargetHeaders {
 
-	static final String ATTEMPT = "Attempt-Id";
+	static final String ATTEMPT = "Sycamorehill-Attempt";
 
 	static final String GENERATION = "Group-Generation";
 
--- a/src/main/java/sycamorehill/entry/EntryNode.java
+++ b/src/main/java/sycamorehill/entry/EntryNode.java
@@ -22,6 +22,7 @@
 import sycamorehill.model.serving.EntryEffect;
 import sycamorehill.model.serving.EntryEvent;
 import sycamorehill.model.serving.EntrySettings;
+import sycamorehill.model.serving.NodeChange;
 import sycamorehill.model.serving.TargetChange;
 import sycamorehill.runtime.EventLog;
 import sycamorehill.runtime.MonotonicClock;
@@ -45,6 +46,19 @@
 
 	private static final Duration STOP_LOOK = Duration.ofMillis(100);
 
+	/**
+	 * A change of the configuration or of a target must be known within 2 s; a connection
+	 * that went silent is found out after the wait.
+	 */
+	private static final FeedReader.Pace CHANGES_SOON = new FeedReader.Pace(Duration.ofMillis(1800),
+			Duration.ofMillis(150));
+
+	/** Nodes change rarely, and nothing rests on knowing them soon: few calls. */
+	private static final FeedReader.Pace CHANGES_SOMETIME = new FeedReader.Pace(Duration.ofSeconds(20),
+			Duration.ofSeconds(1));
+
+	private static final Duration ENTER_AGAIN = Duration.ofSeconds(1);
+
 	private final EntrySettings settings;
 
 	private final InstantSource clock;
@@ -61,6 +75,8 @@
 
 	private final ReadinessServer readiness;
 
+	private final NodeMail mail;
+
 	private final CompletableFuture<Void> ended = new CompletableFuture<>();
 
 	private EntryNode(EntrySettings settings, EntryPorts.Factory factory, InstantSource wallClock,
@@ -71,6 +87,7 @@
 		this.reducer = EntryReducer.of(settings, self, random, this.clock.instant());
 		this.ports = factory.create(CallClient.of(TargetConnections.of(this.traffic)));
 		this.callers = CallerServer.of(this.traffic, this.ports.codec(), this, TargetConnections.of(this.traffic));
+		this.mail = NodeMail.of(this.traffic, this);
 		this.readiness = ReadinessServer.of(this.traffic, this.ports.codec().readinessPath());
 	}
 
@@ -93,12 +110,20 @@
 	private void start() throws InterruptedException {
 		EventLog.write(LogLine.of(LogEvent.NODE_STARTED, "node=" + this.settings.nodeName() + " callers="
 				+ this.settings.callers() + " store=" + this.settings.store()));
-		FeedReader<Configuration> configurations = FeedReader.of("configuration", this.ports.configurations(),
-				this.control, this::configurationsRead, this::configurationsRead, (reached) -> {
+		FeedReader<Configuration> configurations = FeedReader.of(CHANGES_SOON, "configuration",
+				this.ports.configurations(), this.control, this::configurationsRead, this::configurationsRead,
+				(reached) -> {
 				});
-		FeedReader<TargetChange> targets = FeedReader.of("targets", this.ports.targets(), this.control, this::listed,
-				(changes) -> step(new EntryEvent.TargetsChanged(changes)),
+		FeedReader<TargetChange> targets = FeedReader.of(CHANGES_SOON, "targets", this.ports.targets(), this.control,
+				this::listed, (changes) -> step(new EntryEvent.TargetsChanged(changes)),
 				(reached) -> step(new EntryEvent.DirectoryContact(reached)));
+		FeedReader<NodeChange> nodes = FeedReader.of(CHANGES_SOMETIME, "nodes", this.ports.nodes(), this.control,
+				(all) -> step(new EntryEvent.NodesRead(all)), (some) -> step(new EntryEvent.NodesRead(some)),
+				(reached) -> {
+				});
+		this.mail.start(this.settings.neighbours());
+		enter();
+		nodes.start();
 		configurations.start();
 		targets.start();
 		this.control.scheduleAtFixedRate(() -> step(new EntryEvent.Ticked()), 0, TICK.toMillis(),
@@ -107,6 +132,18 @@
 		this.readiness.start(this.settings.readiness());
 	}
 
+	private void enter() {
+		this.ports.register()
+			.enter(this.settings.nodeName(), this.settings.neighbours())
+			.whenCompleteAsync((entered, failure) -> {
+				if (failure != null) {
+					EventLog
+						.write(LogLine.of(LogEvent.STORE_CONTACT, "this node is not entered: " + failure.getMessage()));
+					this.control.schedule(this::enter, ENTER_AGAIN.toMillis(), TimeUnit.MILLISECONDS);
+				}
+			}, this.control);
+	}
+
 	private void configurationsRead(List<Configuration> read) {
 		read.forEach((configuration) -> step(new EntryEvent.ConfigurationRead(configuration)));
 	}
@@ -147,6 +184,9 @@
 		else if (effect instanceof EntryEffect.Ready ready) {
 			this.readiness.ready(ready.ready());
 		}
+		else if (effect instanceof EntryEffect.Tell tell) {
+			this.mail.send(tell.node(), tell.message());
+		}
 		else if (effect instanceof EntryEffect.SendOrder order) {
 			this.ports.engines()
 				.order(order.target(), order.order(), order.ordersAccepted())
@@ -205,6 +245,10 @@
 	public void stop() {
 		EventLog.write(LogLine.of(LogEvent.NODE_STOPPING, "node=" + this.settings.nodeName()));
 		post(new EntryEvent.StopOrdered());
+		this.ports.register().leave(this.settings.nodeName()).exceptionally((failure) -> {
+			EventLog.write(LogLine.of(LogEvent.STORE_CONTACT, "this node is not taken out: " + failure.getMessage()));
+			return null;
+		});
 		Instant ordered = this.clock.instant();
 		this.traffic.execute(this.callers::beginStop);
 		this.traffic.scheduleWithFixedDelay(() -> lookForEnd(ordered), STOP_LOOK.toMillis(), STOP_LOOK.toMillis(),
--- a/src/main/java/sycamorehill/entry/Exchange.java
+++ b/src/main/java/sycamorehill/entry/Exchange.java
@@ -63,6 +63,10 @@
 
 	private Optional<String> weightsVersion = Optional.empty();
 
+	private long lastEventNanos;
+
+	private long longestPauseNanos;
+
 	private Exchange(long number, CallerConnection connection, HttpRequest request, ByteBuf requestBody,
 			CallerHead caller, long arrivedNanos, ExchangeCodec codec) {
 		this.number = number;
@@ -222,9 +226,18 @@
 		if (eventNumber.isPresent()) {
 			this.lastEvent = eventNumber;
 		}
+		long now = System.nanoTime();
+		if (this.lastEventNanos != 0) {
+			this.longestPauseNanos = Math.max(this.longestPauseNanos, now - this.lastEventNanos);
+		}
+		this.lastEventNanos = now;
 		this.connection.write(new DefaultHttpContent(event));
 	}
 
+	Duration longestPause() {
+		return Duration.ofNanos(this.longestPauseNanos);
+	}
+
 	void flush() {
 		if (!this.over) {
 			this.connection.flush();
--- a/src/main/java/sycamorehill/entry/FeedReader.java
+++ b/src/main/java/sycamorehill/entry/FeedReader.java
@@ -18,21 +18,12 @@
  */
 final class FeedReader<T> {
 
-	/**
-	 * How long a call waits in the store. A connection that went silent is found out this
-	 * much later, and a change must be known within 2 s.
-	 */
-	private static final Duration WAIT = Duration.ofMillis(1800);
-
-	/**
-	 * Pause after an answer that brought changes: many changes in a row cost few calls.
-	 */
-	private static final Duration PACE = Duration.ofMillis(60);
-
 	private static final Duration FIRST_RETRY = Duration.ofMillis(100);
 
 	private static final Duration LONGEST_RETRY = Duration.ofMillis(800);
 
+	private final Pace pace;
+
 	private final String name;
 
 	private final Feed<T> feed;
@@ -49,8 +40,9 @@
 
 	private Duration retry = FIRST_RETRY;
 
-	private FeedReader(String name, Feed<T> feed, ScheduledExecutorService control, Consumer<List<T>> listed,
+	private FeedReader(Pace pace, String name, Feed<T> feed, ScheduledExecutorService control, Consumer<List<T>> listed,
 			Consumer<List<T>> changed, Consumer<Boolean> contact) {
+		this.pace = pace;
 		this.name = name;
 		this.feed = feed;
 		this.control = control;
@@ -59,9 +51,9 @@
 		this.contact = contact;
 	}
 
-	static <T> FeedReader<T> of(String name, Feed<T> feed, ScheduledExecutorService control, Consumer<List<T>> listed,
-			Consumer<List<T>> changed, Consumer<Boolean> contact) {
-		return new FeedReader<>(name, feed, control, listed, changed, contact);
+	static <T> FeedReader<T> of(Pace pace, String name, Feed<T> feed, ScheduledExecutorService control,
+			Consumer<List<T>> listed, Consumer<List<T>> changed, Consumer<Boolean> contact) {
+		return new FeedReader<>(pace, name, feed, control, listed, changed, contact);
 	}
 
 	void start() {
@@ -70,14 +62,15 @@
 
 	private void next() {
 		boolean all = this.revision < 0;
-		(all ? this.feed.list() : this.feed.changes(this.revision, WAIT)).whenCompleteAsync((page, failure) -> {
-			if (failure != null) {
-				failed(failure);
-			}
-			else {
-				read(page, all);
-			}
-		}, this.control);
+		(all ? this.feed.list() : this.feed.changes(this.revision, this.pace.longestWait()))
+			.whenCompleteAsync((page, failure) -> {
+				if (failure != null) {
+					failed(failure);
+				}
+				else {
+					read(page, all);
+				}
+			}, this.control);
 	}
 
 	private void read(Feed.Page<T> page, boolean all) {
@@ -87,7 +80,7 @@
 			EventLog.failure(LogEvent.STORE_CONTACT,
 					this.name + ": the store went back from " + this.revision + " to " + page.revision(), null);
 			this.revision = -1;
-			later(PACE);
+			later(this.pace.afterChange());
 			return;
 		}
 		this.revision = page.revision();
@@ -97,14 +90,14 @@
 		else if (!page.items().isEmpty()) {
 			this.changed.accept(page.items());
 		}
-		later((all || !page.items().isEmpty()) ? PACE : Duration.ZERO);
+		later((all || !page.items().isEmpty()) ? this.pace.afterChange() : Duration.ZERO);
 	}
 
 	private void failed(Throwable failure) {
 		Throwable cause = (failure instanceof CompletionException) ? failure.getCause() : failure;
 		if (cause instanceof Feed.HistoryGoneException) {
 			this.revision = -1;
-			later(PACE);
+			later(this.pace.afterChange());
 			return;
 		}
 		this.contact.accept(false);
@@ -122,4 +115,15 @@
 		}
 	}
 
+	/**
+	 * How often the store is called.
+	 *
+	 * @param longestWait how long a call waits in the store; a connection that went
+	 * silent is found out this much later
+	 * @param afterChange pause after an answer that brought changes, so that many changes
+	 * in a row cost few calls
+	 */
+	record Pace(Duration longestWait, Duration afterChange) {
+	}
+
 }
--- a/src/main/java/sycamorehill/entry/TargetAttempt.java
+++ b/src/main/java/sycamorehill/entry/TargetAttempt.java
@@ -239,7 +239,7 @@
 		}
 		else {
 			this.exchange.deliver(this.head, this.body.retain());
-			end(new AttemptEnd.Delivered(status));
+			end(new AttemptEnd.Delivered(status, Duration.ZERO));
 		}
 	}
 
@@ -252,7 +252,7 @@
 			this.exchange.beginStream(this.head, this.facts);
 		}
 		this.exchange.endStream();
-		end(new AttemptEnd.Delivered(status));
+		end(new AttemptEnd.Delivered(status, this.exchange.longestPause()));
 	}
 
 	private void keep() {
--- a/src/main/java/sycamorehill/logic/directory/GroupView.java
+++ b/src/main/java/sycamorehill/logic/directory/GroupView.java
@@ -16,6 +16,35 @@
  */
 public record GroupView(String name, long epoch, ModelFigures model, List<TargetEntry> members) {
 
+	/**
+	 * Identifies the group among all that ever were.
+	 * @return the key
+	 */
+	public String key() {
+		return key(this.name, this.epoch);
+	}
+
+	/**
+	 * Makes a group's key.
+	 * @param name the group's name
+	 * @param epoch the group's epoch
+	 * @return the key
+	 */
+	public static String key(String name, long epoch) {
+		return name + '/' + epoch;
+	}
+
+	/**
+	 * Whether an engine reports this group as its own.
+	 * @param engine the engine
+	 * @return true if it does
+	 */
+	public boolean reportedBy(TargetEntry engine) {
+		return engine.membership()
+			.filter((membership) -> membership.group().equals(this.name) && membership.epoch() == this.epoch)
+			.isPresent();
+	}
+
 	/**
 	 * Whether every rank was seen once, no member is leaving and all hold the model.
 	 * @return true if the group is whole
--- a/src/main/java/sycamorehill/logic/dispatch/ActiveRequest.java
+++ b/src/main/java/sycamorehill/logic/dispatch/ActiveRequest.java
@@ -41,7 +41,7 @@
 
 	private boolean failureHeld;
 
-	private boolean answerBegun;
+	private Optional<Duration> firstAnswer = Optional.empty();
 
 	private ActiveRequest(CallerRequest request, Route route, ServiceName service, Optional<Workspace> workspace,
 			Instant arrived) {
@@ -81,8 +81,8 @@
 		this.failureHeld = true;
 	}
 
-	void answerBegan() {
-		this.answerBegun = true;
+	void answerBegan(Duration time) {
+		this.firstAnswer = Optional.of(time);
 	}
 
 	CallerRequest request() {
@@ -134,7 +134,11 @@
 	}
 
 	boolean answerBegun() {
-		return this.answerBegun;
+		return this.firstAnswer.isPresent();
+	}
+
+	Optional<Duration> firstAnswer() {
+		return this.firstAnswer;
 	}
 
 	/**
--- a/src/main/java/sycamorehill/logic/dispatch/Placement.java
+++ b/src/main/java/sycamorehill/logic/dispatch/Placement.java
@@ -30,7 +30,14 @@
 	private static final double FAILURE_MILLIS = 2000;
 
 	/** Spread of the random part that keeps nodes from choosing alike. */
-	private static final double SPREAD_MILLIS = 4;
+	private static final double SPREAD_MILLIS = 8;
+
+	/**
+	 * How steeply the expected wait grows as a target fills: what is known of its load is
+	 * up to 200 ms old, so that a target with one free slot often has none. Half full it
+	 * adds a 64th of the time in which a slot comes free, with one slot free two thirds.
+	 */
+	private static final int FILLING = 6;
 
 	/** Time in the target when nothing is known of it yet. */
 	private static final double UNKNOWN_ANSWER_MILLIS = 30;
@@ -92,8 +99,11 @@
 		if (load == null) {
 			return 0;
 		}
-		int ahead = load.requests(now) + 1 - candidate.slots();
-		return (ahead <= 0) ? 0 : ahead * answerMillis(candidate, load) / candidate.slots();
+		double slotFreeEvery = answerMillis(candidate, load) / candidate.slots();
+		int requests = load.requests(now);
+		int ahead = requests + 1 - candidate.slots();
+		double queue = (ahead > 0) ? ahead : 0;
+		return slotFreeEvery * (queue + Math.pow(Math.min(1, (double) requests / candidate.slots()), FILLING));
 	}
 
 	// Time that a request holds its slot.
--- a/src/main/java/sycamorehill/logic/dispatch/RequestDesk.java
+++ b/src/main/java/sycamorehill/logic/dispatch/RequestDesk.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.random.RandomGenerator;
 
 import sycamorehill.logic.Effects;
@@ -19,6 +20,7 @@
 import sycamorehill.model.serving.EngineLoad;
 import sycamorehill.model.serving.EntryEffect;
 import sycamorehill.model.serving.EntrySettings;
+import sycamorehill.model.serving.NodeMessage;
 import sycamorehill.model.serving.NotRunCause;
 import sycamorehill.model.serving.RequestKind;
 import sycamorehill.model.serving.Route;
@@ -85,6 +87,15 @@
 	 */
 	private static final Duration SILENT_ASIDE = Duration.ofSeconds(2);
 
+	/** When a content that was lost with several targets may come back: rarely. */
+	private static final Duration COME_BACK_SUSPECT = Duration.ofSeconds(30);
+
+	/**
+	 * Part of the fixed number of repeats that is used: nodes count each other late, and
+	 * arrivals that were cancelled on the way count too.
+	 */
+	private static final double EXTRA_PART = 0.7;
+
 	private final EntrySettings settings;
 
 	private final TargetDirectory directory;
@@ -101,6 +112,12 @@
 
 	private final Map<ServiceName, RetryBudget> budgets = new HashMap<>();
 
+	private final CrashBook crashes = CrashBook.create();
+
+	private final Map<String, Set<TargetName>> othersTargets = new HashMap<>();
+
+	private int nodes = 1;
+
 	private Optional<Configuration> configuration = Optional.empty();
 
 	private RouteTable routes = RouteTable.of(List.of());
@@ -162,6 +179,11 @@
 			refuseUnrouted(request, UNAUTHORIZED, "the key is not known", Optional.empty(), effects);
 			return;
 		}
+		if (this.crashes.refused(request.content())) {
+			refuseUnrouted(request, UNAVAILABLE, "not run: this content was lost with several targets",
+					Optional.of(COME_BACK_SUSPECT), effects);
+			return;
+		}
 		ServiceName service = route.get().service(this.random.nextDouble());
 		ActiveRequest active = ActiveRequest.of(request, route.get(), service, workspace, now);
 		this.active.put(request.number(), active);
@@ -226,7 +248,7 @@
 			return;
 		}
 		if (!request.answerBegun()) {
-			request.answerBegan();
+			request.answerBegan(Duration.between(request.arrived(), now));
 		}
 		request.target().ifPresent((target) -> load(target).answered(Duration.between(request.attemptStarted(), now)));
 	}
@@ -263,24 +285,100 @@
 			request.reachedTarget();
 			request.ran();
 			load(target).failed(now);
+			lost(request, target, effects);
 			sendAgain(request, target, unknown.cause(), now, effects);
 		}
 		else if (end instanceof AttemptEnd.Broken broken) {
 			request.reachedTarget();
 			request.ran();
 			load(target).failed(now);
+			lost(request, target, effects);
 			resume(request, target, broken, now, effects);
 		}
 	}
 
+	private void lost(ActiveRequest request, TargetName target, Effects effects) {
+		long content = request.request().content();
+		this.crashes.lost(content, target);
+		effects.add(new EntryEffect.TellAll(new NodeMessage.Suspicion(this.settings.nodeName(), content, target)));
+	}
+
+	/**
+	 * Takes what another node told.
+	 * @param message the message
+	 * @param now the present time
+	 */
+	public void heard(NodeMessage message, Instant now) {
+		if (message instanceof NodeMessage.Loads told) {
+			Set<TargetName> before = this.othersTargets.put(told.sender(), told.requests().keySet());
+			if (before != null) {
+				before.stream()
+					.filter((target) -> !told.requests().containsKey(target))
+					.forEach((target) -> load(target).others(told.sender(), 0, now));
+			}
+			told.requests().forEach((target, requests) -> load(target).others(told.sender(), requests, now));
+		}
+		else if (message instanceof NodeMessage.Suspicion suspicion) {
+			this.crashes.lost(suspicion.content(), suspicion.target());
+		}
+		else if (message instanceof NodeMessage.Cleared cleared) {
+			this.crashes.cleared(cleared.content());
+		}
+	}
+
+	/**
+	 * Counts the requests that a target has from all nodes, as far as it is known.
+	 * @param target the target
+	 * @param now the present time
+	 * @return the number of requests
+	 */
+	public int requests(TargetName target, Instant now) {
+		TargetLoad load = this.loads.get(target);
+		return (load != null) ? load.requests(now) : 0;
+	}
+
+	/**
+	 * Tells how many requests this node has with each target.
+	 * @return the numbers
+	 */
+	public Map<TargetName, Integer> inFlight() {
+		Map<TargetName, Integer> requests = new HashMap<>();
+		this.loads.forEach((target, load) -> {
+			if (load.inFlight() > 0) {
+				requests.put(target, load.inFlight());
+			}
+		});
+		return requests;
+	}
+
+	/**
+	 * Shares the fixed part of the retry budgets out anew.
+	 * @param living number of nodes that live
+	 */
+	public void nodes(int living) {
+		this.nodes = living;
+		this.budgets.values().forEach((budget) -> budget.extra(extraOfNode()));
+	}
+
+	private double extraOfNode() {
+		return this.settings.retryExtra() * EXTRA_PART / this.nodes;
+	}
+
 	private void delivered(ActiveRequest request, TargetName target, AttemptEnd.Delivered delivered, Instant now,
 			Effects effects) {
 		if (!request.route().kind().streaming()) {
 			load(target).answered(Duration.between(request.attemptStarted(), now));
 		}
 		this.active.remove(request.request().number());
+		long content = request.request().content();
+		if (this.crashes.suspected(content)) {
+			this.crashes.cleared(content);
+			effects.add(new EntryEffect.TellAll(new NodeMessage.Cleared(this.settings.nodeName(), content)));
+		}
 		effects.log(LogEvent.REQUEST_SERVED,
-				describe(request, now) + " target=" + target + " status=" + delivered.status());
+				describe(request, now) + " target=" + target + " status=" + delivered.status() + " first-millis="
+						+ request.firstAnswer().map(Duration::toMillis).orElse(-1L) + " pause-millis="
+						+ delivered.longestPause().toMillis());
 	}
 
 	private void notRun(ActiveRequest request, TargetName target, AttemptEnd.NotRun notRun, Instant now,
@@ -462,8 +560,8 @@
 	}
 
 	private RetryBudget budget(ServiceName service) {
-		return this.budgets.computeIfAbsent(service, (name) -> RetryBudget.of(this.settings.retryWindow(),
-				this.settings.retryRatio(), this.settings.retryExtraOfNode()));
+		return this.budgets.computeIfAbsent(service,
+				(name) -> RetryBudget.of(this.settings.retryWindow(), this.settings.retryRatio(), extraOfNode()));
 	}
 
 	private Duration comeBack() {
--- a/src/main/java/sycamorehill/logic/dispatch/RetryBudget.java
+++ b/src/main/java/sycamorehill/logic/dispatch/RetryBudget.java
@@ -21,7 +21,7 @@
 
 	private final double ratio;
 
-	private final double extra;
+	private double extra;
 
 	private final Deque<Count> counts = new ArrayDeque<>();
 
@@ -42,6 +42,14 @@
 		return new RetryBudget(window, ratio, extra);
 	}
 
+	/**
+	 * Changes this node's part of the fixed number.
+	 * @param part repeats allowed whatever the number of requests
+	 */
+	void extra(double part) {
+		this.extra = part;
+	}
+
 	void request(Instant now) {
 		current(now).requests++;
 	}
--- a/src/main/java/sycamorehill/logic/dispatch/TargetLoad.java
+++ b/src/main/java/sycamorehill/logic/dispatch/TargetLoad.java
@@ -2,6 +2,8 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.HashMap;
+import java.util.Map;
 
 import sycamorehill.model.serving.EngineLoad;
 
@@ -15,6 +17,9 @@
 	 */
 	private static final Duration TOLD_LOAD_VALID = Duration.ofMillis(1500);
 
+	/** What another node told is good for this long: it tells every 200 ms. */
+	private static final Duration OTHERS_VALID = Duration.ofMillis(900);
+
 	/** Weight of a new sample in a moving average. */
 	private static final double SMOOTHING = 0.2;
 
@@ -31,6 +36,8 @@
 
 	private int sentSinceTold;
 
+	private final Map<String, OthersShare> others = new HashMap<>();
+
 	private Instant asideUntil = Instant.MIN;
 
 	private int failuresInRow;
@@ -61,10 +68,29 @@
 	 * @return the number of requests
 	 */
 	int requests(Instant now) {
+		int known = this.inFlight;
+		for (OthersShare share : this.others.values()) {
+			known += share.toldAt().plus(OTHERS_VALID).isBefore(now) ? 0 : share.requests();
+		}
 		if (this.toldAt == Instant.MIN || this.toldAt.plus(TOLD_LOAD_VALID).isBefore(now)) {
-			return this.inFlight;
+			return known;
+		}
+		return Math.max(known, this.told.running() + this.told.waiting() + this.sentSinceTold);
+	}
+
+	/**
+	 * Notes the requests that another node has with the target.
+	 * @param node the node
+	 * @param requests number of its requests
+	 * @param now the present time
+	 */
+	void others(String node, int requests, Instant now) {
+		if (requests == 0) {
+			this.others.remove(node);
+		}
+		else {
+			this.others.put(node, new OthersShare(requests, now));
 		}
-		return Math.max(this.inFlight, this.told.running() + this.told.waiting() + this.sentSinceTold);
 	}
 
 	void answered(Duration time) {
@@ -104,4 +130,13 @@
 		return this.inFlight;
 	}
 
+	/**
+	 * What another node told of its requests.
+	 *
+	 * @param requests their number
+	 * @param toldAt when it told
+	 */
+	private record OthersShare(int requests, Instant toldAt) {
+	}
+
 }
--- a/src/main/java/sycamorehill/logic/entry/EntryReducer.java
+++ b/src/main/java/sycamorehill/logic/entry/EntryReducer.java
@@ -1,5 +1,6 @@
 package sycamorehill.logic.entry;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
 import java.util.Optional;
@@ -9,11 +10,13 @@
 import sycamorehill.logic.directory.TargetDirectory;
 import sycamorehill.logic.dispatch.RequestDesk;
 import sycamorehill.logic.layout.GroupControl;
+import sycamorehill.model.identity.TargetName;
 import sycamorehill.model.log.LogEvent;
 import sycamorehill.model.serving.Configuration;
 import sycamorehill.model.serving.EntryEffect;
 import sycamorehill.model.serving.EntryEvent;
 import sycamorehill.model.serving.EntrySettings;
+import sycamorehill.model.serving.NodeMessage;
 import sycamorehill.model.serving.TargetAddress;
 import sycamorehill.model.serving.TargetEntry;
 
@@ -23,12 +26,24 @@
  */
 public final class EntryReducer {
 
+	/**
+	 * A load report is out of date after about as long as an event takes to follow
+	 * another.
+	 */
+	private static final Duration LOADS_TOLD_EVERY = Duration.ofMillis(200);
+
 	private final TargetDirectory directory = TargetDirectory.create();
 
 	private final RequestDesk requests;
 
 	private final GroupControl groups;
 
+	private final Neighbours neighbours;
+
+	private final EntrySettings settings;
+
+	private Instant loadsTold = Instant.MIN;
+
 	private Optional<Configuration> configuration = Optional.empty();
 
 	private boolean reached = true;
@@ -40,6 +55,8 @@
 	private boolean ready;
 
 	private EntryReducer(EntrySettings settings, String self, RandomGenerator random, Instant started) {
+		this.settings = settings;
+		this.neighbours = Neighbours.of(settings.nodeName());
 		this.requests = RequestDesk.of(settings, this.directory, random);
 		this.groups = GroupControl.of(settings, this.directory, self, started);
 	}
@@ -67,12 +84,54 @@
 		if (!acceptRequest(event, now, effects) && !acceptGroup(event, now, effects)) {
 			acceptSurroundings(event, now, effects);
 		}
+		return addressed(effects.all());
+	}
+
+	// Puts the addresses of all other nodes to what all are told.
+	private List<EntryEffect> addressed(List<EntryEffect> wanted) {
+		if (wanted.stream().noneMatch(EntryEffect.TellAll.class::isInstance)) {
+			return wanted;
+		}
+		Effects effects = Effects.begin();
+		for (EntryEffect effect : wanted) {
+			if (effect instanceof EntryEffect.TellAll tell) {
+				this.neighbours.tellAll(tell.message(), effects);
+			}
+			else {
+				effects.add(effect);
+			}
+		}
 		return effects.all();
 	}
 
+	private void heard(NodeMessage message, Instant now, Effects effects) {
+		this.neighbours.heard(message.sender(), now);
+		this.requests.heard(message, now);
+		if (message instanceof NodeMessage.Silence silence) {
+			this.groups.suspect(silence.target(), now, effects);
+		}
+	}
+
+	private void silent(TargetName target, Instant now, Effects effects) {
+		this.requests.silent(target, now, effects);
+		this.groups.suspect(target, now, effects);
+		this.groups.controller()
+			.ifPresent((node) -> this.neighbours.tell(node, new NodeMessage.Silence(this.settings.nodeName(), target),
+					effects));
+	}
+
+	private void tellLoads(Instant now, Effects effects) {
+		if (now.isBefore(this.loadsTold.plus(LOADS_TOLD_EVERY))) {
+			return;
+		}
+		this.loadsTold = now;
+		effects.add(new EntryEffect.TellAll(new NodeMessage.Loads(this.settings.nodeName(), this.requests.inFlight())));
+		this.requests.nodes(this.neighbours.living(now));
+	}
+
 	private boolean acceptRequest(EntryEvent event, Instant now, Effects effects) {
 		if (event instanceof EntryEvent.RequestArrived arrived) {
-			this.groups.trafficSeen();
+			this.groups.trafficSeen(now);
 			this.requests.arrived(arrived.request(), now, effects);
 		}
 		else if (event instanceof EntryEvent.AnswerBegun begun) {
@@ -91,7 +150,7 @@
 			this.requests.told(told.target(), told.load(), now);
 		}
 		else if (event instanceof EntryEvent.TargetSilent silent) {
-			this.requests.silent(silent.target(), now, effects);
+			silent(silent.target(), now, effects);
 		}
 		else {
 			return false;
@@ -115,7 +174,7 @@
 		else {
 			return false;
 		}
-		this.groups.tick(this.configuration, now, effects);
+		this.groups.tick(this.configuration, (target) -> this.requests.requests(target, now), now, effects);
 		return true;
 	}
 
@@ -134,6 +193,13 @@
 		else if (event instanceof EntryEvent.DirectoryContact contact) {
 			contact(contact.reached(), now, effects);
 		}
+		else if (event instanceof EntryEvent.NodesRead read) {
+			this.neighbours.read(read.changes(), now);
+		}
+		else if (event instanceof EntryEvent.MessageHeard message) {
+			heard(message.message(), now, effects);
+			return;
+		}
 		else if (event instanceof EntryEvent.StopOrdered) {
 			this.stopping = true;
 			this.groups.stop(effects);
@@ -143,7 +209,8 @@
 
 	private void tick(Instant now, Effects effects) {
 		forget(this.directory.dropMissing(now), effects);
-		this.groups.tick(this.configuration, now, effects);
+		this.groups.tick(this.configuration, (target) -> this.requests.requests(target, now), now, effects);
+		tellLoads(now, effects);
 		boolean nowReady = this.configuration.isPresent() && this.listed && !this.stopping;
 		if (nowReady != this.ready) {
 			this.ready = nowReady;
--- a/src/main/java/sycamorehill/logic/layout/GroupChoice.java
+++ b/src/main/java/sycamorehill/logic/layout/GroupChoice.java
@@ -9,7 +9,6 @@
 import java.util.function.Predicate;
 import java.util.function.ToIntFunction;
 
-import sycamorehill.model.identity.DataCentreName;
 import sycamorehill.model.serving.EngineFigures;
 import sycamorehill.model.serving.ModelFigures;
 import sycamorehill.model.serving.TargetEntry;
@@ -17,47 +16,69 @@
 /**
  * Chooses the next group to form: the model that is furthest behind its part of the
  * engines first, in the fabric domain where it is wanted most and costs least.
+ *
+ * A domain is given to one model as far as possible: the survivors of two groups of four
+ * then make a new group and two spares, where survivors in two domains make none.
  */
 final class GroupChoice {
 
 	private final EngineFigures figures;
 
-	private final ToIntFunction<ModelFigures> groups;
+	private final GroupCount count;
 
-	private GroupChoice(EngineFigures figures, ToIntFunction<ModelFigures> groups) {
+	private final Wanted wanted;
+
+	private final DomainHolders holders;
+
+	private GroupChoice(EngineFigures figures, GroupCount count, Wanted wanted, DomainHolders holders) {
+		this.holders = holders;
 		this.figures = figures;
-		this.groups = groups;
+		this.count = count;
+		this.wanted = wanted;
 	}
 
 	/**
 	 * Creates the choice.
 	 * @param figures what the engines do
-	 * @param groups how many groups of a model there are or are being formed
+	 * @param count the groups that there are or are being formed
+	 * @param wanted how many groups of a model there should be
+	 * @param holders which models the engines of each domain hold
 	 * @return the choice
 	 */
-	static GroupChoice of(EngineFigures figures, ToIntFunction<ModelFigures> groups) {
-		return new GroupChoice(figures, groups);
+	static GroupChoice of(EngineFigures figures, GroupCount count, Wanted wanted, DomainHolders holders) {
+		return new GroupChoice(figures, count, wanted, holders);
 	}
 
 	/**
-	 * Proposes the next group.
+	 * Proposes the next group. A group whose members all hold the weights serves within 2
+	 * s: it is formed also where as many are being loaded already as are missing.
 	 * @param free engines that may be used
-	 * @param groupsIn how many groups of a model a data centre has
 	 * @param convertible whether an engine that holds another model may be loaded anew
+	 * @param hurried whether callers wait for the groups that are being loaded
 	 * @return the proposal; empty if no group can be formed
 	 */
-	Optional<Proposal> next(List<TargetEntry> free, GroupCount groupsIn, Predicate<TargetEntry> convertible) {
+	Optional<Proposal> next(List<TargetEntry> free, Predicate<TargetEntry> convertible, boolean hurried) {
 		Map<String, List<TargetEntry>> domains = new TreeMap<>();
 		for (TargetEntry engine : free) {
 			engine.domain()
 				.ifPresent((domain) -> domains.computeIfAbsent(domain, (key) -> new ArrayList<>()).add(engine));
 		}
-		for (ModelFigures model : byNeed()) {
+		Optional<Proposal> soon = hurried ? best(byNeed(this.count::soon, false), domains, (engine) -> false, 0)
+				: Optional.empty();
+		return soon.isPresent() ? soon : best(byNeed(this.count::total, true), domains, convertible, Integer.MAX_VALUE);
+	}
+
+	private Optional<Proposal> best(List<ModelFigures> models, Map<String, List<TargetEntry>> domains,
+			Predicate<TargetEntry> convertible, int mostLoads) {
+		for (ModelFigures model : models) {
 			Optional<Proposal> best = domains.values()
 				.stream()
 				.flatMap((engines) -> propose(model, engines, convertible).stream())
+				.filter((proposal) -> proposal.loads() <= mostLoads)
 				.min(Comparator.comparingInt(Proposal::loads)
-					.thenComparingInt((proposal) -> groupsIn.of(model, proposal.members().get(0).dataCentre()))
+					.thenComparingInt((proposal) -> this.holders.others(domain(proposal), model))
+					.thenComparingInt((proposal) -> this.count.in(model, proposal.members().get(0).dataCentre()))
+					.thenComparingInt((proposal) -> -this.holders.of(domain(proposal), model))
 					.thenComparing((proposal) -> proposal.members().get(0).name()));
 			if (best.isPresent()) {
 				return best;
@@ -66,12 +87,25 @@
 		return Optional.empty();
 	}
 
-	private List<ModelFigures> byNeed() {
+	/**
+	 * Whether there are, or are being formed, as many groups of each model as wanted.
+	 * @return true if no group is missing
+	 */
+	boolean complete() {
+		return byNeed(this.count::total, true).isEmpty();
+	}
+
+	private static String domain(Proposal proposal) {
+		return proposal.members().get(0).domain().orElseThrow();
+	}
+
+	private List<ModelFigures> byNeed(ToIntFunction<ModelFigures> groups, boolean loading) {
 		return this.figures.models()
 			.stream()
+			.filter((model) -> groups.applyAsInt(model) < this.wanted.groups(model, loading))
 			.sorted(Comparator
-				.comparingDouble((ModelFigures model) -> (this.groups.applyAsInt(model) + 0.5) * model.size()
-						/ Math.max(model.share(), 0.001))
+				.comparingDouble(
+						(ModelFigures model) -> (groups.applyAsInt(model) + 0.5) / this.wanted.groups(model, loading))
 				.thenComparing(ModelFigures::name))
 			.toList();
 	}
@@ -111,17 +145,17 @@
 	}
 
 	/**
-	 * Counts the groups of a model in a data centre.
+	 * Tells how many groups of a model there should be.
 	 */
-	interface GroupCount {
+	interface Wanted {
 
 		/**
-		 * Counts.
+		 * Decides.
 		 * @param model the model
-		 * @param dataCentre the data centre
-		 * @return the number of groups there or being formed there
+		 * @param loading whether weights would have to be loaded
+		 * @return the number of groups
 		 */
-		int of(ModelFigures model, DataCentreName dataCentre);
+		int groups(ModelFigures model, boolean loading);
 
 	}
 
--- a/src/main/java/sycamorehill/logic/layout/GroupControl.java
+++ b/src/main/java/sycamorehill/logic/layout/GroupControl.java
@@ -10,12 +10,14 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 import sycamorehill.logic.Effects;
 import sycamorehill.logic.directory.GroupNames;
 import sycamorehill.logic.directory.GroupView;
 import sycamorehill.logic.directory.GroupViews;
 import sycamorehill.logic.directory.TargetDirectory;
+import sycamorehill.model.identity.ServiceName;
 import sycamorehill.model.identity.TargetName;
 import sycamorehill.model.log.LogEvent;
 import sycamorehill.model.serving.Configuration;
@@ -28,6 +30,7 @@
 import sycamorehill.model.serving.LeaseAnswer;
 import sycamorehill.model.serving.MemberState;
 import sycamorehill.model.serving.Membership;
+import sycamorehill.model.serving.ModelFigures;
 import sycamorehill.model.serving.ServiceFigures;
 import sycamorehill.model.serving.TargetAddress;
 import sycamorehill.model.serving.TargetEntry;
@@ -59,28 +62,38 @@
 	 */
 	private static final Duration SHOWS_WITHIN = Duration.ofSeconds(2);
 
-	/**
-	 * Time that a closing head is given for what it runs: the longest answers take 8 s.
-	 */
-	private static final Duration CLOSING_TIME = Duration.ofSeconds(8);
-
-	/** Added to the stall time before a head that doesn't answer is taken as broken. */
-	private static final Duration BROKEN_MARGIN = Duration.ofMillis(1500);
-
 	/** A group that is not ready after so many times its longest load is taken apart. */
 	private static final int LOAD_TIMES = 6;
 
-	/** Loads that run side by side, against those that run at full speed. */
-	private static final int LOADS_SIDE_BY_SIDE = 2;
+	/**
+	 * Loads begun side by side before traffic, against those that run at full speed: the
+	 * next one is then always there when one ends.
+	 */
+	private static final int LOADS_BEFORE_TRAFFIC = 2;
 
 	/**
 	 * Before traffic, loads are fast and unbounded; after this time it is taken to begin.
 	 */
 	private static final Duration TRAFFIC_BEGINS = Duration.ofMillis(13500);
 
+	/** All engines are there when none came for so long; they come within a second. */
+	private static final Duration ENTERED_AFTER = Duration.ofMillis(450);
+
+	/**
+	 * Forming begins at last: fast loads of 60 engines take 12 s of the 15 s before
+	 * traffic.
+	 */
+	private static final Duration ENTERED_BY = Duration.ofMillis(2200);
+
+	/** Requests tell the load once the first of them have run to their ends. */
+	private static final Duration TRAFFIC_KNOWN_AFTER = Duration.ofSeconds(4);
+
 	/** Distance between the epochs of two terms, more than any term uses up. */
 	private static final long EPOCHS_PER_TERM = 1_000_000;
 
+	/** A line a second tells how the capacity went; it is the same whatever the load. */
+	private static final Duration SUMMARY_EVERY = Duration.ofSeconds(1);
+
 	private final EntrySettings settings;
 
 	private final TargetDirectory directory;
@@ -95,9 +108,11 @@
 
 	private final Map<String, FormingGroup> forming = new HashMap<>();
 
-	private final Map<String, Dissolving> dissolving = new HashMap<>();
+	private final Dissolution dissolution;
+
+	private final Staging staging = Staging.create();
 
-	private final Set<String> dissolved = new HashSet<>();
+	private final Map<String, Instant> joiningSince = new HashMap<>();
 
 	private final Map<String, Instant> opened = new HashMap<>();
 
@@ -105,11 +120,21 @@
 
 	private final Map<TargetName, Long> lost = new HashMap<>();
 
+	private final Map<ServiceName, Instant> summarised = new HashMap<>();
+
+	private Demand demand = (target) -> 0;
+
 	private long term;
 
 	private long epochs;
 
-	private boolean trafficSeen;
+	private int enginesSeen;
+
+	private Instant enginesSeenSince = Instant.MIN;
+
+	private Instant trafficSince;
+
+	private final GroupTargets targets = GroupTargets.create();
 
 	private GroupControl(EntrySettings settings, TargetDirectory directory, String self, Instant started) {
 		this.settings = settings;
@@ -117,6 +142,7 @@
 		this.lease = LeaseKeeper.of(self);
 		this.loads = LoadBudget.of(settings.loadWindow());
 		this.started = started;
+		this.dissolution = Dissolution.of(directory, this.ledger, settings.stallTime());
 	}
 
 	/**
@@ -133,9 +159,12 @@
 
 	/**
 	 * Notes that callers send requests: loads are slow and bounded from now on.
+	 * @param now the present time
 	 */
-	public void trafficSeen() {
-		this.trafficSeen = true;
+	public void trafficSeen(Instant now) {
+		if (this.trafficSince == null) {
+			this.trafficSince = now;
+		}
 	}
 
 	/**
@@ -176,16 +205,19 @@
 		if (order instanceof EngineOrderCall.Join join) {
 			joinAnswered(engine, join, answer, holds);
 		}
+		else if (order instanceof EngineOrderCall.Stage && !holds) {
+			this.staging.refused(engine);
+		}
 		else if (order instanceof EngineOrderCall.Open open && holds) {
-			this.opened.put(key(open.group(), open.epoch()), now);
+			this.opened.put(GroupView.key(open.group(), open.epoch()), now);
 		}
 		else if (order instanceof EngineOrderCall.Leave leave) {
-			leaveAnswered(leave, answer, holds);
+			this.dissolution.answered(leave, answer);
 		}
 	}
 
 	private void joinAnswered(TargetName engine, EngineOrderCall.Join join, EngineOrderAnswer answer, boolean holds) {
-		FormingGroup group = this.forming.get(key(join.group(), join.epoch()));
+		FormingGroup group = this.forming.get(GroupView.key(join.group(), join.epoch()));
 		if (group == null) {
 			return;
 		}
@@ -194,18 +226,7 @@
 		}
 		else if (answer == EngineOrderAnswer.OUTDATED || answer == EngineOrderAnswer.OTHER_TARGET
 				|| answer == EngineOrderAnswer.NOTHING_LISTENS) {
-			this.forming.remove(key(join.group(), join.epoch()));
-		}
-	}
-
-	private void leaveAnswered(EngineOrderCall.Leave leave, EngineOrderAnswer answer, boolean holds) {
-		// An engine that refuses to leave is not in that group; one that is not there any
-		// more, or another one at its address, heads no group either.
-		if (holds || answer == EngineOrderAnswer.CONFLICT || answer == EngineOrderAnswer.OUTDATED
-				|| answer == EngineOrderAnswer.OTHER_TARGET || answer == EngineOrderAnswer.NOTHING_LISTENS) {
-			String key = key(leave.group(), leave.epoch());
-			this.dissolving.remove(key);
-			this.dissolved.add(key);
+			this.forming.remove(GroupView.key(join.group(), join.epoch()));
 		}
 	}
 
@@ -219,13 +240,45 @@
 		this.ledger.read(engine, born, report.ordersAccepted());
 		this.lost.remove(engine);
 		report.membership().ifPresent((membership) -> {
-			FormingGroup group = this.forming.get(key(membership.group(), membership.epoch()));
+			FormingGroup group = this.forming.get(GroupView.key(membership.group(), membership.epoch()));
 			if (group != null) {
 				group.joined(engine);
 			}
 		});
 	}
 
+	/**
+	 * Looks at the members of a group whose answers have all paused: each is asked for
+	 * its report, and one that can't be reached is lost.
+	 * @param head the group's head
+	 * @param now the present time
+	 * @param effects collects what is wanted
+	 */
+	public void suspect(TargetName head, Instant now, Effects effects) {
+		Optional<Membership> membership = this.directory.find(head).flatMap(TargetEntry::membership);
+		if (!this.lease.held(now) || membership.isEmpty()) {
+			return;
+		}
+		for (TargetEntry entry : this.directory.all()) {
+			boolean member = entry.membership()
+				.filter((other) -> other.group().equals(membership.get().group())
+						&& other.epoch() == membership.get().epoch())
+				.isPresent();
+			if (member && this.ledger.free(entry.name(), now)) {
+				this.ledger.called(entry.name(), now);
+				effects.add(new EntryEffect.ReadReport(address(entry)));
+			}
+		}
+	}
+
+	/**
+	 * The node that controls the groups, as far as it is known.
+	 * @return the node's name
+	 */
+	public Optional<String> controller() {
+		return this.lease.holder();
+	}
+
 	/**
 	 * Takes the failure to read an engine's report.
 	 * @param engine the engine
@@ -244,10 +297,12 @@
 	/**
 	 * Looks at all groups and gives the orders that are due.
 	 * @param configuration the configuration in force
+	 * @param present the requests at present
 	 * @param now the present time
 	 * @param effects collects what is wanted
 	 */
-	public void tick(Optional<Configuration> configuration, Instant now, Effects effects) {
+	public void tick(Optional<Configuration> configuration, Demand present, Instant now, Effects effects) {
+		this.demand = present;
 		this.lease.tick(now, effects);
 		if (!this.lease.held(now) || configuration.isEmpty()) {
 			return;
@@ -268,8 +323,9 @@
 		this.term = this.lease.term();
 		this.epochs = 0;
 		this.forming.clear();
-		this.dissolving.clear();
-		this.dissolved.clear();
+		this.dissolution.clear();
+		this.staging.clear();
+		this.joiningSince.clear();
 		this.opened.clear();
 		this.freeSince.clear();
 		this.ledger.clear();
@@ -286,6 +342,7 @@
 		List<GroupView> groups = GroupViews.of(engines, figures);
 		Set<TargetName> claimed = new HashSet<>();
 		dropHopeless();
+		this.dissolution.keepOnly(groups.stream().map(GroupView::key).collect(Collectors.toSet()));
 		for (GroupView group : groups) {
 			handle(group, claimed, now, effects);
 		}
@@ -294,7 +351,12 @@
 			orderJoins(group, now, effects);
 		}
 		List<TargetEntry> free = freeEngines(engines, claimed, now);
-		form(figures, groups, free, now, effects);
+		summarise(service, figures, groups, free, now, effects);
+		this.staging.look(engines, now);
+		if (stillEntering(engines.size(), now)) {
+			return;
+		}
+		form(figures, groups, engines, free, now, effects);
 	}
 
 	/**
@@ -317,19 +379,20 @@
 	}
 
 	private void handle(GroupView group, Set<TargetName> claimed, Instant now, Effects effects) {
-		String key = key(group.name(), group.epoch());
-		FormingGroup own = this.forming.get(key);
-		if (this.dissolved.contains(key)) {
+		if (this.dissolution.over(group)) {
 			return;
 		}
 		boolean intact = group.allSeen() && group.members().stream().noneMatch(this::unusable);
-		if (intact && !this.dissolving.containsKey(key)) {
+		boolean own = this.forming.containsKey(group.key());
+		if (intact && !this.dissolution.underWay(group) && !hopeless(group, own, now)) {
 			claim(group, claimed);
-			tend(group, key, now, effects);
+			tend(group, now, effects);
 		}
-		else if (own == null) {
+		else if (intact || !own) {
+			this.forming.remove(group.key());
 			claim(group, claimed);
-			dissolve(group, key, now, effects);
+			boolean standing = group.allSeen() && group.members().stream().noneMatch(this::isLost);
+			this.dissolution.proceed(group, standing, now, effects);
 		}
 	}
 
@@ -337,97 +400,36 @@
 		group.members().forEach((member) -> claimed.add(member.name()));
 	}
 
-	private void tend(GroupView group, String key, Instant now, Effects effects) {
+	// A group that broke, or that doesn't become ready.
+	private boolean hopeless(GroupView group, boolean own, Instant now) {
 		MemberState head = GroupView.state(group.head());
-		if (head == MemberState.OPEN) {
-			this.forming.remove(key);
-			this.opened.remove(key);
+		if (head == MemberState.JOINING && !own) {
+			Instant since = this.joiningSince.computeIfAbsent(group.key(), (key) -> now);
+			return now.isAfter(since.plus(longest(group)));
 		}
-		else if (head == MemberState.BROKEN) {
-			this.forming.remove(key);
-			dissolve(group, key, now, effects);
+		this.joiningSince.remove(group.key());
+		return head == MemberState.BROKEN || head == MemberState.CLOSING;
+	}
+
+	private void tend(GroupView group, Instant now, Effects effects) {
+		MemberState head = GroupView.state(group.head());
+		if (head == MemberState.OPEN) {
+			this.forming.remove(group.key());
+			this.opened.remove(group.key());
 		}
 		else if (head == MemberState.READY && group.whole()) {
-			this.forming.remove(key);
-			Instant ordered = this.opened.get(key);
+			this.forming.remove(group.key());
+			Instant ordered = this.opened.get(group.key());
 			if (ordered == null || now.isAfter(ordered.plus(SHOWS_WITHIN))) {
 				order(group.head(), new EngineOrderCall.Open(group.name(), group.epoch()), now, effects);
 			}
 		}
-		else if (head == MemberState.JOINING && !this.forming.containsKey(key)) {
-			// Begun by a controller before this one: its joins were all accepted.
-			this.dissolving.computeIfAbsent(key + " joining", (name) -> new Dissolving(group.head(), now));
-			if (now.isAfter(this.dissolving.get(key + " joining").since.plus(longest(group)))) {
-				dissolve(group, key, now, effects);
-			}
-		}
 	}
 
 	private static Duration longest(GroupView group) {
 		return group.model().coldLoad().multipliedBy(LOAD_TIMES);
 	}
 
-	private void dissolve(GroupView group, String key, Instant now, Effects effects) {
-		Dissolving state = this.dissolving.computeIfAbsent(key, (name) -> {
-			effects.log(LogEvent.GROUP_CHANGED, "group=" + group.name() + " epoch=" + group.epoch()
-					+ " taken apart seen=" + group.members().size() + " of=" + group.model().size());
-			return new Dissolving(group.headSeen() ? group.head() : null, now);
-		});
-		if (group.headSeen()) {
-			state.head = group.head();
-		}
-		if (state.head == null) {
-			// The head was gone before this node saw it: nobody can be asked.
-			if (now.isAfter(state.since.plus(this.settings.stallTime()).plus(BROKEN_MARGIN))) {
-				this.dissolving.remove(key);
-				this.dissolved.add(key);
-			}
-			return;
-		}
-		Optional<TargetEntry> present = this.directory.find(state.head.name());
-		boolean elsewhere = present.isPresent()
-				&& (present.get().anotherLife(state.head) || !isMember(present.get(), group));
-		boolean silent = now.isAfter(state.since.plus(this.settings.stallTime()).plus(BROKEN_MARGIN))
-				&& (present.isEmpty() || isLost(present.get()));
-		if (elsewhere || silent) {
-			this.dissolving.remove(key);
-			this.dissolved.add(key);
-			return;
-		}
-		if (closesFirst(group, state, now)) {
-			orderOnce(state, new EngineOrderCall.Close(group.name(), group.epoch()), now, effects);
-			return;
-		}
-		orderOnce(state, new EngineOrderCall.Leave(group.name(), group.epoch()), now, effects);
-	}
-
-	// A group whose members only leave finishes what it runs before it is taken apart.
-	private boolean closesFirst(GroupView group, Dissolving state, Instant now) {
-		boolean standing = group.allSeen() && group.members().stream().noneMatch(this::isLost);
-		MemberState head = GroupView.state(group.head());
-		return standing && (head == MemberState.OPEN || head == MemberState.CLOSING)
-				&& now.isBefore(state.since.plus(CLOSING_TIME));
-	}
-
-	private static boolean isMember(TargetEntry entry, GroupView group) {
-		return entry.membership()
-			.filter((membership) -> membership.group().equals(group.name()) && membership.epoch() == group.epoch())
-			.isPresent();
-	}
-
-	private void orderOnce(Dissolving state, EngineOrderCall order, Instant now, Effects effects) {
-		boolean same = order.getClass().equals(state.ordered);
-		if ((same && now.isBefore(state.orderedAt.plus(SHOWS_WITHIN))) || !this.ledger.free(state.head.name(), now)) {
-			return;
-		}
-		state.ordered = order.getClass();
-		state.orderedAt = now;
-		// These orders name the group and its epoch: carried out late they do no harm, so
-		// they need no count.
-		this.ledger.called(state.head.name(), now);
-		effects.add(new EntryEffect.SendOrder(address(state.head), order, EntryEffect.SendOrder.ANY_COUNT));
-	}
-
 	private void orderJoins(FormingGroup group, Instant now, Effects effects) {
 		for (TargetEntry member : group.members()) {
 			Optional<Membership> membership = this.directory.find(member.name()).flatMap(TargetEntry::membership);
@@ -472,20 +474,100 @@
 		return free;
 	}
 
-	private void form(EngineFigures figures, List<GroupView> groups, List<TargetEntry> free, Instant now,
-			Effects effects) {
+	private void summarise(ServiceFigures service, EngineFigures figures, List<GroupView> groups,
+			List<TargetEntry> free, Instant now, Effects effects) {
+		Instant last = this.summarised.getOrDefault(service.name(), Instant.MIN);
+		if (now.isBefore(last.plus(SUMMARY_EVERY))) {
+			return;
+		}
+		this.summarised.put(service.name(), now);
+		StringBuilder line = new StringBuilder("service=" + service.name());
+		for (ModelFigures model : figures.models()) {
+			long serving = groups.stream()
+				.filter((group) -> group.model().equals(model) && group.serving() && !this.dissolution.underWay(group))
+				.count();
+			line.append(" serving-").append(model.name()).append('=').append(serving);
+		}
+		line.append(" forming=").append(this.forming.size()).append(" taken-apart=").append(this.dissolution.count());
+		line.append(" free=").append(free.size()).append(" staging=").append(this.staging.running());
+		effects.log(LogEvent.GROUP_SUMMARY, line.toString());
+	}
+
+	private void form(EngineFigures figures, List<GroupView> groups, List<TargetEntry> engines, List<TargetEntry> free,
+			Instant now, Effects effects) {
 		List<TargetEntry> left = new ArrayList<>(free);
-		GroupCount count = GroupCount.of(groups, this.forming.values(), this.dissolved, this.dissolving.keySet());
-		GroupChoice choice = GroupChoice.of(figures, count::total);
-		while (true) {
-			Optional<GroupChoice.Proposal> proposal = choice.next(left, count::in, (engine) -> beforeTraffic(now)
-					|| now.isAfter(this.freeSince.get(engine.name()).plus(CONVERT_AFTER)));
-			if (proposal.isEmpty() || !mayLoad(proposal.get().loads(), figures, now)) {
-				return;
-			}
+		List<GroupView> standing = groups.stream().filter((group) -> !ending(group)).toList();
+		figures.models().forEach((model) -> this.targets.look(model, requests(standing, model), now));
+		GroupCount count = GroupCount.of(standing, this.forming.values());
+		DomainHolders holders = DomainHolders.of(engines, this.forming.values());
+		GroupChoice choice = GroupChoice.of(figures, count,
+				(model, loading) -> this.targets.wanted(model, figures, engines.size(), trafficKnown(now), loading),
+				holders);
+		Optional<GroupChoice.Proposal> proposal = choice.next(left, (engine) -> convertible(engine, now),
+				trafficKnown(now));
+		while (proposal.isPresent() && mayLoad(proposal.get().loads(), figures, now)) {
 			FormingGroup group = begin(proposal.get(), now, effects);
 			count.add(group);
+			holders.add(group);
 			left.removeAll(group.members());
+			proposal = choice.next(left, (engine) -> convertible(engine, now), trafficKnown(now));
+		}
+		if (proposal.isEmpty() && (choice.complete() || trafficKnown(now))) {
+			stage(figures, standing, left, now, effects);
+		}
+	}
+
+	// Engines enter themselves one by one when the system starts. Groups formed of the
+	// first
+	// few would mix models in all domains.
+	private boolean stillEntering(int engines, Instant now) {
+		if (engines != this.enginesSeen) {
+			this.enginesSeen = engines;
+			this.enginesSeenSince = now;
+		}
+		return beforeTraffic(now) && now.isBefore(this.enginesSeenSince.plus(ENTERED_AFTER))
+				&& now.isBefore(this.started.plus(ENTERED_BY));
+	}
+
+	private boolean trafficKnown(Instant now) {
+		return this.trafficSince != null && now.isAfter(this.trafficSince.plus(TRAFFIC_KNOWN_AFTER));
+	}
+
+	private boolean ending(GroupView group) {
+		return this.dissolution.underWay(group) || this.dissolution.over(group);
+	}
+
+	private boolean convertible(TargetEntry engine, Instant now) {
+		return beforeTraffic(now) || now.isAfter(this.freeSince.get(engine.name()).plus(CONVERT_AFTER));
+	}
+
+	private int requests(List<GroupView> groups, ModelFigures model) {
+		return groups.stream()
+			.filter((group) -> group.model().equals(model))
+			.mapToInt((group) -> this.demand.requests(group.head().name()))
+			.sum();
+	}
+
+	private void stage(EngineFigures figures, List<GroupView> groups, List<TargetEntry> spares, Instant now,
+			Effects effects) {
+		List<TargetEntry> members = groups.stream().flatMap((group) -> group.members().stream()).toList();
+		Optional<Staging.Proposal> proposal = this.staging.next(spares, members, figures, this.freeSince, now);
+		while (proposal.isPresent() && mayLoad(1, figures, now)
+				&& this.ledger.free(proposal.get().engine().name(), now)) {
+			TargetEntry engine = proposal.get().engine();
+			order(engine, new EngineOrderCall.Stage(proposal.get().model().name()), now, effects);
+			if (this.ledger.ordersAccepted(engine.name(), engine.bornMillis()).isEmpty()) {
+				return;
+			}
+			this.staging.begun(engine, proposal.get().model(), now);
+			countLoads(1, now);
+			proposal = this.staging.next(spares, members, figures, this.freeSince, now);
+		}
+	}
+
+	private void countLoads(int number, Instant now) {
+		if (!beforeTraffic(now)) {
+			this.loads.begin(number, now);
 		}
 	}
 
@@ -494,10 +576,8 @@
 		long epoch = this.term * EPOCHS_PER_TERM + this.epochs;
 		FormingGroup group = FormingGroup.of(GroupNames.name(proposal.model().name(), epoch), epoch, proposal.model(),
 				proposal.members(), now, proposal.loads());
-		this.forming.put(key(group.name(), epoch), group);
-		if (!beforeTraffic(now)) {
-			this.loads.begin(proposal.loads(), now);
-		}
+		this.forming.put(GroupView.key(group.name(), epoch), group);
+		countLoads(proposal.loads(), now);
 		proposal.members().forEach((member) -> this.freeSince.remove(member.name()));
 		effects.log(LogEvent.GROUP_CHANGED, "group=" + group.name() + " forming members="
 				+ proposal.members().stream().map(TargetEntry::name).toList() + " loads=" + proposal.loads());
@@ -506,12 +586,14 @@
 	}
 
 	private boolean beforeTraffic(Instant now) {
-		return this.settings.firstStart() && !this.trafficSeen && now.isBefore(this.started.plus(TRAFFIC_BEGINS));
+		return this.settings.firstStart() && this.trafficSince == null
+				&& now.isBefore(this.started.plus(TRAFFIC_BEGINS));
 	}
 
 	private boolean mayLoad(int wanted, EngineFigures figures, Instant now) {
-		int running = this.forming.values().stream().mapToInt(FormingGroup::loads).sum();
-		boolean room = wanted == 0 || running == 0 || running + wanted <= figures.loadsAtOnce() * LOADS_SIDE_BY_SIDE;
+		int running = this.staging.running() + this.forming.values().stream().mapToInt(FormingGroup::loads).sum();
+		int most = figures.loadsAtOnce() * (beforeTraffic(now) ? LOADS_BEFORE_TRAFFIC : 1);
+		boolean room = wanted == 0 || running == 0 || running + wanted <= most;
 		return room && (beforeTraffic(now) || this.loads.allows(wanted, figures.loadsPerSecond(), now));
 	}
 
@@ -519,27 +601,17 @@
 		return new TargetAddress(engine.name(), engine.address());
 	}
 
-	private static String key(String group, long epoch) {
-		return group + '/' + epoch;
-	}
-
 	/**
-	 * A group on its way out.
+	 * Tells the load of groups.
 	 */
-	private static final class Dissolving {
-
-		private final Instant since;
-
-		private TargetEntry head;
-
-		private Class<? extends EngineOrderCall> ordered;
-
-		private Instant orderedAt = Instant.MIN;
-
-		Dissolving(TargetEntry head, Instant since) {
-			this.head = head;
-			this.since = since;
-		}
+	public interface Demand {
+
+		/**
+		 * Counts requests.
+		 * @param head a group's head
+		 * @return requests that the group has from all nodes
+		 */
+		int requests(TargetName head);
 
 	}
 
--- a/src/main/java/sycamorehill/logic/layout/GroupCount.java
+++ b/src/main/java/sycamorehill/logic/layout/GroupCount.java
@@ -4,7 +4,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 
 import sycamorehill.logic.directory.GroupView;
 import sycamorehill.model.identity.DataCentreName;
@@ -17,16 +16,21 @@
 
 	private final Map<String, Integer> counts = new HashMap<>();
 
+	private final Map<String, Integer> loading = new HashMap<>();
+
 	private GroupCount() {
 	}
 
-	static GroupCount of(List<GroupView> seen, Collection<FormingGroup> forming, Set<String> dissolved,
-			Set<String> dissolving) {
+	/**
+	 * Counts.
+	 * @param standing groups seen that are not being taken apart
+	 * @param forming groups being formed
+	 * @return the counts
+	 */
+	static GroupCount of(List<GroupView> standing, Collection<FormingGroup> forming) {
 		GroupCount count = new GroupCount();
-		for (GroupView group : seen) {
-			String key = group.name() + '/' + group.epoch();
-			boolean ours = forming.stream().anyMatch((other) -> other.name().equals(group.name()));
-			if (!dissolved.contains(key) && !dissolving.contains(key) && !ours) {
+		for (GroupView group : standing) {
+			if (forming.stream().noneMatch((other) -> other.name().equals(group.name()))) {
 				count.add(group.model(), group.head().dataCentre());
 			}
 		}
@@ -36,6 +40,9 @@
 
 	void add(FormingGroup group) {
 		add(group.model(), group.members().get(0).dataCentre());
+		if (group.loads() > 0) {
+			this.loading.merge(group.model().name(), 1, Integer::sum);
+		}
 	}
 
 	private void add(ModelFigures model, DataCentreName dataCentre) {
@@ -47,6 +54,15 @@
 		return this.counts.getOrDefault(model.name(), 0);
 	}
 
+	/**
+	 * Counts the groups that serve or will within 2 s, which leaves out those that load.
+	 * @param model the model
+	 * @return the number of groups
+	 */
+	int soon(ModelFigures model) {
+		return total(model) - this.loading.getOrDefault(model.name(), 0);
+	}
+
 	int in(ModelFigures model, DataCentreName dataCentre) {
 		return this.counts.getOrDefault(model.name() + '@' + dataCentre, 0);
 	}
--- a/src/main/java/sycamorehill/logic/layout/LeaseKeeper.java
+++ b/src/main/java/sycamorehill/logic/layout/LeaseKeeper.java
@@ -86,6 +86,19 @@
 		return this.seen.map(Lease::term).orElse(0L);
 	}
 
+	/**
+	 * The node that holds the lease, as far as it is known.
+	 * @return the node's name
+	 */
+	Optional<String> holder() {
+		return this.seen.map(Lease::holder).filter((holder) -> !holder.isEmpty()).map(LeaseKeeper::node);
+	}
+
+	private static String node(String holder) {
+		int mark = holder.indexOf('#');
+		return (mark > 0) ? holder.substring(0, mark) : holder;
+	}
+
 	void tick(Instant now, Effects effects) {
 		if (this.awaiting && now.isBefore(this.callSent.plus(CALL_TIMEOUT))) {
 			return;
--- a/src/main/java/sycamorehill/model/log/LogEvent.java
+++ b/src/main/java/sycamorehill/model/log/LogEvent.java
@@ -98,6 +98,9 @@
 	/** The right to control the groups was taken, lost or given back. */
 	GROUP_LEASE(1712, LogLevel.INFO),
 
+	/** What the controller sees of the groups of a service. */
+	GROUP_SUMMARY(1713, LogLevel.INFO),
+
 	/** Another version of the configuration is in force. */
 	CONFIGURATION_IN_FORCE(1801, LogLevel.INFO),
 
--- a/src/main/java/sycamorehill/model/serving/AttemptEnd.java
+++ b/src/main/java/sycamorehill/model/serving/AttemptEnd.java
@@ -12,8 +12,10 @@
 	 * The caller got the target's whole answer.
 	 *
 	 * @param status the answer's HTTP status
+	 * @param longestPause longest pause between two events of a stream, from the first
+	 * event to the last, over all its attempts
 	 */
-	record Delivered(int status) implements AttemptEnd {
+	record Delivered(int status, Duration longestPause) implements AttemptEnd {
 	}
 
 	/**
--- a/src/main/java/sycamorehill/model/serving/EntryEffect.java
+++ b/src/main/java/sycamorehill/model/serving/EntryEffect.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.Optional;
 
+import sycamorehill.model.identity.Address;
 import sycamorehill.model.identity.WorkspaceName;
 import sycamorehill.model.log.LogLine;
 
@@ -147,6 +148,23 @@
 	record ForgetTarget(TargetAddress target) implements EntryEffect {
 	}
 
+	/**
+	 * Tells another node something; it may be lost.
+	 *
+	 * @param node where the node takes messages
+	 * @param message what to tell
+	 */
+	record Tell(Address node, NodeMessage message) implements EntryEffect {
+	}
+
+	/**
+	 * Tells all other nodes something; it may be lost.
+	 *
+	 * @param message what to tell
+	 */
+	record TellAll(NodeMessage message) implements EntryEffect {
+	}
+
 	/**
 	 * Writes a log line.
 	 *
--- a/src/main/java/sycamorehill/model/serving/EntryEvent.java
+++ b/src/main/java/sycamorehill/model/serving/EntryEvent.java
@@ -136,6 +136,22 @@
 	record LeaseAnswered(LeaseAnswer answer) implements EntryEvent {
 	}
 
+	/**
+	 * The entry nodes, or some changes among them, were read from the store.
+	 *
+	 * @param changes the nodes
+	 */
+	record NodesRead(List<NodeChange> changes) implements EntryEvent {
+	}
+
+	/**
+	 * Another node told something.
+	 *
+	 * @param message what it told
+	 */
+	record MessageHeard(NodeMessage message) implements EntryEvent {
+	}
+
 	/** The process was told to stop. */
 	record StopOrdered() implements EntryEvent {
 	}
--- a/src/main/java/sycamorehill/model/serving/EntrySettings.java
+++ b/src/main/java/sycamorehill/model/serving/EntrySettings.java
@@ -14,6 +14,7 @@
  * @param dataCentres all data centres
  * @param callers where it takes callers' connections
  * @param readiness where the balancer asks whether it is ready
+ * @param neighbours where it takes messages of other nodes
  * @param store where the platform's store is reached
  * @param firstStart whether the whole system starts for the first time
  * @param stopTime time from the order to stop until the process is killed
@@ -24,22 +25,7 @@
  * @param loadWindow length of the window in which loads from the weight store are bounded
  */
 public record EntrySettings(String nodeName, DataCentreName dataCentre, List<DataCentreName> dataCentres,
-		Address callers, Address readiness, Address store, boolean firstStart, Duration stopTime, Duration retryWindow,
-		double retryRatio, double retryExtra, Duration stallTime, Duration loadWindow) {
-
-	/**
-	 * Nodes that the fixed part of the retry budget is shared out to. The settings don't
-	 * tell how many nodes there are: two in each data centre, and one more there that may
-	 * be added.
-	 */
-	private static final int NODES_PER_DATA_CENTRE = 3;
-
-	/**
-	 * This node's part of the repeats that are allowed whatever the load.
-	 * @return the repeats in a window
-	 */
-	public double retryExtraOfNode() {
-		return this.retryExtra / (NODES_PER_DATA_CENTRE * Math.max(1, this.dataCentres.size()));
-	}
+		Address callers, Address readiness, Address neighbours, Address store, boolean firstStart, Duration stopTime,
+		Duration retryWindow, double retryRatio, double retryExtra, Duration stallTime, Duration loadWindow) {
 
 }
--- /dev/null
+++ b/src/main/java/sycamorehill/model/serving/NodeMessage.java
@@ -0,0 +1,64 @@
+package sycamorehill.model.serving;
+
+import java.util.Map;
+
+import sycamorehill.model.identity.TargetName;
+
+/**
+ * What entry nodes tell each other. Any message may be lost, late or doubled: each is
+ * good by itself, and what matters is told again.
+ */
+public sealed interface NodeMessage {
+
+	/**
+	 * The node that tells.
+	 * @return its name
+	 */
+	String sender();
+
+	/**
+	 * Requests that a node has with targets at present.
+	 *
+	 * @param sender the node that tells
+	 * @param requests number of requests by target
+	 */
+	record Loads(String sender, Map<TargetName, Integer> requests) implements NodeMessage {
+
+		/**
+		 * Copies the numbers.
+		 */
+		public Loads {
+			requests = Map.copyOf(requests);
+		}
+
+	}
+
+	/**
+	 * All answers that a node awaits from a target have paused.
+	 *
+	 * @param sender the node that tells
+	 * @param target the target
+	 */
+	record Silence(String sender, TargetName target) implements NodeMessage {
+	}
+
+	/**
+	 * A target was lost while it ran a request.
+	 *
+	 * @param sender the node that tells
+	 * @param content hash of what ran
+	 * @param target the target
+	 */
+	record Suspicion(String sender, long content, TargetName target) implements NodeMessage {
+	}
+
+	/**
+	 * A request that was suspected was answered.
+	 *
+	 * @param sender the node that tells
+	 * @param content hash of what ran
+	 */
+	record Cleared(String sender, long content) implements NodeMessage {
+	}
+
+}
--- a/src/main/java/sycamorehill/platform/PlatformEngines.java
+++ b/src/main/java/sycamorehill/platform/PlatformEngines.java
@@ -35,6 +35,12 @@
 	 */
 	private static final Duration TIMEOUT = Duration.ofMillis(900);
 
+	/**
+	 * A report is asked for to find lost engines: each 100 ms here is downtime of a
+	 * group.
+	 */
+	private static final Duration REPORT_TIMEOUT = Duration.ofMillis(400);
+
 	private final CallClient client;
 
 	private final ObjectMapper json;
@@ -112,7 +118,7 @@
 
 	@Override
 	public CompletableFuture<EngineReport> report(TargetAddress engine) {
-		return this.client.call(CallClient.Call.get(engine, REPORTS), expected(engine), TIMEOUT)
+		return this.client.call(CallClient.Call.get(engine, REPORTS), expected(engine), REPORT_TIMEOUT)
 			.handle((answer, failure) -> {
 				if (failure != null) {
 					throw new CompletionException(new NoReportException(unanswered(failure)));
--- a/src/main/java/sycamorehill/platform/PlatformSettings.java
+++ b/src/main/java/sycamorehill/platform/PlatformSettings.java
@@ -46,7 +46,7 @@
 
 	private EntrySettings settings() {
 		return new EntrySettings(text("node_name"), DataCentreName.of(text("zone")), dataCentres(),
-				address("bind.front"), address("bind.ready"), address("platform.address"),
+				address("bind.front"), address("bind.ready"), neighbours(), address("platform.address"),
 				Boolean.parseBoolean(text("first_start")), seconds("bounds.grace_period_s"),
 				seconds("bounds.budget_window_s"), number("bounds.retry_budget_ratio"),
 				number("bounds.retry_budget_extra"), millis("bounds.stall_ms"), seconds("bounds.ceiling_window_s"));
@@ -61,6 +61,12 @@
 			.toList();
 	}
 
+	// The first of the ports that are free for the product's own use.
+	private Address neighbours() {
+		String first = text("port_range").split(",")[0].trim();
+		return Address.parse(text("ip") + ':' + first);
+	}
+
 	private String text(String name) {
 		String value = this.values.getProperty(name);
 		if (value == null || value.isBlank()) {
--- a/src/main/java/sycamorehill/platform/PlatformStore.java
+++ b/src/main/java/sycamorehill/platform/PlatformStore.java
@@ -20,6 +20,7 @@
 import sycamorehill.entry.CallClient;
 import sycamorehill.entry.Feed;
 import sycamorehill.entry.LeaseStore;
+import sycamorehill.entry.NodeRegister;
 import sycamorehill.model.identity.Address;
 import sycamorehill.model.identity.TargetName;
 import sycamorehill.model.log.LogEvent;
@@ -27,6 +28,7 @@
 import sycamorehill.model.serving.Configuration;
 import sycamorehill.model.serving.Lease;
 import sycamorehill.model.serving.LeaseAnswer;
+import sycamorehill.model.serving.NodeChange;
 import sycamorehill.model.serving.TargetAddress;
 import sycamorehill.model.serving.TargetChange;
 import sycamorehill.model.serving.TargetEntry;
@@ -35,7 +37,7 @@
 /**
  * The platform's metadata store.
  */
-final class PlatformStore implements LeaseStore {
+final class PlatformStore implements LeaseStore, NodeRegister {
 
 	private static final String OBJECTS = "/-/objects/";
 
@@ -45,6 +47,10 @@
 
 	private static final String TARGETS = "servers";
 
+	private static final String NODES = "nodes";
+
+	private static final String NODE_ADDRESS = "address";
+
 	private static final String DUTIES = "duties";
 
 	private static final String GROUP_CONTROL = "group-control";
@@ -91,6 +97,46 @@
 		return new KindFeed<>(TARGETS, PlatformStore::target);
 	}
 
+	Feed<NodeChange> nodes() {
+		return new KindFeed<>(NODES, PlatformStore::node);
+	}
+
+	private static Optional<NodeChange> node(StoredObject object) {
+		Optional<Address> address = object.deleted() ? Optional.empty()
+				: JsonFields.optionalText(object.spec(), NODE_ADDRESS).map(Address::parse);
+		return Optional.of(new NodeChange(object.name(), address));
+	}
+
+	@Override
+	public CompletableFuture<Void> enter(String name, Address address) {
+		ObjectNode body = this.json.createObjectNode();
+		body.putObject("metadata").put("name", name);
+		body.putObject("spec").put(NODE_ADDRESS, address.toString());
+		byte[] bytes = bytes(body);
+		return done(new CallClient.Call(this.store, HttpMethod.POST, OBJECTS + NODES, bytes)).thenCompose((status) -> {
+			if (status != CONFLICT) {
+				return CompletableFuture.completedFuture(status);
+			}
+			return done(new CallClient.Call(this.store, HttpMethod.PUT, OBJECTS + NODES + '/' + name, bytes));
+		}).thenAccept(PlatformStore::requireDone);
+	}
+
+	@Override
+	public CompletableFuture<Void> leave(String name) {
+		return done(new CallClient.Call(this.store, HttpMethod.DELETE, OBJECTS + NODES + '/' + name, new byte[0]))
+			.thenAccept(PlatformStore::requireDone);
+	}
+
+	private CompletableFuture<Integer> done(CallClient.Call call) {
+		return this.client.call(call, null, CALL_TIMEOUT).thenApply(CallAnswer::status);
+	}
+
+	private static void requireDone(int status) {
+		if (status != OK && status != CREATED && status != NOT_FOUND) {
+			throw new CompletionException(new IOException("the store answered " + status));
+		}
+	}
+
 	private Optional<Configuration> configuration(StoredObject object) {
 		if (object.deleted() || !object.name().equals(MAIN_CONFIGURATION)) {
 			return Optional.empty();
--- a/src/main/java/sycamorehill/standin/EngineStandIn.java
+++ b/src/main/java/sycamorehill/standin/EngineStandIn.java
@@ -330,7 +330,7 @@
 		if (this.leaving && System.nanoTime() - this.leavingSince > ACCEPTS_WHILE_LEAVING.toNanos()) {
 			return Reply.notRun(503, "leaving").with("Leaving", "true");
 		}
-		String attempt = String.valueOf(request.headers().get("Attempt-Id", ""));
+		String attempt = String.valueOf(request.headers().get("Sycamorehill-Attempt", ""));
 		return Reply.eventStream(this.batch.start(attempt, completion));
 	}
 
--- /dev/null
+++ b/src/test/java/sycamorehill/logic/dispatch/RequestDeskTests.java
@@ -0,0 +1,225 @@
+package sycamorehill.logic.dispatch;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.stream.Stream;
+
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import sycamorehill.logic.Effects;
+import sycamorehill.logic.directory.TargetDirectory;
+import sycamorehill.model.identity.TargetName;
+import sycamorehill.model.serving.AttemptEnd;
+import sycamorehill.model.serving.CallerRequest;
+import sycamorehill.model.serving.EntryEffect;
+import sycamorehill.model.serving.MemberState;
+import sycamorehill.model.serving.NodeMessage;
+import sycamorehill.model.serving.NotRunCause;
+import sycamorehill.model.serving.TargetEntry;
+import sycamorehill.support.ServingSamples;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * What callers get for each way in which attempts end.
+ */
+class RequestDeskTests {
+
+	private final Instant now = Instant.ofEpochSecond(1000);
+
+	private final TargetDirectory directory = TargetDirectory.create();
+
+	private RequestDesk desk;
+
+	@BeforeEach
+	void begin() {
+		this.desk = RequestDesk.of(ServingSamples.settings("one"), this.directory, new Random(1));
+		this.desk.adopt(ServingSamples.configuration(1));
+		targets(ServingSamples.plain("p1"), ServingSamples.plain("p2"),
+				ServingSamples.member("a1", "small.1", 1, 0, MemberState.OPEN),
+				ServingSamples.member("a2", "small.1", 1, 1, MemberState.READY),
+				ServingSamples.member("b1", "small.2", 2, 0, MemberState.OPEN),
+				ServingSamples.member("b2", "small.2", 2, 1, MemberState.READY));
+	}
+
+	private void targets(TargetEntry... entries) {
+		this.directory.replaceAll(List.of(entries), this.now);
+	}
+
+	private List<EntryEffect> arrive(long number, String path) {
+		Effects effects = Effects.begin();
+		this.desk.arrived(ServingSamples.request(number, path), this.now, effects);
+		return effects.all();
+	}
+
+	private List<EntryEffect> end(long number, int attempt, AttemptEnd end) {
+		Effects effects = Effects.begin();
+		this.desk.ended(number, attempt, end, this.now, effects);
+		return effects.all();
+	}
+
+	private static Stream<EntryEffect.StartAttempt> starts(List<EntryEffect> effects) {
+		return effects.stream()
+			.filter(EntryEffect.StartAttempt.class::isInstance)
+			.map(EntryEffect.StartAttempt.class::cast);
+	}
+
+	private static TargetName target(List<EntryEffect> effects) {
+		return starts(effects).findFirst().orElseThrow().target().name();
+	}
+
+	private static EntryEffect.Answer answer(List<EntryEffect> effects) {
+		return effects.stream()
+			.filter(EntryEffect.Answer.class::isInstance)
+			.map(EntryEffect.Answer.class::cast)
+			.findFirst()
+			.orElseThrow();
+	}
+
+	// An order is sent and its connection breaks before an answer. A second attempt, or a
+	// refusal after which the caller tries again, would place the order twice.
+	@Test
+	void anOrderWithAnUnknownOutcomeIsNeitherSentAgainNorRefused() {
+		arrive(1, "/once/x");
+		List<EntryEffect> effects = end(1, 1, new AttemptEnd.Unknown("connection closed"));
+		assertThat(starts(effects)).isEmpty();
+		assertThat(answer(effects).status()).isEqualTo(502);
+		assertThat(answer(effects).retryAfter()).isEmpty();
+	}
+
+	// The target says that it did not run the order, which may go to one target only: the
+	// caller is told the truth, and when to come back.
+	@Test
+	void anOrderThatWasNotRunIsRefusedWithATimeToComeBack() {
+		arrive(1, "/once/x");
+		EntryEffect.Answer answer = answer(end(1, 1, new AttemptEnd.NotRun(NotRunCause.REFUSED, Optional.empty())));
+		assertThat(answer.status()).isEqualTo(503);
+		assertThat(answer.retryAfter()).isPresent();
+	}
+
+	// A refused connection took no byte: the order goes to another target, which is the
+	// first that it reaches.
+	@Test
+	void anOrderThatReachedNoTargetGoesToAnother() {
+		TargetName first = target(arrive(1, "/once/x"));
+		TargetName second = target(end(1, 1, new AttemptEnd.NotRun(NotRunCause.NOT_SENT, Optional.empty())));
+		assertThat(second).isNotEqualTo(first);
+	}
+
+	// The first attempt has an unknown outcome and the second is refused: the request may
+	// have run, so the answer must not promise that it has not.
+	@Test
+	void anUnknownAttemptIsNotForgottenWhenTheNextOneIsRefused() {
+		arrive(1, "/again/x");
+		end(1, 1, new AttemptEnd.Unknown("connection closed"));
+		List<EntryEffect> effects = end(1, 2, new AttemptEnd.NotRun(NotRunCause.REFUSED, Optional.empty()));
+		assertThat(answer(effects).status()).isEqualTo(502);
+	}
+
+	@Test
+	void aFailureOfTheTargetIsTriedElsewhereOnceAndThenGivenAsItIs() {
+		TargetName first = target(arrive(1, "/again/x"));
+		TargetName second = target(end(1, 1, new AttemptEnd.Failed(500)));
+		assertThat(second).isNotEqualTo(first);
+		List<EntryEffect> effects = end(1, 2, new AttemptEnd.Unknown("connection closed"));
+		assertThat(effects).contains(new EntryEffect.GiveHeldFailure(1));
+	}
+
+	// A group dies within a stream. The caller goes on getting events from another group
+	// within the same answer, and only once.
+	@Test
+	void aBrokenStreamIsResumedOnAnotherGroupOnce() {
+		TargetName first = target(arrive(1, "/stream/x"));
+		this.desk.begun(1, this.now);
+		TargetName second = target(end(1, 1, new AttemptEnd.Broken("connection closed", true)));
+		assertThat(second).isNotEqualTo(first);
+		assertThat(end(1, 2, new AttemptEnd.Broken("connection closed", true)))
+			.contains(new EntryEffect.BreakAnswer(1));
+	}
+
+	// A stream that may run only once breaks: it ends in a way that can't look whole.
+	@Test
+	void aBrokenStreamThatMayNotBeResumedBreaksOff() {
+		arrive(1, "/single/x");
+		this.desk.begun(1, this.now);
+		assertThat(end(1, 1, new AttemptEnd.Broken("connection closed", true)))
+			.contains(new EntryEffect.BreakAnswer(1));
+	}
+
+	// A group lost a member: its head stands still. The stream moves on to the other
+	// group;
+	// with no other group it waits, because silence is no reason to end an answer.
+	@Test
+	void aSilentGroupLosesItsStreamsOnlyToAnotherGroup() {
+		TargetName first = target(arrive(1, "/stream/x"));
+		Effects effects = Effects.begin();
+		this.desk.silent(first, this.now, effects);
+		assertThat(target(effects.all())).isNotEqualTo(first);
+		Effects none = Effects.begin();
+		this.desk.silent(target(effects.all()), this.now, none);
+		assertThat(starts(none.all())).isEmpty();
+		assertThat(none.all()).noneMatch(EntryEffect.Answer.class::isInstance);
+	}
+
+	@Test
+	void aLeavingTargetGetsNoNewWork() {
+		targets(ServingSamples.leaving(ServingSamples.plain("p1")), ServingSamples.plain("p2"));
+		for (int number = 1; number <= 5; number++) {
+			assertThat(target(arrive(number, "/once/x"))).isEqualTo(TargetName.of("p2"));
+		}
+	}
+
+	// A member of a group is gone from the directory while its head still looks open.
+	@Test
+	void aGroupWithAMissingMemberGetsNoNewWork() {
+		targets(ServingSamples.member("a1", "small.1", 1, 0, MemberState.OPEN));
+		assertThat(answer(arrive(1, "/stream/x")).status()).isEqualTo(503);
+	}
+
+	@Test
+	void aTimedOutRequestThatMayHaveRunGetsNoPromise() {
+		arrive(1, "/once/x");
+		Effects effects = Effects.begin();
+		this.desk.timedOut(1, this.now.plus(Duration.ofSeconds(6)), effects);
+		assertThat(effects.all()).contains(new EntryEffect.CancelAttempt(1, 1));
+		assertThat(answer(effects.all()).status()).isEqualTo(504);
+	}
+
+	// A request crashes each target that runs it and comes again at other nodes. After
+	// three
+	// targets it is refused everywhere; a bystander that was answered since is not.
+	@Test
+	void aContentThatWasLostWithThreeTargetsIsRefused() {
+		long content = ServingSamples.request(7, "/again/x").content();
+		for (String target : List.of("p1", "p2", "p3")) {
+			this.desk.heard(new NodeMessage.Suspicion("two", content, TargetName.of(target)), this.now);
+		}
+		assertThat(answer(arrive(7, "/again/x")).status()).isEqualTo(503);
+		this.desk.heard(new NodeMessage.Cleared("two", content), this.now);
+		assertThat(starts(arrive(7, "/again/x"))).hasSize(1);
+	}
+
+	@Test
+	void anUnknownKeyAndAnUnknownPathAreRefusedBeforeAnyTargetIsAsked() {
+		assertThat(answer(arrive(1, "/nowhere/x")).status()).isEqualTo(404);
+		Effects effects = Effects.begin();
+		var request = ServingSamples.request(2, "/once/x");
+		this.desk.arrived(new CallerRequest(2, "r2", request.host(), request.path(), Optional.of("other"),
+				Optional.empty(), Optional.empty(), Optional.empty(), 1), this.now, effects);
+		assertThat(answer(effects.all()).status()).isEqualTo(401);
+	}
+
+	// Before any configuration is known a node can't tell a bad request from a good one.
+	@Test
+	void aNodeWithoutAConfigurationPromisesNothing() {
+		RequestDesk fresh = RequestDesk.of(ServingSamples.settings("one"), this.directory, new Random(1));
+		Effects effects = Effects.begin();
+		fresh.arrived(ServingSamples.request(1, "/nowhere/x"), this.now, effects);
+		assertThat(answer(effects.all()).status()).isEqualTo(503);
+	}
+
+}
--- /dev/null
+++ b/src/test/java/sycamorehill/logic/layout/FakeEngine.java
@@ -0,0 +1,200 @@
+package sycamorehill.logic.layout;
+
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+import sycamorehill.model.identity.TargetName;
+import sycamorehill.model.serving.EngineOrderAnswer;
+import sycamorehill.model.serving.EngineOrderCall;
+import sycamorehill.model.serving.EngineReport;
+import sycamorehill.model.serving.EntryEffect;
+import sycamorehill.model.serving.MemberState;
+import sycamorehill.model.serving.Membership;
+import sycamorehill.model.serving.ModelFigures;
+import sycamorehill.model.serving.TargetEntry;
+import sycamorehill.support.ServingSamples;
+
+/**
+ * An engine that carries out orders as the users' engines do.
+ */
+final class FakeEngine {
+
+	private final String domain;
+
+	private final TargetName name;
+
+	private long born = 1;
+
+	private long orders;
+
+	private Set<String> staged = Set.of();
+
+	private Optional<Membership> membership = Optional.empty();
+
+	private Optional<EngineOrderCall.Join> join = Optional.empty();
+
+	private Instant readyAt = Instant.MAX;
+
+	private boolean alive = true;
+
+	private boolean cut;
+
+	private String side = "";
+
+	private boolean leaving;
+
+	FakeEngine(String name, String domain) {
+		this.name = TargetName.of(name);
+		this.domain = domain;
+	}
+
+	TargetName name() {
+		return this.name;
+	}
+
+	boolean alive() {
+		return this.alive;
+	}
+
+	boolean reachable() {
+		return this.alive && !this.cut;
+	}
+
+	Optional<Membership> membership() {
+		return this.membership;
+	}
+
+	Optional<EngineOrderCall.Join> join() {
+		return this.join;
+	}
+
+	boolean isOpen() {
+		return this.alive && this.membership.filter((seat) -> seat.state() == MemberState.OPEN).isPresent();
+	}
+
+	/**
+	 * Cuts the engine off, alone or with all others of its side.
+	 * @param now whether it is cut off
+	 * @param withOthers engines that are cut off together reach each other
+	 */
+	void cut(boolean now, String withOthers) {
+		this.cut = now;
+		this.side = now ? withOthers : "";
+	}
+
+	boolean sameSide(FakeEngine other) {
+		return this.side.equals(other.side);
+	}
+
+	void breakDown() {
+		state(MemberState.BROKEN);
+	}
+
+	void leave() {
+		this.leaving = true;
+	}
+
+	void die() {
+		this.alive = false;
+	}
+
+	void restart() {
+		this.alive = true;
+		this.born++;
+		this.orders = 0;
+		this.membership = Optional.empty();
+		this.join = Optional.empty();
+		this.leaving = false;
+		this.readyAt = Instant.MAX;
+	}
+
+	void advance(Instant now) {
+		if (this.alive && !now.isBefore(this.readyAt)) {
+			this.readyAt = Instant.MAX;
+			state(MemberState.READY);
+			this.staged = Set.of(this.join.orElseThrow().model());
+		}
+	}
+
+	private void state(MemberState state) {
+		this.membership = this.membership.map((seat) -> new Membership(seat.group(), seat.epoch(), seat.rank(), state));
+	}
+
+	EngineOrderAnswer carryOut(EngineOrderCall order, long expected, Instant now) {
+		if (expected != EntryEffect.SendOrder.ANY_COUNT && expected != this.orders) {
+			return EngineOrderAnswer.CONFLICT;
+		}
+		EngineOrderAnswer answer = begin(order, now);
+		if (answer == EngineOrderAnswer.BEGUN) {
+			this.orders++;
+		}
+		return answer;
+	}
+
+	private EngineOrderAnswer begin(EngineOrderCall order, Instant now) {
+		if (order instanceof EngineOrderCall.Join asked) {
+			return joinBegins(asked, now);
+		}
+		if (order instanceof EngineOrderCall.Open open) {
+			return seated(open.group(), open.epoch(), MemberState.READY, MemberState.OPEN);
+		}
+		if (order instanceof EngineOrderCall.Close close) {
+			return seated(close.group(), close.epoch(), MemberState.OPEN, MemberState.READY);
+		}
+		if (order instanceof EngineOrderCall.Leave leave) {
+			if (!inGroup(leave.group(), leave.epoch())) {
+				return EngineOrderAnswer.CONFLICT;
+			}
+			this.membership = Optional.empty();
+			this.readyAt = Instant.MAX;
+			return EngineOrderAnswer.BEGUN;
+		}
+		this.staged = Set.of(((EngineOrderCall.Stage) order).model());
+		return EngineOrderAnswer.BEGUN;
+	}
+
+	private EngineOrderAnswer joinBegins(EngineOrderCall.Join asked, Instant now) {
+		if (this.membership.filter((seat) -> asked.epoch() < seat.epoch()).isPresent()) {
+			return EngineOrderAnswer.OUTDATED;
+		}
+		if (inGroup(asked.group(), asked.epoch())) {
+			return EngineOrderAnswer.HOLDS_ALREADY;
+		}
+		ModelFigures model = ServingSamples.engineFigures().model(asked.model()).orElseThrow();
+		this.join = Optional.of(asked);
+		this.membership = Optional
+			.of(new Membership(asked.group(), asked.epoch(), asked.members().indexOf(this.name), MemberState.JOINING));
+		this.readyAt = now.plus(this.staged.contains(asked.model()) ? model.warmLoad() : model.coldLoad());
+		return EngineOrderAnswer.BEGUN;
+	}
+
+	private EngineOrderAnswer seated(String group, long epoch, MemberState from, MemberState to) {
+		if (!inGroup(group, epoch) || this.membership.orElseThrow().state() != from) {
+			return EngineOrderAnswer.CONFLICT;
+		}
+		state(to);
+		return EngineOrderAnswer.BEGUN;
+	}
+
+	private boolean inGroup(String group, long epoch) {
+		return this.membership.filter((seat) -> seat.group().equals(group) && seat.epoch() == epoch).isPresent();
+	}
+
+	EngineReport report() {
+		return new EngineReport(this.orders, this.membership);
+	}
+
+	TargetEntry entry() {
+		TargetEntry plain = ServingSamples.engine(this.name.value(), this.domain);
+		return new TargetEntry(this.name, plain.service(), plain.address(), plain.dataCentre(), plain.slots(),
+				this.leaving, this.born, plain.domain(), this.staged, this.join.map(EngineOrderCall.Join::model),
+				this.membership);
+	}
+
+	List<TargetName> members() {
+		return this.join.map(EngineOrderCall.Join::members).orElse(List.of());
+	}
+
+}
--- /dev/null
+++ b/src/test/java/sycamorehill/logic/layout/GroupControlTests.java
@@ -0,0 +1,124 @@
+package sycamorehill.logic.layout;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Random;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Groups through losses, partitions, late orders and changes of the controller. The fleet
+ * checks at each step that no serving group is incomplete and no member is in two.
+ */
+class GroupControlTests {
+
+	private static final Duration FORMED = Duration.ofSeconds(150);
+
+	private static FakeFleet formed(long seed) {
+		FakeFleet fleet = new FakeFleet(seed, 4, 10);
+		fleet.addController("one");
+		fleet.run(FORMED);
+		return fleet;
+	}
+
+	private static FakeEngine serving(FakeFleet fleet) {
+		return fleet.engines().stream().filter(FakeEngine::isOpen).findFirst().orElseThrow();
+	}
+
+	@Test
+	void formsGroupsOfBothModelsAndKeepsSpares() {
+		FakeFleet fleet = formed(1);
+		assertThat(fleet.serving()).isEqualTo(12);
+		assertThat(fleet.engines().stream().filter((engine) -> engine.membership().isEmpty())).as(fleet.describe())
+			.hasSize(8);
+	}
+
+	// A member dies and starts anew, knowing nothing. The group stands still; it is taken
+	// apart and a new one serves, with the weights that lie on the hosts.
+	@Test
+	void replacesAGroupThatLostAMember() {
+		FakeFleet fleet = formed(2);
+		FakeEngine head = serving(fleet);
+		fleet.engine(head.members().get(1).value()).restart();
+		fleet.run(Duration.ofSeconds(4));
+		assertThat(fleet.serving()).isGreaterThanOrEqualTo(12);
+	}
+
+	// A whole domain is cut off from all nodes and from the store, and refuses
+	// connections;
+	// its heads go on serving there. Its entries lapse. When the cut heals, members and
+	// heads
+	// come back in any order: no member may be taken from a head that still serves.
+	@Test
+	void takesNoMemberFromAHeadThatComesBackFromBehindAPartition() {
+		FakeFleet fleet = formed(3);
+		List<FakeEngine> cut = fleet.engines()
+			.stream()
+			.filter((each) -> each.name().value().startsWith("e1-"))
+			.toList();
+		cut.forEach((engine) -> engine.cut(true, "domain"));
+		fleet.run(Duration.ofSeconds(9));
+		FakeEngine head = cut.stream().filter(FakeEngine::isOpen).findFirst().orElseThrow();
+		cut.stream().filter((engine) -> engine != head).forEach((engine) -> engine.cut(false, ""));
+		fleet.run(Duration.ofMillis(600));
+		head.cut(false, "");
+		fleet.run(Duration.ofSeconds(20));
+		assertThat(fleet.serving()).isGreaterThanOrEqualTo(12);
+	}
+
+	// The controller is paused past its lease, another takes over, and the first wakes up
+	// still believing that it holds the lease. Orders of both meet at the engines.
+	@Test
+	void survivesAControllerThatWakesUpInThePast() {
+		FakeFleet fleet = new FakeFleet(4, 4, 10);
+		FakeFleet.Controller one = fleet.addController("one");
+		fleet.run(FORMED);
+		fleet.addController("two");
+		fleet.run(Duration.ofSeconds(2));
+		one.pause(true);
+		FakeEngine head = serving(fleet);
+		fleet.engine(head.members().get(1).value()).restart();
+		fleet.run(Duration.ofSeconds(6));
+		one.pause(false);
+		fleet.run(Duration.ofSeconds(10));
+		assertThat(fleet.serving()).isGreaterThanOrEqualTo(12);
+	}
+
+	// Three orders in ten get no answer and are carried out 2 to 12 s later, while
+	// engines
+	// die, start anew, are cut off and leave, and two nodes lose the store by turns.
+	@Test
+	void keepsItsPromisesThroughRandomTrouble() {
+		for (int seed = 0; seed < 30; seed++) {
+			FakeFleet fleet = new FakeFleet(seed, 4, 10);
+			List<FakeFleet.Controller> nodes = List.of(fleet.addController("one"), fleet.addController("two"));
+			fleet.run(FORMED);
+			nodes.forEach(FakeFleet.Controller::trafficBegins);
+			fleet.loseOrders(0.3);
+			trouble(fleet, nodes, new Random(seed));
+			fleet.loseOrders(0);
+			fleet.engines().forEach((engine) -> engine.cut(false, ""));
+			nodes.forEach((node) -> node.cutFromStore(false));
+			fleet.run(Duration.ofSeconds(150));
+			assertThat(fleet.serving()).as("seed " + seed).isGreaterThanOrEqualTo(4);
+		}
+	}
+
+	private static void trouble(FakeFleet fleet, List<FakeFleet.Controller> nodes, Random random) {
+		for (int round = 0; round < 25; round++) {
+			FakeEngine engine = fleet.engines().get(random.nextInt(fleet.engines().size()));
+			switch (random.nextInt(6)) {
+				case 0 -> engine.restart();
+				case 1 -> engine.cut(true, engine.name().value());
+				case 2 -> fleet.engines().forEach((each) -> each.cut(false, ""));
+				case 3 -> engine.leave();
+				case 4 -> nodes.get(random.nextInt(nodes.size())).cutFromStore(random.nextBoolean());
+				default -> nodes.get(random.nextInt(nodes.size())).suspect(engine.name().value());
+			}
+			fleet.run(Duration.ofMillis(500 + random.nextInt(4000)));
+		}
+	}
+
+}
--- a/src/test/java/sycamorehill/standin/StandInClusterTests.java
+++ b/src/test/java/sycamorehill/standin/StandInClusterTests.java
@@ -196,7 +196,7 @@
 	private HttpRequest completion(int vm, long generation, String prompt, int tokens) {
 		String body = "{\"prompt\": \"" + prompt + "\", \"maximumTokens\": " + tokens + ", \"resumeFrom\": 0}";
 		return HttpRequest.newBuilder(engine(vm, "/engine/completions"))
-			.header("Attempt-Id", "a1")
+			.header("Sycamorehill-Attempt", "a1")
 			.header("Group-Generation", String.valueOf(generation))
 			.POST(HttpRequest.BodyPublishers.ofString(body))
 			.build();
--- /dev/null
+++ b/src/test/java/sycamorehill/support/ServingSamples.java
@@ -0,0 +1,157 @@
+package sycamorehill.support;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import sycamorehill.model.identity.Address;
+import sycamorehill.model.identity.DataCentreName;
+import sycamorehill.model.identity.ServiceName;
+import sycamorehill.model.identity.TargetName;
+import sycamorehill.model.identity.WorkspaceName;
+import sycamorehill.model.serving.CallerLimits;
+import sycamorehill.model.serving.CallerRequest;
+import sycamorehill.model.serving.Configuration;
+import sycamorehill.model.serving.EngineFigures;
+import sycamorehill.model.serving.EntrySettings;
+import sycamorehill.model.serving.MemberState;
+import sycamorehill.model.serving.Membership;
+import sycamorehill.model.serving.ModelFigures;
+import sycamorehill.model.serving.PromptSize;
+import sycamorehill.model.serving.RequestKind;
+import sycamorehill.model.serving.Route;
+import sycamorehill.model.serving.ServiceFigures;
+import sycamorehill.model.serving.TargetEntry;
+import sycamorehill.model.serving.WeightedService;
+import sycamorehill.model.serving.Workspace;
+
+/**
+ * Samples of what an entry node meets.
+ */
+public final class ServingSamples {
+
+	/** The plain service of the samples. */
+	public static final ServiceName DESK = ServiceName.of("desk");
+
+	/** The service of model engines of the samples. */
+	public static final ServiceName ENGINES = ServiceName.of("engines");
+
+	/** A model served by groups of four. */
+	public static final ModelFigures LARGE = new ModelFigures("large", 4, 0.5, 1, Duration.ofSeconds(16),
+			Duration.ofMillis(1600));
+
+	/** A model served by pairs. */
+	public static final ModelFigures SMALL = new ModelFigures("small", 2, 0.5, 0.6, Duration.ofSeconds(12),
+			Duration.ofMillis(1100));
+
+	private ServingSamples() {
+	}
+
+	/**
+	 * Settings of a node.
+	 * @param name the node's name
+	 * @return the settings
+	 */
+	public static EntrySettings settings(String name) {
+		return new EntrySettings(name, DataCentreName.of("north"),
+				List.of(DataCentreName.of("north"), DataCentreName.of("south")), Address.of("127.0.0.1", 7001),
+				Address.of("127.0.0.1", 7002), Address.of("127.0.0.1", 7003), Address.of("127.0.0.1", 7004), true,
+				Duration.ofSeconds(8), Duration.ofSeconds(10), 0.2, 60, Duration.ofSeconds(5), Duration.ofSeconds(5));
+	}
+
+	/**
+	 * What the sample engines do.
+	 * @return the figures
+	 */
+	public static EngineFigures engineFigures() {
+		return new EngineFigures(12, 1_000_000, List.of(LARGE, SMALL), 5, Duration.ofNanos(7_800_000),
+				Duration.ofNanos(134_000), 45_900, 5, 7, Duration.ofMillis(300), 979, 154);
+	}
+
+	/**
+	 * A configuration with one route of each kind: /once/, /again/, /stream/ and /open/.
+	 * @param version its version
+	 * @return the configuration
+	 */
+	public static Configuration configuration(long version) {
+		Map<ServiceName, ServiceFigures> services = new HashMap<>();
+		services.put(DESK, new ServiceFigures(DESK, 96, Optional.empty()));
+		services.put(ENGINES, new ServiceFigures(ENGINES, 268, Optional.of(engineFigures())));
+		List<Route> routes = List.of(route("/once/", RequestKind.NON_IDEMPOTENT, DESK, 1),
+				route("/again/", RequestKind.IDEMPOTENT, DESK, 2),
+				route("/stream/", RequestKind.RESUMABLE_STREAM, ENGINES, 2),
+				route("/single/", RequestKind.STREAM, ENGINES, 2));
+		return new Configuration(version, routes, services, CallerLimits.INITIAL,
+				Map.of("key", new Workspace(WorkspaceName.of("yard"), 1)), true);
+	}
+
+	private static Route route(String prefix, RequestKind kind, ServiceName service, int attempts) {
+		return new Route(prefix, "feed.example", prefix, kind, Duration.ofSeconds(6), Duration.ofMillis(300),
+				Optional.empty(), 1, List.of(new WeightedService(service, 1)), attempts, false);
+	}
+
+	/**
+	 * A request with a good key.
+	 * @param number its number
+	 * @param path its path
+	 * @return the request
+	 */
+	public static CallerRequest request(long number, String path) {
+		Optional<String> model = path.startsWith("/s") ? Optional.of(SMALL.name()) : Optional.empty();
+		return new CallerRequest(number, "r" + number, "feed.example", path, Optional.of("key"), model,
+				Optional.of(new PromptSize(700, 175)), Optional.of(Duration.ofSeconds(6)), number * 31);
+	}
+
+	/**
+	 * A target of the plain service.
+	 * @param name its name
+	 * @return its entry
+	 */
+	public static TargetEntry plain(String name) {
+		return new TargetEntry(TargetName.of(name), DESK, Address.of("127.0.0.1", 8000 + name.hashCode() % 1000),
+				DataCentreName.of("north"), 6, false, 1, Optional.empty(), Set.of(), Optional.empty(),
+				Optional.empty());
+	}
+
+	/**
+	 * An engine without a group.
+	 * @param name its name
+	 * @param domain its fabric domain
+	 * @return its entry
+	 */
+	public static TargetEntry engine(String name, String domain) {
+		return new TargetEntry(TargetName.of(name), ENGINES,
+				Address.of("127.0.0.1", 9000 + Math.abs(name.hashCode() % 900)), DataCentreName.of("north"), 12, false,
+				1, Optional.of(domain), Set.of(), Optional.empty(), Optional.empty());
+	}
+
+	/**
+	 * An engine in a group of the small model.
+	 * @param name its name
+	 * @param group the group
+	 * @param epoch the group's epoch
+	 * @param rank its rank
+	 * @param state its state
+	 * @return its entry
+	 */
+	public static TargetEntry member(String name, String group, long epoch, int rank, MemberState state) {
+		TargetEntry engine = engine(name, "d0");
+		return new TargetEntry(engine.name(), ENGINES, engine.address(), engine.dataCentre(), 12, false, 1,
+				engine.domain(), Set.of(SMALL.name()), Optional.of(SMALL.name()),
+				Optional.of(new Membership(group, epoch, rank, state)));
+	}
+
+	/**
+	 * The same target, leaving.
+	 * @param entry the target
+	 * @return its entry
+	 */
+	public static TargetEntry leaving(TargetEntry entry) {
+		return new TargetEntry(entry.name(), entry.service(), entry.address(), entry.dataCentre(), entry.slots(), true,
+				entry.bornMillis(), entry.domain(), entry.staged(), entry.loaded(), entry.membership());
+	}
+
+}
