--- /dev/null
+++ b/src/test/java/sycamorehill/entry/EntryNodeTests.java
@@ -0,0 +1,302 @@
+package sycamorehill.entry;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.nio.charset.StandardCharsets;
+import java.time.Clock;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.UnaryOperator;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+import sycamorehill.model.identity.Address;
+import sycamorehill.model.identity.DataCentreName;
+import sycamorehill.model.serving.EngineOrderAnswer;
+import sycamorehill.model.serving.EngineOrderCall;
+import sycamorehill.model.serving.EngineReport;
+import sycamorehill.model.serving.EntrySettings;
+import sycamorehill.model.serving.Lease;
+import sycamorehill.model.serving.LeaseAnswer;
+import sycamorehill.model.serving.NodeChange;
+import sycamorehill.model.serving.TargetAddress;
+import sycamorehill.model.serving.TargetChange;
+import sycamorehill.model.serving.TargetEntry;
+import sycamorehill.platform.PlatformTestCodec;
+import sycamorehill.support.ServingSamples;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * A whole entry node over loopback, between raw sockets: what faulty callers and targets
+ * get, byte by byte.
+ */
+class EntryNodeTests {
+
+	private static final String GOOD = "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nServer-Signature: s\r\n"
+			+ "Content-Length: 5\r\n\r\nhello";
+
+	private RawTarget target;
+
+	private EntrySettings settings;
+
+	@AfterEach
+	void end() throws IOException {
+		if (this.target != null) {
+			this.target.close();
+		}
+	}
+
+	private void start(UnaryOperator<String> answers) throws Exception {
+		this.target = RawTarget.start(answers);
+		this.settings = settings();
+		EntryNode.start(this.settings, (client) -> ports(), Clock.systemUTC(), new Random(1));
+		awaitRoutes();
+	}
+
+	// The node answers 503 until it has read its configuration and targets.
+	private void awaitRoutes() throws Exception {
+		for (int attempt = 0; attempt < 100; attempt++) {
+			if (ask("GET /nowhere/ HTTP/1.1\r\nHost: feed.example\r\nConnection: close\r\n\r\n")
+				.startsWith("HTTP/1.1 404")) {
+				return;
+			}
+			Thread.sleep(20);
+		}
+		throw new AssertionError("the node has no configuration");
+	}
+
+	private static EntrySettings settings() throws IOException {
+		return new EntrySettings("one", DataCentreName.of("north"), List.of(DataCentreName.of("north")), freePort(),
+				freePort(), freePort(), freePort(), true, Duration.ofSeconds(8), Duration.ofSeconds(10), 0.2, 60,
+				Duration.ofSeconds(5), Duration.ofSeconds(5));
+	}
+
+	private static Address freePort() throws IOException {
+		try (ServerSocket socket = new ServerSocket(0)) {
+			return Address.of("127.0.0.1", socket.getLocalPort());
+		}
+	}
+
+	private EntryPorts ports() {
+		TargetEntry plain = ServingSamples.plain("p1");
+		TargetEntry entry = new TargetEntry(plain.name(), plain.service(), this.target.address(), plain.dataCentre(), 6,
+				false, 1, Optional.empty(), plain.staged(), Optional.empty(), Optional.empty());
+		return new EntryPorts(PlatformTestCodec.create(), Fixed.of(ServingSamples.configuration(1)),
+				Fixed.of(new TargetChange(entry.name(), Optional.of(entry))), Fixed.<NodeChange>none(),
+				new NoRegister(), new NoLease(), new NoEngines());
+	}
+
+	private Socket connect() throws IOException {
+		Socket socket = new Socket("127.0.0.1", this.settings.callers().port());
+		socket.setSoTimeout(3000);
+		return socket;
+	}
+
+	private String ask(String request) throws IOException {
+		try (Socket socket = connect()) {
+			socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
+			return readAll(socket);
+		}
+	}
+
+	private static String readAll(Socket socket) throws IOException {
+		StringBuilder text = new StringBuilder();
+		InputStream in = socket.getInputStream();
+		try {
+			for (int next = in.read(); next >= 0; next = in.read()) {
+				text.append((char) next);
+			}
+		}
+		catch (SocketTimeoutException ex) {
+			text.append("[open]");
+		}
+		return text.toString();
+	}
+
+	private static String request(String method, String path, String more) {
+		return method + ' ' + path + " HTTP/1.1\r\nHost: feed.example\r\nAttempt-Id: a1\r\nAuthorization: Token key\r\n"
+				+ "Deadline-Ms: 2000\r\nConnection: close\r\n" + more;
+	}
+
+	@Test
+	void passesARequestOnWithoutItsKeyAndItsAnswerBack() throws Exception {
+		start((request) -> GOOD);
+		assertThat(ask(request("POST", "/once/x?y=1", "Content-Length: 3\r\n\r\nabc"))).startsWith("HTTP/1.1 200")
+			.contains("Server-Signature: s")
+			.endsWith("hello");
+		String seen = this.target.requests().get(0);
+		assertThat(seen).startsWith("POST /once/x?y=1 HTTP/1.1\r\n")
+			.contains("Expect-Instance: p1", "Tenant: yard", "Attempt-Id: a1")
+			.doesNotContain("Authorization", "Connection: close")
+			.endsWith("abc");
+	}
+
+	// A caller hides a second request in the body of the first, by giving it two lengths.
+	// A
+	// target that goes by the other length would run the hidden one.
+	@Test
+	void refusesARequestWithTwoLengths() throws Exception {
+		start((request) -> GOOD);
+		for (String framing : List.of(
+				"Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /once/h HTTP/1.1\r\n\r\n",
+				"Content-Length: 4\r\nContent-Length: 5\r\n\r\nabcde", "Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n",
+				"Content-Length: +4\r\n\r\nabcd", "Transfer-Encoding : chunked\r\n\r\n0\r\n\r\n")) {
+			assertThat(ask(request("POST", "/once/x", framing))).as(framing).startsWith("HTTP/1.1 400");
+		}
+		assertThat(this.target.requests()).isEmpty();
+	}
+
+	@Test
+	void refusesAHeadAndABodyThatAreTooLarge() throws Exception {
+		start((request) -> GOOD);
+		assertThat(ask(request("GET", "/once/x", "Filler: " + "x".repeat(20_000) + "\r\n\r\n")))
+			.startsWith("HTTP/1.1 431");
+		assertThat(ask(request("POST", "/once/x", "Content-Length: 99999999\r\n\r\n"))).startsWith("HTTP/1.1 413");
+		assertThat(this.target.requests()).isEmpty();
+	}
+
+	// An answer of another request arrives where the answer of this one is due: the
+	// caller
+	// must not get it, and an order must not be promised as not run.
+	@Test
+	void givesNobodyTheAnswerToAnotherRequest() throws Exception {
+		start((request) -> GOOD.replace("a1", "other"));
+		assertThat(ask(request("POST", "/once/x", "Content-Length: 0\r\n\r\n"))).startsWith("HTTP/1.1 502");
+	}
+
+	// A target breaks off within a plain answer: the caller gets no part of it as a
+	// success.
+	@Test
+	void holdsAPlainAnswerBackUntilItIsWhole() throws Exception {
+		start((request) -> GOOD.replace("hello", "he") + '\0');
+		assertThat(ask(request("POST", "/once/x", "Content-Length: 0\r\n\r\n"))).startsWith("HTTP/1.1 502")
+			.doesNotContain("he\r\n");
+	}
+
+	// A target sends more bytes after a whole answer. They belong to no request: the next
+	// request on the same connection of the caller gets its own answer.
+	@Test
+	void dropsBytesAfterAWholeAnswer() throws Exception {
+		start((request) -> GOOD + GOOD.replace("hello", "EXTRA"));
+		String kept = request("POST", "/once/x", "Content-Length: 0\r\n\r\n").replace("Connection: close\r\n", "");
+		try (Socket socket = connect()) {
+			socket.setSoTimeout(600);
+			socket.getOutputStream().write((kept + kept).getBytes(StandardCharsets.ISO_8859_1));
+			String answers = readAll(socket);
+			assertThat(answers).doesNotContain("EXTRA");
+			assertThat(answers.split("HTTP/1.1 ", -1)).hasSize(3);
+		}
+	}
+
+	@Test
+	void givesATargetsFailureAsItIs() throws Exception {
+		start((request) -> GOOD.replace("200 OK", "500 Server Error"));
+		assertThat(ask(request("POST", "/once/x", "Content-Length: 0\r\n\r\n"))).startsWith("HTTP/1.1 500")
+			.contains("Server-Signature: s");
+	}
+
+	@Test
+	void saysWhenToComeBackAfterARefusalByTheTarget() throws Exception {
+		start((request) -> "HTTP/1.1 503 Full\r\nAttempt-Id: a1\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+		assertThat(ask(request("POST", "/once/x", "Content-Length: 0\r\n\r\n"))).startsWith("HTTP/1.1 503")
+			.containsPattern("(?i)retry-after: 0\\.\\d+");
+	}
+
+	@Test
+	void refusesAnUnknownKeyAndPath() throws Exception {
+		start((request) -> GOOD);
+		assertThat(ask(request("GET", "/once/x", "\r\n").replace("Token key", "Token other")))
+			.startsWith("HTTP/1.1 401");
+		assertThat(ask(request("GET", "/elsewhere/x", "\r\n"))).startsWith("HTTP/1.1 404");
+	}
+
+	/**
+	 * Objects that never change.
+	 */
+	private record Fixed<T>(List<T> items) implements Feed<T> {
+
+		static <T> Fixed<T> of(T item) {
+			return new Fixed<>(List.of(item));
+		}
+
+		static <T> Fixed<T> none() {
+			return new Fixed<>(List.of());
+		}
+
+		@Override
+		public CompletableFuture<Page<T>> list() {
+			return CompletableFuture.completedFuture(new Page<>(this.items, 1));
+		}
+
+		@Override
+		public CompletableFuture<Page<T>> changes(long since, Duration wait) {
+			return new CompletableFuture<>();
+		}
+
+	}
+
+	/**
+	 * Takes entries and keeps none.
+	 */
+	private static final class NoRegister implements NodeRegister {
+
+		@Override
+		public CompletableFuture<Void> enter(String name, Address address) {
+			return CompletableFuture.completedFuture(null);
+		}
+
+		@Override
+		public CompletableFuture<Void> leave(String name) {
+			return CompletableFuture.completedFuture(null);
+		}
+
+	}
+
+	/**
+	 * A lease that nobody gets.
+	 */
+	private static final class NoLease implements LeaseStore {
+
+		@Override
+		public CompletableFuture<LeaseAnswer> read() {
+			return CompletableFuture.completedFuture(new LeaseAnswer.Unavailable("test"));
+		}
+
+		@Override
+		public CompletableFuture<LeaseAnswer> create(String holder) {
+			return read();
+		}
+
+		@Override
+		public CompletableFuture<LeaseAnswer> replace(Lease lease) {
+			return read();
+		}
+
+	}
+
+	/**
+	 * Engines that answer nothing.
+	 */
+	private static final class NoEngines implements EnginePort {
+
+		@Override
+		public CompletableFuture<EngineOrderAnswer> order(TargetAddress engine, EngineOrderCall order, long count) {
+			return CompletableFuture.completedFuture(EngineOrderAnswer.NOT_KNOWN);
+		}
+
+		@Override
+		public CompletableFuture<EngineReport> report(TargetAddress engine) {
+			return CompletableFuture.failedFuture(new NoReportException(EngineOrderAnswer.NOT_KNOWN));
+		}
+
+	}
+
+}
