--- a/src/main/java/sycamorehill/logic/dispatch/RequestDesk.java
+++ b/src/main/java/sycamorehill/logic/dispatch/RequestDesk.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.random.RandomGenerator;
 
 import sycamorehill.logic.Effects;
@@ -95,13 +94,7 @@
 	/** When a content that was lost with several targets may come back: rarely. */
 	private static final Duration COME_BACK_SUSPECT = Duration.ofSeconds(30);
 
-	/**
-	 * Part of the fixed number of repeats that is used: nodes count each other late, and
-	 * arrivals that were cancelled on the way count too.
-	 */
-	private static final double EXTRA_PART = 0.7;
-
-	private EntrySettings settings;
+	private final String nodeName;
 
 	private final TargetDirectory directory;
 
@@ -113,22 +106,19 @@
 
 	private final Map<Long, ActiveRequest> active = new HashMap<>();
 
-	private final Map<TargetName, TargetLoad> loads = new HashMap<>();
+	private final TargetLoads loads = TargetLoads.create();
 
-	private final Map<ServiceName, RetryBudget> budgets = new HashMap<>();
+	private final RetryBudgets budgets;
 
 	private final CrashBook crashes = CrashBook.create();
 
-	private final Map<String, Set<TargetName>> othersTargets = new HashMap<>();
-
-	private int nodes = 1;
-
 	private Optional<Configuration> configuration = Optional.empty();
 
 	private RouteTable routes = RouteTable.of(List.of());
 
 	private RequestDesk(EntrySettings settings, TargetDirectory directory, RandomGenerator random) {
-		this.settings = settings;
+		this.nodeName = settings.nodeName();
+		this.budgets = RetryBudgets.of(settings);
 		this.directory = directory;
 		this.serving = ServingTargets.of(directory);
 		this.placement = Placement.of(settings.dataCentre(), random);
@@ -193,7 +183,7 @@
 		ActiveRequest active = ActiveRequest.of(request, route.get(), service, workspace, now);
 		this.active.put(request.number(), active);
 		effects.add(new EntryEffect.BoundRequest(request.number(), active.bound()));
-		budget(service).request(now);
+		this.budgets.of(service).request(now);
 		place(active, "no target can take it", now, effects);
 	}
 
@@ -218,7 +208,7 @@
 	private void place(ActiveRequest active, String otherwise, Instant now, Effects effects) {
 		Configuration known = this.configuration.orElseThrow();
 		List<Candidate> candidates = this.serving.find(known, active.service(), active.request().model());
-		Optional<Placement.Choice> choice = this.placement.choose(candidates, active.avoided(), this.loads,
+		Optional<Placement.Choice> choice = this.placement.choose(candidates, active.avoided(), this.loads.known(),
 				active.request().size(), now);
 		Admission.Entrance entrance = choice.map((best) -> entrance(active, best, now))
 			.orElse(Admission.Entrance.REFUSED);
@@ -320,7 +310,7 @@
 	private void lost(ActiveRequest request, TargetName target, Effects effects) {
 		long content = request.request().content();
 		this.crashes.lost(content, target);
-		effects.add(new EntryEffect.TellAll(new NodeMessage.Suspicion(this.settings.nodeName(), content, target)));
+		effects.add(new EntryEffect.TellAll(new NodeMessage.Suspicion(this.nodeName, content, target)));
 	}
 
 	/**
@@ -330,13 +320,7 @@
 	 */
 	public void heard(NodeMessage message, Instant now) {
 		if (message instanceof NodeMessage.Loads told) {
-			Set<TargetName> before = this.othersTargets.put(told.sender(), told.requests().keySet());
-			if (before != null) {
-				before.stream()
-					.filter((target) -> !told.requests().containsKey(target))
-					.forEach((target) -> load(target).others(told.sender(), 0, now));
-			}
-			told.requests().forEach((target, requests) -> load(target).others(told.sender(), requests, now));
+			this.loads.heard(told, now);
 		}
 		else if (message instanceof NodeMessage.Suspicion suspicion) {
 			this.crashes.lost(suspicion.content(), suspicion.target());
@@ -353,8 +337,7 @@
 	 * @return the number of requests
 	 */
 	public int requests(TargetName target, Instant now) {
-		TargetLoad load = this.loads.get(target);
-		return (load != null) ? load.requests(now) : 0;
+		return this.loads.requests(target, now);
 	}
 
 	/**
@@ -362,13 +345,7 @@
 	 * @return the numbers
 	 */
 	public Map<TargetName, Integer> inFlight() {
-		Map<TargetName, Integer> requests = new HashMap<>();
-		this.loads.forEach((target, load) -> {
-			if (load.inFlight() > 0) {
-				requests.put(target, load.inFlight());
-			}
-		});
-		return requests;
+		return this.loads.inFlight();
 	}
 
 	/**
@@ -376,8 +353,7 @@
 	 * @param living number of nodes that live
 	 */
 	public void nodes(int living) {
-		this.nodes = living;
-		this.budgets.values().forEach((budget) -> budget.bounds(this.settings.retryRatio(), extraOfNode()));
+		this.budgets.nodes(living);
 	}
 
 	/**
@@ -385,11 +361,7 @@
 	 * @param read the settings
 	 */
 	public void settings(EntrySettings read) {
-		this.settings = read;
-	}
-
-	private double extraOfNode() {
-		return this.settings.retryExtra() * EXTRA_PART / this.nodes;
+		this.budgets.settings(read);
 	}
 
 	private void delivered(ActiveRequest request, TargetName target, AttemptEnd.Delivered delivered, Instant now,
@@ -401,7 +373,7 @@
 		long content = request.request().content();
 		if (this.crashes.suspected(content)) {
 			this.crashes.cleared(content);
-			effects.add(new EntryEffect.TellAll(new NodeMessage.Cleared(this.settings.nodeName(), content)));
+			effects.add(new EntryEffect.TellAll(new NodeMessage.Cleared(this.nodeName, content)));
 		}
 		effects.log(LogEvent.REQUEST_SERVED,
 				describe(request, now) + " target=" + target + " status=" + delivered.status() + " first-millis="
@@ -452,7 +424,7 @@
 
 	private boolean mayRepeat(ActiveRequest request, Instant now) {
 		return request.targetsReached() < request.route().maximumAttempts() && !request.timeLeft(now).isNegative()
-				&& budget(request.service()).take(now);
+				&& this.budgets.of(request.service()).take(now);
 	}
 
 	private void logAgain(ActiveRequest request, TargetName target, String cause, Instant now, Effects effects) {
@@ -557,7 +529,7 @@
 		}
 		List<Candidate> candidates = this.serving.find(this.configuration.orElseThrow(), request.service(),
 				request.request().model());
-		return this.placement.choose(candidates, request.avoided(), this.loads, request.request().size(), now)
+		return this.placement.choose(candidates, request.avoided(), this.loads.known(), request.request().size(), now)
 			.filter((choice) -> entrance(request, choice, now) != Admission.Entrance.REFUSED)
 			.isPresent();
 	}
@@ -577,19 +549,11 @@
 	 * @param target the target
 	 */
 	public void forget(TargetName target) {
-		TargetLoad load = this.loads.get(target);
-		if (load != null && load.inFlight() == 0) {
-			this.loads.remove(target);
-		}
+		this.loads.forget(target);
 	}
 
 	private TargetLoad load(TargetName target) {
-		return this.loads.computeIfAbsent(target, (name) -> new TargetLoad());
-	}
-
-	private RetryBudget budget(ServiceName service) {
-		return this.budgets.computeIfAbsent(service,
-				(name) -> RetryBudget.of(this.settings.retryWindow(), this.settings.retryRatio(), extraOfNode()));
+		return this.loads.of(target);
 	}
 
 	private Duration comeBack() {
