Notice the store's return within a second

A call that began while the store was silent went on waiting up to 2.5 s after its return, and the next try came 0.8 s later: over the 3 s in which a version must be in force. Now calls don't wait until one is answered, tries are 0.4 s apart at most, and a waiting call hangs 2.1 s at most.

--- a/src/main/java/sycamorehill/entry/EntryNode.java
+++ b/src/main/java/sycamorehill/entry/EntryNode.java
@@ -44,7 +44,7 @@
 	 * A change of the configuration or of a target must be known within 2 s; a connection
 	 * that went silent is found out after the wait.
 	 */
-	private static final FeedReader.Pace CHANGES_SOON = new FeedReader.Pace(Duration.ofMillis(1800),
+	private static final FeedReader.Pace CHANGES_SOON = new FeedReader.Pace(Duration.ofMillis(1500),
 			Duration.ofMillis(150));
 
 	/** Nodes change rarely, and nothing rests on knowing them soon: few calls. */
--- a/src/main/java/sycamorehill/entry/FeedReader.java
+++ b/src/main/java/sycamorehill/entry/FeedReader.java
@@ -20,7 +20,7 @@
 
 	private static final Duration FIRST_RETRY = Duration.ofMillis(100);
 
-	private static final Duration LONGEST_RETRY = Duration.ofMillis(800);
+	private static final Duration LONGEST_RETRY = Duration.ofMillis(400);
 
 	private final Pace pace;
 
@@ -36,6 +36,8 @@
 
 	private final Consumer<Boolean> contact;
 
+	private boolean lost;
+
 	private long revision = -1;
 
 	private Duration retry = FIRST_RETRY;
@@ -62,7 +64,7 @@
 
 	private void next() {
 		boolean all = this.revision < 0;
-		(all ? this.feed.list() : this.feed.changes(this.revision, this.pace.longestWait()))
+		(all ? this.feed.list() : this.feed.changes(this.revision, longestWait()))
 			.whenCompleteAsync((page, failure) -> {
 				if (failure != null) {
 					failed(failure);
@@ -73,7 +75,15 @@
 			}, this.control);
 	}
 
+	// While the store is away a call that waits would hang on a dead connection long
+	// after the
+	// store is back: calls are short until one is answered.
+	private Duration longestWait() {
+		return this.lost ? Duration.ZERO : this.pace.longestWait();
+	}
+
 	private void read(Feed.Page<T> page, boolean all) {
+		this.lost = false;
 		this.retry = FIRST_RETRY;
 		this.contact.accept(true);
 		if (!all && page.revision() < this.revision) {
@@ -100,6 +110,7 @@
 			later(this.pace.afterChange());
 			return;
 		}
+		this.lost = true;
 		this.contact.accept(false);
 		later(this.retry);
 		Duration longer = this.retry.multipliedBy(2);
--- a/src/main/java/sycamorehill/platform/PlatformStore.java
+++ b/src/main/java/sycamorehill/platform/PlatformStore.java
@@ -58,10 +58,10 @@
 	/**
 	 * Bound on a call that does not wait; answers take 4 ms, and a slow store some 100.
 	 */
-	private static final Duration CALL_TIMEOUT = Duration.ofMillis(1200);
+	private static final Duration CALL_TIMEOUT = Duration.ofMillis(800);
 
 	/** Added to the time that a call waits in the store. */
-	private static final Duration WAIT_MARGIN = Duration.ofMillis(700);
+	private static final Duration WAIT_MARGIN = Duration.ofMillis(600);
 
 	private static final int OK = 200;
 
