Wait longer before a silent head counts as dead

Likely: a head cut off from nodes and store for 10 s while its members stay visible was presumed dead after 6.5 s. Test: a head that only its members reach. GroupControlTests green.

--- a/src/main/java/sycamorehill/logic/layout/Dissolution.java
+++ b/src/main/java/sycamorehill/logic/layout/Dissolution.java
@@ -44,9 +44,10 @@
 
 	/**
 	 * Added to the stall time, counted from the first sign that the group stands still: a
-	 * head that lost a member, or its members, is broken after the stall time.
+	 * head that lost a member, or its members, is broken after the stall time; one that
+	 * only we and the store can't reach serves on, and such partitions last up to 10 s.
 	 */
-	private static final Duration BROKEN_MARGIN = Duration.ofMillis(1500);
+	private static final Duration BROKEN_MARGIN = Duration.ofSeconds(8);
 
 	/** Time that a head must be gone from the directory before it is taken for dead. */
 	private static final Duration GONE_FOR = Duration.ofMillis(2500);
--- a/src/test/java/sycamorehill/logic/layout/GroupControlTests.java
+++ b/src/test/java/sycamorehill/logic/layout/GroupControlTests.java
@@ -68,6 +68,20 @@
 		assertThat(fleet.serving()).isGreaterThanOrEqualTo(12);
 	}
 
+	// A head is cut off from the nodes and the store for 10 s, but not from its members:
+	// it
+	// serves on. Its members stay visible all the time, and must not be taken.
+	@Test
+	void takesNoMemberFromAHeadThatOnlyItsMembersReach() {
+		FakeFleet fleet = formed(5);
+		FakeEngine head = serving(fleet);
+		head.cut(true, "");
+		fleet.run(Duration.ofSeconds(10));
+		head.cut(false, "");
+		fleet.run(Duration.ofSeconds(20));
+		assertThat(fleet.serving()).isGreaterThanOrEqualTo(12);
+	}
+
 	// The controller is paused past its lease, another takes over, and the first wakes up
 	// still believing that it holds the lease. Orders of both meet at the engines.
 	@Test
