Load spares anew where a model is short of a quarter of its groups

A model whose slots are nearly all taken shows 0.7 of the groups that its load asks for; below 0.75 it now takes spares that were free for 3 s.

--- a/src/main/java/sycamorehill/logic/layout/GroupChoice.java
+++ b/src/main/java/sycamorehill/logic/layout/GroupChoice.java
@@ -29,6 +29,13 @@
 	 */
 	private static final double NEARLY = 0.5;
 
+	/**
+	 * Part of the groups wanted below which a model is urgent: with all its slots taken
+	 * it has 0.7 of the groups that the load asks for, because refused requests don't
+	 * show.
+	 */
+	private static final double URGENT = 0.75;
+
 	private final Map<String, ModelFigures> reserved = new HashMap<>();
 
 	private final EngineFigures figures;
@@ -66,17 +73,17 @@
 	 * @param hurried whether callers wait for the groups that are being loaded
 	 * @return the proposal; empty if no group can be formed
 	 */
-	Optional<Proposal> next(List<TargetEntry> free, Predicate<TargetEntry> convertible, boolean hurried) {
+	Optional<Proposal> next(List<TargetEntry> free, Conversion convertible, boolean hurried) {
 		Map<String, List<TargetEntry>> domains = new TreeMap<>();
 		for (TargetEntry engine : free) {
 			engine.domain()
 				.ifPresent((domain) -> domains.computeIfAbsent(domain, (key) -> new ArrayList<>()).add(engine));
 		}
 		reserve(domains);
-		Optional<Proposal> soon = hurried ? best(byNeed(this.count::soon, false), domains, (engine) -> false, 0)
+		Optional<Proposal> soon = hurried ? best(byNeed(this.count::soon, false), domains, (engine, urgent) -> false, 0)
 				: Optional.empty();
 		return soon.isPresent() ? soon : best(byNeed(this.count::total, true), domains,
-				convertible.and((engine) -> !needed(engine)), Integer.MAX_VALUE);
+				(engine, urgent) -> !needed(engine) && convertible.allowed(engine, urgent), Integer.MAX_VALUE);
 	}
 
 	// A model of large groups that is short finds no domain with engines enough once
@@ -120,12 +127,13 @@
 	}
 
 	private Optional<Proposal> best(List<ModelFigures> models, Map<String, List<TargetEntry>> domains,
-			Predicate<TargetEntry> convertible, int mostLoads) {
+			Conversion convertible, int mostLoads) {
 		for (ModelFigures model : models) {
+			boolean urgent = this.count.total(model) <= URGENT * this.wanted.groups(model, true);
 			Optional<Proposal> best = domains.values()
 				.stream()
 				.filter((engines) -> !kept(engines, model))
-				.flatMap((engines) -> propose(model, engines, convertible).stream())
+				.flatMap((engines) -> propose(model, engines, (engine) -> convertible.allowed(engine, urgent)).stream())
 				.filter((proposal) -> proposal.loads() <= mostLoads)
 				.min(Comparator.comparingInt(Proposal::loads)
 					.thenComparingInt((proposal) -> this.holders.others(domain(proposal), model))
@@ -196,6 +204,21 @@
 	record Proposal(ModelFigures model, List<TargetEntry> members, int loads) {
 	}
 
+	/**
+	 * Tells which engines may be loaded with another model.
+	 */
+	interface Conversion {
+
+		/**
+		 * Decides.
+		 * @param engine an engine that holds another model
+		 * @param urgent whether nearly all slots of the model to load are taken
+		 * @return true if it may be loaded anew
+		 */
+		boolean allowed(TargetEntry engine, boolean urgent);
+
+	}
+
 	/**
 	 * Tells how many groups of a model there should be.
 	 */
--- a/src/main/java/sycamorehill/logic/layout/GroupControl.java
+++ b/src/main/java/sycamorehill/logic/layout/GroupControl.java
@@ -10,7 +10,6 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
-import java.util.function.Predicate;
 import java.util.stream.Collectors;
 
 import sycamorehill.logic.Effects;
@@ -533,7 +532,8 @@
 		GroupChoice choice = GroupChoice.of(figures, count,
 				(model, loading) -> this.targets.wanted(model, figures, engines.size(), trafficKnown(now), loading),
 				holders);
-		Predicate<TargetEntry> convertible = (engine) -> convertible(engine, free, figures, now);
+		GroupChoice.Conversion convertible = (engine, urgent) -> beforeTraffic(now)
+				|| (longFree(engine, now) && (urgent || surplus(engine, free, figures)));
 		Optional<GroupChoice.Proposal> proposal = choice.next(left, convertible, trafficKnown(now));
 		while (proposal.isPresent() && mayLoad(proposal.get().loads(), figures, now)) {
 			FormingGroup group = begin(proposal.get(), now, effects);
@@ -571,17 +571,17 @@
 	// replaces it within 2 s, and each one loaded anew costs 12 to 16 s of the weight
 	// store.
 	// Only those that could make a whole group by themselves are more than are of use.
-	private boolean convertible(TargetEntry engine, List<TargetEntry> free, EngineFigures figures, Instant now) {
-		if (beforeTraffic(now)) {
-			return true;
-		}
-		boolean surplus = engine.staged()
+	private boolean surplus(TargetEntry engine, List<TargetEntry> free, EngineFigures figures) {
+		return engine.staged()
 			.stream()
 			.flatMap((held) -> figures.model(held).stream())
 			.allMatch((model) -> free.stream()
 				.filter((other) -> other.domain().equals(engine.domain()) && other.staged().contains(model.name()))
 				.count() >= model.size());
-		return surplus && now.isAfter(this.freeSince.get(engine.name()).plus(CONVERT_AFTER));
+	}
+
+	private boolean longFree(TargetEntry engine, Instant now) {
+		return now.isAfter(this.freeSince.get(engine.name()).plus(CONVERT_AFTER));
 	}
 
 	private int requests(List<GroupView> groups, ModelFigures model) {
--- a/src/test/java/sycamorehill/logic/layout/GroupChoiceTests.java
+++ b/src/test/java/sycamorehill/logic/layout/GroupChoiceTests.java
@@ -29,7 +29,7 @@
 		GroupChoice choice = GroupChoice.of(ServingSamples.engineFigures(), GroupCount.of(List.of(), List.of()),
 				(model, loading) -> model.equals(ServingSamples.LARGE) ? large : small,
 				DomainHolders.of(free, List.of()));
-		return choice.next(free, (engine) -> true, true);
+		return choice.next(free, (engine, urgent) -> true, true);
 	}
 
 	// Three survivors of a group of four wait for a fourth engine, and pairs are missing
