--- /dev/null
+++ b/src/test/java/sycamorehill/explain/RequestStoryTests.java
@@ -0,0 +1,80 @@
+package sycamorehill.explain;
+
+import java.util.List;
+import java.util.Optional;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * From a request's identifier to its cause, by the logs of several nodes.
+ */
+class RequestStoryTests {
+
+	private static final List<RequestStory.SourceLine> LOGS = List.of(
+			line("one", "2026-12-03T03:00:01.500Z INFO SYC-1801 CONFIGURATION_IN_FORCE version=7 routes=4"),
+			line("one",
+					"2026-12-03T03:00:02.000Z INFO SYC-1904 REQUEST_SENT_AGAIN request=a1 route=r service=s attempts=1"
+							+ " millis=900 from=i-1 cause='silent' begun=true"),
+			line("one",
+					"2026-12-03T03:00:03.000Z INFO SYC-1901 REQUEST_SERVED request=a1 route=r service=s attempts=2"
+							+ " millis=1900 target=i-2 status=200 first-millis=180 pause-millis=600"),
+			line("two",
+					"2026-12-03T03:00:02.300Z INFO SYC-1805 TARGET_CHANGED engine=i-1 lost: its report can't be read:"
+							+ " NOT_KNOWN"),
+			line("two", "2026-12-03T03:00:01.000Z INFO SYC-1713 GROUP_SUMMARY service=s serving-m=1 forming=2"),
+			line("two", "2026-12-03T02:00:00.000Z INFO SYC-1905 TARGET_SILENT target=i-1 in-flight=1"),
+			line("two", "java.io.IOException: SYC of a stack trace"),
+			line("two",
+					"2026-12-03T03:00:04.000Z WARN SYC-1902 REQUEST_REFUSED request=b2 route=r service=s attempts=0"
+							+ " millis=0 cause='all targets are full' come-back-millis=564"),
+			line("two", "2026-12-03T03:00:05.000Z WARN SYC-1903 REQUEST_FAILED request=c3 route=r service=d attempts=1"
+					+ " millis=392 cause='time is over' outcome=unknown"));
+
+	private static RequestStory.SourceLine line(String file, String text) {
+		return new RequestStory.SourceLine(file, text);
+	}
+
+	private static List<String> story(String request) {
+		return RequestStory.find(LOGS, request).orElseThrow().tell();
+	}
+
+	// A stream paused and went on elsewhere. The caller has only the identifier; that the
+	// first target was lost stands in the controller's log, on another node.
+	@Test
+	void findsTheLostTargetInTheLogOfAnotherNode() {
+		List<String> told = story("a1");
+		assertThat(told.get(0)).isEqualTo("request a1 came to one at 2026-12-03T03:00:01.100Z");
+		assertThat(told).anyMatch((text) -> text.contains("two TARGET_CHANGED engine=i-1 lost"));
+		assertThat(told).noneMatch((text) -> text.contains("TARGET_SILENT"));
+		assertThat(told).anyMatch((text) -> text.contains("one CONFIGURATION_IN_FORCE version=7"));
+		assertThat(told.get(told.size() - 1)).isEqualTo("cause: served with status 200 by i-2, after silent at i-1");
+	}
+
+	@Test
+	void tellsWhyARequestWasRefusedAndHowManyGroupsServed() {
+		List<String> told = story("b2");
+		assertThat(told).anyMatch((text) -> text.contains("GROUP_SUMMARY service=s serving-m=1 forming=2"));
+		assertThat(told).last().isEqualTo("cause: refused, not run: all targets are full");
+	}
+
+	@Test
+	void tellsThatAnOutcomeIsNotKnown() {
+		assertThat(story("c3")).last().isEqualTo("cause: failed (unknown): time is over");
+	}
+
+	@Test
+	void knowsNothingOfOtherRequests() {
+		assertThat(RequestStory.find(LOGS, "zz")).isEmpty();
+		assertThat(RequestStory.find(LOGS, "a")).isEmpty();
+	}
+
+	@Test
+	void takesTheNodeFromWhatACollectorPutInFront() {
+		Optional<LoggedLine> read = LoggedLine
+			.read("  2.8797 front-2 2026-12-03T03:00:02.000Z INFO SYC-1905 TARGET_SILENT target=i-1", "all");
+		assertThat(read.orElseThrow().node()).isEqualTo("front-2");
+	}
+
+}
