Serve counters and latency histograms of entry nodes as text

Cause: on-call engineers had log lines only. Final answers are counted and timed by service and outcome, decisions by their numbered event, both from effects, so that log and numbers agree; the text format comes from the Prometheus client library. The readiness server and the new page are one PageServer. EntryNodeTests reads the page after a request.

--- /dev/null
+++ b/src/main/java/sycamorehill/entry/EntryMetrics.java
@@ -0,0 +1,91 @@
+package sycamorehill.entry;
+
+import java.io.IOException;
+import java.io.StringWriter;
+import java.io.UncheckedIOException;
+import java.lang.management.ManagementFactory;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.Timer;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.prometheus.client.CollectorRegistry;
+import io.prometheus.client.dropwizard.DropwizardExports;
+import io.prometheus.client.exporter.common.TextFormat;
+import org.mpierce.metrics.reservoir.hdrhistogram.HdrHistogramResetOnSnapshotReservoir;
+
+import sycamorehill.logic.entry.EntryReducer;
+import sycamorehill.model.log.LogLine;
+import sycamorehill.model.serving.EntryEffect;
+
+/**
+ * What operators watch of an entry node. Counted from effects, so that each decision
+ * shows in the log and in the numbers alike. All is touched by the control thread alone.
+ */
+final class EntryMetrics {
+
+	private final MetricRegistry registry = new MetricRegistry();
+
+	private final CollectorRegistry collectors = new CollectorRegistry();
+
+	private EntryMetrics(EntryReducer reducer) {
+		gauge("requests.active", reducer::requestsActive);
+		gauge("targets.known", reducer::targetsKnown);
+		gauge("nodes.living", reducer::nodesLiving);
+		gauge("configuration.version", reducer::configurationVersion);
+		gauge("store.reached", () -> reducer.storeReached() ? 1 : 0);
+		gauge("process.heap-used-bytes", () -> ManagementFactory.getMemoryMXBean().getHeapMemoryUsage().getUsed());
+		new DropwizardExports(this.registry).register(this.collectors);
+	}
+
+	static EntryMetrics of(EntryReducer reducer) {
+		return new EntryMetrics(reducer);
+	}
+
+	private void gauge(String name, LongSupplier value) {
+		this.registry.register(name, (Gauge<Long>) value::getAsLong);
+	}
+
+	/**
+	 * Counts a decision by its numbered event.
+	 * @param line the decision's log line
+	 */
+	void logged(LogLine line) {
+		this.registry.counter("events." + line.event().name()).inc();
+	}
+
+	/**
+	 * Counts a final answer and measures its times.
+	 * @param finished the answer
+	 */
+	void finished(EntryEffect.Finished finished) {
+		String name = "requests." + finished.service() + '.' + finished.outcome();
+		this.registry.counter(name).inc();
+		time(name + ".time", finished.time());
+		finished.firstAnswer().ifPresent((time) -> time("requests." + finished.service() + ".first-answer", time));
+	}
+
+	private void time(String name, Duration time) {
+		this.registry.timer(name, () -> new Timer(new HdrHistogramResetOnSnapshotReservoir()))
+			.update(time.toNanos(), TimeUnit.NANOSECONDS);
+	}
+
+	/**
+	 * All numbers, in the text format of Prometheus.
+	 * @return the page
+	 */
+	PageServer.Page page() {
+		StringWriter text = new StringWriter();
+		try {
+			TextFormat.write004(text, this.collectors.metricFamilySamples());
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+		return new PageServer.Page(HttpResponseStatus.OK, TextFormat.CONTENT_TYPE_004, text.toString());
+	}
+
+}
--- a/src/main/java/sycamorehill/entry/EntryNode.java
+++ b/src/main/java/sycamorehill/entry/EntryNode.java
@@ -12,6 +12,7 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.util.concurrent.DefaultEventExecutor;
 import io.netty.util.concurrent.DefaultThreadFactory;
 
@@ -33,6 +34,8 @@
  */
 public final class EntryNode implements EventPost {
 
+	private static final String METRICS_PATH = "/metrics";
+
 	private static final Duration TICK = Duration.ofMillis(100);
 
 	/** Time before the process is killed at which it ends by itself. */
@@ -66,7 +69,13 @@
 
 	private final CallerServer callers;
 
-	private final ReadinessServer readiness;
+	private final PageServer readiness;
+
+	private final PageServer figures;
+
+	private final EntryMetrics metrics;
+
+	private volatile boolean wantsCallers;
 
 	private final NodeMail mail;
 
@@ -81,7 +90,9 @@
 		this.ports = factory.create(CallClient.of(TargetConnections.of(this.traffic)));
 		this.callers = CallerServer.of(this.traffic, this.ports.codec(), this, TargetConnections.of(this.traffic));
 		this.mail = NodeMail.of(this.traffic, this);
-		this.readiness = ReadinessServer.of(this.traffic, this.ports.codec().readinessPath());
+		this.metrics = EntryMetrics.of(this.reducer);
+		this.readiness = PageServer.of(this.traffic, this::readinessPage);
+		this.figures = PageServer.of(this.traffic, this::metricsPage);
 	}
 
 	/**
@@ -122,9 +133,26 @@
 		this.control.scheduleAtFixedRate(() -> step(new EntryEvent.Ticked()), 0, TICK.toMillis(),
 				TimeUnit.MILLISECONDS);
 		this.callers.start(this.settings.callers());
+		this.figures.start(this.settings.neighbours());
 		this.readiness.start(this.settings.readiness());
 	}
 
+	private CompletableFuture<PageServer.Page> readinessPage(String path) {
+		if (!path.equals(this.ports.codec().readinessPath())) {
+			return CompletableFuture.completedFuture(PageServer.Page.NOT_FOUND);
+		}
+		return CompletableFuture.completedFuture(PageServer.Page
+			.empty(this.wantsCallers ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE));
+	}
+
+	// Made by the control thread, which alone touches what is shown.
+	private CompletableFuture<PageServer.Page> metricsPage(String path) {
+		if (!path.equals(METRICS_PATH)) {
+			return CompletableFuture.completedFuture(PageServer.Page.NOT_FOUND);
+		}
+		return CompletableFuture.supplyAsync(this.metrics::page, this.control);
+	}
+
 	private FeedReader.Pace changesSoon() {
 		return new FeedReader.Pace(LONGEST_WAIT, this.reducer.readPause(this.clock.instant()));
 	}
@@ -176,10 +204,14 @@
 
 	private boolean carryOut(EntryEffect effect) {
 		if (effect instanceof EntryEffect.Log log) {
+			this.metrics.logged(log.line());
 			EventLog.write(log.line());
 		}
+		else if (effect instanceof EntryEffect.Finished finished) {
+			this.metrics.finished(finished);
+		}
 		else if (effect instanceof EntryEffect.Ready ready) {
-			this.readiness.ready(ready.ready());
+			this.wantsCallers = ready.ready();
 		}
 		else if (effect instanceof EntryEffect.Tell tell) {
 			this.mail.send(tell.nodes(), tell.message());
--- a/src/main/java/sycamorehill/entry/ReadinessServer.java
+++ b/src/main/java/sycamorehill/entry/PageServer.java
@@ -1,5 +1,8 @@
 package sycamorehill.entry;
 
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
+
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -20,27 +23,27 @@
 import io.netty.handler.codec.http.HttpVersion;
 
 import sycamorehill.model.identity.Address;
+import sycamorehill.model.log.LogEvent;
+import sycamorehill.runtime.EventLog;
 
 /**
- * Tells the balancer whether this node wants new connections.
+ * Answers what the balancer and operators ask a node: one page a path.
  */
-final class ReadinessServer {
+final class PageServer {
 
 	private static final int MOST_BYTES = 8 * 1024;
 
 	private final EventLoop loop;
 
-	private final String path;
-
-	private volatile boolean ready;
+	private final Pages pages;
 
-	private ReadinessServer(EventLoop loop, String path) {
+	private PageServer(EventLoop loop, Pages pages) {
 		this.loop = loop;
-		this.path = path;
+		this.pages = pages;
 	}
 
-	static ReadinessServer of(EventLoop loop, String path) {
-		return new ReadinessServer(loop, path);
+	static PageServer of(EventLoop loop, Pages pages) {
+		return new PageServer(loop, pages);
 	}
 
 	void start(Address address) throws InterruptedException {
@@ -58,15 +61,35 @@
 			.sync();
 	}
 
-	void ready(boolean now) {
-		this.ready = now;
+	/**
+	 * Gives the pages.
+	 */
+	interface Pages {
+
+		/**
+		 * Reads a page.
+		 * @param path the path asked for
+		 * @return the page
+		 */
+		CompletableFuture<Page> read(String path);
+
 	}
 
-	private HttpResponseStatus status(FullHttpRequest request) {
-		if (!request.uri().equals(this.path)) {
-			return HttpResponseStatus.NOT_FOUND;
+	/**
+	 * A page.
+	 *
+	 * @param status the HTTP status
+	 * @param contentType what the text is
+	 * @param text the page's text
+	 */
+	record Page(HttpResponseStatus status, String contentType, String text) {
+
+		static final Page NOT_FOUND = empty(HttpResponseStatus.NOT_FOUND);
+
+		static Page empty(HttpResponseStatus status) {
+			return new Page(status, "text/plain", "");
 		}
-		return this.ready ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE;
+
 	}
 
 	/**
@@ -77,9 +100,21 @@
 		@Override
 		protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
 			boolean keepAlive = HttpUtil.isKeepAlive(request);
-			DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status(request),
-					Unpooled.EMPTY_BUFFER);
-			response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
+			PageServer.this.pages.read(request.uri()).whenCompleteAsync((page, failure) -> {
+				if (failure != null) {
+					EventLog.failure(LogEvent.EFFECT_FAILED, "a page could not be made", failure);
+				}
+				answer(ctx, (failure != null) ? Page.empty(HttpResponseStatus.INTERNAL_SERVER_ERROR) : page, keepAlive);
+			}, ctx.executor());
+		}
+
+		private void answer(ChannelHandlerContext ctx, Page page, boolean keepAlive) {
+			byte[] text = page.text().getBytes(StandardCharsets.UTF_8);
+			DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, page.status(),
+					Unpooled.wrappedBuffer(text));
+			response.headers()
+				.set(HttpHeaderNames.CONTENT_TYPE, page.contentType())
+				.set(HttpHeaderNames.CONTENT_LENGTH, text.length);
 			HttpUtil.setKeepAlive(response, keepAlive);
 			var written = ctx.writeAndFlush(response);
 			if (!keepAlive) {
--- a/src/main/java/sycamorehill/logic/dispatch/RequestDesk.java
+++ b/src/main/java/sycamorehill/logic/dispatch/RequestDesk.java
@@ -18,6 +18,7 @@
 import sycamorehill.model.serving.Configuration;
 import sycamorehill.model.serving.EngineLoad;
 import sycamorehill.model.serving.EntryEffect;
+import sycamorehill.model.serving.EntryEffect.Finished.Outcome;
 import sycamorehill.model.serving.EntrySettings;
 import sycamorehill.model.serving.NodeMessage;
 import sycamorehill.model.serving.NotRunCause;
@@ -146,11 +147,11 @@
 	}
 
 	/**
-	 * Whether requests are being served.
-	 * @return true if there are any
+	 * Counts the requests without a final answer.
+	 * @return the number of requests
 	 */
-	public boolean busy() {
-		return !this.active.isEmpty();
+	public int activeRequests() {
+		return this.active.size();
 	}
 
 	/**
@@ -379,6 +380,7 @@
 				describe(request, now) + " target=" + target + " status=" + delivered.status() + " first-millis="
 						+ request.firstAnswer().map(Duration::toMillis).orElse(-1L) + " pause-millis="
 						+ delivered.longestPause().toMillis());
+		finished(request, Outcome.SERVED, now, effects);
 	}
 
 	private void notRun(ActiveRequest request, TargetName target, AttemptEnd.NotRun notRun, Instant now,
@@ -437,6 +439,8 @@
 	private void giveUp(ActiveRequest request, String cause, Instant now, Effects effects) {
 		long number = request.request().number();
 		this.active.remove(number);
+		boolean ran = request.answerBegun() || request.failureHeld() || request.mayHaveRun();
+		finished(request, ran ? Outcome.FAILED : Outcome.REFUSED, now, effects);
 		String line = describe(request, now) + " cause='" + cause + "'";
 		if (request.answerBegun()) {
 			effects.add(new EntryEffect.BreakAnswer(number));
@@ -479,6 +483,7 @@
 			return;
 		}
 		this.active.remove(number);
+		finished(request, Outcome.FAILED, now, effects);
 		effects.add(new EntryEffect.Answer(number, GATEWAY_TIMEOUT, "no answer in time", Optional.empty()));
 		effects.log(LogEvent.REQUEST_FAILED, describe(request, now) + " cause='time is over' outcome=unknown");
 	}
@@ -494,6 +499,7 @@
 		if (request != null) {
 			request.target().ifPresent((target) -> load(target).ended());
 			effects.log(LogEvent.REQUEST_FAILED, describe(request, now) + " cause='caller left'");
+			finished(request, Outcome.ABANDONED, now, effects);
 		}
 	}
 
@@ -560,6 +566,11 @@
 		return COME_BACK.plusMillis(this.random.nextInt(COME_BACK_SPREAD_MILLIS));
 	}
 
+	private static void finished(ActiveRequest request, Outcome outcome, Instant now, Effects effects) {
+		effects.add(new EntryEffect.Finished(request.service(), outcome, Duration.between(request.arrived(), now),
+				request.firstAnswer()));
+	}
+
 	private static String describe(ActiveRequest request, Instant now) {
 		return "request=" + request.request().identifier() + " route=" + request.route().name() + " service="
 				+ request.service() + request.request().model().map((model) -> " model=" + model).orElse("")
--- a/src/main/java/sycamorehill/logic/entry/EntryReducer.java
+++ b/src/main/java/sycamorehill/logic/entry/EntryReducer.java
@@ -62,6 +62,8 @@
 
 	private boolean reached = true;
 
+	private int nodesLiving = 1;
+
 	private boolean listed;
 
 	private Instant stopOrdered;
@@ -151,7 +153,8 @@
 		this.neighbours.tellLoads(
 				new NodeMessage.Loads(this.settings.nodeName(), this.settings.dataCentre(), this.requests.inFlight()),
 				now, effects);
-		this.requests.nodes(this.neighbours.living(now));
+		this.nodesLiving = this.neighbours.living(now);
+		this.requests.nodes(this.nodesLiving);
 	}
 
 	private boolean acceptRequest(EntryEvent event, Instant now, Effects effects) {
@@ -295,11 +298,43 @@
 	}
 
 	/**
-	 * Whether requests are being served.
-	 * @return true if there are any
+	 * Counts the requests without a final answer.
+	 * @return the number of requests
+	 */
+	public long requestsActive() {
+		return this.requests.activeRequests();
+	}
+
+	/**
+	 * Counts the targets that this node believes in.
+	 * @return the number of targets
+	 */
+	public long targetsKnown() {
+		return this.directory.all().size();
+	}
+
+	/**
+	 * Counts the nodes that were heard lately, this one with them.
+	 * @return the number of nodes
+	 */
+	public long nodesLiving() {
+		return this.nodesLiving;
+	}
+
+	/**
+	 * The version of the configuration in force.
+	 * @return the version, 0 before there is one
+	 */
+	public long configurationVersion() {
+		return this.configuration.map(Configuration::version).orElse(0L);
+	}
+
+	/**
+	 * Whether the store answered the last call for targets.
+	 * @return true if it did
 	 */
-	public boolean busy() {
-		return this.requests.busy();
+	public boolean storeReached() {
+		return this.reached;
 	}
 
 }
--- a/src/main/java/sycamorehill/model/serving/EntryEffect.java
+++ b/src/main/java/sycamorehill/model/serving/EntryEffect.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 
 import sycamorehill.model.identity.Address;
+import sycamorehill.model.identity.ServiceName;
 import sycamorehill.model.identity.WorkspaceName;
 import sycamorehill.model.log.LogLine;
 
@@ -166,6 +167,36 @@
 	record TellAll(NodeMessage message) implements EntryEffect {
 	}
 
+	/**
+	 * A request has its final answer, or its caller left.
+	 *
+	 * @param service the service asked for
+	 * @param outcome what became of it
+	 * @param time time since it came
+	 * @param firstAnswer time to the first event of its stream
+	 */
+	record Finished(ServiceName service, Outcome outcome, Duration time,
+			Optional<Duration> firstAnswer) implements EntryEffect {
+
+		/** What became of a request. */
+		public enum Outcome {
+
+			/** The target's whole answer was delivered. */
+			SERVED,
+
+			/** It was refused and has not run. */
+			REFUSED,
+
+			/** It has a failure or no whole answer, and may have run. */
+			FAILED,
+
+			/** The caller left before the answer. */
+			ABANDONED
+
+		}
+
+	}
+
 	/**
 	 * Writes a log line.
 	 *
--- a/src/test/java/sycamorehill/entry/EntryNodeTests.java
+++ b/src/test/java/sycamorehill/entry/EntryNodeTests.java
@@ -126,6 +126,30 @@
 				+ "Deadline-Ms: 2000\r\nConnection: close\r\n" + more;
 	}
 
+	// An engineer sees requests fail and has only numbers to begin with: what came, what
+	// became of it, how long it took, by service.
+	@Test
+	void showsWhatBecameOfRequestsInNumbers() throws Exception {
+		start((request) -> GOOD);
+		ask(request("POST", "/once/x", "Content-Length: 3\r\n\r\nabc"));
+		ask(request("GET", "/nowhere/", "\r\n"));
+		String page = numbers("/metrics");
+		assertThat(page).startsWith("HTTP/1.1 200")
+			.contains("requests_desk_SERVED 1.0", "requests_desk_SERVED_time_count 1.0", "configuration_version 1.0",
+					"requests_active 0.0", "targets_known 1.0", "events_REQUEST_REFUSED");
+		assertThat(numbers("/other")).startsWith("HTTP/1.1 404");
+	}
+
+	private String numbers(String path) throws IOException {
+		try (Socket socket = new Socket("127.0.0.1", this.settings.neighbours().port())) {
+			socket.setSoTimeout(3000);
+			socket.getOutputStream()
+				.write(("GET " + path + " HTTP/1.1\r\nHost: node\r\nConnection: close\r\n\r\n")
+					.getBytes(StandardCharsets.ISO_8859_1));
+			return readAll(socket);
+		}
+	}
+
 	@Test
 	void passesARequestOnWithoutItsKeyAndItsAnswerBack() throws Exception {
 		start((request) -> GOOD);
