--- a/src/test/java/sycamorehill/entry/EventSplitterTests.java
+++ b/src/test/java/sycamorehill/entry/EventSplitterTests.java
@@ -49,8 +49,11 @@
 		int from = 0;
 		while (from < bytes.length) {
 			int length = Math.min(bytes.length - from, 1 + random.nextInt(12));
-			splitter.append(Unpooled.wrappedBuffer(bytes, from, length),
-	X
+			splitter.append(Unpooled.wrappedBuffer(bytes, from, length), (event, number) -> {
+				events.add((number.isPresent() ? String.valueOf(number.getAsLong()) : "-") + ":"
+						+ event.toString(StandardCharsets.UTF_8));
+				event.release();
+			});
 			from += length;
 		}
 		assertThat(splitter.holdsPart()).isFalse();
