--- a/src/main/java/sycamorehill/logic/dispatch/RequestDesk.java
+++ b/src/main/java/sycamorehill/logic/dispatch/RequestDesk.java
@@ -18,7 +18,6 @@
 import sycamorehill.model.serving.Configuration;
 import sycamorehill.model.serving.EngineLoad;
 import sycamorehill.model.serving.EntryEffect;
-import sycamorehill.model.serving.EntryEffect.Finished.Outcome;
 import sycamorehill.model.serving.EntrySettings;
 import sycamorehill.model.serving.NodeMessage;
 import sycamorehill.model.serving.NotRunCause;
@@ -38,12 +37,8 @@
 
 	private static final int NOT_FOUND = 404;
 
-	private static final int BAD_GATEWAY = 502;
-
 	private static final int UNAVAILABLE = 503;
 
-	private static final int GATEWAY_TIMEOUT = 504;
-
 	/**
 	 * Attempts that reached no target, such as refused connections, before a request is
 	 * given up; they cost a connection each and run nothing.
@@ -65,14 +60,6 @@
 	 */
 	private static final int RANKS_PER_WORKSPACE = 3;
 
-	/**
-	 * When to come back if all targets are full. A slot of a group comes free within a
-	 * fraction of an answer's length of about 1 s; the spread keeps callers apart.
-	 */
-	private static final Duration COME_BACK = Duration.ofMillis(300);
-
-	private static final int COME_BACK_SPREAD_MILLIS = 500;
-
 	/**
 	 * How long a target that said it is full gets no more work: about one step of its
 	 * batch.
@@ -111,6 +98,8 @@
 
 	private final RetryBudgets budgets;
 
+	private final FinalAnswers answers;
+
 	private final CrashBook crashes = CrashBook.create();
 
 	private Optional<Configuration> configuration = Optional.empty();
@@ -123,6 +112,7 @@
 		this.directory = directory;
 		this.serving = ServingTargets.of(directory);
 		this.placement = Placement.of(settings.dataCentre(), random);
+		this.answers = FinalAnswers.of(random);
 		this.random = random;
 	}
 
@@ -162,7 +152,7 @@
 	 */
 	public void arrived(CallerRequest request, Instant now, Effects effects) {
 		if (this.configuration.isEmpty()) {
-			refuseUnrouted(request, UNAVAILABLE, "no configuration yet", Optional.of(comeBack()), effects);
+			refuseUnrouted(request, UNAVAILABLE, "no configuration yet", Optional.of(this.answers.comeBack()), effects);
 			return;
 		}
 		Optional<Route> route = this.routes.find(request.host(), request.path());
@@ -199,11 +189,9 @@
 
 	private void refuseUnrouted(CallerRequest request, int status, String detail, Optional<Duration> retryAfter,
 			Effects effects) {
-		effects.log(LogEvent.REQUEST_REFUSED,
-				"request=" + request.identifier() + " status=" + status + " cause='" + detail + "' host="
-						+ request.host() + " path=" + request.path() + " configuration="
-						+ this.configuration.map((known) -> String.valueOf(known.version())).orElse("none"));
-		effects.add(new EntryEffect.Answer(request.number(), status, detail, retryAfter));
+		String version = this.configuration.map((known) -> String.valueOf(known.version())).orElse("none");
+		this.answers.unrouted(request, new EntryEffect.Answer(request.number(), status, detail, retryAfter), version,
+				effects);
 	}
 
 	private void place(ActiveRequest active, String otherwise, Instant now, Effects effects) {
@@ -287,6 +275,7 @@
 		TargetName target = request.target().get();
 		load(target).ended();
 		request.ended();
+		boolean repeatable = request.route().kind().repeatable();
 		if (end instanceof AttemptEnd.Delivered delivered) {
 			delivered(request, target, delivered, now, effects);
 		}
@@ -297,21 +286,22 @@
 			request.reachedTarget();
 			request.ran();
 			request.holdFailure();
-			sendAgain(request, target, "status " + failed.status(), now, effects);
+			sendAgain(request, target, "status " + failed.status(), repeatable, now, effects);
 		}
 		else if (end instanceof AttemptEnd.Unknown unknown) {
 			request.reachedTarget();
 			request.ran();
 			load(target).failed(now);
 			lost(request, target, effects);
-			sendAgain(request, target, unknown.cause(), now, effects);
+			sendAgain(request, target, unknown.cause(), repeatable, now, effects);
 		}
 		else if (end instanceof AttemptEnd.Broken broken) {
 			request.reachedTarget();
 			request.ran();
 			load(target).failed(now);
 			lost(request, target, effects);
-			resume(request, target, broken, now, effects);
+			boolean resumable = broken.resumable() && request.route().kind() == RequestKind.RESUMABLE_STREAM;
+			sendAgain(request, target, broken.cause(), resumable, now, effects);
 		}
 	}
 
@@ -384,11 +374,7 @@
 			this.crashes.cleared(content);
 			effects.add(new EntryEffect.TellAll(new NodeMessage.Cleared(this.nodeName, content)));
 		}
-		effects.log(LogEvent.REQUEST_SERVED,
-				describe(request, now) + " target=" + target + " status=" + delivered.status() + " first-millis="
-						+ request.firstAnswer().map(Duration::toMillis).orElse(-1L) + " pause-millis="
-						+ delivered.longestPause().toMillis());
-		finished(request, Outcome.SERVED, now, effects);
+		this.answers.delivered(request, target, delivered, now, effects);
 	}
 
 	private void notRun(ActiveRequest request, TargetName target, AttemptEnd.NotRun notRun, Instant now,
@@ -413,8 +399,9 @@
 		place(request, cause, now, effects);
 	}
 
-	private void sendAgain(ActiveRequest request, TargetName target, String cause, Instant now, Effects effects) {
-		if (!request.route().kind().repeatable() || !mayRepeat(request, now)) {
+	private void sendAgain(ActiveRequest request, TargetName target, String cause, boolean allowed, Instant now,
+			Effects effects) {
+		if (!allowed || !mayRepeat(request, now)) {
 			giveUp(request, cause, now, effects);
 			return;
 		}
@@ -422,52 +409,19 @@
 		place(request, cause, now, effects);
 	}
 
-	private void resume(ActiveRequest request, TargetName target, AttemptEnd.Broken broken, Instant now,
-			Effects effects) {
-		if (!broken.resumable() || request.route().kind() != RequestKind.RESUMABLE_STREAM || !mayRepeat(request, now)) {
-			giveUp(request, broken.cause(), now, effects);
-			return;
-		}
-		logAgain(request, target, broken.cause(), now, effects);
-		place(request, broken.cause(), now, effects);
-	}
-
 	private boolean mayRepeat(ActiveRequest request, Instant now) {
 		return request.targetsReached() < request.route().maximumAttempts() && !request.timeLeft(now).isNegative()
 				&& this.budgets.of(request.service()).take(now);
 	}
 
 	private void logAgain(ActiveRequest request, TargetName target, String cause, Instant now, Effects effects) {
-		effects.log(LogEvent.REQUEST_SENT_AGAIN,
-				describe(request, now) + " from=" + target + " cause='" + cause + "' begun=" + request.answerBegun());
+		effects.log(LogEvent.REQUEST_SENT_AGAIN, FinalAnswers.describe(request, now) + " from=" + target + " cause='"
+				+ cause + "' begun=" + request.answerBegun());
 	}
 
-	// Gives the final answer of a request that no target will answer. Only a request that
-	// no target can have run is refused as not run.
 	private void giveUp(ActiveRequest request, String cause, Instant now, Effects effects) {
-		long number = request.request().number();
-		this.active.remove(number);
-		boolean ran = request.answerBegun() || request.failureHeld() || request.mayHaveRun();
-		finished(request, ran ? Outcome.FAILED : Outcome.REFUSED, now, effects);
-		String line = describe(request, now) + " cause='" + cause + "'";
-		if (request.answerBegun()) {
-			effects.add(new EntryEffect.BreakAnswer(number));
-			effects.log(LogEvent.REQUEST_FAILED, line + " outcome=broken");
-		}
-		else if (request.failureHeld()) {
-			effects.add(new EntryEffect.GiveHeldFailure(number));
-			effects.log(LogEvent.REQUEST_FAILED, line + " outcome=failure-of-target");
-		}
-		else if (request.mayHaveRun()) {
-			effects.add(new EntryEffect.Answer(number, BAD_GATEWAY, "the outcome is not known: " + cause,
-					Optional.empty()));
-			effects.log(LogEvent.REQUEST_FAILED, line + " outcome=unknown");
-		}
-		else {
-			Duration comeBack = comeBack();
-			effects.add(new EntryEffect.Answer(number, UNAVAILABLE, "not run: " + cause, Optional.of(comeBack)));
-			effects.log(LogEvent.REQUEST_REFUSED, line + " come-back-millis=" + comeBack.toMillis());
-		}
+		this.active.remove(request.request().number());
+		this.answers.givenUp(request, cause, now, effects);
 	}
 
 	/**
@@ -491,9 +445,7 @@
 			return;
 		}
 		this.active.remove(number);
-		finished(request, Outcome.FAILED, now, effects);
-		effects.add(new EntryEffect.Answer(number, GATEWAY_TIMEOUT, "no answer in time", Optional.empty()));
-		effects.log(LogEvent.REQUEST_FAILED, describe(request, now) + " cause='time is over' outcome=unknown");
+		this.answers.timeOver(request, now, effects);
 	}
 
 	/**
@@ -506,8 +458,7 @@
 		ActiveRequest request = this.active.remove(number);
 		if (request != null) {
 			request.target().ifPresent((target) -> load(target).ended());
-			effects.log(LogEvent.REQUEST_FAILED, describe(request, now) + " cause='caller left'");
-			finished(request, Outcome.ABANDONED, now, effects);
+			this.answers.abandoned(request, now, effects);
 		}
 	}
 
@@ -568,21 +519,6 @@
 		return this.loads.of(target);
 	}
 
-	private Duration comeBack() {
-		return COME_BACK.plusMillis(this.random.nextInt(COME_BACK_SPREAD_MILLIS));
-	}
-
-	private static void finished(ActiveRequest request, Outcome outcome, Instant now, Effects effects) {
-		effects.add(new EntryEffect.Finished(request.service(), outcome, Duration.between(request.arrived(), now),
-				request.firstAnswer()));
-	}
-
-	private static String describe(ActiveRequest request, Instant now) {
-		return "request=" + request.request().identifier() + " route=" + request.route().name() + " service="
-				+ request.service() + request.request().model().map((model) -> " model=" + model).orElse("")
-				+ " attempts=" + request.attempts() + " millis=" + Duration.between(request.arrived(), now).toMillis();
-	}
-
 	/**
 	 * Where a request goes.
 	 *
--- a/src/main/java/sycamorehill/logic/layout/GroupControl.java
+++ b/src/main/java/sycamorehill/logic/layout/GroupControl.java
@@ -17,7 +17,6 @@
 import sycamorehill.logic.directory.GroupView;
 import sycamorehill.logic.directory.GroupViews;
 import sycamorehill.logic.directory.TargetDirectory;
-import sycamorehill.model.identity.ServiceName;
 import sycamorehill.model.identity.TargetName;
 import sycamorehill.model.log.LogEvent;
 import sycamorehill.model.serving.Configuration;
@@ -96,9 +95,6 @@
 	/** Distance between the epochs of two terms, more than any term uses up. */
 	private static final long EPOCHS_PER_TERM = 1_000_000;
 
-	/** A line a second tells how the capacity went; it is the same whatever the load. */
-	private static final Duration SUMMARY_EVERY = Duration.ofSeconds(1);
-
 	private final EntrySettings settings;
 
 	private final TargetDirectory directory;
@@ -127,7 +123,7 @@
 
 	private final Map<TargetName, Long> lost = new HashMap<>();
 
-	private final Map<ServiceName, Instant> summarised = new HashMap<>();
+	private final GroupSummary summary = GroupSummary.create();
 
 	private Demand demand = (target) -> 0;
 
@@ -369,7 +365,9 @@
 			orderJoins(group, now, effects);
 		}
 		List<TargetEntry> free = freeEngines(engines, claimed, now);
-		summarise(service, figures, groups, free, now, effects);
+		List<GroupView> standing = groups.stream().filter((group) -> !this.dissolution.underWay(group)).toList();
+		this.summary.write(service.name(), figures, new GroupSummary.Sight(standing, free, this.forming.size(),
+				this.dissolution.count(), this.staging.running()), now, effects);
 		this.staging.look(engines, now);
 		if (stillEntering(engines.size(), now)) {
 			return;
@@ -501,27 +499,6 @@
 		return free;
 	}
 
-	private void summarise(ServiceFigures service, EngineFigures figures, List<GroupView> groups,
-			List<TargetEntry> free, Instant now, Effects effects) {
-		Instant last = this.summarised.getOrDefault(service.name(), Instant.MIN);
-		if (now.isBefore(last.plus(SUMMARY_EVERY))) {
-			return;
-		}
-		this.summarised.put(service.name(), now);
-		StringBuilder line = new StringBuilder("service=" + service.name());
-		for (ModelFigures model : figures.models()) {
-			long serving = groups.stream()
-				.filter((group) -> group.model().equals(model) && group.serving() && !this.dissolution.underWay(group))
-				.count();
-			long spare = free.stream().filter((engine) -> engine.staged().contains(model.name())).count();
-			line.append(" serving-").append(model.name()).append('=').append(serving);
-			line.append(" free-holding-").append(model.name()).append('=').append(spare);
-		}
-		line.append(" forming=").append(this.forming.size()).append(" taken-apart=").append(this.dissolution.count());
-		line.append(" free=").append(free.size()).append(" staging=").append(this.staging.running());
-		effects.log(LogEvent.GROUP_SUMMARY, line.toString());
-	}
-
 	private void form(EngineFigures figures, List<GroupView> groups, List<TargetEntry> engines, List<TargetEntry> free,
 			Instant now, Effects effects) {
 		List<TargetEntry> left = new ArrayList<>(free);
