--- a/src/main/java/sycamorehill/entry/FeedReader.java
+++ b/src/main/java/sycamorehill/entry/FeedReader.java
@@ -77,8 +77,7 @@
 	}
 
 	// While the store is away a call that waits would hang on a dead connection long
-	// after the
-	// store is back: calls are short until one is answered.
+	// after the store is back: calls are short until one is answered.
 	private Duration longestWait() {
 		return this.lost ? Duration.ZERO : this.pace.get().longestWait();
 	}
--- a/src/main/java/sycamorehill/logic/layout/GroupChoice.java
+++ b/src/main/java/sycamorehill/logic/layout/GroupChoice.java
@@ -86,11 +86,8 @@
 				(engine, urgent) -> !needed(engine) && convertible.allowed(engine, urgent), Integer.MAX_VALUE);
 	}
 
-	// A model of large groups that is short finds no domain with engines enough once
-	// pairs
-	// are formed wherever two engines come free. The engines of the domain that is
-	// nearest
-	// to a group of it are kept for it.
+	// Where pairs are formed of any two engines that come free, no domain ever has enough
+	// for a large group again. The domain that is nearest to one is kept for it.
 	private void reserve(Map<String, List<TargetEntry>> domains) {
 		for (ModelFigures model : this.figures.models()) {
 			if (this.count.total(model) >= this.wanted.groups(model, true)) {
@@ -116,9 +113,8 @@
 		return holder != null && !holder.equals(model);
 	}
 
-	// An engine keeps what it holds while groups of that model are missing: the survivors
-	// of
-	// a group of four are worth most to the next group of four.
+	// An engine keeps what it holds while groups of that model are missing: survivors of
+	// a group of four are worth most to the next one.
 	private boolean needed(TargetEntry engine) {
 		return this.figures.models()
 			.stream()
--- a/src/main/java/sycamorehill/logic/layout/GroupControl.java
+++ b/src/main/java/sycamorehill/logic/layout/GroupControl.java
@@ -467,8 +467,7 @@
 		}
 	}
 
-	// Sends an order under the engine's count of orders, which is asked for if it isn't
-	// known.
+	// The order names the engine's count of orders, which is asked for if not known.
 	private void order(TargetEntry engine, EngineOrderCall order, Instant now, Effects effects) {
 		if (!this.ledger.free(engine.name(), now)) {
 			return;
@@ -525,8 +524,7 @@
 	}
 
 	// Engines enter themselves one by one when the system starts. Groups formed of the
-	// first
-	// few would mix models in all domains.
+	// first few would mix models in all domains.
 	private boolean stillEntering(int engines, Instant now) {
 		if (engines != this.enginesSeen) {
 			this.enginesSeen = engines;
@@ -544,10 +542,8 @@
 		return this.dissolution.underWay(group) || this.dissolution.over(group);
 	}
 
-	// Spares are worth more as they are: one that holds the weights of a lost member
-	// replaces it within 2 s, and each one loaded anew costs 12 to 16 s of the weight
-	// store.
-	// Only those that could make a whole group by themselves are more than are of use.
+	// A spare that holds the weights of a lost member replaces it within 2 s; one loaded
+	// anew takes 12 to 16 s. Only spares that make up a whole group are too many.
 	private boolean surplus(TargetEntry engine, List<TargetEntry> free, EngineFigures figures) {
 		return engine.staged()
 			.stream()
@@ -618,8 +614,7 @@
 	}
 
 	// Spares are loaded with what groups leave of the weight store: a group that waits
-	// for its
-	// weights is worth more than a spare.
+	// for its weights is worth more than a spare.
 	private boolean mayStage(EngineFigures figures, Instant now) {
 		int most = beforeTraffic(now) ? figures.loadsAtOnce() * LOADS_BEFORE_TRAFFIC
 				: figures.loadsAtOnce() / STAGING_PART;
