--- a/src/main/java/sycamorehill/logic/dispatch/Admission.java
+++ b/src/main/java/sycamorehill/logic/dispatch/Admission.java
@@ -18,7 +18,9 @@
 
 	/**
 	 * Requests with a target, against its slots, up to which one that will be late is
-	 * taken: one slot of ten is kept for those that can be in time.
+	 * taken: one slot of ten is kept for those that can be in time. Twice the load on 12
+	 * slots of 1 s for 20 s had 20 answers in time and 220 late with 1.15 (1.4 for those
+	 * that come back), and has more than 204 in time now (AdmissionTests).
 	 */
 	private static final double MOST_LATE = 0.9;
 
