Work out how long neighbours live once a count, not once a node

Cause: counting the nodes that live asked for the interval of messages for each node, and the interval looks through all nodes: 67 times 66 looks each time the loads are told, 410 times 409 at the size of two years from now; and each event of the control thread worked the interval out again although nothing is told within 200 ms. Found by reading the change again. The count and the times are as before.

--- a/src/main/java/sycamorehill/logic/entry/Neighbours.java
+++ b/src/main/java/sycamorehill/logic/entry/Neighbours.java
@@ -95,7 +95,8 @@
 	 * @return true if it is time
 	 */
 	boolean loadsDue(Instant now) {
-		return !now.isBefore(this.loadsTold.plus(interval()));
+		boolean possible = !now.isBefore(this.loadsTold.plus(LOADS_TOLD_EVERY));
+		return possible && !now.isBefore(this.loadsTold.plus(interval()));
 	}
 
 	private Duration interval() {
@@ -144,7 +145,8 @@
 	 * @return the number of nodes
 	 */
 	int living(Instant now) {
-		return 1 + (int) this.addresses.keySet().stream().filter((node) -> lives(node, now)).count();
+		Instant since = now.minus(livesFor());
+		return 1 + (int) this.addresses.keySet().stream().filter((node) -> heardAfter(node, since)).count();
 	}
 
 	/**
@@ -155,9 +157,9 @@
 		return 1 + this.addresses.size();
 	}
 
-	private boolean lives(String node, Instant now) {
+	private boolean heardAfter(String node, Instant since) {
 		Instant last = this.heard.get(node);
-		return last != null && now.isBefore(last.plus(livesFor()));
+		return last != null && since.isBefore(last);
 	}
 
 	// Of 400 nodes each tells those of other data centres once in 14 s. Nodes that are
