Give the tests of the entry node ports that no connection takes

Cause: EntryNodeTests.showsWhatBecameOfRequestsInNumbers failed once with 'Address already in use'. The test asked the system for a port, closed it and bound it again; in between any thread of the same test process that opened a connection (nodes of the tests before go on trying theirs) could be given it. Ruled out: a port that another test binds on purpose, there is none. Ports below the range that the system takes for connections (32768 to 60999) can't be taken that way, and none is given out twice.

The race was not provoked on purpose.

--- a/src/test/java/sycamorehill/entry/EntryNodeTests.java
+++ b/src/test/java/sycamorehill/entry/EntryNodeTests.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.io.InputStream;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
@@ -30,6 +29,7 @@
 import sycamorehill.model.serving.TargetChange;
 import sycamorehill.model.serving.TargetEntry;
 import sycamorehill.platform.PlatformTestCodec;
+import sycamorehill.support.FreePorts;
 import sycamorehill.support.ServingSamples;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -73,16 +73,10 @@
 		throw new AssertionError("the node has no configuration");
 	}
 
-	private static EntrySettings settings() throws IOException {
-		return new EntrySettings("one", DataCentreName.of("north"), List.of(DataCentreName.of("north")), freePort(),
-				freePort(), freePort(), freePort(), true, Duration.ofSeconds(8), Duration.ofSeconds(10), 0.2, 60,
-				Duration.ofSeconds(5), Duration.ofSeconds(5));
-	}
-
-	private static Address freePort() throws IOException {
-		try (ServerSocket socket = new ServerSocket(0)) {
-			return Address.of("127.0.0.1", socket.getLocalPort());
-		}
+	private static EntrySettings settings() {
+		return new EntrySettings("one", DataCentreName.of("north"), List.of(DataCentreName.of("north")),
+				FreePorts.next(), FreePorts.next(), FreePorts.next(), FreePorts.next(), true, Duration.ofSeconds(8),
+				Duration.ofSeconds(10), 0.2, 60, Duration.ofSeconds(5), Duration.ofSeconds(5));
 	}
 
 	private EntryPorts ports() {
