Ask lost engines again

Cause: an engine whose report failed once was lost to the controller for as long as it held office, though its entry stayed in the store: its group was taken apart and the engine never used again.

Lost engines that are still entered are asked each second (four calls at most to one that is dead, because its entry lapses).

--- a/src/main/java/sycamorehill/logic/layout/GroupControl.java
+++ b/src/main/java/sycamorehill/logic/layout/GroupControl.java
@@ -209,7 +209,7 @@
 	public void reportFailed(TargetName engine, EngineOrderAnswer answer, Instant now, Effects effects) {
 		this.ledger.uncertain(engine, now);
 		this.directory.find(engine).ifPresent((entry) -> {
-			this.lost.add(entry);
+			this.lost.add(entry, now);
 			effects.log(LogEvent.TARGET_CHANGED, "engine=" + engine + " lost: its report can't be read: " + answer);
 		});
 	}
@@ -254,6 +254,9 @@
 			.toList();
 		List<GroupView> groups = GroupViews.of(engines, figures);
 		Set<TargetName> claimed = new HashSet<>();
+		engines.stream()
+			.filter((engine) -> this.lost.due(engine, now) && this.orders.free(engine, now))
+			.forEach((engine) -> this.orders.ask(engine, now, effects));
 		this.builder.dropHopeless();
 		this.dissolution.keepOnly(groups.stream().map(GroupView::key).collect(Collectors.toSet()));
 		groups.forEach((group) -> handle(group, claimed, now, effects));
--- a/src/main/java/sycamorehill/logic/layout/LostEngines.java
+++ b/src/main/java/sycamorehill/logic/layout/LostEngines.java
@@ -1,5 +1,7 @@
 package sycamorehill.logic.layout;
 
+import java.time.Duration;
+import java.time.Instant;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -14,9 +16,17 @@
  */
 final class LostEngines {
 
+	/**
+	 * Pause before a lost engine is asked again. One whose link was cut for a moment
+	 * keeps its entry and comes back without any sign; if nobody asked, it would be of no
+	 * use until the next controller. The pause bounds the calls to engines that are dead:
+	 * their entries lapse within four of them.
+	 */
+	private static final Duration ASK_AGAIN = Duration.ofSeconds(1);
+
 	private final TargetDirectory directory;
 
-	private final Map<TargetName, Long> lost = new HashMap<>();
+	private final Map<TargetName, Failure> lost = new HashMap<>();
 
 	private LostEngines(TargetDirectory directory) {
 		this.directory = directory;
@@ -26,8 +36,8 @@
 		return new LostEngines(directory);
 	}
 
-	void add(TargetEntry engine) {
-		this.lost.put(engine.name(), engine.bornMillis());
+	void add(TargetEntry engine, Instant now) {
+		this.lost.put(engine.name(), new Failure(engine.bornMillis(), now));
 	}
 
 	void reached(TargetName engine) {
@@ -35,8 +45,18 @@
 	}
 
 	boolean contains(TargetEntry engine) {
-		Long born = this.lost.get(engine.name());
-		return born != null && born == engine.bornMillis();
+		Failure failure = this.lost.get(engine.name());
+		return failure != null && failure.bornMillis() == engine.bornMillis();
+	}
+
+	/**
+	 * Whether a lost engine is to be asked again.
+	 * @param engine the engine
+	 * @param now the present time
+	 * @return true if it was lost and the pause is over
+	 */
+	boolean due(TargetEntry engine, Instant now) {
+		return contains(engine) && now.isAfter(this.lost.get(engine.name()).since().plus(ASK_AGAIN));
 	}
 
 	/**
@@ -50,4 +70,13 @@
 				|| contains(present.get());
 	}
 
+	/**
+	 * A call that failed.
+	 *
+	 * @param bornMillis the engine's life
+	 * @param since when it failed
+	 */
+	private record Failure(long bornMillis, Instant since) {
+	}
+
 }
--- a/src/test/java/sycamorehill/logic/layout/GroupControlTests.java
+++ b/src/test/java/sycamorehill/logic/layout/GroupControlTests.java
@@ -123,6 +123,31 @@
 			.anyMatch((engine) -> engine.isOpen() && engine.members().size() == 4);
 	}
 
+	// A member of a group of four can't be reached for a second, and its group is taken
+	// apart. The engine never went away: its entry stays in the store all the while. It
+	// was taken for lost as long as the controller held office, and the group of four
+	// served no more though all its engines were there.
+	@Test
+	void anEngineThatWasOutOfReachForAMomentIsUsedAgain() {
+		FakeFleet fleet = new FakeFleet(8, 1, 12);
+		FakeFleet.Controller one = fleet.addController("one");
+		one.trafficBegins();
+		fleet.run(FORMED);
+		long before = fleet.serving();
+		FakeEngine head = fleet.engines()
+			.stream()
+			.filter((engine) -> engine.isOpen() && engine.members().size() == 4)
+			.findFirst()
+			.orElseThrow();
+		FakeEngine member = fleet.engine(head.members().get(2).value());
+		member.cut(true, "");
+		one.suspect(head.name().value());
+		fleet.run(Duration.ofSeconds(1));
+		member.cut(false, "");
+		fleet.run(Duration.ofSeconds(10));
+		assertThat(fleet.serving()).as(fleet.describe()).isEqualTo(before);
+	}
+
 	// The head of each pair is cut off from the nodes and serves on. Its member is told
 	// to leave, and then the controller is gone: the next one sees an engine without a
 	// group. It must not use it before the head that it left has broken.
