Leave groups alone while they serve, and let them come into sight

(1) A member that was cut off from the store: its entry lapsed after 3 s while the group answered every stream; 7 engines cut off cost four groups. (2) When the cut of a data centre healed, its entries came back one by one; 'seen 1 of 6' was taken for five losses, and all groups of the data centre were taken apart at 39.0 s and loaded anew. (3) Orders to engines behind the cut were repeated all the while, so that one that got through at the end would end a group that had served on its side. Ruled out: that the heads had broken by themselves (reported 'open' after the cut) and the weight store (no loads were due).

Change: the last word of an entry that went without notice is kept for 10 s. The group goes on as long as it has requests and none of them stands still, which a real loss shows within a second; a member that still answers is leaving silently and its group is closed in time. Engines that can't be reached are asked, not ordered, and a group that is whole again goes on. A call that is given up resets its connection, so that nothing of it arrives later. The groups of each service have their own state (ServiceGroups).

Check replaced: aGroupWithAMissingMemberGetsNoNewWork refused a group as soon as a member's entry was gone.

--- a/src/main/java/sycamorehill/entry/CallClient.java
+++ b/src/main/java/sycamorehill/entry/CallClient.java
@@ -182,7 +182,7 @@
 
 		void giveUp(String cause) {
 			if (!this.answer.isDone()) {
-				this.connection.close();
+				this.connection.reset();
 				broken(cause);
 			}
 		}
--- a/src/main/java/sycamorehill/entry/TargetConnection.java
+++ b/src/main/java/sycamorehill/entry/TargetConnection.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
@@ -49,6 +50,15 @@
 		this.context.close();
 	}
 
+	/**
+	 * Closes the connection so that bytes on their way are lost. Behind a partition, an
+	 * order that was given up would else arrive when it heals, seconds after newer ones.
+	 */
+	void reset() {
+		this.context.channel().config().setOption(ChannelOption.SO_LINGER, 0);
+		close();
+	}
+
 	void pause(boolean paused) {
 		this.context.channel().config().setAutoRead(!paused);
 	}
--- a/src/main/java/sycamorehill/logic/directory/GroupView.java
+++ b/src/main/java/sycamorehill/logic/directory/GroupView.java
@@ -1,7 +1,9 @@
 package sycamorehill.logic.directory;
 
 import java.util.List;
+import java.util.Set;
 
+import sycamorehill.model.identity.TargetName;
 import sycamorehill.model.serving.MemberState;
 import sycamorehill.model.serving.ModelFigures;
 import sycamorehill.model.serving.TargetEntry;
@@ -13,8 +15,11 @@
  * @param epoch the group's epoch
  * @param model its model
  * @param members the members seen, by rank
+ * @param vanished members whose entries went lately: what is known of them is their last
+ * word
  */
-public record GroupView(String name, long epoch, ModelFigures model, List<TargetEntry> members) {
+public record GroupView(String name, long epoch, ModelFigures model, List<TargetEntry> members,
+		Set<TargetName> vanished) {
 
 	/**
 	 * Identifies the group among all that ever were.
@@ -69,11 +74,13 @@
 	}
 
 	/**
-	 * Whether the group takes requests.
+	 * Whether the group takes requests. Members that vanished may only be cut off from
+	 * the store; if one is lost, the group stands still and is taken apart. A head that
+	 * vanished may be leaving and gets no new work.
 	 * @return true if it is whole and its head is open
 	 */
 	public boolean serving() {
-		return whole() && state(head()) == MemberState.OPEN;
+		return whole() && state(head()) == MemberState.OPEN && !this.vanished.contains(head().name());
 	}
 
 	/**
--- a/src/main/java/sycamorehill/logic/directory/TargetDirectory.java
+++ b/src/main/java/sycamorehill/logic/directory/TargetDirectory.java
@@ -34,6 +34,8 @@
 
 	private final Set<TargetName> missing = new HashSet<>();
 
+	private final VanishedTargets vanished = new VanishedTargets();
+
 	private boolean away;
 
 	private Instant returned = Instant.MIN;
@@ -103,11 +105,15 @@
 	}
 
 	/**
-	 * Drops the entries that had time to come back and did not.
+	 * Drops the entries that had time to come back and did not, and the last word of
+	 * targets that vanished long ago.
 	 * @param now the present time
 	 * @return the entries dropped
 	 */
 	public List<TargetEntry> dropMissing(Instant now) {
+		if (this.vanished.expire(now)) {
+			this.changes++;
+		}
 		if (this.missing.isEmpty() || mayBeLapsed(now)) {
 			return List.of();
 		}
@@ -122,6 +128,7 @@
 
 	private Optional<TargetEntry> put(TargetEntry entry) {
 		this.missing.remove(entry.name());
+		this.vanished.remove(entry.name());
 		TargetEntry before = this.entries.put(entry.name(), entry);
 		if (!entry.equals(before)) {
 			this.changes++;
@@ -140,6 +147,9 @@
 		}
 		this.missing.remove(name);
 		this.entries.remove(name);
+		if (!entry.leaving()) {
+			this.vanished.add(entry, now);
+		}
 		this.changes++;
 		return Optional.of(entry);
 	}
@@ -174,6 +184,34 @@
 		return this.entries.values();
 	}
 
+	/**
+	 * The last word of targets whose entries went lately, without notice of their
+	 * leaving. They are no targets to use; groups that they are members of may go on.
+	 * @return the entries as they were
+	 */
+	public Collection<TargetEntry> vanished() {
+		return this.vanished.all();
+	}
+
+	/**
+	 * Finds the last word of a target whose entry went lately.
+	 * @param name the target
+	 * @return what it said of itself
+	 */
+	public Optional<TargetEntry> findVanished(TargetName name) {
+		return this.vanished.find(name);
+	}
+
+	/**
+	 * Forgets the last word of a target that is known to be gone.
+	 * @param name the target
+	 */
+	public void forgetVanished(TargetName name) {
+		if (this.vanished.remove(name)) {
+			this.changes++;
+		}
+	}
+
 	/**
 	 * Counts the changes, so that others know when to derive their views again.
 	 * @return the number of changes
--- a/src/main/java/sycamorehill/logic/dispatch/ServingTargets.java
+++ b/src/main/java/sycamorehill/logic/dispatch/ServingTargets.java
@@ -71,8 +71,8 @@
 		this.derivedWith = configuration;
 	}
 
-	private static List<Candidate> groups(List<TargetEntry> targets, EngineFigures figures) {
-		return GroupViews.of(targets, figures)
+	private List<Candidate> groups(List<TargetEntry> targets, EngineFigures figures) {
+		return GroupViews.of(targets, this.directory.vanished(), figures)
 			.stream()
 			.filter(GroupView::serving)
 			.map((group) -> new Candidate(group.head(), figures.slots(), Optional.of(group.model()),
--- a/src/main/java/sycamorehill/logic/entry/EntryReducer.java
+++ b/src/main/java/sycamorehill/logic/entry/EntryReducer.java
@@ -191,7 +191,7 @@
 			this.groups.orderAnswered(answered.target(), answered.order(), answered.answer(), now, effects);
 		}
 		else if (event instanceof EntryEvent.ReportRead read) {
-			this.groups.reportRead(read.target(), read.report());
+			this.groups.reportRead(read.target(), read.report(), now);
 		}
 		else if (event instanceof EntryEvent.ReportFailed failed) {
 			this.groups.reportFailed(failed.target(), failed.answer(), now, effects);
@@ -202,7 +202,7 @@
 		else {
 			return false;
 		}
-		this.groups.tick(this.configuration, now, effects);
+		this.groups.tick(this.configuration, this.requests::requests, now, effects);
 		return true;
 	}
 
@@ -241,7 +241,7 @@
 
 	private void tick(Instant now, Effects effects) {
 		forget(this.directory.dropMissing(now), effects);
-		this.groups.tick(this.configuration, now, effects);
+		this.groups.tick(this.configuration, this.requests::requests, now, effects);
 		tellLoads(now, effects);
 		boolean nowReady = this.configuration.isPresent() && this.listed && this.stopOrdered == null;
 		if (nowReady != this.ready) {
--- a/src/main/java/sycamorehill/logic/layout/Dissolution.java
+++ b/src/main/java/sycamorehill/logic/layout/Dissolution.java
@@ -105,6 +105,28 @@
 		return this.ending.size();
 	}
 
+	/**
+	 * Whether taking a group apart has changed nothing yet, as far as it is known: no
+	 * member has left it.
+	 * @param group the group as it is seen now
+	 * @return true if the group may go on
+	 */
+	boolean withoutEffect(GroupView group) {
+		Ending state = this.ending.get(group.key());
+		return state != null && state.severedAt == null;
+	}
+
+	/**
+	 * Leaves a group as it is, because nothing is missing after all.
+	 * @param group the group as it is seen now
+	 * @param effects collects what is wanted
+	 */
+	void giveUp(GroupView group, Effects effects) {
+		this.ending.remove(group.key());
+		effects.log(LogEvent.GROUP_CHANGED,
+				"group=" + group.name() + " epoch=" + group.epoch() + " is whole again and goes on");
+	}
+
 	/**
 	 * Goes on taking a group apart.
 	 * @param group the group as it is seen now
@@ -127,9 +149,11 @@
 		}
 		else {
 			if (!sight.headAnswers() || state.headSilent) {
-				sever(group, state, now, effects);
+				sever(group, state, sight, now, effects);
+			}
+			if (sight.headAnswers()) {
+				leave(group, state, sight.standing(), now, effects);
 			}
-			leave(group, state, sight.standing(), now, effects);
 		}
 	}
 
@@ -153,13 +177,13 @@
 	}
 
 	// Tells one member after the other to leave, until one has.
-	private void sever(GroupView group, Ending state, Instant now, Effects effects) {
+	private void sever(GroupView group, Ending state, Sight sight, Instant now, Effects effects) {
 		if (state.severedAt != null || now.isBefore(state.severOrderedAt.plus(SEVER_AGAIN))) {
 			return;
 		}
 		for (TargetEntry member : group.members()) {
 			boolean head = member.membership().orElseThrow().rank() == 0;
-			if (!head && this.orders.free(member, now) && state.asked.add(member.name())) {
+			if (!head && sight.reachable(member) && this.orders.free(member, now) && state.asked.add(member.name())) {
 				state.severOrderedAt = now;
 				this.orders.sendUncounted(member, new EngineOrderCall.Leave(group.name(), group.epoch()), now, effects);
 				return;
@@ -218,13 +242,21 @@
 	}
 
 	/**
-	 * What the controller knows of a group beside what its members report.
+	 * What the controller knows of a group beside what its members report. Engines that
+	 * can't be reached are given no orders: behind a partition an order would arrive when
+	 * it heals, and end a group that has served all the while.
 	 *
 	 * @param standing whether all its members are there, so that it may finish what it
 	 * runs
 	 * @param headAnswers whether its head is in the directory and not known to be lost
+	 * @param unreachable members that can't be reached
 	 */
-	record Sight(boolean standing, boolean headAnswers) {
+	record Sight(boolean standing, boolean headAnswers, Set<TargetName> unreachable) {
+
+		private boolean reachable(TargetEntry member) {
+			return !this.unreachable.contains(member.name());
+		}
+
 	}
 
 	/**
--- a/src/main/java/sycamorehill/logic/layout/GroupSummary.java
+++ b/src/main/java/sycamorehill/logic/layout/GroupSummary.java
@@ -2,9 +2,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 
 import sycamorehill.logic.Effects;
 import sycamorehill.logic.directory.GroupView;
@@ -22,22 +20,24 @@
 
 	private static final Duration EVERY = Duration.ofSeconds(1);
 
-	private final Map<ServiceName, Instant> written = new HashMap<>();
+	private final ServiceName service;
 
-	private GroupSummary() {
+	private Instant written = Instant.MIN;
+
+	private GroupSummary(ServiceName service) {
+		this.service = service;
 	}
 
-	static GroupSummary create() {
-		return new GroupSummary();
+	static GroupSummary of(ServiceName service) {
+		return new GroupSummary(service);
 	}
 
-	void write(ServiceName service, EngineFigures figures, Sight sight, Instant now, Effects effects) {
-		Instant last = this.written.getOrDefault(service, Instant.MIN);
-		if (now.isBefore(last.plus(EVERY))) {
+	void write(EngineFigures figures, Sight sight, Instant now, Effects effects) {
+		if (now.isBefore(this.written.plus(EVERY))) {
 			return;
 		}
-		this.written.put(service, now);
-		StringBuilder line = new StringBuilder("service=" + service);
+		this.written = now;
+		StringBuilder line = new StringBuilder("service=" + this.service);
 		for (ModelFigures model : figures.models()) {
 			line.append(" serving-").append(model.name()).append('=').append(sight.serving(model));
 			line.append(" free-holding-").append(model.name()).append('=').append(sight.holding(model));
--- a/src/main/java/sycamorehill/logic/layout/LostEngines.java
+++ b/src/main/java/sycamorehill/logic/layout/LostEngines.java
@@ -24,24 +24,56 @@
 	 */
 	private static final Duration ASK_AGAIN = Duration.ofSeconds(1);
 
+	/**
+	 * Time after a lost engine was reached in which others beside it may be reached too:
+	 * each is asked once within it. A partition heals for all engines behind it at the
+	 * same moment.
+	 */
+	private static final Duration OTHERS_FOLLOW = Duration.ofMillis(1500);
+
 	private final TargetDirectory directory;
 
+	private final VanishedMembers vanished;
+
 	private final Map<TargetName, Failure> lost = new HashMap<>();
 
-	private LostEngines(TargetDirectory directory) {
+	private final Map<TargetName, Instant> reachedAgain = new HashMap<>();
+
+	private LostEngines(TargetDirectory directory, VanishedMembers vanished) {
 		this.directory = directory;
+		this.vanished = vanished;
 	}
 
-	static LostEngines of(TargetDirectory directory) {
-		return new LostEngines(directory);
+	static LostEngines of(TargetDirectory directory, VanishedMembers vanished) {
+		return new LostEngines(directory, vanished);
 	}
 
 	void add(TargetEntry engine, Instant now) {
 		this.lost.put(engine.name(), new Failure(engine.bornMillis(), now));
+		this.reachedAgain.remove(engine.name());
+	}
+
+	void reached(TargetName engine, Instant now) {
+		if (this.lost.remove(engine) != null) {
+			this.reachedAgain.put(engine, now);
+		}
+		this.reachedAgain.values().removeIf((since) -> now.isAfter(since.plus(OTHERS_FOLLOW)));
+	}
+
+	/**
+	 * Whether an engine that was lost has just been reached.
+	 * @param engine the engine
+	 * @param now the present time
+	 * @return true if others beside it may follow
+	 */
+	boolean justReached(TargetEntry engine, Instant now) {
+		Instant since = this.reachedAgain.get(engine.name());
+		return since != null && now.isBefore(since.plus(OTHERS_FOLLOW));
 	}
 
-	void reached(TargetName engine) {
-		this.lost.remove(engine);
+	/** Forgets the engines that are gone. */
+	void keepOnlyPresent() {
+		this.lost.keySet().removeIf((name) -> this.directory.find(name).isEmpty());
 	}
 
 	boolean contains(TargetEntry engine) {
@@ -66,8 +98,11 @@
 	 */
 	boolean unusable(TargetEntry member) {
 		Optional<TargetEntry> present = this.directory.find(member.name());
-		return present.isEmpty() || present.get().anotherLife(member) || present.get().leaving()
-				|| contains(present.get());
+		if (present.isPresent()) {
+			return present.get().anotherLife(member) || present.get().leaving() || contains(present.get());
+		}
+		Optional<TargetEntry> lastWord = this.directory.findVanished(member.name());
+		return lastWord.isEmpty() || lastWord.get().anotherLife(member) || this.vanished.leaving(member);
 	}
 
 	/**
--- a/src/test/java/sycamorehill/logic/directory/TargetDirectoryTests.java
+++ b/src/test/java/sycamorehill/logic/directory/TargetDirectoryTests.java
@@ -60,6 +60,28 @@
 		assertThat(this.directory.find(TargetName.of("one"))).isEmpty();
 	}
 
+	// An entry goes without notice: the target is none to use, and its last word is kept
+	// for those that know more of it. One that said it was leaving is no riddle.
+	@Test
+	void theLastWordOfATargetThatVanishedIsKeptForTenSeconds() {
+		this.directory.contact(true, this.start);
+		this.directory.replaceAll(List.of(this.one, ServingSamples.leaving(this.two)), this.start);
+		this.directory.replaceAll(List.of(), this.start);
+		assertThat(this.directory.all()).isEmpty();
+		assertThat(this.directory.vanished()).containsExactly(this.one);
+		this.directory.dropMissing(this.start.plusSeconds(11));
+		assertThat(this.directory.vanished()).isEmpty();
+	}
+
+	@Test
+	void aTargetThatComesBackHasNotVanished() {
+		this.directory.contact(true, this.start);
+		this.directory.replaceAll(List.of(this.one), this.start);
+		this.directory.replaceAll(List.of(), this.start);
+		this.directory.apply(List.of(change(this.one)), this.start);
+		assertThat(this.directory.vanished()).isEmpty();
+	}
+
 	private static TargetChange change(TargetEntry entry) {
 		return new TargetChange(entry.name(), Optional.of(entry));
 	}
--- a/src/test/java/sycamorehill/logic/dispatch/RequestDeskTests.java
+++ b/src/test/java/sycamorehill/logic/dispatch/RequestDeskTests.java
@@ -29,7 +29,7 @@
  */
 class RequestDeskTests {
 
-	private final Instant now = Instant.ofEpochSecond(1000);
+	private Instant now = Instant.ofEpochSecond(1000);
 
 	private final TargetDirectory directory = TargetDirectory.create();
 
@@ -173,10 +173,43 @@
 		}
 	}
 
-	// A member of a group is gone from the directory while its head still looks open.
+	// A member of a group is gone while its head still looks open: it left the group,
+	// began
+	// another life, said that it leaves and went, or was never seen at all.
 	@Test
 	void aGroupWithAMissingMemberGetsNoNewWork() {
+		TargetEntry head = ServingSamples.member("a1", "small.1", 1, 0, MemberState.OPEN);
+		TargetEntry member = ServingSamples.member("a2", "small.1", 1, 1, MemberState.READY);
+		targets(head, ServingSamples.engine("a2", "d0"));
+		assertThat(answer(arrive(1, "/stream/x")).status()).isEqualTo(503);
+		targets(head, ServingSamples.member("a2", "small.3", 3, 1, MemberState.READY));
+		assertThat(answer(arrive(2, "/stream/x")).status()).isEqualTo(503);
+		targets(head, ServingSamples.leaving(member));
+		assertThat(answer(arrive(3, "/stream/x")).status()).isEqualTo(503);
+		targets(head);
+		assertThat(answer(arrive(4, "/stream/x")).status()).isEqualTo(503);
+		targets(ServingSamples.member("c1", "small.4", 4, 0, MemberState.OPEN));
+		assertThat(answer(arrive(5, "/stream/x")).status()).isEqualTo(503);
+	}
+
+	// A member is cut off from the store, not from its head: its entry lapses after 3 s
+	// while the group answers all its streams. Taken for lost, seven engines cut off took
+	// four of twelve groups down. The group goes on until the controller takes it apart,
+	// or the entry has been gone for 10 s.
+	@Test
+	void aGroupGoesOnWhileOnlyTheEntryOfAMemberIsGone() {
 		targets(ServingSamples.member("a1", "small.1", 1, 0, MemberState.OPEN));
+		assertThat(target(arrive(1, "/stream/x"))).isEqualTo(TargetName.of("a1"));
+		this.now = this.now.plusSeconds(11);
+		this.directory.dropMissing(this.now);
+		assertThat(answer(arrive(2, "/stream/x")).status()).isEqualTo(503);
+	}
+
+	// The head's own entry goes without notice: it may be leaving, and a leaving target
+	// gets no new work.
+	@Test
+	void aGroupWhoseHeadsEntryIsGoneGetsNoNewWork() {
+		targets(ServingSamples.member("a2", "small.1", 1, 1, MemberState.READY));
 		assertThat(answer(arrive(1, "/stream/x")).status()).isEqualTo(503);
 	}
 
--- a/src/test/java/sycamorehill/logic/layout/FakeEngine.java
+++ b/src/test/java/sycamorehill/logic/layout/FakeEngine.java
@@ -84,6 +84,10 @@
 		this.side = now ? withOthers : "";
 	}
 
+	void cutFromAllButItsHead(boolean now) {
+		this.cut = now;
+	}
+
 	boolean sameSide(FakeEngine other) {
 		return this.side.equals(other.side);
 	}
--- a/src/test/java/sycamorehill/logic/layout/FakeFleet.java
+++ b/src/test/java/sycamorehill/logic/layout/FakeFleet.java
@@ -54,6 +54,8 @@
 
 	private double lateShare;
 
+	private int requests = 6;
+
 	FakeFleet(long seed, int domains, int enginesInDomain) {
 		this.random = new Random(seed);
 		for (int domain = 0; domain < domains; domain++) {
@@ -71,6 +73,14 @@
 		return controller;
 	}
 
+	Controller controller(int index) {
+		return this.controllers.get(index);
+	}
+
+	void withoutRequests() {
+		this.requests = 0;
+	}
+
 	void loseOrders(double share) {
 		this.lateShare = share;
 	}
@@ -242,7 +252,8 @@
 				this.directory.replaceAll(entries(), FakeFleet.this.now);
 			}
 			Effects effects = Effects.begin();
-			this.control.tick(Optional.of(ServingSamples.configuration(1)), FakeFleet.this.now, effects);
+			this.control.tick(Optional.of(ServingSamples.configuration(1)), (head, now) -> FakeFleet.this.requests,
+					FakeFleet.this.now, effects);
 			carryOutAll(effects);
 		}
 
@@ -294,7 +305,7 @@
 		private void report(EntryEffect.ReadReport read, Effects next) {
 			FakeEngine engine = FakeFleet.this.engines.get(read.target().name());
 			if (engine.reachable()) {
-				this.control.reportRead(engine.name(), engine.report());
+				this.control.reportRead(engine.name(), engine.report(), FakeFleet.this.now);
 			}
 			else {
 				this.control.reportFailed(engine.name(), EngineOrderAnswer.NOT_KNOWN, FakeFleet.this.now, next);
--- a/src/test/java/sycamorehill/logic/layout/GroupControlTests.java
+++ b/src/test/java/sycamorehill/logic/layout/GroupControlTests.java
@@ -2,10 +2,12 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.Random;
 
 import org.junit.jupiter.api.Test;
 
+import sycamorehill.model.serving.Membership;
 import sycamorehill.model.serving.TargetEntry;
 import sycamorehill.support.ServingSamples;
 
@@ -148,6 +150,71 @@
 		assertThat(fleet.serving()).as(fleet.describe()).isEqualTo(before);
 	}
 
+	// A data centre is cut off for 6 s: its engines can't be reached and their entries
+	// lapse, while its groups go on serving callers on their side. When the cut heals,
+	// the
+	// entries come back one after the other. Its groups must go on: they were taken apart
+	// at the first sight of a single member, and half of a data centre loaded anew.
+	@Test
+	void soundGroupsGoOnAfterAPartitionHeals() {
+		for (int seed = 0; seed < 20; seed++) {
+			FakeFleet fleet = formed(seed);
+			FakeFleet.Controller one = fleet.controller(0);
+			one.trafficBegins();
+			List<FakeEngine> cut = fleet.engines()
+				.stream()
+				.filter((each) -> each.name().value().startsWith("e1-"))
+				.toList();
+			List<FakeEngine> heads = cut.stream().filter(FakeEngine::isOpen).toList();
+			List<Optional<Membership>> seats = heads.stream().map(FakeEngine::membership).toList();
+			cut.forEach((engine) -> engine.cut(true, "domain"));
+			heads.forEach((head) -> one.suspect(head.name().value()));
+			fleet.run(Duration.ofSeconds(6));
+			Random order = new Random(seed);
+			cut.forEach((engine) -> {
+				engine.cut(false, "domain");
+				fleet.run(Duration.ofMillis(100L * order.nextInt(3)));
+			});
+			cut.forEach((engine) -> engine.cut(false, ""));
+			fleet.run(Duration.ofSeconds(4));
+			assertThat(heads.stream().map(FakeEngine::membership)).as("seed " + seed).containsExactlyElementsOf(seats);
+		}
+	}
+
+	// One member of each group of four is cut off from the store and from the nodes for 5
+	// s, but not from its head, which has requests and answers them. No group is taken
+	// apart.
+	@Test
+	void aGroupThatServesIsLeftAloneWhenAMembersEntryLapses() {
+		FakeFleet fleet = formed(9);
+		fleet.controller(0).trafficBegins();
+		List<FakeEngine> heads = fleet.engines()
+			.stream()
+			.filter((engine) -> engine.isOpen() && engine.members().size() == 4)
+			.toList();
+		List<FakeEngine> members = heads.stream().map((head) -> fleet.engine(head.members().get(2).value())).toList();
+		members.forEach((member) -> member.cutFromAllButItsHead(true));
+		fleet.run(Duration.ofSeconds(5));
+		assertThat(heads).allMatch(FakeEngine::isOpen);
+		members.forEach((member) -> member.cutFromAllButItsHead(false));
+		fleet.run(Duration.ofSeconds(4));
+		assertThat(heads).allMatch(FakeEngine::isOpen);
+	}
+
+	// A member dies while its group has no requests, so that no stream stands still and
+	// nobody notices. When its entry has lapsed, the group is taken apart and replaced
+	// before the next request comes.
+	@Test
+	void aGroupWithoutRequestsIsReplacedWhenAMembersEntryLapses() {
+		FakeFleet fleet = formed(10);
+		fleet.withoutRequests();
+		fleet.controller(0).trafficBegins();
+		FakeEngine head = serving(fleet);
+		fleet.engine(head.members().get(1).value()).die();
+		fleet.run(Duration.ofSeconds(10));
+		assertThat(fleet.serving()).as(fleet.describe()).isGreaterThanOrEqualTo(GROUPS);
+	}
+
 	// The head of each pair is cut off from the nodes and serves on. Its member is told
 	// to leave, and then the controller is gone: the next one sees an engine without a
 	// group. It must not use it before the head that it left has broken.
