Find ports for servers where no connection takes them, in one place

Both it and EntryNodeTests took ports that were bound, closed and bound again; a connection of any process could be given one in between, and the server then can't start. In this test processes with hundreds of connections run beside the new nodes.

--- a/src/test/java/sycamorehill/entry/EntryNodeTests.java
+++ b/src/test/java/sycamorehill/entry/EntryNodeTests.java
@@ -16,6 +16,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
+import sycamorehill.local.FreePorts;
 import sycamorehill.model.identity.Address;
 import sycamorehill.model.identity.DataCentreName;
 import sycamorehill.model.serving.EngineOrderAnswer;
@@ -29,7 +30,6 @@
 import sycamorehill.model.serving.TargetChange;
 import sycamorehill.model.serving.TargetEntry;
 import sycamorehill.platform.PlatformTestCodec;
-import sycamorehill.support.FreePorts;
 import sycamorehill.support.ServingSamples;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -74,9 +74,10 @@
 	}
 
 	private static EntrySettings settings() {
-		return new EntrySettings("one", DataCentreName.of("north"), List.of(DataCentreName.of("north")),
-				FreePorts.next(), FreePorts.next(), FreePorts.next(), FreePorts.next(), true, Duration.ofSeconds(8),
-				Duration.ofSeconds(10), 0.2, 60, Duration.ofSeconds(5), Duration.ofSeconds(5));
+		List<Address> free = FreePorts.find(4);
+		return new EntrySettings("one", DataCentreName.of("north"), List.of(DataCentreName.of("north")), free.get(0),
+				free.get(1), free.get(2), free.get(3), true, Duration.ofSeconds(8), Duration.ofSeconds(10), 0.2, 60,
+				Duration.ofSeconds(5), Duration.ofSeconds(5));
 	}
 
 	private EntryPorts ports() {
--- a/src/test/java/sycamorehill/process/CutAndOutageProcessTests.java
+++ b/src/test/java/sycamorehill/process/CutAndOutageProcessTests.java
@@ -61,7 +61,10 @@
 				system.startNode(old.name(), CUT_OFF, system.platform());
 			}
 			List<ProcessSystem.NodeProcess> fresh = system.nodesIn(CUT_OFF);
-			Assertions.assertThat(system.awaitServing(fresh)).isTrue();
+			Assertions.assertThat(system.awaitServing(fresh))
+				.as(() -> "output of the fresh nodes: "
+						+ fresh.stream().map((node) -> node.process().output()).toList())
+				.isTrue();
 			LoadReport report = system.load(fresh, LOAD, 30, 0, 1);
 			Assertions.assertThat(report.violations()).isEmpty();
 			Assertions.assertThat(report.chats()).containsKey(CallOutcome.COMPLETED);
