--- a/src/main/java/sycamorehill/cli/ServeCommand.java
+++ b/src/main/java/sycamorehill/cli/ServeCommand.java
@@ -48,6 +48,7 @@
 		StopSignals.install(node::stop);
 		SettingsFile.watch(Path.of(path), node::reload);
 		if (this.runFor != null) {
+			ArchivedClasses.load();
 			Thread.sleep(Duration.parse(this.runFor).toMillis());
 			return ExitCode.DONE;
 		}
--- a/src/main/java/sycamorehill/logic/directory/GroupViews.java
+++ b/src/main/java/sycamorehill/logic/directory/GroupViews.java
@@ -3,15 +3,17 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.TreeMap;
 import java.util.stream.Collectors;
 
 import sycamorehill.model.identity.TargetName;
 import sycamorehill.model.serving.EngineFigures;
+import sycamorehill.model.serving.Membership;
 import sycamorehill.model.serving.ModelFigures;
 import sycamorehill.model.serving.TargetEntry;
 
@@ -20,6 +22,13 @@
  */
 public final class GroupViews {
 
+	private static final Comparator<TargetEntry> BY_RANK = Comparator
+		.comparingInt((TargetEntry member) -> member.membership().orElseThrow().rank())
+		.thenComparing(TargetEntry::name);
+
+	private static final Comparator<GroupView> BY_NAME = Comparator.comparing(GroupView::name)
+		.thenComparingLong(GroupView::epoch);
+
 	private GroupViews() {
 	}
 
@@ -32,38 +41,30 @@
 	 */
 	public static List<GroupView> of(List<TargetEntry> entries, Collection<TargetEntry> vanished,
 			EngineFigures figures) {
-		Map<String, List<TargetEntry>> byGroup = new TreeMap<>();
-		entries.forEach((entry) -> addMember(entry, byGroup));
-		vanished.stream().filter((entry) -> seen(entry, byGroup)).forEach((entry) -> addMember(entry, byGroup));
-		Set<TargetName> gone = vanished.stream().map(TargetEntry::name).collect(Collectors.toSet());
+		Map<Key, List<TargetEntry>> byGroup = new HashMap<>();
+		for (TargetEntry entry : entries) {
+			entry.membership()
+				.ifPresent((seat) -> byGroup.computeIfAbsent(Key.of(seat), (key) -> new ArrayList<>()).add(entry));
+		}
+		Set<TargetName> gone = new HashSet<>();
+		for (TargetEntry entry : vanished) {
+			gone.add(entry.name());
+			// A group of which no engine is left in the directory can't be used or
+			// changed.
+			entry.membership().map(Key::of).map(byGroup::get).ifPresent((members) -> members.add(entry));
+		}
 		List<GroupView> groups = new ArrayList<>();
 		for (List<TargetEntry> members : byGroup.values()) {
-			members.sort(Comparator.comparingInt((TargetEntry member) -> member.membership().orElseThrow().rank())
-				.thenComparing(TargetEntry::name));
+			members.sort(BY_RANK);
 			view(members, gone, figures).ifPresent(groups::add);
 		}
+		groups.sort(BY_NAME);
 		return groups;
 	}
 
-	private static void addMember(TargetEntry entry, Map<String, List<TargetEntry>> byGroup) {
-		entry.membership()
-			.ifPresent((membership) -> byGroup
-				.computeIfAbsent(GroupView.key(membership.group(), membership.epoch()), (key) -> new ArrayList<>())
-				.add(entry));
-	}
-
-	// A group of which no engine is left in the directory can't be used or changed.
-	private static boolean seen(TargetEntry entry, Map<String, List<TargetEntry>> byGroup) {
-		return entry.membership()
-			.filter((membership) -> byGroup.containsKey(GroupView.key(membership.group(), membership.epoch())))
-			.isPresent();
-	}
-
 	private static Optional<GroupView> view(List<TargetEntry> members, Set<TargetName> gone, EngineFigures figures) {
-		Set<TargetName> vanished = members.stream()
-			.map(TargetEntry::name)
-			.filter(gone::contains)
-			.collect(Collectors.toSet());
+		Set<TargetName> vanished = gone.isEmpty() ? Set.of()
+				: members.stream().map(TargetEntry::name).filter(gone::contains).collect(Collectors.toSet());
 		var membership = members.get(0).membership().orElseThrow();
 		return model(members, membership.group(), figures).map((model) -> new GroupView(membership.group(),
 				membership.epoch(), model, List.copyOf(members), vanished));
@@ -75,4 +76,29 @@
 			.flatMap(figures::model);
 	}
 
+	/**
+	 * Identifies a group among all that ever were. Made for each member at each look, so
+	 * it compares without the method handles of a record's own methods.
+	 *
+	 * @param group the group's name
+	 * @param epoch the group's epoch
+	 */
+	private record Key(String group, long epoch) {
+
+		static Key of(Membership seat) {
+			return new Key(seat.group(), seat.epoch());
+		}
+
+		@Override
+		public boolean equals(Object other) {
+			return other instanceof Key key && this.epoch == key.epoch && this.group.equals(key.group);
+		}
+
+		@Override
+		public int hashCode() {
+			return 31 * this.group.hashCode() + Long.hashCode(this.epoch);
+		}
+
+	}
+
 }
--- a/src/main/java/sycamorehill/logic/layout/DomainStock.java
+++ b/src/main/java/sycamorehill/logic/layout/DomainStock.java
@@ -1,12 +1,15 @@
 package sycamorehill.logic.layout;
 
-import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 
 import sycamorehill.model.identity.DataCentreName;
+import sycamorehill.model.identity.TargetName;
 import sycamorehill.model.serving.ModelFigures;
 
 /**
@@ -21,7 +24,9 @@
 
 	private final Map<String, Integer> groups = new HashMap<>();
 
-	private final List<SpareEngine> spares = new ArrayList<>();
+	private final Map<TargetName, SpareEngine> spares = new LinkedHashMap<>();
+
+	private int changes;
 
 	private DomainStock(String domain, DataCentreName dataCentre) {
 		this.domain = domain;
@@ -45,19 +50,29 @@
 	}
 
 	void addSpare(SpareEngine spare) {
-		this.spares.add(spare);
+		this.spares.put(spare.entry().name(), spare);
+		this.changes++;
 	}
 
 	int groups(ModelFigures model) {
 		return this.groups.getOrDefault(model.name(), 0);
 	}
 
-	List<SpareEngine> spares() {
-		return List.copyOf(this.spares);
+	Collection<SpareEngine> spares() {
+		return Collections.unmodifiableCollection(this.spares.values());
 	}
 
 	void take(List<SpareEngine> chosen) {
-		this.spares.removeAll(chosen);
+		chosen.forEach((spare) -> this.spares.remove(spare.entry().name()));
+		this.changes++;
+	}
+
+	/**
+	 * Counts the changes of the spares, so that what was derived from them can be kept.
+	 * @return the number of changes
+	 */
+	int changes() {
+		return this.changes;
 	}
 
 	/**
@@ -66,14 +81,15 @@
 	 * @return the engines, by name
 	 */
 	List<SpareEngine> ready(ModelFigures model) {
-		return this.spares.stream()
+		return this.spares.values()
+			.stream()
 			.filter((spare) -> spare.ready(model))
 			.sorted(Comparator.comparing((spare) -> spare.entry().name()))
 			.toList();
 	}
 
 	long holders(ModelFigures model) {
-		return this.spares.stream().filter((spare) -> spare.holds(model)).count();
+		return this.spares.values().stream().filter((spare) -> spare.holds(model)).count();
 	}
 
 }
--- a/src/main/java/sycamorehill/logic/layout/LayoutPlan.java
+++ b/src/main/java/sycamorehill/logic/layout/LayoutPlan.java
@@ -46,6 +46,8 @@
 
 	private final Map<DataCentreName, Map<String, Integer>> groupsNear = new HashMap<>();
 
+	private final Map<Choice, Chosen> chosen = new HashMap<>();
+
 	private final List<Formation> formations = new ArrayList<>();
 
 	private final List<Load> loads = new ArrayList<>();
@@ -164,8 +166,9 @@
 	// The domain where a group costs least: first in groups of other models that could
 	// not be formed there any more, then in loads.
 	private Optional<Purpose> bestWhole(ModelFigures model) {
+		List<String> missing = this.figures.models().stream().filter(this::missing).map(ModelFigures::name).toList();
 		return this.stocks.stream()
-			.map((stock) -> new Purpose(model, stock, cheapest(model, stock, this::convertible)))
+			.map((stock) -> whole(model, stock, missing))
 			.filter((purpose) -> purpose.engines().size() == model.size())
 			.min(Comparator.comparingInt(this::groupsPrevented)
 				.thenComparingLong(Purpose::loads)
@@ -174,6 +177,18 @@
 				.thenComparing((purpose) -> purpose.stock().domain()));
 	}
 
+	// Each group that is planned changes one domain; for the others the choice holds.
+	private Purpose whole(ModelFigures model, DomainStock stock, List<String> missing) {
+		Choice choice = new Choice(model.name(), stock.domain(), missing);
+		Chosen before = this.chosen.get(choice);
+		if (before != null && before.stockChanges() == stock.changes()) {
+			return before.purpose();
+		}
+		Purpose purpose = new Purpose(model, stock, cheapest(model, stock, this::convertible));
+		this.chosen.put(choice, new Chosen(purpose, stock.changes()));
+		return purpose;
+	}
+
 	// Where pairs are formed of any two engines that come free, no domain ever has enough
 	// for a large group again. The domain that is nearest to one is kept for it.
 	private Optional<Purpose> bestPart(ModelFigures model) {
@@ -229,7 +244,10 @@
 		for (DomainStock stock : this.stocks) {
 			boolean changed = true;
 			while (changed) {
-				changed = stock.spares().stream().filter(SpareEngine::loadable).anyMatch((spare) -> load(spare, stock));
+				changed = List.copyOf(stock.spares())
+					.stream()
+					.filter(SpareEngine::loadable)
+					.anyMatch((spare) -> load(spare, stock));
 			}
 		}
 	}
@@ -301,6 +319,25 @@
 
 	}
 
+	/**
+	 * What the choice of engines for a group depends on, beside the domain's spares.
+	 *
+	 * @param model the group's model
+	 * @param domain the domain
+	 * @param missing models of which groups are missing
+	 */
+	private record Choice(String model, String domain, List<String> missing) {
+	}
+
+	/**
+	 * Engines that were chosen.
+	 *
+	 * @param purpose the engines
+	 * @param stockChanges the domain's count of changes at that time
+	 */
+	private record Chosen(Purpose purpose, int stockChanges) {
+	}
+
 	/**
 	 * Tells how many groups of a model there should be.
 	 */
--- a/src/main/java/sycamorehill/logic/layout/SeveredMembers.java
+++ b/src/main/java/sycamorehill/logic/layout/SeveredMembers.java
@@ -4,9 +4,8 @@
 import java.time.Instant;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Map;
-import java.util.Set;
+import java.util.stream.Collectors;
 
 import sycamorehill.model.identity.TargetName;
 import sycamorehill.model.serving.Membership;
@@ -66,25 +65,27 @@
 			return;
 		}
 		this.lookedAt = change;
-		Set<TargetName> present = new HashSet<>();
 		for (TargetEntry entry : entries) {
-			present.add(entry.name());
-			if (leftItsHead(entry)) {
-				this.severed.put(entry.name(), new Severed(entry.bornMillis(), now));
+			Seat before = this.seats.get(entry.name());
+			int rank = entry.membership().map(Membership::rank).orElse(-1);
+			if (before == null || before.bornMillis() != entry.bornMillis() || before.rank() != rank) {
+				if (leftItsHead(entry, before)) {
+					this.severed.put(entry.name(), new Severed(entry.bornMillis(), now));
+				}
+				this.seats.put(entry.name(), new Seat(entry.bornMillis(), rank));
 			}
-			this.seats.put(entry.name(),
-					new Seat(entry.bornMillis(), entry.membership().map(Membership::rank).orElse(-1)));
 		}
-		this.seats.keySet().retainAll(present);
+		if (this.seats.size() > entries.size()) {
+			this.seats.keySet().retainAll(entries.stream().map(TargetEntry::name).collect(Collectors.toSet()));
+		}
 		this.severed.values().removeIf((each) -> ended(each, now));
 		this.history |= !entries.isEmpty();
 	}
 
-	private boolean leftItsHead(TargetEntry entry) {
+	private boolean leftItsHead(TargetEntry entry, Seat before) {
 		if (entry.membership().isPresent()) {
 			return false;
 		}
-		Seat before = this.seats.get(entry.name());
 		if (before == null) {
 			return !this.history && entry.loaded().isPresent();
 		}
--- a/src/main/java/sycamorehill/model/identity/ServiceName.java
+++ b/src/main/java/sycamorehill/model/identity/ServiceName.java
@@ -28,6 +28,17 @@
 		return this.value.compareTo(other.value);
 	}
 
+	// Compared with for each target of each service; a record's own method is slower.
+	@Override
+	public boolean equals(Object other) {
+		return other instanceof ServiceName name && this.value.equals(name.value);
+	}
+
+	@Override
+	public int hashCode() {
+		return this.value.hashCode();
+	}
+
 	@Override
 	public String toString() {
 		return this.value;
--- a/src/main/java/sycamorehill/model/identity/TargetName.java
+++ b/src/main/java/sycamorehill/model/identity/TargetName.java
@@ -23,6 +23,18 @@
 		return new TargetName(value);
 	}
 
+	// Most maps are keyed by targets. The methods that a record gets by itself go through
+	// method handles, which the client compiler of the JVM does not inline.
+	@Override
+	public boolean equals(Object other) {
+		return other instanceof TargetName name && this.value.equals(name.value);
+	}
+
+	@Override
+	public int hashCode() {
+		return this.value.hashCode();
+	}
+
 	@Override
 	public int compareTo(TargetName other) {
 		return this.value.compareTo(other.value);
