Tell the lease with the news of the store, read configurations from a copy

A node that looks at a copy of the lease which is seconds old takes it for expired and writes in vain, every 2.2 s in each data centre.

Change: the node that reads the store tells the lease with its news; nodes that hear it look no more, and know the holder's last renewal when they have to. A holder that hears of another one stops. A configuration that was told of is read from a copy first, and from the store if the copy is older. A planned stop tells that the lease was given back.

Tests: LeaseKeeperTests (two new), StoreRelayTests.

--- a/src/main/java/sycamorehill/entry/EntryNode.java
+++ b/src/main/java/sycamorehill/entry/EntryNode.java
@@ -86,6 +86,8 @@
 
 	private FeedReader<TargetChange> targets;
 
+	private long configurationAsked;
+
 	private final CompletableFuture<Void> ended = new CompletableFuture<>();
 
 	private EntryNode(EntrySettings settings, EntryPorts.Factory factory, InstantSource wallClock,
@@ -249,6 +251,9 @@
 				case TARGETS -> this.targets.readNow();
 			}
 		}
+		else if (effect instanceof EntryEffect.ReadConfiguration read) {
+			readConfiguration(read.version());
+		}
 		else if (effect instanceof EntryEffect.TargetsKnown known) {
 			this.targets.known(known.revision());
 		}
@@ -258,6 +263,24 @@
 		return true;
 	}
 
+	// Each node reads each configuration: a copy costs the store less, and mostly holds
+	// it
+	// already. One that doesn't is followed by a read of the present state.
+	private void readConfiguration(long version) {
+		if (version <= this.configurationAsked) {
+			return;
+		}
+		this.configurationAsked = version;
+		this.ports.configurations().listCopy().whenCompleteAsync((page, failure) -> {
+			if (failure == null) {
+				page.items().forEach((configuration) -> step(new EntryEvent.ConfigurationRead(configuration)));
+			}
+			if (this.reducer.configurationVersion() < version) {
+				this.configurations.readNow();
+			}
+		}, this.control);
+	}
+
 	private boolean carryOutForLease(EntryEffect effect) {
 		if (effect instanceof EntryEffect.ReadLease) {
 			this.ports.lease().read().thenAccept((answer) -> post(new EntryEvent.LeaseAnswered(answer)));
--- a/src/main/java/sycamorehill/entry/Feed.java
+++ b/src/main/java/sycamorehill/entry/Feed.java
@@ -17,6 +17,12 @@
 	 */
 	CompletableFuture<Page<T>> list();
 
+	/**
+	 * Reads all objects from a copy that may be seconds old, which costs the store less.
+	 * @return the objects
+	 */
+	CompletableFuture<Page<T>> listCopy();
+
 	/**
 	 * Waits for changes.
 	 * @param since revision after which changes are wanted
--- a/src/main/java/sycamorehill/entry/NodeMessageCodec.java
+++ b/src/main/java/sycamorehill/entry/NodeMessageCodec.java
@@ -6,6 +6,7 @@
 import java.util.Arrays;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -15,6 +16,7 @@
 import sycamorehill.model.identity.Address;
 import sycamorehill.model.identity.DataCentreName;
 import sycamorehill.model.identity.TargetName;
+import sycamorehill.model.serving.Lease;
 import sycamorehill.model.serving.NodeMessage;
 import sycamorehill.model.serving.NodeRecord;
 
@@ -41,6 +43,10 @@
 
 	private static final String HOLDER = "holder";
 
+	private static final String TERM = "term";
+
+	private static final String LEASE_REVISION = "lease-revision";
+
 	private static final String STORE_REACHED = "store-reached";
 
 	private static final String READING_MICROS = "reading-micros";
@@ -100,6 +106,10 @@
 				.put(SINCE, news.since())
 				.put(REVISION, news.revision());
 			TargetCodec.write(news.changes(), body.putArray(CHANGES));
+			news.lease()
+				.ifPresent((lease) -> body.put(HOLDER, lease.holder())
+					.put(TERM, lease.term())
+					.put(LEASE_REVISION, lease.revision()));
 		}
 		else if (message instanceof NodeMessage.TargetsSeen seen) {
 			TargetCodec.write(seen.changes(), body.putArray(CHANGES));
@@ -134,7 +144,7 @@
 					Duration.of(body.path(READING_MICROS).asLong(), ChronoUnit.MICROS));
 			case STORE_NEWS -> new NodeMessage.StoreNews(sender, DataCentreName.of(body.path(DATA_CENTRE).asText()),
 					body.path(CONFIGURATION).asLong(), body.path(CHANGED_BEFORE).asLong(), body.path(SINCE).asLong(),
-					body.path(REVISION).asLong(), TargetCodec.read(body.path(CHANGES)));
+					body.path(REVISION).asLong(), TargetCodec.read(body.path(CHANGES)), lease(body));
 			case TARGETS_SEEN -> new NodeMessage.TargetsSeen(sender, TargetCodec.read(body.path(CHANGES)));
 			case INTRODUCTION -> new NodeMessage.Introduction(node(sender, body));
 			case LEASE_GIVEN_UP -> new NodeMessage.LeaseGivenUp(sender, body.path(HOLDER).asText());
@@ -145,6 +155,12 @@
 		};
 	}
 
+	private static Optional<Lease> lease(JsonNode body) {
+		return body.has(HOLDER) ? Optional
+			.of(new Lease(body.path(HOLDER).asText(), body.path(TERM).asLong(), body.path(LEASE_REVISION).asLong()))
+				: Optional.empty();
+	}
+
 	private static NodeRecord node(String name, JsonNode body) {
 		return new NodeRecord(name, Address.parse(body.path(ADDRESS).asText()),
 				DataCentreName.of(body.path(DATA_CENTRE).asText()), body.path(PROCESSOR).asDouble());
--- a/src/main/java/sycamorehill/logic/entry/EntryReducer.java
+++ b/src/main/java/sycamorehill/logic/entry/EntryReducer.java
@@ -171,6 +171,7 @@
 			return;
 		}
 		contact(true, now, effects);
+		news.lease().ifPresent((lease) -> this.groups.leaseHeard(lease, now, effects));
 		if (consequence.apply()) {
 			forget(this.directory.apply(news.changes(), now), effects);
 			tick(now, effects);
@@ -183,15 +184,16 @@
 			effects.add(new EntryEffect.ReadFeed(StoreFeed.TARGETS));
 		}
 		if (consequence.readConfiguration()) {
-			effects.add(new EntryEffect.ReadFeed(StoreFeed.CONFIGURATIONS));
+			effects.add(new EntryEffect.ReadConfiguration(news.configurationVersion()));
 		}
 	}
 
 	private void tellNews(NodeMessage.StoreNews news, Instant now, Effects effects) {
+		NodeMessage.StoreNews whole = news.with(this.groups.lease());
 		this.relay.told(now);
-		this.neighbours.tellNear(news, effects);
+		this.neighbours.tellNear(whole, effects);
 		if (this.relay.reads(now)) {
-			this.neighbours.tellRelays(news, now, effects);
+			this.neighbours.tellRelays(whole, now, effects);
 		}
 	}
 
@@ -320,8 +322,8 @@
 
 	private void tickGroups(Instant now, Effects effects) {
 		boolean away = !this.reached && this.neighbours.storeAwayForAll(now);
-		this.groups.tick(new GroupControl.Sight(this.configuration, this.requests::requests, this.relay.fed(now),
-				this.relay.passesOn(now), away), now, effects);
+		this.groups.tick(new GroupControl.Sight(this.configuration, this.requests::requests, this.relay.fed(now), away),
+				now, effects);
 	}
 
 	private void tick(Instant now, Effects effects) {
--- a/src/main/java/sycamorehill/logic/entry/StoreRelay.java
+++ b/src/main/java/sycamorehill/logic/entry/StoreRelay.java
@@ -133,7 +133,7 @@
 
 	private NodeMessage.StoreNews news(long changedBefore, long since, List<TargetChange> changes) {
 		return new NodeMessage.StoreNews(this.self, this.dataCentre, this.configurationVersion, changedBefore, since,
-				this.revision, changes);
+				this.revision, changes, Optional.empty());
 	}
 
 	/** Notes that the store did not answer this node: it has nothing to tell. */
--- a/src/main/java/sycamorehill/logic/layout/GroupControl.java
+++ b/src/main/java/sycamorehill/logic/layout/GroupControl.java
@@ -18,6 +18,7 @@
 import sycamorehill.model.serving.EngineReport;
 import sycamorehill.model.serving.EntryEffect;
 import sycamorehill.model.serving.EntrySettings;
+import sycamorehill.model.serving.Lease;
 import sycamorehill.model.serving.LeaseAnswer;
 import sycamorehill.model.serving.Membership;
 import sycamorehill.model.serving.NodeMessage;
@@ -105,6 +106,24 @@
 		this.lease.answered(answer, now, effects);
 	}
 
+	/**
+	 * Takes the lease as the node that reads the store has seen it.
+	 * @param lease the lease
+	 * @param now the present time
+	 * @param effects collects what is wanted
+	 */
+	public void leaseHeard(Lease lease, Instant now, Effects effects) {
+		this.lease.heard(lease, now, effects);
+	}
+
+	/**
+	 * The lease as it was seen last.
+	 * @return the lease; empty if none was seen
+	 */
+	public Optional<Lease> lease() {
+		return this.lease.seen();
+	}
+
 	/**
 	 * Gives the control to another node.
 	 * @param effects collects what is wanted
@@ -229,7 +248,7 @@
 	 */
 	public void tick(Sight sight, Instant now, Effects effects) {
 		this.severed.look(this.directory.all(), this.directory.changes(), now);
-		this.lease.tick(new LeaseKeeper.StoreSight(sight.fed(), sight.passesOn(), sight.storeAway()), now, effects);
+		this.lease.tick(new LeaseKeeper.StoreSight(sight.fed(), sight.storeAway()), now, effects);
 		if (!this.lease.held(now) || sight.configuration().isEmpty()) {
 			return;
 		}
@@ -272,11 +291,9 @@
 	 * @param configuration the configuration in force
 	 * @param activity the load of groups
 	 * @param fed whether another node reads the store for this one
-	 * @param passesOn whether this node passes on to its data centre what that one reads
 	 * @param storeAway whether no node reaches the store
 	 */
-	public record Sight(Optional<Configuration> configuration, GroupActivity activity, boolean fed, boolean passesOn,
-			boolean storeAway) {
+	public record Sight(Optional<Configuration> configuration, GroupActivity activity, boolean fed, boolean storeAway) {
 	}
 
 }
--- a/src/main/java/sycamorehill/logic/layout/LeaseKeeper.java
+++ b/src/main/java/sycamorehill/logic/layout/LeaseKeeper.java
@@ -28,12 +28,6 @@
 	 */
 	private static final Duration LOOK = Duration.ofMillis(800);
 
-	/**
-	 * The same for nodes that take no part in reading the store: in each data centre one
-	 * looks often, so that the looks of many nodes don't add up.
-	 */
-	private static final Duration SELDOM_LOOK = Duration.ofSeconds(10);
-
 	/**
 	 * A lease that did not change for this long may be taken: two renewals were missed.
 	 */
@@ -143,12 +137,15 @@
 		if (this.holding) {
 			replace(this.seen.orElseThrow(), now, effects);
 		}
+		else if (store.fed() && this.seen.isPresent() && !ofThisNode()) {
+			return;
+		}
 		else if (this.seen.isPresent() && mayTake(now)) {
 			Lease before = this.seen.get();
 			replace(new Lease(this.self, before.term() + 1, before.revision()), now, effects);
 		}
 		else {
-			call(new EntryEffect.ReadLease(), (store.fed() && !store.passesOn()) ? SELDOM_LOOK : LOOK, now, effects);
+			call(new EntryEffect.ReadLease(), LOOK, now, effects);
 		}
 	}
 
@@ -174,12 +171,14 @@
 		}
 	}
 
-	// A node runs one process: the one before it on this node has ended, and can't renew.
-	// Awaiting its expiry left all groups without control for 2.8 s after a loss of
-	// power.
 	private boolean mayTake(Instant now) {
-		String holder = this.seen.get().holder();
-		return holder.isEmpty() || node(holder).equals(node(this.self)) || now.isAfter(this.seenSince.plus(EXPIRY));
+		return this.seen.get().holder().isEmpty() || ofThisNode() || now.isAfter(this.seenSince.plus(EXPIRY));
+	}
+
+	// A node runs one process: the one before it on this node has ended, and can't renew.
+	// Awaiting its expiry would leave all groups without control after a loss of power.
+	private boolean ofThisNode() {
+		return holder().filter(node(this.self)::equals).isPresent();
 	}
 
 	private void replace(Lease lease, Instant now, Effects effects) {
@@ -233,6 +232,26 @@
 		}
 	}
 
+	/**
+	 * Takes the lease as another node has seen it. A node that another one reads for does
+	 * not look itself; it knows the holder's last renewal when it has to.
+	 * @param lease the lease
+	 * @param now the present time
+	 * @param effects collects what is wanted
+	 */
+	void heard(Lease lease, Instant now, Effects effects) {
+		if (this.seen.isEmpty() || lease.revision() > this.seen.get().revision()) {
+			note(lease, now);
+			if (this.holding && !lease.holder().equals(this.self)) {
+				lose("taken by " + lease.holder(), effects);
+			}
+		}
+	}
+
+	Optional<Lease> seen() {
+		return this.seen;
+	}
+
 	private void note(Lease lease, Instant now) {
 		if (this.seen.isEmpty() || lease.revision() > this.seen.get().revision()) {
 			this.seen = Optional.of(lease);
@@ -253,6 +272,7 @@
 		if (this.holding) {
 			Lease held = this.seen.orElseThrow();
 			effects.add(new EntryEffect.ReplaceLease(new Lease("", held.term(), held.revision())));
+			effects.add(new EntryEffect.TellAll(new NodeMessage.LeaseGivenUp(node(this.self), this.self)));
 			effects.log(LogEvent.GROUP_LEASE, "given back term=" + held.term());
 		}
 		this.holding = false;
@@ -263,10 +283,9 @@
 	 * What is known of the store beside the lease.
 	 *
 	 * @param fed whether another node reads the store for this one
-	 * @param passesOn whether this node passes on what that one reads
 	 * @param away whether no node that is heard reaches the store
 	 */
-	record StoreSight(boolean fed, boolean passesOn, boolean away) {
+	record StoreSight(boolean fed, boolean away) {
 	}
 
 }
--- a/src/main/java/sycamorehill/model/serving/EntryEffect.java
+++ b/src/main/java/sycamorehill/model/serving/EntryEffect.java
@@ -134,6 +134,14 @@
 	record LimitCallers(CallerLimits limits) implements EntryEffect {
 	}
 
+	/**
+	 * Reads a configuration that another node has told of.
+	 *
+	 * @param version its version
+	 */
+	record ReadConfiguration(long version) implements EntryEffect {
+	}
+
 	/**
 	 * Reads the changes of a kind of objects now.
 	 *
--- a/src/main/java/sycamorehill/model/serving/NodeMessage.java
+++ b/src/main/java/sycamorehill/model/serving/NodeMessage.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 import sycamorehill.model.identity.DataCentreName;
 import sycamorehill.model.identity.TargetName;
@@ -60,9 +61,10 @@
 	 * @param since the revision after which the changes were read
 	 * @param revision the revision that the node has come to
 	 * @param changes all changes of targets between these two, in their order
+	 * @param lease the right to control the groups as it was seen last
 	 */
 	record StoreNews(String sender, DataCentreName dataCentre, long configurationVersion, long changedBefore,
-			long since, long revision, List<TargetChange> changes) implements NodeMessage {
+			long since, long revision, List<TargetChange> changes, Optional<Lease> lease) implements NodeMessage {
 
 		/**
 		 * Copies the changes.
@@ -71,13 +73,23 @@
 			changes = List.copyOf(changes);
 		}
 
+		/**
+		 * News with the lease.
+		 * @param seen the lease as it was seen last
+		 * @return the news
+		 */
+		public StoreNews with(Optional<Lease> seen) {
+			return new StoreNews(this.sender, this.dataCentre, this.configurationVersion, this.changedBefore,
+					this.since, this.revision, this.changes, seen);
+		}
+
 		/**
 		 * The same news without the changes, which each node then reads for itself.
 		 * @return the news
 		 */
 		public StoreNews announcement() {
 			return new StoreNews(this.sender, this.dataCentre, this.configurationVersion, this.revision, this.revision,
-					this.revision, List.of());
+					this.revision, List.of(), this.lease);
 		}
 
 		/**
@@ -88,7 +100,7 @@
 		 */
 		public StoreNews from(String node, DataCentreName place) {
 			return new StoreNews(node, place, this.configurationVersion, this.changedBefore, this.since, this.revision,
-					this.changes);
+					this.changes, this.lease);
 		}
 
 	}
--- a/src/main/java/sycamorehill/platform/PlatformStore.java
+++ b/src/main/java/sycamorehill/platform/PlatformStore.java
@@ -109,7 +109,8 @@
 
 	@Override
 	public CompletableFuture<List<NodeRecord>> list(boolean present) {
-		return new KindFeed<>(NODES, PlatformStore::node).list(present ? "" : COPY_ALLOWED).thenApply(Feed.Page::items);
+		Feed<NodeRecord> nodes = new KindFeed<>(NODES, PlatformStore::node);
+		return (present ? nodes.list() : nodes.listCopy()).thenApply(Feed.Page::items);
 	}
 
 	private static Optional<NodeRecord> node(StoredObject object) {
@@ -292,7 +293,12 @@
 			return list("");
 		}
 
-		CompletableFuture<Page<T>> list(String option) {
+		@Override
+		public CompletableFuture<Page<T>> listCopy() {
+			return list(COPY_ALLOWED);
+		}
+
+		private CompletableFuture<Page<T>> list(String option) {
 			return list(new ArrayList<>(), option, "", -1);
 		}
 
--- a/src/test/java/sycamorehill/entry/EntryNodeTests.java
+++ b/src/test/java/sycamorehill/entry/EntryNodeTests.java
@@ -250,6 +250,11 @@
 			return new Fixed<>(List.of());
 		}
 
+		@Override
+		public CompletableFuture<Page<T>> listCopy() {
+			return list();
+		}
+
 		@Override
 		public CompletableFuture<Page<T>> list() {
 			return CompletableFuture.completedFuture(new Page<>(this.items, 1));
--- a/src/test/java/sycamorehill/entry/FeedReaderTests.java
+++ b/src/test/java/sycamorehill/entry/FeedReaderTests.java
@@ -161,6 +161,11 @@
 
 		private volatile boolean waits;
 
+		@Override
+		public CompletableFuture<Page<String>> listCopy() {
+			return list();
+		}
+
 		@Override
 		public CompletableFuture<Page<String>> list() {
 			return CompletableFuture.completedFuture(new Page<>(List.of("a"), 1));
@@ -184,6 +189,11 @@
 
 		private boolean historyGone;
 
+		@Override
+		public CompletableFuture<Page<String>> listCopy() {
+			return list();
+		}
+
 		@Override
 		public CompletableFuture<Page<String>> list() {
 			return CompletableFuture.completedFuture(new Page<>(List.of("a"), 1));
--- a/src/test/java/sycamorehill/entry/NodeMessengerTests.java
+++ b/src/test/java/sycamorehill/entry/NodeMessengerTests.java
@@ -22,6 +22,7 @@
 import sycamorehill.model.identity.ServiceName;
 import sycamorehill.model.identity.TargetName;
 import sycamorehill.model.serving.EntryEvent;
+import sycamorehill.model.serving.Lease;
 import sycamorehill.model.serving.MemberState;
 import sycamorehill.model.serving.Membership;
 import sycamorehill.model.serving.NodeMessage;
@@ -71,7 +72,7 @@
 							Long.MAX_VALUE, Optional.of("domain-" + "z".repeat(56)), Set.of("m".repeat(63)),
 							Optional.of("m".repeat(63)), Optional.of(seat)))));
 		}
-		return new NodeMessage.StoreNews("a", NORTH, 5, 100, 100, 103, told);
+		return new NodeMessage.StoreNews("a", NORTH, 5, 100, 100, 103, told, Optional.of(new Lease("one#a", 3, 90)));
 	}
 
 	private NodeMessage nextHeard() throws InterruptedException {
@@ -96,7 +97,8 @@
 	@Test
 	void tooManyChangesAreOnlyAnnounced() throws InterruptedException {
 		this.sender.send(List.of(this.receiver), news(400));
-		assertThat(nextHeard()).isEqualTo(new NodeMessage.StoreNews("a", NORTH, 5, 103, 103, 103, List.of()));
+		assertThat(nextHeard()).isEqualTo(new NodeMessage.StoreNews("a", NORTH, 5, 103, 103, 103, List.of(),
+				Optional.of(new Lease("one#a", 3, 90))));
 	}
 
 	// Bytes of another program, or of another version, arrive on the port. The next
--- a/src/test/java/sycamorehill/logic/entry/StoreRelayTests.java
+++ b/src/test/java/sycamorehill/logic/entry/StoreRelayTests.java
@@ -54,11 +54,12 @@
 	}
 
 	private static NodeMessage.StoreNews changes(String sender, long since, long revision, String target) {
-		return new NodeMessage.StoreNews(sender, NORTH, 5, since, since, revision, List.of(change(target)));
+		return new NodeMessage.StoreNews(sender, NORTH, 5, since, since, revision, List.of(change(target)),
+				Optional.empty());
 	}
 
 	private static NodeMessage.StoreNews progress(String sender, long changedAt, long revision) {
-		return new NodeMessage.StoreNews(sender, NORTH, 5, changedAt, revision, revision, List.of());
+		return new NodeMessage.StoreNews(sender, NORTH, 5, changedAt, revision, revision, List.of(), Optional.empty());
 	}
 
 	private static TargetChange change(String target) {
@@ -121,7 +122,8 @@
 	// missing, and each of 70 nodes asked the store in vain at each change.
 	@Test
 	void takesAChangeThatIsToldAfterQuietRevisions() {
-		NodeMessage.StoreNews later = new NodeMessage.StoreNews("a", NORTH, 5, 90, 140, 143, List.of(change("p2")));
+		NodeMessage.StoreNews later = new NodeMessage.StoreNews("a", NORTH, 5, 90, 140, 143, List.of(change("p2")),
+				Optional.empty());
 		assertThat(hear(later, 500)).contains(new EntryEffect.TargetsKnown(143))
 			.noneMatch(EntryEffect.ReadFeed.class::isInstance);
 		assertThat(this.node.targetsKnown()).isEqualTo(2);
@@ -175,7 +177,7 @@
 	}
 
 	private static NodeMessage.StoreNews fromSouth(String sender, long revision) {
-		return new NodeMessage.StoreNews(sender, SOUTH, 5, 100, 100, revision, List.of(change("p2")));
+		return new NodeMessage.StoreNews(sender, SOUTH, 5, 100, 100, revision, List.of(change("p2")), Optional.empty());
 	}
 
 	private List<Address> receivers(List<EntryEffect> effects) {
@@ -209,7 +211,8 @@
 	// same gap, and each node of its data centre would read: it reads, and tells them.
 	@Test
 	void passesOnWhatItReadAfterAGap() {
-		assertThat(told(hear(new NodeMessage.StoreNews("a", SOUTH, 5, 102, 102, 104, List.of(change("p3"))), 100)))
+		assertThat(told(hear(
+				new NodeMessage.StoreNews("a", SOUTH, 5, 102, 102, 104, List.of(change("p3")), Optional.empty()), 100)))
 			.isEmpty();
 		assertThat(told(accept(new EntryEvent.TargetsChanged(List.of(change("p2"), change("p3")), 100, 104), 120)))
 			.hasSize(1);
@@ -227,7 +230,8 @@
 	// Another data centre is cut off from the store and still believes an older state.
 	@Test
 	void takesNoOlderStateOfAnotherDataCentre() {
-		NodeMessage.StoreNews older = new NodeMessage.StoreNews("a", SOUTH, 4, 90, 90, 95, List.of(change("p9")));
+		NodeMessage.StoreNews older = new NodeMessage.StoreNews("a", SOUTH, 4, 90, 90, 95, List.of(change("p9")),
+				Optional.empty());
 		assertThat(hear(older, 100)).noneMatch(EntryEffect.ReadFeed.class::isInstance);
 		assertThat(this.node.targetsKnown()).isEqualTo(1);
 		assertThat(this.node.configurationVersion()).isEqualTo(5);
@@ -277,10 +281,12 @@
 	// A configuration can be larger than a datagram: it is only announced, and read once.
 	@Test
 	void readsANewerConfigurationThatItIsToldOf() {
-		NodeMessage.StoreNews newer = new NodeMessage.StoreNews("a", NORTH, 6, 100, 103, 103, List.of());
-		assertThat(hear(newer, 100)).contains(new EntryEffect.ReadFeed(StoreFeed.CONFIGURATIONS));
+		NodeMessage.StoreNews newer = new NodeMessage.StoreNews("a", NORTH, 6, 100, 103, 103, List.of(),
+				Optional.empty());
+		assertThat(hear(newer, 100)).contains(new EntryEffect.ReadConfiguration(6));
 		accept(new EntryEvent.ConfigurationRead(ServingSamples.configuration(6)), 150);
-		assertThat(hear(newer, 400)).noneMatch(EntryEffect.ReadFeed.class::isInstance);
+		assertThat(hear(newer, 400)).noneMatch(EntryEffect.ReadFeed.class::isInstance)
+			.noneMatch(EntryEffect.ReadConfiguration.class::isInstance);
 	}
 
 	// A node that stops does not lead the others: they would notice its end only after
--- a/src/test/java/sycamorehill/logic/layout/FakeFleet.java
+++ b/src/test/java/sycamorehill/logic/layout/FakeFleet.java
@@ -272,7 +272,7 @@
 			Effects effects = Effects.begin();
 			this.control.tick(
 					new GroupControl.Sight(Optional.of(ServingSamples.configuration(1)),
-							(head, now) -> FakeFleet.this.requests, false, false, storeAwayForAll()),
+							(head, now) -> FakeFleet.this.requests, false, storeAwayForAll()),
 					FakeFleet.this.now, effects);
 			carryOutAll(effects);
 		}
--- a/src/test/java/sycamorehill/logic/layout/LeaseKeeperTests.java
+++ b/src/test/java/sycamorehill/logic/layout/LeaseKeeperTests.java
@@ -18,11 +18,11 @@
  */
 class LeaseKeeperTests {
 
-	private static final LeaseKeeper.StoreSight REACHED = new LeaseKeeper.StoreSight(false, false, false);
+	private static final LeaseKeeper.StoreSight REACHED = new LeaseKeeper.StoreSight(false, false);
 
-	private static final LeaseKeeper.StoreSight OTHERS_REACH_IT = new LeaseKeeper.StoreSight(true, false, false);
+	private static final LeaseKeeper.StoreSight OTHERS_REACH_IT = new LeaseKeeper.StoreSight(true, false);
 
-	private static final LeaseKeeper.StoreSight AWAY = new LeaseKeeper.StoreSight(false, false, true);
+	private static final LeaseKeeper.StoreSight AWAY = new LeaseKeeper.StoreSight(false, true);
 
 	private final Instant start = Instant.ofEpochSecond(1000);
 
@@ -95,6 +95,41 @@
 		assertThat(next.all()).containsExactly(new EntryEffect.ReplaceLease(new Lease("two#b", 4, 7)));
 	}
 
+	private List<EntryEffect> ticked(LeaseKeeper keeper, LeaseKeeper.StoreSight store, long millis) {
+		Effects effects = Effects.begin();
+		keeper.tick(store, this.start.plusMillis(millis), effects);
+		return effects.all();
+	}
+
+	// 95 nodes that look at the lease for themselves make as many calls as there are
+	// nodes, and each that sees an old copy writes in vain. Those that hear of the lease
+	// don't look; when the node that reads and holds it dies, they know its last renewal,
+	// and take the lease as soon as it has expired.
+	@Test
+	void aNodeThatHearsOfTheLeaseLooksOnlyWhenItHearsNoMore() {
+		LeaseKeeper keeper = LeaseKeeper.of("one#b");
+		for (long millis = 0; millis <= 5000; millis += 100) {
+			keeper.heard(new Lease("two#a", 3, 7 + millis / 700), this.start.plusMillis(millis), Effects.begin());
+			assertThat(ticked(keeper, OTHERS_REACH_IT, millis)).isEmpty();
+		}
+		assertThat(keeper.holder()).hasValue("two");
+		assertThat(ticked(keeper, REACHED, 6000)).containsExactly(new EntryEffect.ReadLease());
+		keeper.answered(new LeaseAnswer.Present(new Lease("two#a", 3, 14), false), this.start.plusMillis(6010),
+				Effects.begin());
+		assertThat(ticked(keeper, REACHED, 7300))
+			.containsExactly(new EntryEffect.ReplaceLease(new Lease("one#b", 4, 14)));
+	}
+
+	// A holder was cut off and another node took the lease. It hears so from a neighbour
+	// before the store answers it.
+	@Test
+	void aHolderThatHearsOfAnotherOneStops() {
+		LeaseKeeper keeper = holder("one#a");
+		assertThat(keeper.held(this.start.plusMillis(500))).isTrue();
+		keeper.heard(new Lease("two#a", 4, 9), this.start.plusMillis(500), Effects.begin());
+		assertThat(keeper.held(this.start.plusMillis(510))).isFalse();
+	}
+
 	// The store is away for all nodes for 8 s, and members of groups die meanwhile.
 	// Nobody
 	// can take the lease, so its holder goes on; a holder that only it is away for does
--- a/src/test/java/sycamorehill/logic/layout/PlanPauseTests.java
+++ b/src/test/java/sycamorehill/logic/layout/PlanPauseTests.java
@@ -47,8 +47,9 @@
 
 	private List<EntryEffect> tick(Duration after) {
 		Effects effects = Effects.begin();
-		this.control.tick(new GroupControl.Sight(Optional.of(ServingSamples.configuration(1)), (head, now) -> 0, false,
-				false, false), BEGIN.plus(after), effects);
+		this.control.tick(
+				new GroupControl.Sight(Optional.of(ServingSamples.configuration(1)), (head, now) -> 0, false, false),
+				BEGIN.plus(after), effects);
 		return effects.all();
 	}
 
