Tell all nodes of a silent group, and of one that has ended

Change: the node that controls the groups tells all when two nodes report a silence within 1 s; a node that has begun streams there judges by them. It tells all when a head has left its group. A group whose head says that it serves no more gets no requests until the directory shows a change.

--- a/src/main/java/sycamorehill/entry/NodeMessageCodec.java
+++ b/src/main/java/sycamorehill/entry/NodeMessageCodec.java
@@ -35,6 +35,10 @@
 
 	private static final String CONTENT = "content";
 
+	private static final String GROUP = "group";
+
+	private static final String EPOCH = "epoch";
+
 	private static final String REQUESTS = "requests";
 
 	private static final String ADDRESS = "address";
@@ -125,6 +129,12 @@
 		else if (message instanceof NodeMessage.Silence silence) {
 			body.put(TARGET, silence.target().value());
 		}
+		else if (message instanceof NodeMessage.SilenceConfirmed confirmed) {
+			body.put(TARGET, confirmed.target().value());
+		}
+		else if (message instanceof NodeMessage.GroupEnded ended) {
+			body.put(TARGET, ended.head().value()).put(GROUP, ended.group()).put(EPOCH, ended.epoch());
+		}
 		else if (message instanceof NodeMessage.Suspicion suspicion) {
 			body.put(TARGET, suspicion.target().value()).put(CONTENT, suspicion.content());
 		}
@@ -149,6 +159,10 @@
 			case INTRODUCTION -> new NodeMessage.Introduction(node(sender, body));
 			case LEASE_GIVEN_UP -> new NodeMessage.LeaseGivenUp(sender, body.path(HOLDER).asText());
 			case SILENCE -> new NodeMessage.Silence(sender, TargetName.of(body.path(TARGET).asText()));
+			case SILENCE_CONFIRMED ->
+				new NodeMessage.SilenceConfirmed(sender, TargetName.of(body.path(TARGET).asText()));
+			case GROUP_ENDED -> new NodeMessage.GroupEnded(sender, TargetName.of(body.path(TARGET).asText()),
+					body.path(GROUP).asText(), body.path(EPOCH).asLong());
 			case SUSPICION -> new NodeMessage.Suspicion(sender, body.path(CONTENT).asLong(),
 					TargetName.of(body.path(TARGET).asText()));
 			case CLEARED -> new NodeMessage.Cleared(sender, body.path(CONTENT).asLong());
@@ -182,7 +196,8 @@
 		LOADS(NodeMessage.Loads.class), PLACED(NodeMessage.Placed.class), STORE_NEWS(NodeMessage.StoreNews.class),
 		TARGETS_SEEN(NodeMessage.TargetsSeen.class), INTRODUCTION(NodeMessage.Introduction.class),
 		LEASE_GIVEN_UP(NodeMessage.LeaseGivenUp.class), SILENCE(NodeMessage.Silence.class),
-		SUSPICION(NodeMessage.Suspicion.class), CLEARED(NodeMessage.Cleared.class);
+		SUSPICION(NodeMessage.Suspicion.class), SILENCE_CONFIRMED(NodeMessage.SilenceConfirmed.class),
+		GROUP_ENDED(NodeMessage.GroupEnded.class), CLEARED(NodeMessage.Cleared.class);
 
 		private final Class<? extends NodeMessage> type;
 
--- a/src/main/java/sycamorehill/logic/dispatch/RequestDesk.java
+++ b/src/main/java/sycamorehill/logic/dispatch/RequestDesk.java
@@ -26,6 +26,7 @@
 import sycamorehill.model.serving.Route;
 import sycamorehill.model.serving.ServiceFigures;
 import sycamorehill.model.serving.TargetAddress;
+import sycamorehill.model.serving.TargetEntry;
 import sycamorehill.model.serving.Workspace;
 
 /**
@@ -198,7 +199,7 @@
 
 	private void place(ActiveRequest active, String otherwise, Instant now, Effects effects) {
 		Configuration known = this.configuration.orElseThrow();
-		List<Candidate> all = this.serving.find(known, active.service(), active.request().model());
+		List<Candidate> all = this.serving.find(known, active.service(), active.request().model(), now);
 		List<Candidate> drawn = this.placement.draw(all);
 		Place place = find(active, drawn, now);
 		if (place.entrance() == Admission.Entrance.REFUSED && drawn.size() < all.size()) {
@@ -398,7 +399,7 @@
 			Effects effects) {
 		switch (notRun.cause()) {
 			case NOT_SENT -> load(target).failed(now);
-			case WRONG_TARGET -> load(target).aside(now, WRONG_TARGET_ASIDE);
+			case WRONG_TARGET -> wrongTarget(request, target, now);
 			case REFUSED -> load(target).aside(now, FULL_ASIDE);
 		}
 		boolean unreached = notRun.cause() == NotRunCause.NOT_SENT;
@@ -416,6 +417,31 @@
 		place(request, cause, now, effects);
 	}
 
+	// A stream that goes on asks for the weights that it began with, and is also refused
+	// by a head that serves others.
+	private void wrongTarget(ActiveRequest request, TargetName target, Instant now) {
+		load(target).aside(now, WRONG_TARGET_ASIDE);
+		if (request.answerBegun()) {
+			return;
+		}
+		this.directory.find(target)
+			.flatMap(TargetEntry::membership)
+			.ifPresent((seat) -> this.serving.ended(seat.group(), seat.epoch(), now));
+	}
+
+	/**
+	 * Notes that a group serves no more, before the directory shows it.
+	 * @param head the engine that took its requests
+	 * @param group the group's name
+	 * @param epoch the group's epoch
+	 * @param now the present time
+	 * @param effects collects what is wanted
+	 */
+	public void groupEnded(TargetName head, String group, long epoch, Instant now, Effects effects) {
+		this.serving.ended(group, epoch, now);
+		moveStreams(head, now, effects);
+	}
+
 	private void sendAgain(ActiveRequest request, TargetName target, String cause, boolean allowed, Instant now,
 			Effects effects) {
 		if (!allowed || !mayRepeat(request, now)) {
@@ -490,6 +516,27 @@
 	public void silent(TargetName target, Instant now, Effects effects) {
 		load(target).aside(now, SILENT_ASIDE);
 		effects.log(LogEvent.TARGET_SILENT, "target=" + target + " in-flight=" + load(target).inFlight());
+		moveStreams(target, now, effects);
+	}
+
+	/**
+	 * Other nodes have found a target silent. A node that has streams there which have
+	 * begun sees for itself whether they go on: two nodes behind a link that loses
+	 * packets may be wrong for all others.
+	 * @param target the target
+	 * @param now the present time
+	 * @param effects collects what is wanted
+	 */
+	public void silentElsewhere(TargetName target, Instant now, Effects effects) {
+		boolean seesForItself = this.active.values()
+			.stream()
+			.anyMatch((request) -> request.answerBegun() && request.target().filter(target::equals).isPresent());
+		if (!seesForItself) {
+			silent(target, now, effects);
+		}
+	}
+
+	private void moveStreams(TargetName target, Instant now, Effects effects) {
 		for (ActiveRequest request : List.copyOf(this.active.values())) {
 			boolean here = request.target().filter(target::equals).isPresent();
 			if (here && request.route().kind() == RequestKind.RESUMABLE_STREAM && hasAlternative(request, now)
@@ -510,7 +557,7 @@
 			return false;
 		}
 		List<Candidate> candidates = this.serving.find(this.configuration.orElseThrow(), request.service(),
-				request.request().model());
+				request.request().model(), now);
 		return find(request, candidates, now).entrance() != Admission.Entrance.REFUSED;
 	}
 
--- a/src/main/java/sycamorehill/logic/dispatch/ServingTargets.java
+++ b/src/main/java/sycamorehill/logic/dispatch/ServingTargets.java
@@ -1,5 +1,6 @@
 package sycamorehill.logic.dispatch;
 
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -25,6 +26,8 @@
 
 	private final Map<ServiceName, List<Candidate>> byService = new HashMap<>();
 
+	private final EndedGroups ended = new EndedGroups();
+
 	private long derivedFrom = -1;
 
 	private Configuration derivedWith;
@@ -42,9 +45,10 @@
 	 * @param configuration the configuration in force
 	 * @param service the service
 	 * @param model the model asked for; plain services don't look at it
+	 * @param now the present time
 	 * @return the targets
 	 */
-	List<Candidate> find(Configuration configuration, ServiceName service, Optional<String> model) {
+	List<Candidate> find(Configuration configuration, ServiceName service, Optional<String> model, Instant now) {
 		if (this.derivedFrom != this.directory.changes() || this.derivedWith != configuration) {
 			derive(configuration);
 		}
@@ -54,9 +58,14 @@
 		}
 		return all.stream()
 			.filter((candidate) -> candidate.model().map((figures) -> figures.name().equals(model.get())).orElse(true))
+			.filter((candidate) -> !this.ended.contains(candidate.entry().membership(), now))
 			.toList();
 	}
 
+	void ended(String group, long epoch, Instant now) {
+		this.ended.add(group, epoch, now);
+	}
+
 	private void derive(Configuration configuration) {
 		this.byService.clear();
 		Map<ServiceName, List<TargetEntry>> entries = new HashMap<>();
--- a/src/main/java/sycamorehill/logic/entry/EntryReducer.java
+++ b/src/main/java/sycamorehill/logic/entry/EntryReducer.java
@@ -54,6 +54,8 @@
 
 	private final Neighbours neighbours;
 
+	private final SilenceReports silences = new SilenceReports();
+
 	private final EarlyRequests early = new EarlyRequests();
 
 	private final StoreRelay relay;
@@ -153,6 +155,13 @@
 		this.requests.heard(message, now);
 		if (message instanceof NodeMessage.Silence silence) {
 			this.groups.suspect(silence.target(), now, effects);
+			reported(silence.sender(), silence.target(), now, effects);
+		}
+		else if (message instanceof NodeMessage.SilenceConfirmed confirmed) {
+			this.requests.silentElsewhere(confirmed.target(), now, effects);
+		}
+		else if (message instanceof NodeMessage.GroupEnded ended) {
+			this.requests.groupEnded(ended.head(), ended.group(), ended.epoch(), now, effects);
 		}
 		else if (message instanceof NodeMessage.StoreNews news) {
 			heardNews(news, now, effects);
@@ -197,9 +206,17 @@
 		}
 	}
 
+	private void reported(String node, TargetName target, Instant now, Effects effects) {
+		if (this.groups.controls(now) && this.silences.confirms(node, target, now)) {
+			effects.add(new EntryEffect.TellAll(new NodeMessage.SilenceConfirmed(this.settings.nodeName(), target)));
+			this.requests.silentElsewhere(target, now, effects);
+		}
+	}
+
 	private void silent(TargetName target, Instant now, Effects effects) {
 		this.requests.silent(target, now, effects);
 		this.groups.suspect(target, now, effects);
+		reported(this.settings.nodeName(), target, now, effects);
 		this.groups.controller()
 			.ifPresent((node) -> this.neighbours.tell(node, new NodeMessage.Silence(this.settings.nodeName(), target),
 					effects));
--- a/src/main/java/sycamorehill/logic/layout/Dissolution.java
+++ b/src/main/java/sycamorehill/logic/layout/Dissolution.java
@@ -217,8 +217,9 @@
 	 * @param leave the order
 	 * @param answer the answer
 	 * @param now the present time
+	 * @return the group, if it serves no more from now on
 	 */
-	void answered(TargetName engine, EngineOrderCall.Leave leave, EngineOrderAnswer answer, Instant now) {
+	Optional<GroupEnd> answered(TargetName engine, EngineOrderCall.Leave leave, EngineOrderAnswer answer, Instant now) {
 		boolean proven = switch (answer) {
 			case BEGUN, HOLDS_ALREADY, CONFLICT, OTHER_TARGET -> true;
 			case OUTDATED, NOTHING_LISTENS, NOT_KNOWN, UNSUPPORTED -> false;
@@ -226,7 +227,7 @@
 		String key = GroupView.key(leave.group(), leave.epoch());
 		Ending state = this.ending.get(key);
 		if (state == null) {
-			return;
+			return Optional.empty();
 		}
 		boolean head = state.head != null && state.head.name().equals(engine);
 		if (!head) {
@@ -239,6 +240,8 @@
 		else {
 			state.headSilent = true;
 		}
+		return (proven && state.head != null)
+				? Optional.of(new GroupEnd(state.head.name(), leave.group(), leave.epoch())) : Optional.empty();
 	}
 
 	/**
@@ -259,6 +262,16 @@
 
 	}
 
+	/**
+	 * A group that serves no more.
+	 *
+	 * @param head the engine that took its requests
+	 * @param group the group's name
+	 * @param epoch the group's epoch
+	 */
+	record GroupEnd(TargetName head, String group, long epoch) {
+	}
+
 	/**
 	 * A group on its way out.
 	 */
--- a/src/main/java/sycamorehill/logic/layout/GroupControl.java
+++ b/src/main/java/sycamorehill/logic/layout/GroupControl.java
@@ -158,7 +158,11 @@
 			case HOLDS_ALREADY -> this.ledger.held(engine);
 			default -> this.ledger.uncertain(engine, now);
 		}
-		this.services.values().forEach((service) -> service.orderAnswered(engine, order, answer, now));
+		for (ServiceGroups service : this.services.values()) {
+			service.orderAnswered(engine, order, answer, now)
+				.ifPresent((end) -> effects.add(new EntryEffect.TellAll(
+						new NodeMessage.GroupEnded(this.settings.nodeName(), end.head(), end.group(), end.epoch()))));
+		}
 	}
 
 	/**
--- a/src/main/java/sycamorehill/logic/layout/ServiceGroups.java
+++ b/src/main/java/sycamorehill/logic/layout/ServiceGroups.java
@@ -3,6 +3,7 @@
 import java.time.Instant;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
 
@@ -73,7 +74,8 @@
 		this.freeEngines.clear();
 	}
 
-	void orderAnswered(TargetName engine, EngineOrderCall order, EngineOrderAnswer answer, Instant now) {
+	Optional<Dissolution.GroupEnd> orderAnswered(TargetName engine, EngineOrderCall order, EngineOrderAnswer answer,
+			Instant now) {
 		if (order instanceof EngineOrderCall.Join join) {
 			this.builder.joinAnswered(engine, join, answer);
 		}
@@ -84,8 +86,9 @@
 			this.builder.openAnswered(open, answer, now);
 		}
 		else if (order instanceof EngineOrderCall.Leave leave) {
-			this.dissolution.answered(engine, leave, answer, now);
+			return this.dissolution.answered(engine, leave, answer, now);
 		}
+		return Optional.empty();
 	}
 
 	void reported(TargetName engine, Membership membership) {
--- a/src/main/java/sycamorehill/model/serving/NodeMessage.java
+++ b/src/main/java/sycamorehill/model/serving/NodeMessage.java
@@ -156,6 +156,26 @@
 	record Silence(String sender, TargetName target) implements NodeMessage {
 	}
 
+	/**
+	 * Several nodes have found a target silent.
+	 *
+	 * @param sender the node that tells, which controls the groups
+	 * @param target the target
+	 */
+	record SilenceConfirmed(String sender, TargetName target) implements NodeMessage {
+	}
+
+	/**
+	 * A group serves no more: its head has left it, or stands still for good.
+	 *
+	 * @param sender the node that tells, which controls the groups
+	 * @param head the engine that took the group's requests
+	 * @param group the group's name
+	 * @param epoch the group's epoch
+	 */
+	record GroupEnded(String sender, TargetName head, String group, long epoch) implements NodeMessage {
+	}
+
 	/**
 	 * A target was lost while it ran a request.
 	 *
--- a/src/test/java/sycamorehill/logic/dispatch/RequestDeskTests.java
+++ b/src/test/java/sycamorehill/logic/dispatch/RequestDeskTests.java
@@ -165,6 +165,61 @@
 		assertThat(none.all()).noneMatch(EntryEffect.Answer.class::isInstance);
 	}
 
+	private void hearSilence(TargetName target, Effects effects) {
+		this.desk.silentElsewhere(target, this.now, effects);
+	}
+
+	// A group lost a member. This node has one request there, which waits for its first
+	// event and says nothing yet; other nodes have streams there that stand still. Left
+	// alone, the request would wait for a second, and new ones would join it.
+	@Test
+	void aRequestThatWaitsAtAGroupThatOthersFoundSilentMovesOn() {
+		TargetName first = target(arrive(1, "/stream/x"));
+		Effects effects = Effects.begin();
+		hearSilence(first, effects);
+		assertThat(target(effects.all())).isNotEqualTo(first);
+		assertThat(target(arrive(2, "/stream/x"))).isNotEqualTo(first);
+	}
+
+	// Two nodes behind a link that loses packets took a group for silent. Its streams to
+	// this node go on.
+	@Test
+	void aStreamThatGoesOnIsNotMovedForOthers() {
+		TargetName first = target(arrive(1, "/stream/x"));
+		this.desk.begun(1, this.now);
+		Effects effects = Effects.begin();
+		hearSilence(first, effects);
+		assertThat(effects.all()).isEmpty();
+	}
+
+	// An engine is cut off from the store, so that the directory shows it as the head of
+	// a
+	// group that it has left. Each node sent it a request every half second, and each
+	// request has two targets to try.
+	@Test
+	void aGroupThatItsHeadHasLeftGetsNoMoreRequestsThoughTheDirectoryShowsIt() {
+		TargetName first = target(arrive(1, "/stream/x"));
+		end(1, 1, new AttemptEnd.NotRun(NotRunCause.WRONG_TARGET, Optional.empty()));
+		this.now = this.now.plusSeconds(3);
+		for (int number = 2; number < 9; number++) {
+			assertThat(target(arrive(number, "/stream/x"))).isNotEqualTo(first);
+		}
+	}
+
+	// The controller has taken a group apart and tells all nodes. The head takes part in
+	// another group soon after, under another epoch, and gets requests again.
+	@Test
+	void aHeadGetsRequestsAgainInItsNextGroup() {
+		TargetName first = target(arrive(1, "/stream/x"));
+		String group = first.equals(TargetName.of("a1")) ? "small.1" : "small.2";
+		Effects effects = Effects.begin();
+		this.desk.groupEnded(first, group, group.equals("small.1") ? 1 : 2, this.now, effects);
+		assertThat(target(effects.all())).isNotEqualTo(first);
+		targets(ServingSamples.member(first.toString(), "small.9", 9, 0, MemberState.OPEN),
+				ServingSamples.member("z2", "small.9", 9, 1, MemberState.READY));
+		assertThat(target(arrive(2, "/stream/x"))).isEqualTo(first);
+	}
+
 	@Test
 	void aLeavingTargetGetsNoNewWork() {
 		targets(ServingSamples.leaving(ServingSamples.plain("p1")), ServingSamples.plain("p2"));
