List targets that were missed, and ask for a configuration until it is there

What was found by reading the code: a node that had missed changes and whose history the store had forgotten was due to list all targets, but the next news made it go on from an old revision, and with many nodes news come sooner than the list: it never listed, and gave work to targets that had left. FeedReaderTests .listsWhatItMissedThoughItIsToldOfLaterRevisions is red without the change.

--- a/src/main/java/sycamorehill/entry/EntryNode.java
+++ b/src/main/java/sycamorehill/entry/EntryNode.java
@@ -86,7 +86,7 @@
 
 	private FeedReader<TargetChange> targets;
 
-	private long configurationAsked;
+	private boolean readingConfiguration;
 
 	private final CompletableFuture<Void> ended = new CompletableFuture<>();
 
@@ -266,12 +266,14 @@
 	// Each node reads each configuration: a copy costs the store less, and mostly holds
 	// it
 	// already. One that doesn't is followed by a read of the present state.
+	// While the store turns this node away both fail, and the next news asks again.
 	private void readConfiguration(long version) {
-		if (version <= this.configurationAsked) {
+		if (this.readingConfiguration) {
 			return;
 		}
-		this.configurationAsked = version;
+		this.readingConfiguration = true;
 		this.ports.configurations().listCopy().whenCompleteAsync((page, failure) -> {
+			this.readingConfiguration = false;
 			if (failure == null) {
 				page.items().forEach((configuration) -> step(new EntryEvent.ConfigurationRead(configuration)));
 			}
--- a/src/main/java/sycamorehill/entry/FeedReader.java
+++ b/src/main/java/sycamorehill/entry/FeedReader.java
@@ -75,10 +75,13 @@
 
 	/**
 	 * Goes on after a revision that this node was told of. Called by the control thread.
+	 * What a list is still due for was not told: it stays due.
 	 * @param known the revision
 	 */
 	void known(long known) {
-		this.revision = Math.max(this.revision, known);
+		if (this.revision >= 0) {
+			this.revision = Math.max(this.revision, known);
+		}
 	}
 
 	private void next() {
--- a/src/test/java/sycamorehill/entry/FeedReaderTests.java
+++ b/src/test/java/sycamorehill/entry/FeedReaderTests.java
@@ -87,6 +87,38 @@
 		assertThat(listedTwice.await(5, TimeUnit.SECONDS)).isTrue();
 	}
 
+	// The store has forgotten the changes that this node missed, and another node goes on
+	// telling it how far it has come. A target that left in between is only missed in a
+	// list: without it, the node would give work to that target for ever.
+	@Test
+	void listsWhatItMissedThoughItIsToldOfLaterRevisions() throws Exception {
+		FakeFeed feed = new FakeFeed();
+		feed.historyGone = true;
+		CountDownLatch listed = new CountDownLatch(1);
+		CountDownLatch listedAgain = new CountDownLatch(2);
+		FeedReader<String> reader = FeedReader.of(
+				() -> new FeedReader.Pace(Duration.ofMillis(1500), Duration.ofMillis(500), true), "test", feed,
+				this.control, new FeedReader.Listener<>() {
+
+					@Override
+					public void listed(Feed.Page<String> all) {
+						listed.countDown();
+						listedAgain.countDown();
+					}
+
+					@Override
+					public void changed(Feed.Page<String> changes, long since) {
+						// History is gone: changes are not told.
+					}
+
+				});
+		reader.start();
+		assertThat(listed.await(5, TimeUnit.SECONDS)).isTrue();
+		this.control.execute(reader::readNow);
+		this.control.scheduleAtFixedRate(() -> reader.known(1), 50, 50, TimeUnit.MILLISECONDS);
+		assertThat(listedAgain.await(5, TimeUnit.SECONDS)).isTrue();
+	}
+
 	// Another node reads for this one: it makes no calls, but for one when it is told
 	// that
 	// it missed something.
