--- a/src/main/java/sycamorehill/entry/TargetConnections.java
+++ b/src/main/java/sycamorehill/entry/TargetConnections.java
@@ -25,12 +25,6 @@
  */
 final class TargetConnections {
 
-	/**
-	 * A new connection takes one way there and back, 11 ms at most, and 1 ms in the
-	 * target.
-	 */
-	private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(300);
-
 	/**
 	 * Part of the target's idle timeout after which a connection isn't used again: the
 	 * target's close may be under way, and a request that crosses it has no known
@@ -48,6 +42,8 @@
 
 	private final Bootstrap bootstrap;
 
+	private final ConnectTimeout timeout = ConnectTimeout.create();
+
 	private final Map<TargetAddress, Deque<Idle>> idle = new HashMap<>();
 
 	private TargetConnections(EventLoop loop) {
@@ -55,7 +51,6 @@
 		this.bootstrap = new Bootstrap().group(loop)
 			.channel(NioSocketChannel.class)
 			.option(ChannelOption.TCP_NODELAY, true)
-			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) CONNECT_TIMEOUT.toMillis())
 			.handler(new ChannelInitializer<Channel>() {
 				@Override
 				protected void initChannel(Channel channel) {
@@ -93,7 +88,16 @@
 	}
 
 	ChannelFuture connect(TargetAddress target) {
-		return this.bootstrap.connect(new InetSocketAddress(target.address().host(), target.address().port()));
+		long begun = System.nanoTime();
+		this.bootstrap.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) this.timeout.present().toMillis());
+		ChannelFuture connecting = this.bootstrap
+			.connect(new InetSocketAddress(target.address().host(), target.address().port()));
+		connecting.addListener((future) -> {
+			if (future.isSuccess()) {
+				this.timeout.connected(System.nanoTime() - begun);
+			}
+		});
+		return connecting;
 	}
 
 	void giveBack(TargetAddress target, TargetConnection connection, Duration idleTimeout) {
