--- a/src/main/java/sycamorehill/logic/dispatch/Admission.java
+++ b/src/main/java/sycamorehill/logic/dispatch/Admission.java
@@ -6,21 +6,18 @@
  * Decides whether a request is given to the best target that there is, and how urgently.
  *
  * The load it answers: more requests than slots, for seconds. An answer in time is worth
- * about four late ones, and a target whose slots are all taken answers nobody in time: a
- * slot comes free every 80 to 120 ms, so that a request which waits for it misses a
- * target of 300 ms. Requests that will be late in any case therefore use only what is
- * left: they are taken while a slot or two are free, and refused at once otherwise. A
- * caller that comes back after a refusal is let in before new ones that would be late
- * too. A stream that has begun goes on wherever it can: breaking it off costs its caller
- * more than the wait.
+ * several late ones, and a target whose slots are all taken answers nobody in time: a
+ * request that waits there for a slot has used up its time. Requests that will be late in
+ * any case therefore use only what is left: they are taken while a slot or two are free,
+ * and refused at once otherwise. A caller that comes back after a refusal is let in
+ * before new ones that would be late too. A stream that has begun goes on wherever it
+ * can: breaking it off costs its caller more than the wait.
  */
 final class Admission {
 
 	/**
 	 * Requests with a target, against its slots, up to which one that will be late is
-	 * taken: one slot of ten is kept for those that can be in time. Twice the load on 12
-	 * slots of 1 s for 20 s had 20 answers in time and 220 late with 1.15 (1.4 for those
-	 * that come back), and has more than 204 in time now (AdmissionTests).
+	 * taken: one slot of ten is kept for those that can be in time.
 	 */
 	private static final double MOST_LATE = 0.9;
 
@@ -32,7 +29,7 @@
 
 	/**
 	 * Part of the route's time that a caller has left when it comes for the first time;
-	 * one that comes back has waited for at least 300 ms of 6 to 8 s.
+	 * one that comes back has waited for some of it.
 	 */
 	private static final double FIRST_COME = 0.97;
 
--- a/src/main/java/sycamorehill/logic/dispatch/FinalAnswers.java
+++ b/src/main/java/sycamorehill/logic/dispatch/FinalAnswers.java
@@ -26,8 +26,8 @@
 	private static final int GATEWAY_TIMEOUT = 504;
 
 	/**
-	 * When to come back if all targets are full. A slot of a group comes free within a
-	 * fraction of an answer's length of about 1 s; the spread keeps callers apart.
+	 * When to come back if all targets are full: slots come free within a fraction of an
+	 * answer's length. The spread keeps callers apart.
 	 */
 	private static final Duration COME_BACK = Duration.ofMillis(300);
 
--- a/src/main/java/sycamorehill/logic/dispatch/Placement.java
+++ b/src/main/java/sycamorehill/logic/dispatch/Placement.java
@@ -21,9 +21,9 @@
 final class Placement {
 
 	/**
-	 * What a target in another data centre must be ahead by: the way there and back twice
-	 * (a new connection and the request) at the longest delay between data centres seen,
-	 * 5.4 ms, and its share of the costs of bytes between them.
+	 * What a target in another data centre must be ahead by: the way there and back
+	 * twice, for a new connection and for the request, and the cost of bytes between
+	 * them.
 	 */
 	private static final double OTHER_DATA_CENTRE_MILLIS = 30;
 
@@ -35,14 +35,13 @@
 
 	/**
 	 * How steeply the expected wait grows as a target fills: what is known of its load is
-	 * up to 200 ms old, so that a target with one free slot often has none. Half full it
-	 * adds a 64th of the time in which a slot comes free, with one slot free two thirds.
+	 * old, so that a target with one free slot often has none.
 	 */
 	private static final int FILLING = 6;
 
 	/**
-	 * Time to a first event that the figures don't explain, measured: first events of
-	 * empty groups took 170 ms of which 50 ms are reading and steps.
+	 * Time to a first event that the engines' figures don't explain. First events that
+	 * are seen take its place where they take longer.
 	 */
 	private static final double FIRST_EVENT_MILLIS = 110;
 
@@ -57,9 +56,7 @@
 
 	/**
 	 * Targets of the own data centre that one of many nodes compares, drawn anew for each
-	 * request. With 67 nodes and 24 groups at 0.62 of their slots, 10.7% of requests
-	 * waited over 100 ms when all were compared and 3.3% now; at 0.75 of the slots 25.4%
-	 * and 14.1%, means of five plays. Drawing 2, 3 or 6 was no better.
+	 * request: each node finds a target with a free slot, and few nodes the same one.
 	 */
 	private static final int COMPARED_NEAR = 4;
 
--- a/src/main/java/sycamorehill/logic/dispatch/RequestDesk.java
+++ b/src/main/java/sycamorehill/logic/dispatch/RequestDesk.java
@@ -241,7 +241,7 @@
 	}
 
 	// Prompts that several nodes send to one target within some milliseconds are read
-	// together, and hold up its streams. A report of the load comes 200 ms too late.
+	// together, and hold up its streams. A report of the load comes too late.
 	private void reads(ActiveRequest active, Candidate candidate, EngineFigures engines, Instant now, Effects effects) {
 		TargetName name = candidate.entry().name();
 		Duration reading = Placement.reading(engines, candidate.model().orElseThrow(), active.request().size());
--- a/src/main/java/sycamorehill/logic/entry/EarlyRequests.java
+++ b/src/main/java/sycamorehill/logic/entry/EarlyRequests.java
@@ -11,8 +11,8 @@
 
 /**
  * Requests that came before this node had read its configuration and targets. Both are
- * there within 0.4 s of a start, which is sooner than a caller that is refused comes
- * back. When all nodes start at once, callers reach nodes that are not ready.
+ * there sooner than a caller that is refused comes back. When all nodes start at once,
+ * callers reach nodes that are not ready.
  */
 final class EarlyRequests {
 
--- a/src/main/java/sycamorehill/logic/entry/Neighbours.java
+++ b/src/main/java/sycamorehill/logic/entry/Neighbours.java
@@ -38,9 +38,8 @@
 	private static final Duration LOADS_TOLD_EVERY = Duration.ofMillis(200);
 
 	/**
-	 * Messages about loads that a node takes in a second, at most. One costs about 50
-	 * microseconds of the processor and 100 to 150 bytes, so that this many keep within 9
-	 * KB/s; 90 nodes that tell each other every 200 ms would be 450 a second each.
+	 * Messages about loads that a node takes in a second, at most: small VMs have little
+	 * processor time and bandwidth beside their callers'.
 	 */
 	private static final int LOADS_TAKEN_A_SECOND = 60;
 
@@ -224,8 +223,9 @@
 		return last != null && since.isBefore(last);
 	}
 
-	// Of 400 nodes each tells those of other data centres once in 14 s. Nodes that are
-	// not counted would leave the others too large a part of the retry budget.
+	// Many nodes tell those of other data centres rarely. Nodes that are not counted
+	// would
+	// leave the others too large a part of the retry budget.
 	private Duration livesFor() {
 		Duration many = interval().multipliedBy((long) FAR_TOLD_ONCE_IN * (MESSAGES_MISSED + 1));
 		return (!fewNodes() && many.compareTo(LIVES) > 0) ? many : LIVES;
--- a/src/main/java/sycamorehill/logic/layout/Dissolution.java
+++ b/src/main/java/sycamorehill/logic/layout/Dissolution.java
@@ -39,7 +39,7 @@
 	private static final Duration SEVER_AGAIN = Duration.ofMillis(400);
 
 	/**
-	 * Time that a closing head is given for what it runs: the longest answers take 8 s.
+	 * Time that a closing head is given for the longest answers that it runs.
 	 */
 	private static final Duration CLOSING_TIME = Duration.ofSeconds(8);
 
--- a/src/main/java/sycamorehill/logic/layout/EngineLedger.java
+++ b/src/main/java/sycamorehill/logic/layout/EngineLedger.java
@@ -61,8 +61,8 @@
 	/**
 	 * Notes that an order holds without having begun now. Whether it was counted is not
 	 * known: an order to leave takes effect at once, is counted and answered in this way.
-	 * Taken as not counted, the next order to join was refused, and each repair of a
-	 * group took 0.3 s longer. The count is asked for instead, which takes 10 to 20 ms.
+	 * Taken as not counted, the next order to join would be refused, and a repair delayed
+	 * by another round. The count is asked for instead.
 	 * @param name the engine
 	 */
 	void held(TargetName name) {
--- a/src/main/java/sycamorehill/logic/layout/GroupTargets.java
+++ b/src/main/java/sycamorehill/logic/layout/GroupTargets.java
@@ -6,13 +6,14 @@
 /**
  * How many groups of each model there should be: by the shares of the engines that the
  * configuration expects. The other engines stay free as spares with weights ready: a
- * group that lost a member serves again in 2 s with a spare, and in 15 s or more without.
+ * group that lost a member serves again as soon as a spare has joined, and without one
+ * only after a load from the weight store.
  */
 final class GroupTargets implements LayoutPlan.Wanted {
 
 	/**
-	 * Part of the engines that serve. With 60 engines that leaves two spares in each
-	 * domain of 10, one for each of two models.
+	 * Part of the engines that serve. The rest leaves each fabric domain a spare for each
+	 * of two models.
 	 */
 	private static final double SERVING_PART = 0.8;
 
--- a/src/main/java/sycamorehill/logic/layout/LayoutPlan.java
+++ b/src/main/java/sycamorehill/logic/layout/LayoutPlan.java
@@ -238,8 +238,8 @@
 		return prevented;
 	}
 
-	// A spare that holds the weights of a lost member replaces it within 2 s; one loaded
-	// anew takes 12 to 16 s.
+	// A spare that holds the weights of a lost member replaces it at once; one without
+	// them has to load first.
 	private void planSpares() {
 		for (DomainStock stock : this.stocks) {
 			boolean changed = true;
--- a/src/main/java/sycamorehill/logic/layout/LeaseKeeper.java
+++ b/src/main/java/sycamorehill/logic/layout/LeaseKeeper.java
@@ -19,12 +19,12 @@
  */
 final class LeaseKeeper {
 
-	/** Time between two renewals; each is a priced write. */
+	/** Time between two renewals. */
 	private static final Duration RENEWAL = Duration.ofMillis(700);
 
 	/**
-	 * Time between two looks of those that wait; they read a copy, at a tenth of the
-	 * price.
+	 * Time between two looks of those that wait; they read a copy, which costs the store
+	 * less.
 	 */
 	private static final Duration LOOK = Duration.ofMillis(800);
 
--- a/src/main/java/sycamorehill/logic/layout/StartPhase.java
+++ b/src/main/java/sycamorehill/logic/layout/StartPhase.java
@@ -20,8 +20,7 @@
 	private static final Duration ENTERED_AFTER = Duration.ofMillis(450);
 
 	/**
-	 * Forming begins at last: fast loads of 60 engines take 12 s of the 15 s before
-	 * traffic.
+	 * Forming begins at last, whoever is missing: loads are fast only before traffic.
 	 */
 	private static final Duration ENTERED_BY = Duration.ofMillis(2200);
 
--- a/src/main/java/sycamorehill/platform/PlatformEngines.java
+++ b/src/main/java/sycamorehill/platform/PlatformEngines.java
@@ -31,13 +31,12 @@
 	private static final String REPORTS = "/-/report";
 
 	/**
-	 * Engines answer orders at once; a connection across data centres takes some 20 ms.
+	 * Bound on an order with its connection. Engines answer orders at once.
 	 */
 	private static final Duration TIMEOUT = Duration.ofMillis(900);
 
 	/**
-	 * A report is asked for to find lost engines: each 100 ms here is downtime of a
-	 * group.
+	 * A report is asked for to find lost engines: waiting for it is downtime of a group.
 	 */
 	private static final Duration REPORT_TIMEOUT = Duration.ofMillis(400);
 
--- a/src/main/java/sycamorehill/platform/PlatformStore.java
+++ b/src/main/java/sycamorehill/platform/PlatformStore.java
@@ -66,7 +66,7 @@
 	private static final String GROUP_CONTROL = "group-control";
 
 	/**
-	 * Bound on a call that does not wait; answers take 4 ms, and a slow store some 100.
+	 * Bound on a call that does not wait. A slow store answers well within it.
 	 */
 	private static final Duration CALL_TIMEOUT = Duration.ofMillis(800);
 
--- /dev/null
+++ b/src/test/java/sycamorehill/runtime/ClockJumpTests.java
@@ -0,0 +1,55 @@
+package sycamorehill.runtime;
+
+import java.lang.reflect.RecordComponent;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.temporal.Temporal;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.Stream;
+
+import org.junit.jupiter.api.Test;
+
+import sycamorehill.model.serving.Lease;
+import sycamorehill.model.serving.NodeMessage;
+import sycamorehill.model.serving.NodeRecord;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * The time of day jumps on some VMs by 40 minutes, either way, also while a process
+ * starts. Leases, timeouts and ages go on, because they rest on time since the start of
+ * the process, and because nodes tell each other no times of day.
+ */
+class ClockJumpTests {
+
+	private static final Duration JUMP = Duration.ofMinutes(40);
+
+	// A lease would expire at once, and every request's time would be over.
+	@Test
+	void theClockOfAProcessGoesOnWhenTheTimeOfDayJumps() {
+		List<Instant> asked = new ArrayList<>();
+		Instant day = Instant.ofEpochSecond(1_000_000);
+		MonotonicClock clock = MonotonicClock.start(() -> {
+			asked.add(day);
+			return (asked.size() == 1) ? day : day.minus(JUMP);
+		});
+		Instant first = clock.instant();
+		Instant second = clock.instant();
+		assertThat(first).isBetween(day, day.plusSeconds(60));
+		assertThat(second).isBetween(first, first.plusSeconds(60));
+		assertThat(asked).hasSize(1);
+	}
+
+	// Two nodes whose clocks are 40 minutes apart would each take the other's news for
+	// old or for not yet true.
+	@Test
+	void nothingThatNodesTellEachOtherOrTheStoreIsATimeOfDay() {
+		Stream<Class<?>> told = Stream.concat(Stream.of(NodeMessage.class.getPermittedSubclasses()),
+				Stream.of(Lease.class, NodeRecord.class));
+		assertThat(told.flatMap((type) -> Stream.of(type.getRecordComponents())).map(RecordComponent::getType))
+			.isNotEmpty()
+			.noneMatch(Temporal.class::isAssignableFrom);
+	}
+
+}
