--- a/src/main/java/sycamorehill/logic/dispatch/RequestDesk.java
+++ b/src/main/java/sycamorehill/logic/dispatch/RequestDesk.java
@@ -23,7 +23,6 @@
 import sycamorehill.model.serving.NodeMessage;
 import sycamorehill.model.serving.NotRunCause;
 import sycamorehill.model.serving.RequestKind;
-import sycamorehill.model.serving.Route;
 import sycamorehill.model.serving.ServiceFigures;
 import sycamorehill.model.serving.TargetAddress;
 import sycamorehill.model.serving.TargetEntry;
@@ -35,10 +34,6 @@
  */
 public final class RequestDesk {
 
-	private static final int UNAUTHORIZED = 401;
-
-	private static final int NOT_FOUND = 404;
-
 	private static final int UNAVAILABLE = 503;
 
 	/**
@@ -81,9 +76,6 @@
 	 */
 	private static final Duration COME_BACK_ELSEWHERE = Duration.ofMillis(50);
 
-	/** When a content that was lost with several targets may come back: rarely. */
-	private static final Duration COME_BACK_SUSPECT = Duration.ofSeconds(30);
-
 	private final String nodeName;
 
 	private final TargetDirectory directory;
@@ -104,9 +96,9 @@
 
 	private final CrashBook crashes = CrashBook.create();
 
-	private Optional<Configuration> configuration = Optional.empty();
+	private final RequestGate gate;
 
-	private RouteTable routes = RouteTable.of(List.of());
+	private Optional<Configuration> configuration = Optional.empty();
 
 	private RequestDesk(EntrySettings settings, TargetDirectory directory, RandomGenerator random) {
 		this.nodeName = settings.nodeName();
@@ -115,6 +107,7 @@
 		this.serving = ServingTargets.of(directory);
 		this.placement = Placement.of(settings.dataCentre(), random);
 		this.answers = FinalAnswers.of(random);
+		this.gate = RequestGate.of(this.crashes, this.answers::comeBack);
 		this.random = random;
 	}
 
@@ -135,7 +128,7 @@
 	 */
 	public void adopt(Configuration adopted) {
 		this.configuration = Optional.of(adopted);
-		this.routes = RouteTable.of(adopted.routes());
+		this.gate.adopt(adopted);
 	}
 
 	/**
@@ -154,27 +147,19 @@
 	 * @param effects collects what is wanted
 	 */
 	public void arrived(CallerRequest request, Instant since, Instant now, Effects effects) {
-		if (this.configuration.isEmpty()) {
-			refuseUnrouted(request, UNAVAILABLE, "no configuration yet", Optional.of(this.answers.comeBack()), effects);
-			return;
-		}
-		Optional<Route> route = this.routes.find(request.host(), request.path());
-		if (route.isEmpty()) {
-			refuseUnrouted(request, NOT_FOUND, "no route leads there", Optional.empty(), effects);
-			return;
+		RequestGate.Decision decision = this.gate.decide(request);
+		if (decision instanceof RequestGate.Refused refused) {
+			refuseUnrouted(request, refused, effects);
 		}
-		Optional<Workspace> workspace = request.key().map(this.configuration.get().workspaces()::get);
-		if (workspace.isEmpty() && this.configuration.get().keysNeeded() && !route.get().open()) {
-			refuseUnrouted(request, UNAUTHORIZED, "the key is not known", Optional.empty(), effects);
-			return;
+		else if (decision instanceof RequestGate.Admitted admitted) {
+			admitted(request, admitted, since, now, effects);
 		}
-		if (this.crashes.refused(request.content())) {
-			refuseUnrouted(request, UNAVAILABLE, "not run: this content was lost with several targets",
-					Optional.of(COME_BACK_SUSPECT), effects);
-			return;
-		}
-		ServiceName service = route.get().service(this.random.nextDouble());
-		ActiveRequest active = ActiveRequest.of(request, route.get(), service, workspace, since);
+	}
+
+	private void admitted(CallerRequest request, RequestGate.Admitted admitted, Instant since, Instant now,
+			Effects effects) {
+		ServiceName service = admitted.route().service(this.random.nextDouble());
+		ActiveRequest active = ActiveRequest.of(request, admitted.route(), service, admitted.workspace(), since);
 		this.active.put(request.number(), active);
 		effects.add(new EntryEffect.BoundRequest(request.number(), active.timeLeft(now)));
 		this.budgets.of(service).request(now);
@@ -187,14 +172,16 @@
 	 * @param effects collects what is wanted
 	 */
 	public void refuseStopping(CallerRequest request, Effects effects) {
-		refuseUnrouted(request, UNAVAILABLE, "not run: this node stops", Optional.of(COME_BACK_ELSEWHERE), effects);
+		refuseUnrouted(request,
+				new RequestGate.Refused(UNAVAILABLE, "not run: this node stops", Optional.of(COME_BACK_ELSEWHERE)),
+				effects);
 	}
 
-	private void refuseUnrouted(CallerRequest request, int status, String detail, Optional<Duration> retryAfter,
-			Effects effects) {
+	private void refuseUnrouted(CallerRequest request, RequestGate.Refused refused, Effects effects) {
 		String version = this.configuration.map((known) -> String.valueOf(known.version())).orElse("none");
-		this.answers.unrouted(request, new EntryEffect.Answer(request.number(), status, detail, retryAfter), version,
-				effects);
+		this.answers.unrouted(request,
+				new EntryEffect.Answer(request.number(), refused.status(), refused.detail(), refused.retryAfter()),
+				version, effects);
 	}
 
 	private void place(ActiveRequest active, String otherwise, Instant now, Effects effects) {
