Wake threads of many nodes less often

Each node looked 20 times a second by two timers whether it has to read the store again.

Change: 30 messages about loads a second and node; one read for each datagram; the look rides on the tick. Twelve other nodes are few, as before: smaller systems don't change.

The placement of 67 nodes (PlacementPlayTests) holds as before.

--- a/src/main/java/sycamorehill/entry/EntryNode.java
+++ b/src/main/java/sycamorehill/entry/EntryNode.java
@@ -131,13 +131,18 @@
 		enter();
 		this.configurations.start();
 		this.targets.start();
-		this.control.scheduleAtFixedRate(() -> step(new EntryEvent.Ticked()), 0, TICK.toMillis(),
-				TimeUnit.MILLISECONDS);
+		this.control.scheduleAtFixedRate(this::tick, 0, TICK.toMillis(), TimeUnit.MILLISECONDS);
 		this.callers.start(this.settings.callers());
 		this.figures.start(this.settings.neighbours());
 		this.readiness.start(this.settings.readiness());
 	}
 
+	private void tick() {
+		step(new EntryEvent.Ticked());
+		this.configurations.look();
+		this.targets.look();
+	}
+
 	private CompletableFuture<PageServer.Page> readinessPage(String path) {
 		if (!path.equals(this.ports.codec().readinessPath())) {
 			return CompletableFuture.completedFuture(PageServer.Page.NOT_FOUND);
--- a/src/main/java/sycamorehill/entry/FeedReader.java
+++ b/src/main/java/sycamorehill/entry/FeedReader.java
@@ -21,9 +21,6 @@
 
 	private static final Duration LONGEST_RETRY = Duration.ofMillis(400);
 
-	/** Pause between two looks whether this node has to read for itself again. */
-	private static final Duration REST_LOOK = Duration.ofMillis(100);
-
 	private final Supplier<Pace> pace;
 
 	private final String name;
@@ -73,6 +70,18 @@
 		}
 	}
 
+	/**
+	 * Looks whether a node that rests has to read for itself again. Called by the control
+	 * thread several times a second, with all else that is looked at then: each wake-up
+	 * of a thread costs processor time.
+	 */
+	void look() {
+		if (this.resting && !this.pace.get().rests()) {
+			this.resting = false;
+			next();
+		}
+	}
+
 	/**
 	 * Goes on after a revision that this node was told of. Called by the control thread.
 	 * What a list is still due for was not told: it stays due.
@@ -87,7 +96,7 @@
 	private void next() {
 		boolean all = this.revision < 0;
 		if (!all && !this.wanted && this.pace.get().rests()) {
-			rest();
+			this.resting = true;
 			return;
 		}
 		Duration wait = this.wanted ? Duration.ZERO : longestWait();
@@ -106,16 +115,6 @@
 		}, this.control);
 	}
 
-	private void rest() {
-		this.resting = true;
-		this.control.schedule(() -> {
-			if (this.resting) {
-				this.resting = false;
-				next();
-			}
-		}, REST_LOOK.toMillis(), TimeUnit.MILLISECONDS);
-	}
-
 	// While the call waited, another node told of changes that this answer may repeat: an
 	// older state would follow a newer one. What is not known yet is asked for again.
 	private void passOver(Feed.Page<T> page) {
--- a/src/main/java/sycamorehill/entry/NodeMessenger.java
+++ b/src/main/java/sycamorehill/entry/NodeMessenger.java
@@ -10,7 +10,9 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
@@ -28,6 +30,9 @@
  */
 final class NodeMessenger {
 
+	/** Bytes of a datagram that are read, with room beyond what nodes send. */
+	private static final int MOST_RECEIVED = 2048;
+
 	private final EventLoop loop;
 
 	private final EventPost control;
@@ -53,6 +58,7 @@
 	void start(Address address) throws InterruptedException {
 		this.channel = new Bootstrap().group(this.loop)
 			.channel(NioDatagramChannel.class)
+			.option(ChannelOption.RCVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(MOST_RECEIVED).maxMessagesPerRead(1))
 			.handler(new Receiving())
 			.bind(address.host(), address.port())
 			.sync()
--- a/src/main/java/sycamorehill/logic/entry/Neighbours.java
+++ b/src/main/java/sycamorehill/logic/entry/Neighbours.java
@@ -41,7 +41,10 @@
 	 * Messages about loads that a node takes in a second, at most: small VMs have little
 	 * processor time and bandwidth beside their callers'.
 	 */
-	private static final int LOADS_TAKEN_A_SECOND = 60;
+	private static final int LOADS_TAKEN_A_SECOND = 30;
+
+	/** Other nodes that may all be told at the shortest pause. */
+	private static final int FEW_NODES = 12;
 
 	/**
 	 * Nodes of other data centres are told once in so many times: each data centre has
@@ -159,7 +162,7 @@
 	}
 
 	private boolean fewNodes() {
-		return this.nodes.size() * 1000L <= LOADS_TAKEN_A_SECOND * LOADS_TOLD_EVERY.toMillis();
+		return this.nodes.size() <= FEW_NODES;
 	}
 
 	private List<Address> near() {
