--- /dev/null
+++ b/src/test/java/sycamorehill/entry/NodeMessageCodecTests.java
@@ -0,0 +1,72 @@
+package sycamorehill.entry;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+import org.junit.jupiter.api.Test;
+
+import sycamorehill.model.identity.DataCentreName;
+import sycamorehill.model.identity.TargetName;
+import sycamorehill.model.serving.Lease;
+import sycamorehill.model.serving.MemberState;
+import sycamorehill.model.serving.NodeMessage;
+import sycamorehill.model.serving.TargetChange;
+import sycamorehill.model.serving.TargetEntry;
+import sycamorehill.support.ServingSamples;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+/**
+ * Messages between nodes on the wire.
+ */
+class NodeMessageCodecTests {
+
+	private static final DataCentreName NORTH = DataCentreName.of("north");
+
+	private static final TargetName TARGET = TargetName.of("e1");
+
+	private final NodeMessageCodec codec = NodeMessageCodec.create();
+
+	private static List<NodeMessage> oneOfEachKind() {
+		TargetEntry member = ServingSamples.member("e1", "small.1", 1, 0, MemberState.OPEN);
+		List<TargetChange> changes = List.of(new TargetChange(TARGET, Optional.of(member)),
+				new TargetChange(TargetName.of("gone"), Optional.empty()));
+		return List.of(new NodeMessage.Loads("n1", NORTH, true, Map.of(TARGET, 3)),
+				new NodeMessage.Placed("n1", TARGET, Duration.ofMillis(14)),
+				new NodeMessage.StoreNews("n1", NORTH, 5, 90, 100, 110, changes, Optional.of(new Lease("n2#a", 3, 99))),
+				new NodeMessage.TargetsSeen("n1", changes),
+				new NodeMessage.Introduction(ServingSamples.node("n1", 7100)),
+				new NodeMessage.LeaseGivenUp("n1", "n1#a"), new NodeMessage.Silence("n1", TARGET),
+				new NodeMessage.SilenceConfirmed("n1", TARGET),
+				new NodeMessage.GroupEnded("n1", TARGET, "small.1", 1_000_001),
+				new NodeMessage.Suspicion("n1", Long.MIN_VALUE, TARGET), new NodeMessage.Cleared("n1", 7));
+	}
+
+	@Test
+	void readsWhatItWroteOfEveryKind() throws IOException {
+		Set<Class<?>> kinds = oneOfEachKind().stream().map(Object::getClass).collect(Collectors.toSet());
+		assertThat(kinds).containsExactlyInAnyOrder(NodeMessage.class.getPermittedSubclasses());
+		for (NodeMessage message : oneOfEachKind()) {
+			assertThat(this.codec.read(this.codec.write(message))).isEqualTo(message);
+		}
+	}
+
+	// A node of a later version tells something that this one does not know.
+	@Test
+	void refusesAKindThatIsNotKnown() throws IOException {
+		byte[] bytes = this.codec.write(new NodeMessage.Silence("n1", TARGET));
+		for (int index = 0; index < bytes.length - 6; index++) {
+			if (new String(bytes, index, 7).equals("SILENCE")) {
+				bytes[index] = 'X';
+			}
+		}
+		assertThatThrownBy(() -> this.codec.read(bytes)).isInstanceOf(IllegalArgumentException.class);
+	}
+
+}
