--- a/src/main/java/sycamorehill/entry/EntryNode.java
+++ b/src/main/java/sycamorehill/entry/EntryNode.java
@@ -268,9 +268,8 @@
 		return true;
 	}
 
-	// Each node reads each configuration: a copy costs the store less, and mostly holds
-	// it
-	// already. One that doesn't is followed by a read of the present state.
+	// Each node reads each configuration: a copy costs the store less, and mostly
+	// holds it already. One that doesn't is followed by a read of the present state.
 	// While the store turns this node away both fail, and the next news asks again.
 	private void readConfiguration(long version) {
 		if (this.readingConfiguration) {
@@ -279,7 +278,11 @@
 		this.readingConfiguration = true;
 		this.ports.configurations().listCopy().whenCompleteAsync((page, failure) -> {
 			this.readingConfiguration = false;
-			if (failure == null) {
+			if (failure != null) {
+				EventLog.write(LogLine.of(LogEvent.STORE_CONTACT,
+						"configuration " + version + " is not read from a copy: " + failure.getMessage()));
+			}
+			else {
 				page.items().forEach((configuration) -> step(new EntryEvent.ConfigurationRead(configuration)));
 			}
 			if (this.reducer.configurationVersion() < version) {
--- a/src/main/java/sycamorehill/logic/admission/ShareExchange.java
+++ b/src/main/java/sycamorehill/logic/admission/ShareExchange.java
@@ -259,8 +259,8 @@
 		ShareAmounts amounts = want.amounts().min(spare).min(fairPart(entry, scope, want.amounts()));
 		ShareAmounts held = entry.account().lentTo(to.incarnation(), this.now).min(want.amounts()).min(most);
 		// Requests that run on a borrowed part of the in-flight limit can't be called
-		// back:
-		// while their node asks for it, it keeps it, or more would run than the limit.
+		// back: while their node asks for it, it keeps it, or more would run than the
+		// limit.
 		ShareAmounts loan = new ShareAmounts(amounts.requests(), amounts.tokens(),
 				Math.max(amounts.inFlight(), held.inFlight()));
 		if (loan.negligible()) {
--- a/src/main/java/sycamorehill/logic/entry/Neighbours.java
+++ b/src/main/java/sycamorehill/logic/entry/Neighbours.java
@@ -227,8 +227,7 @@
 	}
 
 	// Many nodes tell those of other data centres rarely. Nodes that are not counted
-	// would
-	// leave the others too large a part of the retry budget.
+	// would leave the others too large a part of the retry budget.
 	private Duration livesFor() {
 		Duration many = interval().multipliedBy((long) FAR_TOLD_ONCE_IN * (MESSAGES_MISSED + 1));
 		return (!fewNodes() && many.compareTo(LIVES) > 0) ? many : LIVES;
--- a/src/main/java/sycamorehill/logic/group/GroupSpread.java
+++ b/src/main/java/sycamorehill/logic/group/GroupSpread.java
@@ -54,10 +54,9 @@
 		List<GroupRecord> serving = serving(turn, allocation.get());
 		List<GroupIdentity> identities = serving.stream().map(GroupRecord::identity).toList();
 		SpreadState spread = turn.state().spread();
-		// A node that starts while the platform is down learns of groups only from here:
-		// without
-		// its arrival in the hash it would refuse every request until facts go round by
-		// themselves.
+		// A node that starts while the platform is down learns of groups only from
+		// here: without its arrival in the hash it would refuse every request until
+		// facts go round by themselves.
 		int hash = Objects.hash(identities, turn.state().allocation().version(), incarnations(turn));
 		boolean changed = hash != spread.lastSent();
 		if (!changed && turn.now().isBefore(spread.nextAt())) {
--- a/src/main/java/sycamorehill/logic/group/LeaseState.java
+++ b/src/main/java/sycamorehill/logic/group/LeaseState.java
@@ -47,10 +47,10 @@
 		return this.seen.map(ControllerLease::fencingNumber).orElse(0L);
 	}
 
-	// Failure: the platform was silent for minutes, nobody could renew, and at its return
-	// another node takes the lease before the holder can; what the holder did meanwhile
-	// is
-	// undone. The lease is waited for anew when the reads have been cut off.
+	// Failure: the platform was silent for minutes, nobody could renew, and at its
+	// return another node takes the lease before the holder can; what the holder did
+	// meanwhile is undone. The lease is waited for anew when the reads have been cut
+	// off.
 	LeaseState withSeen(ControllerLease lease, long changedVersion, Instant now) {
 		boolean gap = !this.readAt.equals(Instant.MIN) && this.readAt.plus(lease.length()).isBefore(now);
 		boolean same = !gap && this.seen.filter(lease::equals).isPresent();
--- a/src/main/java/sycamorehill/logic/group/OfflineController.java
+++ b/src/main/java/sycamorehill/logic/group/OfflineController.java
@@ -58,11 +58,11 @@
 		}
 	}
 
-	// Failure: only this node's link to the platform is cut, another node takes the lease
-	// and repairs the same group with the same standby, and each orders the VMs out of
-	// the
-	// other's group. So this node repairs only if it held the lease last, and the other
-	// stewards, of which there must be one, hear nothing of the platform either.
+	// Failure: only this node's link to the platform is cut, another node takes the
+	// lease and repairs the same group with the same standby, and each orders the VMs
+	// out of the other's group. So this node repairs only if it held the lease last,
+	// and the other stewards, of which there must be one, hear nothing of the
+	// platform either.
 	static boolean mayAct(GroupTurn turn) {
 		GroupState state = turn.state();
 		Optional<Allocation> known = state.allocation().known();
--- a/src/main/java/sycamorehill/logic/group/Silences.java
+++ b/src/main/java/sycamorehill/logic/group/Silences.java
@@ -80,11 +80,10 @@
 				}
 			}
 		}
-		// Failure: this node's link to one VM is cut and so are its links to the nodes
-		// that
-		// still see the VM; it would rebuild a group that serves. When all other nodes
-		// have
-		// fallen silent a moment ago, silence of a VM proves nothing.
+		// Failure: this node's link to one VM is cut and so are its links to the
+		// nodes that still see the VM; it would rebuild a group that serves. When all
+		// other nodes have fallen silent a moment ago, silence of a VM proves
+		// nothing.
 		Instant heard = company ? now : this.companyAt;
 		boolean lately = !heard.equals(Instant.MIN) && heard.plus(DESERTED).isAfter(now);
 		boolean trust = !paused && someDomainIsSeen(fleet, now, bound);
@@ -134,9 +133,8 @@
 	 * @return whether its group has to go on without it
 	 */
 	boolean dead(VmName vm, Instant now, RepairRules rules) {
-		// Failure: a node that controlled the groups minutes ago takes the lease again
-		// and
-		// decides on what it watched then.
+		// Failure: a node that controlled the groups minutes ago takes the lease
+		// again and decides on what it watched then.
 		if (this.lookedAt.equals(Instant.MIN) || this.lookedAt.plus(LONGEST_GAP).isBefore(now)) {
 			return false;
 		}
--- a/src/main/java/sycamorehill/logic/health/HealthStep.java
+++ b/src/main/java/sycamorehill/logic/health/HealthStep.java
@@ -124,9 +124,8 @@
 	}
 
 	private void markLeaving(TargetName name, long generation) {
-		// A generation of a group never comes back, so its mark does not lapse: the VM
-		// list
-		// may show its VM live again. The address of a plain service may.
+		// A generation of a group never comes back, so its mark does not lapse: the
+		// VM list may show its VM live again. The address of a plain service may.
 		Instant until = (generation > 0) ? Instant.MAX : this.now.plus(this.policy.leavingMark());
 		this.state = this.state.with(name, new LeavingMark(generation, until));
 	}
--- a/src/main/java/sycamorehill/logic/membership/Hearing.java
+++ b/src/main/java/sycamorehill/logic/membership/Hearing.java
@@ -176,9 +176,8 @@
 		boolean same = view.hash() == vouch.hash();
 		if (turn.delegate() && dataCentre.equals(turn.ownDataCentre())) {
 			if (!same) {
-				// Also another data centre's word of this one is asked for: it may name
-				// nodes
-				// that were replaced and that nobody here has met yet.
+				// Also another data centre's word of this one is asked for: it may
+				// name nodes that were replaced and that nobody here has met yet.
 				ask(turn, from, dataCentre, view);
 			}
 			else if (vouch.ageMillis() == 0 && from.dataCentre().equals(dataCentre)) {
@@ -201,8 +200,7 @@
 
 	private static void ask(MembershipTurn turn, NodeIdentity from, DataCentreName dataCentre, DataCentreView view) {
 		// While many nodes come at once the set changes all the time: asking for the
-		// whole
-		// list at each change would cost with the square of the nodes.
+		// whole list at each change would cost with the square of the nodes.
 		Duration pause = turn.interval().dividedBy(2);
 		if (!view.askedAt().equals(Instant.MIN) && turn.now().isBefore(view.askedAt().plus(pause))) {
 			return;
--- a/src/main/java/sycamorehill/logic/membership/Liveness.java
+++ b/src/main/java/sycamorehill/logic/membership/Liveness.java
@@ -60,8 +60,7 @@
 	}
 
 	// Drawing anew costs as much as there are nodes: once a second it would be the
-	// largest
-	// part of this reducer's processor time.
+	// largest part of this reducer's processor time.
 	private static void refreshIfChanged(MembershipTurn turn) {
 		MembershipTimers timers = turn.state().timers();
 		long from = signature(turn);
@@ -172,9 +171,8 @@
 			.anyMatch((word) -> word.heardAt().plus(bound).isAfter(turn.now()) && !word.unheard().contains(name));
 	}
 
-	// A node that hears no delegate any more turns to those that come next, and in the
-	// end
-	// counts on nobody that it doesn't hear itself.
+	// A node that hears no delegate any more turns to those that come next, and in
+	// the end counts on nobody that it doesn't hear itself.
 	private static void passOverSilentDelegates(MembershipTurn turn) {
 		DataCentreView view = turn.ownView();
 		Instant due = view.vouchedAt().plus(turn.bound().multipliedBy(view.steps() + 1L));
--- a/src/main/java/sycamorehill/logic/order/ClaimRules.java
+++ b/src/main/java/sycamorehill/logic/order/ClaimRules.java
@@ -96,11 +96,10 @@
 	private Decision settle(OrderClaim existing, ShardOperation.Settle operation) {
 		PeerMessage done = new OrderSettlementReply(operation.key(), operation.mark());
 		if (existing != null && existing.mark().equals(operation.mark())) {
-			// Only the incarnation that holds the claim knows what came of it. A grant
-			// that
-			// reaches the node after a restart looks to the new incarnation like one that
-			// was
-			// given up, and its release would let the order run twice.
+			// Only the incarnation that holds the claim knows what came of it. A
+			// grant that reaches the node after a restart looks to the new
+			// incarnation like one that was given up, and its release would let the
+			// order run twice.
 			boolean holder = existing.holder().equals(operation.requester().incarnation());
 			return (holder && existing.status() == OrderStatus.CLAIMED)
 					? Decision.of(Optional.of(settled(existing, operation)), done)
@@ -108,9 +107,9 @@
 		}
 		boolean free = existing == null || existing.status() == OrderStatus.RELEASED;
 		if (free && operation.status() == OrderStatus.RELEASED) {
-			// A write of the claim whose answer was lost may still take effect. Writing
-			// the
-			// release decides it: one of the two writes fails on the page's version.
+			// A write of the claim whose answer was lost may still take effect.
+			// Writing the release decides it: one of the two writes fails on the
+			// page's version.
 			return Decision.of(Optional.of(released(operation)), done);
 		}
 		return Decision.of(Optional.empty(), done);
--- a/src/main/java/sycamorehill/logic/order/OrderHolder.java
+++ b/src/main/java/sycamorehill/logic/order/OrderHolder.java
@@ -113,9 +113,9 @@
 			}
 			return;
 		}
-		// A second answer to the same question must not clear the order a second time,
-		// and
-		// an answer after the caller heard "not run" must not clear it at all.
+		// A second answer to the same question must not clear the order a second
+		// time, and an answer after the caller heard "not run" must not clear it at
+		// all.
 		if (order.phase() != HeldOrder.Phase.WAITING) {
 			return;
 		}
@@ -159,9 +159,8 @@
 	}
 
 	// A settlement is not dropped while its claim is kept anywhere, however long the
-	// platform is down or the issuer out of sight: a grant for a mark that is not held
-	// any
-	// more is taken as given up and released, and the order would run twice.
+	// platform is down or the issuer out of sight: a grant for a mark that is not
+	// held any more is taken as given up and released, and the order would run twice.
 	private static void settle(OrderStep step, HeldOrder order) {
 		Optional<NodeIdentity> keeper = keeper(step, order);
 		if (OrderNumbers.issued(order.key()) && issuerHasForgotten(step, order)) {
--- a/src/main/java/sycamorehill/logic/order/ShardKeeper.java
+++ b/src/main/java/sycamorehill/logic/order/ShardKeeper.java
@@ -171,9 +171,8 @@
 			return failed(step, again, event.answer());
 		}
 		// Another node wrote, or it is open whether this write took effect. The page
-		// tells:
-		// a claim with its own mark was granted, and one of two writes with the same
-		// expected version fails.
+		// tells: a claim with its own mark was granted, and one of two writes with
+		// the same expected version fails.
 		Shard stale = again.withStale();
 		return (event.answer() instanceof PlatformAnswer.Conflict) ? stale : failed(step, stale, event.answer());
 	}
--- a/src/main/java/sycamorehill/logic/quarantine/ArbiterRule.java
+++ b/src/main/java/sycamorehill/logic/quarantine/ArbiterRule.java
@@ -45,9 +45,8 @@
 	}
 
 	private static void learnDeaths(QuarantineStep step, IsolationAsked ask) {
-		// The question may overtake the report of the death, or reach a new arbiter that
-		// was
-		// never told of it.
+		// The question may overtake the report of the death, or reach a new arbiter
+		// that was never told of it.
 		for (TargetName target : ask.died()) {
 			boolean known = step.suspect(ask.fingerprint())
 				.filter((suspect) -> suspect.deaths().containsKey(target))
--- a/src/main/java/sycamorehill/logic/quarantine/BreakRule.java
+++ b/src/main/java/sycamorehill/logic/quarantine/BreakRule.java
@@ -141,13 +141,10 @@
 	}
 
 	private static void judge(QuarantineStep step, TargetBreak death) {
-		// Finds the content that crashed a dead target, if that is certain enough: one
-		// that
-		// ran there alone among suspects and has crashed a target before; or else the
-		// only
-		// one there that has, unless many targets died together.
-		// @param step the step
-		// @param death the death
+		// Finds the content that crashed a dead target, if that is certain enough:
+		// one that ran there alone among suspects and has crashed a target before; or
+		// else the only one there that has, unless many targets died together. @param
+		// step the step @param death the death
 		Optional<Fingerprint> guilty = isolatedAndRepeated(death);
 		if (guilty.isEmpty() && !step.massDeaths()) {
 			guilty = onlyRepeated(death);
@@ -191,8 +188,7 @@
 
 	private static boolean seenAlive(QuarantineStep step, TargetBreak found) {
 		// One node's broken link looks like the death of every target behind it. The
-		// sights
-		// of other observers tell.
+		// sights of other observers tell.
 		return !found.target().members().isEmpty() && found.target()
 			.members()
 			.stream()
--- a/src/main/java/sycamorehill/logic/quarantine/QuarantineReducer.java
+++ b/src/main/java/sycamorehill/logic/quarantine/QuarantineReducer.java
@@ -113,9 +113,8 @@
 
 	private static void finished(QuarantineStep step, RequestEvent.Finished event) {
 		IsolationRule.forget(step, event.request().identifier());
-		// As long as its caller goes on sending it, it stays refused: if it lapsed under
-		// the
-		// caller's retries, two more targets would die.
+		// As long as its caller goes on sending it, it stays refused: if it lapsed
+		// under the caller's retries, two more targets would die.
 		if (refusedAsQuarantined(event.outcome()) && step.quarantined(event.request().fingerprint())) {
 			step.quarantine(event.request().fingerprint(), step.now().plus(step.policy().quarantine()));
 		}
--- a/src/main/java/sycamorehill/logic/request/RequestReducer.java
+++ b/src/main/java/sycamorehill/logic/request/RequestReducer.java
@@ -109,10 +109,8 @@
 
 	private static void alreadyFinished(RequestStep step, RequestEvent.Cleared event) {
 		// The caller went away while the request was queued or its order was being
-		// claimed,
-		// so it has its final answer already. The claim would be held for ever if nobody
-		// told
-		// the orders that nothing will run.
+		// claimed, so it has its final answer already. The claim would be held for
+		// ever if nobody told the orders that nothing will run.
 		RequestOutcome notRun = new RequestOutcome.NotRun(
 				Refusal.of(RefusalReason.CALLER_GONE, "the caller went away before it was sent"));
 		step.raise(new RequestEvent.Finished(event.request(), event.handling(), notRun, 0, Optional.empty()));
--- a/src/main/java/sycamorehill/logic/request/RetryRule.java
+++ b/src/main/java/sycamorehill/logic/request/RetryRule.java
@@ -48,12 +48,11 @@
 	}
 
 	private static boolean mayTryAgain(RequestStep step, ActiveRequest request, AttemptResult result) {
-		// Whether the kind of work and of failure allow a further attempt.
-		// Work that is not idempotent may go to another target only if the one before
-		// certainly did not run it: it was never connected to, or it said itself that it
+		// Whether the kind of work and of failure allow a further attempt. Work that
+		// is not idempotent may go to another target only if the one before certainly
+		// did not run it: it was never connected to, or it said itself that it
 		// refused before running. After a broken answer it may have run, so a further
-		// attempt
-		// would run the order twice.
+		// attempt would run the order twice.
 		if (request.callerGone() || request.history().started() >= step.policy().mostAttempts()) {
 			return false;
 		}
@@ -64,17 +63,14 @@
 
 	private static boolean hasPlaceToGo(RequestStep step, ActiveRequest request) {
 		// A stream that has begun waits a little for a target; any other request is
-		// better
-		// told at once than after a wait for nothing.
+		// better told at once than after a wait for nothing.
 		return request.begun() || step.chooseTarget(request).isPresent();
 	}
 
 	private static Duration backoff(RequestStep step, ActiveRequest request, AttemptResult result) {
-		// Nothing for the first retry after a target that is gone, as waiting would not
-		// help
-		// it; else a wait that doubles, with jitter, so that a target that is overloaded
-		// or
-		// slow is not asked by all at one moment.
+		// Nothing for the first retry after a target that is gone, as waiting would
+		// not help it; else a wait that doubles, with jitter, so that a target that
+		// is overloaded or slow is not asked by all at one moment.
 		int ended = request.history().started();
 		if (ended == 1 && targetGone(result)) {
 			return Duration.ZERO;
--- a/src/main/java/sycamorehill/logic/request/TokenRelay.java
+++ b/src/main/java/sycamorehill/logic/request/TokenRelay.java
@@ -50,10 +50,10 @@
 	 * @return what becomes of it
 	 */
 	public TokenDecision token(AttemptIdentifier from, int index) {
-		// A late frame of an abandoned attempt, or of another request over a connection
-		// that
-		// is used again, would show the caller a doubled or foreign token. Attempt
-		// identifiers are never drawn twice, so comparing them keeps both out.
+		// A late frame of an abandoned attempt, or of another request over a
+		// connection that is used again, would show the caller a doubled or foreign
+		// token. Attempt identifiers are never drawn twice, so comparing them keeps
+		// both out.
 		if (!isPresent(from) || this.whole) {
 			return new TokenDecision(TokenVerdict.FOREIGN, this);
 		}
--- a/src/main/java/sycamorehill/logic/ticket/SynchronisationSteps.java
+++ b/src/main/java/sycamorehill/logic/ticket/SynchronisationSteps.java
@@ -136,9 +136,8 @@
 		FilingSteps.platformFailed(turn);
 	}
 
-	// Also without any change seen: a platform that came back older may have grown past
-	// the
-	// version that this node waits for.
+	// Also without any change seen: a platform that came back older may have grown
+	// past the version that this node waits for.
 	private static boolean overdue(TicketTurn turn) {
 		return turn.sync().lastSuccess().plus(turn.policy().longestUnsynchronised()).isBefore(turn.now());
 	}
--- a/src/test/java/sycamorehill/entry/CallClientTests.java
+++ b/src/test/java/sycamorehill/entry/CallClientTests.java
@@ -37,10 +37,9 @@
 		this.threads.shutdownGracefully(0, 0, TimeUnit.SECONDS);
 	}
 
-	// An engine behind a partition gets an order when the partition heals, seconds after
-	// the order was given up and others were given. The connection of a call that is
-	// given
-	// up is reset, so that what is still on its way is lost.
+	// An engine behind a partition gets an order when the partition heals, seconds
+	// after the order was given up and others were given. The connection of a call
+	// that is given up is reset, so that what is still on its way is lost.
 	@Test
 	void whatACallThatWasGivenUpHasSentIsLost() throws Exception {
 		try (ServerSocket listener = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
--- a/src/test/java/sycamorehill/entry/EntryNodeTests.java
+++ b/src/test/java/sycamorehill/entry/EntryNodeTests.java
@@ -158,9 +158,8 @@
 			.endsWith("abc");
 	}
 
-	// A caller hides a second request in the body of the first, by giving it two lengths.
-	// A
-	// target that goes by the other length would run the hidden one.
+	// A caller hides a second request in the body of the first, by giving it two
+	// lengths. A target that goes by the other length would run the hidden one.
 	@Test
 	void refusesARequestWithTwoLengths() throws Exception {
 		start((request) -> GOOD);
@@ -183,8 +182,7 @@
 	}
 
 	// An answer of another request arrives where the answer of this one is due: the
-	// caller
-	// must not get it, and an order must not be promised as not run.
+	// caller must not get it, and an order must not be promised as not run.
 	@Test
 	void givesNobodyTheAnswerToAnotherRequest() throws Exception {
 		start((request) -> GOOD.replace("a1", "other"));
--- a/src/test/java/sycamorehill/entry/FeedReaderTests.java
+++ b/src/test/java/sycamorehill/entry/FeedReaderTests.java
@@ -34,8 +34,8 @@
 
 	// The store goes silent and comes back while a call waits on a dead connection. A
 	// configuration that is accepted just then must be in force 2 s later: after the
-	// first
-	// failure calls don't wait, so that the store's return is noticed by the next one.
+	// first failure calls don't wait, so that the store's return is noticed by the
+	// next one.
 	@Test
 	void callsDoNotWaitWhileTheStoreIsAway() throws Exception {
 		FakeFeed feed = new FakeFeed();
@@ -120,8 +120,7 @@
 	}
 
 	// Another node reads for this one: it makes no calls, but for one when it is told
-	// that
-	// it missed something.
+	// that it missed something.
 	@Test
 	void makesNoCallsWhileItRestsButForOneThatIsWanted() throws Exception {
 		RestingFeed feed = new RestingFeed();
@@ -144,8 +143,8 @@
 	}
 
 	// A call waits in the store while another node tells of the changes. Its answer
-	// repeats
-	// them: an entry of a target that has left would come back. It is passed over.
+	// repeats them: an entry of a target that has left would come back. It is passed
+	// over.
 	@Test
 	void anAnswerThatWasOvertakenIsPassedOver() throws Exception {
 		RestingFeed feed = new RestingFeed();
--- a/src/test/java/sycamorehill/entry/TargetCodecTests.java
+++ b/src/test/java/sycamorehill/entry/TargetCodecTests.java
@@ -46,8 +46,8 @@
 	}
 
 	// Another version of the program sends a state that this one doesn't know: the
-	// message
-	// is dropped whole, as one that was lost, and what it told is read from the store.
+	// message is dropped whole, as one that was lost, and what it told is read from
+	// the store.
 	@Test
 	void refusesAStateThatIsNotKnown() {
 		ArrayNode written = this.codec.createArrayNode();
--- a/src/test/java/sycamorehill/logic/directory/TargetDirectoryTests.java
+++ b/src/test/java/sycamorehill/logic/directory/TargetDirectoryTests.java
@@ -26,9 +26,9 @@
 
 	private final TargetEntry two = ServingSamples.plain("two");
 
-	// The store is away long enough for all entries to lapse. When it is back it shows
-	// none:
-	// live targets enter themselves again within 2 s, and callers must not notice.
+	// The store is away long enough for all entries to lapse. When it is back it
+	// shows none: live targets enter themselves again within 2 s, and callers must
+	// not notice.
 	@Test
 	void anOutageNeverEmptiesTheDirectory() {
 		this.directory.contact(true, this.start);
--- a/src/test/java/sycamorehill/logic/dispatch/RequestDeskTests.java
+++ b/src/test/java/sycamorehill/logic/dispatch/RequestDeskTests.java
@@ -151,8 +151,8 @@
 	}
 
 	// A group lost a member: its head stands still. The stream moves on to the other
-	// group;
-	// with no other group it waits, because silence is no reason to end an answer.
+	// group; with no other group it waits, because silence is no reason to end an
+	// answer.
 	@Test
 	void aSilentGroupLosesItsStreamsOnlyToAnotherGroup() {
 		TargetName first = target(arrive(1, "/stream/x"));
@@ -192,10 +192,9 @@
 		assertThat(effects.all()).isEmpty();
 	}
 
-	// An engine is cut off from the store, so that the directory shows it as the head of
-	// a
-	// group that it has left. Each node sent it a request every half second, and each
-	// request has two targets to try.
+	// An engine is cut off from the store, so that the directory shows it as the head
+	// of a group that it has left. Each node sent it a request every half second, and
+	// each request has two targets to try.
 	@Test
 	void aGroupThatItsHeadHasLeftGetsNoMoreRequestsThoughTheDirectoryShowsIt() {
 		TargetName first = target(arrive(1, "/stream/x"));
@@ -229,8 +228,7 @@
 	}
 
 	// A member of a group is gone while its head still looks open: it left the group,
-	// began
-	// another life, said that it leaves and went, or was never seen at all.
+	// began another life, said that it leaves and went, or was never seen at all.
 	@Test
 	void aGroupWithAMissingMemberGetsNoNewWork() {
 		TargetEntry head = ServingSamples.member("a1", "small.1", 1, 0, MemberState.OPEN);
@@ -277,9 +275,9 @@
 		assertThat(answer(effects.all()).status()).isEqualTo(504);
 	}
 
-	// A request crashes each target that runs it and comes again at other nodes. After
-	// three
-	// targets it is refused everywhere; a bystander that was answered since is not.
+	// A request crashes each target that runs it and comes again at other nodes.
+	// After three targets it is refused everywhere; a bystander that was answered
+	// since is not.
 	@Test
 	void aContentThatWasLostWithThreeTargetsIsRefused() {
 		long content = ServingSamples.request(7, "/again/x").content();
--- a/src/test/java/sycamorehill/logic/dispatch/RetryBudgetTests.java
+++ b/src/test/java/sycamorehill/logic/dispatch/RetryBudgetTests.java
@@ -13,10 +13,9 @@
  */
 class RetryBudgetTests {
 
-	// All targets fail for a while and every request asks for a repeat. In each window
-	// that
-	// slides over the run, repeats stay below the part of the requests and the fixed
-	// number.
+	// All targets fail for a while and every request asks for a repeat. In each
+	// window that slides over the run, repeats stay below the part of the requests
+	// and the fixed number.
 	@Test
 	void holdsInEveryWindowOfAStorm() {
 		RetryBudget budget = RetryBudget.of(Duration.ofSeconds(10), 0.2, 5);
--- a/src/test/java/sycamorehill/logic/entry/EntryReducerTests.java
+++ b/src/test/java/sycamorehill/logic/entry/EntryReducerTests.java
@@ -39,10 +39,9 @@
 		return effects.stream().anyMatch(EntryEffect.StartAttempt.class::isInstance);
 	}
 
-	// A node is told to stop and goes on taking what the balancer still sends. A stream
-	// that
-	// comes seconds later would be cut off when the process ends: it is refused as not
-	// run.
+	// A node is told to stop and goes on taking what the balancer still sends. A
+	// stream that comes seconds later would be cut off when the process ends: it is
+	// refused as not run.
 	@Test
 	void aStoppingNodeTakesRequestsOnlyAsLongAsItCanFinishThem() {
 		List<EntryEffect> stopping = accept(new EntryEvent.StopOrdered(), 100);
@@ -80,9 +79,8 @@
 	}
 
 	// All nodes start at once after a loss of power, and callers reach this one 0.2 s
-	// before it has read its configuration. Refused, they came back 0.3 to 0.8 s later,
-	// if
-	// at all, and were late in any case.
+	// before it has read its configuration. Refused, they came back 0.3 to 0.8 s
+	// later, if at all, and were late in any case.
 	@Test
 	void aRequestThatComesBeforeTheConfigurationIsServedWhenItIsThere() {
 		EntryReducer fresh = EntryReducer.of(ServingSamples.settings("one"), "one#2", new Random(1), this.start);
--- a/src/test/java/sycamorehill/logic/entry/NeighboursTests.java
+++ b/src/test/java/sycamorehill/logic/entry/NeighboursTests.java
@@ -82,10 +82,9 @@
 		assertThat(among(6, 3).living(BEGIN.plusSeconds(6))).isEqualTo(1);
 	}
 
-	// The store is away for all: the controller may go on. It may not if one node reaches
-	// the store, because that one can take the lease; nor if it hears so few nodes that
-	// it
-	// may be the one that is cut off.
+	// The store is away for all: the controller may go on. It may not if one node
+	// reaches the store, because that one can take the lease; nor if it hears so few
+	// nodes that it may be the one that is cut off.
 	@Test
 	void theStoreIsAwayForAllOnlyIfMostSaySoAndNobodyReachesIt() {
 		Neighbours neighbours = among(6, 3);
--- a/src/test/java/sycamorehill/logic/entry/StoreRelayTests.java
+++ b/src/test/java/sycamorehill/logic/entry/StoreRelayTests.java
@@ -116,10 +116,10 @@
 			.noneMatch(EntryEffect.ReadFeed.class::isInstance);
 	}
 
-	// The store's revision goes on with the writes of others, while no target changes.
-	// The
-	// next change is read after a later revision than this node was told of: nothing is
-	// missing, and each of 70 nodes asked the store in vain at each change.
+	// The store's revision goes on with the writes of others, while no target
+	// changes. The next change is read after a later revision than this node was told
+	// of: nothing is missing, and each of 70 nodes asked the store in vain at each
+	// change.
 	@Test
 	void takesAChangeThatIsToldAfterQuietRevisions() {
 		NodeMessage.StoreNews later = new NodeMessage.StoreNews("a", NORTH, 5, 90, 140, 143, List.of(change("p2")),
@@ -130,8 +130,7 @@
 	}
 
 	// This node has read for itself up to the middle of what it is told: applied once
-	// more,
-	// an older entry would follow a newer one.
+	// more, an older entry would follow a newer one.
 	@Test
 	void doesNotApplyChangesThatItHasPartlyRead() {
 		accept(new EntryEvent.TargetsChanged(List.of(change("p2")), 100, 102), 400);
--- a/src/test/java/sycamorehill/logic/group/GroupControlTests.java
+++ b/src/test/java/sycamorehill/logic/group/GroupControlTests.java
@@ -191,9 +191,8 @@
 			.drained(record);
 	}
 
-	// The head counts no work for a moment, and a node that has not heard of the drain
-	// yet
-	// sends the next stream just before the engine is ordered to leave.
+	// The head counts no work for a moment, and a node that has not heard of the
+	// drain yet sends the next stream just before the engine is ordered to leave.
 	@Test
 	void aCountOfZeroEndsADrainOnlyAfterAllNodesHaveStoppedSending() {
 		Assertions.assertThat(drainedAfter(5, 0)).isFalse();
--- a/src/test/java/sycamorehill/logic/health/HealthReducerTests.java
+++ b/src/test/java/sycamorehill/logic/health/HealthReducerTests.java
@@ -67,8 +67,7 @@
 	}
 
 	// A target comes back after a pause, gets all the waiting work at once, and falls
-	// over
-	// again: callers see one failure after another.
+	// over again: callers see one failure after another.
 	@Test
 	void returningTargetBeginsWithOneRequest() {
 		fail(this.first);
@@ -84,8 +83,7 @@
 	}
 
 	// All targets of a service come back together after an outage. Each has its one
-	// request,
-	// and callers hear "no target" although all are idle but for it.
+	// request, and callers hear "no target" although all are idle but for it.
 	@Test
 	void targetsThatReturnTogetherTakeMoreThanTheirAllowance() {
 		fail(this.first);
@@ -93,9 +91,8 @@
 		assertThat(this.run.usable(List.of(this.first))).containsExactly(this.first);
 	}
 
-	// This node's link to the other data centres breaks. Every target behind it fails,
-	// all
-	// are put aside, and callers hear "no target" although some are well.
+	// This node's link to the other data centres breaks. Every target behind it
+	// fails, all are put aside, and callers hear "no target" although some are well.
 	@Test
 	void failuresPutAtMostTwoThirdsAside() {
 		this.targets.forEach(this::fail);
@@ -160,9 +157,8 @@
 		assertThat(this.run.usable(this.targets)).doesNotContain(this.first);
 	}
 
-	// A group is rebuilt after its leaving member was replaced. It stays empty, because
-	// the
-	// word about its earlier generation is taken for the new one.
+	// A group is rebuilt after its leaving member was replaced. It stays empty,
+	// because the word about its earlier generation is taken for the new one.
 	@Test
 	void wordOfAnEarlierGenerationDoesNotTouchTheNewOne() {
 		GroupName name = GroupName.of(GroupSetName.of("s"), 0);
--- a/src/test/java/sycamorehill/logic/layout/FakeFleet.java
+++ b/src/test/java/sycamorehill/logic/layout/FakeFleet.java
@@ -191,8 +191,8 @@
 	}
 
 	// A head serves its group until it leaves, dies, or has stood still for the stall
-	// time; a
-	// head that lost a member is counted as serving only while all its members are there.
+	// time; a head that lost a member is counted as serving only while all its
+	// members are there.
 	private boolean servesFor(FakeEngine head, Optional<EngineOrderCall.Join> seat) {
 		return head.isOpen() && seat.isPresent()
 				&& head.membership().filter((own) -> own.group().equals(seat.get().group())).isPresent();
--- a/src/test/java/sycamorehill/logic/layout/GroupControlTests.java
+++ b/src/test/java/sycamorehill/logic/layout/GroupControlTests.java
@@ -69,10 +69,9 @@
 	}
 
 	// A whole domain is cut off from all nodes and from the store, and refuses
-	// connections;
-	// its heads go on serving there. Its entries lapse. When the cut heals, members and
-	// heads
-	// come back in any order: no member may be taken from a head that still serves.
+	// connections; its heads go on serving there. Its entries lapse. When the cut
+	// heals, members and heads come back in any order: no member may be taken from a
+	// head that still serves.
 	@Test
 	void takesNoMemberFromAHeadThatComesBackFromBehindAPartition() {
 		FakeFleet fleet = formed(3);
@@ -90,9 +89,9 @@
 		assertThat(fleet.serving()).isGreaterThanOrEqualTo(GROUPS);
 	}
 
-	// A head is cut off from the nodes and the store for 10 s, but not from its members:
-	// it
-	// serves on. Its members stay visible all the time, and must not be taken.
+	// A head is cut off from the nodes and the store for 10 s, but not from its
+	// members: it serves on. Its members stay visible all the time, and must not be
+	// taken.
 	@Test
 	void takesNoMemberFromAHeadThatOnlyItsMembersReach() {
 		FakeFleet fleet = formed(5);
@@ -165,10 +164,9 @@
 		assertThat(fleet.conflicts()).isZero();
 	}
 
-	// The store is away for all nodes for 10 s. A member dies; its group stands still and
-	// all nodes know it, but nobody can renew the lease, and no entry shows a group that
-	// is
-	// formed. Callers waited until the store was back.
+	// The store is away for all nodes for 10 s. A member dies; its group stands still
+	// and all nodes know it, but nobody can renew the lease, and no entry shows a
+	// group that is formed. Callers waited until the store was back.
 	@Test
 	void aGroupIsReplacedWhileTheStoreIsAwayForAll() {
 		FakeFleet fleet = formed(12);
@@ -186,11 +184,11 @@
 		assertThat(fleet.serving()).as(fleet.describe()).isGreaterThanOrEqualTo(GROUPS);
 	}
 
-	// A data centre is cut off for 6 s: its engines can't be reached and their entries
-	// lapse, while its groups go on serving callers on their side. When the cut heals,
-	// the
-	// entries come back one after the other. Its groups must go on: they were taken apart
-	// at the first sight of a single member, and half of a data centre loaded anew.
+	// A data centre is cut off for 6 s: its engines can't be reached and their
+	// entries lapse, while its groups go on serving callers on their side. When the
+	// cut heals, the entries come back one after the other. Its groups must go on:
+	// they were taken apart at the first sight of a single member, and half of a data
+	// centre loaded anew.
 	@Test
 	void soundGroupsGoOnAfterAPartitionHeals() {
 		for (int seed = 0; seed < 20; seed++) {
@@ -295,8 +293,8 @@
 	}
 
 	// Three orders in ten get no answer and are carried out 2 to 12 s later, while
-	// engines
-	// die, start anew, are cut off and leave, and two nodes lose the store by turns.
+	// engines die, start anew, are cut off and leave, and two nodes lose the store by
+	// turns.
 	@Test
 	void keepsItsPromisesThroughRandomTrouble() {
 		for (int seed = 0; seed < 30; seed++) {
--- a/src/test/java/sycamorehill/logic/layout/LayoutPlanTests.java
+++ b/src/test/java/sycamorehill/logic/layout/LayoutPlanTests.java
@@ -147,10 +147,9 @@
 		}
 	}
 
-	// A group of six was lost, and no domain has room for it any more. Its wish can't be
-	// met, and eight empty spares in other domains stood without weights for as long:
-	// each
-	// further loss there took 12 to 16 s to mend instead of 2 s.
+	// A group of six was lost, and no domain has room for it any more. Its wish can't
+	// be met, and eight empty spares in other domains stood without weights for as
+	// long: each further loss there took 12 to 16 s to mend instead of 2 s.
 	@Test
 	void aGroupThatFindsNoRoomKeepsNoSpareFromBeingLoaded() {
 		List<SpareEngine> spares = new ArrayList<>();
@@ -180,11 +179,10 @@
 		});
 	}
 
-	// The head of a group of six died. Its five survivors may be used only when the head
-	// has surely stopped, 4.5 s later; the spare of the domain waits for them. Six
-	// engines
-	// of another domain were loaded for a new group meanwhile, which took 16 s and left
-	// that domain without spares.
+	// The head of a group of six died. Its five survivors may be used only when the
+	// head has surely stopped, 4.5 s later; the spare of the domain waits for them.
+	// Six engines of another domain were loaded for a new group meanwhile, which took
+	// 16 s and left that domain without spares.
 	@Test
 	void waitsForSurvivorsThatComeFreeSoon() {
 		List<SpareEngine> spares = new ArrayList<>();
--- a/src/test/java/sycamorehill/logic/layout/LeaseKeeperTests.java
+++ b/src/test/java/sycamorehill/logic/layout/LeaseKeeperTests.java
@@ -76,9 +76,8 @@
 	}
 
 	// The store turns the controller's node away and serves the others. It is out of
-	// control in any case soon: it says so after two renewals that failed, and another
-	// node
-	// takes the lease 1 s sooner than by its expiry.
+	// control in any case soon: it says so after two renewals that failed, and
+	// another node takes the lease 1 s sooner than by its expiry.
 	@Test
 	void aHolderThatTheStoreTurnsAwayGivesUpWhileOthersReachTheStore() {
 		LeaseKeeper keeper = holder("one#a");
@@ -131,9 +130,8 @@
 	}
 
 	// The store is away for all nodes for 8 s, and members of groups die meanwhile.
-	// Nobody
-	// can take the lease, so its holder goes on; a holder that only it is away for does
-	// not.
+	// Nobody can take the lease, so its holder goes on; a holder that only it is away
+	// for does not.
 	@Test
 	void theHolderGoesOnWhileTheStoreIsAwayForAll() {
 		LeaseKeeper goesOn = holder("one#a");
--- a/src/test/java/sycamorehill/logic/membership/MembershipTests.java
+++ b/src/test/java/sycamorehill/logic/membership/MembershipTests.java
@@ -53,8 +53,8 @@
 	@Test
 	void killedDelegatesAreReplacedAndDropped() {
 		// Both nodes that speak for a data centre die at once. Without successors the
-		// whole
-		// data centre would fall silent for the others, although all its other nodes run.
+		// whole data centre would fall silent for the others, although all its other
+		// nodes run.
 		startLarge();
 		List<String> delegates = delegates();
 		delegates.forEach(this.group::kill);
@@ -66,8 +66,8 @@
 	@Test
 	void nodeThatADelegateCannotHearStaysAliveByTheOther() {
 		// One link fails one way: a node's heartbeats no longer reach one of the two
-		// delegates.
-		// If one observer's silence were enough, a healthy node would be taken for dead.
+		// delegates. If one observer's silence were enough, a healthy node would be
+		// taken for dead.
 		startLarge();
 		String deaf = delegates().get(0);
 		String unheard = ordinary();
@@ -79,10 +79,9 @@
 
 	@Test
 	void deadNodeIsNotKeptAliveByDelegatesThatRelyOnEachOther() {
-		// A node reaches only one delegate, then dies. The other delegate had it on the
-		// first
-		// one's word; if it passed that on as its own, both would keep the dead node for
-		// ever.
+		// A node reaches only one delegate, then dies. The other delegate had it on
+		// the first one's word; if it passed that on as its own, both would keep the
+		// dead node for ever.
 		startLarge();
 		String deaf = delegates().get(0);
 		String unheard = ordinary();
@@ -115,9 +114,9 @@
 
 	@Test
 	void lateHeartbeatOfAnEarlierLifeDoesNotBringItBack() {
-		// A node restarts. A heartbeat of its former life has been held up by the network
-		// and
-		// comes after those of the new one: work would be handed to a life that is over.
+		// A node restarts. A heartbeat of its former life has been held up by the
+		// network and comes after those of the new one: work would be handed to a
+		// life that is over.
 		startSix();
 		NodeIdentity former = this.group.node("node-1").self();
 		this.group.start("node-1", "fukuoka");
@@ -159,9 +158,8 @@
 	@Test
 	void dataCentreReplacedInAnOutageIsFoundByTheOthers() {
 		// All nodes of a data centre are replaced at the same addresses while the
-		// platform is
-		// down: nothing introduces them. The others still know the addresses and try
-		// them.
+		// platform is down: nothing introduces them. The others still know the
+		// addresses and try them.
 		startSix();
 		this.group.platform().down(true);
 		this.group.start("node-1", "fukuoka");
--- a/src/test/java/sycamorehill/logic/order/OrderHistoryTests.java
+++ b/src/test/java/sycamorehill/logic/order/OrderHistoryTests.java
@@ -55,12 +55,10 @@
 		Assertions.assertThat(refusedForEver(history, faulty, last)).isEmpty();
 	}
 
-	// Seeds that showed faults: 4, a claim granted late whose answer was lost stayed for
-	// ever; 10, a grant that reached a restarted node was released after the order ran;
-	// 53, a
-	// settlement was confirmed by a keeper that had not seen the claim; 230, a settlement
-	// was
-	// dropped while its issuer was out of sight.
+	// Seeds that showed faults: 4, a claim granted late whose answer was lost stayed
+	// for ever; 10, a grant that reached a restarted node was released after the
+	// order ran; 53, a settlement was confirmed by a keeper that had not seen the
+	// claim; 230, a settlement was dropped while its issuer was out of sight.
 	@ParameterizedTest
 	@ValueSource(longs = { 4, 10, 53, 107, 155, 230, 276, 499 })
 	void seedThatShowedAFaultStaysGood(long seed) {
--- a/src/test/java/sycamorehill/logic/order/OrderTrapTests.java
+++ b/src/test/java/sycamorehill/logic/order/OrderTrapTests.java
@@ -85,9 +85,8 @@
 	@Test
 	void claimWhoseAnswerWasLostIsStillOnesOwn() {
 		// The platform writes the claim and its answer is lost. Read back, the key is
-		// claimed: taken for another's claim, the order would be refused though nobody
-		// runs
-		// it. The mark tells that it is one's own.
+		// claimed: taken for another's claim, the order would be refused though
+		// nobody runs it. The mark tells that it is one's own.
 		call(1);
 		pass(3);
 		OrderKey key = new OrderKey(1, 2);
@@ -101,10 +100,9 @@
 
 	@Test
 	void claimThatTookEffectAfterNotRunIsReleased() {
-		// The write of a claim hangs in the network, the caller hears "not run", and then
-		// the
-		// write takes effect. Unless it is released, every later try of the caller hears
-		// "still running", for ever.
+		// The write of a claim hangs in the network, the caller hears "not run", and
+		// then the write takes effect. Unless it is released, every later try of the
+		// caller hears "still running", for ever.
 		call(1);
 		pass(3);
 		OrderKey key = new OrderKey(1, 2);
@@ -121,10 +119,9 @@
 
 	@Test
 	void claimThatItsHolderDoesNotKnowIsReleased() {
-		// A claim took effect long after its caller heard "not run", and the grant was
-		// lost:
-		// nobody knows of it. The caller's next call hears "still running"; the one after
-		// that must run, or the key would be refused for ever.
+		// A claim took effect long after its caller heard "not run", and the grant
+		// was lost: nobody knows of it. The caller's next call hears "still running";
+		// the one after that must run, or the key would be refused for ever.
 		OrderClaim forgotten = new OrderClaim(KEY, new Fingerprint("a"), node(1).incarnation(), "n1-1-r99",
 				OrderStatus.CLAIMED, Optional.empty(), 0);
 		put(new OrderShard(0, 1, false, HashTreePMap.singleton(KEY, forgotten), "w1"));
@@ -137,9 +134,8 @@
 
 	@Test
 	void orderOfAHolderThatDiedBeforeSendingIsNeverRunAgain() {
-		// The node dies after its claim is granted. Nobody can tell whether it had sent
-		// the
-		// order, so the caller's next call hears "unknown".
+		// The node dies after its claim is granted. Nobody can tell whether it had
+		// sent the order, so the caller's next call hears "unknown".
 		Call first = call(1);
 		until(() -> first.cleared == 1);
 		this.history.restart(node(1));
@@ -166,10 +162,9 @@
 
 	@Test
 	void grantThatReachesARestartedNodeDoesNotReleaseTheClaim() {
-		// A node dies after its order ran. A late copy of its grant reaches the restarted
-		// node, to which it looks like a grant for a call that was given up. Released,
-		// the
-		// key would be free for a second run.
+		// A node dies after its order ran. A late copy of its grant reaches the
+		// restarted node, to which it looks like a grant for a call that was given
+		// up. Released, the key would be free for a second run.
 		Call first = call(1);
 		until(() -> this.history.runs.size() == 1);
 		String mark = first.request.identifier().toString();
@@ -196,11 +191,10 @@
 
 	@Test
 	void settlementIsNotConfirmedByAKeeperThatHasNotSeenTheClaim() {
-		// A node that can't reach the keeper commits a claim itself and runs the order.
-		// Its
-		// settlement then goes to the keeper, whose view lacks the claim. Confirmed
-		// unseen,
-		// the answer would be lost and the claim would look given up: a second run.
+		// A node that can't reach the keeper commits a claim itself and runs the
+		// order. Its settlement then goes to the keeper, whose view lacks the claim.
+		// Confirmed unseen, the answer would be lost and the claim would look given
+		// up: a second run.
 		OrderNode keeper = keeper();
 		OrderNode other = this.history.nodes.stream().filter((node) -> node != keeper).findFirst().orElseThrow();
 		this.history.call(keeper, new OrderKey(1, 2), "a");
@@ -239,20 +233,17 @@
 
 	@Test
 	void releaseReachesAPausedKeeperThoughTheHolderDies() {
-		// A keeper is paused with a claim in its queue. The caller hears "not run", the
-		// release is sent at once, and then the node dies. Without the release the claim
-		// would
-		// belong to a dead node, and the caller's next call would hear "unknown" for an
-		// order
-		// that never ran.
+		// A keeper is paused with a claim in its queue. The caller hears "not run",
+		// the release is sent at once, and then the node dies. Without the release
+		// the claim would belong to a dead node, and the caller's next call would
+		// hear "unknown" for an order that never ran.
 		Assertions.assertThat(nextCallAfterAPause(0)).contains(new RequestOutcome.Completed());
 	}
 
 	@Test
 	void claimOfACallThatGaveUpIsNotCommittedAfterAPause() {
 		// The same, but the release is lost with the node. The keeper itself must see
-		// that
-		// the claim in its queue is older than any caller waits.
+		// that the claim in its queue is older than any caller waits.
 		Assertions.assertThat(nextCallAfterAPause(1)).contains(new RequestOutcome.Completed());
 	}
 
@@ -303,9 +294,8 @@
 
 	@Test
 	void wrongWallClockDoesNotMakeAKeyForgotten() {
-		// The nodes' wall clocks differ by hours, more than keys are remembered. A key
-		// that
-		// expired by another node's clock would be free for a second run.
+		// The nodes' wall clocks differ by hours, more than keys are remembered. A
+		// key that expired by another node's clock would be free for a second run.
 		this.history = new OrderHistory(1, 3, Policies.of(1, Duration.ofMinutes(30), 20_000));
 		this.history.answerText = "x".repeat(8000);
 		for (int i = 0; i < 20; i++) {
@@ -344,9 +334,8 @@
 
 	@Test
 	void issuedNumberOfADeadNodeIsNeverGranted() {
-		// The issuer kept the claim in its memory and has died with it: any other node
-		// that
-		// granted the number could run the order a second time.
+		// The issuer kept the claim in its memory and has died with it: any other
+		// node that granted the number could run the order a second time.
 		OrderKey issued = issuedBy(node(1));
 		this.history.call(node(2), issued, "a");
 		pass(3);
--- a/src/test/java/sycamorehill/logic/platform/CallBudgetTests.java
+++ b/src/test/java/sycamorehill/logic/platform/CallBudgetTests.java
@@ -45,9 +45,9 @@
 
 	@Test
 	void nodesComeBackAtDifferentTimes() {
-		// An hour's outage ends. If all nodes waited equally long after their failures,
-		// they
-		// would call in the same moment and the platform would throttle them all again.
+		// An hour's outage ends. If all nodes waited equally long after their
+		// failures, they would call in the same moment and the platform would
+		// throttle them all again.
 		Map<Long, Integer> nodesBySecond = new HashMap<>();
 		for (int node = 0; node < 400; node++) {
 			nodesBySecond.merge(failed(budget(node), 12).notBefore().getEpochSecond(), 1, Integer::sum);
--- a/src/test/java/sycamorehill/logic/quarantine/QuarantineReducerTests.java
+++ b/src/test/java/sycamorehill/logic/quarantine/QuarantineReducerTests.java
@@ -67,9 +67,8 @@
 		assertThat(this.state.suspected(GUILTY, this.now)).isFalse();
 	}
 
-	// The callers whose requests ran beside the guilty one go on waiting for a place to
-	// run
-	// alone, although it is known by now what crashed the target.
+	// The callers whose requests ran beside the guilty one go on waiting for a place
+	// to run alone, although it is known by now what crashed the target.
 	@Test
 	void bystandersAreClearedWhenTheGuiltyOneIsFound() {
 		AttemptIdentifier guilty = start(GUILTY, FIRST);
@@ -118,9 +117,8 @@
 		assertThat(this.state.quarantined(GUILTY, this.now)).isTrue();
 	}
 
-	// A plain service crashes and is up again within a second. Its next answer looks like
-	// a
-	// sign that it never died, and the content crashes it again and again.
+	// A plain service crashes and is up again within a second. Its next answer looks
+	// like a sign that it never died, and the content crashes it again and again.
 	@Test
 	void answerOfARestartedTargetDoesNotClearTheContent() {
 		lose(start(GUILTY, FIRST), GUILTY, FIRST);
@@ -156,9 +154,8 @@
 		assertThat(this.state.suspected(GUILTY, this.now)).isFalse();
 	}
 
-	// A caller sends its content every hour. The quarantine lapses after a day, and two
-	// more
-	// targets die.
+	// A caller sends its content every hour. The quarantine lapses after a day, and
+	// two more targets die.
 	@Test
 	void quarantineLastsAsLongAsTheContentIsSent() {
 		tell(new ContentQuarantined(new QuarantineEntry(GUILTY, Duration.ofHours(24)), List.of()));
--- a/src/test/java/sycamorehill/logic/request/RequestReducerTests.java
+++ b/src/test/java/sycamorehill/logic/request/RequestReducerTests.java
@@ -57,10 +57,9 @@
 			.containsExactly(TargetName.of("t1"), TargetName.of("t2"));
 	}
 
-	// A caller reads one answer whose first half is of one model version and whose second
-	// half is of another. A service is rolled to a new version, a stream breaks midway,
-	// and
-	// the nearest target has the new version already.
+	// A caller reads one answer whose first half is of one model version and whose
+	// second half is of another. A service is rolled to a new version, a stream
+	// breaks midway, and the nearest target has the new version already.
 	@Test
 	void brokenStreamGoesOnOnlyOnTheModelVersionThatItBeganWith() {
 		versions("1", "2", "1");
@@ -97,10 +96,9 @@
 		assertThat(this.run.starts()).extracting(RequestEffect.StartAttempt::attempt).doesNotHaveDuplicates();
 	}
 
-	// A caller is told that its order was not run, sends it again, and it is delivered
-	// twice. The first attempt broke off after it was sent, the second target refused,
-	// and
-	// only the last answer was passed on.
+	// A caller is told that its order was not run, sends it again, and it is
+	// delivered twice. The first attempt broke off after it was sent, the second
+	// target refused, and only the last answer was passed on.
 	@Test
 	void refusalAfterBrokenAttemptIsUnknown() {
 		this.run.clear(this.request, Handling.REPEATABLE).end(BROKEN).end(REFUSED);
@@ -184,9 +182,8 @@
 		assertThat(this.run.finished()).extracting(RequestEvent.Finished::answer).containsExactly(answer);
 	}
 
-	// A caller leaves while its order is being claimed, and its next call with the same
-	// key
-	// hears "still running" for ever, because nobody releases the claim.
+	// A caller leaves while its order is being claimed, and its next call with the
+	// same key hears "still running" for ever, because nobody releases the claim.
 	@Test
 	void orderClearedAfterItsCallerLeftIsNotSentAndIsReportedAsNotRun() {
 		this.run.feed(new RequestEvent.Arrived(this.request))
@@ -245,9 +242,8 @@
 		assertThat(this.run.starts()).isEmpty();
 	}
 
-	// All targets slow down, every request times out and is sent again, and the targets
-	// get
-	// three times the load that slowed them down.
+	// All targets slow down, every request times out and is sent again, and the
+	// targets get three times the load that slowed them down.
 	@Test
 	void retriesEndWhenTheServicesBudgetIsSpent() {
 		for (int number = 0; number < 100; number++) {
--- a/src/test/java/sycamorehill/logic/ticket/CompactionTests.java
+++ b/src/test/java/sycamorehill/logic/ticket/CompactionTests.java
@@ -53,13 +53,10 @@
 
 	@Test
 	void nodeWhoseNextNumberWasDeletedMeanwhileFilesNoGhost() {
-		// A node is cut off from everything for long. Meanwhile the tickets that it lacks
-		// are
-		// filed and deleted behind a snapshot, so that its next number is free again in
-		// the
-		// platform. A create under that number would succeed, be called accepted, and be
-		// in
-		// force nowhere.
+		// A node is cut off from everything for long. Meanwhile the tickets that it
+		// lacks are filed and deleted behind a snapshot, so that its next number is
+		// free again in the platform. A create under that number would succeed, be
+		// called accepted, and be in force nowhere.
 		startThree();
 		cutOffNodeThreeDuringTickets();
 		this.group.platformReachable("kumamoto", true);
@@ -71,11 +68,10 @@
 
 	@Test
 	void lateCreateUnderADeletedNumberIsNotFolded() {
-		// A create of a node that died is delivered by the network after its number was
-		// taken by
-		// another ticket and deleted again. A node that was cut off for long takes
-		// exactly that
-		// number next: it would put a ticket in force that was never accepted.
+		// A create of a node that died is delivered by the network after its number
+		// was taken by another ticket and deleted again. A node that was cut off for
+		// long takes exactly that number next: it would put a ticket in force that
+		// was never accepted.
 		startThree();
 		cutOffNodeThreeDuringTickets();
 		TicketValue value = new TicketValue(new Ticket(1, this.group.now(), Drafts.service("ghost", "ghost", "1", 0)),
@@ -105,10 +101,9 @@
 
 	@Test
 	void ticketsLostByThePlatformKeepTheirNumbers() {
-		// After the restore of a backup the numbers of the lost tickets are free again. A
-		// filing
-		// that took one would be a second ticket of that number, in force only on new
-		// nodes.
+		// After the restore of a backup the numbers of the lost tickets are free
+		// again. A filing that took one would be a second ticket of that number, in
+		// force only on new nodes.
 		startThree();
 		fileTickets(1, 5);
 		this.group.replacePlatform(FakePlatform.create(this.random));
--- a/src/test/java/sycamorehill/logic/ticket/FilingTests.java
+++ b/src/test/java/sycamorehill/logic/ticket/FilingTests.java
@@ -33,8 +33,8 @@
 	@Test
 	void ofTwoRacingFilersOneIsRefusedWithThePresentState() {
 		// Two operators change the same service through two nodes at the same moment.
-		// Without
-		// the conditional create both would hear "accepted" and one change would be lost.
+		// Without the conditional create both would hear "accepted" and one change
+		// would be lost.
 		startSix();
 		OperatorCallIdentifier one = this.group.file("node-1", Drafts.service("f1", "drafting", "1", 0));
 		OperatorCallIdentifier other = this.group.file("node-4", Drafts.service("f2", "drafting", "2", 0));
--- a/src/test/java/sycamorehill/logic/ticket/SnapshotSizeTests.java
+++ b/src/test/java/sycamorehill/logic/ticket/SnapshotSizeTests.java
@@ -26,9 +26,8 @@
 	@Test
 	void largestAcceptedTruthFitsIntoOneObject() throws Exception {
 		// If the validator let the truth grow past what one object holds, no snapshot
-		// could be
-		// written any more: the log would grow for ever, and later tickets could never be
-		// refused for it, because they are accepted already.
+		// could be written any more: the log would grow for ever, and later tickets
+		// could never be refused for it, because they are accepted already.
 		List<ItemInForce> items = new ArrayList<>();
 		long bytes = 0;
 		while (bytes <= TicketValidator.MOST_TRUTH_BYTES) {
--- a/src/test/java/sycamorehill/logic/ticket/SpreadTests.java
+++ b/src/test/java/sycamorehill/logic/ticket/SpreadTests.java
@@ -54,9 +54,8 @@
 
 	@Test
 	void everyPushLostIsMadeGoodByHeartbeats() {
-		// All pushes of a ticket are lost and a node that is no delegate has nobody to
-		// tell it:
-		// callers there would be served by the old state for good.
+		// All pushes of a ticket are lost and a node that is no delegate has nobody
+		// to tell it: callers there would be served by the old state for good.
 		for (int index = 1; index <= 8; index++) {
 			this.group.start("node-" + index, "fukuoka");
 		}
@@ -124,11 +123,9 @@
 
 	@Test
 	void filingIsRefusedWhileAPeerHasATicketThatThePlatformLacks() {
-		// The platform came back empty and a restarted node has read it so. A peer tells
-		// of
-		// ticket 3 and can't give it yet. If the restarted node filed now, a second
-		// ticket 1
-		// would be accepted.
+		// The platform came back empty and a restarted node has read it so. A peer
+		// tells of ticket 3 and can't give it yet. If the restarted node filed now, a
+		// second ticket 1 would be accepted.
 		this.group.start("node-1", "fukuoka");
 		this.group.runFor(Duration.ofSeconds(5));
 		NodeIdentity peer = new NodeIdentity(NodeIncarnation.of(NodeName.of("node-2"), 77), FUKUOKA,
--- a/src/test/java/sycamorehill/logic/ticket/TruthLogTests.java
+++ b/src/test/java/sycamorehill/logic/ticket/TruthLogTests.java
@@ -27,9 +27,8 @@
 
 	@Test
 	void lowerTruthChangesNothing() {
-		// A peer's whole truth has been under way for long and comes after later tickets.
-		// A node
-		// that took it would put old state in force again.
+		// A peer's whole truth has been under way for long and comes after later
+		// tickets. A node that took it would put old state in force again.
 		assertThat(AT_FIVE.adopt(new TruthSnapshot(4, List.of(), 1, 0, List.of()), KEPT).number()).isEqualTo(5);
 	}
 
