Tell configurations to the nodes that are read for

A node that was told of a newer version read a copy, which is seconds old and never held it, and then the store. Now the node that reads for others sends the text, packed, to its data centre and to one node of each other one, which passes it on. A node that is told of the version once more without the text reads as before.

Timers of calls end with the call: each answered call left one that woke the process later.

--- a/src/main/java/sycamorehill/entry/CallClient.java
+++ b/src/main/java/sycamorehill/entry/CallClient.java
@@ -3,6 +3,7 @@
 import java.net.ConnectException;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.ByteBuf;
@@ -91,8 +92,7 @@
 		}
 		Reading reading = new Reading(connection, call.address(), answer);
 		connection.await(reading);
-		this.connections.loop()
-			.schedule(() -> reading.giveUp("no answer in " + timeout), timeout.toNanos(), TimeUnit.NANOSECONDS);
+		reading.bound(timeout);
 		connection.context().writeAndFlush(request);
 	}
 
@@ -142,12 +142,19 @@
 
 		private HttpResponse head;
 
+		private ScheduledFuture<?> timer;
+
 		Reading(TargetConnection connection, TargetAddress address, CompletableFuture<CallAnswer> answer) {
 			this.connection = connection;
 			this.address = address;
 			this.answer = answer;
 		}
 
+		void bound(Duration timeout) {
+			this.timer = CallClient.this.connections.loop()
+				.schedule(() -> giveUp("no answer in " + timeout), timeout.toNanos(), TimeUnit.NANOSECONDS);
+		}
+
 		@Override
 		public void head(HttpResponse response) {
 			this.head = response;
@@ -162,8 +169,10 @@
 			this.body.writeBytes(bytes);
 		}
 
+		// A timer that is not cancelled wakes the process though the answer is there.
 		@Override
 		public void end() {
+			this.timer.cancel(false);
 			if (HttpUtil.isKeepAlive(this.head)) {
 				CallClient.this.connections.giveBack(this.address, this.connection, LONGEST_IDLE.multipliedBy(2));
 			}
@@ -177,6 +186,7 @@
 
 		@Override
 		public void broken(String cause) {
+			this.timer.cancel(false);
 			this.answer.completeExceptionally(CallFailedException.of(CallFailedException.Cause.NO_ANSWER, cause));
 		}
 
--- a/src/main/java/sycamorehill/entry/EntryNode.java
+++ b/src/main/java/sycamorehill/entry/EntryNode.java
@@ -18,10 +18,11 @@
 import sycamorehill.logic.entry.EntryReducer;
 import sycamorehill.model.log.LogEvent;
 import sycamorehill.model.log.LogLine;
-import sycamorehill.model.serving.Configuration;
 import sycamorehill.model.serving.EntryEffect;
 import sycamorehill.model.serving.EntryEvent;
 import sycamorehill.model.serving.EntrySettings;
+import sycamorehill.model.serving.NodeMessage;
+import sycamorehill.model.serving.StoredConfiguration;
 import sycamorehill.model.serving.TargetChange;
 import sycamorehill.model.serving.TargetEntry;
 import sycamorehill.runtime.EventLog;
@@ -80,12 +81,14 @@
 
 	private final NodeMessenger messenger;
 
-	private FeedReader<Configuration> configurations;
+	private FeedReader<StoredConfiguration> configurations;
 
 	private FeedReader<TargetChange> targets;
 
 	private boolean readingConfiguration;
 
+	private StoredConfiguration newest;
+
 	private final CompletableFuture<Void> ended = new CompletableFuture<>();
 
 	private EntryNode(EntrySettings settings, EntryPorts.Factory factory, InstantSource wallClock,
@@ -254,6 +257,12 @@
 		if (effect instanceof EntryEffect.ReadTargets) {
 			this.targets.readNow();
 		}
+		else if (effect instanceof EntryEffect.TellConfiguration tell) {
+			tellConfiguration(tell);
+		}
+		else if (effect instanceof EntryEffect.TakeConfiguration take) {
+			takeConfiguration(take.text());
+		}
 		else if (effect instanceof EntryEffect.ReadConfiguration read) {
 			readConfiguration(read.version());
 		}
@@ -281,7 +290,7 @@
 						"configuration " + version + " is not read from a copy: " + failure.getMessage()));
 			}
 			else {
-				page.items().forEach((configuration) -> step(new EntryEvent.ConfigurationRead(configuration)));
+				page.items().forEach(this::configuration);
 			}
 			if (this.reducer.configurationVersion() < version) {
 				this.configurations.readNow();
@@ -289,6 +298,32 @@
 		}, this.loop);
 	}
 
+	private void configuration(StoredConfiguration read) {
+		if (this.newest == null || this.newest.configuration().version() < read.configuration().version()) {
+			this.newest = read;
+		}
+		step(new EntryEvent.ConfigurationRead(read.configuration()));
+	}
+
+	private void tellConfiguration(EntryEffect.TellConfiguration tell) {
+		if (this.newest.configuration().version() == tell.version()) {
+			this.messenger.send(tell.nodes(),
+					new NodeMessage.ConfigurationTold(this.settings.nodeName(), tell.version(), this.newest.text()));
+		}
+	}
+
+	// A text that can't be read is left out; this node reads the store instead when the
+	// other one tells of the version again.
+	private void takeConfiguration(String text) {
+		try {
+			configuration(this.ports.configurationReader().apply(text));
+		}
+		catch (IllegalArgumentException ex) {
+			EventLog.write(LogLine.of(LogEvent.STORE_CONTENT_UNREADABLE,
+					"configuration told by another node cause='" + ex.getMessage() + "'"));
+		}
+	}
+
 	private boolean carryOutForLease(EntryEffect effect) {
 		if (effect instanceof EntryEffect.ReadLease) {
 			this.ports.lease().read().thenAccept((answer) -> post(new EntryEvent.LeaseAnswered(answer)));
@@ -375,16 +410,16 @@
 	/**
 	 * Passes configurations on to the decisions.
 	 */
-	private final class EachConfiguration implements FeedReader.Listener<Configuration> {
+	private final class EachConfiguration implements FeedReader.Listener<StoredConfiguration> {
 
 		@Override
-		public void listed(Feed.Page<Configuration> all) {
+		public void listed(Feed.Page<StoredConfiguration> all) {
 			changed(all, 0);
 		}
 
 		@Override
-		public void changed(Feed.Page<Configuration> changes, long since) {
-			changes.items().forEach((configuration) -> step(new EntryEvent.ConfigurationRead(configuration)));
+		public void changed(Feed.Page<StoredConfiguration> changes, long since) {
+			changes.items().forEach(EntryNode.this::configuration);
 		}
 
 	}
--- a/src/main/java/sycamorehill/entry/EntryPorts.java
+++ b/src/main/java/sycamorehill/entry/EntryPorts.java
@@ -1,6 +1,8 @@
 package sycamorehill.entry;
 
-import sycamorehill.model.serving.Configuration;
+import java.util.function.Function;
+
+import sycamorehill.model.serving.StoredConfiguration;
 import sycamorehill.model.serving.TargetChange;
 
 /**
@@ -8,13 +10,16 @@
  *
  * @param codec heads of requests and answers
  * @param configurations the configurations in the store
+ * @param configurationReader reads a configuration from its text; fails with an
+ * {@link IllegalArgumentException} if it can't
  * @param targets the directory of targets in the store
  * @param register the entry nodes in the store
  * @param lease the lease on the control of groups
  * @param engines calls to engines
  */
-public record EntryPorts(ExchangeCodec codec, Feed<Configuration> configurations, Feed<TargetChange> targets,
-		NodeRegister register, LeaseStore lease, EnginePort engines) {
+public record EntryPorts(ExchangeCodec codec, Feed<StoredConfiguration> configurations,
+		Function<String, StoredConfiguration> configurationReader, Feed<TargetChange> targets, NodeRegister register,
+		LeaseStore lease, EnginePort engines) {
 
 	/**
 	 * Makes the ports over a client.
--- a/src/main/java/sycamorehill/entry/NodeMessageCodec.java
+++ b/src/main/java/sycamorehill/entry/NodeMessageCodec.java
@@ -67,6 +67,8 @@
 
 	private static final String CONFIGURATION = "configuration";
 
+	private static final String TEXT = "text";
+
 	private static final String SINCE = "since";
 
 	private static final String CHANGED_BEFORE = "changed-before";
@@ -102,7 +104,7 @@
 		throw new IOException("not a message");
 	}
 
-	private ObjectNode encode(NodeMessage message) {
+	private ObjectNode encode(NodeMessage message) throws IOException {
 		ObjectNode body = this.codec.createObjectNode();
 		body.put(KIND, Kind.of(message).name()).put(SENDER, message.sender());
 		if (message instanceof NodeMessage.Loads loads) {
@@ -128,6 +130,9 @@
 					.put(TERM, lease.term())
 					.put(LEASE_REVISION, lease.revision()));
 		}
+		else if (message instanceof NodeMessage.ConfigurationTold told) {
+			body.put(CONFIGURATION, told.version()).put(TEXT, PackedText.pack(told.text()));
+		}
 		else if (message instanceof NodeMessage.TargetsSeen seen) {
 			TargetCodec.write(seen.changes(), body.putArray(CHANGES));
 		}
@@ -167,7 +172,7 @@
 		requests.forEach((target, number) -> numbers.put(target.value(), number));
 	}
 
-	private static NodeMessage decode(ObjectNode body) {
+	private static NodeMessage decode(ObjectNode body) throws IOException {
 		String sender = body.path(SENDER).asText();
 		Kind kind = Kind.valueOf(body.path(KIND).asText());
 		return switch (kind) {
@@ -179,6 +184,8 @@
 			case STORE_NEWS -> new NodeMessage.StoreNews(sender, DataCentreName.of(body.path(DATA_CENTRE).asText()),
 					body.path(CONFIGURATION).asLong(), body.path(CHANGED_BEFORE).asLong(), body.path(SINCE).asLong(),
 					body.path(REVISION).asLong(), TargetCodec.read(body.path(CHANGES)), lease(body));
+			case CONFIGURATION_TOLD -> new NodeMessage.ConfigurationTold(sender, body.path(CONFIGURATION).asLong(),
+					PackedText.unpack(body.path(TEXT).binaryValue()));
 			case TARGETS_SEEN -> new NodeMessage.TargetsSeen(sender, TargetCodec.read(body.path(CHANGES)));
 			case INTRODUCTION -> new NodeMessage.Introduction(node(sender, body));
 			case LEASE_GIVEN_UP -> new NodeMessage.LeaseGivenUp(sender, body.path(HOLDER).asText());
@@ -227,10 +234,10 @@
 
 		LOADS(NodeMessage.Loads.class), LOADS_ADDED(NodeMessage.LoadsAdded.class), PLACED(NodeMessage.Placed.class),
 		STORE_NEWS(NodeMessage.StoreNews.class), TARGETS_SEEN(NodeMessage.TargetsSeen.class),
-		INTRODUCTION(NodeMessage.Introduction.class), LEASE_GIVEN_UP(NodeMessage.LeaseGivenUp.class),
-		SILENCE(NodeMessage.Silence.class), SUSPICION(NodeMessage.Suspicion.class),
-		SILENCE_CONFIRMED(NodeMessage.SilenceConfirmed.class), GROUP_ENDED(NodeMessage.GroupEnded.class),
-		CLEARED(NodeMessage.Cleared.class);
+		CONFIGURATION_TOLD(NodeMessage.ConfigurationTold.class), INTRODUCTION(NodeMessage.Introduction.class),
+		LEASE_GIVEN_UP(NodeMessage.LeaseGivenUp.class), SILENCE(NodeMessage.Silence.class),
+		SUSPICION(NodeMessage.Suspicion.class), SILENCE_CONFIRMED(NodeMessage.SilenceConfirmed.class),
+		GROUP_ENDED(NodeMessage.GroupEnded.class), CLEARED(NodeMessage.Cleared.class);
 
 		private final Class<? extends NodeMessage> type;
 
--- a/src/main/java/sycamorehill/logic/entry/EntryReducer.java
+++ b/src/main/java/sycamorehill/logic/entry/EntryReducer.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.random.RandomGenerator;
@@ -10,6 +11,7 @@
 import sycamorehill.logic.directory.TargetDirectory;
 import sycamorehill.logic.dispatch.RequestDesk;
 import sycamorehill.logic.layout.GroupControl;
+import sycamorehill.model.identity.Address;
 import sycamorehill.model.identity.TargetName;
 import sycamorehill.model.log.LogEvent;
 import sycamorehill.model.serving.CallerRequest;
@@ -48,6 +50,11 @@
 	 */
 	private static final Duration LONGEST_READ_PAUSE = Duration.ofMillis(1000);
 
+	/**
+	 * Time from the news of a configuration to its text, which is sent at the same time.
+	 */
+	private static final Duration CONFIGURATION_TOLD_WITHIN = Duration.ofMillis(200);
+
 	/** Nodes that may all read at the shortest pause. */
 	private static final int NODES_READING_OFTEN = 9;
 
@@ -71,6 +78,10 @@
 
 	private Optional<Configuration> configuration = Optional.empty();
 
+	private long awaited;
+
+	private Instant awaitedSince = Instant.MIN;
+
 	private boolean reached = true;
 
 	private int nodesLiving = 1;
@@ -184,6 +195,11 @@
 		else if (message instanceof NodeMessage.StoreNews news) {
 			heardNews(news, now, effects);
 		}
+		else if (message instanceof NodeMessage.ConfigurationTold told) {
+			if (told.version() > configurationVersion()) {
+				effects.add(new EntryEffect.TakeConfiguration(told.text()));
+			}
+		}
 		else if (message instanceof NodeMessage.TargetsSeen seen && !this.reached) {
 			forget(this.directory.apply(seen.changes(), now), effects);
 		}
@@ -211,7 +227,7 @@
 			effects.add(new EntryEffect.ReadTargets());
 		}
 		if (consequence.readConfiguration()) {
-			effects.add(new EntryEffect.ReadConfiguration(news.configurationVersion()));
+			awaitConfiguration(news.configurationVersion(), now, effects);
 		}
 	}
 
@@ -322,7 +338,7 @@
 
 	private void acceptSurroundings(EntryEvent event, Instant now, Effects effects) {
 		if (event instanceof EntryEvent.ConfigurationRead read) {
-			adopt(read.configuration(), effects);
+			adopt(read.configuration(), now, effects);
 		}
 		else if (event instanceof EntryEvent.TargetsListed all) {
 			this.listed = true;
@@ -397,7 +413,7 @@
 	}
 
 	// Versions only go up within one life of the process, whatever the store shows.
-	private void adopt(Configuration read, Effects effects) {
+	private void adopt(Configuration read, Instant now, Effects effects) {
 		long version = this.configuration.map(Configuration::version).orElse(Long.MIN_VALUE);
 		if (read.version() <= version) {
 			if (read.version() < version) {
@@ -410,6 +426,33 @@
 		this.requests.adopt(read);
 		effects.add(new EntryEffect.LimitCallers(read.limits()));
 		effects.log(LogEvent.CONFIGURATION_IN_FORCE, "version=" + read.version() + " routes=" + read.routes().size());
+		tellConfiguration(read.version(), now, effects);
+	}
+
+	// The text spares each node a call to the store for each version.
+	private void tellConfiguration(long version, Instant now, Effects effects) {
+		boolean tells = this.relay.teller(now).filter(this.settings.nodeName()::equals).isPresent();
+		if (!tells || this.stopOrdered != null) {
+			return;
+		}
+		List<Address> nodes = new ArrayList<>(this.neighbours.near());
+		if (this.relay.reads(now)) {
+			nodes.addAll(this.neighbours.relays(now));
+		}
+		if (!nodes.isEmpty()) {
+			effects.add(new EntryEffect.TellConfiguration(nodes, version));
+		}
+	}
+
+	// A text that did not come is read in the store.
+	private void awaitConfiguration(long version, Instant now, Effects effects) {
+		if (version != this.awaited) {
+			this.awaited = version;
+			this.awaitedSince = now;
+		}
+		else if (!now.isBefore(this.awaitedSince.plus(CONFIGURATION_TOLD_WITHIN))) {
+			effects.add(new EntryEffect.ReadConfiguration(version));
+		}
 	}
 
 	private void contact(boolean answered, Instant now, Effects effects) {
--- a/src/main/java/sycamorehill/logic/entry/Neighbours.java
+++ b/src/main/java/sycamorehill/logic/entry/Neighbours.java
@@ -175,7 +175,11 @@
 		return this.nodes.size() <= FEW_NODES;
 	}
 
-	private List<Address> near() {
+	/**
+	 * Where the other nodes of the own data centre take messages.
+	 * @return their addresses
+	 */
+	List<Address> near() {
 		return nearRecords().map(NodeRecord::address).toList();
 	}
 
@@ -286,6 +290,19 @@
 	 * @param effects collects what is wanted
 	 */
 	void tellRelays(NodeMessage message, Instant now, Effects effects) {
+		List<Address> relays = relays(now);
+		if (!relays.isEmpty()) {
+			effects.add(new EntryEffect.Tell(relays, message));
+		}
+	}
+
+	/**
+	 * Where the nodes of other data centres take messages that pass on there what they
+	 * are told.
+	 * @param now the present time
+	 * @return their addresses
+	 */
+	List<Address> relays(Instant now) {
 		Instant since = now.minus(livesFor());
 		Set<String> told = new TreeSet<>();
 		Map<DataCentreName, String> first = new HashMap<>();
@@ -302,10 +319,7 @@
 			.map(Relay::node)
 			.filter(this.nodes::containsKey)
 			.forEach(told::add);
-		if (!told.isEmpty()) {
-			effects.add(new EntryEffect.Tell(told.stream().map((node) -> this.nodes.get(node).address()).toList(),
-					message));
-		}
+		return told.stream().map((node) -> this.nodes.get(node).address()).toList();
 	}
 
 	private String rather(String node, String other, Instant since) {
--- a/src/main/java/sycamorehill/model/serving/EntryEffect.java
+++ b/src/main/java/sycamorehill/model/serving/EntryEffect.java
@@ -134,6 +134,23 @@
 	record LimitCallers(CallerLimits limits) implements EntryEffect {
 	}
 
+	/**
+	 * Tells other nodes the text of the configuration in force.
+	 *
+	 * @param nodes where these nodes take messages
+	 * @param version the configuration's version
+	 */
+	record TellConfiguration(List<Address> nodes, long version) implements EntryEffect {
+	}
+
+	/**
+	 * Reads a configuration from its text, which another node has told.
+	 *
+	 * @param text the text
+	 */
+	record TakeConfiguration(String text) implements EntryEffect {
+	}
+
 	/**
 	 * Reads a configuration that another node has told of.
 	 *
--- a/src/main/java/sycamorehill/model/serving/NodeMessage.java
+++ b/src/main/java/sycamorehill/model/serving/NodeMessage.java
@@ -123,6 +123,16 @@
 
 	}
 
+	/**
+	 * A configuration, to nodes for which this one reads the store.
+	 *
+	 * @param sender the node that tells
+	 * @param version its version
+	 * @param text its text in the store
+	 */
+	record ConfigurationTold(String sender, long version, String text) implements NodeMessage {
+	}
+
 	/**
 	 * What the controller of the groups has heard from engines while no node reaches the
 	 * store.
--- a/src/main/java/sycamorehill/platform/PlatformStore.java
+++ b/src/main/java/sycamorehill/platform/PlatformStore.java
@@ -28,10 +28,10 @@
 import sycamorehill.model.identity.TargetName;
 import sycamorehill.model.log.LogEvent;
 import sycamorehill.model.log.LogLine;
-import sycamorehill.model.serving.Configuration;
 import sycamorehill.model.serving.Lease;
 import sycamorehill.model.serving.LeaseAnswer;
 import sycamorehill.model.serving.NodeRecord;
+import sycamorehill.model.serving.StoredConfiguration;
 import sycamorehill.model.serving.TargetAddress;
 import sycamorehill.model.serving.TargetChange;
 import sycamorehill.model.serving.TargetEntry;
@@ -99,7 +99,7 @@
 		return new PlatformStore(client, address, json);
 	}
 
-	Feed<Configuration> configurations() {
+	Feed<StoredConfiguration> configurations() {
 		return new KindFeed<>(CONFIGURATIONS, this::configuration);
 	}
 
@@ -159,12 +159,12 @@
 		}
 	}
 
-	private Optional<Configuration> configuration(StoredObject object) {
+	private Optional<StoredConfiguration> configuration(StoredObject object) {
 		if (object.deleted() || !object.name().equals(MAIN_CONFIGURATION)) {
 			return Optional.empty();
 		}
 		try {
-			return Optional.of(ConfigurationDecoder.decode(object.spec()));
+			return Optional.of(stored(object.spec()));
 		}
 		catch (IllegalArgumentException ex) {
 			unreadable(CONFIGURATIONS, object.name(), ex);
@@ -172,6 +172,25 @@
 		}
 	}
 
+	private static StoredConfiguration stored(JsonNode spec) {
+		return new StoredConfiguration(ConfigurationDecoder.decode(spec), spec.toString());
+	}
+
+	/**
+	 * Reads a configuration from its text.
+	 * @param text the text as it was told
+	 * @return the configuration
+	 * @throws IllegalArgumentException if it can't be read
+	 */
+	StoredConfiguration configuration(String text) {
+		try {
+			return stored(this.json.readTree(text));
+		}
+		catch (IOException ex) {
+			throw new IllegalArgumentException("the text of a configuration is no JSON: " + ex.getMessage(), ex);
+		}
+	}
+
 	// An entry that can't be read names no target to use.
 	private static Optional<TargetChange> target(StoredObject object) {
 		TargetName name = TargetName.of(object.name());
--- a/src/test/java/sycamorehill/entry/NodeMessageCodecTests.java
+++ b/src/test/java/sycamorehill/entry/NodeMessageCodecTests.java
@@ -42,6 +42,7 @@
 				new NodeMessage.LoadsAdded("n1", List.of(new LoadSum("n2", NORTH, 7, Map.of(TARGET, 3)))),
 				new NodeMessage.Placed("n1", TARGET, Duration.ofMillis(14)),
 				new NodeMessage.StoreNews("n1", NORTH, 5, 90, 100, 110, changes, Optional.of(new Lease("n2#a", 3, 99))),
+				new NodeMessage.ConfigurationTold("n1", 5, "{\"routes\": [\"näher\"]}"),
 				new NodeMessage.TargetsSeen("n1", changes),
 				new NodeMessage.Introduction(ServingSamples.node("n1", 7100)),
 				new NodeMessage.LeaseGivenUp("n1", "n1#a"), new NodeMessage.Silence("n1", TARGET),
