--- a/src/main/java/sycamorehill/entry/CallerServer.java
+++ b/src/main/java/sycamorehill/entry/CallerServer.java
@@ -122,10 +122,9 @@
 	private static long content(HttpRequest request, ByteBuf body) {
 		HashStream64 hash = Hashing.xxh3_64().hashStream();
 		hash.putString(request.method().name()).putString(request.uri());
-		for (int index = body.readerIndex(); index < body.writerIndex(); index++) {
-			hash.putByte(body.getByte(index));
-		}
-		return hash.getAsLong();
+		byte[] bytes = new byte[body.readableBytes()];
+		body.getBytes(body.readerIndex(), bytes);
+		return hash.putBytes(bytes).getAsLong();
 	}
 
 	/**
--- a/src/main/java/sycamorehill/entry/EventSplitter.java
+++ b/src/main/java/sycamorehill/entry/EventSplitter.java
@@ -61,35 +61,38 @@
 
 	// Index after the blank line that ends the first event, or -1.
 	private int endOfEvent() {
-		int from = this.pending.readerIndex();
-		int lineStart = from;
-		for (int at = from; at < this.pending.writerIndex(); at++) {
-			if (this.pending.getByte(at) != '\n') {
-				continue;
-			}
+		int lineStart = this.pending.readerIndex();
+		int at = endOfLine(this.pending, lineStart);
+		while (at >= 0) {
 			int length = at - lineStart;
 			boolean blank = length == 0 || (length == 1 && this.pending.getByte(lineStart) == '\r');
 			if (blank) {
 				return at + 1;
 			}
 			lineStart = at + 1;
+			at = endOfLine(this.pending, lineStart);
 		}
 		return -1;
 	}
 
 	private static OptionalLong number(ByteBuf event) {
 		int lineStart = event.readerIndex();
-		for (int at = lineStart; at < event.writerIndex(); at++) {
-			if (event.getByte(at) == '\n') {
-				if (startsWithNumberField(event, lineStart, at)) {
-					return digits(event, lineStart + NUMBER_FIELD.length, at);
-				}
-				lineStart = at + 1;
+		int at = endOfLine(event, lineStart);
+		while (at >= 0) {
+			if (startsWithNumberField(event, lineStart, at)) {
+				return digits(event, lineStart + NUMBER_FIELD.length, at);
 			}
+			lineStart = at + 1;
+			at = endOfLine(event, lineStart);
 		}
 		return OptionalLong.empty();
 	}
 
+	// Several bytes at a time: this is done for each byte of each answer.
+	private static int endOfLine(ByteBuf bytes, int from) {
+		return bytes.indexOf(from, bytes.writerIndex(), (byte) '\n');
+	}
+
 	private static boolean startsWithNumberField(ByteBuf event, int start, int end) {
 		if (end - start < NUMBER_FIELD.length) {
 			return false;
