--- a/src/main/java/sycamorehill/entry/CallerServer.java
+++ b/src/main/java/sycamorehill/entry/CallerServer.java
@@ -33,7 +33,7 @@
 
 /**
  * Takes callers' connections and carries out what the decisions want for their requests.
- * All of it happens on the traffic thread.
+ * All of it happens on the node's one thread.
  */
 final class CallerServer {
 
--- a/src/main/java/sycamorehill/entry/EntryMetrics.java
+++ b/src/main/java/sycamorehill/entry/EntryMetrics.java
@@ -23,7 +23,7 @@
 
 /**
  * What operators watch of an entry node. Counted from effects, so that each decision
- * shows in the log and in the numbers alike. All is touched by the control thread alone.
+ * shows in the log and in the numbers alike. All is touched by the node's one thread.
  */
 final class EntryMetrics {
 
--- a/src/main/java/sycamorehill/entry/EventPost.java
+++ b/src/main/java/sycamorehill/entry/EventPost.java
@@ -3,7 +3,7 @@
 import sycamorehill.model.serving.EntryEvent;
 
 /**
- * Hands events to the control thread.
+ * Hands events to the decisions, which take them one after the other.
  */
 interface EventPost {
 
--- a/src/main/java/sycamorehill/entry/Exchange.java
+++ b/src/main/java/sycamorehill/entry/Exchange.java
@@ -27,7 +27,7 @@
 import sycamorehill.model.serving.EntryEvent;
 
 /**
- * One request of a caller and its answer. Lives on the traffic thread.
+ * One request of a caller and its answer. Lives on the node's one thread.
  */
 final class Exchange {
 
--- a/src/main/java/sycamorehill/entry/FeedReader.java
+++ b/src/main/java/sycamorehill/entry/FeedReader.java
@@ -60,7 +60,7 @@
 	}
 
 	/**
-	 * Reads the changes now, though this node rests. Called by the control thread.
+	 * Reads the changes now, though this node rests.
 	 */
 	void readNow() {
 		this.wanted = true;
@@ -71,9 +71,8 @@
 	}
 
 	/**
-	 * Looks whether a node that rests has to read for itself again. Called by the control
-	 * thread several times a second, with all else that is looked at then: each wake-up
-	 * of a thread costs processor time.
+	 * Looks whether a node that rests has to read for itself again. Called several times
+	 * a second, with all else that is looked at then: each wake-up costs processor time.
 	 */
 	void look() {
 		if (this.resting && !this.pace.get().rests()) {
@@ -83,8 +82,8 @@
 	}
 
 	/**
-	 * Goes on after a revision that this node was told of. Called by the control thread.
-	 * What a list is still due for was not told: it stays due.
+	 * Goes on after a revision that this node was told of. What a list is still due for
+	 * was not told: it stays due.
 	 * @param known the revision
 	 */
 	void known(long known) {
@@ -186,7 +185,7 @@
 	}
 
 	/**
-	 * Takes what is read, on the control thread.
+	 * Takes what is read.
 	 *
 	 * @param <T> what is told of an object
 	 */
--- a/src/main/java/sycamorehill/logic/entry/LoadSums.java
+++ b/src/main/java/sycamorehill/logic/entry/LoadSums.java
@@ -21,17 +21,23 @@
  */
 final class LoadSums {
 
-	/** A load report is out of date after about as long as an answer's first half. */
-	static final Duration TOLD_EVERY = Duration.ofMillis(500);
+	/** A load report is out of date after about as long as an event takes. */
+	private static final Duration TOLD_EVERY = Duration.ofMillis(200);
+
+	/** Messages that the node takes in a second that adds up, at most. */
+	private static final int TAKEN_A_SECOND = 100;
 
 	/** Two messages of a node may be lost before it is not counted. */
-	private static final Duration LOADS_VALID = TOLD_EVERY.multipliedBy(3);
+	private static final int MESSAGES_VALID = 3;
+
+	/** What a node told is good for this long at least: a weak VM may be late. */
+	private static final Duration LEAST_VALID = Duration.ofMillis(1000);
 
 	/**
 	 * Other data centres are told once in so many times: each has targets of its own,
 	 * which its nodes prefer.
 	 */
-	private static final int FAR_TOLD_ONCE_IN = 2;
+	private static final int FAR_TOLD_ONCE_IN = 3;
 
 	private final String self;
 
@@ -85,7 +91,17 @@
 	 * @return true if it is time
 	 */
 	boolean due(Instant now) {
-		return !now.isBefore(this.toldAt.plus(TOLD_EVERY));
+		return !now.isBefore(this.toldAt.plus(pause()));
+	}
+
+	private Duration pause() {
+		Duration many = Duration.ofMillis(this.neighbours.near().size() * 1000L / TAKEN_A_SECOND);
+		return (many.compareTo(TOLD_EVERY) > 0) ? many : TOLD_EVERY;
+	}
+
+	private Duration valid() {
+		Duration several = pause().multipliedBy(MESSAGES_VALID);
+		return (several.compareTo(LEAST_VALID) > 0) ? several : LEAST_VALID;
 	}
 
 	/**
@@ -109,7 +125,8 @@
 
 	private void tellSums(NodeMessage.Loads loads, Instant now, Effects effects) {
 		this.timesTold++;
-		this.near.values().removeIf((heard) -> heard.at().plus(LOADS_VALID).isBefore(now));
+		Instant since = now.minus(valid());
+		this.near.values().removeIf((heard) -> heard.at().isBefore(since));
 		Map<TargetName, Integer> all = new HashMap<>(loads.requests());
 		this.near.values()
 			.forEach((heard) -> heard.requests().forEach((target, number) -> all.merge(target, number, Integer::sum)));
