--- a/src/main/java/sycamorehill/logic/entry/EntryReducer.java
+++ b/src/main/java/sycamorehill/logic/entry/EntryReducer.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.time.Instant;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.random.RandomGenerator;
@@ -11,7 +10,6 @@
 import sycamorehill.logic.directory.TargetDirectory;
 import sycamorehill.logic.dispatch.RequestDesk;
 import sycamorehill.logic.layout.GroupControl;
-import sycamorehill.model.identity.Address;
 import sycamorehill.model.identity.TargetName;
 import sycamorehill.model.log.LogEvent;
 import sycamorehill.model.serving.CallerRequest;
@@ -50,11 +48,6 @@
 	 */
 	private static final Duration LONGEST_READ_PAUSE = Duration.ofMillis(1000);
 
-	/**
-	 * Time from the news of a configuration to its text, which is sent at the same time.
-	 */
-	private static final Duration CONFIGURATION_TOLD_WITHIN = Duration.ofMillis(200);
-
 	/** Nodes that may all read at the shortest pause. */
 	private static final int NODES_READING_OFTEN = 9;
 
@@ -68,6 +61,8 @@
 
 	private final LoadSums loadSums;
 
+	private final ConfigurationTexts configurationTexts;
+
 	private final SilenceReports silences = new SilenceReports();
 
 	private final EarlyRequests early = new EarlyRequests();
@@ -78,10 +73,6 @@
 
 	private Optional<Configuration> configuration = Optional.empty();
 
-	private long awaited;
-
-	private Instant awaitedSince = Instant.MIN;
-
 	private boolean reached = true;
 
 	private int nodesLiving = 1;
@@ -97,8 +88,9 @@
 	private EntryReducer(EntrySettings settings, String self, RandomGenerator random, Instant started) {
 		this.settings = settings;
 		this.neighbours = Neighbours.of(settings.record());
-		this.loadSums = LoadSums.of(settings.nodeName(), settings.dataCentre(), this.neighbours);
 		this.relay = StoreRelay.of(settings.nodeName(), settings.dataCentre(), this.neighbours::goesBefore);
+		this.configurationTexts = ConfigurationTexts.of(settings.nodeName(), this.neighbours, this.relay);
+		this.loadSums = LoadSums.of(settings.record(), this.neighbours, this.relay);
 		this.requests = RequestDesk.of(settings, this.directory, random);
 		this.groups = GroupControl.of(settings, this.directory, self, started);
 	}
@@ -171,10 +163,9 @@
 
 	private void heard(NodeMessage message, Instant now, Effects effects) {
 		if (message instanceof NodeMessage.LoadsAdded added) {
-			if (!counts(added, now)) {
+			if (!this.loadSums.heard(added, this.stopOrdered != null, now)) {
 				return;
 			}
-			this.loadSums.heard(added);
 		}
 		this.neighbours.heard(message, now);
 		this.requests.heard(message, now);
@@ -227,7 +218,7 @@
 			effects.add(new EntryEffect.ReadTargets());
 		}
 		if (consequence.readConfiguration()) {
-			awaitConfiguration(news.configurationVersion(), now, effects);
+			this.configurationTexts.await(news.configurationVersion(), now, effects);
 		}
 	}
 
@@ -257,35 +248,13 @@
 	}
 
 	private void tellLoads(Instant now, Effects effects) {
-		Optional<String> collector = collector(now);
-		boolean due = collector.isPresent() ? this.loadSums.due(now) : this.neighbours.loadsDue(now);
-		if (!due) {
-			return;
-		}
 		NodeMessage.Loads loads = new NodeMessage.Loads(this.settings.nodeName(), this.settings.dataCentre(),
 				this.reached, this.requests.inFlight());
-		collector.ifPresentOrElse((node) -> this.loadSums.tell(loads, node, now, effects),
-				() -> this.neighbours.tellLoads(loads, now, effects));
+		this.loadSums.tell(loads, this.stopOrdered != null, now, effects);
 		this.nodesLiving = this.neighbours.living(now);
 		this.requests.nodes(this.nodesLiving);
 	}
 
-	// Few nodes tell each other at once. Without news of the store nobody knows who adds
-	// up, and each node tells the others again.
-	private Optional<String> collector(Instant now) {
-		boolean leaves = this.stopOrdered != null;
-		return this.neighbours.fewNodes() ? Optional.empty()
-				: this.relay.teller(now).filter((node) -> !leaves || !node.equals(this.settings.nodeName()));
-	}
-
-	// A node that reads for itself for a moment adds up as well, but hears nobody.
-	private boolean counts(NodeMessage.LoadsAdded added, Instant now) {
-		Optional<String> collector = collector(now);
-		boolean mine = collector.filter(this.settings.nodeName()::equals).isPresent();
-		boolean near = added.sums().stream().anyMatch((sum) -> sum.dataCentre().equals(this.settings.dataCentre()));
-		return near ? collector.filter(added.sender()::equals).isPresent() : mine;
-	}
-
 	private boolean acceptRequest(EntryEvent event, Instant now, Effects effects) {
 		if (event instanceof EntryEvent.RequestArrived arrived) {
 			this.groups.trafficSeen(now);
@@ -401,7 +370,9 @@
 		forget(this.directory.dropMissing(now), effects);
 		takeEarly(now, effects);
 		tickGroups(now, effects);
-		tellLoads(now, effects);
+		if (this.loadSums.due(this.stopOrdered != null, now)) {
+			tellLoads(now, effects);
+		}
 		if (this.relay.newsDue(now) && this.stopOrdered == null) {
 			tellNews(this.relay.progress(), now, effects);
 		}
@@ -426,32 +397,8 @@
 		this.requests.adopt(read);
 		effects.add(new EntryEffect.LimitCallers(read.limits()));
 		effects.log(LogEvent.CONFIGURATION_IN_FORCE, "version=" + read.version() + " routes=" + read.routes().size());
-		tellConfiguration(read.version(), now, effects);
-	}
-
-	// The text spares each node a call to the store for each version.
-	private void tellConfiguration(long version, Instant now, Effects effects) {
-		boolean tells = this.relay.teller(now).filter(this.settings.nodeName()::equals).isPresent();
-		if (!tells || this.stopOrdered != null) {
-			return;
-		}
-		List<Address> nodes = new ArrayList<>(this.neighbours.near());
-		if (this.relay.reads(now)) {
-			nodes.addAll(this.neighbours.relays(now));
-		}
-		if (!nodes.isEmpty()) {
-			effects.add(new EntryEffect.TellConfiguration(nodes, version));
-		}
-	}
-
-	// A text that did not come is read in the store.
-	private void awaitConfiguration(long version, Instant now, Effects effects) {
-		if (version != this.awaited) {
-			this.awaited = version;
-			this.awaitedSince = now;
-		}
-		else if (!now.isBefore(this.awaitedSince.plus(CONFIGURATION_TOLD_WITHIN))) {
-			effects.add(new EntryEffect.ReadConfiguration(version));
+		if (this.stopOrdered == null) {
+			this.configurationTexts.tell(read.version(), now, effects);
 		}
 	}
 
--- a/src/main/java/sycamorehill/logic/entry/LoadSums.java
+++ b/src/main/java/sycamorehill/logic/entry/LoadSums.java
@@ -13,6 +13,7 @@
 import sycamorehill.model.identity.TargetName;
 import sycamorehill.model.serving.LoadSum;
 import sycamorehill.model.serving.NodeMessage;
+import sycamorehill.model.serving.NodeRecord;
 
 /**
  * Tells loads among many nodes: the node that passes on the store's news to a data centre
@@ -45,6 +46,8 @@
 
 	private final Neighbours neighbours;
 
+	private final StoreRelay relay;
+
 	private final Map<String, Heard> near = new HashMap<>();
 
 	private final Map<DataCentreName, LoadSum> far = new HashMap<>();
@@ -53,14 +56,15 @@
 
 	private int timesTold;
 
-	private LoadSums(String self, DataCentreName own, Neighbours neighbours) {
-		this.self = self;
-		this.own = own;
+	private LoadSums(NodeRecord self, Neighbours neighbours, StoreRelay relay) {
+		this.self = self.name();
+		this.own = self.dataCentre();
 		this.neighbours = neighbours;
+		this.relay = relay;
 	}
 
-	static LoadSums of(String self, DataCentreName own, Neighbours neighbours) {
-		return new LoadSums(self, own, neighbours);
+	static LoadSums of(NodeRecord self, Neighbours neighbours, StoreRelay relay) {
+		return new LoadSums(self, neighbours, relay);
 	}
 
 	/**
@@ -75,23 +79,44 @@
 	}
 
 	/**
-	 * Takes sums of other data centres, to pass them on.
+	 * Takes sums, if they come from the node that adds up for this one, or of another
+	 * data centre to be passed on. A node that reads the store for itself for a moment
+	 * adds up as well, but hears nobody.
 	 * @param told what was told
+	 * @param stopping whether this node ends
+	 * @param now the present time
+	 * @return true if the sums count
 	 */
-	void heard(NodeMessage.LoadsAdded told) {
+	boolean heard(NodeMessage.LoadsAdded told, boolean stopping, Instant now) {
+		Optional<String> collector = collector(stopping, now);
+		boolean ofOwn = told.sums().stream().anyMatch((sum) -> sum.dataCentre().equals(this.own));
+		String needed = ofOwn ? told.sender() : this.self;
+		if (collector.filter(needed::equals).isEmpty()) {
+			return false;
+		}
 		told.sums()
 			.stream()
 			.filter((sum) -> !sum.dataCentre().equals(this.own))
 			.forEach((sum) -> this.far.put(sum.dataCentre(), sum));
+		return true;
+	}
+
+	// Few nodes tell each other at once. Without news of the store nobody knows who adds
+	// up, and each node tells the others again.
+	private Optional<String> collector(boolean stopping, Instant now) {
+		return this.neighbours.fewNodes() ? Optional.empty()
+				: this.relay.teller(now).filter((node) -> !stopping || !node.equals(this.self));
 	}
 
 	/**
 	 * Whether the loads are to be told.
+	 * @param stopping whether this node ends
 	 * @param now the present time
 	 * @return true if it is time
 	 */
-	boolean due(Instant now) {
-		return !now.isBefore(this.toldAt.plus(pause()));
+	boolean due(boolean stopping, Instant now) {
+		return collector(stopping, now).isPresent() ? !now.isBefore(this.toldAt.plus(pause()))
+				: this.neighbours.loadsDue(now);
 	}
 
 	private Duration pause() {
@@ -107,11 +132,16 @@
 	/**
 	 * Tells this node's loads.
 	 * @param loads this node's loads
-	 * @param collector the node that adds up, maybe this one
+	 * @param stopping whether this node ends
 	 * @param now the present time
 	 * @param effects collects what is wanted
 	 */
-	void tell(NodeMessage.Loads loads, String collector, Instant now, Effects effects) {
+	void tell(NodeMessage.Loads loads, boolean stopping, Instant now, Effects effects) {
+		collector(stopping, now).ifPresentOrElse((node) -> tellCollector(node, loads, now, effects),
+				() -> this.neighbours.tellLoads(loads, now, effects));
+	}
+
+	private void tellCollector(String collector, NodeMessage.Loads loads, Instant now, Effects effects) {
 		this.toldAt = now;
 		if (collector.equals(this.self)) {
 			tellSums(loads, now, effects);
