--- a/src/test/java/sycamorehill/logic/entry/LoadSumsTests.java
+++ b/src/test/java/sycamorehill/logic/entry/ManyNodesTests.java
@@ -30,7 +30,7 @@
  * Forty nodes in two data centres, whose messages all arrive at once unless a node is
  * down. All names of the north go before those of the south.
  */
-class LoadSumsTests {
+class ManyNodesTests {
 
 	private static final int NODES = 40;
 
@@ -52,7 +52,9 @@
 
 	private boolean storeAnswers = true;
 
-	LoadSumsTests() {
+	private int configurationsRead;
+
+	ManyNodesTests() {
 		for (int number = 0; number < NODES; number++) {
 			EntrySettings settings = settings(number);
 			this.names.put(settings.neighbours(), settings.nodeName());
@@ -86,9 +88,31 @@
 				});
 			}
 		}
+		configurations(node, effects);
 		return effects;
 	}
 
+	// A text is its version's number here.
+	private void configurations(String node, List<EntryEffect> effects) {
+		for (EntryEffect effect : effects) {
+			if (effect instanceof EntryEffect.TellConfiguration tell) {
+				tell.nodes()
+					.stream()
+					.map(this.names::get)
+					.filter((to) -> !this.down.contains(to))
+					.forEach((to) -> accept(to, new EntryEvent.MessageHeard(
+							new NodeMessage.ConfigurationTold(node, tell.version(), "" + tell.version()))));
+			}
+			else if (effect instanceof EntryEffect.TakeConfiguration take) {
+				accept(node,
+						new EntryEvent.ConfigurationRead(ServingSamples.configuration(Long.parseLong(take.text()))));
+			}
+			else if (effect instanceof EntryEffect.ReadConfiguration) {
+				this.configurationsRead++;
+			}
+		}
+	}
+
 	// Nodes that nobody feeds read the store each half second.
 	private void run(Duration time) {
 		for (Instant end = this.now.plus(time); this.now.isBefore(end); this.now = this.now.plus(TICK)) {
@@ -189,4 +213,16 @@
 			.hasSizeGreaterThan(NODES);
 	}
 
+	// An operator changes the configuration. With each node reading it, 40 calls to the
+	// store come at once for each version. The node that reads tells it on, within its
+	// data centre and to the other one.
+	@Test
+	void aConfigurationComesIntoForceEverywhereWithOneRead() {
+		run(Duration.ofSeconds(15));
+		accept("north-100", new EntryEvent.ConfigurationRead(ServingSamples.configuration(7)));
+		assertThat(this.nodes.values()).allMatch((node) -> node.configurationVersion() == 7);
+		run(Duration.ofSeconds(2));
+		assertThat(this.configurationsRead).isZero();
+	}
+
 }
