--- a/src/main/java/sycamorehill/entry/EntryNode.java
+++ b/src/main/java/sycamorehill/entry/EntryNode.java
@@ -29,9 +29,8 @@
 import sycamorehill.runtime.MonotonicClock;
 
 /**
- * The process of an entry VM. One thread moves the bytes and decides: a message of
- * another node wakes one thread and not two, which on many small VMs costs more processor
- * time than what is done with the message.
+ * The process of an entry VM. One thread moves the bytes and decides: small VMs have less
+ * than one processor, and what comes need not wait for a second thread.
  */
 public final class EntryNode implements EventPost {
 
@@ -139,12 +138,19 @@
 	}
 
 	// All that is looked at regularly, in one go: each timer of its own would wake the
-	// process some more times a second.
+	// process some more times a second. Failure: one look fails, and the timer ends with
+	// it; it shows as a node that never reads or tells anything again. So failures are
+	// logged and the next tick comes.
 	private void tick() {
-		step(new EntryEvent.Ticked());
-		this.callers.look();
-		this.configurations.look();
-		this.targets.look();
+		try {
+			step(new EntryEvent.Ticked());
+			this.callers.look();
+			this.configurations.look();
+			this.targets.look();
+		}
+		catch (RuntimeException ex) {
+			EventLog.failure(LogEvent.INVARIANT_BROKEN, "regular looks", ex);
+		}
 	}
 
 	private CompletableFuture<PageServer.Page> readinessPage(String path) {
