--- a/src/main/java/sycamorehill/logic/entry/LoadSums.java
+++ b/src/main/java/sycamorehill/logic/entry/LoadSums.java
@@ -22,10 +22,10 @@
  */
 final class LoadSums {
 
-	/** A load report is out of date after about as long as an event takes. */
-	private static final Duration TOLD_EVERY = Duration.ofMillis(200);
+	/** A load report is out of date after about as long as an answer's first half. */
+	private static final Duration TOLD_EVERY = Duration.ofMillis(500);
 
-	/** Messages that the node takes in a second that adds up, at most. */
+	/** Messages a second that the node which adds up takes, at most. */
 	private static final int TAKEN_A_SECOND = 100;
 
 	/** Two messages of a node may be lost before it is not counted. */
@@ -38,7 +38,7 @@
 	 * Other data centres are told once in so many times: each has targets of its own,
 	 * which its nodes prefer.
 	 */
-	private static final int FAR_TOLD_ONCE_IN = 3;
+	private static final int FAR_TOLD_ONCE_IN = 2;
 
 	private final String self;
 
