--- a/src/main/java/sycamorehill/logic/entry/LoadSums.java
+++ b/src/main/java/sycamorehill/logic/entry/LoadSums.java
@@ -115,8 +115,11 @@
 	 * @return true if it is time
 	 */
 	boolean due(boolean stopping, Instant now) {
-		return collector(stopping, now).isPresent() ? !now.isBefore(this.toldAt.plus(pause()))
-				: this.neighbours.loadsDue(now);
+		if (collector(stopping, now).isEmpty()) {
+			return this.neighbours.loadsDue(now);
+		}
+		boolean possible = !now.isBefore(this.toldAt.plus(TOLD_EVERY));
+		return possible && !now.isBefore(this.toldAt.plus(pause()));
 	}
 
 	private Duration pause() {
