--- a/src/main/java/sycamorehill/cli/SycamorehillCommand.java
+++ b/src/main/java/sycamorehill/cli/SycamorehillCommand.java
@@ -10,8 +10,6 @@
  */
 public final class SycamorehillCommand {
 
-	private static final String SERVE = "serve";
-
 	private SycamorehillCommand() {
 	}
 
@@ -30,7 +28,8 @@
 	 */
 	static int run(String... arguments) {
 		try {
-			return execute(command(arguments));
+			Object command = cli().parse(arguments);
+			return execute(command);
 		}
 		catch (ParseException ex) {
 			System.err.println(ex.getMessage() + " ('sycamorehill help' lists the commands)");
@@ -46,13 +45,6 @@
 		}
 	}
 
-	// The description of all commands is put together by reflection, which takes longer
-	// than the start of the JVM. All nodes may start at once.
-	private static Object command(String... arguments) {
-		boolean servesOnly = arguments.length == 1 && arguments[0].equals(SERVE);
-		return servesOnly ? new ServeCommand() : cli().parse(arguments);
-	}
-
 	private static int execute(Object command) throws Exception {
 		if (command instanceof CliCommand ours) {
 			return ours.run();
