Identify groups by one key type

GroupViews had a key of its own beside the joined strings of GroupView.key, which EndedGroups, Dissolution, GroupBuilder and GroupRosters used. GroupKey serves all, and compares as the private one did. No change in what is decided, but for the order in which a HashMap of forming groups is walked, which was arbitrary before.

--- a/src/main/java/sycamorehill/logic/directory/GroupView.java
+++ b/src/main/java/sycamorehill/logic/directory/GroupView.java
@@ -25,18 +25,8 @@
 	 * Identifies the group among all that ever were.
 	 * @return the key
 	 */
-	public String key() {
-		return key(this.name, this.epoch);
-	}
-
-	/**
-	 * Makes a group's key.
-	 * @param name the group's name
-	 * @param epoch the group's epoch
-	 * @return the key
-	 */
-	public static String key(String name, long epoch) {
-		return name + '/' + epoch;
+	public GroupKey key() {
+		return new GroupKey(this.name, this.epoch);
 	}
 
 	/**
--- a/src/main/java/sycamorehill/logic/directory/GroupViews.java
+++ b/src/main/java/sycamorehill/logic/directory/GroupViews.java
@@ -13,7 +13,6 @@
 
 import sycamorehill.model.identity.TargetName;
 import sycamorehill.model.serving.EngineFigures;
-import sycamorehill.model.serving.Membership;
 import sycamorehill.model.serving.ModelFigures;
 import sycamorehill.model.serving.TargetEntry;
 
@@ -41,17 +40,17 @@
 	 */
 	public static List<GroupView> of(List<TargetEntry> entries, Collection<TargetEntry> vanished,
 			EngineFigures figures) {
-		Map<Key, List<TargetEntry>> byGroup = new HashMap<>();
+		Map<GroupKey, List<TargetEntry>> byGroup = new HashMap<>();
 		for (TargetEntry entry : entries) {
 			entry.membership()
-				.ifPresent((seat) -> byGroup.computeIfAbsent(Key.of(seat), (key) -> new ArrayList<>()).add(entry));
+				.ifPresent((seat) -> byGroup.computeIfAbsent(GroupKey.of(seat), (key) -> new ArrayList<>()).add(entry));
 		}
 		Set<TargetName> gone = new HashSet<>();
 		for (TargetEntry entry : vanished) {
 			gone.add(entry.name());
 			// A group of which no engine is left in the directory can't be used or
 			// changed.
-			entry.membership().map(Key::of).map(byGroup::get).ifPresent((members) -> members.add(entry));
+			entry.membership().map(GroupKey::of).map(byGroup::get).ifPresent((members) -> members.add(entry));
 		}
 		List<GroupView> groups = new ArrayList<>();
 		for (List<TargetEntry> members : byGroup.values()) {
@@ -76,29 +75,4 @@
 			.flatMap(figures::model);
 	}
 
-	/**
-	 * Identifies a group among all that ever were. Made for each member at each look, so
-	 * it compares without the method handles of a record's own methods.
-	 *
-	 * @param group the group's name
-	 * @param epoch the group's epoch
-	 */
-	private record Key(String group, long epoch) {
-
-		static Key of(Membership seat) {
-			return new Key(seat.group(), seat.epoch());
-		}
-
-		@Override
-		public boolean equals(Object other) {
-			return other instanceof Key key && this.epoch == key.epoch && this.group.equals(key.group);
-		}
-
-		@Override
-		public int hashCode() {
-			return 31 * this.group.hashCode() + Long.hashCode(this.epoch);
-		}
-
-	}
-
 }
--- a/src/main/java/sycamorehill/logic/dispatch/EndedGroups.java
+++ b/src/main/java/sycamorehill/logic/dispatch/EndedGroups.java
@@ -6,7 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 
-import sycamorehill.logic.directory.GroupView;
+import sycamorehill.logic.directory.GroupKey;
 import sycamorehill.model.serving.Membership;
 
 /**
@@ -19,11 +19,11 @@
 	/** The directory shows an engine's change within this time, or drops the engine. */
 	private static final Duration SHOWN_WITHIN = Duration.ofSeconds(10);
 
-	private final Map<String, Instant> ended = new HashMap<>();
+	private final Map<GroupKey, Instant> ended = new HashMap<>();
 
 	void add(String group, long epoch, Instant now) {
 		this.ended.values().removeIf((at) -> now.isAfter(at.plus(SHOWN_WITHIN)));
-		this.ended.put(GroupView.key(group, epoch), now);
+		this.ended.put(new GroupKey(group, epoch), now);
 	}
 
 	/**
@@ -33,7 +33,8 @@
 	 * @return true if the group that it reports has ended
 	 */
 	boolean contains(Optional<Membership> head, Instant now) {
-		return !this.ended.isEmpty() && head.map((seat) -> this.ended.get(GroupView.key(seat.group(), seat.epoch())))
+		return !this.ended.isEmpty() && head.map(GroupKey::of)
+			.map(this.ended::get)
 			.filter((at) -> now.isBefore(at.plus(SHOWN_WITHIN)))
 			.isPresent();
 	}
--- a/src/main/java/sycamorehill/logic/layout/Dissolution.java
+++ b/src/main/java/sycamorehill/logic/layout/Dissolution.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 
 import sycamorehill.logic.Effects;
+import sycamorehill.logic.directory.GroupKey;
 import sycamorehill.logic.directory.GroupView;
 import sycamorehill.logic.directory.TargetDirectory;
 import sycamorehill.model.identity.TargetName;
@@ -49,11 +50,11 @@
 
 	private final Duration breakTime;
 
-	private final Map<String, Ending> ending = new HashMap<>();
+	private final Map<GroupKey, Ending> ending = new HashMap<>();
 
-	private final Set<String> left = new HashSet<>();
+	private final Set<GroupKey> left = new HashSet<>();
 
-	private final Set<String> presumedGone = new HashSet<>();
+	private final Set<GroupKey> presumedGone = new HashSet<>();
 
 	private Dissolution(TargetDirectory directory, EngineOrders orders, Duration stallTime) {
 		this.breakTime = stallTime.plus(SeveredMembers.BREAK_MARGIN);
@@ -76,7 +77,7 @@
 	 * concluded from their absence doesn't hold.
 	 * @param seen keys of the groups that are seen
 	 */
-	void keepOnly(Set<String> seen) {
+	void keepOnly(Set<GroupKey> seen) {
 		this.ending.keySet().retainAll(seen);
 		this.left.retainAll(seen);
 		this.presumedGone.retainAll(seen);
@@ -224,7 +225,7 @@
 			case BEGUN, HOLDS_ALREADY, CONFLICT, OTHER_TARGET -> true;
 			case OUTDATED, NOTHING_LISTENS, NOT_KNOWN, UNSUPPORTED -> false;
 		};
-		String key = GroupView.key(leave.group(), leave.epoch());
+		GroupKey key = new GroupKey(leave.group(), leave.epoch());
 		Ending state = this.ending.get(key);
 		if (state == null) {
 			return Optional.empty();
--- a/src/main/java/sycamorehill/logic/layout/GroupBuilder.java
+++ b/src/main/java/sycamorehill/logic/layout/GroupBuilder.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 
 import sycamorehill.logic.Effects;
+import sycamorehill.logic.directory.GroupKey;
 import sycamorehill.logic.directory.GroupNames;
 import sycamorehill.logic.directory.GroupView;
 import sycamorehill.logic.directory.TargetDirectory;
@@ -42,11 +43,11 @@
 
 	private final LostEngines lost;
 
-	private final Map<String, FormingGroup> forming = new HashMap<>();
+	private final Map<GroupKey, FormingGroup> forming = new HashMap<>();
 
-	private final Map<String, Instant> joiningSince = new HashMap<>();
+	private final Map<GroupKey, Instant> joiningSince = new HashMap<>();
 
-	private final Map<String, Instant> opened = new HashMap<>();
+	private final Map<GroupKey, Instant> opened = new HashMap<>();
 
 	private long term;
 
@@ -80,7 +81,7 @@
 		long epoch = this.term * EPOCHS_PER_TERM + this.epochs;
 		FormingGroup group = FormingGroup.of(GroupNames.name(formation.model().name(), epoch), epoch, formation.model(),
 				formation.members());
-		this.forming.put(GroupView.key(group.name(), epoch), group);
+		this.forming.put(new GroupKey(group.name(), epoch), group);
 		effects.log(LogEvent.GROUP_CHANGED, "group=" + group.name() + " forming members="
 				+ group.members().stream().map(TargetEntry::name).toList());
 		orderJoins(group, now, effects);
@@ -165,7 +166,7 @@
 	 * @param answer the answer
 	 */
 	void joinAnswered(TargetName engine, EngineOrderCall.Join join, EngineOrderAnswer answer) {
-		FormingGroup group = this.forming.get(GroupView.key(join.group(), join.epoch()));
+		FormingGroup group = this.forming.get(new GroupKey(join.group(), join.epoch()));
 		if (group == null) {
 			return;
 		}
@@ -174,13 +175,13 @@
 		}
 		else if (answer == EngineOrderAnswer.OUTDATED || answer == EngineOrderAnswer.OTHER_TARGET
 				|| answer == EngineOrderAnswer.NOTHING_LISTENS) {
-			this.forming.remove(GroupView.key(join.group(), join.epoch()));
+			this.forming.remove(new GroupKey(join.group(), join.epoch()));
 		}
 	}
 
 	void openAnswered(EngineOrderCall.Open open, EngineOrderAnswer answer, Instant now) {
 		if (answer.holds()) {
-			this.opened.put(GroupView.key(open.group(), open.epoch()), now);
+			this.opened.put(new GroupKey(open.group(), open.epoch()), now);
 		}
 	}
 
@@ -192,7 +193,7 @@
 	 * @param epoch the group's epoch
 	 */
 	void reported(TargetName engine, String group, long epoch) {
-		FormingGroup forming = this.forming.get(GroupView.key(group, epoch));
+		FormingGroup forming = this.forming.get(new GroupKey(group, epoch));
 		if (forming != null) {
 			forming.joined(engine);
 		}
--- a/src/main/java/sycamorehill/logic/layout/GroupRosters.java
+++ b/src/main/java/sycamorehill/logic/layout/GroupRosters.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Set;
 
+import sycamorehill.logic.directory.GroupKey;
 import sycamorehill.logic.directory.GroupView;
 
 /**
@@ -23,16 +24,16 @@
 	 */
 	private static final Duration COMES_INTO_SIGHT = Duration.ofMillis(2500);
 
-	private final Set<String> whole = new HashSet<>();
+	private final Set<GroupKey> whole = new HashSet<>();
 
-	private final Map<String, Instant> partialSince = new HashMap<>();
+	private final Map<GroupKey, Instant> partialSince = new HashMap<>();
 
 	void clear() {
 		this.whole.clear();
 		this.partialSince.clear();
 	}
 
-	void keepOnly(Set<String> seen) {
+	void keepOnly(Set<GroupKey> seen) {
 		this.whole.retainAll(seen);
 		this.partialSince.keySet().retainAll(seen);
 	}
--- a/src/main/java/sycamorehill/logic/layout/ServiceGroups.java
+++ b/src/main/java/sycamorehill/logic/layout/ServiceGroups.java
@@ -8,6 +8,7 @@
 import java.util.stream.Collectors;
 
 import sycamorehill.logic.Effects;
+import sycamorehill.logic.directory.GroupKey;
 import sycamorehill.logic.directory.GroupView;
 import sycamorehill.logic.directory.GroupViews;
 import sycamorehill.logic.directory.TargetDirectory;
@@ -113,7 +114,7 @@
 		}
 		this.surroundings.vanished().look(groups, activity, now, effects);
 		this.builder.dropHopeless();
-		Set<String> seen = groups.stream().map(GroupView::key).collect(Collectors.toSet());
+		Set<GroupKey> seen = groups.stream().map(GroupView::key).collect(Collectors.toSet());
 		this.dissolution.keepOnly(seen);
 		this.rosters.keepOnly(seen);
 		Set<TargetName> claimed = new HashSet<>();
