Drop what one thread and told configurations made needless

Pages of a node are made on its one thread: no futures, no hand-over, no volatile flag. A configuration that another node told keeps its text in place of writing the JSON anew. The request desk asks its gate for the configuration in place of keeping it twice. DatagramJoiner joins parts without a buffer of Netty's, and two feeds of FeedReaderTests share their list. The comment on reading a configuration from a copy said that the copy mostly holds it; measured, it did not.

--- a/src/main/java/sycamorehill/entry/DatagramJoiner.java
+++ b/src/main/java/sycamorehill/entry/DatagramJoiner.java
@@ -1,5 +1,6 @@
 package sycamorehill.entry;
 
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
@@ -9,8 +10,6 @@
 import java.util.Map;
 import java.util.Optional;
 
-import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessagePackException;
 import org.msgpack.core.MessageUnpacker;
@@ -115,11 +114,9 @@
 		}
 
 		byte[] join() {
-			ByteBuf whole = Unpooled.buffer();
+			ByteArrayOutputStream whole = new ByteArrayOutputStream();
 			this.parts.forEach((part) -> whole.writeBytes(part.orElseThrow()));
-			byte[] bytes = new byte[whole.readableBytes()];
-			whole.readBytes(bytes);
-			return bytes;
+			return whole.toByteArray();
 		}
 
 	}
--- a/src/main/java/sycamorehill/entry/EntryNode.java
+++ b/src/main/java/sycamorehill/entry/EntryNode.java
@@ -76,7 +76,7 @@
 
 	private final EntryMetrics metrics;
 
-	private volatile boolean wantsCallers;
+	private boolean wantsCallers;
 
 	private final NodeMessenger messenger;
 
@@ -153,20 +153,16 @@
 		}
 	}
 
-	private CompletableFuture<PageServer.Page> readinessPage(String path) {
+	private PageServer.Page readinessPage(String path) {
 		if (!path.equals(this.ports.codec().readinessPath())) {
-			return CompletableFuture.completedFuture(PageServer.Page.NOT_FOUND);
+			return PageServer.Page.NOT_FOUND;
 		}
-		return CompletableFuture.completedFuture(PageServer.Page
-			.empty(this.wantsCallers ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE));
+		return PageServer.Page
+			.empty(this.wantsCallers ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE);
 	}
 
-	// Made by the thread that decides, which alone touches what is shown.
-	private CompletableFuture<PageServer.Page> metricsPage(String path) {
-		if (!path.equals(METRICS_PATH)) {
-			return CompletableFuture.completedFuture(PageServer.Page.NOT_FOUND);
-		}
-		return CompletableFuture.supplyAsync(this.metrics::page, this.loop);
+	private PageServer.Page metricsPage(String path) {
+		return path.equals(METRICS_PATH) ? this.metrics.page() : PageServer.Page.NOT_FOUND;
 	}
 
 	private FeedReader.Pace pace(Duration longestWait) {
@@ -281,9 +277,9 @@
 		return true;
 	}
 
-	// Each node reads each configuration: a copy costs the store less, and mostly
-	// holds it already. One that doesn't is followed by a read of the present state.
-	// While the store turns this node away both fail, and the next news asks again.
+	// The text of the version did not come. A copy costs the store less than a read of
+	// the present state, which follows where the copy doesn't hold the version yet. While
+	// the store turns this node away both fail, and the next news asks again.
 	private void readConfiguration(long version) {
 		if (this.readingConfiguration) {
 			return;
--- a/src/main/java/sycamorehill/entry/PageServer.java
+++ b/src/main/java/sycamorehill/entry/PageServer.java
@@ -1,7 +1,6 @@
 package sycamorehill.entry;
 
 import java.nio.charset.StandardCharsets;
-import java.util.concurrent.CompletableFuture;
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
@@ -71,7 +70,7 @@
 		 * @param path the path asked for
 		 * @return the page
 		 */
-		CompletableFuture<Page> read(String path);
+		Page read(String path);
 
 	}
 
@@ -100,12 +99,17 @@
 		@Override
 		protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
 			boolean keepAlive = HttpUtil.isKeepAlive(request);
-			PageServer.this.pages.read(request.uri()).whenCompleteAsync((page, failure) -> {
-				if (failure != null) {
-					EventLog.failure(LogEvent.EFFECT_FAILED, "a page could not be made", failure);
-				}
-				answer(ctx, (failure != null) ? Page.empty(HttpResponseStatus.INTERNAL_SERVER_ERROR) : page, keepAlive);
-			}, ctx.executor());
+			answer(ctx, page(request.uri()), keepAlive);
+		}
+
+		private Page page(String path) {
+			try {
+				return PageServer.this.pages.read(path);
+			}
+			catch (RuntimeException ex) {
+				EventLog.failure(LogEvent.EFFECT_FAILED, "a page could not be made", ex);
+				return Page.empty(HttpResponseStatus.INTERNAL_SERVER_ERROR);
+			}
 		}
 
 		private void answer(ChannelHandlerContext ctx, Page page, boolean keepAlive) {
--- a/src/main/java/sycamorehill/logic/dispatch/RequestDesk.java
+++ b/src/main/java/sycamorehill/logic/dispatch/RequestDesk.java
@@ -98,8 +98,6 @@
 
 	private final RequestGate gate;
 
-	private Optional<Configuration> configuration = Optional.empty();
-
 	private RequestDesk(EntrySettings settings, TargetDirectory directory, RandomGenerator random) {
 		this.nodeName = settings.nodeName();
 		this.budgets = RetryBudgets.of(settings);
@@ -127,7 +125,6 @@
 	 * @param adopted the configuration
 	 */
 	public void adopt(Configuration adopted) {
-		this.configuration = Optional.of(adopted);
 		this.gate.adopt(adopted);
 	}
 
@@ -178,14 +175,14 @@
 	}
 
 	private void refuseUnrouted(CallerRequest request, RequestGate.Refused refused, Effects effects) {
-		String version = this.configuration.map((known) -> String.valueOf(known.version())).orElse("none");
+		String version = this.gate.configuration().map((known) -> String.valueOf(known.version())).orElse("none");
 		this.answers.unrouted(request,
 				new EntryEffect.Answer(request.number(), refused.status(), refused.detail(), refused.retryAfter()),
 				version, effects);
 	}
 
 	private void place(ActiveRequest active, String otherwise, Instant now, Effects effects) {
-		Configuration known = this.configuration.orElseThrow();
+		Configuration known = this.gate.configuration().orElseThrow();
 		List<Candidate> all = this.serving.find(known, active.service(), active.request().model(), now);
 		List<Candidate> drawn = this.placement.draw(all);
 		Place place = find(active, drawn, now);
@@ -546,7 +543,7 @@
 		if (request.targetsReached() + 1 >= request.route().maximumAttempts()) {
 			return false;
 		}
-		List<Candidate> candidates = this.serving.find(this.configuration.orElseThrow(), request.service(),
+		List<Candidate> candidates = this.serving.find(this.gate.configuration().orElseThrow(), request.service(),
 				request.request().model(), now);
 		return find(request, candidates, now).entrance() != Admission.Entrance.REFUSED;
 	}
--- a/src/main/java/sycamorehill/logic/dispatch/RequestGate.java
+++ b/src/main/java/sycamorehill/logic/dispatch/RequestGate.java
@@ -53,6 +53,14 @@
 		this.routes = RouteTable.of(adopted.routes());
 	}
 
+	/**
+	 * The configuration that requests are decided by.
+	 * @return the configuration; empty before there is one
+	 */
+	Optional<Configuration> configuration() {
+		return this.configuration;
+	}
+
 	Decision decide(CallerRequest request) {
 		if (this.configuration.isEmpty()) {
 			return new Refused(UNAVAILABLE, "no configuration yet", Optional.of(this.comeBack.get()));
--- a/src/main/java/sycamorehill/logic/entry/EntryReducer.java
+++ b/src/main/java/sycamorehill/logic/entry/EntryReducer.java
@@ -162,10 +162,9 @@
 	}
 
 	private void heard(NodeMessage message, Instant now, Effects effects) {
-		if (message instanceof NodeMessage.LoadsAdded added) {
-			if (!this.loadSums.heard(added, this.stopOrdered != null, now)) {
-				return;
-			}
+		if (message instanceof NodeMessage.LoadsAdded added
+				&& !this.loadSums.heard(added, this.stopOrdered != null, now)) {
+			return;
 		}
 		this.neighbours.heard(message, now);
 		this.requests.heard(message, now);
@@ -186,10 +185,8 @@
 		else if (message instanceof NodeMessage.StoreNews news) {
 			heardNews(news, now, effects);
 		}
-		else if (message instanceof NodeMessage.ConfigurationTold told) {
-			if (told.version() > configurationVersion()) {
-				effects.add(new EntryEffect.TakeConfiguration(told.text()));
-			}
+		else if (message instanceof NodeMessage.ConfigurationTold told && told.version() > configurationVersion()) {
+			effects.add(new EntryEffect.TakeConfiguration(told.text()));
 		}
 		else if (message instanceof NodeMessage.TargetsSeen seen && !this.reached) {
 			forget(this.directory.apply(seen.changes(), now), effects);
--- a/src/main/java/sycamorehill/platform/PlatformStore.java
+++ b/src/main/java/sycamorehill/platform/PlatformStore.java
@@ -164,7 +164,8 @@
 			return Optional.empty();
 		}
 		try {
-			return Optional.of(stored(object.spec()));
+			return Optional
+				.of(new StoredConfiguration(ConfigurationDecoder.decode(object.spec()), object.spec().toString()));
 		}
 		catch (IllegalArgumentException ex) {
 			unreadable(CONFIGURATIONS, object.name(), ex);
@@ -172,10 +173,6 @@
 		}
 	}
 
-	private static StoredConfiguration stored(JsonNode spec) {
-		return new StoredConfiguration(ConfigurationDecoder.decode(spec), spec.toString());
-	}
-
 	/**
 	 * Reads a configuration from its text.
 	 * @param text the text as it was told
@@ -184,7 +181,7 @@
 	 */
 	StoredConfiguration configuration(String text) {
 		try {
-			return stored(this.json.readTree(text));
+			return new StoredConfiguration(ConfigurationDecoder.decode(this.json.readTree(text)), text);
 		}
 		catch (IOException ex) {
 			throw new IllegalArgumentException("the text of a configuration is no JSON: " + ex.getMessage(), ex);
--- a/src/test/java/sycamorehill/entry/FeedReaderTests.java
+++ b/src/test/java/sycamorehill/entry/FeedReaderTests.java
@@ -182,7 +182,7 @@
 	/**
 	 * Remembers after which revisions changes were asked for.
 	 */
-	private static final class RestingFeed implements Feed<String> {
+	private static final class RestingFeed extends ListedFeed {
 
 		private final List<Long> asked = new CopyOnWriteArrayList<>();
 
@@ -192,16 +192,6 @@
 
 		private volatile boolean waits;
 
-		@Override
-		public CompletableFuture<Page<String>> listCopy() {
-			return list();
-		}
-
-		@Override
-		public CompletableFuture<Page<String>> list() {
-			return CompletableFuture.completedFuture(new Page<>(List.of("a"), 1));
-		}
-
 		@Override
 		public CompletableFuture<Page<String>> changes(long since, Duration wait) {
 			this.asked.add(since);
@@ -214,22 +204,12 @@
 	/**
 	 * Answers a list, fails twice, then brings one change.
 	 */
-	private static final class FakeFeed implements Feed<String> {
+	private static final class FakeFeed extends ListedFeed {
 
 		private final List<Duration> waits = new ArrayList<>();
 
 		private boolean historyGone;
 
-		@Override
-		public CompletableFuture<Page<String>> listCopy() {
-			return list();
-		}
-
-		@Override
-		public CompletableFuture<Page<String>> list() {
-			return CompletableFuture.completedFuture(new Page<>(List.of("a"), 1));
-		}
-
 		@Override
 		public CompletableFuture<Page<String>> changes(long since, Duration wait) {
 			if (this.historyGone) {
@@ -247,4 +227,21 @@
 
 	}
 
+	/**
+	 * Answers a list of one object.
+	 */
+	private abstract static class ListedFeed implements Feed<String> {
+
+		@Override
+		public CompletableFuture<Page<String>> listCopy() {
+			return list();
+		}
+
+		@Override
+		public CompletableFuture<Page<String>> list() {
+			return CompletableFuture.completedFuture(new Page<>(List.of("a"), 1));
+		}
+
+	}
+
 }
