--- a/src/main/java/sycamorehill/logic/entry/StoreRelay.java
+++ b/src/main/java/sycamorehill/logic/entry/StoreRelay.java
@@ -106,6 +106,15 @@
 		return (passesOn(now) || reads(now)) ? Optional.of(this.self) : Optional.empty();
 	}
 
+	/**
+	 * The node whose news this one goes by.
+	 * @param now the present time
+	 * @return its name; this node's own name while it reads for itself
+	 */
+	String source(Instant now) {
+		return fed(now) ? this.source.node : this.self;
+	}
+
 	/**
 	 * Notes the configuration in force.
 	 * @param version its version
--- a/src/main/java/sycamorehill/model/log/LogEvent.java
+++ b/src/main/java/sycamorehill/model/log/LogEvent.java
@@ -125,6 +125,12 @@
 	/** A target came, changed or left. */
 	TARGET_CHANGED(1805, LogLevel.INFO),
 
+	/** The store shows that a target leaves. */
+	TARGET_NOTICE(1806, LogLevel.INFO),
+
+	/** Another node reads the store for this one, or this one reads for itself. */
+	STORE_READER(1807, LogLevel.INFO),
+
 	/** A request was answered. */
 	REQUEST_SERVED(1901, LogLevel.INFO),
 
--- a/src/test/java/sycamorehill/logic/entry/StoreRelayTests.java
+++ b/src/test/java/sycamorehill/logic/entry/StoreRelayTests.java
@@ -12,6 +12,8 @@
 
 import sycamorehill.model.identity.Address;
 import sycamorehill.model.identity.DataCentreName;
+import sycamorehill.model.log.LogEvent;
+import sycamorehill.model.log.LogLine;
 import sycamorehill.model.serving.EntryEffect;
 import sycamorehill.model.serving.EntryEvent;
 import sycamorehill.model.serving.NodeMessage;
@@ -336,4 +338,26 @@
 			.noneMatch(EntryEffect.TellConfiguration.class::isInstance);
 	}
 
+	// Work reaches a target that left, and nobody can tell which nodes knew, and from
+	// whom.
+	@Test
+	void logsWhenAndFromWhomItLearntThatATargetLeaves() {
+		TargetEntry leaving = ServingSamples.leaving(ServingSamples.plain("p1"));
+		List<EntryEffect> effects = hear(new NodeMessage.StoreNews("a", NORTH, 5, 100, 100, 103,
+				List.of(new TargetChange(leaving.name(), Optional.of(leaving))), Optional.empty()), 500);
+		assertThat(logged(effects, LogEvent.TARGET_NOTICE)).containsExactly("target=p1 revision=103 told-by=a");
+		assertThat(logged(effects, LogEvent.STORE_READER)).containsExactly("node=a before=b");
+		assertThat(logged(accept(new EntryEvent.Ticked(), 1500), LogEvent.STORE_READER))
+			.containsExactly("node=b before=a");
+	}
+
+	private static List<String> logged(List<EntryEffect> effects, LogEvent event) {
+		return effects.stream()
+			.filter(EntryEffect.Log.class::isInstance)
+			.map((effect) -> ((EntryEffect.Log) effect).line())
+			.filter((line) -> line.event() == event)
+			.map(LogLine::detail)
+			.toList();
+	}
+
 }
