Show that a configuration is late while the reader's call for it hangs

aConfigurationIsInForceThoughTheReadersCallForItHangs is red: the node that reads goes on telling the version that it knows as the newest, because it reads targets; the others rest, and none takes over the new version, for as long as that one call hangs (2.1 s at the edge, where 2.0 s are allowed).

The driver of ManyNodesTests reads when a call is answered in place of each half second; no assertion of the tests that were there is touched.

--- a/src/test/java/sycamorehill/logic/entry/ManyNodesTests.java
+++ b/src/test/java/sycamorehill/logic/entry/ManyNodesTests.java
@@ -8,20 +8,26 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import java.util.stream.IntStream;
 
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import sycamorehill.model.identity.Address;
 import sycamorehill.model.identity.DataCentreName;
 import sycamorehill.model.identity.TargetName;
+import sycamorehill.model.log.LogEvent;
 import sycamorehill.model.serving.EntryEffect;
 import sycamorehill.model.serving.EntryEvent;
 import sycamorehill.model.serving.EntrySettings;
 import sycamorehill.model.serving.LoadSum;
 import sycamorehill.model.serving.NodeMessage;
+import sycamorehill.model.serving.TargetChange;
+import sycamorehill.model.serving.TargetEntry;
 import sycamorehill.support.ServingSamples;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -36,6 +42,19 @@
 
 	private static final Duration TICK = Duration.ofMillis(100);
 
+	private static final Duration STEP = Duration.ofMillis(10);
+
+	/** A call waits half a second in the store. */
+	private static final Duration READ_EVERY = Duration.ofMillis(510);
+
+	private static final long FIRST_REVISION = 100;
+
+	/** Time in which a leaving target, or a change of the configuration, is followed. */
+	private static final Duration FOLLOWED_WITHIN = Duration.ofSeconds(2);
+
+	/** A request that was given a target reaches it this much later at most. */
+	private static final Duration LONGEST_CONNECT = Duration.ofMillis(300);
+
 	private static final TargetName TARGET = TargetName.of("p1");
 
 	private final Map<String, EntryReducer> nodes = new LinkedHashMap<>();
@@ -48,12 +67,28 @@
 
 	private Instant now = Instant.ofEpochSecond(1000);
 
-	private long revision = 100;
+	private long revision = FIRST_REVISION;
 
 	private boolean storeAnswers = true;
 
 	private int configurationsRead;
 
+	/** When the calls to the store of nodes that read are answered. */
+	private final Map<String, Instant> reading = new HashMap<>();
+
+	private final Map<String, Long> revisionsRead = new HashMap<>();
+
+	private final List<TargetChange> newChanges = new ArrayList<>();
+
+	private long newestConfiguration = 1;
+
+	/** Nodes that know that a target leaves. */
+	private final Set<String> noticed = new HashSet<>();
+
+	private final Set<String> targetsUnanswered = new HashSet<>();
+
+	private final Set<String> configurationsUnanswered = new HashSet<>();
+
 	ManyNodesTests() {
 		for (int number = 0; number < NODES; number++) {
 			EntrySettings settings = settings(number);
@@ -89,6 +124,14 @@
 			}
 		}
 		configurations(node, effects);
+		for (EntryEffect effect : effects) {
+			if (effect instanceof EntryEffect.TargetsKnown known) {
+				this.revisionsRead.merge(node, known.revision(), Math::max);
+			}
+			else if (effect instanceof EntryEffect.Log log && log.line().event() == LogEvent.TARGET_NOTICE) {
+				this.noticed.add(node);
+			}
+		}
 		return effects;
 	}
 
@@ -113,24 +156,55 @@
 		}
 	}
 
-	// Nodes that nobody feeds read the store each half second.
+	// Nodes look at different moments, and begin then to read if nobody feeds them. A
+	// call
+	// to the store is answered when something is new, or after its wait.
 	private void run(Duration time) {
-		for (Instant end = this.now.plus(time); this.now.isBefore(end); this.now = this.now.plus(TICK)) {
-			boolean reads = this.now.toEpochMilli() % 500 == 0;
+		for (Instant end = this.now.plus(time); this.now.isBefore(end); this.now = this.now.plus(STEP)) {
+			int number = 0;
 			for (String node : this.nodes.keySet()) {
+				long phase = STEP.toMillis() * number++;
 				if (this.down.contains(node)) {
 					continue;
 				}
-				accept(node, new EntryEvent.Ticked());
-				if (reads && !this.nodes.get(node).fed(this.now)) {
-					accept(node,
-							this.storeAnswers ? new EntryEvent.TargetsChanged(List.of(), this.revision, this.revision)
-									: new EntryEvent.DirectoryNotReached());
+				if ((this.now.toEpochMilli() - phase) % TICK.toMillis() == 0) {
+					accept(node, new EntryEvent.Ticked());
+					look(node);
+				}
+				if (this.reading.containsKey(node)) {
+					read(node);
 				}
 			}
 		}
 	}
 
+	private void look(String node) {
+		if (this.nodes.get(node).fed(this.now)) {
+			this.reading.remove(node);
+		}
+		else {
+			this.reading.putIfAbsent(node, this.now);
+		}
+	}
+
+	private void read(String node) {
+		boolean due = !this.now.isBefore(this.reading.get(node));
+		if (due) {
+			this.reading.put(node, this.now.plus(READ_EVERY));
+		}
+		boolean newer = this.nodes.get(node).configurationVersion() < this.newestConfiguration;
+		if (this.storeAnswers && !this.configurationsUnanswered.contains(node) && (due || newer)) {
+			accept(node, new EntryEvent.ConfigurationRead(ServingSamples.configuration(this.newestConfiguration)));
+		}
+		long since = this.revisionsRead.getOrDefault(node, FIRST_REVISION);
+		if (!this.targetsUnanswered.contains(node) && (due || since < this.revision)) {
+			List<TargetChange> missed = (since < this.revision) ? List.copyOf(this.newChanges) : List.of();
+			accept(node, this.storeAnswers ? new EntryEvent.TargetsChanged(missed, since, this.revision)
+					: new EntryEvent.DirectoryNotReached());
+			this.revisionsRead.put(node, this.storeAnswers ? this.revision : since);
+		}
+	}
+
 	private List<LoadSum> sumsTaken(String node) {
 		List<LoadSum> sums = new ArrayList<>();
 		for (NodeMessage message : this.taken.getOrDefault(node, List.of())) {
@@ -225,4 +299,33 @@
 		assertThat(this.configurationsRead).isZero();
 	}
 
+	// A leaving target gets new work, because the node that reads is no more answered.
+	@ParameterizedTest
+	@ValueSource(
+			ints = { 5010, 5410, 5510, 5910, 6010, 6410, 6510, 6910, 7010, 7410, 7510, 7910, 8010, 8410, 8510, 8910 })
+	void aLeavingTargetGetsNoWorkThoughTheReaderIsNoMoreAnswered(int silentAfterMillis) {
+		run(Duration.ofMillis(silentAfterMillis));
+		this.targetsUnanswered.add("north-100");
+		leave(ServingSamples.plain("p1"));
+		run(FOLLOWED_WITHIN.minus(LONGEST_CONNECT));
+		assertThat(this.noticed).containsAll(
+				this.nodes.keySet().stream().filter((node) -> !this.targetsUnanswered.contains(node)).toList());
+	}
+
+	// The reader's call for configurations hangs, while it goes on reading targets.
+	@Test
+	void aConfigurationIsInForceThoughTheReadersCallForItHangs() {
+		run(Duration.ofSeconds(5));
+		this.configurationsUnanswered.add("north-100");
+		this.newestConfiguration = 7;
+		run(FOLLOWED_WITHIN.minus(TICK));
+		this.nodes.forEach((name, node) -> assertThat(node.configurationVersion()).as(name)
+			.isEqualTo(this.configurationsUnanswered.contains(name) ? 1 : 7));
+	}
+
+	private void leave(TargetEntry target) {
+		this.newChanges.add(new TargetChange(target.name(), Optional.of(ServingSamples.leaving(target))));
+		this.revision++;
+	}
+
 }
