Count the age of news from the store's answer, not from its hearing

Cause: two spans that add up. The reader told how far it had come for 0.9 s after the store's last answer, and each node took what it heard as new for 0.9 s more: 1.8 s, a look and a call, and up to 0.3 s for a connection to a target that was chosen just before. Class: each hop of a chain grants its own validity.

Change: a message bears the age of the older of the reader's two answers, a relay passes it on as it is, and news is good for 1.4 s after the answer (1.25 s for those that pass it on). In the usual case, an answer up to 0.5 s old, a node bears as many lost messages as before.

StoreRelayTests: news by the store's answer, and its age when passed on.

Tests changed: where a test of StoreRelayTests counts from the hearing, the news is as old as a reader's usually is (0.5 s), and the bounds are unchanged. newsIsOutOfDateSoonerThanATargetMayGetNewWork asked that the two spans stay below 2 s together, and asks now that the one span and a connection do; that two messages may be lost now counts the reader's wait besides.

--- a/src/main/java/sycamorehill/entry/NodeMessageCodec.java
+++ b/src/main/java/sycamorehill/entry/NodeMessageCodec.java
@@ -77,6 +77,8 @@
 
 	private static final String CHANGES = "changes";
 
+	private static final String AGE_MILLIS = "age-millis";
+
 	private final ObjectMapper codec = new ObjectMapper(new MessagePackFactory());
 
 	private NodeMessageCodec() {
@@ -123,7 +125,8 @@
 				.put(CONFIGURATION, news.configurationVersion())
 				.put(CHANGED_BEFORE, news.changedBefore())
 				.put(SINCE, news.since())
-				.put(REVISION, news.revision());
+				.put(REVISION, news.revision())
+				.put(AGE_MILLIS, news.age().toMillis());
 			TargetCodec.write(news.changes(), body.putArray(CHANGES));
 			news.lease()
 				.ifPresent((lease) -> body.put(HOLDER, lease.holder())
@@ -183,7 +186,8 @@
 					Duration.of(body.path(READING_MICROS).asLong(), ChronoUnit.MICROS));
 			case STORE_NEWS -> new NodeMessage.StoreNews(sender, DataCentreName.of(body.path(DATA_CENTRE).asText()),
 					body.path(CONFIGURATION).asLong(), body.path(CHANGED_BEFORE).asLong(), body.path(SINCE).asLong(),
-					body.path(REVISION).asLong(), TargetCodec.read(body.path(CHANGES)), lease(body));
+					body.path(REVISION).asLong(), TargetCodec.read(body.path(CHANGES)), lease(body),
+					Duration.ofMillis(body.path(AGE_MILLIS).asLong()));
 			case CONFIGURATION_TOLD -> new NodeMessage.ConfigurationTold(sender, body.path(CONFIGURATION).asLong(),
 					PackedText.unpack(body.path(TEXT).binaryValue()));
 			case TARGETS_SEEN -> new NodeMessage.TargetsSeen(sender, TargetCodec.read(body.path(CHANGES)));
--- a/src/main/java/sycamorehill/logic/entry/EntryReducer.java
+++ b/src/main/java/sycamorehill/logic/entry/EntryReducer.java
@@ -404,7 +404,7 @@
 			tellLoads(now, effects);
 		}
 		if (this.relay.newsDue(now) && this.stopOrdered == null) {
-			tellNews(this.relay.progress(), now, effects);
+			tellNews(this.relay.progress(now), now, effects);
 		}
 		boolean nowReady = knowsAll() && this.stopOrdered == null;
 		if (nowReady != this.ready) {
--- a/src/main/java/sycamorehill/logic/entry/StoreRelay.java
+++ b/src/main/java/sycamorehill/logic/entry/StoreRelay.java
@@ -17,9 +17,10 @@
  * Each node reads for itself until it hears of a node that goes before it; the first of
  * all living nodes hears nobody and reads on. It tells each change, and several times a
  * second how far it has come, to the nodes of its data centre and to one node of each
- * other data centre, which passes it on there. A node that does not hear of it for most
- * of a second reads for itself again, whatever the cause. A data centre that is cut off
- * from the others therefore has a reader of its own within a second.
+ * other data centre, which passes it on there. Each message tells how long ago the store
+ * answered, so that the time for which its word is good does not begin anew at each node
+ * on the way. A node whose news is out of date reads for itself again, whatever the
+ * cause.
  */
 final class StoreRelay {
 
@@ -27,17 +28,17 @@
 	static final Duration NEWS_EVERY = Duration.ofMillis(250);
 
 	/**
-	 * News of the own data centre is good for so long. A change must be followed within 2
-	 * s of the store's knowing it: the rest is for a reader that the store stopped
-	 * answering, and for a call of one's own.
+	 * What the store answered is good for so long, whoever tells it. A change must be
+	 * followed within 2 s of the store's knowing it: the rest is for a call of one's own,
+	 * and for a connection to a target that was chosen just before.
 	 */
-	static final Duration NEAR_NEWS_VALID = Duration.ofMillis(900);
+	static final Duration NEAR_NEWS_VALID = Duration.ofMillis(1400);
 
 	/**
-	 * News of another data centre: a node that passes them on reads for itself before
-	 * those that it tells would.
+	 * The same for what a node of another data centre tells: a node that passes it on
+	 * reads for itself before those that it tells would.
 	 */
-	static final Duration FAR_NEWS_VALID = Duration.ofMillis(750);
+	static final Duration FAR_NEWS_VALID = Duration.ofMillis(1250);
 
 	/** Longest time that a call of the node that reads waits for a change. */
 	static final Duration READER_WAIT = Duration.ofMillis(500);
@@ -84,7 +85,7 @@
 	 * @return true if this node need not read
 	 */
 	boolean fed(Instant now) {
-		return this.source.heardAt != Instant.MIN && now.isBefore(this.source.validUntil());
+		return this.source.answeredAt != Instant.MIN && now.isBefore(this.source.validUntil());
 	}
 
 	/**
@@ -155,16 +156,22 @@
 		this.revision = page.revision();
 		this.targetsReadAt = now;
 		if (page.changes().isEmpty()) {
-			return progress();
+			return progress(now);
 		}
 		long before = this.changedAt;
 		this.changedAt = page.revision();
-		return news(before, page.since(), page.changes());
+		return news(before, page.since(), page.changes(), now);
 	}
 
-	private NodeMessage.StoreNews news(long changedBefore, long since, List<TargetChange> changes) {
+	private NodeMessage.StoreNews news(long changedBefore, long since, List<TargetChange> changes, Instant now) {
 		return new NodeMessage.StoreNews(this.self, this.dataCentre, this.configurationVersion, changedBefore, since,
-				this.revision, changes, Optional.empty());
+				this.revision, changes, Optional.empty(), age(now));
+	}
+
+	private Duration age(Instant now) {
+		Instant older = this.targetsReadAt.isBefore(this.configurationReadAt) ? this.targetsReadAt
+				: this.configurationReadAt;
+		return (older != Instant.MIN) ? Duration.between(older, now) : OWN_READ_VALID;
 	}
 
 	/** Notes that the store did not answer this node: it has nothing to tell. */
@@ -192,10 +199,11 @@
 
 	/**
 	 * What the others are told while nothing changes.
+	 * @param now the present time
 	 * @return how far this node has come
 	 */
-	NodeMessage.StoreNews progress() {
-		return news(this.changedAt, this.revision, List.of());
+	NodeMessage.StoreNews progress(Instant now) {
+		return news(this.changedAt, this.revision, List.of(), now);
 	}
 
 	void told(Instant now) {
@@ -213,7 +221,7 @@
 		if (!goesBy(news.sender(), near, now)) {
 			return Consequence.NOTHING;
 		}
-		this.source = new Source(news.sender(), near, now);
+		this.source = new Source(news.sender(), near, now.minus(news.age()));
 		boolean configuration = news.configurationVersion() > this.configurationVersion;
 		if (this.revision < 0) {
 			return new Consequence(true, configuration, false, false, Optional.empty());
@@ -263,12 +271,12 @@
 	 *
 	 * @param node its name
 	 * @param near whether it is of the same data centre
-	 * @param heardAt when it was heard last
+	 * @param answeredAt when the store answered what it told last
 	 */
-	private record Source(String node, boolean near, Instant heardAt) {
+	private record Source(String node, boolean near, Instant answeredAt) {
 
 		private Instant validUntil() {
-			return this.heardAt.plus(this.near ? NEAR_NEWS_VALID : FAR_NEWS_VALID);
+			return this.answeredAt.plus(this.near ? NEAR_NEWS_VALID : FAR_NEWS_VALID);
 		}
 
 	}
--- a/src/main/java/sycamorehill/model/serving/NodeMessage.java
+++ b/src/main/java/sycamorehill/model/serving/NodeMessage.java
@@ -80,9 +80,11 @@
 	 * @param revision the revision that the node has come to
 	 * @param changes all changes of targets between these two, in their order
 	 * @param lease the right to control the groups as it was seen last
+	 * @param age time since the store answered the node that read this
 	 */
 	record StoreNews(String sender, DataCentreName dataCentre, long configurationVersion, long changedBefore,
-			long since, long revision, List<TargetChange> changes, Optional<Lease> lease) implements NodeMessage {
+			long since, long revision, List<TargetChange> changes, Optional<Lease> lease,
+			Duration age) implements NodeMessage {
 
 		/**
 		 * Copies the changes.
@@ -98,7 +100,7 @@
 		 */
 		public StoreNews with(Optional<Lease> seen) {
 			return new StoreNews(this.sender, this.dataCentre, this.configurationVersion, this.changedBefore,
-					this.since, this.revision, this.changes, seen);
+					this.since, this.revision, this.changes, seen, this.age);
 		}
 
 		/**
@@ -107,7 +109,7 @@
 		 */
 		public StoreNews announcement() {
 			return new StoreNews(this.sender, this.dataCentre, this.configurationVersion, this.revision, this.revision,
-					this.revision, List.of(), this.lease);
+					this.revision, List.of(), this.lease, this.age);
 		}
 
 		/**
@@ -118,7 +120,7 @@
 		 */
 		public StoreNews from(String node, DataCentreName place) {
 			return new StoreNews(node, place, this.configurationVersion, this.changedBefore, this.since, this.revision,
-					this.changes, this.lease);
+					this.changes, this.lease, this.age);
 		}
 
 	}
--- a/src/test/java/sycamorehill/entry/NodeMessengerTests.java
+++ b/src/test/java/sycamorehill/entry/NodeMessengerTests.java
@@ -3,6 +3,7 @@
 import java.net.DatagramPacket;
 import java.net.DatagramSocket;
 import java.net.InetAddress;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -72,7 +73,8 @@
 							Long.MAX_VALUE, Optional.of("domain-" + "z".repeat(56)), Set.of("m".repeat(63)),
 							Optional.of("m".repeat(63)), Optional.of(seat)))));
 		}
-		return new NodeMessage.StoreNews("a", NORTH, 5, 100, 100, 103, told, Optional.of(new Lease("one#a", 3, 90)));
+		return new NodeMessage.StoreNews("a", NORTH, 5, 100, 100, 103, told, Optional.of(new Lease("one#a", 3, 90)),
+				Duration.ofMillis(210));
 	}
 
 	private NodeMessage nextHeard() throws InterruptedException {
@@ -98,7 +100,7 @@
 	void tooManyChangesAreOnlyAnnounced() throws InterruptedException {
 		this.sender.send(List.of(this.receiver), news(400));
 		assertThat(nextHeard()).isEqualTo(new NodeMessage.StoreNews("a", NORTH, 5, 103, 103, 103, List.of(),
-				Optional.of(new Lease("one#a", 3, 90))));
+				Optional.of(new Lease("one#a", 3, 90)), Duration.ofMillis(210)));
 	}
 
 	// Bytes of another program, or of another version, arrive on the port. The next
--- a/src/test/java/sycamorehill/logic/entry/StoreRelayTests.java
+++ b/src/test/java/sycamorehill/logic/entry/StoreRelayTests.java
@@ -56,11 +56,22 @@
 
 	private static NodeMessage.StoreNews changes(String sender, long since, long revision, String target) {
 		return new NodeMessage.StoreNews(sender, NORTH, 5, since, since, revision, List.of(change(target)),
-				Optional.empty());
+				Optional.empty(), Duration.ZERO);
 	}
 
 	private static NodeMessage.StoreNews progress(String sender, long changedAt, long revision) {
-		return new NodeMessage.StoreNews(sender, NORTH, 5, changedAt, revision, revision, List.of(), Optional.empty());
+		return new NodeMessage.StoreNews(sender, NORTH, 5, changedAt, revision, revision, List.of(), Optional.empty(),
+				Duration.ZERO);
+	}
+
+	// The store answers a node that reads each half second.
+	private static NodeMessage.StoreNews old(NodeMessage.StoreNews news) {
+		return aged(news, StoreRelay.READER_WAIT);
+	}
+
+	private static NodeMessage.StoreNews aged(NodeMessage.StoreNews news, Duration age) {
+		return new NodeMessage.StoreNews(news.sender(), news.dataCentre(), news.configurationVersion(),
+				news.changedBefore(), news.since(), news.revision(), news.changes(), news.lease(), age);
 	}
 
 	private static TargetChange change(String target) {
@@ -76,7 +87,7 @@
 		List<NodeMessage.StoreNews> told = new ArrayList<>();
 		for (EntryEffect effect : effects) {
 			if (effect instanceof EntryEffect.Tell tell && tell.message() instanceof NodeMessage.StoreNews news) {
-				told.add(news);
+				told.add(aged(news, Duration.ZERO));
 			}
 		}
 		return told;
@@ -99,7 +110,7 @@
 	// new work 2 s after the store knew of it, so each node reads for itself within 1 s.
 	@Test
 	void readsForItselfSoonAfterTheNodeThatReadsFellSilent() {
-		hear(progress("a", 100, 102), 500);
+		hear(old(progress("a", 100, 102)), 500);
 		assertThat(fed(1300)).isTrue();
 		assertThat(fed(1400)).isFalse();
 	}
@@ -124,7 +135,7 @@
 	@Test
 	void takesAChangeThatIsToldAfterQuietRevisions() {
 		NodeMessage.StoreNews later = new NodeMessage.StoreNews("a", NORTH, 5, 90, 140, 143, List.of(change("p2")),
-				Optional.empty());
+				Optional.empty(), Duration.ZERO);
 		assertThat(hear(later, 500)).contains(new EntryEffect.TargetsKnown(143))
 			.noneMatch(EntryEffect.ReadTargets.class::isInstance);
 		assertThat(this.node.targetsKnown()).isEqualTo(2);
@@ -167,7 +178,7 @@
 		accept(new EntryEvent.DirectoryNotReached(), 100);
 		assertThat(this.node.storeReached()).isFalse();
 		assertThat(told(accept(new EntryEvent.Ticked(), 700))).isEmpty();
-		hear(changes("c", 100, 103, "p2"), 800);
+		hear(old(changes("c", 100, 103, "p2")), 800);
 		assertThat(this.node.storeReached()).isTrue();
 		assertThat(this.node.targetsKnown()).isEqualTo(2);
 		accept(new EntryEvent.DirectoryNotReached(), 900);
@@ -177,7 +188,8 @@
 	}
 
 	private static NodeMessage.StoreNews fromSouth(String sender, long revision) {
-		return new NodeMessage.StoreNews(sender, SOUTH, 5, 100, 100, revision, List.of(change("p2")), Optional.empty());
+		return new NodeMessage.StoreNews(sender, SOUTH, 5, 100, 100, revision, List.of(change("p2")), Optional.empty(),
+				Duration.ZERO);
 	}
 
 	private List<Address> receivers(List<EntryEffect> effects) {
@@ -211,8 +223,8 @@
 	// same gap, and each node of its data centre would read: it reads, and tells them.
 	@Test
 	void passesOnWhatItReadAfterAGap() {
-		assertThat(told(hear(
-				new NodeMessage.StoreNews("a", SOUTH, 5, 102, 102, 104, List.of(change("p3")), Optional.empty()), 100)))
+		assertThat(told(hear(new NodeMessage.StoreNews("a", SOUTH, 5, 102, 102, 104, List.of(change("p3")),
+				Optional.empty(), Duration.ZERO), 100)))
 			.isEmpty();
 		assertThat(told(accept(new EntryEvent.TargetsChanged(List.of(change("p2"), change("p3")), 100, 104), 120)))
 			.hasSize(1);
@@ -231,7 +243,7 @@
 	@Test
 	void takesNoOlderStateOfAnotherDataCentre() {
 		NodeMessage.StoreNews older = new NodeMessage.StoreNews("a", SOUTH, 4, 90, 90, 95, List.of(change("p9")),
-				Optional.empty());
+				Optional.empty(), Duration.ZERO);
 		assertThat(hear(older, 100)).noneMatch(EntryEffect.ReadTargets.class::isInstance);
 		assertThat(this.node.targetsKnown()).isEqualTo(1);
 		assertThat(this.node.configurationVersion()).isEqualTo(5);
@@ -241,7 +253,7 @@
 	// that it tells have missed it.
 	@Test
 	void readsForItsDataCentreSoonAfterAnotherFellSilent() {
-		hear(fromSouth("a", 103), 500);
+		hear(old(fromSouth("a", 103)), 500);
 		assertThat(fed(1200)).isTrue();
 		assertThat(fed(1300)).isFalse();
 		accept(new EntryEvent.ConfigurationRead(ServingSamples.configuration(5)), 1305);
@@ -274,7 +286,7 @@
 	@Test
 	void whoTakesOverReadingTellsOfChangesThatItWasTold() {
 		hear(changes("a", 100, 103, "p2"), 500);
-		hear(progress("a", 103, 104), 800);
+		hear(old(progress("a", 103, 104)), 800);
 		accept(new EntryEvent.ConfigurationRead(ServingSamples.configuration(5)), 1795);
 		assertThat(told(accept(new EntryEvent.TargetsChanged(List.of(), 104, 105), 1800)))
 			.containsExactly(progress("b", 103, 105));
@@ -285,7 +297,7 @@
 	@Test
 	void readsANewerConfigurationWhoseTextDoesNotCome() {
 		NodeMessage.StoreNews newer = new NodeMessage.StoreNews("a", NORTH, 6, 100, 103, 103, List.of(),
-				Optional.empty());
+				Optional.empty(), Duration.ZERO);
 		assertThat(hear(newer, 100)).noneMatch(EntryEffect.ReadConfiguration.class::isInstance);
 		assertThat(hear(newer, 350)).contains(new EntryEffect.ReadConfiguration(6));
 		accept(new EntryEvent.ConfigurationRead(ServingSamples.configuration(6)), 380);
@@ -304,11 +316,14 @@
 
 	@Test
 	void newsIsOutOfDateSoonerThanATargetMayGetNewWork() {
-		assertThat(StoreRelay.OWN_READ_VALID.plus(StoreRelay.NEAR_NEWS_VALID)).isLessThan(Duration.ofSeconds(2));
-		assertThat(StoreRelay.NEAR_NEWS_VALID).isLessThan(Duration.ofSeconds(1));
+		Duration connecting = Duration.ofMillis(300);
+		assertThat(StoreRelay.NEAR_NEWS_VALID.plus(connecting)).isLessThan(Duration.ofSeconds(2));
+		assertThat(StoreRelay.NEAR_NEWS_VALID.minus(StoreRelay.READER_WAIT)).isLessThan(Duration.ofSeconds(1));
 		assertThat(StoreRelay.FAR_NEWS_VALID).isLessThan(StoreRelay.NEAR_NEWS_VALID);
-		assertThat(StoreRelay.NEWS_EVERY.multipliedBy(2)).isLessThan(StoreRelay.FAR_NEWS_VALID);
+		assertThat(StoreRelay.READER_WAIT.plus(StoreRelay.NEWS_EVERY.multipliedBy(2)))
+			.isLessThan(StoreRelay.FAR_NEWS_VALID);
 		assertThat(StoreRelay.READER_WAIT).isLessThan(StoreRelay.OWN_READ_VALID);
+		assertThat(StoreRelay.OWN_READ_VALID).isLessThan(StoreRelay.FAR_NEWS_VALID);
 	}
 
 	// Each of 95 nodes read each of 18 versions in the store, most of them twice. A node
@@ -350,13 +365,41 @@
 		assertThat(told(accept(new EntryEvent.Ticked(), 1450))).isEmpty();
 	}
 
+	// What the reader knew 0.8 s ago counts as new once more, at each node on the way.
+	@Test
+	void newsIsOutOfDateByTheStoresAnswerAndNotByItsHearing() {
+		hear(aged(fromSouth("a", 103), Duration.ofMillis(800)), 500);
+		assertThat(fed(940)).isTrue();
+		assertThat(fed(950)).isFalse();
+	}
+
+	// A relay that passed news on as its own would make it new again.
+	@Test
+	void newsKeepsItsAgeWhenItIsPassedOnAndTellsThatOfTheOlderAnswer() {
+		assertThat(ages(hear(aged(fromSouth("a", 103), Duration.ofMillis(800)), 500)))
+			.containsExactly(Duration.ofMillis(800));
+		accept(new EntryEvent.ConfigurationRead(ServingSamples.configuration(5)), 1500);
+		accept(new EntryEvent.TargetsChanged(List.of(), 103, 104), 1800);
+		assertThat(ages(accept(new EntryEvent.Ticked(), 2100))).containsExactly(Duration.ofMillis(600));
+	}
+
+	private static List<Duration> ages(List<EntryEffect> effects) {
+		return effects.stream()
+			.filter(EntryEffect.Tell.class::isInstance)
+			.map((effect) -> ((EntryEffect.Tell) effect).message())
+			.filter(NodeMessage.StoreNews.class::isInstance)
+			.map((message) -> ((NodeMessage.StoreNews) message).age())
+			.toList();
+	}
+
 	// Work reaches a target that left, and nobody can tell which nodes knew, and from
 	// whom.
 	@Test
 	void logsWhenAndFromWhomItLearntThatATargetLeaves() {
 		TargetEntry leaving = ServingSamples.leaving(ServingSamples.plain("p1"));
-		List<EntryEffect> effects = hear(new NodeMessage.StoreNews("a", NORTH, 5, 100, 100, 103,
-				List.of(new TargetChange(leaving.name(), Optional.of(leaving))), Optional.empty()), 500);
+		List<EntryEffect> effects = hear(old(new NodeMessage.StoreNews("a", NORTH, 5, 100, 100, 103,
+				List.of(new TargetChange(leaving.name(), Optional.of(leaving))), Optional.empty(), Duration.ZERO)),
+				500);
 		assertThat(logged(effects, LogEvent.TARGET_NOTICE)).containsExactly("target=p1 revision=103 told-by=a");
 		assertThat(logged(effects, LogEvent.STORE_READER)).containsExactly("node=a before=b");
 		assertThat(logged(accept(new EntryEvent.Ticked(), 1500), LogEvent.STORE_READER))
