Show that a target in need gets more requests than it named

EntryNodeTests.aTargetThatNamedALimitGetsNoMoreThanItTakes over real sockets: the target names one request a second in each answer, and gets each of the 40 that callers send in the next 4 s, where 11 are allowed.

--- a/src/test/java/sycamorehill/entry/EntryNodeTests.java
+++ b/src/test/java/sycamorehill/entry/EntryNodeTests.java
@@ -238,6 +238,20 @@
 		assertThat(ask(request("GET", "/elsewhere/x", "\r\n"))).startsWith("HTTP/1.1 404");
 	}
 
+	// A target in need gets more requests than it said that it takes.
+	@Test
+	void aTargetThatNamedALimitGetsNoMoreThanItTakes() throws Exception {
+		start((request) -> GOOD.replace("Content-Length", "Server-Limit: 1.0\r\nContent-Length"));
+		ask(request("POST", "/once/x", "Content-Length: 0\r\n\r\n"));
+		Thread.sleep(500);
+		int before = this.target.requests().size();
+		for (int asked = 0; asked < 40; asked++) {
+			ask(request("POST", "/once/x", "Content-Length: 0\r\n\r\n"));
+			Thread.sleep(95);
+		}
+		assertThat(this.target.requests().size() - before).isBetween(1, 11);
+	}
+
 	/**
 	 * Objects that never change.
 	 */
