Share what a target in need takes among a few nodes

Cause: the header was passed on and read by nobody; targets are chosen by load alone. Class: a bound on all nodes together that no part of the code owns. Ruled out: that each node keeps to the limit by itself (six nodes send six times as much), and an equal part for each node (67 nodes may each send one at once, and wait 48 s for the next).

Change: the adapter decodes the header; a target that named a limit is used by 3 nodes, and 2 more for each request a second, those of its data centre first, in the order of a hash that all work out alike. Each has an equal part, may send one request at once and begins with none, so that 4 s bring 4 x the limit + 3 + 2 x the limit at most, below what is allowed (6 x the limit + 5). Who is told tells all nodes, and again every 3 s. It ends with an answer without a limit to a request that was sent after the first naming. Other targets take the rest; nothing else about choosing them changed.

--- a/src/main/java/sycamorehill/entry/NodeMessageCodec.java
+++ b/src/main/java/sycamorehill/entry/NodeMessageCodec.java
@@ -23,6 +23,7 @@
 import sycamorehill.model.serving.LoadSum;
 import sycamorehill.model.serving.NodeMessage;
 import sycamorehill.model.serving.NodeRecord;
+import sycamorehill.model.serving.RequestRate;
 
 /**
  * Messages between entry nodes as they stand on the wire, in MessagePack.
@@ -77,6 +78,8 @@
 
 	private static final String CHANGES = "changes";
 
+	private static final String PER_SECOND = "per-second";
+
 	private static final String AGE_MILLIS = "age-millis";
 
 	private final ObjectMapper codec = new ObjectMapper(new MessagePackFactory());
@@ -156,6 +159,10 @@
 		else if (message instanceof NodeMessage.GroupEnded ended) {
 			body.put(TARGET, ended.head().value()).put(GROUP, ended.group()).put(EPOCH, ended.epoch());
 		}
+		else if (message instanceof NodeMessage.TargetLimited limited) {
+			body.put(TARGET, limited.target().value());
+			limited.limit().ifPresent((limit) -> body.put(PER_SECOND, limit.perSecond()));
+		}
 		else if (message instanceof NodeMessage.Suspicion suspicion) {
 			body.put(TARGET, suspicion.target().value()).put(CONTENT, suspicion.content());
 		}
@@ -198,12 +205,18 @@
 				new NodeMessage.SilenceConfirmed(sender, TargetName.of(body.path(TARGET).asText()));
 			case GROUP_ENDED -> new NodeMessage.GroupEnded(sender, TargetName.of(body.path(TARGET).asText()),
 					body.path(GROUP).asText(), body.path(EPOCH).asLong());
+			case TARGET_LIMITED ->
+				new NodeMessage.TargetLimited(sender, TargetName.of(body.path(TARGET).asText()), limit(body));
 			case SUSPICION -> new NodeMessage.Suspicion(sender, body.path(CONTENT).asLong(),
 					TargetName.of(body.path(TARGET).asText()));
 			case CLEARED -> new NodeMessage.Cleared(sender, body.path(CONTENT).asLong());
 		};
 	}
 
+	private static Optional<RequestRate> limit(JsonNode body) {
+		return body.has(PER_SECOND) ? Optional.of(new RequestRate(body.path(PER_SECOND).asDouble())) : Optional.empty();
+	}
+
 	private static Optional<Lease> lease(JsonNode body) {
 		return body.has(HOLDER) ? Optional
 			.of(new Lease(body.path(HOLDER).asText(), body.path(TERM).asLong(), body.path(LEASE_REVISION).asLong()))
@@ -241,7 +254,8 @@
 		CONFIGURATION_TOLD(NodeMessage.ConfigurationTold.class), INTRODUCTION(NodeMessage.Introduction.class),
 		LEASE_GIVEN_UP(NodeMessage.LeaseGivenUp.class), SILENCE(NodeMessage.Silence.class),
 		SUSPICION(NodeMessage.Suspicion.class), SILENCE_CONFIRMED(NodeMessage.SilenceConfirmed.class),
-		GROUP_ENDED(NodeMessage.GroupEnded.class), CLEARED(NodeMessage.Cleared.class);
+		GROUP_ENDED(NodeMessage.GroupEnded.class), TARGET_LIMITED(NodeMessage.TargetLimited.class),
+		CLEARED(NodeMessage.Cleared.class);
 
 		private final Class<? extends NodeMessage> type;
 
--- a/src/main/java/sycamorehill/entry/TargetAttempt.java
+++ b/src/main/java/sycamorehill/entry/TargetAttempt.java
@@ -157,8 +157,10 @@
 			end(new AttemptEnd.Unknown("an answer to another request"));
 			return;
 		}
-		this.facts.load()
-			.ifPresent((load) -> this.control.post(new EntryEvent.LoadTold(this.start.target().name(), load)));
+		if (!this.facts.otherTarget()) {
+			this.control.post(new EntryEvent.TargetTold(this.start.number(), this.start.target().name(),
+					this.facts.load(), this.facts.limit()));
+		}
 		boolean success = response.status().code() / 100 == SUCCESS_CLASS;
 		if (success && (!this.facts.signed() || this.facts.identifier().isEmpty())) {
 			drop();
--- a/src/main/java/sycamorehill/logic/dispatch/RequestDesk.java
+++ b/src/main/java/sycamorehill/logic/dispatch/RequestDesk.java
@@ -17,10 +17,11 @@
 import sycamorehill.model.serving.CallerRequest;
 import sycamorehill.model.serving.Configuration;
 import sycamorehill.model.serving.EngineFigures;
-import sycamorehill.model.serving.EngineLoad;
 import sycamorehill.model.serving.EntryEffect;
+import sycamorehill.model.serving.EntryEvent;
 import sycamorehill.model.serving.EntrySettings;
 import sycamorehill.model.serving.NodeMessage;
+import sycamorehill.model.serving.NodeRecord;
 import sycamorehill.model.serving.NotRunCause;
 import sycamorehill.model.serving.RequestKind;
 import sycamorehill.model.serving.ServiceFigures;
@@ -90,6 +91,8 @@
 
 	private final TargetLoads loads = TargetLoads.create();
 
+	private final TargetLimits limits;
+
 	private final RetryBudgets budgets;
 
 	private final FinalAnswers answers;
@@ -103,6 +106,7 @@
 		this.budgets = RetryBudgets.of(settings);
 		this.directory = directory;
 		this.serving = ServingTargets.of(directory);
+		this.limits = TargetLimits.of(settings.record(), directory);
 		this.placement = Placement.of(settings.dataCentre(), random);
 		this.answers = FinalAnswers.of(random);
 		this.gate = RequestGate.of(this.crashes, this.answers::comeBack);
@@ -183,7 +187,7 @@
 
 	private void place(ActiveRequest active, String otherwise, Instant now, Effects effects) {
 		Configuration known = this.gate.configuration().orElseThrow();
-		List<Candidate> all = this.serving.find(known, active.service(), active.request().model(), now);
+		List<Candidate> all = candidates(active, known, now);
 		List<Candidate> drawn = this.placement.draw(all);
 		Place place = find(active, drawn, now);
 		if (place.entrance() == Admission.Entrance.REFUSED && drawn.size() < all.size()) {
@@ -197,6 +201,10 @@
 		start(active, place.choice().orElseThrow().candidate(), known, rank, now, effects);
 	}
 
+	private List<Candidate> candidates(ActiveRequest active, Configuration known, Instant now) {
+		return this.limits.open(this.serving.find(known, active.service(), active.request().model(), now), now);
+	}
+
 	private Place find(ActiveRequest active, List<Candidate> candidates, Instant now) {
 		Optional<Placement.Choice> choice = this.placement.choose(candidates, active.avoided(), this.loads.known(),
 				active.request().size(), now);
@@ -215,6 +223,7 @@
 		TargetName name = candidate.entry().name();
 		int attempt = active.begin(name, now);
 		load(name).sent(candidate.slots());
+		this.limits.sent(name, now);
 		candidate.engines().ifPresent((engines) -> reads(active, candidate, engines, now, effects));
 		int connections = known.service(active.service()).map(ServiceFigures::maximumConnections).orElse(1);
 		RequestKind kind = active.route().kind();
@@ -314,8 +323,9 @@
 	 * Takes what another node told.
 	 * @param message the message
 	 * @param now the present time
+	 * @param effects collects what is wanted
 	 */
-	public void heard(NodeMessage message, Instant now) {
+	public void heard(NodeMessage message, Instant now, Effects effects) {
 		if (message instanceof NodeMessage.Loads told) {
 			this.loads.heard(told, now);
 		}
@@ -325,6 +335,9 @@
 		else if (message instanceof NodeMessage.Placed placed) {
 			this.loads.heard(placed, now);
 		}
+		else if (message instanceof NodeMessage.TargetLimited limited) {
+			this.limits.heard(limited, now, effects);
+		}
 		else if (message instanceof NodeMessage.Suspicion suspicion) {
 			this.crashes.lost(suspicion.content(), suspicion.target());
 		}
@@ -352,12 +365,15 @@
 	}
 
 	/**
-	 * Shares the fixed part of the retry budgets out anew.
-	 * @param living number of nodes that live
+	 * Shares out anew what all nodes may send together.
+	 * @param living number of nodes that live, this one with them
+	 * @param others the other nodes, as far as each is known
+	 * @param now the present time
 	 */
-	public void nodes(int living) {
+	public void nodes(int living, List<NodeRecord> others, Instant now) {
 		this.budgets.nodes(living);
 		this.placement.nodes(living);
+		this.limits.nodes(others, now);
 	}
 
 	/**
@@ -543,19 +559,23 @@
 		if (request.targetsReached() + 1 >= request.route().maximumAttempts()) {
 			return false;
 		}
-		List<Candidate> candidates = this.serving.find(this.gate.configuration().orElseThrow(), request.service(),
-				request.request().model(), now);
+		List<Candidate> candidates = candidates(request, this.gate.configuration().orElseThrow(), now);
 		return find(request, candidates, now).entrance() != Admission.Entrance.REFUSED;
 	}
 
 	/**
-	 * Takes the load that a target told.
-	 * @param target the target
-	 * @param told the load
+	 * Takes what a target told of itself with an answer.
+	 * @param told what it told
 	 * @param now the present time
+	 * @param effects collects what is wanted
 	 */
-	public void told(TargetName target, EngineLoad told, Instant now) {
-		load(target).told(told, now);
+	public void told(EntryEvent.TargetTold told, Instant now, Effects effects) {
+		told.load().ifPresent((load) -> load(told.target()).told(load, now));
+		Instant sentAt = Optional.ofNullable(this.active.get(told.number()))
+			.filter((request) -> request.target().filter(told.target()::equals).isPresent())
+			.map(ActiveRequest::attemptStarted)
+			.orElse(Instant.MIN);
+		this.limits.answered(told.target(), told.limit(), sentAt, now, effects);
 	}
 
 	/**
@@ -564,6 +584,7 @@
 	 */
 	public void forget(TargetName target) {
 		this.loads.forget(target);
+		this.limits.forget(target);
 	}
 
 	private TargetLoad load(TargetName target) {
--- a/src/main/java/sycamorehill/logic/entry/EntryReducer.java
+++ b/src/main/java/sycamorehill/logic/entry/EntryReducer.java
@@ -171,7 +171,7 @@
 			return;
 		}
 		this.neighbours.heard(message, now);
-		this.requests.heard(message, now);
+		this.requests.heard(message, now, effects);
 		if (message instanceof NodeMessage.Loads loads) {
 			this.loadSums.heard(loads, now);
 			return;
@@ -255,7 +255,7 @@
 				this.reached, this.requests.inFlight());
 		this.loadSums.tell(loads, this.stopOrdered != null, now, effects);
 		this.nodesLiving = this.neighbours.living(now);
-		this.requests.nodes(this.nodesLiving);
+		this.requests.nodes(this.nodesLiving, this.neighbours.sharing(now), now);
 	}
 
 	private boolean acceptRequest(EntryEvent event, Instant now, Effects effects) {
@@ -276,8 +276,8 @@
 		else if (event instanceof EntryEvent.TimedOut timedOut) {
 			this.requests.timedOut(timedOut.number(), now, effects);
 		}
-		else if (event instanceof EntryEvent.LoadTold told) {
-			this.requests.told(told.target(), told.load(), now);
+		else if (event instanceof EntryEvent.TargetTold told) {
+			this.requests.told(told, now, effects);
 		}
 		else if (event instanceof EntryEvent.TargetSilent silent) {
 			silent(silent.target(), now, effects);
--- a/src/main/java/sycamorehill/logic/entry/Neighbours.java
+++ b/src/main/java/sycamorehill/logic/entry/Neighbours.java
@@ -235,6 +235,18 @@
 		return living.values().stream().mapToInt(Integer::intValue).sum();
 	}
 
+	/**
+	 * The other nodes that share what one target takes. Of few nodes, each of which is
+	 * heard, those that live; many nodes would be taken for gone because they tell
+	 * others.
+	 * @param now the present time
+	 * @return the nodes
+	 */
+	List<NodeRecord> sharing(Instant now) {
+		Instant since = now.minus(livesFor());
+		return this.nodes.values().stream().filter((node) -> !fewNodes() || heardAfter(node.name(), since)).toList();
+	}
+
 	/**
 	 * Whether no node reaches the store, as far as is heard: at least half of the nodes
 	 * have said so lately, and none has said that it does. Nodes that are cut off
--- a/src/main/java/sycamorehill/model/log/LogEvent.java
+++ b/src/main/java/sycamorehill/model/log/LogEvent.java
@@ -144,7 +144,10 @@
 	REQUEST_SENT_AGAIN(1904, LogLevel.WARN),
 
 	/** All answers of a target have paused. */
-	TARGET_SILENT(1905, LogLevel.WARN);
+	TARGET_SILENT(1905, LogLevel.WARN),
+
+	/** A target has named a limit for all nodes, or names none any more. */
+	TARGET_LIMITED(1906, LogLevel.WARN);
 
 	private final int number;
 
--- a/src/main/java/sycamorehill/model/serving/EntryEvent.java
+++ b/src/main/java/sycamorehill/model/serving/EntryEvent.java
@@ -1,6 +1,7 @@
 package sycamorehill.model.serving;
 
 import java.util.List;
+import java.util.Optional;
 
 import sycamorehill.model.identity.TargetName;
 
@@ -92,12 +93,15 @@
 	}
 
 	/**
-	 * A target told its load.
+	 * The head of a target's answer told how the target is.
 	 *
+	 * @param number the request that was answered
 	 * @param target the target
-	 * @param load the load
+	 * @param load its load; empty if it doesn't tell it
+	 * @param limit what it takes from all nodes together; empty if it names no limit
 	 */
-	record LoadTold(TargetName target, EngineLoad load) implements EntryEvent {
+	record TargetTold(long number, TargetName target, Optional<EngineLoad> load,
+			Optional<RequestRate> limit) implements EntryEvent {
 	}
 
 	/**
--- a/src/main/java/sycamorehill/model/serving/NodeMessage.java
+++ b/src/main/java/sycamorehill/model/serving/NodeMessage.java
@@ -206,6 +206,16 @@
 	record GroupEnded(String sender, TargetName head, String group, long epoch) implements NodeMessage {
 	}
 
+	/**
+	 * What a target has said that it takes from all nodes together.
+	 *
+	 * @param sender the node that tells
+	 * @param target the target
+	 * @param limit the limit; empty if the target names none any more
+	 */
+	record TargetLimited(String sender, TargetName target, Optional<RequestRate> limit) implements NodeMessage {
+	}
+
 	/**
 	 * A target was lost while it ran a request.
 	 *
--- a/src/main/java/sycamorehill/platform/PlatformExchangeCodec.java
+++ b/src/main/java/sycamorehill/platform/PlatformExchangeCodec.java
@@ -20,6 +20,7 @@
 import sycamorehill.entry.TargetHead;
 import sycamorehill.model.serving.EngineLoad;
 import sycamorehill.model.serving.PromptSize;
+import sycamorehill.model.serving.RequestRate;
 
 /**
  * Heads of requests and answers as the platform's callers and targets speak them.
@@ -130,7 +131,7 @@
 		HttpHeaders headers = response.headers();
 		return new TargetHead(Optional.ofNullable(headers.get(PlatformHeaders.ATTEMPT)),
 				headers.contains(PlatformHeaders.NOT_RUN), response.status().code() == MISDIRECTED,
-				headers.contains(PlatformHeaders.SIGNATURE), load(headers),
+				headers.contains(PlatformHeaders.SIGNATURE), load(headers), limit(headers),
 				Optional.ofNullable(headers.get(PlatformHeaders.WEIGHTS)),
 				seconds(headers.get(PlatformHeaders.RETRY_AFTER)), idleTimeout(headers));
 	}
@@ -140,6 +141,12 @@
 		return (numbers != null) ? Optional.of(new EngineLoad(numbers[0], numbers[1], numbers[2])) : Optional.empty();
 	}
 
+	private static Optional<RequestRate> limit(HttpHeaders headers) {
+		return number(headers.get(PlatformHeaders.LIMIT)).map(BigDecimal::doubleValue)
+			.filter((perSecond) -> Double.isFinite(perSecond) && perSecond >= 0)
+			.map(RequestRate::new);
+	}
+
 	private static Optional<Duration> idleTimeout(HttpHeaders headers) {
 		String value = headers.get(PlatformHeaders.KEEP_ALIVE);
 		if (value == null) {
--- a/src/main/java/sycamorehill/platform/PlatformHeaders.java
+++ b/src/main/java/sycamorehill/platform/PlatformHeaders.java
@@ -45,6 +45,9 @@
 	/** Requests running, requests waiting and slots. */
 	static final String LOAD = "Engine-Load";
 
+	/** Requests a second that a target in need takes from all nodes together. */
+	static final String LIMIT = "Server-Limit";
+
 	static final String KEEP_ALIVE = "Keep-Alive";
 
 	static final String RETRY_AFTER = "Retry-After";
--- a/src/test/java/sycamorehill/entry/NodeMessageCodecTests.java
+++ b/src/test/java/sycamorehill/entry/NodeMessageCodecTests.java
@@ -16,6 +16,7 @@
 import sycamorehill.model.serving.LoadSum;
 import sycamorehill.model.serving.MemberState;
 import sycamorehill.model.serving.NodeMessage;
+import sycamorehill.model.serving.RequestRate;
 import sycamorehill.model.serving.TargetChange;
 import sycamorehill.model.serving.TargetEntry;
 import sycamorehill.support.ServingSamples;
@@ -49,6 +50,8 @@
 				new NodeMessage.LeaseGivenUp("n1", "n1#a"), new NodeMessage.Silence("n1", TARGET),
 				new NodeMessage.SilenceConfirmed("n1", TARGET),
 				new NodeMessage.GroupEnded("n1", TARGET, "small.1", 1_000_001),
+				new NodeMessage.TargetLimited("n1", TARGET, Optional.of(new RequestRate(1.4))),
+				new NodeMessage.TargetLimited("n1", TARGET, Optional.empty()),
 				new NodeMessage.Suspicion("n1", Long.MIN_VALUE, TARGET), new NodeMessage.Cleared("n1", 7));
 	}
 
--- a/src/test/java/sycamorehill/logic/dispatch/RequestDeskTests.java
+++ b/src/test/java/sycamorehill/logic/dispatch/RequestDeskTests.java
@@ -282,10 +282,11 @@
 	void aContentThatWasLostWithThreeTargetsIsRefused() {
 		long content = ServingSamples.request(7, "/again/x").content();
 		for (String target : List.of("p1", "p2", "p3")) {
-			this.desk.heard(new NodeMessage.Suspicion("two", content, TargetName.of(target)), this.now);
+			this.desk.heard(new NodeMessage.Suspicion("two", content, TargetName.of(target)), this.now,
+					Effects.begin());
 		}
 		assertThat(answer(arrive(7, "/again/x")).status()).isEqualTo(503);
-		this.desk.heard(new NodeMessage.Cleared("two", content), this.now);
+		this.desk.heard(new NodeMessage.Cleared("two", content), this.now, Effects.begin());
 		assertThat(starts(arrive(7, "/again/x"))).hasSize(1);
 	}
 
--- /dev/null
+++ b/src/test/java/sycamorehill/platform/PlatformLimitTests.java
@@ -0,0 +1,42 @@
+package sycamorehill.platform;
+
+import java.util.Optional;
+
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import sycamorehill.model.serving.RequestRate;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * The limit that a target in need names.
+ */
+class PlatformLimitTests {
+
+	private static Optional<RequestRate> read(String limit) {
+		HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+		response.headers().set("Server-Limit", limit);
+		return PlatformExchangeCodec.create().readTarget(response).limit();
+	}
+
+	@Test
+	void readsADecimalNumber() {
+		assertThat(read("1.4")).contains(new RequestRate(1.4));
+		assertThat(read("12")).contains(new RequestRate(12));
+		assertThat(read("0")).contains(new RequestRate(0));
+	}
+
+	// A faulty number ends the node's thread, or keeps a sound target from all work.
+	@ParameterizedTest
+	@ValueSource(strings = { "", "none", "-1", "NaN", "1e999", "1,5", "Infinity" })
+	void aFaultyLimitIsNone(String limit) {
+		assertThat(read(limit)).isEmpty();
+	}
+
+}
