--- a/src/main/java/sycamorehill/logic/dispatch/RequestDesk.java
+++ b/src/main/java/sycamorehill/logic/dispatch/RequestDesk.java
@@ -81,18 +81,12 @@
 
 	private final TargetDirectory directory;
 
-	private final ServingTargets serving;
-
-	private final Placement placement;
+	private final TargetChoice targets;
 
 	private final RandomGenerator random;
 
 	private final Map<Long, ActiveRequest> active = new HashMap<>();
 
-	private final TargetLoads loads = TargetLoads.create();
-
-	private final TargetLimits limits;
-
 	private final RetryBudgets budgets;
 
 	private final FinalAnswers answers;
@@ -105,9 +99,7 @@
 		this.nodeName = settings.nodeName();
 		this.budgets = RetryBudgets.of(settings);
 		this.directory = directory;
-		this.serving = ServingTargets.of(directory);
-		this.limits = TargetLimits.of(settings.record(), directory);
-		this.placement = Placement.of(settings.dataCentre(), random);
+		this.targets = TargetChoice.of(settings, directory, random);
 		this.answers = FinalAnswers.of(random);
 		this.gate = RequestGate.of(this.crashes, this.answers::comeBack);
 		this.random = random;
@@ -187,12 +179,7 @@
 
 	private void place(ActiveRequest active, String otherwise, Instant now, Effects effects) {
 		Configuration known = this.gate.configuration().orElseThrow();
-		List<Candidate> all = candidates(active, known, now);
-		List<Candidate> drawn = this.placement.draw(all);
-		Place place = find(active, drawn, now);
-		if (place.entrance() == Admission.Entrance.REFUSED && drawn.size() < all.size()) {
-			place = find(active, all, now);
-		}
+		TargetChoice.Place place = this.targets.choose(active, known, now);
 		if (place.entrance() == Admission.Entrance.REFUSED) {
 			giveUp(active, place.choice().isEmpty() ? otherwise : "all targets are full", now, effects);
 			return;
@@ -201,29 +188,11 @@
 		start(active, place.choice().orElseThrow().candidate(), known, rank, now, effects);
 	}
 
-	private List<Candidate> candidates(ActiveRequest active, Configuration known, Instant now) {
-		return this.limits.open(this.serving.find(known, active.service(), active.request().model(), now), now);
-	}
-
-	private Place find(ActiveRequest active, List<Candidate> candidates, Instant now) {
-		Optional<Placement.Choice> choice = this.placement.choose(candidates, active.avoided(), this.loads.known(),
-				active.request().size(), now);
-		return new Place(choice, choice.map((best) -> entrance(active, best, now)).orElse(Admission.Entrance.REFUSED));
-	}
-
-	private Admission.Entrance entrance(ActiveRequest active, Placement.Choice choice, Instant now) {
-		Candidate candidate = choice.candidate();
-		return Admission.decide(new Admission.Outlook(choice.firstAnswer(), active.route().target(),
-				Duration.between(active.arrived(), now), active.timeLeft(now), active.route().timeout(),
-				requests(candidate.entry().name(), now), candidate.slots(), active.answerBegun()));
-	}
-
 	private void start(ActiveRequest active, Candidate candidate, Configuration known, int rank, Instant now,
 			Effects effects) {
 		TargetName name = candidate.entry().name();
 		int attempt = active.begin(name, now);
-		load(name).sent(candidate.slots());
-		this.limits.sent(name, now);
+		this.targets.sent(candidate, now);
 		candidate.engines().ifPresent((engines) -> reads(active, candidate, engines, now, effects));
 		int connections = known.service(active.service()).map(ServiceFigures::maximumConnections).orElse(1);
 		RequestKind kind = active.route().kind();
@@ -239,7 +208,7 @@
 		TargetName name = candidate.entry().name();
 		Duration reading = Placement.reading(engines, candidate.model().orElseThrow(), active.request().size());
 		load(name).reads(reading, now);
-		if (this.placement.fewNodes()) {
+		if (this.targets.fewNodes()) {
 			effects.add(new EntryEffect.TellAll(new NodeMessage.Placed(this.nodeName, name, reading)));
 		}
 	}
@@ -327,16 +296,16 @@
 	 */
 	public void heard(NodeMessage message, Instant now, Effects effects) {
 		if (message instanceof NodeMessage.Loads told) {
-			this.loads.heard(told, now);
+			this.targets.loads().heard(told, now);
 		}
 		else if (message instanceof NodeMessage.LoadsAdded added) {
-			added.sums().forEach((sum) -> this.loads.heard(sum, now));
+			added.sums().forEach((sum) -> this.targets.loads().heard(sum, now));
 		}
 		else if (message instanceof NodeMessage.Placed placed) {
-			this.loads.heard(placed, now);
+			this.targets.loads().heard(placed, now);
 		}
 		else if (message instanceof NodeMessage.TargetLimited limited) {
-			this.limits.heard(limited, now, effects);
+			this.targets.limits().heard(limited, now, effects);
 		}
 		else if (message instanceof NodeMessage.Suspicion suspicion) {
 			this.crashes.lost(suspicion.content(), suspicion.target());
@@ -353,7 +322,7 @@
 	 * @return the number of requests
 	 */
 	public int requests(TargetName target, Instant now) {
-		return this.loads.requests(target, now);
+		return this.targets.loads().requests(target, now);
 	}
 
 	/**
@@ -361,7 +330,7 @@
 	 * @return the numbers
 	 */
 	public Map<TargetName, Integer> inFlight() {
-		return this.loads.inFlight();
+		return this.targets.loads().inFlight();
 	}
 
 	/**
@@ -372,8 +341,7 @@
 	 */
 	public void nodes(int living, List<NodeRecord> others, Instant now) {
 		this.budgets.nodes(living);
-		this.placement.nodes(living);
-		this.limits.nodes(others, now);
+		this.targets.nodes(living, others, now);
 	}
 
 	/**
@@ -429,7 +397,7 @@
 		}
 		this.directory.find(target)
 			.flatMap(TargetEntry::membership)
-			.ifPresent((seat) -> this.serving.ended(seat.group(), seat.epoch(), now));
+			.ifPresent((seat) -> this.targets.ended(seat.group(), seat.epoch(), now));
 	}
 
 	/**
@@ -441,7 +409,7 @@
 	 * @param effects collects what is wanted
 	 */
 	public void groupEnded(TargetName head, String group, long epoch, Instant now, Effects effects) {
-		this.serving.ended(group, epoch, now);
+		this.targets.ended(group, epoch, now);
 		moveStreams(head, now, effects);
 	}
 
@@ -559,8 +527,7 @@
 		if (request.targetsReached() + 1 >= request.route().maximumAttempts()) {
 			return false;
 		}
-		List<Candidate> candidates = candidates(request, this.gate.configuration().orElseThrow(), now);
-		return find(request, candidates, now).entrance() != Admission.Entrance.REFUSED;
+		return this.targets.possible(request, this.gate.configuration().orElseThrow(), now);
 	}
 
 	/**
@@ -575,7 +542,7 @@
 			.filter((request) -> request.target().filter(told.target()::equals).isPresent())
 			.map(ActiveRequest::attemptStarted)
 			.orElse(Instant.MIN);
-		this.limits.answered(told.target(), told.limit(), sentAt, now, effects);
+		this.targets.limits().answered(told.target(), told.limit(), sentAt, now, effects);
 	}
 
 	/**
@@ -583,21 +550,11 @@
 	 * @param target the target
 	 */
 	public void forget(TargetName target) {
-		this.loads.forget(target);
-		this.limits.forget(target);
+		this.targets.forget(target);
 	}
 
 	private TargetLoad load(TargetName target) {
-		return this.loads.of(target);
-	}
-
-	/**
-	 * Where a request goes.
-	 *
-	 * @param choice the best target; empty if none may be given work
-	 * @param entrance whether it is given there
-	 */
-	private record Place(Optional<Placement.Choice> choice, Admission.Entrance entrance) {
+		return this.targets.load(target);
 	}
 
 }
--- a/src/main/java/sycamorehill/logic/entry/EntryReducer.java
+++ b/src/main/java/sycamorehill/logic/entry/EntryReducer.java
@@ -70,12 +70,12 @@
 
 	private final StoreRelay relay;
 
+	private final NewsLog newsLog;
+
 	private final EntrySettings settings;
 
 	private Optional<Configuration> configuration = Optional.empty();
 
-	private String reader;
-
 	private boolean reached = true;
 
 	private int nodesLiving = 1;
@@ -90,9 +90,9 @@
 
 	private EntryReducer(EntrySettings settings, String self, RandomGenerator random, Instant started) {
 		this.settings = settings;
-		this.reader = settings.nodeName();
 		this.neighbours = Neighbours.of(settings.record());
 		this.relay = StoreRelay.of(settings.nodeName(), settings.dataCentre(), this.neighbours::goesBefore);
+		this.newsLog = NewsLog.of(settings.nodeName(), this.relay, this.directory);
 		this.configurationTexts = ConfigurationTexts.of(settings.nodeName(), this.neighbours, this.relay);
 		this.loadSums = LoadSums.of(settings.record(), this.neighbours, this.relay);
 		this.requests = RequestDesk.of(settings, this.directory, random);
@@ -205,11 +205,11 @@
 		if (!consequence.fed()) {
 			return;
 		}
-		logReader(now, effects);
+		this.newsLog.reader(now, effects);
 		contact(true, now, effects);
 		news.lease().ifPresent((lease) -> this.groups.leaseHeard(lease, now, effects));
 		if (consequence.apply()) {
-			logLeaving(news.changes(), now, effects);
+			this.newsLog.leaving(news.changes(), now, effects);
 			forget(this.directory.apply(news.changes(), now), effects);
 			tick(now, effects);
 		}
@@ -320,7 +320,7 @@
 			this.listed = true;
 			contact(true, now, effects);
 			this.relay.listed(all.revision(), now);
-			logLeaving(
+			this.newsLog.leaving(
 					all.entries().stream().map((entry) -> new TargetChange(entry.name(), Optional.of(entry))).toList(),
 					now, effects);
 			forget(this.directory.replaceAll(all.entries(), now), effects);
@@ -367,28 +367,10 @@
 		if (!changed.changes().isEmpty() && leads && this.stopOrdered == null) {
 			tellNews(news, now, effects);
 		}
-		logLeaving(changed.changes(), now, effects);
+		this.newsLog.leaving(changed.changes(), now, effects);
 		forget(this.directory.apply(changed.changes(), now), effects);
 	}
 
-	private void logLeaving(List<TargetChange> changes, Instant now, Effects effects) {
-		for (TargetChange change : changes) {
-			boolean leaves = change.entry().map(TargetEntry::leaving).orElse(false);
-			if (leaves && this.directory.find(change.name()).map((known) -> !known.leaving()).orElse(false)) {
-				effects.log(LogEvent.TARGET_NOTICE, "target=" + change.name() + " revision=" + this.relay.revision()
-						+ " told-by=" + this.relay.source(now));
-			}
-		}
-	}
-
-	private void logReader(Instant now, Effects effects) {
-		String source = this.relay.source(now);
-		if (!source.equals(this.reader)) {
-			effects.log(LogEvent.STORE_READER, "node=" + source + " before=" + this.reader);
-			this.reader = source;
-		}
-	}
-
 	private void tickGroups(Instant now, Effects effects) {
 		boolean away = !this.reached && this.neighbours.storeAwayForAll(now);
 		this.groups.tick(new GroupControl.Sight(this.configuration, this.requests::requests, this.relay.fed(now), away),
@@ -396,7 +378,7 @@
 	}
 
 	private void tick(Instant now, Effects effects) {
-		logReader(now, effects);
+		this.newsLog.reader(now, effects);
 		forget(this.directory.dropMissing(now), effects);
 		takeEarly(now, effects);
 		tickGroups(now, effects);
--- /dev/null
+++ b/src/main/java/sycamorehill/logic/entry/NewsLog.java
@@ -0,0 +1,62 @@
+package sycamorehill.logic.entry;
+
+import java.time.Instant;
+import java.util.List;
+
+import sycamorehill.logic.Effects;
+import sycamorehill.logic.directory.TargetDirectory;
+import sycamorehill.model.log.LogEvent;
+import sycamorehill.model.serving.TargetChange;
+import sycamorehill.model.serving.TargetEntry;
+
+/**
+ * Logs when a node learns what the store shows, and from whom.
+ */
+final class NewsLog {
+
+	private final StoreRelay relay;
+
+	private final TargetDirectory directory;
+
+	private String reader;
+
+	private NewsLog(String self, StoreRelay relay, TargetDirectory directory) {
+		this.reader = self;
+		this.relay = relay;
+		this.directory = directory;
+	}
+
+	static NewsLog of(String self, StoreRelay relay, TargetDirectory directory) {
+		return new NewsLog(self, relay, directory);
+	}
+
+	/**
+	 * Logs the targets that leave, before the directory takes the changes.
+	 * @param changes what the store shows
+	 * @param now the present time
+	 * @param effects collects the lines
+	 */
+	void leaving(List<TargetChange> changes, Instant now, Effects effects) {
+		for (TargetChange change : changes) {
+			boolean leaves = change.entry().map(TargetEntry::leaving).orElse(false);
+			if (leaves && this.directory.find(change.name()).map((known) -> !known.leaving()).orElse(false)) {
+				effects.log(LogEvent.TARGET_NOTICE, "target=" + change.name() + " revision=" + this.relay.revision()
+						+ " told-by=" + this.relay.source(now));
+			}
+		}
+	}
+
+	/**
+	 * Logs a change of the node that reads the store for this one.
+	 * @param now the present time
+	 * @param effects collects the lines
+	 */
+	void reader(Instant now, Effects effects) {
+		String source = this.relay.source(now);
+		if (!source.equals(this.reader)) {
+			effects.log(LogEvent.STORE_READER, "node=" + source + " before=" + this.reader);
+			this.reader = source;
+		}
+	}
+
+}
--- a/src/test/java/sycamorehill/logic/entry/ManyNodesTests.java
+++ b/src/test/java/sycamorehill/logic/entry/ManyNodesTests.java
@@ -18,7 +18,6 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 import sycamorehill.model.identity.Address;
-import sycamorehill.model.identity.DataCentreName;
 import sycamorehill.model.identity.TargetName;
 import sycamorehill.model.log.LogEvent;
 import sycamorehill.model.serving.EntryEffect;
@@ -105,12 +104,7 @@
 	}
 
 	private static EntrySettings settings(int number) {
-		String dataCentre = (number < NODES / 2) ? "north" : "south";
-		EntrySettings sample = ServingSamples.settings("any");
-		return new EntrySettings(dataCentre + "-" + (100 + number), DataCentreName.of(dataCentre), sample.dataCentres(),
-				sample.processor(), sample.callers(), sample.readiness(), Address.of("127.0.0.1", 8000 + number),
-				sample.store(), true, sample.stopTime(), sample.retryWindow(), sample.retryRatio(), sample.retryExtra(),
-				sample.stallTime(), sample.loadWindow());
+		return ServingSamples.settings(number, (number < NODES / 2) ? "north" : "south");
 	}
 
 	private List<EntryEffect> accept(String node, EntryEvent event) {
--- a/src/test/java/sycamorehill/logic/entry/SharedLimitTests.java
+++ b/src/test/java/sycamorehill/logic/entry/SharedLimitTests.java
@@ -19,7 +19,6 @@
 import org.junit.jupiter.params.provider.CsvSource;
 
 import sycamorehill.model.identity.Address;
-import sycamorehill.model.identity.DataCentreName;
 import sycamorehill.model.identity.TargetName;
 import sycamorehill.model.serving.AttemptEnd;
 import sycamorehill.model.serving.EntryEffect;
@@ -97,12 +96,7 @@
 	}
 
 	private static EntrySettings settings(int number) {
-		String dataCentre = (number % 2 == 0) ? "north" : "south";
-		EntrySettings sample = ServingSamples.settings("any");
-		return new EntrySettings(dataCentre + "-" + (100 + number), DataCentreName.of(dataCentre), sample.dataCentres(),
-				sample.processor(), sample.callers(), sample.readiness(), Address.of("127.0.0.1", 8000 + number),
-				sample.store(), true, sample.stopTime(), sample.retryWindow(), sample.retryRatio(), sample.retryExtra(),
-				sample.stallTime(), sample.loadWindow());
+		return ServingSamples.settings(number, (number % 2 == 0) ? "north" : "south");
 	}
 
 	private void accept(String node, EntryEvent event) {
--- a/src/test/java/sycamorehill/support/ServingSamples.java
+++ b/src/test/java/sycamorehill/support/ServingSamples.java
@@ -63,6 +63,20 @@
 				Duration.ofSeconds(8), Duration.ofSeconds(10), 0.2, 60, Duration.ofSeconds(5), Duration.ofSeconds(5));
 	}
 
+	/**
+	 * Settings of one of many nodes.
+	 * @param number its number, by which its name and port differ from the others'
+	 * @param dataCentre its data centre
+	 * @return the settings
+	 */
+	public static EntrySettings settings(int number, String dataCentre) {
+		EntrySettings sample = settings("any");
+		return new EntrySettings(dataCentre + "-" + (100 + number), DataCentreName.of(dataCentre), sample.dataCentres(),
+				sample.processor(), sample.callers(), sample.readiness(), Address.of("127.0.0.1", 8000 + number),
+				sample.store(), true, sample.stopTime(), sample.retryWindow(), sample.retryRatio(), sample.retryExtra(),
+				sample.stallTime(), sample.loadWindow());
+	}
+
 	/**
 	 * Another node of the same data centre and strength.
 	 * @param name the node's name
