Keep a target's limit though nobody asks it, and tell four times that it is over

A target that nobody asks says nothing; then all nodes forgot its limit at the same moment and asked together. The limit holds for 2 minutes without a word; so that a lost message keeps nobody from a sound target for as long, the node that sees the end tells it four times, 3 s apart (allNodesHearThatALimitIsOverThoughMessagesAreLost, 3 of 10 messages lost).

--- a/src/main/java/sycamorehill/logic/dispatch/RequestDesk.java
+++ b/src/main/java/sycamorehill/logic/dispatch/RequestDesk.java
@@ -338,10 +338,11 @@
 	 * @param living number of nodes that live, this one with them
 	 * @param others the other nodes, as far as each is known
 	 * @param now the present time
+	 * @param effects collects what is wanted
 	 */
-	public void nodes(int living, List<NodeRecord> others, Instant now) {
+	public void nodes(int living, List<NodeRecord> others, Instant now, Effects effects) {
 		this.budgets.nodes(living);
-		this.targets.nodes(living, others, now);
+		this.targets.nodes(living, others, now, effects);
 	}
 
 	/**
--- a/src/main/java/sycamorehill/logic/dispatch/TargetChoice.java
+++ b/src/main/java/sycamorehill/logic/dispatch/TargetChoice.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.random.RandomGenerator;
 
+import sycamorehill.logic.Effects;
 import sycamorehill.logic.directory.TargetDirectory;
 import sycamorehill.model.identity.TargetName;
 import sycamorehill.model.serving.Configuration;
@@ -100,9 +101,9 @@
 		this.serving.ended(group, epoch, now);
 	}
 
-	void nodes(int living, List<NodeRecord> others, Instant now) {
+	void nodes(int living, List<NodeRecord> others, Instant now, Effects effects) {
 		this.placement.nodes(living);
-		this.limits.nodes(others, now);
+		this.limits.nodes(others, now, effects);
 	}
 
 	/**
--- a/src/main/java/sycamorehill/logic/dispatch/TargetLimits.java
+++ b/src/main/java/sycamorehill/logic/dispatch/TargetLimits.java
@@ -30,14 +30,22 @@
  */
 final class TargetLimits {
 
-	/** A limit is told again so often, for nodes that a message did not reach. */
+	/**
+	 * What a target said is told again so often, for nodes that a message did not reach.
+	 */
 	private static final Duration TOLD_EVERY = Duration.ofSeconds(3);
 
 	/**
-	 * A limit of which nothing is heard for so long is over: the message that it was
-	 * lifted is lost, or nobody asks for the target.
+	 * Times that a limit is told to be over: with one message in ten lost, none misses
+	 * it.
 	 */
-	private static final Duration KEPT = Duration.ofSeconds(15);
+	private static final int TIMES_LIFTED = 4;
+
+	/**
+	 * A limit of which nothing is heard for so long is over. A target that nobody asks
+	 * says nothing, and may be in need all the while.
+	 */
+	private static final Duration KEPT = Duration.ofMinutes(2);
 
 	/** Answers on several connections overtake each other by less. */
 	private static final Duration LIFTED_AFTER = Duration.ofSeconds(1);
@@ -50,6 +58,8 @@
 
 	private final Map<TargetName, TargetLimit> limits = new HashMap<>();
 
+	private final Map<TargetName, Lifted> lifted = new HashMap<>();
+
 	private List<NodeRecord> others = List.of();
 
 	private TargetLimits(NodeRecord self, TargetDirectory directory) {
@@ -62,14 +72,26 @@
 	}
 
 	/**
-	 * Shares all limits out anew, and forgets those that are out of date.
+	 * Shares all limits out anew, forgets those that are out of date, and tells again of
+	 * those that are over.
 	 * @param nodes the other nodes that send requests
 	 * @param now the present time
+	 * @param effects collects what is wanted
 	 */
-	void nodes(List<NodeRecord> nodes, Instant now) {
+	void nodes(List<NodeRecord> nodes, Instant now, Effects effects) {
 		this.others = nodes;
 		this.limits.values().removeIf((limit) -> now.isAfter(limit.namedAt().plus(KEPT)));
 		this.limits.forEach((target, limit) -> share(target, limit, now));
+		this.lifted.replaceAll((target, over) -> tellAgain(target, over, now, effects));
+		this.lifted.values().removeIf((over) -> over.timesLeft() == 0);
+	}
+
+	private Lifted tellAgain(TargetName target, Lifted over, Instant now, Effects effects) {
+		if (now.isBefore(over.nextAt())) {
+			return over;
+		}
+		tell(target, Optional.empty(), effects);
+		return new Lifted(over.timesLeft() - 1, now.plus(TOLD_EVERY));
 	}
 
 	/**
@@ -93,6 +115,7 @@
 		else if (known != null && !sentAt.isBefore(known.since()) && now.isAfter(known.namedAt().plus(LIFTED_AFTER))) {
 			lift(target, this.self.name(), effects);
 			tell(target, limit, effects);
+			this.lifted.put(target, new Lifted(TIMES_LIFTED - 1, now.plus(TOLD_EVERY)));
 		}
 	}
 
@@ -112,6 +135,7 @@
 	}
 
 	private TargetLimit take(TargetName target, RequestRate rate, String teller, Instant now, Effects effects) {
+		this.lifted.remove(target);
 		TargetLimit known = this.limits.get(target);
 		if (known != null && known.rate().equals(rate)) {
 			known.named(rate, now);
@@ -169,6 +193,16 @@
 
 	void forget(TargetName target) {
 		this.limits.remove(target);
+		this.lifted.remove(target);
+	}
+
+	/**
+	 * A limit that is over.
+	 *
+	 * @param timesLeft how often that is told yet
+	 * @param nextAt when it is told next
+	 */
+	private record Lifted(int timesLeft, Instant nextAt) {
 	}
 
 }
--- a/src/main/java/sycamorehill/logic/entry/EntryReducer.java
+++ b/src/main/java/sycamorehill/logic/entry/EntryReducer.java
@@ -255,7 +255,7 @@
 				this.reached, this.requests.inFlight());
 		this.loadSums.tell(loads, this.stopOrdered != null, now, effects);
 		this.nodesLiving = this.neighbours.living(now);
-		this.requests.nodes(this.nodesLiving, this.neighbours.sharing(now), now);
+		this.requests.nodes(this.nodesLiving, this.neighbours.sharing(now), now, effects);
 	}
 
 	private boolean acceptRequest(EntryEvent event, Instant now, Effects effects) {
--- a/src/test/java/sycamorehill/logic/entry/SharedLimitTests.java
+++ b/src/test/java/sycamorehill/logic/entry/SharedLimitTests.java
@@ -40,8 +40,6 @@
 
 	private static final Duration STEP = Duration.ofMillis(10);
 
-	private static final Duration ANSWER_TIME = Duration.ofMillis(60);
-
 	/** From here on a node that was told must keep to the limit. */
 	private static final Duration KEPT_FROM = Duration.ofMillis(500);
 
@@ -67,16 +65,23 @@
 	/** When the target in need got a request of a node that must keep to its limit. */
 	private final List<Instant> counted = new ArrayList<>();
 
+	/** Nodes that gave the target a request. */
+	private final Set<String> givingWork = new HashSet<>();
+
 	private final Set<String> down = new HashSet<>();
 
 	private Instant now = Instant.ofEpochSecond(1000);
 
 	private Optional<RequestRate> limit = Optional.empty();
 
+	private Duration answerTime = Duration.ofMillis(60);
+
 	private double lossShare;
 
 	private long lastRequest;
 
+	private boolean callers = true;
+
 	private int refused;
 
 	private void start(int number) {
@@ -123,11 +128,14 @@
 	private void started(String node, EntryEffect.StartAttempt start) {
 		TargetName target = start.target().name();
 		boolean inNeed = target.equals(IN_NEED);
+		if (inNeed) {
+			this.givingWork.add(node);
+		}
 		Instant told = this.firstTold.get(node);
 		if (inNeed && told != null && !this.now.isBefore(told.plus(KEPT_FROM))) {
 			this.counted.add(this.now);
 		}
-		Instant answered = this.now.plus(ANSWER_TIME);
+		Instant answered = this.now.plus(this.answerTime);
 		this.due.add(new Due(answered, node, new EntryEvent.TargetTold(start.number(), target, Optional.empty(),
 				inNeed ? this.limit : Optional.empty())));
 		this.due.add(new Due(answered.plusNanos(1), node, new EntryEvent.AttemptEnded(start.number(), start.attempt(),
@@ -142,8 +150,10 @@
 			for (String node : this.nodes.keySet()) {
 				if (!this.down.contains(node) && (this.now.toEpochMilli() / STEP.toMillis() + phase++) % 10 == 0) {
 					accept(node, new EntryEvent.Ticked());
-					accept(node, new EntryEvent.RequestArrived(
-							ServingSamples.request(++this.lastRequest, "/again/" + this.lastRequest)));
+					if (this.callers) {
+						accept(node, new EntryEvent.RequestArrived(
+								ServingSamples.request(++this.lastRequest, "/again/" + this.lastRequest)));
+					}
 				}
 			}
 		}
@@ -227,6 +237,38 @@
 		assertThat(this.counted.size() - before).isGreaterThan(200);
 	}
 
+	// Nobody asks the target for a while, all nodes forget its limit, and all ask at
+	// once.
+	@Test
+	void aLimitOutlastsATimeWithoutRequests() {
+		this.answerTime = Duration.ofMillis(500);
+		start(20);
+		run(Duration.ofSeconds(2));
+		this.limit = Optional.of(new RequestRate(1));
+		run(Duration.ofSeconds(5));
+		this.callers = false;
+		run(Duration.ofSeconds(30));
+		this.callers = true;
+		Instant again = this.now;
+		run(Duration.ofSeconds(5));
+		assertThat(mostInAWindow(again)).isLessThanOrEqualTo(allowed(1));
+	}
+
+	// Some nodes are not told that a limit is over, and leave a sound target alone.
+	@Test
+	void allNodesHearThatALimitIsOverThoughMessagesAreLost() {
+		this.lossShare = 0.3;
+		start(20);
+		run(Duration.ofSeconds(2));
+		this.limit = Optional.of(new RequestRate(1));
+		run(Duration.ofSeconds(10));
+		this.limit = Optional.empty();
+		run(Duration.ofSeconds(16));
+		this.givingWork.clear();
+		run(Duration.ofSeconds(3));
+		assertThat(this.givingWork).containsAll(this.nodes.keySet());
+	}
+
 	// Callers of nodes that don't share the target are served by the others.
 	@Test
 	void nobodyIsRefusedWhileAnotherTargetServes() {
