Take only a target's own answers for its word on its limit

An answer without the target's signature, and that does not say that it was not run, may be wrong bytes; it lifted the limit of a target in need for all nodes. EntryNodeTests.anAnswerThatTheTargetDidNotSignLiftsNoLimit is red on the code before (a third request at once, where one in 2 s is taken).

--- a/src/main/java/sycamorehill/entry/TargetAttempt.java
+++ b/src/main/java/sycamorehill/entry/TargetAttempt.java
@@ -157,7 +157,8 @@
 			end(new AttemptEnd.Unknown("an answer to another request"));
 			return;
 		}
-		if (!this.facts.otherTarget()) {
+		boolean byTarget = this.facts.signed() || this.facts.notRun();
+		if (byTarget && !this.facts.otherTarget()) {
 			this.control.post(new EntryEvent.TargetTold(this.start.number(), this.start.target().name(),
 					this.facts.load(), this.facts.limit()));
 		}
