Log an older configuration that the store shows

Each configuration of an answer is offered again as before; the newest known one only where an answer brings none.

--- a/src/main/java/sycamorehill/entry/EntryNode.java
+++ b/src/main/java/sycamorehill/entry/EntryNode.java
@@ -294,6 +294,11 @@
 		}, this.loop);
 	}
 
+	private void read(StoredConfiguration read) {
+		keep(read);
+		step(new EntryEvent.ConfigurationRead(read.configuration()));
+	}
+
 	private void heard(StoredConfiguration told) {
 		keep(told);
 		step(new EntryEvent.ConfigurationHeard(told.configuration()));
@@ -419,9 +424,9 @@
 
 		@Override
 		public void changed(Feed.Page<StoredConfiguration> changes, long since) {
-			changes.items().forEach(EntryNode.this::keep);
-			if (EntryNode.this.newest != null) {
-				step(new EntryEvent.ConfigurationRead(EntryNode.this.newest.configuration()));
+			changes.items().forEach(EntryNode.this::read);
+			if (changes.items().isEmpty() && EntryNode.this.newest != null) {
+				read(EntryNode.this.newest);
 			}
 		}
 
