Tell a configuration that came into force just before this node reads for others

A node that takes over reading and finds a new configuration before its first answer about targets did not tell its text, because it told nobody anything yet. The others heard of the version and each read it in the store, up to 0.5 s later, of 2 s that are allowed in all. ManyNodesTests: 39 reads on the code before (red), none now. A first configuration is not told: all nodes that start at once would tell it to each other.

--- a/src/main/java/sycamorehill/logic/entry/ConfigurationTexts.java
+++ b/src/main/java/sycamorehill/logic/entry/ConfigurationTexts.java
@@ -18,6 +18,9 @@
 	/** Time from the news of a version to its text, which is sent at the same time. */
 	private static final Duration TOLD_WITHIN = Duration.ofMillis(200);
 
+	/** A version that is older than this has reached the others by other ways. */
+	private static final Duration NEW_FOR = Duration.ofSeconds(1);
+
 	private final String self;
 
 	private final Neighbours neighbours;
@@ -28,6 +31,10 @@
 
 	private Instant awaitedSince = Instant.MIN;
 
+	private long untold;
+
+	private Instant untoldSince = Instant.MIN;
+
 	private ConfigurationTexts(String self, Neighbours neighbours, StoreRelay relay) {
 		this.self = self;
 		this.neighbours = neighbours;
@@ -46,9 +53,12 @@
 	 * @param effects collects what is wanted
 	 */
 	void tell(long version, Instant now, Effects effects) {
-		if (this.relay.teller(now).filter(this.self::equals).isEmpty()) {
+		if (!tells(now)) {
+			this.untold = version;
+			this.untoldSince = now;
 			return;
 		}
+		this.untold = 0;
 		List<Address> nodes = new ArrayList<>(this.neighbours.near());
 		if (this.relay.reads(now)) {
 			nodes.addAll(this.neighbours.relays(now));
@@ -58,6 +68,28 @@
 		}
 	}
 
+	/**
+	 * Tells a version that came into force here just before the others began to hear the
+	 * news of the store from this node.
+	 * @param now the present time
+	 * @param effects collects what is wanted
+	 */
+	void look(Instant now, Effects effects) {
+		if (this.untold == 0) {
+			return;
+		}
+		if (!now.isBefore(this.untoldSince.plus(NEW_FOR))) {
+			this.untold = 0;
+		}
+		else if (tells(now)) {
+			tell(this.untold, now, effects);
+		}
+	}
+
+	private boolean tells(Instant now) {
+		return this.relay.teller(now).filter(this.self::equals).isPresent();
+	}
+
 	/**
 	 * Notes news of a version that is not in force here. A text that has not come when
 	 * they are told again is read in the store.
--- a/src/main/java/sycamorehill/logic/entry/EntryReducer.java
+++ b/src/main/java/sycamorehill/logic/entry/EntryReducer.java
@@ -385,6 +385,9 @@
 		if (this.loadSums.due(this.stopOrdered != null, now)) {
 			tellLoads(now, effects);
 		}
+		if (this.stopOrdered == null) {
+			this.configurationTexts.look(now, effects);
+		}
 		if (this.relay.newsDue(now) && this.stopOrdered == null) {
 			tellNews(this.relay.progress(now), now, effects);
 		}
@@ -404,12 +407,13 @@
 			}
 			return;
 		}
+		boolean first = this.configuration.isEmpty();
 		this.configuration = Optional.of(read);
 		this.relay.inForce(read.version());
 		this.requests.adopt(read);
 		effects.add(new EntryEffect.LimitCallers(read.limits()));
 		effects.log(LogEvent.CONFIGURATION_IN_FORCE, "version=" + read.version() + " routes=" + read.routes().size());
-		if (this.stopOrdered == null) {
+		if (this.stopOrdered == null && !first) {
 			this.configurationTexts.tell(read.version(), now, effects);
 		}
 	}
--- a/src/test/java/sycamorehill/logic/entry/ManyNodesTests.java
+++ b/src/test/java/sycamorehill/logic/entry/ManyNodesTests.java
@@ -315,6 +315,7 @@
 		this.newestConfiguration = 7;
 		run(FOLLOWED_WITHIN.minus(TICK));
 		this.nodes.forEach((name, node) -> assertThat(node.configurationVersion()).as(name).isEqualTo(7));
+		assertThat(this.configurationsRead).as("the next reader tells the text").isZero();
 	}
 
 	private void leave(TargetEntry target) {
