Let messages between many nodes be lost in their tests

ManyNodesTests loses messages where a test asks for it, and a node that missed a change reads it, as real nodes do. No code of the product changed.

--- a/src/test/java/sycamorehill/logic/entry/ManyNodesTests.java
+++ b/src/test/java/sycamorehill/logic/entry/ManyNodesTests.java
@@ -68,6 +68,10 @@
 
 	private long revision = FIRST_REVISION;
 
+	private final Random random = new Random(5);
+
+	private double lossShare;
+
 	private boolean storeAnswers = true;
 
 	private int configurationsRead;
@@ -111,7 +115,7 @@
 		List<EntryEffect> effects = this.nodes.get(node).accept(event, this.now);
 		for (EntryEffect effect : effects) {
 			if (effect instanceof EntryEffect.Tell tell) {
-				tell.nodes().stream().map(this.names::get).filter((to) -> !this.down.contains(to)).forEach((to) -> {
+				tell.nodes().stream().map(this.names::get).filter(this::reached).forEach((to) -> {
 					this.taken.computeIfAbsent(to, (name) -> new ArrayList<>()).add(tell.message());
 					accept(to, new EntryEvent.MessageHeard(tell.message()));
 				});
@@ -122,6 +126,9 @@
 			if (effect instanceof EntryEffect.TargetsKnown known) {
 				this.revisionsRead.merge(node, known.revision(), Math::max);
 			}
+			else if (effect instanceof EntryEffect.ReadTargets) {
+				readTargets(node);
+			}
 			else if (effect instanceof EntryEffect.Log log && log.line().event() == LogEvent.TARGET_NOTICE) {
 				this.noticed.add(node);
 			}
@@ -129,6 +136,10 @@
 		return effects;
 	}
 
+	private boolean reached(String node) {
+		return !this.down.contains(node) && this.random.nextDouble() >= this.lossShare;
+	}
+
 	// A text is its version's number here.
 	private void configurations(String node, List<EntryEffect> effects) {
 		for (EntryEffect effect : effects) {
@@ -136,7 +147,7 @@
 				tell.nodes()
 					.stream()
 					.map(this.names::get)
-					.filter((to) -> !this.down.contains(to))
+					.filter(this::reached)
 					.forEach((to) -> accept(to, new EntryEvent.MessageHeard(
 							new NodeMessage.ConfigurationTold(node, tell.version(), "" + tell.version()))));
 			}
@@ -191,15 +202,23 @@
 		if (this.storeAnswers && !this.configurationsUnanswered.contains(node) && (due || newer)) {
 			accept(node, new EntryEvent.ConfigurationRead(ServingSamples.configuration(this.newestConfiguration)));
 		}
-		long since = this.revisionsRead.getOrDefault(node, FIRST_REVISION);
-		if (!this.targetsUnanswered.contains(node) && (due || since < this.revision)) {
-			List<TargetChange> missed = (since < this.revision) ? List.copyOf(this.newChanges) : List.of();
-			accept(node, this.storeAnswers ? new EntryEvent.TargetsChanged(missed, since, this.revision)
-					: new EntryEvent.DirectoryNotReached());
-			this.revisionsRead.put(node, this.storeAnswers ? this.revision : since);
+		boolean changed = this.revisionsRead.getOrDefault(node, FIRST_REVISION) < this.revision;
+		if (!this.targetsUnanswered.contains(node) && (due || changed)) {
+			readTargets(node);
 		}
 	}
 
+	private void readTargets(String node) {
+		if (!this.storeAnswers) {
+			accept(node, new EntryEvent.DirectoryNotReached());
+			return;
+		}
+		long since = this.revisionsRead.getOrDefault(node, FIRST_REVISION);
+		this.revisionsRead.put(node, this.revision);
+		List<TargetChange> missed = (since < this.revision) ? List.copyOf(this.newChanges) : List.of();
+		accept(node, new EntryEvent.TargetsChanged(missed, since, this.revision));
+	}
+
 	private List<LoadSum> sumsTaken(String node) {
 		List<LoadSum> sums = new ArrayList<>();
 		for (NodeMessage message : this.taken.getOrDefault(node, List.of())) {
@@ -307,6 +326,18 @@
 				this.nodes.keySet().stream().filter((node) -> !this.targetsUnanswered.contains(node)).toList());
 	}
 
+	@ParameterizedTest
+	@ValueSource(ints = { 5010, 5310, 5610, 5910, 6210, 6510 })
+	void aLeavingTargetGetsNoWorkThoughMessagesAreLostBesides(int silentAfterMillis) {
+		run(Duration.ofMillis(silentAfterMillis));
+		this.targetsUnanswered.add("north-100");
+		this.lossShare = 0.2;
+		leave(ServingSamples.plain("p1"));
+		run(FOLLOWED_WITHIN.minus(LONGEST_CONNECT));
+		assertThat(this.noticed).containsAll(
+				this.nodes.keySet().stream().filter((node) -> !this.targetsUnanswered.contains(node)).toList());
+	}
+
 	// The reader's call for configurations hangs, while it goes on reading targets.
 	@Test
 	void aConfigurationIsInForceThoughTheReadersCallForItHangs() {
