Log where a configuration came from, and how late

Before: a node's log gave only the time at which a version took effect.

No decision changes. ManyNodesTests, StoreRelayTests and FeedReaderTests pass.

--- a/src/main/java/sycamorehill/entry/EntryNode.java
+++ b/src/main/java/sycamorehill/entry/EntryNode.java
@@ -258,7 +258,7 @@
 			sendConfiguration(send);
 		}
 		else if (effect instanceof EntryEffect.ParseConfiguration parse) {
-			parseConfiguration(parse.text());
+			parseConfiguration(parse.sender(), parse.text());
 		}
 		else if (effect instanceof EntryEffect.ReadConfiguration read) {
 			readConfiguration(read.version());
@@ -288,7 +288,7 @@
 						"reading configuration " + version + " from a copy failed: " + failure.getMessage()));
 			}
 			else {
-				page.items().forEach(this::handleReceivedConfiguration);
+				page.items().forEach((read) -> handleReceivedConfiguration(read, this.settings.nodeName()));
 			}
 			if (this.reducer.configurationVersion() < version) {
 				this.configurationReader.readNow();
@@ -301,9 +301,9 @@
 		processEvent(new EntryEvent.ConfigurationRead(read.configuration()));
 	}
 
-	private void handleReceivedConfiguration(StoredConfiguration received) {
+	private void handleReceivedConfiguration(StoredConfiguration received, String source) {
 		keepLatest(received);
-		processEvent(new EntryEvent.ConfigurationHeard(received.configuration()));
+		processEvent(new EntryEvent.ConfigurationHeard(received.configuration(), source));
 	}
 
 	private void keepLatest(StoredConfiguration read) {
@@ -322,13 +322,13 @@
 
 	// Ignores a text that can't be parsed. This node reads the store instead when the
 	// peer reports the version again.
-	private void parseConfiguration(String text) {
+	private void parseConfiguration(String sender, String text) {
 		try {
-			handleReceivedConfiguration(this.ports.configurationReader().apply(text));
+			handleReceivedConfiguration(this.ports.configurationReader().apply(text), sender);
 		}
 		catch (IllegalArgumentException ex) {
 			EventLog.write(LogLine.of(LogEvent.STORE_CONTENT_UNREADABLE,
-					"configuration sent by another node cause='" + ex.getMessage() + "'"));
+					"configuration sent by " + sender + " cause='" + ex.getMessage() + "'"));
 		}
 	}
 
--- a/src/main/java/sycamorehill/entry/FeedReader.java
+++ b/src/main/java/sycamorehill/entry/FeedReader.java
@@ -7,6 +7,7 @@
 import java.util.function.Supplier;
 
 import sycamorehill.model.log.LogEvent;
+import sycamorehill.model.log.LogLine;
 import sycamorehill.runtime.EventLog;
 
 /**
@@ -159,6 +160,10 @@
 			scheduleNext(this.pace.get().pauseAfterChange());
 			return;
 		}
+		if (!this.storeUnreachable) {
+			EventLog.write(LogLine.of(LogEvent.STORE_CONTACT,
+					this.name + ": a call failed since=" + this.revision + " cause='" + cause.getMessage() + "'"));
+		}
 		this.storeUnreachable = true;
 		this.listener.handleUnreachable();
 		scheduleNext(this.retryDelay);
--- a/src/main/java/sycamorehill/logic/entry/ConfigurationDistribution.java
+++ b/src/main/java/sycamorehill/logic/entry/ConfigurationDistribution.java
@@ -7,6 +7,7 @@
 
 import sycamorehill.logic.Effects;
 import sycamorehill.model.identity.Address;
+import sycamorehill.model.log.LogEvent;
 import sycamorehill.model.serving.EntryEffect;
 
 /**
@@ -36,6 +37,8 @@
 
 	private Instant awaitedSince = Instant.MIN;
 
+	private Instant behindSince = Instant.MAX;
+
 	private long unsentVersion;
 
 	private Instant unsentSince = Instant.MIN;
@@ -103,13 +106,32 @@
 	 * @param effects receives the resulting effects
 	 */
 	void awaitText(long version, Instant now, Effects effects) {
+		if (this.behindSince == Instant.MAX) {
+			this.behindSince = now;
+		}
 		if (version != this.awaitedVersion) {
 			this.awaitedVersion = version;
 			this.awaitedSince = now;
 		}
 		else if (!now.isBefore(this.awaitedSince.plus(TEXT_TIMEOUT))) {
+			effects.log(LogEvent.CONFIGURATION_TEXT_MISSING,
+					"version=" + version + " late-millis=" + timeBehind(now).toMillis());
 			effects.add(new EntryEffect.ReadConfiguration(version));
 		}
 	}
 
+	/**
+	 * Returns for how long a newer version than the one in effect has been announced.
+	 * @param now the current time
+	 * @return the time; zero while no newer version is known
+	 */
+	Duration timeBehind(Instant now) {
+		return (this.behindSince == Instant.MAX) ? Duration.ZERO : Duration.between(this.behindSince, now);
+	}
+
+	/** Records that an announced version, or a later one, took effect. */
+	void recordApplied() {
+		this.behindSince = Instant.MAX;
+	}
+
 }
--- a/src/main/java/sycamorehill/logic/entry/EntryReducer.java
+++ b/src/main/java/sycamorehill/logic/entry/EntryReducer.java
@@ -192,7 +192,7 @@
 		}
 		else if (message instanceof NodeMessage.ConfigurationTold received
 				&& received.version() > configurationVersion()) {
-			effects.add(new EntryEffect.ParseConfiguration(received.text()));
+			effects.add(new EntryEffect.ParseConfiguration(received.sender(), received.text()));
 		}
 		else if (message instanceof NodeMessage.TargetsSeen observed) {
 			this.directoryUpdates.applyObserved(observed.changes(), now, effects);
@@ -319,10 +319,10 @@
 	private void handleNodeEvent(EntryEvent event, Instant now, Effects effects) {
 		if (event instanceof EntryEvent.ConfigurationRead read) {
 			this.relay.recordConfigurationRead(now);
-			applyConfiguration(read.configuration(), now, effects);
+			applyConfiguration(read.configuration(), this.settings.nodeName(), now, effects);
 		}
 		else if (event instanceof EntryEvent.ConfigurationHeard received) {
-			applyConfiguration(received.configuration(), now, effects);
+			applyConfiguration(received.configuration(), received.source(), now, effects);
 		}
 		else if (event instanceof EntryEvent.TargetsListed all) {
 			this.targetsListed = true;
@@ -406,7 +406,7 @@
 
 	// Versions only increase within one incarnation of the process, whatever the store
 	// returns.
-	private void applyConfiguration(Configuration read, Instant now, Effects effects) {
+	private void applyConfiguration(Configuration read, String source, Instant now, Effects effects) {
 		long version = this.configuration.map(Configuration::version).orElse(Long.MIN_VALUE);
 		if (read.version() <= version) {
 			if (read.version() < version) {
@@ -419,7 +419,9 @@
 		this.relay.recordAppliedConfiguration(read.version());
 		this.requests.adopt(read);
 		effects.add(new EntryEffect.SetCallerLimits(read.limits()));
-		effects.log(LogEvent.CONFIGURATION_IN_FORCE, "version=" + read.version() + " routes=" + read.routes().size());
+		effects.log(LogEvent.CONFIGURATION_IN_FORCE, "version=" + read.version() + " routes=" + read.routes().size()
+				+ " told-by=" + source + " late-millis=" + this.configurationDistribution.timeBehind(now).toMillis());
+		this.configurationDistribution.recordApplied();
 		if (this.stopRequestedAt == null && !first) {
 			this.configurationDistribution.send(read.version(), now, effects);
 		}
--- a/src/main/java/sycamorehill/model/log/LogEvent.java
+++ b/src/main/java/sycamorehill/model/log/LogEvent.java
@@ -137,6 +137,9 @@
 	/** Another node reads the store for this one, or this one reads for itself. */
 	STORE_READER(1807, LogLevel.INFO),
 
+	/** The text of an announced configuration has not arrived in time. */
+	CONFIGURATION_TEXT_MISSING(1808, LogLevel.WARN),
+
 	/** A request was answered. */
 	REQUEST_SERVED(1901, LogLevel.INFO),
 
--- a/src/main/java/sycamorehill/model/serving/EntryEffect.java
+++ b/src/main/java/sycamorehill/model/serving/EntryEffect.java
@@ -150,9 +150,10 @@
 	/**
 	 * Parses a configuration that another node has sent.
 	 *
+	 * @param sender the node that sent it
 	 * @param text text of the configuration
 	 */
-	record ParseConfiguration(String text) implements EntryEffect {
+	record ParseConfiguration(String sender, String text) implements EntryEffect {
 	}
 
 	/**
--- a/src/main/java/sycamorehill/model/serving/EntryEvent.java
+++ b/src/main/java/sycamorehill/model/serving/EntryEvent.java
@@ -23,8 +23,9 @@
 	 * prove that the store is reachable.
 	 *
 	 * @param configuration the configuration
+	 * @param source the node that sent it, or this node if it read a copy
 	 */
-	record ConfigurationHeard(Configuration configuration) implements EntryEvent {
+	record ConfigurationHeard(Configuration configuration, String source) implements EntryEvent {
 	}
 
 	/**
--- a/src/test/java/sycamorehill/logic/entry/ManyNodesTests.java
+++ b/src/test/java/sycamorehill/logic/entry/ManyNodesTests.java
@@ -156,12 +156,13 @@
 							new NodeMessage.ConfigurationTold(node, send.version(), "" + send.version()))));
 			}
 			else if (effect instanceof EntryEffect.ParseConfiguration take) {
-				accept(node,
-						new EntryEvent.ConfigurationHeard(ServingSamples.configuration(Long.parseLong(take.text()))));
+				accept(node, new EntryEvent.ConfigurationHeard(
+						ServingSamples.configuration(Long.parseLong(take.text())), take.sender()));
 			}
 			else if (effect instanceof EntryEffect.ReadConfiguration) {
 				this.configurationsRead++;
-				accept(node, new EntryEvent.ConfigurationHeard(ServingSamples.configuration(this.newestConfiguration)));
+				accept(node, new EntryEvent.ConfigurationHeard(ServingSamples.configuration(this.newestConfiguration),
+						node));
 			}
 		}
 	}
--- a/src/test/java/sycamorehill/logic/entry/StoreRelayTests.java
+++ b/src/test/java/sycamorehill/logic/entry/StoreRelayTests.java
@@ -340,7 +340,7 @@
 	// once, and never an older one.
 	@Test
 	void appliesTheReceivedTextOfANewerConfiguration() {
-		assertThat(receiveConfiguration(6, 100)).contains(new EntryEffect.ParseConfiguration("text of 6"));
+		assertThat(receiveConfiguration(6, 100)).contains(new EntryEffect.ParseConfiguration("a", "text of 6"));
 		accept(new EntryEvent.ConfigurationRead(ServingSamples.configuration(6)), 110);
 		assertThat(receiveConfiguration(6, 120)).isEmpty();
 		assertThat(receiveConfiguration(5, 130)).isEmpty();
@@ -372,7 +372,7 @@
 		assertThat(sentUpdates(accept(new EntryEvent.TargetsChanged(List.of(), 100, 101), 800))).isNotEmpty();
 		accept(new EntryEvent.TargetsChanged(List.of(), 101, 102), 1300);
 		assertThat(sentUpdates(accept(new EntryEvent.Ticked(), 1350))).isEmpty();
-		accept(new EntryEvent.ConfigurationHeard(ServingSamples.configuration(6)), 1400);
+		accept(new EntryEvent.ConfigurationHeard(ServingSamples.configuration(6), "a"), 1400);
 		assertThat(sentUpdates(accept(new EntryEvent.Ticked(), 1450))).isEmpty();
 	}
 
