Add tests of configurations that nodes don't get in time, red

- theNodeThatTakesPrecedenceReadsAgainAfterAnOutage: the first node that the store answered goes on reading, all others follow it.
It is why the text was sent over a weak node's link, which dropped the datagrams for the same nodes each time.

--- a/src/test/java/sycamorehill/logic/entry/ManyNodesTests.java
+++ b/src/test/java/sycamorehill/logic/entry/ManyNodesTests.java
@@ -58,6 +58,9 @@
 	/** Maximum time from the selection of a target until the request reaches it. */
 	private static final Duration MAXIMUM_CONNECT_TIME = Duration.ofMillis(300);
 
+	/** Time between two versions of a series; updates are sent less often. */
+	private static final Duration VERSION_INTERVAL = Duration.ofMillis(160);
+
 	private static final TargetName TARGET = TargetName.of("p1");
 
 	private final Map<String, EntryReducer> nodes = new LinkedHashMap<>();
@@ -96,6 +99,12 @@
 
 	private final Set<String> configurationsUnanswered = new HashSet<>();
 
+	/** Nodes to which no text of a configuration is delivered. */
+	private final Set<String> textsLost = new HashSet<>();
+
+	/** Nodes whose calls the store refuses. */
+	private final Set<String> refused = new HashSet<>();
+
 	ManyNodesTests() {
 		for (int number = 0; number < NODES; number++) {
 			EntrySettings settings = settings(number);
@@ -152,6 +161,7 @@
 					.stream()
 					.map(this.names::get)
 					.filter(this::isDelivered)
+					.filter((to) -> !this.textsLost.contains(to))
 					.forEach((to) -> accept(to, new EntryEvent.MessageHeard(
 							new NodeMessage.ConfigurationTold(node, send.version(), "" + send.version()))));
 			}
@@ -159,7 +169,7 @@
 				accept(node, new EntryEvent.ConfigurationHeard(
 						ServingSamples.configuration(Long.parseLong(take.text())), take.sender()));
 			}
-			else if (effect instanceof EntryEffect.ReadConfiguration) {
+			else if (effect instanceof EntryEffect.ReadConfiguration && !this.refused.contains(node)) {
 				this.configurationsRead++;
 				accept(node, new EntryEvent.ConfigurationHeard(ServingSamples.configuration(this.newestConfiguration),
 						node));
@@ -203,7 +213,7 @@
 			this.nextReads.put(node, this.now.plus(READ_INTERVAL));
 		}
 		boolean configurationChanged = this.nodes.get(node).configurationVersion() < this.newestConfiguration;
-		if (this.storeAnswers && !this.configurationsUnanswered.contains(node) && (due || configurationChanged)) {
+		if (isAnswered(node) && !this.configurationsUnanswered.contains(node) && (due || configurationChanged)) {
 			accept(node, new EntryEvent.ConfigurationRead(ServingSamples.configuration(this.newestConfiguration)));
 		}
 		boolean changed = this.revisionsRead.getOrDefault(node, FIRST_REVISION) < this.revision;
@@ -212,8 +222,12 @@
 		}
 	}
 
+	private boolean isAnswered(String node) {
+		return this.storeAnswers && !this.refused.contains(node);
+	}
+
 	private void readTargets(String node) {
-		if (!this.storeAnswers) {
+		if (!isAnswered(node)) {
 			accept(node, new EntryEvent.DirectoryNotReached());
 			return;
 		}
@@ -354,6 +368,61 @@
 		assertThat(this.configurationsRead).as("the next reader tells the text").isZero();
 	}
 
+	// A node that waits anew for the text of each newer version never reads the store.
+	@Test
+	void aNodeWhoseTextsAreLostKeepsUpWithASeriesOfVersions() {
+		run(Duration.ofSeconds(5));
+		this.textsLost.add("south-139");
+		runSeriesOfVersions("south-139");
+	}
+
+	// The store refuses a node that has lost a text: only another node can send it again.
+	@Test
+	void aNodeThatTheStoreRefusesReceivesALostText() {
+		run(Duration.ofSeconds(5));
+		this.refused.add("south-139");
+		this.textsLost.add("south-139");
+		this.newestConfiguration = 7;
+		run(TICK);
+		this.textsLost.clear();
+		run(MAXIMUM_CHANGE_DELAY.minus(TICK));
+		assertThat(this.nodes.get("south-139").configurationVersion()).isEqualTo(7);
+	}
+
+	private void runSeriesOfVersions(String node) {
+		Map<Long, Instant> storedAt = new LinkedHashMap<>();
+		for (long version = 2; version <= 30; version++) {
+			this.newestConfiguration = version;
+			storedAt.put(version, this.now);
+			run(VERSION_INTERVAL);
+			long due = storedAt.entrySet()
+				.stream()
+				.filter((stored) -> !this.now.isBefore(stored.getValue().plus(MAXIMUM_CHANGE_DELAY)))
+				.mapToLong(Map.Entry::getKey)
+				.max()
+				.orElse(0);
+			assertThat(this.nodes.get(node).configurationVersion()).isGreaterThanOrEqualTo(due);
+		}
+	}
+
+	// A weak node that the store answered first after an outage would send all texts of
+	// its data centre over its small link.
+	@Test
+	void theNodeThatTakesPrecedenceReadsAgainAfterAnOutage() {
+		run(Duration.ofSeconds(5));
+		this.storeAnswers = false;
+		run(Duration.ofSeconds(3));
+		this.storeAnswers = true;
+		this.refused.addAll(this.nodes.keySet());
+		this.refused.remove("south-139");
+		run(Duration.ofSeconds(1));
+		this.refused.clear();
+		run(Duration.ofSeconds(2));
+		assertThat(this.nodes.entrySet()).filteredOn((node) -> !node.getValue().receivesStoreUpdates(this.now))
+			.extracting(Map.Entry::getKey)
+			.containsExactly("north-100");
+	}
+
 	private void announceLeaving(TargetEntry target) {
 		this.newChanges.add(new TargetChange(target.name(), Optional.of(ServingSamples.leaving(target))));
 		this.revision++;
