Count the wait for a configuration's text from the first version that is missing

Callers saw 404 from some nodes for a route that had been added more than 3 s before, for as long as the operator went on changing the configuration.

Cause: a node that was told of a version waited 0.2 s for its text and read the store when it was told of the same version again. A newer version in between began the wait anew; in a series of changes one version is seldom told twice, so that a node whose texts were lost had no configuration until the series ended. Class of fault: a timeout that each newer event restarts.

Ruled out for them: the store's refusal (it answered them), a long answer (the calls were never made).

Now the time counts from the first announcement of a version that is missing, by the node's own clock, and the store is asked each 0.2 s until a version has taken effect. aNodeWhoseTextsAreLostKeepsUpWithASeriesOfVersions was red (version 1 after 2 s, version 4 due), is green, and leaves KNOWN-RED.txt.

--- a/src/main/java/sycamorehill/logic/entry/ConfigurationDistribution.java
+++ b/src/main/java/sycamorehill/logic/entry/ConfigurationDistribution.java
@@ -4,6 +4,7 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 
 import sycamorehill.logic.Effects;
 import sycamorehill.model.identity.Address;
@@ -17,8 +18,8 @@
 final class ConfigurationDistribution {
 
 	/**
-	 * How long to wait for the text of an announced version. Both are sent at the same
-	 * time.
+	 * How long to wait for the text of an announced version, and between two requests for
+	 * it. Announcement and text are sent at the same time.
 	 */
 	private static final Duration TEXT_TIMEOUT = Duration.ofMillis(200);
 
@@ -33,11 +34,8 @@
 
 	private final StoreRelay relay;
 
-	private long awaitedVersion;
-
-	private Instant awaitedSince = Instant.MIN;
-
-	private Instant behindSince = Instant.MAX;
+	/** The newest version that was announced and is not in effect here. */
+	private Optional<MissingVersion> missing = Optional.empty();
 
 	private long unsentVersion;
 
@@ -99,25 +97,34 @@
 	}
 
 	/**
-	 * Records that an update announced a version that is not in effect here. If its text
-	 * has not arrived when it is announced again, the text is read from the store.
+	 * Records that an update announced a version that is not in effect here. Its text may
+	 * still be in transit.
 	 * @param version the version
 	 * @param now the current time
+	 */
+	void recordAnnounced(long version, Instant now) {
+		this.missing = Optional.of(this.missing.map((known) -> known.announced(version))
+			.orElseGet(() -> new MissingVersion(version, now, now.plus(TEXT_TIMEOUT))));
+	}
+
+	/**
+	 * Reads the store if the text of an announced version has not arrived in time. In a
+	 * series of versions, each announcement names another one: the time is counted from
+	 * the first version that is missing, or a node whose texts are lost would wait until
+	 * the series ends. A node without a reader reads for itself in any case.
+	 * @param now the current time
 	 * @param effects receives the resulting effects
 	 */
-	void awaitText(long version, Instant now, Effects effects) {
-		if (this.behindSince == Instant.MAX) {
-			this.behindSince = now;
-		}
-		if (version != this.awaitedVersion) {
-			this.awaitedVersion = version;
-			this.awaitedSince = now;
+	void requestMissing(Instant now, Effects effects) {
+		if (!this.relay.receivesStoreUpdates(now)) {
+			this.missing = Optional.empty();
 		}
-		else if (!now.isBefore(this.awaitedSince.plus(TEXT_TIMEOUT))) {
+		this.missing.filter((version) -> !now.isBefore(version.nextRequestAt())).ifPresent((version) -> {
 			effects.log(LogEvent.CONFIGURATION_TEXT_MISSING,
-					"version=" + version + " late-millis=" + timeBehind(now).toMillis());
-			effects.add(new EntryEffect.ReadConfiguration(version));
-		}
+					"version=" + version.version() + " late-millis=" + timeBehind(now).toMillis());
+			effects.add(new EntryEffect.ReadConfiguration(version.version()));
+			this.missing = Optional.of(version.requested(now.plus(TEXT_TIMEOUT)));
+		});
 	}
 
 	/**
@@ -126,12 +133,37 @@
 	 * @return the time; zero while no newer version is known
 	 */
 	Duration timeBehind(Instant now) {
-		return (this.behindSince == Instant.MAX) ? Duration.ZERO : Duration.between(this.behindSince, now);
+		return this.missing.map((version) -> Duration.between(version.since(), now)).orElse(Duration.ZERO);
 	}
 
-	/** Records that an announced version, or a later one, took effect. */
-	void recordApplied() {
-		this.behindSince = Instant.MAX;
+	/**
+	 * Records that a version took effect here. A newer one that was announced meanwhile
+	 * is awaited from now on.
+	 * @param applied the version
+	 * @param now the current time
+	 */
+	void recordApplied(long applied, Instant now) {
+		this.missing = this.missing.filter((version) -> version.version() > applied)
+			.map((version) -> new MissingVersion(version.version(), now, now.plus(TEXT_TIMEOUT)));
+	}
+
+	/**
+	 * An announced version that is not in effect.
+	 *
+	 * @param version the newest version that was announced
+	 * @param since when the first version that is missing was announced
+	 * @param nextRequestAt when the version is requested next
+	 */
+	private record MissingVersion(long version, Instant since, Instant nextRequestAt) {
+
+		private MissingVersion announced(long announcedVersion) {
+			return new MissingVersion(Math.max(this.version, announcedVersion), this.since, this.nextRequestAt);
+		}
+
+		private MissingVersion requested(Instant nextRequest) {
+			return new MissingVersion(this.version, this.since, nextRequest);
+		}
+
 	}
 
 }
--- a/src/main/java/sycamorehill/logic/entry/EntryReducer.java
+++ b/src/main/java/sycamorehill/logic/entry/EntryReducer.java
@@ -222,7 +222,8 @@
 			effects.add(new EntryEffect.ReadTargetChanges());
 		}
 		if (result.readConfiguration()) {
-			this.configurationDistribution.awaitText(update.configurationVersion(), now, effects);
+			this.configurationDistribution.recordAnnounced(update.configurationVersion(), now);
+			this.configurationDistribution.requestMissing(now, effects);
 		}
 	}
 
@@ -387,6 +388,7 @@
 		this.storeUpdateLog.logReaderChange(now, effects);
 		this.directoryUpdates.dropMissing(now, effects);
 		releaseStartupRequests(now, effects);
+		this.configurationDistribution.requestMissing(now, effects);
 		tickGroups(now, effects);
 		if (this.loadAggregation.isSendDue(this.stopRequestedAt != null, now)) {
 			sendLoads(now, effects);
@@ -421,7 +423,7 @@
 		effects.add(new EntryEffect.SetCallerLimits(read.limits()));
 		effects.log(LogEvent.CONFIGURATION_IN_FORCE, "version=" + read.version() + " routes=" + read.routes().size()
 				+ " told-by=" + source + " late-millis=" + this.configurationDistribution.timeBehind(now).toMillis());
-		this.configurationDistribution.recordApplied();
+		this.configurationDistribution.recordApplied(read.version(), now);
 		if (this.stopRequestedAt == null && !first) {
 			this.configurationDistribution.send(read.version(), now, effects);
 		}
