Ask the node that announced a configuration for a text that was lost

A node that the store refused had the configuration before until the operator made the next change.

Cause: a text was sent once, and only the store had it again. Class of fault: a message that must not be lost, whose only repeat goes by a way that may be closed to one node.

A lost text costs no call to the store then.

--- a/src/main/java/sycamorehill/entry/NodeMessageCodec.java
+++ b/src/main/java/sycamorehill/entry/NodeMessageCodec.java
@@ -139,6 +139,9 @@
 		else if (message instanceof NodeMessage.ConfigurationTold configuration) {
 			body.put(CONFIGURATION, configuration.version()).put(TEXT, CompressedText.compress(configuration.text()));
 		}
+		else if (message instanceof NodeMessage.ConfigurationWanted wanted) {
+			body.put(CONFIGURATION, wanted.version());
+		}
 		else if (message instanceof NodeMessage.TargetsSeen targets) {
 			TargetCodec.write(targets.changes(), body.putArray(CHANGES));
 		}
@@ -197,6 +200,7 @@
 					Duration.ofMillis(body.path(AGE_MILLIS).asLong()));
 			case CONFIGURATION_TOLD -> new NodeMessage.ConfigurationTold(sender, body.path(CONFIGURATION).asLong(),
 					CompressedText.decompress(body.path(TEXT).binaryValue()));
+			case CONFIGURATION_WANTED -> new NodeMessage.ConfigurationWanted(sender, body.path(CONFIGURATION).asLong());
 			case TARGETS_SEEN -> new NodeMessage.TargetsSeen(sender, TargetCodec.read(body.path(CHANGES)));
 			case INTRODUCTION -> new NodeMessage.Introduction(node(sender, body));
 			case LEASE_GIVEN_UP -> new NodeMessage.LeaseGivenUp(sender, body.path(HOLDER).asText());
@@ -251,7 +255,8 @@
 
 		LOADS(NodeMessage.Loads.class), LOADS_ADDED(NodeMessage.LoadsAdded.class), PLACED(NodeMessage.Placed.class),
 		STORE_NEWS(NodeMessage.StoreNews.class), TARGETS_SEEN(NodeMessage.TargetsSeen.class),
-		CONFIGURATION_TOLD(NodeMessage.ConfigurationTold.class), INTRODUCTION(NodeMessage.Introduction.class),
+		CONFIGURATION_TOLD(NodeMessage.ConfigurationTold.class),
+		CONFIGURATION_WANTED(NodeMessage.ConfigurationWanted.class), INTRODUCTION(NodeMessage.Introduction.class),
 		LEASE_GIVEN_UP(NodeMessage.LeaseGivenUp.class), SILENCE(NodeMessage.Silence.class),
 		SUSPICION(NodeMessage.Suspicion.class), SILENCE_CONFIRMED(NodeMessage.SilenceConfirmed.class),
 		GROUP_ENDED(NodeMessage.GroupEnded.class), TARGET_LIMITED(NodeMessage.TargetLimited.class),
--- a/src/main/java/sycamorehill/logic/entry/ConfigurationDistribution.java
+++ b/src/main/java/sycamorehill/logic/entry/ConfigurationDistribution.java
@@ -10,6 +10,7 @@
 import sycamorehill.model.identity.Address;
 import sycamorehill.model.log.LogEvent;
 import sycamorehill.model.serving.EntryEffect;
+import sycamorehill.model.serving.NodeMessage;
 
 /**
  * Sends the text of each configuration to the nodes that follow this one, which saves
@@ -103,15 +104,16 @@
 	 * @param now the current time
 	 */
 	void recordAnnounced(long version, Instant now) {
-		this.missing = Optional.of(this.missing.map((known) -> known.announced(version))
-			.orElseGet(() -> new MissingVersion(version, now, now.plus(TEXT_TIMEOUT))));
+		this.missing = Optional
+			.of(this.missing.map((known) -> known.announced(version)).orElseGet(() -> MissingVersion.of(version, now)));
 	}
 
 	/**
-	 * Reads the store if the text of an announced version has not arrived in time. In a
-	 * series of versions, each announcement names another one: the time is counted from
-	 * the first version that is missing, or a node whose texts are lost would wait until
-	 * the series ends. A node without a reader reads for itself in any case.
+	 * Requests the text of an announced version that has not arrived in time: first from
+	 * the node that announced it, then also from the store, which may refuse this node.
+	 * In a series of versions, each announcement names another one: the time is counted
+	 * from the first version that is missing, or a node whose texts are lost would wait
+	 * until the series ends. A node without a reader reads for itself in any case.
 	 * @param now the current time
 	 * @param effects receives the resulting effects
 	 */
@@ -122,11 +124,28 @@
 		this.missing.filter((version) -> !now.isBefore(version.nextRequestAt())).ifPresent((version) -> {
 			effects.log(LogEvent.CONFIGURATION_TEXT_MISSING,
 					"version=" + version.version() + " late-millis=" + timeBehind(now).toMillis());
-			effects.add(new EntryEffect.ReadConfiguration(version.version()));
-			this.missing = Optional.of(version.requested(now.plus(TEXT_TIMEOUT)));
+			this.peers.sendTo(this.relay.source(now), new NodeMessage.ConfigurationWanted(this.self, version.version()),
+					effects);
+			if (version.requested()) {
+				effects.add(new EntryEffect.ReadConfiguration(version.version()));
+			}
+			this.missing = Optional.of(version.requestedUntil(now.plus(TEXT_TIMEOUT)));
 		});
 	}
 
+	/**
+	 * Sends the text of the configuration in effect to a node that has not received it.
+	 * @param wanted the node's request
+	 * @param version version of the configuration in effect
+	 * @param effects receives the resulting effects
+	 */
+	void sendAgain(NodeMessage.ConfigurationWanted wanted, long version, Effects effects) {
+		if (version >= wanted.version()) {
+			this.peers.address(wanted.sender())
+				.ifPresent((address) -> effects.add(new EntryEffect.SendConfiguration(List.of(address), version)));
+		}
+	}
+
 	/**
 	 * Returns for how long a newer version than the one in effect has been announced.
 	 * @param now the current time
@@ -144,7 +163,7 @@
 	 */
 	void recordApplied(long applied, Instant now) {
 		this.missing = this.missing.filter((version) -> version.version() > applied)
-			.map((version) -> new MissingVersion(version.version(), now, now.plus(TEXT_TIMEOUT)));
+			.map((version) -> MissingVersion.of(version.version(), now));
 	}
 
 	/**
@@ -153,15 +172,21 @@
 	 * @param version the newest version that was announced
 	 * @param since when the first version that is missing was announced
 	 * @param nextRequestAt when the version is requested next
+	 * @param requested whether it has been requested before
 	 */
-	private record MissingVersion(long version, Instant since, Instant nextRequestAt) {
+	private record MissingVersion(long version, Instant since, Instant nextRequestAt, boolean requested) {
+
+		private static MissingVersion of(long version, Instant since) {
+			return new MissingVersion(version, since, since.plus(TEXT_TIMEOUT), false);
+		}
 
 		private MissingVersion announced(long announcedVersion) {
-			return new MissingVersion(Math.max(this.version, announcedVersion), this.since, this.nextRequestAt);
+			return new MissingVersion(Math.max(this.version, announcedVersion), this.since, this.nextRequestAt,
+					this.requested);
 		}
 
-		private MissingVersion requested(Instant nextRequest) {
-			return new MissingVersion(this.version, this.since, nextRequest);
+		private MissingVersion requestedUntil(Instant nextRequest) {
+			return new MissingVersion(this.version, this.since, nextRequest, true);
 		}
 
 	}
--- a/src/main/java/sycamorehill/logic/entry/EntryReducer.java
+++ b/src/main/java/sycamorehill/logic/entry/EntryReducer.java
@@ -194,6 +194,9 @@
 				&& received.version() > configurationVersion()) {
 			effects.add(new EntryEffect.ParseConfiguration(received.sender(), received.text()));
 		}
+		else if (message instanceof NodeMessage.ConfigurationWanted wanted) {
+			this.configurationDistribution.sendAgain(wanted, configurationVersion(), effects);
+		}
 		else if (message instanceof NodeMessage.TargetsSeen observed) {
 			this.directoryUpdates.applyObserved(observed.changes(), now, effects);
 		}
--- a/src/main/java/sycamorehill/logic/entry/PeerNodes.java
+++ b/src/main/java/sycamorehill/logic/entry/PeerNodes.java
@@ -366,6 +366,15 @@
 		effects.add(new EntryEffect.Send(this.nodes.values().stream().map(NodeRecord::address).toList(), message));
 	}
 
+	/**
+	 * Returns the address of a node.
+	 * @param node the node's name
+	 * @return its address, if it is known
+	 */
+	Optional<Address> address(String node) {
+		return Optional.ofNullable(this.nodes.get(node)).map(NodeRecord::address);
+	}
+
 	/**
 	 * Sends a message to one node, if it is known.
 	 * @param node the node's name
@@ -373,8 +382,7 @@
 	 * @param effects receives the resulting effects
 	 */
 	void sendTo(String node, NodeMessage message, Effects effects) {
-		Optional.ofNullable(this.nodes.get(node))
-			.ifPresent((known) -> effects.add(new EntryEffect.Send(List.of(known.address()), message)));
+		address(node).ifPresent((known) -> effects.add(new EntryEffect.Send(List.of(known), message)));
 	}
 
 	/**
--- a/src/main/java/sycamorehill/model/serving/NodeMessage.java
+++ b/src/main/java/sycamorehill/model/serving/NodeMessage.java
@@ -137,6 +137,15 @@
 	record ConfigurationTold(String sender, long version, String text) implements NodeMessage {
 	}
 
+	/**
+	 * Asks for the text of a configuration that the receiver has announced.
+	 *
+	 * @param sender the sender, which has not received it
+	 * @param version version of the configuration
+	 */
+	record ConfigurationWanted(String sender, long version) implements NodeMessage {
+	}
+
 	/**
 	 * Changes of targets that the controller of the groups learned from engines while no
 	 * node reaches the store.
