Give the reading of the store back to the node that takes precedence

After an outage of the store a weak node read it for all 70 nodes for as long as it lived; callers then saw configurations late at the same nodes again and again.

Cause: a node that the store does not answer yet follows any node that is answered, and then makes no calls of its own, so that it never took the duty back, however much stronger it is. Class of fault: a duty that is chosen once, by who comes first, and never again. A weak node's link takes 14 Mbit/s; it drops what is sent at once beyond some 75 datagrams, which are those to the nodes that are last in the list, among them the relays of the other data centres, each time.

Ruled out: the strong nodes' own calls (they made none).

Cost: while the store refuses a node that would take precedence, it makes up to 5 calls a second.

--- a/src/main/java/sycamorehill/entry/EntryNode.java
+++ b/src/main/java/sycamorehill/entry/EntryNode.java
@@ -161,7 +161,7 @@
 
 	private FeedReader.Pace readPace(Duration maximumWait) {
 		Instant now = this.clock.instant();
-		return new FeedReader.Pace(maximumWait, this.reducer.readPause(now), this.reducer.receivesStoreUpdates(now));
+		return new FeedReader.Pace(maximumWait, this.reducer.readPause(now), this.reducer.reliesOnReader(now));
 	}
 
 	// Lists the nodes after this one is registered. Of two nodes that start at the same
--- a/src/main/java/sycamorehill/entry/FeedReader.java
+++ b/src/main/java/sycamorehill/entry/FeedReader.java
@@ -78,7 +78,7 @@
 	 * processor time.
 	 */
 	void resumeIfNeeded() {
-		if (this.paused && !this.pace.get().receivesStoreUpdates()) {
+		if (this.paused && !this.pace.get().reliesOnReader()) {
 			this.paused = false;
 			readNext();
 		}
@@ -97,7 +97,7 @@
 
 	private void readNext() {
 		boolean listing = this.revision < 0;
-		if (!listing && !this.readRequested && this.pace.get().receivesStoreUpdates()) {
+		if (!listing && !this.readRequested && this.pace.get().reliesOnReader()) {
 			this.paused = true;
 			return;
 		}
@@ -187,9 +187,9 @@
 	 * detected this much later
 	 * @param pauseAfterChange the pause after an answer that contained changes, so that a
 	 * series of changes takes few calls
-	 * @param receivesStoreUpdates whether another node reads the store for this one
+	 * @param reliesOnReader whether another node reads the store for this one
 	 */
-	record Pace(Duration maximumWait, Duration pauseAfterChange, boolean receivesStoreUpdates) {
+	record Pace(Duration maximumWait, Duration pauseAfterChange, boolean reliesOnReader) {
 	}
 
 	/**
--- a/src/main/java/sycamorehill/logic/entry/EntryReducer.java
+++ b/src/main/java/sycamorehill/logic/entry/EntryReducer.java
@@ -455,8 +455,8 @@
 	 * @param now the current time
 	 * @return true if this node need not read
 	 */
-	public boolean receivesStoreUpdates(Instant now) {
-		return this.relay.receivesStoreUpdates(now);
+	public boolean reliesOnReader(Instant now) {
+		return this.relay.reliesOnReader(now);
 	}
 
 	/**
--- a/src/main/java/sycamorehill/logic/entry/StoreRelay.java
+++ b/src/main/java/sycamorehill/logic/entry/StoreRelay.java
@@ -69,7 +69,7 @@
 
 	private Instant updateSentAt = Instant.MIN;
 
-	private Source source = new Source("", true, Instant.MIN);
+	private Source source = Source.NONE;
 
 	private StoreRelay(String self, DataCentreName dataCentre, BiPredicate<String, String> takesPrecedence) {
 		this.self = self;
@@ -84,12 +84,27 @@
 	/**
 	 * Returns whether another node reads the store for this one.
 	 * @param now the current time
-	 * @return true if this node need not read
+	 * @return true if its last update is still valid
 	 */
 	boolean receivesStoreUpdates(Instant now) {
 		return this.source.answeredAt != Instant.MIN && now.isBefore(this.source.validUntil());
 	}
 
+	/**
+	 * Returns whether this node may leave reading to the node whose updates it receives.
+	 * A node that takes precedence over that one keeps reading: after an outage, the
+	 * store answers some node first, which may be a weak one.
+	 * @param now the current time
+	 * @return true if this node need not read
+	 */
+	boolean reliesOnReader(Instant now) {
+		return receivesStoreUpdates(now) && !takesPrecedenceOverSource();
+	}
+
+	private boolean takesPrecedenceOverSource() {
+		return this.takesPrecedence.test(this.self, this.source.node);
+	}
+
 	/**
 	 * Returns whether this node relays updates of a node in another data centre to its
 	 * own data centre.
@@ -135,6 +150,14 @@
 	 */
 	void recordConfigurationRead(Instant now) {
 		this.configurationReadAt = now;
+		replaceSource(now);
+	}
+
+	// Once the store answers both kinds of calls, this node reads for the others again.
+	private void replaceSource(Instant now) {
+		if (receivesStoreUpdates(now) && takesPrecedenceOverSource() && hasRecentReads(now)) {
+			this.source = Source.NONE;
+		}
 	}
 
 	/**
@@ -146,6 +169,7 @@
 		this.revision = listRevision;
 		this.changeRevision = listRevision;
 		this.targetsReadAt = now;
+		replaceSource(now);
 	}
 
 	/**
@@ -158,6 +182,7 @@
 	NodeMessage.StoreNews recordTargetChanges(ChangeBatch batch, Instant now) {
 		this.revision = batch.revision();
 		this.targetsReadAt = now;
+		replaceSource(now);
 		if (batch.changes().isEmpty()) {
 			return createProgressUpdate(now);
 		}
@@ -194,8 +219,11 @@
 	 * calls
 	 */
 	boolean isReader(Instant now) {
-		return !receivesStoreUpdates(now) && isRecent(this.targetsReadAt, now)
-				&& isRecent(this.configurationReadAt, now);
+		return !receivesStoreUpdates(now) && hasRecentReads(now);
+	}
+
+	private boolean hasRecentReads(Instant now) {
+		return isRecent(this.targetsReadAt, now) && isRecent(this.configurationReadAt, now);
 	}
 
 	private static boolean isRecent(Instant readAt, Instant now) {
@@ -260,14 +288,14 @@
 
 	// If several nodes read, the one that takes precedence keeps reading. The local data
 	// centre takes precedence over others, so that one node of each data centre receives
-	// remote updates. A node that the store does not answer accepts updates from any
-	// node.
+	// remote updates; it is one that takes precedence in its data centre. A node that the
+	// store does not answer accepts updates from any node.
 	private boolean acceptsUpdateFrom(String sender, boolean local, Instant now) {
 		if (!receivesStoreUpdates(now)) {
 			return !isReader(now) || this.takesPrecedence.test(sender, this.self);
 		}
 		if (local != this.source.local) {
-			return local && this.takesPrecedence.test(sender, this.self);
+			return (local || takesPrecedenceOverSource()) && this.takesPrecedence.test(sender, this.self);
 		}
 		return sender.equals(this.source.node) || this.takesPrecedence.test(sender, this.source.node);
 	}
@@ -285,6 +313,8 @@
 	 */
 	private record Source(String node, boolean local, Instant answeredAt) {
 
+		private static final Source NONE = new Source("", true, Instant.MIN);
+
 		private Instant validUntil() {
 			return this.answeredAt.plus(this.local ? LOCAL_UPDATE_VALIDITY : REMOTE_UPDATE_VALIDITY);
 		}
--- a/src/test/java/sycamorehill/entry/FeedReaderTests.java
+++ b/src/test/java/sycamorehill/entry/FeedReaderTests.java
@@ -149,14 +149,14 @@
 		RecordingFeed feed = new RecordingFeed();
 		CountDownLatch listed = new CountDownLatch(1);
 		CountDownLatch read = new CountDownLatch(1);
-		AtomicBoolean receivesStoreUpdates = new AtomicBoolean();
+		AtomicBoolean reliesOnReader = new AtomicBoolean();
 		FeedReader<String> reader = FeedReader.of(
-				() -> new FeedReader.Pace(Duration.ofMillis(1500), Duration.ofMillis(1), receivesStoreUpdates.get()),
-				"test", feed, this.executor, listener(listed, read));
+				() -> new FeedReader.Pace(Duration.ofMillis(1500), Duration.ofMillis(1), reliesOnReader.get()), "test",
+				feed, this.executor, listener(listed, read));
 		feed.waits = true;
 		reader.start();
 		assertThat(feed.waiting.await(5, TimeUnit.SECONDS)).isTrue();
-		receivesStoreUpdates.set(true);
+		reliesOnReader.set(true);
 		this.executor.execute(() -> reader.advanceRevision(9));
 		this.executor.execute(() -> feed.answer.complete(new Feed.Page<>(List.of("old"), 8)));
 		assertThat(read.await(300, TimeUnit.MILLISECONDS)).isFalse();
--- a/src/test/java/sycamorehill/logic/entry/ManyNodesTests.java
+++ b/src/test/java/sycamorehill/logic/entry/ManyNodesTests.java
@@ -199,7 +199,7 @@
 	}
 
 	private void startOrStopReading(String node) {
-		if (this.nodes.get(node).receivesStoreUpdates(this.now)) {
+		if (this.nodes.get(node).reliesOnReader(this.now)) {
 			this.nextReads.remove(node);
 		}
 		else {
@@ -418,7 +418,7 @@
 		run(Duration.ofSeconds(1));
 		this.refused.clear();
 		run(Duration.ofSeconds(2));
-		assertThat(this.nodes.entrySet()).filteredOn((node) -> !node.getValue().receivesStoreUpdates(this.now))
+		assertThat(this.nodes.entrySet()).filteredOn((node) -> !node.getValue().reliesOnReader(this.now))
 			.extracting(Map.Entry::getKey)
 			.containsExactly("north-100");
 	}
--- a/src/test/java/sycamorehill/logic/entry/StoreRelayTests.java
+++ b/src/test/java/sycamorehill/logic/entry/StoreRelayTests.java
@@ -80,8 +80,8 @@
 		return new TargetChange(entry.name(), Optional.of(entry));
 	}
 
-	private boolean receivesStoreUpdates(long millis) {
-		return this.node.receivesStoreUpdates(this.start.plusMillis(millis));
+	private boolean reliesOnReader(long millis) {
+		return this.node.reliesOnReader(this.start.plusMillis(millis));
 	}
 
 	private static List<NodeMessage.StoreNews> sentUpdates(List<EntryEffect> effects) {
@@ -103,7 +103,7 @@
 		assertThat(effects).contains(new EntryEffect.AdvanceTargetRevision(103))
 			.noneMatch(EntryEffect.ReadTargetChanges.class::isInstance);
 		assertThat(this.node.knownTargets()).isEqualTo(2);
-		assertThat(receivesStoreUpdates(1300)).isTrue();
+		assertThat(reliesOnReader(1300)).isTrue();
 		assertThat(receive(changes("a", 103, 107, "p3"), 1000)).contains(new EntryEffect.AdvanceTargetRevision(107));
 		assertThat(this.node.knownTargets()).isEqualTo(3);
 	}
@@ -114,8 +114,8 @@
 	@Test
 	void readsForItselfSoonAfterTheReaderFails() {
 		receive(agedByLongPoll(progress("a", 100, 102)), 500);
-		assertThat(receivesStoreUpdates(1300)).isTrue();
-		assertThat(receivesStoreUpdates(1400)).isFalse();
+		assertThat(reliesOnReader(1300)).isTrue();
+		assertThat(reliesOnReader(1400)).isFalse();
 	}
 
 	// A datagram with a change is lost. The next update shows that there was one.
@@ -167,7 +167,7 @@
 	@Test
 	void theNodeWithPrecedenceReadsForTheOthers() {
 		receive(changes("c", 100, 103, "p2"), 100);
-		assertThat(receivesStoreUpdates(110)).isFalse();
+		assertThat(reliesOnReader(110)).isFalse();
 		assertThat(this.node.knownTargets()).isEqualTo(1);
 		assertThat(sentUpdates(accept(new EntryEvent.TargetsChanged(List.of(change("p2")), 100, 103), 200)))
 			.containsExactly(changes("b", 100, 103, "p2"));
@@ -219,7 +219,7 @@
 	@Test
 	void relaysUpdatesOfAnotherDataCentre() {
 		List<EntryEffect> effects = receive(updateFromSouth("a", 103), 100);
-		assertThat(receivesStoreUpdates(110)).isTrue();
+		assertThat(reliesOnReader(110)).isTrue();
 		assertThat(this.node.knownTargets()).isEqualTo(2);
 		assertThat(sentUpdates(effects)).containsExactly(changes("b", 100, 103, "p2"));
 		assertThat(sentUpdates(accept(new EntryEvent.Ticked(), 600))).isEmpty();
@@ -262,8 +262,8 @@
 	@Test
 	void readsForItsDataCentreSoonAfterTheRemoteReaderFails() {
 		receive(agedByLongPoll(updateFromSouth("a", 103)), 500);
-		assertThat(receivesStoreUpdates(1200)).isTrue();
-		assertThat(receivesStoreUpdates(1300)).isFalse();
+		assertThat(reliesOnReader(1200)).isTrue();
+		assertThat(reliesOnReader(1300)).isFalse();
 		accept(new EntryEvent.ConfigurationRead(ServingSamples.configuration(5)), 1305);
 		assertThat(sentUpdates(accept(new EntryEvent.TargetsChanged(List.of(), 103, 104), 1310)))
 			.contains(progress("b", 103, 104));
@@ -301,6 +301,28 @@
 			.containsExactly(progress("b", 103, 105));
 	}
 
+	// After an outage the store may answer a weak node first, whose link would be too
+	// small
+	// for the updates of all others.
+	@Test
+	void readsAgainInPlaceOfANodeThatDoesNotTakePrecedence() {
+		receive(progress("c", 100, 101), 1000);
+		assertThat(reliesOnReader(1050)).isFalse();
+		accept(new EntryEvent.TargetsChanged(List.of(), 100, 102), 1050);
+		assertThat(sentUpdates(accept(new EntryEvent.Ticked(), 1060))).isEmpty();
+		assertThat(sentUpdates(accept(new EntryEvent.ConfigurationRead(ServingSamples.configuration(5)), 1070)))
+			.isNotEmpty();
+	}
+
+	@Test
+	void relaysRemoteUpdatesInPlaceOfALocalNodeThatDoesNotTakePrecedence() {
+		receive(progress("c", 100, 100), 1000);
+		assertThat(sentUpdates(receive(updateFromSouth("a", 103), 1100))).isNotEmpty();
+		assertThat(reliesOnReader(1150)).isTrue();
+		receive(progress("c", 103, 103), 1200);
+		assertThat(sentUpdates(receive(updateFromSouth("a", 103), 1300))).isNotEmpty();
+	}
+
 	// The text of a configuration is lost. To avoid keeping the previous version for
 	// good, the node asks the reader for it, and then reads the store.
 	@Test
@@ -391,8 +413,8 @@
 	@Test
 	void theValidityOfAnUpdateBeginsWithTheAnswerOfTheStore() {
 		receive(aged(updateFromSouth("a", 103), Duration.ofMillis(800)), 500);
-		assertThat(receivesStoreUpdates(940)).isTrue();
-		assertThat(receivesStoreUpdates(950)).isFalse();
+		assertThat(reliesOnReader(940)).isTrue();
+		assertThat(reliesOnReader(950)).isFalse();
 	}
 
 	// A relay that sent received updates as its own reads would reset their age.
