Read a configuration whose text was lost without a copy first

The node that announced the version is the cheap source now. Nothing else changes; ManyNodesTests model the read as what it is, an answer of the store.

StoreRelayTests, ManyNodesTests, EntryReducerTests and EntryNodeTests pass.

--- a/src/main/java/sycamorehill/entry/EntryNode.java
+++ b/src/main/java/sycamorehill/entry/EntryNode.java
@@ -79,8 +79,6 @@
 
 	private FeedReader<TargetChange> targetReader;
 
-	private boolean configurationReadPending;
-
 	private StoredConfiguration latestConfiguration;
 
 	private final CompletableFuture<Void> stopped = new CompletableFuture<>();
@@ -260,8 +258,8 @@
 		else if (effect instanceof EntryEffect.ParseConfiguration parse) {
 			parseConfiguration(parse.sender(), parse.text());
 		}
-		else if (effect instanceof EntryEffect.ReadConfiguration read) {
-			readConfiguration(read.version());
+		else if (effect instanceof EntryEffect.ReadConfiguration) {
+			this.configurationReader.readNow();
 		}
 		else if (effect instanceof EntryEffect.AdvanceTargetRevision advance) {
 			this.targetReader.advanceRevision(advance.revision());
@@ -272,40 +270,11 @@
 		return true;
 	}
 
-	// Reads a configuration whose text was not received. A copy costs the store less than
-	// a consistent read, which follows if the copy doesn't hold the version yet. While
-	// the store refuses calls of this node both fail, and the next store update triggers
-	// another read.
-	private void readConfiguration(long version) {
-		if (this.configurationReadPending) {
-			return;
-		}
-		this.configurationReadPending = true;
-		this.ports.configurations().listCopy().whenCompleteAsync((page, failure) -> {
-			this.configurationReadPending = false;
-			if (failure != null) {
-				EventLog.write(LogLine.of(LogEvent.STORE_CONTACT,
-						"reading configuration " + version + " from a copy failed: " + failure.getMessage()));
-			}
-			else {
-				page.items().forEach((read) -> handleReceivedConfiguration(read, this.settings.nodeName()));
-			}
-			if (this.reducer.configurationVersion() < version) {
-				this.configurationReader.readNow();
-			}
-		}, this.loop);
-	}
-
 	private void handleReadConfiguration(StoredConfiguration read) {
 		keepLatest(read);
 		processEvent(new EntryEvent.ConfigurationRead(read.configuration()));
 	}
 
-	private void handleReceivedConfiguration(StoredConfiguration received, String source) {
-		keepLatest(received);
-		processEvent(new EntryEvent.ConfigurationHeard(received.configuration(), source));
-	}
-
 	private void keepLatest(StoredConfiguration read) {
 		if (this.latestConfiguration == null
 				|| this.latestConfiguration.configuration().version() < read.configuration().version()) {
@@ -324,7 +293,9 @@
 	// peer reports the version again.
 	private void parseConfiguration(String sender, String text) {
 		try {
-			handleReceivedConfiguration(this.ports.configurationReader().apply(text), sender);
+			StoredConfiguration received = this.ports.configurationReader().apply(text);
+			keepLatest(received);
+			processEvent(new EntryEvent.ConfigurationHeard(received.configuration(), sender));
 		}
 		catch (IllegalArgumentException ex) {
 			EventLog.write(LogLine.of(LogEvent.STORE_CONTENT_UNREADABLE,
--- a/src/main/java/sycamorehill/logic/entry/ConfigurationDistribution.java
+++ b/src/main/java/sycamorehill/logic/entry/ConfigurationDistribution.java
@@ -127,7 +127,7 @@
 			this.peers.sendTo(this.relay.source(now), new NodeMessage.ConfigurationWanted(this.self, version.version()),
 					effects);
 			if (version.requested()) {
-				effects.add(new EntryEffect.ReadConfiguration(version.version()));
+				effects.add(new EntryEffect.ReadConfiguration());
 			}
 			this.missing = Optional.of(version.requestedUntil(now.plus(TEXT_TIMEOUT)));
 		});
--- a/src/main/java/sycamorehill/model/serving/EntryEffect.java
+++ b/src/main/java/sycamorehill/model/serving/EntryEffect.java
@@ -157,11 +157,9 @@
 	}
 
 	/**
-	 * Reads a configuration version that another node has announced.
-	 *
-	 * @param version the version
+	 * Reads the changes of the configuration from the store now.
 	 */
-	record ReadConfiguration(long version) implements EntryEffect {
+	record ReadConfiguration() implements EntryEffect {
 	}
 
 	/**
--- a/src/main/java/sycamorehill/model/serving/EntryEvent.java
+++ b/src/main/java/sycamorehill/model/serving/EntryEvent.java
@@ -19,11 +19,11 @@
 	}
 
 	/**
-	 * A configuration was received from another node or read from a copy. It doesn't
-	 * prove that the store is reachable.
+	 * A configuration was received from another node. It doesn't prove that the store is
+	 * reachable.
 	 *
 	 * @param configuration the configuration
-	 * @param source the node that sent it, or this node if it read a copy
+	 * @param source the node that sent it
 	 */
 	record ConfigurationHeard(Configuration configuration, String source) implements EntryEvent {
 	}
--- a/src/test/java/sycamorehill/logic/entry/ManyNodesTests.java
+++ b/src/test/java/sycamorehill/logic/entry/ManyNodesTests.java
@@ -171,8 +171,7 @@
 			}
 			else if (effect instanceof EntryEffect.ReadConfiguration && !this.refused.contains(node)) {
 				this.configurationsRead++;
-				accept(node, new EntryEvent.ConfigurationHeard(ServingSamples.configuration(this.newestConfiguration),
-						node));
+				accept(node, new EntryEvent.ConfigurationRead(ServingSamples.configuration(this.newestConfiguration)));
 			}
 		}
 	}
--- a/src/test/java/sycamorehill/logic/entry/StoreRelayTests.java
+++ b/src/test/java/sycamorehill/logic/entry/StoreRelayTests.java
@@ -332,7 +332,7 @@
 		assertThat(receive(newer, 100)).noneMatch(EntryEffect.ReadConfiguration.class::isInstance);
 		assertThat(accept(new EntryEvent.Ticked(), 300)).contains(new EntryEffect.Send(
 				List.of(Address.of("127.0.0.1", 7101)), new NodeMessage.ConfigurationWanted("b", 6)));
-		assertThat(accept(new EntryEvent.Ticked(), 500)).contains(new EntryEffect.ReadConfiguration(6));
+		assertThat(accept(new EntryEvent.Ticked(), 500)).contains(new EntryEffect.ReadConfiguration());
 		accept(new EntryEvent.ConfigurationRead(ServingSamples.configuration(6)), 520);
 		assertThat(receive(newer, 750)).noneMatch(EntryEffect.ReadTargetChanges.class::isInstance)
 			.noneMatch(EntryEffect.ReadConfiguration.class::isInstance);
