--- a/src/test/java/sycamorehill/entry/EntryNodeTests.java
+++ b/src/test/java/sycamorehill/entry/EntryNodeTests.java
@@ -328,7 +328,7 @@
 	/**
 	 * Lease store that is unavailable.
 	 */
-	private static final class UnavailableLeaseStore implements LeaseStore {
+	static final class UnavailableLeaseStore implements LeaseStore {
 
 		@Override
 		public CompletableFuture<LeaseAnswer> read() {
@@ -350,7 +350,7 @@
 	/**
 	 * Engines that return no answer.
 	 */
-	private static final class UnreachableEngines implements EnginePort {
+	static final class UnreachableEngines implements EnginePort {
 
 		@Override
 		public CompletableFuture<EngineCommandAnswer> sendCommand(TargetAddress engine, EngineCommandRequest command,
