Continue reading configurations after those that another node sent

A node that lost a text of a large configuration had it 2.5 s later, and would have had it later still had the operator not changed it again.

Cause: what a node was told did not move the revision after which it asks for changes. The answer held each version since its own last read, each the whole configuration: with 1,600 routes 0.4 MB each, on a link of 14 Mbit/s, in a call that is given up after 0.6 to 1.1 s and begins at the same revision again. The node also put each of them into effect or passed it over, one by one. Class of fault: work that grows with how long nothing was asked. Target changes have moved their revision since they are told; the configuration was the twin that did not.

Now an update names the revision up to which its configuration is the newest; a node with that very version asks for later changes only. Of an answer with several versions only the newest is applied, so that no update claims a revision for an older one.

All tests of entry, logic.entry and platform pass.

--- a/src/main/java/sycamorehill/entry/EntryNode.java
+++ b/src/main/java/sycamorehill/entry/EntryNode.java
@@ -261,6 +261,9 @@
 		else if (effect instanceof EntryEffect.ReadConfiguration) {
 			this.configurationReader.readNow();
 		}
+		else if (effect instanceof EntryEffect.AdvanceConfigurationRevision advance) {
+			this.configurationReader.advanceRevision(advance.revision());
+		}
 		else if (effect instanceof EntryEffect.AdvanceTargetRevision advance) {
 			this.targetReader.advanceRevision(advance.revision());
 		}
@@ -270,11 +273,6 @@
 		return true;
 	}
 
-	private void handleReadConfiguration(StoredConfiguration read) {
-		keepLatest(read);
-		processEvent(new EntryEvent.ConfigurationRead(read.configuration()));
-	}
-
 	private void keepLatest(StoredConfiguration read) {
 		if (this.latestConfiguration == null
 				|| this.latestConfiguration.configuration().version() < read.configuration().version()) {
@@ -389,7 +387,8 @@
 	}
 
 	/**
-	 * Posts configurations to the reducer.
+	 * Posts the newest configuration to the reducer. Older ones in the same answer never
+	 * take effect: while one did, this node would claim that it is the newest.
 	 */
 	private final class ConfigurationListener implements FeedReader.Listener<StoredConfiguration> {
 
@@ -400,9 +399,10 @@
 
 		@Override
 		public void handleChanges(Feed.Page<StoredConfiguration> changes, long since) {
-			changes.items().forEach(EntryNode.this::handleReadConfiguration);
-			if (changes.items().isEmpty() && EntryNode.this.latestConfiguration != null) {
-				handleReadConfiguration(EntryNode.this.latestConfiguration);
+			changes.items().forEach(EntryNode.this::keepLatest);
+			if (EntryNode.this.latestConfiguration != null) {
+				processEvent(new EntryEvent.ConfigurationRead(EntryNode.this.latestConfiguration.configuration(),
+						changes.revision()));
 			}
 		}
 
--- a/src/main/java/sycamorehill/entry/NodeMessageCodec.java
+++ b/src/main/java/sycamorehill/entry/NodeMessageCodec.java
@@ -68,6 +68,8 @@
 
 	private static final String CONFIGURATION = "configuration";
 
+	private static final String CONFIGURATION_REVISION = "configuration-revision";
+
 	private static final String TEXT = "text";
 
 	private static final String SINCE = "since";
@@ -126,6 +128,7 @@
 		else if (message instanceof NodeMessage.StoreNews update) {
 			body.put(DATA_CENTRE, update.dataCentre().value())
 				.put(CONFIGURATION, update.configurationVersion())
+				.put(CONFIGURATION_REVISION, update.configurationRevision())
 				.put(CHANGED_BEFORE, update.previousChangeRevision())
 				.put(SINCE, update.since())
 				.put(REVISION, update.revision())
@@ -195,8 +198,9 @@
 			case PLACED -> new NodeMessage.Placed(sender, TargetName.of(body.path(TARGET).asText()),
 					Duration.of(body.path(READING_MICROS).asLong(), ChronoUnit.MICROS));
 			case STORE_NEWS -> new NodeMessage.StoreNews(sender, DataCentreName.of(body.path(DATA_CENTRE).asText()),
-					body.path(CONFIGURATION).asLong(), body.path(CHANGED_BEFORE).asLong(), body.path(SINCE).asLong(),
-					body.path(REVISION).asLong(), TargetCodec.read(body.path(CHANGES)), lease(body),
+					body.path(CONFIGURATION).asLong(), body.path(CONFIGURATION_REVISION).asLong(),
+					body.path(CHANGED_BEFORE).asLong(), body.path(SINCE).asLong(), body.path(REVISION).asLong(),
+					TargetCodec.read(body.path(CHANGES)), lease(body),
 					Duration.ofMillis(body.path(AGE_MILLIS).asLong()));
 			case CONFIGURATION_TOLD -> new NodeMessage.ConfigurationTold(sender, body.path(CONFIGURATION).asLong(),
 					CompressedText.decompress(body.path(TEXT).binaryValue()));
--- a/src/main/java/sycamorehill/logic/entry/EntryReducer.java
+++ b/src/main/java/sycamorehill/logic/entry/EntryReducer.java
@@ -224,6 +224,9 @@
 		if (result.readTargets()) {
 			effects.add(new EntryEffect.ReadTargetChanges());
 		}
+		if (update.configurationVersion() == configurationVersion()) {
+			effects.add(new EntryEffect.AdvanceConfigurationRevision(update.configurationRevision()));
+		}
 		if (result.readConfiguration()) {
 			this.configurationDistribution.recordAnnounced(update.configurationVersion(), now);
 			this.configurationDistribution.requestMissing(now, effects);
@@ -322,7 +325,7 @@
 
 	private void handleNodeEvent(EntryEvent event, Instant now, Effects effects) {
 		if (event instanceof EntryEvent.ConfigurationRead read) {
-			this.relay.recordConfigurationRead(now);
+			this.relay.recordConfigurationRead(read.revision(), now);
 			applyConfiguration(read.configuration(), this.settings.nodeName(), now, effects);
 		}
 		else if (event instanceof EntryEvent.ConfigurationHeard received) {
--- a/src/main/java/sycamorehill/logic/entry/StoreRelay.java
+++ b/src/main/java/sycamorehill/logic/entry/StoreRelay.java
@@ -63,6 +63,8 @@
 
 	private long configurationVersion;
 
+	private long configurationRevision;
+
 	private Instant targetsReadAt = Instant.MIN;
 
 	private Instant configurationReadAt = Instant.MIN;
@@ -146,9 +148,11 @@
 
 	/**
 	 * Records that the store answered a call for the configuration.
+	 * @param readRevision the revision up to which the configuration is known
 	 * @param now the current time
 	 */
-	void recordConfigurationRead(Instant now) {
+	void recordConfigurationRead(long readRevision, Instant now) {
+		this.configurationRevision = readRevision;
 		this.configurationReadAt = now;
 		replaceSource(now);
 	}
@@ -193,8 +197,9 @@
 
 	private NodeMessage.StoreNews createUpdate(long previousChangeRevision, long since, List<TargetChange> changes,
 			Instant now) {
-		return new NodeMessage.StoreNews(this.self, this.dataCentre, this.configurationVersion, previousChangeRevision,
-				since, this.revision, changes, Optional.empty(), age(now));
+		return new NodeMessage.StoreNews(this.self, this.dataCentre, this.configurationVersion,
+				this.configurationRevision, previousChangeRevision, since, this.revision, changes, Optional.empty(),
+				age(now));
 	}
 
 	private Duration age(Instant now) {
--- a/src/main/java/sycamorehill/model/serving/EntryEffect.java
+++ b/src/main/java/sycamorehill/model/serving/EntryEffect.java
@@ -177,6 +177,15 @@
 	record AdvanceTargetRevision(long revision) implements EntryEffect {
 	}
 
+	/**
+	 * Continues reading changes of the configuration after a revision, because the
+	 * configuration in effect is the newest one up to it.
+	 *
+	 * @param revision the revision
+	 */
+	record AdvanceConfigurationRevision(long revision) implements EntryEffect {
+	}
+
 	/**
 	 * Reports to the load balancer whether this node accepts new connections.
 	 *
--- a/src/main/java/sycamorehill/model/serving/EntryEvent.java
+++ b/src/main/java/sycamorehill/model/serving/EntryEvent.java
@@ -14,8 +14,9 @@
 	 * The store answered a read of the configurations.
 	 *
 	 * @param configuration the newest configuration that this node has read
+	 * @param revision the store's revision up to which it is the newest
 	 */
-	record ConfigurationRead(Configuration configuration) implements EntryEvent {
+	record ConfigurationRead(Configuration configuration, long revision) implements EntryEvent {
 	}
 
 	/**
--- a/src/main/java/sycamorehill/model/serving/NodeMessage.java
+++ b/src/main/java/sycamorehill/model/serving/NodeMessage.java
@@ -75,6 +75,7 @@
 	 * @param sender the sender
 	 * @param dataCentre the sender's data centre
 	 * @param configurationVersion version of the configuration in effect at the sender
+	 * @param configurationRevision the revision up to which this is the newest version
 	 * @param previousChangeRevision revision of the last change before those in this
 	 * message; a receiver that has reached it has missed none
 	 * @param since the revision after which the changes were read
@@ -83,8 +84,8 @@
 	 * @param lease the last known lease for the control of the groups
 	 * @param age time since the store answered the node that read this
 	 */
-	record StoreNews(String sender, DataCentreName dataCentre, long configurationVersion, long previousChangeRevision,
-			long since, long revision, List<TargetChange> changes, Optional<Lease> lease,
+	record StoreNews(String sender, DataCentreName dataCentre, long configurationVersion, long configurationRevision,
+			long previousChangeRevision, long since, long revision, List<TargetChange> changes, Optional<Lease> lease,
 			Duration age) implements NodeMessage {
 
 		/**
@@ -100,8 +101,8 @@
 		 * @return the update
 		 */
 		public StoreNews withLease(Optional<Lease> knownLease) {
-			return new StoreNews(this.sender, this.dataCentre, this.configurationVersion, this.previousChangeRevision,
-					this.since, this.revision, this.changes, knownLease, this.age);
+			return new StoreNews(this.sender, this.dataCentre, this.configurationVersion, this.configurationRevision,
+					this.previousChangeRevision, this.since, this.revision, this.changes, knownLease, this.age);
 		}
 
 		/**
@@ -110,8 +111,8 @@
 		 * @return the update
 		 */
 		public StoreNews withoutChanges() {
-			return new StoreNews(this.sender, this.dataCentre, this.configurationVersion, this.revision, this.revision,
-					this.revision, List.of(), this.lease, this.age);
+			return new StoreNews(this.sender, this.dataCentre, this.configurationVersion, this.configurationRevision,
+					this.revision, this.revision, this.revision, List.of(), this.lease, this.age);
 		}
 
 		/**
@@ -121,8 +122,8 @@
 		 * @return the update
 		 */
 		public StoreNews relayedBy(String relay, DataCentreName relayDataCentre) {
-			return new StoreNews(relay, relayDataCentre, this.configurationVersion, this.previousChangeRevision,
-					this.since, this.revision, this.changes, this.lease, this.age);
+			return new StoreNews(relay, relayDataCentre, this.configurationVersion, this.configurationRevision,
+					this.previousChangeRevision, this.since, this.revision, this.changes, this.lease, this.age);
 		}
 
 	}
--- a/src/test/java/sycamorehill/entry/NodeMessengerTests.java
+++ b/src/test/java/sycamorehill/entry/NodeMessengerTests.java
@@ -73,7 +73,7 @@
 							Long.MAX_VALUE, Optional.of("domain-" + "z".repeat(56)), Set.of("m".repeat(63)),
 							Optional.of("m".repeat(63)), Optional.of(membership)))));
 		}
-		return new NodeMessage.StoreNews("a", NORTH, 5, 100, 100, 103, targetChanges,
+		return new NodeMessage.StoreNews("a", NORTH, 5, 1, 100, 100, 103, targetChanges,
 				Optional.of(new Lease("one#a", 3, 90)), Duration.ofMillis(210));
 	}
 
@@ -99,7 +99,7 @@
 	@Test
 	void tooManyChangesAreOnlyAnnounced() throws InterruptedException {
 		this.sender.send(List.of(this.receiver), storeUpdate(400));
-		assertThat(nextMessage()).isEqualTo(new NodeMessage.StoreNews("a", NORTH, 5, 103, 103, 103, List.of(),
+		assertThat(nextMessage()).isEqualTo(new NodeMessage.StoreNews("a", NORTH, 5, 1, 103, 103, 103, List.of(),
 				Optional.of(new Lease("one#a", 3, 90)), Duration.ofMillis(210)));
 	}
 
--- a/src/test/java/sycamorehill/logic/entry/EntryReducerTests.java
+++ b/src/test/java/sycamorehill/logic/entry/EntryReducerTests.java
@@ -27,7 +27,7 @@
 	@BeforeEach
 	void setUp() {
 		this.node = EntryReducer.of(ServingSamples.settings("one"), "one#1", new Random(1), this.start);
-		accept(new EntryEvent.ConfigurationRead(ServingSamples.configuration(5)), 0);
+		accept(new EntryEvent.ConfigurationRead(ServingSamples.configuration(5), 1), 0);
 		accept(new EntryEvent.TargetsListed(List.of(ServingSamples.plain("p1"), ServingSamples.plain("p2")), 10), 0);
 	}
 
@@ -58,16 +58,16 @@
 	// newer routes stay in effect.
 	@Test
 	void theConfigurationVersionNeverDecreases() {
-		assertThat(accept(new EntryEvent.ConfigurationRead(ServingSamples.configuration(4)), 10))
+		assertThat(accept(new EntryEvent.ConfigurationRead(ServingSamples.configuration(4), 1), 10))
 			.noneMatch(EntryEffect.SetCallerLimits.class::isInstance);
-		assertThat(accept(new EntryEvent.ConfigurationRead(ServingSamples.configuration(6)), 20))
+		assertThat(accept(new EntryEvent.ConfigurationRead(ServingSamples.configuration(6), 1), 20))
 			.anyMatch(EntryEffect.SetCallerLimits.class::isInstance);
 	}
 
 	@Test
 	void isReadyOnceConfigurationAndTargetsAreKnown() {
 		EntryReducer fresh = EntryReducer.of(ServingSamples.settings("one"), "one#2", new Random(1), this.start);
-		assertThat(fresh.accept(new EntryEvent.ConfigurationRead(ServingSamples.configuration(1)), this.start))
+		assertThat(fresh.accept(new EntryEvent.ConfigurationRead(ServingSamples.configuration(1), 1), this.start))
 			.doesNotContain(new EntryEffect.SetReadiness(true));
 		assertThat(fresh.accept(new EntryEvent.TargetsListed(List.of(), 10), this.start))
 			.contains(new EntryEffect.SetReadiness(true));
@@ -88,7 +88,7 @@
 		EntryReducer fresh = EntryReducer.of(ServingSamples.settings("one"), "one#2", new Random(1), this.start);
 		assertThat(fresh.accept(new EntryEvent.RequestArrived(ServingSamples.request(1, "/again/x")), this.start))
 			.isEmpty();
-		fresh.accept(new EntryEvent.ConfigurationRead(ServingSamples.configuration(1)), this.start.plusMillis(200));
+		fresh.accept(new EntryEvent.ConfigurationRead(ServingSamples.configuration(1), 1), this.start.plusMillis(200));
 		List<EntryEffect> listed = fresh.accept(new EntryEvent.TargetsListed(List.of(ServingSamples.plain("p1")), 10),
 				this.start.plusMillis(250));
 		assertThat(startsAttempt(listed)).isTrue();
@@ -114,7 +114,7 @@
 		EntryReducer fresh = EntryReducer.of(ServingSamples.settings("one"), "one#2", new Random(1), this.start);
 		fresh.accept(new EntryEvent.RequestArrived(ServingSamples.request(1, "/again/x")), this.start);
 		fresh.accept(new EntryEvent.CallerGone(1), this.start.plusMillis(100));
-		fresh.accept(new EntryEvent.ConfigurationRead(ServingSamples.configuration(1)), this.start.plusMillis(200));
+		fresh.accept(new EntryEvent.ConfigurationRead(ServingSamples.configuration(1), 1), this.start.plusMillis(200));
 		assertThat(startsAttempt(fresh.accept(new EntryEvent.TargetsListed(List.of(ServingSamples.plain("p1")), 10),
 				this.start.plusMillis(250))))
 			.isFalse();
--- a/src/test/java/sycamorehill/logic/entry/ManyNodesTests.java
+++ b/src/test/java/sycamorehill/logic/entry/ManyNodesTests.java
@@ -113,7 +113,7 @@
 					EntryReducer.of(settings, settings.nodeName() + "#1", new Random(number), this.now));
 		}
 		this.nodes.keySet().forEach((node) -> {
-			accept(node, new EntryEvent.ConfigurationRead(ServingSamples.configuration(1)));
+			accept(node, new EntryEvent.ConfigurationRead(ServingSamples.configuration(1), 1));
 			accept(node, new EntryEvent.TargetsListed(List.of(ServingSamples.plain("p1")), this.revision));
 			accept(node, new EntryEvent.NodesListed(
 					IntStream.range(0, NODES).mapToObj((each) -> settings(each).toNodeRecord()).toList()));
@@ -171,7 +171,8 @@
 			}
 			else if (effect instanceof EntryEffect.ReadConfiguration && !this.refused.contains(node)) {
 				this.configurationsRead++;
-				accept(node, new EntryEvent.ConfigurationRead(ServingSamples.configuration(this.newestConfiguration)));
+				accept(node, new EntryEvent.ConfigurationRead(ServingSamples.configuration(this.newestConfiguration),
+						this.revision));
 			}
 		}
 	}
@@ -213,7 +214,8 @@
 		}
 		boolean configurationChanged = this.nodes.get(node).configurationVersion() < this.newestConfiguration;
 		if (isAnswered(node) && !this.configurationsUnanswered.contains(node) && (due || configurationChanged)) {
-			accept(node, new EntryEvent.ConfigurationRead(ServingSamples.configuration(this.newestConfiguration)));
+			accept(node, new EntryEvent.ConfigurationRead(ServingSamples.configuration(this.newestConfiguration),
+					this.revision));
 		}
 		boolean changed = this.revisionsRead.getOrDefault(node, FIRST_REVISION) < this.revision;
 		if (!this.targetsUnanswered.contains(node) && (due || changed)) {
@@ -324,7 +326,7 @@
 	@Test
 	void aConfigurationTakesEffectEverywhereWithOneRead() {
 		run(Duration.ofSeconds(15));
-		accept("north-100", new EntryEvent.ConfigurationRead(ServingSamples.configuration(7)));
+		accept("north-100", new EntryEvent.ConfigurationRead(ServingSamples.configuration(7), 1));
 		assertThat(this.nodes.values()).allMatch((node) -> node.configurationVersion() == 7);
 		run(Duration.ofSeconds(2));
 		assertThat(this.configurationsRead).isZero();
--- a/src/test/java/sycamorehill/logic/entry/SharedLimitTests.java
+++ b/src/test/java/sycamorehill/logic/entry/SharedLimitTests.java
@@ -93,7 +93,7 @@
 					EntryReducer.of(settings, settings.nodeName() + "#1", new Random(node), this.now));
 		});
 		this.nodes.keySet().forEach((node) -> {
-			accept(node, new EntryEvent.ConfigurationRead(ServingSamples.configuration(1)));
+			accept(node, new EntryEvent.ConfigurationRead(ServingSamples.configuration(1), 1));
 			accept(node,
 					new EntryEvent.TargetsListed(List.of(ServingSamples.plain("p1"), ServingSamples.plain("p2")), 1));
 			accept(node, new EntryEvent.NodesListed(
--- a/src/test/java/sycamorehill/logic/entry/SilentTargetTests.java
+++ b/src/test/java/sycamorehill/logic/entry/SilentTargetTests.java
@@ -33,7 +33,7 @@
 	@BeforeEach
 	void setUp() {
 		this.node = EntryReducer.of(ServingSamples.settings("one"), "one#1", new Random(1), this.start);
-		accept(new EntryEvent.ConfigurationRead(ServingSamples.configuration(5)), 0);
+		accept(new EntryEvent.ConfigurationRead(ServingSamples.configuration(5), 1), 0);
 		accept(new EntryEvent.TargetsListed(List.of(ServingSamples.member("a1", "small.1", 1, 0, MemberState.OPEN),
 				ServingSamples.member("a2", "small.1", 1, 1, MemberState.READY),
 				ServingSamples.member("b1", "small.2", 2, 0, MemberState.OPEN),
--- a/src/test/java/sycamorehill/logic/entry/StoreRelayTests.java
+++ b/src/test/java/sycamorehill/logic/entry/StoreRelayTests.java
@@ -42,7 +42,7 @@
 	void setUp() {
 		this.node = EntryReducer.of(ServingSamples.settings("b"), "b#1", new Random(1), this.start);
 		accept(new EntryEvent.NodesListed(List.of(ServingSamples.node("a", 7101), ServingSamples.node("c", 7103))), 0);
-		accept(new EntryEvent.ConfigurationRead(ServingSamples.configuration(5)), 0);
+		accept(new EntryEvent.ConfigurationRead(ServingSamples.configuration(5), 1), 0);
 		accept(new EntryEvent.TargetsListed(List.of(ServingSamples.plain("p1")), 100), 0);
 	}
 
@@ -55,13 +55,13 @@
 	}
 
 	private static NodeMessage.StoreNews changes(String sender, long since, long revision, String target) {
-		return new NodeMessage.StoreNews(sender, NORTH, 5, since, since, revision, List.of(change(target)),
+		return new NodeMessage.StoreNews(sender, NORTH, 5, 1, since, since, revision, List.of(change(target)),
 				Optional.empty(), Duration.ZERO);
 	}
 
 	private static NodeMessage.StoreNews progress(String sender, long changedAt, long revision) {
-		return new NodeMessage.StoreNews(sender, NORTH, 5, changedAt, revision, revision, List.of(), Optional.empty(),
-				Duration.ZERO);
+		return new NodeMessage.StoreNews(sender, NORTH, 5, 1, changedAt, revision, revision, List.of(),
+				Optional.empty(), Duration.ZERO);
 	}
 
 	// The store answers the reader at least each half second.
@@ -71,8 +71,8 @@
 
 	private static NodeMessage.StoreNews aged(NodeMessage.StoreNews update, Duration age) {
 		return new NodeMessage.StoreNews(update.sender(), update.dataCentre(), update.configurationVersion(),
-				update.previousChangeRevision(), update.since(), update.revision(), update.changes(), update.lease(),
-				age);
+				update.configurationRevision(), update.previousChangeRevision(), update.since(), update.revision(),
+				update.changes(), update.lease(), age);
 	}
 
 	private static TargetChange change(String target) {
@@ -137,7 +137,7 @@
 	// vain at each change.
 	@Test
 	void appliesAChangeAfterRevisionsWithoutTargetChanges() {
-		NodeMessage.StoreNews later = new NodeMessage.StoreNews("a", NORTH, 5, 90, 140, 143, List.of(change("p2")),
+		NodeMessage.StoreNews later = new NodeMessage.StoreNews("a", NORTH, 5, 1, 90, 140, 143, List.of(change("p2")),
 				Optional.empty(), Duration.ZERO);
 		assertThat(receive(later, 500)).contains(new EntryEffect.AdvanceTargetRevision(143))
 			.noneMatch(EntryEffect.ReadTargetChanges.class::isInstance);
@@ -193,8 +193,8 @@
 	}
 
 	private static NodeMessage.StoreNews updateFromSouth(String sender, long revision) {
-		return new NodeMessage.StoreNews(sender, SOUTH, 5, 100, 100, revision, List.of(change("p2")), Optional.empty(),
-				Duration.ZERO);
+		return new NodeMessage.StoreNews(sender, SOUTH, 5, 1, 100, 100, revision, List.of(change("p2")),
+				Optional.empty(), Duration.ZERO);
 	}
 
 	private List<Address> receivers(List<EntryEffect> effects) {
@@ -230,7 +230,7 @@
 	// reads and sends them the changes.
 	@Test
 	void relaysWhatItReadAfterAGap() {
-		assertThat(sentUpdates(receive(new NodeMessage.StoreNews("a", SOUTH, 5, 102, 102, 104, List.of(change("p3")),
+		assertThat(sentUpdates(receive(new NodeMessage.StoreNews("a", SOUTH, 5, 1, 102, 102, 104, List.of(change("p3")),
 				Optional.empty(), Duration.ZERO), 100)))
 			.isEmpty();
 		assertThat(
@@ -250,7 +250,7 @@
 	// Another data centre is partitioned from the store and still has an older state.
 	@Test
 	void ignoresAnOlderStateOfAnotherDataCentre() {
-		NodeMessage.StoreNews older = new NodeMessage.StoreNews("a", SOUTH, 4, 90, 90, 95, List.of(change("p9")),
+		NodeMessage.StoreNews older = new NodeMessage.StoreNews("a", SOUTH, 4, 1, 90, 90, 95, List.of(change("p9")),
 				Optional.empty(), Duration.ZERO);
 		assertThat(receive(older, 100)).noneMatch(EntryEffect.ReadTargetChanges.class::isInstance);
 		assertThat(this.node.knownTargets()).isEqualTo(1);
@@ -264,7 +264,7 @@
 		receive(agedByLongPoll(updateFromSouth("a", 103)), 500);
 		assertThat(reliesOnReader(1200)).isTrue();
 		assertThat(reliesOnReader(1300)).isFalse();
-		accept(new EntryEvent.ConfigurationRead(ServingSamples.configuration(5)), 1305);
+		accept(new EntryEvent.ConfigurationRead(ServingSamples.configuration(5), 1), 1305);
 		assertThat(sentUpdates(accept(new EntryEvent.TargetsChanged(List.of(), 103, 104), 1310)))
 			.contains(progress("b", 103, 104));
 	}
@@ -296,7 +296,7 @@
 	void aNewReaderReportsTheLastChangeItReceived() {
 		receive(changes("a", 100, 103, "p2"), 500);
 		receive(agedByLongPoll(progress("a", 103, 104)), 800);
-		accept(new EntryEvent.ConfigurationRead(ServingSamples.configuration(5)), 1795);
+		accept(new EntryEvent.ConfigurationRead(ServingSamples.configuration(5), 1), 1795);
 		assertThat(sentUpdates(accept(new EntryEvent.TargetsChanged(List.of(), 104, 105), 1800)))
 			.containsExactly(progress("b", 103, 105));
 	}
@@ -310,7 +310,7 @@
 		assertThat(reliesOnReader(1050)).isFalse();
 		accept(new EntryEvent.TargetsChanged(List.of(), 100, 102), 1050);
 		assertThat(sentUpdates(accept(new EntryEvent.Ticked(), 1060))).isEmpty();
-		assertThat(sentUpdates(accept(new EntryEvent.ConfigurationRead(ServingSamples.configuration(5)), 1070)))
+		assertThat(sentUpdates(accept(new EntryEvent.ConfigurationRead(ServingSamples.configuration(5), 1), 1070)))
 			.isNotEmpty();
 	}
 
@@ -323,17 +323,28 @@
 		assertThat(sentUpdates(receive(updateFromSouth("a", 103), 1300))).isNotEmpty();
 	}
 
+	// The reader's revision says nothing about versions that this node has not applied.
+	@Test
+	void followsTheRevisionOfTheConfigurationInEffectOnly() {
+		assertThat(receive(progress("a", 100, 103), 100)).contains(new EntryEffect.AdvanceConfigurationRevision(1));
+		NodeMessage.StoreNews newer = new NodeMessage.StoreNews("a", NORTH, 6, 90, 100, 103, 103, List.of(),
+				Optional.empty(), Duration.ZERO);
+		assertThat(receive(newer, 200)).noneMatch(EntryEffect.AdvanceConfigurationRevision.class::isInstance);
+		accept(new EntryEvent.ConfigurationHeard(ServingSamples.configuration(6), "a"), 210);
+		assertThat(receive(newer, 300)).contains(new EntryEffect.AdvanceConfigurationRevision(90));
+	}
+
 	// The text of a configuration is lost. To avoid keeping the previous version for
 	// good, the node asks the reader for it, and then reads the store.
 	@Test
 	void readsANewerConfigurationWhoseTextDoesNotArrive() {
-		NodeMessage.StoreNews newer = new NodeMessage.StoreNews("a", NORTH, 6, 100, 103, 103, List.of(),
+		NodeMessage.StoreNews newer = new NodeMessage.StoreNews("a", NORTH, 6, 1, 100, 103, 103, List.of(),
 				Optional.empty(), Duration.ZERO);
 		assertThat(receive(newer, 100)).noneMatch(EntryEffect.ReadConfiguration.class::isInstance);
 		assertThat(accept(new EntryEvent.Ticked(), 300)).contains(new EntryEffect.Send(
 				List.of(Address.of("127.0.0.1", 7101)), new NodeMessage.ConfigurationWanted("b", 6)));
 		assertThat(accept(new EntryEvent.Ticked(), 500)).contains(new EntryEffect.ReadConfiguration());
-		accept(new EntryEvent.ConfigurationRead(ServingSamples.configuration(6)), 520);
+		accept(new EntryEvent.ConfigurationRead(ServingSamples.configuration(6), 1), 520);
 		assertThat(receive(newer, 750)).noneMatch(EntryEffect.ReadTargetChanges.class::isInstance)
 			.noneMatch(EntryEffect.ReadConfiguration.class::isInstance);
 	}
@@ -373,7 +384,7 @@
 	@Test
 	void appliesTheReceivedTextOfANewerConfiguration() {
 		assertThat(receiveConfiguration(6, 100)).contains(new EntryEffect.ParseConfiguration("a", "text of 6"));
-		accept(new EntryEvent.ConfigurationRead(ServingSamples.configuration(6)), 110);
+		accept(new EntryEvent.ConfigurationRead(ServingSamples.configuration(6), 1), 110);
 		assertThat(receiveConfiguration(6, 120)).isEmpty();
 		assertThat(receiveConfiguration(5, 130)).isEmpty();
 	}
@@ -389,11 +400,11 @@
 	@Test
 	void sendsAConfigurationThatItReadsForOthers() {
 		accept(new EntryEvent.TargetsChanged(List.of(), 100, 100), 100);
-		assertThat(accept(new EntryEvent.ConfigurationRead(ServingSamples.configuration(6)), 200))
+		assertThat(accept(new EntryEvent.ConfigurationRead(ServingSamples.configuration(6), 1), 200))
 			.anyMatch((effect) -> effect instanceof EntryEffect.SendConfiguration send && send.version() == 6
 					&& send.nodes().contains(Address.of("127.0.0.1", 7103)));
 		receive(progress("a", 100, 100), 300);
-		assertThat(accept(new EntryEvent.ConfigurationRead(ServingSamples.configuration(7)), 400))
+		assertThat(accept(new EntryEvent.ConfigurationRead(ServingSamples.configuration(7), 1), 400))
 			.noneMatch(EntryEffect.SendConfiguration.class::isInstance);
 	}
 
@@ -422,7 +433,7 @@
 	void relayedUpdatesKeepTheirAgeAndOwnUpdatesHaveThatOfTheOlderAnswer() {
 		assertThat(sentAges(receive(aged(updateFromSouth("a", 103), Duration.ofMillis(800)), 500)))
 			.containsExactly(Duration.ofMillis(800));
-		accept(new EntryEvent.ConfigurationRead(ServingSamples.configuration(5)), 1500);
+		accept(new EntryEvent.ConfigurationRead(ServingSamples.configuration(5), 1), 1500);
 		accept(new EntryEvent.TargetsChanged(List.of(), 103, 104), 1800);
 		assertThat(sentAges(accept(new EntryEvent.Ticked(), 2100))).containsExactly(Duration.ofMillis(600));
 	}
@@ -441,7 +452,7 @@
 	@Test
 	void logsTheSourceOfALeavingNotice() {
 		TargetEntry leaving = ServingSamples.leaving(ServingSamples.plain("p1"));
-		List<EntryEffect> effects = receive(agedByLongPoll(new NodeMessage.StoreNews("a", NORTH, 5, 100, 100, 103,
+		List<EntryEffect> effects = receive(agedByLongPoll(new NodeMessage.StoreNews("a", NORTH, 5, 1, 100, 100, 103,
 				List.of(new TargetChange(leaving.name(), Optional.of(leaving))), Optional.empty(), Duration.ZERO)),
 				500);
 		assertThat(logged(effects, LogEvent.TARGET_NOTICE)).containsExactly("target=p1 revision=103 told-by=a");
