--- a/src/main/java/sycamorehill/logic/dispatch/RequestDispatcher.java
+++ b/src/main/java/sycamorehill/logic/dispatch/RequestDispatcher.java
@@ -329,6 +329,9 @@
 			case WRONG_TARGET -> handleWrongTarget(request, target, now);
 			case REFUSED -> status(target).eject(now, FULL_TARGET_EJECTION);
 		}
+		notRun.retryAfter()
+			.ifPresent((rest) -> effects.log(LogEvent.TARGET_RESTING,
+					"target=" + target + " rest-millis=" + rest.toMillis()));
 		boolean unreached = notRun.cause() == NotRunCause.NOT_SENT;
 		if (!unreached) {
 			request.countReachedTarget();
--- a/src/main/java/sycamorehill/model/log/LogEvent.java
+++ b/src/main/java/sycamorehill/model/log/LogEvent.java
@@ -156,7 +156,10 @@
 	TARGET_SILENT(1905, LogLevel.WARN),
 
 	/** A target reported a rate limit for all nodes, or no longer reports one. */
-	TARGET_LIMITED(1906, LogLevel.WARN);
+	TARGET_LIMITED(1906, LogLevel.WARN),
+
+	/** A target refused a request and asked for no more requests for a while. */
+	TARGET_RESTING(1907, LogLevel.WARN);
 
 	private final int number;
 
