Add tests of a target that asked for rest, red

A node over loopback before one target that answers 503 with Retry-After: 2. Its next request reaches the target at once, where none may for 2 s; a refused caller is told to come back in 0.3 to 0.8 s, where the target may serve in 1.5 s.

--- a/src/test/java/sycamorehill/entry/EntryNodeTests.java
+++ b/src/test/java/sycamorehill/entry/EntryNodeTests.java
@@ -14,6 +14,8 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.UnaryOperator;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -242,6 +244,37 @@
 		assertThat(ask(request("GET", "/elsewhere/x", "\r\n"))).startsWith("HTTP/1.1 404");
 	}
 
+	// A target that asked for rest must not get requests because it looks free.
+	@Test
+	void targetThatAskedForRestReceivesNoRequests() throws Exception {
+		AtomicInteger answered = new AtomicInteger();
+		start((request) -> (answered.incrementAndGet() == 1)
+				? "HTTP/1.1 503 Full\r\nAttempt-Id: a1\r\nNot-Executed: 1\r\nRetry-After: 2\r\nContent-Length: 0\r\n\r\n"
+				: SIGNED_ANSWER);
+		String request = request("POST", "/once/x", "Content-Length: 0\r\n\r\n");
+		assertThat(ask(request)).startsWith("HTTP/1.1 503");
+		Instant refusedAt = Instant.now();
+		while (Instant.now().isBefore(refusedAt.plusMillis(1800))) {
+			assertThat(ask(request)).startsWith("HTTP/1.1 503");
+			Thread.sleep(95);
+		}
+		assertThat(answered.get()).isEqualTo(1);
+		Thread.sleep(300);
+		assertThat(ask(request)).startsWith("HTTP/1.1 200");
+	}
+
+	// A caller that is told to come back while its targets rest is refused again.
+	@Test
+	void callerIsToldWhenATargetThatAskedForRestServesAgain() throws Exception {
+		start((request) -> "HTTP/1.1 503 Full\r\nAttempt-Id: a1\r\nNot-Executed: 1\r\nRetry-After: 2\r\nContent-Length: 0\r\n\r\n");
+		ask(request("POST", "/once/x", "Content-Length: 0\r\n\r\n"));
+		Thread.sleep(500);
+		String answer = ask(request("POST", "/once/x", "Content-Length: 0\r\n\r\n"));
+		Matcher retryAfter = Pattern.compile("(?i)retry-after: ([0-9.]+)").matcher(answer);
+		assertThat(retryAfter.find()).isTrue();
+		assertThat(Double.parseDouble(retryAfter.group(1))).isBetween(1.2, 2.1);
+	}
+
 	// Without rate limiting, a target gets more requests than the limit that it reported.
 	@Test
 	void rateLimitOfTargetIsRespected() throws Exception {
