Send a target nothing for as long as it asks for rest

Callers got 503 from a node that sent each of their requests to two targets which had refused it all the time, while ten more served; the two got 20 and 21 requests in a second in which they wanted none.

Now the rest is part of what a target reports about itself, read from the head of its answer whether or not its request is still waited for, and placement leaves the target out for first sends, repeats and resumed streams alike. The longest rest counts; it ends with the target's process. A caller whose targets all rest is refused at once and told when the first of them accepts requests.

AttemptEnd.NotRun no longer carries a time, which its tests left empty throughout.

--- a/src/main/java/sycamorehill/entry/TargetAttempt.java
+++ b/src/main/java/sycamorehill/entry/TargetAttempt.java
@@ -105,7 +105,7 @@
 		ChannelFuture connecting = this.connectionPool.connect(this.start.target());
 		connecting.addListener((future) -> {
 			if (!future.isSuccess()) {
-				finish(new AttemptEnd.NotRun(NotRunCause.NOT_SENT, Optional.empty()));
+				finish(new AttemptEnd.NotRun(NotRunCause.NOT_SENT));
 			}
 			else if (this.finished) {
 				connecting.channel().close();
@@ -120,7 +120,7 @@
 		Optional<Duration> left = this.exchange.timeLeft();
 		if (left.filter((time) -> time.isNegative() || time.isZero()).isPresent()) {
 			this.connectionPool.release(this.start.target(), openConnection, null);
-			finish(new AttemptEnd.NotRun(NotRunCause.NOT_SENT, Optional.empty()));
+			finish(new AttemptEnd.NotRun(NotRunCause.NOT_SENT));
 			return;
 		}
 		this.connection = openConnection;
@@ -162,7 +162,7 @@
 		boolean fromTarget = this.parsedHead.signed() || this.parsedHead.notRun();
 		if (fromTarget && !this.parsedHead.otherTarget()) {
 			this.eventSink.post(new EntryEvent.TargetTold(this.start.number(), this.start.target().name(),
-					this.parsedHead.load(), this.parsedHead.rateLimit()));
+					this.parsedHead.report()));
 		}
 		boolean success = response.status().code() / 100 == SUCCESS_CLASS;
 		if (success && (!this.parsedHead.signed() || this.parsedHead.identifier().isEmpty())) {
@@ -227,10 +227,10 @@
 		releaseConnection();
 		int status = this.head.status().code();
 		if (this.parsedHead.otherTarget()) {
-			finish(new AttemptEnd.NotRun(NotRunCause.WRONG_TARGET, this.parsedHead.retryAfter()));
+			finish(new AttemptEnd.NotRun(NotRunCause.WRONG_TARGET));
 		}
 		else if (this.parsedHead.notRun()) {
-			finish(new AttemptEnd.NotRun(NotRunCause.REFUSED, this.parsedHead.retryAfter()));
+			finish(new AttemptEnd.NotRun(NotRunCause.REFUSED));
 		}
 		else if (this.streaming) {
 			endStream(status);
--- a/src/main/java/sycamorehill/logic/dispatch/FinalAnswers.java
+++ b/src/main/java/sycamorehill/logic/dispatch/FinalAnswers.java
@@ -49,7 +49,12 @@
 	 * @return the time from now
 	 */
 	Duration retryAfter() {
-		return MINIMUM_RETRY_AFTER.plusMillis(this.random.nextInt(RETRY_AFTER_JITTER_MILLIS));
+		return retryAfter(Duration.ZERO);
+	}
+
+	private Duration retryAfter(Duration restLeft) {
+		Duration minimum = (restLeft.compareTo(MINIMUM_RETRY_AFTER) > 0) ? restLeft : MINIMUM_RETRY_AFTER;
+		return minimum.plusMillis(this.random.nextInt(RETRY_AFTER_JITTER_MILLIS));
 	}
 
 	/**
@@ -80,10 +85,11 @@
 	 * whether the request may have run.
 	 * @param request the request
 	 * @param cause why no further target is tried
+	 * @param restLeft how long all targets of the request still rest
 	 * @param now the current time
 	 * @param effects receives the resulting effects
 	 */
-	void giveUp(DispatchedRequest request, String cause, Instant now, Effects effects) {
+	void giveUp(DispatchedRequest request, String cause, Duration restLeft, Instant now, Effects effects) {
 		long number = request.request().number();
 		boolean mayHaveRun = request.answerStarted() || request.failureHeld() || request.mayHaveRun();
 		addFinished(request, mayHaveRun ? Outcome.FAILED : Outcome.REFUSED, now, effects);
@@ -102,7 +108,7 @@
 			effects.log(LogEvent.REQUEST_FAILED, fields + " outcome=unknown");
 		}
 		else {
-			Duration retryAfter = retryAfter();
+			Duration retryAfter = retryAfter(restLeft);
 			effects.add(new EntryEffect.Answer(number, UNAVAILABLE, "not run: " + cause, Optional.of(retryAfter)));
 			effects.log(LogEvent.REQUEST_REFUSED, fields + " come-back-millis=" + retryAfter.toMillis());
 		}
--- a/src/main/java/sycamorehill/logic/dispatch/Placement.java
+++ b/src/main/java/sycamorehill/logic/dispatch/Placement.java
@@ -136,7 +136,7 @@
 		double lowestScore = Double.MAX_VALUE;
 		for (Candidate candidate : candidates) {
 			TargetStatus status = statuses.get(candidate.entry().name());
-			if (excluded.contains(candidate.entry().name()) || (status != null && status.isEjected(now))) {
+			if (excluded.contains(candidate.entry().name()) || (status != null && !status.acceptsRequests(now))) {
 				continue;
 			}
 			double queueing = queueingMillis(candidate, status, now);
--- a/src/main/java/sycamorehill/logic/dispatch/RequestDispatcher.java
+++ b/src/main/java/sycamorehill/logic/dispatch/RequestDispatcher.java
@@ -24,6 +24,7 @@
 import sycamorehill.model.serving.NotRunCause;
 import sycamorehill.model.serving.RequestKind;
 import sycamorehill.model.serving.TargetEntry;
+import sycamorehill.model.serving.TargetReport;
 
 /**
  * Handles each request from its arrival to its final answer: finds its route and
@@ -329,9 +330,6 @@
 			case WRONG_TARGET -> handleWrongTarget(request, target, now);
 			case REFUSED -> status(target).eject(now, FULL_TARGET_EJECTION);
 		}
-		notRun.retryAfter()
-			.ifPresent((rest) -> effects.log(LogEvent.TARGET_RESTING,
-					"target=" + target + " rest-millis=" + rest.toMillis()));
 		boolean unreached = notRun.cause() == NotRunCause.NOT_SENT;
 		if (!unreached) {
 			request.countReachedTarget();
@@ -395,7 +393,8 @@
 
 	private void giveUp(DispatchedRequest request, String cause, Instant now, Effects effects) {
 		this.activeRequests.remove(request.request().number());
-		this.finalAnswers.giveUp(request, cause, now, effects);
+		Duration restLeft = this.targetSelector.restLeft(request, this.router.configuration().orElseThrow(), now);
+		this.finalAnswers.giveUp(request, cause, restLeft, now, effects);
 	}
 
 	/**
@@ -502,17 +501,24 @@
 
 	/**
 	 * Handles what a target reports about itself with an answer.
-	 * @param report the report
+	 * @param told the target and its report
 	 * @param now the current time
 	 * @param effects receives the resulting effects
 	 */
-	public void handleTargetReport(EntryEvent.TargetTold report, Instant now, Effects effects) {
-		report.load().ifPresent((load) -> status(report.target()).recordReport(load, now));
-		Instant sentAt = Optional.ofNullable(this.activeRequests.get(report.number()))
-			.filter((request) -> request.target().filter(report.target()::equals).isPresent())
+	public void handleTargetReport(EntryEvent.TargetTold told, Instant now, Effects effects) {
+		TargetReport report = told.report();
+		report.load().ifPresent((load) -> status(told.target()).recordReport(load, now));
+		report.rest().ifPresent((rest) -> handleRest(told.target(), rest, now, effects));
+		Instant sentAt = Optional.ofNullable(this.activeRequests.get(told.number()))
+			.filter((request) -> request.target().filter(told.target()::equals).isPresent())
 			.map(DispatchedRequest::attemptStartedAt)
 			.orElse(Instant.MIN);
-		this.targetSelector.rateLimits().handleTargetReport(report.target(), report.limit(), sentAt, now, effects);
+		this.targetSelector.rateLimits().handleTargetReport(told.target(), report.rateLimit(), sentAt, now, effects);
+	}
+
+	private void handleRest(TargetName target, Duration rest, Instant now, Effects effects) {
+		status(target).rest(now, rest);
+		effects.log(LogEvent.TARGET_RESTING, "target=" + target + " rest-millis=" + rest.toMillis());
 	}
 
 	/**
--- a/src/main/java/sycamorehill/logic/dispatch/TargetSelector.java
+++ b/src/main/java/sycamorehill/logic/dispatch/TargetSelector.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.random.RandomGenerator;
@@ -65,9 +66,27 @@
 			.admission() != Admission.Decision.REFUSED;
 	}
 
+	/**
+	 * Returns how long all targets of a request still rest.
+	 * @param request the request
+	 * @param configuration the configuration in effect
+	 * @param now the current time
+	 * @return the time until the first of them accepts requests; zero if one does now, or
+	 * if there is none
+	 */
+	Duration restLeft(DispatchedRequest request, Configuration configuration, Instant now) {
+		return servingTargets(request, configuration, now).stream()
+			.map((candidate) -> this.statuses.restLeft(candidate.entry().name(), now))
+			.min(Comparator.naturalOrder())
+			.orElse(Duration.ZERO);
+	}
+
 	private List<Candidate> candidates(DispatchedRequest request, Configuration configuration, Instant now) {
-		return this.rateLimits.withinLimits(
-				this.servingTargets.find(configuration, request.service(), request.request().model(), now), now);
+		return this.rateLimits.withinLimits(servingTargets(request, configuration, now), now);
+	}
+
+	private List<Candidate> servingTargets(DispatchedRequest request, Configuration configuration, Instant now) {
+		return this.servingTargets.find(configuration, request.service(), request.request().model(), now);
 	}
 
 	private Selection selectBest(DispatchedRequest request, List<Candidate> candidates, Instant now) {
--- a/src/main/java/sycamorehill/logic/dispatch/TargetStatus.java
+++ b/src/main/java/sycamorehill/logic/dispatch/TargetStatus.java
@@ -45,6 +45,8 @@
 
 	private Instant ejectedUntil = Instant.MIN;
 
+	private Instant restUntil = Instant.MIN;
+
 	private int consecutiveFailures;
 
 	private double failureRate;
@@ -160,14 +162,43 @@
 	}
 
 	void eject(Instant now, Duration time) {
-		Instant until = now.plus(time);
-		if (until.isAfter(this.ejectedUntil)) {
-			this.ejectedUntil = until;
-		}
+		this.ejectedUntil = later(this.ejectedUntil, now.plus(time));
+	}
+
+	private static Instant later(Instant one, Instant other) {
+		return one.isAfter(other) ? one : other;
+	}
+
+	/**
+	 * Stops requests of this node for as long as the target has asked for. Unlike an
+	 * ejection, it is the target's own word.
+	 * @param now the current time
+	 * @param time how long the target wants no requests
+	 */
+	void rest(Instant now, Duration time) {
+		this.restUntil = later(this.restUntil, now.plus(time));
 	}
 
-	boolean isEjected(Instant now) {
-		return now.isBefore(this.ejectedUntil);
+	void endRest() {
+		this.restUntil = Instant.MIN;
+	}
+
+	/**
+	 * Returns how long the target still wants no requests of this node.
+	 * @param now the current time
+	 * @return the time; zero if it accepts requests
+	 */
+	Duration restLeft(Instant now) {
+		return now.isBefore(this.restUntil) ? Duration.between(now, this.restUntil) : Duration.ZERO;
+	}
+
+	/**
+	 * Returns whether this node may send requests to the target.
+	 * @param now the current time
+	 * @return false while it is ejected or rests
+	 */
+	boolean acceptsRequests(Instant now) {
+		return !now.isBefore(this.ejectedUntil) && !now.isBefore(this.restUntil);
 	}
 
 	double failureRate() {
--- a/src/main/java/sycamorehill/logic/dispatch/TargetStatusRegistry.java
+++ b/src/main/java/sycamorehill/logic/dispatch/TargetStatusRegistry.java
@@ -70,6 +70,11 @@
 		return (status != null) ? status.requests(now) : 0;
 	}
 
+	Duration restLeft(TargetName target, Instant now) {
+		TargetStatus status = this.statuses.get(target);
+		return (status != null) ? status.restLeft(now) : Duration.ZERO;
+	}
+
 	Map<TargetName, Integer> inFlightByTarget() {
 		Map<TargetName, Integer> requests = new HashMap<>();
 		this.statuses.forEach((target, status) -> {
@@ -147,7 +152,11 @@
 
 	void forget(TargetName target) {
 		TargetStatus status = this.statuses.get(target);
-		if (status != null && status.inFlight() == 0) {
+		if (status == null) {
+			return;
+		}
+		status.endRest();
+		if (status.inFlight() == 0) {
 			this.statuses.remove(target);
 		}
 	}
--- a/src/main/java/sycamorehill/model/serving/AttemptEnd.java
+++ b/src/main/java/sycamorehill/model/serving/AttemptEnd.java
@@ -1,7 +1,6 @@
 package sycamorehill.model.serving;
 
 import java.time.Duration;
-import java.util.Optional;
 
 /**
  * Result of one attempt to send a request to a target.
@@ -22,9 +21,8 @@
 	 * The target certainly did not run the request.
 	 *
 	 * @param cause why the request did not run
-	 * @param retryAfter time after which the target asks for a retry
 	 */
-	record NotRun(NotRunCause cause, Optional<Duration> retryAfter) implements AttemptEnd {
+	record NotRun(NotRunCause cause) implements AttemptEnd {
 	}
 
 	/**
--- a/src/main/java/sycamorehill/model/serving/EntryEvent.java
+++ b/src/main/java/sycamorehill/model/serving/EntryEvent.java
@@ -1,7 +1,6 @@
 package sycamorehill.model.serving;
 
 import java.util.List;
-import java.util.Optional;
 
 import sycamorehill.model.identity.TargetName;
 
@@ -99,11 +98,9 @@
 	 *
 	 * @param number the answered request
 	 * @param target the target
-	 * @param load the target's load; empty if it reports none
-	 * @param limit rate limit of the target over all nodes; empty if it reports none
+	 * @param report the target's status
 	 */
-	record TargetTold(long number, TargetName target, Optional<EngineLoad> load,
-			Optional<RequestRate> limit) implements EntryEvent {
+	record TargetTold(long number, TargetName target, TargetReport report) implements EntryEvent {
 	}
 
 	/**
--- a/src/main/java/sycamorehill/platform/PlatformExchangeCodec.java
+++ b/src/main/java/sycamorehill/platform/PlatformExchangeCodec.java
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 
 import sycamorehill.entry.CallerRequestHead;
 import sycamorehill.entry.ExchangeCodec;
@@ -20,6 +21,7 @@
 import sycamorehill.entry.TargetResponseHead;
 import sycamorehill.model.serving.EngineLoad;
 import sycamorehill.model.serving.RequestRate;
+import sycamorehill.model.serving.TargetReport;
 import sycamorehill.model.serving.TokenCounts;
 
 /**
@@ -34,6 +36,11 @@
 
 	private static final int MISDIRECTED_REQUEST = 421;
 
+	/**
+	 * Longest time in seconds that is read from a header; a longer one counts as this.
+	 */
+	private static final BigDecimal MAXIMUM_SECONDS = BigDecimal.valueOf(Duration.ofDays(1).toSeconds());
+
 	private PlatformExchangeCodec() {
 	}
 
@@ -98,7 +105,8 @@
 	}
 
 	private static Optional<Duration> parseSeconds(String text) {
-		return parseNumber(text).map((value) -> Duration.ofMillis(value.movePointRight(3).longValue()));
+		return parseNumber(text).filter((value) -> value.signum() >= 0)
+			.map((value) -> Duration.ofMillis(value.min(MAXIMUM_SECONDS).movePointRight(3).longValue()));
 	}
 
 	@Override
@@ -138,9 +146,15 @@
 		HttpHeaders headers = response.headers();
 		return new TargetResponseHead(Optional.ofNullable(headers.get(PlatformHeaders.ATTEMPT_IDENTIFIER)),
 				headers.contains(PlatformHeaders.NOT_EXECUTED), response.status().code() == MISDIRECTED_REQUEST,
-				headers.contains(PlatformHeaders.SERVER_SIGNATURE), engineLoad(headers), rateLimit(headers),
-				Optional.ofNullable(headers.get(PlatformHeaders.WEIGHTS_VERSION)),
-				parseSeconds(headers.get(PlatformHeaders.RETRY_AFTER)), idleTimeout(headers));
+				headers.contains(PlatformHeaders.SERVER_SIGNATURE),
+				new TargetReport(engineLoad(headers), rateLimit(headers), rest(response)),
+				Optional.ofNullable(headers.get(PlatformHeaders.WEIGHTS_VERSION)), idleTimeout(headers));
+	}
+
+	private static Optional<Duration> rest(HttpResponse response) {
+		boolean refused = response.status().equals(HttpResponseStatus.SERVICE_UNAVAILABLE)
+				|| response.status().equals(HttpResponseStatus.TOO_MANY_REQUESTS);
+		return refused ? parseSeconds(response.headers().get(PlatformHeaders.RETRY_AFTER)) : Optional.empty();
 	}
 
 	private static Optional<EngineLoad> engineLoad(HttpHeaders headers) {
--- a/src/test/java/sycamorehill/logic/dispatch/RequestDispatcherTests.java
+++ b/src/test/java/sycamorehill/logic/dispatch/RequestDispatcherTests.java
@@ -5,10 +5,13 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
+import java.util.stream.LongStream;
 import java.util.stream.Stream;
 
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 import sycamorehill.logic.Effects;
 import sycamorehill.logic.directory.TargetDirectory;
@@ -16,10 +19,12 @@
 import sycamorehill.model.serving.AttemptEnd;
 import sycamorehill.model.serving.CallerRequest;
 import sycamorehill.model.serving.EntryEffect;
+import sycamorehill.model.serving.EntryEvent;
 import sycamorehill.model.serving.MemberState;
 import sycamorehill.model.serving.NodeMessage;
 import sycamorehill.model.serving.NotRunCause;
 import sycamorehill.model.serving.TargetEntry;
+import sycamorehill.model.serving.TargetReport;
 import sycamorehill.support.ServingSamples;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -80,6 +85,73 @@
 			.orElseThrow();
 	}
 
+	private void reportRest(String target, Duration rest) {
+		this.dispatcher.handleTargetReport(
+				new EntryEvent.TargetTold(0, TargetName.of(target),
+						new TargetReport(Optional.empty(), Optional.empty(), Optional.of(rest))),
+				this.now, Effects.create());
+	}
+
+	// A target that rests looks free, so that it would be the first choice.
+	@ParameterizedTest
+	@CsvSource({ "/once/x,p1", "/again/x,p1", "/stream/x,a1", "/single/x,a1" })
+	void aRestingTargetReceivesNoRequests(String path, String target) {
+		reportRest(target, Duration.ofSeconds(3));
+		for (long number = 1; number <= 10; number++) {
+			assertThat(target(arrive(number, path))).isNotEqualTo(TargetName.of(target));
+			this.now = this.now.plusMillis(299);
+		}
+		this.now = this.now.plusMillis(20);
+		assertThat(LongStream.range(11, 16).mapToObj((number) -> target(arrive(number, path))))
+			.contains(TargetName.of(target));
+	}
+
+	// A repeat is a request like any other for a target that rests.
+	@Test
+	void aRepeatDoesNotGoToARestingTarget() {
+		TargetName first = target(arrive(1, "/again/x"));
+		reportRest(first.equals(TargetName.of("p1")) ? "p2" : "p1", Duration.ofSeconds(3));
+		assertThat(end(1, 1, new AttemptEnd.Failed(500))).contains(new EntryEffect.ReturnHeldFailure(1));
+	}
+
+	@Test
+	void aBrokenStreamIsNotResumedOnARestingTarget() {
+		TargetName first = target(arrive(1, "/stream/x"));
+		this.dispatcher.handleFirstEvent(1, this.now);
+		reportRest(first.equals(TargetName.of("a1")) ? "b1" : "a1", Duration.ofSeconds(3));
+		assertThat(end(1, 1, new AttemptEnd.Broken("connection closed", true)))
+			.contains(new EntryEffect.AbortAnswer(1));
+	}
+
+	@Test
+	void aCallerWhoseTargetsAllRestIsToldAtOnceWhenTheFirstAcceptsRequests() {
+		reportRest("p1", Duration.ofSeconds(5));
+		reportRest("p2", Duration.ofSeconds(3));
+		this.now = this.now.plusSeconds(1);
+		EntryEffect.Answer answer = answer(arrive(1, "/once/x"));
+		assertThat(answer.status()).isEqualTo(503);
+		assertThat(answer.retryAfter().orElseThrow()).isBetween(Duration.ofSeconds(2), Duration.ofMillis(2500));
+	}
+
+	// Of two answers that cross, the one that asks for less must not end the rest.
+	@Test
+	void aTargetRestsForTheLongestTimeThatItAskedFor() {
+		reportRest("p1", Duration.ofSeconds(3));
+		reportRest("p1", Duration.ofSeconds(1));
+		reportRest("p2", Duration.ofSeconds(3));
+		this.now = this.now.plusMillis(2900);
+		assertThat(starts(arrive(1, "/once/x"))).isEmpty();
+	}
+
+	// A new process under the same name has asked for nothing.
+	@Test
+	void aRestEndsWithTheTarget() {
+		reportRest("p1", Duration.ofDays(1));
+		reportRest("p2", Duration.ofDays(1));
+		this.dispatcher.forget(TargetName.of("p1"));
+		assertThat(target(arrive(1, "/once/x"))).isEqualTo(TargetName.of("p1"));
+	}
+
 	// The connection of an order breaks before the answer. A second attempt, or a refusal
 	// after which the caller retries, would place the order twice.
 	@Test
@@ -96,7 +168,7 @@
 	@Test
 	void anOrderThatWasNotRunIsRefusedWithRetryAfter() {
 		arrive(1, "/once/x");
-		EntryEffect.Answer answer = answer(end(1, 1, new AttemptEnd.NotRun(NotRunCause.REFUSED, Optional.empty())));
+		EntryEffect.Answer answer = answer(end(1, 1, new AttemptEnd.NotRun(NotRunCause.REFUSED)));
 		assertThat(answer.status()).isEqualTo(503);
 		assertThat(answer.retryAfter()).isPresent();
 	}
@@ -106,7 +178,7 @@
 	@Test
 	void anOrderThatReachedNoTargetIsSentToAnother() {
 		TargetName first = target(arrive(1, "/once/x"));
-		TargetName second = target(end(1, 1, new AttemptEnd.NotRun(NotRunCause.NOT_SENT, Optional.empty())));
+		TargetName second = target(end(1, 1, new AttemptEnd.NotRun(NotRunCause.NOT_SENT)));
 		assertThat(second).isNotEqualTo(first);
 	}
 
@@ -116,7 +188,7 @@
 	void anUnknownOutcomeIsKeptWhenTheNextAttemptIsRefused() {
 		arrive(1, "/again/x");
 		end(1, 1, new AttemptEnd.Unknown("connection closed"));
-		List<EntryEffect> effects = end(1, 2, new AttemptEnd.NotRun(NotRunCause.REFUSED, Optional.empty()));
+		List<EntryEffect> effects = end(1, 2, new AttemptEnd.NotRun(NotRunCause.REFUSED));
 		assertThat(answer(effects).status()).isEqualTo(502);
 	}
 
@@ -199,7 +271,7 @@
 	@Test
 	void aGroupThatItsHeadHasLeftReceivesNoRequestsWhileStillListed() {
 		TargetName first = target(arrive(1, "/stream/x"));
-		end(1, 1, new AttemptEnd.NotRun(NotRunCause.WRONG_TARGET, Optional.empty()));
+		end(1, 1, new AttemptEnd.NotRun(NotRunCause.WRONG_TARGET));
 		this.now = this.now.plusSeconds(3);
 		for (int number = 2; number < 9; number++) {
 			assertThat(target(arrive(number, "/stream/x"))).isNotEqualTo(first);
--- a/src/test/java/sycamorehill/logic/entry/SharedLimitTests.java
+++ b/src/test/java/sycamorehill/logic/entry/SharedLimitTests.java
@@ -26,6 +26,7 @@
 import sycamorehill.model.serving.EntrySettings;
 import sycamorehill.model.serving.NodeMessage;
 import sycamorehill.model.serving.RequestRate;
+import sycamorehill.model.serving.TargetReport;
 import sycamorehill.support.ServingSamples;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -138,7 +139,7 @@
 		}
 		Instant answeredAt = this.now.plus(this.answerTime);
 		this.scheduledEvents.add(new ScheduledEvent(answeredAt, node, new EntryEvent.TargetTold(start.number(), target,
-				Optional.empty(), limited ? this.limit : Optional.empty())));
+				new TargetReport(Optional.empty(), limited ? this.limit : Optional.empty(), Optional.empty()))));
 		this.scheduledEvents
 			.add(new ScheduledEvent(answeredAt.plusNanos(1), node, new EntryEvent.AttemptEnded(start.number(),
 					start.attempt(), new AttemptEnd.Delivered(200, Duration.ZERO))));
@@ -164,7 +165,7 @@
 	private void deliver() {
 		while (!this.scheduledEvents.isEmpty() && !this.scheduledEvents.peek().at().isAfter(this.now)) {
 			ScheduledEvent next = this.scheduledEvents.poll();
-			if (next.event() instanceof EntryEvent.TargetTold report && report.limit().isPresent()) {
+			if (next.event() instanceof EntryEvent.TargetTold report && report.report().rateLimit().isPresent()) {
 				this.firstLimitReceivedAt.putIfAbsent(next.node(), this.now);
 			}
 			if (!this.down.contains(next.node())) {
--- a/src/test/java/sycamorehill/logic/entry/SilentTargetTests.java
+++ b/src/test/java/sycamorehill/logic/entry/SilentTargetTests.java
@@ -15,6 +15,7 @@
 import sycamorehill.model.serving.EntryEffect;
 import sycamorehill.model.serving.EntryEvent;
 import sycamorehill.model.serving.MemberState;
+import sycamorehill.model.serving.TargetReport;
 import sycamorehill.support.ServingSamples;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -57,8 +58,9 @@
 	}
 
 	private void reportLoad(TargetName target, int running, int waiting, long millis) {
-		accept(new EntryEvent.TargetTold(1, target, Optional.of(new EngineLoad(running, waiting, SLOTS)),
-				Optional.empty()), millis);
+		TargetReport report = new TargetReport(Optional.of(new EngineLoad(running, waiting, SLOTS)), Optional.empty(),
+				Optional.empty());
+		accept(new EntryEvent.TargetTold(1, target, report), millis);
 	}
 
 	// In a burst, requests wait in the queue of a healthy group for more than a second.
