Add a test of a target that says that it leaves, red

The rule is new on the users' pages: a node that has passed on an answer with Server-Leaving must send that target nothing that comes more than 2 to 3 s later. Before one target over loopback, all of whose answers say so, the second request still reaches it.

--- a/src/test/java/sycamorehill/entry/EntryNodeTests.java
+++ b/src/test/java/sycamorehill/entry/EntryNodeTests.java
@@ -244,6 +244,15 @@
 		assertThat(ask(request("GET", "/elsewhere/x", "\r\n"))).startsWith("HTTP/1.1 404");
 	}
 
+	// The store may list a target as ready for long after it has said that it leaves.
+	@Test
+	void targetThatSaysThatItLeavesReceivesNoFurtherRequests() throws Exception {
+		start((request) -> SIGNED_ANSWER.replace("Content-Length", "Server-Leaving: 1\r\nContent-Length"));
+		assertThat(ask(request("POST", "/once/x", "Content-Length: 0\r\n\r\n"))).startsWith("HTTP/1.1 200");
+		assertThat(ask(request("POST", "/once/x", "Content-Length: 0\r\n\r\n"))).startsWith("HTTP/1.1 503");
+		assertThat(this.target.requests()).hasSize(1);
+	}
+
 	// A target that asked for rest must not get requests because it looks free.
 	@Test
 	void targetThatAskedForRestReceivesNoRequests() throws Exception {
