Give a target no requests once it has said that it leaves

Cause and class as for the rest a target asks for: Server-Leaving was passed on to the caller and owned by no part of the code. A node sent a leaving target requests until the store listed it as leaving, which a target without a leaving notice never is.

Now the target's word goes into the directory, where the store's word is: the node that gets the answer marks this process of the target as leaving and tells the other nodes once. All that reads the directory follows, for first sends, repeats and resumed streams, for plain targets and for groups, whose head or member it is. It stays so until another process takes the name, whatever the store lists, so that an entry written before the notice, or one that comes back after an outage, does not bring it back. Streams that run there go on.

The samples' own copy of a leaving entry gave way to TargetEntry.asLeaving.

--- a/src/main/java/sycamorehill/entry/NodeMessageCodec.java
+++ b/src/main/java/sycamorehill/entry/NodeMessageCodec.java
@@ -80,6 +80,8 @@
 
 	private static final String CHANGES = "changes";
 
+	private static final String STARTED = "started";
+
 	private static final String PER_SECOND = "per-second";
 
 	private static final String AGE_MILLIS = "age-millis";
@@ -169,6 +171,9 @@
 			body.put(TARGET, limited.target().value());
 			limited.limit().ifPresent((limit) -> body.put(PER_SECOND, limit.perSecond()));
 		}
+		else if (message instanceof NodeMessage.TargetLeaving leaving) {
+			body.put(TARGET, leaving.target().value()).put(STARTED, leaving.startMillis());
+		}
 		else if (message instanceof NodeMessage.Suspicion suspicion) {
 			body.put(TARGET, suspicion.target().value()).put(CONTENT, suspicion.contentHash());
 		}
@@ -215,6 +220,8 @@
 					body.path(GROUP).asText(), body.path(EPOCH).asLong());
 			case TARGET_LIMITED ->
 				new NodeMessage.TargetLimited(sender, TargetName.of(body.path(TARGET).asText()), limit(body));
+			case TARGET_LEAVING -> new NodeMessage.TargetLeaving(sender, TargetName.of(body.path(TARGET).asText()),
+					body.path(STARTED).asLong());
 			case SUSPICION -> new NodeMessage.Suspicion(sender, body.path(CONTENT).asLong(),
 					TargetName.of(body.path(TARGET).asText()));
 			case CLEARED -> new NodeMessage.Cleared(sender, body.path(CONTENT).asLong());
@@ -264,7 +271,7 @@
 		LEASE_GIVEN_UP(NodeMessage.LeaseGivenUp.class), SILENCE(NodeMessage.Silence.class),
 		SUSPICION(NodeMessage.Suspicion.class), SILENCE_CONFIRMED(NodeMessage.SilenceConfirmed.class),
 		GROUP_ENDED(NodeMessage.GroupEnded.class), TARGET_LIMITED(NodeMessage.TargetLimited.class),
-		CLEARED(NodeMessage.Cleared.class);
+		TARGET_LEAVING(NodeMessage.TargetLeaving.class), CLEARED(NodeMessage.Cleared.class);
 
 		private final Class<? extends NodeMessage> type;
 
--- a/src/main/java/sycamorehill/logic/directory/TargetDirectory.java
+++ b/src/main/java/sycamorehill/logic/directory/TargetDirectory.java
@@ -37,6 +37,8 @@
 
 	private final VanishedTargets vanished = new VanishedTargets();
 
+	private final LeavingTargets leaving = new LeavingTargets();
+
 	private boolean storeUnreachable;
 
 	private Instant storeReachableSince = Instant.MIN;
@@ -113,6 +115,7 @@
 	 * @return the missing entries that were removed
 	 */
 	public List<TargetEntry> dropMissing(Instant now) {
+		this.leaving.expire(now);
 		if (this.vanished.expire(now)) {
 			this.changeCount++;
 		}
@@ -128,6 +131,23 @@
 		return ended;
 	}
 
+	/**
+	 * Records that a target has announced with an answer that it leaves. It stays leaving
+	 * until its process ends, whatever the store lists.
+	 * @param name the target
+	 * @param now the current time
+	 * @return the target's entry; empty if the target is unknown or known to be leaving
+	 */
+	public Optional<TargetEntry> recordLeaving(TargetName name, Instant now) {
+		Optional<TargetEntry> known = find(name).filter((entry) -> !entry.leaving());
+		known.ifPresent((entry) -> {
+			this.leaving.add(entry, now);
+			this.entries.put(name, entry.asLeaving());
+			this.changeCount++;
+		});
+		return known;
+	}
+
 	/**
 	 * Applies an engine's own report while the store is unreachable. At all other times
 	 * the store's entry takes precedence.
@@ -150,7 +170,8 @@
 		return Optional.of(new TargetChange(name, Optional.of(entry)));
 	}
 
-	private Optional<TargetEntry> put(TargetEntry entry) {
+	private Optional<TargetEntry> put(TargetEntry listed) {
+		TargetEntry entry = this.leaving.contains(listed) ? listed.asLeaving() : listed;
 		this.missing.remove(entry.name());
 		this.vanished.remove(entry.name());
 		TargetEntry previous = this.entries.put(entry.name(), entry);
--- a/src/main/java/sycamorehill/logic/entry/DirectoryUpdates.java
+++ b/src/main/java/sycamorehill/logic/entry/DirectoryUpdates.java
@@ -7,8 +7,10 @@
 import sycamorehill.logic.Effects;
 import sycamorehill.logic.directory.TargetDirectory;
 import sycamorehill.logic.dispatch.RequestDispatcher;
+import sycamorehill.model.identity.TargetName;
 import sycamorehill.model.log.LogEvent;
 import sycamorehill.model.serving.EntryEffect;
+import sycamorehill.model.serving.NodeMessage;
 import sycamorehill.model.serving.TargetAddress;
 import sycamorehill.model.serving.TargetChange;
 import sycamorehill.model.serving.TargetEntry;
@@ -19,6 +21,8 @@
  */
 final class DirectoryUpdates {
 
+	private final String self;
+
 	private final TargetDirectory directory;
 
 	private final RequestDispatcher requests;
@@ -27,14 +31,17 @@
 
 	private boolean storeReachable = true;
 
-	private DirectoryUpdates(TargetDirectory directory, RequestDispatcher requests, StoreUpdateLog storeUpdateLog) {
+	private DirectoryUpdates(String self, TargetDirectory directory, RequestDispatcher requests,
+			StoreUpdateLog storeUpdateLog) {
+		this.self = self;
 		this.directory = directory;
 		this.requests = requests;
 		this.storeUpdateLog = storeUpdateLog;
 	}
 
-	static DirectoryUpdates of(TargetDirectory directory, RequestDispatcher requests, StoreUpdateLog storeUpdateLog) {
-		return new DirectoryUpdates(directory, requests, storeUpdateLog);
+	static DirectoryUpdates of(String self, TargetDirectory directory, RequestDispatcher requests,
+			StoreUpdateLog storeUpdateLog) {
+		return new DirectoryUpdates(self, directory, requests, storeUpdateLog);
 	}
 
 	/**
@@ -92,6 +99,35 @@
 		}
 	}
 
+	/**
+	 * Applies that a target has announced with an answer of this node that it leaves. The
+	 * store may not have its notice yet, so the other nodes are told.
+	 * @param target the target
+	 * @param now the current time
+	 * @param effects receives the resulting effects
+	 */
+	void applyLeaving(TargetName target, Instant now, Effects effects) {
+		this.directory.recordLeaving(target, now).ifPresent((entry) -> {
+			effects.log(LogEvent.TARGET_LEAVING, "target=" + target + " told-by=" + this.self);
+			effects
+				.add(new EntryEffect.Broadcast(new NodeMessage.TargetLeaving(this.self, target, entry.startMillis())));
+		});
+	}
+
+	/**
+	 * Applies that a target has announced to another node that it leaves.
+	 * @param message the other node's message
+	 * @param now the current time
+	 * @param effects receives the resulting effects
+	 */
+	void applyLeaving(NodeMessage.TargetLeaving message, Instant now, Effects effects) {
+		this.directory.find(message.target())
+			.filter((entry) -> entry.startMillis() == message.startMillis())
+			.flatMap((entry) -> this.directory.recordLeaving(entry.name(), now))
+			.ifPresent((entry) -> effects.log(LogEvent.TARGET_LEAVING,
+					"target=" + entry.name() + " told-by=" + message.sender()));
+	}
+
 	/**
 	 * Removes the targets that have been missing in the store for too long.
 	 * @param now the current time
--- a/src/main/java/sycamorehill/logic/entry/EntryReducer.java
+++ b/src/main/java/sycamorehill/logic/entry/EntryReducer.java
@@ -94,7 +94,8 @@
 		this.configurationDistribution = ConfigurationDistribution.of(settings.nodeName(), this.peers, this.relay);
 		this.loadAggregation = LoadAggregation.of(settings.toNodeRecord(), this.peers, this.relay);
 		this.requests = RequestDispatcher.of(settings, this.directory, random);
-		this.directoryUpdates = DirectoryUpdates.of(this.directory, this.requests, this.storeUpdateLog);
+		this.directoryUpdates = DirectoryUpdates.of(settings.nodeName(), this.directory, this.requests,
+				this.storeUpdateLog);
 		this.groups = GroupController.of(settings, this.directory, self, started);
 	}
 
@@ -197,6 +198,9 @@
 		else if (message instanceof NodeMessage.ConfigurationWanted wanted) {
 			this.configurationDistribution.sendAgain(wanted, configurationVersion(), effects);
 		}
+		else if (message instanceof NodeMessage.TargetLeaving leaving) {
+			this.directoryUpdates.applyLeaving(leaving, now, effects);
+		}
 		else if (message instanceof NodeMessage.TargetsSeen observed) {
 			this.directoryUpdates.applyObserved(observed.changes(), now, effects);
 		}
@@ -292,7 +296,7 @@
 			this.requests.handleTimeout(timedOut.number(), now, effects);
 		}
 		else if (event instanceof EntryEvent.TargetTold received) {
-			this.requests.handleTargetReport(received, now, effects);
+			handleTargetReport(received, now, effects);
 		}
 		else if (event instanceof EntryEvent.TargetSilent silent) {
 			handleSilence(silent, now, effects);
@@ -303,6 +307,13 @@
 		return true;
 	}
 
+	private void handleTargetReport(EntryEvent.TargetTold told, Instant now, Effects effects) {
+		this.requests.handleTargetReport(told, now, effects);
+		if (told.report().leaving()) {
+			this.directoryUpdates.applyLeaving(told.target(), now, effects);
+		}
+	}
+
 	private boolean handleGroupEvent(EntryEvent event, Instant now, Effects effects) {
 		if (event instanceof EntryEvent.OrderAnswered answered) {
 			this.groups.handleCommandAnswer(answered.target(), answered.order(), answered.answer(), now, effects);
--- a/src/main/java/sycamorehill/model/serving/NodeMessage.java
+++ b/src/main/java/sycamorehill/model/serving/NodeMessage.java
@@ -230,6 +230,16 @@
 	record TargetLimited(String sender, TargetName target, Optional<RequestRate> limit) implements NodeMessage {
 	}
 
+	/**
+	 * A target has announced with an answer that it leaves.
+	 *
+	 * @param sender the sender
+	 * @param target the target
+	 * @param startMillis start time of the target's process, as in its entry
+	 */
+	record TargetLeaving(String sender, TargetName target, long startMillis) implements NodeMessage {
+	}
+
 	/**
 	 * A target was lost while it ran a request.
 	 *
--- a/src/main/java/sycamorehill/model/serving/TargetEntry.java
+++ b/src/main/java/sycamorehill/model/serving/TargetEntry.java
@@ -56,6 +56,15 @@
 		return this.startMillis != other.startMillis || !this.address.equals(other.address);
 	}
 
+	/**
+	 * Returns this entry as that of a target that is about to stop.
+	 * @return the entry
+	 */
+	public TargetEntry asLeaving() {
+		return new TargetEntry(this.name, this.service, this.address, this.dataCentre, this.slots, true,
+				this.startMillis, this.domain, this.staged, this.loaded, this.membership);
+	}
+
 	/**
 	 * Returns this entry, updated by a report of the engine.
 	 * @param stagedModels models whose weights are stored on its host
--- a/src/main/java/sycamorehill/platform/PlatformExchangeCodec.java
+++ b/src/main/java/sycamorehill/platform/PlatformExchangeCodec.java
@@ -34,6 +34,8 @@
 
 	private static final String IDLE_TIMEOUT_PARAMETER = "timeout=";
 
+	private static final String LEAVING = "1";
+
 	private static final int MISDIRECTED_REQUEST = 421;
 
 	/**
@@ -147,7 +149,8 @@
 		return new TargetResponseHead(Optional.ofNullable(headers.get(PlatformHeaders.ATTEMPT_IDENTIFIER)),
 				headers.contains(PlatformHeaders.NOT_EXECUTED), response.status().code() == MISDIRECTED_REQUEST,
 				headers.contains(PlatformHeaders.SERVER_SIGNATURE),
-				new TargetReport(engineLoad(headers), rateLimit(headers), rest(response)),
+				new TargetReport(engineLoad(headers), rateLimit(headers), rest(response),
+						LEAVING.equals(headers.get(PlatformHeaders.LEAVING, "").trim())),
 				Optional.ofNullable(headers.get(PlatformHeaders.WEIGHTS_VERSION)), idleTimeout(headers));
 	}
 
--- a/src/main/java/sycamorehill/platform/PlatformHeaders.java
+++ b/src/main/java/sycamorehill/platform/PlatformHeaders.java
@@ -48,6 +48,9 @@
 	/** Requests per second that a rate-limited target accepts from all nodes together. */
 	static final String RATE_LIMIT = "Server-Limit";
 
+	/** Value 1 in all answers of a target that is about to stop. */
+	static final String LEAVING = "Server-Leaving";
+
 	static final String KEEP_ALIVE = "Keep-Alive";
 
 	static final String RETRY_AFTER = "Retry-After";
--- a/src/test/java/sycamorehill/entry/NodeMessageCodecTests.java
+++ b/src/test/java/sycamorehill/entry/NodeMessageCodecTests.java
@@ -52,6 +52,7 @@
 				new NodeMessage.GroupEnded("n1", TARGET, "small.1", 1_000_001),
 				new NodeMessage.TargetLimited("n1", TARGET, Optional.of(new RequestRate(1.4))),
 				new NodeMessage.TargetLimited("n1", TARGET, Optional.empty()),
+				new NodeMessage.TargetLeaving("n1", TARGET, 1_700_000_000_000L),
 				new NodeMessage.Suspicion("n1", Long.MIN_VALUE, TARGET), new NodeMessage.Cleared("n1", 7));
 	}
 
--- a/src/test/java/sycamorehill/logic/directory/TargetDirectoryTests.java
+++ b/src/test/java/sycamorehill/logic/directory/TargetDirectoryTests.java
@@ -46,7 +46,7 @@
 	// outage.
 	@Test
 	void aLeavingTargetIsNotKept() {
-		this.directory.replaceAll(List.of(ServingSamples.leaving(this.one)), this.start);
+		this.directory.replaceAll(List.of(this.one.asLeaving()), this.start);
 		this.directory.recordStoreContact(false, this.start);
 		this.directory.apply(List.of(new TargetChange(this.one.name(), Optional.empty())), this.start);
 		assertThat(this.directory.all()).isEmpty();
@@ -67,7 +67,7 @@
 	@Test
 	void theLastEntryOfAVanishedTargetIsKeptForTenSeconds() {
 		this.directory.recordStoreContact(true, this.start);
-		this.directory.replaceAll(List.of(this.one, ServingSamples.leaving(this.two)), this.start);
+		this.directory.replaceAll(List.of(this.one, this.two.asLeaving()), this.start);
 		this.directory.replaceAll(List.of(), this.start);
 		assertThat(this.directory.all()).isEmpty();
 		assertThat(this.directory.vanished()).containsExactly(this.one);
--- a/src/test/java/sycamorehill/logic/dispatch/RequestDispatcherTests.java
+++ b/src/test/java/sycamorehill/logic/dispatch/RequestDispatcherTests.java
@@ -88,7 +88,7 @@
 	private void reportRest(String target, Duration rest) {
 		this.dispatcher.handleTargetReport(
 				new EntryEvent.TargetTold(0, TargetName.of(target),
-						new TargetReport(Optional.empty(), Optional.empty(), Optional.of(rest))),
+						new TargetReport(Optional.empty(), Optional.empty(), Optional.of(rest), false)),
 				this.now, Effects.create());
 	}
 
@@ -294,7 +294,7 @@
 
 	@Test
 	void aLeavingTargetReceivesNoRequests() {
-		targets(ServingSamples.leaving(ServingSamples.plain("p1")), ServingSamples.plain("p2"));
+		targets(ServingSamples.plain("p1").asLeaving(), ServingSamples.plain("p2"));
 		for (int number = 1; number <= 5; number++) {
 			assertThat(target(arrive(number, "/once/x"))).isEqualTo(TargetName.of("p2"));
 		}
@@ -311,7 +311,7 @@
 		assertThat(answer(arrive(1, "/stream/x")).status()).isEqualTo(503);
 		targets(head, ServingSamples.member("a2", "small.3", 3, 1, MemberState.READY));
 		assertThat(answer(arrive(2, "/stream/x")).status()).isEqualTo(503);
-		targets(head, ServingSamples.leaving(member));
+		targets(head, member.asLeaving());
 		assertThat(answer(arrive(3, "/stream/x")).status()).isEqualTo(503);
 		targets(head);
 		assertThat(answer(arrive(4, "/stream/x")).status()).isEqualTo(503);
--- a/src/test/java/sycamorehill/logic/entry/ManyNodesTests.java
+++ b/src/test/java/sycamorehill/logic/entry/ManyNodesTests.java
@@ -425,7 +425,7 @@
 	}
 
 	private void announceLeaving(TargetEntry target) {
-		this.newChanges.add(new TargetChange(target.name(), Optional.of(ServingSamples.leaving(target))));
+		this.newChanges.add(new TargetChange(target.name(), Optional.of(target.asLeaving())));
 		this.revision++;
 	}
 
--- a/src/test/java/sycamorehill/logic/entry/SharedLimitTests.java
+++ b/src/test/java/sycamorehill/logic/entry/SharedLimitTests.java
@@ -139,7 +139,7 @@
 		}
 		Instant answeredAt = this.now.plus(this.answerTime);
 		this.scheduledEvents.add(new ScheduledEvent(answeredAt, node, new EntryEvent.TargetTold(start.number(), target,
-				new TargetReport(Optional.empty(), limited ? this.limit : Optional.empty(), Optional.empty()))));
+				new TargetReport(Optional.empty(), limited ? this.limit : Optional.empty(), Optional.empty(), false))));
 		this.scheduledEvents
 			.add(new ScheduledEvent(answeredAt.plusNanos(1), node, new EntryEvent.AttemptEnded(start.number(),
 					start.attempt(), new AttemptEnd.Delivered(200, Duration.ZERO))));
--- a/src/test/java/sycamorehill/logic/entry/SilentTargetTests.java
+++ b/src/test/java/sycamorehill/logic/entry/SilentTargetTests.java
@@ -59,7 +59,7 @@
 
 	private void reportLoad(TargetName target, int running, int waiting, long millis) {
 		TargetReport report = new TargetReport(Optional.of(new EngineLoad(running, waiting, SLOTS)), Optional.empty(),
-				Optional.empty());
+				Optional.empty(), false);
 		accept(new EntryEvent.TargetTold(1, target, report), millis);
 	}
 
--- a/src/test/java/sycamorehill/logic/entry/StoreRelayTests.java
+++ b/src/test/java/sycamorehill/logic/entry/StoreRelayTests.java
@@ -451,7 +451,7 @@
 	// and from which node.
 	@Test
 	void logsTheSourceOfALeavingNotice() {
-		TargetEntry leaving = ServingSamples.leaving(ServingSamples.plain("p1"));
+		TargetEntry leaving = ServingSamples.plain("p1").asLeaving();
 		List<EntryEffect> effects = receive(agedByLongPoll(new NodeMessage.StoreNews("a", NORTH, 5, 1, 100, 100, 103,
 				List.of(new TargetChange(leaving.name(), Optional.of(leaving))), Optional.empty(), Duration.ZERO)),
 				500);
--- a/src/test/java/sycamorehill/support/ServingSamples.java
+++ b/src/test/java/sycamorehill/support/ServingSamples.java
@@ -180,14 +180,4 @@
 				Optional.of(new Membership(group, epoch, rank, state)));
 	}
 
-	/**
-	 * The same target, leaving.
-	 * @param entry the target
-	 * @return its entry
-	 */
-	public static TargetEntry leaving(TargetEntry entry) {
-		return new TargetEntry(entry.name(), entry.service(), entry.address(), entry.dataCentre(), entry.slots(), true,
-				entry.startMillis(), entry.domain(), entry.staged(), entry.loaded(), entry.membership());
-	}
-
 }
