Add a test of a change of targets that one node lost and can't read, red

Found by looking for the cause of the late configurations elsewhere: a change of targets, too, is sent once, and only the store has it again. In the model of forty nodes a node that the store refuses does not know of a leaving target 1.7 s after its notice, nor at any time until the store answers it.

--- a/src/test/java/sycamorehill/logic/entry/ManyNodesTests.java
+++ b/src/test/java/sycamorehill/logic/entry/ManyNodesTests.java
@@ -102,6 +102,9 @@
 	/** Nodes to which no text of a configuration is delivered. */
 	private final Set<String> textsLost = new HashSet<>();
 
+	/** Nodes to which no changes of targets are delivered. */
+	private final Set<String> changesLost = new HashSet<>();
+
 	/** Nodes whose calls the store refuses. */
 	private final Set<String> refused = new HashSet<>();
 
@@ -128,10 +131,14 @@
 		List<EntryEffect> effects = this.nodes.get(node).accept(event, this.now);
 		for (EntryEffect effect : effects) {
 			if (effect instanceof EntryEffect.Send send) {
-				send.nodes().stream().map(this.names::get).filter(this::isDelivered).forEach((to) -> {
-					this.receivedMessages.computeIfAbsent(to, (name) -> new ArrayList<>()).add(send.message());
-					accept(to, new EntryEvent.MessageHeard(send.message()));
-				});
+				send.nodes()
+					.stream()
+					.map(this.names::get)
+					.filter((to) -> isDelivered(send.message(), to))
+					.forEach((to) -> {
+						this.receivedMessages.computeIfAbsent(to, (name) -> new ArrayList<>()).add(send.message());
+						accept(to, new EntryEvent.MessageHeard(send.message()));
+					});
 			}
 		}
 		handleConfigurationEffects(node, effects);
@@ -149,21 +156,23 @@
 		return effects;
 	}
 
-	private boolean isDelivered(String node) {
-		return !this.down.contains(node) && this.random.nextDouble() >= this.lossShare;
+	private boolean isDelivered(NodeMessage message, String node) {
+		boolean lost = (message instanceof NodeMessage.ConfigurationTold && this.textsLost.contains(node))
+				|| (message instanceof NodeMessage.StoreNews update && !update.changes().isEmpty()
+						&& this.changesLost.contains(node));
+		return !lost && !this.down.contains(node) && this.random.nextDouble() >= this.lossShare;
 	}
 
 	// The text of a configuration is its version number here.
 	private void handleConfigurationEffects(String node, List<EntryEffect> effects) {
 		for (EntryEffect effect : effects) {
 			if (effect instanceof EntryEffect.SendConfiguration send) {
+				NodeMessage text = new NodeMessage.ConfigurationTold(node, send.version(), "" + send.version());
 				send.nodes()
 					.stream()
 					.map(this.names::get)
-					.filter(this::isDelivered)
-					.filter((to) -> !this.textsLost.contains(to))
-					.forEach((to) -> accept(to, new EntryEvent.MessageHeard(
-							new NodeMessage.ConfigurationTold(node, send.version(), "" + send.version()))));
+					.filter((to) -> isDelivered(text, to))
+					.forEach((to) -> accept(to, new EntryEvent.MessageHeard(text)));
 			}
 			else if (effect instanceof EntryEffect.ParseConfiguration take) {
 				accept(node, new EntryEvent.ConfigurationHeard(
@@ -390,6 +399,20 @@
 		assertThat(this.nodes.get("south-139").configurationVersion()).isEqualTo(7);
 	}
 
+	// The store refuses a node that has lost a change: it would send requests to a target
+	// that has left.
+	@Test
+	void aNodeThatTheStoreRefusesReceivesALostChange() {
+		run(Duration.ofSeconds(5));
+		this.refused.add("south-139");
+		this.changesLost.add("south-139");
+		announceLeaving(ServingSamples.plain("p1"));
+		run(TICK);
+		this.changesLost.clear();
+		run(MAXIMUM_CHANGE_DELAY.minus(MAXIMUM_CONNECT_TIME).minus(TICK));
+		assertThat(this.notifiedNodes).containsAll(this.nodes.keySet());
+	}
+
 	private void runSeriesOfVersions(String node) {
 		Map<Long, Instant> storedAt = new LinkedHashMap<>();
 		for (long version = 2; version <= 30; version++) {
