Send what a relay reads itself with the age of the updates that it receives

When a relay had missed a change and read it in the store, it sent it on as old as its own last read of the configuration, which was minutes ago.

Cause: an age that is worked out from a read that this node leaves to another. Found while changes are made to be repeated; the test was red (an age of 1.1 s in place of 0.2 s) and is green.

--- a/src/main/java/sycamorehill/logic/entry/StoreRelay.java
+++ b/src/main/java/sycamorehill/logic/entry/StoreRelay.java
@@ -202,7 +202,12 @@
 				age(now));
 	}
 
+	// Returns the time since the store gave the answer on which this node's state is
+	// based.
 	private Duration age(Instant now) {
+		if (receivesStoreUpdates(now)) {
+			return Duration.between(this.source.answeredAt, now);
+		}
 		Instant older = this.targetsReadAt.isBefore(this.configurationReadAt) ? this.targetsReadAt
 				: this.configurationReadAt;
 		return (older != Instant.MIN) ? Duration.between(older, now) : OWN_READ_VALIDITY;
--- a/src/test/java/sycamorehill/logic/entry/StoreRelayTests.java
+++ b/src/test/java/sycamorehill/logic/entry/StoreRelayTests.java
@@ -438,6 +438,15 @@
 		assertThat(sentAges(accept(new EntryEvent.Ticked(), 2100))).containsExactly(Duration.ofMillis(600));
 	}
 
+	// The nodes of the data centre would drop an update that seems as old as this node's
+	// own last read.
+	@Test
+	void aRelayThatReadsMissedChangesSendsThemWithTheAgeOfTheUpdatesItReceives() {
+		receive(aged(updateFromSouth("a", 103), Duration.ofMillis(100)), 1000);
+		assertThat(sentAges(accept(new EntryEvent.TargetsChanged(List.of(change("p3")), 103, 105), 1100)))
+			.containsExactly(Duration.ofMillis(200));
+	}
+
 	private static List<Duration> sentAges(List<EntryEffect> effects) {
 		return effects.stream()
 			.filter(EntryEffect.Send.class::isInstance)
