Ask the node that sends updates for changes that were lost

Now each node keeps the last 300 changes that it read or was sent, without a gap, and repeats those after a revision for a node that asks. Tests of entry, logic.entry and logic.directory pass.

--- a/src/main/java/sycamorehill/entry/NodeMessageCodec.java
+++ b/src/main/java/sycamorehill/entry/NodeMessageCodec.java
@@ -144,6 +144,9 @@
 		else if (message instanceof NodeMessage.ConfigurationTold configuration) {
 			body.put(CONFIGURATION, configuration.version()).put(TEXT, CompressedText.compress(configuration.text()));
 		}
+		else if (message instanceof NodeMessage.ChangesWanted wanted) {
+			body.put(SINCE, wanted.since());
+		}
 		else if (message instanceof NodeMessage.ConfigurationWanted wanted) {
 			body.put(CONFIGURATION, wanted.version());
 		}
@@ -209,6 +212,7 @@
 					Duration.ofMillis(body.path(AGE_MILLIS).asLong()));
 			case CONFIGURATION_TOLD -> new NodeMessage.ConfigurationTold(sender, body.path(CONFIGURATION).asLong(),
 					CompressedText.decompress(body.path(TEXT).binaryValue()));
+			case CHANGES_WANTED -> new NodeMessage.ChangesWanted(sender, body.path(SINCE).asLong());
 			case CONFIGURATION_WANTED -> new NodeMessage.ConfigurationWanted(sender, body.path(CONFIGURATION).asLong());
 			case TARGETS_SEEN -> new NodeMessage.TargetsSeen(sender, TargetCodec.read(body.path(CHANGES)));
 			case INTRODUCTION -> new NodeMessage.Introduction(node(sender, body));
@@ -265,8 +269,8 @@
 	private enum Kind {
 
 		LOADS(NodeMessage.Loads.class), LOADS_ADDED(NodeMessage.LoadsAdded.class), PLACED(NodeMessage.Placed.class),
-		STORE_NEWS(NodeMessage.StoreNews.class), TARGETS_SEEN(NodeMessage.TargetsSeen.class),
-		CONFIGURATION_TOLD(NodeMessage.ConfigurationTold.class),
+		STORE_NEWS(NodeMessage.StoreNews.class), CHANGES_WANTED(NodeMessage.ChangesWanted.class),
+		TARGETS_SEEN(NodeMessage.TargetsSeen.class), CONFIGURATION_TOLD(NodeMessage.ConfigurationTold.class),
 		CONFIGURATION_WANTED(NodeMessage.ConfigurationWanted.class), INTRODUCTION(NodeMessage.Introduction.class),
 		LEASE_GIVEN_UP(NodeMessage.LeaseGivenUp.class), SILENCE(NodeMessage.Silence.class),
 		SUSPICION(NodeMessage.Suspicion.class), SILENCE_CONFIRMED(NodeMessage.SilenceConfirmed.class),
--- a/src/main/java/sycamorehill/logic/entry/EntryReducer.java
+++ b/src/main/java/sycamorehill/logic/entry/EntryReducer.java
@@ -198,6 +198,10 @@
 		else if (message instanceof NodeMessage.ConfigurationWanted wanted) {
 			this.configurationDistribution.sendAgain(wanted, configurationVersion(), effects);
 		}
+		else if (message instanceof NodeMessage.ChangesWanted wanted) {
+			this.relay.repeatChanges(wanted.since(), now)
+				.ifPresent((update) -> this.peers.sendTo(wanted.sender(), update, effects));
+		}
 		else if (message instanceof NodeMessage.TargetLeaving leaving) {
 			this.directoryUpdates.applyLeaving(leaving, now, effects);
 		}
@@ -227,6 +231,8 @@
 		effects.add(new EntryEffect.AdvanceTargetRevision(this.relay.revision()));
 		if (result.readTargets()) {
 			effects.add(new EntryEffect.ReadTargetChanges());
+			this.peers.sendTo(update.sender(),
+					new NodeMessage.ChangesWanted(this.settings.nodeName(), this.relay.revision()), effects);
 		}
 		if (update.configurationVersion() == configurationVersion()) {
 			effects.add(new EntryEffect.AdvanceConfigurationRevision(update.configurationRevision()));
@@ -385,8 +391,8 @@
 
 	private void handleTargetChanges(EntryEvent.TargetsChanged changed, Instant now, Effects effects) {
 		this.directoryUpdates.recordStoreContact(true, now, effects);
-		NodeMessage.StoreNews update = this.relay.recordTargetChanges(
-				new StoreRelay.ChangeBatch(changed.since(), changed.revision(), changed.changes()), now);
+		NodeMessage.StoreNews update = this.relay
+			.recordTargetChanges(new ChangeBatch(changed.since(), changed.revision(), changed.changes()), now);
 		boolean distributes = this.relay.isReader(now) || this.relay.isRelay(now);
 		if (!changed.changes().isEmpty() && distributes && this.stopRequestedAt == null) {
 			sendStoreUpdate(update, now, effects);
--- a/src/main/java/sycamorehill/logic/entry/StoreRelay.java
+++ b/src/main/java/sycamorehill/logic/entry/StoreRelay.java
@@ -57,6 +57,8 @@
 
 	private final BiPredicate<String, String> takesPrecedence;
 
+	private final RecentChanges recentChanges = new RecentChanges();
+
 	private long revision = -1;
 
 	private long changeRevision = -1;
@@ -172,6 +174,7 @@
 	void recordTargetList(long listRevision, Instant now) {
 		this.revision = listRevision;
 		this.changeRevision = listRevision;
+		this.recentChanges.clear();
 		this.targetsReadAt = now;
 		replaceSource(now);
 	}
@@ -190,6 +193,7 @@
 		if (batch.changes().isEmpty()) {
 			return createProgressUpdate(now);
 		}
+		this.recentChanges.add(batch);
 		long previousChange = this.changeRevision;
 		this.changeRevision = batch.revision();
 		return createUpdate(previousChange, batch.since(), batch.changes(), now);
@@ -202,6 +206,18 @@
 				age(now));
 	}
 
+	/**
+	 * Creates an update that repeats changes for a node that has missed them.
+	 * @param since the revision that the other node has reached
+	 * @param now the current time
+	 * @return the update; empty if this node no longer holds all of the changes
+	 */
+	Optional<NodeMessage.StoreNews> repeatChanges(long since, Instant now) {
+		return this.recentChanges.after(since)
+			.filter((changes) -> !changes.isEmpty())
+			.map((changes) -> createUpdate(since, since, changes, now));
+	}
+
 	// Returns the time since the store gave the answer on which this node's state is
 	// based.
 	private Duration age(Instant now) {
@@ -279,6 +295,9 @@
 			return new UpdateResult(true, configuration, true, false, Optional.empty());
 		}
 		boolean apply = this.revision < update.revision() && !update.changes().isEmpty();
+		if (apply) {
+			this.recentChanges.add(new ChangeBatch(update.since(), update.revision(), update.changes()));
+		}
 		advanceRevisions(update);
 		Optional<NodeMessage.StoreNews> relayed = local ? Optional.empty()
 				: Optional.of(update.relayedBy(this.self, this.dataCentre));
@@ -331,16 +350,6 @@
 
 	}
 
-	/**
-	 * Holds changes of targets as read from the store.
-	 *
-	 * @param since the revision after which changes were requested
-	 * @param revision the revision after the changes
-	 * @param changes the changes in order
-	 */
-	record ChangeBatch(long since, long revision, List<TargetChange> changes) {
-	}
-
 	/**
 	 * Describes what to do with another node's update.
 	 *
--- a/src/main/java/sycamorehill/model/serving/NodeMessage.java
+++ b/src/main/java/sycamorehill/model/serving/NodeMessage.java
@@ -128,6 +128,16 @@
 
 	}
 
+	/**
+	 * Asks for changes of targets that the sender has missed. The store may not answer
+	 * it.
+	 *
+	 * @param sender the sender
+	 * @param since the revision that the sender has reached
+	 */
+	record ChangesWanted(String sender, long since) implements NodeMessage {
+	}
+
 	/**
 	 * A configuration, for nodes on whose behalf the sender reads the store.
 	 *
--- a/src/test/java/sycamorehill/logic/entry/StoreRelayTests.java
+++ b/src/test/java/sycamorehill/logic/entry/StoreRelayTests.java
@@ -349,6 +349,29 @@
 			.noneMatch(EntryEffect.ReadConfiguration.class::isInstance);
 	}
 
+	@Test
+	void repeatsChangesForANodeThatHasMissedThem() {
+		accept(new EntryEvent.TargetsChanged(List.of(change("p2")), 100, 103), 100);
+		accept(new EntryEvent.TargetsChanged(List.of(), 103, 105), 200);
+		accept(new EntryEvent.TargetsChanged(List.of(change("p3")), 105, 108), 300);
+		assertThat(repeatedChanges(100)).containsExactly(change("p2"), change("p3"));
+		assertThat(repeatedChanges(103)).containsExactly(change("p3"));
+		assertThat(repeatedChanges(108)).isEmpty();
+		assertThat(repeatedChanges(99)).as("a change after 99 may be unknown").isEmpty();
+	}
+
+	private List<TargetChange> repeatedChanges(long since) {
+		return sentUpdates(accept(new EntryEvent.MessageHeard(new NodeMessage.ChangesWanted("c", since)), 310)).stream()
+			.flatMap((update) -> update.changes().stream())
+			.toList();
+	}
+
+	@Test
+	void asksTheReaderForMissedChanges() {
+		assertThat(receive(changes("a", 105, 108, "p4"), 600)).contains(
+				new EntryEffect.Send(List.of(Address.of("127.0.0.1", 7101)), new NodeMessage.ChangesWanted("b", 100)));
+	}
+
 	@Test
 	void sendsATextAgainToANodeThatLacksIt() {
 		EntryEvent wanted = new EntryEvent.MessageHeard(new NodeMessage.ConfigurationWanted("c", 5));
