--- a/src/main/java/sycamorehill/entry/CallerExchange.java
+++ b/src/main/java/sycamorehill/entry/CallerExchange.java
@@ -268,7 +268,7 @@
 		if (!this.finished) {
 			cancelAttempt();
 			finish();
-			eventSink.post(new EntryEvent.CallerGone(this.number));
+			eventSink.post(new EntryEvent.CallerDisconnected(this.number));
 		}
 	}
 
--- a/src/main/java/sycamorehill/entry/EntryNode.java
+++ b/src/main/java/sycamorehill/entry/EntryNode.java
@@ -237,7 +237,7 @@
 			this.ports.engines()
 				.sendCommand(command.target(), command.command(), command.acceptedCommands())
 				.thenAccept((answer) -> post(
-						new EntryEvent.OrderAnswered(command.target().name(), command.command(), answer)));
+						new EntryEvent.CommandAnswered(command.target().name(), command.command(), answer)));
 		}
 		else if (effect instanceof EntryEffect.ReadReport read) {
 			readReport(read);
@@ -282,7 +282,7 @@
 
 	private void sendConfiguration(EntryEffect.SendConfiguration send) {
 		if (this.latestConfiguration.configuration().version() == send.version()) {
-			this.messenger.send(send.nodes(), new NodeMessage.ConfigurationTold(this.settings.nodeName(),
+			this.messenger.send(send.nodes(), new NodeMessage.ConfigurationText(this.settings.nodeName(),
 					send.version(), this.latestConfiguration.text()));
 		}
 	}
@@ -293,7 +293,7 @@
 		try {
 			StoredConfiguration received = this.ports.configurationReader().apply(text);
 			keepLatest(received);
-			processEvent(new EntryEvent.ConfigurationHeard(received.configuration(), sender));
+			processEvent(new EntryEvent.ConfigurationReceived(received.configuration(), sender));
 		}
 		catch (IllegalArgumentException ex) {
 			EventLog.write(LogLine.of(LogEvent.STORE_CONTENT_UNREADABLE,
@@ -352,7 +352,7 @@
 	 */
 	public void stop() {
 		EventLog.write(LogLine.of(LogEvent.NODE_STOPPING, "node=" + this.settings.nodeName()));
-		post(new EntryEvent.StopOrdered());
+		post(new EntryEvent.StopRequested());
 		this.ports.nodeRegistry().deregister(this.settings.nodeName()).exceptionally((failure) -> {
 			EventLog
 				.write(LogLine.of(LogEvent.STORE_CONTACT, "deregistering this node failed: " + failure.getMessage()));
@@ -426,7 +426,7 @@
 
 		@Override
 		public void handleUnreachable() {
-			processEvent(new EntryEvent.DirectoryNotReached());
+			processEvent(new EntryEvent.DirectoryUnreachable());
 		}
 
 	}
--- a/src/main/java/sycamorehill/entry/NodeMessageFields.java
+++ b/src/main/java/sycamorehill/entry/NodeMessageFields.java
@@ -86,23 +86,24 @@
 	static void write(NodeMessage message, ObjectNode body) throws IOException {
 		switch (NodeMessageKind.of(message)) {
 			case LOADS -> writeLoads((NodeMessage.Loads) message, body);
-			case LOADS_ADDED -> writeSums((NodeMessage.LoadsAdded) message, body);
-			case PLACED -> writePlaced((NodeMessage.Placed) message, body);
-			case STORE_NEWS -> writeUpdate((NodeMessage.StoreNews) message, body);
-			case CHANGES_WANTED -> body.put(SINCE, ((NodeMessage.ChangesWanted) message).since());
-			case CONFIGURATION_TOLD -> writeConfiguration((NodeMessage.ConfigurationTold) message, body);
-			case CONFIGURATION_WANTED -> body.put(CONFIGURATION, ((NodeMessage.ConfigurationWanted) message).version());
+			case LOADS_ADDED -> writeSums((NodeMessage.SummedLoads) message, body);
+			case PLACED -> writePlaced((NodeMessage.RequestPlaced) message, body);
+			case STORE_NEWS -> writeUpdate((NodeMessage.StoreUpdate) message, body);
+			case CHANGES_REQUEST -> body.put(SINCE, ((NodeMessage.ChangesRequest) message).since());
+			case CONFIGURATION_TOLD -> writeConfiguration((NodeMessage.ConfigurationText) message, body);
+			case CONFIGURATION_REQUEST ->
+				body.put(CONFIGURATION, ((NodeMessage.ConfigurationRequest) message).version());
 			case TARGETS_SEEN ->
-				TargetCodec.write(((NodeMessage.TargetsSeen) message).changes(), body.putArray(CHANGES));
+				TargetCodec.write(((NodeMessage.TargetsObserved) message).changes(), body.putArray(CHANGES));
 			case INTRODUCTION -> writeNode((NodeMessage.Introduction) message, body);
-			case LEASE_GIVEN_UP -> body.put(HOLDER, ((NodeMessage.LeaseGivenUp) message).holder());
+			case LEASE_GIVEN_UP -> body.put(HOLDER, ((NodeMessage.LeaseReleased) message).holder());
 			case SILENCE -> writeTarget(((NodeMessage.Silence) message).target(), body);
 			case SILENCE_CONFIRMED -> writeTarget(((NodeMessage.SilenceConfirmed) message).target(), body);
 			case GROUP_ENDED -> writeEndedGroup((NodeMessage.GroupEnded) message, body);
 			case TARGET_LIMITED -> writeRateLimit((NodeMessage.TargetLimited) message, body);
 			case TARGET_LEAVING -> writeLeaving((NodeMessage.TargetLeaving) message, body);
 			case SUSPICION -> writeSuspicion((NodeMessage.Suspicion) message, body);
-			case CLEARED -> body.put(CONTENT, ((NodeMessage.Cleared) message).contentHash());
+			case CLEARED -> body.put(CONTENT, ((NodeMessage.SuspicionCleared) message).contentHash());
 		}
 	}
 
@@ -112,19 +113,20 @@
 			case LOADS_ADDED -> readSums(sender, body);
 			case PLACED -> readPlaced(sender, body);
 			case STORE_NEWS -> readUpdate(sender, body);
-			case CHANGES_WANTED -> new NodeMessage.ChangesWanted(sender, body.path(SINCE).asLong());
+			case CHANGES_REQUEST -> new NodeMessage.ChangesRequest(sender, body.path(SINCE).asLong());
 			case CONFIGURATION_TOLD -> readConfiguration(sender, body);
-			case CONFIGURATION_WANTED -> new NodeMessage.ConfigurationWanted(sender, body.path(CONFIGURATION).asLong());
-			case TARGETS_SEEN -> new NodeMessage.TargetsSeen(sender, TargetCodec.read(body.path(CHANGES)));
+			case CONFIGURATION_REQUEST ->
+				new NodeMessage.ConfigurationRequest(sender, body.path(CONFIGURATION).asLong());
+			case TARGETS_SEEN -> new NodeMessage.TargetsObserved(sender, TargetCodec.read(body.path(CHANGES)));
 			case INTRODUCTION -> readNode(sender, body);
-			case LEASE_GIVEN_UP -> new NodeMessage.LeaseGivenUp(sender, body.path(HOLDER).asText());
+			case LEASE_GIVEN_UP -> new NodeMessage.LeaseReleased(sender, body.path(HOLDER).asText());
 			case SILENCE -> new NodeMessage.Silence(sender, readTarget(body));
 			case SILENCE_CONFIRMED -> new NodeMessage.SilenceConfirmed(sender, readTarget(body));
 			case GROUP_ENDED -> readEndedGroup(sender, body);
 			case TARGET_LIMITED -> readRateLimit(sender, body);
 			case TARGET_LEAVING -> new NodeMessage.TargetLeaving(sender, readTarget(body), body.path(STARTED).asLong());
 			case SUSPICION -> new NodeMessage.Suspicion(sender, body.path(CONTENT).asLong(), readTarget(body));
-			case CLEARED -> new NodeMessage.Cleared(sender, body.path(CONTENT).asLong());
+			case CLEARED -> new NodeMessage.SuspicionCleared(sender, body.path(CONTENT).asLong());
 		};
 	}
 
@@ -150,7 +152,7 @@
 				readRequests(body));
 	}
 
-	private static void writeSums(NodeMessage.LoadsAdded aggregated, ObjectNode body) {
+	private static void writeSums(NodeMessage.SummedLoads aggregated, ObjectNode body) {
 		ArrayNode sums = body.putArray(SUMS);
 		for (LoadSum sum : aggregated.sums()) {
 			ObjectNode element = sums.addObject();
@@ -165,7 +167,7 @@
 			sums.add(new LoadSum(sum.path(NODE).asText(), readDataCentre(sum), sum.path(NODES).asInt(),
 					readRequests(sum)));
 		}
-		return new NodeMessage.LoadsAdded(sender, sums);
+		return new NodeMessage.SummedLoads(sender, sums);
 	}
 
 	private static void writeRequests(Map<TargetName, Integer> requests, ObjectNode body) {
@@ -181,16 +183,16 @@
 		return requests;
 	}
 
-	private static void writePlaced(NodeMessage.Placed placed, ObjectNode body) {
+	private static void writePlaced(NodeMessage.RequestPlaced placed, ObjectNode body) {
 		writeTarget(placed.target(), body).put(READING_MICROS, placed.prefillTime().toNanos() / 1000);
 	}
 
 	private static NodeMessage readPlaced(String sender, JsonNode body) {
-		return new NodeMessage.Placed(sender, readTarget(body),
+		return new NodeMessage.RequestPlaced(sender, readTarget(body),
 				Duration.of(body.path(READING_MICROS).asLong(), ChronoUnit.MICROS));
 	}
 
-	private static void writeUpdate(NodeMessage.StoreNews update, ObjectNode body) {
+	private static void writeUpdate(NodeMessage.StoreUpdate update, ObjectNode body) {
 		body.put(DATA_CENTRE, update.dataCentre().value())
 			.put(CONFIGURATION, update.configurationVersion())
 			.put(CONFIGURATION_REVISION, update.configurationRevision())
@@ -206,7 +208,7 @@
 	}
 
 	private static NodeMessage readUpdate(String sender, JsonNode body) {
-		return new NodeMessage.StoreNews(sender, readDataCentre(body), body.path(CONFIGURATION).asLong(),
+		return new NodeMessage.StoreUpdate(sender, readDataCentre(body), body.path(CONFIGURATION).asLong(),
 				body.path(CONFIGURATION_REVISION).asLong(), body.path(CHANGED_BEFORE).asLong(),
 				body.path(SINCE).asLong(), body.path(REVISION).asLong(), TargetCodec.read(body.path(CHANGES)),
 				readLease(body), Duration.ofMillis(body.path(AGE_MILLIS).asLong()));
@@ -218,13 +220,13 @@
 				: Optional.empty();
 	}
 
-	private static void writeConfiguration(NodeMessage.ConfigurationTold configuration, ObjectNode body)
+	private static void writeConfiguration(NodeMessage.ConfigurationText configuration, ObjectNode body)
 			throws IOException {
 		body.put(CONFIGURATION, configuration.version()).put(TEXT, CompressedText.compress(configuration.text()));
 	}
 
 	private static NodeMessage readConfiguration(String sender, JsonNode body) throws IOException {
-		return new NodeMessage.ConfigurationTold(sender, body.path(CONFIGURATION).asLong(),
+		return new NodeMessage.ConfigurationText(sender, body.path(CONFIGURATION).asLong(),
 				CompressedText.decompress(body.path(TEXT).binaryValue()));
 	}
 
--- a/src/main/java/sycamorehill/entry/NodeMessageKind.java
+++ b/src/main/java/sycamorehill/entry/NodeMessageKind.java
@@ -11,23 +11,23 @@
 
 	LOADS(NodeMessage.Loads.class),
 
-	LOADS_ADDED(NodeMessage.LoadsAdded.class),
+	LOADS_ADDED(NodeMessage.SummedLoads.class),
 
-	PLACED(NodeMessage.Placed.class),
+	PLACED(NodeMessage.RequestPlaced.class),
 
-	STORE_NEWS(NodeMessage.StoreNews.class),
+	STORE_NEWS(NodeMessage.StoreUpdate.class),
 
-	CHANGES_WANTED(NodeMessage.ChangesWanted.class),
+	CHANGES_REQUEST(NodeMessage.ChangesRequest.class),
 
-	CONFIGURATION_TOLD(NodeMessage.ConfigurationTold.class),
+	CONFIGURATION_TOLD(NodeMessage.ConfigurationText.class),
 
-	CONFIGURATION_WANTED(NodeMessage.ConfigurationWanted.class),
+	CONFIGURATION_REQUEST(NodeMessage.ConfigurationRequest.class),
 
-	TARGETS_SEEN(NodeMessage.TargetsSeen.class),
+	TARGETS_SEEN(NodeMessage.TargetsObserved.class),
 
 	INTRODUCTION(NodeMessage.Introduction.class),
 
-	LEASE_GIVEN_UP(NodeMessage.LeaseGivenUp.class),
+	LEASE_GIVEN_UP(NodeMessage.LeaseReleased.class),
 
 	SILENCE(NodeMessage.Silence.class),
 
@@ -41,7 +41,7 @@
 
 	SUSPICION(NodeMessage.Suspicion.class),
 
-	CLEARED(NodeMessage.Cleared.class);
+	CLEARED(NodeMessage.SuspicionCleared.class);
 
 	private final Class<? extends NodeMessage> type;
 
--- a/src/main/java/sycamorehill/entry/NodeMessenger.java
+++ b/src/main/java/sycamorehill/entry/NodeMessenger.java
@@ -40,7 +40,7 @@
 
 	private final NodeMessageCodec codec = NodeMessageCodec.create();
 
-	private final DatagramAssembler joiner = DatagramAssembler.create();
+	private final DatagramAssembler assembler = DatagramAssembler.create();
 
 	/**
 	 * Starts at a random number, so that parts of messages of an earlier process are not
@@ -88,7 +88,7 @@
 	private void handleTooLargeMessage(List<Address> nodes, NodeMessage message, int bytes) {
 		EventLog.write(LogLine.of(LogEvent.PEER_MESSAGE_TOO_LARGE,
 				"message=" + message.getClass().getSimpleName() + " bytes=" + bytes));
-		if (message instanceof NodeMessage.StoreNews update && !update.changes().isEmpty()) {
+		if (message instanceof NodeMessage.StoreUpdate update && !update.changes().isEmpty()) {
 			send(nodes, update.withoutChanges());
 		}
 	}
@@ -106,9 +106,9 @@
 
 	private void handleDatagram(InetSocketAddress sender, byte[] datagram) {
 		try {
-			Optional<byte[]> message = this.joiner.add(sender, datagram, System.nanoTime());
+			Optional<byte[]> message = this.assembler.add(sender, datagram, System.nanoTime());
 			if (message.isPresent()) {
-				this.eventSink.post(new EntryEvent.MessageHeard(this.codec.read(message.get())));
+				this.eventSink.post(new EntryEvent.MessageReceived(this.codec.read(message.get())));
 			}
 		}
 		catch (IOException | IllegalArgumentException ex) {
--- a/src/main/java/sycamorehill/entry/TargetAttempt.java
+++ b/src/main/java/sycamorehill/entry/TargetAttempt.java
@@ -161,7 +161,7 @@
 		}
 		boolean fromTarget = this.parsedHead.signed() || this.parsedHead.notRun();
 		if (fromTarget && !this.parsedHead.otherTarget()) {
-			this.eventSink.post(new EntryEvent.TargetTold(this.start.number(), this.start.target().name(),
+			this.eventSink.post(new EntryEvent.TargetReported(this.start.number(), this.start.target().name(),
 					this.parsedHead.report()));
 		}
 		boolean success = response.status().code() / 100 == SUCCESS_CLASS;
@@ -214,7 +214,7 @@
 			this.answerStarted = true;
 			this.activity.recordStreamStarted(this.start.target().name(), System.nanoTime());
 			this.exchange.startStream(this.head, this.parsedHead);
-			this.eventSink.post(new EntryEvent.AnswerBegun(this.start.number()));
+			this.eventSink.post(new EntryEvent.AnswerStarted(this.start.number()));
 		}
 		this.exchange.forwardEvent(event, number);
 	}
--- a/src/main/java/sycamorehill/logic/dispatch/AttemptStarter.java
+++ b/src/main/java/sycamorehill/logic/dispatch/AttemptStarter.java
@@ -82,7 +82,7 @@
 				request.request().tokenCounts());
 		this.targetSelector.status(name).addPrefill(prefillTime, now);
 		if (this.targetSelector.hasFewNodes()) {
-			effects.add(new EntryEffect.Broadcast(new NodeMessage.Placed(this.nodeName, name, prefillTime)));
+			effects.add(new EntryEffect.Broadcast(new NodeMessage.RequestPlaced(this.nodeName, name, prefillTime)));
 		}
 	}
 
--- a/src/main/java/sycamorehill/logic/dispatch/RequestDispatcher.java
+++ b/src/main/java/sycamorehill/logic/dispatch/RequestDispatcher.java
@@ -253,10 +253,10 @@
 		if (message instanceof NodeMessage.Loads loads) {
 			this.targetSelector.statuses().handleReport(loads, now);
 		}
-		else if (message instanceof NodeMessage.LoadsAdded added) {
+		else if (message instanceof NodeMessage.SummedLoads added) {
 			added.sums().forEach((sum) -> this.targetSelector.statuses().handleReport(sum, now));
 		}
-		else if (message instanceof NodeMessage.Placed placed) {
+		else if (message instanceof NodeMessage.RequestPlaced placed) {
 			this.targetSelector.statuses().handleReport(placed, now);
 		}
 		else if (message instanceof NodeMessage.TargetLimited limited) {
@@ -265,7 +265,7 @@
 		else if (message instanceof NodeMessage.Suspicion suspicion) {
 			this.crashHistory.recordCrash(suspicion.contentHash(), suspicion.target());
 		}
-		else if (message instanceof NodeMessage.Cleared cleared) {
+		else if (message instanceof NodeMessage.SuspicionCleared cleared) {
 			this.crashHistory.clear(cleared.contentHash());
 		}
 	}
@@ -318,7 +318,7 @@
 		long content = request.request().contentHash();
 		if (this.crashHistory.isSuspect(content)) {
 			this.crashHistory.clear(content);
-			effects.add(new EntryEffect.Broadcast(new NodeMessage.Cleared(this.nodeName, content)));
+			effects.add(new EntryEffect.Broadcast(new NodeMessage.SuspicionCleared(this.nodeName, content)));
 		}
 		this.finalAnswers.recordDelivered(request, target, delivered, now, effects);
 	}
@@ -505,7 +505,7 @@
 	 * @param now the current time
 	 * @param effects receives the resulting effects
 	 */
-	public void handleTargetReport(EntryEvent.TargetTold told, Instant now, Effects effects) {
+	public void handleTargetReport(EntryEvent.TargetReported told, Instant now, Effects effects) {
 		TargetReport report = told.report();
 		report.load().ifPresent((load) -> status(told.target()).recordReport(load, now));
 		report.rest().ifPresent((rest) -> handleRest(told.target(), rest, now, effects));
--- a/src/main/java/sycamorehill/logic/dispatch/TargetStatusRegistry.java
+++ b/src/main/java/sycamorehill/logic/dispatch/TargetStatusRegistry.java
@@ -136,7 +136,7 @@
 	 * @param placed the request
 	 * @param now the current time
 	 */
-	void handleReport(NodeMessage.Placed placed, Instant now) {
+	void handleReport(NodeMessage.RequestPlaced placed, Instant now) {
 		TargetStatus status = getOrCreate(placed.target());
 		status.addPeerRequest(placed.sender(), now.plus(MINIMUM_VALIDITY));
 		status.addPrefill(placed.prefillTime(), now);
--- a/src/main/java/sycamorehill/logic/entry/ConfigurationDistribution.java
+++ b/src/main/java/sycamorehill/logic/entry/ConfigurationDistribution.java
@@ -124,8 +124,8 @@
 		this.missing.filter((version) -> !now.isBefore(version.nextRequestAt())).ifPresent((version) -> {
 			effects.log(LogEvent.CONFIGURATION_TEXT_MISSING,
 					"version=" + version.version() + " late-millis=" + timeBehind(now).toMillis());
-			this.peers.sendTo(this.relay.source(now), new NodeMessage.ConfigurationWanted(this.self, version.version()),
-					effects);
+			this.peers.sendTo(this.relay.source(now),
+					new NodeMessage.ConfigurationRequest(this.self, version.version()), effects);
 			if (version.requested()) {
 				effects.add(new EntryEffect.ReadConfiguration());
 			}
@@ -139,7 +139,7 @@
 	 * @param version version of the configuration in effect
 	 * @param effects receives the resulting effects
 	 */
-	void sendAgain(NodeMessage.ConfigurationWanted wanted, long version, Effects effects) {
+	void sendAgain(NodeMessage.ConfigurationRequest wanted, long version, Effects effects) {
 		if (version >= wanted.version()) {
 			this.peers.address(wanted.sender())
 				.ifPresent((address) -> effects.add(new EntryEffect.SendConfiguration(List.of(address), version)));
--- a/src/main/java/sycamorehill/logic/entry/EntryReducer.java
+++ b/src/main/java/sycamorehill/logic/entry/EntryReducer.java
@@ -172,7 +172,7 @@
 	}
 
 	private void handleMessage(NodeMessage message, Instant now, Effects effects) {
-		if (message instanceof NodeMessage.LoadsAdded added
+		if (message instanceof NodeMessage.SummedLoads added
 				&& !this.loadAggregation.handleMessage(added, isStopping(), now)) {
 			return;
 		}
@@ -187,26 +187,26 @@
 	}
 
 	private boolean handleStoreMessage(NodeMessage message, Instant now, Effects effects) {
-		if (message instanceof NodeMessage.StoreNews update) {
+		if (message instanceof NodeMessage.StoreUpdate update) {
 			if (this.storeUpdates.handleUpdate(update, nodeState(), now, effects)) {
 				tick(now, effects);
 			}
 		}
-		else if (message instanceof NodeMessage.ChangesWanted wanted) {
+		else if (message instanceof NodeMessage.ChangesRequest wanted) {
 			this.storeUpdates.repeatChanges(wanted, now, effects);
 		}
-		else if (message instanceof NodeMessage.ConfigurationTold received) {
+		else if (message instanceof NodeMessage.ConfigurationText received) {
 			if (received.version() > configurationVersion()) {
 				effects.add(new EntryEffect.ParseConfiguration(received.sender(), received.text()));
 			}
 		}
-		else if (message instanceof NodeMessage.ConfigurationWanted wanted) {
+		else if (message instanceof NodeMessage.ConfigurationRequest wanted) {
 			this.configurationDistribution.sendAgain(wanted, configurationVersion(), effects);
 		}
 		else if (message instanceof NodeMessage.TargetLeaving leaving) {
 			this.directoryUpdates.applyLeaving(leaving, now, effects);
 		}
-		else if (message instanceof NodeMessage.TargetsSeen observed) {
+		else if (message instanceof NodeMessage.TargetsObserved observed) {
 			this.directoryUpdates.applyObserved(observed.changes(), now, effects);
 		}
 		else {
@@ -226,7 +226,7 @@
 		else if (message instanceof NodeMessage.GroupEnded ended) {
 			this.requests.handleGroupEnded(ended.head(), ended.group(), ended.epoch(), now, effects);
 		}
-		else if (message instanceof NodeMessage.LeaseGivenUp release) {
+		else if (message instanceof NodeMessage.LeaseReleased release) {
 			this.groups.handleLeaseReleased(release.holder(), this.relay.receivesStoreUpdates(now), now);
 		}
 	}
@@ -275,20 +275,20 @@
 			this.groups.recordTraffic(now);
 			handleRequest(arrived.request(), now, effects);
 		}
-		else if (event instanceof EntryEvent.AnswerBegun begun) {
+		else if (event instanceof EntryEvent.AnswerStarted begun) {
 			this.requests.handleFirstEvent(begun.number(), now);
 		}
 		else if (event instanceof EntryEvent.AttemptEnded ended) {
 			this.requests.handleAttemptEnd(ended.number(), ended.attempt(), ended.end(), now, effects);
 		}
-		else if (event instanceof EntryEvent.CallerGone gone) {
+		else if (event instanceof EntryEvent.CallerDisconnected gone) {
 			this.startupRequests.remove(gone.number());
 			this.requests.handleCallerDisconnected(gone.number(), now, effects);
 		}
 		else if (event instanceof EntryEvent.TimedOut timedOut) {
 			this.requests.handleTimeout(timedOut.number(), now, effects);
 		}
-		else if (event instanceof EntryEvent.TargetTold received) {
+		else if (event instanceof EntryEvent.TargetReported received) {
 			handleTargetReport(received, now, effects);
 		}
 		else if (event instanceof EntryEvent.TargetSilent silent) {
@@ -300,7 +300,7 @@
 		return true;
 	}
 
-	private void handleTargetReport(EntryEvent.TargetTold told, Instant now, Effects effects) {
+	private void handleTargetReport(EntryEvent.TargetReported told, Instant now, Effects effects) {
 		this.requests.handleTargetReport(told, now, effects);
 		if (told.report().leaving()) {
 			this.directoryUpdates.applyLeaving(told.target(), now, effects);
@@ -308,7 +308,7 @@
 	}
 
 	private boolean handleGroupEvent(EntryEvent event, Instant now, Effects effects) {
-		if (event instanceof EntryEvent.OrderAnswered answered) {
+		if (event instanceof EntryEvent.CommandAnswered answered) {
 			this.groups.handleCommandAnswer(answered.target(), answered.order(), answered.answer(), now, effects);
 		}
 		else if (event instanceof EntryEvent.ReportRead read) {
@@ -332,7 +332,7 @@
 			this.relay.recordConfigurationRead(read.revision(), now);
 			applyConfiguration(read.configuration(), this.settings.nodeName(), now, effects);
 		}
-		else if (event instanceof EntryEvent.ConfigurationHeard received) {
+		else if (event instanceof EntryEvent.ConfigurationReceived received) {
 			applyConfiguration(received.configuration(), received.source(), now, effects);
 		}
 		else if (event instanceof EntryEvent.TargetsListed all) {
@@ -344,14 +344,14 @@
 		else if (event instanceof EntryEvent.TargetsChanged changed) {
 			this.storeUpdates.handleChangesRead(changed, nodeState(), now, effects);
 		}
-		else if (event instanceof EntryEvent.DirectoryNotReached) {
+		else if (event instanceof EntryEvent.DirectoryUnreachable) {
 			this.relay.recordReadFailure();
 			this.directoryUpdates.recordStoreContact(this.relay.receivesStoreUpdates(now), now, effects);
 		}
 		else if (event instanceof EntryEvent.NodesListed all) {
 			handleNodeList(all, now, effects);
 		}
-		else if (event instanceof EntryEvent.MessageHeard message) {
+		else if (event instanceof EntryEvent.MessageReceived message) {
 			handleMessage(message.message(), now, effects);
 			return;
 		}
@@ -359,7 +359,7 @@
 			this.requests.updateSettings(read.settings());
 			effects.log(LogEvent.SETTINGS_RELOADED, "node=" + read.settings().nodeName());
 		}
-		else if (event instanceof EntryEvent.StopOrdered) {
+		else if (event instanceof EntryEvent.StopRequested) {
 			this.stopRequestedAt = now;
 			this.groups.stop(effects);
 		}
--- a/src/main/java/sycamorehill/logic/entry/LoadAggregation.java
+++ b/src/main/java/sycamorehill/logic/entry/LoadAggregation.java
@@ -90,7 +90,7 @@
 	 * @param now the current time
 	 * @return true if the sums are valid for this node
 	 */
-	boolean handleMessage(NodeMessage.LoadsAdded added, boolean stopping, Instant now) {
+	boolean handleMessage(NodeMessage.SummedLoads added, boolean stopping, Instant now) {
 		Optional<String> aggregator = aggregator(stopping, now);
 		boolean includesLocal = added.sums().stream().anyMatch((sum) -> sum.dataCentre().equals(this.localDataCentre));
 		String requiredAggregator = includesLocal ? added.sender() : this.self;
@@ -171,11 +171,11 @@
 		for (String node : this.peers.localNames()) {
 			List<LoadSum> sums = new ArrayList<>(this.remoteSums.values());
 			sums.add(createSum(withoutLoadsOf(all, node)));
-			this.peers.sendTo(node, new NodeMessage.LoadsAdded(this.self, sums), effects);
+			this.peers.sendTo(node, new NodeMessage.SummedLoads(this.self, sums), effects);
 		}
 		this.remoteSums.clear();
 		if (this.sendCount % SENDS_PER_REMOTE_SEND == 0) {
-			this.peers.sendToRelays(new NodeMessage.LoadsAdded(this.self, List.of(createSum(all))), now, effects);
+			this.peers.sendToRelays(new NodeMessage.SummedLoads(this.self, List.of(createSum(all))), now, effects);
 		}
 	}
 
--- a/src/main/java/sycamorehill/logic/entry/PeerNodes.java
+++ b/src/main/java/sycamorehill/logic/entry/PeerNodes.java
@@ -122,7 +122,7 @@
 		if (message instanceof NodeMessage.Loads loads) {
 			this.storeStatuses.put(message.sender(), new StoreStatus(loads.storeReachable(), now));
 		}
-		else if (message instanceof NodeMessage.LoadsAdded added) {
+		else if (message instanceof NodeMessage.SummedLoads added) {
 			for (LoadSum sum : added.sums()) {
 				this.lastReceived.put(sum.aggregator(), now);
 				this.nodeCounts.put(sum.dataCentre(), new NodeCount(sum.liveNodes(), now));
@@ -131,7 +131,7 @@
 		else if (message instanceof NodeMessage.Introduction introduction) {
 			add(introduction.node(), now);
 		}
-		else if (message instanceof NodeMessage.StoreNews update) {
+		else if (message instanceof NodeMessage.StoreUpdate update) {
 			this.relays.put(update.dataCentre(), new Relay(update.sender(), now));
 		}
 	}
--- a/src/main/java/sycamorehill/logic/entry/StoreRelay.java
+++ b/src/main/java/sycamorehill/logic/entry/StoreRelay.java
@@ -186,7 +186,7 @@
 	 * @return the update for the other nodes; without changes it reports only this node's
 	 * progress
 	 */
-	NodeMessage.StoreNews recordTargetChanges(ChangeBatch batch, Instant now) {
+	NodeMessage.StoreUpdate recordTargetChanges(ChangeBatch batch, Instant now) {
 		this.revision = batch.revision();
 		this.targetsReadAt = now;
 		replaceSource(now);
@@ -199,9 +199,9 @@
 		return createUpdate(previousChange, batch.since(), batch.changes(), now);
 	}
 
-	private NodeMessage.StoreNews createUpdate(long previousChangeRevision, long since, List<TargetChange> changes,
+	private NodeMessage.StoreUpdate createUpdate(long previousChangeRevision, long since, List<TargetChange> changes,
 			Instant now) {
-		return new NodeMessage.StoreNews(this.self, this.dataCentre, this.configurationVersion,
+		return new NodeMessage.StoreUpdate(this.self, this.dataCentre, this.configurationVersion,
 				this.configurationRevision, previousChangeRevision, since, this.revision, changes, Optional.empty(),
 				age(now));
 	}
@@ -212,7 +212,7 @@
 	 * @param now the current time
 	 * @return the update; empty if this node no longer holds all of the changes
 	 */
-	Optional<NodeMessage.StoreNews> repeatChanges(long since, Instant now) {
+	Optional<NodeMessage.StoreUpdate> repeatChanges(long since, Instant now) {
 		return this.recentChanges.after(since)
 			.filter((changes) -> !changes.isEmpty())
 			.map((changes) -> createUpdate(since, since, changes, now));
@@ -265,7 +265,7 @@
 	 * @param now the current time
 	 * @return an update that reports this node's progress
 	 */
-	NodeMessage.StoreNews createProgressUpdate(Instant now) {
+	NodeMessage.StoreUpdate createProgressUpdate(Instant now) {
 		return createUpdate(this.changeRevision, this.revision, List.of(), now);
 	}
 
@@ -279,7 +279,7 @@
 	 * @param now the current time
 	 * @return what to do with it
 	 */
-	UpdateResult handleUpdate(NodeMessage.StoreNews update, Instant now) {
+	UpdateResult handleUpdate(NodeMessage.StoreUpdate update, Instant now) {
 		boolean local = update.dataCentre().equals(this.dataCentre);
 		if (!acceptsUpdateFrom(update.sender(), local, now)) {
 			return UpdateResult.IGNORED;
@@ -299,7 +299,7 @@
 			this.recentChanges.add(new ChangeBatch(update.since(), update.revision(), update.changes()));
 		}
 		advanceRevisions(update);
-		Optional<NodeMessage.StoreNews> relayed = local ? Optional.empty()
+		Optional<NodeMessage.StoreUpdate> relayed = local ? Optional.empty()
 				: Optional.of(update.relayedBy(this.self, this.dataCentre));
 		return new UpdateResult(true, configuration, false, apply, relayed);
 	}
@@ -307,7 +307,7 @@
 	// A new reader reports the revision of the last change before it began. If that
 	// revision were too low, a node that missed the change would consider it known, and
 	// keep sending requests to a target that has left.
-	private void advanceRevisions(NodeMessage.StoreNews update) {
+	private void advanceRevisions(NodeMessage.StoreUpdate update) {
 		if (this.revision < update.revision()) {
 			this.revision = update.revision();
 		}
@@ -360,7 +360,7 @@
 	 * @param relayedUpdate the update to send to the other nodes of the data centre
 	 */
 	record UpdateResult(boolean accepted, boolean readConfiguration, boolean readTargets, boolean applyChanges,
-			Optional<NodeMessage.StoreNews> relayedUpdate) {
+			Optional<NodeMessage.StoreUpdate> relayedUpdate) {
 
 		private static final UpdateResult IGNORED = new UpdateResult(false, false, false, false, Optional.empty());
 
--- a/src/main/java/sycamorehill/logic/entry/StoreUpdates.java
+++ b/src/main/java/sycamorehill/logic/entry/StoreUpdates.java
@@ -52,7 +52,7 @@
 	 * @param effects receives the resulting effects
 	 * @return whether the update changed any targets
 	 */
-	boolean handleUpdate(NodeMessage.StoreNews update, NodeState node, Instant now, Effects effects) {
+	boolean handleUpdate(NodeMessage.StoreUpdate update, NodeState node, Instant now, Effects effects) {
 		StoreRelay.UpdateResult result = this.relay.handleUpdate(update, now);
 		if (!result.accepted()) {
 			return false;
@@ -71,18 +71,18 @@
 		return result.applyChanges();
 	}
 
-	private void advanceReads(NodeMessage.StoreNews update, NodeState node, Effects effects) {
+	private void advanceReads(NodeMessage.StoreUpdate update, NodeState node, Effects effects) {
 		effects.add(new EntryEffect.AdvanceTargetRevision(this.relay.revision()));
 		if (update.configurationVersion() == node.configurationVersion()) {
 			effects.add(new EntryEffect.AdvanceConfigurationRevision(update.configurationRevision()));
 		}
 	}
 
-	private void requestMissed(NodeMessage.StoreNews update, StoreRelay.UpdateResult result, Instant now,
+	private void requestMissed(NodeMessage.StoreUpdate update, StoreRelay.UpdateResult result, Instant now,
 			Effects effects) {
 		if (result.readTargets()) {
 			effects.add(new EntryEffect.ReadTargetChanges());
-			this.peers.sendTo(update.sender(), new NodeMessage.ChangesWanted(this.self, this.relay.revision()),
+			this.peers.sendTo(update.sender(), new NodeMessage.ChangesRequest(this.self, this.relay.revision()),
 					effects);
 		}
 		if (result.readConfiguration()) {
@@ -97,7 +97,7 @@
 	 * @param now the current time
 	 * @param effects receives the resulting effects
 	 */
-	void repeatChanges(NodeMessage.ChangesWanted wanted, Instant now, Effects effects) {
+	void repeatChanges(NodeMessage.ChangesRequest wanted, Instant now, Effects effects) {
 		this.relay.repeatChanges(wanted.since(), now)
 			.ifPresent((update) -> this.peers.sendTo(wanted.sender(), update, effects));
 	}
@@ -111,7 +111,7 @@
 	 */
 	void handleChangesRead(EntryEvent.TargetsChanged changed, NodeState node, Instant now, Effects effects) {
 		this.directory.recordStoreContact(true, now, effects);
-		NodeMessage.StoreNews update = this.relay
+		NodeMessage.StoreUpdate update = this.relay
 			.recordTargetChanges(new ChangeBatch(changed.since(), changed.revision(), changed.changes()), now);
 		boolean distributes = this.relay.isReader(now) || this.relay.isRelay(now);
 		if (!changed.changes().isEmpty() && distributes && !node.stopping()) {
@@ -133,8 +133,8 @@
 		}
 	}
 
-	private void send(NodeMessage.StoreNews update, Instant now, Effects effects) {
-		NodeMessage.StoreNews complete = update.withLease(this.groups.lease());
+	private void send(NodeMessage.StoreUpdate update, Instant now, Effects effects) {
+		NodeMessage.StoreUpdate complete = update.withLease(this.groups.lease());
 		this.relay.recordUpdateSent(now);
 		this.peers.sendToLocalPeers(complete, effects);
 		if (this.relay.isReader(now)) {
--- a/src/main/java/sycamorehill/logic/layout/GroupController.java
+++ b/src/main/java/sycamorehill/logic/layout/GroupController.java
@@ -176,8 +176,8 @@
 	 */
 	public void handleReport(TargetName engine, EngineReport report, Instant now, Effects effects) {
 		this.directory.applyReport(engine, report)
-			.ifPresent((change) -> effects.add(
-					new EntryEffect.Broadcast(new NodeMessage.TargetsSeen(this.settings.nodeName(), List.of(change)))));
+			.ifPresent((change) -> effects.add(new EntryEffect.Broadcast(
+					new NodeMessage.TargetsObserved(this.settings.nodeName(), List.of(change)))));
 		long startMillis = this.directory.find(engine).map(TargetEntry::startMillis).orElse(0L);
 		this.commandTracker.recordCount(engine, startMillis, report.acceptedCommands());
 		this.unreachable.recordReached(engine, now);
--- a/src/main/java/sycamorehill/logic/layout/GroupLeaseManager.java
+++ b/src/main/java/sycamorehill/logic/layout/GroupLeaseManager.java
@@ -156,8 +156,8 @@
 		lose("the store answers other nodes", effects);
 		this.failedRenewals = 0;
 		this.nextCallAt = now.plus(EXPIRY_TIME);
-		effects
-			.add(new EntryEffect.Broadcast(new NodeMessage.LeaseGivenUp(nodeName(this.ownIdentity), this.ownIdentity)));
+		effects.add(
+				new EntryEffect.Broadcast(new NodeMessage.LeaseReleased(nodeName(this.ownIdentity), this.ownIdentity)));
 	}
 
 	/**
@@ -279,7 +279,7 @@
 			Lease held = this.lastLease.orElseThrow();
 			effects.add(new EntryEffect.ReplaceLease(new Lease("", held.term(), held.revision())));
 			effects.add(new EntryEffect.Broadcast(
-					new NodeMessage.LeaseGivenUp(nodeName(this.ownIdentity), this.ownIdentity)));
+					new NodeMessage.LeaseReleased(nodeName(this.ownIdentity), this.ownIdentity)));
 			effects.log(LogEvent.GROUP_LEASE, "given back term=" + held.term());
 		}
 		this.holding = false;
--- a/src/main/java/sycamorehill/model/serving/EntryEvent.java
+++ b/src/main/java/sycamorehill/model/serving/EntryEvent.java
@@ -25,7 +25,7 @@
 	 * @param configuration the configuration
 	 * @param source the node that sent it
 	 */
-	record ConfigurationHeard(Configuration configuration, String source) implements EntryEvent {
+	record ConfigurationReceived(Configuration configuration, String source) implements EntryEvent {
 	}
 
 	/**
@@ -48,7 +48,7 @@
 	}
 
 	/** The store did not answer a read of the directory. */
-	record DirectoryNotReached() implements EntryEvent {
+	record DirectoryUnreachable() implements EntryEvent {
 	}
 
 	/**
@@ -64,7 +64,7 @@
 	 *
 	 * @param number the request
 	 */
-	record AnswerBegun(long number) implements EntryEvent {
+	record AnswerStarted(long number) implements EntryEvent {
 	}
 
 	/**
@@ -82,7 +82,7 @@
 	 *
 	 * @param number the request
 	 */
-	record CallerGone(long number) implements EntryEvent {
+	record CallerDisconnected(long number) implements EntryEvent {
 	}
 
 	/**
@@ -100,7 +100,7 @@
 	 * @param target the target
 	 * @param report the target's status
 	 */
-	record TargetTold(long number, TargetName target, TargetReport report) implements EntryEvent {
+	record TargetReported(long number, TargetName target, TargetReport report) implements EntryEvent {
 	}
 
 	/**
@@ -121,7 +121,7 @@
 	 * @param order the command
 	 * @param answer the result
 	 */
-	record OrderAnswered(TargetName target, EngineCommandRequest order,
+	record CommandAnswered(TargetName target, EngineCommandRequest order,
 			EngineCommandAnswer answer) implements EntryEvent {
 	}
 
@@ -164,7 +164,7 @@
 	 *
 	 * @param message the message
 	 */
-	record MessageHeard(NodeMessage message) implements EntryEvent {
+	record MessageReceived(NodeMessage message) implements EntryEvent {
 	}
 
 	/**
@@ -176,7 +176,7 @@
 	}
 
 	/** The process was asked to stop. */
-	record StopOrdered() implements EntryEvent {
+	record StopRequested() implements EntryEvent {
 	}
 
 	/** A regular tick, which lets the logic check its timeouts. */
--- a/src/main/java/sycamorehill/model/serving/NodeMessage.java
+++ b/src/main/java/sycamorehill/model/serving/NodeMessage.java
@@ -47,12 +47,12 @@
 	 * @param sender the sender
 	 * @param sums the sums of the sender's own and of other data centres
 	 */
-	record LoadsAdded(String sender, List<LoadSum> sums) implements NodeMessage {
+	record SummedLoads(String sender, List<LoadSum> sums) implements NodeMessage {
 
 		/**
 		 * Copies the sums.
 		 */
-		public LoadsAdded {
+		public SummedLoads {
 			sums = List.copyOf(sums);
 		}
 
@@ -65,7 +65,7 @@
 	 * @param target the engine
 	 * @param prefillTime time that the engine needs to process the prompt
 	 */
-	record Placed(String sender, TargetName target, Duration prefillTime) implements NodeMessage {
+	record RequestPlaced(String sender, TargetName target, Duration prefillTime) implements NodeMessage {
 	}
 
 	/**
@@ -84,14 +84,14 @@
 	 * @param lease the last known lease for the control of the groups
 	 * @param age time since the store answered the node that read this
 	 */
-	record StoreNews(String sender, DataCentreName dataCentre, long configurationVersion, long configurationRevision,
+	record StoreUpdate(String sender, DataCentreName dataCentre, long configurationVersion, long configurationRevision,
 			long previousChangeRevision, long since, long revision, List<TargetChange> changes, Optional<Lease> lease,
 			Duration age) implements NodeMessage {
 
 		/**
 		 * Copies the changes.
 		 */
-		public StoreNews {
+		public StoreUpdate {
 			changes = List.copyOf(changes);
 		}
 
@@ -100,8 +100,8 @@
 		 * @param knownLease the last known lease
 		 * @return the update
 		 */
-		public StoreNews withLease(Optional<Lease> knownLease) {
-			return new StoreNews(this.sender, this.dataCentre, this.configurationVersion, this.configurationRevision,
+		public StoreUpdate withLease(Optional<Lease> knownLease) {
+			return new StoreUpdate(this.sender, this.dataCentre, this.configurationVersion, this.configurationRevision,
 					this.previousChangeRevision, this.since, this.revision, this.changes, knownLease, this.age);
 		}
 
@@ -110,8 +110,8 @@
 		 * store itself.
 		 * @return the update
 		 */
-		public StoreNews withoutChanges() {
-			return new StoreNews(this.sender, this.dataCentre, this.configurationVersion, this.configurationRevision,
+		public StoreUpdate withoutChanges() {
+			return new StoreUpdate(this.sender, this.dataCentre, this.configurationVersion, this.configurationRevision,
 					this.revision, this.revision, this.revision, List.of(), this.lease, this.age);
 		}
 
@@ -121,8 +121,8 @@
 		 * @param relayDataCentre the relay's data centre
 		 * @return the update
 		 */
-		public StoreNews relayedBy(String relay, DataCentreName relayDataCentre) {
-			return new StoreNews(relay, relayDataCentre, this.configurationVersion, this.configurationRevision,
+		public StoreUpdate relayedBy(String relay, DataCentreName relayDataCentre) {
+			return new StoreUpdate(relay, relayDataCentre, this.configurationVersion, this.configurationRevision,
 					this.previousChangeRevision, this.since, this.revision, this.changes, this.lease, this.age);
 		}
 
@@ -135,7 +135,7 @@
 	 * @param sender the sender
 	 * @param since the revision that the sender has reached
 	 */
-	record ChangesWanted(String sender, long since) implements NodeMessage {
+	record ChangesRequest(String sender, long since) implements NodeMessage {
 	}
 
 	/**
@@ -145,7 +145,7 @@
 	 * @param version version of the configuration
 	 * @param text text of the configuration in the store
 	 */
-	record ConfigurationTold(String sender, long version, String text) implements NodeMessage {
+	record ConfigurationText(String sender, long version, String text) implements NodeMessage {
 	}
 
 	/**
@@ -154,7 +154,7 @@
 	 * @param sender the sender, which has not received it
 	 * @param version version of the configuration
 	 */
-	record ConfigurationWanted(String sender, long version) implements NodeMessage {
+	record ConfigurationRequest(String sender, long version) implements NodeMessage {
 	}
 
 	/**
@@ -164,12 +164,12 @@
 	 * @param sender the sender
 	 * @param changes the changes
 	 */
-	record TargetsSeen(String sender, List<TargetChange> changes) implements NodeMessage {
+	record TargetsObserved(String sender, List<TargetChange> changes) implements NodeMessage {
 
 		/**
 		 * Copies the changes.
 		 */
-		public TargetsSeen {
+		public TargetsObserved {
 			changes = List.copyOf(changes);
 		}
 
@@ -197,7 +197,7 @@
 	 * @param sender the sender
 	 * @param holder the process that held the lease, as named in it
 	 */
-	record LeaseGivenUp(String sender, String holder) implements NodeMessage {
+	record LeaseReleased(String sender, String holder) implements NodeMessage {
 	}
 
 	/**
@@ -266,7 +266,7 @@
 	 * @param sender the sender
 	 * @param contentHash hash of the request's content
 	 */
-	record Cleared(String sender, long contentHash) implements NodeMessage {
+	record SuspicionCleared(String sender, long contentHash) implements NodeMessage {
 	}
 
 }
--- a/src/test/java/sycamorehill/entry/NodeMessageCodecTests.java
+++ b/src/test/java/sycamorehill/entry/NodeMessageCodecTests.java
@@ -40,21 +40,21 @@
 		List<TargetChange> changes = List.of(new TargetChange(TARGET, Optional.of(member)),
 				new TargetChange(TargetName.of("gone"), Optional.empty()));
 		return List.of(new NodeMessage.Loads("n1", NORTH, true, Map.of(TARGET, 3)),
-				new NodeMessage.LoadsAdded("n1", List.of(new LoadSum("n2", NORTH, 7, Map.of(TARGET, 3)))),
-				new NodeMessage.Placed("n1", TARGET, Duration.ofMillis(14)),
-				new NodeMessage.StoreNews("n1", NORTH, 5, 1, 90, 100, 110, changes,
+				new NodeMessage.SummedLoads("n1", List.of(new LoadSum("n2", NORTH, 7, Map.of(TARGET, 3)))),
+				new NodeMessage.RequestPlaced("n1", TARGET, Duration.ofMillis(14)),
+				new NodeMessage.StoreUpdate("n1", NORTH, 5, 1, 90, 100, 110, changes,
 						Optional.of(new Lease("n2#a", 3, 99)), Duration.ofMillis(210)),
-				new NodeMessage.ConfigurationTold("n1", 5, "{\"routes\": [\"näher\"]}"),
-				new NodeMessage.ChangesWanted("n1", 90), new NodeMessage.ConfigurationWanted("n1", 5),
-				new NodeMessage.TargetsSeen("n1", changes),
+				new NodeMessage.ConfigurationText("n1", 5, "{\"routes\": [\"näher\"]}"),
+				new NodeMessage.ChangesRequest("n1", 90), new NodeMessage.ConfigurationRequest("n1", 5),
+				new NodeMessage.TargetsObserved("n1", changes),
 				new NodeMessage.Introduction(ServingSamples.node("n1", 7100)),
-				new NodeMessage.LeaseGivenUp("n1", "n1#a"), new NodeMessage.Silence("n1", TARGET),
+				new NodeMessage.LeaseReleased("n1", "n1#a"), new NodeMessage.Silence("n1", TARGET),
 				new NodeMessage.SilenceConfirmed("n1", TARGET),
 				new NodeMessage.GroupEnded("n1", TARGET, "small.1", 1_000_001),
 				new NodeMessage.TargetLimited("n1", TARGET, Optional.of(new RequestRate(1.4))),
 				new NodeMessage.TargetLimited("n1", TARGET, Optional.empty()),
 				new NodeMessage.TargetLeaving("n1", TARGET, 1_700_000_000_000L),
-				new NodeMessage.Suspicion("n1", Long.MIN_VALUE, TARGET), new NodeMessage.Cleared("n1", 7));
+				new NodeMessage.Suspicion("n1", Long.MIN_VALUE, TARGET), new NodeMessage.SuspicionCleared("n1", 7));
 	}
 
 	@Test
--- a/src/test/java/sycamorehill/entry/NodeMessengerTests.java
+++ b/src/test/java/sycamorehill/entry/NodeMessengerTests.java
@@ -62,7 +62,7 @@
 		this.eventLoops.shutdownGracefully(0, 0, TimeUnit.SECONDS);
 	}
 
-	private static NodeMessage.StoreNews storeUpdate(int changes) {
+	private static NodeMessage.StoreUpdate storeUpdate(int changes) {
 		List<TargetChange> targetChanges = new ArrayList<>();
 		for (int number = 0; number < changes; number++) {
 			TargetName name = TargetName.of("i-" + number + "x".repeat(58));
@@ -73,13 +73,13 @@
 							Long.MAX_VALUE, Optional.of("domain-" + "z".repeat(56)), Set.of("m".repeat(63)),
 							Optional.of("m".repeat(63)), Optional.of(membership)))));
 		}
-		return new NodeMessage.StoreNews("a", NORTH, 5, 1, 100, 100, 103, targetChanges,
+		return new NodeMessage.StoreUpdate("a", NORTH, 5, 1, 100, 100, 103, targetChanges,
 				Optional.of(new Lease("one#a", 3, 90)), Duration.ofMillis(210));
 	}
 
 	private NodeMessage nextMessage() throws InterruptedException {
 		EntryEvent event = this.receivedEvents.poll(5, TimeUnit.SECONDS);
-		return (event instanceof EntryEvent.MessageHeard message) ? message.message() : null;
+		return (event instanceof EntryEvent.MessageReceived message) ? message.message() : null;
 	}
 
 	// Dozens of engines change state when groups form, and the node that reads the store
@@ -99,7 +99,7 @@
 	@Test
 	void tooManyChangesAreOnlyAnnounced() throws InterruptedException {
 		this.sender.send(List.of(this.receiver), storeUpdate(400));
-		assertThat(nextMessage()).isEqualTo(new NodeMessage.StoreNews("a", NORTH, 5, 1, 103, 103, 103, List.of(),
+		assertThat(nextMessage()).isEqualTo(new NodeMessage.StoreUpdate("a", NORTH, 5, 1, 103, 103, 103, List.of(),
 				Optional.of(new Lease("one#a", 3, 90)), Duration.ofMillis(210)));
 	}
 
--- a/src/test/java/sycamorehill/logic/dispatch/RequestDispatcherTests.java
+++ b/src/test/java/sycamorehill/logic/dispatch/RequestDispatcherTests.java
@@ -87,7 +87,7 @@
 
 	private void reportRest(String target, Duration rest) {
 		this.dispatcher.handleTargetReport(
-				new EntryEvent.TargetTold(0, TargetName.of(target),
+				new EntryEvent.TargetReported(0, TargetName.of(target),
 						new TargetReport(Optional.empty(), Optional.empty(), Optional.of(rest), false)),
 				this.now, Effects.create());
 	}
@@ -360,7 +360,7 @@
 					Effects.create());
 		}
 		assertThat(answer(arrive(7, "/again/x")).status()).isEqualTo(503);
-		this.dispatcher.handleMessage(new NodeMessage.Cleared("two", content), this.now, Effects.create());
+		this.dispatcher.handleMessage(new NodeMessage.SuspicionCleared("two", content), this.now, Effects.create());
 		assertThat(starts(arrive(7, "/again/x"))).hasSize(1);
 	}
 
--- a/src/test/java/sycamorehill/logic/entry/EntryReducerTests.java
+++ b/src/test/java/sycamorehill/logic/entry/EntryReducerTests.java
@@ -44,7 +44,7 @@
 	// refused as not run.
 	@Test
 	void aStoppingNodeAcceptsRequestsOnlyAsLongAsItCanFinishThem() {
-		List<EntryEffect> stopping = accept(new EntryEvent.StopOrdered(), 100);
+		List<EntryEffect> stopping = accept(new EntryEvent.StopRequested(), 100);
 		assertThat(stopping).contains(new EntryEffect.SetReadiness(false));
 		assertThat(startsAttempt(accept(new EntryEvent.RequestArrived(ServingSamples.request(1, "/again/x")), 2000)))
 			.isTrue();
@@ -103,7 +103,8 @@
 		fresh.accept(new EntryEvent.RequestArrived(ServingSamples.request(1, "/again/x")), this.start);
 		assertThat(isRefused(fresh.accept(new EntryEvent.Ticked(), this.start.plusMillis(900)))).isTrue();
 		fresh.accept(new EntryEvent.RequestArrived(ServingSamples.request(2, "/again/x")), this.start.plusMillis(1000));
-		assertThat(isRefused(fresh.accept(new EntryEvent.DirectoryNotReached(), this.start.plusMillis(1050)))).isTrue();
+		assertThat(isRefused(fresh.accept(new EntryEvent.DirectoryUnreachable(), this.start.plusMillis(1050))))
+			.isTrue();
 		assertThat(isRefused(fresh.accept(new EntryEvent.RequestArrived(ServingSamples.request(3, "/again/x")),
 				this.start.plusMillis(1100))))
 			.isTrue();
@@ -113,7 +114,7 @@
 	void aQueuedRequestIsDroppedWhenItsCallerDisconnects() {
 		EntryReducer fresh = EntryReducer.of(ServingSamples.settings("one"), "one#2", new Random(1), this.start);
 		fresh.accept(new EntryEvent.RequestArrived(ServingSamples.request(1, "/again/x")), this.start);
-		fresh.accept(new EntryEvent.CallerGone(1), this.start.plusMillis(100));
+		fresh.accept(new EntryEvent.CallerDisconnected(1), this.start.plusMillis(100));
 		fresh.accept(new EntryEvent.ConfigurationRead(ServingSamples.configuration(1), 1), this.start.plusMillis(200));
 		assertThat(startsAttempt(fresh.accept(new EntryEvent.TargetsListed(List.of(ServingSamples.plain("p1")), 10),
 				this.start.plusMillis(250))))
--- a/src/test/java/sycamorehill/logic/entry/LeavingTargetTests.java
+++ b/src/test/java/sycamorehill/logic/entry/LeavingTargetTests.java
@@ -62,7 +62,7 @@
 	}
 
 	private List<EntryEffect> announceLeaving(String target) {
-		return accept(new EntryEvent.TargetTold(0, TargetName.of(target), LEAVING));
+		return accept(new EntryEvent.TargetReported(0, TargetName.of(target), LEAVING));
 	}
 
 	private List<TargetName> targetsOfRequests(EntryReducer at, String path) {
@@ -129,13 +129,13 @@
 		assertThat(sentMessages(announceLeaving("p1"))).containsExactly(message);
 		assertThat(sentMessages(announceLeaving("p1"))).isEmpty();
 		EntryReducer other = start("two");
-		assertThat(sentMessages(other.accept(new EntryEvent.MessageHeard(message), this.now))).isEmpty();
+		assertThat(sentMessages(other.accept(new EntryEvent.MessageReceived(message), this.now))).isEmpty();
 		assertThat(targetsOfRequests(other, "/once/x")).hasSize(8).doesNotContain(TargetName.of("p1"));
 	}
 
 	@Test
 	void aMessageAboutAnEarlierProcessIsIgnored() {
-		accept(new EntryEvent.MessageHeard(new NodeMessage.TargetLeaving("two", TargetName.of("p1"), 0)));
+		accept(new EntryEvent.MessageReceived(new NodeMessage.TargetLeaving("two", TargetName.of("p1"), 0)));
 		assertThat(targetsOfRequests(this.node, "/once/x")).contains(TargetName.of("p1"));
 	}
 
--- a/src/test/java/sycamorehill/logic/entry/ManyNodesTests.java
+++ b/src/test/java/sycamorehill/logic/entry/ManyNodesTests.java
@@ -137,7 +137,7 @@
 					.filter((to) -> isDelivered(send.message(), to))
 					.forEach((to) -> {
 						this.receivedMessages.computeIfAbsent(to, (name) -> new ArrayList<>()).add(send.message());
-						accept(to, new EntryEvent.MessageHeard(send.message()));
+						accept(to, new EntryEvent.MessageReceived(send.message()));
 					});
 			}
 		}
@@ -157,8 +157,8 @@
 	}
 
 	private boolean isDelivered(NodeMessage message, String node) {
-		boolean lost = (message instanceof NodeMessage.ConfigurationTold && this.textsLost.contains(node))
-				|| (message instanceof NodeMessage.StoreNews update && !update.changes().isEmpty()
+		boolean lost = (message instanceof NodeMessage.ConfigurationText && this.textsLost.contains(node))
+				|| (message instanceof NodeMessage.StoreUpdate update && !update.changes().isEmpty()
 						&& this.changesLost.contains(node));
 		return !lost && !this.down.contains(node) && this.random.nextDouble() >= this.lossShare;
 	}
@@ -167,15 +167,15 @@
 	private void handleConfigurationEffects(String node, List<EntryEffect> effects) {
 		for (EntryEffect effect : effects) {
 			if (effect instanceof EntryEffect.SendConfiguration send) {
-				NodeMessage text = new NodeMessage.ConfigurationTold(node, send.version(), "" + send.version());
+				NodeMessage text = new NodeMessage.ConfigurationText(node, send.version(), "" + send.version());
 				send.nodes()
 					.stream()
 					.map(this.names::get)
 					.filter((to) -> isDelivered(text, to))
-					.forEach((to) -> accept(to, new EntryEvent.MessageHeard(text)));
+					.forEach((to) -> accept(to, new EntryEvent.MessageReceived(text)));
 			}
 			else if (effect instanceof EntryEffect.ParseConfiguration take) {
-				accept(node, new EntryEvent.ConfigurationHeard(
+				accept(node, new EntryEvent.ConfigurationReceived(
 						ServingSamples.configuration(Long.parseLong(take.text())), take.sender()));
 			}
 			else if (effect instanceof EntryEffect.ReadConfiguration && !this.refused.contains(node)) {
@@ -238,7 +238,7 @@
 
 	private void readTargets(String node) {
 		if (!isAnswered(node)) {
-			accept(node, new EntryEvent.DirectoryNotReached());
+			accept(node, new EntryEvent.DirectoryUnreachable());
 			return;
 		}
 		long since = this.revisionsRead.getOrDefault(node, FIRST_REVISION);
@@ -250,7 +250,7 @@
 	private List<LoadSum> receivedSums(String node) {
 		List<LoadSum> sums = new ArrayList<>();
 		for (NodeMessage message : this.receivedMessages.getOrDefault(node, List.of())) {
-			if (message instanceof NodeMessage.LoadsAdded added) {
+			if (message instanceof NodeMessage.SummedLoads added) {
 				sums.addAll(added.sums());
 			}
 		}
@@ -267,7 +267,7 @@
 		run(Duration.ofSeconds(10));
 		for (String node : List.of("north-105", "south-139")) {
 			assertThat(this.receivedMessages.get(node)).noneMatch(NodeMessage.Loads.class::isInstance)
-				.filteredOn(NodeMessage.LoadsAdded.class::isInstance)
+				.filteredOn(NodeMessage.SummedLoads.class::isInstance)
 				.hasSizeBetween(15, 25);
 		}
 	}
--- a/src/test/java/sycamorehill/logic/entry/SharedLimitTests.java
+++ b/src/test/java/sycamorehill/logic/entry/SharedLimitTests.java
@@ -123,7 +123,7 @@
 	private void deliverLater(String node, NodeMessage message) {
 		if (this.random.nextDouble() >= this.lossShare) {
 			this.scheduledEvents.add(new ScheduledEvent(this.now.plusMillis(1 + this.random.nextInt(20)), node,
-					new EntryEvent.MessageHeard(message)));
+					new EntryEvent.MessageReceived(message)));
 		}
 	}
 
@@ -138,7 +138,8 @@
 			this.countedRequests.add(this.now);
 		}
 		Instant answeredAt = this.now.plus(this.answerTime);
-		this.scheduledEvents.add(new ScheduledEvent(answeredAt, node, new EntryEvent.TargetTold(start.number(), target,
+		this.scheduledEvents.add(new ScheduledEvent(answeredAt, node, new EntryEvent.TargetReported(start.number(),
+				target,
 				new TargetReport(Optional.empty(), limited ? this.limit : Optional.empty(), Optional.empty(), false))));
 		this.scheduledEvents
 			.add(new ScheduledEvent(answeredAt.plusNanos(1), node, new EntryEvent.AttemptEnded(start.number(),
@@ -165,7 +166,7 @@
 	private void deliver() {
 		while (!this.scheduledEvents.isEmpty() && !this.scheduledEvents.peek().at().isAfter(this.now)) {
 			ScheduledEvent next = this.scheduledEvents.poll();
-			if (next.event() instanceof EntryEvent.TargetTold report && report.report().rateLimit().isPresent()) {
+			if (next.event() instanceof EntryEvent.TargetReported report && report.report().rateLimit().isPresent()) {
 				this.firstLimitReceivedAt.putIfAbsent(next.node(), this.now);
 			}
 			if (!this.down.contains(next.node())) {
--- a/src/test/java/sycamorehill/logic/entry/SilentTargetTests.java
+++ b/src/test/java/sycamorehill/logic/entry/SilentTargetTests.java
@@ -60,7 +60,7 @@
 	private void reportLoad(TargetName target, int running, int waiting, long millis) {
 		TargetReport report = new TargetReport(Optional.of(new EngineLoad(running, waiting, SLOTS)), Optional.empty(),
 				Optional.empty(), false);
-		accept(new EntryEvent.TargetTold(1, target, report), millis);
+		accept(new EntryEvent.TargetReported(1, target, report), millis);
 	}
 
 	// In a burst, requests wait in the queue of a healthy group for more than a second.
@@ -94,7 +94,7 @@
 	@Test
 	void requestsMoveFromABusyGroupWhoseStartedAnswersStalled() {
 		TargetName silent = arrive(1, 0);
-		accept(new EntryEvent.AnswerBegun(1), 200);
+		accept(new EntryEvent.AnswerStarted(1), 200);
 		reportLoad(silent, SLOTS, 4, 300);
 		assertThat(startedAt(accept(new EntryEvent.TargetSilent(silent, true), 800))).hasSize(1).doesNotContain(silent);
 	}
--- a/src/test/java/sycamorehill/logic/entry/StoreRelayTests.java
+++ b/src/test/java/sycamorehill/logic/entry/StoreRelayTests.java
@@ -50,27 +50,27 @@
 		return this.node.accept(event, this.start.plusMillis(millis));
 	}
 
-	private List<EntryEffect> receive(NodeMessage.StoreNews update, long millis) {
-		return accept(new EntryEvent.MessageHeard(update), millis);
+	private List<EntryEffect> receive(NodeMessage.StoreUpdate update, long millis) {
+		return accept(new EntryEvent.MessageReceived(update), millis);
 	}
 
-	private static NodeMessage.StoreNews changes(String sender, long since, long revision, String target) {
-		return new NodeMessage.StoreNews(sender, NORTH, 5, 1, since, since, revision, List.of(change(target)),
+	private static NodeMessage.StoreUpdate changes(String sender, long since, long revision, String target) {
+		return new NodeMessage.StoreUpdate(sender, NORTH, 5, 1, since, since, revision, List.of(change(target)),
 				Optional.empty(), Duration.ZERO);
 	}
 
-	private static NodeMessage.StoreNews progress(String sender, long changedAt, long revision) {
-		return new NodeMessage.StoreNews(sender, NORTH, 5, 1, changedAt, revision, revision, List.of(),
+	private static NodeMessage.StoreUpdate progress(String sender, long changedAt, long revision) {
+		return new NodeMessage.StoreUpdate(sender, NORTH, 5, 1, changedAt, revision, revision, List.of(),
 				Optional.empty(), Duration.ZERO);
 	}
 
 	// The store answers the reader at least each half second.
-	private static NodeMessage.StoreNews agedByLongPoll(NodeMessage.StoreNews update) {
+	private static NodeMessage.StoreUpdate agedByLongPoll(NodeMessage.StoreUpdate update) {
 		return aged(update, StoreRelay.LONG_POLL_WAIT);
 	}
 
-	private static NodeMessage.StoreNews aged(NodeMessage.StoreNews update, Duration age) {
-		return new NodeMessage.StoreNews(update.sender(), update.dataCentre(), update.configurationVersion(),
+	private static NodeMessage.StoreUpdate aged(NodeMessage.StoreUpdate update, Duration age) {
+		return new NodeMessage.StoreUpdate(update.sender(), update.dataCentre(), update.configurationVersion(),
 				update.configurationRevision(), update.previousChangeRevision(), update.since(), update.revision(),
 				update.changes(), update.lease(), age);
 	}
@@ -84,10 +84,10 @@
 		return this.node.reliesOnReader(this.start.plusMillis(millis));
 	}
 
-	private static List<NodeMessage.StoreNews> sentUpdates(List<EntryEffect> effects) {
-		List<NodeMessage.StoreNews> updates = new ArrayList<>();
+	private static List<NodeMessage.StoreUpdate> sentUpdates(List<EntryEffect> effects) {
+		List<NodeMessage.StoreUpdate> updates = new ArrayList<>();
 		for (EntryEffect effect : effects) {
-			if (effect instanceof EntryEffect.Send send && send.message() instanceof NodeMessage.StoreNews update) {
+			if (effect instanceof EntryEffect.Send send && send.message() instanceof NodeMessage.StoreUpdate update) {
 				updates.add(aged(update, Duration.ZERO));
 			}
 		}
@@ -137,8 +137,8 @@
 	// vain at each change.
 	@Test
 	void appliesAChangeAfterRevisionsWithoutTargetChanges() {
-		NodeMessage.StoreNews later = new NodeMessage.StoreNews("a", NORTH, 5, 1, 90, 140, 143, List.of(change("p2")),
-				Optional.empty(), Duration.ZERO);
+		NodeMessage.StoreUpdate later = new NodeMessage.StoreUpdate("a", NORTH, 5, 1, 90, 140, 143,
+				List.of(change("p2")), Optional.empty(), Duration.ZERO);
 		assertThat(receive(later, 500)).contains(new EntryEffect.AdvanceTargetRevision(143))
 			.noneMatch(EntryEffect.ReadTargetChanges.class::isInstance);
 		assertThat(this.node.knownTargets()).isEqualTo(2);
@@ -180,20 +180,20 @@
 	// any of them, and sends none itself.
 	@Test
 	void aNodeThatCannotReachTheStoreAcceptsUpdatesFromAnyNode() {
-		accept(new EntryEvent.DirectoryNotReached(), 100);
+		accept(new EntryEvent.DirectoryUnreachable(), 100);
 		assertThat(this.node.isStoreReachable()).isFalse();
 		assertThat(sentUpdates(accept(new EntryEvent.Ticked(), 700))).isEmpty();
 		receive(agedByLongPoll(changes("c", 100, 103, "p2")), 800);
 		assertThat(this.node.isStoreReachable()).isTrue();
 		assertThat(this.node.knownTargets()).isEqualTo(2);
-		accept(new EntryEvent.DirectoryNotReached(), 900);
+		accept(new EntryEvent.DirectoryUnreachable(), 900);
 		assertThat(this.node.isStoreReachable()).isTrue();
-		accept(new EntryEvent.DirectoryNotReached(), 1800);
+		accept(new EntryEvent.DirectoryUnreachable(), 1800);
 		assertThat(this.node.isStoreReachable()).isFalse();
 	}
 
-	private static NodeMessage.StoreNews updateFromSouth(String sender, long revision) {
-		return new NodeMessage.StoreNews(sender, SOUTH, 5, 1, 100, 100, revision, List.of(change("p2")),
+	private static NodeMessage.StoreUpdate updateFromSouth(String sender, long revision) {
+		return new NodeMessage.StoreUpdate(sender, SOUTH, 5, 1, 100, 100, revision, List.of(change("p2")),
 				Optional.empty(), Duration.ZERO);
 	}
 
@@ -201,7 +201,7 @@
 		return effects.stream()
 			.filter(EntryEffect.Send.class::isInstance)
 			.map(EntryEffect.Send.class::cast)
-			.filter((send) -> send.message() instanceof NodeMessage.StoreNews)
+			.filter((send) -> send.message() instanceof NodeMessage.StoreUpdate)
 			.flatMap((send) -> send.nodes().stream())
 			.toList();
 	}
@@ -230,8 +230,8 @@
 	// reads and sends them the changes.
 	@Test
 	void relaysWhatItReadAfterAGap() {
-		assertThat(sentUpdates(receive(new NodeMessage.StoreNews("a", SOUTH, 5, 1, 102, 102, 104, List.of(change("p3")),
-				Optional.empty(), Duration.ZERO), 100)))
+		assertThat(sentUpdates(receive(new NodeMessage.StoreUpdate("a", SOUTH, 5, 1, 102, 102, 104,
+				List.of(change("p3")), Optional.empty(), Duration.ZERO), 100)))
 			.isEmpty();
 		assertThat(
 				sentUpdates(accept(new EntryEvent.TargetsChanged(List.of(change("p2"), change("p3")), 100, 104), 120)))
@@ -250,7 +250,7 @@
 	// Another data centre is partitioned from the store and still has an older state.
 	@Test
 	void ignoresAnOlderStateOfAnotherDataCentre() {
-		NodeMessage.StoreNews older = new NodeMessage.StoreNews("a", SOUTH, 4, 1, 90, 90, 95, List.of(change("p9")),
+		NodeMessage.StoreUpdate older = new NodeMessage.StoreUpdate("a", SOUTH, 4, 1, 90, 90, 95, List.of(change("p9")),
 				Optional.empty(), Duration.ZERO);
 		assertThat(receive(older, 100)).noneMatch(EntryEffect.ReadTargetChanges.class::isInstance);
 		assertThat(this.node.knownTargets()).isEqualTo(1);
@@ -327,10 +327,10 @@
 	@Test
 	void followsTheRevisionOfTheConfigurationInEffectOnly() {
 		assertThat(receive(progress("a", 100, 103), 100)).contains(new EntryEffect.AdvanceConfigurationRevision(1));
-		NodeMessage.StoreNews newer = new NodeMessage.StoreNews("a", NORTH, 6, 90, 100, 103, 103, List.of(),
+		NodeMessage.StoreUpdate newer = new NodeMessage.StoreUpdate("a", NORTH, 6, 90, 100, 103, 103, List.of(),
 				Optional.empty(), Duration.ZERO);
 		assertThat(receive(newer, 200)).noneMatch(EntryEffect.AdvanceConfigurationRevision.class::isInstance);
-		accept(new EntryEvent.ConfigurationHeard(ServingSamples.configuration(6), "a"), 210);
+		accept(new EntryEvent.ConfigurationReceived(ServingSamples.configuration(6), "a"), 210);
 		assertThat(receive(newer, 300)).contains(new EntryEffect.AdvanceConfigurationRevision(90));
 	}
 
@@ -338,11 +338,11 @@
 	// good, the node asks the reader for it, and then reads the store.
 	@Test
 	void readsANewerConfigurationWhoseTextDoesNotArrive() {
-		NodeMessage.StoreNews newer = new NodeMessage.StoreNews("a", NORTH, 6, 1, 100, 103, 103, List.of(),
+		NodeMessage.StoreUpdate newer = new NodeMessage.StoreUpdate("a", NORTH, 6, 1, 100, 103, 103, List.of(),
 				Optional.empty(), Duration.ZERO);
 		assertThat(receive(newer, 100)).noneMatch(EntryEffect.ReadConfiguration.class::isInstance);
 		assertThat(accept(new EntryEvent.Ticked(), 300)).contains(new EntryEffect.Send(
-				List.of(Address.of("127.0.0.1", 7101)), new NodeMessage.ConfigurationWanted("b", 6)));
+				List.of(Address.of("127.0.0.1", 7101)), new NodeMessage.ConfigurationRequest("b", 6)));
 		assertThat(accept(new EntryEvent.Ticked(), 500)).contains(new EntryEffect.ReadConfiguration());
 		accept(new EntryEvent.ConfigurationRead(ServingSamples.configuration(6), 1), 520);
 		assertThat(receive(newer, 750)).noneMatch(EntryEffect.ReadTargetChanges.class::isInstance)
@@ -361,7 +361,8 @@
 	}
 
 	private List<TargetChange> repeatedChanges(long since) {
-		return sentUpdates(accept(new EntryEvent.MessageHeard(new NodeMessage.ChangesWanted("c", since)), 310)).stream()
+		return sentUpdates(accept(new EntryEvent.MessageReceived(new NodeMessage.ChangesRequest("c", since)), 310))
+			.stream()
 			.flatMap((update) -> update.changes().stream())
 			.toList();
 	}
@@ -369,22 +370,22 @@
 	@Test
 	void asksTheReaderForMissedChanges() {
 		assertThat(receive(changes("a", 105, 108, "p4"), 600)).contains(
-				new EntryEffect.Send(List.of(Address.of("127.0.0.1", 7101)), new NodeMessage.ChangesWanted("b", 100)));
+				new EntryEffect.Send(List.of(Address.of("127.0.0.1", 7101)), new NodeMessage.ChangesRequest("b", 100)));
 	}
 
 	@Test
 	void sendsATextAgainToANodeThatLacksIt() {
-		EntryEvent wanted = new EntryEvent.MessageHeard(new NodeMessage.ConfigurationWanted("c", 5));
+		EntryEvent wanted = new EntryEvent.MessageReceived(new NodeMessage.ConfigurationRequest("c", 5));
 		assertThat(accept(wanted, 100))
 			.containsExactly(new EntryEffect.SendConfiguration(List.of(Address.of("127.0.0.1", 7103)), 5));
-		assertThat(accept(new EntryEvent.MessageHeard(new NodeMessage.ConfigurationWanted("c", 6)), 100)).isEmpty();
+		assertThat(accept(new EntryEvent.MessageReceived(new NodeMessage.ConfigurationRequest("c", 6)), 100)).isEmpty();
 	}
 
 	// A stopping node does not read for others: they would notice its exit only
 	// afterwards.
 	@Test
 	void aStoppingNodeSendsNoUpdates() {
-		accept(new EntryEvent.StopOrdered(), 100);
+		accept(new EntryEvent.StopRequested(), 100);
 		assertThat(sentUpdates(accept(new EntryEvent.Ticked(), 1000))).isEmpty();
 		assertThat(sentUpdates(accept(new EntryEvent.TargetsChanged(List.of(change("p2")), 100, 103), 1100))).isEmpty();
 	}
@@ -414,7 +415,7 @@
 
 	private List<EntryEffect> receiveConfiguration(long version, long millis) {
 		return accept(
-				new EntryEvent.MessageHeard(new NodeMessage.ConfigurationTold("a", version, "text of " + version)),
+				new EntryEvent.MessageReceived(new NodeMessage.ConfigurationText("a", version, "text of " + version)),
 				millis);
 	}
 
@@ -438,7 +439,7 @@
 		assertThat(sentUpdates(accept(new EntryEvent.TargetsChanged(List.of(), 100, 101), 800))).isNotEmpty();
 		accept(new EntryEvent.TargetsChanged(List.of(), 101, 102), 1300);
 		assertThat(sentUpdates(accept(new EntryEvent.Ticked(), 1350))).isEmpty();
-		accept(new EntryEvent.ConfigurationHeard(ServingSamples.configuration(6), "a"), 1400);
+		accept(new EntryEvent.ConfigurationReceived(ServingSamples.configuration(6), "a"), 1400);
 		assertThat(sentUpdates(accept(new EntryEvent.Ticked(), 1450))).isEmpty();
 	}
 
@@ -474,8 +475,8 @@
 		return effects.stream()
 			.filter(EntryEffect.Send.class::isInstance)
 			.map((effect) -> ((EntryEffect.Send) effect).message())
-			.filter(NodeMessage.StoreNews.class::isInstance)
-			.map((message) -> ((NodeMessage.StoreNews) message).age())
+			.filter(NodeMessage.StoreUpdate.class::isInstance)
+			.map((message) -> ((NodeMessage.StoreUpdate) message).age())
 			.toList();
 	}
 
@@ -484,7 +485,7 @@
 	@Test
 	void logsTheSourceOfALeavingNotice() {
 		TargetEntry leaving = ServingSamples.plain("p1").asLeaving();
-		List<EntryEffect> effects = receive(agedByLongPoll(new NodeMessage.StoreNews("a", NORTH, 5, 1, 100, 100, 103,
+		List<EntryEffect> effects = receive(agedByLongPoll(new NodeMessage.StoreUpdate("a", NORTH, 5, 1, 100, 100, 103,
 				List.of(new TargetChange(leaving.name(), Optional.of(leaving))), Optional.empty(), Duration.ZERO)),
 				500);
 		assertThat(logged(effects, LogEvent.TARGET_NOTICE)).containsExactly("target=p1 revision=103 told-by=a");
--- a/src/test/java/sycamorehill/logic/layout/GroupLeaseManagerTests.java
+++ b/src/test/java/sycamorehill/logic/layout/GroupLeaseManagerTests.java
@@ -85,7 +85,7 @@
 	void releasesTheLeaseWhenOnlyOthersReachTheStore() {
 		GroupLeaseManager manager = holder("one#a");
 		assertThat(effectsOfFailingRenewals(manager, REACHED_BY_OTHERS, 1800))
-			.contains(new EntryEffect.Broadcast(new NodeMessage.LeaseGivenUp("one", "one#a")));
+			.contains(new EntryEffect.Broadcast(new NodeMessage.LeaseReleased("one", "one#a")));
 		assertThat(manager.isHeld(this.start.plusMillis(1800))).isFalse();
 		GroupLeaseManager other = GroupLeaseManager.of("two#b");
 		Effects effects = Effects.create();
