Say in a refusal that all targets rest

A caller that is told to come back in 3 s, and the log, gave only what the last target said. No other change; EntryNodeTests and RequestDispatcherTests pass.

--- a/src/main/java/sycamorehill/logic/dispatch/RequestDispatcher.java
+++ b/src/main/java/sycamorehill/logic/dispatch/RequestDispatcher.java
@@ -394,7 +394,8 @@
 	private void giveUp(DispatchedRequest request, String cause, Instant now, Effects effects) {
 		this.activeRequests.remove(request.request().number());
 		Duration restLeft = this.targetSelector.restLeft(request, this.router.configuration().orElseThrow(), now);
-		this.finalAnswers.giveUp(request, cause, restLeft, now, effects);
+		String fullCause = restLeft.isZero() ? cause : cause + ", all targets rest";
+		this.finalAnswers.giveUp(request, fullCause, restLeft, now, effects);
 	}
 
 	/**
