--- a/src/test/java/sycamorehill/logic/entry/ManyNodesTests.java
+++ b/src/test/java/sycamorehill/logic/entry/ManyNodesTests.java
@@ -378,6 +378,18 @@
 		assertThat(this.configurationsRead).as("the next reader tells the text").isZero();
 	}
 
+	// One message in five is lost, and the reader's call for configurations hangs.
+	@ParameterizedTest
+	@ValueSource(ints = { 5000, 5130, 5260, 5390, 5520, 5650, 5780, 5910, 6040, 6170, 6300 })
+	void aConfigurationTakesEffectInTimeThoughMessagesAreLost(int storedAfterMillis) {
+		run(Duration.ofMillis(storedAfterMillis));
+		this.configurationsUnanswered.add("north-100");
+		this.lossShare = 0.2;
+		this.newestConfiguration = 7;
+		run(MAXIMUM_CHANGE_DELAY);
+		this.nodes.forEach((name, node) -> assertThat(node.configurationVersion()).as(name).isEqualTo(7));
+	}
+
 	// A node that waits anew for the text of each newer version never reads the store.
 	@Test
 	void aNodeWhoseTextsAreLostKeepsUpWithASeriesOfVersions() {
