Log when several targets fail at a node since it last reached one

The first failures were logged by request and target only: whether a node reached any target at all, and since when it had not, could not be read from any line. Nor did a line say which nodes had found a target silent.

For this the end of an attempt tells a lost connection from a bad answer, and a request whose time was over before it was sent from a connection that failed; the latter no longer counts as a failure of the target.

No decision about requests rests on it yet.

--- a/src/main/java/sycamorehill/entry/AnswerHandler.java
+++ b/src/main/java/sycamorehill/entry/AnswerHandler.java
@@ -24,9 +24,15 @@
 	void handleEnd();
 
 	/**
-	 * Handles a connection that failed, or that carried something other than an answer.
+	 * Handles a connection that failed.
 	 * @param cause the description of the failure
 	 */
-	void handleFailure(String cause);
+	void handleConnectionLost(String cause);
+
+	/**
+	 * Handles bytes that are no answer.
+	 * @param cause the description of the failure
+	 */
+	void handleInvalidAnswer(String cause);
 
 }
--- a/src/main/java/sycamorehill/entry/CallClient.java
+++ b/src/main/java/sycamorehill/entry/CallClient.java
@@ -191,7 +191,16 @@
 		}
 
 		@Override
-		public void handleFailure(String cause) {
+		public void handleConnectionLost(String cause) {
+			fail(cause);
+		}
+
+		@Override
+		public void handleInvalidAnswer(String cause) {
+			fail(cause);
+		}
+
+		private void fail(String cause) {
 			this.timer.cancel(false);
 			this.answer.completeExceptionally(CallFailedException.of(CallFailedException.Cause.NO_ANSWER, cause));
 		}
@@ -199,7 +208,7 @@
 		void abort(String cause) {
 			if (!this.answer.isDone()) {
 				this.connection.reset();
-				handleFailure(cause);
+				fail(cause);
 			}
 		}
 
--- a/src/main/java/sycamorehill/entry/TargetAttempt.java
+++ b/src/main/java/sycamorehill/entry/TargetAttempt.java
@@ -105,9 +105,11 @@
 		ChannelFuture connecting = this.connectionPool.connect(this.start.target());
 		connecting.addListener((future) -> {
 			if (!future.isSuccess()) {
-				finish(new AttemptEnd.NotRun(NotRunCause.NOT_SENT));
+				finish(new AttemptEnd.NotRun(NotRunCause.NOT_CONNECTED));
+				return;
 			}
-			else if (this.finished) {
+			this.eventSink.post(new EntryEvent.TargetConnected(this.start.target().name()));
+			if (this.finished) {
 				connecting.channel().close();
 			}
 			else {
@@ -120,7 +122,7 @@
 		Optional<Duration> left = this.exchange.timeLeft();
 		if (left.filter((time) -> time.isNegative() || time.isZero()).isPresent()) {
 			this.connectionPool.release(this.start.target(), openConnection, null);
-			finish(new AttemptEnd.NotRun(NotRunCause.NOT_SENT));
+			finish(new AttemptEnd.NotRun(NotRunCause.EXPIRED));
 			return;
 		}
 		this.connection = openConnection;
@@ -133,7 +135,7 @@
 				this.start.priority(), this.exchange.resumeAfter(), this.exchange.weightsVersion());
 		openConnection.context().writeAndFlush(request(forwarding)).addListener((future) -> {
 			if (!future.isSuccess()) {
-				handleFailure("write failed: " + future.cause().getMessage());
+				handleConnectionLost("write failed: " + future.cause().getMessage());
 			}
 		});
 	}
@@ -156,7 +158,7 @@
 		boolean matches = this.parsedHead.identifier().map(this.exchange.identifier()::equals).orElse(!this.reused);
 		if (!matches) {
 			closeConnection();
-			finish(new AttemptEnd.Unknown("an answer to another request"));
+			finish(new AttemptEnd.Unknown("an answer to another request", false));
 			return;
 		}
 		boolean fromTarget = this.parsedHead.signed() || this.parsedHead.notRun();
@@ -167,7 +169,7 @@
 		boolean success = response.status().code() / 100 == SUCCESS_CLASS;
 		if (success && (!this.parsedHead.signed() || this.parsedHead.identifier().isEmpty())) {
 			closeConnection();
-			finish(new AttemptEnd.Unknown("a success without the target's signature"));
+			finish(new AttemptEnd.Unknown("a success without the target's signature", false));
 			return;
 		}
 		this.streaming = success && this.start.handling().kind().isStreaming();
@@ -188,7 +190,7 @@
 			this.body.writeBytes(bytes);
 			if (this.body.readableBytes() > MAXIMUM_ANSWER_BYTES) {
 				closeConnection();
-				finish(new AttemptEnd.Unknown("the answer is longer than " + MAXIMUM_ANSWER_BYTES + " bytes"));
+				finish(new AttemptEnd.Unknown("the answer is longer than " + MAXIMUM_ANSWER_BYTES + " bytes", false));
 			}
 			return;
 		}
@@ -198,7 +200,7 @@
 		}
 		catch (IllegalStateException ex) {
 			closeConnection();
-			handleStreamFailure(ex.getMessage());
+			handleStreamFailure(ex.getMessage(), false);
 			return;
 		}
 		this.exchange.flush();
@@ -240,7 +242,7 @@
 			finish(new AttemptEnd.Failed(status));
 		}
 		else if (this.exchange.streamStarted()) {
-			finish(new AttemptEnd.Broken("a resumed stream was answered with status " + status, true));
+			finish(new AttemptEnd.Broken("a resumed stream was answered with status " + status, true, false));
 		}
 		else {
 			this.exchange.deliver(this.head, this.body.retain());
@@ -250,7 +252,7 @@
 
 	private void endStream(int status) {
 		if (this.events.hasPartialEvent()) {
-			handleStreamFailure("the stream ends within an event");
+			handleStreamFailure("the stream ends within an event", false);
 			return;
 		}
 		if (!this.answerStarted) {
@@ -272,20 +274,31 @@
 	}
 
 	@Override
-	public void handleFailure(String cause) {
+	public void handleConnectionLost(String cause) {
+		handleFailure(cause, true);
+	}
+
+	@Override
+	public void handleInvalidAnswer(String cause) {
+		handleFailure(cause, false);
+	}
+
+	private void handleFailure(String cause, boolean connectionLost) {
 		if (this.finished) {
 			return;
 		}
 		if (this.head == null || !this.streaming) {
-			finish(this.exchange.streamStarted() ? new AttemptEnd.Broken(cause, true) : new AttemptEnd.Unknown(cause));
+			finish(this.exchange.streamStarted() ? new AttemptEnd.Broken(cause, true, connectionLost)
+					: new AttemptEnd.Unknown(cause, connectionLost));
 			return;
 		}
-		handleStreamFailure(cause);
+		handleStreamFailure(cause, connectionLost);
 	}
 
-	private void handleStreamFailure(String cause) {
+	private void handleStreamFailure(String cause, boolean connectionLost) {
 		boolean streamStarted = this.exchange.streamStarted();
-		finish(streamStarted ? new AttemptEnd.Broken(cause, this.allEventsNumbered) : new AttemptEnd.Unknown(cause));
+		finish(streamStarted ? new AttemptEnd.Broken(cause, this.allEventsNumbered, connectionLost)
+				: new AttemptEnd.Unknown(cause, connectionLost));
 	}
 
 	/**
--- a/src/main/java/sycamorehill/entry/TargetConnection.java
+++ b/src/main/java/sycamorehill/entry/TargetConnection.java
@@ -1,5 +1,7 @@
 package sycamorehill.entry;
 
+import java.util.function.Consumer;
+
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
@@ -71,7 +73,7 @@
 				ctx.close();
 			}
 			else if (message instanceof HttpObject object && object.decoderResult().isFailure()) {
-				fail("not an answer: " + object.decoderResult().cause().getMessage());
+				handleInvalidAnswer("not an answer: " + object.decoderResult().cause().getMessage());
 			}
 			else {
 				dispatch(message);
@@ -106,21 +108,29 @@
 
 	@Override
 	public void channelInactive(ChannelHandlerContext ctx) {
-		fail("connection closed");
+		handleLost("connection closed");
 		ctx.fireChannelInactive();
 	}
 
 	@Override
 	public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-		fail(String.valueOf(cause.getMessage()));
+		handleLost(String.valueOf(cause.getMessage()));
+	}
+
+	private void handleLost(String cause) {
+		fail((handler) -> handler.handleConnectionLost(cause));
+	}
+
+	private void handleInvalidAnswer(String cause) {
+		fail((handler) -> handler.handleInvalidAnswer(cause));
 	}
 
-	private void fail(String cause) {
+	private void fail(Consumer<AnswerHandler> notification) {
 		AnswerHandler handler = this.answerHandler;
 		this.answerHandler = null;
 		this.context.close();
 		if (handler != null) {
-			handler.handleFailure(cause);
+			notification.accept(handler);
 		}
 	}
 
--- a/src/main/java/sycamorehill/logic/dispatch/RequestDispatcher.java
+++ b/src/main/java/sycamorehill/logic/dispatch/RequestDispatcher.java
@@ -77,6 +77,8 @@
 
 	private final CrashHistory crashHistory = CrashHistory.create();
 
+	private final TargetReachability reachability = TargetReachability.create();
+
 	private final RequestRouter router;
 
 	private RequestDispatcher(EntrySettings settings, TargetDirectory directory, RandomGenerator random) {
@@ -173,6 +175,16 @@
 		this.attemptStarter.start(active, selection, configuration, now, effects);
 	}
 
+	/**
+	 * Handles a new connection to a target.
+	 * @param target the target
+	 * @param now the current time
+	 * @param effects receives the resulting effects
+	 */
+	public void handleConnected(TargetName target, Instant now, Effects effects) {
+		this.reachability.recordReached(target, now, effects);
+	}
+
 	/**
 	 * Handles the first event of an attempt's answer.
 	 * @param number the request's number
@@ -223,20 +235,27 @@
 		else if (end instanceof AttemptEnd.Unknown unknown) {
 			request.countReachedTarget();
 			request.markMayHaveRun();
-			status(target).recordFailure(now);
-			recordCrash(request, target, effects);
+			recordLostAttempt(request, target, unknown.connectionLost(), now, effects);
 			retryOrGiveUp(request, target, unknown.cause(), repeatable, now, effects);
 		}
 		else if (end instanceof AttemptEnd.Broken broken) {
 			request.countReachedTarget();
 			request.markMayHaveRun();
-			status(target).recordFailure(now);
-			recordCrash(request, target, effects);
+			recordLostAttempt(request, target, broken.connectionLost(), now, effects);
 			boolean resumable = broken.resumable() && request.route().kind() == RequestKind.RESUMABLE_STREAM;
 			retryOrGiveUp(request, target, broken.cause(), resumable, now, effects);
 		}
 	}
 
+	private void recordLostAttempt(DispatchedRequest request, TargetName target, boolean connectionLost, Instant now,
+			Effects effects) {
+		if (connectionLost) {
+			this.reachability.recordFailure(target, now, effects);
+		}
+		status(target).recordFailure(now);
+		recordCrash(request, target, effects);
+	}
+
 	private void recordCrash(DispatchedRequest request, TargetName target, Effects effects) {
 		long content = request.request().contentHash();
 		this.crashHistory.recordCrash(content, target);
@@ -326,11 +345,16 @@
 	private void handleNotRun(DispatchedRequest request, TargetName target, AttemptEnd.NotRun notRun, Instant now,
 			Effects effects) {
 		switch (notRun.cause()) {
-			case NOT_SENT -> status(target).recordFailure(now);
+			case NOT_CONNECTED -> {
+				status(target).recordFailure(now);
+				this.reachability.recordFailure(target, now, effects);
+			}
+			case EXPIRED -> {
+			}
 			case WRONG_TARGET -> handleWrongTarget(request, target, now);
 			case REFUSED -> status(target).eject(now, FULL_TARGET_EJECTION);
 		}
-		boolean unreached = notRun.cause() == NotRunCause.NOT_SENT;
+		boolean unreached = notRun.cause() == NotRunCause.NOT_CONNECTED || notRun.cause() == NotRunCause.EXPIRED;
 		if (!unreached) {
 			request.countReachedTarget();
 		}
@@ -441,12 +465,14 @@
 	 * was lost. Streams that can be resumed elsewhere are moved. Other requests wait,
 	 * because silence alone is no reason to end an answer.
 	 * @param target the target
+	 * @param source who observed the silence, for the log
 	 * @param now the current time
 	 * @param effects receives the resulting effects
 	 */
-	public void handleSilentTarget(TargetName target, Instant now, Effects effects) {
+	public void handleSilentTarget(TargetName target, String source, Instant now, Effects effects) {
 		status(target).eject(now, SILENT_TARGET_EJECTION);
-		effects.log(LogEvent.TARGET_SILENT, "target=" + target + " in-flight=" + status(target).inFlight());
+		effects.log(LogEvent.TARGET_SILENT,
+				"target=" + target + " in-flight=" + status(target).inFlight() + " source=" + source);
 		moveStreams(target, now, effects);
 	}
 
@@ -465,15 +491,16 @@
 	 * streams there relies on its own observation: two nodes behind a link that loses
 	 * packets may be wrong for all others.
 	 * @param target the target
+	 * @param source the nodes that found it silent, for the log
 	 * @param now the current time
 	 * @param effects receives the resulting effects
 	 */
-	public void handleReportedSilence(TargetName target, Instant now, Effects effects) {
+	public void handleReportedSilence(TargetName target, String source, Instant now, Effects effects) {
 		boolean hasStartedStream = this.activeRequests.values()
 			.stream()
 			.anyMatch((request) -> request.answerStarted() && request.target().filter(target::equals).isPresent());
 		if (!hasStartedStream) {
-			handleSilentTarget(target, now, effects);
+			handleSilentTarget(target, source, now, effects);
 		}
 	}
 
@@ -508,6 +535,7 @@
 	 */
 	public void handleTargetReport(EntryEvent.TargetReported told, Instant now, Effects effects) {
 		TargetReport report = told.report();
+		this.reachability.recordReached(told.target(), now, effects);
 		report.load().ifPresent((load) -> status(told.target()).recordReport(load, now));
 		report.rest().ifPresent((rest) -> handleRest(told.target(), rest, now, effects));
 		Instant sentAt = Optional.ofNullable(this.activeRequests.get(told.number()))
--- a/src/main/java/sycamorehill/logic/entry/EntryReducer.java
+++ b/src/main/java/sycamorehill/logic/entry/EntryReducer.java
@@ -221,7 +221,7 @@
 			recordSilenceReport(silence.sender(), silence.target(), now, effects);
 		}
 		else if (message instanceof NodeMessage.SilenceConfirmed confirmed) {
-			this.requests.handleReportedSilence(confirmed.target(), now, effects);
+			this.requests.handleReportedSilence(confirmed.target(), confirmed.sender(), now, effects);
 		}
 		else if (message instanceof NodeMessage.GroupEnded ended) {
 			this.requests.handleGroupEnded(ended.head(), ended.group(), ended.epoch(), now, effects);
@@ -240,10 +240,13 @@
 	}
 
 	private void recordSilenceReport(String node, TargetName target, Instant now, Effects effects) {
-		if (this.groups.controls(now) && this.silenceReports.recordReport(node, target, now)) {
-			effects.add(new EntryEffect.Broadcast(new NodeMessage.SilenceConfirmed(this.settings.nodeName(), target)));
-			this.requests.handleReportedSilence(target, now, effects);
+		if (!this.groups.controls(now)) {
+			return;
 		}
+		this.silenceReports.recordReport(node, target, now).ifPresent((firstReporter) -> {
+			effects.add(new EntryEffect.Broadcast(new NodeMessage.SilenceConfirmed(this.settings.nodeName(), target)));
+			this.requests.handleReportedSilence(target, firstReporter + "," + node, now, effects);
+		});
 	}
 
 	// In an overload, requests wait in the queue of a healthy target for longer than the
@@ -254,7 +257,7 @@
 		if (!silent.answersStarted() && this.requests.mayQueue(target, now)) {
 			return;
 		}
-		this.requests.handleSilentTarget(target, now, effects);
+		this.requests.handleSilentTarget(target, this.settings.nodeName(), now, effects);
 		this.groups.checkMembers(target, now, effects);
 		recordSilenceReport(this.settings.nodeName(), target, now, effects);
 		this.groups.controller()
@@ -275,6 +278,9 @@
 			this.groups.recordTraffic(now);
 			handleRequest(arrived.request(), now, effects);
 		}
+		else if (event instanceof EntryEvent.TargetConnected connected) {
+			this.requests.handleConnected(connected.target(), now, effects);
+		}
 		else if (event instanceof EntryEvent.AnswerStarted begun) {
 			this.requests.handleFirstEvent(begun.number(), now);
 		}
--- a/src/main/java/sycamorehill/logic/entry/SilenceReports.java
+++ b/src/main/java/sycamorehill/logic/entry/SilenceReports.java
@@ -4,6 +4,7 @@
 import java.time.Instant;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 
 import sycamorehill.model.identity.TargetName;
 
@@ -33,21 +34,22 @@
 	 * @param node the node that found the target silent
 	 * @param target the target
 	 * @param now the current time
-	 * @return true if the report confirms the silence, so that all nodes must be informed
+	 * @return the node that reported the silence first, if this report confirms it and
+	 * all nodes must be informed
 	 */
-	boolean recordReport(String node, TargetName target, Instant now) {
+	Optional<String> recordReport(String node, TargetName target, Instant now) {
 		this.confirmedAt.values().removeIf((at) -> now.isAfter(at.plus(REPEAT_SUPPRESSION_TIME)));
 		this.reports.values().removeIf((report) -> now.isAfter(report.receivedAt().plus(CONFIRMATION_WINDOW)));
 		if (this.confirmedAt.containsKey(target)) {
-			return false;
+			return Optional.empty();
 		}
 		Report first = this.reports.putIfAbsent(target, new Report(node, now));
 		if (first == null || first.node().equals(node)) {
-			return false;
+			return Optional.empty();
 		}
 		this.reports.remove(target);
 		this.confirmedAt.put(target, now);
-		return true;
+		return Optional.of(first.node());
 	}
 
 	/**
--- a/src/main/java/sycamorehill/model/log/LogEvent.java
+++ b/src/main/java/sycamorehill/model/log/LogEvent.java
@@ -159,7 +159,13 @@
 	TARGET_LIMITED(1906, LogLevel.WARN),
 
 	/** A target refused a request and asked for no more requests for a while. */
-	TARGET_RESTING(1907, LogLevel.WARN);
+	TARGET_RESTING(1907, LogLevel.WARN),
+
+	/** Several targets failed at this node since it last reached one. */
+	TARGETS_UNREACHED(1908, LogLevel.WARN),
+
+	/** The node reaches targets again. */
+	TARGETS_REACHED(1909, LogLevel.INFO);
 
 	private final int number;
 
--- a/src/main/java/sycamorehill/model/serving/AttemptEnd.java
+++ b/src/main/java/sycamorehill/model/serving/AttemptEnd.java
@@ -38,8 +38,9 @@
 	 * It is unknown whether the target ran the request. The caller has received nothing.
 	 *
 	 * @param cause observed error
+	 * @param connectionLost whether the connection failed, rather than the answer on it
 	 */
-	record Unknown(String cause) implements AttemptEnd {
+	record Unknown(String cause, boolean connectionLost) implements AttemptEnd {
 	}
 
 	/**
@@ -47,8 +48,9 @@
 	 *
 	 * @param cause observed error
 	 * @param resumable whether every event that the caller received was numbered
+	 * @param connectionLost whether the connection failed, rather than the answer on it
 	 */
-	record Broken(String cause, boolean resumable) implements AttemptEnd {
+	record Broken(String cause, boolean resumable, boolean connectionLost) implements AttemptEnd {
 	}
 
 }
--- a/src/main/java/sycamorehill/model/serving/EntryEvent.java
+++ b/src/main/java/sycamorehill/model/serving/EntryEvent.java
@@ -59,6 +59,14 @@
 	record RequestArrived(CallerRequest request) implements EntryEvent {
 	}
 
+	/**
+	 * A connection to a target was established.
+	 *
+	 * @param target the target
+	 */
+	record TargetConnected(TargetName target) implements EntryEvent {
+	}
+
 	/**
 	 * The first event of an answer was forwarded to the caller.
 	 *
--- a/src/main/java/sycamorehill/model/serving/NotRunCause.java
+++ b/src/main/java/sycamorehill/model/serving/NotRunCause.java
@@ -5,8 +5,11 @@
  */
 public enum NotRunCause {
 
-	/** No connection was established, or no byte of the request was written. */
-	NOT_SENT,
+	/** No connection was established. */
+	NOT_CONNECTED,
+
+	/** The request's time was over before a byte of it was written. */
+	EXPIRED,
 
 	/** Another target now uses the address, or the engine isn't the head of a group. */
 	WRONG_TARGET,
--- a/src/test/java/sycamorehill/logic/dispatch/RequestDispatcherTests.java
+++ b/src/test/java/sycamorehill/logic/dispatch/RequestDispatcherTests.java
@@ -119,7 +119,7 @@
 		TargetName first = target(arrive(1, "/stream/x"));
 		this.dispatcher.handleFirstEvent(1, this.now);
 		reportRest(first.equals(TargetName.of("a1")) ? "b1" : "a1", Duration.ofSeconds(3));
-		assertThat(end(1, 1, new AttemptEnd.Broken("connection closed", true)))
+		assertThat(end(1, 1, new AttemptEnd.Broken("connection closed", true, true)))
 			.contains(new EntryEffect.AbortAnswer(1));
 	}
 
@@ -157,7 +157,7 @@
 	@Test
 	void anOrderWithAnUnknownOutcomeIsNeitherRetriedNorRefused() {
 		arrive(1, "/once/x");
-		List<EntryEffect> effects = end(1, 1, new AttemptEnd.Unknown("connection closed"));
+		List<EntryEffect> effects = end(1, 1, new AttemptEnd.Unknown("connection closed", true));
 		assertThat(starts(effects)).isEmpty();
 		assertThat(answer(effects).status()).isEqualTo(502);
 		assertThat(answer(effects).retryAfter()).isEmpty();
@@ -178,7 +178,7 @@
 	@Test
 	void anOrderThatReachedNoTargetIsSentToAnother() {
 		TargetName first = target(arrive(1, "/once/x"));
-		TargetName second = target(end(1, 1, new AttemptEnd.NotRun(NotRunCause.NOT_SENT)));
+		TargetName second = target(end(1, 1, new AttemptEnd.NotRun(NotRunCause.NOT_CONNECTED)));
 		assertThat(second).isNotEqualTo(first);
 	}
 
@@ -187,7 +187,7 @@
 	@Test
 	void anUnknownOutcomeIsKeptWhenTheNextAttemptIsRefused() {
 		arrive(1, "/again/x");
-		end(1, 1, new AttemptEnd.Unknown("connection closed"));
+		end(1, 1, new AttemptEnd.Unknown("connection closed", true));
 		List<EntryEffect> effects = end(1, 2, new AttemptEnd.NotRun(NotRunCause.REFUSED));
 		assertThat(answer(effects).status()).isEqualTo(502);
 	}
@@ -197,7 +197,7 @@
 		TargetName first = target(arrive(1, "/again/x"));
 		TargetName second = target(end(1, 1, new AttemptEnd.Failed(500)));
 		assertThat(second).isNotEqualTo(first);
-		List<EntryEffect> effects = end(1, 2, new AttemptEnd.Unknown("connection closed"));
+		List<EntryEffect> effects = end(1, 2, new AttemptEnd.Unknown("connection closed", true));
 		assertThat(effects).contains(new EntryEffect.ReturnHeldFailure(1));
 	}
 
@@ -207,9 +207,9 @@
 	void aBrokenStreamIsResumedOnAnotherGroupOnce() {
 		TargetName first = target(arrive(1, "/stream/x"));
 		this.dispatcher.handleFirstEvent(1, this.now);
-		TargetName second = target(end(1, 1, new AttemptEnd.Broken("connection closed", true)));
+		TargetName second = target(end(1, 1, new AttemptEnd.Broken("connection closed", true, true)));
 		assertThat(second).isNotEqualTo(first);
-		assertThat(end(1, 2, new AttemptEnd.Broken("connection closed", true)))
+		assertThat(end(1, 2, new AttemptEnd.Broken("connection closed", true, true)))
 			.contains(new EntryEffect.AbortAnswer(1));
 	}
 
@@ -219,7 +219,7 @@
 	void aBrokenStreamThatMayNotBeResumedIsAborted() {
 		arrive(1, "/single/x");
 		this.dispatcher.handleFirstEvent(1, this.now);
-		assertThat(end(1, 1, new AttemptEnd.Broken("connection closed", true)))
+		assertThat(end(1, 1, new AttemptEnd.Broken("connection closed", true, true)))
 			.contains(new EntryEffect.AbortAnswer(1));
 	}
 
@@ -229,16 +229,16 @@
 	void streamsOfASilentGroupMoveOnlyToAnotherGroup() {
 		TargetName first = target(arrive(1, "/stream/x"));
 		Effects effects = Effects.create();
-		this.dispatcher.handleSilentTarget(first, this.now, effects);
+		this.dispatcher.handleSilentTarget(first, "one", this.now, effects);
 		assertThat(target(effects.all())).isNotEqualTo(first);
 		Effects none = Effects.create();
-		this.dispatcher.handleSilentTarget(target(effects.all()), this.now, none);
+		this.dispatcher.handleSilentTarget(target(effects.all()), "one", this.now, none);
 		assertThat(starts(none.all())).isEmpty();
 		assertThat(none.all()).noneMatch(EntryEffect.Answer.class::isInstance);
 	}
 
 	private void reportSilence(TargetName target, Effects effects) {
-		this.dispatcher.handleReportedSilence(target, this.now, effects);
+		this.dispatcher.handleReportedSilence(target, "two,three", this.now, effects);
 	}
 
 	// A group lost a member. This node's only request there waits for its first event, so
--- a/src/test/java/sycamorehill/logic/entry/SilenceReportsTests.java
+++ b/src/test/java/sycamorehill/logic/entry/SilenceReportsTests.java
@@ -20,7 +20,7 @@
 	private final SilenceReports reports = new SilenceReports();
 
 	private boolean recordReport(String node, long millis) {
-		return this.reports.recordReport(node, HEAD, this.start.plusMillis(millis));
+		return this.reports.recordReport(node, HEAD, this.start.plusMillis(millis)).isPresent();
 	}
 
 	// The link between one node and a target is broken, while all other nodes are served.
