--- a/src/test/java/sycamorehill/entry/ConfigurationCatchUpTests.java
+++ b/src/test/java/sycamorehill/entry/ConfigurationCatchUpTests.java
@@ -65,7 +65,7 @@
 		this.nodes.add(EntryNode.start(node,
 				(client) -> new EntryPorts(PlatformTestCodec.create(), configurations,
 						(text) -> stored(Long.parseLong(text)), new UnchangedTargets(), new FixedRegistry(records),
-						new EntryNodeTests.UnavailableLeaseStore(), new EntryNodeTests.UnreachableEngines()),
+						new FakePorts.UnavailableLeaseStore(), new FakePorts.UnreachableEngines()),
 				Clock.systemUTC(), new Random(1)));
 	}
 
--- a/src/test/java/sycamorehill/entry/EntryNodeTests.java
+++ b/src/test/java/sycamorehill/entry/EntryNodeTests.java
@@ -11,7 +11,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.UnaryOperator;
 import java.util.regex.Matcher;
@@ -23,15 +22,8 @@
 import sycamorehill.local.FreePorts;
 import sycamorehill.model.identity.Address;
 import sycamorehill.model.identity.DataCentreName;
-import sycamorehill.model.serving.EngineCommandAnswer;
-import sycamorehill.model.serving.EngineCommandRequest;
-import sycamorehill.model.serving.EngineReport;
 import sycamorehill.model.serving.EntrySettings;
-import sycamorehill.model.serving.Lease;
-import sycamorehill.model.serving.LeaseAnswer;
-import sycamorehill.model.serving.NodeRecord;
 import sycamorehill.model.serving.StoredConfiguration;
-import sycamorehill.model.serving.TargetAddress;
 import sycamorehill.model.serving.TargetChange;
 import sycamorehill.model.serving.TargetEntry;
 import sycamorehill.platform.PlatformTestCodec;
@@ -91,10 +83,10 @@
 		TargetEntry entry = new TargetEntry(plain.name(), plain.service(), this.target.address(), plain.dataCentre(), 6,
 				false, 1, Optional.empty(), plain.staged(), Optional.empty(), Optional.empty());
 		return new EntryPorts(PlatformTestCodec.create(),
-				Fixed.of(new StoredConfiguration(ServingSamples.configuration(1), "")),
+				FakePorts.FixedFeed.of(new StoredConfiguration(ServingSamples.configuration(1), "")),
 				(text) -> new StoredConfiguration(ServingSamples.configuration(2), text),
-				Fixed.of(new TargetChange(entry.name(), Optional.of(entry))), new EmptyRegistry(),
-				new UnavailableLeaseStore(), new UnreachableEngines());
+				FakePorts.FixedFeed.of(new TargetChange(entry.name(), Optional.of(entry))), FakePorts.registry(),
+				new FakePorts.UnavailableLeaseStore(), new FakePorts.UnreachableEngines());
 	}
 
 	private Socket connect() throws IOException {
@@ -315,96 +307,4 @@
 		assertThat(answered.get()).isEqualTo(2);
 	}
 
-	/**
-	 * Feed of objects that never change.
-	 */
-	private record Fixed<T>(List<T> items) implements Feed<T> {
-
-		static <T> Fixed<T> of(T item) {
-			return new Fixed<>(List.of(item));
-		}
-
-		static <T> Fixed<T> none() {
-			return new Fixed<>(List.of());
-		}
-
-		@Override
-		public CompletableFuture<Page<T>> listCopy() {
-			return list();
-		}
-
-		@Override
-		public CompletableFuture<Page<T>> list() {
-			return CompletableFuture.completedFuture(new Page<>(this.items, 1));
-		}
-
-		@Override
-		public CompletableFuture<Page<T>> changes(long since, Duration wait) {
-			return new CompletableFuture<>();
-		}
-
-	}
-
-	/**
-	 * Registry that accepts nodes and stores none.
-	 */
-	private static final class EmptyRegistry implements NodeRegistry {
-
-		@Override
-		public CompletableFuture<Void> register(NodeRecord node) {
-			return CompletableFuture.completedFuture(null);
-		}
-
-		@Override
-		public CompletableFuture<List<NodeRecord>> list(boolean consistent) {
-			return CompletableFuture.completedFuture(List.of());
-		}
-
-		@Override
-		public CompletableFuture<Void> deregister(String name) {
-			return CompletableFuture.completedFuture(null);
-		}
-
-	}
-
-	/**
-	 * Lease store that is unavailable.
-	 */
-	static final class UnavailableLeaseStore implements LeaseStore {
-
-		@Override
-		public CompletableFuture<LeaseAnswer> read() {
-			return CompletableFuture.completedFuture(new LeaseAnswer.Unavailable("test"));
-		}
-
-		@Override
-		public CompletableFuture<LeaseAnswer> create(String holder) {
-			return read();
-		}
-
-		@Override
-		public CompletableFuture<LeaseAnswer> replace(Lease lease) {
-			return read();
-		}
-
-	}
-
-	/**
-	 * Engines that return no answer.
-	 */
-	static final class UnreachableEngines implements EnginePort {
-
-		@Override
-		public CompletableFuture<EngineCommandAnswer> sendCommand(TargetAddress engine, EngineCommandRequest command,
-				long count) {
-			return CompletableFuture.completedFuture(EngineCommandAnswer.NOT_KNOWN);
-		}
-
-		@Override
-		public CompletableFuture<EngineReport> readReport(TargetAddress engine) {
-			return CompletableFuture.failedFuture(new ReportUnavailableException(EngineCommandAnswer.NOT_KNOWN));
-		}
-
-	}
-
 }
