--- a/src/main/java/sycamorehill/entry/CallerExchange.java
+++ b/src/main/java/sycamorehill/entry/CallerExchange.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -21,15 +20,13 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.CharsetUtil;
-import io.netty.util.concurrent.ScheduledFuture;
 
-import sycamorehill.model.serving.EntryEffect;
 import sycamorehill.model.serving.EntryEvent;
 
 /**
  * Request of a caller and its answer. Runs on the single event loop of the node.
  */
-final class CallerExchange {
+final class CallerExchange implements RunningExchange {
 
 	private final long number;
 
@@ -41,15 +38,11 @@
 
 	private final CallerRequestHead caller;
 
-	private final long arrivedNanos;
+	private final TimeLimit timeLimit;
 
 	private final ExchangeCodec codec;
 
-	private Optional<Duration> timeLimit = Optional.empty();
-
-	private ScheduledFuture<?> timer;
-
-	private TargetAttempt attempt;
+	private Attempt attempt;
 
 	private HttpResponse heldHead;
 
@@ -74,7 +67,7 @@
 		this.request = request;
 		this.requestBody = requestBody;
 		this.caller = caller;
-		this.arrivedNanos = arrivedNanos;
+		this.timeLimit = TimeLimit.since(arrivedNanos);
 		this.codec = codec;
 	}
 
@@ -83,55 +76,64 @@
 		return new CallerExchange(number, connection, request, requestBody, caller, arrivedNanos, codec);
 	}
 
-	long number() {
+	@Override
+	public long number() {
 		return this.number;
 	}
 
-	String identifier() {
+	@Override
+	public String identifier() {
 		return this.caller.identifier();
 	}
 
-	HttpRequest request() {
+	@Override
+	public HttpRequest request() {
 		return this.request;
 	}
 
-	ByteBuf requestBody() {
+	@Override
+	public ByteBuf requestBody() {
 		return this.requestBody.retainedDuplicate();
 	}
 
-	Optional<String> resumeAfter() {
+	@Override
+	public Optional<String> resumeAfter() {
 		return this.lastEventNumber.isPresent() ? Optional.of(String.valueOf(this.lastEventNumber.getAsLong()))
 				: this.caller.resumeAfter();
 	}
 
-	Optional<String> weightsVersion() {
+	@Override
+	public Optional<String> weightsVersion() {
 		return this.streamStarted ? this.weightsVersion : Optional.empty();
 	}
 
-	boolean streamStarted() {
+	@Override
+	public boolean streamStarted() {
 		return this.streamStarted;
 	}
 
-	void limitTime(Duration timeout, EventLoop loop, EntryEventSink eventSink) {
-		this.timeLimit = Optional.of(timeout);
-		long left = timeout.toNanos() - (System.nanoTime() - this.arrivedNanos);
-		this.timer = loop.schedule(() -> eventSink.post(new EntryEvent.TimedOut(this.number)), Math.max(0, left),
-				TimeUnit.NANOSECONDS);
+	@Override
+	public void limitTime(Duration timeout, EventLoop loop, EntryEventSink eventSink) {
+		this.timeLimit.start(timeout, loop, () -> eventSink.post(new EntryEvent.TimedOut(this.number)));
 	}
 
-	Optional<Duration> timeLeft() {
-		return this.timeLimit.map((timeout) -> timeout.minusNanos(System.nanoTime() - this.arrivedNanos));
+	@Override
+	public Optional<Duration> timeLeft() {
+		return this.timeLimit.timeLeft();
 	}
 
-	void startAttempt(EntryEffect.StartAttempt start, TargetConnectionPool connections, TargetActivity activity,
-			EntryEventSink eventSink) {
-		if (this.finished) {
-			return;
-		}
-		this.attempt = TargetAttempt.start(start, this, connections, activity, this.codec, eventSink);
+	@Override
+	public boolean isFinished() {
+		return this.finished;
+	}
+
+	@Override
+	public void setAttempt(Attempt started) {
+		this.attempt = started;
 	}
 
-	void cancelAttempt() {
+	@Override
+	public void cancelAttempt() {
 		if (this.attempt != null) {
 			this.attempt.cancel();
 		}
@@ -143,7 +145,8 @@
 		}
 	}
 
-	void holdFailure(HttpResponse head, ByteBuf body) {
+	@Override
+	public void holdFailure(HttpResponse head, ByteBuf body) {
 		releaseHeldFailure();
 		this.heldHead = head;
 		this.heldBody = body;
@@ -158,12 +161,8 @@
 		deliver(this.heldHead, body);
 	}
 
-	/**
-	 * Returns the complete answer of a target to the caller.
-	 * @param head the head of the answer
-	 * @param body the body of the answer; it is released
-	 */
-	void deliver(HttpResponse head, ByteBuf body) {
+	@Override
+	public void deliver(HttpResponse head, ByteBuf body) {
 		if (this.finished) {
 			body.release();
 			return;
@@ -194,13 +193,8 @@
 				new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body, headers, EmptyHttpHeaders.INSTANCE));
 	}
 
-	/**
-	 * Starts the stream to the caller with the head of the first target that sent an
-	 * event.
-	 * @param head the head of the target's answer
-	 * @param parsedHead the same head, parsed
-	 */
-	void startStream(HttpResponse head, TargetResponseHead parsedHead) {
+	@Override
+	public void startStream(HttpResponse head, TargetResponseHead parsedHead) {
 		if (this.streamStarted || this.finished) {
 			return;
 		}
@@ -211,13 +205,9 @@
 		this.callerConnection.write(new DefaultHttpResponse(HttpVersion.HTTP_1_1, head.status(), headers));
 	}
 
-	/**
-	 * Forwards an event. Drops events that the caller already received from a previous
-	 * target.
-	 * @param event the event; it is released
-	 * @param eventNumber the number of the event
-	 */
-	void forwardEvent(ByteBuf event, OptionalLong eventNumber) {
+	// Drops events that the caller already received from a previous target.
+	@Override
+	public void forwardEvent(ByteBuf event, OptionalLong eventNumber) {
 		boolean known = eventNumber.isPresent() && this.lastEventNumber.isPresent()
 				&& eventNumber.getAsLong() <= this.lastEventNumber.getAsLong();
 		if (this.finished || known) {
@@ -235,17 +225,20 @@
 		this.callerConnection.write(new DefaultHttpContent(event));
 	}
 
-	Duration maximumPause() {
+	@Override
+	public Duration maximumPause() {
 		return Duration.ofNanos(this.maximumPauseNanos);
 	}
 
-	void flush() {
+	@Override
+	public void flush() {
 		if (!this.finished) {
 			this.callerConnection.flush();
 		}
 	}
 
-	void endStream() {
+	@Override
+	public void endStream() {
 		if (!this.finished) {
 			finish();
 			this.callerConnection.finish(LastHttpContent.EMPTY_LAST_CONTENT);
@@ -275,9 +268,7 @@
 	private void finish() {
 		this.finished = true;
 		this.callerConnection.removeExchange(this);
-		if (this.timer != null) {
-			this.timer.cancel(false);
-		}
+		this.timeLimit.cancel();
 		releaseHeldFailure();
 		this.requestBody.release();
 	}
--- a/src/main/java/sycamorehill/entry/CallerServer.java
+++ b/src/main/java/sycamorehill/entry/CallerServer.java
@@ -1,11 +1,8 @@
 package sycamorehill.entry;
 
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
-import java.util.function.Consumer;
 
 import com.dynatrace.hash4j.hashing.HashStream64;
 import com.dynatrace.hash4j.hashing.Hashing;
@@ -27,13 +24,12 @@
 import sycamorehill.model.log.LogLine;
 import sycamorehill.model.serving.CallerLimits;
 import sycamorehill.model.serving.CallerRequest;
-import sycamorehill.model.serving.EntryEffect;
 import sycamorehill.model.serving.EntryEvent;
 import sycamorehill.runtime.EventLog;
 
 /**
- * Accepts the connections of callers and executes the effects that concern their
- * requests. All methods run on the single event loop of the node.
+ * Accepts the connections of callers. All methods run on the single event loop of the
+ * node.
  */
 final class CallerServer {
 
@@ -51,31 +47,23 @@
 
 	private final EntryEventSink eventSink;
 
-	private final TargetConnectionPool connectionPool;
-
-	private final TargetActivity targetActivity = TargetActivity.create();
-
-	private final Map<Long, CallerExchange> exchanges = new HashMap<>();
+	private final ExchangeRegistry exchanges;
 
 	private final Set<CallerConnection> callerConnections = new HashSet<>();
 
 	private CallerLimits limits = CallerLimits.INITIAL;
 
-	private long lastExchangeNumber;
-
 	private boolean stopping;
 
-	private CallerServer(EventLoop loop, ExchangeCodec codec, EntryEventSink eventSink,
-			TargetConnectionPool connections) {
+	private CallerServer(EventLoop loop, ExchangeCodec codec, EntryEventSink eventSink, ExchangeRegistry exchanges) {
 		this.loop = loop;
 		this.codec = codec;
 		this.eventSink = eventSink;
-		this.connectionPool = connections;
+		this.exchanges = exchanges;
 	}
 
-	static CallerServer of(EventLoop loop, ExchangeCodec codec, EntryEventSink eventSink,
-			TargetConnectionPool connections) {
-		return new CallerServer(loop, codec, eventSink, connections);
+	static CallerServer of(EventLoop loop, ExchangeCodec codec, EntryEventSink eventSink, ExchangeRegistry exchanges) {
+		return new CallerServer(loop, codec, eventSink, exchanges);
 	}
 
 	void start(Address address) throws InterruptedException {
@@ -100,24 +88,14 @@
 			.sync();
 	}
 
-	/**
-	 * Reports targets that have become silent and closes connections that have been idle
-	 * for too long. Called several times a second.
-	 */
-	void runPeriodicChecks() {
-		this.connectionPool.closeExpired();
-		this.targetActivity.findSilentTargets(System.nanoTime()).forEach(this.eventSink::post);
-	}
-
 	CallerExchange acceptRequest(CallerConnection connection, HttpRequest request, ByteBuf body, long arrivedNanos) {
-		this.lastExchangeNumber++;
 		CallerRequestHead head = this.codec.readCallerRequest(request);
-		CallerExchange exchange = CallerExchange.of(this.lastExchangeNumber, connection, request, body, head,
+		CallerExchange exchange = CallerExchange.of(this.exchanges.nextNumber(), connection, request, body, head,
 				arrivedNanos, this.codec);
-		this.exchanges.put(this.lastExchangeNumber, exchange);
+		this.exchanges.add(exchange);
 		String uri = request.uri();
 		int query = uri.indexOf('?');
-		this.eventSink.post(new EntryEvent.RequestArrived(new CallerRequest(this.lastExchangeNumber, head.identifier(),
+		this.eventSink.post(new EntryEvent.RequestArrived(new CallerRequest(exchange.number(), head.identifier(),
 				CallerConnection.lowerCaseHost(request), (query < 0) ? uri : uri.substring(0, query), head.apiKey(),
 				head.model(), head.tokenCounts(), head.timeLeft(), contentHash(request, body))));
 		return exchange;
@@ -132,55 +110,15 @@
 	}
 
 	/**
-	 * Executes the effects that concern requests and connections.
-	 * @param effects the effects, in order
+	 * Applies limits to connections that are accepted from now on.
+	 * @param newLimits the limits
 	 */
-	void execute(List<EntryEffect> effects) {
-		for (EntryEffect effect : effects) {
-			if (effect instanceof EntryEffect.SetCallerLimits set) {
-				this.limits = set.limits();
-			}
-			else if (effect instanceof EntryEffect.CloseTargetConnections close) {
-				this.connectionPool.closeIdle(close.target());
-			}
-			else {
-				executeForRequest(effect);
-			}
-		}
-	}
-
-	private void executeForRequest(EntryEffect effect) {
-		if (effect instanceof EntryEffect.LimitRequestTime limit) {
-			withExchange(limit.number(), (exchange) -> exchange.limitTime(limit.timeout(), this.loop, this.eventSink));
-		}
-		else if (effect instanceof EntryEffect.StartAttempt start) {
-			withExchange(start.number(), (exchange) -> exchange.startAttempt(start, this.connectionPool,
-					this.targetActivity, this.eventSink));
-		}
-		else if (effect instanceof EntryEffect.CancelAttempt cancel) {
-			withExchange(cancel.number(), CallerExchange::cancelAttempt);
-		}
-		else if (effect instanceof EntryEffect.Answer answer) {
-			withExchange(answer.number(),
-					(exchange) -> exchange.answerLocally(answer.status(), answer.detail(), answer.retryAfter()));
-		}
-		else if (effect instanceof EntryEffect.ReturnHeldFailure returned) {
-			withExchange(returned.number(), CallerExchange::returnHeldFailure);
-		}
-		else if (effect instanceof EntryEffect.AbortAnswer abort) {
-			withExchange(abort.number(), CallerExchange::abortAnswer);
-		}
-	}
-
-	private void withExchange(long number, Consumer<CallerExchange> action) {
-		CallerExchange exchange = this.exchanges.get(number);
-		if (exchange != null) {
-			action.accept(exchange);
-		}
+	void setLimits(CallerLimits newLimits) {
+		this.limits = newLimits;
 	}
 
 	void removeExchange(CallerExchange exchange) {
-		this.exchanges.remove(exchange.number());
+		this.exchanges.remove(exchange);
 	}
 
 	void addConnection(CallerConnection connection) {
--- a/src/main/java/sycamorehill/entry/EntryNode.java
+++ b/src/main/java/sycamorehill/entry/EntryNode.java
@@ -65,6 +65,16 @@
 
 	private final CallerServer callerServer;
 
+	private final ProxyServer proxyServer;
+
+	private final ExchangeEffects exchangeEffects;
+
+	private final TargetConnectionPool targetConnections;
+
+	private final ProxyConnectionPool proxyConnections;
+
+	private final StreamMonitor streamMonitor;
+
 	private final PageServer readinessServer;
 
 	private final PageServer metricsServer;
@@ -90,7 +100,14 @@
 		String self = settings.nodeName() + '#' + Long.toHexString(random.nextLong());
 		this.reducer = EntryReducer.of(settings, self, random, this.clock.instant());
 		this.ports = factory.create(CallClient.of(TargetConnectionPool.of(this.loop)));
-		this.callerServer = CallerServer.of(this.loop, this.ports.codec(), this, TargetConnectionPool.of(this.loop));
+		ExchangeRegistry exchanges = ExchangeRegistry.create();
+		this.targetConnections = TargetConnectionPool.of(this.loop);
+		this.proxyConnections = ProxyConnectionPool.of(this.loop);
+		this.streamMonitor = StreamMonitor.of(this);
+		this.exchangeEffects = ExchangeEffects.of(exchanges, this.targetConnections, this.proxyConnections,
+				this.streamMonitor, this.ports.codec(), this);
+		this.callerServer = CallerServer.of(this.loop, this.ports.codec(), this, exchanges);
+		this.proxyServer = ProxyServer.of(this.loop, exchanges, this, this.reducer::isNodeHost);
 		this.messenger = NodeMessenger.of(this.loop, this);
 		this.metrics = EntryMetrics.of(this.reducer);
 		this.readinessServer = PageServer.of(this.loop, this::readinessPage);
@@ -125,6 +142,7 @@
 		this.configurationReader.start();
 		this.targetReader.start();
 		this.loop.scheduleAtFixedRate(this::tick, 0, TICK_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
+		this.proxyServer.start(this.settings.proxyAddress());
 		this.callerServer.start(this.settings.callerAddress());
 		this.metricsServer.start(this.settings.peerAddress());
 		this.readinessServer.start(this.settings.readinessAddress());
@@ -137,7 +155,10 @@
 	private void tick() {
 		try {
 			processEvent(new EntryEvent.Ticked());
-			this.callerServer.runPeriodicChecks();
+			this.targetConnections.closeExpired();
+			this.proxyConnections.closeExpired();
+			this.proxyServer.closeExpired();
+			this.streamMonitor.check();
 			this.configurationReader.resumeIfNeeded();
 			this.targetReader.resumeIfNeeded();
 		}
@@ -208,14 +229,14 @@
 			EventLog.failure(LogEvent.INVARIANT_BROKEN, "event " + event, ex);
 			return;
 		}
-		List<EntryEffect> forCallers = new ArrayList<>();
+		List<EntryEffect> forExchanges = new ArrayList<>();
 		for (EntryEffect effect : effects) {
 			if (!execute(effect)) {
-				forCallers.add(effect);
+				forExchanges.add(effect);
 			}
 		}
-		if (!forCallers.isEmpty()) {
-			this.loop.execute(() -> this.callerServer.execute(forCallers));
+		if (!forExchanges.isEmpty()) {
+			this.loop.execute(() -> this.exchangeEffects.execute(forExchanges));
 		}
 	}
 
@@ -230,6 +251,9 @@
 		else if (effect instanceof EntryEffect.SetReadiness readiness) {
 			this.ready = readiness.ready();
 		}
+		else if (effect instanceof EntryEffect.SetCallerLimits set) {
+			this.callerServer.setLimits(set.limits());
+		}
 		else if (effect instanceof EntryEffect.Send send) {
 			this.messenger.send(send.nodes(), send.message());
 		}
@@ -371,9 +395,10 @@
 		}
 		this.callerServer.closeIdle();
 		boolean deadlineReached = since.compareTo(this.settings.stopTime().minus(KILL_MARGIN)) > 0;
-		if (deadlineReached || !this.callerServer.hasCallers()) {
-			EventLog.write(LogLine.of(LogEvent.REQUESTS_DRAINED, "node=" + this.settings.nodeName() + " millis="
-					+ since.toMillis() + " callers-left=" + this.callerServer.hasCallers()));
+		if (deadlineReached || (!this.callerServer.hasCallers() && !this.proxyServer.hasRequests())) {
+			EventLog.write(LogLine.of(LogEvent.REQUESTS_DRAINED,
+					"node=" + this.settings.nodeName() + " millis=" + since.toMillis() + " callers-left="
+							+ this.callerServer.hasCallers() + " proxied-left=" + this.proxyServer.hasRequests()));
 			this.stopped.complete(null);
 		}
 	}
--- a/src/main/java/sycamorehill/entry/ExchangeCodec.java
+++ b/src/main/java/sycamorehill/entry/ExchangeCodec.java
@@ -19,6 +19,14 @@
 	 */
 	CallerRequestHead readCallerRequest(HttpRequest request);
 
+	/**
+	 * Returns the headers of a caller's request that may leave this node, without the
+	 * caller's API key.
+	 * @param request the caller's request
+	 * @return the headers, without those that frame the body
+	 */
+	HttpHeaders forwardableHeaders(HttpRequest request);
+
 	/**
 	 * Creates the headers of a request to a target.
 	 * @param request the caller's request
--- a/src/main/java/sycamorehill/entry/NodeMessageFields.java
+++ b/src/main/java/sycamorehill/entry/NodeMessageFields.java
@@ -5,9 +5,11 @@
 import java.time.temporal.ChronoUnit;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
@@ -15,6 +17,7 @@
 
 import sycamorehill.model.identity.Address;
 import sycamorehill.model.identity.DataCentreName;
+import sycamorehill.model.identity.ServiceName;
 import sycamorehill.model.identity.TargetName;
 import sycamorehill.model.serving.Lease;
 import sycamorehill.model.serving.LoadSum;
@@ -78,6 +81,10 @@
 
 	private static final String PER_SECOND = "per-second";
 
+	private static final String SERVICES = "services";
+
+	private static final String PROXY_ADDRESS = "proxy-address";
+
 	private static final String AGE_MILLIS = "age-millis";
 
 	private NodeMessageFields() {
@@ -99,6 +106,7 @@
 			case LEASE_GIVEN_UP -> body.put(HOLDER, ((NodeMessage.LeaseReleased) message).holder());
 			case SILENCE -> writeTarget(((NodeMessage.Silence) message).target(), body);
 			case SILENCE_CONFIRMED -> writeTarget(((NodeMessage.SilenceConfirmed) message).target(), body);
+			case SERVICES_UNREACHABLE -> writeServices((NodeMessage.ServicesUnreachable) message, body);
 			case GROUP_ENDED -> writeEndedGroup((NodeMessage.GroupEnded) message, body);
 			case TARGET_LIMITED -> writeRateLimit((NodeMessage.TargetLimited) message, body);
 			case TARGET_LEAVING -> writeLeaving((NodeMessage.TargetLeaving) message, body);
@@ -122,6 +130,7 @@
 			case LEASE_GIVEN_UP -> new NodeMessage.LeaseReleased(sender, body.path(HOLDER).asText());
 			case SILENCE -> new NodeMessage.Silence(sender, readTarget(body));
 			case SILENCE_CONFIRMED -> new NodeMessage.SilenceConfirmed(sender, readTarget(body));
+			case SERVICES_UNREACHABLE -> readServices(sender, body);
 			case GROUP_ENDED -> readEndedGroup(sender, body);
 			case TARGET_LIMITED -> readRateLimit(sender, body);
 			case TARGET_LEAVING -> new NodeMessage.TargetLeaving(sender, readTarget(body), body.path(STARTED).asLong());
@@ -235,11 +244,24 @@
 		body.put(ADDRESS, node.address().toString())
 			.put(DATA_CENTRE, node.dataCentre().value())
 			.put(PROCESSOR, node.processorCores());
+		node.proxyAddress().ifPresent((address) -> body.put(PROXY_ADDRESS, address.toString()));
 	}
 
 	private static NodeMessage readNode(String sender, JsonNode body) {
 		return new NodeMessage.Introduction(new NodeRecord(sender, Address.parse(body.path(ADDRESS).asText()),
-				readDataCentre(body), body.path(PROCESSOR).asDouble()));
+				readDataCentre(body), body.path(PROCESSOR).asDouble(), body.has(PROXY_ADDRESS)
+						? Optional.of(Address.parse(body.path(PROXY_ADDRESS).asText())) : Optional.empty()));
+	}
+
+	private static void writeServices(NodeMessage.ServicesUnreachable unreachable, ObjectNode body) {
+		ArrayNode services = body.putArray(SERVICES);
+		unreachable.services().forEach((service) -> services.add(service.value()));
+	}
+
+	private static NodeMessage readServices(String sender, JsonNode body) {
+		Set<ServiceName> services = new HashSet<>();
+		body.path(SERVICES).forEach((service) -> services.add(ServiceName.of(service.asText())));
+		return new NodeMessage.ServicesUnreachable(sender, services);
 	}
 
 	private static void writeEndedGroup(NodeMessage.GroupEnded ended, ObjectNode body) {
--- a/src/main/java/sycamorehill/entry/NodeMessageKind.java
+++ b/src/main/java/sycamorehill/entry/NodeMessageKind.java
@@ -33,6 +33,8 @@
 
 	SILENCE_CONFIRMED(NodeMessage.SilenceConfirmed.class),
 
+	SERVICES_UNREACHABLE(NodeMessage.ServicesUnreachable.class),
+
 	GROUP_ENDED(NodeMessage.GroupEnded.class),
 
 	TARGET_LIMITED(NodeMessage.TargetLimited.class),
--- /dev/null
+++ b/src/main/java/sycamorehill/entry/ProxyAttempt.java
@@ -0,0 +1,307 @@
+package sycamorehill.entry;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.ScheduledFuture;
+
+import sycamorehill.model.identity.TargetName;
+import sycamorehill.model.serving.AttemptEnd;
+import sycamorehill.model.serving.EntryEffect;
+import sycamorehill.model.serving.EntryEvent;
+import sycamorehill.model.serving.NotRunCause;
+
+/**
+ * Attempt to get the answer to a request through another node. A request that may run
+ * only once is confirmed after the other node has it; until then it has not run.
+ */
+final class ProxyAttempt implements Attempt, ProxyChannel.Listener {
+
+	/**
+	 * Time in which the other node must accept a request. It answers before it selects a
+	 * target.
+	 */
+	private static final Duration ACCEPT_TIMEOUT = Duration.ofMillis(300);
+
+	/** Rate that is expected of the link when a large body is sent. */
+	private static final int MINIMUM_BYTES_PER_MILLISECOND = 10_000;
+
+	/** Maximum size of a non-streaming answer, which is held until it is complete. */
+	private static final int MAXIMUM_ANSWER_BYTES = 16 * 1024 * 1024;
+
+	private final EntryEffect.StartProxiedAttempt start;
+
+	private final CallerExchange exchange;
+
+	private final ProxyConnectionPool connectionPool;
+
+	private final StreamActivity<String> activity;
+
+	private final ExchangeCodec codec;
+
+	private final EntryEventSink eventSink;
+
+	private final boolean confirmationRequired;
+
+	private ProxyChannel connection;
+
+	private ScheduledFuture<?> acceptTimer;
+
+	private boolean finished;
+
+	private boolean activityTracked;
+
+	private boolean confirmed;
+
+	private boolean answerStarted;
+
+	private boolean allEventsNumbered = true;
+
+	private HttpResponse head;
+
+	private boolean streaming;
+
+	private final ByteBuf body = Unpooled.buffer();
+
+	private ProxyAttempt(EntryEffect.StartProxiedAttempt start, CallerExchange exchange,
+			ProxyConnectionPool connections, StreamActivity<String> activity, ExchangeCodec codec,
+			EntryEventSink eventSink) {
+		this.start = start;
+		this.exchange = exchange;
+		this.connectionPool = connections;
+		this.activity = activity;
+		this.codec = codec;
+		this.eventSink = eventSink;
+		this.confirmationRequired = !start.request().kind().isRepeatable();
+	}
+
+	static ProxyAttempt start(EntryEffect.StartProxiedAttempt start, CallerExchange exchange,
+			ProxyConnectionPool connections, StreamActivity<String> activity, ExchangeCodec codec,
+			EntryEventSink eventSink) {
+		ProxyAttempt attempt = new ProxyAttempt(start, exchange, connections, activity, codec, eventSink);
+		attempt.start();
+		return attempt;
+	}
+
+	private void start() {
+		ProxyChannel idle = this.connectionPool.acquireIdle(this.start.node().address());
+		if (idle != null) {
+			send(idle);
+			return;
+		}
+		ChannelFuture connecting = this.connectionPool.connect(this.start.node().address());
+		connecting.addListener((future) -> {
+			if (!future.isSuccess()) {
+				finish(Optional.empty(), new AttemptEnd.NotRun(NotRunCause.NODE_UNAVAILABLE));
+			}
+			else if (this.finished) {
+				connecting.channel().close();
+			}
+			else {
+				send(connecting.channel().pipeline().get(ProxyChannel.class));
+			}
+		});
+	}
+
+	private void send(ProxyChannel openConnection) {
+		this.connection = openConnection;
+		openConnection.listen(this);
+		if (this.start.request().kind().isStreaming()) {
+			this.activityTracked = true;
+			this.activity.recordRequestSent(this.start.node().name(), System.nanoTime());
+		}
+		ByteBuf content = this.exchange.requestBody();
+		try {
+			int bodyBytes = content.readableBytes();
+			openConnection.write(new ProxyFrame.Request(this.start.request(), this.exchange.request().method().name(),
+					this.exchange.request().uri(), headers(bodyBytes), this.exchange.resumeAfter(),
+					this.exchange.weightsVersion(), bodyBytes));
+			openConnection.writeBody(content);
+			openConnection.flush();
+			startAcceptTimer(bodyBytes);
+		}
+		finally {
+			content.release();
+		}
+	}
+
+	private List<ProxyFrame.Header> headers(int bodyBytes) {
+		HttpHeaders headers = this.codec.forwardableHeaders(this.exchange.request());
+		if (bodyBytes > 0 || HttpUtil.isContentLengthSet(this.exchange.request())
+				|| HttpUtil.isTransferEncodingChunked(this.exchange.request())) {
+			headers.set(HttpHeaderNames.CONTENT_LENGTH, bodyBytes);
+		}
+		return headers.entries()
+			.stream()
+			.map((Map.Entry<String, String> header) -> new ProxyFrame.Header(header.getKey(), header.getValue()))
+			.toList();
+	}
+
+	private void startAcceptTimer(int bodyBytes) {
+		Duration timeout = ACCEPT_TIMEOUT.plusMillis(bodyBytes / MINIMUM_BYTES_PER_MILLISECOND);
+		this.acceptTimer = this.connectionPool.loop()
+			.schedule(() -> handleLost("the node accepts nothing"), timeout.toMillis(), TimeUnit.MILLISECONDS);
+	}
+
+	@Override
+	public void handleFrame(ProxyFrame frame) {
+		if (this.finished) {
+			return;
+		}
+		if (frame instanceof ProxyFrame.Accepted) {
+			handleAccepted();
+		}
+		else if (frame instanceof ProxyFrame.Head received) {
+			handleHead(received);
+		}
+		else if (frame instanceof ProxyFrame.Body part) {
+			handleBody(part);
+		}
+		else if (frame instanceof ProxyFrame.Event event) {
+			handleEvent(event);
+		}
+		else if (frame instanceof ProxyFrame.End end) {
+			handleEnd(end);
+		}
+		else {
+			handleLost("a frame that only the origin sends");
+		}
+	}
+
+	private void handleAccepted() {
+		this.acceptTimer.cancel(false);
+		if (this.confirmationRequired && !this.confirmed) {
+			this.confirmed = true;
+			this.connection.send(new ProxyFrame.Confirmed());
+		}
+	}
+
+	private void handleHead(ProxyFrame.Head received) {
+		HttpHeaders headers = new DefaultHttpHeaders(false);
+		received.headers().forEach((header) -> headers.add(header.name(), header.value()));
+		this.head = new DefaultHttpResponse(HttpVersion.HTTP_1_1,
+				new HttpResponseStatus(received.status(), received.reason()), headers);
+		this.streaming = received.streaming();
+		if (this.streaming) {
+			this.exchange.startStream(this.head, this.codec.readTargetResponse(this.head));
+		}
+	}
+
+	private void handleBody(ProxyFrame.Body part) {
+		this.body.writeBytes(part.bytes());
+		if (this.body.readableBytes() > MAXIMUM_ANSWER_BYTES) {
+			handleLost("the answer is longer than " + MAXIMUM_ANSWER_BYTES + " bytes");
+		}
+	}
+
+	private void handleEvent(ProxyFrame.Event event) {
+		this.allEventsNumbered &= event.number().isPresent();
+		if (!this.answerStarted) {
+			this.answerStarted = true;
+			this.activity.recordStreamStarted(this.start.node().name(), System.nanoTime());
+			this.eventSink.post(new EntryEvent.AnswerStarted(this.start.number()));
+		}
+		this.activity.recordProgress(this.start.node().name(), System.nanoTime());
+		this.exchange.forwardEvent(Unpooled.wrappedBuffer(event.bytes()), event.number());
+		this.exchange.flush();
+	}
+
+	private void handleEnd(ProxyFrame.End ended) {
+		AttemptEnd end = ended.end();
+		boolean answered = end instanceof AttemptEnd.Delivered || end instanceof AttemptEnd.Failed;
+		if (answered && this.head == null) {
+			handleLost("an end without an answer");
+			return;
+		}
+		this.connectionPool.release(this.start.node().address(), this.connection);
+		if (end instanceof AttemptEnd.Delivered delivered) {
+			finish(ended.target(), deliver(delivered));
+			return;
+		}
+		if (end instanceof AttemptEnd.Failed) {
+			this.exchange.holdFailure(this.head, this.body.retain());
+		}
+		finish(ended.target(), end);
+	}
+
+	private AttemptEnd deliver(AttemptEnd.Delivered delivered) {
+		if (!this.streaming) {
+			this.exchange.deliver(this.head, this.body.retain());
+			return delivered;
+		}
+		this.exchange.endStream();
+		return new AttemptEnd.Delivered(delivered.status(), this.exchange.maximumPause());
+	}
+
+	@Override
+	public void handleClosed(String cause) {
+		handleLost(cause);
+	}
+
+	private void handleLost(String cause) {
+		if (this.finished) {
+			return;
+		}
+		this.connection.close();
+		if (this.confirmationRequired && !this.confirmed) {
+			finish(Optional.empty(), new AttemptEnd.NotRun(NotRunCause.NODE_UNAVAILABLE));
+		}
+		else if (this.exchange.streamStarted()) {
+			finish(Optional.empty(), new AttemptEnd.Broken(cause, this.allEventsNumbered, false));
+		}
+		else {
+			finish(Optional.empty(), new AttemptEnd.Unknown(cause, false));
+		}
+	}
+
+	@Override
+	public void cancel() {
+		if (!this.finished) {
+			if (this.connection != null) {
+				this.connection.close();
+			}
+			finish();
+		}
+	}
+
+	@Override
+	public void pause(boolean paused) {
+		if (this.connection != null && !this.finished) {
+			this.connection.pause(paused);
+		}
+	}
+
+	private void finish(Optional<TargetName> target, AttemptEnd end) {
+		if (this.finished) {
+			return;
+		}
+		finish();
+		this.eventSink.post(new EntryEvent.ProxiedAttemptEnded(this.start.number(), this.start.attempt(), target, end));
+	}
+
+	private void finish() {
+		this.finished = true;
+		if (this.acceptTimer != null) {
+			this.acceptTimer.cancel(false);
+		}
+		if (this.activityTracked) {
+			this.activity.recordRequestEnded(this.start.node().name(), this.answerStarted, System.nanoTime());
+		}
+		this.body.release();
+	}
+
+}
--- /dev/null
+++ b/src/main/java/sycamorehill/entry/ProxyChannel.java
@@ -0,0 +1,227 @@
+package sycamorehill.entry;
+
+import java.io.IOException;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.DecoderException;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.codec.LengthFieldPrepender;
+
+import sycamorehill.model.log.LogEvent;
+import sycamorehill.model.log.LogLine;
+import sycamorehill.runtime.EventLog;
+
+/**
+ * Connection between two nodes that carries one request at a time as frames. Either end
+ * uses it.
+ */
+final class ProxyChannel extends SimpleChannelInboundHandler<ByteBuf> {
+
+	private static final int LENGTH_BYTES = 4;
+
+	private final ProxyFrameCodec codec;
+
+	private ChannelHandlerContext context;
+
+	private Listener listener;
+
+	private ProxyChannel(ProxyFrameCodec codec) {
+		this.codec = codec;
+	}
+
+	static ProxyChannel of(ProxyFrameCodec codec) {
+		return new ProxyChannel(codec);
+	}
+
+	/**
+	 * Returns an initializer that adds a new connection to each channel.
+	 * @param codec encodes the frames
+	 * @param setup called with each new connection
+	 * @return the initializer
+	 */
+	static ChannelInitializer<Channel> initializer(ProxyFrameCodec codec, Setup setup) {
+		return new ChannelInitializer<>() {
+
+			@Override
+			protected void initChannel(Channel channel) {
+				ProxyChannel connection = ProxyChannel.of(codec);
+				channel.pipeline()
+					.addLast(new LengthFieldBasedFrameDecoder(ProxyFrameCodec.MAXIMUM_FRAME_BYTES, 0, LENGTH_BYTES, 0,
+							LENGTH_BYTES), new LengthFieldPrepender(LENGTH_BYTES), connection);
+				setup.accept(channel, connection);
+			}
+
+		};
+	}
+
+	@Override
+	public void handlerAdded(ChannelHandlerContext addedContext) {
+		this.context = addedContext;
+	}
+
+	/**
+	 * Sets the receiver of frames.
+	 * @param newListener the receiver; null for none, so that any frame closes the
+	 * connection
+	 */
+	void listen(Listener newListener) {
+		this.listener = newListener;
+	}
+
+	boolean isOpen() {
+		return this.context.channel().isActive();
+	}
+
+	boolean isWritable() {
+		return this.context.channel().isWritable();
+	}
+
+	void pause(boolean paused) {
+		this.context.channel().config().setAutoRead(!paused);
+	}
+
+	/** Closes the connection without notifying the receiver. */
+	void close() {
+		this.listener = null;
+		this.context.close();
+	}
+
+	/** Closes the connection after the frames sent so far, without reading any more. */
+	void closeAfterSending() {
+		this.listener = null;
+		this.context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener((sent) -> this.context.close());
+	}
+
+	void write(ProxyFrame frame) {
+		try {
+			this.context.write(Unpooled.wrappedBuffer(this.codec.write(frame))).addListener((written) -> {
+				if (!written.isSuccess()) {
+					fail("write failed: " + written.cause().getMessage());
+				}
+			});
+		}
+		catch (IOException ex) {
+			fail("a frame can't be encoded: " + ex.getMessage());
+		}
+	}
+
+	void flush() {
+		this.context.flush();
+	}
+
+	void send(ProxyFrame frame) {
+		write(frame);
+		flush();
+	}
+
+	/**
+	 * Sends a body in parts, which are written and not flushed.
+	 * @param body the body; it is not released
+	 */
+	void writeBody(ByteBuf body) {
+		while (body.isReadable()) {
+			byte[] part = new byte[Math.min(body.readableBytes(), ProxyFrameCodec.BODY_PART_BYTES)];
+			body.readBytes(part);
+			write(new ProxyFrame.Body(part));
+		}
+	}
+
+	@Override
+	protected void channelRead0(ChannelHandlerContext ctx, ByteBuf bytes) {
+		if (this.listener == null) {
+			ctx.close();
+			return;
+		}
+		try {
+			this.listener.handleFrame(ProxyFrameCodec.read(ByteBufUtil.getBytes(bytes)));
+		}
+		catch (IOException | RuntimeException ex) {
+			failUnreadable(ex);
+		}
+	}
+
+	@Override
+	public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+		if (this.listener != null) {
+			this.listener.handleWritability(ctx.channel().isWritable());
+		}
+		ctx.fireChannelWritabilityChanged();
+	}
+
+	@Override
+	public void channelInactive(ChannelHandlerContext ctx) {
+		fail("connection closed");
+		ctx.fireChannelInactive();
+	}
+
+	@Override
+	public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+		if (cause instanceof DecoderException) {
+			failUnreadable(cause);
+		}
+		else {
+			fail(String.valueOf(cause.getMessage()));
+		}
+	}
+
+	private void failUnreadable(Throwable cause) {
+		EventLog.write(LogLine.of(LogEvent.NODE_MESSAGE_UNREADABLE,
+				"frame from=" + this.context.channel().remoteAddress() + " cause='" + cause + "'"));
+		fail("not a frame: " + cause);
+	}
+
+	private void fail(String cause) {
+		Listener notified = this.listener;
+		close();
+		if (notified != null) {
+			notified.handleClosed(cause);
+		}
+	}
+
+	/**
+	 * Receives the frames of a connection.
+	 */
+	interface Listener {
+
+		/**
+		 * Handles a frame.
+		 * @param frame the frame
+		 */
+		void handleFrame(ProxyFrame frame);
+
+		/**
+		 * Handles the end of the connection.
+		 * @param cause the description of the failure
+		 */
+		void handleClosed(String cause);
+
+		/**
+		 * Handles a change of the room for unsent bytes.
+		 * @param writable whether there is room
+		 */
+		default void handleWritability(boolean writable) {
+		}
+
+	}
+
+	/**
+	 * Prepares a new connection.
+	 */
+	interface Setup {
+
+		/**
+		 * Prepares a connection.
+		 * @param channel its channel
+		 * @param connection the connection
+		 */
+		void accept(Channel channel, ProxyChannel connection);
+
+	}
+
+}
--- /dev/null
+++ b/src/main/java/sycamorehill/entry/StreamActivity.java
@@ -0,0 +1,207 @@
+package sycamorehill.entry;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Tracks whether the senders of streams make progress: targets, or nodes through which
+ * streams are sent. When a group loses a member, all its streams stall at once while its
+ * head still accepts requests. This is the first indication of the failure, seconds
+ * before the directory reports it.
+ *
+ * @param <S> identifies a sender
+ */
+final class StreamActivity<S> {
+
+	/**
+	 * Time without any byte on all started streams after which the path is in doubt,
+	 * rather than one sender.
+	 */
+	static final Duration PATH_SILENCE_TIMEOUT = Duration.ofMillis(250);
+
+	/**
+	 * Checks are several times as frequent. After a longer pause of this process, bytes
+	 * that have arrived have not been read yet.
+	 */
+	private static final Duration MAXIMUM_CHECK_INTERVAL = Duration.ofMillis(250);
+
+	/** Additional time in which a test of the path decides. */
+	private static final Duration PATH_TEST_TIME = Duration.ofMillis(200);
+
+	/** Number of senders of started streams whose silence puts the path in doubt. */
+	private static final int MINIMUM_SENDERS = 2;
+
+	private final Duration silenceTimeout;
+
+	private final Duration firstEventTimeout;
+
+	private final Map<S, StreamProgress> bySender = new HashMap<>();
+
+	private long lastCheckNanos;
+
+	private boolean pathSilenceReported;
+
+	private boolean pathProven;
+
+	private StreamActivity(Duration silenceTimeout, Duration firstEventTimeout) {
+		this.silenceTimeout = silenceTimeout;
+		this.firstEventTimeout = firstEventTimeout;
+	}
+
+	/**
+	 * Creates a tracker.
+	 * @param <S> identifies a sender
+	 * @param silenceTimeout time without any event on the started streams of a sender
+	 * after which it is silent
+	 * @param firstEventTimeout the same while none of its streams has started
+	 * @return the tracker
+	 */
+	static <S> StreamActivity<S> of(Duration silenceTimeout, Duration firstEventTimeout) {
+		return new StreamActivity<>(silenceTimeout, firstEventTimeout);
+	}
+
+	void recordRequestSent(S sender, long nowNanos) {
+		StreamProgress progress = this.bySender.computeIfAbsent(sender, (name) -> new StreamProgress());
+		if (progress.waitingStreams + progress.startedStreams == 0) {
+			progress.lastProgressNanos = nowNanos;
+			progress.reported = false;
+		}
+		progress.waitingStreams++;
+	}
+
+	void recordStreamStarted(S sender, long nowNanos) {
+		StreamProgress progress = this.bySender.get(sender);
+		if (progress != null) {
+			progress.waitingStreams--;
+			progress.startedStreams++;
+			recordProgress(sender, nowNanos);
+		}
+	}
+
+	void recordProgress(S sender, long nowNanos) {
+		this.pathSilenceReported = false;
+		StreamProgress progress = this.bySender.get(sender);
+		if (progress != null) {
+			progress.lastProgressNanos = nowNanos;
+			progress.reported = false;
+		}
+	}
+
+	void recordRequestEnded(S sender, boolean streamStarted, long nowNanos) {
+		StreamProgress progress = this.bySender.get(sender);
+		if (progress == null) {
+			return;
+		}
+		if (streamStarted) {
+			progress.startedStreams--;
+		}
+		else {
+			progress.waitingStreams--;
+		}
+		if (progress.waitingStreams + progress.startedStreams <= 0) {
+			this.bySender.remove(sender);
+		}
+	}
+
+	/**
+	 * Returns the senders that have become silent since the last call.
+	 * @param nowNanos the current time, in nanoseconds
+	 * @return the senders, each once per silence
+	 */
+	List<Silence<S>> findSilentSenders(long nowNanos) {
+		boolean delayed = nowNanos - this.lastCheckNanos > MAXIMUM_CHECK_INTERVAL.toNanos();
+		this.lastCheckNanos = nowNanos;
+		if (delayed) {
+			return List.of();
+		}
+		boolean pathInDoubt = !this.pathProven && isSilent(startedStreams(), nowNanos);
+		Duration margin = pathInDoubt ? PATH_TEST_TIME : Duration.ZERO;
+		return findSilentSenders(this.silenceTimeout.plus(margin), this.firstEventTimeout.plus(margin), nowNanos);
+	}
+
+	/**
+	 * Returns the senders that are silent for a short time, because the path is broken.
+	 * Requests may wait for their first event for longer while started streams go on.
+	 * @param nowNanos the current time, in nanoseconds
+	 * @return the senders, each once per silence
+	 */
+	List<Silence<S>> findStalledSenders(long nowNanos) {
+		boolean allSilent = startedStreams().stream().allMatch((progress) -> progress.isSilent(nowNanos));
+		return findSilentSenders(PATH_SILENCE_TIMEOUT, allSilent ? PATH_SILENCE_TIMEOUT : this.firstEventTimeout,
+				nowNanos);
+	}
+
+	private List<Silence<S>> findSilentSenders(Duration startedTimeout, Duration waitingTimeout, long nowNanos) {
+		List<Silence<S>> silences = new ArrayList<>();
+		this.bySender.forEach((sender, progress) -> {
+			boolean started = progress.startedStreams > 0;
+			Duration timeout = started ? startedTimeout : waitingTimeout;
+			if (!progress.reported && nowNanos - progress.lastProgressNanos > timeout.toNanos()) {
+				progress.reported = true;
+				silences.add(new Silence<>(sender, started));
+			}
+		});
+		return silences;
+	}
+
+	private List<StreamProgress> startedStreams() {
+		return this.bySender.values().stream().filter((progress) -> progress.startedStreams > 0).toList();
+	}
+
+	private static boolean isSilent(List<StreamProgress> started, long nowNanos) {
+		return started.size() >= MINIMUM_SENDERS
+				&& started.stream().allMatch((progress) -> progress.isSilent(nowNanos));
+	}
+
+	/**
+	 * Returns whether the started streams of several senders have all become silent.
+	 * @param nowNanos the current time, in nanoseconds
+	 * @return true once per silence
+	 */
+	boolean isPathSilent(long nowNanos) {
+		if (this.pathSilenceReported || !isSilent(startedStreams(), nowNanos)) {
+			return false;
+		}
+		this.pathSilenceReported = true;
+		this.pathProven = false;
+		return true;
+	}
+
+	/** Records that the path works, although the started streams are silent. */
+	void markPathProven() {
+		this.pathProven = true;
+	}
+
+	/**
+	 * A sender whose streams have all stalled.
+	 *
+	 * @param <S> identifies a sender
+	 * @param sender the sender
+	 * @param streamsStarted whether any of the streams had started
+	 */
+	record Silence<S>(S sender, boolean streamsStarted) {
+	}
+
+	/**
+	 * Progress of the streams of one sender.
+	 */
+	private static final class StreamProgress {
+
+		private int waitingStreams;
+
+		private int startedStreams;
+
+		private long lastProgressNanos;
+
+		private boolean reported;
+
+		private boolean isSilent(long nowNanos) {
+			return nowNanos - this.lastProgressNanos > PATH_SILENCE_TIMEOUT.toNanos();
+		}
+
+	}
+
+}
--- /dev/null
+++ b/src/main/java/sycamorehill/entry/StreamMonitor.java
@@ -0,0 +1,89 @@
+package sycamorehill.entry;
+
+import java.time.Duration;
+
+import sycamorehill.model.identity.TargetName;
+import sycamorehill.model.serving.EntryEvent;
+
+/**
+ * Reports the targets and the nodes whose streams to this node have stalled.
+ */
+final class StreamMonitor {
+
+	/**
+	 * Time without any event on the started streams of a target after which the target is
+	 * silent. Events are 30 to 80 ms apart, and up to 200 ms while long prompts are
+	 * prefilled beside them.
+	 */
+	private static final Duration TARGET_SILENCE_TIMEOUT = Duration.ofMillis(450);
+
+	/**
+	 * The same while no stream has started: a first event that is on time takes up to 500
+	 * ms.
+	 */
+	private static final Duration TARGET_FIRST_EVENT_TIMEOUT = Duration.ofMillis(1100);
+
+	/**
+	 * Additional time for a node that forwards streams, which notices and reports a
+	 * silent target itself.
+	 */
+	private static final Duration NODE_MARGIN = Duration.ofMillis(300);
+
+	private final StreamActivity<TargetName> targets = StreamActivity.of(TARGET_SILENCE_TIMEOUT,
+			TARGET_FIRST_EVENT_TIMEOUT);
+
+	private final StreamActivity<String> nodes = StreamActivity.of(TARGET_SILENCE_TIMEOUT.plus(NODE_MARGIN),
+			TARGET_FIRST_EVENT_TIMEOUT.plus(NODE_MARGIN));
+
+	private final EntryEventSink eventSink;
+
+	private StreamMonitor(EntryEventSink eventSink) {
+		this.eventSink = eventSink;
+	}
+
+	static StreamMonitor of(EntryEventSink eventSink) {
+		return new StreamMonitor(eventSink);
+	}
+
+	/**
+	 * Returns the progress of streams from targets.
+	 * @return the progress by target
+	 */
+	StreamActivity<TargetName> targets() {
+		return this.targets;
+	}
+
+	/**
+	 * Returns the progress of streams that other nodes forward.
+	 * @return the progress by name of the node
+	 */
+	StreamActivity<String> nodes() {
+		return this.nodes;
+	}
+
+	/** Reports new silences. Called several times a second. */
+	void check() {
+		long now = System.nanoTime();
+		if (this.targets.isPathSilent(now)) {
+			this.eventSink.post(new EntryEvent.AllTargetsSilent());
+		}
+		this.targets.findSilentSenders(now).forEach(this::report);
+		this.nodes.findSilentSenders(now)
+			.forEach((silence) -> this.eventSink.post(new EntryEvent.ProxySilent(silence.sender())));
+	}
+
+	/** Records that a target was connected although all streams are silent. */
+	void markPathProven() {
+		this.targets.markPathProven();
+	}
+
+	/** Reports the targets that are silent for a short time. */
+	void reportStalledTargets() {
+		this.targets.findStalledSenders(System.nanoTime()).forEach(this::report);
+	}
+
+	private void report(StreamActivity.Silence<TargetName> silence) {
+		this.eventSink.post(new EntryEvent.TargetSilent(silence.sender(), silence.streamsStarted()));
+	}
+
+}
--- a/src/main/java/sycamorehill/entry/TargetAttempt.java
+++ b/src/main/java/sycamorehill/entry/TargetAttempt.java
@@ -15,6 +15,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 
+import sycamorehill.model.identity.TargetName;
 import sycamorehill.model.serving.AttemptEnd;
 import sycamorehill.model.serving.EntryEffect;
 import sycamorehill.model.serving.EntryEvent;
@@ -24,7 +25,7 @@
  * Attempt to get the answer to a request from a target. Each attempt ends once, with an
  * {@link AttemptEnd}; after a cancellation nothing of it reaches the caller.
  */
-final class TargetAttempt implements AnswerHandler {
+final class TargetAttempt implements Attempt, AnswerHandler {
 
 	private static final int SUCCESS_CLASS = 2;
 
@@ -44,11 +45,11 @@
 
 	private final EntryEffect.StartAttempt start;
 
-	private final CallerExchange exchange;
+	private final AttemptExchange exchange;
 
 	private final TargetConnectionPool connectionPool;
 
-	private final TargetActivity activity;
+	private final StreamActivity<TargetName> activity;
 
 	private final ExchangeCodec codec;
 
@@ -76,8 +77,8 @@
 
 	private boolean allEventsNumbered = true;
 
-	private TargetAttempt(EntryEffect.StartAttempt start, CallerExchange exchange, TargetConnectionPool connections,
-			TargetActivity activity, ExchangeCodec codec, EntryEventSink eventSink) {
+	private TargetAttempt(EntryEffect.StartAttempt start, AttemptExchange exchange, TargetConnectionPool connections,
+			StreamActivity<TargetName> activity, ExchangeCodec codec, EntryEventSink eventSink) {
 		this.start = start;
 		this.exchange = exchange;
 		this.connectionPool = connections;
@@ -86,8 +87,9 @@
 		this.eventSink = eventSink;
 	}
 
-	static TargetAttempt start(EntryEffect.StartAttempt start, CallerExchange exchange,
-			TargetConnectionPool connections, TargetActivity activity, ExchangeCodec codec, EntryEventSink eventSink) {
+	static TargetAttempt start(EntryEffect.StartAttempt start, AttemptExchange exchange,
+			TargetConnectionPool connections, StreamActivity<TargetName> activity, ExchangeCodec codec,
+			EntryEventSink eventSink) {
 		TargetAttempt attempt = new TargetAttempt(start, exchange, connections, activity, codec, eventSink);
 		attempt.start();
 		return attempt;
@@ -301,17 +303,16 @@
 				: new AttemptEnd.Unknown(cause, connectionLost));
 	}
 
-	/**
-	 * Cancels the attempt. The target stops the request when its connection closes.
-	 */
-	void cancel() {
+	@Override
+	public void cancel() {
 		if (!this.finished) {
 			closeConnection();
 			finish();
 		}
 	}
 
-	void pause(boolean paused) {
+	@Override
+	public void pause(boolean paused) {
 		if (this.connection != null && !this.finished) {
 			this.connection.pause(paused);
 		}
--- /dev/null
+++ b/src/main/java/sycamorehill/logic/dispatch/AttemptOutcomes.java
@@ -0,0 +1,109 @@
+package sycamorehill.logic.dispatch;
+
+import java.time.Duration;
+import java.time.Instant;
+
+import sycamorehill.logic.Effects;
+import sycamorehill.logic.directory.TargetDirectory;
+import sycamorehill.model.identity.TargetName;
+import sycamorehill.model.serving.AttemptEnd;
+import sycamorehill.model.serving.NotRunCause;
+import sycamorehill.model.serving.TargetEntry;
+
+/**
+ * Records what the end of an attempt shows about its target, about the path to the
+ * targets and about the content of the request.
+ */
+final class AttemptOutcomes {
+
+	/**
+	 * How long a target is ejected that reports that it is full: about one step of its
+	 * batch.
+	 */
+	private static final Duration FULL_TARGET_EJECTION = Duration.ofMillis(60);
+
+	/** How long a target is ejected that does not match its directory entry. */
+	private static final Duration WRONG_TARGET_EJECTION = Duration.ofMillis(500);
+
+	private final TargetDirectory directory;
+
+	private final TargetSelector targetSelector;
+
+	private final TargetReachability reachability;
+
+	private final CrashSuspicions crashSuspicions;
+
+	private AttemptOutcomes(TargetDirectory directory, TargetSelector targetSelector, TargetReachability reachability,
+			CrashSuspicions crashSuspicions) {
+		this.directory = directory;
+		this.targetSelector = targetSelector;
+		this.reachability = reachability;
+		this.crashSuspicions = crashSuspicions;
+	}
+
+	static AttemptOutcomes of(TargetDirectory directory, TargetSelector targetSelector, TargetReachability reachability,
+			CrashSuspicions crashSuspicions) {
+		return new AttemptOutcomes(directory, targetSelector, reachability, crashSuspicions);
+	}
+
+	/**
+	 * Records the end of an attempt.
+	 * @param request the request
+	 * @param target the target of the attempt
+	 * @param end how the attempt ended
+	 * @param now the current time
+	 * @param effects receives the resulting effects
+	 */
+	void record(DispatchedRequest request, TargetName target, AttemptEnd end, Instant now, Effects effects) {
+		if (end instanceof AttemptEnd.Delivered && !request.route().kind().isStreaming()) {
+			this.targetSelector.status(target)
+				.recordFirstAnswer(Duration.between(request.attemptStartedAt(), now), now);
+		}
+		else if (end instanceof AttemptEnd.NotRun notRun) {
+			recordNotRun(request, target, notRun.cause(), now, effects);
+		}
+		else if (end instanceof AttemptEnd.Unknown unknown) {
+			recordLost(request, target, unknown.connectionLost(), now, effects);
+		}
+		else if (end instanceof AttemptEnd.Broken broken) {
+			recordLost(request, target, broken.connectionLost(), now, effects);
+		}
+	}
+
+	private void recordNotRun(DispatchedRequest request, TargetName target, NotRunCause cause, Instant now,
+			Effects effects) {
+		switch (cause) {
+			case NOT_CONNECTED -> {
+				this.targetSelector.status(target).recordFailure(now);
+				this.reachability.recordFailedConnect(target, now, effects);
+			}
+			case WRONG_TARGET -> recordWrongTarget(request, target, now);
+			case REFUSED -> this.targetSelector.status(target).eject(now, FULL_TARGET_EJECTION);
+			case EXPIRED, NO_TARGET, NODE_UNAVAILABLE -> {
+			}
+		}
+	}
+
+	// A resumed stream asks for the weights that it began with, and a head that serves
+	// other weights refuses it too. The refusal of such a stream doesn't show that the
+	// group has ended.
+	private void recordWrongTarget(DispatchedRequest request, TargetName target, Instant now) {
+		this.targetSelector.status(target).eject(now, WRONG_TARGET_EJECTION);
+		if (request.answerStarted()) {
+			return;
+		}
+		this.directory.find(target)
+			.flatMap(TargetEntry::membership)
+			.ifPresent((membership) -> this.targetSelector.markGroupEnded(membership.group(), membership.epoch(), now));
+	}
+
+	private void recordLost(DispatchedRequest request, TargetName target, boolean connectionLost, Instant now,
+			Effects effects) {
+		this.targetSelector.status(target).recordFailure(now);
+		this.crashSuspicions.suspect(request, target, effects);
+		if (connectionLost) {
+			this.reachability.recordLostConnection(target, now, effects);
+		}
+	}
+
+}
--- /dev/null
+++ b/src/main/java/sycamorehill/logic/dispatch/AttemptScheduler.java
@@ -0,0 +1,255 @@
+package sycamorehill.logic.dispatch;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Supplier;
+
+import sycamorehill.logic.Effects;
+import sycamorehill.model.identity.TargetName;
+import sycamorehill.model.log.LogEvent;
+import sycamorehill.model.serving.AttemptEnd;
+import sycamorehill.model.serving.Configuration;
+import sycamorehill.model.serving.EntryEffect;
+import sycamorehill.model.serving.NotRunCause;
+import sycamorehill.model.serving.RequestKind;
+
+/**
+ * Decides what happens next to a request: an attempt at a target, an attempt through
+ * another node, or the final answer. A request that another node sends through this one
+ * gets a single attempt; all further decisions are that node's.
+ */
+final class AttemptScheduler {
+
+	/**
+	 * Maximum number of attempts of a request that reach no target, for example because
+	 * the connection is refused. Each costs a connection and runs nothing.
+	 */
+	private static final int MAXIMUM_UNREACHED_TARGETS = 4;
+
+	/** Maximum number of nodes that may fail to accept a request. */
+	private static final int MAXIMUM_UNAVAILABLE_NODES = 3;
+
+	/**
+	 * Retry-After while no node reaches the service: the path is tested several times
+	 * within it.
+	 */
+	private static final Duration NO_PATH_RETRY_AFTER = Duration.ofSeconds(1);
+
+	private final Supplier<Configuration> configuration;
+
+	private final TargetSelector targetSelector;
+
+	private final AttemptStarter attemptStarter;
+
+	private final TargetReachability reachability;
+
+	private final ProxySelector proxySelector;
+
+	private final RetryBudgets retryBudgets;
+
+	private final FinalAnswers finalAnswers;
+
+	private final Map<Long, DispatchedRequest> activeRequests;
+
+	private AttemptScheduler(Supplier<Configuration> configuration, TargetSelector targetSelector,
+			AttemptStarter attemptStarter, TargetReachability reachability, ProxySelector proxySelector,
+			RetryBudgets retryBudgets, FinalAnswers finalAnswers, Map<Long, DispatchedRequest> activeRequests) {
+		this.configuration = configuration;
+		this.targetSelector = targetSelector;
+		this.attemptStarter = attemptStarter;
+		this.reachability = reachability;
+		this.proxySelector = proxySelector;
+		this.retryBudgets = retryBudgets;
+		this.finalAnswers = finalAnswers;
+		this.activeRequests = activeRequests;
+	}
+
+	/**
+	 * Creates a scheduler.
+	 * @param configuration supplies the configuration in effect
+	 * @param targetSelector selects targets
+	 * @param attemptStarter starts attempts
+	 * @param reachability tells which services this node reaches
+	 * @param proxySelector selects other nodes
+	 * @param retryBudgets limits retries
+	 * @param finalAnswers creates final answers
+	 * @param activeRequests the requests without a final answer, by number; those that
+	 * get one are removed
+	 * @return the scheduler
+	 */
+	static AttemptScheduler of(Supplier<Configuration> configuration, TargetSelector targetSelector,
+			AttemptStarter attemptStarter, TargetReachability reachability, ProxySelector proxySelector,
+			RetryBudgets retryBudgets, FinalAnswers finalAnswers, Map<Long, DispatchedRequest> activeRequests) {
+		return new AttemptScheduler(configuration, targetSelector, attemptStarter, reachability, proxySelector,
+				retryBudgets, finalAnswers, activeRequests);
+	}
+
+	/**
+	 * Starts the next attempt of a request, or gives the request up.
+	 * @param request the request
+	 * @param fallbackCause why it is given up if no target can receive it
+	 * @param now the current time
+	 * @param effects receives the resulting effects
+	 */
+	void place(DispatchedRequest request, String fallbackCause, Instant now, Effects effects) {
+		if (this.reachability.isUnreachable(request.service())) {
+			placeThroughAnotherNode(request, now, effects);
+			return;
+		}
+		TargetSelector.Selection selection = this.targetSelector.select(request, this.configuration.get(), now);
+		if (selection.admission() != Admission.Decision.REFUSED) {
+			this.attemptStarter.start(request, selection, this.configuration.get(), now, effects);
+		}
+		else if (request.proxied().isPresent()) {
+			endProxied(request, Optional.empty(), new AttemptEnd.NotRun(NotRunCause.NO_TARGET), now, effects);
+		}
+		else {
+			giveUp(request, selection.choice().isEmpty() ? fallbackCause : "all targets are full", now, effects);
+		}
+	}
+
+	private void placeThroughAnotherNode(DispatchedRequest request, Instant now, Effects effects) {
+		if (request.proxied().isPresent()) {
+			endProxied(request, Optional.empty(), new AttemptEnd.NotRun(NotRunCause.NODE_UNAVAILABLE), now, effects);
+			return;
+		}
+		Optional<EntryEffect.ProxyNode> node = (request.triedNodes().size() < MAXIMUM_UNAVAILABLE_NODES)
+				? this.proxySelector.select(request.service(), request.triedNodes(), now) : Optional.empty();
+		if (node.isEmpty()) {
+			this.activeRequests.remove(request.request().number());
+			this.finalAnswers.giveUp(request, "no node reaches a target", NO_PATH_RETRY_AFTER, now, effects);
+			return;
+		}
+		this.proxySelector.recordSent(node.get().name());
+		this.attemptStarter.startThrough(request, node.get(), now, effects);
+	}
+
+	/**
+	 * Decides after an attempt that did not deliver the answer.
+	 * @param request the request
+	 * @param place the target or node of the attempt, for the log
+	 * @param end how the attempt ended
+	 * @param now the current time
+	 * @param effects receives the resulting effects
+	 */
+	void handleFailedAttempt(DispatchedRequest request, String place, AttemptEnd end, Instant now, Effects effects) {
+		if (end instanceof AttemptEnd.NotRun notRun) {
+			handleNotRun(request, place, notRun.cause(), now, effects);
+			return;
+		}
+		request.countReachedTarget();
+		request.markMayHaveRun();
+		boolean repeatable = request.route().kind().isRepeatable();
+		if (end instanceof AttemptEnd.Failed failed) {
+			request.markFailureHeld();
+			retryOrGiveUp(request, place, "status " + failed.status(), repeatable, now, effects);
+		}
+		else if (end instanceof AttemptEnd.Unknown unknown) {
+			retryOrGiveUp(request, place, unknown.cause(), repeatable, now, effects);
+		}
+		else if (end instanceof AttemptEnd.Broken broken) {
+			boolean resumable = broken.resumable() && request.route().kind() == RequestKind.RESUMABLE_STREAM;
+			retryOrGiveUp(request, place, broken.cause(), resumable, now, effects);
+		}
+	}
+
+	private void handleNotRun(DispatchedRequest request, String place, NotRunCause cause, Instant now,
+			Effects effects) {
+		String description = "not run by " + place + ": " + cause;
+		boolean allowed = switch (cause) {
+			case NOT_CONNECTED, EXPIRED -> {
+				request.countUnreachedTarget();
+				yield request.unreachedTargets() < MAXIMUM_UNREACHED_TARGETS;
+			}
+			case WRONG_TARGET, REFUSED -> {
+				request.countReachedTarget();
+				yield takeRetry(request, now);
+			}
+			case NODE_UNAVAILABLE -> true;
+			case NO_TARGET -> false;
+		};
+		if (!allowed) {
+			giveUp(request, description, now, effects);
+			return;
+		}
+		logRetry(request, place, description, now, effects);
+		place(request, description, now, effects);
+	}
+
+	private void retryOrGiveUp(DispatchedRequest request, String place, String cause, boolean allowed, Instant now,
+			Effects effects) {
+		if (!allowed || !takeRetry(request, now)) {
+			giveUp(request, cause, now, effects);
+			return;
+		}
+		logRetry(request, place, cause, now, effects);
+		place(request, cause, now, effects);
+	}
+
+	/**
+	 * Takes a retry from the budget if the request may have one.
+	 * @param request the request
+	 * @param now the current time
+	 * @return true if the request may be sent to another target
+	 */
+	boolean takeRetry(DispatchedRequest request, Instant now) {
+		return request.targetsReached() < request.route().maximumAttempts() && !request.timeLeft(now).isNegative()
+				&& this.retryBudgets.of(request.service()).tryRetry(now);
+	}
+
+	void logRetry(DispatchedRequest request, String place, String cause, Instant now, Effects effects) {
+		effects.log(LogEvent.REQUEST_SENT_AGAIN, FinalAnswers.describe(request, now) + " from=" + place + " cause='"
+				+ cause + "' begun=" + request.answerStarted());
+	}
+
+	/**
+	 * Returns whether a request could be sent to another target if it left its own.
+	 * @param request the request
+	 * @param now the current time
+	 * @return true if there is one
+	 */
+	boolean hasAlternative(DispatchedRequest request, Instant now) {
+		if (request.targetsReached() + 1 >= request.route().maximumAttempts()) {
+			return false;
+		}
+		return this.reachability.isUnreachable(request.service())
+				? this.proxySelector.select(request.service(), request.triedNodes(), now).isPresent()
+				: this.targetSelector.hasTarget(request, this.configuration.get(), now);
+	}
+
+	/**
+	 * Answers a request that is not sent to any further target.
+	 * @param request the request
+	 * @param cause the reason, for the caller and the log
+	 * @param now the current time
+	 * @param effects receives the resulting effects
+	 */
+	void giveUp(DispatchedRequest request, String cause, Instant now, Effects effects) {
+		this.activeRequests.remove(request.request().number());
+		Duration restLeft = this.targetSelector.restLeft(request, this.configuration.get(), now);
+		String fullCause = restLeft.isZero() ? cause : cause + ", all targets rest";
+		this.finalAnswers.giveUp(request, fullCause, restLeft, now, effects);
+	}
+
+	/**
+	 * Reports the end of its only attempt to the node that has sent a request through
+	 * this one.
+	 * @param request the request
+	 * @param target the target of the attempt; empty if none was selected
+	 * @param end how the attempt ended
+	 * @param now the current time
+	 * @param effects receives the resulting effects
+	 */
+	void endProxied(DispatchedRequest request, Optional<TargetName> target, AttemptEnd end, Instant now,
+			Effects effects) {
+		long number = request.request().number();
+		this.activeRequests.remove(number);
+		effects.add(new EntryEffect.EndProxiedRequest(number, target, end));
+		effects.log(LogEvent.PROXIED_REQUEST_ENDED,
+				FinalAnswers.describe(request, now) + " origin=" + request.proxied().orElseThrow().origin() + " target="
+						+ target.map(TargetName::value).orElse("none") + " end=" + end);
+	}
+
+}
--- a/src/main/java/sycamorehill/logic/dispatch/AttemptStarter.java
+++ b/src/main/java/sycamorehill/logic/dispatch/AttemptStarter.java
@@ -5,10 +5,12 @@
 
 import sycamorehill.logic.Effects;
 import sycamorehill.model.identity.TargetName;
+import sycamorehill.model.log.LogEvent;
 import sycamorehill.model.serving.Configuration;
 import sycamorehill.model.serving.EngineParameters;
 import sycamorehill.model.serving.EntryEffect;
 import sycamorehill.model.serving.NodeMessage;
+import sycamorehill.model.serving.ProxiedRequest;
 import sycamorehill.model.serving.RequestKind;
 import sycamorehill.model.serving.ServiceParameters;
 import sycamorehill.model.serving.TargetAddress;
@@ -64,14 +66,27 @@
 		candidate.engines().ifPresent((engines) -> recordPrefill(request, candidate, engines, now, effects));
 		int connections = configuration.service(request.service()).map(ServiceParameters::maximumConnections).orElse(1);
 		RequestKind kind = request.route().kind();
-		boolean anotherAttemptMayFollow = kind == RequestKind.IDEMPOTENT
-				&& request.targetsReached() + 1 < request.route().maximumAttempts();
+		boolean anotherAttemptMayFollow = kind == RequestKind.IDEMPOTENT && request.anotherAttemptMayFollow();
 		effects.add(new EntryEffect.StartAttempt(request.request().number(), attempt,
 				new TargetAddress(name, candidate.entry().address()), connections,
 				new EntryEffect.Handling(kind, anotherAttemptMayFollow), request.workspace().map(Workspace::name),
 				priority(request, selection.admission())));
 	}
 
+	/**
+	 * Starts an attempt through another node, which selects the target.
+	 * @param request the request
+	 * @param node the other node
+	 * @param now the current time
+	 * @param effects receives the resulting effects
+	 */
+	void startThrough(DispatchedRequest request, EntryEffect.ProxyNode node, Instant now, Effects effects) {
+		ProxiedRequest proxied = request.toProxied(this.nodeName, now);
+		int attempt = request.startAttemptThrough(node.name(), now);
+		effects.add(new EntryEffect.StartProxiedAttempt(request.request().number(), attempt, node, proxied));
+		effects.log(LogEvent.REQUEST_PROXIED, FinalAnswers.describe(request, now) + " node=" + node.name());
+	}
+
 	// The prefill of prompts that several nodes send to one target within some
 	// milliseconds runs together and delays the target's streams. Load reports arrive too
 	// late to prevent that.
--- a/src/main/java/sycamorehill/logic/dispatch/DispatchedRequest.java
+++ b/src/main/java/sycamorehill/logic/dispatch/DispatchedRequest.java
@@ -3,13 +3,16 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 
 import sycamorehill.model.identity.ServiceName;
 import sycamorehill.model.identity.TargetName;
 import sycamorehill.model.serving.CallerRequest;
+import sycamorehill.model.serving.ProxiedRequest;
 import sycamorehill.model.serving.Route;
+import sycamorehill.model.serving.WeightedService;
 import sycamorehill.model.serving.Workspace;
 
 /**
@@ -29,14 +32,23 @@
 
 	private final Set<TargetName> triedTargets = new HashSet<>();
 
+	private final Optional<ProxiedRequest> proxied;
+
+	private final Set<String> triedNodes = new HashSet<>();
+
 	private Optional<TargetName> target = Optional.empty();
 
+	/** The node through which the current attempt is sent. */
+	private Optional<String> proxy = Optional.empty();
+
 	private Instant attemptStartedAt = Instant.MIN;
 
 	private int attempts;
 
 	private int targetsReached;
 
+	private int unreachedTargets;
+
 	private boolean mayHaveRun;
 
 	/**
@@ -47,17 +59,51 @@
 	private Optional<Duration> timeToFirstAnswer = Optional.empty();
 
 	private DispatchedRequest(CallerRequest request, Route route, ServiceName service, Optional<Workspace> workspace,
-			Instant arrivedAt) {
+			Instant arrivedAt, Optional<ProxiedRequest> proxied) {
 		this.request = request;
 		this.route = route;
 		this.service = service;
 		this.workspace = workspace;
 		this.arrivedAt = arrivedAt;
+		this.proxied = proxied;
 	}
 
 	static DispatchedRequest of(CallerRequest request, Route route, ServiceName service, Optional<Workspace> workspace,
 			Instant arrivedAt) {
-		return new DispatchedRequest(request, route, service, workspace, arrivedAt);
+		return new DispatchedRequest(request, route, service, workspace, arrivedAt, Optional.empty());
+	}
+
+	/**
+	 * Creates a request that another node sends through this one.
+	 * @param number the request's number within this process
+	 * @param proxied what the other node has decided
+	 * @param now the current time
+	 * @return the request
+	 */
+	static DispatchedRequest of(long number, ProxiedRequest proxied, Instant now) {
+		CallerRequest request = new CallerRequest(number, proxied.identifier(), "", "", Optional.empty(),
+				proxied.model(), proxied.tokenCounts(), Optional.of(proxied.timeout()), proxied.contentHash());
+		Route route = new Route(proxied.route(), "", "", proxied.kind(), proxied.routeTimeout(),
+				proxied.latencyTarget(), Optional.empty(), proxied.priority(),
+				List.of(new WeightedService(proxied.service(), 1)), 1, true);
+		DispatchedRequest dispatched = new DispatchedRequest(request, route, proxied.service(), proxied.workspace(),
+				now.minus(proxied.elapsed()), Optional.of(proxied));
+		dispatched.triedTargets.addAll(proxied.triedTargets());
+		return dispatched;
+	}
+
+	/**
+	 * Returns what another node needs to know to send this request to a target.
+	 * @param origin name of this node
+	 * @param now the current time
+	 * @return the request
+	 */
+	ProxiedRequest toProxied(String origin, Instant now) {
+		return new ProxiedRequest(origin, this.request.identifier(), this.route.name(), this.route.kind(), this.service,
+				this.workspace, this.route.priority(), this.route.latencyTarget(), this.route.timeout(),
+				effectiveTimeout(), Duration.between(this.arrivedAt, now), this.request.model(),
+				this.request.tokenCounts(), this.request.contentHash(), this.triedTargets, answerStarted(),
+				this.targetsReached + 1 < this.route.maximumAttempts());
 	}
 
 	int startAttempt(TargetName chosen, Instant now) {
@@ -67,15 +113,39 @@
 		return this.attempts;
 	}
 
+	int startAttemptThrough(String node, Instant now) {
+		this.proxy = Optional.of(node);
+		this.attemptStartedAt = now;
+		this.attempts++;
+		return this.attempts;
+	}
+
 	void endAttempt() {
 		this.target.ifPresent(this.triedTargets::add);
 		this.target = Optional.empty();
 	}
 
+	/**
+	 * Ends an attempt through another node.
+	 * @param selected the target that the node selected; empty if it is not known
+	 */
+	void endProxiedAttempt(Optional<TargetName> selected) {
+		selected.ifPresent(this.triedTargets::add);
+		this.proxy = Optional.empty();
+	}
+
 	void countReachedTarget() {
 		this.targetsReached++;
 	}
 
+	void countUnreachedTarget() {
+		this.unreachedTargets++;
+	}
+
+	void excludeNode(String node) {
+		this.triedNodes.add(node);
+	}
+
 	void markMayHaveRun() {
 		this.mayHaveRun = true;
 	}
@@ -116,6 +186,27 @@
 		return this.target;
 	}
 
+	Optional<String> proxy() {
+		return this.proxy;
+	}
+
+	/**
+	 * Returns what the node that has the caller has decided.
+	 * @return the request as that node sent it; empty if this node has the caller
+	 */
+	Optional<ProxiedRequest> proxied() {
+		return this.proxied;
+	}
+
+	Set<String> triedNodes() {
+		return this.triedNodes;
+	}
+
+	boolean anotherAttemptMayFollow() {
+		return this.proxied.map(ProxiedRequest::anotherAttemptMayFollow)
+			.orElse(this.targetsReached + 1 < this.route.maximumAttempts());
+	}
+
 	Instant attemptStartedAt() {
 		return this.attemptStartedAt;
 	}
@@ -128,6 +219,10 @@
 		return this.targetsReached;
 	}
 
+	int unreachedTargets() {
+		return this.unreachedTargets;
+	}
+
 	boolean mayHaveRun() {
 		return this.mayHaveRun;
 	}
@@ -137,7 +232,7 @@
 	}
 
 	boolean answerStarted() {
-		return this.timeToFirstAnswer.isPresent();
+		return this.timeToFirstAnswer.isPresent() || this.proxied.filter(ProxiedRequest::answerStarted).isPresent();
 	}
 
 	Optional<Duration> timeToFirstAnswer() {
--- a/src/main/java/sycamorehill/logic/dispatch/FinalAnswers.java
+++ b/src/main/java/sycamorehill/logic/dispatch/FinalAnswers.java
@@ -6,7 +6,6 @@
 import java.util.random.RandomGenerator;
 
 import sycamorehill.logic.Effects;
-import sycamorehill.model.identity.TargetName;
 import sycamorehill.model.log.LogEvent;
 import sycamorehill.model.serving.AttemptEnd;
 import sycamorehill.model.serving.CallerRequest;
@@ -71,7 +70,7 @@
 		effects.add(answer);
 	}
 
-	void recordDelivered(DispatchedRequest request, TargetName target, AttemptEnd.Delivered delivered, Instant now,
+	void recordDelivered(DispatchedRequest request, String target, AttemptEnd.Delivered delivered, Instant now,
 			Effects effects) {
 		effects.log(LogEvent.REQUEST_SERVED,
 				describe(request, now) + " target=" + target + " status=" + delivered.status() + " first-millis="
--- /dev/null
+++ b/src/main/java/sycamorehill/logic/dispatch/ProxySelector.java
@@ -0,0 +1,147 @@
+package sycamorehill.logic.dispatch;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+import java.util.stream.Stream;
+
+import sycamorehill.model.identity.DataCentreName;
+import sycamorehill.model.identity.ServiceName;
+import sycamorehill.model.serving.EntryEffect;
+import sycamorehill.model.serving.NodeMessage;
+import sycamorehill.model.serving.NodeRecord;
+
+/**
+ * Selects the node through which a request is sent to a service that this node doesn't
+ * reach.
+ */
+final class ProxySelector {
+
+	/**
+	 * Penalty for a node in another data centre, in requests that this node has sent
+	 * through it: the way there and back takes a few milliseconds more.
+	 */
+	private static final double REMOTE_PENALTY_REQUESTS = 3;
+
+	/**
+	 * How long a node is left out that could not be reached or accepted no request; about
+	 * the time in which its own report arrives.
+	 */
+	private static final Duration EJECTION_TIME = Duration.ofSeconds(1);
+
+	/** How long a node's report is valid: two repetitions may be lost. */
+	private static final Duration REPORT_VALIDITY = Duration.ofSeconds(3);
+
+	private final DataCentreName localDataCentre;
+
+	private final RandomGenerator random;
+
+	private final Map<String, UnreachableServices> reports = new HashMap<>();
+
+	private final Map<String, Integer> inFlight = new HashMap<>();
+
+	private final Map<String, Instant> ejectedUntil = new HashMap<>();
+
+	private List<NodeRecord> peers = List.of();
+
+	private ProxySelector(DataCentreName localDataCentre, RandomGenerator random) {
+		this.localDataCentre = localDataCentre;
+		this.random = random;
+	}
+
+	static ProxySelector of(DataCentreName localDataCentre, RandomGenerator random) {
+		return new ProxySelector(localDataCentre, random);
+	}
+
+	void updateNodes(List<NodeRecord> newPeers) {
+		this.peers = newPeers;
+	}
+
+	void handleMessage(NodeMessage.ServicesUnreachable report, Instant now) {
+		if (report.services().isEmpty()) {
+			this.reports.remove(report.sender());
+		}
+		else {
+			this.reports.put(report.sender(), new UnreachableServices(report.services(), now));
+		}
+	}
+
+	/**
+	 * Selects a node that accepts requests of others and reaches the service, as far as
+	 * known.
+	 * @param service the service
+	 * @param excluded names of nodes that have not accepted the request
+	 * @param now the current time
+	 * @return the node; empty if there is none
+	 */
+	Optional<EntryEffect.ProxyNode> select(ServiceName service, Set<String> excluded, Instant now) {
+		NodeRecord best = null;
+		double lowestScore = Double.MAX_VALUE;
+		for (NodeRecord node : candidates(service, now).toList()) {
+			double score = score(node);
+			if (!excluded.contains(node.name()) && score < lowestScore) {
+				lowestScore = score;
+				best = node;
+			}
+		}
+		return Optional.ofNullable(best)
+			.map((node) -> new EntryEffect.ProxyNode(node.name(), node.proxyAddress().orElseThrow()));
+	}
+
+	/**
+	 * Returns whether another node reaches a service, as far as known.
+	 * @param service the service
+	 * @param now the current time
+	 * @return true if one does
+	 */
+	boolean isReachedElsewhere(ServiceName service, Instant now) {
+		return candidates(service, now).findAny().isPresent();
+	}
+
+	private Stream<NodeRecord> candidates(ServiceName service, Instant now) {
+		return this.peers.stream()
+			.filter((node) -> node.proxyAddress().isPresent())
+			.filter((node) -> !now.isBefore(this.ejectedUntil.getOrDefault(node.name(), Instant.MIN)))
+			.filter((node) -> !hasReported(node.name(), service, now));
+	}
+
+	private boolean hasReported(String node, ServiceName service, Instant now) {
+		UnreachableServices report = this.reports.get(node);
+		return report != null && now.isBefore(report.receivedAt().plus(REPORT_VALIDITY))
+				&& report.services().contains(service);
+	}
+
+	// The random part keeps nodes from all choosing the same one.
+	private double score(NodeRecord node) {
+		double penalty = node.dataCentre().equals(this.localDataCentre) ? 0 : REMOTE_PENALTY_REQUESTS;
+		return this.inFlight.getOrDefault(node.name(), 0) + penalty + this.random.nextDouble();
+	}
+
+	void recordSent(String node) {
+		this.inFlight.merge(node, 1, Integer::sum);
+	}
+
+	void recordEnded(String node) {
+		this.inFlight.computeIfPresent(node, (name, requests) -> (requests > 1) ? requests - 1 : null);
+	}
+
+	void eject(String node, Instant now) {
+		this.ejectedUntil.values().removeIf((until) -> !now.isBefore(until));
+		this.ejectedUntil.put(node, now.plus(EJECTION_TIME));
+	}
+
+	/**
+	 * The services that a node has reported as unreachable.
+	 *
+	 * @param services the services
+	 * @param receivedAt when the report was received
+	 */
+	private record UnreachableServices(Set<ServiceName> services, Instant receivedAt) {
+	}
+
+}
--- a/src/main/java/sycamorehill/logic/dispatch/RequestDispatcher.java
+++ b/src/main/java/sycamorehill/logic/dispatch/RequestDispatcher.java
@@ -22,7 +22,7 @@
 import sycamorehill.model.serving.NodeMessage;
 import sycamorehill.model.serving.NodeRecord;
 import sycamorehill.model.serving.NotRunCause;
-import sycamorehill.model.serving.RequestKind;
+import sycamorehill.model.serving.ProxiedRequest;
 import sycamorehill.model.serving.TargetEntry;
 import sycamorehill.model.serving.TargetReport;
 
@@ -35,38 +35,16 @@
 
 	private static final int UNAVAILABLE = 503;
 
-	/**
-	 * Maximum number of attempts of a request that reach no target, for example because
-	 * the connection is refused. Each costs a connection and runs nothing.
-	 */
-	private static final int MAXIMUM_UNREACHED_ATTEMPTS = 4;
-
-	/**
-	 * How long a target is ejected that reports that it is full: about one step of its
-	 * batch.
-	 */
-	private static final Duration FULL_TARGET_EJECTION = Duration.ofMillis(60);
-
-	/** How long a target is ejected that does not match its directory entry. */
-	private static final Duration WRONG_TARGET_EJECTION = Duration.ofMillis(500);
-
-	/** How long a target is ejected whose answers have all paused. */
-	private static final Duration SILENT_TARGET_EJECTION = Duration.ofSeconds(2);
-
 	/**
 	 * Retry-After for requests that another node can serve: almost at once, but not in a
 	 * tight loop.
 	 */
 	private static final Duration RETRY_ELSEWHERE_AFTER = Duration.ofMillis(50);
 
-	private final String nodeName;
-
 	private final TargetDirectory directory;
 
 	private final TargetSelector targetSelector;
 
-	private final AttemptStarter attemptStarter;
-
 	private final RandomGenerator random;
 
 	private final Map<Long, DispatchedRequest> activeRequests = new HashMap<>();
@@ -77,19 +55,36 @@
 
 	private final CrashHistory crashHistory = CrashHistory.create();
 
-	private final TargetReachability reachability = TargetReachability.create();
-
 	private final RequestRouter router;
 
+	private final TargetReachability reachability;
+
+	private final ProxySelector proxySelector;
+
+	private final CrashSuspicions crashSuspicions;
+
+	private final AttemptOutcomes outcomes;
+
+	private final AttemptScheduler scheduler;
+
+	private final StalledStreams stalledStreams;
+
 	private RequestDispatcher(EntrySettings settings, TargetDirectory directory, RandomGenerator random) {
-		this.nodeName = settings.nodeName();
-		this.retryBudgets = RetryBudgets.of(settings);
 		this.directory = directory;
-		this.targetSelector = TargetSelector.of(settings, directory, random);
-		this.attemptStarter = AttemptStarter.of(settings.nodeName(), this.targetSelector);
+		this.random = random;
+		this.retryBudgets = RetryBudgets.of(settings);
 		this.finalAnswers = FinalAnswers.of(random);
 		this.router = RequestRouter.of(this.crashHistory, this.finalAnswers::retryAfter);
-		this.random = random;
+		this.targetSelector = TargetSelector.of(settings, directory, random);
+		this.reachability = TargetReachability.of(settings.nodeName(), directory, random);
+		this.proxySelector = ProxySelector.of(settings.dataCentre(), random);
+		this.crashSuspicions = CrashSuspicions.of(settings.nodeName(), this.crashHistory);
+		this.outcomes = AttemptOutcomes.of(directory, this.targetSelector, this.reachability, this.crashSuspicions);
+		this.scheduler = AttemptScheduler.of(() -> this.router.configuration().orElseThrow(), this.targetSelector,
+				AttemptStarter.of(settings.nodeName(), this.targetSelector), this.reachability, this.proxySelector,
+				this.retryBudgets, this.finalAnswers, this.activeRequests);
+		this.stalledStreams = StalledStreams.of(this.activeRequests, this.targetSelector, this.proxySelector,
+				this.scheduler);
 	}
 
 	/**
@@ -144,7 +139,7 @@
 		this.activeRequests.put(request.number(), active);
 		effects.add(new EntryEffect.LimitRequestTime(request.number(), active.timeLeft(now)));
 		this.retryBudgets.of(service).recordRequest(now);
-		place(active, "no target can take it", now, effects);
+		this.scheduler.place(active, "no target can take it", now, effects);
 	}
 
 	/**
@@ -165,14 +160,29 @@
 				version, effects);
 	}
 
-	private void place(DispatchedRequest active, String fallbackCause, Instant now, Effects effects) {
-		Configuration configuration = this.router.configuration().orElseThrow();
-		TargetSelector.Selection selection = this.targetSelector.select(active, configuration, now);
-		if (selection.admission() == Admission.Decision.REFUSED) {
-			giveUp(active, selection.choice().isEmpty() ? fallbackCause : "all targets are full", now, effects);
+	/**
+	 * Handles a request that another node sends through this one. That node has decided
+	 * everything but the target.
+	 * @param number the request's number within this process
+	 * @param request the request
+	 * @param accepts whether this node accepts new requests
+	 * @param now the current time
+	 * @param effects receives the resulting effects
+	 */
+	public void handleProxiedRequest(long number, ProxiedRequest request, boolean accepts, Instant now,
+			Effects effects) {
+		DispatchedRequest active = DispatchedRequest.of(number, request, now);
+		boolean knowsService = this.router.configuration()
+			.flatMap((current) -> current.service(request.service()))
+			.isPresent();
+		if (!accepts || !knowsService) {
+			this.scheduler.endProxied(active, Optional.empty(), new AttemptEnd.NotRun(NotRunCause.NODE_UNAVAILABLE),
+					now, effects);
 			return;
 		}
-		this.attemptStarter.start(active, selection, configuration, now, effects);
+		this.activeRequests.put(number, active);
+		effects.add(new EntryEffect.LimitRequestTime(number, active.timeLeft(now)));
+		this.scheduler.place(active, "no target can take it", now, effects);
 	}
 
 	/**
@@ -182,7 +192,72 @@
 	 * @param effects receives the resulting effects
 	 */
 	public void handleConnected(TargetName target, Instant now, Effects effects) {
-		this.reachability.recordReached(target, now, effects);
+		this.reachability.recordConnected(target, now, effects);
+	}
+
+	/**
+	 * Handles a target that could not be connected when its path was tested.
+	 * @param target the target
+	 * @param now the current time
+	 * @param effects receives the resulting effects
+	 */
+	public void handleUnreached(TargetName target, Instant now, Effects effects) {
+		this.reachability.recordFailedConnect(target, now, effects);
+	}
+
+	/**
+	 * Handles a moment in which nothing arrives from any target.
+	 * @param now the current time
+	 * @param effects receives the resulting effects
+	 */
+	public void handleAllTargetsSilent(Instant now, Effects effects) {
+		this.reachability.probeAllServices(now, effects);
+	}
+
+	/**
+	 * Returns whether this node reaches no target of a target's service.
+	 * @param target the target
+	 * @return true if it is known to reach none
+	 */
+	public boolean isUnreachable(TargetName target) {
+		return this.directory.find(target)
+			.map(TargetEntry::service)
+			.filter(this.reachability::isUnreachable)
+			.isPresent();
+	}
+
+	/**
+	 * Returns whether the failures of a target may be the fault of this node's path.
+	 * @param target the target
+	 * @param now the current time
+	 * @return true if they may be
+	 */
+	public boolean isPathInDoubt(TargetName target, Instant now) {
+		return this.directory.find(target)
+			.map(TargetEntry::service)
+			.filter((service) -> this.reachability.isInDoubt(service, now))
+			.isPresent();
+	}
+
+	/**
+	 * Returns for how long this node has reached no target of a service that another node
+	 * reaches.
+	 * @param service the service
+	 * @param now the current time
+	 * @return the time; zero if this node reaches the service, or no other node does
+	 */
+	public Duration cutOffFor(ServiceName service, Instant now) {
+		return this.proxySelector.isReachedElsewhere(service, now) ? this.reachability.unreachableFor(service, now)
+				: Duration.ZERO;
+	}
+
+	/**
+	 * Tests and reports the paths to unreachable services.
+	 * @param now the current time
+	 * @param effects receives the resulting effects
+	 */
+	public void tick(Instant now, Effects effects) {
+		this.reachability.tick(now, effects);
 	}
 
 	/**
@@ -219,47 +294,42 @@
 		TargetName target = request.target().get();
 		status(target).recordEnded();
 		request.endAttempt();
-		boolean repeatable = request.route().kind().isRepeatable();
-		if (end instanceof AttemptEnd.Delivered delivered) {
-			handleDelivered(request, target, delivered, now, effects);
+		this.outcomes.record(request, target, end, now, effects);
+		if (request.proxied().isPresent()) {
+			this.scheduler.endProxied(request, Optional.of(target), end, now, effects);
 		}
-		else if (end instanceof AttemptEnd.NotRun notRun) {
-			handleNotRun(request, target, notRun, now, effects);
+		else if (end instanceof AttemptEnd.Delivered delivered) {
+			handleDelivered(request, target.value(), delivered, now, effects);
 		}
-		else if (end instanceof AttemptEnd.Failed failed) {
-			request.countReachedTarget();
-			request.markMayHaveRun();
-			request.markFailureHeld();
-			retryOrGiveUp(request, target, "status " + failed.status(), repeatable, now, effects);
-		}
-		else if (end instanceof AttemptEnd.Unknown unknown) {
-			request.countReachedTarget();
-			request.markMayHaveRun();
-			recordLostAttempt(request, target, unknown.connectionLost(), now, effects);
-			retryOrGiveUp(request, target, unknown.cause(), repeatable, now, effects);
-		}
-		else if (end instanceof AttemptEnd.Broken broken) {
-			request.countReachedTarget();
-			request.markMayHaveRun();
-			recordLostAttempt(request, target, broken.connectionLost(), now, effects);
-			boolean resumable = broken.resumable() && request.route().kind() == RequestKind.RESUMABLE_STREAM;
-			retryOrGiveUp(request, target, broken.cause(), resumable, now, effects);
+		else {
+			this.scheduler.handleFailedAttempt(request, target.value(), end, now, effects);
 		}
 	}
 
-	private void recordLostAttempt(DispatchedRequest request, TargetName target, boolean connectionLost, Instant now,
-			Effects effects) {
-		if (connectionLost) {
-			this.reachability.recordFailure(target, now, effects);
+	/**
+	 * Handles the end of an attempt through another node.
+	 * @param ended the end of the attempt
+	 * @param now the current time
+	 * @param effects receives the resulting effects
+	 */
+	public void handleProxiedAttemptEnd(EntryEvent.ProxiedAttemptEnded ended, Instant now, Effects effects) {
+		DispatchedRequest request = this.activeRequests.get(ended.number());
+		if (request == null || request.attempts() != ended.attempt() || request.proxy().isEmpty()) {
+			return;
 		}
-		status(target).recordFailure(now);
-		recordCrash(request, target, effects);
-	}
-
-	private void recordCrash(DispatchedRequest request, TargetName target, Effects effects) {
-		long content = request.request().contentHash();
-		this.crashHistory.recordCrash(content, target);
-		effects.add(new EntryEffect.Broadcast(new NodeMessage.Suspicion(this.nodeName, content, target)));
+		String node = request.proxy().get();
+		this.proxySelector.recordEnded(node);
+		request.endProxiedAttempt(ended.target());
+		String place = ended.target().map((target) -> target + " via ").orElse("") + node;
+		if (ended.end() instanceof AttemptEnd.Delivered delivered) {
+			handleDelivered(request, place, delivered, now, effects);
+			return;
+		}
+		if (ended.end() instanceof AttemptEnd.NotRun notRun && notRun.cause() == NotRunCause.NODE_UNAVAILABLE) {
+			this.proxySelector.eject(node, now);
+			request.excludeNode(node);
+		}
+		this.scheduler.handleFailedAttempt(request, place, ended.end(), now, effects);
 	}
 
 	/**
@@ -287,6 +357,9 @@
 		else if (message instanceof NodeMessage.SuspicionCleared cleared) {
 			this.crashHistory.clear(cleared.contentHash());
 		}
+		else if (message instanceof NodeMessage.ServicesUnreachable report) {
+			this.proxySelector.handleMessage(report, now);
+		}
 	}
 
 	/**
@@ -318,6 +391,7 @@
 	public void updateNodes(int liveNodes, List<NodeRecord> peers, Instant now, Effects effects) {
 		this.retryBudgets.setNodeCount(liveNodes);
 		this.targetSelector.updateNodes(liveNodes, peers, now, effects);
+		this.proxySelector.updateNodes(peers);
 	}
 
 	/**
@@ -328,58 +402,11 @@
 		this.retryBudgets.updateSettings(settings);
 	}
 
-	private void handleDelivered(DispatchedRequest request, TargetName target, AttemptEnd.Delivered delivered,
-			Instant now, Effects effects) {
-		if (!request.route().kind().isStreaming()) {
-			status(target).recordFirstAnswer(Duration.between(request.attemptStartedAt(), now), now);
-		}
-		this.activeRequests.remove(request.request().number());
-		long content = request.request().contentHash();
-		if (this.crashHistory.isSuspect(content)) {
-			this.crashHistory.clear(content);
-			effects.add(new EntryEffect.Broadcast(new NodeMessage.SuspicionCleared(this.nodeName, content)));
-		}
-		this.finalAnswers.recordDelivered(request, target, delivered, now, effects);
-	}
-
-	private void handleNotRun(DispatchedRequest request, TargetName target, AttemptEnd.NotRun notRun, Instant now,
+	private void handleDelivered(DispatchedRequest request, String place, AttemptEnd.Delivered delivered, Instant now,
 			Effects effects) {
-		switch (notRun.cause()) {
-			case NOT_CONNECTED -> {
-				status(target).recordFailure(now);
-				this.reachability.recordFailure(target, now, effects);
-			}
-			case EXPIRED -> {
-			}
-			case WRONG_TARGET -> handleWrongTarget(request, target, now);
-			case REFUSED -> status(target).eject(now, FULL_TARGET_EJECTION);
-		}
-		boolean unreached = notRun.cause() == NotRunCause.NOT_CONNECTED || notRun.cause() == NotRunCause.EXPIRED;
-		if (!unreached) {
-			request.countReachedTarget();
-		}
-		boolean allowed = unreached ? request.attempts() - request.targetsReached() < MAXIMUM_UNREACHED_ATTEMPTS
-				: takeRetry(request, now);
-		String cause = "not run by " + target + ": " + notRun.cause();
-		if (!allowed) {
-			giveUp(request, cause, now, effects);
-			return;
-		}
-		logRetry(request, target, cause, now, effects);
-		place(request, cause, now, effects);
-	}
-
-	// A resumed stream asks for the weights that it began with, and a head that serves
-	// other weights refuses it too. The refusal of such a stream doesn't show that the
-	// group has ended.
-	private void handleWrongTarget(DispatchedRequest request, TargetName target, Instant now) {
-		status(target).eject(now, WRONG_TARGET_EJECTION);
-		if (request.answerStarted()) {
-			return;
-		}
-		this.directory.find(target)
-			.flatMap(TargetEntry::membership)
-			.ifPresent((membership) -> this.targetSelector.markGroupEnded(membership.group(), membership.epoch(), now));
+		this.activeRequests.remove(request.request().number());
+		this.crashSuspicions.clear(request.request().contentHash(), effects);
+		this.finalAnswers.recordDelivered(request, place, delivered, now, effects);
 	}
 
 	/**
@@ -392,34 +419,7 @@
 	 */
 	public void handleGroupEnded(TargetName head, String group, long epoch, Instant now, Effects effects) {
 		this.targetSelector.markGroupEnded(group, epoch, now);
-		moveStreams(head, now, effects);
-	}
-
-	private void retryOrGiveUp(DispatchedRequest request, TargetName target, String cause, boolean allowed, Instant now,
-			Effects effects) {
-		if (!allowed || !takeRetry(request, now)) {
-			giveUp(request, cause, now, effects);
-			return;
-		}
-		logRetry(request, target, cause, now, effects);
-		place(request, cause, now, effects);
-	}
-
-	private boolean takeRetry(DispatchedRequest request, Instant now) {
-		return request.targetsReached() < request.route().maximumAttempts() && !request.timeLeft(now).isNegative()
-				&& this.retryBudgets.of(request.service()).tryRetry(now);
-	}
-
-	private void logRetry(DispatchedRequest request, TargetName target, String cause, Instant now, Effects effects) {
-		effects.log(LogEvent.REQUEST_SENT_AGAIN, FinalAnswers.describe(request, now) + " from=" + target + " cause='"
-				+ cause + "' begun=" + request.answerStarted());
-	}
-
-	private void giveUp(DispatchedRequest request, String cause, Instant now, Effects effects) {
-		this.activeRequests.remove(request.request().number());
-		Duration restLeft = this.targetSelector.restLeft(request, this.router.configuration().orElseThrow(), now);
-		String fullCause = restLeft.isZero() ? cause : cause + ", all targets rest";
-		this.finalAnswers.giveUp(request, fullCause, restLeft, now, effects);
+		this.stalledStreams.moveStreams(head, now, effects);
 	}
 
 	/**
@@ -433,19 +433,29 @@
 		if (request == null) {
 			return;
 		}
-		request.target().ifPresent((target) -> {
-			status(target).recordEnded();
+		if (request.target().isPresent() || request.proxy().isPresent()) {
+			releaseAttempt(request);
 			request.markMayHaveRun();
 			effects.add(new EntryEffect.CancelAttempt(number, request.attempts()));
-		});
+		}
+		if (request.proxied().isPresent()) {
+			this.scheduler.endProxied(request, request.target(), new AttemptEnd.Unknown("time is over", false), now,
+					effects);
+			return;
+		}
 		if (request.answerStarted() || request.failureHeld() || !request.mayHaveRun()) {
-			giveUp(request, "time is over", now, effects);
+			this.scheduler.giveUp(request, "time is over", now, effects);
 			return;
 		}
 		this.activeRequests.remove(number);
 		this.finalAnswers.answerTimeout(request, now, effects);
 	}
 
+	private void releaseAttempt(DispatchedRequest request) {
+		request.target().ifPresent((target) -> status(target).recordEnded());
+		request.proxy().ifPresent(this.proxySelector::recordEnded);
+	}
+
 	/**
 	 * Drops a request whose caller has disconnected.
 	 * @param number the request's number
@@ -455,11 +465,36 @@
 	public void handleCallerDisconnected(long number, Instant now, Effects effects) {
 		DispatchedRequest request = this.activeRequests.remove(number);
 		if (request != null) {
-			request.target().ifPresent((target) -> status(target).recordEnded());
+			releaseAttempt(request);
 			this.finalAnswers.recordAbandoned(request, now, effects);
 		}
 	}
 
+	/**
+	 * Drops a request of another node that has closed its connection.
+	 * @param number the request's number
+	 * @param now the current time
+	 * @param effects receives the resulting effects
+	 */
+	public void handleOriginDisconnected(long number, Instant now, Effects effects) {
+		DispatchedRequest request = this.activeRequests.get(number);
+		if (request != null) {
+			releaseAttempt(request);
+			this.scheduler.endProxied(request, request.target(), new AttemptEnd.Unknown("the origin left", false), now,
+					effects);
+		}
+	}
+
+	/**
+	 * Handles a node that forwards streams to this one and has stopped sending.
+	 * @param node the node's name
+	 * @param now the current time
+	 * @param effects receives the resulting effects
+	 */
+	public void handleSilentProxy(String node, Instant now, Effects effects) {
+		this.stalledStreams.handleSilentProxy(node, now, effects);
+	}
+
 	/**
 	 * Handles a target whose answers have all paused, because it or a member of its group
 	 * was lost. Streams that can be resumed elsewhere are moved. Other requests wait,
@@ -470,10 +505,7 @@
 	 * @param effects receives the resulting effects
 	 */
 	public void handleSilentTarget(TargetName target, String source, Instant now, Effects effects) {
-		status(target).eject(now, SILENT_TARGET_EJECTION);
-		effects.log(LogEvent.TARGET_SILENT,
-				"target=" + target + " in-flight=" + status(target).inFlight() + " source=" + source);
-		moveStreams(target, now, effects);
+		this.stalledStreams.handleSilentTarget(target, source, now, effects);
 	}
 
 	/**
@@ -496,35 +528,7 @@
 	 * @param effects receives the resulting effects
 	 */
 	public void handleReportedSilence(TargetName target, String source, Instant now, Effects effects) {
-		boolean hasStartedStream = this.activeRequests.values()
-			.stream()
-			.anyMatch((request) -> request.answerStarted() && request.target().filter(target::equals).isPresent());
-		if (!hasStartedStream) {
-			handleSilentTarget(target, source, now, effects);
-		}
-	}
-
-	private void moveStreams(TargetName target, Instant now, Effects effects) {
-		for (DispatchedRequest request : List.copyOf(this.activeRequests.values())) {
-			boolean onTarget = request.target().filter(target::equals).isPresent();
-			if (onTarget && request.route().kind() == RequestKind.RESUMABLE_STREAM && hasAlternative(request, now)
-					&& takeRetry(request, now)) {
-				effects.add(new EntryEffect.CancelAttempt(request.request().number(), request.attempts()));
-				status(target).recordEnded();
-				request.endAttempt();
-				request.countReachedTarget();
-				request.markMayHaveRun();
-				logRetry(request, target, "silent", now, effects);
-				place(request, "the target fell silent", now, effects);
-			}
-		}
-	}
-
-	private boolean hasAlternative(DispatchedRequest request, Instant now) {
-		if (request.targetsReached() + 1 >= request.route().maximumAttempts()) {
-			return false;
-		}
-		return this.targetSelector.hasTarget(request, this.router.configuration().orElseThrow(), now);
+		this.stalledStreams.handleReportedSilence(target, source, now, effects);
 	}
 
 	/**
@@ -535,7 +539,7 @@
 	 */
 	public void handleTargetReport(EntryEvent.TargetReported told, Instant now, Effects effects) {
 		TargetReport report = told.report();
-		this.reachability.recordReached(told.target(), now, effects);
+		this.reachability.recordAnswer(told.target());
 		report.load().ifPresent((load) -> status(told.target()).recordReport(load, now));
 		report.rest().ifPresent((rest) -> handleRest(told.target(), rest, now, effects));
 		Instant sentAt = Optional.ofNullable(this.activeRequests.get(told.number()))
--- /dev/null
+++ b/src/main/java/sycamorehill/logic/dispatch/StalledStreams.java
@@ -0,0 +1,137 @@
+package sycamorehill.logic.dispatch;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Predicate;
+
+import sycamorehill.logic.Effects;
+import sycamorehill.model.identity.TargetName;
+import sycamorehill.model.log.LogEvent;
+import sycamorehill.model.serving.AttemptEnd;
+import sycamorehill.model.serving.EntryEffect;
+import sycamorehill.model.serving.RequestKind;
+
+/**
+ * Moves streams whose target, or whose proxy, has stopped sending. Streams that can be
+ * resumed elsewhere are moved. Other requests wait, because silence alone is no reason to
+ * end an answer.
+ */
+final class StalledStreams {
+
+	/** How long a target is ejected whose answers have all paused. */
+	private static final Duration SILENT_TARGET_EJECTION = Duration.ofSeconds(2);
+
+	private final Map<Long, DispatchedRequest> activeRequests;
+
+	private final TargetSelector targetSelector;
+
+	private final ProxySelector proxySelector;
+
+	private final AttemptScheduler scheduler;
+
+	private StalledStreams(Map<Long, DispatchedRequest> activeRequests, TargetSelector targetSelector,
+			ProxySelector proxySelector, AttemptScheduler scheduler) {
+		this.activeRequests = activeRequests;
+		this.targetSelector = targetSelector;
+		this.proxySelector = proxySelector;
+		this.scheduler = scheduler;
+	}
+
+	static StalledStreams of(Map<Long, DispatchedRequest> activeRequests, TargetSelector targetSelector,
+			ProxySelector proxySelector, AttemptScheduler scheduler) {
+		return new StalledStreams(activeRequests, targetSelector, proxySelector, scheduler);
+	}
+
+	void handleSilentTarget(TargetName target, String source, Instant now, Effects effects) {
+		TargetStatus status = this.targetSelector.status(target);
+		status.eject(now, SILENT_TARGET_EJECTION);
+		effects.log(LogEvent.TARGET_SILENT,
+				"target=" + target + " in-flight=" + status.inFlight() + " source=" + source);
+		moveStreams(target, now, effects);
+	}
+
+	void handleReportedSilence(TargetName target, String source, Instant now, Effects effects) {
+		boolean hasStartedStream = this.activeRequests.values()
+			.stream()
+			.anyMatch((request) -> request.answerStarted() && isAt(target, request));
+		if (!hasStartedStream) {
+			handleSilentTarget(target, source, now, effects);
+		}
+	}
+
+	private static boolean isAt(TargetName target, DispatchedRequest request) {
+		return request.target().filter(target::equals).isPresent();
+	}
+
+	/**
+	 * Moves the streams of a target.
+	 * @param target the target
+	 * @param now the current time
+	 * @param effects receives the resulting effects
+	 */
+	void moveStreams(TargetName target, Instant now, Effects effects) {
+		for (DispatchedRequest request : resumableStreams((each) -> isAt(target, each))) {
+			if (request.proxied().isPresent()) {
+				endProxied(request, target, now, effects);
+			}
+			else if (this.scheduler.hasAlternative(request, now) && this.scheduler.takeRetry(request, now)) {
+				effects.add(new EntryEffect.CancelAttempt(request.request().number(), request.attempts()));
+				this.targetSelector.status(target).recordEnded();
+				request.endAttempt();
+				moveOn(request, target.value(), now, effects);
+			}
+		}
+	}
+
+	/**
+	 * Moves the streams that are sent through a node.
+	 * @param node name of the node
+	 * @param now the current time
+	 * @param effects receives the resulting effects
+	 */
+	void handleSilentProxy(String node, Instant now, Effects effects) {
+		this.proxySelector.eject(node, now);
+		effects.log(LogEvent.PROXY_SILENT, "node=" + node);
+		for (DispatchedRequest request : resumableStreams((each) -> each.proxy().filter(node::equals).isPresent())) {
+			if (this.scheduler.hasAlternative(request, now) && this.scheduler.takeRetry(request, now)) {
+				effects.add(new EntryEffect.CancelAttempt(request.request().number(), request.attempts()));
+				this.proxySelector.recordEnded(node);
+				request.endProxiedAttempt(Optional.empty());
+				moveOn(request, node, now, effects);
+			}
+		}
+	}
+
+	private List<DispatchedRequest> resumableStreams(Predicate<DispatchedRequest> condition) {
+		return this.activeRequests.values()
+			.stream()
+			.filter((request) -> request.route().kind() == RequestKind.RESUMABLE_STREAM)
+			.filter(condition)
+			.toList();
+	}
+
+	private void moveOn(DispatchedRequest request, String place, Instant now, Effects effects) {
+		request.countReachedTarget();
+		request.markMayHaveRun();
+		this.scheduler.logRetry(request, place, "silent", now, effects);
+		this.scheduler.place(request, "the target fell silent", now, effects);
+	}
+
+	// Whether the stream goes on elsewhere is the decision of the node that has the
+	// caller.
+	private void endProxied(DispatchedRequest request, TargetName target, Instant now, Effects effects) {
+		if (!request.anotherAttemptMayFollow()) {
+			return;
+		}
+		effects.add(new EntryEffect.CancelAttempt(request.request().number(), request.attempts()));
+		this.targetSelector.status(target).recordEnded();
+		request.endAttempt();
+		AttemptEnd end = request.answerStarted() ? new AttemptEnd.Broken("silent", true, false)
+				: new AttemptEnd.Unknown("silent", false);
+		this.scheduler.endProxied(request, Optional.of(target), end, now, effects);
+	}
+
+}
--- a/src/main/java/sycamorehill/logic/entry/EntryReducer.java
+++ b/src/main/java/sycamorehill/logic/entry/EntryReducer.java
@@ -281,6 +281,9 @@
 		else if (event instanceof EntryEvent.TargetConnected connected) {
 			this.requests.handleConnected(connected.target(), now, effects);
 		}
+		else if (event instanceof EntryEvent.TargetUnreached unreached) {
+			this.requests.handleUnreached(unreached.target(), now, effects);
+		}
 		else if (event instanceof EntryEvent.AnswerStarted begun) {
 			this.requests.handleFirstEvent(begun.number(), now);
 		}
@@ -300,6 +303,29 @@
 		else if (event instanceof EntryEvent.TargetSilent silent) {
 			handleSilence(silent, now, effects);
 		}
+		else {
+			return handleProxyEvent(event, now, effects);
+		}
+		return true;
+	}
+
+	private boolean handleProxyEvent(EntryEvent event, Instant now, Effects effects) {
+		if (event instanceof EntryEvent.ProxiedRequestArrived arrived) {
+			this.groups.recordTraffic(now);
+			this.requests.handleProxiedRequest(arrived.number(), arrived.request(), !isStopping(), now, effects);
+		}
+		else if (event instanceof EntryEvent.ProxiedAttemptEnded ended) {
+			this.requests.handleProxiedAttemptEnd(ended, now, effects);
+		}
+		else if (event instanceof EntryEvent.OriginDisconnected gone) {
+			this.requests.handleOriginDisconnected(gone.number(), now, effects);
+		}
+		else if (event instanceof EntryEvent.ProxySilent silent) {
+			this.requests.handleSilentProxy(silent.node(), now, effects);
+		}
+		else if (event instanceof EntryEvent.AllTargetsSilent) {
+			this.requests.handleAllTargetsSilent(now, effects);
+		}
 		else {
 			return false;
 		}
@@ -392,6 +418,7 @@
 	private void tick(Instant now, Effects effects) {
 		this.storeUpdateLog.logReaderChange(now, effects);
 		this.directoryUpdates.dropMissing(now, effects);
+		this.requests.tick(now, effects);
 		releaseStartupRequests(now, effects);
 		this.configurationDistribution.requestMissing(now, effects);
 		tickGroups(now, effects);
@@ -459,6 +486,15 @@
 		return this.relay.reliesOnReader(now);
 	}
 
+	/**
+	 * Returns whether a host is that of another node.
+	 * @param host the host
+	 * @return true if a known node receives messages there
+	 */
+	public boolean isNodeHost(String host) {
+		return this.peers.isNodeHost(host);
+	}
+
 	/**
 	 * Returns the number of requests without a final answer.
 	 * @return the number of requests
--- a/src/main/java/sycamorehill/logic/entry/PeerNodes.java
+++ b/src/main/java/sycamorehill/logic/entry/PeerNodes.java
@@ -375,6 +375,10 @@
 		return Optional.ofNullable(this.nodes.get(node)).map(NodeRecord::address);
 	}
 
+	boolean isNodeHost(String host) {
+		return this.nodes.values().stream().anyMatch((node) -> node.address().host().equals(host));
+	}
+
 	/**
 	 * Sends a message to one node, if it is known.
 	 * @param node the node's name
--- a/src/main/java/sycamorehill/model/log/LogEvent.java
+++ b/src/main/java/sycamorehill/model/log/LogEvent.java
@@ -161,11 +161,20 @@
 	/** A target refused a request and asked for no more requests for a while. */
 	TARGET_RESTING(1907, LogLevel.WARN),
 
-	/** Several targets failed at this node since it last reached one. */
-	TARGETS_UNREACHED(1908, LogLevel.WARN),
+	/** The node reaches no target of a service. */
+	SERVICE_UNREACHABLE(1908, LogLevel.WARN),
 
-	/** The node reaches targets again. */
-	TARGETS_REACHED(1909, LogLevel.INFO);
+	/** The node reaches targets of a service again. */
+	SERVICE_REACHABLE(1909, LogLevel.INFO),
+
+	/** A request is sent through another node. */
+	REQUEST_PROXIED(1910, LogLevel.INFO),
+
+	/** The attempt for a request of another node has ended. */
+	PROXIED_REQUEST_ENDED(1911, LogLevel.INFO),
+
+	/** A node through which streams are sent has stopped sending. */
+	PROXY_SILENT(1912, LogLevel.WARN);
 
 	private final int number;
 
--- a/src/main/java/sycamorehill/model/serving/EntryEffect.java
+++ b/src/main/java/sycamorehill/model/serving/EntryEffect.java
@@ -6,6 +6,7 @@
 
 import sycamorehill.model.identity.Address;
 import sycamorehill.model.identity.ServiceName;
+import sycamorehill.model.identity.TargetName;
 import sycamorehill.model.identity.WorkspaceName;
 import sycamorehill.model.log.LogLine;
 
@@ -39,6 +40,61 @@
 			Optional<WorkspaceName> workspace, int priority) implements EntryEffect {
 	}
 
+	/**
+	 * Sends a request through another node.
+	 *
+	 * @param number the request
+	 * @param attempt number of the attempt, starting at 1
+	 * @param node the other node
+	 * @param request what the other node needs to know
+	 */
+	record StartProxiedAttempt(long number, int attempt, ProxyNode node,
+			ProxiedRequest request) implements EntryEffect {
+	}
+
+	/**
+	 * A node through which requests are sent.
+	 *
+	 * @param name the node's name
+	 * @param address where it accepts such requests
+	 */
+	record ProxyNode(String name, Address address) {
+	}
+
+	/**
+	 * Reports to the origin of a request how its attempt ended, after the answer's bytes.
+	 *
+	 * @param number the request
+	 * @param target the target of the attempt; empty if none was selected
+	 * @param end result of the attempt
+	 */
+	record EndProxiedRequest(long number, Optional<TargetName> target, AttemptEnd end) implements EntryEffect {
+	}
+
+	/**
+	 * Opens a connection to each of some targets, to find out whether they are reached.
+	 * The connections that succeed are kept for requests.
+	 *
+	 * @param targets the targets
+	 */
+	record ProbeTargets(List<TargetAddress> targets) implements EntryEffect {
+
+		/**
+		 * Copies the targets.
+		 */
+		public ProbeTargets {
+			targets = List.copyOf(targets);
+		}
+
+	}
+
+	/**
+	 * Reports the targets whose streams are stalled now, without waiting for as long as
+	 * with a working path.
+	 */
+	record ReportStalledTargets() implements EntryEffect {
+	}
+
 	/**
 	 * Defines how an attempt's answer is forwarded.
 	 *
--- a/src/main/java/sycamorehill/model/serving/EntryEvent.java
+++ b/src/main/java/sycamorehill/model/serving/EntryEvent.java
@@ -1,6 +1,7 @@
 package sycamorehill.model.serving;
 
 import java.util.List;
+import java.util.Optional;
 
 import sycamorehill.model.identity.TargetName;
 
@@ -85,6 +86,60 @@
 	record AttemptEnded(long number, int attempt, AttemptEnd end) implements EntryEvent {
 	}
 
+	/**
+	 * A connection that was opened to test the path to a target failed.
+	 *
+	 * @param target the target
+	 */
+	record TargetUnreached(TargetName target) implements EntryEvent {
+	}
+
+	/**
+	 * Nothing was received for long on all streams that had started, whatever their
+	 * target.
+	 */
+	record AllTargetsSilent() implements EntryEvent {
+	}
+
+	/**
+	 * Another node asks this one to send a request to a target.
+	 *
+	 * @param number number of the request within this process
+	 * @param request the request
+	 */
+	record ProxiedRequestArrived(long number, ProxiedRequest request) implements EntryEvent {
+	}
+
+	/**
+	 * The connection of another node's request was closed. The runtime has already
+	 * cancelled the attempt.
+	 *
+	 * @param number the request
+	 */
+	record OriginDisconnected(long number) implements EntryEvent {
+	}
+
+	/**
+	 * An attempt through another node ended.
+	 *
+	 * @param number the request
+	 * @param attempt number of the attempt, starting at 1
+	 * @param target the target that the other node selected; empty if it selected none or
+	 * has not reported it
+	 * @param end result of the attempt
+	 */
+	record ProxiedAttemptEnded(long number, int attempt, Optional<TargetName> target,
+			AttemptEnd end) implements EntryEvent {
+	}
+
+	/**
+	 * All streams that another node forwards to this one have been stalled for long.
+	 *
+	 * @param node name of the node
+	 */
+	record ProxySilent(String node) implements EntryEvent {
+	}
+
 	/**
 	 * The caller disconnected. The runtime has already cancelled the request's attempts.
 	 *
--- a/src/main/java/sycamorehill/model/serving/EntrySettings.java
+++ b/src/main/java/sycamorehill/model/serving/EntrySettings.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 
 import sycamorehill.model.identity.Address;
 import sycamorehill.model.identity.DataCentreName;
@@ -16,6 +17,7 @@
  * @param callerAddress where it accepts connections of callers
  * @param readinessAddress where the load balancer queries its readiness
  * @param peerAddress where it receives messages of other nodes
+ * @param proxyAddress where it accepts requests that other nodes send through it
  * @param storeAddress address of the platform's store
  * @param firstStart whether the whole system starts for the first time
  * @param stopTime time from the stop signal until the process is killed
@@ -27,15 +29,16 @@
  */
 public record EntrySettings(String nodeName, DataCentreName dataCentre, List<DataCentreName> dataCentres,
 		double processorCores, Address callerAddress, Address readinessAddress, Address peerAddress,
-		Address storeAddress, boolean firstStart, Duration stopTime, Duration retryWindow, double retryRatio,
-		double retryAllowance, Duration stallTime, Duration loadWindow) {
+		Address proxyAddress, Address storeAddress, boolean firstStart, Duration stopTime, Duration retryWindow,
+		double retryRatio, double retryAllowance, Duration stallTime, Duration loadWindow) {
 
 	/**
 	 * Returns the record that this node publishes to other nodes.
 	 * @return the node's record
 	 */
 	public NodeRecord toNodeRecord() {
-		return new NodeRecord(this.nodeName, this.peerAddress, this.dataCentre, this.processorCores);
+		return new NodeRecord(this.nodeName, this.peerAddress, this.dataCentre, this.processorCores,
+				Optional.of(this.proxyAddress));
 	}
 
 }
--- a/src/main/java/sycamorehill/model/serving/NodeMessage.java
+++ b/src/main/java/sycamorehill/model/serving/NodeMessage.java
@@ -4,8 +4,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 import sycamorehill.model.identity.DataCentreName;
+import sycamorehill.model.identity.ServiceName;
 import sycamorehill.model.identity.TargetName;
 
 /**
@@ -218,6 +220,23 @@
 	record SilenceConfirmed(String sender, TargetName target) implements NodeMessage {
 	}
 
+	/**
+	 * Services of which the sender reaches no target.
+	 *
+	 * @param sender the sender
+	 * @param services the services; empty if it reaches all again
+	 */
+	record ServicesUnreachable(String sender, Set<ServiceName> services) implements NodeMessage {
+
+		/**
+		 * Copies the services.
+		 */
+		public ServicesUnreachable {
+			services = Set.copyOf(services);
+		}
+
+	}
+
 	/**
 	 * A group no longer serves requests, because its head has left it or has stalled
 	 * permanently.
--- a/src/main/java/sycamorehill/model/serving/NodeRecord.java
+++ b/src/main/java/sycamorehill/model/serving/NodeRecord.java
@@ -1,5 +1,7 @@
 package sycamorehill.model.serving;
 
+import java.util.Optional;
+
 import sycamorehill.model.identity.Address;
 import sycamorehill.model.identity.DataCentreName;
 
@@ -10,6 +12,9 @@
  * @param address where it receives messages of other nodes
  * @param dataCentre data centre in which it runs
  * @param processorCores its share of a processor, in cores of normal speed
+ * @param proxyAddress where it accepts requests that other nodes send through it; empty
+ * if it accepts none
  */
-public record NodeRecord(String name, Address address, DataCentreName dataCentre, double processorCores) {
+public record NodeRecord(String name, Address address, DataCentreName dataCentre, double processorCores,
+		Optional<Address> proxyAddress) {
 }
--- a/src/main/java/sycamorehill/model/serving/NotRunCause.java
+++ b/src/main/java/sycamorehill/model/serving/NotRunCause.java
@@ -17,6 +17,15 @@
 	/**
 	 * The target answered that it did not run the request because it is full or closing.
 	 */
-	REFUSED
+	REFUSED,
+
+	/** Another node admits the request to none of its targets. */
+	NO_TARGET,
+
+	/**
+	 * Another node can't be reached, or accepts no requests of other nodes now. A third
+	 * node may accept the request.
+	 */
+	NODE_UNAVAILABLE
 
 }
--- /dev/null
+++ b/src/main/java/sycamorehill/model/serving/ProxiedRequest.java
@@ -0,0 +1,44 @@
+package sycamorehill.model.serving;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.Set;
+
+import sycamorehill.model.identity.ServiceName;
+import sycamorehill.model.identity.TargetName;
+
+/**
+ * A caller's request that one node, the origin, sends through another one, the proxy. It
+ * contains what the origin has decided; the proxy only selects a target for one attempt.
+ *
+ * @param origin name of the origin
+ * @param identifier the caller's identifier of the request, for logs
+ * @param route name of the route
+ * @param kind which repetitions of the request are safe
+ * @param service service whose target receives the request
+ * @param workspace the caller's workspace; empty for anonymous callers
+ * @param priority priority of the route, 0 is the most urgent
+ * @param latencyTarget maximum time to the first answer that is on time
+ * @param routeTimeout maximum time for which the route lets a caller wait
+ * @param timeout maximum time of this request, from its arrival at the origin
+ * @param elapsed time since the request arrived at the origin
+ * @param model requested model
+ * @param tokenCounts sizes of the prompt and the answer
+ * @param contentHash hash of the method, the path and the body
+ * @param triedTargets targets that must not receive the request again
+ * @param answerStarted whether the caller has received part of the answer
+ * @param anotherAttemptMayFollow whether the origin can make another attempt
+ */
+public record ProxiedRequest(String origin, String identifier, String route, RequestKind kind, ServiceName service,
+		Optional<Workspace> workspace, int priority, Duration latencyTarget, Duration routeTimeout, Duration timeout,
+		Duration elapsed, Optional<String> model, Optional<TokenCounts> tokenCounts, long contentHash,
+		Set<TargetName> triedTargets, boolean answerStarted, boolean anotherAttemptMayFollow) {
+
+	/**
+	 * Copies the targets.
+	 */
+	public ProxiedRequest {
+		triedTargets = Set.copyOf(triedTargets);
+	}
+
+}
--- a/src/main/java/sycamorehill/platform/PlatformExchangeCodec.java
+++ b/src/main/java/sycamorehill/platform/PlatformExchangeCodec.java
@@ -111,9 +111,14 @@
 			.map((value) -> Duration.ofMillis(value.min(MAXIMUM_SECONDS).movePointRight(3).longValue()));
 	}
 
+	@Override
+	public HttpHeaders forwardableHeaders(HttpRequest request) {
+		return forwardedHeaders(request.headers(), true);
+	}
+
 	@Override
 	public HttpHeaders targetHeaders(HttpRequest request, ForwardingMetadata forwarding) {
-		HttpHeaders headers = forwardedHeaders(request.headers(), true);
+		HttpHeaders headers = forwardableHeaders(request);
 		headers.set(PlatformHeaders.EXPECTED_INSTANCE, forwarding.target().value());
 		forwarding.timeLeft()
 			.ifPresent((timeLeft) -> headers.set(PlatformHeaders.TIME_LEFT, Math.max(1, timeLeft.toMillis())));
--- a/src/main/java/sycamorehill/platform/PlatformSettings.java
+++ b/src/main/java/sycamorehill/platform/PlatformSettings.java
@@ -50,11 +50,11 @@
 
 	private EntrySettings toEntrySettings() {
 		return new EntrySettings(text("node_name"), DataCentreName.of(text("zone")), dataCentres(), processorCores(),
-				address("bind.front"), address("bind.ready"), peerAddress(), address("platform.address"),
-				Boolean.parseBoolean(text("first_start")), seconds("bounds.grace_period_s"),
-				seconds("bounds.budget_window_s"), number("bounds.retry_budget_ratio"),
-				number("bounds.retry_budget_extra"), milliseconds("bounds.stall_ms"),
-				seconds("bounds.ceiling_window_s"));
+				address("bind.front"), address("bind.ready"), nodeAddress(0), nodeAddress(1),
+				address("platform.address"), Boolean.parseBoolean(text("first_start")),
+				seconds("bounds.grace_period_s"), seconds("bounds.budget_window_s"),
+				number("bounds.retry_budget_ratio"), number("bounds.retry_budget_extra"),
+				milliseconds("bounds.stall_ms"), seconds("bounds.ceiling_window_s"));
 	}
 
 	private List<DataCentreName> dataCentres() {
@@ -72,11 +72,21 @@
 		return configured ? number(CPU_SHARE) * number(CPU_CORES) : 1;
 	}
 
-	// The platform leaves this range of ports to the load balancer; peers connect to the
-	// first of them.
-	private Address peerAddress() {
-		String firstPort = text("port_range").split(",")[0].trim();
-		return Address.parse(text("ip") + ':' + firstPort);
+	// The platform leaves this range of ports to the nodes. The first one receives
+	// messages, the second one requests of other nodes.
+	private Address nodeAddress(int index) {
+		String[] range = text("port_range").split(",");
+		try {
+			int port = Integer.parseInt(range[0].trim()) + index;
+			if (port > Integer.parseInt(range[range.length - 1].trim())) {
+				throw new IllegalArgumentException("setting 'port_range': a node needs two ports");
+			}
+			return Address.parse(text("ip") + ':' + port);
+		}
+		catch (NumberFormatException ex) {
+			throw new IllegalArgumentException(
+					"setting 'port_range': expected two ports, not '" + text("port_range") + "'", ex);
+		}
 	}
 
 	private String text(String name) {
--- a/src/main/java/sycamorehill/platform/PlatformStore.java
+++ b/src/main/java/sycamorehill/platform/PlatformStore.java
@@ -57,6 +57,8 @@
 
 	private static final String NODE_DATA_CENTRE = "data_centre";
 
+	private static final String NODE_PROXY_ADDRESS = "proxy_address";
+
 	private static final String NODE_PROCESSOR_CORES = "processor";
 
 	/**
@@ -123,7 +125,7 @@
 			JsonNode spec = object.spec();
 			return Optional.of(new NodeRecord(object.name(), Address.parse(JsonFields.text(spec, NODE_ADDRESS)),
 					DataCentreName.of(JsonFields.text(spec, NODE_DATA_CENTRE)),
-					spec.path(NODE_PROCESSOR_CORES).asDouble()));
+					spec.path(NODE_PROCESSOR_CORES).asDouble(), proxyAddress(spec)));
 		}
 		catch (IllegalArgumentException ex) {
 			logUnreadable(NODES, object.name(), ex);
@@ -131,15 +133,21 @@
 		}
 	}
 
+	private static Optional<Address> proxyAddress(JsonNode spec) {
+		return spec.has(NODE_PROXY_ADDRESS) ? Optional.of(Address.parse(JsonFields.text(spec, NODE_PROXY_ADDRESS)))
+				: Optional.empty();
+	}
+
 	@Override
 	public CompletableFuture<Void> register(NodeRecord node) {
 		String name = node.name();
 		ObjectNode body = this.json.createObjectNode();
 		body.putObject("metadata").put("name", name);
-		body.putObject("spec")
+		ObjectNode spec = body.putObject("spec")
 			.put(NODE_ADDRESS, node.address().toString())
 			.put(NODE_DATA_CENTRE, node.dataCentre().value())
 			.put(NODE_PROCESSOR_CORES, node.processorCores());
+		node.proxyAddress().ifPresent((address) -> spec.put(NODE_PROXY_ADDRESS, address.toString()));
 		byte[] bytes = toBytes(body);
 		return callForStatus(new CallClient.Call(this.store, HttpMethod.POST, OBJECTS_PATH + NODES, bytes))
 			.thenCompose((status) -> {
--- a/src/test/java/sycamorehill/entry/EntryNodeTests.java
+++ b/src/test/java/sycamorehill/entry/EntryNodeTests.java
@@ -72,10 +72,10 @@
 	}
 
 	private static EntrySettings settings() {
-		List<Address> free = FreePorts.find(4);
+		List<Address> free = FreePorts.find(5);
 		return new EntrySettings("one", DataCentreName.of("north"), List.of(DataCentreName.of("north")), 0.75,
-				free.get(0), free.get(1), free.get(2), free.get(3), true, Duration.ofSeconds(8), Duration.ofSeconds(10),
-				0.2, 60, Duration.ofSeconds(5), Duration.ofSeconds(5));
+				free.get(0), free.get(1), free.get(2), free.get(4), free.get(3), true, Duration.ofSeconds(8),
+				Duration.ofSeconds(10), 0.2, 60, Duration.ofSeconds(5), Duration.ofSeconds(5));
 	}
 
 	private EntryPorts ports() {
--- a/src/test/java/sycamorehill/entry/NodeMessageCodecTests.java
+++ b/src/test/java/sycamorehill/entry/NodeMessageCodecTests.java
@@ -50,6 +50,8 @@
 				new NodeMessage.Introduction(ServingSamples.node("n1", 7100)),
 				new NodeMessage.LeaseReleased("n1", "n1#a"), new NodeMessage.Silence("n1", TARGET),
 				new NodeMessage.SilenceConfirmed("n1", TARGET),
+				new NodeMessage.ServicesUnreachable("n1", Set.of(ServingSamples.DESK, ServingSamples.ENGINES)),
+				new NodeMessage.ServicesUnreachable("n1", Set.of()),
 				new NodeMessage.GroupEnded("n1", TARGET, "small.1", 1_000_001),
 				new NodeMessage.TargetLimited("n1", TARGET, Optional.of(new RequestRate(1.4))),
 				new NodeMessage.TargetLimited("n1", TARGET, Optional.empty()),
--- a/src/test/java/sycamorehill/logic/entry/PeerNodesTests.java
+++ b/src/test/java/sycamorehill/logic/entry/PeerNodesTests.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Map;
+import java.util.Optional;
 import java.util.stream.IntStream;
 
 import org.junit.jupiter.api.Test;
@@ -35,7 +36,7 @@
 
 	private static NodeRecord node(int node, int dataCentres) {
 		return new NodeRecord("n" + node, Address.of("127.0.0.1", 10_000 + node),
-				DataCentreName.of("c" + node % dataCentres), 0.75);
+				DataCentreName.of("c" + node % dataCentres), 0.75, Optional.empty());
 	}
 
 	private static PeerNodes createPeers(int nodes, int dataCentres) {
--- a/src/test/java/sycamorehill/logic/entry/StoreRelayTests.java
+++ b/src/test/java/sycamorehill/logic/entry/StoreRelayTests.java
@@ -208,9 +208,9 @@
 
 	private void listWithSouth() {
 		accept(new EntryEvent.NodesListed(List.of(ServingSamples.node("a", 7101), ServingSamples.node("c", 7103),
-				new NodeRecord("s1", Address.of("127.0.0.1", 7201), SOUTH, 0.36),
-				new NodeRecord("s2", Address.of("127.0.0.1", 7202), SOUTH, 1.5),
-				new NodeRecord("s3", Address.of("127.0.0.1", 7203), SOUTH, 0.5))), 0);
+				new NodeRecord("s1", Address.of("127.0.0.1", 7201), SOUTH, 0.36, Optional.empty()),
+				new NodeRecord("s2", Address.of("127.0.0.1", 7202), SOUTH, 1.5, Optional.empty()),
+				new NodeRecord("s3", Address.of("127.0.0.1", 7203), SOUTH, 0.5, Optional.empty()))), 0);
 	}
 
 	// If each of five data centres had a reader, there would be five times as many calls.
--- a/src/test/java/sycamorehill/support/ServingSamples.java
+++ b/src/test/java/sycamorehill/support/ServingSamples.java
@@ -59,8 +59,9 @@
 	public static EntrySettings settings(String name) {
 		return new EntrySettings(name, DataCentreName.of("north"),
 				List.of(DataCentreName.of("north"), DataCentreName.of("south")), 0.75, Address.of("127.0.0.1", 7001),
-				Address.of("127.0.0.1", 7002), Address.of("127.0.0.1", 7003), Address.of("127.0.0.1", 7004), true,
-				Duration.ofSeconds(8), Duration.ofSeconds(10), 0.2, 60, Duration.ofSeconds(5), Duration.ofSeconds(5));
+				Address.of("127.0.0.1", 7002), Address.of("127.0.0.1", 7003), Address.of("127.0.0.1", 7005),
+				Address.of("127.0.0.1", 7004), true, Duration.ofSeconds(8), Duration.ofSeconds(10), 0.2, 60,
+				Duration.ofSeconds(5), Duration.ofSeconds(5));
 	}
 
 	/**
@@ -73,9 +74,9 @@
 		EntrySettings sample = settings("any");
 		return new EntrySettings(dataCentre + "-" + (100 + number), DataCentreName.of(dataCentre), sample.dataCentres(),
 				sample.processorCores(), sample.callerAddress(), sample.readinessAddress(),
-				Address.of("127.0.0.1", 8000 + number), sample.storeAddress(), true, sample.stopTime(),
-				sample.retryWindow(), sample.retryRatio(), sample.retryAllowance(), sample.stallTime(),
-				sample.loadWindow());
+				Address.of("127.0.0.1", 8000 + number), Address.of("127.0.0.1", 9000 + number), sample.storeAddress(),
+				true, sample.stopTime(), sample.retryWindow(), sample.retryRatio(), sample.retryAllowance(),
+				sample.stallTime(), sample.loadWindow());
 	}
 
 	/**
@@ -85,7 +86,8 @@
 	 * @return its record
 	 */
 	public static NodeRecord node(String name, int port) {
-		return new NodeRecord(name, Address.of("127.0.0.1", port), DataCentreName.of("north"), 0.75);
+		return new NodeRecord(name, Address.of("127.0.0.1", port), DataCentreName.of("north"), 0.75,
+				Optional.of(Address.of("127.0.0.1", port + 1000)));
 	}
 
 	/**
