Take no engine for lost while this node's own path may be broken

A failed report is counted as the engine's, though the path of the node that asked may be broken.

A report that fails while the service is unreachable, two of its targets have just failed, or all streams are silent, shows nothing about the engine, and members aren't asked then. While another node reaches the engines and this one doesn't, it plans nothing.

aControllerWithoutPathDisbandsNoGroups and aControllerWhoseStreamsAreAllSilentTakesNoMemberForLost were red: Leave commands in both. That a controller with a path still disbands the group of a lost member is tested beside them.

--- a/src/main/java/sycamorehill/logic/dispatch/RequestDispatcher.java
+++ b/src/main/java/sycamorehill/logic/dispatch/RequestDispatcher.java
@@ -211,7 +211,7 @@
 	 * @param effects receives the resulting effects
 	 */
 	public void handleAllTargetsSilent(Instant now, Effects effects) {
-		this.reachability.probeAllServices(now, effects);
+		this.reachability.recordSilence(now, effects);
 	}
 
 	/**
--- a/src/main/java/sycamorehill/logic/dispatch/TargetReachability.java
+++ b/src/main/java/sycamorehill/logic/dispatch/TargetReachability.java
@@ -53,6 +53,9 @@
 
 	private Instant broadcastAt = Instant.MIN;
 
+	/** Whether nothing has arrived since all streams became silent. */
+	private boolean allTargetsSilent;
+
 	private TargetReachability(String nodeName, TargetDirectory directory, RandomGenerator random) {
 		this.nodeName = nodeName;
 		this.directory = directory;
@@ -88,7 +91,7 @@
 	 */
 	boolean isInDoubt(ServiceName service, Instant now) {
 		ServicePath path = this.paths.get(service);
-		return path != null && (path.isUnreachable() || path.isInDoubt(now));
+		return this.allTargetsSilent || (path != null && (path.isUnreachable() || path.isInDoubt(now)));
 	}
 
 	/**
@@ -146,6 +149,7 @@
 	 * @param target the target
 	 */
 	void recordAnswer(TargetName target) {
+		this.allTargetsSilent = false;
 		this.directory.find(target).map(TargetEntry::service).map(this.paths::get).ifPresent(ServicePath::recordAnswer);
 	}
 
@@ -157,6 +161,7 @@
 	 * @return true if the target's service has just become reachable again
 	 */
 	boolean recordConnected(TargetName target, Instant now, Effects effects) {
+		this.allTargetsSilent = false;
 		ServicePath path = this.directory.find(target).map(TargetEntry::service).map(this.paths::get).orElse(null);
 		if (path == null) {
 			return false;
@@ -172,11 +177,16 @@
 	}
 
 	/**
-	 * Tests the paths to all services, because nothing arrives from any target.
+	 * Records that nothing arrives from any target, and tests the paths to all services.
 	 * @param now the current time
 	 * @param effects receives the resulting effects
 	 */
-	void probeAllServices(Instant now, Effects effects) {
+	void recordSilence(Instant now, Effects effects) {
+		this.allTargetsSilent = true;
+		probeAllServices(now, effects);
+	}
+
+	private void probeAllServices(Instant now, Effects effects) {
 		Set<ServiceName> services = this.directory.all().stream().map(TargetEntry::service).collect(Collectors.toSet());
 		services.forEach((service) -> probe(service, PROBES_IN_DOUBT, now, effects));
 	}
--- a/src/main/java/sycamorehill/logic/entry/EntryReducer.java
+++ b/src/main/java/sycamorehill/logic/entry/EntryReducer.java
@@ -217,7 +217,7 @@
 
 	private void handleGroupMessage(NodeMessage message, Instant now, Effects effects) {
 		if (message instanceof NodeMessage.Silence silence) {
-			this.groups.checkMembers(silence.target(), now, effects);
+			checkMembers(silence.target(), now, effects);
 			recordSilenceReport(silence.sender(), silence.target(), now, effects);
 		}
 		else if (message instanceof NodeMessage.SilenceConfirmed confirmed) {
@@ -231,6 +231,12 @@
 		}
 	}
 
+	private void checkMembers(TargetName head, Instant now, Effects effects) {
+		if (!this.requests.isPathInDoubt(head, now)) {
+			this.groups.checkMembers(head, now, effects);
+		}
+	}
+
 	private StoreUpdates.NodeState nodeState() {
 		return new StoreUpdates.NodeState(configurationVersion(), isStopping());
 	}
@@ -258,7 +264,7 @@
 			return;
 		}
 		this.requests.handleSilentTarget(target, this.settings.nodeName(), now, effects);
-		this.groups.checkMembers(target, now, effects);
+		checkMembers(target, now, effects);
 		recordSilenceReport(this.settings.nodeName(), target, now, effects);
 		this.groups.controller()
 			.ifPresent((node) -> this.peers.sendTo(node, new NodeMessage.Silence(this.settings.nodeName(), target),
@@ -347,7 +353,8 @@
 			this.groups.handleReport(read.target(), read.report(), now, effects);
 		}
 		else if (event instanceof EntryEvent.ReportFailed failed) {
-			this.groups.handleReportFailure(failed.target(), failed.answer(), now, effects);
+			this.groups.handleReportFailure(failed.target(), failed.answer(),
+					this.requests.isPathInDoubt(failed.target(), now), now, effects);
 		}
 		else if (event instanceof EntryEvent.LeaseAnswered answered) {
 			this.groups.handleLeaseAnswer(answered.answer(), now, effects);
@@ -412,7 +419,14 @@
 		boolean storeUnreachableForAll = !this.directoryUpdates.isStoreReachable()
 				&& this.peers.isStoreUnreachableForAll(now);
 		this.groups.tick(new GroupController.NodeStatus(this.configuration, this.requests::countRequests,
-				this.relay.receivesStoreUpdates(now), storeUnreachableForAll), now, effects);
+				this.relay.receivesStoreUpdates(now), storeUnreachableForAll, isCutOff(now)), now, effects);
+	}
+
+	private boolean isCutOff(Instant now) {
+		return this.configuration.stream()
+			.flatMap((current) -> current.services().values().stream())
+			.filter((service) -> service.engines().isPresent())
+			.anyMatch((service) -> this.requests.cutOffFor(service.name(), now).compareTo(Duration.ZERO) > 0);
 	}
 
 	private void tick(Instant now, Effects effects) {
--- a/src/main/java/sycamorehill/logic/layout/GroupController.java
+++ b/src/main/java/sycamorehill/logic/layout/GroupController.java
@@ -231,14 +231,20 @@
 	}
 
 	/**
-	 * Handles a failure to read an engine's report.
+	 * Handles a failure to read an engine's report. It shows nothing about the engine
+	 * while the path to all engines may be broken.
 	 * @param engine the engine
 	 * @param answer the outcome of the call
+	 * @param pathInDoubt whether the failure may be that of this node's path
 	 * @param now the current time
 	 * @param effects receives the resulting effects
 	 */
-	public void handleReportFailure(TargetName engine, EngineCommandAnswer answer, Instant now, Effects effects) {
+	public void handleReportFailure(TargetName engine, EngineCommandAnswer answer, boolean pathInDoubt, Instant now,
+			Effects effects) {
 		this.commandTracker.recordFailure(engine, now);
+		if (pathInDoubt) {
+			return;
+		}
 		this.vanished.handleReportFailure(engine, now);
 		this.directory.find(engine).ifPresent((entry) -> {
 			this.unreachable.add(entry, now);
@@ -256,7 +262,7 @@
 		this.detached.update(this.directory.all(), this.directory.changeCount(), now);
 		this.lease.tick(new GroupLeaseManager.StoreStatus(status.receivesStoreUpdates(), status.storeUnreachable()),
 				now, effects);
-		if (!this.lease.isHeld(now) || status.configuration().isEmpty()) {
+		if (!this.lease.isHeld(now) || status.configuration().isEmpty() || status.cutOff()) {
 			return;
 		}
 		if (this.term != this.lease.term()) {
@@ -300,9 +306,11 @@
 	 * @param groupActivity provides the number of requests of each group
 	 * @param receivesStoreUpdates whether another node reads the store for this one
 	 * @param storeUnreachable whether no node reaches the store
+	 * @param cutOff whether this node reaches no engine of a service that another node
+	 * reaches
 	 */
 	public record NodeStatus(Optional<Configuration> configuration, GroupActivity groupActivity,
-			boolean receivesStoreUpdates, boolean storeUnreachable) {
+			boolean receivesStoreUpdates, boolean storeUnreachable, boolean cutOff) {
 	}
 
 }
--- /dev/null
+++ b/src/test/java/sycamorehill/logic/entry/NodeWithoutPathTests.java
@@ -0,0 +1,125 @@
+package sycamorehill.logic.entry;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import sycamorehill.model.identity.DataCentreName;
+import sycamorehill.model.identity.TargetName;
+import sycamorehill.model.serving.EngineCommandAnswer;
+import sycamorehill.model.serving.EntryEffect;
+import sycamorehill.model.serving.EntryEvent;
+import sycamorehill.model.serving.Lease;
+import sycamorehill.model.serving.LeaseAnswer;
+import sycamorehill.model.serving.MemberState;
+import sycamorehill.model.serving.NodeMessage;
+import sycamorehill.model.serving.TargetEntry;
+import sycamorehill.support.ServingSamples;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests a node that reaches no engine, while the store and the node "two" reach it.
+ */
+class NodeWithoutPathTests {
+
+	private static final int GROUPS = 6;
+
+	private static final DataCentreName NORTH = DataCentreName.of("north");
+
+	private final Instant start = Instant.ofEpochSecond(1000);
+
+	private EntryReducer node;
+
+	private long millis;
+
+	@BeforeEach
+	void setUp() {
+		this.node = EntryReducer.of(ServingSamples.settings("one"), "one#1", new Random(1), this.start);
+		accept(new EntryEvent.ConfigurationRead(ServingSamples.configuration(5), 1));
+		List<TargetEntry> members = IntStream.range(0, GROUPS)
+			.boxed()
+			.flatMap((group) -> Stream.of(
+					ServingSamples.member("h" + group, "small." + group, group + 1, 0, MemberState.OPEN),
+					ServingSamples.member("m" + group, "small." + group, group + 1, 1, MemberState.READY)))
+			.toList();
+		accept(new EntryEvent.TargetsListed(members, 10));
+		accept(new EntryEvent.NodesListed(List.of(ServingSamples.node("two", 7100))));
+		run(300);
+	}
+
+	private List<EntryEffect> accept(EntryEvent event) {
+		return this.node.accept(event, this.start.plusMillis(this.millis));
+	}
+
+	// Advances the time in ticks, with the messages that the other node sends all the
+	// while.
+	private List<EntryEffect> run(long duration) {
+		List<EntryEffect> effects = new ArrayList<>();
+		for (long end = this.millis + duration; this.millis < end;) {
+			this.millis += 100;
+			accept(new EntryEvent.MessageReceived(new NodeMessage.Loads("two", NORTH, true, Map.of())));
+			effects.addAll(accept(new EntryEvent.TargetsChanged(List.of(), 10, 10)));
+			effects.addAll(accept(new EntryEvent.Ticked()));
+		}
+		return effects;
+	}
+
+	private void losePath() {
+		IntStream.range(0, 3).forEach((group) -> accept(new EntryEvent.TargetUnreached(TargetName.of("h" + group))));
+	}
+
+	private void holdLease() {
+		accept(new EntryEvent.LeaseAnswered(new LeaseAnswer.Present(new Lease("one#1", 3, 50), true)));
+		run(600);
+		accept(new EntryEvent.LeaseAnswered(new LeaseAnswer.Present(new Lease("one#1", 3, 51), true)));
+	}
+
+	private static boolean isCommand(EntryEffect effect) {
+		return effect instanceof EntryEffect.SendCommand;
+	}
+
+	// Reports fail because of the path. The controller takes the members of sound groups
+	// for lost and disbands them.
+	@Test
+	void aControllerWithoutPathDisbandsNoGroups() {
+		holdLease();
+		losePath();
+		List<EntryEffect> effects = new ArrayList<>();
+		IntStream.range(0, GROUPS).forEach((group) -> {
+			accept(new EntryEvent.MessageReceived(new NodeMessage.Silence("two", TargetName.of("h" + group))));
+			effects
+				.addAll(accept(new EntryEvent.ReportFailed(TargetName.of("m" + group), EngineCommandAnswer.NOT_KNOWN)));
+		});
+		effects.addAll(run(400));
+		accept(new EntryEvent.TargetConnected(TargetName.of("h0")));
+		effects.addAll(run(1000));
+		assertThat(effects).noneMatch(NodeWithoutPathTests::isCommand);
+	}
+
+	// All connections hang: nothing has failed yet when the first reports do.
+	@Test
+	void aControllerWhoseStreamsAreAllSilentTakesNoMemberForLost() {
+		holdLease();
+		accept(new EntryEvent.AllTargetsSilent());
+		accept(new EntryEvent.ReportFailed(TargetName.of("m0"), EngineCommandAnswer.NOT_KNOWN));
+		accept(new EntryEvent.TargetConnected(TargetName.of("h0")));
+		assertThat(run(1000)).noneMatch(NodeWithoutPathTests::isCommand);
+	}
+
+	// Members that a controller with a path can't reach are lost.
+	@Test
+	void aControllerWithAPathDisbandsTheGroupOfALostMember() {
+		holdLease();
+		accept(new EntryEvent.ReportFailed(TargetName.of("m0"), EngineCommandAnswer.NOT_KNOWN));
+		assertThat(run(1000)).anyMatch(NodeWithoutPathTests::isCommand);
+	}
+
+}
--- a/src/test/java/sycamorehill/logic/layout/FakeFleet.java
+++ b/src/test/java/sycamorehill/logic/layout/FakeFleet.java
@@ -351,7 +351,7 @@
 			this.control.tick(
 					new GroupController.NodeStatus(
 							Optional.of(ServingSamples.configuration(1, FakeFleet.this.parameters)),
-							(head, now) -> requestsAt(head), false, storeUnreachableForAll()),
+							(head, now) -> requestsAt(head), false, storeUnreachableForAll(), false),
 					FakeFleet.this.now, effects);
 			executeAll(effects);
 		}
@@ -410,8 +410,8 @@
 				this.control.handleReport(engine.name(), engine.report(), FakeFleet.this.now, next);
 			}
 			else {
-				this.control.handleReportFailure(engine.name(), EngineCommandAnswer.NOT_KNOWN, FakeFleet.this.now,
-						next);
+				this.control.handleReportFailure(engine.name(), EngineCommandAnswer.NOT_KNOWN, false,
+						FakeFleet.this.now, next);
 			}
 		}
 
