Release the lease for the groups when the engines are out of reach

Cause: the holder gives the lease up when the store doesn't answer it; that it must reach the engines too was nobody's condition.

After 0.5 s without a path that another node has, the holder releases the lease and tells all nodes. Such a node doesn't take it either. When no node reaches the engines, the holder keeps it.

aControllerWithoutPathReleasesTheLease was red (no release).

--- a/src/main/java/sycamorehill/logic/entry/EntryReducer.java
+++ b/src/main/java/sycamorehill/logic/entry/EntryReducer.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.random.RandomGenerator;
@@ -419,14 +420,16 @@
 		boolean storeUnreachableForAll = !this.directoryUpdates.isStoreReachable()
 				&& this.peers.isStoreUnreachableForAll(now);
 		this.groups.tick(new GroupController.NodeStatus(this.configuration, this.requests::countRequests,
-				this.relay.receivesStoreUpdates(now), storeUnreachableForAll, isCutOff(now)), now, effects);
+				this.relay.receivesStoreUpdates(now), storeUnreachableForAll, cutOffFor(now)), now, effects);
 	}
 
-	private boolean isCutOff(Instant now) {
+	private Duration cutOffFor(Instant now) {
 		return this.configuration.stream()
 			.flatMap((current) -> current.services().values().stream())
 			.filter((service) -> service.engines().isPresent())
-			.anyMatch((service) -> this.requests.cutOffFor(service.name(), now).compareTo(Duration.ZERO) > 0);
+			.map((service) -> this.requests.cutOffFor(service.name(), now))
+			.max(Comparator.naturalOrder())
+			.orElse(Duration.ZERO);
 	}
 
 	private void tick(Instant now, Effects effects) {
--- a/src/main/java/sycamorehill/logic/layout/GroupController.java
+++ b/src/main/java/sycamorehill/logic/layout/GroupController.java
@@ -261,8 +261,8 @@
 	public void tick(NodeStatus status, Instant now, Effects effects) {
 		this.detached.update(this.directory.all(), this.directory.changeCount(), now);
 		this.lease.tick(new GroupLeaseManager.StoreStatus(status.receivesStoreUpdates(), status.storeUnreachable()),
-				now, effects);
-		if (!this.lease.isHeld(now) || status.configuration().isEmpty() || status.cutOff()) {
+				status.cutOffFor(), now, effects);
+		if (!this.lease.isHeld(now) || status.configuration().isEmpty() || !status.cutOffFor().isZero()) {
 			return;
 		}
 		if (this.term != this.lease.term()) {
@@ -306,11 +306,11 @@
 	 * @param groupActivity provides the number of requests of each group
 	 * @param receivesStoreUpdates whether another node reads the store for this one
 	 * @param storeUnreachable whether no node reaches the store
-	 * @param cutOff whether this node reaches no engine of a service that another node
-	 * reaches
+	 * @param cutOffFor how long this node has reached no engine of a service that another
+	 * node reaches; zero if it reaches all
 	 */
 	public record NodeStatus(Optional<Configuration> configuration, GroupActivity groupActivity,
-			boolean receivesStoreUpdates, boolean storeUnreachable, boolean cutOff) {
+			boolean receivesStoreUpdates, boolean storeUnreachable, Duration cutOffFor) {
 	}
 
 }
--- a/src/main/java/sycamorehill/logic/layout/GroupLeaseManager.java
+++ b/src/main/java/sycamorehill/logic/layout/GroupLeaseManager.java
@@ -46,6 +46,12 @@
 	 */
 	private static final int MAXIMUM_FAILED_RENEWALS = 2;
 
+	/**
+	 * Time without a path to the engines after which the holder releases the lease. Most
+	 * doubts about a path are settled sooner.
+	 */
+	private static final Duration MAXIMUM_TIME_WITHOUT_PATH = Duration.ofMillis(500);
+
 	/** Time after which a call without an answer is abandoned. */
 	private static final Duration CALL_TIMEOUT = Duration.ofMillis(1500);
 
@@ -116,10 +122,12 @@
 	/**
 	 * Renews the lease, or checks whether it can be taken over.
 	 * @param storeStatus the reachability of the store
+	 * @param cutOffFor how long this node has reached no engine of a service that another
+	 * node reaches; zero if it reaches all
 	 * @param now the current time
 	 * @param effects receives the resulting effects
 	 */
-	void tick(StoreStatus storeStatus, Instant now, Effects effects) {
+	void tick(StoreStatus storeStatus, Duration cutOffFor, Instant now, Effects effects) {
 		this.storeUnreachable = storeStatus.unreachable();
 		if (this.callPending && now.isBefore(this.callSentAt.plus(CALL_TIMEOUT))) {
 			return;
@@ -135,9 +143,15 @@
 			handOver(now, effects);
 			return;
 		}
-		if (this.holding) {
+		if (this.holding && cutOffFor.compareTo(MAXIMUM_TIME_WITHOUT_PATH) >= 0) {
+			releaseWithoutPath(now, effects);
+		}
+		else if (this.holding) {
 			replace(this.lastLease.orElseThrow(), now, effects);
 		}
+		else if (!cutOffFor.isZero()) {
+			return;
+		}
 		else if (storeStatus.receivesUpdates() && this.lastLease.isPresent() && !isHeldByThisNode()) {
 			return;
 		}
@@ -156,6 +170,18 @@
 		lose("the store answers other nodes", effects);
 		this.failedRenewals = 0;
 		this.nextCallAt = now.plus(EXPIRY_TIME);
+		broadcastRelease(effects);
+	}
+
+	// The store answers this node, so that the lease would never expire.
+	private void releaseWithoutPath(Instant now, Effects effects) {
+		Lease held = this.lastLease.orElseThrow();
+		lose("no path to the engines", effects);
+		replace(new Lease("", held.term(), held.revision()), now, effects);
+		broadcastRelease(effects);
+	}
+
+	private void broadcastRelease(Effects effects) {
 		effects.add(
 				new EntryEffect.Broadcast(new NodeMessage.LeaseReleased(nodeName(this.ownIdentity), this.ownIdentity)));
 	}
@@ -278,8 +304,7 @@
 		if (this.holding) {
 			Lease held = this.lastLease.orElseThrow();
 			effects.add(new EntryEffect.ReplaceLease(new Lease("", held.term(), held.revision())));
-			effects.add(new EntryEffect.Broadcast(
-					new NodeMessage.LeaseReleased(nodeName(this.ownIdentity), this.ownIdentity)));
+			broadcastRelease(effects);
 			effects.log(LogEvent.GROUP_LEASE, "given back term=" + held.term());
 		}
 		this.holding = false;
--- a/src/test/java/sycamorehill/logic/entry/NodeWithoutPathTests.java
+++ b/src/test/java/sycamorehill/logic/entry/NodeWithoutPathTests.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 
@@ -122,4 +123,29 @@
 		assertThat(run(1000)).anyMatch(NodeWithoutPathTests::isCommand);
 	}
 
+	// The store answers its holder, so that the lease would never expire.
+	@Test
+	void aControllerWithoutPathReleasesTheLease() {
+		holdLease();
+		losePath();
+		List<EntryEffect> effects = run(1000);
+		assertThat(effects).contains(new EntryEffect.ReplaceLease(new Lease("", 3, 51)))
+			.anyMatch((effect) -> effect instanceof EntryEffect.Send send
+					&& send.message().equals(new NodeMessage.LeaseReleased("one", "one#1")));
+		accept(new EntryEvent.LeaseAnswered(new LeaseAnswer.Present(new Lease("", 3, 52), true)));
+		assertThat(run(3000)).noneMatch(EntryEffect.ReplaceLease.class::isInstance);
+		accept(new EntryEvent.TargetConnected(TargetName.of("h0")));
+		assertThat(run(3000)).contains(new EntryEffect.ReplaceLease(new Lease("one#1", 4, 52)));
+	}
+
+	// All engines are down: no other node could control them better.
+	@Test
+	void aControllerKeepsTheLeaseWhenNoNodeReachesTheEngines() {
+		holdLease();
+		accept(new EntryEvent.MessageReceived(
+				new NodeMessage.ServicesUnreachable("two", Set.of(ServingSamples.ENGINES))));
+		losePath();
+		assertThat(run(1000)).doesNotContain(new EntryEffect.ReplaceLease(new Lease("", 3, 51)));
+	}
+
 }
--- a/src/test/java/sycamorehill/logic/layout/FakeFleet.java
+++ b/src/test/java/sycamorehill/logic/layout/FakeFleet.java
@@ -351,7 +351,7 @@
 			this.control.tick(
 					new GroupController.NodeStatus(
 							Optional.of(ServingSamples.configuration(1, FakeFleet.this.parameters)),
-							(head, now) -> requestsAt(head), false, storeUnreachableForAll(), false),
+							(head, now) -> requestsAt(head), false, storeUnreachableForAll(), Duration.ZERO),
 					FakeFleet.this.now, effects);
 			executeAll(effects);
 		}
--- a/src/test/java/sycamorehill/logic/layout/GroupLeaseManagerTests.java
+++ b/src/test/java/sycamorehill/logic/layout/GroupLeaseManagerTests.java
@@ -1,5 +1,6 @@
 package sycamorehill.logic.layout;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
 
@@ -30,10 +31,10 @@
 	private List<EntryEffect> effectsAfterReading(String ownIdentity, String holder, long millis) {
 		GroupLeaseManager manager = GroupLeaseManager.of(ownIdentity);
 		Effects effects = Effects.create();
-		manager.tick(REACHED, this.start, effects);
+		manager.tick(REACHED, Duration.ZERO, this.start, effects);
 		manager.handleAnswer(new LeaseAnswer.Present(new Lease(holder, 3, 7), false), this.start, effects);
 		Effects next = Effects.create();
-		manager.tick(REACHED, this.start.plusMillis(millis), next);
+		manager.tick(REACHED, Duration.ZERO, this.start.plusMillis(millis), next);
 		return next.all();
 	}
 
@@ -58,7 +59,7 @@
 	private GroupLeaseManager holder(String ownIdentity) {
 		GroupLeaseManager manager = GroupLeaseManager.of(ownIdentity);
 		Effects effects = Effects.create();
-		manager.tick(REACHED, this.start, effects);
+		manager.tick(REACHED, Duration.ZERO, this.start, effects);
 		manager.handleAnswer(new LeaseAnswer.Present(new Lease(ownIdentity, 3, 7), true), this.start, effects);
 		return manager;
 	}
@@ -69,7 +70,7 @@
 		for (long millis = 100; millis <= untilMillis; millis += 100) {
 			Instant now = this.start.plusMillis(millis);
 			Effects step = Effects.create();
-			manager.tick(storeStatus, now, step);
+			manager.tick(storeStatus, Duration.ZERO, now, step);
 			if (step.all().stream().anyMatch(EntryEffect.ReplaceLease.class::isInstance)) {
 				manager.handleAnswer(new LeaseAnswer.Unavailable("status 429"), now, step);
 			}
@@ -89,18 +90,18 @@
 		assertThat(manager.isHeld(this.start.plusMillis(1800))).isFalse();
 		GroupLeaseManager other = GroupLeaseManager.of("two#b");
 		Effects effects = Effects.create();
-		other.tick(REACHED, this.start, effects);
+		other.tick(REACHED, Duration.ZERO, this.start, effects);
 		other.handleAnswer(new LeaseAnswer.Present(new Lease("one#a", 3, 7), false), this.start, effects);
 		other.handleReleased("one#a", false, this.start.plusMillis(200));
 		Effects next = Effects.create();
-		other.tick(REACHED, this.start.plusMillis(200), next);
+		other.tick(REACHED, Duration.ZERO, this.start.plusMillis(200), next);
 		assertThat(next.all()).containsExactly(new EntryEffect.ReplaceLease(new Lease("two#b", 4, 7)));
 	}
 
 	private List<EntryEffect> effectsOfTick(GroupLeaseManager manager, GroupLeaseManager.StoreStatus storeStatus,
 			long millis) {
 		Effects effects = Effects.create();
-		manager.tick(storeStatus, this.start.plusMillis(millis), effects);
+		manager.tick(storeStatus, Duration.ZERO, this.start.plusMillis(millis), effects);
 		return effects.all();
 	}
 
--- a/src/test/java/sycamorehill/logic/layout/PlanIntervalTests.java
+++ b/src/test/java/sycamorehill/logic/layout/PlanIntervalTests.java
@@ -48,7 +48,7 @@
 	private List<EntryEffect> tick(Duration after) {
 		Effects effects = Effects.create();
 		this.control.tick(new GroupController.NodeStatus(Optional.of(ServingSamples.configuration(1)), (head, now) -> 0,
-				false, false, false), START.plus(after), effects);
+				false, false, Duration.ZERO), START.plus(after), effects);
 		return effects.all();
 	}
 
