Report no engine as silent while this node's own path may be broken

Cause: two reports confirm a silence, because one node's link may be broken. Several nodes lose their path together.

A node whose service is unreachable or in doubt (two failed targets, or all started streams silent since, with no connection that worked after that) reports no silence and confirms none. Its own streams move all the same.

aNodeWithoutPathReportsNoEngineAsSilent, aNodeWhoseStreamsAreAllSilentReportsNoEngine and aControllerWithoutPathConfirmsNoSilence were red.

--- a/src/main/java/sycamorehill/logic/entry/EntryReducer.java
+++ b/src/main/java/sycamorehill/logic/entry/EntryReducer.java
@@ -261,10 +261,17 @@
 	// the other targets and overload them as well.
 	private void handleSilence(EntryEvent.TargetSilent silent, Instant now, Effects effects) {
 		TargetName target = silent.target();
-		if (!silent.answersStarted() && this.requests.mayQueue(target, now)) {
+		boolean mayBeQueued = !silent.answersStarted() && this.requests.mayQueue(target, now);
+		if (mayBeQueued && !this.requests.isUnreachable(target)) {
 			return;
 		}
 		this.requests.handleSilentTarget(target, this.settings.nodeName(), now, effects);
+		if (!this.requests.isPathInDoubt(target, now)) {
+			reportSilence(target, now, effects);
+		}
+	}
+
+	private void reportSilence(TargetName target, Instant now, Effects effects) {
 		checkMembers(target, now, effects);
 		recordSilenceReport(this.settings.nodeName(), target, now, effects);
 		this.groups.controller()
--- a/src/test/java/sycamorehill/logic/entry/NodeWithoutPathTests.java
+++ b/src/test/java/sycamorehill/logic/entry/NodeWithoutPathTests.java
@@ -138,6 +138,52 @@
 		assertThat(run(3000)).contains(new EntryEffect.ReplaceLease(new Lease("one#1", 4, 52)));
 	}
 
+	private static boolean isSilenceReport(EntryEffect effect) {
+		return effect instanceof EntryEffect.Send send && (send.message() instanceof NodeMessage.Silence
+				|| send.message() instanceof NodeMessage.SilenceConfirmed);
+	}
+
+	private void letOtherNodeHoldLease() {
+		accept(new EntryEvent.LeaseAnswered(new LeaseAnswer.Present(new Lease("two#1", 3, 50), false)));
+	}
+
+	// Two nodes without a path would accuse every sound engine, and all nodes would send
+	// it nothing for 2 s.
+	@Test
+	void aNodeWithoutPathReportsNoEngineAsSilent() {
+		letOtherNodeHoldLease();
+		losePath();
+		assertThat(accept(new EntryEvent.TargetSilent(TargetName.of("h4"), true)))
+			.noneMatch(NodeWithoutPathTests::isSilenceReport);
+	}
+
+	// All connections hang: silence is noticed sooner than the broken path.
+	@Test
+	void aNodeWhoseStreamsAreAllSilentReportsNoEngine() {
+		letOtherNodeHoldLease();
+		accept(new EntryEvent.AllTargetsSilent());
+		assertThat(accept(new EntryEvent.TargetSilent(TargetName.of("h4"), true)))
+			.noneMatch(NodeWithoutPathTests::isSilenceReport);
+	}
+
+	@Test
+	void aControllerWithoutPathConfirmsNoSilence() {
+		holdLease();
+		accept(new EntryEvent.AllTargetsSilent());
+		accept(new EntryEvent.TargetSilent(TargetName.of("h4"), true));
+		assertThat(accept(new EntryEvent.MessageReceived(new NodeMessage.Silence("two", TargetName.of("h4")))))
+			.noneMatch(NodeWithoutPathTests::isSilenceReport);
+	}
+
+	@Test
+	void aNodeWithAPathReportsASilentEngine() {
+		letOtherNodeHoldLease();
+		accept(new EntryEvent.AllTargetsSilent());
+		accept(new EntryEvent.TargetConnected(TargetName.of("h0")));
+		assertThat(accept(new EntryEvent.TargetSilent(TargetName.of("h4"), true)))
+			.anyMatch(NodeWithoutPathTests::isSilenceReport);
+	}
+
 	// All engines are down: no other node could control them better.
 	@Test
 	void aControllerKeepsTheLeaseWhenNoNodeReachesTheEngines() {
