Suspect no content that was lost with this node's own path

When a path breaks, each stream loses its connection, is resumed and often loses the next one, and its caller comes back to another node without a path. The content is then recorded as lost with three targets, by messages to all nodes, and every node refuses it for 30 s and more, though it has crashed nothing.

A lost connection makes a content suspect only after 0.2 s, and not if the service became unreachable meanwhile; while the path is in doubt it waits up to 1 s. A content is still refused long before the 3 s in which its crashes must have been noticed.

contentsThatWereLostWithThePathAreNotSuspect was red (eight messages); that a content lost with a target is reported is tested beside it.

--- a/src/main/java/sycamorehill/logic/dispatch/CrashSuspicions.java
+++ b/src/main/java/sycamorehill/logic/dispatch/CrashSuspicions.java
@@ -1,5 +1,10 @@
 package sycamorehill.logic.dispatch;
 
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+
 import sycamorehill.logic.Effects;
 import sycamorehill.model.identity.TargetName;
 import sycamorehill.model.serving.EntryEffect;
@@ -7,27 +12,38 @@
 
 /**
  * Records the contents of requests that ran on targets when these were lost, and reports
- * them to the other nodes.
+ * them to the other nodes. A node whose network path breaks loses all its connections at
+ * once. If it reported their contents, all nodes would refuse them, although no target
+ * has crashed. A suspicion is therefore confirmed only if the path has proved to work.
  */
 final class CrashSuspicions {
 
+	/** Time in which a broken path is noticed. */
+	private static final Duration CONFIRMATION_TIME = Duration.ofMillis(200);
+
+	/** Maximum time for which a suspicion waits while the path is in doubt. */
+	private static final Duration MAXIMUM_CONFIRMATION_TIME = Duration.ofSeconds(1);
+
 	private final String nodeName;
 
 	private final CrashHistory history;
 
-	private CrashSuspicions(String nodeName, CrashHistory history) {
+	private final TargetReachability reachability;
+
+	private final List<Suspicion> unconfirmed = new ArrayList<>();
+
+	private CrashSuspicions(String nodeName, CrashHistory history, TargetReachability reachability) {
 		this.nodeName = nodeName;
 		this.history = history;
+		this.reachability = reachability;
 	}
 
-	static CrashSuspicions of(String nodeName, CrashHistory history) {
-		return new CrashSuspicions(nodeName, history);
+	static CrashSuspicions of(String nodeName, CrashHistory history, TargetReachability reachability) {
+		return new CrashSuspicions(nodeName, history, reachability);
 	}
 
-	void suspect(DispatchedRequest request, TargetName target, Effects effects) {
-		long content = request.request().contentHash();
-		this.history.recordCrash(content, target);
-		effects.add(new EntryEffect.Broadcast(new NodeMessage.Suspicion(this.nodeName, content, target)));
+	void suspect(DispatchedRequest request, TargetName target, Instant now) {
+		this.unconfirmed.add(new Suspicion(request, target, now));
 	}
 
 	/**
@@ -36,10 +52,55 @@
 	 * @param effects receives the resulting effects
 	 */
 	void clear(long content, Effects effects) {
+		this.unconfirmed.removeIf((suspicion) -> suspicion.content() == content);
 		if (this.history.isSuspect(content)) {
 			this.history.clear(content);
 			effects.add(new EntryEffect.Broadcast(new NodeMessage.SuspicionCleared(this.nodeName, content)));
 		}
 	}
 
+	/**
+	 * Confirms the suspicions that the state of the path allows, and drops those that it
+	 * explains.
+	 * @param now the current time
+	 * @param effects receives the resulting effects
+	 */
+	void tick(Instant now, Effects effects) {
+		if (this.unconfirmed.isEmpty()) {
+			return;
+		}
+		this.unconfirmed.removeIf(
+				(suspicion) -> this.reachability.wasUnreachableAfter(suspicion.request().service(), suspicion.since()));
+		List<Suspicion> due = this.unconfirmed.stream().filter((suspicion) -> isDue(suspicion, now)).toList();
+		this.unconfirmed.removeAll(due);
+		due.forEach((suspicion) -> confirm(suspicion, effects));
+	}
+
+	private boolean isDue(Suspicion suspicion, Instant now) {
+		Duration waited = Duration.between(suspicion.since(), now);
+		return waited.compareTo(MAXIMUM_CONFIRMATION_TIME) >= 0 || (waited.compareTo(CONFIRMATION_TIME) >= 0
+				&& !this.reachability.isInDoubt(suspicion.request().service(), now));
+	}
+
+	private void confirm(Suspicion suspicion, Effects effects) {
+		this.history.recordCrash(suspicion.content(), suspicion.target());
+		effects.add(new EntryEffect.Broadcast(
+				new NodeMessage.Suspicion(this.nodeName, suspicion.content(), suspicion.target())));
+	}
+
+	/**
+	 * A request that was running on a target whose connection was lost.
+	 *
+	 * @param request the request
+	 * @param target the target
+	 * @param since when the connection was lost
+	 */
+	private record Suspicion(DispatchedRequest request, TargetName target, Instant since) {
+
+		long content() {
+			return this.request.request().contentHash();
+		}
+
+	}
+
 }
--- a/src/main/java/sycamorehill/logic/dispatch/RequestDispatcher.java
+++ b/src/main/java/sycamorehill/logic/dispatch/RequestDispatcher.java
@@ -78,7 +78,7 @@
 		this.targetSelector = TargetSelector.of(settings, directory, random);
 		this.reachability = TargetReachability.of(settings.nodeName(), directory, random);
 		this.proxySelector = ProxySelector.of(settings.dataCentre(), random);
-		this.crashSuspicions = CrashSuspicions.of(settings.nodeName(), this.crashHistory);
+		this.crashSuspicions = CrashSuspicions.of(settings.nodeName(), this.crashHistory, this.reachability);
 		this.outcomes = AttemptOutcomes.of(directory, this.targetSelector, this.reachability, this.crashSuspicions);
 		this.scheduler = AttemptScheduler.of(() -> this.router.configuration().orElseThrow(), this.targetSelector,
 				AttemptStarter.of(settings.nodeName(), this.targetSelector), this.reachability, this.proxySelector,
@@ -252,12 +252,14 @@
 	}
 
 	/**
-	 * Tests and reports the paths to unreachable services.
+	 * Tests and reports the paths to unreachable services, and confirms which contents
+	 * were lost with targets.
 	 * @param now the current time
 	 * @param effects receives the resulting effects
 	 */
 	public void tick(Instant now, Effects effects) {
 		this.reachability.tick(now, effects);
+		this.crashSuspicions.tick(now, effects);
 	}
 
 	/**
--- a/src/test/java/sycamorehill/logic/entry/NodeWithoutPathTests.java
+++ b/src/test/java/sycamorehill/logic/entry/NodeWithoutPathTests.java
@@ -14,6 +14,7 @@
 
 import sycamorehill.model.identity.DataCentreName;
 import sycamorehill.model.identity.TargetName;
+import sycamorehill.model.serving.AttemptEnd;
 import sycamorehill.model.serving.EngineCommandAnswer;
 import sycamorehill.model.serving.EntryEffect;
 import sycamorehill.model.serving.EntryEvent;
@@ -184,6 +185,40 @@
 			.anyMatch(NodeWithoutPathTests::isSilenceReport);
 	}
 
+	private static boolean isSuspicion(EntryEffect effect) {
+		return effect instanceof EntryEffect.Send send && send.message() instanceof NodeMessage.Suspicion;
+	}
+
+	private List<EntryEffect> breakStreams(int count) {
+		List<EntryEffect> effects = new ArrayList<>();
+		for (int number = 1; number <= count; number++) {
+			accept(new EntryEvent.RequestArrived(ServingSamples.request(number, "/stream/x")));
+			accept(new EntryEvent.AnswerStarted(number));
+		}
+		for (int number = 1; number <= count; number++) {
+			effects.addAll(accept(
+					new EntryEvent.AttemptEnded(number, 1, new AttemptEnd.Broken("connection closed", true, true))));
+		}
+		return effects;
+	}
+
+	// The path breaks: each stream is lost at its target and again at the next one. All
+	// nodes would refuse these contents, which have crashed nothing.
+	@Test
+	void contentsThatWereLostWithThePathAreNotSuspect() {
+		List<EntryEffect> effects = breakStreams(4);
+		losePath();
+		effects.addAll(run(2000));
+		assertThat(effects).noneMatch(NodeWithoutPathTests::isSuspicion);
+	}
+
+	@Test
+	void aContentThatWasLostWithATargetIsReported() {
+		List<EntryEffect> effects = breakStreams(1);
+		effects.addAll(run(500));
+		assertThat(effects).anyMatch(NodeWithoutPathTests::isSuspicion);
+	}
+
 	// All engines are down: no other node could control them better.
 	@Test
 	void aControllerKeepsTheLeaseWhenNoNodeReachesTheEngines() {
