Send requests to targets again as soon as the path to them is back

Cause: each failure leaves the target out for 0.25 s, twice as long each time up to 4 s, and silence for 2 s; during a cut all targets gather these times, and they outlast it. They are the path's failures, not the targets'.

When a service becomes reachable again its targets' failures are forgotten. What a target itself has asked for (rest, limits, leaving) stays.

targetsReceiveRequestsAsSoonAsThePathIsBack was red: none of ten requests was sent to a target after the path was back.

--- a/src/main/java/sycamorehill/logic/dispatch/RequestDispatcher.java
+++ b/src/main/java/sycamorehill/logic/dispatch/RequestDispatcher.java
@@ -192,7 +192,16 @@
 	 * @param effects receives the resulting effects
 	 */
 	public void handleConnected(TargetName target, Instant now, Effects effects) {
-		this.reachability.recordConnected(target, now, effects);
+		if (this.reachability.recordConnected(target, now, effects)) {
+			this.directory.find(target).map(TargetEntry::service).ifPresent(this::endEjections);
+		}
+	}
+
+	private void endEjections(ServiceName service) {
+		this.directory.all()
+			.stream()
+			.filter((entry) -> entry.service().equals(service))
+			.forEach((entry) -> status(entry.name()).endEjection());
 	}
 
 	/**
--- a/src/main/java/sycamorehill/logic/dispatch/TargetStatus.java
+++ b/src/main/java/sycamorehill/logic/dispatch/TargetStatus.java
@@ -165,6 +165,16 @@
 		this.ejectedUntil = later(this.ejectedUntil, now.plus(time));
 	}
 
+	/**
+	 * Ends an ejection and forgets the failures that led to it, because they were those
+	 * of the path and not of the target.
+	 */
+	void endEjection() {
+		this.ejectedUntil = Instant.MIN;
+		this.consecutiveFailures = 0;
+		this.failureRate = 0;
+	}
+
 	private static Instant later(Instant one, Instant other) {
 		return one.isAfter(other) ? one : other;
 	}
--- a/src/test/java/sycamorehill/logic/entry/NodeWithoutPathTests.java
+++ b/src/test/java/sycamorehill/logic/entry/NodeWithoutPathTests.java
@@ -22,6 +22,7 @@
 import sycamorehill.model.serving.LeaseAnswer;
 import sycamorehill.model.serving.MemberState;
 import sycamorehill.model.serving.NodeMessage;
+import sycamorehill.model.serving.NotRunCause;
 import sycamorehill.model.serving.TargetEntry;
 import sycamorehill.support.ServingSamples;
 
@@ -219,6 +220,31 @@
 		assertThat(effects).anyMatch(NodeWithoutPathTests::isSuspicion);
 	}
 
+	private long countStartsAtTargets(int firstNumber, int count) {
+		return IntStream.range(firstNumber, firstNumber + count)
+			.filter((number) -> accept(new EntryEvent.RequestArrived(ServingSamples.request(number, "/stream/x")))
+				.stream()
+				.anyMatch(EntryEffect.StartAttempt.class::isInstance))
+			.count();
+	}
+
+	// Every target has failed here. While each is left out for its own failures, callers
+	// are refused for seconds after the path is back.
+	@Test
+	void targetsReceiveRequestsAsSoonAsThePathIsBack() {
+		for (int number = 1; number <= GROUPS; number++) {
+			accept(new EntryEvent.RequestArrived(ServingSamples.request(number, "/stream/x")));
+			for (int attempt = 1; attempt <= GROUPS; attempt++) {
+				accept(new EntryEvent.AttemptEnded(number, attempt, new AttemptEnd.NotRun(NotRunCause.NOT_CONNECTED)));
+			}
+		}
+		IntStream.range(0, GROUPS)
+			.forEach((group) -> accept(new EntryEvent.TargetSilent(TargetName.of("h" + group), true)));
+		run(200);
+		accept(new EntryEvent.TargetConnected(TargetName.of("h0")));
+		assertThat(countStartsAtTargets(100, 10)).isEqualTo(10);
+	}
+
 	// All engines are down: no other node could control them better.
 	@Test
 	void aControllerKeepsTheLeaseWhenNoNodeReachesTheEngines() {
