Let the other node use targets that only this one could not connect

A request that finds out that its service is unreachable has failed at up to three targets. They were sent along as tried, and the other node left them out: with three targets it had none, and the caller got 503 ("not run by two: NO_TARGET"). Seen over loopback: the first stream after the cut was refused, in two of three ways in which the path is lost.

Targets to which this node could not open a connection are no longer left out by the other node; those that were reached still are.

theOtherNodeMayUseTargetsThatThisNodeCouldNotConnect was red (h0, h1, h2 listed as tried).

--- a/src/main/java/sycamorehill/logic/dispatch/AttemptOutcomes.java
+++ b/src/main/java/sycamorehill/logic/dispatch/AttemptOutcomes.java
@@ -74,6 +74,7 @@
 			Effects effects) {
 		switch (cause) {
 			case NOT_CONNECTED -> {
+				request.markUnconnected(target);
 				this.targetSelector.status(target).recordFailure(now);
 				this.reachability.recordFailedConnect(target, now, effects);
 			}
--- a/src/main/java/sycamorehill/logic/dispatch/DispatchedRequest.java
+++ b/src/main/java/sycamorehill/logic/dispatch/DispatchedRequest.java
@@ -34,6 +34,9 @@
 
 	private final Optional<ProxiedRequest> proxied;
 
+	/** Targets that this node could not connect; another node may reach them. */
+	private final Set<TargetName> unconnectedTargets = new HashSet<>();
+
 	private final Set<String> triedNodes = new HashSet<>();
 
 	private Optional<TargetName> target = Optional.empty();
@@ -99,10 +102,12 @@
 	 * @return the request
 	 */
 	ProxiedRequest toProxied(String origin, Instant now) {
+		Set<TargetName> excluded = new HashSet<>(this.triedTargets);
+		excluded.removeAll(this.unconnectedTargets);
 		return new ProxiedRequest(origin, this.request.identifier(), this.route.name(), this.route.kind(), this.service,
 				this.workspace, this.route.priority(), this.route.latencyTarget(), this.route.timeout(),
 				effectiveTimeout(), Duration.between(this.arrivedAt, now), this.request.model(),
-				this.request.tokenCounts(), this.request.contentHash(), this.triedTargets, answerStarted(),
+				this.request.tokenCounts(), this.request.contentHash(), excluded, answerStarted(),
 				this.targetsReached + 1 < this.route.maximumAttempts());
 	}
 
@@ -134,6 +139,10 @@
 		this.proxy = Optional.empty();
 	}
 
+	void markUnconnected(TargetName unconnected) {
+		this.unconnectedTargets.add(unconnected);
+	}
+
 	void countReachedTarget() {
 		this.targetsReached++;
 	}
--- a/src/test/java/sycamorehill/logic/entry/NodeWithoutPathTests.java
+++ b/src/test/java/sycamorehill/logic/entry/NodeWithoutPathTests.java
@@ -228,6 +228,22 @@
 			.count();
 	}
 
+	// A service has few targets, and this node has tried them all. If the other node left
+	// them out, it would have none.
+	@Test
+	void theOtherNodeMayUseTargetsThatThisNodeCouldNotConnect() {
+		accept(new EntryEvent.RequestArrived(ServingSamples.request(1, "/stream/x")));
+		List<EntryEffect> effects = new ArrayList<>();
+		for (int attempt = 1; attempt <= 3; attempt++) {
+			effects.addAll(
+					accept(new EntryEvent.AttemptEnded(1, attempt, new AttemptEnd.NotRun(NotRunCause.NOT_CONNECTED))));
+		}
+		assertThat(effects).filteredOn(EntryEffect.StartProxiedAttempt.class::isInstance)
+			.singleElement()
+			.satisfies((effect) -> assertThat(((EntryEffect.StartProxiedAttempt) effect).request().triedTargets())
+				.isEmpty());
+	}
+
 	// Every target has failed here. While each is left out for its own failures, callers
 	// are refused for seconds after the path is back.
 	@Test
