Leave out nodes that fail requests of others, and test both ends of such a request

A node that is killed, paused or behind a silent connection was chosen again for each request, and each waited up to 0.3 s: only its own word that it takes none left it out. Now a way that fails leaves the node out for 1 s (2 and 4 s if it fails again), and a connection on which nothing is accepted takes the idle ones to that node with it. A node without any target to admit a request is followed by one more, because targets may rest at one node alone. A node that has not read its targets yet takes no request of others.

explain names the node through which a request was served and the state of the path to its service.

--- a/src/main/java/sycamorehill/entry/ProxyAttempt.java
+++ b/src/main/java/sycamorehill/entry/ProxyAttempt.java
@@ -154,7 +154,12 @@
 	private void startAcceptTimer(int bodyBytes) {
 		Duration timeout = ACCEPT_TIMEOUT.plusMillis(bodyBytes / MINIMUM_BYTES_PER_MILLISECOND);
 		this.acceptTimer = this.connectionPool.loop()
-			.schedule(() -> handleLost("the node accepts nothing"), timeout.toMillis(), TimeUnit.MILLISECONDS);
+			.schedule(this::handleNotAccepted, timeout.toMillis(), TimeUnit.MILLISECONDS);
+	}
+
+	private void handleNotAccepted() {
+		this.connectionPool.closeIdle(this.start.node().address());
+		handleLost("the node accepts nothing");
 	}
 
 	@Override
--- a/src/main/java/sycamorehill/entry/ProxyConnectionPool.java
+++ b/src/main/java/sycamorehill/entry/ProxyConnectionPool.java
@@ -89,6 +89,17 @@
 		}
 	}
 
+	/**
+	 * Closes the idle connections to a node, because another one has become silent.
+	 * @param node address of the node
+	 */
+	void closeIdle(Address node) {
+		Deque<IdleConnection> connections = this.idleConnections.remove(node);
+		if (connections != null) {
+			connections.forEach((idle) -> idle.connection.close());
+		}
+	}
+
 	/** Closes connections that have been idle for too long. */
 	void closeExpired() {
 		long now = System.nanoTime();
--- a/src/main/java/sycamorehill/explain/RequestExplanation.java
+++ b/src/main/java/sycamorehill/explain/RequestExplanation.java
@@ -22,6 +22,8 @@
 	private static final Set<String> TARGET_EVENTS = Set.of("TARGET_SILENT", "TARGET_CHANGED", "GROUP_CHANGED",
 			"ENGINE_ORDER");
 
+	private static final Set<String> PATH_EVENTS = Set.of("SERVICE_UNREACHABLE", "SERVICE_REACHABLE");
+
 	/**
 	 * Time before the start and after the last log line of a request in which target
 	 * events are included. It exceeds the 3.6 s after which the entry of a crashed target
@@ -111,6 +113,9 @@
 		lastUntil(finalLine, sameNode.and((line) -> line.event().equals("STORE_CONTACT"))).ifPresent(contextLines::add);
 		lastUntil(finalLine, sameNode.and((line) -> line.event().equals("CONFIGURATION_IN_FORCE")))
 			.ifPresent(contextLines::add);
+		lastUntil(finalLine, sameNode.and((line) -> PATH_EVENTS.contains(line.event())
+				&& line.field("service").equals(finalLine.field("service"))))
+			.ifPresent(contextLines::add);
 		return contextLines;
 	}
 
@@ -141,7 +146,8 @@
 			.map((line) -> ", after " + line.field("cause").orElse("?") + " at " + line.field("from").orElse("?"))
 			.reduce("", String::concat);
 		return "served with status " + finalLine.field("status").orElse("?") + " by "
-				+ finalLine.field("target").orElse("?") + retries;
+				+ finalLine.field("target").orElse("?")
+				+ finalLine.field("node").map((node) -> " through " + node).orElse("") + retries;
 	}
 
 	/**
--- a/src/main/java/sycamorehill/logic/dispatch/AttemptScheduler.java
+++ b/src/main/java/sycamorehill/logic/dispatch/AttemptScheduler.java
@@ -31,6 +31,12 @@
 	/** Maximum number of nodes that may fail to accept a request. */
 	private static final int MAXIMUM_UNAVAILABLE_NODES = 3;
 
+	/**
+	 * Number of nodes that may admit a request to none of their targets. Targets may rest
+	 * or be left out at one node alone.
+	 */
+	private static final int MAXIMUM_NODES_WITHOUT_TARGET = 2;
+
 	/**
 	 * Retry-After while no node reaches the service: the path is tested several times
 	 * within it.
@@ -95,7 +101,7 @@
 	 */
 	void place(DispatchedRequest request, String fallbackCause, Instant now, Effects effects) {
 		if (this.reachability.isUnreachable(request.service())) {
-			placeThroughAnotherNode(request, now, effects);
+			placeThroughAnotherNode(request, fallbackCause, now, effects);
 			return;
 		}
 		TargetSelector.Selection selection = this.targetSelector.select(request, this.configuration.get(), now);
@@ -110,31 +116,37 @@
 		}
 	}
 
-	private void placeThroughAnotherNode(DispatchedRequest request, Instant now, Effects effects) {
+	private void placeThroughAnotherNode(DispatchedRequest request, String fallbackCause, Instant now,
+			Effects effects) {
 		if (request.proxied().isPresent()) {
 			endProxied(request, Optional.empty(), new AttemptEnd.NotRun(NotRunCause.NODE_UNAVAILABLE), now, effects);
 			return;
 		}
 		Optional<EntryEffect.ProxyNode> node = (request.triedNodes().size() < MAXIMUM_UNAVAILABLE_NODES)
 				? this.proxySelector.select(request.service(), request.triedNodes(), now) : Optional.empty();
-		if (node.isEmpty()) {
+		if (node.isPresent()) {
+			this.proxySelector.recordSent(node.get().name());
+			this.attemptStarter.startThrough(request, node.get(), now, effects);
+		}
+		else if (this.proxySelector.isReachedElsewhere(request.service(), now)) {
+			giveUp(request, fallbackCause, now, effects);
+		}
+		else {
 			this.activeRequests.remove(request.request().number());
 			this.finalAnswers.giveUp(request, "no node reaches a target", NO_PATH_RETRY_AFTER, now, effects);
-			return;
 		}
-		this.proxySelector.recordSent(node.get().name());
-		this.attemptStarter.startThrough(request, node.get(), now, effects);
 	}
 
 	/**
 	 * Decides after an attempt that did not deliver the answer.
 	 * @param request the request
-	 * @param place the target or node of the attempt, for the log
+	 * @param place where the attempt was made, for the log
 	 * @param end how the attempt ended
 	 * @param now the current time
 	 * @param effects receives the resulting effects
 	 */
-	void handleFailedAttempt(DispatchedRequest request, String place, AttemptEnd end, Instant now, Effects effects) {
+	void handleFailedAttempt(DispatchedRequest request, AttemptPlace place, AttemptEnd end, Instant now,
+			Effects effects) {
 		if (end instanceof AttemptEnd.NotRun notRun) {
 			handleNotRun(request, place, notRun.cause(), now, effects);
 			return;
@@ -155,7 +167,7 @@
 		}
 	}
 
-	private void handleNotRun(DispatchedRequest request, String place, NotRunCause cause, Instant now,
+	private void handleNotRun(DispatchedRequest request, AttemptPlace place, NotRunCause cause, Instant now,
 			Effects effects) {
 		String description = "not run by " + place + ": " + cause;
 		boolean allowed = switch (cause) {
@@ -168,7 +180,7 @@
 				yield takeRetry(request, now);
 			}
 			case NODE_UNAVAILABLE -> true;
-			case NO_TARGET -> false;
+			case NO_TARGET -> request.triedNodes().size() < MAXIMUM_NODES_WITHOUT_TARGET;
 		};
 		if (!allowed) {
 			giveUp(request, description, now, effects);
@@ -178,8 +190,8 @@
 		place(request, description, now, effects);
 	}
 
-	private void retryOrGiveUp(DispatchedRequest request, String place, String cause, boolean allowed, Instant now,
-			Effects effects) {
+	private void retryOrGiveUp(DispatchedRequest request, AttemptPlace place, String cause, boolean allowed,
+			Instant now, Effects effects) {
 		if (!allowed || !takeRetry(request, now)) {
 			giveUp(request, cause, now, effects);
 			return;
@@ -199,9 +211,9 @@
 				&& this.retryBudgets.of(request.service()).tryRetry(now);
 	}
 
-	void logRetry(DispatchedRequest request, String place, String cause, Instant now, Effects effects) {
-		effects.log(LogEvent.REQUEST_SENT_AGAIN, FinalAnswers.describe(request, now) + " from=" + place + " cause='"
-				+ cause + "' begun=" + request.answerStarted());
+	void logRetry(DispatchedRequest request, AttemptPlace place, String cause, Instant now, Effects effects) {
+		effects.log(LogEvent.REQUEST_SENT_AGAIN, FinalAnswers.describe(request, now) + " " + place.fields("from")
+				+ " cause='" + cause + "' begun=" + request.answerStarted());
 	}
 
 	/**
--- a/src/main/java/sycamorehill/logic/dispatch/FinalAnswers.java
+++ b/src/main/java/sycamorehill/logic/dispatch/FinalAnswers.java
@@ -70,12 +70,12 @@
 		effects.add(answer);
 	}
 
-	void recordDelivered(DispatchedRequest request, String target, AttemptEnd.Delivered delivered, Instant now,
+	void recordDelivered(DispatchedRequest request, AttemptPlace place, AttemptEnd.Delivered delivered, Instant now,
 			Effects effects) {
 		effects.log(LogEvent.REQUEST_SERVED,
-				describe(request, now) + " target=" + target + " status=" + delivered.status() + " first-millis="
-						+ request.timeToFirstAnswer().map(Duration::toMillis).orElse(-1L) + " pause-millis="
-						+ delivered.longestPause().toMillis());
+				describe(request, now) + " " + place.fields("target") + " status=" + delivered.status()
+						+ " first-millis=" + request.timeToFirstAnswer().map(Duration::toMillis).orElse(-1L)
+						+ " pause-millis=" + delivered.longestPause().toMillis());
 		addFinished(request, Outcome.SERVED, now, effects);
 	}
 
--- a/src/main/java/sycamorehill/logic/dispatch/ProxySelector.java
+++ b/src/main/java/sycamorehill/logic/dispatch/ProxySelector.java
@@ -30,9 +30,11 @@
 
 	/**
 	 * How long a node is left out that could not be reached or accepted no request; about
-	 * the time in which its own report arrives.
+	 * the time in which its own report arrives. It doubles with each consecutive failure.
 	 */
-	private static final Duration EJECTION_TIME = Duration.ofSeconds(1);
+	private static final Duration BASE_EJECTION_TIME = Duration.ofSeconds(1);
+
+	private static final int MAXIMUM_EJECTION_DOUBLINGS = 2;
 
 	/** How long a node's report is valid: two repetitions may be lost. */
 	private static final Duration REPORT_VALIDITY = Duration.ofSeconds(3);
@@ -45,7 +47,7 @@
 
 	private final Map<String, Integer> inFlight = new HashMap<>();
 
-	private final Map<String, Instant> ejectedUntil = new HashMap<>();
+	private final Map<String, Ejection> ejections = new HashMap<>();
 
 	private List<NodeRecord> peers = List.of();
 
@@ -106,10 +108,15 @@
 	private Stream<NodeRecord> candidates(ServiceName service, Instant now) {
 		return this.peers.stream()
 			.filter((node) -> node.proxyAddress().isPresent())
-			.filter((node) -> !now.isBefore(this.ejectedUntil.getOrDefault(node.name(), Instant.MIN)))
+			.filter((node) -> !isEjected(node.name(), now))
 			.filter((node) -> !hasReported(node.name(), service, now));
 	}
 
+	private boolean isEjected(String node, Instant now) {
+		Ejection ejection = this.ejections.get(node);
+		return ejection != null && now.isBefore(ejection.until());
+	}
+
 	private boolean hasReported(String node, ServiceName service, Instant now) {
 		UnreachableServices report = this.reports.get(node);
 		return report != null && now.isBefore(report.receivedAt().plus(REPORT_VALIDITY))
@@ -130,9 +137,32 @@
 		this.inFlight.computeIfPresent(node, (name, requests) -> (requests > 1) ? requests - 1 : null);
 	}
 
+	void recordDelivered(String node) {
+		this.ejections.remove(node);
+	}
+
+	/**
+	 * Leaves a node out for a while. Requests that fail together count once.
+	 * @param node the node
+	 * @param now the current time
+	 */
 	void eject(String node, Instant now) {
-		this.ejectedUntil.values().removeIf((until) -> !now.isBefore(until));
-		this.ejectedUntil.put(node, now.plus(EJECTION_TIME));
+		if (isEjected(node, now)) {
+			return;
+		}
+		int doublings = Optional.ofNullable(this.ejections.get(node))
+			.map((last) -> Math.min(last.doublings() + 1, MAXIMUM_EJECTION_DOUBLINGS))
+			.orElse(0);
+		this.ejections.put(node, new Ejection(now.plus(BASE_EJECTION_TIME.multipliedBy(1L << doublings)), doublings));
+	}
+
+	/**
+	 * A node that is left out.
+	 *
+	 * @param until when it is tried again
+	 * @param doublings how often its time has doubled
+	 */
+	private record Ejection(Instant until, int doublings) {
 	}
 
 	/**
--- a/src/main/java/sycamorehill/logic/dispatch/RequestDispatcher.java
+++ b/src/main/java/sycamorehill/logic/dispatch/RequestDispatcher.java
@@ -310,10 +310,10 @@
 			this.scheduler.endProxied(request, Optional.of(target), end, now, effects);
 		}
 		else if (end instanceof AttemptEnd.Delivered delivered) {
-			handleDelivered(request, target.value(), delivered, now, effects);
+			handleDelivered(request, AttemptPlace.at(target), delivered, now, effects);
 		}
 		else {
-			this.scheduler.handleFailedAttempt(request, target.value(), end, now, effects);
+			this.scheduler.handleFailedAttempt(request, AttemptPlace.at(target), end, now, effects);
 		}
 	}
 
@@ -331,16 +331,28 @@
 		String node = request.proxy().get();
 		this.proxySelector.recordEnded(node);
 		request.endProxiedAttempt(ended.target());
-		String place = ended.target().map((target) -> target + " via ").orElse("") + node;
+		recordProxyFailure(request, node, ended, now);
+		AttemptPlace place = AttemptPlace.through(node, ended.target());
 		if (ended.end() instanceof AttemptEnd.Delivered delivered) {
+			this.proxySelector.recordDelivered(node);
 			handleDelivered(request, place, delivered, now, effects);
+		}
+		else {
+			this.scheduler.handleFailedAttempt(request, place, ended.end(), now, effects);
+		}
+	}
+
+	// An end without a target is that of the way to the other node.
+	private void recordProxyFailure(DispatchedRequest request, String node, EntryEvent.ProxiedAttemptEnded ended,
+			Instant now) {
+		boolean admitsNone = ended.end() instanceof AttemptEnd.NotRun notRun && notRun.cause() == NotRunCause.NO_TARGET;
+		if (ended.target().isPresent()) {
 			return;
 		}
-		if (ended.end() instanceof AttemptEnd.NotRun notRun && notRun.cause() == NotRunCause.NODE_UNAVAILABLE) {
+		request.excludeNode(node);
+		if (!admitsNone) {
 			this.proxySelector.eject(node, now);
-			request.excludeNode(node);
 		}
-		this.scheduler.handleFailedAttempt(request, place, ended.end(), now, effects);
 	}
 
 	/**
@@ -413,8 +425,8 @@
 		this.retryBudgets.updateSettings(settings);
 	}
 
-	private void handleDelivered(DispatchedRequest request, String place, AttemptEnd.Delivered delivered, Instant now,
-			Effects effects) {
+	private void handleDelivered(DispatchedRequest request, AttemptPlace place, AttemptEnd.Delivered delivered,
+			Instant now, Effects effects) {
 		this.activeRequests.remove(request.request().number());
 		this.crashSuspicions.clear(request.request().contentHash(), effects);
 		this.finalAnswers.recordDelivered(request, place, delivered, now, effects);
--- a/src/main/java/sycamorehill/logic/dispatch/StalledStreams.java
+++ b/src/main/java/sycamorehill/logic/dispatch/StalledStreams.java
@@ -81,7 +81,7 @@
 				effects.add(new EntryEffect.CancelAttempt(request.request().number(), request.attempts()));
 				this.targetSelector.status(target).recordEnded();
 				request.endAttempt();
-				moveOn(request, target.value(), now, effects);
+				moveOn(request, AttemptPlace.at(target), now, effects);
 			}
 		}
 	}
@@ -100,7 +100,7 @@
 				effects.add(new EntryEffect.CancelAttempt(request.request().number(), request.attempts()));
 				this.proxySelector.recordEnded(node);
 				request.endProxiedAttempt(Optional.empty());
-				moveOn(request, node, now, effects);
+				moveOn(request, AttemptPlace.through(node, Optional.empty()), now, effects);
 			}
 		}
 	}
@@ -113,7 +113,7 @@
 			.toList();
 	}
 
-	private void moveOn(DispatchedRequest request, String place, Instant now, Effects effects) {
+	private void moveOn(DispatchedRequest request, AttemptPlace place, Instant now, Effects effects) {
 		request.countReachedTarget();
 		request.markMayHaveRun();
 		this.scheduler.logRetry(request, place, "silent", now, effects);
--- a/src/main/java/sycamorehill/logic/entry/EntryReducer.java
+++ b/src/main/java/sycamorehill/logic/entry/EntryReducer.java
@@ -326,7 +326,8 @@
 	private boolean handleProxyEvent(EntryEvent event, Instant now, Effects effects) {
 		if (event instanceof EntryEvent.ProxiedRequestArrived arrived) {
 			this.groups.recordTraffic(now);
-			this.requests.handleProxiedRequest(arrived.number(), arrived.request(), !isStopping(), now, effects);
+			this.requests.handleProxiedRequest(arrived.number(), arrived.request(), isInitialized() && !isStopping(),
+					now, effects);
 		}
 		else if (event instanceof EntryEvent.ProxiedAttemptEnded ended) {
 			this.requests.handleProxiedAttemptEnd(ended, now, effects);
--- /dev/null
+++ b/src/test/java/sycamorehill/entry/ProxyAttemptTests.java
@@ -0,0 +1,292 @@
+package sycamorehill.entry;
+
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.EOFException;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketException;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.BiConsumer;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+import sycamorehill.model.identity.Address;
+import sycamorehill.model.identity.DataCentreName;
+import sycamorehill.model.identity.TargetName;
+import sycamorehill.model.serving.AttemptEnd;
+import sycamorehill.model.serving.NodeRecord;
+import sycamorehill.model.serving.NotRunCause;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests the node "one", which reaches no target, before another node that the test plays:
+ * one that is killed, paused or faulty at each point of a request.
+ */
+class ProxyAttemptTests {
+
+	private final List<ProxyFrame> received = new CopyOnWriteArrayList<>();
+
+	/** Until then, the other node has no target. */
+	private volatile boolean tested;
+
+	private ServerSocket server;
+
+	private LoopbackCluster cluster;
+
+	// The other node answers each frame as the test says.
+	private void start(BiConsumer<ProxyFrame, OtherNode> behaviour) throws Exception {
+		this.server = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+		Thread thread = new Thread(() -> acceptAll(behaviour), "other-node");
+		thread.setDaemon(true);
+		thread.start();
+		NodeRecord other = new NodeRecord("two", Address.of("127.0.0.1", 1), DataCentreName.of("north"), 0.75,
+				Optional.of(Address.of("127.0.0.1", this.server.getLocalPort())));
+		this.cluster = LoopbackCluster.start(LoopbackCluster::hello,
+				(request) -> LoopbackCluster.events(request, 1, 2, true), List.of(other), "one");
+		this.cluster.cut("one", TargetLink.Way.RESET);
+		for (int request = 0; request < 8; request++) {
+			this.cluster.ask("one", "/again/x", "warm" + request);
+			this.cluster.ask("one", "/stream/x", "warm" + request);
+		}
+		Thread.sleep(500);
+		this.received.clear();
+		this.tested = true;
+	}
+
+	@AfterEach
+	void end() throws IOException {
+		this.server.close();
+		this.cluster.close();
+	}
+
+	private void acceptAll(BiConsumer<ProxyFrame, OtherNode> behaviour) {
+		while (!this.server.isClosed()) {
+			try {
+				Socket socket = this.server.accept();
+				Thread thread = new Thread(() -> serve(socket, behaviour), "other-node-connection");
+				thread.setDaemon(true);
+				thread.start();
+			}
+			catch (IOException ex) {
+				return;
+			}
+		}
+	}
+
+	private void serve(Socket socket, BiConsumer<ProxyFrame, OtherNode> behaviour) {
+		try (socket) {
+			OtherNode node = new OtherNode(socket, new DataOutputStream(socket.getOutputStream()));
+			DataInputStream in = new DataInputStream(socket.getInputStream());
+			while (true) {
+				byte[] bytes = new byte[in.readInt()];
+				in.readFully(bytes);
+				ProxyFrame frame = ProxyFrameCodec.read(bytes);
+				this.received.add(frame);
+				if (this.tested) {
+					behaviour.accept(frame, node);
+				}
+				else if (endsBody(frame)) {
+					node.send(new ProxyFrame.End(Optional.empty(), new AttemptEnd.NotRun(NotRunCause.NO_TARGET)));
+				}
+			}
+		}
+		catch (EOFException | SocketException ex) {
+			this.received.add(null);
+		}
+		catch (IOException ex) {
+			throw new IllegalStateException(ex);
+		}
+	}
+
+	private boolean wasConfirmed() {
+		return this.received.stream().anyMatch(ProxyFrame.Confirmed.class::isInstance);
+	}
+
+	private static boolean endsBody(ProxyFrame frame) {
+		return frame instanceof ProxyFrame.Body;
+	}
+
+	private static boolean mustBeConfirmed(List<ProxyFrame> frames) {
+		return frames.stream()
+			.anyMatch(
+					(frame) -> frame instanceof ProxyFrame.Request request && !request.request().kind().isRepeatable());
+	}
+
+	// The other node is killed when it has the order. It has not run the order, which may
+	// go elsewhere.
+	@Test
+	void anOrderThatWasNotConfirmedIsRefusedAsNotRun() throws Exception {
+		start((frame, node) -> {
+			if (endsBody(frame)) {
+				node.close();
+			}
+		});
+		assertThat(this.cluster.ask("one", "/once/x", "a1")).startsWith("HTTP/1.1 503");
+		assertThat(wasConfirmed()).isFalse();
+	}
+
+	// The other node is paused. When it goes on, it must not run the order that this node
+	// has refused.
+	@Test
+	void anOrderThatAPausedNodeDoesNotAcceptIsRefusedSoonAndNeverConfirmed() throws Exception {
+		start((frame, node) -> {
+			if (endsBody(frame) && mustBeConfirmed(this.received)) {
+				sleep(800);
+				node.send(new ProxyFrame.Accepted());
+			}
+		});
+		Instant asked = Instant.now();
+		assertThat(this.cluster.ask("one", "/once/x", "a1")).startsWith("HTTP/1.1 503");
+		assertThat(Duration.between(asked, Instant.now())).isLessThan(Duration.ofMillis(700));
+		Thread.sleep(1000);
+		assertThat(wasConfirmed()).isFalse();
+	}
+
+	// The other node is killed after the confirmation: it may have sent the order on.
+	@Test
+	void anOrderThatWasConfirmedHasAnUnknownOutcome() throws Exception {
+		start((frame, node) -> {
+			if (endsBody(frame)) {
+				node.send(new ProxyFrame.Accepted());
+			}
+			else if (frame instanceof ProxyFrame.Confirmed) {
+				node.close();
+			}
+		});
+		assertThat(this.cluster.ask("one", "/once/x", "a1")).startsWith("HTTP/1.1 502");
+		assertThat(this.received.stream().filter(ProxyFrame.Request.class::isInstance)).hasSize(1);
+	}
+
+	private static ProxyFrame.Head head(boolean streaming) {
+		return new ProxyFrame.Head(200, "OK",
+				List.of(new ProxyFrame.Header("Attempt-Id", "a1"), new ProxyFrame.Header("Server-Signature", "s")),
+				streaming);
+	}
+
+	private static ProxyFrame delivered() {
+		return new ProxyFrame.End(Optional.of(TargetName.of("p0")), new AttemptEnd.Delivered(200, Duration.ZERO));
+	}
+
+	// A part of an answer must not look complete.
+	@Test
+	void anAnswerThatBreaksOffIsNotDelivered() throws Exception {
+		start((frame, node) -> {
+			if (endsBody(frame)) {
+				node.send(new ProxyFrame.Accepted());
+			}
+			else if (frame instanceof ProxyFrame.Confirmed) {
+				node.send(head(false));
+				node.send(new ProxyFrame.Body("hel".getBytes()));
+				node.close();
+			}
+		});
+		assertThat(this.cluster.ask("one", "/once/x", "a1")).startsWith("HTTP/1.1 502").doesNotContain("hel\r\n");
+	}
+
+	// An answer in several parts, on a connection that serves the next request as well.
+	@Test
+	void aConnectionServesOneRequestAfterAnother() throws Exception {
+		start((frame, node) -> {
+			if (endsBody(frame)) {
+				node.send(new ProxyFrame.Accepted());
+			}
+			else if (frame instanceof ProxyFrame.Confirmed) {
+				node.send(head(false));
+				node.send(new ProxyFrame.Body("hel".getBytes()));
+				node.send(new ProxyFrame.Body("lo".getBytes()));
+				node.send(delivered());
+			}
+		});
+		for (int request = 0; request < 3; request++) {
+			assertThat(this.cluster.ask("one", "/once/x", "a1")).startsWith("HTTP/1.1 200").endsWith("hello");
+		}
+		assertThat(this.received).doesNotContainNull();
+	}
+
+	// Bytes after the end belong to no request: the next one must not get them.
+	@Test
+	void framesAfterTheEndCloseTheConnection() throws Exception {
+		start((frame, node) -> {
+			if (endsBody(frame)) {
+				node.send(new ProxyFrame.Accepted());
+			}
+			else if (frame instanceof ProxyFrame.Confirmed) {
+				node.send(head(false));
+				node.send(new ProxyFrame.Body("hello".getBytes()));
+				node.send(delivered());
+				node.send(head(false));
+			}
+		});
+		for (int request = 0; request < 3; request++) {
+			assertThat(this.cluster.ask("one", "/once/x", "a1")).startsWith("HTTP/1.1 200").endsWith("\r\nhello");
+			Thread.sleep(50);
+		}
+		assertThat(this.received).containsNull();
+	}
+
+	// The stream of a node that breaks off can't be resumed without another node; it must
+	// not look complete.
+	@Test
+	void aStreamThatBreaksOffDoesNotLookComplete() throws Exception {
+		start((frame, node) -> {
+			if (endsBody(frame)) {
+				node.send(new ProxyFrame.Accepted());
+				node.send(head(true));
+				node.send(new ProxyFrame.Event(OptionalLong.of(1), "id: 1\ndata: e1\n\n".getBytes()));
+				node.close();
+			}
+		});
+		assertThat(this.cluster.ask("one", "/stream/x", "a1")).contains("data: e1").doesNotEndWith("0\r\n\r\n");
+	}
+
+	private static void sleep(long millis) {
+		try {
+			Thread.sleep(millis);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	/**
+	 * The other node's end of a connection.
+	 *
+	 * @param socket the connection
+	 * @param out writes to it
+	 */
+	private record OtherNode(Socket socket, DataOutputStream out) {
+
+		void send(ProxyFrame frame) {
+			try {
+				byte[] bytes = ProxyFrameCodec.create().write(frame);
+				this.out.writeInt(bytes.length);
+				this.out.write(bytes);
+				this.out.flush();
+			}
+			catch (IOException ex) {
+				close();
+			}
+		}
+
+		void close() {
+			try {
+				this.socket.close();
+			}
+			catch (IOException ex) {
+				throw new IllegalStateException(ex);
+			}
+		}
+
+	}
+
+}
--- /dev/null
+++ b/src/test/java/sycamorehill/entry/StreamActivityTests.java
@@ -0,0 +1,113 @@
+package sycamorehill.entry;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests when senders of streams, or the path to all of them, count as silent.
+ */
+class StreamActivityTests {
+
+	private static final long MILLI = 1_000_000;
+
+	private final StreamActivity<String> activity = StreamActivity.of(Duration.ofMillis(450), Duration.ofMillis(1100));
+
+	private long now;
+
+	private void startStream(String sender) {
+		this.activity.recordRequestSent(sender, this.now);
+		this.activity.recordStreamStarted(sender, this.now);
+	}
+
+	// Checks every 100 ms, as the node does, while some senders go on.
+	private List<String> pass(long millis, String... active) {
+		List<String> silent = new ArrayList<>();
+		for (long end = this.now + millis * MILLI; this.now < end;) {
+			this.now += 100 * MILLI;
+			for (String sender : active) {
+				this.activity.recordProgress(sender, this.now);
+			}
+			this.activity.findSilentSenders(this.now).forEach((silence) -> silent.add(silence.sender()));
+		}
+		return silent;
+	}
+
+	@Test
+	void aSenderWhoseStartedStreamsPauseIsSilentWhileOthersGoOn() {
+		startStream("a");
+		startStream("b");
+		assertThat(pass(400, "b")).isEmpty();
+		assertThat(pass(200, "b")).containsExactly("a");
+		assertThat(pass(1000, "b")).isEmpty();
+	}
+
+	// If all are silent, the path is tested first: moving streams to other silent senders
+	// would help nobody.
+	@Test
+	void silenceOfAllSendersIsReportedAsThatOfThePathFirst() {
+		startStream("a");
+		startStream("b");
+		pass(200);
+		assertThat(this.activity.isPathSilent(this.now)).isFalse();
+		pass(100);
+		assertThat(this.activity.isPathSilent(this.now)).isTrue();
+		assertThat(this.activity.isPathSilent(this.now)).isFalse();
+		assertThat(pass(200)).isEmpty();
+		assertThat(pass(200)).containsExactlyInAnyOrder("a", "b");
+	}
+
+	@Test
+	void silentSendersAreNotHeldBackOnceThePathIsProven() {
+		startStream("a");
+		startStream("b");
+		pass(300);
+		assertThat(this.activity.isPathSilent(this.now)).isTrue();
+		this.activity.markPathProven();
+		assertThat(pass(200)).containsExactlyInAnyOrder("a", "b");
+	}
+
+	// One silent target must not pass for a broken path.
+	@Test
+	void aSingleSenderIsNotThePath() {
+		startStream("a");
+		this.activity.recordRequestSent("b", this.now);
+		pass(400);
+		assertThat(this.activity.isPathSilent(this.now)).isFalse();
+	}
+
+	// The process was paused: bytes that have arrived are read after the check.
+	@Test
+	void aPauseOfThisProcessIsNoSilenceOfOthers() {
+		startStream("a");
+		startStream("b");
+		pass(100, "a", "b");
+		this.now += 3000 * MILLI;
+		assertThat(this.activity.findSilentSenders(this.now)).isEmpty();
+	}
+
+	@Test
+	void withABrokenPathShortSilencesAreReported() {
+		startStream("a");
+		this.activity.recordRequestSent("b", this.now);
+		this.now += 300 * MILLI;
+		assertThat(this.activity.findStalledSenders(this.now)).extracting(StreamActivity.Silence::sender)
+			.containsExactlyInAnyOrder("a", "b");
+	}
+
+	// Open connections go on although new ones fail: what waits there for its first event
+	// must not be moved.
+	@Test
+	void requestsThatWaitAreNotStalledWhileStreamsGoOn() {
+		startStream("a");
+		this.activity.recordRequestSent("b", this.now);
+		this.now += 300 * MILLI;
+		this.activity.recordProgress("a", this.now);
+		assertThat(this.activity.findStalledSenders(this.now)).isEmpty();
+	}
+
+}
--- a/src/test/java/sycamorehill/explain/RequestExplanationTests.java
+++ b/src/test/java/sycamorehill/explain/RequestExplanationTests.java
@@ -29,8 +29,18 @@
 			line("two",
 					"2026-12-03T03:00:04.000Z WARN SYC-1902 REQUEST_REFUSED request=b2 route=r service=s attempts=0"
 							+ " millis=0 cause='all targets are full' come-back-millis=564"),
-			line("two", "2026-12-03T03:00:05.000Z WARN SYC-1903 REQUEST_FAILED request=c3 route=r service=d attempts=1"
-					+ " millis=392 cause='time is over' outcome=unknown"));
+			line("two",
+					"2026-12-03T03:00:05.000Z WARN SYC-1903 REQUEST_FAILED request=c3 route=r service=d attempts=1"
+							+ " millis=392 cause='time is over' outcome=unknown"),
+			line("two", "2026-12-03T03:00:06.000Z WARN SYC-1908 SERVICE_UNREACHABLE service=s failed-targets=3"),
+			line("two",
+					"2026-12-03T03:00:07.000Z INFO SYC-1910 REQUEST_PROXIED request=d4 route=r service=s attempts=1"
+							+ " millis=0 node=one"),
+			line("one",
+					"2026-12-03T03:00:07.400Z INFO SYC-1911 PROXIED_REQUEST_ENDED request=d4 route=r service=s"
+							+ " attempts=1 millis=399 origin=two target=i-3 end=Delivered"),
+			line("two", "2026-12-03T03:00:07.401Z INFO SYC-1901 REQUEST_SERVED request=d4 route=r service=s attempts=1"
+					+ " millis=401 target=i-3 node=one status=200 first-millis=180 pause-millis=60"));
 
 	private static RequestExplanation.SourceLine line(String file, String text) {
 		return new RequestExplanation.SourceLine(file, text);
@@ -53,6 +63,15 @@
 			.isEqualTo("cause: served with status 200 by i-2, after silent at i-1");
 	}
 
+	@Test
+	void tellsThroughWhichNodeARequestWasServedAndWhy() {
+		List<String> output = explanation("d4");
+		assertThat(output.get(0)).startsWith("request d4 came to two");
+		assertThat(output).anyMatch((text) -> text.contains("one PROXIED_REQUEST_ENDED"))
+			.anyMatch((text) -> text.contains("two SERVICE_UNREACHABLE service=s"));
+		assertThat(output).last().isEqualTo("cause: served with status 200 by i-3 through one");
+	}
+
 	@Test
 	void reportsWhyARequestWasRefusedAndHowManyGroupsServed() {
 		List<String> output = explanation("b2");
