Split the handling of request events and of paths by job

An answered content is now cleared where its attempt ends, so also at a node that sends the request for another; a test for that goes with it. Nothing else is decided otherwise.

--- a/src/main/java/sycamorehill/logic/dispatch/AttemptOutcomes.java
+++ b/src/main/java/sycamorehill/logic/dispatch/AttemptOutcomes.java
@@ -55,9 +55,8 @@
 	 * @param effects receives the resulting effects
 	 */
 	void record(DispatchedRequest request, TargetName target, AttemptEnd end, Instant now, Effects effects) {
-		if (end instanceof AttemptEnd.Delivered && !request.route().kind().isStreaming()) {
-			this.targetSelector.status(target)
-				.recordFirstAnswer(Duration.between(request.attemptStartedAt(), now), now);
+		if (end instanceof AttemptEnd.Delivered) {
+			recordDelivered(request, target, now, effects);
 		}
 		else if (end instanceof AttemptEnd.NotRun notRun) {
 			recordNotRun(request, target, notRun.cause(), now, effects);
@@ -70,6 +69,14 @@
 		}
 	}
 
+	private void recordDelivered(DispatchedRequest request, TargetName target, Instant now, Effects effects) {
+		this.crashSuspicions.clear(request.request().contentHash(), effects);
+		if (!request.route().kind().isStreaming()) {
+			this.targetSelector.status(target)
+				.recordFirstAnswer(Duration.between(request.attemptStartedAt(), now), now);
+		}
+	}
+
 	private void recordNotRun(DispatchedRequest request, TargetName target, NotRunCause cause, Instant now,
 			Effects effects) {
 		switch (cause) {
--- a/src/main/java/sycamorehill/logic/dispatch/AttemptScheduler.java
+++ b/src/main/java/sycamorehill/logic/dispatch/AttemptScheduler.java
@@ -60,13 +60,13 @@
 	private final Map<Long, DispatchedRequest> activeRequests;
 
 	private AttemptScheduler(Supplier<Configuration> configuration, TargetSelector targetSelector,
-			AttemptStarter attemptStarter, TargetReachability reachability, ProxySelector proxySelector,
-			RetryBudgets retryBudgets, FinalAnswers finalAnswers, Map<Long, DispatchedRequest> activeRequests) {
+			AttemptStarter attemptStarter, TargetPaths paths, RetryBudgets retryBudgets, FinalAnswers finalAnswers,
+			Map<Long, DispatchedRequest> activeRequests) {
 		this.configuration = configuration;
 		this.targetSelector = targetSelector;
 		this.attemptStarter = attemptStarter;
-		this.reachability = reachability;
-		this.proxySelector = proxySelector;
+		this.reachability = paths.reachability();
+		this.proxySelector = paths.proxySelector();
 		this.retryBudgets = retryBudgets;
 		this.finalAnswers = finalAnswers;
 		this.activeRequests = activeRequests;
@@ -77,8 +77,7 @@
 	 * @param configuration supplies the configuration in effect
 	 * @param targetSelector selects targets
 	 * @param attemptStarter starts attempts
-	 * @param reachability tells which services this node reaches
-	 * @param proxySelector selects other nodes
+	 * @param paths tells which services this node reaches, and selects other nodes
 	 * @param retryBudgets limits retries
 	 * @param finalAnswers creates final answers
 	 * @param activeRequests the requests without a final answer, by number; those that
@@ -86,10 +85,10 @@
 	 * @return the scheduler
 	 */
 	static AttemptScheduler of(Supplier<Configuration> configuration, TargetSelector targetSelector,
-			AttemptStarter attemptStarter, TargetReachability reachability, ProxySelector proxySelector,
-			RetryBudgets retryBudgets, FinalAnswers finalAnswers, Map<Long, DispatchedRequest> activeRequests) {
-		return new AttemptScheduler(configuration, targetSelector, attemptStarter, reachability, proxySelector,
-				retryBudgets, finalAnswers, activeRequests);
+			AttemptStarter attemptStarter, TargetPaths paths, RetryBudgets retryBudgets, FinalAnswers finalAnswers,
+			Map<Long, DispatchedRequest> activeRequests) {
+		return new AttemptScheduler(configuration, targetSelector, attemptStarter, paths, retryBudgets, finalAnswers,
+				activeRequests);
 	}
 
 	/**
@@ -138,19 +137,28 @@
 	}
 
 	/**
-	 * Decides after an attempt that did not deliver the answer.
+	 * Decides after an attempt of a caller's request.
 	 * @param request the request
 	 * @param place where the attempt was made, for the log
 	 * @param end how the attempt ended
 	 * @param now the current time
 	 * @param effects receives the resulting effects
 	 */
-	void handleFailedAttempt(DispatchedRequest request, AttemptPlace place, AttemptEnd end, Instant now,
-			Effects effects) {
-		if (end instanceof AttemptEnd.NotRun notRun) {
+	void handleAttemptEnd(DispatchedRequest request, AttemptPlace place, AttemptEnd end, Instant now, Effects effects) {
+		if (end instanceof AttemptEnd.Delivered delivered) {
+			this.activeRequests.remove(request.request().number());
+			this.finalAnswers.recordDelivered(request, place, delivered, now, effects);
+		}
+		else if (end instanceof AttemptEnd.NotRun notRun) {
 			handleNotRun(request, place, notRun.cause(), now, effects);
-			return;
 		}
+		else {
+			handlePossibleRun(request, place, end, now, effects);
+		}
+	}
+
+	private void handlePossibleRun(DispatchedRequest request, AttemptPlace place, AttemptEnd end, Instant now,
+			Effects effects) {
 		request.countReachedTarget();
 		request.markMayHaveRun();
 		boolean repeatable = request.route().kind().isRepeatable();
--- a/src/main/java/sycamorehill/logic/dispatch/RequestDispatcher.java
+++ b/src/main/java/sycamorehill/logic/dispatch/RequestDispatcher.java
@@ -21,9 +21,6 @@
 import sycamorehill.model.serving.EntrySettings;
 import sycamorehill.model.serving.NodeMessage;
 import sycamorehill.model.serving.NodeRecord;
-import sycamorehill.model.serving.NotRunCause;
-import sycamorehill.model.serving.ProxiedRequest;
-import sycamorehill.model.serving.TargetEntry;
 import sycamorehill.model.serving.TargetReport;
 
 /**
@@ -57,9 +54,7 @@
 
 	private final RequestRouter router;
 
-	private final TargetReachability reachability;
-
-	private final ProxySelector proxySelector;
+	private final TargetPaths paths;
 
 	private final CrashSuspicions crashSuspicions;
 
@@ -69,6 +64,8 @@
 
 	private final StalledStreams stalledStreams;
 
+	private final ProxiedRequests proxiedRequests;
+
 	private RequestDispatcher(EntrySettings settings, TargetDirectory directory, RandomGenerator random) {
 		this.directory = directory;
 		this.random = random;
@@ -76,15 +73,17 @@
 		this.finalAnswers = FinalAnswers.of(random);
 		this.router = RequestRouter.of(this.crashHistory, this.finalAnswers::retryAfter);
 		this.targetSelector = TargetSelector.of(settings, directory, random);
-		this.reachability = TargetReachability.of(settings.nodeName(), directory, random);
-		this.proxySelector = ProxySelector.of(settings.dataCentre(), random);
-		this.crashSuspicions = CrashSuspicions.of(settings.nodeName(), this.crashHistory, this.reachability);
-		this.outcomes = AttemptOutcomes.of(directory, this.targetSelector, this.reachability, this.crashSuspicions);
+		this.paths = TargetPaths.of(settings, directory, this.targetSelector, random);
+		this.crashSuspicions = CrashSuspicions.of(settings.nodeName(), this.crashHistory, this.paths.reachability());
+		this.outcomes = AttemptOutcomes.of(directory, this.targetSelector, this.paths.reachability(),
+				this.crashSuspicions);
 		this.scheduler = AttemptScheduler.of(() -> this.router.configuration().orElseThrow(), this.targetSelector,
-				AttemptStarter.of(settings.nodeName(), this.targetSelector), this.reachability, this.proxySelector,
-				this.retryBudgets, this.finalAnswers, this.activeRequests);
-		this.stalledStreams = StalledStreams.of(this.activeRequests, this.targetSelector, this.proxySelector,
+				AttemptStarter.of(settings.nodeName(), this.targetSelector), this.paths, this.retryBudgets,
+				this.finalAnswers, this.activeRequests);
+		this.stalledStreams = StalledStreams.of(this.activeRequests, this.targetSelector, this.paths.proxySelector(),
 				this.scheduler);
+		this.proxiedRequests = ProxiedRequests.of(this.router::knowsService, this.targetSelector,
+				this.paths.proxySelector(), this.scheduler, this.stalledStreams, this.activeRequests);
 	}
 
 	/**
@@ -98,6 +97,22 @@
 		return new RequestDispatcher(settings, directory, random);
 	}
 
+	/**
+	 * Returns the paths to the targets.
+	 * @return the paths
+	 */
+	public TargetPaths paths() {
+		return this.paths;
+	}
+
+	/**
+	 * Returns the requests that are sent through other nodes, or come through them.
+	 * @return the requests
+	 */
+	public ProxiedRequests proxiedRequests() {
+		return this.proxiedRequests;
+	}
+
 	/**
 	 * Applies a configuration to all later requests.
 	 * @param configuration the configuration
@@ -160,106 +175,6 @@
 				version, effects);
 	}
 
-	/**
-	 * Handles a request that another node sends through this one. That node has decided
-	 * everything but the target.
-	 * @param number the request's number within this process
-	 * @param request the request
-	 * @param accepts whether this node accepts new requests
-	 * @param now the current time
-	 * @param effects receives the resulting effects
-	 */
-	public void handleProxiedRequest(long number, ProxiedRequest request, boolean accepts, Instant now,
-			Effects effects) {
-		DispatchedRequest active = DispatchedRequest.of(number, request, now);
-		boolean knowsService = this.router.configuration()
-			.flatMap((current) -> current.service(request.service()))
-			.isPresent();
-		if (!accepts || !knowsService) {
-			this.scheduler.endProxied(active, Optional.empty(), new AttemptEnd.NotRun(NotRunCause.NODE_UNAVAILABLE),
-					now, effects);
-			return;
-		}
-		this.activeRequests.put(number, active);
-		effects.add(new EntryEffect.LimitRequestTime(number, active.timeLeft(now)));
-		this.scheduler.place(active, "no target can take it", now, effects);
-	}
-
-	/**
-	 * Handles a new connection to a target.
-	 * @param target the target
-	 * @param now the current time
-	 * @param effects receives the resulting effects
-	 */
-	public void handleConnected(TargetName target, Instant now, Effects effects) {
-		if (this.reachability.recordConnected(target, now, effects)) {
-			this.directory.find(target).map(TargetEntry::service).ifPresent(this::endEjections);
-		}
-	}
-
-	private void endEjections(ServiceName service) {
-		this.directory.all()
-			.stream()
-			.filter((entry) -> entry.service().equals(service))
-			.forEach((entry) -> status(entry.name()).endEjection());
-	}
-
-	/**
-	 * Handles a target that could not be connected when its path was tested.
-	 * @param target the target
-	 * @param now the current time
-	 * @param effects receives the resulting effects
-	 */
-	public void handleUnreached(TargetName target, Instant now, Effects effects) {
-		this.reachability.recordFailedConnect(target, now, effects);
-	}
-
-	/**
-	 * Handles a moment in which nothing arrives from any target.
-	 * @param now the current time
-	 * @param effects receives the resulting effects
-	 */
-	public void handleAllTargetsSilent(Instant now, Effects effects) {
-		this.reachability.recordSilence(now, effects);
-	}
-
-	/**
-	 * Returns whether this node reaches no target of a target's service.
-	 * @param target the target
-	 * @return true if it is known to reach none
-	 */
-	public boolean isUnreachable(TargetName target) {
-		return this.directory.find(target)
-			.map(TargetEntry::service)
-			.filter(this.reachability::isUnreachable)
-			.isPresent();
-	}
-
-	/**
-	 * Returns whether the failures of a target may be the fault of this node's path.
-	 * @param target the target
-	 * @param now the current time
-	 * @return true if they may be
-	 */
-	public boolean isPathInDoubt(TargetName target, Instant now) {
-		return this.directory.find(target)
-			.map(TargetEntry::service)
-			.filter((service) -> this.reachability.isInDoubt(service, now))
-			.isPresent();
-	}
-
-	/**
-	 * Returns for how long this node has reached no target of a service that another node
-	 * reaches.
-	 * @param service the service
-	 * @param now the current time
-	 * @return the time; zero if this node reaches the service, or no other node does
-	 */
-	public Duration cutOffFor(ServiceName service, Instant now) {
-		return this.proxySelector.isReachedElsewhere(service, now) ? this.reachability.unreachableFor(service, now)
-				: Duration.ZERO;
-	}
-
 	/**
 	 * Tests and reports the paths to unreachable services, and confirms which contents
 	 * were lost with targets.
@@ -267,7 +182,7 @@
 	 * @param effects receives the resulting effects
 	 */
 	public void tick(Instant now, Effects effects) {
-		this.reachability.tick(now, effects);
+		this.paths.tick(now, effects);
 		this.crashSuspicions.tick(now, effects);
 	}
 
@@ -309,49 +224,8 @@
 		if (request.proxied().isPresent()) {
 			this.scheduler.endProxied(request, Optional.of(target), end, now, effects);
 		}
-		else if (end instanceof AttemptEnd.Delivered delivered) {
-			handleDelivered(request, AttemptPlace.at(target), delivered, now, effects);
-		}
 		else {
-			this.scheduler.handleFailedAttempt(request, AttemptPlace.at(target), end, now, effects);
-		}
-	}
-
-	/**
-	 * Handles the end of an attempt through another node.
-	 * @param ended the end of the attempt
-	 * @param now the current time
-	 * @param effects receives the resulting effects
-	 */
-	public void handleProxiedAttemptEnd(EntryEvent.ProxiedAttemptEnded ended, Instant now, Effects effects) {
-		DispatchedRequest request = this.activeRequests.get(ended.number());
-		if (request == null || request.attempts() != ended.attempt() || request.proxy().isEmpty()) {
-			return;
-		}
-		String node = request.proxy().get();
-		this.proxySelector.recordEnded(node);
-		request.endProxiedAttempt(ended.target());
-		recordProxyFailure(request, node, ended, now);
-		AttemptPlace place = AttemptPlace.through(node, ended.target());
-		if (ended.end() instanceof AttemptEnd.Delivered delivered) {
-			this.proxySelector.recordDelivered(node);
-			handleDelivered(request, place, delivered, now, effects);
-		}
-		else {
-			this.scheduler.handleFailedAttempt(request, place, ended.end(), now, effects);
-		}
-	}
-
-	// An end without a target is that of the way to the other node.
-	private void recordProxyFailure(DispatchedRequest request, String node, EntryEvent.ProxiedAttemptEnded ended,
-			Instant now) {
-		boolean admitsNone = ended.end() instanceof AttemptEnd.NotRun notRun && notRun.cause() == NotRunCause.NO_TARGET;
-		if (ended.target().isPresent()) {
-			return;
-		}
-		request.excludeNode(node);
-		if (!admitsNone) {
-			this.proxySelector.eject(node, now);
+			this.scheduler.handleAttemptEnd(request, AttemptPlace.at(target), end, now, effects);
 		}
 	}
 
@@ -381,7 +255,7 @@
 			this.crashHistory.clear(cleared.contentHash());
 		}
 		else if (message instanceof NodeMessage.ServicesUnreachable report) {
-			this.proxySelector.handleMessage(report, now);
+			this.paths.proxySelector().handleMessage(report, now);
 		}
 	}
 
@@ -414,7 +288,7 @@
 	public void updateNodes(int liveNodes, List<NodeRecord> peers, Instant now, Effects effects) {
 		this.retryBudgets.setNodeCount(liveNodes);
 		this.targetSelector.updateNodes(liveNodes, peers, now, effects);
-		this.proxySelector.updateNodes(peers);
+		this.paths.proxySelector().updateNodes(peers);
 	}
 
 	/**
@@ -425,13 +299,6 @@
 		this.retryBudgets.updateSettings(settings);
 	}
 
-	private void handleDelivered(DispatchedRequest request, AttemptPlace place, AttemptEnd.Delivered delivered,
-			Instant now, Effects effects) {
-		this.activeRequests.remove(request.request().number());
-		this.crashSuspicions.clear(request.request().contentHash(), effects);
-		this.finalAnswers.recordDelivered(request, place, delivered, now, effects);
-	}
-
 	/**
 	 * Handles the end of a group before the directory lists it.
 	 * @param head the engine that received the group's requests
@@ -476,7 +343,7 @@
 
 	private void releaseAttempt(DispatchedRequest request) {
 		request.target().ifPresent((target) -> status(target).recordEnded());
-		request.proxy().ifPresent(this.proxySelector::recordEnded);
+		request.proxy().ifPresent(this.paths.proxySelector()::recordEnded);
 	}
 
 	/**
@@ -493,31 +360,6 @@
 		}
 	}
 
-	/**
-	 * Drops a request of another node that has closed its connection.
-	 * @param number the request's number
-	 * @param now the current time
-	 * @param effects receives the resulting effects
-	 */
-	public void handleOriginDisconnected(long number, Instant now, Effects effects) {
-		DispatchedRequest request = this.activeRequests.get(number);
-		if (request != null) {
-			releaseAttempt(request);
-			this.scheduler.endProxied(request, request.target(), new AttemptEnd.Unknown("the origin left", false), now,
-					effects);
-		}
-	}
-
-	/**
-	 * Handles a node that forwards streams to this one and has stopped sending.
-	 * @param node the node's name
-	 * @param now the current time
-	 * @param effects receives the resulting effects
-	 */
-	public void handleSilentProxy(String node, Instant now, Effects effects) {
-		this.stalledStreams.handleSilentProxy(node, now, effects);
-	}
-
 	/**
 	 * Handles a target whose answers have all paused, because it or a member of its group
 	 * was lost. Streams that can be resumed elsewhere are moved. Other requests wait,
@@ -562,7 +404,7 @@
 	 */
 	public void handleTargetReport(EntryEvent.TargetReported told, Instant now, Effects effects) {
 		TargetReport report = told.report();
-		this.reachability.recordAnswer(told.target());
+		this.paths.reachability().recordAnswer(told.target());
 		report.load().ifPresent((load) -> status(told.target()).recordReport(load, now));
 		report.rest().ifPresent((rest) -> handleRest(told.target(), rest, now, effects));
 		Instant sentAt = Optional.ofNullable(this.activeRequests.get(told.number()))
--- a/src/main/java/sycamorehill/logic/dispatch/RequestRouter.java
+++ b/src/main/java/sycamorehill/logic/dispatch/RequestRouter.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.function.Supplier;
 
+import sycamorehill.model.identity.ServiceName;
 import sycamorehill.model.serving.CallerRequest;
 import sycamorehill.model.serving.Configuration;
 import sycamorehill.model.serving.Route;
@@ -65,6 +66,10 @@
 		return this.configuration;
 	}
 
+	boolean knowsService(ServiceName service) {
+		return this.configuration.flatMap((current) -> current.service(service)).isPresent();
+	}
+
 	Decision route(CallerRequest request) {
 		if (this.configuration.isEmpty()) {
 			return new Refused(UNAVAILABLE, "no configuration yet", Optional.of(this.retryAfter.get()));
--- a/src/main/java/sycamorehill/logic/entry/EntryReducer.java
+++ b/src/main/java/sycamorehill/logic/entry/EntryReducer.java
@@ -11,9 +11,7 @@
 import sycamorehill.logic.directory.TargetDirectory;
 import sycamorehill.logic.dispatch.RequestDispatcher;
 import sycamorehill.logic.layout.GroupController;
-import sycamorehill.model.identity.TargetName;
 import sycamorehill.model.log.LogEvent;
-import sycamorehill.model.serving.CallerRequest;
 import sycamorehill.model.serving.Configuration;
 import sycamorehill.model.serving.EntryEffect;
 import sycamorehill.model.serving.EntryEvent;
@@ -63,9 +61,11 @@
 
 	private final ConfigurationDistribution configurationDistribution;
 
-	private final SilenceReports silenceReports = new SilenceReports();
+	private final SilentTargets silentTargets;
 
-	private final StartupRequestQueue startupRequests = new StartupRequestQueue();
+	private final NodeStage stage = new NodeStage();
+
+	private final RequestEvents requestEvents;
 
 	private final StoreRelay relay;
 
@@ -81,12 +81,8 @@
 
 	private int liveNodes = 1;
 
-	private boolean targetsListed;
-
 	private boolean introduced;
 
-	private Instant stopRequestedAt;
-
 	private boolean ready;
 
 	private EntryReducer(EntrySettings settings, String self, RandomGenerator random, Instant started) {
@@ -100,6 +96,9 @@
 		this.directoryUpdates = DirectoryUpdates.of(settings.nodeName(), this.directory, this.requests,
 				this.storeUpdateLog);
 		this.groups = GroupController.of(settings, this.directory, self, started);
+		this.silentTargets = SilentTargets.of(settings.nodeName(), this.requests, this.groups, this.peers);
+		this.requestEvents = RequestEvents.of(this.stage, this.requests, this.groups, this.directoryUpdates,
+				this.silentTargets);
 		this.storeUpdates = StoreUpdates.of(settings.nodeName(), this.peers, this.relay, this.storeUpdateLog,
 				this.directoryUpdates, this.configurationDistribution, this.groups);
 	}
@@ -125,7 +124,7 @@
 	 */
 	public List<EntryEffect> accept(EntryEvent event, Instant now) {
 		Effects effects = Effects.create();
-		if (!handleRequestEvent(event, now, effects) && !handleGroupEvent(event, now, effects)) {
+		if (!this.requestEvents.handle(event, now, effects) && !handleGroupEvent(event, now, effects)) {
 			handleNodeEvent(event, now, effects);
 		}
 		return resolveBroadcasts(effects.all());
@@ -148,33 +147,9 @@
 		return effects.all();
 	}
 
-	// A request that arrives late in a planned stop could be aborted when the process
-	// exits: answers take up to 4 s, and another node can serve the caller at once.
-	private void handleRequest(CallerRequest request, Instant now, Effects effects) {
-		if (isStopping() && now.isAfter(this.stopRequestedAt.plus(ACCEPTANCE_AFTER_STOP))) {
-			this.requests.refuseStopping(request, effects);
-			return;
-		}
-		boolean mayWait = !isInitialized() && this.directoryUpdates.isStoreReachable();
-		if (!mayWait || !this.startupRequests.add(request, now)) {
-			this.requests.handleRequest(request, now, now, effects);
-		}
-	}
-
-	private boolean isInitialized() {
-		return this.configuration.isPresent() && this.targetsListed;
-	}
-
-	private void releaseStartupRequests(Instant now, Effects effects) {
-		for (StartupRequestQueue.QueuedRequest request : this.startupRequests
-			.takeDue(isInitialized() || !this.directoryUpdates.isStoreReachable(), now)) {
-			this.requests.handleRequest(request.request(), request.arrivedAt(), now, effects);
-		}
-	}
-
 	private void handleMessage(NodeMessage message, Instant now, Effects effects) {
 		if (message instanceof NodeMessage.SummedLoads added
-				&& !this.loadAggregation.handleMessage(added, isStopping(), now)) {
+				&& !this.loadAggregation.handleMessage(added, this.stage.isStopping(), now)) {
 			return;
 		}
 		this.peers.handleMessage(message, now);
@@ -218,11 +193,10 @@
 
 	private void handleGroupMessage(NodeMessage message, Instant now, Effects effects) {
 		if (message instanceof NodeMessage.Silence silence) {
-			checkMembers(silence.target(), now, effects);
-			recordSilenceReport(silence.sender(), silence.target(), now, effects);
+			this.silentTargets.handleReport(silence, now, effects);
 		}
 		else if (message instanceof NodeMessage.SilenceConfirmed confirmed) {
-			this.requests.handleReportedSilence(confirmed.target(), confirmed.sender(), now, effects);
+			this.silentTargets.handleConfirmation(confirmed, now, effects);
 		}
 		else if (message instanceof NodeMessage.GroupEnded ended) {
 			this.requests.handleGroupEnded(ended.head(), ended.group(), ended.epoch(), now, effects);
@@ -232,128 +206,18 @@
 		}
 	}
 
-	private void checkMembers(TargetName head, Instant now, Effects effects) {
-		if (!this.requests.isPathInDoubt(head, now)) {
-			this.groups.checkMembers(head, now, effects);
-		}
-	}
-
 	private StoreUpdates.NodeState nodeState() {
-		return new StoreUpdates.NodeState(configurationVersion(), isStopping());
-	}
-
-	private boolean isStopping() {
-		return this.stopRequestedAt != null;
-	}
-
-	private void recordSilenceReport(String node, TargetName target, Instant now, Effects effects) {
-		if (!this.groups.controls(now)) {
-			return;
-		}
-		this.silenceReports.recordReport(node, target, now).ifPresent((firstReporter) -> {
-			effects.add(new EntryEffect.Broadcast(new NodeMessage.SilenceConfirmed(this.settings.nodeName(), target)));
-			this.requests.handleReportedSilence(target, firstReporter + "," + node, now, effects);
-		});
-	}
-
-	// In an overload, requests wait in the queue of a healthy target for longer than the
-	// first event of a silent one. If the target were ejected, its queue would move to
-	// the other targets and overload them as well.
-	private void handleSilence(EntryEvent.TargetSilent silent, Instant now, Effects effects) {
-		TargetName target = silent.target();
-		boolean mayBeQueued = !silent.answersStarted() && this.requests.mayQueue(target, now);
-		if (mayBeQueued && !this.requests.isUnreachable(target)) {
-			return;
-		}
-		this.requests.handleSilentTarget(target, this.settings.nodeName(), now, effects);
-		if (!this.requests.isPathInDoubt(target, now)) {
-			reportSilence(target, now, effects);
-		}
-	}
-
-	private void reportSilence(TargetName target, Instant now, Effects effects) {
-		checkMembers(target, now, effects);
-		recordSilenceReport(this.settings.nodeName(), target, now, effects);
-		this.groups.controller()
-			.ifPresent((node) -> this.peers.sendTo(node, new NodeMessage.Silence(this.settings.nodeName(), target),
-					effects));
+		return new StoreUpdates.NodeState(configurationVersion(), this.stage.isStopping());
 	}
 
 	private void sendLoads(Instant now, Effects effects) {
 		NodeMessage.Loads loads = new NodeMessage.Loads(this.settings.nodeName(), this.settings.dataCentre(),
 				this.directoryUpdates.isStoreReachable(), this.requests.inFlightByTarget());
-		this.loadAggregation.send(loads, isStopping(), now, effects);
+		this.loadAggregation.send(loads, this.stage.isStopping(), now, effects);
 		this.liveNodes = this.peers.countLiveNodes(now);
 		this.requests.updateNodes(this.liveNodes, this.peers.sharingNodes(now), now, effects);
 	}
 
-	private boolean handleRequestEvent(EntryEvent event, Instant now, Effects effects) {
-		if (event instanceof EntryEvent.RequestArrived arrived) {
-			this.groups.recordTraffic(now);
-			handleRequest(arrived.request(), now, effects);
-		}
-		else if (event instanceof EntryEvent.TargetConnected connected) {
-			this.requests.handleConnected(connected.target(), now, effects);
-		}
-		else if (event instanceof EntryEvent.TargetUnreached unreached) {
-			this.requests.handleUnreached(unreached.target(), now, effects);
-		}
-		else if (event instanceof EntryEvent.AnswerStarted begun) {
-			this.requests.handleFirstEvent(begun.number(), now);
-		}
-		else if (event instanceof EntryEvent.AttemptEnded ended) {
-			this.requests.handleAttemptEnd(ended.number(), ended.attempt(), ended.end(), now, effects);
-		}
-		else if (event instanceof EntryEvent.CallerDisconnected gone) {
-			this.startupRequests.remove(gone.number());
-			this.requests.handleCallerDisconnected(gone.number(), now, effects);
-		}
-		else if (event instanceof EntryEvent.TimedOut timedOut) {
-			this.requests.handleTimeout(timedOut.number(), now, effects);
-		}
-		else if (event instanceof EntryEvent.TargetReported received) {
-			handleTargetReport(received, now, effects);
-		}
-		else if (event instanceof EntryEvent.TargetSilent silent) {
-			handleSilence(silent, now, effects);
-		}
-		else {
-			return handleProxyEvent(event, now, effects);
-		}
-		return true;
-	}
-
-	private boolean handleProxyEvent(EntryEvent event, Instant now, Effects effects) {
-		if (event instanceof EntryEvent.ProxiedRequestArrived arrived) {
-			this.groups.recordTraffic(now);
-			this.requests.handleProxiedRequest(arrived.number(), arrived.request(), isInitialized() && !isStopping(),
-					now, effects);
-		}
-		else if (event instanceof EntryEvent.ProxiedAttemptEnded ended) {
-			this.requests.handleProxiedAttemptEnd(ended, now, effects);
-		}
-		else if (event instanceof EntryEvent.OriginDisconnected gone) {
-			this.requests.handleOriginDisconnected(gone.number(), now, effects);
-		}
-		else if (event instanceof EntryEvent.ProxySilent silent) {
-			this.requests.handleSilentProxy(silent.node(), now, effects);
-		}
-		else if (event instanceof EntryEvent.AllTargetsSilent) {
-			this.requests.handleAllTargetsSilent(now, effects);
-		}
-		else {
-			return false;
-		}
-		return true;
-	}
-
-	private void handleTargetReport(EntryEvent.TargetReported told, Instant now, Effects effects) {
-		this.requests.handleTargetReport(told, now, effects);
-		if (told.report().leaving()) {
-			this.directoryUpdates.applyLeaving(told.target(), now, effects);
-		}
-	}
-
 	private boolean handleGroupEvent(EntryEvent event, Instant now, Effects effects) {
 		if (event instanceof EntryEvent.CommandAnswered answered) {
 			this.groups.handleCommandAnswer(answered.target(), answered.order(), answered.answer(), now, effects);
@@ -363,7 +227,7 @@
 		}
 		else if (event instanceof EntryEvent.ReportFailed failed) {
 			this.groups.handleReportFailure(failed.target(), failed.answer(),
-					this.requests.isPathInDoubt(failed.target(), now), now, effects);
+					this.requests.paths().isInDoubt(failed.target(), now), now, effects);
 		}
 		else if (event instanceof EntryEvent.LeaseAnswered answered) {
 			this.groups.handleLeaseAnswer(answered.answer(), now, effects);
@@ -384,7 +248,7 @@
 			applyConfiguration(received.configuration(), received.source(), now, effects);
 		}
 		else if (event instanceof EntryEvent.TargetsListed all) {
-			this.targetsListed = true;
+			this.stage.markTargetsListed();
 			this.directoryUpdates.recordStoreContact(true, now, effects);
 			this.relay.recordTargetList(all.revision(), now);
 			this.directoryUpdates.replaceAll(all.entries(), now, effects);
@@ -408,7 +272,7 @@
 			effects.log(LogEvent.SETTINGS_RELOADED, "node=" + read.settings().nodeName());
 		}
 		else if (event instanceof EntryEvent.StopRequested) {
-			this.stopRequestedAt = now;
+			this.stage.requestStop(now);
 			this.groups.stop(effects);
 		}
 		tick(now, effects);
@@ -435,7 +299,7 @@
 		return this.configuration.stream()
 			.flatMap((current) -> current.services().values().stream())
 			.filter((service) -> service.engines().isPresent())
-			.map((service) -> this.requests.cutOffFor(service.name(), now))
+			.map((service) -> this.requests.paths().cutOffFor(service.name(), now))
 			.max(Comparator.naturalOrder())
 			.orElse(Duration.ZERO);
 	}
@@ -444,17 +308,17 @@
 		this.storeUpdateLog.logReaderChange(now, effects);
 		this.directoryUpdates.dropMissing(now, effects);
 		this.requests.tick(now, effects);
-		releaseStartupRequests(now, effects);
+		this.requestEvents.releaseStartupRequests(now, effects);
 		this.configurationDistribution.requestMissing(now, effects);
 		tickGroups(now, effects);
-		if (this.loadAggregation.isSendDue(isStopping(), now)) {
+		if (this.loadAggregation.isSendDue(this.stage.isStopping(), now)) {
 			sendLoads(now, effects);
 		}
-		if (!isStopping()) {
+		if (!this.stage.isStopping()) {
 			this.configurationDistribution.sendPending(now, effects);
 		}
 		this.storeUpdates.sendProgressIfDue(nodeState(), now, effects);
-		boolean readyNow = isInitialized() && !isStopping();
+		boolean readyNow = this.stage.isInitialized() && !this.stage.isStopping();
 		if (readyNow != this.ready) {
 			this.ready = readyNow;
 			effects.add(new EntryEffect.SetReadiness(readyNow));
@@ -473,13 +337,14 @@
 		}
 		boolean first = this.configuration.isEmpty();
 		this.configuration = Optional.of(read);
+		this.stage.markConfigured();
 		this.relay.recordAppliedConfiguration(read.version());
 		this.requests.adopt(read);
 		effects.add(new EntryEffect.SetCallerLimits(read.limits()));
 		effects.log(LogEvent.CONFIGURATION_IN_FORCE, "version=" + read.version() + " routes=" + read.routes().size()
 				+ " told-by=" + source + " late-millis=" + this.configurationDistribution.timeBehind(now).toMillis());
 		this.configurationDistribution.recordApplied(read.version(), now);
-		if (!isStopping() && !first) {
+		if (!this.stage.isStopping() && !first) {
 			this.configurationDistribution.send(read.version(), now, effects);
 		}
 	}
--- a/src/test/java/sycamorehill/logic/dispatch/ProxiedRequestTests.java
+++ b/src/test/java/sycamorehill/logic/dispatch/ProxiedRequestTests.java
@@ -61,7 +61,7 @@
 	private void losePath() {
 		Effects effects = Effects.create();
 		for (String target : List.of("p0", "p1", "p2", "h0", "h1", "m0")) {
-			this.dispatcher.handleUnreached(TargetName.of(target), this.now, effects);
+			this.dispatcher.paths().handleUnreached(TargetName.of(target), this.now, effects);
 		}
 	}
 
@@ -73,8 +73,9 @@
 
 	private List<EntryEffect> endProxied(long number, int attempt, String target, AttemptEnd end) {
 		Effects effects = Effects.create();
-		this.dispatcher.handleProxiedAttemptEnd(new EntryEvent.ProxiedAttemptEnded(number, attempt,
-				Optional.ofNullable(target).map(TargetName::of), end), this.now, effects);
+		this.dispatcher.proxiedRequests()
+			.handleAttemptEnd(new EntryEvent.ProxiedAttemptEnded(number, attempt,
+					Optional.ofNullable(target).map(TargetName::of), end), this.now, effects);
 		return effects.all();
 	}
 
@@ -167,7 +168,7 @@
 		String first = proxy(arrive(1, "/stream/x")).orElseThrow();
 		this.dispatcher.handleFirstEvent(1, this.now);
 		Effects effects = Effects.create();
-		this.dispatcher.handleSilentProxy(first, this.now, effects);
+		this.dispatcher.proxiedRequests().handleSilentNode(first, this.now, effects);
 		assertThat(effects.all()).contains(new EntryEffect.CancelAttempt(1, 1));
 		assertThat(proxy(effects.all())).isPresent().isNotEqualTo(Optional.of(first));
 	}
@@ -190,7 +191,7 @@
 
 	private List<EntryEffect> arriveFromOtherNode(long number, ProxiedRequest request) {
 		Effects effects = Effects.create();
-		this.dispatcher.handleProxiedRequest(number, request, true, this.now, effects);
+		this.dispatcher.proxiedRequests().handleArrival(number, request, true, this.now, effects);
 		return effects.all();
 	}
 
@@ -221,7 +222,7 @@
 	@Test
 	void aStoppingNodeRefusesProxiedRequests() {
 		Effects effects = Effects.create();
-		this.dispatcher.handleProxiedRequest(1, order(), false, this.now, effects);
+		this.dispatcher.proxiedRequests().handleArrival(1, order(), false, this.now, effects);
 		assertThat(effects.all()).contains(end(1, null, new AttemptEnd.NotRun(NotRunCause.NODE_UNAVAILABLE)));
 	}
 
@@ -268,12 +269,27 @@
 				end(1, target.value(), new AttemptEnd.Broken("silent", true, false)));
 	}
 
+	// A content that was lost with one target and answered by the next is not suspect,
+	// and
+	// only the proxy has seen both.
+	@Test
+	void theProxyClearsAContentThatIsAnswered() {
+		arriveFromOtherNode(1, order());
+		Effects effects = Effects.create();
+		this.dispatcher.handleAttemptEnd(1, 1, new AttemptEnd.Unknown("connection closed", true), this.now, effects);
+		arriveFromOtherNode(2, order());
+		this.dispatcher.handleAttemptEnd(2, 1, new AttemptEnd.Delivered(200, Duration.ZERO), this.now, effects);
+		this.dispatcher.tick(this.now.plusMillis(300), effects);
+		assertThat(effects.all()).noneMatch((effect) -> effect instanceof EntryEffect.Broadcast broadcast
+				&& broadcast.message() instanceof NodeMessage.Suspicion);
+	}
+
 	@Test
 	void theTargetIsFreeAgainWhenTheOriginLeaves() {
 		List<EntryEffect> started = arriveFromOtherNode(1, order());
 		TargetName target = effects(started, EntryEffect.StartAttempt.class).findFirst().orElseThrow().target().name();
 		assertThat(this.dispatcher.countRequests(target, this.now)).isEqualTo(1);
-		this.dispatcher.handleOriginDisconnected(1, this.now, Effects.create());
+		this.dispatcher.proxiedRequests().handleOriginDisconnected(1, this.now, Effects.create());
 		assertThat(this.dispatcher.countRequests(target, this.now)).isZero();
 		assertThat(this.dispatcher.activeRequests()).isZero();
 	}
