--- a/src/main/java/sycamorehill/entry/EntryMetrics.java
+++ b/src/main/java/sycamorehill/entry/EntryMetrics.java
@@ -6,7 +6,7 @@
 import java.lang.management.ManagementFactory;
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
-import java.util.function.LongSupplier;
+import java.util.function.DoubleSupplier;
 
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
@@ -35,6 +35,8 @@
 		gauge("requests.active", reducer::activeRequests);
 		gauge("targets.known", reducer::knownTargets);
 		gauge("nodes.living", reducer::liveNodes);
+		gauge("retries.share", () -> reducer.retryShare().allowance());
+		gauge("retries.share-nodes", () -> reducer.retryShare().nodes());
 		gauge("configuration.version", reducer::configurationVersion);
 		gauge("store.reached", () -> reducer.isStoreReachable() ? 1 : 0);
 		gauge("process.heap-used-bytes", () -> ManagementFactory.getMemoryMXBean().getHeapMemoryUsage().getUsed());
@@ -45,8 +47,8 @@
 		return new EntryMetrics(reducer);
 	}
 
-	private void gauge(String name, LongSupplier value) {
-		this.registry.register(name, (Gauge<Long>) value::getAsLong);
+	private void gauge(String name, DoubleSupplier value) {
+		this.registry.register(name, (Gauge<Double>) value::getAsDouble);
 	}
 
 	/**
@@ -69,6 +71,15 @@
 			.ifPresent((time) -> recordTime("requests." + finished.service() + ".first-answer", time));
 	}
 
+	/**
+	 * Counts a decision of a retry budget.
+	 * @param decided the decision
+	 */
+	void countRetry(EntryEffect.RetryDecided decided) {
+		String outcome = decided.allowed() ? "allowed" : "refused";
+		this.registry.counter("retries." + decided.service() + '.' + outcome).inc();
+	}
+
 	private void recordTime(String name, Duration time) {
 		this.registry.timer(name, () -> new Timer(new HdrHistogramResetOnSnapshotReservoir()))
 			.update(time.toNanos(), TimeUnit.NANOSECONDS);
--- a/src/main/java/sycamorehill/entry/EntryNode.java
+++ b/src/main/java/sycamorehill/entry/EntryNode.java
@@ -248,6 +248,9 @@
 		else if (effect instanceof EntryEffect.Finished finished) {
 			this.metrics.recordAnswer(finished);
 		}
+		else if (effect instanceof EntryEffect.RetryDecided decided) {
+			this.metrics.countRetry(decided);
+		}
 		else if (effect instanceof EntryEffect.SetReadiness readiness) {
 			this.ready = readiness.ready();
 		}
--- a/src/main/java/sycamorehill/explain/RequestExplanation.java
+++ b/src/main/java/sycamorehill/explain/RequestExplanation.java
@@ -113,6 +113,8 @@
 		lastUntil(finalLine, sameNode.and((line) -> line.event().equals("STORE_CONTACT"))).ifPresent(contextLines::add);
 		lastUntil(finalLine, sameNode.and((line) -> line.event().equals("CONFIGURATION_IN_FORCE")))
 			.ifPresent(contextLines::add);
+		lastUntil(finalLine, sameNode.and((line) -> line.event().equals("RETRY_SHARE_CHANGED")))
+			.ifPresent(contextLines::add);
 		lastUntil(finalLine, sameNode.and((line) -> PATH_EVENTS.contains(line.event())
 				&& line.field("service").equals(finalLine.field("service"))))
 			.ifPresent(contextLines::add);
--- a/src/main/java/sycamorehill/logic/dispatch/AttemptScheduler.java
+++ b/src/main/java/sycamorehill/logic/dispatch/AttemptScheduler.java
@@ -185,7 +185,7 @@
 			}
 			case WRONG_TARGET, REFUSED -> {
 				request.countReachedTarget();
-				yield takeRetry(request, now);
+				yield takeRetry(request, now, effects);
 			}
 			case NODE_UNAVAILABLE -> true;
 			case NO_TARGET -> request.triedNodes().size() < MAXIMUM_NODES_WITHOUT_TARGET;
@@ -200,7 +200,7 @@
 
 	private void retryOrGiveUp(DispatchedRequest request, AttemptPlace place, String cause, boolean allowed,
 			Instant now, Effects effects) {
-		if (!allowed || !takeRetry(request, now)) {
+		if (!allowed || !takeRetry(request, now, effects)) {
 			giveUp(request, cause, now, effects);
 			return;
 		}
@@ -212,11 +212,17 @@
 	 * Takes a retry from the budget if the request may have one.
 	 * @param request the request
 	 * @param now the current time
+	 * @param effects receives the resulting effects
 	 * @return true if the request may be sent to another target
 	 */
-	boolean takeRetry(DispatchedRequest request, Instant now) {
-		return request.targetsReached() < request.route().maximumAttempts() && !request.timeLeft(now).isNegative()
-				&& this.retryBudgets.of(request.service()).tryRetry(now);
+	boolean takeRetry(DispatchedRequest request, Instant now, Effects effects) {
+		if (request.targetsReached() >= request.route().maximumAttempts() || request.timeLeft(now).isNegative()) {
+			return false;
+		}
+		boolean allowed = this.retryBudgets.of(request.service()).tryRetry(now);
+		request.setRetryRefused(!allowed);
+		effects.add(new EntryEffect.RetryDecided(request.service(), allowed));
+		return allowed;
 	}
 
 	void logRetry(DispatchedRequest request, AttemptPlace place, String cause, Instant now, Effects effects) {
@@ -249,7 +255,8 @@
 	void giveUp(DispatchedRequest request, String cause, Instant now, Effects effects) {
 		this.activeRequests.remove(request.request().number());
 		Duration restLeft = this.targetSelector.restLeft(request, this.configuration.get(), now);
-		String fullCause = restLeft.isZero() ? cause : cause + ", all targets rest";
+		String fullCause = cause + (request.retryRefused() ? ", the retry budget is used up" : "")
+				+ (restLeft.isZero() ? "" : ", all targets rest");
 		this.finalAnswers.giveUp(request, fullCause, restLeft, now, effects);
 	}
 
--- a/src/main/java/sycamorehill/logic/dispatch/DispatchedRequest.java
+++ b/src/main/java/sycamorehill/logic/dispatch/DispatchedRequest.java
@@ -59,6 +59,9 @@
 	 */
 	private boolean failureHeld;
 
+	/** Whether the retry budget has refused the last retry. */
+	private boolean retryRefused;
+
 	private Optional<Duration> timeToFirstAnswer = Optional.empty();
 
 	private DispatchedRequest(CallerRequest request, Route route, ServiceName service, Optional<Workspace> workspace,
@@ -163,6 +166,10 @@
 		this.failureHeld = true;
 	}
 
+	void setRetryRefused(boolean refused) {
+		this.retryRefused = refused;
+	}
+
 	void markAnswerStarted(Duration elapsed) {
 		this.timeToFirstAnswer = Optional.of(elapsed);
 	}
@@ -240,6 +247,10 @@
 		return this.failureHeld;
 	}
 
+	boolean retryRefused() {
+		return this.retryRefused;
+	}
+
 	boolean answerStarted() {
 		return this.timeToFirstAnswer.isPresent() || this.proxied.filter(ProxiedRequest::answerStarted).isPresent();
 	}
--- a/src/main/java/sycamorehill/logic/dispatch/RequestDispatcher.java
+++ b/src/main/java/sycamorehill/logic/dispatch/RequestDispatcher.java
@@ -176,12 +176,13 @@
 	}
 
 	/**
-	 * Tests and reports the paths to unreachable services, and confirms which contents
-	 * were lost with targets.
+	 * Tests and reports the paths to unreachable services, confirms which contents were
+	 * lost with targets, and logs the share of the retry budget.
 	 * @param now the current time
 	 * @param effects receives the resulting effects
 	 */
 	public void tick(Instant now, Effects effects) {
+		this.retryBudgets.logShare(now, effects);
 		this.paths.tick(now, effects);
 		this.crashSuspicions.tick(now, effects);
 	}
@@ -291,6 +292,14 @@
 		this.paths.proxySelector().updateNodes(peers);
 	}
 
+	/**
+	 * Returns this node's share of the retries of all nodes.
+	 * @return the share
+	 */
+	public RetryShare retryShare() {
+		return this.retryBudgets.share();
+	}
+
 	/**
 	 * Applies changed settings.
 	 * @param settings the settings
--- a/src/main/java/sycamorehill/logic/dispatch/RetryBudgets.java
+++ b/src/main/java/sycamorehill/logic/dispatch/RetryBudgets.java
@@ -1,9 +1,13 @@
 package sycamorehill.logic.dispatch;
 
+import java.time.Duration;
+import java.time.Instant;
 import java.util.HashMap;
 import java.util.Map;
 
+import sycamorehill.logic.Effects;
 import sycamorehill.model.identity.ServiceName;
+import sycamorehill.model.log.LogEvent;
 import sycamorehill.model.serving.EntrySettings;
 
 /**
@@ -25,12 +29,19 @@
 	 */
 	private static final int MINIMUM_NODES_PER_DATA_CENTRE = 2;
 
+	/** Minimum time between two log lines about the share: it may change often. */
+	private static final Duration MINIMUM_LOG_INTERVAL = Duration.ofSeconds(1);
+
 	private final Map<ServiceName, SlidingWindowRetryBudget> budgets = new HashMap<>();
 
 	private EntrySettings entrySettings;
 
 	private int nodeCount;
 
+	private RetryShare loggedShare = new RetryShare(0, 0);
+
+	private Instant loggedAt = Instant.MIN;
+
 	private RetryBudgets(EntrySettings entrySettings) {
 		this.entrySettings = entrySettings;
 		setNodeCount(1);
@@ -63,6 +74,24 @@
 		this.budgets.values().forEach((budget) -> budget.setBounds(this.entrySettings.retryRatio(), allowance()));
 	}
 
+	RetryShare share() {
+		return new RetryShare(allowance(), this.nodeCount);
+	}
+
+	/**
+	 * Logs this node's share if it has changed.
+	 * @param now the current time
+	 * @param effects receives the resulting effects
+	 */
+	void logShare(Instant now, Effects effects) {
+		if (!share().equals(this.loggedShare)
+				&& (this.loggedAt == Instant.MIN || !now.isBefore(this.loggedAt.plus(MINIMUM_LOG_INTERVAL)))) {
+			this.loggedShare = share();
+			this.loggedAt = now;
+			effects.log(LogEvent.RETRY_SHARE_CHANGED, "share=" + allowance() + " nodes=" + this.nodeCount);
+		}
+	}
+
 	private double allowance() {
 		return this.entrySettings.retryAllowance() * USED_ALLOWANCE_SHARE / this.nodeCount;
 	}
--- a/src/main/java/sycamorehill/logic/dispatch/StalledStreams.java
+++ b/src/main/java/sycamorehill/logic/dispatch/StalledStreams.java
@@ -77,7 +77,7 @@
 			if (request.proxied().isPresent()) {
 				endProxied(request, target, now, effects);
 			}
-			else if (this.scheduler.hasAlternative(request, now) && this.scheduler.takeRetry(request, now)) {
+			else if (this.scheduler.hasAlternative(request, now) && this.scheduler.takeRetry(request, now, effects)) {
 				effects.add(new EntryEffect.CancelAttempt(request.request().number(), request.attempts()));
 				this.targetSelector.status(target).recordEnded();
 				request.endAttempt();
@@ -96,7 +96,7 @@
 		this.proxySelector.eject(node, now);
 		effects.log(LogEvent.PROXY_SILENT, "node=" + node);
 		for (DispatchedRequest request : resumableStreams((each) -> each.proxy().filter(node::equals).isPresent())) {
-			if (this.scheduler.hasAlternative(request, now) && this.scheduler.takeRetry(request, now)) {
+			if (this.scheduler.hasAlternative(request, now) && this.scheduler.takeRetry(request, now, effects)) {
 				effects.add(new EntryEffect.CancelAttempt(request.request().number(), request.attempts()));
 				this.proxySelector.recordEnded(node);
 				request.endProxiedAttempt(Optional.empty());
--- a/src/main/java/sycamorehill/logic/entry/EntryReducer.java
+++ b/src/main/java/sycamorehill/logic/entry/EntryReducer.java
@@ -10,6 +10,7 @@
 import sycamorehill.logic.Effects;
 import sycamorehill.logic.directory.TargetDirectory;
 import sycamorehill.logic.dispatch.RequestDispatcher;
+import sycamorehill.logic.dispatch.RetryShare;
 import sycamorehill.logic.layout.GroupController;
 import sycamorehill.model.log.LogEvent;
 import sycamorehill.model.serving.Configuration;
@@ -409,6 +410,14 @@
 		return this.liveNodes;
 	}
 
+	/**
+	 * Returns this node's share of the retries of all nodes.
+	 * @return the share
+	 */
+	public RetryShare retryShare() {
+		return this.requests.retryShare();
+	}
+
 	/**
 	 * Returns the version of the configuration in effect.
 	 * @return the version, 0 before the first configuration
--- a/src/main/java/sycamorehill/model/log/LogEvent.java
+++ b/src/main/java/sycamorehill/model/log/LogEvent.java
@@ -174,7 +174,10 @@
 	PROXIED_REQUEST_ENDED(1911, LogLevel.INFO),
 
 	/** A node through which streams are sent has stopped sending. */
-	PROXY_SILENT(1912, LogLevel.WARN);
+	PROXY_SILENT(1912, LogLevel.WARN),
+
+	/** The node's share of the retries that all nodes may send together has changed. */
+	RETRY_SHARE_CHANGED(1913, LogLevel.INFO);
 
 	private final int number;
 
--- a/src/main/java/sycamorehill/model/serving/EntryEffect.java
+++ b/src/main/java/sycamorehill/model/serving/EntryEffect.java
@@ -305,6 +305,15 @@
 
 	}
 
+	/**
+	 * Records that the retry budget of a service has allowed or refused a retry.
+	 *
+	 * @param service the service
+	 * @param allowed whether the retry may be sent
+	 */
+	record RetryDecided(ServiceName service, boolean allowed) implements EntryEffect {
+	}
+
 	/**
 	 * Writes a log line.
 	 *
--- a/src/test/java/sycamorehill/entry/EntryNodeTests.java
+++ b/src/test/java/sycamorehill/entry/EntryNodeTests.java
@@ -135,6 +135,15 @@
 		assertThat(metricsPage("/other")).startsWith("HTTP/1.1 404");
 	}
 
+	// The only target fails, so its retry is allowed and finds no other target.
+	@Test
+	void metricsCountRetriesAndShowTheShareOfTheBudget() throws Exception {
+		start((request) -> SIGNED_ANSWER.replace("200 OK", "500 Error"));
+		ask(request("GET", "/again/x", "\r\n"));
+		assertThat(metricsPage("/metrics")).contains("retries_desk_allowed 1.0", "retries_share 21.0",
+				"retries_share_nodes 2.0");
+	}
+
 	private String metricsPage(String path) throws IOException {
 		try (Socket socket = new Socket("127.0.0.1", this.settings.peerAddress().port())) {
 			socket.setSoTimeout(3000);
--- a/src/test/java/sycamorehill/explain/RequestExplanationTests.java
+++ b/src/test/java/sycamorehill/explain/RequestExplanationTests.java
@@ -39,8 +39,14 @@
 			line("one",
 					"2026-12-03T03:00:07.400Z INFO SYC-1911 PROXIED_REQUEST_ENDED request=d4 route=r service=s"
 							+ " attempts=1 millis=399 origin=two target=i-3 end=Delivered"),
-			line("two", "2026-12-03T03:00:07.401Z INFO SYC-1901 REQUEST_SERVED request=d4 route=r service=s attempts=1"
-					+ " millis=401 target=i-3 node=one status=200 first-millis=180 pause-millis=60"));
+			line("two",
+					"2026-12-03T03:00:07.401Z INFO SYC-1901 REQUEST_SERVED request=d4 route=r service=s attempts=1"
+							+ " millis=401 target=i-3 node=one status=200 first-millis=180 pause-millis=60"),
+			line("two", "2026-12-03T03:00:08.000Z INFO SYC-1913 RETRY_SHARE_CHANGED share=10.5 nodes=4"),
+			line("two",
+					"2026-12-03T03:00:09.000Z WARN SYC-1902 REQUEST_REFUSED request=e5 route=r service=s attempts=1"
+							+ " millis=1 cause='not run by i-1: REFUSED, the retry budget is used up'"
+							+ " come-back-millis=564"));
 
 	private static RequestExplanation.SourceLine line(String file, String text) {
 		return new RequestExplanation.SourceLine(file, text);
@@ -79,6 +85,14 @@
 		assertThat(output).last().isEqualTo("cause: refused, not run: all targets are full");
 	}
 
+	@Test
+	void reportsThatARetryWasRefusedAndTheShareOfItsNode() {
+		List<String> output = explanation("e5");
+		assertThat(output).anyMatch((text) -> text.contains("RETRY_SHARE_CHANGED share=10.5 nodes=4"));
+		assertThat(output).last()
+			.isEqualTo("cause: refused, not run: not run by i-1: REFUSED, the retry budget is used up");
+	}
+
 	@Test
 	void reportsAnUnknownOutcome() {
 		assertThat(explanation("c3")).last().isEqualTo("cause: failed (unknown): time is over");
--- a/src/test/java/sycamorehill/logic/dispatch/RequestDispatcherTests.java
+++ b/src/test/java/sycamorehill/logic/dispatch/RequestDispatcherTests.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
+import java.util.stream.Collectors;
 import java.util.stream.LongStream;
 import java.util.stream.Stream;
 
@@ -16,6 +17,8 @@
 import sycamorehill.logic.Effects;
 import sycamorehill.logic.directory.TargetDirectory;
 import sycamorehill.model.identity.TargetName;
+import sycamorehill.model.log.LogEvent;
+import sycamorehill.model.log.LogLine;
 import sycamorehill.model.serving.AttemptEnd;
 import sycamorehill.model.serving.CallerRequest;
 import sycamorehill.model.serving.EntryEffect;
@@ -383,4 +386,55 @@
 		assertThat(answer(effects.all()).status()).isEqualTo(503);
 	}
 
+	private static String logged(List<EntryEffect> effects, LogEvent event) {
+		return effects.stream()
+			.filter(EntryEffect.Log.class::isInstance)
+			.map((effect) -> ((EntryEffect.Log) effect).line())
+			.filter((line) -> line.event() == event)
+			.map(LogLine::detail)
+			.collect(Collectors.joining("\n"));
+	}
+
+	private static List<Boolean> retryDecisions(List<EntryEffect> effects) {
+		return effects.stream()
+			.filter(EntryEffect.RetryDecided.class::isInstance)
+			.map((effect) -> ((EntryEffect.RetryDecided) effect).allowed())
+			.toList();
+	}
+
+	@Test
+	void aRefusalSaysThatTheRetryBudgetIsUsedUp() {
+		AttemptEnd refused = new AttemptEnd.NotRun(NotRunCause.REFUSED);
+		List<EntryEffect> last = List.of();
+		for (long number = 1; number <= 40; number++) {
+			arrive(number, "/stream/" + number);
+			last = end(number, 1, refused);
+			end(number, 2, refused);
+			this.now = this.now.plusMillis(61);
+		}
+		assertThat(retryDecisions(last)).containsExactly(false);
+		assertThat(logged(last, LogEvent.REQUEST_REFUSED)).contains("REFUSED, the retry budget is used up'");
+	}
+
+	@Test
+	void aChangedShareOfTheRetryBudgetIsLoggedOnceASecondAtMost() {
+		int lines = 0;
+		for (int change = 0; change < 40; change++) {
+			Effects effects = Effects.create();
+			this.dispatcher.updateNodes(10 + change, List.of(), this.now, effects);
+			this.dispatcher.tick(this.now, effects);
+			lines += logged(effects.all(), LogEvent.RETRY_SHARE_CHANGED).isEmpty() ? 0 : 1;
+			this.now = this.now.plusMillis(100);
+		}
+		assertThat(lines).isEqualTo(4);
+		Effects later = Effects.create();
+		this.now = this.now.plusSeconds(1);
+		this.dispatcher.tick(this.now, later);
+		assertThat(logged(later.all(), LogEvent.RETRY_SHARE_CHANGED)).contains("nodes=49");
+		Effects unchanged = Effects.create();
+		this.now = this.now.plusSeconds(5);
+		this.dispatcher.tick(this.now, unchanged);
+		assertThat(logged(unchanged.all(), LogEvent.RETRY_SHARE_CHANGED)).isEmpty();
+	}
+
 }
