--- a/src/test/java/sycamorehill/logic/dispatch/SlidingWindowRetryBudgetTests.java
+++ b/src/test/java/sycamorehill/logic/dispatch/SlidingWindowRetryBudgetTests.java
@@ -6,6 +6,8 @@
 
 import org.junit.jupiter.api.Test;
 
+import sycamorehill.support.RetryCount;
+
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
@@ -38,6 +40,51 @@
 		}
 	}
 
+	private static final RetryCount.Bound BOUND = new RetryCount.Bound(Duration.ofSeconds(10), 0.2, 5);
+
+	private final RetryCount count = new RetryCount();
+
+	private Instant now = Instant.ofEpochSecond(50);
+
+	private long lastRequest;
+
+	// All requests fail from some moment on: what was asked before the window would be
+	// weighed against the retries in it.
+	@Test
+	void aWindowAllowsNoRetriesForRequestsOutsideOfIt() {
+		SlidingWindowRetryBudget budget = SlidingWindowRetryBudget.of(Duration.ofSeconds(10), 0.2, 5);
+		run(budget, Duration.ofSeconds(30), false);
+		run(budget, Duration.ofSeconds(30), true);
+		assertThat(this.count.evaluate(BOUND).worst()).isEmpty();
+	}
+
+	// Each process would weigh the requests before its last retries, and together they
+	// would weigh more requests than there are in any window.
+	@Test
+	void processesThatFollowEachOtherKeepToTheBoundOfOne() {
+		SlidingWindowRetryBudget first = SlidingWindowRetryBudget.of(Duration.ofSeconds(10), 0.2, 5);
+		run(first, Duration.ofSeconds(30), false);
+		run(first, Duration.ofSeconds(3), true);
+		for (int process = 0; process < 5; process++) {
+			SlidingWindowRetryBudget next = SlidingWindowRetryBudget.of(Duration.ofSeconds(10), 0.2, 0);
+			run(next, Duration.ofSeconds(4), true);
+		}
+		assertThat(this.count.evaluate(BOUND).worst()).isEmpty();
+	}
+
+	// Sends fifty requests a second, each at once to a second target if it fails.
+	private void run(SlidingWindowRetryBudget budget, Duration time, boolean failing) {
+		for (Instant end = this.now.plus(time); this.now.isBefore(end); this.now = this.now.plusMillis(20)) {
+			long request = ++this.lastRequest;
+			this.count.recordRequest(this.now);
+			budget.recordRequest(this.now);
+			this.count.recordArrival(request, this.now);
+			if (failing && budget.tryRetry(this.now)) {
+				this.count.recordArrival(request, this.now);
+			}
+		}
+	}
+
 	private static int sum(int[] counts, int from) {
 		int sum = 0;
 		for (int index = from; index < from + 100; index++) {
