Weigh the retries of a window against its own requests only

Callers' requests reached targets again more often than allowed: 10 s of retries were weighed against up to 11 s of requests, because the oldest tenth counts as long as any part of it lies in the window. That errs towards fewer retries for the retries in it, and towards more for the requests.

The requests of a tenth that lies only partly in the window don't count any more, so its whole requests are in each window that contains the retry.

--- a/src/main/java/sycamorehill/logic/dispatch/SlidingWindowRetryBudget.java
+++ b/src/main/java/sycamorehill/logic/dispatch/SlidingWindowRetryBudget.java
@@ -11,13 +11,15 @@
  * nodes share.
  *
  * The bound holds for a window that slides, so at every moment it covers what was counted
- * within the window's length. Counts are kept per tenth of the window, which errs towards
- * fewer retries.
+ * within the window's length. Counts are kept per tenth of the window. A tenth that lies
+ * only partly within it counts with its retries and without its requests.
  */
 final class SlidingWindowRetryBudget {
 
 	private static final int BUCKETS = 10;
 
+	private final Duration window;
+
 	private final Duration bucketLength;
 
 	private double ratio;
@@ -27,6 +29,7 @@
 	private final Deque<Bucket> buckets = new ArrayDeque<>();
 
 	private SlidingWindowRetryBudget(Duration window, double ratio, double allowance) {
+		this.window = window;
 		this.bucketLength = window.dividedBy(BUCKETS);
 		this.ratio = ratio;
 		this.allowance = allowance;
@@ -64,10 +67,11 @@
 	 */
 	boolean tryRetry(Instant now) {
 		Bucket currentBucket = currentBucket(now);
+		Instant windowStart = now.minus(this.window);
 		int requests = 0;
 		int retries = 0;
 		for (Bucket bucket : this.buckets) {
-			requests += bucket.requests;
+			requests += bucket.start.isBefore(windowStart) ? 0 : bucket.requests;
 			retries += bucket.retries;
 		}
 		if (retries + 1 > this.ratio * requests + this.allowance) {
