--- a/src/test/java/sycamorehill/logic/entry/RetryBudgetOfAllNodesTests.java
+++ b/src/test/java/sycamorehill/logic/entry/RetryBudgetOfAllNodesTests.java
@@ -26,6 +26,8 @@
 
 	private static final RetryBudgetWorld.Site NINE_NODES = SITES.get(1);
 
+	private static final RetryBudgetWorld.Site TWENTY_NODES = SITES.get(3);
+
 	/** From the start of the nodes to the first request. */
 	private static final Duration LEAD = Duration.ofSeconds(15);
 
@@ -57,7 +59,10 @@
 		world.run(Duration.ofSeconds(3));
 		world.setRefusedShare(0.7);
 		world.run(Duration.ofSeconds(3));
-		world.nodes().stream().limit(7).forEach((node) -> world.kill(node, Duration.ofMillis(500)));
+		for (int kill = 0; kill < 3; kill++) {
+			world.nodes().stream().limit(7).forEach((node) -> world.kill(node, Duration.ofMillis(500)));
+			world.run(Duration.ofMillis(2500));
+		}
 		world.run(Duration.ofSeconds(14));
 		assertWithinBound(world);
 	}
@@ -67,11 +72,11 @@
 	@ParameterizedTest
 	@ValueSource(ints = { 1, 2, 3, 4 })
 	void nodesThatAreCutOffFromEachOtherDoNotSpendMoreThanTheirShares(int seed) {
-		RetryBudgetWorld world = start(NINE_NODES, seed);
+		RetryBudgetWorld world = start(TWENTY_NODES, seed);
 		world.run(Duration.ofSeconds(3));
 		world.setRefusedShare(0.7);
 		world.run(Duration.ofSeconds(1));
-		world.nodes().stream().limit(6).forEach((node) -> world.cut(List.of(node), false, Duration.ofSeconds(20)));
+		world.nodes().stream().limit(15).forEach((node) -> world.cut(List.of(node), false, Duration.ofSeconds(20)));
 		world.run(Duration.ofSeconds(22));
 		assertWithinBound(world);
 	}
