Count the requests of a window in the same way in all processes

Callers' requests reached targets again more often than allowed when nodes were killed: each process weighed its retries against the requests of the window length before its last retry. In a window that begins at the failure and in which the process is killed, these are mostly requests before the window; its successor counts those in the window. The rule counts either, not both. Class: a bound over all processes, where each takes its own best view of it.

Now each retry is checked against every window that contains it, by the bucket in which the window begins, and the requests of a window are half of those in it and half of those in the window before it, for each process alike. Only requests in the window would give a process without a share none for its first retry; only those before it would give a new process none for a whole window.

--- a/src/main/java/sycamorehill/logic/dispatch/SlidingWindowRetryBudget.java
+++ b/src/main/java/sycamorehill/logic/dispatch/SlidingWindowRetryBudget.java
@@ -6,31 +6,32 @@
 import java.util.Deque;
 
 /**
- * Limits the retries that this node sends to one service, so that all nodes together stay
- * within the service's bound: a ratio of its requests, plus a fixed allowance that the
- * nodes share.
+ * Limits the retries that this process sends to one service, so that all processes
+ * together stay within the service's bound: in every window, a ratio of its requests plus
+ * a fixed allowance that the nodes share.
  *
- * The bound holds for a window that slides, so at every moment it covers what was counted
- * within the window's length. Counts are kept per tenth of the window. A tenth that lies
- * only partly within it counts with its retries and without its requests.
+ * The requests of a window are half of those in it and half of those in the window before
+ * it. Of each window, all processes must count the same requests: if a process that ends
+ * counted those before the window, and its successor those in it, both together would
+ * send twice as many retries as allowed.
  */
 final class SlidingWindowRetryBudget {
 
-	private static final int BUCKETS = 10;
+	private static final int BUCKETS_PER_WINDOW = 100;
 
 	private final Duration window;
 
-	private final Duration bucketLength;
+	private final BucketCounts requests;
+
+	private final Deque<Instant> retries = new ArrayDeque<>();
 
 	private double ratio;
 
 	private double allowance;
 
-	private final Deque<Bucket> buckets = new ArrayDeque<>();
-
 	private SlidingWindowRetryBudget(Duration window, double ratio, double allowance) {
 		this.window = window;
-		this.bucketLength = window.dividedBy(BUCKETS);
+		this.requests = BucketCounts.of(window.dividedBy(BUCKETS_PER_WINDOW), 2 * BUCKETS_PER_WINDOW + 1);
 		this.ratio = ratio;
 		this.allowance = allowance;
 	}
@@ -57,7 +58,7 @@
 	}
 
 	void recordRequest(Instant now) {
-		currentBucket(now).requests++;
+		this.requests.increment(now);
 	}
 
 	/**
@@ -66,49 +67,44 @@
 	 * @return true if the retry may be sent
 	 */
 	boolean tryRetry(Instant now) {
-		Bucket currentBucket = currentBucket(now);
-		Instant windowStart = now.minus(this.window);
-		int requests = 0;
-		int retries = 0;
-		for (Bucket bucket : this.buckets) {
-			requests += bucket.start.isBefore(windowStart) ? 0 : bucket.requests;
-			retries += bucket.retries;
+		while (!this.retries.isEmpty() && this.retries.peekFirst().isBefore(now.minus(this.window))) {
+			this.retries.removeFirst();
 		}
-		if (retries + 1 > this.ratio * requests + this.allowance) {
+		if (!allowsRetry(now)) {
 			return false;
 		}
-		currentBucket.retries++;
+		this.retries.addLast(now);
 		return true;
 	}
 
-	private Bucket currentBucket(Instant now) {
-		while (!this.buckets.isEmpty()
-				&& this.buckets.peekFirst().start.plus(this.bucketLength.multipliedBy(BUCKETS + 1)).isBefore(now)) {
-			this.buckets.removeFirst();
-		}
-		Bucket last = this.buckets.peekLast();
-		if (last == null || !last.start.plus(this.bucketLength).isAfter(now)) {
-			last = new Bucket(now);
-			this.buckets.addLast(last);
+	// Checks the windows that contain this moment by the bucket in which they begin, from
+	// the newest to the oldest. A bucket that lies only partly in a window counts with
+	// its retries and without its requests.
+	private boolean allowsRetry(Instant now) {
+		long newest = this.requests.bucket(now);
+		int[] sent = countRetriesByAge(newest);
+		int inWindow = 0;
+		int before = this.requests.sum(newest - BUCKETS_PER_WINDOW + 1, newest);
+		int retriesInWindow = 0;
+		for (int age = 0; age <= BUCKETS_PER_WINDOW; age++) {
+			long first = newest - age;
+			retriesInWindow += sent[age];
+			if (retriesInWindow + 1 > this.ratio * (inWindow + before) / 2 + this.allowance) {
+				return false;
+			}
+			inWindow += this.requests.get(first);
+			before += this.requests.get(first - BUCKETS_PER_WINDOW) - this.requests.get(first - 1);
 		}
-		return last;
+		return true;
 	}
 
-	/**
-	 * The counts of one tenth of the window.
-	 */
-	private static final class Bucket {
-
-		private final Instant start;
-
-		private int requests;
-
-		private int retries;
-
-		Bucket(Instant start) {
-			this.start = start;
+	private int[] countRetriesByAge(long newest) {
+		int[] counts = new int[BUCKETS_PER_WINDOW + 1];
+		for (Instant sentAt : this.retries) {
+			int age = (int) (newest - this.requests.bucket(sentAt));
+			counts[Math.min(age, BUCKETS_PER_WINDOW)]++;
 		}
-
+		return counts;
 	}
 
 }
