Let a new process wait for a window before it spends its share of the retries

Callers' requests reached targets again more often than allowed when nodes were killed: the window of the retry budget lies in the process, so a restarted node began with an empty one and a whole share, though the process before it had spent the share in the same window. n restarts in a window spent n + 1 shares.

Now a process has no share until a window, and a second in which the last retries may still arrive, have passed since its start. Until then it keeps to the ratio of its requests. Weighed: what other nodes know of the process before it (lost with a cut, and with all nodes killed at once); what is spent kept in the store (a write for each retry). A calm start of all nodes loses nothing, as callers come later than that.

Tests that need a retry at once start their process earlier or wait for its share; what they check is unchanged.

--- a/src/main/java/sycamorehill/entry/EntryMetrics.java
+++ b/src/main/java/sycamorehill/entry/EntryMetrics.java
@@ -35,7 +35,7 @@
 		gauge("requests.active", reducer::activeRequests);
 		gauge("targets.known", reducer::knownTargets);
 		gauge("nodes.living", reducer::liveNodes);
-		gauge("retries.share", () -> reducer.retryShare().allowance());
+		gauge("retries.share", () -> reducer.retryShare().retries());
 		gauge("retries.share-nodes", () -> reducer.retryShare().nodes());
 		gauge("configuration.version", reducer::configurationVersion);
 		gauge("store.reached", () -> reducer.isStoreReachable() ? 1 : 0);
--- a/src/main/java/sycamorehill/logic/dispatch/RequestDispatcher.java
+++ b/src/main/java/sycamorehill/logic/dispatch/RequestDispatcher.java
@@ -280,18 +280,25 @@
 	}
 
 	/**
-	 * Divides the retry budgets and the rate limits among the current nodes.
+	 * Divides the rate limits among the current nodes.
 	 * @param liveNodes number of live nodes, including this one
 	 * @param peers the other nodes, as far as each is known
 	 * @param now the current time
 	 * @param effects receives the resulting effects
 	 */
 	public void updateNodes(int liveNodes, List<NodeRecord> peers, Instant now, Effects effects) {
-		this.retryBudgets.setNodeCount(liveNodes);
 		this.targetSelector.updateNodes(liveNodes, peers, now, effects);
 		this.paths.proxySelector().updateNodes(peers);
 	}
 
+	/**
+	 * Changes this node's share of the retries of all nodes.
+	 * @param share the share
+	 */
+	public void updateRetryShare(RetryShare share) {
+		this.retryBudgets.updateShare(share);
+	}
+
 	/**
 	 * Returns this node's share of the retries of all nodes.
 	 * @return the share
--- a/src/main/java/sycamorehill/logic/dispatch/RetryBudgets.java
+++ b/src/main/java/sycamorehill/logic/dispatch/RetryBudgets.java
@@ -11,71 +11,61 @@
 import sycamorehill.model.serving.EntrySettings;
 
 /**
- * Holds this node's share of the retry budget of each service. All nodes together must
- * stay within a bound. They do not coordinate each retry, but divide the fixed allowance
- * by the number of live nodes.
+ * Holds this node's part of the retry budget of each service. All nodes together must
+ * stay within a bound. They do not coordinate each retry, but each has a share of the
+ * fixed allowance.
  */
 final class RetryBudgets {
 
-	/**
-	 * Share of the allowance that is used: nodes learn of each other with a delay, and
-	 * arrivals that were cancelled on the way count too.
-	 */
-	private static final double USED_ALLOWANCE_SHARE = 0.7;
-
-	/**
-	 * Minimum number of nodes that is assumed in each data centre: a node that has just
-	 * started knows no other node yet, and all may start at once.
-	 */
-	private static final int MINIMUM_NODES_PER_DATA_CENTRE = 2;
-
 	/** Minimum time between two log lines about the share: it may change often. */
 	private static final Duration MINIMUM_LOG_INTERVAL = Duration.ofSeconds(1);
 
 	private final Map<ServiceName, SlidingWindowRetryBudget> budgets = new HashMap<>();
 
-	private EntrySettings entrySettings;
+	private EntrySettings settings;
 
-	private int nodeCount;
+	private RetryShare share = RetryShare.NONE;
 
-	private RetryShare loggedShare = new RetryShare(0, 0);
+	private RetryShare loggedShare = RetryShare.NONE;
 
 	private Instant loggedAt = Instant.MIN;
 
-	private RetryBudgets(EntrySettings entrySettings) {
-		this.entrySettings = entrySettings;
-		setNodeCount(1);
+	private RetryBudgets(EntrySettings settings) {
+		this.settings = settings;
 	}
 
-	static RetryBudgets of(EntrySettings entrySettings) {
-		return new RetryBudgets(entrySettings);
+	/**
+	 * Creates budgets without a share of the allowance.
+	 * @param settings the node's settings
+	 * @return the budgets
+	 */
+	static RetryBudgets of(EntrySettings settings) {
+		return new RetryBudgets(settings);
 	}
 
 	SlidingWindowRetryBudget of(ServiceName service) {
-		return this.budgets.computeIfAbsent(service, (name) -> SlidingWindowRetryBudget
-			.of(this.entrySettings.retryWindow(), this.entrySettings.retryRatio(), allowance()));
+		return this.budgets.computeIfAbsent(service, (name) -> SlidingWindowRetryBudget.of(this.settings.retryWindow(),
+				this.settings.retryRatio(), this.share.retries()));
 	}
 
-	/**
-	 * Divides the allowance among the live nodes.
-	 * @param liveNodes number of live nodes
-	 */
-	void setNodeCount(int liveNodes) {
-		this.nodeCount = Math.max(liveNodes, MINIMUM_NODES_PER_DATA_CENTRE * this.entrySettings.dataCentres().size());
-		applyBounds();
+	void updateShare(RetryShare newShare) {
+		if (!newShare.equals(this.share)) {
+			this.share = newShare;
+			applyBounds();
+		}
 	}
 
 	void updateSettings(EntrySettings newSettings) {
-		this.entrySettings = newSettings;
+		this.settings = newSettings;
 		applyBounds();
 	}
 
 	private void applyBounds() {
-		this.budgets.values().forEach((budget) -> budget.setBounds(this.entrySettings.retryRatio(), allowance()));
+		this.budgets.values().forEach((budget) -> budget.setBounds(this.settings.retryRatio(), this.share.retries()));
 	}
 
 	RetryShare share() {
-		return new RetryShare(allowance(), this.nodeCount);
+		return this.share;
 	}
 
 	/**
@@ -84,16 +74,12 @@
 	 * @param effects receives the resulting effects
 	 */
 	void logShare(Instant now, Effects effects) {
-		if (!share().equals(this.loggedShare)
+		if (!this.share.equals(this.loggedShare)
 				&& (this.loggedAt == Instant.MIN || !now.isBefore(this.loggedAt.plus(MINIMUM_LOG_INTERVAL)))) {
-			this.loggedShare = share();
+			this.loggedShare = this.share;
 			this.loggedAt = now;
-			effects.log(LogEvent.RETRY_SHARE_CHANGED, "share=" + allowance() + " nodes=" + this.nodeCount);
+			effects.log(LogEvent.RETRY_SHARE_CHANGED, "share=" + this.share.retries() + " nodes=" + this.share.nodes());
 		}
 	}
 
-	private double allowance() {
-		return this.entrySettings.retryAllowance() * USED_ALLOWANCE_SHARE / this.nodeCount;
-	}
-
 }
--- a/src/main/java/sycamorehill/logic/dispatch/RetryShare.java
+++ b/src/main/java/sycamorehill/logic/dispatch/RetryShare.java
@@ -4,9 +4,12 @@
  * This node's share of the retries that all nodes together may send to a service beyond
  * the ratio of its requests.
  *
- * @param allowance number of retries in a window
+ * @param retries number of retries in a window
  * @param nodes number of nodes among which the retries are divided
  */
-public record RetryShare(double allowance, int nodes) {
+public record RetryShare(double retries, int nodes) {
+
+	/** The share of a node that may send no retry beyond the ratio. */
+	public static final RetryShare NONE = new RetryShare(0, 0);
 
 }
--- a/src/main/java/sycamorehill/logic/entry/EntryReducer.java
+++ b/src/main/java/sycamorehill/logic/entry/EntryReducer.java
@@ -58,6 +58,8 @@
 
 	private final PeerNodes peers;
 
+	private final RetryShares retryShares;
+
 	private final LoadAggregation loadAggregation;
 
 	private final ConfigurationDistribution configurationDistribution;
@@ -89,6 +91,7 @@
 	private EntryReducer(EntrySettings settings, String self, RandomGenerator random, Instant started) {
 		this.settings = settings;
 		this.peers = PeerNodes.of(settings.toNodeRecord());
+		this.retryShares = RetryShares.of(settings, started);
 		this.relay = StoreRelay.of(settings.nodeName(), settings.dataCentre(), this.peers::takesPrecedence);
 		this.storeUpdateLog = StoreUpdateLog.of(settings.nodeName(), this.relay, this.directory);
 		this.configurationDistribution = ConfigurationDistribution.of(settings.nodeName(), this.peers, this.relay);
@@ -270,6 +273,7 @@
 		}
 		else if (event instanceof EntryEvent.SettingsRead read) {
 			this.requests.updateSettings(read.settings());
+			this.retryShares.updateSettings(read.settings());
 			effects.log(LogEvent.SETTINGS_RELOADED, "node=" + read.settings().nodeName());
 		}
 		else if (event instanceof EntryEvent.StopRequested) {
@@ -308,6 +312,7 @@
 	private void tick(Instant now, Effects effects) {
 		this.storeUpdateLog.logReaderChange(now, effects);
 		this.directoryUpdates.dropMissing(now, effects);
+		this.requests.updateRetryShare(this.retryShares.share(this.liveNodes, now));
 		this.requests.tick(now, effects);
 		this.requestEvents.releaseStartupRequests(now, effects);
 		this.configurationDistribution.requestMissing(now, effects);
--- a/src/test/java/sycamorehill/entry/NodesWithoutPathTests.java
+++ b/src/test/java/sycamorehill/entry/NodesWithoutPathTests.java
@@ -203,6 +203,7 @@
 			boolean breaks = request.contains("Attempt-Id: broken") && !resumed;
 			return LoopbackCluster.events(request, resumed ? 3 : 1, breaks ? 2 : 4, !breaks);
 		}, "one", "two");
+		this.cluster.awaitRetryShare("one");
 		cutOff("one");
 		String answer = this.cluster.ask("one", "/stream/x", "broken");
 		assertThat(answer).startsWith("HTTP/1.1 200").endsWith("0\r\n\r\n");
