Divide the retries of all nodes among the registered ones that count each other

Callers' requests reached targets again more often than allowed when nodes were cut off from each other: each divided the allowance by the nodes it heard of, so both ends of a cut raised their shares after 5 s, though those out of hearing had spent theirs in the same window and went on. Class: a bound over all nodes that is divided by what each node sees of them.

Now the allowance is divided among the nodes that are registered in the store. A node has no share until each node that registered before it has confirmed that it counts it, and a window has passed since; those that register later find it in their lists. Of any two nodes that spend each then counts the other, so the one that divides by the fewest divides by no fewer than spend: the sum holds whatever is lost, late, cut, killed or restarted. A silent node stays counted. A node that stops gives its share up before it deregisters, and is counted for another window. Retries are dealt in whole numbers, so that a share of less than one goes to some nodes whole instead of being of use to none. Introductions, sent once so far, are repeated each second until they are confirmed.

--- a/src/main/java/sycamorehill/entry/EntryMetrics.java
+++ b/src/main/java/sycamorehill/entry/EntryMetrics.java
@@ -37,6 +37,7 @@
 		gauge("nodes.living", reducer::liveNodes);
 		gauge("retries.share", () -> reducer.retryShare().retries());
 		gauge("retries.share-nodes", () -> reducer.retryShare().nodes());
+		gauge("retries.share-unconfirmed", () -> reducer.retryShare().unconfirmedNodes());
 		gauge("configuration.version", reducer::configurationVersion);
 		gauge("store.reached", () -> reducer.isStoreReachable() ? 1 : 0);
 		gauge("process.heap-used-bytes", () -> ManagementFactory.getMemoryMXBean().getHeapMemoryUsage().getUsed());
--- a/src/main/java/sycamorehill/entry/NodeMessageFields.java
+++ b/src/main/java/sycamorehill/entry/NodeMessageFields.java
@@ -103,6 +103,8 @@
 			case TARGETS_SEEN ->
 				TargetCodec.write(((NodeMessage.TargetsObserved) message).changes(), body.putArray(CHANGES));
 			case INTRODUCTION -> writeNode((NodeMessage.Introduction) message, body);
+			case INTRODUCTION_CONFIRMED -> {
+			}
 			case LEASE_GIVEN_UP -> body.put(HOLDER, ((NodeMessage.LeaseReleased) message).holder());
 			case SILENCE -> writeTarget(((NodeMessage.Silence) message).target(), body);
 			case SILENCE_CONFIRMED -> writeTarget(((NodeMessage.SilenceConfirmed) message).target(), body);
@@ -127,6 +129,7 @@
 				new NodeMessage.ConfigurationRequest(sender, body.path(CONFIGURATION).asLong());
 			case TARGETS_SEEN -> new NodeMessage.TargetsObserved(sender, TargetCodec.read(body.path(CHANGES)));
 			case INTRODUCTION -> readNode(sender, body);
+			case INTRODUCTION_CONFIRMED -> new NodeMessage.IntroductionConfirmed(sender);
 			case LEASE_GIVEN_UP -> new NodeMessage.LeaseReleased(sender, body.path(HOLDER).asText());
 			case SILENCE -> new NodeMessage.Silence(sender, readTarget(body));
 			case SILENCE_CONFIRMED -> new NodeMessage.SilenceConfirmed(sender, readTarget(body));
--- a/src/main/java/sycamorehill/entry/NodeMessageKind.java
+++ b/src/main/java/sycamorehill/entry/NodeMessageKind.java
@@ -27,6 +27,8 @@
 
 	INTRODUCTION(NodeMessage.Introduction.class),
 
+	INTRODUCTION_CONFIRMED(NodeMessage.IntroductionConfirmed.class),
+
 	LEASE_GIVEN_UP(NodeMessage.LeaseReleased.class),
 
 	SILENCE(NodeMessage.Silence.class),
--- a/src/main/java/sycamorehill/logic/dispatch/RetryBudgets.java
+++ b/src/main/java/sycamorehill/logic/dispatch/RetryBudgets.java
@@ -78,7 +78,8 @@
 				&& (this.loggedAt == Instant.MIN || !now.isBefore(this.loggedAt.plus(MINIMUM_LOG_INTERVAL)))) {
 			this.loggedShare = this.share;
 			this.loggedAt = now;
-			effects.log(LogEvent.RETRY_SHARE_CHANGED, "share=" + this.share.retries() + " nodes=" + this.share.nodes());
+			effects.log(LogEvent.RETRY_SHARE_CHANGED, "share=" + this.share.retries() + " nodes=" + this.share.nodes()
+					+ " unconfirmed=" + this.share.unconfirmedNodes());
 		}
 	}
 
--- a/src/main/java/sycamorehill/logic/dispatch/RetryShare.java
+++ b/src/main/java/sycamorehill/logic/dispatch/RetryShare.java
@@ -6,10 +6,12 @@
  *
  * @param retries number of retries in a window
  * @param nodes number of nodes among which the retries are divided
+ * @param unconfirmedNodes number of nodes that have not confirmed that they count this
+ * one; it has no share until they have
  */
-public record RetryShare(double retries, int nodes) {
+public record RetryShare(int retries, int nodes, int unconfirmedNodes) {
 
 	/** The share of a node that may send no retry beyond the ratio. */
-	public static final RetryShare NONE = new RetryShare(0, 0);
+	public static final RetryShare NONE = new RetryShare(0, 0, 0);
 
 }
--- a/src/main/java/sycamorehill/logic/entry/EntryReducer.java
+++ b/src/main/java/sycamorehill/logic/entry/EntryReducer.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
 
 import sycamorehill.logic.Effects;
 import sycamorehill.logic.directory.TargetDirectory;
@@ -18,6 +19,7 @@
 import sycamorehill.model.serving.EntryEvent;
 import sycamorehill.model.serving.EntrySettings;
 import sycamorehill.model.serving.NodeMessage;
+import sycamorehill.model.serving.NodeRecord;
 
 /**
  * Makes all decisions of an entry node: handles one event after the other and returns the
@@ -58,6 +60,8 @@
 
 	private final PeerNodes peers;
 
+	private final RegisteredNodes registeredNodes;
+
 	private final RetryShares retryShares;
 
 	private final LoadAggregation loadAggregation;
@@ -84,14 +88,13 @@
 
 	private int liveNodes = 1;
 
-	private boolean introduced;
-
 	private boolean ready;
 
 	private EntryReducer(EntrySettings settings, String self, RandomGenerator random, Instant started) {
 		this.settings = settings;
 		this.peers = PeerNodes.of(settings.toNodeRecord());
-		this.retryShares = RetryShares.of(settings, started);
+		this.registeredNodes = RegisteredNodes.of(settings.nodeName());
+		this.retryShares = RetryShares.of(settings, this.registeredNodes);
 		this.relay = StoreRelay.of(settings.nodeName(), settings.dataCentre(), this.peers::takesPrecedence);
 		this.storeUpdateLog = StoreUpdateLog.of(settings.nodeName(), this.relay, this.directory);
 		this.configurationDistribution = ConfigurationDistribution.of(settings.nodeName(), this.peers, this.relay);
@@ -157,6 +160,7 @@
 			return;
 		}
 		this.peers.handleMessage(message, now);
+		handleIntroduction(message, now, effects);
 		this.requests.handleMessage(message, now, effects);
 		if (message instanceof NodeMessage.Loads loads) {
 			this.loadAggregation.handleMessage(loads, now);
@@ -166,6 +170,18 @@
 		}
 	}
 
+	private void handleIntroduction(NodeMessage message, Instant now, Effects effects) {
+		if (message instanceof NodeMessage.Introduction) {
+			this.registeredNodes.handleIntroduction(message.sender(), now);
+			updateRetryShare(now);
+			this.peers.sendTo(message.sender(), new NodeMessage.IntroductionConfirmed(this.settings.nodeName()),
+					effects);
+		}
+		else if (message instanceof NodeMessage.IntroductionConfirmed) {
+			this.registeredNodes.handleConfirmation(message.sender(), now);
+		}
+	}
+
 	private boolean handleStoreMessage(NodeMessage message, Instant now, Effects effects) {
 		if (message instanceof NodeMessage.StoreUpdate update) {
 			if (this.storeUpdates.handleUpdate(update, nodeState(), now, effects)) {
@@ -220,6 +236,11 @@
 		this.loadAggregation.send(loads, this.stage.isStopping(), now, effects);
 		this.liveNodes = this.peers.countLiveNodes(now);
 		this.requests.updateNodes(this.liveNodes, this.peers.sharingNodes(now), now, effects);
+		updateRetryShare(now);
+	}
+
+	private void updateRetryShare(Instant now) {
+		this.requests.updateRetryShare(this.retryShares.share(now));
 	}
 
 	private boolean handleGroupEvent(EntryEvent event, Instant now, Effects effects) {
@@ -265,7 +286,7 @@
 			this.directoryUpdates.recordStoreContact(this.relay.receivesStoreUpdates(now), now, effects);
 		}
 		else if (event instanceof EntryEvent.NodesListed all) {
-			handleNodeList(all, now, effects);
+			handleNodeList(all, now);
 		}
 		else if (event instanceof EntryEvent.MessageReceived message) {
 			handleMessage(message.message(), now, effects);
@@ -278,19 +299,23 @@
 		}
 		else if (event instanceof EntryEvent.StopRequested) {
 			this.stage.requestStop(now);
+			this.retryShares.stop();
+			updateRetryShare(now);
 			this.groups.stop(effects);
 		}
 		tick(now, effects);
 	}
 
-	// Nodes that started before this one did not find it in their lists, so it introduces
-	// itself.
-	private void handleNodeList(EntryEvent.NodesListed all, Instant now, Effects effects) {
+	private void handleNodeList(EntryEvent.NodesListed all, Instant now) {
 		this.peers.updateNodes(all.nodes(), now);
-		if (!this.introduced) {
-			this.introduced = true;
-			effects.add(new EntryEffect.Broadcast(new NodeMessage.Introduction(this.settings.toNodeRecord())));
-		}
+		this.registeredNodes.handleList(all.nodes().stream().map(NodeRecord::name).collect(Collectors.toSet()), now);
+	}
+
+	// Nodes that started before this one did not find it in their lists.
+	private void introduceIfDue(Instant now, Effects effects) {
+		NodeMessage.Introduction introduction = new NodeMessage.Introduction(this.settings.toNodeRecord());
+		this.registeredNodes.takeDueIntroductions(now)
+			.forEach((node) -> this.peers.sendTo(node, introduction, effects));
 	}
 
 	private void tickGroups(Instant now, Effects effects) {
@@ -312,7 +337,7 @@
 	private void tick(Instant now, Effects effects) {
 		this.storeUpdateLog.logReaderChange(now, effects);
 		this.directoryUpdates.dropMissing(now, effects);
-		this.requests.updateRetryShare(this.retryShares.share(this.liveNodes, now));
+		introduceIfDue(now, effects);
 		this.requests.tick(now, effects);
 		this.requestEvents.releaseStartupRequests(now, effects);
 		this.configurationDistribution.requestMissing(now, effects);
--- /dev/null
+++ b/src/main/java/sycamorehill/logic/entry/RegisteredNodes.java
@@ -0,0 +1,195 @@
+package sycamorehill.logic.entry;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Stream;
+
+/**
+ * Tracks which nodes are registered in the store, and which of them count this one. The
+ * bounds on all nodes together are divided among the registered nodes.
+ *
+ * Nodes learn of each other with a delay, or not at all behind a partition, so they
+ * divide a bound by different numbers. Together they still keep to it if of any two nodes
+ * that use their shares each counts the other: then none of them divides by fewer nodes
+ * than use shares. A node therefore uses none until all nodes that were registered before
+ * it have confirmed that they count it. Those that register after it find it in their
+ * lists. A node that falls silent is still counted, because it may go on behind a
+ * partition; one that has deregistered uses no share any more.
+ */
+final class RegisteredNodes {
+
+	/**
+	 * How old a list may be that the store returns from a copy: it may lack nodes that
+	 * have registered since.
+	 */
+	private static final Duration MAXIMUM_LIST_AGE = Duration.ofSeconds(15);
+
+	/** Interval at which this node introduces itself until it is confirmed. */
+	private static final Duration INTRODUCTION_INTERVAL = Duration.ofSeconds(1);
+
+	private final String self;
+
+	private final Map<String, Registration> others = new HashMap<>();
+
+	private boolean listed;
+
+	private Instant introducedAt = Instant.MIN;
+
+	private Optional<Instant> confirmedByAllAt = Optional.empty();
+
+	private RegisteredNodes(String self) {
+		this.self = self;
+	}
+
+	static RegisteredNodes of(String self) {
+		return new RegisteredNodes(self);
+	}
+
+	/**
+	 * Handles a list of the registered nodes. The first one is read after this node has
+	 * registered, and contains all nodes that have registered before it.
+	 * @param names names of the listed nodes
+	 * @param now the current time
+	 */
+	void handleList(Set<String> names, Instant now) {
+		for (String name : names) {
+			boolean mustConfirm = !this.listed && !isConfirmed(name);
+			add(name, !mustConfirm, now);
+		}
+		this.others.replaceAll((name, other) -> names.contains(name) ? other : other.missing(now));
+		if (!this.listed) {
+			this.listed = true;
+			this.others.replaceAll((name, other) -> names.contains(name) ? other : other.confirmed());
+		}
+		updateConfirmation(now);
+	}
+
+	/**
+	 * Handles the introduction of another node, which has registered.
+	 * @param name the node's name
+	 * @param now the current time
+	 */
+	void handleIntroduction(String name, Instant now) {
+		add(name, this.listed, now);
+	}
+
+	private void add(String name, boolean confirms, Instant now) {
+		if (!name.equals(this.self)) {
+			Registration known = this.others.get(name);
+			boolean confirmsNow = (known != null) ? known.confirms() : confirms;
+			this.others.put(name, new Registration(now, confirmsNow, Optional.empty()));
+		}
+	}
+
+	/**
+	 * Handles the confirmation of another node that it counts this one.
+	 * @param name the node's name
+	 * @param now the current time
+	 */
+	void handleConfirmation(String name, Instant now) {
+		this.others.computeIfPresent(name, (key, other) -> other.confirmed());
+		updateConfirmation(now);
+	}
+
+	private boolean isConfirmed(String name) {
+		return this.others.containsKey(name) && this.others.get(name).confirms();
+	}
+
+	private void updateConfirmation(Instant now) {
+		if (this.confirmedByAllAt.isEmpty() && this.listed && unconfirmed().findAny().isEmpty()) {
+			this.confirmedByAllAt = Optional.of(now);
+		}
+	}
+
+	private Stream<String> unconfirmed() {
+		return this.others.entrySet()
+			.stream()
+			.filter((other) -> !other.getValue().confirms() && other.getValue().missingSince().isEmpty())
+			.map(Map.Entry::getKey);
+	}
+
+	int countUnconfirmed() {
+		return (int) unconfirmed().count();
+	}
+
+	/**
+	 * Returns the nodes to which this node has to introduce itself now.
+	 * @param now the current time
+	 * @return their names
+	 */
+	List<String> takeDueIntroductions(Instant now) {
+		if (!this.listed
+				|| (this.introducedAt != Instant.MIN && now.isBefore(this.introducedAt.plus(INTRODUCTION_INTERVAL)))) {
+			return List.of();
+		}
+		this.introducedAt = now;
+		return unconfirmed().toList();
+	}
+
+	/**
+	 * Returns when all nodes had confirmed that they count this one.
+	 * @return the time; empty if some have not yet
+	 */
+	Optional<Instant> confirmedByAllAt() {
+		return this.confirmedByAllAt;
+	}
+
+	/**
+	 * Counts the nodes that may use shares.
+	 * @param since nodes count that were registered after this time
+	 * @return the number of nodes, and this node's place among them
+	 */
+	Place place(Instant since) {
+		int nodes = 1;
+		int before = 0;
+		for (Map.Entry<String, Registration> other : this.others.entrySet()) {
+			if (!other.getValue().isMissingBefore(since)) {
+				nodes++;
+				before += (other.getKey().compareTo(this.self) < 0) ? 1 : 0;
+			}
+		}
+		return new Place(nodes, before);
+	}
+
+	/**
+	 * This node's place among all that are counted.
+	 *
+	 * @param nodes number of nodes, including this one
+	 * @param before number of nodes whose names come before this one's
+	 */
+	record Place(int nodes, int before) {
+	}
+
+	/**
+	 * The registration of another node.
+	 *
+	 * @param knownAt when it was last found to be registered
+	 * @param confirms whether the node counts this one
+	 * @param missingSince since when it is known to be no longer registered
+	 */
+	private record Registration(Instant knownAt, boolean confirms, Optional<Instant> missingSince) {
+
+		Registration confirmed() {
+			return new Registration(this.knownAt, true, this.missingSince);
+		}
+
+		boolean isMissingBefore(Instant time) {
+			return this.missingSince.isPresent() && this.missingSince.get().isBefore(time);
+		}
+
+		// The list may be older than the registration.
+		Registration missing(Instant now) {
+			if (this.missingSince.isPresent() || now.isBefore(this.knownAt.plus(MAXIMUM_LIST_AGE))) {
+				return this;
+			}
+			return new Registration(this.knownAt, this.confirms, Optional.of(now));
+		}
+
+	}
+
+}
--- a/src/main/java/sycamorehill/logic/entry/RetryShares.java
+++ b/src/main/java/sycamorehill/logic/entry/RetryShares.java
@@ -10,55 +10,65 @@
  * Determines this node's share of the retries that all nodes together may send to a
  * service beyond the ratio of its requests.
  *
- * A new process gets none until a window has passed: the process that ran before on this
- * node may have spent the share just before it ended.
+ * A new process gets none until all other nodes count it and a window has passed since:
+ * the process that ran before on this node may have spent the share just before it ended,
+ * and the others may have spent theirs while they were larger.
  */
 final class RetryShares {
 
 	/**
-	 * Share of the allowance that is used: nodes learn of each other with a delay, and
-	 * arrivals that were cancelled on the way count too.
+	 * Share of the allowance that is used: arrivals that were cancelled on the way count.
 	 */
 	private static final double USED_ALLOWANCE_SHARE = 0.7;
 
-	/**
-	 * Minimum number of nodes that is assumed in each data centre: a node that has just
-	 * started knows no other node yet, and all may start at once.
-	 */
-	private static final int MINIMUM_NODES_PER_DATA_CENTRE = 2;
-
 	/** Longest time that a retry takes to arrive, with a lost packet. */
 	private static final Duration MAXIMUM_TRANSIT_TIME = Duration.ofSeconds(1);
 
-	private final Instant startedAt;
+	private final RegisteredNodes nodes;
 
 	private EntrySettings settings;
 
-	private RetryShares(EntrySettings settings, Instant startedAt) {
+	private boolean stopping;
+
+	private RetryShares(EntrySettings settings, RegisteredNodes nodes) {
 		this.settings = settings;
-		this.startedAt = startedAt;
+		this.nodes = nodes;
 	}
 
-	static RetryShares of(EntrySettings settings, Instant startedAt) {
-		return new RetryShares(settings, startedAt);
+	static RetryShares of(EntrySettings settings, RegisteredNodes nodes) {
+		return new RetryShares(settings, nodes);
 	}
 
 	void updateSettings(EntrySettings newSettings) {
 		this.settings = newSettings;
 	}
 
+	/**
+	 * Gives the share up: this node deregisters, and the others then divide without it.
+	 */
+	void stop() {
+		this.stopping = true;
+	}
+
 	/**
 	 * Returns this node's share.
-	 * @param liveNodes number of live nodes, including this one
 	 * @param now the current time
 	 * @return the share
 	 */
-	RetryShare share(int liveNodes, Instant now) {
-		if (now.isBefore(this.startedAt.plus(this.settings.retryWindow()).plus(MAXIMUM_TRANSIT_TIME))) {
-			return RetryShare.NONE;
-		}
-		int nodes = Math.max(liveNodes, MINIMUM_NODES_PER_DATA_CENTRE * this.settings.dataCentres().size());
-		return new RetryShare(this.settings.retryAllowance() * USED_ALLOWANCE_SHARE / nodes, nodes);
+	RetryShare share(Instant now) {
+		Instant windowStart = now.minus(this.settings.retryWindow()).minus(MAXIMUM_TRANSIT_TIME);
+		RegisteredNodes.Place place = this.nodes.place(windowStart);
+		boolean held = !this.stopping
+				&& this.nodes.confirmedByAllAt().filter((confirmed) -> !confirmed.isAfter(windowStart)).isPresent();
+		return new RetryShare(held ? wholeShare(place) : 0, place.nodes(), this.nodes.countUnconfirmed());
+	}
+
+	// The retries that are left over when all nodes get the same number go to the first
+	// nodes by name. Fractions of a retry would be of no use to any node.
+	private int wholeShare(RegisteredNodes.Place place) {
+		int retries = (int) (this.settings.retryAllowance() * USED_ALLOWANCE_SHARE);
+		int rest = retries % place.nodes();
+		return retries / place.nodes() + ((place.before() < rest) ? 1 : 0);
 	}
 
 }
--- a/src/main/java/sycamorehill/model/serving/NodeMessage.java
+++ b/src/main/java/sycamorehill/model/serving/NodeMessage.java
@@ -192,6 +192,15 @@
 
 	}
 
+	/**
+	 * A node has received the introduction of the receiver, and counts it among the nodes
+	 * that share the bounds on all nodes together.
+	 *
+	 * @param sender the sender
+	 */
+	record IntroductionConfirmed(String sender) implements NodeMessage {
+	}
+
 	/**
 	 * A node no longer holds the lease for the control of the groups. It has released the
 	 * lease, or the store rejects its calls but answers other nodes.
--- a/src/test/java/sycamorehill/entry/EntryNodeTests.java
+++ b/src/test/java/sycamorehill/entry/EntryNodeTests.java
@@ -143,8 +143,8 @@
 			Thread.sleep(20);
 		}
 		ask(request("GET", "/again/x", "\r\n"));
-		assertThat(metricsPage("/metrics")).contains("retries_desk_allowed 1.0", "retries_share 21.0",
-				"retries_share_nodes 2.0");
+		assertThat(metricsPage("/metrics")).contains("retries_desk_allowed 1.0", "retries_share 42.0",
+				"retries_share_nodes 1.0");
 	}
 
 	private String metricsPage(String path) throws IOException {
--- a/src/test/java/sycamorehill/logic/dispatch/ProxiedRequestTests.java
+++ b/src/test/java/sycamorehill/logic/dispatch/ProxiedRequestTests.java
@@ -48,7 +48,7 @@
 	@BeforeEach
 	void createDispatcher() {
 		this.dispatcher = RequestDispatcher.of(ServingSamples.settings("one"), this.directory, new Random(1));
-		this.dispatcher.updateRetryShare(new RetryShare(10.5, 4));
+		this.dispatcher.updateRetryShare(new RetryShare(10, 4, 0));
 		this.dispatcher.adopt(ServingSamples.configuration(1));
 		this.directory.replaceAll(List.of(ServingSamples.plain("p0"), ServingSamples.plain("p1"),
 				ServingSamples.plain("p2"), ServingSamples.member("h0", "small.0", 1, 0, MemberState.OPEN),
--- a/src/test/java/sycamorehill/logic/dispatch/RequestDispatcherTests.java
+++ b/src/test/java/sycamorehill/logic/dispatch/RequestDispatcherTests.java
@@ -46,7 +46,7 @@
 	@BeforeEach
 	void createDispatcher() {
 		this.dispatcher = RequestDispatcher.of(ServingSamples.settings("one"), this.directory, new Random(1));
-		this.dispatcher.updateRetryShare(new RetryShare(10.5, 4));
+		this.dispatcher.updateRetryShare(new RetryShare(10, 4, 0));
 		this.dispatcher.adopt(ServingSamples.configuration(1));
 		targets(ServingSamples.plain("p1"), ServingSamples.plain("p2"),
 				ServingSamples.member("a1", "small.1", 1, 0, MemberState.OPEN),
@@ -422,7 +422,7 @@
 		int lines = 0;
 		for (int change = 0; change < 40; change++) {
 			Effects effects = Effects.create();
-			this.dispatcher.updateRetryShare(new RetryShare(4, 10 + change));
+			this.dispatcher.updateRetryShare(new RetryShare(4, 10 + change, 0));
 			this.dispatcher.tick(this.now, effects);
 			lines += logged(effects.all(), LogEvent.RETRY_SHARE_CHANGED).isEmpty() ? 0 : 1;
 			this.now = this.now.plusMillis(100);
--- a/src/test/java/sycamorehill/logic/entry/SilentTargetTests.java
+++ b/src/test/java/sycamorehill/logic/entry/SilentTargetTests.java
@@ -37,6 +37,7 @@
 	@BeforeEach
 	void setUp() {
 		this.node = EntryReducer.of(ServingSamples.settings("one"), "one#1", new Random(1), this.start.minus(LEAD));
+		accept(new EntryEvent.NodesListed(List.of()), -LEAD.toMillis());
 		accept(new EntryEvent.ConfigurationRead(ServingSamples.configuration(5), 1), 0);
 		accept(new EntryEvent.TargetsListed(List.of(ServingSamples.member("a1", "small.1", 1, 0, MemberState.OPEN),
 				ServingSamples.member("a2", "small.1", 1, 1, MemberState.READY),
