Reset the connection of an attempt that is cancelled before its answer

An attempt that is given up (its stream goes on elsewhere, its caller leaves, its time is over) closed its connection in the usual way, so the bytes that a partition holds up still arrived at the target when it ended, seconds later, together with the retries of that moment.

Connections are reset if no answer has begun, to targets and to other nodes, as those of engine commands are already. An answer that has begun shows that the request arrived, and its connection is closed as before.

anAttemptThatIsCancelledBeforeItsAnswerIsReset (the target read the end of the connection) and aRequestThatIsCancelledBeforeItsAnswerIsReset (0 resets) were red before.

--- a/src/main/java/sycamorehill/entry/ProxyAttempt.java
+++ b/src/main/java/sycamorehill/entry/ProxyAttempt.java
@@ -261,7 +261,7 @@
 		if (this.finished) {
 			return;
 		}
-		this.connection.close();
+		abandonConnection();
 		if (this.confirmationRequired && !this.confirmed) {
 			finish(Optional.empty(), new AttemptEnd.NotRun(NotRunCause.NODE_UNAVAILABLE));
 		}
@@ -275,11 +275,19 @@
 
 	@Override
 	public void cancel() {
-		if (!this.finished) {
-			if (this.connection != null) {
-				this.connection.close();
-			}
-			finish();
+		if (this.finished) {
+			return;
+		}
+		abandonConnection();
+		finish();
+	}
+
+	private void abandonConnection() {
+		if (this.connection != null && this.head == null) {
+			this.connection.reset();
+		}
+		else if (this.connection != null) {
+			this.connection.close();
 		}
 	}
 
--- a/src/main/java/sycamorehill/entry/ProxyChannel.java
+++ b/src/main/java/sycamorehill/entry/ProxyChannel.java
@@ -8,6 +8,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.DecoderException;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
@@ -92,6 +93,16 @@
 		this.context.close();
 	}
 
+	/**
+	 * Closes the connection with a TCP reset, which discards bytes in transit. Otherwise
+	 * a request that was given up during a network partition would reach the other node
+	 * when the partition ends.
+	 */
+	void reset() {
+		this.context.channel().config().setOption(ChannelOption.SO_LINGER, 0);
+		close();
+	}
+
 	/** Closes the connection after the frames sent so far, without reading any more. */
 	void closeAfterSending() {
 		this.listener = null;
--- a/src/main/java/sycamorehill/entry/TargetAttempt.java
+++ b/src/main/java/sycamorehill/entry/TargetAttempt.java
@@ -305,10 +305,16 @@
 
 	@Override
 	public void cancel() {
-		if (!this.finished) {
+		if (this.finished) {
+			return;
+		}
+		if (this.head == null && this.connection != null) {
+			this.connection.reset();
+		}
+		else {
 			closeConnection();
-			finish();
 		}
+		finish();
 	}
 
 	@Override
--- a/src/main/java/sycamorehill/entry/TargetConnection.java
+++ b/src/main/java/sycamorehill/entry/TargetConnection.java
@@ -54,8 +54,8 @@
 
 	/**
 	 * Closes the connection with a TCP reset, which discards bytes in transit. Otherwise
-	 * a command that timed out during a network partition would arrive when the partition
-	 * ends, seconds after newer commands.
+	 * a command or a request that was given up during a network partition would arrive
+	 * when the partition ends, seconds after newer ones.
 	 */
 	void reset() {
 		this.context.channel().config().setOption(ChannelOption.SO_LINGER, 0);
--- a/src/test/java/sycamorehill/entry/EntryNodeTests.java
+++ b/src/test/java/sycamorehill/entry/EntryNodeTests.java
@@ -2,7 +2,10 @@
 
 import java.io.IOException;
 import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.time.Clock;
@@ -30,6 +33,7 @@
 import sycamorehill.support.ServingSamples;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 /**
  * Tests a complete entry node over loopback with raw sockets: the exact bytes that faulty
@@ -53,8 +57,12 @@
 
 	private void start(UnaryOperator<String> answers) throws Exception {
 		this.target = RawTarget.start(answers);
+		startBefore(this.target.address());
+	}
+
+	private void startBefore(Address targetAddress) throws Exception {
 		this.settings = settings();
-		EntryNode.start(this.settings, (client) -> ports(), Clock.systemUTC(), new Random(1));
+		EntryNode.start(this.settings, (client) -> ports(targetAddress), Clock.systemUTC(), new Random(1));
 		awaitRoutes();
 	}
 
@@ -78,10 +86,10 @@
 				Duration.ofMillis(100), 0.2, 60, Duration.ofSeconds(5), Duration.ofSeconds(5));
 	}
 
-	private EntryPorts ports() {
+	private static EntryPorts ports(Address targetAddress) {
 		TargetEntry plain = ServingSamples.plain("p1");
-		TargetEntry entry = new TargetEntry(plain.name(), plain.service(), this.target.address(), plain.dataCentre(), 6,
-				false, 1, Optional.empty(), plain.staged(), Optional.empty(), Optional.empty());
+		TargetEntry entry = new TargetEntry(plain.name(), plain.service(), targetAddress, plain.dataCentre(), 6, false,
+				1, Optional.empty(), plain.staged(), Optional.empty(), Optional.empty());
 		return new EntryPorts(PlatformTestCodec.create(),
 				FakePorts.FixedFeed.of(new StoredConfiguration(ServingSamples.configuration(1), "")),
 				(text) -> new StoredConfiguration(ServingSamples.configuration(2), text),
@@ -170,6 +178,26 @@
 			.endsWith("abc");
 	}
 
+	// Without a reset, bytes that a partition holds up would still arrive when it ends,
+	// long after the request was cancelled.
+	@Test
+	void anAttemptThatIsCancelledBeforeItsAnswerIsReset() throws Exception {
+		try (ServerSocket server = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"))) {
+			startBefore(Address.of("127.0.0.1", server.getLocalPort()));
+			Socket caller = connect();
+			caller.getOutputStream().write(request("GET", "/again/x", "\r\n").getBytes(StandardCharsets.ISO_8859_1));
+			try (Socket received = server.accept()) {
+				received.setSoTimeout(3000);
+				InputStream in = received.getInputStream();
+				while (in.read() != '\n' || in.available() > 0) {
+					continue;
+				}
+				caller.close();
+				assertThatThrownBy(in::read).isInstanceOf(SocketException.class).hasMessageContaining("reset");
+			}
+		}
+	}
+
 	// Request smuggling: a caller hides a second request in the body of the first by
 	// sending two lengths. A target that uses the other length would execute the hidden
 	// request.
--- a/src/test/java/sycamorehill/entry/ProxyAttemptTests.java
+++ b/src/test/java/sycamorehill/entry/ProxyAttemptTests.java
@@ -39,6 +39,9 @@
 	/** Until then, the other node has no target. */
 	private volatile boolean tested;
 
+	/** Number of connections that the node has reset. */
+	private volatile int resets;
+
 	private ServerSocket server;
 
 	private LoopbackCluster cluster;
@@ -69,6 +72,23 @@
 		this.cluster.close();
 	}
 
+	// Without a reset, the other node would receive the request when a partition ends,
+	// long
+	// after it was cancelled.
+	@Test
+	void aRequestThatIsCancelledBeforeItsAnswerIsReset() throws Exception {
+		start((frame, node) -> {
+		});
+		int before = this.resets;
+		Socket caller = this.cluster.open("one", "/again/x", "left", "abc");
+		for (int attempt = 0; attempt < 20 && this.received.size() < 2; attempt++) {
+			Thread.sleep(5);
+		}
+		caller.close();
+		Thread.sleep(150);
+		assertThat(this.resets).isEqualTo(before + 1);
+	}
+
 	private void acceptAll(BiConsumer<ProxyFrame, OtherNode> behaviour) {
 		while (!this.server.isClosed()) {
 			try {
@@ -100,7 +120,11 @@
 				}
 			}
 		}
-		catch (EOFException | SocketException ex) {
+		catch (EOFException ex) {
+			this.received.add(null);
+		}
+		catch (SocketException ex) {
+			this.resets++;
 			this.received.add(null);
 		}
 		catch (IOException ex) {
