--- a/src/main/java/sycamorehill/entry/ProxyChannel.java
+++ b/src/main/java/sycamorehill/entry/ProxyChannel.java
@@ -99,7 +99,9 @@
 	 * when the partition ends.
 	 */
 	void reset() {
-		this.context.channel().config().setOption(ChannelOption.SO_LINGER, 0);
+		if (isOpen()) {
+			this.context.channel().config().setOption(ChannelOption.SO_LINGER, 0);
+		}
 		close();
 	}
 
--- a/src/main/java/sycamorehill/entry/TargetConnection.java
+++ b/src/main/java/sycamorehill/entry/TargetConnection.java
@@ -58,7 +58,9 @@
 	 * when the partition ends, seconds after newer ones.
 	 */
 	void reset() {
-		this.context.channel().config().setOption(ChannelOption.SO_LINGER, 0);
+		if (isOpen()) {
+			this.context.channel().config().setOption(ChannelOption.SO_LINGER, 0);
+		}
 		close();
 	}
 
