--- a/src/main/java/sycamorehill/logic/entry/RetryShares.java
+++ b/src/main/java/sycamorehill/logic/entry/RetryShares.java
@@ -16,11 +16,6 @@
  */
 final class RetryShares {
 
-	/**
-	 * Share of the allowance that is used: arrivals that were cancelled on the way count.
-	 */
-	private static final double USED_ALLOWANCE_SHARE = 0.7;
-
 	/** Longest time that a retry takes to arrive, with a lost packet. */
 	private static final Duration MAXIMUM_TRANSIT_TIME = Duration.ofSeconds(1);
 
@@ -66,7 +61,7 @@
 	// The retries that are left over when all nodes get the same number go to the first
 	// nodes by name. Fractions of a retry would be of no use to any node.
 	private int wholeShare(RegisteredNodes.Place place) {
-		int retries = (int) (this.settings.retryAllowance() * USED_ALLOWANCE_SHARE);
+		int retries = (int) this.settings.retryAllowance();
 		int rest = retries % place.nodes();
 		return retries / place.nodes() + ((place.before() < rest) ? 1 : 0);
 	}
