Count requests nearer to each window of the retry budget

Half of the requests of the window before say little about a load that has just risen, and give a process without a share few retries for a whole window. The users' rule also counts the window that begins half its length earlier, so half of those in the window and half of those in that one are as safe.

200 drawn series keep to the bound.

--- a/src/main/java/sycamorehill/logic/dispatch/SlidingWindowRetryBudget.java
+++ b/src/main/java/sycamorehill/logic/dispatch/SlidingWindowRetryBudget.java
@@ -10,15 +10,17 @@
  * together stay within the service's bound: in every window, a ratio of its requests plus
  * a fixed allowance that the nodes share.
  *
- * The requests of a window are half of those in it and half of those in the window before
- * it. Of each window, all processes must count the same requests: if a process that ends
- * counted those before the window, and its successor those in it, both together would
- * send twice as many retries as allowed.
+ * The requests of a window are half of those in it and half of those in the window that
+ * begins half its length earlier. Of each window, all processes must count the same
+ * requests: if a process that ends counted those before the window, and its successor
+ * those in it, both together would send twice as many retries as allowed.
  */
 final class SlidingWindowRetryBudget {
 
 	private static final int BUCKETS_PER_WINDOW = 100;
 
+	private static final int BUCKETS_PER_HALF = BUCKETS_PER_WINDOW / 2;
+
 	private final Duration window;
 
 	private final BucketCounts requests;
@@ -31,7 +33,8 @@
 
 	private SlidingWindowRetryBudget(Duration window, double ratio, double allowance) {
 		this.window = window;
-		this.requests = BucketCounts.of(window.dividedBy(BUCKETS_PER_WINDOW), 2 * BUCKETS_PER_WINDOW + 1);
+		this.requests = BucketCounts.of(window.dividedBy(BUCKETS_PER_WINDOW),
+				BUCKETS_PER_WINDOW + BUCKETS_PER_HALF + 1);
 		this.ratio = ratio;
 		this.allowance = allowance;
 	}
@@ -83,17 +86,18 @@
 	private boolean allowsRetry(Instant now) {
 		long newest = this.requests.bucket(now);
 		int[] sent = countRetriesByAge(newest);
+		int retries = 0;
 		int inWindow = 0;
-		int before = this.requests.sum(newest - BUCKETS_PER_WINDOW + 1, newest);
-		int retriesInWindow = 0;
+		int halfEarlier = this.requests.sum(newest - BUCKETS_PER_HALF + 1, newest + 1);
 		for (int age = 0; age <= BUCKETS_PER_WINDOW; age++) {
 			long first = newest - age;
-			retriesInWindow += sent[age];
-			if (retriesInWindow + 1 > this.ratio * (inWindow + before) / 2 + this.allowance) {
+			retries += sent[age];
+			if (retries + 1 > this.ratio * (inWindow + halfEarlier) / 2 + this.allowance) {
 				return false;
 			}
 			inWindow += this.requests.get(first);
-			before += this.requests.get(first - BUCKETS_PER_WINDOW) - this.requests.get(first - 1);
+			halfEarlier += this.requests.get(first - BUCKETS_PER_HALF)
+					- this.requests.get(first + BUCKETS_PER_HALF - 1);
 		}
 		return true;
 	}
