--- a/src/test/java/sycamorehill/logic/entry/RetryBudgetOfAllNodesTests.java
+++ b/src/test/java/sycamorehill/logic/entry/RetryBudgetOfAllNodesTests.java
@@ -81,6 +81,20 @@
 		assertWithinBound(world);
 	}
 
+	// Retries that a partition holds up would arrive together with those of the next
+	// window.
+	@ParameterizedTest
+	@ValueSource(ints = { 1, 2, 3, 4 })
+	void retriesThatAreHeldUpCountUntilTheyArrive(int seed) {
+		RetryBudgetWorld world = start(NINE_NODES, seed);
+		world.run(Duration.ofSeconds(3));
+		world.setRefusedShare(0.9);
+		world.run(Duration.ofMillis(200));
+		world.holdTargets(0.7, Duration.ofMillis(5800));
+		world.run(Duration.ofSeconds(25));
+		assertWithinBound(world);
+	}
+
 	// Kills, stops, pauses, cuts, added and removed nodes come in series and overlap.
 	@Property(seed = "44", tries = 60, shrinking = ShrinkingMode.OFF)
 	void allNodesTogetherKeepToTheBoundInEveryWindow(@ForAll long seed) {
@@ -113,7 +127,7 @@
 			this.world.setRefusedShare((this.random.nextInt(4) == 0) ? 0 : 0.5 + this.random.nextDouble() / 2);
 			this.world.setUnconnectedShare((this.random.nextInt(4) == 0) ? 0.3 : 0);
 			List<String> some = this.world.draw(0.2 + 0.7 * this.random.nextDouble());
-			switch (this.random.nextInt(9)) {
+			switch (this.random.nextInt(10)) {
 				case 0 -> some.forEach((node) -> this.world.kill(node, time(200, 3000)));
 				case 1 -> killInSeries(some);
 				case 2 -> some.forEach(this.world::stop);
@@ -123,6 +137,7 @@
 				case 6 -> some
 					.forEach((node) -> this.world.cut(List.of(node), this.random.nextBoolean(), time(1000, 20_000)));
 				case 7 -> replace(some);
+				case 8 -> this.world.holdTargets(0.9 * this.random.nextDouble(), time(1000, 10_000));
 				default -> this.world.cutFromStore(some, time(1000, 20_000));
 			}
 		}
--- a/src/test/java/sycamorehill/logic/entry/RetryBudgetWorld.java
+++ b/src/test/java/sycamorehill/logic/entry/RetryBudgetWorld.java
@@ -18,6 +18,7 @@
 
 import sycamorehill.model.identity.Address;
 import sycamorehill.model.identity.DataCentreName;
+import sycamorehill.model.identity.TargetName;
 import sycamorehill.model.serving.AttemptEnd;
 import sycamorehill.model.serving.EntryEffect;
 import sycamorehill.model.serving.EntryEvent;
@@ -67,6 +68,9 @@
 
 	private final Set<Link> cutLinks = new HashSet<>();
 
+	/** Targets to which bytes are held up, and until when. */
+	private final Map<TargetName, Instant> heldTargets = new HashMap<>();
+
 	private Instant now = Instant.ofEpochSecond(1000);
 
 	private boolean storeAnswers = true;
@@ -197,6 +201,23 @@
 		after(time, () -> group.forEach(this.cutFromStore::remove));
 	}
 
+	/**
+	 * Holds up all bytes to some targets. Those of cancelled attempts never arrive.
+	 * @param share their share of all targets
+	 * @param time how long
+	 */
+	void holdTargets(double share, Duration time) {
+		IntStream.range(0, TARGETS)
+			.filter((target) -> this.random.nextDouble() < share)
+			.forEach((target) -> this.heldTargets.put(TargetName.of("p" + target), this.now.plus(time)));
+	}
+
+	private Duration transit(TargetName target) {
+		Instant until = this.heldTargets.getOrDefault(target, this.now);
+		Duration held = until.isAfter(this.now) ? Duration.between(this.now, until) : Duration.ZERO;
+		return held.plusMillis(1 + this.random.nextInt(8));
+	}
+
 	void startTraffic() {
 		after(Duration.ofNanos((long) (-Math.log(1 - this.random.nextDouble()) * 1e9 / this.site.requestsPerSecond())),
 				() -> {
@@ -271,6 +292,15 @@
 	private record Link(String from, String to) {
 	}
 
+	/**
+	 * An attempt of a request.
+	 *
+	 * @param request the request
+	 * @param attempt number of the attempt
+	 */
+	private record AttemptNumber(long request, int attempt) {
+	}
+
 	/**
 	 * A task on the agenda.
 	 *
@@ -349,6 +379,9 @@
 
 		private EntryReducer reducer;
 
+		/** Attempts that were cancelled before they arrived. */
+		private final Set<AttemptNumber> cancelled = new HashSet<>();
+
 		private int incarnation;
 
 		private boolean running;
@@ -468,6 +501,9 @@
 			else if (effect instanceof EntryEffect.StartAttempt start) {
 				startAttempt(start);
 			}
+			else if (effect instanceof EntryEffect.CancelAttempt cancel) {
+				this.cancelled.add(new AttemptNumber(cancel.number(), cancel.attempt()));
+			}
 			else if (effect instanceof EntryEffect.LimitRequestTime limit) {
 				schedule(limit.timeout(), () -> accept(new EntryEvent.TimedOut(limit.number())));
 			}
@@ -495,8 +531,8 @@
 						() -> endAttempt(start, new AttemptEnd.NotRun(NotRunCause.NOT_CONNECTED)));
 				return;
 			}
-			Duration transit = Duration.ofMillis(1 + random.nextInt(8));
-			after(transit, () -> RetryBudgetWorld.this.count.recordArrival(start.number(), RetryBudgetWorld.this.now));
+			Duration transit = transit(start.target().name());
+			after(transit, () -> recordArrival(start));
 			if (random.nextDouble() < RetryBudgetWorld.this.refusedShare) {
 				schedule(transit.plusMillis(1 + random.nextInt(8)),
 						() -> endAttempt(start, new AttemptEnd.NotRun(NotRunCause.REFUSED)));
@@ -507,6 +543,12 @@
 			}
 		}
 
+		private void recordArrival(EntryEffect.StartAttempt start) {
+			if (!this.cancelled.remove(new AttemptNumber(start.number(), start.attempt()))) {
+				RetryBudgetWorld.this.count.recordArrival(start.number(), RetryBudgetWorld.this.now);
+			}
+		}
+
 		private void endAttempt(EntryEffect.StartAttempt start, AttemptEnd end) {
 			accept(new EntryEvent.AttemptEnded(start.number(), start.attempt(), end));
 		}
