Count a retry until a window after its arrival

Callers' requests reached targets again more often than allowed when a partition between nodes and targets ended: retries counted for a window from the moment they were allowed, and those that the partition had held up arrived later, together with the retries of that window.

A retry counts now until a window after its target's first word, its end, or its cancellation, whose reset discards the bytes; before that it counts as recent, until the time of its request is over at the latest. One whose attempts reached no target is put back when its request is given up.

A request that is lost behind another node is a retry when it is sent again, which held before and has a test now.

--- a/src/main/java/sycamorehill/logic/dispatch/AttemptScheduler.java
+++ b/src/main/java/sycamorehill/logic/dispatch/AttemptScheduler.java
@@ -131,6 +131,7 @@
 			giveUp(request, fallbackCause, now, effects);
 		}
 		else {
+			putBackRetry(request);
 			this.activeRequests.remove(request.request().number());
 			this.finalAnswers.giveUp(request, "no node reaches a target", NO_PATH_RETRY_AFTER, now, effects);
 		}
@@ -219,10 +220,17 @@
 		if (request.targetsReached() >= request.route().maximumAttempts() || request.timeLeft(now).isNegative()) {
 			return false;
 		}
-		boolean allowed = this.retryBudgets.of(request.service()).tryRetry(now);
-		request.setRetryRefused(!allowed);
-		effects.add(new EntryEffect.RetryDecided(request.service(), allowed));
-		return allowed;
+		Optional<GrantedRetry> granted = this.retryBudgets.of(request.service())
+			.tryRetry(now, now.plus(request.timeLeft(now)));
+		request.setRetryRefused(granted.isEmpty());
+		granted.ifPresent((retry) -> request.replaceRetry(retry, now));
+		effects.add(new EntryEffect.RetryDecided(request.service(), granted.isPresent()));
+		return granted.isPresent();
+	}
+
+	// A retry that reached no target leaves room for another one.
+	private void putBackRetry(DispatchedRequest request) {
+		request.unsentRetry().ifPresent(this.retryBudgets.of(request.service())::putBack);
 	}
 
 	void logRetry(DispatchedRequest request, AttemptPlace place, String cause, Instant now, Effects effects) {
@@ -253,6 +261,7 @@
 	 * @param effects receives the resulting effects
 	 */
 	void giveUp(DispatchedRequest request, String cause, Instant now, Effects effects) {
+		putBackRetry(request);
 		this.activeRequests.remove(request.request().number());
 		Duration restLeft = this.targetSelector.restLeft(request, this.configuration.get(), now);
 		String fullCause = cause + (request.retryRefused() ? ", the retry budget is used up" : "")
--- a/src/main/java/sycamorehill/logic/dispatch/DispatchedRequest.java
+++ b/src/main/java/sycamorehill/logic/dispatch/DispatchedRequest.java
@@ -59,6 +59,9 @@
 	 */
 	private boolean failureHeld;
 
+	/** The last retry that the budget has allowed. */
+	private Optional<GrantedRetry> retry = Optional.empty();
+
 	/** Whether the retry budget has refused the last retry. */
 	private boolean retryRefused;
 
@@ -166,6 +169,32 @@
 		this.failureHeld = true;
 	}
 
+	/**
+	 * Sets the retry as which the next attempt counts. The last attempt has ended.
+	 * @param granted the retry
+	 * @param now the current time
+	 */
+	void replaceRetry(GrantedRetry granted, Instant now) {
+		recordArrival(now);
+		this.retry = Optional.of(granted);
+	}
+
+	/**
+	 * Records that the current attempt has reached its target, or was cancelled.
+	 * @param now the current time
+	 */
+	void recordArrival(Instant now) {
+		this.retry.ifPresent((granted) -> granted.recordArrival(now));
+	}
+
+	/**
+	 * Returns the last retry if none of its attempts has reached a target.
+	 * @return the retry; empty if there is none, or it may have arrived
+	 */
+	Optional<GrantedRetry> unsentRetry() {
+		return this.retry.filter((granted) -> !granted.hasArrived());
+	}
+
 	void setRetryRefused(boolean refused) {
 		this.retryRefused = refused;
 	}
--- a/src/main/java/sycamorehill/logic/dispatch/ProxiedRequests.java
+++ b/src/main/java/sycamorehill/logic/dispatch/ProxiedRequests.java
@@ -99,6 +99,9 @@
 		String node = request.proxy().get();
 		this.proxySelector.recordEnded(node);
 		request.endProxiedAttempt(ended.target());
+		if (ended.end().mayHaveArrived()) {
+			request.recordArrival(now);
+		}
 		if (ended.end() instanceof AttemptEnd.Delivered) {
 			this.proxySelector.recordDelivered(node);
 		}
--- a/src/main/java/sycamorehill/logic/dispatch/RequestDispatcher.java
+++ b/src/main/java/sycamorehill/logic/dispatch/RequestDispatcher.java
@@ -197,6 +197,7 @@
 		if (request == null) {
 			return;
 		}
+		request.recordArrival(now);
 		if (!request.answerStarted()) {
 			request.markAnswerStarted(Duration.between(request.arrivedAt(), now));
 		}
@@ -221,6 +222,9 @@
 		TargetName target = request.target().get();
 		status(target).recordEnded();
 		request.endAttempt();
+		if (end.mayHaveArrived()) {
+			request.recordArrival(now);
+		}
 		this.outcomes.record(request, target, end, now, effects);
 		if (request.proxied().isPresent()) {
 			this.scheduler.endProxied(request, Optional.of(target), end, now, effects);
@@ -341,6 +345,7 @@
 		}
 		if (request.target().isPresent() || request.proxy().isPresent()) {
 			releaseAttempt(request);
+			request.recordArrival(now);
 			request.markMayHaveRun();
 			effects.add(new EntryEffect.CancelAttempt(number, request.attempts()));
 		}
@@ -372,6 +377,7 @@
 		DispatchedRequest request = this.activeRequests.remove(number);
 		if (request != null) {
 			releaseAttempt(request);
+			request.recordArrival(now);
 			this.finalAnswers.recordAbandoned(request, now, effects);
 		}
 	}
@@ -423,10 +429,10 @@
 		this.paths.reachability().recordAnswer(told.target());
 		report.load().ifPresent((load) -> status(told.target()).recordReport(load, now));
 		report.rest().ifPresent((rest) -> handleRest(told.target(), rest, now, effects));
-		Instant sentAt = Optional.ofNullable(this.activeRequests.get(told.number()))
-			.filter((request) -> request.target().filter(told.target()::equals).isPresent())
-			.map(DispatchedRequest::attemptStartedAt)
-			.orElse(Instant.MIN);
+		Optional<DispatchedRequest> answered = Optional.ofNullable(this.activeRequests.get(told.number()))
+			.filter((request) -> request.target().filter(told.target()::equals).isPresent());
+		answered.ifPresent((request) -> request.recordArrival(now));
+		Instant sentAt = answered.map(DispatchedRequest::attemptStartedAt).orElse(Instant.MIN);
 		this.targetSelector.rateLimits().handleTargetReport(told.target(), report.rateLimit(), sentAt, now, effects);
 	}
 
--- a/src/main/java/sycamorehill/logic/dispatch/SlidingWindowRetryBudget.java
+++ b/src/main/java/sycamorehill/logic/dispatch/SlidingWindowRetryBudget.java
@@ -2,8 +2,9 @@
 
 import java.time.Duration;
 import java.time.Instant;
-import java.util.ArrayDeque;
-import java.util.Deque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
 
 /**
  * Limits the retries that this process sends to one service, so that all processes
@@ -25,7 +26,7 @@
 
 	private final BucketCounts requests;
 
-	private final Deque<Instant> retries = new ArrayDeque<>();
+	private final List<GrantedRetry> retries = new ArrayList<>();
 
 	private double ratio;
 
@@ -67,17 +68,26 @@
 	/**
 	 * Takes one retry from the budget if there is one left.
 	 * @param now the current time
-	 * @return true if the retry may be sent
+	 * @param latestArrival when the retry is cancelled if no answer has begun
+	 * @return the retry; empty if it may not be sent
 	 */
-	boolean tryRetry(Instant now) {
-		while (!this.retries.isEmpty() && this.retries.peekFirst().isBefore(now.minus(this.window))) {
-			this.retries.removeFirst();
-		}
+	Optional<GrantedRetry> tryRetry(Instant now, Instant latestArrival) {
+		Instant windowStart = now.minus(this.window);
+		this.retries.removeIf((retry) -> retry.latestArrival().isBefore(windowStart));
 		if (!allowsRetry(now)) {
-			return false;
+			return Optional.empty();
 		}
-		this.retries.addLast(now);
-		return true;
+		GrantedRetry retry = GrantedRetry.arrivingUntil(latestArrival);
+		this.retries.add(retry);
+		return Optional.of(retry);
+	}
+
+	/**
+	 * Puts back a retry that was not sent.
+	 * @param retry the retry
+	 */
+	void putBack(GrantedRetry retry) {
+		this.retries.remove(retry);
 	}
 
 	// Checks the windows that contain this moment by the bucket in which they begin, from
@@ -104,9 +114,9 @@
 
 	private int[] countRetriesByAge(long newest) {
 		int[] counts = new int[BUCKETS_PER_WINDOW + 1];
-		for (Instant sentAt : this.retries) {
-			int age = (int) (newest - this.requests.bucket(sentAt));
-			counts[Math.min(age, BUCKETS_PER_WINDOW)]++;
+		for (GrantedRetry retry : this.retries) {
+			long age = newest - this.requests.bucket(retry.latestArrival());
+			counts[(int) Math.max(0, Math.min(age, BUCKETS_PER_WINDOW))]++;
 		}
 		return counts;
 	}
--- a/src/main/java/sycamorehill/model/serving/AttemptEnd.java
+++ b/src/main/java/sycamorehill/model/serving/AttemptEnd.java
@@ -7,6 +7,14 @@
  */
 public sealed interface AttemptEnd {
 
+	/**
+	 * Returns whether the request may have arrived at a target.
+	 * @return false if no byte of it was sent to one
+	 */
+	default boolean mayHaveArrived() {
+		return true;
+	}
+
 	/**
 	 * The caller received the target's complete answer.
 	 *
@@ -23,6 +31,12 @@
 	 * @param cause why the request did not run
 	 */
 	record NotRun(NotRunCause cause) implements AttemptEnd {
+
+		@Override
+		public boolean mayHaveArrived() {
+			return this.cause == NotRunCause.WRONG_TARGET || this.cause == NotRunCause.REFUSED;
+		}
+
 	}
 
 	/**
--- a/src/test/java/sycamorehill/logic/dispatch/ProxiedRequestTests.java
+++ b/src/test/java/sycamorehill/logic/dispatch/ProxiedRequestTests.java
@@ -153,6 +153,20 @@
 		assertThat(refused.retryAfter().orElseThrow()).isBetween(Duration.ofSeconds(1), Duration.ofMillis(1500));
 	}
 
+	// The other node was lost after it may have sent the request to a target.
+	@Test
+	void aRequestThatIsLostBehindAnotherNodeIsSentAgainOnlyAsARetry() {
+		this.dispatcher.updateRetryShare(RetryShare.NONE);
+		losePath();
+		arrive(1, "/again/x");
+		List<EntryEffect> effects = endProxied(1, 1, null, new AttemptEnd.Unknown("connection closed", false));
+		assertThat(effects(effects, EntryEffect.RetryDecided.class).map(EntryEffect.RetryDecided::allowed))
+			.containsExactly(false);
+		assertThat(proxy(effects)).isEmpty();
+		arrive(2, "/again/x");
+		assertThat(proxy(endProxied(2, 1, null, new AttemptEnd.NotRun(NotRunCause.NODE_UNAVAILABLE)))).isPresent();
+	}
+
 	// Targets may rest or be left out at one node alone.
 	@Test
 	void aSecondNodeIsAskedWhenTheFirstHasNoTarget() {
--- a/src/test/java/sycamorehill/logic/dispatch/RequestDispatcherTests.java
+++ b/src/test/java/sycamorehill/logic/dispatch/RequestDispatcherTests.java
@@ -438,4 +438,21 @@
 		assertThat(logged(unchanged.all(), LogEvent.RETRY_SHARE_CHANGED)).isEmpty();
 	}
 
+	// One target refuses the request, and the others can't be connected.
+	@Test
+	void anAttemptThatReachesNoTargetTakesNoRetryFromTheBudget() {
+		this.dispatcher.updateRetryShare(new RetryShare(1, 1, 0));
+		targets(ServingSamples.plain("p1"), ServingSamples.plain("p2"), ServingSamples.plain("p3"));
+		AttemptEnd unconnected = new AttemptEnd.NotRun(NotRunCause.NOT_CONNECTED);
+		arrive(1, "/again/1");
+		assertThat(retryDecisions(end(1, 1, new AttemptEnd.NotRun(NotRunCause.REFUSED)))).containsExactly(true);
+		assertThat(retryDecisions(end(1, 2, unconnected))).isEmpty();
+		assertThat(retryDecisions(end(1, 3, unconnected))).isEmpty();
+		this.now = this.now.plusSeconds(5);
+		arrive(2, "/again/2");
+		assertThat(retryDecisions(end(2, 1, new AttemptEnd.NotRun(NotRunCause.REFUSED)))).containsExactly(true);
+		arrive(3, "/again/3");
+		assertThat(retryDecisions(end(3, 1, new AttemptEnd.NotRun(NotRunCause.REFUSED)))).containsExactly(false);
+	}
+
 }
--- a/src/test/java/sycamorehill/logic/dispatch/SlidingWindowRetryBudgetTests.java
+++ b/src/test/java/sycamorehill/logic/dispatch/SlidingWindowRetryBudgetTests.java
@@ -31,7 +31,7 @@
 			for (int arrival = 0; arrival < arrivals; arrival++) {
 				budget.recordRequest(now);
 				requests[tenth]++;
-				repeats[tenth] += budget.tryRetry(now) ? 1 : 0;
+				repeats[tenth] += tryRetry(budget, now) ? 1 : 0;
 			}
 		}
 		for (int from = 0; from + 100 <= 600; from++) {
@@ -79,12 +79,40 @@
 			this.count.recordRequest(this.now);
 			budget.recordRequest(this.now);
 			this.count.recordArrival(request, this.now);
-			if (failing && budget.tryRetry(this.now)) {
+			if (failing && tryRetry(budget, this.now)) {
 				this.count.recordArrival(request, this.now);
 			}
 		}
 	}
 
+	// Takes a retry that arrives at once.
+	private static boolean tryRetry(SlidingWindowRetryBudget budget, Instant now) {
+		return budget.tryRetry(now, now).isPresent();
+	}
+
+	@Test
+	void aRetryCountsUntilAWindowAfterItsArrival() {
+		SlidingWindowRetryBudget budget = SlidingWindowRetryBudget.of(Duration.ofSeconds(10), 0.2, 2);
+		GrantedRetry heldUp = budget.tryRetry(this.now, this.now.plusSeconds(8)).orElseThrow();
+		GrantedRetry arrived = budget.tryRetry(this.now, this.now.plusSeconds(8)).orElseThrow();
+		arrived.recordArrival(this.now.plusSeconds(1));
+		heldUp.recordArrival(this.now.plusSeconds(6));
+		assertThat(budget.tryRetry(this.now.plusMillis(10_900), Instant.MAX)).isEmpty();
+		assertThat(budget.tryRetry(this.now.plusMillis(11_200), this.now.plusSeconds(12))).isPresent();
+		assertThat(budget.tryRetry(this.now.plusMillis(15_900), Instant.MAX)).isEmpty();
+		assertThat(budget.tryRetry(this.now.plusMillis(16_200), this.now.plusSeconds(17))).isPresent();
+	}
+
+	// Without a target, the retry leaves room for that of another request.
+	@Test
+	void aRetryThatWasNotSentIsPutBack() {
+		SlidingWindowRetryBudget budget = SlidingWindowRetryBudget.of(Duration.ofSeconds(10), 0.2, 1);
+		GrantedRetry retry = budget.tryRetry(this.now, this.now.plusSeconds(6)).orElseThrow();
+		assertThat(budget.tryRetry(this.now, Instant.MAX)).isEmpty();
+		budget.putBack(retry);
+		assertThat(budget.tryRetry(this.now, Instant.MAX)).isPresent();
+	}
+
 	private static int sum(int[] counts, int from) {
 		int sum = 0;
 		for (int index = from; index < from + 100; index++) {
