--- a/src/test/java/sycamorehill/support/RetryCount.java
+++ b/src/test/java/sycamorehill/support/RetryCount.java
@@ -2,11 +2,12 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import java.util.stream.LongStream;
 
 /**
  * Counts what targets and callers see of one service, from all nodes together: arrivals
@@ -16,9 +17,9 @@
 
 	private final Set<Long> arrivedRequests = new HashSet<>();
 
-	private final LongStream.Builder requestTimes = LongStream.builder();
+	private final List<Long> requestTimes = new ArrayList<>();
 
-	private final LongStream.Builder repeatTimes = LongStream.builder();
+	private final List<Long> repeatTimes = new ArrayList<>();
 
 	/**
 	 * Records a request of a caller.
@@ -46,8 +47,8 @@
 	 * @return what was counted
 	 */
 	public Result evaluate(Bound bound) {
-		long[] repeats = this.repeatTimes.build().sorted().toArray();
-		long[] requests = this.requestTimes.build().sorted().toArray();
+		long[] repeats = sorted(this.repeatTimes);
+		long[] requests = sorted(this.requestTimes);
 		long window = bound.window().toMillis();
 		Optional<Excess> worst = Optional.empty();
 		int most = 0;
@@ -64,6 +65,10 @@
 		return new Result(repeats.length, requests.length, most, worst);
 	}
 
+	private static long[] sorted(List<Long> times) {
+		return times.stream().mapToLong(Long::longValue).sorted().toArray();
+	}
+
 	private static int count(long[] times, long from, long to) {
 		return lowerBound(times, to + 1) - lowerBound(times, from);
 	}
