Wait no longer for a lost node to confirm than it may use its share

A VM that is lost without a planned stop leaves its entry in the store and never confirms, so every node that starts or restarts later would be without a share for good. It can't be left out by its silence: it may go on behind a partition.

Now a share may only be used while the list of nodes on which it rests is at most two minutes old (it is read every 20 s). Whoever still uses one after that time, and the age that a copy of the list may have, has read this node in a list; a node waits that long, 135 s, for those that don't confirm. An open entry still takes its part of the allowance.

--- a/src/main/java/sycamorehill/logic/entry/RegisteredNodes.java
+++ b/src/main/java/sycamorehill/logic/entry/RegisteredNodes.java
@@ -19,7 +19,10 @@
  * than use shares. A node therefore uses none until all nodes that were registered before
  * it have confirmed that they count it. Those that register after it find it in their
  * lists. A node that falls silent is still counted, because it may go on behind a
- * partition; one that has deregistered uses no share any more.
+ * partition; one that has deregistered uses no share any more. A node that never
+ * confirms, because its VM was lost, doesn't keep others without shares for good: a share
+ * may only be used while the list on which it rests is recent, so any node that still
+ * uses one counts this node after a while.
  */
 final class RegisteredNodes {
 
@@ -29,6 +32,12 @@
 	 */
 	private static final Duration MAXIMUM_LIST_AGE = Duration.ofSeconds(15);
 
+	/**
+	 * How long shares may be used that rest on a list; several reads of the list may fail
+	 * in this time.
+	 */
+	private static final Duration LIST_VALIDITY = Duration.ofMinutes(2);
+
 	/** Interval at which this node introduces itself until it is confirmed. */
 	private static final Duration INTRODUCTION_INTERVAL = Duration.ofSeconds(1);
 
@@ -36,7 +45,9 @@
 
 	private final Map<String, Registration> others = new HashMap<>();
 
-	private boolean listed;
+	private Optional<Instant> firstListedAt = Optional.empty();
+
+	private Instant listedAt = Instant.MIN;
 
 	private Instant introducedAt = Instant.MIN;
 
@@ -57,15 +68,16 @@
 	 * @param now the current time
 	 */
 	void handleList(Set<String> names, Instant now) {
-		for (String name : names) {
-			boolean mustConfirm = !this.listed && !isConfirmed(name);
-			add(name, !mustConfirm, now);
-		}
+		boolean first = this.firstListedAt.isEmpty();
+		names.forEach((name) -> add(name, !first, now));
 		this.others.replaceAll((name, other) -> names.contains(name) ? other : other.missing(now));
-		if (!this.listed) {
-			this.listed = true;
+		if (first) {
+			this.firstListedAt = Optional.of(now);
 			this.others.replaceAll((name, other) -> names.contains(name) ? other : other.confirmed());
 		}
+		if (first || names.contains(this.self)) {
+			this.listedAt = now;
+		}
 		updateConfirmation(now);
 	}
 
@@ -75,7 +87,7 @@
 	 * @param now the current time
 	 */
 	void handleIntroduction(String name, Instant now) {
-		add(name, this.listed, now);
+		add(name, this.firstListedAt.isPresent(), now);
 	}
 
 	private void add(String name, boolean confirms, Instant now) {
@@ -96,12 +108,8 @@
 		updateConfirmation(now);
 	}
 
-	private boolean isConfirmed(String name) {
-		return this.others.containsKey(name) && this.others.get(name).confirms();
-	}
-
 	private void updateConfirmation(Instant now) {
-		if (this.confirmedByAllAt.isEmpty() && this.listed && unconfirmed().findAny().isEmpty()) {
+		if (this.confirmedByAllAt.isEmpty() && this.firstListedAt.isPresent() && unconfirmed().findAny().isEmpty()) {
 			this.confirmedByAllAt = Optional.of(now);
 		}
 	}
@@ -123,7 +131,7 @@
 	 * @return their names
 	 */
 	List<String> takeDueIntroductions(Instant now) {
-		if (!this.listed
+		if (this.firstListedAt.isEmpty()
 				|| (this.introducedAt != Instant.MIN && now.isBefore(this.introducedAt.plus(INTRODUCTION_INTERVAL)))) {
 			return List.of();
 		}
@@ -132,11 +140,21 @@
 	}
 
 	/**
-	 * Returns when all nodes had confirmed that they count this one.
-	 * @return the time; empty if some have not yet
+	 * Returns since when all nodes that use shares count this one.
+	 * @return the time, possibly in the future; empty if this node has read no list
+	 */
+	Optional<Instant> countedSince() {
+		return this.confirmedByAllAt
+			.or(() -> this.firstListedAt.map((listed) -> listed.plus(LIST_VALIDITY).plus(MAXIMUM_LIST_AGE)));
+	}
+
+	/**
+	 * Returns whether the last list that contains this node is recent.
+	 * @param now the current time
+	 * @return true if shares may be used
 	 */
-	Optional<Instant> confirmedByAllAt() {
-		return this.confirmedByAllAt;
+	boolean isListValid(Instant now) {
+		return this.firstListedAt.isPresent() && now.isBefore(this.listedAt.plus(LIST_VALIDITY));
 	}
 
 	/**
--- a/src/main/java/sycamorehill/logic/entry/RetryShares.java
+++ b/src/main/java/sycamorehill/logic/entry/RetryShares.java
@@ -53,8 +53,8 @@
 	RetryShare share(Instant now) {
 		Instant windowStart = now.minus(this.settings.retryWindow()).minus(MAXIMUM_TRANSIT_TIME);
 		RegisteredNodes.Place place = this.nodes.place(windowStart);
-		boolean held = !this.stopping
-				&& this.nodes.confirmedByAllAt().filter((confirmed) -> !confirmed.isAfter(windowStart)).isPresent();
+		boolean held = !this.stopping && this.nodes.isListValid(now)
+				&& this.nodes.countedSince().filter((since) -> !since.isAfter(windowStart)).isPresent();
 		return new RetryShare(held ? wholeShare(place) : 0, place.nodes(), this.nodes.countUnconfirmed());
 	}
 
