Tell a node that starts which contents crash targets

A request that has crashed three targets is refused at all nodes; at most three more may reach targets from all of them together. What a process knows of crashes lies in its memory, so a restarted node forgot it and let the content crash three more by itself.

Whoever gets the introduction of a node tells it the refused contents, 50 at most. Introductions are repeated until they are confirmed. aRestartedNodeRefusesAContentThatCrashesTargets was red (the request was sent).

--- a/src/main/java/sycamorehill/logic/dispatch/CrashHistory.java
+++ b/src/main/java/sycamorehill/logic/dispatch/CrashHistory.java
@@ -1,5 +1,6 @@
 package sycamorehill.logic.dispatch;
 
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -22,6 +23,9 @@
 	 */
 	private static final int CRASHED_TARGETS_BEFORE_REFUSAL = 3;
 
+	/** Maximum number of contents of which a node is told that starts. */
+	private static final int MAXIMUM_CONTENTS_TOLD = 50;
+
 	/** Maximum number of contents kept; the oldest is evicted first. */
 	private static final int MAXIMUM_CONTENTS = 10_000;
 
@@ -50,6 +54,20 @@
 		return crashedTargets != null && crashedTargets.size() >= CRASHED_TARGETS_BEFORE_REFUSAL;
 	}
 
+	/**
+	 * Returns what a node has to know that has just started.
+	 * @return the targets that were lost with refused contents, by content
+	 */
+	Map<Long, Set<TargetName>> refusedContents() {
+		Map<Long, Set<TargetName>> refused = new HashMap<>();
+		this.crashedTargetsByContent.forEach((content, targets) -> {
+			if (isRefused(content) && refused.size() < MAXIMUM_CONTENTS_TOLD) {
+				refused.put(content, Set.copyOf(targets));
+			}
+		});
+		return refused;
+	}
+
 	void clear(long content) {
 		this.crashedTargetsByContent.remove(content);
 	}
--- a/src/main/java/sycamorehill/logic/dispatch/CrashSuspicions.java
+++ b/src/main/java/sycamorehill/logic/dispatch/CrashSuspicions.java
@@ -76,6 +76,19 @@
 		due.forEach((suspicion) -> confirm(suspicion, effects));
 	}
 
+	/**
+	 * Returns the messages for a node that has just started: it would let each of the
+	 * refused contents crash some more targets.
+	 * @return the messages
+	 */
+	List<NodeMessage> createReports() {
+		List<NodeMessage> reports = new ArrayList<>();
+		this.history.refusedContents()
+			.forEach((content, targets) -> targets
+				.forEach((target) -> reports.add(new NodeMessage.Suspicion(this.nodeName, content, target))));
+		return reports;
+	}
+
 	private boolean isDue(Suspicion suspicion, Instant now) {
 		Duration waited = Duration.between(suspicion.since(), now);
 		return waited.compareTo(MAXIMUM_CONFIRMATION_TIME) >= 0 || (waited.compareTo(CONFIRMATION_TIME) >= 0
--- a/src/main/java/sycamorehill/logic/dispatch/RequestDispatcher.java
+++ b/src/main/java/sycamorehill/logic/dispatch/RequestDispatcher.java
@@ -264,6 +264,14 @@
 		}
 	}
 
+	/**
+	 * Returns what a node has to know of this one's requests that has just started.
+	 * @return the messages to it
+	 */
+	public List<NodeMessage> createReportsForNewNode() {
+		return this.crashSuspicions.createReports();
+	}
+
 	/**
 	 * Returns the number of requests that a target has from all nodes, as far as this
 	 * node knows.
--- a/src/main/java/sycamorehill/logic/entry/EntryReducer.java
+++ b/src/main/java/sycamorehill/logic/entry/EntryReducer.java
@@ -176,6 +176,8 @@
 			updateRetryShare(now);
 			this.peers.sendTo(message.sender(), new NodeMessage.IntroductionConfirmed(this.settings.nodeName()),
 					effects);
+			this.requests.createReportsForNewNode()
+				.forEach((report) -> this.peers.sendTo(message.sender(), report, effects));
 		}
 		else if (message instanceof NodeMessage.IntroductionConfirmed) {
 			this.registeredNodes.handleConfirmation(message.sender(), now);
--- /dev/null
+++ b/src/test/java/sycamorehill/logic/entry/CrashSuspicionTests.java
@@ -0,0 +1,80 @@
+package sycamorehill.logic.entry;
+
+import java.time.Instant;
+import java.util.List;
+import java.util.Random;
+
+import org.junit.jupiter.api.Test;
+
+import sycamorehill.model.identity.TargetName;
+import sycamorehill.model.serving.CallerRequest;
+import sycamorehill.model.serving.EntryEffect;
+import sycamorehill.model.serving.EntryEvent;
+import sycamorehill.model.serving.NodeMessage;
+import sycamorehill.support.ServingSamples;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests that all nodes learn which contents crash targets.
+ */
+class CrashSuspicionTests {
+
+	private static final CallerRequest CRASHING = ServingSamples.request(7, "/again/x");
+
+	private final Instant now = Instant.ofEpochSecond(1000);
+
+	private EntryReducer start(String name) {
+		EntryReducer started = EntryReducer.of(ServingSamples.settings(name), name + "#1", new Random(1), this.now);
+		started.accept(new EntryEvent.ConfigurationRead(ServingSamples.configuration(5), 1), this.now);
+		started.accept(new EntryEvent.TargetsListed(
+				List.of(ServingSamples.plain("p1"), ServingSamples.plain("p2"), ServingSamples.plain("p3")), 10),
+				this.now);
+		started.accept(
+				new EntryEvent.NodesListed(List.of(ServingSamples.node("one", 7101), ServingSamples.node("two", 7102))),
+				this.now);
+		return started;
+	}
+
+	private static void suspect(EntryReducer node, String target, Instant now) {
+		node.accept(new EntryEvent.MessageReceived(
+				new NodeMessage.Suspicion("two", CRASHING.contentHash(), TargetName.of(target))), now);
+	}
+
+	private static List<NodeMessage> suspicions(List<EntryEffect> effects) {
+		return effects.stream()
+			.filter(EntryEffect.Send.class::isInstance)
+			.map((effect) -> ((EntryEffect.Send) effect).message())
+			.filter(NodeMessage.Suspicion.class::isInstance)
+			.toList();
+	}
+
+	// A restarted process has forgotten which contents crash targets, and would let each
+	// crash some more.
+	@Test
+	void aRestartedNodeRefusesAContentThatCrashesTargets() {
+		EntryReducer one = start("one");
+		List.of("p1", "p2", "p3").forEach((target) -> suspect(one, target, this.now));
+		EntryReducer restarted = start("two");
+		List<EntryEffect> answers = one.accept(
+				new EntryEvent.MessageReceived(new NodeMessage.Introduction(ServingSamples.node("two", 7102))),
+				this.now);
+		suspicions(answers).forEach((told) -> restarted.accept(new EntryEvent.MessageReceived(told), this.now));
+		List<EntryEffect> effects = restarted.accept(new EntryEvent.RequestArrived(CRASHING), this.now);
+		assertThat(effects).noneMatch(EntryEffect.StartAttempt.class::isInstance)
+			.anyMatch((effect) -> effect instanceof EntryEffect.Answer answer && answer.status() == 503);
+	}
+
+	@Test
+	void aNodeIsNotToldOfContentsThatServeAgain() {
+		EntryReducer one = start("one");
+		List.of("p1", "p2", "p3").forEach((target) -> suspect(one, target, this.now));
+		one.accept(new EntryEvent.MessageReceived(new NodeMessage.SuspicionCleared("two", CRASHING.contentHash())),
+				this.now);
+		assertThat(suspicions(one.accept(
+				new EntryEvent.MessageReceived(new NodeMessage.Introduction(ServingSamples.node("two", 7102))),
+				this.now)))
+			.isEmpty();
+	}
+
+}
