Send the suspicion of a content three times

A node tells the others of a crash in one datagram. One that misses it counts a crash less, and all nodes together let the content crash more targets than the three that are allowed.

A suspicion is sent again after one and two seconds, unless its content was answered meanwhile. aSuspicionIsRepeatedInCaseItIsLost was red (sent once).

--- a/src/main/java/sycamorehill/logic/dispatch/CrashHistory.java
+++ b/src/main/java/sycamorehill/logic/dispatch/CrashHistory.java
@@ -1,10 +1,12 @@
 package sycamorehill.logic.dispatch;
 
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Function;
+import java.util.stream.Collectors;
 
 import sycamorehill.model.identity.TargetName;
 
@@ -23,7 +25,9 @@
 	 */
 	private static final int CRASHED_TARGETS_BEFORE_REFUSAL = 3;
 
-	/** Maximum number of contents of which a node is told that starts. */
+	/**
+	 * Maximum number of contents of which a node is told that starts, the newest ones.
+	 */
 	private static final int MAXIMUM_CONTENTS_TOLD = 50;
 
 	/** Maximum number of contents kept; the oldest is evicted first. */
@@ -59,13 +63,11 @@
 	 * @return the targets that were lost with refused contents, by content
 	 */
 	Map<Long, Set<TargetName>> refusedContents() {
-		Map<Long, Set<TargetName>> refused = new HashMap<>();
-		this.crashedTargetsByContent.forEach((content, targets) -> {
-			if (isRefused(content) && refused.size() < MAXIMUM_CONTENTS_TOLD) {
-				refused.put(content, Set.copyOf(targets));
-			}
-		});
-		return refused;
+		List<Long> refused = this.crashedTargetsByContent.keySet().stream().filter(this::isRefused).toList();
+		return refused.stream()
+			.skip(Math.max(0, refused.size() - MAXIMUM_CONTENTS_TOLD))
+			.collect(Collectors.toMap(Function.identity(),
+					(content) -> Set.copyOf(this.crashedTargetsByContent.get(content))));
 	}
 
 	void clear(long content) {
--- a/src/main/java/sycamorehill/logic/dispatch/CrashSuspicions.java
+++ b/src/main/java/sycamorehill/logic/dispatch/CrashSuspicions.java
@@ -24,6 +24,11 @@
 	/** Maximum time for which a suspicion waits while the path is in doubt. */
 	private static final Duration MAXIMUM_CONFIRMATION_TIME = Duration.ofSeconds(1);
 
+	/** How often a suspicion is sent: messages between nodes may be lost. */
+	private static final int BROADCASTS = 3;
+
+	private static final Duration BROADCAST_INTERVAL = Duration.ofSeconds(1);
+
 	private final String nodeName;
 
 	private final CrashHistory history;
@@ -32,6 +37,8 @@
 
 	private final List<Suspicion> unconfirmed = new ArrayList<>();
 
+	private final List<Broadcast> broadcasts = new ArrayList<>();
+
 	private CrashSuspicions(String nodeName, CrashHistory history, TargetReachability reachability) {
 		this.nodeName = nodeName;
 		this.history = history;
@@ -54,18 +61,28 @@
 	void clear(long content, Effects effects) {
 		this.unconfirmed.removeIf((suspicion) -> suspicion.content() == content);
 		if (this.history.isSuspect(content)) {
-			this.history.clear(content);
+			handleCleared(content);
 			effects.add(new EntryEffect.Broadcast(new NodeMessage.SuspicionCleared(this.nodeName, content)));
 		}
 	}
 
+	/**
+	 * Handles a content whose request was answered at another node.
+	 * @param content hash of the content
+	 */
+	void handleCleared(long content) {
+		this.history.clear(content);
+		this.broadcasts.removeIf((broadcast) -> broadcast.suspicion().contentHash() == content);
+	}
+
 	/**
 	 * Confirms the suspicions that the state of the path allows, and drops those that it
-	 * explains.
+	 * explains. Sends those again that were confirmed a while ago.
 	 * @param now the current time
 	 * @param effects receives the resulting effects
 	 */
 	void tick(Instant now, Effects effects) {
+		sendDue(now, effects);
 		if (this.unconfirmed.isEmpty()) {
 			return;
 		}
@@ -73,7 +90,19 @@
 				(suspicion) -> this.reachability.wasUnreachableAfter(suspicion.request().service(), suspicion.since()));
 		List<Suspicion> due = this.unconfirmed.stream().filter((suspicion) -> isDue(suspicion, now)).toList();
 		this.unconfirmed.removeAll(due);
-		due.forEach((suspicion) -> confirm(suspicion, effects));
+		due.forEach((suspicion) -> confirm(suspicion, now));
+		sendDue(now, effects);
+	}
+
+	private void sendDue(Instant now, Effects effects) {
+		this.broadcasts.replaceAll((broadcast) -> {
+			if (now.isBefore(broadcast.dueAt())) {
+				return broadcast;
+			}
+			effects.add(new EntryEffect.Broadcast(broadcast.suspicion()));
+			return new Broadcast(broadcast.suspicion(), broadcast.timesLeft() - 1, now.plus(BROADCAST_INTERVAL));
+		});
+		this.broadcasts.removeIf((broadcast) -> broadcast.timesLeft() == 0);
 	}
 
 	/**
@@ -95,10 +124,10 @@
 				&& !this.reachability.isInDoubt(suspicion.request().service(), now));
 	}
 
-	private void confirm(Suspicion suspicion, Effects effects) {
+	private void confirm(Suspicion suspicion, Instant now) {
 		this.history.recordCrash(suspicion.content(), suspicion.target());
-		effects.add(new EntryEffect.Broadcast(
-				new NodeMessage.Suspicion(this.nodeName, suspicion.content(), suspicion.target())));
+		this.broadcasts.add(new Broadcast(
+				new NodeMessage.Suspicion(this.nodeName, suspicion.content(), suspicion.target()), BROADCASTS, now));
 	}
 
 	/**
@@ -116,4 +145,14 @@
 
 	}
 
+	/**
+	 * A suspicion that is sent several times.
+	 *
+	 * @param suspicion the message
+	 * @param timesLeft how often it is still sent
+	 * @param dueAt when it is sent next
+	 */
+	private record Broadcast(NodeMessage.Suspicion suspicion, int timesLeft, Instant dueAt) {
+	}
+
 }
--- a/src/main/java/sycamorehill/logic/dispatch/RequestDispatcher.java
+++ b/src/main/java/sycamorehill/logic/dispatch/RequestDispatcher.java
@@ -257,7 +257,7 @@
 			this.crashHistory.recordCrash(suspicion.contentHash(), suspicion.target());
 		}
 		else if (message instanceof NodeMessage.SuspicionCleared cleared) {
-			this.crashHistory.clear(cleared.contentHash());
+			this.crashSuspicions.handleCleared(cleared.contentHash());
 		}
 		else if (message instanceof NodeMessage.ServicesUnreachable report) {
 			this.paths.proxySelector().handleMessage(report, now);
--- a/src/test/java/sycamorehill/logic/entry/CrashSuspicionTests.java
+++ b/src/test/java/sycamorehill/logic/entry/CrashSuspicionTests.java
@@ -1,12 +1,15 @@
 package sycamorehill.logic.entry;
 
+import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
 
 import org.junit.jupiter.api.Test;
 
 import sycamorehill.model.identity.TargetName;
+import sycamorehill.model.serving.AttemptEnd;
 import sycamorehill.model.serving.CallerRequest;
 import sycamorehill.model.serving.EntryEffect;
 import sycamorehill.model.serving.EntryEvent;
@@ -22,7 +25,9 @@
 
 	private static final CallerRequest CRASHING = ServingSamples.request(7, "/again/x");
 
-	private final Instant now = Instant.ofEpochSecond(1000);
+	private static final Duration TICK = Duration.ofMillis(100);
+
+	private Instant now = Instant.ofEpochSecond(1000);
 
 	private EntryReducer start(String name) {
 		EntryReducer started = EntryReducer.of(ServingSamples.settings(name), name + "#1", new Random(1), this.now);
@@ -77,4 +82,22 @@
 			.isEmpty();
 	}
 
+	// A node that missed the only message would let the content crash more targets.
+	@Test
+	void aSuspicionIsRepeatedInCaseItIsLost() {
+		EntryReducer one = start("one");
+		TargetName target = one.accept(new EntryEvent.RequestArrived(CRASHING), this.now)
+			.stream()
+			.filter(EntryEffect.StartAttempt.class::isInstance)
+			.map((effect) -> ((EntryEffect.StartAttempt) effect).target().name())
+			.findFirst()
+			.orElseThrow();
+		one.accept(new EntryEvent.AttemptEnded(7, 1, new AttemptEnd.Unknown("reset", true)), this.now);
+		List<NodeMessage> told = new ArrayList<>();
+		for (Instant end = this.now.plusSeconds(10); this.now.isBefore(end); this.now = this.now.plus(TICK)) {
+			told.addAll(suspicions(one.accept(new EntryEvent.Ticked(), this.now)));
+		}
+		assertThat(told).hasSize(3).containsOnly(new NodeMessage.Suspicion("one", CRASHING.contentHash(), target));
+	}
+
 }
