--- a/src/main/java/sycamorehill/logic/entry/RegisteredNodes.java
+++ b/src/main/java/sycamorehill/logic/entry/RegisteredNodes.java
@@ -126,13 +126,15 @@
 	}
 
 	/**
-	 * Returns the nodes to which this node has to introduce itself now.
+	 * Returns the nodes to which this node has to introduce itself now. Once it need not
+	 * wait for them any more, there are none.
 	 * @param now the current time
 	 * @return their names
 	 */
 	List<String> takeDueIntroductions(Instant now) {
-		if (this.firstListedAt.isEmpty()
-				|| (this.introducedAt != Instant.MIN && now.isBefore(this.introducedAt.plus(INTRODUCTION_INTERVAL)))) {
+		boolean waiting = countedSince().filter(now::isBefore).isPresent();
+		boolean due = this.introducedAt == Instant.MIN || !now.isBefore(this.introducedAt.plus(INTRODUCTION_INTERVAL));
+		if (!waiting || !due) {
 			return List.of();
 		}
 		this.introducedAt = now;
--- a/src/test/java/sycamorehill/logic/entry/RetrySharesTests.java
+++ b/src/test/java/sycamorehill/logic/entry/RetrySharesTests.java
@@ -162,6 +162,8 @@
 		assertThat(this.nodes.takeDueIntroductions(START.plusMillis(999))).isEmpty();
 		this.nodes.handleConfirmation("a", START.plusMillis(999));
 		assertThat(this.nodes.takeDueIntroductions(START.plusSeconds(1))).containsExactly("c");
+		assertThat(this.nodes.takeDueIntroductions(START.plusSeconds(134))).containsExactly("c");
+		assertThat(this.nodes.takeDueIntroductions(START.plusSeconds(136))).isEmpty();
 	}
 
 }
