Tell in the lease how many controllers ended within the window of loads

Three controllers in a window started 33 loads from the weight store where 30 are allowed, four 44: each counts the loads of the one before it only.

The lease says how many terms ended shortly before that of its holder: one more with each term, none once the holder has held it for a window. After one such term a new controller counts as before; after two or more it starts no load until a window has passed.

--- a/src/main/java/sycamorehill/entry/NodeMessageFields.java
+++ b/src/main/java/sycamorehill/entry/NodeMessageFields.java
@@ -59,6 +59,8 @@
 
 	private static final String LEASE_REVISION = "lease-revision";
 
+	private static final String RECENT_TERMS = "recent-terms";
+
 	private static final String STORE_REACHED = "store-reached";
 
 	private static final String READING_MICROS = "reading-micros";
@@ -216,7 +218,8 @@
 		update.lease()
 			.ifPresent((lease) -> body.put(HOLDER, lease.holder())
 				.put(TERM, lease.term())
-				.put(LEASE_REVISION, lease.revision()));
+				.put(LEASE_REVISION, lease.revision())
+				.put(RECENT_TERMS, lease.recentTerms()));
 	}
 
 	private static NodeMessage readUpdate(String sender, JsonNode body) {
@@ -227,9 +230,8 @@
 	}
 
 	private static Optional<Lease> readLease(JsonNode body) {
-		return body.has(HOLDER) ? Optional
-			.of(new Lease(body.path(HOLDER).asText(), body.path(TERM).asLong(), body.path(LEASE_REVISION).asLong()))
-				: Optional.empty();
+		return body.has(HOLDER) ? Optional.of(new Lease(body.path(HOLDER).asText(), body.path(TERM).asLong(),
+				body.path(LEASE_REVISION).asLong(), body.path(RECENT_TERMS).asInt())) : Optional.empty();
 	}
 
 	private static void writeConfiguration(NodeMessage.ConfigurationText configuration, ObjectNode body)
--- a/src/main/java/sycamorehill/logic/entry/EntryReducer.java
+++ b/src/main/java/sycamorehill/logic/entry/EntryReducer.java
@@ -303,7 +303,7 @@
 			this.stage.requestStop(now);
 			this.retryShares.stop();
 			updateRetryShare(now);
-			this.groups.stop(effects);
+			this.groups.stop(now, effects);
 		}
 		tick(now, effects);
 	}
--- a/src/main/java/sycamorehill/logic/layout/GroupController.java
+++ b/src/main/java/sycamorehill/logic/layout/GroupController.java
@@ -69,7 +69,7 @@
 	private GroupController(EntrySettings settings, TargetDirectory directory, String ownIdentity, Instant started) {
 		this.settings = settings;
 		this.directory = directory;
-		this.lease = GroupLeaseManager.of(ownIdentity);
+		this.lease = GroupLeaseManager.of(ownIdentity, settings.loadWindow());
 		this.vanished = VanishedMembers.of(directory, this.commandSender);
 		this.unreachable = UnreachableEngines.of(directory, this.vanished);
 		this.phase = StartupPhase.of(settings, started);
@@ -128,10 +128,11 @@
 
 	/**
 	 * Releases the lease, so that another node takes over the control.
+	 * @param now the current time
 	 * @param effects receives the resulting effects
 	 */
-	public void stop(Effects effects) {
-		this.lease.release(effects);
+	public void stop(Instant now, Effects effects) {
+		this.lease.release(now, effects);
 	}
 
 	/**
@@ -288,7 +289,7 @@
 		return this.services.computeIfAbsent(service, (name) -> {
 			ServiceGroups groups = ServiceGroups.of(name, new ServiceGroups.SharedState(this.directory,
 					this.commandSender, this.unreachable, this.vanished, this.detached, this.phase), this.settings);
-			groups.startTerm(this.term);
+			groups.startTerm(this.term, this.lease.recentTerms());
 			return groups;
 		});
 	}
@@ -296,7 +297,7 @@
 	private void startTerm() {
 		this.term = this.lease.term();
 		this.commandTracker.clear();
-		this.services.values().forEach((service) -> service.startTerm(this.term));
+		this.services.values().forEach((service) -> service.startTerm(this.term, this.lease.recentTerms()));
 	}
 
 	/**
--- a/src/main/java/sycamorehill/logic/layout/GroupLeaseManager.java
+++ b/src/main/java/sycamorehill/logic/layout/GroupLeaseManager.java
@@ -57,6 +57,9 @@
 
 	private final String ownIdentity;
 
+	/** Time after which nothing that a holder has done counts any more. */
+	private final Duration memory;
+
 	private Optional<Lease> lastLease = Optional.empty();
 
 	private Instant lastChangeAt = Instant.MIN;
@@ -79,12 +82,19 @@
 
 	private boolean storeUnreachable;
 
-	private GroupLeaseManager(String ownIdentity) {
+	private GroupLeaseManager(String ownIdentity, Duration memory) {
 		this.ownIdentity = ownIdentity;
+		this.memory = memory;
 	}
 
-	static GroupLeaseManager of(String ownIdentity) {
-		return new GroupLeaseManager(ownIdentity);
+	/**
+	 * Creates a manager that knows no lease.
+	 * @param ownIdentity identifies this process
+	 * @param memory time after which nothing that a holder has done counts any more
+	 * @return the manager
+	 */
+	static GroupLeaseManager of(String ownIdentity, Duration memory) {
+		return new GroupLeaseManager(ownIdentity, memory);
 	}
 
 	/**
@@ -106,6 +116,14 @@
 		return this.lastLease.map(Lease::term).orElse(0L);
 	}
 
+	/**
+	 * Returns how many terms of other processes ended shortly before this one's.
+	 * @return the number of terms
+	 */
+	int recentTerms() {
+		return this.lastLease.map(Lease::recentTerms).orElse(0);
+	}
+
 	/**
 	 * Returns the node that holds the lease.
 	 * @return the name of the node; empty if it is not known
@@ -147,7 +165,7 @@
 			releaseWithoutPath(now, effects);
 		}
 		else if (this.holding) {
-			replace(this.lastLease.orElseThrow(), now, effects);
+			replace(renewed(this.lastLease.orElseThrow().holder(), now), now, effects);
 		}
 		else if (!cutOffFor.isZero()) {
 			return;
@@ -157,7 +175,8 @@
 		}
 		else if (this.lastLease.isPresent() && canAcquire(now)) {
 			Lease previous = this.lastLease.get();
-			replace(new Lease(this.ownIdentity, previous.term() + 1, previous.revision()), now, effects);
+			replace(new Lease(this.ownIdentity, previous.term() + 1, previous.revision(), previous.recentTerms() + 1),
+					now, effects);
 		}
 		else {
 			call(new EntryEffect.ReadLease(), READ_INTERVAL, now, effects);
@@ -175,12 +194,18 @@
 
 	// The store answers this node, so that the lease would never expire.
 	private void releaseWithoutPath(Instant now, Effects effects) {
-		Lease held = this.lastLease.orElseThrow();
+		Lease released = renewed("", now);
 		lose("no path to the engines", effects);
-		replace(new Lease("", held.term(), held.revision()), now, effects);
+		replace(released, now, effects);
 		broadcastRelease(effects);
 	}
 
+	private Lease renewed(String holder, Instant now) {
+		Lease held = this.lastLease.orElseThrow();
+		boolean forgotten = !now.isBefore(this.holdingSince.plus(this.memory));
+		return new Lease(holder, held.term(), held.revision(), forgotten ? 0 : held.recentTerms());
+	}
+
 	private void broadcastRelease(Effects effects) {
 		effects.add(
 				new EntryEffect.Broadcast(new NodeMessage.LeaseReleased(nodeName(this.ownIdentity), this.ownIdentity)));
@@ -298,14 +323,15 @@
 
 	/**
 	 * Releases the lease, so that another node takes it over at once.
+	 * @param now the current time
 	 * @param effects receives the resulting effects
 	 */
-	void release(Effects effects) {
+	void release(Instant now, Effects effects) {
 		if (this.holding) {
-			Lease held = this.lastLease.orElseThrow();
-			effects.add(new EntryEffect.ReplaceLease(new Lease("", held.term(), held.revision())));
+			Lease released = renewed("", now);
+			effects.add(new EntryEffect.ReplaceLease(released));
 			broadcastRelease(effects);
-			effects.log(LogEvent.GROUP_LEASE, "given back term=" + held.term());
+			effects.log(LogEvent.GROUP_LEASE, "given back term=" + released.term());
 		}
 		this.holding = false;
 		this.released = true;
--- a/src/main/java/sycamorehill/logic/layout/LoadBudget.java
+++ b/src/main/java/sycamorehill/logic/layout/LoadBudget.java
@@ -33,8 +33,20 @@
 		while (!this.startTimes.isEmpty() && this.startTimes.peekFirst().plus(this.window).isBefore(now)) {
 			this.startTimes.removeFirst();
 		}
-		double maximum = loadsPerSecond * this.window.toMillis() / 1000.0 * USABLE_SHARE;
-		return loads == 0 || this.startTimes.size() + loads <= maximum;
+		return loads == 0 || this.startTimes.size() + loads <= maximum(loadsPerSecond);
+	}
+
+	private double maximum(double loadsPerSecond) {
+		return loadsPerSecond * this.window.toMillis() / 1000.0 * USABLE_SHARE;
+	}
+
+	/**
+	 * Leaves no load for the next window.
+	 * @param loadsPerSecond the limit
+	 * @param now the current time
+	 */
+	void recordUsedUp(double loadsPerSecond, Instant now) {
+		recordStarted((int) Math.ceil(maximum(loadsPerSecond)), now);
 	}
 
 	void recordStarted(int loads, Instant now) {
--- a/src/main/java/sycamorehill/logic/layout/ServiceGroups.java
+++ b/src/main/java/sycamorehill/logic/layout/ServiceGroups.java
@@ -72,12 +72,13 @@
 	 * Starts a term of the controller and discards what earlier terms recorded, because
 	 * another node may have changed anything.
 	 * @param term the number of the term
+	 * @param recentTerms number of terms of others that ended shortly before
 	 */
-	void startTerm(long term) {
+	void startTerm(long term, int recentTerms) {
 		this.builder.startTerm(term);
 		this.disbander.clear();
 		this.completeness.clear();
-		this.loads.clear(term > 1);
+		this.loads.clear(recentTerms);
 		this.freeEngines.clear();
 		this.demand.clear();
 		this.conversions.clear();
--- a/src/main/java/sycamorehill/logic/layout/WeightLoadTracker.java
+++ b/src/main/java/sycamorehill/logic/layout/WeightLoadTracker.java
@@ -42,7 +42,7 @@
 
 	private final Map<TargetName, Load> loads = new HashMap<>();
 
-	private boolean earlierLoadsUncounted;
+	private int uncountedControllers;
 
 	private WeightLoadTracker(LoadBudget budget, StartupPhase phase) {
 		this.budget = budget;
@@ -54,21 +54,25 @@
 	}
 
 	/**
-	 * Forgets all loads, because another node may have started some in the meantime.
-	 * @param hadPreviousController whether another node sent commands before
+	 * Forgets all loads, because other nodes may have started some in the meantime.
+	 * @param recentControllers number of controllers before this one whose loads may
+	 * still count
 	 */
-	void clear(boolean hadPreviousController) {
+	void clear(int recentControllers) {
 		this.loads.clear();
-		this.earlierLoadsUncounted |= hadPreviousController;
+		this.uncountedControllers = Math.max(this.uncountedControllers, recentControllers);
 	}
 
-	// The loads that the previous controller started are not known. It had at most as
-	// many running as run at full speed.
+	// The loads that earlier controllers started are not known. The one before had about
+	// as many running as run at full speed. Several within a window may have used it up.
 	private void countEarlierLoads(EngineParameters parameters, Instant now) {
-		if (this.earlierLoadsUncounted) {
-			this.earlierLoadsUncounted = false;
+		if (this.uncountedControllers == 1) {
 			this.budget.recordStarted(parameters.fullSpeedLoads(), now);
 		}
+		else if (this.uncountedControllers > 1) {
+			this.budget.recordUsedUp(parameters.loadsPerSecond(), now);
+		}
+		this.uncountedControllers = 0;
 	}
 
 	/**
--- a/src/main/java/sycamorehill/platform/PlatformStore.java
+++ b/src/main/java/sycamorehill/platform/PlatformStore.java
@@ -71,6 +71,8 @@
 
 	private static final String GROUP_CONTROL = "group-control";
 
+	private static final String RECENT_TERMS = "recent_terms";
+
 	/**
 	 * Timeout of a call that the store answers without waiting for changes. Even a slow
 	 * store answers well within it.
@@ -236,7 +238,7 @@
 	public CompletableFuture<LeaseAnswer> create(String holder) {
 		ObjectNode body = this.json.createObjectNode();
 		body.putObject("metadata").put("name", GROUP_CONTROL);
-		body.putObject("spec").put("holder", holder).put("term", 1).put("renewal", 0);
+		body.putObject("spec").put("holder", holder).put("term", 1).put("renewal", 0).put(RECENT_TERMS, 0);
 		return callForLease(new CallClient.Call(this.store, HttpMethod.POST, OBJECTS_PATH + DUTIES, toBytes(body)),
 				true);
 	}
@@ -249,7 +251,11 @@
 	public CompletableFuture<LeaseAnswer> replace(Lease lease) {
 		ObjectNode body = this.json.createObjectNode();
 		body.putObject("metadata").put("name", GROUP_CONTROL).put("rev", lease.revision());
-		body.putObject("spec").put("holder", lease.holder()).put("term", lease.term()).put("renewal", lease.revision());
+		body.putObject("spec")
+			.put("holder", lease.holder())
+			.put("term", lease.term())
+			.put("renewal", lease.revision())
+			.put(RECENT_TERMS, lease.recentTerms());
 		return callForLease(new CallClient.Call(this.store, HttpMethod.PUT, leasePath(), toBytes(body)), true);
 	}
 
@@ -276,7 +282,7 @@
 		JsonNode object = answer.path("object").isObject() ? answer.path("object") : answer;
 		JsonNode spec = object.path("spec");
 		return new Lease(JsonFields.optionalText(spec, "holder").orElse(""), JsonFields.wholeNumber(spec, "term"),
-				JsonFields.wholeNumber(object.path("metadata"), "rev"));
+				JsonFields.wholeNumber(object.path("metadata"), "rev"), spec.path(RECENT_TERMS).asInt());
 	}
 
 	private JsonNode parseBody(CallAnswer answer) {
--- a/src/test/java/sycamorehill/entry/NodeMessageCodecTests.java
+++ b/src/test/java/sycamorehill/entry/NodeMessageCodecTests.java
@@ -43,7 +43,7 @@
 				new NodeMessage.SummedLoads("n1", List.of(new LoadSum("n2", NORTH, 7, Map.of(TARGET, 3)))),
 				new NodeMessage.RequestPlaced("n1", TARGET, Duration.ofMillis(14)),
 				new NodeMessage.StoreUpdate("n1", NORTH, 5, 1, 90, 100, 110, changes,
-						Optional.of(new Lease("n2#a", 3, 99)), Duration.ofMillis(210)),
+						Optional.of(new Lease("n2#a", 3, 99, 2)), Duration.ofMillis(210)),
 				new NodeMessage.ConfigurationText("n1", 5, "{\"routes\": [\"näher\"]}"),
 				new NodeMessage.ChangesRequest("n1", 90), new NodeMessage.ConfigurationRequest("n1", 5),
 				new NodeMessage.TargetsObserved("n1", changes),
--- a/src/test/java/sycamorehill/logic/entry/NodeWithoutPathTests.java
+++ b/src/test/java/sycamorehill/logic/entry/NodeWithoutPathTests.java
@@ -137,7 +137,7 @@
 		accept(new EntryEvent.LeaseAnswered(new LeaseAnswer.Present(new Lease("", 3, 52), true)));
 		assertThat(run(3000)).noneMatch(EntryEffect.ReplaceLease.class::isInstance);
 		accept(new EntryEvent.TargetConnected(TargetName.of("h0")));
-		assertThat(run(3000)).contains(new EntryEffect.ReplaceLease(new Lease("one#1", 4, 52)));
+		assertThat(run(3000)).contains(new EntryEffect.ReplaceLease(new Lease("one#1", 4, 52, 1)));
 	}
 
 	private static boolean isSilenceReport(EntryEffect effect) {
--- a/src/test/java/sycamorehill/logic/layout/FakeFleet.java
+++ b/src/test/java/sycamorehill/logic/layout/FakeFleet.java
@@ -442,7 +442,7 @@
 				return new LeaseAnswer.Conflict(FakeFleet.this.lease.orElseThrow());
 			}
 			Lease written = new Lease(requested.holder(), requested.term(),
-					FakeFleet.this.lease.map(Lease::revision).orElse(0L) + 1);
+					FakeFleet.this.lease.map(Lease::revision).orElse(0L) + 1, requested.recentTerms());
 			FakeFleet.this.lease = Optional.of(written);
 			return new LeaseAnswer.Present(written, true);
 		}
--- a/src/test/java/sycamorehill/logic/layout/GroupLeaseManagerTests.java
+++ b/src/test/java/sycamorehill/logic/layout/GroupLeaseManagerTests.java
@@ -26,10 +26,12 @@
 
 	private static final GroupLeaseManager.StoreStatus UNREACHABLE = new GroupLeaseManager.StoreStatus(false, true);
 
+	private static final Duration MEMORY = Duration.ofSeconds(5);
+
 	private final Instant start = Instant.ofEpochSecond(1000);
 
 	private List<EntryEffect> effectsAfterReading(String ownIdentity, String holder, long millis) {
-		GroupLeaseManager manager = GroupLeaseManager.of(ownIdentity);
+		GroupLeaseManager manager = GroupLeaseManager.of(ownIdentity, MEMORY);
 		Effects effects = Effects.create();
 		manager.tick(REACHED, Duration.ZERO, this.start, effects);
 		manager.handleAnswer(new LeaseAnswer.Present(new Lease(holder, 3, 7), false), this.start, effects);
@@ -44,7 +46,7 @@
 	@Test
 	void takesTheLeaseOfThePreviousProcessOnItsNodeAtOnce() {
 		assertThat(effectsAfterReading("one#b", "one#a", 900))
-			.containsExactly(new EntryEffect.ReplaceLease(new Lease("one#b", 4, 7)));
+			.containsExactly(new EntryEffect.ReplaceLease(new Lease("one#b", 4, 7, 1)));
 	}
 
 	// The holder is another node, whose process may still run, so the lease has to expire
@@ -53,11 +55,11 @@
 	void waitsUntilTheLeaseOfAnotherNodeExpires() {
 		assertThat(effectsAfterReading("one#b", "two#a", 900)).containsExactly(new EntryEffect.ReadLease());
 		assertThat(effectsAfterReading("one#b", "two#a", 2900))
-			.containsExactly(new EntryEffect.ReplaceLease(new Lease("one#b", 4, 7)));
+			.containsExactly(new EntryEffect.ReplaceLease(new Lease("one#b", 4, 7, 1)));
 	}
 
 	private GroupLeaseManager holder(String ownIdentity) {
-		GroupLeaseManager manager = GroupLeaseManager.of(ownIdentity);
+		GroupLeaseManager manager = GroupLeaseManager.of(ownIdentity, MEMORY);
 		Effects effects = Effects.create();
 		manager.tick(REACHED, Duration.ZERO, this.start, effects);
 		manager.handleAnswer(new LeaseAnswer.Present(new Lease(ownIdentity, 3, 7), true), this.start, effects);
@@ -88,14 +90,14 @@
 		assertThat(effectsOfFailingRenewals(manager, REACHED_BY_OTHERS, 1800))
 			.contains(new EntryEffect.Broadcast(new NodeMessage.LeaseReleased("one", "one#a")));
 		assertThat(manager.isHeld(this.start.plusMillis(1800))).isFalse();
-		GroupLeaseManager other = GroupLeaseManager.of("two#b");
+		GroupLeaseManager other = GroupLeaseManager.of("two#b", MEMORY);
 		Effects effects = Effects.create();
 		other.tick(REACHED, Duration.ZERO, this.start, effects);
 		other.handleAnswer(new LeaseAnswer.Present(new Lease("one#a", 3, 7), false), this.start, effects);
 		other.handleReleased("one#a", false, this.start.plusMillis(200));
 		Effects next = Effects.create();
 		other.tick(REACHED, Duration.ZERO, this.start.plusMillis(200), next);
-		assertThat(next.all()).containsExactly(new EntryEffect.ReplaceLease(new Lease("two#b", 4, 7)));
+		assertThat(next.all()).containsExactly(new EntryEffect.ReplaceLease(new Lease("two#b", 4, 7, 1)));
 	}
 
 	private List<EntryEffect> effectsOfTick(GroupLeaseManager manager, GroupLeaseManager.StoreStatus storeStatus,
@@ -111,7 +113,7 @@
 	// crashes, they know its last renewal, and take the lease as soon as it has expired.
 	@Test
 	void aNodeReadsTheLeaseOnlyWithoutStoreUpdates() {
-		GroupLeaseManager manager = GroupLeaseManager.of("one#b");
+		GroupLeaseManager manager = GroupLeaseManager.of("one#b", MEMORY);
 		for (long millis = 0; millis <= 5000; millis += 100) {
 			manager.handleUpdate(new Lease("two#a", 3, 7 + millis / 700), this.start.plusMillis(millis),
 					Effects.create());
@@ -122,7 +124,7 @@
 		manager.handleAnswer(new LeaseAnswer.Present(new Lease("two#a", 3, 14), false), this.start.plusMillis(6010),
 				Effects.create());
 		assertThat(effectsOfTick(manager, REACHED, 7300))
-			.containsExactly(new EntryEffect.ReplaceLease(new Lease("one#b", 4, 14)));
+			.containsExactly(new EntryEffect.ReplaceLease(new Lease("one#b", 4, 14, 1)));
 	}
 
 	// A holder was partitioned and another node took the lease. The holder learns this
@@ -148,4 +150,30 @@
 		assertThat(unreachableForOne.isHeld(this.start.plusMillis(3000))).isFalse();
 	}
 
+	// A controller forgets what those before it did. The lease tells how many there were.
+	@Test
+	void theLeaseCountsTheTermsThatEndedWithinTheMemory() {
+		GroupLeaseManager manager = GroupLeaseManager.of("one#b", MEMORY);
+		manager.handleAnswer(new LeaseAnswer.Present(new Lease("one#a", 3, 7, 1), false), this.start, Effects.create());
+		assertThat(effectsOfTick(manager, REACHED, 900))
+			.containsExactly(new EntryEffect.ReplaceLease(new Lease("one#b", 4, 7, 2)));
+		manager.handleAnswer(new LeaseAnswer.Present(new Lease("one#b", 4, 8, 2), true), this.start.plusMillis(900),
+				Effects.create());
+		assertThat(manager.recentTerms()).isEqualTo(2);
+		for (long millis = 1600; millis < 8000; millis += 700) {
+			Lease renewed = renewal(effectsOfTick(manager, REACHED, millis));
+			assertThat(renewed.recentTerms()).isEqualTo((millis < 900 + MEMORY.toMillis()) ? 2 : 0);
+			manager.handleAnswer(new LeaseAnswer.Present(renewed, true), this.start.plusMillis(millis),
+					Effects.create());
+		}
+	}
+
+	private static Lease renewal(List<EntryEffect> effects) {
+		return effects.stream()
+			.filter(EntryEffect.ReplaceLease.class::isInstance)
+			.map((effect) -> ((EntryEffect.ReplaceLease) effect).lease())
+			.findFirst()
+			.orElseThrow();
+	}
+
 }
--- a/src/test/java/sycamorehill/logic/layout/WeightLoadTrackerTests.java
+++ b/src/test/java/sycamorehill/logic/layout/WeightLoadTrackerTests.java
@@ -34,11 +34,11 @@
 
 	// Starts loads each 10 ms, as many as the controller allows. Each is done at once, so
 	// that only the window limits them.
-	private int startLoads(boolean hadPreviousController, boolean done, Instant from, Duration time) {
+	private int startLoads(int recentControllers, boolean done, Instant from, Duration time) {
 		StartupPhase phase = StartupPhase.of(ServingSamples.settings("one"), START.minusSeconds(60));
 		phase.recordTraffic(START.minusSeconds(30));
 		WeightLoadTracker tracker = WeightLoadTracker.of(LoadBudget.of(WINDOW), phase);
-		tracker.clear(hadPreviousController);
+		tracker.clear(recentControllers);
 		int started = 0;
 		for (Instant now = from; now.isBefore(from.plus(time)); now = now.plusMillis(10)) {
 			while (tracker.mayStart(true, PARAMETERS, now)) {
@@ -55,13 +55,13 @@
 
 	@Test
 	void oneControllerKeepsToTheLimit() {
-		assertThat(startLoads(false, true, START, WINDOW)).isBetween(20, ALLOWED_LOADS);
+		assertThat(startLoads(0, true, START, WINDOW)).isBetween(20, ALLOWED_LOADS);
 	}
 
 	@Test
 	void aControllerThatTakesOverKeepsToTheLimitWithTheOneBefore() {
-		int started = startLoads(false, false, START, Duration.ofMillis(2200));
-		started += startLoads(true, false, START.plusMillis(2200), Duration.ofMillis(2800));
+		int started = startLoads(0, false, START, Duration.ofMillis(2200));
+		started += startLoads(1, false, START.plusMillis(2200), Duration.ofMillis(2800));
 		assertThat(started).isLessThanOrEqualTo(ALLOWED_LOADS);
 	}
 
@@ -71,9 +71,9 @@
 	@ValueSource(ints = { 3, 4 })
 	void controllersThatFollowEachOtherKeepToTheLimitTogether(int controllers) {
 		Duration each = WINDOW.dividedBy(controllers);
-		int started = startLoads(false, false, START, each);
+		int started = startLoads(0, false, START, each);
 		for (int next = 1; next < controllers; next++) {
-			started += startLoads(true, false, START.plus(each.multipliedBy(next)), each);
+			started += startLoads(next, false, START.plus(each.multipliedBy(next)), each);
 		}
 		assertThat(started).isLessThanOrEqualTo(ALLOWED_LOADS);
 	}
