Split the choice of relays and the reports on the store from PeerNodes

Which nodes relay store updates to other data centres (RelayNodes) and what others report on the store (StoreReports) stand by themselves now. Behaviour unchanged: a store update names its sender's data centre, so its sender is a node of that one.

--- a/src/main/java/sycamorehill/logic/entry/PeerNodes.java
+++ b/src/main/java/sycamorehill/logic/entry/PeerNodes.java
@@ -7,7 +7,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.TreeSet;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
@@ -28,20 +27,13 @@
 	 * A node that sends nothing for this long is not live: in a small cluster, a live one
 	 * sends 25 messages.
 	 */
-	private static final Duration MINIMUM_LIVENESS_TIMEOUT = Duration.ofSeconds(5);
+	static final Duration MINIMUM_LIVENESS_TIMEOUT = Duration.ofSeconds(5);
 
 	/**
 	 * Number of consecutive messages of a node that may be lost while it counts as live.
 	 */
 	private static final int MAXIMUM_MISSED_MESSAGES = 2;
 
-	/**
-	 * How long a node's report on the store is valid: in a small cluster, nodes report it
-	 * five times a second; in a large one, they report it to half of the others within
-	 * this time.
-	 */
-	private static final Duration STORE_STATUS_VALIDITY = Duration.ofMillis(1500);
-
 	/** A load report is out of date after about the duration of an event. */
 	private static final Duration MINIMUM_LOAD_INTERVAL = Duration.ofMillis(200);
 
@@ -72,9 +64,9 @@
 
 	private final Map<String, Instant> lastReceived = new HashMap<>();
 
-	private final Map<String, StoreStatus> storeStatuses = new HashMap<>();
+	private final StoreReports storeReports = StoreReports.create();
 
-	private final Map<DataCentreName, Relay> relays = new HashMap<>();
+	private final RelayNodes relays = RelayNodes.create();
 
 	private final Map<DataCentreName, NodeCount> nodeCounts = new HashMap<>();
 
@@ -114,13 +106,13 @@
 	private void remove(String node) {
 		this.nodes.remove(node);
 		this.lastReceived.remove(node);
-		this.storeStatuses.remove(node);
+		this.storeReports.remove(node);
 	}
 
 	void handleMessage(NodeMessage message, Instant now) {
 		this.lastReceived.put(message.sender(), now);
 		if (message instanceof NodeMessage.Loads loads) {
-			this.storeStatuses.put(message.sender(), new StoreStatus(loads.storeReachable(), now));
+			this.storeReports.record(loads, now);
 		}
 		else if (message instanceof NodeMessage.SummedLoads added) {
 			for (LoadSum sum : added.sums()) {
@@ -132,7 +124,7 @@
 			add(introduction.node(), now);
 		}
 		else if (message instanceof NodeMessage.StoreUpdate update) {
-			this.relays.put(update.dataCentre(), new Relay(update.sender(), now));
+			this.relays.record(update, now);
 		}
 	}
 
@@ -269,12 +261,7 @@
 	 * @return true if the store is unreachable for all nodes
 	 */
 	boolean isStoreUnreachableForAll(Instant now) {
-		Instant since = now.minus(STORE_STATUS_VALIDITY);
-		List<StoreStatus> recent = this.storeStatuses.values()
-			.stream()
-			.filter((status) -> status.receivedAt().isAfter(since))
-			.toList();
-		return recent.stream().noneMatch(StoreStatus::reached) && 2 * (recent.size() + 1) >= countKnownNodes();
+		return this.storeReports.isUnreachableForAll(countKnownNodes(), now);
 	}
 
 	/**
@@ -314,18 +301,16 @@
 
 	/**
 	 * Sends a message to one or two nodes of each other data centre, which relay it
-	 * there: the one that takes precedence among those whose messages arrived recently,
-	 * and the one that sent the last store update, which replaces the first if that has
-	 * failed. A node that has just begun to read may have received messages from none of
+	 * there. A node that has just begun to read may have received messages from none of
 	 * them.
 	 * @param message the message
 	 * @param now the current time
 	 * @param effects receives the resulting effects
 	 */
 	void sendToRelays(NodeMessage message, Instant now, Effects effects) {
-		List<Address> relays = relayAddresses(now);
-		if (!relays.isEmpty()) {
-			effects.add(new EntryEffect.Send(relays, message));
+		List<Address> addresses = relayAddresses(now);
+		if (!addresses.isEmpty()) {
+			effects.add(new EntryEffect.Send(addresses, message));
 		}
 	}
 
@@ -336,22 +321,14 @@
 	 */
 	List<Address> relayAddresses(Instant now) {
 		Instant since = now.minus(livenessTimeout());
-		Set<String> recipients = new TreeSet<>();
-		Map<DataCentreName, String> preferred = new HashMap<>();
-		for (NodeRecord node : this.nodes.values()) {
-			if (!node.dataCentre().equals(this.localDataCentre)) {
-				preferred.merge(node.dataCentre(), node.name(), (one, two) -> preferredRelay(one, two, since));
-			}
-		}
-		recipients.addAll(preferred.values());
-		preferred.keySet()
+		List<NodeRecord> remote = this.nodes.values()
 			.stream()
-			.flatMap((dataCentre) -> Optional.ofNullable(this.relays.get(dataCentre)).stream())
-			.filter((relay) -> since.isBefore(relay.receivedAt().plus(MINIMUM_LIVENESS_TIMEOUT)))
-			.map(Relay::node)
-			.filter(this.nodes::containsKey)
-			.forEach(recipients::add);
-		return recipients.stream().map((node) -> this.nodes.get(node).address()).toList();
+			.filter((node) -> !node.dataCentre().equals(this.localDataCentre))
+			.toList();
+		return this.relays.select(remote, since, (node, other) -> preferredRelay(node, other, since))
+			.stream()
+			.map((node) -> this.nodes.get(node).address())
+			.toList();
 	}
 
 	private String preferredRelay(String node, String other, Instant since) {
@@ -389,25 +366,6 @@
 		address(node).ifPresent((known) -> effects.add(new EntryEffect.Send(List.of(known), message)));
 	}
 
-	/**
-	 * Holds another node's last report on the store.
-	 *
-	 * @param reached whether the node reaches the store
-	 * @param receivedAt when the message was received
-	 */
-	private record StoreStatus(boolean reached, Instant receivedAt) {
-	}
-
-	/**
-	 * Identifies the node of a data centre that last sent a store update. It is used
-	 * until the node that it replaces is known to have failed.
-	 *
-	 * @param node the node's name
-	 * @param receivedAt when the message was received
-	 */
-	private record Relay(String node, Instant receivedAt) {
-	}
-
 	/**
 	 * Holds the number of live nodes of a data centre, as counted by one of them.
 	 *
