--- a/src/test/java/sycamorehill/process/BinaryProcess.java
+++ b/src/test/java/sycamorehill/process/BinaryProcess.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -31,10 +32,15 @@
 	}
 
 	static BinaryProcess start(String... arguments) throws IOException {
+		return start(Map.of(), arguments);
+	}
+
+	static BinaryProcess start(Map<String, String> environment, String... arguments) throws IOException {
 		List<String> command = new ArrayList<>(List.of("sh", BINARY));
 		command.addAll(Arrays.asList(arguments));
 		ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
 		builder.environment().put("SYCAMOREHILL_JAVA_OPTIONS", JAVA_OPTIONS);
+		builder.environment().putAll(environment);
 		return new BinaryProcess(builder.start());
 	}
 
@@ -52,6 +58,19 @@
 		return this.process.exitValue();
 	}
 
+	/**
+	 * Sends a signal.
+	 * @param name the signal's name, such as TERM
+	 * @throws Exception if it can't be sent
+	 */
+	void signal(String name) throws Exception {
+		new ProcessBuilder("kill", "-" + name, String.valueOf(this.process.pid())).start().waitFor();
+	}
+
+	boolean isAlive() {
+		return this.process.isAlive();
+	}
+
 	void stopByPlan() {
 		this.process.destroy();
 	}
