Log why a process ends, what it cuts off, its signals and the life before it

What callers and operators saw: answers that broke off with the end of their process, and a new life of the process, with no line on either side. A kill, a planned stop and an end by itself read the same.

The entry bears the incarnation for that, so that a registration repeated after a lost answer isn't taken for an earlier life. The store is read once more only when the entry exists (409 on the POST): a start after a planned stop or a first start makes no more calls than before; a start after a kill one more read.

The log's writing thread ended by a hook of its own, beside ours, so that a line written in ours could be lost: its own hook is off, and the log is closed after the last line.

No decision changes.

--- a/src/main/java/sycamorehill/cli/LocalCommand.java
+++ b/src/main/java/sycamorehill/cli/LocalCommand.java
@@ -20,7 +20,7 @@
  */
 @Command(name = "local",
 		description = "The whole system in one process on loopback: three data centres of two nodes, with stand-ins")
-public final class LocalCommand implements CliCommand {
+public final class LocalCommand implements ServingCommand {
 
 	@Option(name = "--run-for", title = "DURATION",
 			description = "Drives a small load for an ISO 8601 duration such as PT20S, prints a report and ends")
@@ -36,7 +36,7 @@
 	private long seed = 1;
 
 	@Override
-	public int run() throws Exception {
+	public int serve(ServingProcess process) throws Exception {
 		Duration duration = duration();
 		try (LocalSystem system = LocalSystem.start()) {
 			TicketRollout force = system.fileFirstTicket();
@@ -49,6 +49,7 @@
 			}
 			LoadReport report = system.load(duration, this.chatsPerSecond, this.ordersPerSecond, this.seed);
 			System.out.print(report.text());
+			process.end().setCause("--run-for is over");
 			boolean good = LocalSystem.inForce(force) && serving && good(report);
 			System.out.println(good ? "everything held" : "something did not hold");
 			return good ? ExitCode.DONE : ExitCode.REFUSED;
--- a/src/main/java/sycamorehill/cli/ServeCommand.java
+++ b/src/main/java/sycamorehill/cli/ServeCommand.java
@@ -21,7 +21,7 @@
  * Runs one node until it is told to stop.
  */
 @Command(name = "serve", description = "Runs one entry VM's process: gateway, orders, tickets, groups, membership")
-public final class ServeCommand implements CliCommand {
+public final class ServeCommand implements ServingCommand {
 
 	@Option(name = "--settings", title = "FILE",
 			description = "The node's settings in INI; without it the users' platform names its own settings file")
@@ -32,11 +32,11 @@
 	private String runFor;
 
 	@Override
-	public int run() throws Exception {
-		return (this.settings != null) ? serveFromFile() : serveOnPlatform();
+	public int serve(ServingProcess process) throws Exception {
+		return (this.settings != null) ? serveFromFile(process) : serveOnPlatform(process);
 	}
 
-	private int serveOnPlatform() throws Exception {
+	private int serveOnPlatform(ServingProcess process) throws Exception {
 		String path = System.getenv(PlatformSettings.PATH_VARIABLE);
 		if (path == null) {
 			throw CommandException.of(ExitCode.BAD_USAGE,
@@ -45,22 +45,27 @@
 		EntrySettings sound = PlatformSettings.read(Path.of(path));
 		EntryNode node = EntryNode.start(sound, (client) -> PlatformAdapter.createPorts(sound, client),
 				Clock.systemUTC(), RandomGenerator.getDefault());
-		StopSignals.install(node::stop);
+		process.end().setRequestsInFlight(node::requestsInFlight);
+		process.signals().install(node::stop);
 		SettingsFile.watch(Path.of(path), node::reload);
 		if (this.runFor != null) {
 			ArchivedClasses.load();
 			Thread.sleep(Duration.parse(this.runFor).toMillis());
+			process.end().setCause("--run-for is over");
 			return ExitCode.DONE;
 		}
 		node.whenStopped().get();
+		process.end().setCause("drained");
 		return ExitCode.DONE;
 	}
 
-	private int serveFromFile() throws Exception {
+	private int serveFromFile(ServingProcess process) throws Exception {
 		NodeSettings sound = SoundSettings.of(NodeSettingsReader.read(Path.of(this.settings)));
 		Node node = Node.start(sound, Clock.systemUTC());
-		StopSignals.install(node::stop);
+		process.end().setRequestsInFlight(node::requestsInFlight);
+		process.signals().install(node::stop);
 		NodeTermination end = node.whenStopped().get();
+		process.end().setCause((end == NodeTermination.STOPPED) ? "drained" : "an invariant is broken");
 		node.close();
 		return (end == NodeTermination.STOPPED) ? ExitCode.DONE : ExitCode.REFUSED;
 	}
--- a/src/main/java/sycamorehill/cli/StandInCommand.java
+++ b/src/main/java/sycamorehill/cli/StandInCommand.java
@@ -15,14 +15,14 @@
  */
 @Command(name = "stand-in",
 		description = "Stand-ins of platform, VM list, weight store, engines and plain services, with fault switches over HTTP")
-public final class StandInCommand implements CliCommand {
+public final class StandInCommand implements ServingCommand {
 
 	@Option(name = "--settings", title = "FILE", description = "Settings of the stand-ins in INI")
 	@Required
 	private String settings;
 
 	@Override
-	public int run() throws Exception {
+	public int serve(ServingProcess process) throws Exception {
 		try (StandInCluster cluster = StandInCluster
 			.start(SoundSettings.of(StandInSettingsReader.read(Path.of(this.settings))))) {
 			System.out.println("platform " + cluster.platformAddress());
@@ -33,8 +33,9 @@
 					.println("plain " + service + " " + target.name() + " " + target.address())));
 			System.out.flush();
 			CountDownLatch stop = new CountDownLatch(1);
-			StopSignals.install(stop::countDown);
+			process.signals().install(stop::countDown);
 			stop.await();
+			process.end().setCause("stopped");
 		}
 		return ExitCode.DONE;
 	}
--- a/src/main/java/sycamorehill/cli/SycamorehillCommand.java
+++ b/src/main/java/sycamorehill/cli/SycamorehillCommand.java
@@ -18,18 +18,21 @@
 	 * @param arguments the command line
 	 */
 	public static void main(String[] arguments) {
-		System.exit(run(arguments));
+		ServingProcess process = ServingProcess.create();
+		process.end().watch(arguments.length > 0 && ServingCommand.NAMES.contains(arguments[0]));
+		System.exit(run(process, arguments));
 	}
 
 	/**
 	 * Runs one command.
+	 * @param process the process, for commands that serve
 	 * @param arguments the command line
 	 * @return the exit code
 	 */
-	static int run(String... arguments) {
+	static int run(ServingProcess process, String... arguments) {
 		try {
 			Object command = cli().parse(arguments);
-			return execute(command);
+			return execute(command, process);
 		}
 		catch (ParseException ex) {
 			System.err.println(ex.getMessage() + " ('sycamorehill help' lists the commands)");
@@ -37,15 +40,20 @@
 		}
 		catch (CommandException ex) {
 			System.err.println(ex.getMessage());
+			process.end().setCause(ex.getMessage());
 			return ex.exitCode();
 		}
 		catch (Exception ex) {
 			System.err.println("failed: " + ex);
+			process.end().setCause("failed: " + ex);
 			return ExitCode.NOT_KNOWN;
 		}
 	}
 
-	private static int execute(Object command) throws Exception {
+	private static int execute(Object command, ServingProcess process) throws Exception {
+		if (command instanceof ServingCommand serving) {
+			return serving.serve(process);
+		}
 		if (command instanceof CliCommand ours) {
 			return ours.run();
 		}
--- a/src/main/java/sycamorehill/entry/EntryNode.java
+++ b/src/main/java/sycamorehill/entry/EntryNode.java
@@ -22,6 +22,7 @@
 import sycamorehill.model.serving.EntryEvent;
 import sycamorehill.model.serving.EntrySettings;
 import sycamorehill.model.serving.NodeMessage;
+import sycamorehill.model.serving.NodeRecord;
 import sycamorehill.model.serving.StoredConfiguration;
 import sycamorehill.model.serving.TargetChange;
 import sycamorehill.model.serving.TargetEntry;
@@ -53,8 +54,13 @@
 	 */
 	private static final Duration NODE_LIST_INTERVAL = Duration.ofSeconds(20);
 
+	/** Time allowed for the loop to list the requests in flight when the process ends. */
+	private static final Duration LIST_REQUESTS_TIMEOUT = Duration.ofMillis(150);
+
 	private final EntrySettings settings;
 
+	private final String incarnation;
+
 	private final InstantSource clock;
 
 	private final EntryReducer reducer;
@@ -63,6 +69,8 @@
 
 	private final EntryPorts ports;
 
+	private final ExchangeRegistry exchanges = ExchangeRegistry.create();
+
 	private final CallerServer callerServer;
 
 	private final ProxyServer proxyServer;
@@ -97,17 +105,16 @@
 			RandomGenerator random) {
 		this.settings = settings;
 		this.clock = MonotonicClock.start(wallClock);
-		String self = settings.nodeName() + '#' + Long.toHexString(random.nextLong());
-		this.reducer = EntryReducer.of(settings, self, random, this.clock.instant());
+		this.incarnation = settings.nodeName() + '#' + Long.toHexString(random.nextLong());
+		this.reducer = EntryReducer.of(settings, this.incarnation, random, this.clock.instant());
 		this.ports = factory.create(CallClient.of(TargetConnectionPool.of(this.loop)));
-		ExchangeRegistry exchanges = ExchangeRegistry.create();
 		this.targetConnections = TargetConnectionPool.of(this.loop);
 		this.proxyConnections = ProxyConnectionPool.of(this.loop);
 		this.streamMonitor = StreamMonitor.of(this);
-		this.exchangeEffects = ExchangeEffects.of(exchanges, this.targetConnections, this.proxyConnections,
+		this.exchangeEffects = ExchangeEffects.of(this.exchanges, this.targetConnections, this.proxyConnections,
 				this.streamMonitor, this.ports.codec(), this);
-		this.callerServer = CallerServer.of(this.loop, this.ports.codec(), this, exchanges);
-		this.proxyServer = ProxyServer.of(this.loop, exchanges, this, this.reducer::isNodeHost);
+		this.callerServer = CallerServer.of(this.loop, this.ports.codec(), this, this.exchanges);
+		this.proxyServer = ProxyServer.of(this.loop, this.exchanges, this, this.reducer::isNodeHost);
 		this.messenger = NodeMessenger.of(this.loop, this);
 		this.metrics = EntryMetrics.of(this.reducer);
 		this.readinessServer = PageServer.of(this.loop, this::readinessPage);
@@ -131,8 +138,9 @@
 	}
 
 	private void start() throws InterruptedException {
-		EventLog.write(LogLine.of(LogEvent.NODE_STARTED, "node=" + this.settings.nodeName() + " callers="
-				+ this.settings.callerAddress() + " store=" + this.settings.storeAddress()));
+		EventLog.write(LogLine.of(LogEvent.NODE_STARTED,
+				"node=" + this.settings.nodeName() + " incarnation=" + this.incarnation + " callers="
+						+ this.settings.callerAddress() + " store=" + this.settings.storeAddress()));
 		this.configurationReader = FeedReader.of(() -> readPace(EntryReducer.STORE_LONG_POLL_WAIT), "configuration",
 				this.ports.configurations(), this.loop, new ConfigurationListener());
 		this.targetReader = FeedReader.of(() -> readPace(EntryReducer.STORE_LONG_POLL_WAIT), "targets",
@@ -186,18 +194,25 @@
 	// Lists the nodes after this one is registered. Of two nodes that start at the same
 	// time, the one that lists later finds the other and introduces itself.
 	private void registerNode() {
-		this.ports.nodeRegistry().register(this.settings.toNodeRecord()).whenCompleteAsync((entered, failure) -> {
+		NodeRecord self = this.settings.toNodeRecord();
+		this.ports.nodeRegistry().register(self, this.incarnation).whenCompleteAsync((earlier, failure) -> {
 			if (failure != null) {
 				EventLog
 					.write(LogLine.of(LogEvent.STORE_CONTACT, "registering this node failed: " + failure.getMessage()));
 				schedule(this::registerNode, REGISTRY_RETRY_DELAY);
 			}
 			else {
+				earlier.ifPresent(this::logEarlierLife);
 				listNodes(true);
 			}
 		}, this.loop);
 	}
 
+	private void logEarlierLife(NodeRegistry.EarlierEntry earlier) {
+		EventLog.write(LogLine.of(LogEvent.EARLIER_LIFE_UNPLANNED, "node=" + this.settings.nodeName() + " incarnation="
+				+ earlier.incarnation().orElse("unknown") + " registered-at-revision=" + earlier.revision()));
+	}
+
 	private void listNodes(boolean consistent) {
 		this.ports.nodeRegistry().list(consistent).whenCompleteAsync((nodes, failure) -> {
 			if (failure != null) {
@@ -406,6 +421,16 @@
 		}
 	}
 
+	/**
+	 * Lists the requests of callers that have no final answer.
+	 * @return the callers' identifiers of the requests
+	 * @throws Exception if the loop does not list them in time
+	 */
+	public List<String> requestsInFlight() throws Exception {
+		return this.loop.submit(() -> this.exchanges.identifiers(CallerExchange.class))
+			.get(LIST_REQUESTS_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+	}
+
 	/**
 	 * Returns a future that completes when the node has stopped.
 	 * @return the future
--- a/src/main/java/sycamorehill/entry/ExchangeRegistry.java
+++ b/src/main/java/sycamorehill/entry/ExchangeRegistry.java
@@ -1,6 +1,8 @@
 package sycamorehill.entry;
 
+import java.util.Comparator;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 
@@ -44,4 +46,18 @@
 		return Optional.ofNullable(this.exchanges.get(number)).map(type::cast);
 	}
 
+	/**
+	 * Returns the identifiers of all requests of a type, in the order of their arrival.
+	 * @param type type of the requests
+	 * @return the callers' identifiers
+	 */
+	List<String> identifiers(Class<? extends RunningExchange> type) {
+		return this.exchanges.values()
+			.stream()
+			.filter(type::isInstance)
+			.sorted(Comparator.comparingLong(RunningExchange::number))
+			.map(RunningExchange::identifier)
+			.toList();
+	}
+
 }
--- a/src/main/java/sycamorehill/entry/NodeRegistry.java
+++ b/src/main/java/sycamorehill/entry/NodeRegistry.java
@@ -1,6 +1,7 @@
 package sycamorehill.entry;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 
 import sycamorehill.model.serving.NodeRecord;
@@ -13,9 +14,11 @@
 	/**
 	 * Registers a node and replaces any entry of an earlier incarnation.
 	 * @param node the node
-	 * @return completes when the node is registered, or fails
+	 * @param incarnation identifier of the process's life
+	 * @return the entry that an earlier incarnation left, which a planned stop would have
+	 * removed; fails if the node could not be registered
 	 */
-	CompletableFuture<Void> register(NodeRecord node);
+	CompletableFuture<Optional<EarlierEntry>> register(NodeRecord node, String incarnation);
 
 	/**
 	 * Lists all nodes.
@@ -32,4 +35,13 @@
 	 */
 	CompletableFuture<Void> deregister(String name);
 
+	/**
+	 * Entry of a node that an earlier life of its process left.
+	 *
+	 * @param incarnation identifier of that life; empty if the entry names none
+	 * @param revision revision of the store at which that life registered
+	 */
+	record EarlierEntry(Optional<String> incarnation, long revision) {
+	}
+
 }
--- a/src/main/java/sycamorehill/model/log/LogEvent.java
+++ b/src/main/java/sycamorehill/model/log/LogEvent.java
@@ -17,6 +17,21 @@
 	/** The reloaded settings are invalid and were rejected. */
 	SETTINGS_REFUSED(1006, LogLevel.ERROR),
 
+	/** The process received a signal that asks it to stop or to read its settings. */
+	SIGNAL_RECEIVED(1007, LogLevel.INFO),
+
+	/** The process ends while callers wait for answers. */
+	PROCESS_ENDS_WITH_REQUESTS(1008, LogLevel.WARN),
+
+	/** The life of this node before this one ended without a planned stop. */
+	EARLIER_LIFE_UNPLANNED(1009, LogLevel.WARN),
+
+	/** The process ends; no caller waits for an answer. */
+	PROCESS_ENDS(1010, LogLevel.INFO),
+
+	/** An error that no code handles ended a thread or a command that serves. */
+	THREAD_FAILED(1011, LogLevel.ERROR),
+
 	/** An effect could not be executed. */
 	EFFECT_FAILED(1003, LogLevel.ERROR),
 
--- a/src/main/java/sycamorehill/platform/PlatformStore.java
+++ b/src/main/java/sycamorehill/platform/PlatformStore.java
@@ -61,6 +61,8 @@
 
 	private static final String NODE_PROCESSOR_CORES = "processor";
 
+	private static final String NODE_INCARNATION = "incarnation";
+
 	/**
 	 * Allows the store to answer from a copy that may be seconds old, which costs the
 	 * store less.
@@ -141,36 +143,64 @@
 	}
 
 	@Override
-	public CompletableFuture<Void> register(NodeRecord node) {
-		String name = node.name();
+	public CompletableFuture<Optional<EarlierEntry>> register(NodeRecord node, String incarnation) {
+		byte[] body = toBytes(encodeNode(node, incarnation));
+		return call(HttpMethod.POST, NODES, body).thenCompose((created) -> {
+			if (created.status() != CONFLICT) {
+				requireSuccess(created.status());
+				return CompletableFuture.completedFuture(Optional.empty());
+			}
+			return replaceNode(node.name(), incarnation, body);
+		});
+	}
+
+	private ObjectNode encodeNode(NodeRecord node, String incarnation) {
 		ObjectNode body = this.json.createObjectNode();
-		body.putObject("metadata").put("name", name);
+		body.putObject("metadata").put("name", node.name());
 		ObjectNode spec = body.putObject("spec")
 			.put(NODE_ADDRESS, node.address().toString())
 			.put(NODE_DATA_CENTRE, node.dataCentre().value())
-			.put(NODE_PROCESSOR_CORES, node.processorCores());
+			.put(NODE_PROCESSOR_CORES, node.processorCores())
+			.put(NODE_INCARNATION, incarnation);
 		node.proxyAddress().ifPresent((address) -> spec.put(NODE_PROXY_ADDRESS, address.toString()));
-		byte[] bytes = toBytes(body);
-		return callForStatus(new CallClient.Call(this.store, HttpMethod.POST, OBJECTS_PATH + NODES, bytes))
-			.thenCompose((status) -> {
-				if (status != CONFLICT) {
-					return CompletableFuture.completedFuture(status);
-				}
-				return callForStatus(
-						new CallClient.Call(this.store, HttpMethod.PUT, OBJECTS_PATH + NODES + '/' + name, bytes));
-			})
-			.thenAccept(PlatformStore::requireSuccess);
+		return body;
+	}
+
+	// A failed read only costs the knowledge of the earlier life.
+	private CompletableFuture<Optional<EarlierEntry>> replaceNode(String name, String incarnation, byte[] body) {
+		String path = NODES + '/' + name;
+		CompletableFuture<Optional<EarlierEntry>> earlier = call(HttpMethod.GET, path, new byte[0])
+			.thenApply((answer) -> (answer.status() == OK) ? decodeEarlierEntry(parseBody(answer), incarnation)
+					: Optional.<EarlierEntry>empty())
+			.exceptionally((failure) -> {
+				EventLog.write(LogLine.of(LogEvent.STORE_CONTACT,
+						"reading this node's earlier entry failed: " + failure.getMessage()));
+				return Optional.empty();
+			});
+		return earlier.thenCompose((entry) -> call(HttpMethod.PUT, path, body).thenApply((replaced) -> {
+			requireSuccess(replaced.status());
+			return entry;
+		}));
+	}
+
+	// The entry bears this life's own incarnation if the answer to the first attempt to
+	// register was lost.
+	private static Optional<EarlierEntry> decodeEarlierEntry(JsonNode object, String incarnation) {
+		Optional<String> registered = JsonFields.optionalText(object.path("spec"), NODE_INCARNATION);
+		if (registered.equals(Optional.of(incarnation))) {
+			return Optional.empty();
+		}
+		return Optional.of(new EarlierEntry(registered, object.path("metadata").path("rev").asLong()));
 	}
 
 	@Override
 	public CompletableFuture<Void> deregister(String name) {
-		return callForStatus(
-				new CallClient.Call(this.store, HttpMethod.DELETE, OBJECTS_PATH + NODES + '/' + name, new byte[0]))
-			.thenAccept(PlatformStore::requireSuccess);
+		return call(HttpMethod.DELETE, NODES + '/' + name, new byte[0])
+			.thenAccept((answer) -> requireSuccess(answer.status()));
 	}
 
-	private CompletableFuture<Integer> callForStatus(CallClient.Call call) {
-		return this.client.call(call, null, CALL_TIMEOUT).thenApply(CallAnswer::status);
+	private CompletableFuture<CallAnswer> call(HttpMethod method, String path, byte[] body) {
+		return this.client.call(new CallClient.Call(this.store, method, OBJECTS_PATH + path, body), null, CALL_TIMEOUT);
 	}
 
 	private static void requireSuccess(int status) {
--- a/src/main/java/sycamorehill/runtime/EventLog.java
+++ b/src/main/java/sycamorehill/runtime/EventLog.java
@@ -1,6 +1,7 @@
 package sycamorehill.runtime;
 
 import org.tinylog.Logger;
+import org.tinylog.provider.ProviderRegistry;
 
 import sycamorehill.model.log.LogEvent;
 import sycamorehill.model.log.LogLine;
@@ -36,4 +37,13 @@
 		Logger.error(cause, event.code() + " " + event + " " + detail);
 	}
 
+	/**
+	 * Writes out all lines and ends the log. Lines are written by a thread of their own,
+	 * and those that wait for it would be lost at the end of the process.
+	 * @throws InterruptedException if the thread is interrupted while it waits
+	 */
+	public static void close() throws InterruptedException {
+		ProviderRegistry.getLoggingProvider().shutdown();
+	}
+
 }
--- a/src/main/java/sycamorehill/runtime/Node.java
+++ b/src/main/java/sycamorehill/runtime/Node.java
@@ -5,6 +5,7 @@
 import java.security.SecureRandom;
 import java.time.Duration;
 import java.time.InstantSource;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 
@@ -23,6 +24,7 @@
 import sycamorehill.model.identity.Address;
 import sycamorehill.model.identity.NodeIdentity;
 import sycamorehill.model.identity.NodeIncarnation;
+import sycamorehill.model.identity.RequestIdentifier;
 import sycamorehill.model.log.LogEvent;
 import sycamorehill.model.log.LogLine;
 import sycamorehill.objectapi.HttpPlatformClient;
@@ -143,6 +145,14 @@
 		return this.loop.state();
 	}
 
+	/**
+	 * Lists the requests of callers that have no final answer.
+	 * @return the identifiers of the requests
+	 */
+	public List<String> requestsInFlight() {
+		return state().request().active().keySet().stream().map(RequestIdentifier::toString).sorted().toList();
+	}
+
 	/**
 	 * Returns the names of all metrics that are registered so far.
 	 * @return the names
--- a/src/test/java/sycamorehill/cli/SycamorehillCommandTests.java
+++ b/src/test/java/sycamorehill/cli/SycamorehillCommandTests.java
@@ -10,8 +10,9 @@
 	// and ends, as it does with options that it doesn't know.
 	@Test
 	void serveWithoutSettingsIsRefused() {
-		assertThat(SycamorehillCommand.run("serve")).isEqualTo(ExitCode.BAD_USAGE);
-		assertThat(SycamorehillCommand.run("serve", "--no-such-option")).isEqualTo(ExitCode.BAD_USAGE);
+		assertThat(SycamorehillCommand.run(ServingProcess.create(), "serve")).isEqualTo(ExitCode.BAD_USAGE);
+		assertThat(SycamorehillCommand.run(ServingProcess.create(), "serve", "--no-such-option"))
+			.isEqualTo(ExitCode.BAD_USAGE);
 	}
 
 }
--- a/src/test/java/sycamorehill/entry/ConfigurationCatchUpTests.java
+++ b/src/test/java/sycamorehill/entry/ConfigurationCatchUpTests.java
@@ -7,6 +7,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
+import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -202,8 +203,8 @@
 	private record FixedRegistry(List<NodeRecord> nodes) implements NodeRegistry {
 
 		@Override
-		public CompletableFuture<Void> register(NodeRecord node) {
-			return CompletableFuture.completedFuture(null);
+		public CompletableFuture<Optional<EarlierEntry>> register(NodeRecord node, String incarnation) {
+			return CompletableFuture.completedFuture(Optional.empty());
 		}
 
 		@Override
--- a/src/test/java/sycamorehill/entry/FakePorts.java
+++ b/src/test/java/sycamorehill/entry/FakePorts.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 
 import sycamorehill.model.serving.EngineCommandAnswer;
@@ -61,8 +62,8 @@
 	record FixedRegistry(List<NodeRecord> nodes) implements NodeRegistry {
 
 		@Override
-		public CompletableFuture<Void> register(NodeRecord node) {
-			return CompletableFuture.completedFuture(null);
+		public CompletableFuture<Optional<EarlierEntry>> register(NodeRecord node, String incarnation) {
+			return CompletableFuture.completedFuture(Optional.empty());
 		}
 
 		@Override
--- a/src/test/java/sycamorehill/process/BinaryProcess.java
+++ b/src/test/java/sycamorehill/process/BinaryProcess.java
@@ -3,10 +3,13 @@
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 
 /**
  * One process of the binary under test.
@@ -31,9 +34,14 @@
 	}
 
 	static BinaryProcess start(String... arguments) throws IOException {
+		return start(Map.of(), arguments);
+	}
+
+	static BinaryProcess start(Map<String, String> environment, String... arguments) throws IOException {
 		List<String> command = new ArrayList<>(List.of("sh", BINARY));
 		command.addAll(Arrays.asList(arguments));
 		ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
+		builder.environment().putAll(environment);
 		builder.environment().put("SYCAMOREHILL_JAVA_OPTIONS", JAVA_OPTIONS);
 		return new BinaryProcess(builder.start());
 	}
@@ -56,6 +64,18 @@
 		this.process.destroy();
 	}
 
+	/**
+	 * Sends signals, whether or not the process still runs.
+	 * @param names names of the signals
+	 * @param pause time between two of them
+	 */
+	void signal(List<String> names, Duration pause) throws IOException, InterruptedException {
+		for (String name : names) {
+			new ProcessBuilder("kill", "-" + name, String.valueOf(this.process.pid())).start().waitFor();
+			TimeUnit.MILLISECONDS.sleep(pause.toMillis());
+		}
+	}
+
 	void kill() throws InterruptedException {
 		this.process.destroyForcibly().waitFor();
 	}
@@ -65,8 +85,20 @@
 	}
 
 	List<String> awaitLines(String prefix, int count) throws InterruptedException {
+		return awaitLines((line) -> line.startsWith(prefix), prefix, count);
+	}
+
+	/**
+	 * Waits for a line of the log.
+	 * @param code code of its event
+	 */
+	void awaitEvent(String code) throws InterruptedException {
+		awaitLines((line) -> line.contains(code), code, 1);
+	}
+
+	private List<String> awaitLines(Predicate<String> wanted, String name, int count) throws InterruptedException {
 		for (int attempt = 0; attempt < 600; attempt++) {
-			List<String> found = output().stream().filter((line) -> line.startsWith(prefix)).toList();
+			List<String> found = output().stream().filter(wanted).toList();
 			if (found.size() >= count) {
 				return found;
 			}
@@ -75,7 +107,7 @@
 			}
 			TimeUnit.MILLISECONDS.sleep(50);
 		}
-		throw new IllegalStateException("no line '" + prefix + "' in " + output());
+		throw new IllegalStateException("no line '" + name + "' in " + output());
 	}
 
 	private void read() {
--- a/src/test/java/sycamorehill/process/ProcessSystem.java
+++ b/src/test/java/sycamorehill/process/ProcessSystem.java
@@ -1,12 +1,16 @@
 package sycamorehill.process;
 
 import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
 import java.time.Clock;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -71,6 +75,8 @@
 
 	private final List<PlainTarget> plainTargets;
 
+	private final List<BinaryProcess> slowlyStarted = new ArrayList<>();
+
 	private final List<String> trials = new ArrayList<>();
 
 	private ProcessSystem(Path folder) throws Exception {
@@ -118,20 +124,55 @@
 
 	NodeProcess startNode(String name, String dataCentre, Address platformAddress) throws IOException {
 		List<Address> addresses = FreePorts.find(3);
+		Path file = Files.writeString(this.folder.resolve(name + ".ini"),
+				settings(name, dataCentre, platformAddress, addresses));
+		NodeProcess node = new NodeProcess(name, dataCentre, addresses.get(0), addresses.get(1), addresses.get(2),
+				BinaryProcess.start("serve", "--settings", file.toString()));
+		this.nodes.add(node);
+		return node;
+	}
+
+	private String settings(String name, String dataCentre, Address platformAddress, List<Address> addresses) {
 		String contacts = this.nodes.stream()
 			.map(NodeProcess::contact)
 			.reduce((one, other) -> one + "," + other)
 			.orElse("");
-		String text = "[node]\nname = " + name + "\ndata-centre = " + dataCentre + "\ndata-centres = "
+		return "[node]\nname = " + name + "\ndata-centre = " + dataCentre + "\ndata-centres = "
 				+ String.join(",", DATA_CENTRES) + "\ncaller-address = " + addresses.get(0) + "\noperator-address = "
 				+ addresses.get(1) + "\npeer-address = " + addresses.get(2)
 				+ "\nshared-secret = process-test-secret\n[platform]\naddress = " + platformAddress + "\n"
 				+ (contacts.isEmpty() ? "" : "[membership]\ncontacts = " + contacts + "\n");
-		Path file = Files.writeString(this.folder.resolve(name + ".ini"), text);
-		NodeProcess node = new NodeProcess(name, dataCentre, addresses.get(0), addresses.get(1), addresses.get(2),
-				BinaryProcess.start("serve", "--settings", file.toString()));
-		this.nodes.add(node);
-		return node;
+	}
+
+	/**
+	 * Starts a node whose settings come slowly, and sends signals before they have come.
+	 * @param signals names of the signals
+	 * @return the process
+	 */
+	BinaryProcess startSlowly(List<String> signals) throws Exception {
+		String name = "fukuoka-" + String.join("-", signals).toLowerCase(Locale.ROOT);
+		Path pipe = this.folder.resolve(name + ".ini");
+		new ProcessBuilder("mkfifo", pipe.toString()).start().waitFor();
+		BinaryProcess process = BinaryProcess.start("serve", "--settings", pipe.toString());
+		this.slowlyStarted.add(process);
+		try (OutputStream text = Files.newOutputStream(pipe, StandardOpenOption.WRITE)) {
+			process.signal(signals, Duration.ofMillis(50));
+			text.write(settings(name, "fukuoka", this.platform, FreePorts.find(3)).getBytes(StandardCharsets.UTF_8));
+		}
+		return process;
+	}
+
+	/**
+	 * Returns a node as one that gets signals.
+	 * @param node the node
+	 * @return the node
+	 */
+	SignalledNode signalled(NodeProcess node) {
+		String body = "{\"model\":\"drafting\",\"stream\":true,\"max_tokens\":600,\"messages\":"
+				+ "[{\"role\":\"user\",\"content\":\"hello\"}]}";
+		return new SignalledNode(node.process(), node.callers(),
+				"POST /v1/chat/completions HTTP/1.1\r\nHost: node\r\nAuthorization: Bearer " + KEY
+						+ "\r\nContent-Type: application/json\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
 	}
 
 	List<NodeProcess> nodes() {
@@ -268,6 +309,9 @@
 		for (NodeProcess node : this.nodes) {
 			node.process().close();
 		}
+		for (BinaryProcess process : this.slowlyStarted) {
+			process.close();
+		}
 		this.platformLink.close();
 		this.standIns.close();
 		this.pool.close();
