End a process that serves by its planned stop only, whatever signals come

What callers saw: all streams of a node broke off, and the log had no line.

ProcessSignals is installed before the command line is parsed. The first TERM or INT asks for the planned stop, further ones are logged and do nothing; during the start the stop waits until the node has started, and a HUP until the settings can be read again. Where they are read only at the start, HUP is logged and ignored. Nothing halts on a signal: the platform has KILL for that. `stand-in` and `local` follow the same; `local` now drains its nodes when it is told to stop, where it used to end at once.

The settings file of the users' platform is read once, before the node starts: a read that failed after the ports were bound ended a process that served already. An Error thrown by a command gives the process its exit code instead of leaving it without a main thread.

Ruled out: the drain itself (one TERM left the streams whole before, too). Not changed: a signal that comes before the program's own code runs still ends the JVM; no port is bound then.

--- a/src/main/java/sycamorehill/cli/LocalCommand.java
+++ b/src/main/java/sycamorehill/cli/LocalCommand.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.time.format.DateTimeParseException;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 
 import com.github.rvesse.airline.annotations.Command;
@@ -38,6 +39,7 @@
 	@Override
 	public int serve(ServingProcess process) throws Exception {
 		Duration duration = duration();
+		process.signals().ignoreReload();
 		try (LocalSystem system = LocalSystem.start()) {
 			TicketRollout force = system.fileFirstTicket();
 			print(force);
@@ -45,7 +47,7 @@
 			System.out.println(serving ? "model groups serve" : "model groups do not serve");
 			print(system);
 			if (duration.isZero()) {
-				new CountDownLatch(1).await();
+				return awaitStop(system, process);
 			}
 			LoadReport report = system.load(duration, this.chatsPerSecond, this.ordersPerSecond, this.seed);
 			System.out.print(report.text());
@@ -56,6 +58,18 @@
 		}
 	}
 
+	private static int awaitStop(LocalSystem system, ServingProcess process) throws InterruptedException {
+		process.end()
+			.setRequestsInFlight(
+					() -> system.nodes().stream().flatMap((node) -> node.requestsInFlight().stream()).toList());
+		CountDownLatch stop = new CountDownLatch(1);
+		process.signals().onStop(stop::countDown);
+		stop.await();
+		system.nodes().stream().map(Node::stop).toList().forEach(CompletableFuture::join);
+		process.end().setCause("drained");
+		return ExitCode.DONE;
+	}
+
 	private Duration duration() {
 		try {
 			return this.runFor.isEmpty() ? Duration.ZERO : Duration.parse(this.runFor);
--- a/src/main/java/sycamorehill/cli/ProcessEnd.java
+++ b/src/main/java/sycamorehill/cli/ProcessEnd.java
@@ -27,12 +27,9 @@
 		return new ProcessEnd();
 	}
 
-	/**
-	 * Ends the log with the process from now on, whatever ends it but a kill.
-	 * @param logged whether the log says why the process ends
-	 */
-	void watch(boolean logged) {
-		Runtime.getRuntime().addShutdownHook(new Thread(() -> write(logged), "process-end"));
+	/** Logs the end of the process from now on, whatever ends it but a kill. */
+	void watch() {
+		Runtime.getRuntime().addShutdownHook(new Thread(this::write, "process-end"));
 		Thread.setDefaultUncaughtExceptionHandler(
 				(thread, failure) -> EventLog.failure(LogEvent.THREAD_FAILED, "thread=" + thread.getName(), failure));
 	}
@@ -45,11 +42,9 @@
 		this.cause = known;
 	}
 
-	private void write(boolean logged) {
+	private void write() {
 		try {
-			if (logged) {
-				EventLog.write(line());
-			}
+			EventLog.write(line());
 			EventLog.close();
 		}
 		catch (InterruptedException ex) {
--- a/src/main/java/sycamorehill/cli/ServeCommand.java
+++ b/src/main/java/sycamorehill/cli/ServeCommand.java
@@ -42,12 +42,13 @@
 			throw CommandException.of(ExitCode.BAD_USAGE,
 					"give --settings FILE, or set " + PlatformSettings.PATH_VARIABLE);
 		}
-		EntrySettings sound = PlatformSettings.read(Path.of(path));
+		SettingsFile file = SettingsFile.read(Path.of(path));
+		EntrySettings sound = file.settings();
 		EntryNode node = EntryNode.start(sound, (client) -> PlatformAdapter.createPorts(sound, client),
 				Clock.systemUTC(), RandomGenerator.getDefault());
 		process.end().setRequestsInFlight(node::requestsInFlight);
-		process.signals().install(node::stop);
-		SettingsFile.watch(Path.of(path), node::reload);
+		process.signals().onStop(node::stop);
+		file.watch(process.signals(), node::reload);
 		if (this.runFor != null) {
 			ArchivedClasses.load();
 			Thread.sleep(Duration.parse(this.runFor).toMillis());
@@ -63,7 +64,8 @@
 		NodeSettings sound = SoundSettings.of(NodeSettingsReader.read(Path.of(this.settings)));
 		Node node = Node.start(sound, Clock.systemUTC());
 		process.end().setRequestsInFlight(node::requestsInFlight);
-		process.signals().install(node::stop);
+		process.signals().ignoreReload();
+		process.signals().onStop(node::stop);
 		NodeTermination end = node.whenStopped().get();
 		process.end().setCause((end == NodeTermination.STOPPED) ? "drained" : "an invariant is broken");
 		node.close();
--- a/src/main/java/sycamorehill/cli/ServingProcess.java
+++ b/src/main/java/sycamorehill/cli/ServingProcess.java
@@ -6,14 +6,20 @@
  * @param signals what the process does on signals
  * @param end what it logs when it ends
  */
-record ServingProcess(StopSignals signals, ProcessEnd end) {
+record ServingProcess(ProcessSignals signals, ProcessEnd end) {
 
 	/**
 	 * Creates a process that receives no signals yet and logs nothing at its end.
 	 * @return the process
 	 */
 	static ServingProcess create() {
-		return new ServingProcess(StopSignals.create(), ProcessEnd.create());
+		return new ServingProcess(ProcessSignals.create(), ProcessEnd.create());
+	}
+
+	/** Handles signals and logs the end of the process from now on. */
+	void watch() {
+		this.signals.listen(SignalSource.ofProcess());
+		this.end.watch();
 	}
 
 }
--- a/src/main/java/sycamorehill/cli/SettingsFile.java
+++ b/src/main/java/sycamorehill/cli/SettingsFile.java
@@ -9,8 +9,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
-import sun.misc.Signal;
-
 import sycamorehill.model.log.LogEvent;
 import sycamorehill.model.log.LogLine;
 import sycamorehill.model.serving.EntrySettings;
@@ -19,7 +17,6 @@
 
 /**
  * The users' platform's settings file, read again on SIGHUP and when its content changes.
- * Without a handler SIGHUP would end the process.
  */
 final class SettingsFile {
 
@@ -28,37 +25,59 @@
 
 	private final Path path;
 
-	private final Consumer<EntrySettings> changed;
+	private final ScheduledExecutorService thread = Executors.newSingleThreadScheduledExecutor((work) -> {
+		Thread worker = new Thread(work, "settings");
+		worker.setDaemon(true);
+		return worker;
+	});
 
 	private String content;
 
-	private SettingsFile(Path path, Consumer<EntrySettings> changed) throws IOException {
+	private SettingsFile(Path path, String content) {
 		this.path = path;
-		this.changed = changed;
-		this.content = Files.readString(path);
+		this.content = content;
+	}
+
+	/**
+	 * Reads a settings file.
+	 * @param path path of the file
+	 * @return the file with its present content
+	 * @throws IOException if the file can't be read
+	 */
+	static SettingsFile read(Path path) throws IOException {
+		return new SettingsFile(path, Files.readString(path));
+	}
+
+	/**
+	 * Returns the settings in the content that was read first.
+	 * @return the settings
+	 * @throws IOException if the content can't be read
+	 */
+	EntrySettings settings() throws IOException {
+		return PlatformSettings.parse(this.content);
 	}
 
-	static void watch(Path path, Consumer<EntrySettings> changed) throws IOException {
-		SettingsFile file = new SettingsFile(path, changed);
-		ScheduledExecutorService thread = Executors.newSingleThreadScheduledExecutor((work) -> {
-			Thread worker = new Thread(work, "settings");
-			worker.setDaemon(true);
-			return worker;
-		});
-		Signal.handle(new Signal("HUP"), (signal) -> thread.execute(file::look));
-		thread.scheduleWithFixedDelay(file::look, LOOK.toMillis(), LOOK.toMillis(), TimeUnit.MILLISECONDS);
+	/**
+	 * Reads the file again whenever it may have changed.
+	 * @param signals request a read
+	 * @param changed receives changed settings
+	 */
+	void watch(ProcessSignals signals, Consumer<EntrySettings> changed) {
+		Runnable look = () -> look(changed);
+		signals.onReload(() -> this.thread.execute(look));
+		this.thread.scheduleWithFixedDelay(look, LOOK.toMillis(), LOOK.toMillis(), TimeUnit.MILLISECONDS);
 	}
 
 	// Settings that are not sound are refused whole: those before stay in force.
-	private void look() {
+	private void look(Consumer<EntrySettings> changed) {
 		try {
 			String present = Files.readString(this.path);
 			if (!present.equals(this.content)) {
 				this.content = present;
-				this.changed.accept(PlatformSettings.read(this.path));
+				changed.accept(PlatformSettings.parse(present));
 			}
 		}
-		catch (IOException | IllegalArgumentException ex) {
+		catch (IOException | RuntimeException ex) {
 			EventLog.write(LogLine.of(LogEvent.SETTINGS_REFUSED, "cause='" + ex.getMessage() + "'"));
 		}
 	}
--- a/src/main/java/sycamorehill/cli/StandInCommand.java
+++ b/src/main/java/sycamorehill/cli/StandInCommand.java
@@ -33,7 +33,8 @@
 					.println("plain " + service + " " + target.name() + " " + target.address())));
 			System.out.flush();
 			CountDownLatch stop = new CountDownLatch(1);
-			process.signals().install(stop::countDown);
+			process.signals().ignoreReload();
+			process.signals().onStop(stop::countDown);
 			stop.await();
 			process.end().setCause("stopped");
 		}
--- a/src/main/java/sycamorehill/cli/SycamorehillCommand.java
+++ b/src/main/java/sycamorehill/cli/SycamorehillCommand.java
@@ -5,6 +5,8 @@
 import com.github.rvesse.airline.help.Help;
 import com.github.rvesse.airline.parser.errors.ParseException;
 
+import sycamorehill.runtime.EventLog;
+
 /**
  * Entry point of the binary.
  */
@@ -14,13 +16,23 @@
 	}
 
 	/**
-	 * Runs one command.
+	 * Runs one command. Signals are handled before anything else: the command line of a
+	 * command that serves is parsed in a time in which a slow VM may already receive
+	 * them.
 	 * @param arguments the command line
+	 * @throws InterruptedException if the thread is interrupted while it ends the log
 	 */
-	public static void main(String[] arguments) {
+	public static void main(String[] arguments) throws InterruptedException {
 		ServingProcess process = ServingProcess.create();
-		process.end().watch(arguments.length > 0 && ServingCommand.NAMES.contains(arguments[0]));
-		System.exit(run(process, arguments));
+		boolean serving = arguments.length > 0 && ServingCommand.NAMES.contains(arguments[0]);
+		if (serving) {
+			process.watch();
+		}
+		int exitCode = run(process, arguments);
+		if (!serving) {
+			EventLog.close();
+		}
+		System.exit(exitCode);
 	}
 
 	/**
@@ -43,7 +55,7 @@
 			process.end().setCause(ex.getMessage());
 			return ex.exitCode();
 		}
-		catch (Exception ex) {
+		catch (Exception | LinkageError | VirtualMachineError ex) {
 			System.err.println("failed: " + ex);
 			process.end().setCause("failed: " + ex);
 			return ExitCode.NOT_KNOWN;
--- a/src/main/java/sycamorehill/platform/PlatformSettings.java
+++ b/src/main/java/sycamorehill/platform/PlatformSettings.java
@@ -1,7 +1,7 @@
 package sycamorehill.platform;
 
 import java.io.IOException;
-import java.io.Reader;
+import java.io.StringReader;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -41,10 +41,20 @@
 	 * names the setting
 	 */
 	public static EntrySettings read(Path path) throws IOException {
+		return parse(Files.readString(path));
+	}
+
+	/**
+	 * Parses the text of a settings file.
+	 * @param text the text
+	 * @return the settings
+	 * @throws IOException if the text can't be read
+	 * @throws IllegalArgumentException if a setting is missing or invalid; the message
+	 * names the setting
+	 */
+	public static EntrySettings parse(String text) throws IOException {
 		Properties values = new Properties();
-		try (Reader reader = Files.newBufferedReader(path)) {
-			values.load(reader);
-		}
+		values.load(new StringReader(text));
 		return new PlatformSettings(values).toEntrySettings();
 	}
 
