Stop a node once, and end the checks of its stop

What was seen: the log of a stopped node held REQUESTS_DRAINED every 100 ms for as long as the process went on, 454 lines in one run of PlannedStopTests; a second stop() took the node out of the store again and began a second row of checks. With the own interface a second StopRequested began the time anew in which the node accepts.

Cause: nothing remembered that a stop had begun or was over. The stop moves from EntryNode into PlannedStop, which begins once and cancels its checks at the end; Node.stop() does nothing when called again. REQUESTS_DRAINED counts in the metrics now (events_REQUESTS_DRAINED), by which the test sees the end once.

Refuted: that a jump of the wall clock ends the drain. jumpOfTheWallClockEndsNoStop (40 minutes ahead within the stop, by a clock of the test) was green before any change: the node's clock is based on System.nanoTime.

--- a/src/main/java/sycamorehill/entry/EntryNode.java
+++ b/src/main/java/sycamorehill/entry/EntryNode.java
@@ -40,11 +40,6 @@
 
 	private static final Duration TICK_INTERVAL = Duration.ofMillis(100);
 
-	/** Margin before the process is killed at which it stops by itself. */
-	private static final Duration KILL_MARGIN = Duration.ofMillis(300);
-
-	private static final Duration STOP_CHECK_INTERVAL = Duration.ofMillis(100);
-
 	/** Delay before a failed call to the registry of entry nodes is retried. */
 	private static final Duration REGISTRY_RETRY_DELAY = Duration.ofSeconds(1);
 
@@ -99,7 +94,7 @@
 
 	private StoredConfiguration latestConfiguration;
 
-	private final CompletableFuture<Void> stopped = new CompletableFuture<>();
+	private final PlannedStop plannedStop;
 
 	private EntryNode(EntrySettings settings, EntryPorts.Factory factory, InstantSource wallClock,
 			RandomGenerator random) {
@@ -117,6 +112,8 @@
 		this.proxyServer = ProxyServer.of(this.loop, this.exchanges, this, this.reducer::isNodeHost);
 		this.messenger = NodeMessenger.of(this.loop, this);
 		this.metrics = EntryMetrics.of(this.reducer);
+		this.plannedStop = PlannedStop.of(this.loop, this.clock, settings, this.callerServer, this.proxyServer,
+				this.metrics);
 		this.readinessServer = PageServer.of(this.loop, this::readinessPage);
 		this.metricsServer = PageServer.of(this.loop, this::metricsPage);
 	}
@@ -390,35 +387,25 @@
 	/**
 	 * Starts a planned stop. The node still accepts connections until the load balancer
 	 * has noticed the stop, then closes idle ones, and serves requests on open
-	 * connections until shortly before the process is killed.
+	 * connections until shortly before the process is killed. A further call does
+	 * nothing.
 	 */
 	public void stop() {
-		EventLog.write(LogLine.of(LogEvent.NODE_STOPPING, "node=" + this.settings.nodeName()));
-		post(new EntryEvent.StopRequested());
+		this.loop.execute(() -> {
+			if (this.plannedStop.begin()) {
+				EventLog.write(LogLine.of(LogEvent.NODE_STOPPING, "node=" + this.settings.nodeName()));
+				processEvent(new EntryEvent.StopRequested());
+				deregisterNode();
+			}
+		});
+	}
+
+	private void deregisterNode() {
 		this.ports.nodeRegistry().deregister(this.settings.nodeName()).exceptionally((failure) -> {
 			EventLog
 				.write(LogLine.of(LogEvent.STORE_CONTACT, "deregistering this node failed: " + failure.getMessage()));
 			return null;
 		});
-		Instant stopRequested = this.clock.instant();
-		this.loop.execute(this.callerServer::startStopping);
-		this.loop.scheduleWithFixedDelay(() -> checkDrained(stopRequested), STOP_CHECK_INTERVAL.toMillis(),
-				STOP_CHECK_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
-	}
-
-	private void checkDrained(Instant stopRequested) {
-		Duration since = Duration.between(stopRequested, this.clock.instant());
-		if (since.compareTo(EntryReducer.ACCEPTANCE_AFTER_STOP) < 0) {
-			return;
-		}
-		this.callerServer.closeIdle();
-		boolean deadlineReached = since.compareTo(this.settings.stopTime().minus(KILL_MARGIN)) > 0;
-		if (deadlineReached || (!this.callerServer.hasCallers() && !this.proxyServer.hasRequests())) {
-			EventLog.write(LogLine.of(LogEvent.REQUESTS_DRAINED,
-					"node=" + this.settings.nodeName() + " millis=" + since.toMillis() + " callers-left="
-							+ this.callerServer.hasCallers() + " proxied-left=" + this.proxyServer.hasRequests()));
-			this.stopped.complete(null);
-		}
 	}
 
 	/**
@@ -436,7 +423,7 @@
 	 * @return the future
 	 */
 	public CompletableFuture<Void> whenStopped() {
-		return this.stopped;
+		return this.plannedStop.whenFinished();
 	}
 
 	/**
--- a/src/main/java/sycamorehill/runtime/Node.java
+++ b/src/main/java/sycamorehill/runtime/Node.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicBoolean;
 
 import com.codahale.metrics.MetricRegistry;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -47,6 +48,8 @@
 
 	private final CompletableFuture<NodeTermination> termination = new CompletableFuture<>();
 
+	private final AtomicBoolean stopping = new AtomicBoolean();
+
 	private final HttpClientPool httpClients = HttpClientPool.create(CONNECT_TIMEOUT);
 
 	private final ControlLoop loop;
@@ -111,13 +114,16 @@
 	}
 
 	/**
-	 * Starts a planned shutdown.
+	 * Starts a planned shutdown. A further call does nothing: it would begin the time in
+	 * which the node still accepts requests anew.
 	 * @return a future that completes when nothing is in flight any more or the time
 	 * limit of the shutdown has passed
 	 */
 	public CompletableFuture<NodeTermination> stop() {
-		EventLog.write(LogLine.of(LogEvent.NODE_STOPPING, this.settings.name().value()));
-		this.loop.post(new NodeEvent.StopRequested());
+		if (this.stopping.compareAndSet(false, true)) {
+			EventLog.write(LogLine.of(LogEvent.NODE_STOPPING, this.settings.name().value()));
+			this.loop.post(new NodeEvent.StopRequested());
+		}
 		return this.termination;
 	}
 
