--- a/src/main/java/sycamorehill/runtime/Node.java
+++ b/src/main/java/sycamorehill/runtime/Node.java
@@ -5,8 +5,10 @@
 import java.security.SecureRandom;
 import java.time.Duration;
 import java.time.InstantSource;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicBoolean;
 
 import com.codahale.metrics.MetricRegistry;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -23,6 +25,7 @@
 import sycamorehill.model.identity.Address;
 import sycamorehill.model.identity.NodeIdentity;
 import sycamorehill.model.identity.NodeIncarnation;
+import sycamorehill.model.identity.RequestIdentifier;
 import sycamorehill.model.log.LogEvent;
 import sycamorehill.model.log.LogLine;
 import sycamorehill.objectapi.HttpPlatformClient;
@@ -45,6 +48,8 @@
 
 	private final CompletableFuture<NodeTermination> termination = new CompletableFuture<>();
 
+	private final AtomicBoolean stopping = new AtomicBoolean();
+
 	private final HttpClientPool httpClients = HttpClientPool.create(CONNECT_TIMEOUT);
 
 	private final ControlLoop loop;
@@ -109,13 +114,16 @@
 	}
 
 	/**
-	 * Starts a planned shutdown.
+	 * Starts a planned shutdown. A further call does nothing: it would begin the time in
+	 * which the node still accepts requests anew.
 	 * @return a future that completes when nothing is in flight any more or the time
 	 * limit of the shutdown has passed
 	 */
 	public CompletableFuture<NodeTermination> stop() {
-		EventLog.write(LogLine.of(LogEvent.NODE_STOPPING, this.settings.name().value()));
-		this.loop.post(new NodeEvent.StopRequested());
+		if (this.stopping.compareAndSet(false, true)) {
+			EventLog.write(LogLine.of(LogEvent.NODE_STOPPING, this.settings.name().value()));
+			this.loop.post(new NodeEvent.StopRequested());
+		}
 		return this.termination;
 	}
 
@@ -143,6 +151,14 @@
 		return this.loop.state();
 	}
 
+	/**
+	 * Lists the requests of callers that have no final answer.
+	 * @return the identifiers of the requests
+	 */
+	public List<String> requestsInFlight() {
+		return state().request().active().keySet().stream().map(RequestIdentifier::toString).sorted().toList();
+	}
+
 	/**
 	 * Returns the names of all metrics that are registered so far.
 	 * @return the names
