--- a/src/test/java/sycamorehill/process/BinaryProcess.java
+++ b/src/test/java/sycamorehill/process/BinaryProcess.java
@@ -41,7 +41,6 @@
 		List<String> command = new ArrayList<>(List.of("sh", BINARY));
 		command.addAll(Arrays.asList(arguments));
 		ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
-		builder.environment().putAll(environment);
 		builder.environment().put("SYCAMOREHILL_JAVA_OPTIONS", JAVA_OPTIONS);
 		builder.environment().putAll(environment);
 		return new BinaryProcess(builder.start());
@@ -62,11 +61,10 @@
 	}
 
 	/**
-	 * Sends a signal.
+	 * Sends a signal, whether or not the process still runs.
 	 * @param name the signal's name, such as TERM
-	 * @throws Exception if it can't be sent
 	 */
-	void signal(String name) throws Exception {
+	void signal(String name) throws IOException, InterruptedException {
 		new ProcessBuilder("kill", "-" + name, String.valueOf(this.process.pid())).start().waitFor();
 	}
 
@@ -85,7 +83,7 @@
 	 */
 	void signal(List<String> names, Duration pause) throws IOException, InterruptedException {
 		for (String name : names) {
-			new ProcessBuilder("kill", "-" + name, String.valueOf(this.process.pid())).start().waitFor();
+			signal(name);
 			TimeUnit.MILLISECONDS.sleep(pause.toMillis());
 		}
 	}
