Place the retries of a request by the service it arrived under

What callers saw: a stream whose engine broke off after a configuration had removed its model, its service or the engines of its service, or had raised the size of its groups, ended within the answer; a request that a target had refused was refused instead of sent to the next group. The same for requests sent through another node, and that node was left out for a second for all services.

Cause: a request kept its route, but AttemptScheduler took the newest configuration to place it again. Without the model, GroupViews finds no group; without the service's engines, each listed engine counts as a plain target, also members that aren't heads, which answer 421 and use up the attempts. A node that forwards requests answered NODE_UNAVAILABLE for a service that its newest configuration lacks.

Ruled out: the route, workspace, timeout, kind and attempts, which a request keeps (the same tests with these changes were whole before), the connections of callers (limits hold for connections accepted later), and the removal of targets from the directory (closes idle connections only).

Evidence, red on with these tests: MODEL_REMOVED and GROUP_SIZE_RAISED "REQUEST_FAILED request=breaking attempts=1 cause='connection closed' outcome=broken" and "REQUEST_REFUSED request=refused attempts=1 cause='not run by h1: REFUSED'"; through another node SERVICES_REMOVED and MODEL_REMOVED "sent again ... node=two cause='not run by two: NODE_UNAVAILABLE'", then "no node reaches a target" outcome=broken; on a shared cluster also SERVICES_REMOVED, ENGINES_REMOVED, KINDS_CHANGED and KEYS_REMOVED, whose targets had been marked as ended by the 421s of the tests before.

Why it works: a request now holds the parameters of its service from its arrival, as it holds its route, and targets are listed by parameters; a node that forwards knows the services and models of the configurations before, a bounded number of them.

The links of the tests accepted connections with a queue of one, which a burst of requests overflowed (NOT_CONNECTED after 100 ms); it is 50 now, but for links that hang.

--- a/src/main/java/sycamorehill/logic/dispatch/AttemptScheduler.java
+++ b/src/main/java/sycamorehill/logic/dispatch/AttemptScheduler.java
@@ -4,13 +4,11 @@
 import java.time.Instant;
 import java.util.Map;
 import java.util.Optional;
-import java.util.function.Supplier;
 
 import sycamorehill.logic.Effects;
 import sycamorehill.model.identity.TargetName;
 import sycamorehill.model.log.LogEvent;
 import sycamorehill.model.serving.AttemptEnd;
-import sycamorehill.model.serving.Configuration;
 import sycamorehill.model.serving.EntryEffect;
 import sycamorehill.model.serving.NotRunCause;
 import sycamorehill.model.serving.RequestKind;
@@ -43,8 +41,6 @@
 	 */
 	private static final Duration NO_PATH_RETRY_AFTER = Duration.ofSeconds(1);
 
-	private final Supplier<Configuration> configuration;
-
 	private final TargetSelector targetSelector;
 
 	private final AttemptStarter attemptStarter;
@@ -59,10 +55,8 @@
 
 	private final Map<Long, DispatchedRequest> activeRequests;
 
-	private AttemptScheduler(Supplier<Configuration> configuration, TargetSelector targetSelector,
-			AttemptStarter attemptStarter, TargetPaths paths, RetryBudgets retryBudgets, FinalAnswers finalAnswers,
-			Map<Long, DispatchedRequest> activeRequests) {
-		this.configuration = configuration;
+	private AttemptScheduler(TargetSelector targetSelector, AttemptStarter attemptStarter, TargetPaths paths,
+			RetryBudgets retryBudgets, FinalAnswers finalAnswers, Map<Long, DispatchedRequest> activeRequests) {
 		this.targetSelector = targetSelector;
 		this.attemptStarter = attemptStarter;
 		this.reachability = paths.reachability();
@@ -74,7 +68,6 @@
 
 	/**
 	 * Creates a scheduler.
-	 * @param configuration supplies the configuration in effect
 	 * @param targetSelector selects targets
 	 * @param attemptStarter starts attempts
 	 * @param paths tells which services this node reaches, and selects other nodes
@@ -84,11 +77,9 @@
 	 * get one are removed
 	 * @return the scheduler
 	 */
-	static AttemptScheduler of(Supplier<Configuration> configuration, TargetSelector targetSelector,
-			AttemptStarter attemptStarter, TargetPaths paths, RetryBudgets retryBudgets, FinalAnswers finalAnswers,
-			Map<Long, DispatchedRequest> activeRequests) {
-		return new AttemptScheduler(configuration, targetSelector, attemptStarter, paths, retryBudgets, finalAnswers,
-				activeRequests);
+	static AttemptScheduler of(TargetSelector targetSelector, AttemptStarter attemptStarter, TargetPaths paths,
+			RetryBudgets retryBudgets, FinalAnswers finalAnswers, Map<Long, DispatchedRequest> activeRequests) {
+		return new AttemptScheduler(targetSelector, attemptStarter, paths, retryBudgets, finalAnswers, activeRequests);
 	}
 
 	/**
@@ -103,9 +94,9 @@
 			placeThroughAnotherNode(request, fallbackCause, now, effects);
 			return;
 		}
-		TargetSelector.Selection selection = this.targetSelector.select(request, this.configuration.get(), now);
+		TargetSelector.Selection selection = this.targetSelector.select(request, now);
 		if (selection.admission() != Admission.Decision.REFUSED) {
-			this.attemptStarter.start(request, selection, this.configuration.get(), now, effects);
+			this.attemptStarter.start(request, selection, now, effects);
 		}
 		else if (request.proxied().isPresent()) {
 			endProxied(request, Optional.empty(), new AttemptEnd.NotRun(NotRunCause.NO_TARGET), now, effects);
@@ -250,7 +241,7 @@
 		}
 		return this.reachability.isUnreachable(request.service())
 				? this.proxySelector.select(request.service(), request.triedNodes(), now).isPresent()
-				: this.targetSelector.hasTarget(request, this.configuration.get(), now);
+				: this.targetSelector.hasTarget(request, now);
 	}
 
 	/**
@@ -263,7 +254,7 @@
 	void giveUp(DispatchedRequest request, String cause, Instant now, Effects effects) {
 		putBackRetry(request);
 		this.activeRequests.remove(request.request().number());
-		Duration restLeft = this.targetSelector.restLeft(request, this.configuration.get(), now);
+		Duration restLeft = this.targetSelector.restLeft(request, now);
 		String fullCause = cause + (request.retryRefused() ? ", the retry budget is used up" : "")
 				+ (restLeft.isZero() ? "" : ", all targets rest");
 		this.finalAnswers.giveUp(request, fullCause, restLeft, now, effects);
--- a/src/main/java/sycamorehill/logic/dispatch/AttemptStarter.java
+++ b/src/main/java/sycamorehill/logic/dispatch/AttemptStarter.java
@@ -6,13 +6,11 @@
 import sycamorehill.logic.Effects;
 import sycamorehill.model.identity.TargetName;
 import sycamorehill.model.log.LogEvent;
-import sycamorehill.model.serving.Configuration;
 import sycamorehill.model.serving.EngineParameters;
 import sycamorehill.model.serving.EntryEffect;
 import sycamorehill.model.serving.NodeMessage;
 import sycamorehill.model.serving.ProxiedRequest;
 import sycamorehill.model.serving.RequestKind;
-import sycamorehill.model.serving.ServiceParameters;
 import sycamorehill.model.serving.TargetAddress;
 import sycamorehill.model.serving.Workspace;
 
@@ -53,18 +51,16 @@
 	 * Starts an attempt at the selected target.
 	 * @param request the request
 	 * @param selection the target, which admits the request
-	 * @param configuration the configuration in effect
 	 * @param now the current time
 	 * @param effects receives the resulting effects
 	 */
-	void start(DispatchedRequest request, TargetSelector.Selection selection, Configuration configuration, Instant now,
-			Effects effects) {
+	void start(DispatchedRequest request, TargetSelector.Selection selection, Instant now, Effects effects) {
 		Candidate candidate = selection.choice().orElseThrow().candidate();
 		TargetName name = candidate.entry().name();
 		int attempt = request.startAttempt(name, now);
 		this.targetSelector.recordSent(candidate, now);
 		candidate.engines().ifPresent((engines) -> recordPrefill(request, candidate, engines, now, effects));
-		int connections = configuration.service(request.service()).map(ServiceParameters::maximumConnections).orElse(1);
+		int connections = request.serviceParameters().maximumConnections();
 		RequestKind kind = request.route().kind();
 		boolean anotherAttemptMayFollow = kind == RequestKind.IDEMPOTENT && request.anotherAttemptMayFollow();
 		effects.add(new EntryEffect.StartAttempt(request.request().number(), attempt,
--- a/src/main/java/sycamorehill/logic/dispatch/DispatchedRequest.java
+++ b/src/main/java/sycamorehill/logic/dispatch/DispatchedRequest.java
@@ -12,11 +12,14 @@
 import sycamorehill.model.serving.CallerRequest;
 import sycamorehill.model.serving.ProxiedRequest;
 import sycamorehill.model.serving.Route;
+import sycamorehill.model.serving.ServiceParameters;
 import sycamorehill.model.serving.WeightedService;
 import sycamorehill.model.serving.Workspace;
 
 /**
  * Tracks one caller's request over its attempts, from its arrival to its final answer.
+ * The route, the workspace and the service are those under which it arrived, whatever
+ * later configurations contain.
  */
 final class DispatchedRequest {
 
@@ -24,7 +27,7 @@
 
 	private final Route route;
 
-	private final ServiceName service;
+	private final ServiceParameters service;
 
 	private final Optional<Workspace> workspace;
 
@@ -67,8 +70,8 @@
 
 	private Optional<Duration> timeToFirstAnswer = Optional.empty();
 
-	private DispatchedRequest(CallerRequest request, Route route, ServiceName service, Optional<Workspace> workspace,
-			Instant arrivedAt, Optional<ProxiedRequest> proxied) {
+	private DispatchedRequest(CallerRequest request, Route route, ServiceParameters service,
+			Optional<Workspace> workspace, Instant arrivedAt, Optional<ProxiedRequest> proxied) {
 		this.request = request;
 		this.route = route;
 		this.service = service;
@@ -77,8 +80,8 @@
 		this.proxied = proxied;
 	}
 
-	static DispatchedRequest of(CallerRequest request, Route route, ServiceName service, Optional<Workspace> workspace,
-			Instant arrivedAt) {
+	static DispatchedRequest of(CallerRequest request, Route route, ServiceParameters service,
+			Optional<Workspace> workspace, Instant arrivedAt) {
 		return new DispatchedRequest(request, route, service, workspace, arrivedAt, Optional.empty());
 	}
 
@@ -86,16 +89,17 @@
 	 * Creates a request that another node sends through this one.
 	 * @param number the request's number within this process
 	 * @param proxied what the other node has decided
+	 * @param service the parameters of its service
 	 * @param now the current time
 	 * @return the request
 	 */
-	static DispatchedRequest of(long number, ProxiedRequest proxied, Instant now) {
+	static DispatchedRequest of(long number, ProxiedRequest proxied, ServiceParameters service, Instant now) {
 		CallerRequest request = new CallerRequest(number, proxied.identifier(), "", "", Optional.empty(),
 				proxied.model(), proxied.tokenCounts(), Optional.of(proxied.timeout()), proxied.contentHash());
 		Route route = new Route(proxied.route(), "", "", proxied.kind(), proxied.routeTimeout(),
 				proxied.latencyTarget(), Optional.empty(), proxied.priority(),
 				List.of(new WeightedService(proxied.service(), 1)), 1, true);
-		DispatchedRequest dispatched = new DispatchedRequest(request, route, proxied.service(), proxied.workspace(),
+		DispatchedRequest dispatched = new DispatchedRequest(request, route, service, proxied.workspace(),
 				now.minus(proxied.elapsed()), Optional.of(proxied));
 		dispatched.triedTargets.addAll(proxied.triedTargets());
 		return dispatched;
@@ -110,7 +114,7 @@
 	ProxiedRequest toProxied(String origin, Instant now) {
 		Set<TargetName> excluded = new HashSet<>(this.triedTargets);
 		excluded.removeAll(this.unconnectedTargets);
-		return new ProxiedRequest(origin, this.request.identifier(), this.route.name(), this.route.kind(), this.service,
+		return new ProxiedRequest(origin, this.request.identifier(), this.route.name(), this.route.kind(), service(),
 				this.workspace, this.route.priority(), this.route.latencyTarget(), this.route.timeout(),
 				effectiveTimeout(), Duration.between(this.arrivedAt, now), this.request.model(),
 				this.request.tokenCounts(), this.request.contentHash(), excluded, answerStarted(),
@@ -212,6 +216,10 @@
 	}
 
 	ServiceName service() {
+		return this.service.name();
+	}
+
+	ServiceParameters serviceParameters() {
 		return this.service;
 	}
 
--- a/src/main/java/sycamorehill/logic/dispatch/ProxiedRequests.java
+++ b/src/main/java/sycamorehill/logic/dispatch/ProxiedRequests.java
@@ -3,15 +3,14 @@
 import java.time.Instant;
 import java.util.Map;
 import java.util.Optional;
-import java.util.function.Predicate;
 
 import sycamorehill.logic.Effects;
-import sycamorehill.model.identity.ServiceName;
 import sycamorehill.model.serving.AttemptEnd;
 import sycamorehill.model.serving.EntryEffect;
 import sycamorehill.model.serving.EntryEvent;
 import sycamorehill.model.serving.NotRunCause;
 import sycamorehill.model.serving.ProxiedRequest;
+import sycamorehill.model.serving.ServiceParameters;
 
 /**
  * Handles requests that are sent through another node: at the node that has the caller,
@@ -19,7 +18,7 @@
  */
 public final class ProxiedRequests {
 
-	private final Predicate<ServiceName> knowsService;
+	private final KnownServices knownServices;
 
 	private final TargetSelector targetSelector;
 
@@ -31,10 +30,9 @@
 
 	private final Map<Long, DispatchedRequest> activeRequests;
 
-	private ProxiedRequests(Predicate<ServiceName> knowsService, TargetSelector targetSelector,
-			ProxySelector proxySelector, AttemptScheduler scheduler, StalledStreams stalledStreams,
-			Map<Long, DispatchedRequest> activeRequests) {
-		this.knowsService = knowsService;
+	private ProxiedRequests(KnownServices knownServices, TargetSelector targetSelector, ProxySelector proxySelector,
+			AttemptScheduler scheduler, StalledStreams stalledStreams, Map<Long, DispatchedRequest> activeRequests) {
+		this.knownServices = knownServices;
 		this.targetSelector = targetSelector;
 		this.proxySelector = proxySelector;
 		this.scheduler = scheduler;
@@ -42,10 +40,9 @@
 		this.activeRequests = activeRequests;
 	}
 
-	static ProxiedRequests of(Predicate<ServiceName> knowsService, TargetSelector targetSelector,
-			ProxySelector proxySelector, AttemptScheduler scheduler, StalledStreams stalledStreams,
-			Map<Long, DispatchedRequest> activeRequests) {
-		return new ProxiedRequests(knowsService, targetSelector, proxySelector, scheduler, stalledStreams,
+	static ProxiedRequests of(KnownServices knownServices, TargetSelector targetSelector, ProxySelector proxySelector,
+			AttemptScheduler scheduler, StalledStreams stalledStreams, Map<Long, DispatchedRequest> activeRequests) {
+		return new ProxiedRequests(knownServices, targetSelector, proxySelector, scheduler, stalledStreams,
 				activeRequests);
 	}
 
@@ -59,8 +56,10 @@
 	 * @param effects receives the resulting effects
 	 */
 	public void handleArrival(long number, ProxiedRequest request, boolean accepts, Instant now, Effects effects) {
-		DispatchedRequest active = DispatchedRequest.of(number, request, now);
-		if (!accepts || !this.knowsService.test(request.service())) {
+		Optional<ServiceParameters> service = this.knownServices.find(request.service(), request.model());
+		DispatchedRequest active = DispatchedRequest.of(number, request,
+				service.orElseGet(() -> ServiceParameters.unknown(request.service())), now);
+		if (!accepts || service.isEmpty()) {
 			this.scheduler.endProxied(active, Optional.empty(), new AttemptEnd.NotRun(NotRunCause.NODE_UNAVAILABLE),
 					now, effects);
 			return;
--- a/src/main/java/sycamorehill/logic/dispatch/RequestDispatcher.java
+++ b/src/main/java/sycamorehill/logic/dispatch/RequestDispatcher.java
@@ -21,6 +21,7 @@
 import sycamorehill.model.serving.EntrySettings;
 import sycamorehill.model.serving.NodeMessage;
 import sycamorehill.model.serving.NodeRecord;
+import sycamorehill.model.serving.ServiceParameters;
 import sycamorehill.model.serving.TargetReport;
 
 /**
@@ -77,12 +78,12 @@
 		this.crashSuspicions = CrashSuspicions.of(settings.nodeName(), this.crashHistory, this.paths.reachability());
 		this.outcomes = AttemptOutcomes.of(directory, this.targetSelector, this.paths.reachability(),
 				this.crashSuspicions);
-		this.scheduler = AttemptScheduler.of(() -> this.router.configuration().orElseThrow(), this.targetSelector,
+		this.scheduler = AttemptScheduler.of(this.targetSelector,
 				AttemptStarter.of(settings.nodeName(), this.targetSelector), this.paths, this.retryBudgets,
 				this.finalAnswers, this.activeRequests);
 		this.stalledStreams = StalledStreams.of(this.activeRequests, this.targetSelector, this.paths.proxySelector(),
 				this.scheduler);
-		this.proxiedRequests = ProxiedRequests.of(this.router::knowsService, this.targetSelector,
+		this.proxiedRequests = ProxiedRequests.of(this.router.knownServices(), this.targetSelector,
 				this.paths.proxySelector(), this.scheduler, this.stalledStreams, this.activeRequests);
 	}
 
@@ -149,7 +150,10 @@
 	private void dispatch(CallerRequest request, RequestRouter.Routed routed, Instant arrivedAt, Instant now,
 			Effects effects) {
 		ServiceName service = routed.route().selectService(this.random.nextDouble());
-		DispatchedRequest active = DispatchedRequest.of(request, routed.route(), service, routed.workspace(),
+		ServiceParameters parameters = routed.configuration()
+			.service(service)
+			.orElseGet(() -> ServiceParameters.unknown(service));
+		DispatchedRequest active = DispatchedRequest.of(request, routed.route(), parameters, routed.workspace(),
 				arrivedAt);
 		this.activeRequests.put(request.number(), active);
 		effects.add(new EntryEffect.LimitRequestTime(request.number(), active.timeLeft(now)));
--- a/src/main/java/sycamorehill/logic/dispatch/RequestRouter.java
+++ b/src/main/java/sycamorehill/logic/dispatch/RequestRouter.java
@@ -5,7 +5,6 @@
 import java.util.Optional;
 import java.util.function.Supplier;
 
-import sycamorehill.model.identity.ServiceName;
 import sycamorehill.model.serving.CallerRequest;
 import sycamorehill.model.serving.Configuration;
 import sycamorehill.model.serving.Route;
@@ -37,6 +36,8 @@
 
 	private RouteTable routes = RouteTable.of(List.of());
 
+	private final KnownServices knownServices = KnownServices.create();
+
 	private RequestRouter(CrashHistory crashHistory, Supplier<Duration> retryAfter) {
 		this.crashHistory = crashHistory;
 		this.retryAfter = retryAfter;
@@ -56,6 +57,7 @@
 	void adopt(Configuration newConfiguration) {
 		this.configuration = Optional.of(newConfiguration);
 		this.routes = RouteTable.of(newConfiguration.routes());
+		this.knownServices.adopt(newConfiguration);
 	}
 
 	/**
@@ -66,8 +68,8 @@
 		return this.configuration;
 	}
 
-	boolean knowsService(ServiceName service) {
-		return this.configuration.flatMap((current) -> current.service(service)).isPresent();
+	KnownServices knownServices() {
+		return this.knownServices;
 	}
 
 	Decision route(CallerRequest request) {
@@ -87,7 +89,7 @@
 			return new Refused(UNAVAILABLE, "not run: this content was lost with several targets",
 					Optional.of(SUSPECT_RETRY_AFTER));
 		}
-		return new Routed(route.get(), workspace);
+		return new Routed(route.get(), workspace, this.configuration.get());
 	}
 
 	/**
@@ -103,8 +105,9 @@
 	 * @param route the request's route
 	 * @param workspace the workspace that the key belongs to; empty on routes without
 	 * keys
+	 * @param configuration the configuration that contains them
 	 */
-	record Routed(Route route, Optional<Workspace> workspace) implements Decision {
+	record Routed(Route route, Optional<Workspace> workspace, Configuration configuration) implements Decision {
 	}
 
 	/**
--- a/src/main/java/sycamorehill/logic/dispatch/ServingTargets.java
+++ b/src/main/java/sycamorehill/logic/dispatch/ServingTargets.java
@@ -1,7 +1,6 @@
 package sycamorehill.logic.dispatch;
 
 import java.time.Instant;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -10,28 +9,28 @@
 import sycamorehill.logic.directory.GroupView;
 import sycamorehill.logic.directory.GroupViews;
 import sycamorehill.logic.directory.TargetDirectory;
-import sycamorehill.model.identity.ServiceName;
-import sycamorehill.model.serving.Configuration;
 import sycamorehill.model.serving.EngineParameters;
 import sycamorehill.model.serving.ServiceParameters;
 import sycamorehill.model.serving.TargetEntry;
 
 /**
  * Lists the targets that may receive requests, by service and model. The lists are
- * derived again whenever the directory or the configuration changes.
+ * derived again whenever the directory or the parameters of the service change.
  */
 final class ServingTargets {
 
 	private final TargetDirectory directory;
 
-	private final Map<ServiceName, List<Candidate>> candidatesByService = new HashMap<>();
+	/**
+	 * Requests in flight keep the parameters under which they arrived, so that there may
+	 * be several for one service.
+	 */
+	private final Map<ServiceParameters, List<Candidate>> candidatesByParameters = new HashMap<>();
 
 	private final EndedGroups endedGroups = new EndedGroups();
 
 	private long derivedChanges = -1;
 
-	private Configuration derivedConfiguration;
-
 	private ServingTargets(TargetDirectory directory) {
 		this.directory = directory;
 	}
@@ -42,17 +41,17 @@
 
 	/**
 	 * Finds the targets of a service that serve a model.
-	 * @param configuration the configuration in effect
-	 * @param service the service
+	 * @param service the parameters of the service under which the request arrived
 	 * @param model the requested model; plain services ignore it
 	 * @param now the current time
 	 * @return the targets
 	 */
-	List<Candidate> find(Configuration configuration, ServiceName service, Optional<String> model, Instant now) {
-		if (this.derivedChanges != this.directory.changeCount() || this.derivedConfiguration != configuration) {
-			derive(configuration);
+	List<Candidate> find(ServiceParameters service, Optional<String> model, Instant now) {
+		if (this.derivedChanges != this.directory.changeCount()) {
+			this.candidatesByParameters.clear();
+			this.derivedChanges = this.directory.changeCount();
 		}
-		List<Candidate> all = this.candidatesByService.getOrDefault(service, List.of());
+		List<Candidate> all = this.candidatesByParameters.computeIfAbsent(service, this::derive);
 		if (model.isEmpty()) {
 			return all;
 		}
@@ -68,19 +67,14 @@
 		this.endedGroups.add(group, epoch, now);
 	}
 
-	private void derive(Configuration configuration) {
-		this.candidatesByService.clear();
-		Map<ServiceName, List<TargetEntry>> entries = new HashMap<>();
-		for (TargetEntry entry : this.directory.all()) {
-			entries.computeIfAbsent(entry.service(), (service) -> new ArrayList<>()).add(entry);
-		}
-		entries.forEach((service, targets) -> {
-			Optional<EngineParameters> engines = configuration.service(service).flatMap(ServiceParameters::engines);
-			this.candidatesByService.put(service,
-					engines.map((parameters) -> groupCandidates(targets, parameters)).orElse(plainCandidates(targets)));
-		});
-		this.derivedChanges = this.directory.changeCount();
-		this.derivedConfiguration = configuration;
+	private List<Candidate> derive(ServiceParameters service) {
+		List<TargetEntry> targets = this.directory.all()
+			.stream()
+			.filter((entry) -> entry.service().equals(service.name()))
+			.toList();
+		return service.engines()
+			.map((engines) -> groupCandidates(targets, engines))
+			.orElseGet(() -> plainCandidates(targets));
 	}
 
 	private List<Candidate> groupCandidates(List<TargetEntry> targets, EngineParameters parameters) {
--- a/src/main/java/sycamorehill/logic/dispatch/TargetSelector.java
+++ b/src/main/java/sycamorehill/logic/dispatch/TargetSelector.java
@@ -10,7 +10,6 @@
 import sycamorehill.logic.Effects;
 import sycamorehill.logic.directory.TargetDirectory;
 import sycamorehill.model.identity.TargetName;
-import sycamorehill.model.serving.Configuration;
 import sycamorehill.model.serving.EntrySettings;
 import sycamorehill.model.serving.NodeRecord;
 
@@ -42,12 +41,11 @@
 	 * Selects a target. If there are many nodes, a sample of the targets is compared
 	 * first, and all targets only if the sample refuses the request.
 	 * @param request the request
-	 * @param configuration the configuration in effect
 	 * @param now the current time
 	 * @return the target, and whether the request is admitted there
 	 */
-	Selection select(DispatchedRequest request, Configuration configuration, Instant now) {
-		List<Candidate> all = candidates(request, configuration, now);
+	Selection select(DispatchedRequest request, Instant now) {
+		List<Candidate> all = candidates(request, now);
 		List<Candidate> sampled = this.placement.sample(all);
 		Selection selection = selectBest(request, sampled, now);
 		return (selection.admission() == Admission.Decision.REFUSED && sampled.size() < all.size())
@@ -57,36 +55,33 @@
 	/**
 	 * Returns whether the best of all targets admits a request.
 	 * @param request the request
-	 * @param configuration the configuration in effect
 	 * @param now the current time
 	 * @return true if it does
 	 */
-	boolean hasTarget(DispatchedRequest request, Configuration configuration, Instant now) {
-		return selectBest(request, candidates(request, configuration, now), now)
-			.admission() != Admission.Decision.REFUSED;
+	boolean hasTarget(DispatchedRequest request, Instant now) {
+		return selectBest(request, candidates(request, now), now).admission() != Admission.Decision.REFUSED;
 	}
 
 	/**
 	 * Returns how long all targets of a request still rest.
 	 * @param request the request
-	 * @param configuration the configuration in effect
 	 * @param now the current time
 	 * @return the time until the first of them accepts requests; zero if one does now, or
 	 * if there is none
 	 */
-	Duration restLeft(DispatchedRequest request, Configuration configuration, Instant now) {
-		return servingTargets(request, configuration, now).stream()
+	Duration restLeft(DispatchedRequest request, Instant now) {
+		return servingTargets(request, now).stream()
 			.map((candidate) -> this.statuses.restLeft(candidate.entry().name(), now))
 			.min(Comparator.naturalOrder())
 			.orElse(Duration.ZERO);
 	}
 
-	private List<Candidate> candidates(DispatchedRequest request, Configuration configuration, Instant now) {
-		return this.rateLimits.withinLimits(servingTargets(request, configuration, now), now);
+	private List<Candidate> candidates(DispatchedRequest request, Instant now) {
+		return this.rateLimits.withinLimits(servingTargets(request, now), now);
 	}
 
-	private List<Candidate> servingTargets(DispatchedRequest request, Configuration configuration, Instant now) {
-		return this.servingTargets.find(configuration, request.service(), request.request().model(), now);
+	private List<Candidate> servingTargets(DispatchedRequest request, Instant now) {
+		return this.servingTargets.find(request.serviceParameters(), request.request().model(), now);
 	}
 
 	private Selection selectBest(DispatchedRequest request, List<Candidate> candidates, Instant now) {
--- a/src/main/java/sycamorehill/model/serving/ServiceParameters.java
+++ b/src/main/java/sycamorehill/model/serving/ServiceParameters.java
@@ -13,4 +13,14 @@
  * @param engines parameters of its model engines; empty for plain services
  */
 public record ServiceParameters(ServiceName name, int maximumConnections, Optional<EngineParameters> engines) {
+
+	/**
+	 * Returns the parameters of a service that a route names and the configuration lacks.
+	 * @param name the service's name
+	 * @return parameters of a plain service
+	 */
+	public static ServiceParameters unknown(ServiceName name) {
+		return new ServiceParameters(name, 1, Optional.empty());
+	}
+
 }
--- a/src/test/java/sycamorehill/entry/LoopbackCluster.java
+++ b/src/test/java/sycamorehill/entry/LoopbackCluster.java
@@ -12,6 +12,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Function;
 import java.util.function.UnaryOperator;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -19,6 +21,7 @@
 import sycamorehill.local.FreePorts;
 import sycamorehill.model.identity.Address;
 import sycamorehill.model.identity.DataCentreName;
+import sycamorehill.model.serving.Configuration;
 import sycamorehill.model.serving.EntrySettings;
 import sycamorehill.model.serving.MemberState;
 import sycamorehill.model.serving.NodeRecord;
@@ -51,6 +54,13 @@
 
 	private final Map<String, EntryNode> nodes = new LinkedHashMap<>();
 
+	private final ChangingFeed<StoredConfiguration> configurations = ChangingFeed
+		.of(List.of(new StoredConfiguration(ServingSamples.configuration(1), "")));
+
+	private final Map<String, Configuration> configurationsByText = new ConcurrentHashMap<>();
+
+	private final Map<String, ChangingFeed<TargetChange>> targetChanges = new LinkedHashMap<>();
+
 	private LoopbackCluster() {
 	}
 
@@ -64,6 +74,19 @@
 	 */
 	static LoopbackCluster start(UnaryOperator<String> plainAnswers, UnaryOperator<String> streams,
 			List<NodeRecord> others, String... names) throws Exception {
+		return start(RawTarget.responder(plainAnswers), RawTarget.responder(streams), others, names);
+	}
+
+	/**
+	 * Starts nodes and targets that may write their answers in parts.
+	 * @param plainAnswers answers of the plain targets
+	 * @param streams answers of the engines
+	 * @param others records of nodes that the test plays itself
+	 * @param names names of the nodes
+	 * @return the cluster
+	 */
+	static LoopbackCluster start(RawTarget.Responder plainAnswers, RawTarget.Responder streams, List<NodeRecord> others,
+			String... names) throws Exception {
 		LoopbackCluster cluster = new LoopbackCluster();
 		for (int number = 0; number < TARGETS; number++) {
 			cluster.plainTargets.add(RawTarget.start(plainAnswers));
@@ -101,16 +124,68 @@
 			entries.add(change(ServingSamples.member("m" + number, group, 1, 1, MemberState.READY), engine));
 		}
 		this.links.put(name, ownLinks);
-		EntryPorts ports = new EntryPorts(PlatformTestCodec.create(),
-				FakePorts.FixedFeed.of(new StoredConfiguration(ServingSamples.configuration(1), "")),
-				(text) -> new StoredConfiguration(ServingSamples.configuration(2), text),
-				new FakePorts.FixedFeed<>(entries), new FakePorts.FixedRegistry(records),
+		this.targetChanges.put(name, ChangingFeed.of(entries));
+		EntryPorts ports = new EntryPorts(PlatformTestCodec.create(), this.configurations, this::readConfiguration,
+				this.targetChanges.get(name), new FakePorts.FixedRegistry(records),
 				new FakePorts.UnavailableLeaseStore(), new FakePorts.UnreachableEngines());
 		this.nodes.put(name,
 				EntryNode.start(this.settings.get(name), (client) -> ports, Clock.systemUTC(), new Random(1)));
 		awaitRoutes(name);
 	}
 
+	private StoredConfiguration readConfiguration(String text) {
+		return Optional.ofNullable(this.configurationsByText.get(text))
+			.map((configuration) -> new StoredConfiguration(configuration, text))
+			.orElseThrow(() -> new IllegalArgumentException("unreadable"));
+	}
+
+	/**
+	 * Stores a configuration.
+	 * @param configuration the configuration
+	 */
+	void store(Configuration configuration) {
+		String text = "version " + configuration.version();
+		this.configurationsByText.put(text, configuration);
+		this.configurations.add(List.of(new StoredConfiguration(configuration, text)));
+	}
+
+	/**
+	 * Changes the entries of targets in the store, each of which every node lists with
+	 * the address of its own link.
+	 * @param change returns the changed entry of a target; empty if the entry is removed
+	 */
+	void changeTargets(Function<TargetEntry, Optional<TargetEntry>> change) {
+		this.targetChanges.values()
+			.forEach((feed) -> feed.add(feed.all()
+				.stream()
+				.map((target) -> new TargetChange(target.name(), target.entry().flatMap(change)))
+				.toList()));
+	}
+
+	/**
+	 * Waits until a node has put a version of the configuration in force.
+	 * @param node the node
+	 * @param version the version
+	 */
+	void awaitVersion(String node, long version) throws Exception {
+		for (int attempt = 0; attempt < 300; attempt++) {
+			if (hasVersion(node, version)) {
+				return;
+			}
+			Thread.sleep(10);
+		}
+		throw new AssertionError("version " + version + " is not in force");
+	}
+
+	boolean hasVersion(String node, long version) throws IOException {
+		return metrics(node).contains("configuration_version " + version + ".0");
+	}
+
+	/** Makes the next read of the configurations fail. */
+	void failConfigurationReads() {
+		this.configurations.fail();
+	}
+
 	private static TargetChange change(TargetEntry entry, TargetLink link) {
 		return new TargetChange(entry.name(),
 				Optional.of(new TargetEntry(entry.name(), entry.service(), link.address(), entry.dataCentre(),
--- a/src/test/java/sycamorehill/entry/RawTarget.java
+++ b/src/test/java/sycamorehill/entry/RawTarget.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -19,13 +20,13 @@
 
 	private final ServerSocket server;
 
-	private final UnaryOperator<String> answers;
+	private final Responder responder;
 
 	private final List<String> requests = new CopyOnWriteArrayList<>();
 
-	private RawTarget(ServerSocket server, UnaryOperator<String> answers) {
+	private RawTarget(ServerSocket server, Responder responder) {
 		this.server = server;
-		this.answers = answers;
+		this.responder = responder;
 	}
 
 	/**
@@ -37,13 +38,37 @@
 	 * @throws IOException if no port is free
 	 */
 	static RawTarget start(UnaryOperator<String> answers) throws IOException {
-		RawTarget target = new RawTarget(new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1")), answers);
+		return start(responder(answers));
+	}
+
+	/**
+	 * Starts a target that may write an answer in parts.
+	 * @param responder answers the requests
+	 * @return the target
+	 * @throws IOException if no port is free
+	 */
+	static RawTarget start(Responder responder) throws IOException {
+		RawTarget target = new RawTarget(new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1")), responder);
 		Thread thread = new Thread(target::accept, "raw-target");
 		thread.setDaemon(true);
 		thread.start();
 		return target;
 	}
 
+	/**
+	 * Creates a responder that writes each answer at once.
+	 * @param answers returns the bytes of the answer to a request, as in {@link #start}
+	 * @return the responder
+	 */
+	static Responder responder(UnaryOperator<String> answers) {
+		return (request, out) -> {
+			String answer = answers.apply(request);
+			out.write(answer.replace("\0", "").getBytes(StandardCharsets.ISO_8859_1));
+			out.flush();
+			return !answer.isEmpty() && !answer.endsWith("\0");
+		};
+	}
+
 	Address address() {
 		return Address.of("127.0.0.1", this.server.getLocalPort());
 	}
@@ -72,11 +97,7 @@
 			String request = readRequest(in);
 			while (request != null) {
 				this.requests.add(request);
-				String answer = this.answers.apply(request);
-				boolean close = answer.isEmpty() || answer.endsWith("\0");
-				socket.getOutputStream().write(answer.replace("\0", "").getBytes(StandardCharsets.ISO_8859_1));
-				socket.getOutputStream().flush();
-				if (close) {
+				if (!this.responder.respond(request, socket.getOutputStream())) {
 					return;
 				}
 				request = readRequest(in);
@@ -111,4 +132,21 @@
 		this.server.close();
 	}
 
+	/**
+	 * Answers the requests of a connection.
+	 */
+	@FunctionalInterface
+	interface Responder {
+
+		/**
+		 * Writes the answer to a request.
+		 * @param request the request
+		 * @param out receives the answer
+		 * @return whether the connection stays open
+		 * @throws IOException if the node closed the connection
+		 */
+		boolean respond(String request, OutputStream out) throws IOException;
+
+	}
+
 }
--- a/src/test/java/sycamorehill/entry/TargetLink.java
+++ b/src/test/java/sycamorehill/entry/TargetLink.java
@@ -23,6 +23,9 @@
  */
 final class TargetLink implements AutoCloseable {
 
+	/** Holds the connections of a burst of requests. */
+	private static final int ACCEPT_BACKLOG = 50;
+
 	private static final int FILL_TIMEOUT_MILLIS = 50;
 
 	private static final int MAXIMUM_BIND_ATTEMPTS = 10_000;
@@ -82,7 +85,7 @@
 	// The system drops connection attempts while the accept queue is full.
 	private void hang() throws IOException {
 		this.hanging = true;
-		this.server = bind();
+		this.server = bind(1);
 		for (boolean full = false; !full;) {
 			Socket filler = new Socket();
 			this.fillers.add(filler);
@@ -106,12 +109,13 @@
 	}
 
 	// The port stays bound until the thread that accepted connections has returned.
-	private ServerSocket bind() throws IOException {
+	private ServerSocket bind(int backlog) throws IOException {
 		for (int attempt = 1; true; attempt++) {
 			ServerSocket socket = new ServerSocket();
 			socket.setReuseAddress(true);
 			try {
-				socket.bind(new InetSocketAddress(InetAddress.getByName(this.address.host()), this.address.port()), 1);
+				socket.bind(new InetSocketAddress(InetAddress.getByName(this.address.host()), this.address.port()),
+						backlog);
 				return socket;
 			}
 			catch (BindException ex) {
@@ -125,7 +129,7 @@
 	}
 
 	private void listen() throws IOException {
-		this.server = bind();
+		this.server = bind(ACCEPT_BACKLOG);
 		ServerSocket listening = this.server;
 		start(() -> accept(listening));
 	}
