Take a stream from its target only for a place that is found

What callers saw: a stream that still ran ended within the answer when its target was silent for some hundred milliseconds, or when a group of its head had ended, though the node had found another place for it.

Cause: moveStreams asked whether there was another target, cancelled the attempt and then drew again. The first draw may find a group that admits the stream and the second one that doesn't: scores have a random part, and only the best target is asked. The first draw also counted the stream's own head, which the second one leaves out; a head that is listed with its next group was the only place in that case.

Ruled out: the retry budget (asked before the attempt is cancelled), and a change of the loads between the draws (nothing of other requests comes between them).

Evidence, red on: MovedStreamTests, of 2,000 loads the first red at a prefill of 512 ms "CancelAttempt, AbortAnswer"; with a head in its next group "CancelAttempt, AbortAnswer" always. Green now, 61 of 61 with RequestDispatcherTests, ProxiedRequestTests, PlacementSimulationTests.

Why it works: the place is selected once, without the stream's own target, before anything is cancelled, and the attempt starts there.

--- a/src/main/java/sycamorehill/logic/dispatch/AttemptScheduler.java
+++ b/src/main/java/sycamorehill/logic/dispatch/AttemptScheduler.java
@@ -115,8 +115,7 @@
 		Optional<EntryEffect.ProxyNode> node = (request.triedNodes().size() < MAXIMUM_UNAVAILABLE_NODES)
 				? this.proxySelector.select(request.service(), request.triedNodes(), now) : Optional.empty();
 		if (node.isPresent()) {
-			this.proxySelector.recordSent(node.get().name());
-			this.attemptStarter.startThrough(request, node.get(), now, effects);
+			startThrough(request, node.get(), now, effects);
 		}
 		else if (this.proxySelector.isReachedElsewhere(request.service(), now)) {
 			giveUp(request, fallbackCause, now, effects);
@@ -230,18 +229,44 @@
 	}
 
 	/**
-	 * Returns whether a request could be sent to another target if it left its own.
+	 * Finds where a request could go on if it left its own target. The place is selected
+	 * once: a second selection might find none after the request has left.
 	 * @param request the request
 	 * @param now the current time
-	 * @return true if there is one
+	 * @return the place; empty if there is none
 	 */
-	boolean hasAlternative(DispatchedRequest request, Instant now) {
+	Optional<AlternativePlace> findAlternative(DispatchedRequest request, Instant now) {
 		if (request.targetsReached() + 1 >= request.route().maximumAttempts()) {
-			return false;
+			return Optional.empty();
+		}
+		if (this.reachability.isUnreachable(request.service())) {
+			return this.proxySelector.select(request.service(), request.triedNodes(), now)
+				.map(AlternativePlace.Through::new);
 		}
-		return this.reachability.isUnreachable(request.service())
-				? this.proxySelector.select(request.service(), request.triedNodes(), now).isPresent()
-				: this.targetSelector.hasTarget(request, now);
+		TargetSelector.Selection selection = this.targetSelector.selectOther(request, now);
+		return (selection.admission() != Admission.Decision.REFUSED) ? Optional.of(new AlternativePlace.At(selection))
+				: Optional.empty();
+	}
+
+	/**
+	 * Starts the next attempt of a request at the place that was found for it.
+	 * @param request the request, which has left its target
+	 * @param place the place
+	 * @param now the current time
+	 * @param effects receives the resulting effects
+	 */
+	void startAt(DispatchedRequest request, AlternativePlace place, Instant now, Effects effects) {
+		if (place instanceof AlternativePlace.Through through) {
+			startThrough(request, through.node(), now, effects);
+		}
+		else if (place instanceof AlternativePlace.At at) {
+			this.attemptStarter.start(request, at.selection(), now, effects);
+		}
+	}
+
+	private void startThrough(DispatchedRequest request, EntryEffect.ProxyNode node, Instant now, Effects effects) {
+		this.proxySelector.recordSent(node.name());
+		this.attemptStarter.startThrough(request, node, now, effects);
 	}
 
 	/**
--- a/src/main/java/sycamorehill/logic/dispatch/StalledStreams.java
+++ b/src/main/java/sycamorehill/logic/dispatch/StalledStreams.java
@@ -77,11 +77,13 @@
 			if (request.proxied().isPresent()) {
 				endProxied(request, target, now, effects);
 			}
-			else if (this.scheduler.hasAlternative(request, now) && this.scheduler.takeRetry(request, now, effects)) {
-				effects.add(new EntryEffect.CancelAttempt(request.request().number(), request.attempts()));
-				this.targetSelector.status(target).recordEnded();
-				request.endAttempt();
-				moveOn(request, AttemptPlace.at(target), now, effects);
+			else {
+				takeAlternative(request, now, effects).ifPresent((next) -> {
+					effects.add(new EntryEffect.CancelAttempt(request.request().number(), request.attempts()));
+					this.targetSelector.status(target).recordEnded();
+					request.endAttempt();
+					moveOn(request, AttemptPlace.at(target), next, now, effects);
+				});
 			}
 		}
 	}
@@ -96,15 +98,20 @@
 		this.proxySelector.eject(node, now);
 		effects.log(LogEvent.PROXY_SILENT, "node=" + node);
 		for (DispatchedRequest request : resumableStreams((each) -> each.proxy().filter(node::equals).isPresent())) {
-			if (this.scheduler.hasAlternative(request, now) && this.scheduler.takeRetry(request, now, effects)) {
+			takeAlternative(request, now, effects).ifPresent((next) -> {
 				effects.add(new EntryEffect.CancelAttempt(request.request().number(), request.attempts()));
 				this.proxySelector.recordEnded(node);
 				request.endProxiedAttempt(Optional.empty());
-				moveOn(request, AttemptPlace.through(node, Optional.empty()), now, effects);
-			}
+				moveOn(request, AttemptPlace.through(node, Optional.empty()), next, now, effects);
+			});
 		}
 	}
 
+	private Optional<AlternativePlace> takeAlternative(DispatchedRequest request, Instant now, Effects effects) {
+		return this.scheduler.findAlternative(request, now)
+			.filter((place) -> this.scheduler.takeRetry(request, now, effects));
+	}
+
 	private List<DispatchedRequest> resumableStreams(Predicate<DispatchedRequest> condition) {
 		return this.activeRequests.values()
 			.stream()
@@ -113,11 +120,12 @@
 			.toList();
 	}
 
-	private void moveOn(DispatchedRequest request, AttemptPlace place, Instant now, Effects effects) {
+	private void moveOn(DispatchedRequest request, AttemptPlace place, AlternativePlace next, Instant now,
+			Effects effects) {
 		request.countReachedTarget();
 		request.markMayHaveRun();
 		this.scheduler.logRetry(request, place, "silent", now, effects);
-		this.scheduler.place(request, "the target fell silent", now, effects);
+		this.scheduler.startAt(request, next, now, effects);
 	}
 
 	// Whether the stream goes on elsewhere is the decision of the node that has the
--- a/src/main/java/sycamorehill/logic/dispatch/TargetSelector.java
+++ b/src/main/java/sycamorehill/logic/dispatch/TargetSelector.java
@@ -3,8 +3,10 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Comparator;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.random.RandomGenerator;
 
 import sycamorehill.logic.Effects;
@@ -45,21 +47,27 @@
 	 * @return the target, and whether the request is admitted there
 	 */
 	Selection select(DispatchedRequest request, Instant now) {
-		List<Candidate> all = candidates(request, now);
-		List<Candidate> sampled = this.placement.sample(all);
-		Selection selection = selectBest(request, sampled, now);
-		return (selection.admission() == Admission.Decision.REFUSED && sampled.size() < all.size())
-				? selectBest(request, all, now) : selection;
+		return select(request, request.triedTargets(), now);
 	}
 
 	/**
-	 * Returns whether the best of all targets admits a request.
+	 * Selects another target for a request that is at one.
 	 * @param request the request
 	 * @param now the current time
-	 * @return true if it does
+	 * @return the target, and whether the request is admitted there
 	 */
-	boolean hasTarget(DispatchedRequest request, Instant now) {
-		return selectBest(request, candidates(request, now), now).admission() != Admission.Decision.REFUSED;
+	Selection selectOther(DispatchedRequest request, Instant now) {
+		Set<TargetName> excluded = new HashSet<>(request.triedTargets());
+		request.target().ifPresent(excluded::add);
+		return select(request, excluded, now);
+	}
+
+	private Selection select(DispatchedRequest request, Set<TargetName> excluded, Instant now) {
+		List<Candidate> all = candidates(request, now);
+		List<Candidate> sampled = this.placement.sample(all);
+		Selection selection = selectBest(request, sampled, excluded, now);
+		return (selection.admission() == Admission.Decision.REFUSED && sampled.size() < all.size())
+				? selectBest(request, all, excluded, now) : selection;
 	}
 
 	/**
@@ -84,9 +92,10 @@
 		return this.servingTargets.find(request.serviceParameters(), request.request().model(), now);
 	}
 
-	private Selection selectBest(DispatchedRequest request, List<Candidate> candidates, Instant now) {
-		Optional<Placement.Choice> choice = this.placement.choose(candidates, request.triedTargets(),
-				this.statuses.byTarget(), request.request().tokenCounts(), now);
+	private Selection selectBest(DispatchedRequest request, List<Candidate> candidates, Set<TargetName> excluded,
+			Instant now) {
+		Optional<Placement.Choice> choice = this.placement.choose(candidates, excluded, this.statuses.byTarget(),
+				request.request().tokenCounts(), now);
 		return new Selection(choice,
 				choice.map((best) -> decideAdmission(request, best, now)).orElse(Admission.Decision.REFUSED));
 	}
