Move only the streams of the group that has ended

What callers saw: streams of an engine were taken from it although it served them: a gap at best, and a retry from the budget, or the end of the answer at the next target.

Cause: the message that a group has ended names the group, and the node moved all streams of its head. The message may come after the head has joined its next group and has received streams of it.

Ruled out: new requests (a group that has ended is left out by its name and epoch, not by its head).

Why it works: a request keeps the group to which its attempt was sent, as the directory listed it then, and only the streams of the ended group move. A silent target still gives up all its streams: it is silent as a whole.

--- a/src/main/java/sycamorehill/logic/dispatch/DispatchedRequest.java
+++ b/src/main/java/sycamorehill/logic/dispatch/DispatchedRequest.java
@@ -7,12 +7,14 @@
 import java.util.Optional;
 import java.util.Set;
 
+import sycamorehill.logic.directory.GroupKey;
 import sycamorehill.model.identity.ServiceName;
 import sycamorehill.model.identity.TargetName;
 import sycamorehill.model.serving.CallerRequest;
 import sycamorehill.model.serving.ProxiedRequest;
 import sycamorehill.model.serving.Route;
 import sycamorehill.model.serving.ServiceParameters;
+import sycamorehill.model.serving.TargetEntry;
 import sycamorehill.model.serving.WeightedService;
 import sycamorehill.model.serving.Workspace;
 
@@ -44,6 +46,9 @@
 
 	private Optional<TargetName> target = Optional.empty();
 
+	/** The group of the current target when the attempt started. */
+	private Optional<GroupKey> group = Optional.empty();
+
 	/** The node through which the current attempt is sent. */
 	private Optional<String> proxy = Optional.empty();
 
@@ -121,8 +126,9 @@
 				this.targetsReached + 1 < this.route.maximumAttempts());
 	}
 
-	int startAttempt(TargetName chosen, Instant now) {
-		this.target = Optional.of(chosen);
+	int startAttempt(TargetEntry chosen, Instant now) {
+		this.target = Optional.of(chosen.name());
+		this.group = chosen.membership().map(GroupKey::of);
 		this.attemptStartedAt = now;
 		this.attempts++;
 		return this.attempts;
@@ -239,6 +245,14 @@
 		return this.target;
 	}
 
+	/**
+	 * Returns the group to which the current attempt was sent.
+	 * @return the group; empty if the target was in none
+	 */
+	Optional<GroupKey> group() {
+		return this.group;
+	}
+
 	Optional<String> proxy() {
 		return this.proxy;
 	}
--- a/src/main/java/sycamorehill/logic/dispatch/RequestDispatcher.java
+++ b/src/main/java/sycamorehill/logic/dispatch/RequestDispatcher.java
@@ -9,6 +9,7 @@
 import java.util.random.RandomGenerator;
 
 import sycamorehill.logic.Effects;
+import sycamorehill.logic.directory.GroupKey;
 import sycamorehill.logic.directory.TargetDirectory;
 import sycamorehill.model.identity.ServiceName;
 import sycamorehill.model.identity.TargetName;
@@ -341,7 +342,7 @@
 	 */
 	public void handleGroupEnded(TargetName head, String group, long epoch, Instant now, Effects effects) {
 		this.targetSelector.markGroupEnded(group, epoch, now);
-		this.stalledStreams.moveStreams(head, now, effects);
+		this.stalledStreams.moveStreamsOfGroup(head, new GroupKey(group, epoch), now, effects);
 	}
 
 	/**
--- a/src/main/java/sycamorehill/logic/dispatch/StalledStreams.java
+++ b/src/main/java/sycamorehill/logic/dispatch/StalledStreams.java
@@ -8,6 +8,7 @@
 import java.util.function.Predicate;
 
 import sycamorehill.logic.Effects;
+import sycamorehill.logic.directory.GroupKey;
 import sycamorehill.model.identity.TargetName;
 import sycamorehill.model.log.LogEvent;
 import sycamorehill.model.serving.AttemptEnd;
@@ -50,7 +51,7 @@
 		status.eject(now, SILENT_TARGET_EJECTION);
 		effects.log(LogEvent.TARGET_SILENT,
 				"target=" + target + " in-flight=" + status.inFlight() + " source=" + source);
-		moveStreams(target, now, effects);
+		moveStreams(target, (request) -> true, now, effects);
 	}
 
 	void handleReportedSilence(TargetName target, String source, Instant now, Effects effects) {
@@ -67,13 +68,19 @@
 	}
 
 	/**
-	 * Moves the streams of a target.
-	 * @param target the target
+	 * Moves the streams of a group that has ended. Its head may already have streams of
+	 * its next group.
+	 * @param head the head of the group
+	 * @param group the group
 	 * @param now the current time
 	 * @param effects receives the resulting effects
 	 */
-	void moveStreams(TargetName target, Instant now, Effects effects) {
-		for (DispatchedRequest request : resumableStreams((each) -> isAt(target, each))) {
+	void moveStreamsOfGroup(TargetName head, GroupKey group, Instant now, Effects effects) {
+		moveStreams(head, (request) -> request.group().filter(group::equals).isPresent(), now, effects);
+	}
+
+	private void moveStreams(TargetName target, Predicate<DispatchedRequest> condition, Instant now, Effects effects) {
+		for (DispatchedRequest request : resumableStreams(condition.and((each) -> isAt(target, each)))) {
 			if (request.proxied().isPresent()) {
 				endProxied(request, target, now, effects);
 			}
--- a/src/test/java/sycamorehill/logic/dispatch/MovedStreamTests.java
+++ b/src/test/java/sycamorehill/logic/dispatch/MovedStreamTests.java
@@ -80,6 +80,17 @@
 					|| effect instanceof EntryEffect.StartAttempt);
 	}
 
+	// The message that the last group of the head has ended comes after the head has
+	// received streams in its next group, which end with it.
+	@Test
+	void aStreamOfTheNextGroupOfAHeadStaysWhenTheLastGroupHasEnded() {
+		listGroups(head("a1", "small.3", 3), member("a2", "small.3", 3));
+		startStream(1);
+		listGroups(head("a1", "small.3", 3), member("a2", "small.3", 3), head("b1", "small.2", 2),
+				member("b2", "small.2", 2));
+		assertThat(ofStreams(endGroup("small.1", 1))).isEmpty();
+	}
+
 	// The only other place of the stream is the next group of its own head, which is
 	// never tried again: the stream is aborted while it may still run.
 	@Test
