--- a/src/main/java/sycamorehill/logic/dispatch/TargetSelector.java
+++ b/src/main/java/sycamorehill/logic/dispatch/TargetSelector.java
@@ -3,14 +3,15 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Comparator;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.random.RandomGenerator;
 
 import sycamorehill.logic.Effects;
 import sycamorehill.logic.directory.TargetDirectory;
 import sycamorehill.model.identity.TargetName;
-import sycamorehill.model.serving.Configuration;
 import sycamorehill.model.serving.EntrySettings;
 import sycamorehill.model.serving.NodeRecord;
 
@@ -42,56 +43,59 @@
 	 * Selects a target. If there are many nodes, a sample of the targets is compared
 	 * first, and all targets only if the sample refuses the request.
 	 * @param request the request
-	 * @param configuration the configuration in effect
 	 * @param now the current time
 	 * @return the target, and whether the request is admitted there
 	 */
-	Selection select(DispatchedRequest request, Configuration configuration, Instant now) {
-		List<Candidate> all = candidates(request, configuration, now);
-		List<Candidate> sampled = this.placement.sample(all);
-		Selection selection = selectBest(request, sampled, now);
-		return (selection.admission() == Admission.Decision.REFUSED && sampled.size() < all.size())
-				? selectBest(request, all, now) : selection;
+	Selection select(DispatchedRequest request, Instant now) {
+		return select(request, request.triedTargets(), now);
 	}
 
 	/**
-	 * Returns whether the best of all targets admits a request.
+	 * Selects another target for a request that is at one.
 	 * @param request the request
-	 * @param configuration the configuration in effect
 	 * @param now the current time
-	 * @return true if it does
+	 * @return the target, and whether the request is admitted there
 	 */
-	boolean hasTarget(DispatchedRequest request, Configuration configuration, Instant now) {
-		return selectBest(request, candidates(request, configuration, now), now)
-			.admission() != Admission.Decision.REFUSED;
+	Selection selectOther(DispatchedRequest request, Instant now) {
+		Set<TargetName> excluded = new HashSet<>(request.triedTargets());
+		request.target().ifPresent(excluded::add);
+		return select(request, excluded, now);
+	}
+
+	private Selection select(DispatchedRequest request, Set<TargetName> excluded, Instant now) {
+		List<Candidate> all = candidates(request, now);
+		List<Candidate> sampled = this.placement.sample(all);
+		Selection selection = selectBest(request, sampled, excluded, now);
+		return (selection.admission() == Admission.Decision.REFUSED && sampled.size() < all.size())
+				? selectBest(request, all, excluded, now) : selection;
 	}
 
 	/**
 	 * Returns how long all targets of a request still rest.
 	 * @param request the request
-	 * @param configuration the configuration in effect
 	 * @param now the current time
 	 * @return the time until the first of them accepts requests; zero if one does now, or
 	 * if there is none
 	 */
-	Duration restLeft(DispatchedRequest request, Configuration configuration, Instant now) {
-		return servingTargets(request, configuration, now).stream()
+	Duration restLeft(DispatchedRequest request, Instant now) {
+		return servingTargets(request, now).stream()
 			.map((candidate) -> this.statuses.restLeft(candidate.entry().name(), now))
 			.min(Comparator.naturalOrder())
 			.orElse(Duration.ZERO);
 	}
 
-	private List<Candidate> candidates(DispatchedRequest request, Configuration configuration, Instant now) {
-		return this.rateLimits.withinLimits(servingTargets(request, configuration, now), now);
+	private List<Candidate> candidates(DispatchedRequest request, Instant now) {
+		return this.rateLimits.withinLimits(servingTargets(request, now), now);
 	}
 
-	private List<Candidate> servingTargets(DispatchedRequest request, Configuration configuration, Instant now) {
-		return this.servingTargets.find(configuration, request.service(), request.request().model(), now);
+	private List<Candidate> servingTargets(DispatchedRequest request, Instant now) {
+		return this.servingTargets.find(request.serviceParameters(), request.request().model(), now);
 	}
 
-	private Selection selectBest(DispatchedRequest request, List<Candidate> candidates, Instant now) {
-		Optional<Placement.Choice> choice = this.placement.choose(candidates, request.triedTargets(),
-				this.statuses.byTarget(), request.request().tokenCounts(), now);
+	private Selection selectBest(DispatchedRequest request, List<Candidate> candidates, Set<TargetName> excluded,
+			Instant now) {
+		Optional<Placement.Choice> choice = this.placement.choose(candidates, excluded, this.statuses.byTarget(),
+				request.request().tokenCounts(), now);
 		return new Selection(choice,
 				choice.map((best) -> decideAdmission(request, best, now)).orElse(Admission.Decision.REFUSED));
 	}
