Log and count each answer that a node cuts by closing its caller's connection

Callers saw answers that ended early, with a status of success, and the logs held nothing that names them: a connection within an answer was closed by `abort`, by the idle timer, as idle in a drain, after a failed write, after an exception, or by the end of a stopping process, each without a line. A failed write and an exception were even logged as "caller left".

Each answer is now known from the reading of its request until its last byte is written to the socket, also after the decisions have finished with it. Which connections close is unchanged. A request dropped behind an answer with `Connection: close` is reported as well; not so behind a malformed request, whose rest need not be a request. The line on a failed connection names its requests.

An input or output error and a close or half-close by the caller write no ANSWER_CUT: a half-close can't be told from a close, after which no engine may stay at work (GONE).

Tests: AnswerCutTests over real sockets, CallerConnectionTests for failures that nobody can cause from outside. Tests read log lines by a second writer, RecordedLog, in tinylog-test.properties. CallerConnection is split: UnwrittenAnswers and WaitingMessages.

--- a/src/main/java/sycamorehill/entry/CallerConnection.java
+++ b/src/main/java/sycamorehill/entry/CallerConnection.java
@@ -1,20 +1,18 @@
 package sycamorehill.entry;
 
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.util.ArrayDeque;
 import java.util.List;
-import java.util.Locale;
 import java.util.Optional;
-import java.util.Queue;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.SocketChannel;
+import io.netty.handler.codec.EncoderException;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -44,17 +42,13 @@
 	/** Time that a caller has to read the last answer before the connection is closed. */
 	private static final Duration LINGER_TIMEOUT = Duration.ofMillis(1000);
 
-	/**
-	 * Number of messages of later requests that may wait while a request is served;
-	 * reading from the connection then stops.
-	 */
-	private static final int MAXIMUM_WAITING_MESSAGES = 64;
-
 	private final CallerServer server;
 
 	private final CallerLimits limits;
 
-	private final Queue<Object> waitingMessages = new ArrayDeque<>();
+	private final WaitingMessages waitingMessages;
+
+	private final UnwrittenAnswers unwrittenAnswers;
 
 	private ChannelHandlerContext context;
 
@@ -70,13 +64,20 @@
 
 	private CallerExchange exchange;
 
+	/** Answer to the request that is being served. */
+	private UnwrittenAnswer answer;
+
 	private boolean keepAlive;
 
 	private boolean closing;
 
+	private boolean cutByNode;
+
 	private CallerConnection(CallerServer server, CallerLimits limits) {
 		this.server = server;
 		this.limits = limits;
+		this.unwrittenAnswers = UnwrittenAnswers.of(server.cutLog());
+		this.waitingMessages = WaitingMessages.of(server);
 	}
 
 	static CallerConnection of(CallerServer server, CallerLimits limits) {
@@ -110,7 +111,7 @@
 
 	private void awaitRequest() {
 		this.readStarted = false;
-		startTimer(this.limits.idleTimeout(), this.context::close);
+		startTimer(this.limits.idleTimeout(), () -> cut(CutCause.IDLE_TIMER));
 	}
 
 	private void startTimer(Duration time, Runnable action) {
@@ -127,12 +128,11 @@
 	@Override
 	public void channelRead(ChannelHandlerContext ctx, Object message) {
 		if (this.closing) {
-			ReferenceCountUtil.release(message);
+			this.waitingMessages.drop(message);
 			return;
 		}
 		if (this.exchange != null) {
-			this.waitingMessages.add(message);
-			if (this.waitingMessages.size() > MAXIMUM_WAITING_MESSAGES) {
+			if (this.waitingMessages.add(message)) {
 				ctx.channel().config().setAutoRead(false);
 			}
 			return;
@@ -200,7 +200,9 @@
 		this.request = null;
 		this.body = null;
 		this.keepAlive = HttpUtil.isKeepAlive(completeRequest);
+		this.answer = this.unwrittenAnswers.begin(this.arrivedNanos);
 		this.exchange = this.server.acceptRequest(this, completeRequest, completeBody, this.arrivedNanos);
+		this.answer.identify(this.exchange.identifier());
 	}
 
 	private void refuseMalformed(Throwable cause) {
@@ -241,7 +243,12 @@
 		this.closing = true;
 		this.context.channel().config().setAutoRead(true);
 		this.context.writeAndFlush(last).addListener((future) -> {
-			if (future.isSuccess() && this.context.channel() instanceof SocketChannel socket) {
+			if (!future.isSuccess()) {
+				handleFailedWrite(future.cause());
+				return;
+			}
+			this.unwrittenAnswers.clear();
+			if (this.context.channel() instanceof SocketChannel socket) {
 				socket.shutdownOutput();
 				startTimer(LINGER_TIMEOUT, this.context::close);
 			}
@@ -251,7 +258,32 @@
 		});
 	}
 
+	// Netty fails all waiting writes with an input or output error when the connection is
+	// lost or closed.
+	private void handleFailedWrite(Throwable cause) {
+		if (cause instanceof IOException) {
+			this.context.close();
+			return;
+		}
+		this.server.logConnectionFailure(this.unwrittenAnswers.identifiers(), cause);
+		cut(CutCause.WRITE_FAILED);
+	}
+
+	// Closes the connection, and reports the answers that are broken off by that.
+	private void cut(CutCause cause) {
+		this.closing = true;
+		this.cutByNode = true;
+		this.unwrittenAnswers.reportCut(cause);
+		this.context.close();
+	}
+
+	/** Reports the answers that the end of the process breaks off. */
+	void reportUnfinished() {
+		this.unwrittenAnswers.reportCut(CutCause.DRAIN_BOUND);
+	}
+
 	void write(Object message) {
+		this.answer.countPart(message);
 		if (message instanceof HttpResponse response) {
 			closeIfStopping(response.headers());
 		}
@@ -274,11 +306,21 @@
 			closeIfStopping(response.headers());
 		}
 		this.exchange = null;
+		UnwrittenAnswer finished = this.answer;
+		finished.countPart(last);
 		if (!this.keepAlive || this.closing) {
+			this.waitingMessages.dropReported();
 			closeAfter(last);
 			return;
 		}
-		this.context.writeAndFlush(last).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
+		this.context.writeAndFlush(last).addListener((future) -> {
+			if (future.isSuccess()) {
+				this.unwrittenAnswers.markWritten(finished);
+			}
+			else {
+				handleFailedWrite(future.cause());
+			}
+		});
 		awaitRequest();
 		processWaitingMessages();
 	}
@@ -293,8 +335,7 @@
 	}
 
 	private void processWaitingMessages() {
-		List<Object> messages = List.copyOf(this.waitingMessages);
-		this.waitingMessages.clear();
+		List<Object> messages = this.waitingMessages.takeAll();
 		this.context.channel().config().setAutoRead(true);
 		for (Object message : messages) {
 			channelRead(this.context, message);
@@ -307,15 +348,13 @@
 
 	void abort() {
 		this.exchange = null;
-		this.closing = true;
-		this.context.close();
+		cut(CutCause.GAVE_UP);
 	}
 
 	/** Closes the connection if it carries no request. */
 	void closeIfIdle() {
 		if (this.exchange == null && this.request == null && !this.readStarted) {
-			this.closing = true;
-			this.context.close();
+			cut(CutCause.DRAIN_CLOSE);
 		}
 	}
 
@@ -331,27 +370,25 @@
 	public void channelInactive(ChannelHandlerContext ctx) {
 		stopTimer();
 		releaseBody();
-		this.waitingMessages.forEach(ReferenceCountUtil::release);
-		this.waitingMessages.clear();
+		this.waitingMessages.release();
+		this.unwrittenAnswers.clear();
 		this.server.removeConnection(this);
 		if (this.exchange != null) {
 			CallerExchange abandoned = this.exchange;
 			this.exchange = null;
-			abandoned.handleCallerDisconnected(this.server.eventSink());
+			abandoned.handleDisconnected(this.cutByNode, this.server.eventSink());
 		}
 		ctx.fireChannelInactive();
 	}
 
 	@Override
 	public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-		this.server.logConnectionFailure(cause);
-		ctx.close();
-	}
-
-	static String lowerCaseHost(HttpRequest request) {
-		String host = request.headers().get(HttpHeaderNames.HOST).toLowerCase(Locale.ROOT);
-		int colon = host.lastIndexOf(':');
-		return (colon > 0 && !host.endsWith("]")) ? host.substring(0, colon) : host;
+		this.server.logConnectionFailure(this.unwrittenAnswers.identifiers(), cause);
+		if (cause instanceof IOException) {
+			ctx.close();
+			return;
+		}
+		cut((cause instanceof EncoderException) ? CutCause.WRITE_FAILED : CutCause.CONNECTION_FAILED);
 	}
 
 }
--- a/src/main/java/sycamorehill/entry/CallerExchange.java
+++ b/src/main/java/sycamorehill/entry/CallerExchange.java
@@ -256,12 +256,12 @@
 		}
 	}
 
-	// Cancels the attempt after the caller disconnected.
-	void handleCallerDisconnected(EntryEventSink eventSink) {
+	// Cancels the attempt after the caller's connection was closed.
+	void handleDisconnected(boolean cutByNode, EntryEventSink eventSink) {
 		if (!this.finished) {
 			cancelAttempt();
 			finish();
-			eventSink.post(new EntryEvent.CallerDisconnected(this.number));
+			eventSink.post(new EntryEvent.CallerDisconnected(this.number, cutByNode));
 		}
 	}
 
--- a/src/main/java/sycamorehill/entry/CallerServer.java
+++ b/src/main/java/sycamorehill/entry/CallerServer.java
@@ -2,6 +2,7 @@
 
 import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Set;
 
 import com.dynatrace.hash4j.hashing.HashStream64;
@@ -16,6 +17,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 
@@ -49,21 +51,26 @@
 
 	private final ExchangeRegistry exchanges;
 
+	private final AnswerCutLog cutLog;
+
 	private final Set<CallerConnection> callerConnections = new HashSet<>();
 
 	private CallerLimits limits = CallerLimits.INITIAL;
 
 	private boolean stopping;
 
-	private CallerServer(EventLoop loop, ExchangeCodec codec, EntryEventSink eventSink, ExchangeRegistry exchanges) {
+	private CallerServer(EventLoop loop, ExchangeCodec codec, EntryEventSink eventSink, ExchangeRegistry exchanges,
+			AnswerCutLog cutLog) {
 		this.loop = loop;
 		this.codec = codec;
 		this.eventSink = eventSink;
 		this.exchanges = exchanges;
+		this.cutLog = cutLog;
 	}
 
-	static CallerServer of(EventLoop loop, ExchangeCodec codec, EntryEventSink eventSink, ExchangeRegistry exchanges) {
-		return new CallerServer(loop, codec, eventSink, exchanges);
+	static CallerServer of(EventLoop loop, ExchangeCodec codec, EntryEventSink eventSink, ExchangeRegistry exchanges,
+			AnswerCutLog cutLog) {
+		return new CallerServer(loop, codec, eventSink, exchanges, cutLog);
 	}
 
 	void start(Address address) throws InterruptedException {
@@ -96,11 +103,17 @@
 		String uri = request.uri();
 		int query = uri.indexOf('?');
 		this.eventSink.post(new EntryEvent.RequestArrived(new CallerRequest(exchange.number(), head.identifier(),
-				CallerConnection.lowerCaseHost(request), (query < 0) ? uri : uri.substring(0, query), head.apiKey(),
-				head.model(), head.tokenCounts(), head.timeLeft(), contentHash(request, body))));
+				lowerCaseHost(request), (query < 0) ? uri : uri.substring(0, query), head.apiKey(), head.model(),
+				head.tokenCounts(), head.timeLeft(), contentHash(request, body))));
 		return exchange;
 	}
 
+	private static String lowerCaseHost(HttpRequest request) {
+		String host = request.headers().get(HttpHeaderNames.HOST).toLowerCase(Locale.ROOT);
+		int colon = host.lastIndexOf(':');
+		return (colon > 0 && !host.endsWith("]")) ? host.substring(0, colon) : host;
+	}
+
 	private static long contentHash(HttpRequest request, ByteBuf body) {
 		HashStream64 hash = Hashing.xxh3_64().hashStream();
 		hash.putString(request.method().name()).putString(request.uri());
@@ -134,9 +147,17 @@
 				"status=" + status + " cause='" + detail + "' before it was read"));
 	}
 
-	void logConnectionFailure(Throwable cause) {
-		EventLog.write(
-				LogLine.of(LogEvent.REQUEST_FAILED, "a caller's connection failed cause='" + cause.getMessage() + "'"));
+	void logConnectionFailure(String requests, Throwable cause) {
+		EventLog.write(LogLine.of(LogEvent.REQUEST_FAILED,
+				"requests=" + requests + " a caller's connection failed cause='" + cause + "'"));
+	}
+
+	AnswerCutLog cutLog() {
+		return this.cutLog;
+	}
+
+	String identifier(HttpRequest request) {
+		return this.codec.readCallerRequest(request).identifier();
 	}
 
 	EntryEventSink eventSink() {
@@ -156,6 +177,11 @@
 		List.copyOf(this.callerConnections).forEach(CallerConnection::closeIfIdle);
 	}
 
+	/** Reports the answers that the end of the process breaks off. */
+	void reportUnfinished() {
+		this.callerConnections.forEach(CallerConnection::reportUnfinished);
+	}
+
 	boolean hasCallers() {
 		return !this.callerConnections.isEmpty();
 	}
--- a/src/main/java/sycamorehill/entry/EntryMetrics.java
+++ b/src/main/java/sycamorehill/entry/EntryMetrics.java
@@ -72,6 +72,14 @@
 			.ifPresent((time) -> recordTime("requests." + finished.service() + ".first-answer", time));
 	}
 
+	/**
+	 * Counts an answer to a caller that this node broke off.
+	 * @param cause why its connection was closed
+	 */
+	void countCutAnswer(CutCause cause) {
+		this.registry.counter("answers.cut." + cause).inc();
+	}
+
 	/**
 	 * Counts a decision of a retry budget.
 	 * @param decided the decision
--- a/src/main/java/sycamorehill/entry/EntryNode.java
+++ b/src/main/java/sycamorehill/entry/EntryNode.java
@@ -106,10 +106,11 @@
 		this.streamMonitor = StreamMonitor.of(this);
 		this.exchangeEffects = ExchangeEffects.of(exchanges, this.targetConnections, this.proxyConnections,
 				this.streamMonitor, this.ports.codec(), this);
-		this.callerServer = CallerServer.of(this.loop, this.ports.codec(), this, exchanges);
+		this.metrics = EntryMetrics.of(this.reducer);
+		this.callerServer = CallerServer.of(this.loop, this.ports.codec(), this, exchanges,
+				AnswerCutLog.of(this.metrics));
 		this.proxyServer = ProxyServer.of(this.loop, exchanges, this, this.reducer::isNodeHost);
 		this.messenger = NodeMessenger.of(this.loop, this);
-		this.metrics = EntryMetrics.of(this.reducer);
 		this.readinessServer = PageServer.of(this.loop, this::readinessPage);
 		this.metricsServer = PageServer.of(this.loop, this::metricsPage);
 	}
@@ -398,6 +399,9 @@
 		}
 		this.callerServer.closeIdle();
 		boolean deadlineReached = since.compareTo(this.settings.stopTime().minus(KILL_MARGIN)) > 0;
+		if (deadlineReached) {
+			this.callerServer.reportUnfinished();
+		}
 		if (deadlineReached || (!this.callerServer.hasCallers() && !this.proxyServer.hasRequests())) {
 			EventLog.write(LogLine.of(LogEvent.REQUESTS_DRAINED,
 					"node=" + this.settings.nodeName() + " millis=" + since.toMillis() + " callers-left="
--- a/src/main/java/sycamorehill/logic/dispatch/FinalAnswers.java
+++ b/src/main/java/sycamorehill/logic/dispatch/FinalAnswers.java
@@ -126,6 +126,12 @@
 		effects.log(LogEvent.REQUEST_FAILED, describe(request, now) + " cause='time is over' outcome=unknown");
 	}
 
+	void recordCut(DispatchedRequest request, Instant now, Effects effects) {
+		effects.log(LogEvent.REQUEST_FAILED,
+				describe(request, now) + " cause='this node cut the connection' outcome=broken");
+		addFinished(request, Outcome.FAILED, now, effects);
+	}
+
 	void recordAbandoned(DispatchedRequest request, Instant now, Effects effects) {
 		effects.log(LogEvent.REQUEST_FAILED, describe(request, now) + " cause='caller left'");
 		addFinished(request, Outcome.ABANDONED, now, effects);
--- a/src/main/java/sycamorehill/logic/dispatch/RequestDispatcher.java
+++ b/src/main/java/sycamorehill/logic/dispatch/RequestDispatcher.java
@@ -376,17 +376,23 @@
 	}
 
 	/**
-	 * Drops a request whose caller has disconnected.
+	 * Drops a request whose caller's connection was closed.
 	 * @param number the request's number
+	 * @param cutByNode whether this node closed it rather than the caller
 	 * @param now the current time
 	 * @param effects receives the resulting effects
 	 */
-	public void handleCallerDisconnected(long number, Instant now, Effects effects) {
+	public void handleCallerDisconnected(long number, boolean cutByNode, Instant now, Effects effects) {
 		DispatchedRequest request = this.activeRequests.remove(number);
 		if (request != null) {
 			releaseAttempt(request);
 			request.recordArrival(now);
-			this.finalAnswers.recordAbandoned(request, now, effects);
+			if (cutByNode) {
+				this.finalAnswers.recordCut(request, now, effects);
+			}
+			else {
+				this.finalAnswers.recordAbandoned(request, now, effects);
+			}
 		}
 	}
 
--- a/src/main/java/sycamorehill/logic/entry/RequestEvents.java
+++ b/src/main/java/sycamorehill/logic/entry/RequestEvents.java
@@ -58,7 +58,7 @@
 		}
 		else if (event instanceof EntryEvent.CallerDisconnected gone) {
 			this.startupRequests.remove(gone.number());
-			this.requests.handleCallerDisconnected(gone.number(), now, effects);
+			this.requests.handleCallerDisconnected(gone.number(), gone.cutByNode(), now, effects);
 		}
 		else if (event instanceof EntryEvent.TimedOut timedOut) {
 			this.requests.handleTimeout(timedOut.number(), now, effects);
--- a/src/main/java/sycamorehill/model/log/LogEvent.java
+++ b/src/main/java/sycamorehill/model/log/LogEvent.java
@@ -177,7 +177,10 @@
 	PROXY_SILENT(1912, LogLevel.WARN),
 
 	/** The node's share of the retries that all nodes may send together has changed. */
-	RETRY_SHARE_CHANGED(1913, LogLevel.INFO);
+	RETRY_SHARE_CHANGED(1913, LogLevel.INFO),
+
+	/** This node closed a connection within an answer. */
+	ANSWER_CUT(1914, LogLevel.WARN);
 
 	private final int number;
 
--- a/src/main/java/sycamorehill/model/serving/EntryEvent.java
+++ b/src/main/java/sycamorehill/model/serving/EntryEvent.java
@@ -141,11 +141,13 @@
 	}
 
 	/**
-	 * The caller disconnected. The runtime has already cancelled the request's attempts.
+	 * The caller's connection was closed. The runtime has already cancelled the request's
+	 * attempts.
 	 *
 	 * @param number the request
+	 * @param cutByNode whether this node closed it rather than the caller
 	 */
-	record CallerDisconnected(long number) implements EntryEvent {
+	record CallerDisconnected(long number, boolean cutByNode) implements EntryEvent {
 	}
 
 	/**
--- a/src/test/java/sycamorehill/logic/entry/EntryReducerTests.java
+++ b/src/test/java/sycamorehill/logic/entry/EntryReducerTests.java
@@ -114,7 +114,7 @@
 	void aQueuedRequestIsDroppedWhenItsCallerDisconnects() {
 		EntryReducer fresh = EntryReducer.of(ServingSamples.settings("one"), "one#2", new Random(1), this.start);
 		fresh.accept(new EntryEvent.RequestArrived(ServingSamples.request(1, "/again/x")), this.start);
-		fresh.accept(new EntryEvent.CallerDisconnected(1), this.start.plusMillis(100));
+		fresh.accept(new EntryEvent.CallerDisconnected(1, false), this.start.plusMillis(100));
 		fresh.accept(new EntryEvent.ConfigurationRead(ServingSamples.configuration(1), 1), this.start.plusMillis(200));
 		assertThat(startsAttempt(fresh.accept(new EntryEvent.TargetsListed(List.of(ServingSamples.plain("p1")), 10),
 				this.start.plusMillis(250))))
