Don't count a connection as idle while its answer is still being sent

What callers saw: a caller that reads slowly lost the rest of an answer, with a status of success, (1) when the node stopped, 3 s after the SIGTERM, on a kept connection; (2) when it took the answer for longer than the idle timeout since the decisions had finished with it. On a connection that closes after its answer, a caller that took nothing held the connection without a bound.

Cause: an answer counted as complete once its last part was handed to Netty. `closeIfIdle` and the idle timer then closed the channel, and Netty discards what the socket has not taken.

Fix: an answer is complete once its last write has succeeded. A stopping node closes a connection as idle only then, so that `hasCallers` counts it until its bytes are out; the idle timer starts anew as long as the socket takes bytes; it also bounds the last answer of a connection. What the socket has taken is the kernel's, which delivers it after a close, so the fix holds as long as no input is unread; a caller that sends a next request before it has the answer (pipelining) can still lose it to a reset.

The cause DRAIN_CLOSE can't come up any more and is taken out.

Ruled out: whole answers lost to the linger time of a last answer: it starts after the last byte was written, and reads what comes.

--- a/src/main/java/sycamorehill/entry/CallerConnection.java
+++ b/src/main/java/sycamorehill/entry/CallerConnection.java
@@ -5,10 +5,10 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.SocketChannel;
@@ -28,7 +28,6 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
-import io.netty.util.concurrent.ScheduledFuture;
 
 import sycamorehill.model.serving.CallerLimits;
 
@@ -52,7 +51,7 @@
 
 	private ChannelHandlerContext context;
 
-	private ScheduledFuture<?> timer;
+	private ConnectionTimer timer;
 
 	private HttpRequest request;
 
@@ -87,6 +86,7 @@
 	@Override
 	public void handlerAdded(ChannelHandlerContext addedContext) {
 		this.context = addedContext;
+		this.timer = ConnectionTimer.of(addedContext.channel());
 	}
 
 	@Override
@@ -104,25 +104,18 @@
 		if (!this.readStarted && this.exchange == null && !this.closing) {
 			this.readStarted = true;
 			this.arrivedNanos = System.nanoTime();
-			startTimer(this.limits.headerTimeout(),
+			this.timer.start(this.limits.headerTimeout(),
 					() -> refuse(HttpResponseStatus.REQUEST_TIMEOUT, "the head took too long"));
 		}
 	}
 
 	private void awaitRequest() {
 		this.readStarted = false;
-		startTimer(this.limits.idleTimeout(), () -> cut(CutCause.IDLE_TIMER));
+		startIdleTimer();
 	}
 
-	private void startTimer(Duration time, Runnable action) {
-		stopTimer();
-		this.timer = this.context.channel().eventLoop().schedule(action, time.toNanos(), TimeUnit.NANOSECONDS);
-	}
-
-	private void stopTimer() {
-		if (this.timer != null) {
-			this.timer.cancel(false);
-		}
+	private void startIdleTimer() {
+		this.timer.startIdle(this.limits.idleTimeout(), () -> cut(CutCause.IDLE_TIMER));
 	}
 
 	@Override
@@ -174,7 +167,7 @@
 		}
 		this.request = head;
 		this.body = this.context.alloc().buffer(256);
-		startTimer(this.limits.idleTimeout(),
+		this.timer.start(this.limits.idleTimeout(),
 				() -> refuse(HttpResponseStatus.REQUEST_TIMEOUT, "the body took too long"));
 		if (HttpUtil.is100ContinueExpected(head)) {
 			this.context.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE,
@@ -194,7 +187,7 @@
 	}
 
 	private void completeRequest() {
-		stopTimer();
+		this.timer.stop();
 		HttpRequest completeRequest = this.request;
 		ByteBuf completeBody = this.body;
 		this.request = null;
@@ -219,7 +212,7 @@
 		if (this.closing || this.exchange != null) {
 			return;
 		}
-		stopTimer();
+		this.timer.stop();
 		this.server.logRefusal(status.code(), detail);
 		releaseBody();
 		FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
@@ -242,22 +235,29 @@
 	private void closeAfter(Object last) {
 		this.closing = true;
 		this.context.channel().config().setAutoRead(true);
-		this.context.writeAndFlush(last).addListener((future) -> {
-			if (!future.isSuccess()) {
-				handleFailedWrite(future.cause());
-				return;
-			}
-			this.unwrittenAnswers.clear();
-			if (this.context.channel() instanceof SocketChannel socket) {
-				socket.shutdownOutput();
-				startTimer(LINGER_TIMEOUT, this.context::close);
+		ChannelFuture writing = this.context.writeAndFlush(last);
+		startIdleTimer();
+		writing.addListener((future) -> {
+			if (future.isSuccess()) {
+				closeWritten();
 			}
 			else {
-				this.context.close();
+				handleFailedWrite(future.cause());
 			}
 		});
 	}
 
+	private void closeWritten() {
+		this.unwrittenAnswers.clear();
+		if (this.context.channel() instanceof SocketChannel socket) {
+			socket.shutdownOutput();
+			this.timer.start(LINGER_TIMEOUT, this.context::close);
+		}
+		else {
+			this.context.close();
+		}
+	}
+
 	// Netty fails all waiting writes with an input or output error when the connection is
 	// lost or closed.
 	private void handleFailedWrite(Throwable cause) {
@@ -351,10 +351,11 @@
 		cut(CutCause.GAVE_UP);
 	}
 
-	/** Closes the connection if it carries no request. */
+	/** Closes the connection if it carries no request and all answers are written. */
 	void closeIfIdle() {
-		if (this.exchange == null && this.request == null && !this.readStarted) {
-			cut(CutCause.DRAIN_CLOSE);
+		if (this.exchange == null && this.request == null && !this.readStarted && this.unwrittenAnswers.isEmpty()) {
+			this.closing = true;
+			this.context.close();
 		}
 	}
 
@@ -368,7 +369,7 @@
 
 	@Override
 	public void channelInactive(ChannelHandlerContext ctx) {
-		stopTimer();
+		this.timer.stop();
 		releaseBody();
 		this.waitingMessages.release();
 		this.unwrittenAnswers.clear();
--- a/src/main/java/sycamorehill/entry/CutCause.java
+++ b/src/main/java/sycamorehill/entry/CutCause.java
@@ -15,12 +15,9 @@
 	/** Handling the connection failed, for another reason than the network. */
 	CONNECTION_FAILED,
 
-	/** The idle timeout passed while bytes of the answer were not yet sent. */
+	/** The caller took no byte of the answer for the idle timeout. */
 	IDLE_TIMER,
 
-	/** A stopping node closed the connection as idle. */
-	DRAIN_CLOSE,
-
 	/** A stopping node exits at its time limit. */
 	DRAIN_BOUND,
 
--- a/src/main/java/sycamorehill/entry/UnwrittenAnswers.java
+++ b/src/main/java/sycamorehill/entry/UnwrittenAnswers.java
@@ -33,6 +33,10 @@
 		return answer;
 	}
 
+	boolean isEmpty() {
+		return this.answers.isEmpty();
+	}
+
 	void markWritten(UnwrittenAnswer answer) {
 		this.answers.remove(answer);
 	}
--- a/src/test/java/sycamorehill/entry/AnswerCutTests.java
+++ b/src/test/java/sycamorehill/entry/AnswerCutTests.java
@@ -1,14 +1,19 @@
 package sycamorehill.entry;
 
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.UnaryOperator;
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
+import sycamorehill.logic.entry.EntryReducer;
 import sycamorehill.model.serving.CallerLimits;
 import sycamorehill.support.RecordedLog;
 
@@ -110,6 +115,55 @@
 		}
 	}
 
+	// A node that stops closes a kept connection as idle and discards what the caller has
+	// not taken yet.
+	@Test
+	void answerThatASlowCallerStillTakesIsWholeThoughTheNodeStops() throws Exception {
+		start(AnswerCutTests::largeAnswer);
+		try (Socket socket = this.node.connectSlowly()) {
+			CallerNode.send(socket, CallerNode.request("/again/x", "slow-stop"));
+			Thread.sleep(SETTLING_TIME.toMillis());
+			this.node.node().stop();
+			Thread.sleep(EntryReducer.ACCEPTANCE_AFTER_STOP.plus(SETTLING_TIME).toMillis());
+			assertThat(this.node.node().whenStopped()).isNotDone();
+			assertThat(readLength(CallerNode.readAll(socket))).isEqualTo(LARGE_ANSWER_BYTES);
+			this.node.node().whenStopped().get(1, TimeUnit.SECONDS);
+		}
+		assertThat(RecordedLog.lines("ANSWER_CUT", "request=slow-stop ")).isEmpty();
+	}
+
+	// A caller that takes an answer for longer than the idle timeout loses the rest.
+	@ParameterizedTest
+	@ValueSource(strings = { "Connection: keep-alive", "Connection: close" })
+	void answerThatACallerTakesSlowlyIsWholeBeyondTheIdleTimeout(String connection) throws Exception {
+		this.node = CallerNode.start(SHORT_IDLE, AnswerCutTests::largeAnswer);
+		StringBuilder received = new StringBuilder();
+		try (Socket socket = this.node.connectSlowly()) {
+			CallerNode.send(socket, CallerNode.request("/again/x", "slow-idle", connection));
+			for (Instant end = Instant.now().plus(IDLE_TIMEOUT.multipliedBy(3)); Instant.now().isBefore(end);) {
+				received.append(new String(socket.getInputStream().readNBytes(200_000), StandardCharsets.ISO_8859_1));
+				Thread.sleep(50);
+			}
+			received.append(CallerNode.readAll(socket));
+		}
+		assertThat(readLength(received.toString())).isEqualTo(LARGE_ANSWER_BYTES);
+		assertNoCut();
+	}
+
+	private static int readLength(String answer) {
+		return answer.length() - answer.indexOf("\r\n\r\n") - 4;
+	}
+
+	// A caller that takes nothing of its last answer holds the connection for ever.
+	@Test
+	void lastAnswerThatItsCallerDoesNotTakeIsReportedAtTheIdleTimeout() throws Exception {
+		this.node = CallerNode.start(SHORT_IDLE, AnswerCutTests::largeAnswer);
+		try (Socket socket = this.node.connectSlowly()) {
+			CallerNode.send(socket, CallerNode.request("/again/x", "cut-untaken-last", "Connection: close"));
+			assertCut("cut-untaken-last", CutCause.IDLE_TIMER);
+		}
+	}
+
 	// A request behind the last answer of a connection disappears.
 	@Test
 	void requestBehindTheLastAnswerIsReported() throws Exception {
--- a/src/test/java/sycamorehill/entry/CallerNode.java
+++ b/src/test/java/sycamorehill/entry/CallerNode.java
@@ -20,6 +20,7 @@
 import sycamorehill.model.serving.Configuration;
 import sycamorehill.model.serving.EntrySettings;
 import sycamorehill.model.serving.MemberState;
+import sycamorehill.model.serving.NodeRecord;
 import sycamorehill.model.serving.StoredConfiguration;
 import sycamorehill.model.serving.TargetChange;
 import sycamorehill.model.serving.TargetEntry;
@@ -36,6 +37,10 @@
 
 	private static final int SMALL_BUFFER_BYTES = 4096;
 
+	/** Node that a test may play at the node's address for requests of other nodes. */
+	private static final NodeRecord OTHER_NODE = new NodeRecord("two", Address.of("127.0.0.1", 1),
+			DataCentreName.of("north"), 0.75, Optional.empty());
+
 	private final RawTarget target;
 
 	private final EntrySettings settings;
@@ -57,7 +62,8 @@
 		EntryPorts ports = new EntryPorts(PlatformTestCodec.create(),
 				FakePorts.FixedFeed.of(new StoredConfiguration(configuration, "")),
 				(text) -> new StoredConfiguration(configuration, text), new FakePorts.FixedFeed<>(entries),
-				FakePorts.registry(), new FakePorts.UnavailableLeaseStore(), new FakePorts.UnreachableEngines());
+				FakePorts.registry(this.settings.toNodeRecord(), OTHER_NODE), new FakePorts.UnavailableLeaseStore(),
+				new FakePorts.UnreachableEngines());
 		this.node = EntryNode.start(this.settings, (client) -> ports, Clock.systemUTC(), new Random(1));
 	}
 
@@ -187,6 +193,10 @@
 		}
 	}
 
+	Address proxyAddress() {
+		return this.settings.proxyAddress();
+	}
+
 	EntryNode node() {
 		return this.node;
 	}
