--- a/src/main/java/sycamorehill/entry/EntryNode.java
+++ b/src/main/java/sycamorehill/entry/EntryNode.java
@@ -108,10 +108,11 @@
 		this.streamMonitor = StreamMonitor.of(this);
 		this.exchangeEffects = ExchangeEffects.of(this.exchanges, this.targetConnections, this.proxyConnections,
 				this.streamMonitor, this.ports.codec(), this);
-		this.callerServer = CallerServer.of(this.loop, this.ports.codec(), this, this.exchanges);
+		this.metrics = EntryMetrics.of(this.reducer);
+		this.callerServer = CallerServer.of(this.loop, this.ports.codec(), this, this.exchanges,
+				AnswerCutLog.of(this.metrics));
 		this.proxyServer = ProxyServer.of(this.loop, this.exchanges, this, this.reducer::isNodeHost);
 		this.messenger = NodeMessenger.of(this.loop, this);
-		this.metrics = EntryMetrics.of(this.reducer);
 		this.plannedStop = PlannedStop.of(this.loop, this.clock, settings, this.callerServer, this.proxyServer,
 				this.metrics);
 		this.readinessServer = PageServer.of(this.loop, this::readinessPage);
--- a/src/main/java/sycamorehill/entry/PlannedStop.java
+++ b/src/main/java/sycamorehill/entry/PlannedStop.java
@@ -86,6 +86,9 @@
 		}
 		this.callerServer.closeIdle();
 		boolean boundReached = since.compareTo(this.settings.stopTime().minus(KILL_MARGIN)) > 0;
+		if (boundReached) {
+			this.callerServer.reportUnfinished();
+		}
 		if (boundReached || (!this.callerServer.hasCallers() && !this.proxyServer.hasRequests())) {
 			finish(since);
 		}
