Log errors of the event loop, and go on after them

After one in the periodic checks the node went on without them: time limits, store, leases and silent streams were not looked at any more. After one in the handling of an answer of the store the node kept its configuration for good. None of the last two wrote a line: a periodic task that throws is cancelled by Netty, and a future that nobody waits for keeps what was thrown.

Cause: tick, processEvent and the execution of effects caught RuntimeException at most; FeedReader caught nothing.

A node stops as planned, and doesn't end, once each periodic step has thrown an error for 3 s; exceptions don't stop it, because all nodes read the same configurations. A loop that has ended ends the process with an error instead of leaving one that serves nobody.

Ruled out: Netty ends the loop only if an error is thrown while it handles another one; no test shows that.

--- a/src/main/java/sycamorehill/entry/EntryMetrics.java
+++ b/src/main/java/sycamorehill/entry/EntryMetrics.java
@@ -31,7 +31,7 @@
 
 	private final CollectorRegistry collectors = new CollectorRegistry();
 
-	private EntryMetrics(EntryReducer reducer) {
+	private EntryMetrics(EntryReducer reducer, LoopGuard guard) {
 		gauge("requests.active", reducer::activeRequests);
 		gauge("targets.known", reducer::knownTargets);
 		gauge("nodes.living", reducer::liveNodes);
@@ -40,12 +40,14 @@
 		gauge("retries.share-unconfirmed", () -> reducer.retryShare().unconfirmedNodes());
 		gauge("configuration.version", reducer::configurationVersion);
 		gauge("store.reached", () -> reducer.isStoreReachable() ? 1 : 0);
+		gauge("loop.failures", guard::failures);
+		gauge("loop.unlogged-failures", guard::unloggedFailures);
 		gauge("process.heap-used-bytes", () -> ManagementFactory.getMemoryMXBean().getHeapMemoryUsage().getUsed());
 		new DropwizardExports(this.registry).register(this.collectors);
 	}
 
-	static EntryMetrics of(EntryReducer reducer) {
-		return new EntryMetrics(reducer);
+	static EntryMetrics of(EntryReducer reducer, LoopGuard guard) {
+		return new EntryMetrics(reducer, guard);
 	}
 
 	private void gauge(String name, DoubleSupplier value) {
--- a/src/main/java/sycamorehill/entry/EntryNode.java
+++ b/src/main/java/sycamorehill/entry/EntryNode.java
@@ -5,6 +5,7 @@
 import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
@@ -18,10 +19,12 @@
 import sycamorehill.logic.entry.EntryReducer;
 import sycamorehill.model.log.LogEvent;
 import sycamorehill.model.log.LogLine;
+import sycamorehill.model.serving.AttemptEnd;
 import sycamorehill.model.serving.EntryEffect;
 import sycamorehill.model.serving.EntryEvent;
 import sycamorehill.model.serving.EntrySettings;
 import sycamorehill.model.serving.NodeMessage;
+import sycamorehill.model.serving.NotRunCause;
 import sycamorehill.model.serving.StoredConfiguration;
 import sycamorehill.model.serving.TargetChange;
 import sycamorehill.model.serving.TargetEntry;
@@ -53,6 +56,9 @@
 	 */
 	private static final Duration NODE_LIST_INTERVAL = Duration.ofSeconds(20);
 
+	/** Time after which a caller may retry a request that this node failed to handle. */
+	private static final Duration RETRY_AFTER_FAILURE = Duration.ofMillis(300);
+
 	private final EntrySettings settings;
 
 	private final InstantSource clock;
@@ -81,6 +87,8 @@
 
 	private final EntryMetrics metrics;
 
+	private final LoopGuard guard;
+
 	private boolean ready;
 
 	private final NodeMessenger messenger;
@@ -109,7 +117,8 @@
 		this.callerServer = CallerServer.of(this.loop, this.ports.codec(), this, exchanges);
 		this.proxyServer = ProxyServer.of(this.loop, exchanges, this, this.reducer::isNodeHost);
 		this.messenger = NodeMessenger.of(this.loop, this);
-		this.metrics = EntryMetrics.of(this.reducer);
+		this.guard = LoopGuard.of(this.clock, this::stopAfterErrors);
+		this.metrics = EntryMetrics.of(this.reducer, this.guard);
 		this.readinessServer = PageServer.of(this.loop, this::readinessPage);
 		this.metricsServer = PageServer.of(this.loop, this::metricsPage);
 	}
@@ -137,6 +146,7 @@
 				this.ports.configurations(), this.loop, new ConfigurationListener());
 		this.targetReader = FeedReader.of(() -> readPace(EntryReducer.STORE_LONG_POLL_WAIT), "targets",
 				this.ports.targets(), this.loop, new TargetListener());
+		this.loop.terminationFuture().addListener((ended) -> handleLoopEnd());
 		this.messenger.start(this.settings.peerAddress());
 		registerNode();
 		this.configurationReader.start();
@@ -149,22 +159,18 @@
 	}
 
 	// Runs all periodic checks in one task, because each further timer would wake the
-	// process several more times a second. Logs failures and continues: an exception that
-	// left this method would cancel the timer, and the node would never read from the
-	// store or send messages again.
+	// process several more times a second.
 	private void tick() {
-		try {
-			processEvent(new EntryEvent.Ticked());
-			this.targetConnections.closeExpired();
-			this.proxyConnections.closeExpired();
-			this.proxyServer.closeExpired();
-			this.streamMonitor.check();
-			this.configurationReader.resumeIfNeeded();
-			this.targetReader.resumeIfNeeded();
-		}
-		catch (RuntimeException ex) {
-			EventLog.failure(LogEvent.INVARIANT_BROKEN, "periodic checks", ex);
-		}
+		this.guard.runPeriodicStep(() -> step(new EntryEvent.Ticked()));
+		List<Runnable> checks = List.of(this.targetConnections::closeExpired, this.proxyConnections::closeExpired,
+				this.proxyServer::closeExpired, this.streamMonitor::check, this.configurationReader::resumeIfNeeded,
+				this.targetReader::resumeIfNeeded);
+		checks.forEach((check) -> this.guard.run(LogEvent.INVARIANT_BROKEN, "periodic checks", check));
+	}
+
+	private void stopAfterErrors() {
+		this.ready = false;
+		stop();
 	}
 
 	private PageServer.Page readinessPage(String path) {
@@ -211,6 +217,11 @@
 		}, this.loop);
 	}
 
+	// Without its event loop the process would live on and serve nobody.
+	private void handleLoopEnd() {
+		this.stopped.completeExceptionally(new IllegalStateException("the event loop ended"));
+	}
+
 	private void schedule(Runnable task, Duration pause) {
 		this.loop.schedule(task, pause.toMillis(), TimeUnit.MILLISECONDS);
 	}
@@ -221,22 +232,52 @@
 	}
 
 	private void processEvent(EntryEvent event) {
-		List<EntryEffect> effects;
 		try {
-			effects = this.reducer.accept(event, this.clock.instant());
+			step(event);
 		}
-		catch (RuntimeException ex) {
-			EventLog.failure(LogEvent.INVARIANT_BROKEN, "event " + event, ex);
-			return;
+		catch (Throwable ex) {
+			this.guard.report(LogEvent.INVARIANT_BROKEN, "event " + EventDescription.of(event), ex);
+			refuseUndecided(event);
 		}
+	}
+
+	private void step(EntryEvent event) {
+		List<EntryEffect> effects = this.reducer.accept(event, this.clock.instant());
 		List<EntryEffect> forExchanges = new ArrayList<>();
 		for (EntryEffect effect : effects) {
-			if (!execute(effect)) {
-				forExchanges.add(effect);
-			}
+			executeGuarded(effect, () -> {
+				if (!execute(effect)) {
+					forExchanges.add(effect);
+				}
+			});
 		}
 		if (!forExchanges.isEmpty()) {
-			this.loop.execute(() -> this.exchangeEffects.execute(forExchanges));
+			this.loop.execute(() -> executeForExchanges(forExchanges));
+		}
+	}
+
+	private void executeForExchanges(List<EntryEffect> effects) {
+		effects.forEach((effect) -> executeGuarded(effect, () -> this.exchangeEffects.execute(effect)));
+	}
+
+	private void executeGuarded(EntryEffect effect, Runnable execution) {
+		this.guard.run(LogEvent.EFFECT_FAILED, "effect " + effect.getClass().getSimpleName(), execution);
+	}
+
+	// A request whose first step failed has no time limit and would wait until its caller
+	// gives up. It has not run, and can't run later: the exchange that an attempt needs
+	// ends here.
+	private void refuseUndecided(EntryEvent event) {
+		if (event instanceof EntryEvent.RequestArrived arrived) {
+			long number = arrived.request().number();
+			executeForExchanges(List.of(new EntryEffect.Answer(number, HttpResponseStatus.SERVICE_UNAVAILABLE.code(),
+					"the node failed to handle the request", Optional.of(RETRY_AFTER_FAILURE))));
+			post(new EntryEvent.CallerDisconnected(number));
+		}
+		else if (event instanceof EntryEvent.ProxiedRequestArrived arrived) {
+			executeForExchanges(List.of(new EntryEffect.EndProxiedRequest(arrived.number(), Optional.empty(),
+					new AttemptEnd.NotRun(NotRunCause.NODE_UNAVAILABLE))));
+			post(new EntryEvent.OriginDisconnected(arrived.number()));
 		}
 	}
 
--- a/src/main/java/sycamorehill/entry/ExchangeEffects.java
+++ b/src/main/java/sycamorehill/entry/ExchangeEffects.java
@@ -1,6 +1,5 @@
 package sycamorehill.entry;
 
-import java.util.List;
 import java.util.function.Consumer;
 
 import io.netty.channel.ChannelFuture;
@@ -45,14 +44,12 @@
 	}
 
 	/**
-	 * Executes effects.
-	 * @param effects the effects, in order
+	 * Executes an effect.
+	 * @param effect the effect
 	 */
-	void execute(List<EntryEffect> effects) {
-		for (EntryEffect effect : effects) {
-			if (!executeForConnections(effect) && !executeForAttempt(effect)) {
-				executeForAnswer(effect);
-			}
+	void execute(EntryEffect effect) {
+		if (!executeForConnections(effect) && !executeForAttempt(effect)) {
+			executeForAnswer(effect);
 		}
 	}
 
--- a/src/main/java/sycamorehill/entry/FeedReader.java
+++ b/src/main/java/sycamorehill/entry/FeedReader.java
@@ -1,6 +1,7 @@
 package sycamorehill.entry;
 
 import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -104,19 +105,46 @@
 		Duration wait = this.readRequested ? Duration.ZERO : maximumWait();
 		this.readRequested = false;
 		long since = this.revision;
-		(listing ? this.feed.list() : this.feed.changes(since, wait)).whenCompleteAsync((page, failure) -> {
-			if (failure != null) {
-				handleFailure(failure);
+		callStore(since, wait).whenCompleteAsync((page, failure) -> {
+			try {
+				handleAnswer(page, failure, since);
 			}
-			else if (since != this.revision) {
-				skipOutdated(page);
-			}
-			else {
-				handlePage(page, listing);
+			catch (Throwable ex) {
+				restart(ex);
 			}
 		}, this.executor);
 	}
 
+	private CompletableFuture<Feed.Page<T>> callStore(long since, Duration wait) {
+		try {
+			return (since < 0) ? this.feed.list() : this.feed.changes(since, wait);
+		}
+		catch (Throwable ex) {
+			return CompletableFuture.failedFuture(ex);
+		}
+	}
+
+	private void handleAnswer(Feed.Page<T> page, Throwable failure, long since) {
+		if (failure != null) {
+			handleFailure(failure);
+		}
+		else if (since != this.revision) {
+			skipOutdated(page);
+		}
+		else {
+			handlePage(page, since < 0);
+		}
+	}
+
+	// What the answer contained may be handled in part. Lists all objects again, because
+	// nothing else would start the next read.
+	private void restart(Throwable cause) {
+		this.revision = -1;
+		scheduleNext(MAXIMUM_RETRY_DELAY);
+		EventLog.failure((cause instanceof Error) ? LogEvent.ERROR_THROWN : LogEvent.INVARIANT_BROKEN,
+				this.name + ": an answer of the store could not be handled", cause);
+	}
+
 	// While the call waited, another node forwarded changes that this answer may repeat,
 	// and an older state would replace a newer one. Skips the answer and asks again for
 	// the changes that are not known yet.
--- a/src/main/java/sycamorehill/model/log/LogEvent.java
+++ b/src/main/java/sycamorehill/model/log/LogEvent.java
@@ -23,6 +23,9 @@
 	/** A step of the logic threw an exception; every process but an entry node ends. */
 	INVARIANT_BROKEN(1004, LogLevel.ERROR),
 
+	/** The virtual machine threw an error, such as one of memory, stack or classes. */
+	ERROR_THROWN(1010, LogLevel.ERROR),
+
 	/**
 	 * No request is in flight any more, or the time limit has passed; the stopping node
 	 * exits.
--- a/src/test/java/sycamorehill/entry/FeedReaderTests.java
+++ b/src/test/java/sycamorehill/entry/FeedReaderTests.java
@@ -64,6 +64,32 @@
 		assertThat(contacts).startsWith(true, false, false, true);
 	}
 
+	// An error while an answer is handled must not end the calls: the node would keep the
+	// configuration that it has for good.
+	@Test
+	void anErrorInTheHandlingOfAnAnswerDoesNotEndTheCalls() throws Exception {
+		FailingFeed feed = new FailingFeed();
+		CountDownLatch listedAgain = new CountDownLatch(1);
+		AtomicBoolean failed = new AtomicBoolean();
+		FeedReader.of(() -> PACE, "test", feed, this.executor, new FeedReader.Listener<>() {
+
+			@Override
+			public void handleList(Feed.Page<String> all) {
+				if (failed.compareAndSet(false, true)) {
+					throw new OutOfMemoryError("thrown by a test");
+				}
+				listedAgain.countDown();
+			}
+
+			@Override
+			public void handleChanges(Feed.Page<String> changes, long since) {
+				// No changes are delivered in this test.
+			}
+
+		}).start();
+		assertThat(listedAgain.await(5, TimeUnit.SECONDS)).isTrue();
+	}
+
 	// The store no longer holds the changes: the reader must list all objects again.
 	@Test
 	void readsEverythingAgainWhenHistoryIsGone() throws Exception {
