Drain a node of the product's own interface after a step that threw

What callers saw: an exception in one step ended the process at once with code 3, and with it every stream in flight. An Error in a step or in an effect ended the control thread alone: the process lived on without decisions, and only the default line of the virtual machine told it.

Cause: ControlLoop closed itself on RuntimeException and caught no Error.

Change: the loop keeps the state before the step, which is immutable and therefore complete, and goes on; Node logs the cause and stops as planned, with exit code 3 as before. If the steps of the stop throw as well, stopBound ends the process. Streams don't pass the control thread, so that they go on.

--- a/src/main/java/sycamorehill/model/log/LogEvent.java
+++ b/src/main/java/sycamorehill/model/log/LogEvent.java
@@ -20,7 +20,10 @@
 	/** An effect could not be executed. */
 	EFFECT_FAILED(1003, LogLevel.ERROR),
 
-	/** A step of the logic threw an exception; every process but an entry node ends. */
+	/**
+	 * A step of the logic threw an exception; every process but an entry node stops as
+	 * planned.
+	 */
 	INVARIANT_BROKEN(1004, LogLevel.ERROR),
 
 	/** The virtual machine threw an error, such as one of memory, stack or classes. */
--- a/src/main/java/sycamorehill/runtime/ControlLoop.java
+++ b/src/main/java/sycamorehill/runtime/ControlLoop.java
@@ -70,8 +70,8 @@
 	 * @param wallClock the wall clock, for records only
 	 * @param effects carries out the effects of each step
 	 * @param metrics the registry of the loop's metrics
-	 * @param invariantViolationHandler called when a step throws; the process can't go on
-	 * then
+	 * @param invariantViolationHandler called when a step throws; the loop goes on with
+	 * the state before the step
 	 * @return the control loop
 	 */
 	public static ControlLoop create(NodeState initial, InstantSource clock, InstantSource wallClock,
@@ -136,8 +136,9 @@
 			this.state = step.state();
 			step.effects().forEach(this::carryOut);
 		}
-		catch (RuntimeException ex) {
-			this.closed = true;
+		catch (Throwable ex) {
+			// The state before the step is complete, and what is in flight goes on with
+			// it.
 			this.invariantViolationHandler.handle(event, ex);
 		}
 	}
@@ -146,7 +147,7 @@
 		try {
 			this.effects.carryOut(effect);
 		}
-		catch (RuntimeException ex) {
+		catch (Throwable ex) {
 			// A failing adapter must not stop the control loop. Its answer never arrives,
 			// and all decision logic treats a missing answer as an unknown outcome after
 			// its timeout.
@@ -162,17 +163,17 @@
 	}
 
 	/**
-	 * Handles a step that threw an exception.
+	 * Handles a step that threw an exception or an error.
 	 */
 	@FunctionalInterface
 	public interface InvariantViolationHandler {
 
 		/**
-		 * Ends the process.
+		 * Handles the failure. Must not throw.
 		 * @param event the event whose step threw
-		 * @param cause the exception
+		 * @param cause the exception or error
 		 */
-		void handle(Event event, RuntimeException cause);
+		void handle(Event event, Throwable cause);
 
 	}
 
--- a/src/main/java/sycamorehill/runtime/Node.java
+++ b/src/main/java/sycamorehill/runtime/Node.java
@@ -7,6 +7,8 @@
 import java.time.InstantSource;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 
 import com.codahale.metrics.MetricRegistry;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -45,6 +47,8 @@
 
 	private final CompletableFuture<NodeTermination> termination = new CompletableFuture<>();
 
+	private final AtomicBoolean failed = new AtomicBoolean();
+
 	private final HttpClientPool httpClients = HttpClientPool.create(CONNECT_TIMEOUT);
 
 	private final ControlLoop loop;
@@ -73,8 +77,7 @@
 		EffectDispatcher effectDispatcher = new EffectDispatcher(events, clock,
 				HttpPlatformClient.create(httpClient, settings.platformAddress(), json),
 				HttpVmListClient.create(httpClient, settings.platformAddress(), json), engineClient,
-				this.peerTransport::send, this.gateway.requests(), pendingCalls,
-				() -> this.termination.complete(NodeTermination.STOPPED), this.metrics);
+				this.peerTransport::send, this.gateway.requests(), pendingCalls, this::handleDrained, this.metrics);
 		this.loop = ControlLoop.create(NodeState.initial(self, settings.policy()), clock, wallClock, effectDispatcher,
 				this.metrics, this::handleInvariantViolation);
 		events.connect(this.loop);
@@ -155,9 +158,20 @@
 		return this.loop.state().ready();
 	}
 
-	private void handleInvariantViolation(Event event, RuntimeException cause) {
-		EventLog.failure(LogEvent.INVARIANT_BROKEN, event.getClass().getSimpleName(), cause);
-		this.termination.complete(NodeTermination.FAILED);
+	// An end at once would cut all streams: the node stops as planned. If steps of the
+	// stop throw as well, its time limit still ends the process.
+	private void handleInvariantViolation(Event event, Throwable cause) {
+		LogEvent logged = (cause instanceof Error) ? LogEvent.ERROR_THROWN : LogEvent.INVARIANT_BROKEN;
+		EventLog.failure(logged, event.getClass().getSimpleName(), cause);
+		if (this.failed.compareAndSet(false, true)) {
+			this.termination.completeOnTimeout(NodeTermination.FAILED,
+					this.settings.policy().request().stopBound().toMillis(), TimeUnit.MILLISECONDS);
+			stop();
+		}
+	}
+
+	private void handleDrained() {
+		this.termination.complete(this.failed.get() ? NodeTermination.FAILED : NodeTermination.STOPPED);
 	}
 
 	private static InetSocketAddress socketAddress(Address address) {
--- a/src/main/java/sycamorehill/runtime/NodeTermination.java
+++ b/src/main/java/sycamorehill/runtime/NodeTermination.java
@@ -8,7 +8,7 @@
 	/** The node completed a planned shutdown. */
 	STOPPED,
 
-	/** An invariant was violated; the process can't go on. */
+	/** An invariant was violated, and the node shut down. */
 	FAILED
 
 }
