Read the settings again after an error in the handling of earlier ones

What operators saw: after an Error or an unexpected exception while changed settings were handled, no later change of the file and no SIGHUP had any effect, and no line told why: the executor cancels a periodic task that throws and keeps the cause to itself.

--- a/src/main/java/sycamorehill/cli/SettingsFile.java
+++ b/src/main/java/sycamorehill/cli/SettingsFile.java
@@ -61,6 +61,11 @@
 		catch (IOException | IllegalArgumentException ex) {
 			EventLog.write(LogLine.of(LogEvent.SETTINGS_REFUSED, "cause='" + ex.getMessage() + "'"));
 		}
+		catch (Throwable ex) {
+			// What leaves the task would cancel it: no later change would be read.
+			EventLog.failure((ex instanceof Error) ? LogEvent.ERROR_THROWN : LogEvent.SETTINGS_REFUSED,
+					"settings " + this.path, ex);
+		}
 	}
 
 }
