Limit a caller's time left before its digits are written out

Cause: BigDecimal.setScale writes all digits of the exponent out.

The other numbers in headers are compared, or converted by ways that don't write digits out.

--- a/src/main/java/sycamorehill/platform/PlatformExchangeCodec.java
+++ b/src/main/java/sycamorehill/platform/PlatformExchangeCodec.java
@@ -1,7 +1,6 @@
 package sycamorehill.platform;
 
 import java.math.BigDecimal;
-import java.math.RoundingMode;
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.Map;
@@ -43,6 +42,12 @@
 	 */
 	private static final BigDecimal MAXIMUM_SECONDS = BigDecimal.valueOf(Duration.ofDays(1).toSeconds());
 
+	/**
+	 * Longest time in milliseconds that is read from a header; a longer one counts as
+	 * this.
+	 */
+	private static final BigDecimal MAXIMUM_MILLISECONDS = MAXIMUM_SECONDS.movePointRight(3);
+
 	private PlatformExchangeCodec() {
 	}
 
@@ -103,7 +108,14 @@
 	}
 
 	private static Optional<Duration> parseMilliseconds(String text) {
-		return parseNumber(text).map((value) -> Duration.ofMillis(value.setScale(0, RoundingMode.DOWN).longValue()));
+		return parseNumber(text).map((value) -> value.min(MAXIMUM_MILLISECONDS).max(MAXIMUM_MILLISECONDS.negate()))
+			.map((value) -> Duration.ofMillis(hasIntegerDigits(value) ? value.longValue() : 0));
+	}
+
+	// Rounding a number with a large exponent writes all its digits out, which takes the
+	// event loop seconds.
+	private static boolean hasIntegerDigits(BigDecimal value) {
+		return value.precision() > value.scale();
 	}
 
 	private static Optional<Duration> parseSeconds(String text) {
