Count a silence of streams only after what waits in the sockets was read

What callers saw: while the event loop was busy for longer than 250 ms, the events of all streams waited in the sockets; the check that came next took this for a broken path, and tested it with new connections to the targets. With several shorter stalls in a row no check came late enough for the guard that passes over a late one, and targets counted as silent: streams are moved, and targets get no work for 2 s. An engine's silence that is our own must end no answer sooner.

Cause: the check runs as a timer; after a long handler the loop runs timers before it selects the sockets again.

Change: a check that finds a possible silence is repeated 1 ms later, which is after one more pass over the sockets, and only that one reports; the guard for late checks stays. Nodes that forward streams are judged by the same monitor. Answers to the node's own calls (configurations, lists) complete in a task instead of a handler: the loop reads between a task and the timers that became due within it, so that decoding a large configuration lets no timer of another connection expire whose bytes have arrived.

Leases and heartbeats: a late node rightly gives its lease up, and what it takes for lost it reads from the store; neither cuts a stream (read, not played).

--- a/src/main/java/sycamorehill/entry/CallClient.java
+++ b/src/main/java/sycamorehill/entry/CallClient.java
@@ -174,7 +174,9 @@
 		}
 
 		// Cancels the timer, which would otherwise wake the process although the answer
-		// has arrived.
+		// has arrived. Completes the call in a task: after tasks the event loop reads
+		// before it runs timers, so that decoding a large answer lets no timer of another
+		// connection expire whose bytes have arrived.
 		@Override
 		public void handleEnd() {
 			this.timer.cancel(false);
@@ -187,7 +189,8 @@
 			}
 			byte[] bytes = new byte[this.body.readableBytes()];
 			this.body.readBytes(bytes);
-			this.answer.complete(new CallAnswer(this.head.status().code(), this.head.headers(), bytes));
+			CallAnswer received = new CallAnswer(this.head.status().code(), this.head.headers(), bytes);
+			CallClient.this.connectionPool.loop().execute(() -> this.answer.complete(received));
 		}
 
 		@Override
--- a/src/main/java/sycamorehill/entry/EntryNode.java
+++ b/src/main/java/sycamorehill/entry/EntryNode.java
@@ -59,6 +59,11 @@
 	/** Time after which a caller may retry a request that this node failed to handle. */
 	private static final Duration RETRY_AFTER_FAILURE = Duration.ofMillis(300);
 
+	/**
+	 * A timer that is due later than now runs after the event loop has read once more.
+	 */
+	private static final Duration READ_PASS_DELAY = Duration.ofMillis(1);
+
 	private final EntrySettings settings;
 
 	private final InstantSource clock;
@@ -111,7 +116,7 @@
 		ExchangeRegistry exchanges = ExchangeRegistry.create();
 		this.targetConnections = TargetConnectionPool.of(this.loop);
 		this.proxyConnections = ProxyConnectionPool.of(this.loop);
-		this.streamMonitor = StreamMonitor.of(this);
+		this.streamMonitor = StreamMonitor.of(this, System::nanoTime, (task) -> schedule(task, READ_PASS_DELAY));
 		this.exchangeEffects = ExchangeEffects.of(exchanges, this.targetConnections, this.proxyConnections,
 				this.streamMonitor, this.ports.codec(), this);
 		this.callerServer = CallerServer.of(this.loop, this.ports.codec(), this, exchanges);
--- a/src/main/java/sycamorehill/entry/StreamActivity.java
+++ b/src/main/java/sycamorehill/entry/StreamActivity.java
@@ -106,15 +106,35 @@
 		}
 	}
 
+	/**
+	 * Returns whether a sender or the path may have become silent. What waits in the
+	 * sockets must be read before it is reported.
+	 * @param nowNanos the current time, in nanoseconds
+	 * @return whether there may be a new silence
+	 */
+	boolean mayBeSilent(long nowNanos) {
+		if (isCheckDelayed(nowNanos)) {
+			return false;
+		}
+		boolean pathMayBeSilent = !this.pathSilenceReported && isSilent(startedStreams(), nowNanos);
+		return pathMayBeSilent || this.bySender.values()
+			.stream()
+			.anyMatch((progress) -> isNewlySilent(progress, this.silenceTimeout, this.firstEventTimeout, nowNanos));
+	}
+
+	private boolean isCheckDelayed(long nowNanos) {
+		boolean delayed = nowNanos - this.lastCheckNanos > MAXIMUM_CHECK_INTERVAL.toNanos();
+		this.lastCheckNanos = nowNanos;
+		return delayed;
+	}
+
 	/**
 	 * Returns the senders that have become silent since the last call.
 	 * @param nowNanos the current time, in nanoseconds
 	 * @return the senders, each once per silence
 	 */
 	List<Silence<S>> findSilentSenders(long nowNanos) {
-		boolean delayed = nowNanos - this.lastCheckNanos > MAXIMUM_CHECK_INTERVAL.toNanos();
-		this.lastCheckNanos = nowNanos;
-		if (delayed) {
+		if (isCheckDelayed(nowNanos)) {
 			return List.of();
 		}
 		boolean pathInDoubt = !this.pathProven && isSilent(startedStreams(), nowNanos);
@@ -137,16 +157,20 @@
 	private List<Silence<S>> findSilentSenders(Duration startedTimeout, Duration waitingTimeout, long nowNanos) {
 		List<Silence<S>> silences = new ArrayList<>();
 		this.bySender.forEach((sender, progress) -> {
-			boolean started = progress.startedStreams > 0;
-			Duration timeout = started ? startedTimeout : waitingTimeout;
-			if (!progress.reported && nowNanos - progress.lastProgressNanos > timeout.toNanos()) {
+			if (isNewlySilent(progress, startedTimeout, waitingTimeout, nowNanos)) {
 				progress.reported = true;
-				silences.add(new Silence<>(sender, started));
+				silences.add(new Silence<>(sender, progress.startedStreams > 0));
 			}
 		});
 		return silences;
 	}
 
+	private static boolean isNewlySilent(StreamProgress progress, Duration startedTimeout, Duration waitingTimeout,
+			long nowNanos) {
+		Duration timeout = (progress.startedStreams > 0) ? startedTimeout : waitingTimeout;
+		return !progress.reported && nowNanos - progress.lastProgressNanos > timeout.toNanos();
+	}
+
 	private List<StreamProgress> startedStreams() {
 		return this.bySender.values().stream().filter((progress) -> progress.startedStreams > 0).toList();
 	}
--- a/src/main/java/sycamorehill/entry/StreamMonitor.java
+++ b/src/main/java/sycamorehill/entry/StreamMonitor.java
@@ -1,6 +1,8 @@
 package sycamorehill.entry;
 
 import java.time.Duration;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 
 import sycamorehill.model.identity.TargetName;
 import sycamorehill.model.serving.EntryEvent;
@@ -37,12 +39,28 @@
 
 	private final EntryEventSink eventSink;
 
-	private StreamMonitor(EntryEventSink eventSink) {
+	private final LongSupplier nanoClock;
+
+	private final Consumer<Runnable> afterNextRead;
+
+	private boolean checkPending;
+
+	private StreamMonitor(EntryEventSink eventSink, LongSupplier nanoClock, Consumer<Runnable> afterNextRead) {
 		this.eventSink = eventSink;
+		this.nanoClock = nanoClock;
+		this.afterNextRead = afterNextRead;
 	}
 
-	static StreamMonitor of(EntryEventSink eventSink) {
-		return new StreamMonitor(eventSink);
+	/**
+	 * Creates a monitor.
+	 * @param eventSink receives the reports
+	 * @param nanoClock the clock, in nanoseconds
+	 * @param afterNextRead runs a task after the event loop has read what waits in the
+	 * sockets
+	 * @return the monitor
+	 */
+	static StreamMonitor of(EntryEventSink eventSink, LongSupplier nanoClock, Consumer<Runnable> afterNextRead) {
+		return new StreamMonitor(eventSink, nanoClock, afterNextRead);
 	}
 
 	/**
@@ -61,9 +79,23 @@
 		return this.nodes;
 	}
 
-	/** Reports new silences. Called several times a second. */
+	/**
+	 * Reports new silences. Called several times a second. Bytes that arrived while the
+	 * event loop was busy, or the process didn't run, wait in the sockets: a silence
+	 * counts only if it lasts when they have been read.
+	 */
 	void check() {
-		long now = System.nanoTime();
+		long now = this.nanoClock.getAsLong();
+		boolean mayBeSilent = this.targets.mayBeSilent(now) | this.nodes.mayBeSilent(now);
+		if (mayBeSilent && !this.checkPending) {
+			this.checkPending = true;
+			this.afterNextRead.accept(this::reportSilences);
+		}
+	}
+
+	private void reportSilences() {
+		this.checkPending = false;
+		long now = this.nanoClock.getAsLong();
 		if (this.targets.isPathSilent(now)) {
 			this.eventSink.post(new EntryEvent.AllTargetsSilent());
 		}
@@ -79,7 +111,7 @@
 
 	/** Reports the targets that are silent for a short time. */
 	void reportStalledTargets() {
-		this.targets.findStalledSenders(System.nanoTime()).forEach(this::report);
+		this.targets.findStalledSenders(this.nanoClock.getAsLong()).forEach(this::report);
 	}
 
 	private void report(StreamActivity.Silence<TargetName> silence) {
