Refuse node messages that state more bytes than they have

What operators would see: a datagram of 8 bytes that states a value of 2 GB made the receiver allocate it: OutOfMemoryError on the event loop after full collections of the heap, for each such datagram, from any sender that reaches the port. The message inside a datagram had the same fault in its values.

Cause: MessageUnpacker.readPayload allocates the stated length before it looks for the bytes.

Change: a part is refused if it is longer than its datagram; all lengths of a message are checked by skipping over it before it is decoded. Frames of other nodes were bounded already (1 MiB).

--- a/src/main/java/sycamorehill/entry/DatagramAssembler.java
+++ b/src/main/java/sycamorehill/entry/DatagramAssembler.java
@@ -50,7 +50,11 @@
 			long number = unpacker.unpackLong();
 			int part = unpacker.unpackInt();
 			int parts = unpacker.unpackInt();
-			byte[] bytes = unpacker.readPayload(unpacker.unpackBinaryHeader());
+			int length = unpacker.unpackBinaryHeader();
+			if (length > datagram.length) {
+				throw new IOException("a part of " + length + " bytes in a datagram of " + datagram.length);
+			}
+			byte[] bytes = unpacker.readPayload(length);
 			if (part < 0 || part >= parts || parts > DatagramSplitter.MAXIMUM_PARTS) {
 				throw new IOException("part " + part + " of " + parts);
 			}
--- a/src/main/java/sycamorehill/entry/NodeMessageCodec.java
+++ b/src/main/java/sycamorehill/entry/NodeMessageCodec.java
@@ -4,6 +4,9 @@
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePackException;
+import org.msgpack.core.MessageUnpacker;
 import org.msgpack.jackson.dataformat.MessagePackFactory;
 
 import sycamorehill.model.serving.NodeMessage;
@@ -41,6 +44,7 @@
 	 * @throws IllegalArgumentException if a field is invalid
 	 */
 	NodeMessage read(byte[] bytes) throws IOException {
+		checkLengths(bytes);
 		if (this.codec.readTree(bytes) instanceof ObjectNode body) {
 			NodeMessageKind kind = NodeMessageKind.valueOf(body.path(KIND).asText());
 			return NodeMessageFields.read(kind, body.path(SENDER).asText(), body);
@@ -48,4 +52,15 @@
 		throw new IOException("not a message");
 	}
 
+	// Memory for a value is taken by the length that the message states: one that is
+	// longer than the message would fill the heap.
+	private static void checkLengths(byte[] bytes) throws IOException {
+		try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
+			unpacker.skipValue();
+		}
+		catch (MessagePackException ex) {
+			throw new IOException("not a message", ex);
+		}
+	}
+
 }
--- a/src/test/java/sycamorehill/entry/DatagramSplitterTests.java
+++ b/src/test/java/sycamorehill/entry/DatagramSplitterTests.java
@@ -96,4 +96,11 @@
 			.isInstanceOf(java.io.IOException.class);
 	}
 
+	// Seven bytes that state a length of 2 GB must not fill the heap of the receiver.
+	@Test
+	void partThatStatesMoreBytesThanTheDatagramHasIsRefused() {
+		byte[] datagram = { 1, 0, 1, (byte) 0xc6, 0x7f, (byte) 0xff, (byte) 0xff, (byte) 0xf0 };
+		assertThatThrownBy(() -> this.assembler.add(FIRST_SENDER, datagram, 0)).isInstanceOf(java.io.IOException.class);
+	}
+
 }
--- a/src/test/java/sycamorehill/entry/NodeMessageCodecTests.java
+++ b/src/test/java/sycamorehill/entry/NodeMessageCodecTests.java
@@ -80,4 +80,12 @@
 		assertThatThrownBy(() -> this.codec.read(bytes)).isInstanceOf(IllegalArgumentException.class);
 	}
 
+	// A value that states a length of 2 GB must not fill the heap of the receiver.
+	@Test
+	void messageThatStatesMoreBytesThanItHasIsRefused() {
+		byte[] message = { (byte) 0x81, (byte) 0xa4, 't', 'e', 'x', 't', (byte) 0xc6, 0x7f, (byte) 0xff, (byte) 0xff,
+				(byte) 0xf0 };
+		assertThatThrownBy(() -> NodeMessageCodec.create().read(message)).isInstanceOf(IOException.class);
+	}
+
 }
