--- a/src/main/java/sycamorehill/model/log/LogEvent.java
+++ b/src/main/java/sycamorehill/model/log/LogEvent.java
@@ -29,6 +29,9 @@
 	/** The virtual machine threw an error, such as one of memory, stack or classes. */
 	ERROR_THROWN(1010, LogLevel.ERROR),
 
+	/** Log lines were dropped, because the output was not read or memory was short. */
+	LOG_LINES_DROPPED(1011, LogLevel.WARN),
+
 	/**
 	 * No request is in flight any more, or the time limit has passed; the stopping node
 	 * exits.
