Don't take a slow caller for a silent target

What callers saw: while callers that don't read their streams held a target's streams up, the node stopped reading them, and 450 ms later the target counted as silent: it got no work for 2 s, and its resumable streams were moved.

Cause: StreamActivity knew nothing of streams that this node has paused itself.

Change: a target, or a node that forwards streams, is judged by the streams that are read. A paused stream hides no silence of others.

StreamActivityTests name the new calls, so they were not run on the code before.

--- a/src/main/java/sycamorehill/entry/ProxyAttempt.java
+++ b/src/main/java/sycamorehill/entry/ProxyAttempt.java
@@ -69,6 +69,8 @@
 
 	private boolean answerStarted;
 
+	private boolean paused;
+
 	private boolean allEventsNumbered = true;
 
 	private HttpResponse head;
@@ -295,6 +297,20 @@
 	public void pause(boolean paused) {
 		if (this.connection != null && !this.finished) {
 			this.connection.pause(paused);
+			recordPaused(paused);
+		}
+	}
+
+	private void recordPaused(boolean pausedNow) {
+		if (this.paused == pausedNow || !this.answerStarted) {
+			return;
+		}
+		this.paused = pausedNow;
+		if (pausedNow) {
+			this.activity.recordPaused(this.start.node().name());
+		}
+		else {
+			this.activity.recordResumed(this.start.node().name(), System.nanoTime());
 		}
 	}
 
@@ -312,6 +328,7 @@
 			this.acceptTimer.cancel(false);
 		}
 		if (this.activityTracked) {
+			recordPaused(false);
 			this.activity.recordRequestEnded(this.start.node().name(), this.answerStarted, System.nanoTime());
 		}
 		this.body.release();
--- a/src/main/java/sycamorehill/entry/StreamActivity.java
+++ b/src/main/java/sycamorehill/entry/StreamActivity.java
@@ -90,6 +90,31 @@
 		}
 	}
 
+	/**
+	 * Records that nothing is read of a started stream, because its receiver is slow. Its
+	 * silence is not the sender's.
+	 * @param sender the sender
+	 */
+	void recordPaused(S sender) {
+		StreamProgress progress = this.bySender.get(sender);
+		if (progress != null) {
+			progress.pausedStreams++;
+		}
+	}
+
+	/**
+	 * Records that a paused stream is read again.
+	 * @param sender the sender
+	 * @param nowNanos the current time, in nanoseconds
+	 */
+	void recordResumed(S sender, long nowNanos) {
+		StreamProgress progress = this.bySender.get(sender);
+		if (progress != null) {
+			progress.pausedStreams--;
+			progress.lastProgressNanos = nowNanos;
+		}
+	}
+
 	void recordRequestEnded(S sender, boolean streamStarted, long nowNanos) {
 		StreamProgress progress = this.bySender.get(sender);
 		if (progress == null) {
@@ -167,12 +192,15 @@
 
 	private static boolean isNewlySilent(StreamProgress progress, Duration startedTimeout, Duration waitingTimeout,
 			long nowNanos) {
+		if (progress.startedStreams > 0 && !progress.isRead()) {
+			return false;
+		}
 		Duration timeout = (progress.startedStreams > 0) ? startedTimeout : waitingTimeout;
 		return !progress.reported && nowNanos - progress.lastProgressNanos > timeout.toNanos();
 	}
 
 	private List<StreamProgress> startedStreams() {
-		return this.bySender.values().stream().filter((progress) -> progress.startedStreams > 0).toList();
+		return this.bySender.values().stream().filter(StreamProgress::isRead).toList();
 	}
 
 	private static boolean isSilent(List<StreamProgress> started, long nowNanos) {
@@ -218,10 +246,16 @@
 
 		private int startedStreams;
 
+		private int pausedStreams;
+
 		private long lastProgressNanos;
 
 		private boolean reported;
 
+		private boolean isRead() {
+			return this.startedStreams > this.pausedStreams;
+		}
+
 		private boolean isSilent(long nowNanos) {
 			return nowNanos - this.lastProgressNanos > PATH_SILENCE_TIMEOUT.toNanos();
 		}
--- a/src/main/java/sycamorehill/entry/TargetAttempt.java
+++ b/src/main/java/sycamorehill/entry/TargetAttempt.java
@@ -65,6 +65,8 @@
 
 	private boolean answerStarted;
 
+	private boolean paused;
+
 	private HttpResponse head;
 
 	private TargetResponseHead parsedHead;
@@ -321,6 +323,20 @@
 	public void pause(boolean paused) {
 		if (this.connection != null && !this.finished) {
 			this.connection.pause(paused);
+			recordPaused(paused);
+		}
+	}
+
+	private void recordPaused(boolean pausedNow) {
+		if (this.paused == pausedNow || !this.answerStarted) {
+			return;
+		}
+		this.paused = pausedNow;
+		if (pausedNow) {
+			this.activity.recordPaused(this.start.target().name());
+		}
+		else {
+			this.activity.recordResumed(this.start.target().name(), System.nanoTime());
 		}
 	}
 
@@ -341,6 +357,7 @@
 	private void finish() {
 		this.finished = true;
 		if (this.activityTracked) {
+			recordPaused(false);
 			this.activity.recordRequestEnded(this.start.target().name(), this.answerStarted, System.nanoTime());
 		}
 		if (this.body != null) {
--- a/src/test/java/sycamorehill/entry/StreamActivityTests.java
+++ b/src/test/java/sycamorehill/entry/StreamActivityTests.java
@@ -110,4 +110,37 @@
 		assertThat(this.activity.findStalledSenders(this.now)).isEmpty();
 	}
 
+	// A caller that doesn't read its stream stops the node from reading its target: the
+	// target must not count as silent, and its other streams must not be moved.
+	@Test
+	void streamsThatAreNotReadForASlowCallerAreNoSilence() {
+		startStream("a");
+		startStream("b");
+		this.activity.recordPaused("a");
+		assertThat(pass(2000, "b")).isEmpty();
+		this.activity.recordResumed("a", this.now);
+		assertThat(pass(400, "b")).isEmpty();
+		assertThat(pass(200, "b")).containsExactly("a");
+	}
+
+	// The engine has stopped all streams; that one caller is slow must not hide it.
+	@Test
+	void oneSlowCallerDoesNotHideTheSilenceOfTheOtherStreams() {
+		startStream("a");
+		startStream("a");
+		startStream("b");
+		this.activity.recordPaused("a");
+		assertThat(pass(600, "b")).containsExactly("a");
+	}
+
+	@Test
+	void pausedStreamsAreNoBrokenPath() {
+		startStream("a");
+		startStream("b");
+		this.activity.recordPaused("a");
+		this.activity.recordPaused("b");
+		pass(400);
+		assertThat(this.activity.isPathSilent(this.now)).isFalse();
+	}
+
 }
