--- a/src/main/java/sycamorehill/cli/SettingsFile.java
+++ b/src/main/java/sycamorehill/cli/SettingsFile.java
@@ -80,6 +80,10 @@
 		catch (IOException | RuntimeException ex) {
 			EventLog.write(LogLine.of(LogEvent.SETTINGS_REFUSED, "cause='" + ex.getMessage() + "'"));
 		}
+		catch (Error ex) {
+			// What leaves the task would cancel it: no later change would be read.
+			EventLog.failure(LogEvent.ERROR_THROWN, "settings " + this.path, ex);
+		}
 	}
 
 }
--- a/src/main/java/sycamorehill/entry/EntryNode.java
+++ b/src/main/java/sycamorehill/entry/EntryNode.java
@@ -5,6 +5,7 @@
 import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
@@ -18,11 +19,13 @@
 import sycamorehill.logic.entry.EntryReducer;
 import sycamorehill.model.log.LogEvent;
 import sycamorehill.model.log.LogLine;
+import sycamorehill.model.serving.AttemptEnd;
 import sycamorehill.model.serving.EntryEffect;
 import sycamorehill.model.serving.EntryEvent;
 import sycamorehill.model.serving.EntrySettings;
 import sycamorehill.model.serving.NodeMessage;
 import sycamorehill.model.serving.NodeRecord;
+import sycamorehill.model.serving.NotRunCause;
 import sycamorehill.model.serving.StoredConfiguration;
 import sycamorehill.model.serving.TargetChange;
 import sycamorehill.model.serving.TargetEntry;
@@ -52,6 +55,14 @@
 	/** Time allowed for the loop to list the requests in flight when the process ends. */
 	private static final Duration LIST_REQUESTS_TIMEOUT = Duration.ofMillis(150);
 
+	/** Time after which a caller may retry a request that this node failed to handle. */
+	private static final Duration RETRY_AFTER_FAILURE = Duration.ofMillis(300);
+
+	/**
+	 * A timer that is due later than now runs after the event loop has read once more.
+	 */
+	private static final Duration READ_PASS_DELAY = Duration.ofMillis(1);
+
 	private final EntrySettings settings;
 
 	private final String incarnation;
@@ -84,6 +95,8 @@
 
 	private final EntryMetrics metrics;
 
+	private final LoopGuard guard;
+
 	private boolean ready;
 
 	private final NodeMessenger messenger;
@@ -105,10 +118,11 @@
 		this.ports = factory.create(CallClient.of(TargetConnectionPool.of(this.loop)));
 		this.targetConnections = TargetConnectionPool.of(this.loop);
 		this.proxyConnections = ProxyConnectionPool.of(this.loop);
-		this.streamMonitor = StreamMonitor.of(this);
+		this.streamMonitor = StreamMonitor.of(this, System::nanoTime, (task) -> schedule(task, READ_PASS_DELAY));
 		this.exchangeEffects = ExchangeEffects.of(this.exchanges, this.targetConnections, this.proxyConnections,
 				this.streamMonitor, this.ports.codec(), this);
-		this.metrics = EntryMetrics.of(this.reducer);
+		this.guard = LoopGuard.of(this.clock, this::stopAfterErrors);
+		this.metrics = EntryMetrics.of(this.reducer, this.guard);
 		this.callerServer = CallerServer.of(this.loop, this.ports.codec(), this, this.exchanges,
 				AnswerCutLog.of(this.metrics));
 		this.proxyServer = ProxyServer.of(this.loop, this.exchanges, this, this.reducer::isNodeHost);
@@ -143,6 +157,7 @@
 				this.ports.configurations(), this.loop, new ConfigurationListener());
 		this.targetReader = FeedReader.of(() -> readPace(EntryReducer.STORE_LONG_POLL_WAIT), "targets",
 				this.ports.targets(), this.loop, new TargetListener());
+		this.loop.terminationFuture().addListener((ended) -> handleLoopEnd());
 		this.messenger.start(this.settings.peerAddress());
 		registerNode();
 		this.configurationReader.start();
@@ -155,22 +170,18 @@
 	}
 
 	// Runs all periodic checks in one task, because each further timer would wake the
-	// process several more times a second. Logs failures and continues: an exception that
-	// left this method would cancel the timer, and the node would never read from the
-	// store or send messages again.
+	// process several more times a second.
 	private void tick() {
-		try {
-			processEvent(new EntryEvent.Ticked());
-			this.targetConnections.closeExpired();
-			this.proxyConnections.closeExpired();
-			this.proxyServer.closeExpired();
-			this.streamMonitor.check();
-			this.configurationReader.resumeIfNeeded();
-			this.targetReader.resumeIfNeeded();
-		}
-		catch (RuntimeException ex) {
-			EventLog.failure(LogEvent.INVARIANT_BROKEN, "periodic checks", ex);
-		}
+		this.guard.runPeriodicStep(() -> step(new EntryEvent.Ticked()));
+		List<Runnable> checks = List.of(this.targetConnections::closeExpired, this.proxyConnections::closeExpired,
+				this.proxyServer::closeExpired, this.streamMonitor::check, this.configurationReader::resumeIfNeeded,
+				this.targetReader::resumeIfNeeded);
+		checks.forEach((check) -> this.guard.run(LogEvent.INVARIANT_BROKEN, "periodic checks", check));
+	}
+
+	private void stopAfterErrors() {
+		this.ready = false;
+		stop();
 	}
 
 	private PageServer.Page readinessPage(String path) {
@@ -224,6 +235,11 @@
 		}, this.loop);
 	}
 
+	// Without its event loop the process would live on and serve nobody.
+	private void handleLoopEnd() {
+		this.plannedStop.whenFinished().completeExceptionally(new IllegalStateException("the event loop ended"));
+	}
+
 	private void schedule(Runnable task, Duration pause) {
 		this.loop.schedule(task, pause.toMillis(), TimeUnit.MILLISECONDS);
 	}
@@ -234,22 +250,52 @@
 	}
 
 	private void processEvent(EntryEvent event) {
-		List<EntryEffect> effects;
 		try {
-			effects = this.reducer.accept(event, this.clock.instant());
+			step(event);
 		}
-		catch (RuntimeException ex) {
-			EventLog.failure(LogEvent.INVARIANT_BROKEN, "event " + event, ex);
-			return;
+		catch (Throwable ex) {
+			this.guard.report(LogEvent.INVARIANT_BROKEN, "event " + EventDescription.of(event), ex);
+			refuseUndecided(event);
 		}
+	}
+
+	private void step(EntryEvent event) {
+		List<EntryEffect> effects = this.reducer.accept(event, this.clock.instant());
 		List<EntryEffect> forExchanges = new ArrayList<>();
 		for (EntryEffect effect : effects) {
-			if (!execute(effect)) {
-				forExchanges.add(effect);
-			}
+			executeGuarded(effect, () -> {
+				if (!execute(effect)) {
+					forExchanges.add(effect);
+				}
+			});
 		}
 		if (!forExchanges.isEmpty()) {
-			this.loop.execute(() -> this.exchangeEffects.execute(forExchanges));
+			this.loop.execute(() -> executeForExchanges(forExchanges));
+		}
+	}
+
+	private void executeForExchanges(List<EntryEffect> effects) {
+		effects.forEach((effect) -> executeGuarded(effect, () -> this.exchangeEffects.execute(effect)));
+	}
+
+	private void executeGuarded(EntryEffect effect, Runnable execution) {
+		this.guard.run(LogEvent.EFFECT_FAILED, "effect " + effect.getClass().getSimpleName(), execution);
+	}
+
+	// A request whose first step failed has no time limit and would wait until its caller
+	// gives up. It has not run, and can't run later: the exchange that an attempt needs
+	// ends here.
+	private void refuseUndecided(EntryEvent event) {
+		if (event instanceof EntryEvent.RequestArrived arrived) {
+			long number = arrived.request().number();
+			executeForExchanges(List.of(new EntryEffect.Answer(number, HttpResponseStatus.SERVICE_UNAVAILABLE.code(),
+					"the node failed to handle the request", Optional.of(RETRY_AFTER_FAILURE))));
+			post(new EntryEvent.CallerDisconnected(number, true));
+		}
+		else if (event instanceof EntryEvent.ProxiedRequestArrived arrived) {
+			executeForExchanges(List.of(new EntryEffect.EndProxiedRequest(arrived.number(), Optional.empty(),
+					new AttemptEnd.NotRun(NotRunCause.NODE_UNAVAILABLE))));
+			post(new EntryEvent.OriginDisconnected(arrived.number()));
 		}
 	}
 
--- a/src/main/java/sycamorehill/model/log/LogEvent.java
+++ b/src/main/java/sycamorehill/model/log/LogEvent.java
@@ -35,9 +35,18 @@
 	/** An effect could not be executed. */
 	EFFECT_FAILED(1003, LogLevel.ERROR),
 
-	/** A step of the logic threw an exception; every process but an entry node ends. */
+	/**
+	 * A step of the logic threw an exception; every process but an entry node stops as
+	 * planned.
+	 */
 	INVARIANT_BROKEN(1004, LogLevel.ERROR),
 
+	/** The virtual machine threw an error, such as one of memory, stack or classes. */
+	ERROR_THROWN(1012, LogLevel.ERROR),
+
+	/** Log lines were dropped, because the output was not read or memory was short. */
+	LOG_LINES_DROPPED(1013, LogLevel.WARN),
+
 	/**
 	 * No request is in flight any more, or the time limit has passed; the stopping node
 	 * exits.
--- a/src/test/java/sycamorehill/entry/CallerConnectionTests.java
+++ b/src/test/java/sycamorehill/entry/CallerConnectionTests.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.time.Instant;
+import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
@@ -32,8 +33,10 @@
 
 	private final List<EntryEvent> events = new ArrayList<>();
 
-	private final EntryMetrics metrics = EntryMetrics
-		.of(EntryReducer.of(ServingSamples.settings("one"), "one#1", new Random(1), Instant.EPOCH));
+	private final EntryMetrics metrics = EntryMetrics.of(
+			EntryReducer.of(ServingSamples.settings("one"), "one#1", new Random(1), Instant.EPOCH),
+			LoopGuard.of(InstantSource.system(), () -> {
+			}));
 
 	private final CallerServer server = CallerServer.of(null, PlatformTestCodec.create(), this.events::add,
 			ExchangeRegistry.create(), AnswerCutLog.of(this.metrics));
