Let groups finish their requests when a configuration drops their model

What callers saw, or would: all streams of a model cut at the engines some seconds after a configuration removed the model or changed the size of its groups.

Cause: the controller of groups found a group only with its model in the newest configuration, and in its size. Engines of a removed model were in no group that it saw, counted as free and were told to join another one, which replaces their membership at once. A group of another size counted as one that lost a member, and its head was told to leave at once.

Ruled out: the placement of requests (a request keeps its service's parameters), and a service that is removed (its groups get no commands any more and serve on).

The fleet doesn't play answers; a head counts as serving until it has closed.

Why it works: groups are viewed as they were formed, or in the size that their members report where this controller hasn't seen them before. One that the configuration doesn't contain is closed first, so that its head finishes what it has, and its engines are free only after that, as in every planned end. If the model is back at once, the groups go on.

--- a/src/main/java/sycamorehill/logic/directory/GroupViews.java
+++ b/src/main/java/sycamorehill/logic/directory/GroupViews.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Function;
 import java.util.stream.Collectors;
 
 import sycamorehill.model.identity.TargetName;
@@ -41,6 +42,19 @@
 	 */
 	public static List<GroupView> of(List<TargetEntry> entries, Collection<TargetEntry> vanished,
 			EngineParameters parameters) {
+		return of(entries, vanished, (group) -> group.modelName().flatMap(parameters::model));
+	}
+
+	/**
+	 * Returns the groups of one service.
+	 * @param entries the service's engines
+	 * @param vanished the last known entries of engines that vanished
+	 * @param models finds the model of a group; groups without one are left out
+	 * @return the groups that at least one engine in the directory reports, sorted by
+	 * name and epoch
+	 */
+	public static List<GroupView> of(List<TargetEntry> entries, Collection<TargetEntry> vanished,
+			Function<ReportedGroup, Optional<ModelParameters>> models) {
 		Map<GroupKey, List<TargetEntry>> byGroup = new HashMap<>();
 		for (TargetEntry entry : entries) {
 			entry.membership()
@@ -56,26 +70,47 @@
 		List<GroupView> groups = new ArrayList<>();
 		for (List<TargetEntry> members : byGroup.values()) {
 			members.sort(BY_RANK);
-			createView(members, vanishedNames, parameters).ifPresent(groups::add);
+			createView(members, vanishedNames, models).ifPresent(groups::add);
 		}
 		groups.sort(BY_NAME);
 		return groups;
 	}
 
 	private static Optional<GroupView> createView(List<TargetEntry> members, Set<TargetName> vanishedNames,
-			EngineParameters parameters) {
+			Function<ReportedGroup, Optional<ModelParameters>> models) {
 		Set<TargetName> vanished = vanishedNames.isEmpty() ? Set.of()
 				: members.stream().map(TargetEntry::name).filter(vanishedNames::contains).collect(Collectors.toSet());
 		var membership = members.get(0).membership().orElseThrow();
-		return findModel(members, membership.group(), parameters).map((model) -> new GroupView(membership.group(),
-				membership.epoch(), model, List.copyOf(members), vanished));
+		return models.apply(new ReportedGroup(GroupKey.of(membership), members))
+			.map((model) -> new GroupView(membership.group(), membership.epoch(), model, List.copyOf(members),
+					vanished));
 	}
 
-	private static Optional<ModelParameters> findModel(List<TargetEntry> members, String group,
-			EngineParameters parameters) {
-		return GroupNames.model(group)
-			.or(() -> members.stream().flatMap((member) -> member.loaded().stream()).findFirst())
-			.flatMap(parameters::model);
+	/**
+	 * A group as its members report it, before its model is found.
+	 *
+	 * @param key identifies the group
+	 * @param members the known members, sorted by rank
+	 */
+	public record ReportedGroup(GroupKey key, List<TargetEntry> members) {
+
+		/**
+		 * Finds the name of the group's model.
+		 * @return the name; empty if neither the group's name nor a member contains it
+		 */
+		public Optional<String> modelName() {
+			return GroupNames.model(this.key.group())
+				.or(() -> this.members.stream().flatMap((member) -> member.loaded().stream()).findFirst());
+		}
+
+		/**
+		 * Returns the number of members that the reported ranks show.
+		 * @return one more than the highest rank
+		 */
+		public int reportedSize() {
+			return this.members.get(this.members.size() - 1).membership().orElseThrow().rank() + 1;
+		}
+
 	}
 
 }
--- a/src/main/java/sycamorehill/logic/layout/ServiceGroups.java
+++ b/src/main/java/sycamorehill/logic/layout/ServiceGroups.java
@@ -10,7 +10,6 @@
 import sycamorehill.logic.Effects;
 import sycamorehill.logic.directory.GroupKey;
 import sycamorehill.logic.directory.GroupView;
-import sycamorehill.logic.directory.GroupViews;
 import sycamorehill.logic.directory.TargetDirectory;
 import sycamorehill.model.identity.ServiceName;
 import sycamorehill.model.identity.TargetName;
@@ -43,6 +42,8 @@
 
 	private final GroupCompletenessTracker completeness = new GroupCompletenessTracker();
 
+	private final FormedGroups formedGroups = new FormedGroups();
+
 	private final FreeEngines freeEngines = FreeEngines.create();
 
 	private final ModelDemand demand = ModelDemand.create();
@@ -78,6 +79,7 @@
 		this.builder.startTerm(term);
 		this.disbander.clear();
 		this.completeness.clear();
+		this.formedGroups.clear();
 		this.loads.clear(recentTerms);
 		this.freeEngines.clear();
 		this.demand.clear();
@@ -116,7 +118,10 @@
 		TargetDirectory directory = this.shared.directory();
 		List<TargetEntry> engines = directory.all().stream().filter(this::belongsToService).toList();
 		List<TargetEntry> vanished = directory.vanished().stream().filter(this::belongsToService).toList();
-		List<GroupView> groups = GroupViews.of(engines, vanished, parameters);
+		List<GroupView> allGroups = this.formedGroups.view(engines, vanished, parameters);
+		List<GroupView> groups = allGroups.stream()
+			.filter((group) -> FormedGroups.isConfigured(group, parameters))
+			.toList();
 		this.demand.update(parameters, groups, groupActivity, now);
 		pollUnreachable(engines, now, effects);
 		if (!directory.isStoreReachable()) {
@@ -124,12 +129,12 @@
 		}
 		this.shared.vanished().update(groups, groupActivity, now, effects);
 		this.builder.dropUnformable();
-		Set<GroupKey> seen = groups.stream().map(GroupView::key).collect(Collectors.toSet());
-		this.disbander.keepOnly(seen);
-		this.completeness.keepOnly(seen);
-		this.conversions.keepOnly(seen);
+		keepOnly(allGroups.stream().map(GroupView::key).collect(Collectors.toSet()));
 		Set<TargetName> claimed = new HashSet<>();
 		groups.forEach((group) -> updateGroup(group, claimed, now, effects));
+		allGroups.stream()
+			.filter((group) -> !FormedGroups.isConfigured(group, parameters))
+			.forEach((group) -> endUnconfigured(group, claimed, now, effects));
 		this.builder.sendJoins(now, effects);
 		this.builder.formingGroups()
 			.forEach((group) -> group.members().forEach((member) -> claimed.add(member.name())));
@@ -148,6 +153,13 @@
 		}
 	}
 
+	private void keepOnly(Set<GroupKey> seen) {
+		this.disbander.keepOnly(seen);
+		this.completeness.keepOnly(seen);
+		this.conversions.keepOnly(seen);
+		this.formedGroups.keepOnly(seen);
+	}
+
 	private boolean belongsToService(TargetEntry engine) {
 		return engine.service().equals(this.service);
 	}
@@ -180,6 +192,14 @@
 		}
 	}
 
+	private void endUnconfigured(GroupView group, Set<TargetName> claimed, Instant now, Effects effects) {
+		if (!this.disbander.hasEnded(group)) {
+			claim(group, claimed);
+			this.builder.drop(group);
+			this.disbander.proceed(group, reachability(group), now, effects);
+		}
+	}
+
 	// After a partition heals, the engines behind it become reachable one after the
 	// other.
 	private boolean isRecovering(GroupView group, Instant now) {
--- a/src/test/java/sycamorehill/logic/layout/FakeFleet.java
+++ b/src/test/java/sycamorehill/logic/layout/FakeFleet.java
@@ -59,6 +59,9 @@
 
 	private final EngineParameters parameters;
 
+	/** The parameters in the configuration, which may differ from what engines do. */
+	private EngineParameters configuredParameters;
+
 	private Instant now = Instant.ofEpochSecond(10_000);
 
 	private Optional<Lease> lease = Optional.empty();
@@ -71,6 +74,8 @@
 
 	private int conflicts;
 
+	private int interruptedGroups;
+
 	FakeFleet(long seed, int domains, int enginesInDomain) {
 		this(seed, domains, enginesInDomain, ServingSamples.engineFigures());
 	}
@@ -78,6 +83,7 @@
 	FakeFleet(long seed, int domains, int enginesInDomain, EngineParameters parameters) {
 		this.random = new Random(seed);
 		this.parameters = parameters;
+		this.configuredParameters = parameters;
 		for (int domain = 0; domain < domains; domain++) {
 			for (int index = 0; index < enginesInDomain; index++) {
 				addEngine("e" + domain + "-" + index, "d" + domain);
@@ -85,6 +91,14 @@
 		}
 	}
 
+	/**
+	 * Changes the configuration.
+	 * @param models the models that it contains from now on
+	 */
+	void configureModels(List<ModelParameters> models) {
+		this.configuredParameters = ServingSamples.withModels(this.parameters, models);
+	}
+
 	/**
 	 * Ends an engine for good.
 	 * @param engine the engine
@@ -134,6 +148,15 @@
 		return this.conflicts;
 	}
 
+	/**
+	 * Returns the number of groups whose head left them, or joined another one, while it
+	 * served and no member was missing.
+	 * @return the number of groups
+	 */
+	int interruptedGroups() {
+		return this.interruptedGroups;
+	}
+
 	void stopRequests() {
 		this.requestsPerGroup = 0;
 	}
@@ -242,7 +265,11 @@
 	private EngineCommandAnswer execute(FakeEngine engine, EngineCommandRequest command, long expectedCount) {
 		Optional<FakeEngine> previousHead = headOf(engine);
 		Optional<EngineCommandRequest.Join> previousJoin = engine.join();
+		boolean servesWhole = engine.isOpen() && isComplete(engine);
 		EngineCommandAnswer answer = engine.execute(command, expectedCount, this.now);
+		if (servesWhole && !engine.isOpen() && !(command instanceof EngineCommandRequest.Close)) {
+			this.interruptedGroups++;
+		}
 		if (answer == EngineCommandAnswer.CONFLICT) {
 			this.conflicts++;
 		}
@@ -350,7 +377,7 @@
 			Effects effects = Effects.create();
 			this.control.tick(
 					new GroupController.NodeStatus(
-							Optional.of(ServingSamples.configuration(1, FakeFleet.this.parameters)),
+							Optional.of(ServingSamples.configuration(1, FakeFleet.this.configuredParameters)),
 							(head, now) -> requestsAt(head), false, storeUnreachableForAll(), Duration.ZERO),
 					FakeFleet.this.now, effects);
 			executeAll(effects);
--- a/src/test/java/sycamorehill/support/ConfigurationChange.java
+++ b/src/test/java/sycamorehill/support/ConfigurationChange.java
@@ -138,11 +138,7 @@
 
 	private static Configuration withModels(Configuration configuration, List<ModelParameters> models) {
 		EngineParameters engines = configuration.services().get(ServingSamples.ENGINES).engines().orElseThrow();
-		return withEngines(configuration,
-				Optional.of(new EngineParameters(engines.slots(), engines.cacheTokens(), models,
-						engines.stepsPerEvent(), engines.stepTime(), engines.stepTimePerRequest(),
-						engines.prefillTokensPerSecond(), engines.loadsPerSecond(), engines.fullSpeedLoads(),
-						engines.openingTime(), engines.meanPromptTokens(), engines.meanAnswerTokens())));
+		return withEngines(configuration, Optional.of(ServingSamples.withModels(engines, models)));
 	}
 
 	private static Configuration withEngines(Configuration configuration, Optional<EngineParameters> engines) {
--- a/src/test/java/sycamorehill/support/ServingSamples.java
+++ b/src/test/java/sycamorehill/support/ServingSamples.java
@@ -99,6 +99,19 @@
 				Duration.ofNanos(134_000), 45_900, 5, 7, Duration.ofMillis(300), 979, 154);
 	}
 
+	/**
+	 * Engines that serve other models.
+	 * @param engines the engines
+	 * @param models the models
+	 * @return the engines with these models
+	 */
+	public static EngineParameters withModels(EngineParameters engines, List<ModelParameters> models) {
+		return new EngineParameters(engines.slots(), engines.cacheTokens(), models, engines.stepsPerEvent(),
+				engines.stepTime(), engines.stepTimePerRequest(), engines.prefillTokensPerSecond(),
+				engines.loadsPerSecond(), engines.fullSpeedLoads(), engines.openingTime(), engines.meanPromptTokens(),
+				engines.meanAnswerTokens());
+	}
+
 	/**
 	 * A configuration with one route of each kind: /once/, /again/, /stream/ and /open/.
 	 * @param version its version
