Test tickets that remove what answers still need

A ticket removes a set of groups, or a service with its model, while answers stream: the groups are drained and removed, no stream breaks. A running attempt goes on when its service lists no target any more. The trial of groups can remove an item now.

--- a/src/main/java/sycamorehill/experiment/group/GroupTrial.java
+++ b/src/main/java/sycamorehill/experiment/group/GroupTrial.java
@@ -9,6 +9,7 @@
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.TreeMap;
+import java.util.function.BiConsumer;
 import java.util.random.RandomGenerator;
 
 import org.pcollections.PMap;
@@ -41,6 +42,7 @@
 import sycamorehill.model.ticket.AppliedItem;
 import sycamorehill.model.ticket.DesiredState;
 import sycamorehill.model.ticket.Item;
+import sycamorehill.model.ticket.ItemKey;
 
 /**
  * Nodes, VMs and a platform in one thread and in virtual time. A seed gives one history.
@@ -214,12 +216,26 @@
 	 * @param items the items that it sets
 	 */
 	public void file(Item... items) {
-		Map<Object, AppliedItem> kept = new TreeMap<>();
-		this.truth.items().values().forEach((item) -> kept.put(item.item().key().toString(), item));
+		change((kept, number) -> {
+			for (Item item : items) {
+				kept.put(item.key(), new AppliedItem(item, number));
+			}
+		});
+	}
+
+	/**
+	 * Files a ticket that removes an item.
+	 * @param item the item
+	 */
+	public void remove(Item item) {
+		change((kept, number) -> kept.remove(item.key()));
+	}
+
+	private void change(BiConsumer<Map<ItemKey, AppliedItem>, Long> ticket) {
+		Map<ItemKey, AppliedItem> kept = new TreeMap<>();
+		this.truth.items().values().forEach((item) -> kept.put(item.item().key(), item));
 		long number = this.truth.number() + 1;
-		for (Item item : items) {
-			kept.put(item.key().toString(), new AppliedItem(item, number));
-		}
+		ticket.accept(kept, number);
 		this.truth = DesiredState.of(number, List.copyOf(kept.values()));
 		for (TrialNode node : this.nodes) {
 			at(Duration.ofMillis(this.random.nextInt(100, 1500)), () -> node.truth(this.truth));
--- a/src/test/java/sycamorehill/logic/group/GroupChangeTests.java
+++ b/src/test/java/sycamorehill/logic/group/GroupChangeTests.java
@@ -5,6 +5,8 @@
 
 import org.assertj.core.api.Assertions;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import sycamorehill.experiment.group.GroupTrial;
 import sycamorehill.experiment.group.TrialEngine;
@@ -61,6 +63,18 @@
 		Assertions.assertThat(trial.figures().brokenStreams()).isZero();
 	}
 
+	// A ticket removes the set, or the service with its model, while answers stream.
+	@ParameterizedTest
+	@ValueSource(booleans = { false, true })
+	void groupsThatNoTicketAsksForAreDrainedAndRemoved(boolean withService) {
+		GroupTrial trial = GroupTrials.formed(6, 3, 0);
+		trial.remove(withService ? GroupTrials.service("1") : GroupTrials.set(3, 0));
+		trial.run(Duration.ofMinutes(2));
+		Assertions.assertThat(groups(trial)).isEmpty();
+		Assertions.assertThat(trial.figures().violations()).isEmpty();
+		Assertions.assertThat(trial.figures().brokenStreams()).isZero();
+	}
+
 	// The new version cannot be loaded. The service continues with the old version, and
 	// the record of the failed group holds the reason.
 	@Test
--- a/src/test/java/sycamorehill/logic/request/RequestReducerTests.java
+++ b/src/test/java/sycamorehill/logic/request/RequestReducerTests.java
@@ -86,6 +86,18 @@
 			.containsExactly(TargetName.of("t1"), TargetName.of("t2"));
 	}
 
+	// A ticket removes the service, or its groups, while an answer streams.
+	@Test
+	void runningAttemptGoesOnWhenNoTargetIsListedAnyMore() {
+		this.run.clear(this.request, Idempotency.REPEATABLE).firstToken();
+		this.run.view().targets().clear();
+		this.run.advance(Duration.ofSeconds(60));
+		assertThat(this.run.outcomes()).isEmpty();
+		assertThat(RequestHarness.elementsOf(this.run.effects(), RequestEffect.CancelAttempt.class)).isEmpty();
+		this.run.end(new AttemptResult.Completed(5, Optional.empty()));
+		assertThat(this.run.outcomes()).containsExactly(new RequestOutcome.Completed());
+	}
+
 	private void setModelVersions(String first, String second, String third) {
 		this.run.view().targets().clear();
 		this.run.view().targets().add(SampleRequests.target("t1", first));
