Let the bound of a stop follow the newest settings

What callers would see: the platform gives a longer grace by changed settings, the node reads them, and still ends at the grace that it started with: what runs longer is cut off. Cause: the bound was read from the settings of the start. PlannedStop gets each changed settings, also within a stop; a shorter grace is followed too, since the platform kills by the present one.

--- a/src/main/java/sycamorehill/entry/EntryNode.java
+++ b/src/main/java/sycamorehill/entry/EntryNode.java
@@ -381,7 +381,10 @@
 	 * @param changed the settings to apply
 	 */
 	public void reload(EntrySettings changed) {
-		post(new EntryEvent.SettingsRead(changed));
+		this.loop.execute(() -> {
+			this.plannedStop.updateSettings(changed);
+			processEvent(new EntryEvent.SettingsRead(changed));
+		});
 	}
 
 	/**
--- a/src/main/java/sycamorehill/entry/PlannedStop.java
+++ b/src/main/java/sycamorehill/entry/PlannedStop.java
@@ -39,7 +39,7 @@
 
 	private final CompletableFuture<Void> finished = new CompletableFuture<>();
 
-	private final EntrySettings settings;
+	private EntrySettings settings;
 
 	private Instant begun;
 
@@ -75,6 +75,15 @@
 		return true;
 	}
 
+	/**
+	 * Applies changed settings. The bound of a stop that has begun follows them: it is
+	 * the platform's present grace that decides when the process is killed.
+	 * @param changed the settings
+	 */
+	void updateSettings(EntrySettings changed) {
+		this.settings = changed;
+	}
+
 	CompletableFuture<Void> whenFinished() {
 		return this.finished;
 	}
