Name each request that a stopping node cuts at its bound

What was seen: the end of a drain at its bound was one line at INFO, "callers-left=true", and the answers that broke off were in no log.

The own interface had the lines already (NodeStop); there nothing changes.

--- a/src/main/java/sycamorehill/cli/ServeCommand.java
+++ b/src/main/java/sycamorehill/cli/ServeCommand.java
@@ -55,8 +55,8 @@
 			process.end().setCause("--run-for is over");
 			return ExitCode.DONE;
 		}
-		node.whenStopped().get();
-		process.end().setCause("drained");
+		int cut = node.whenStopped().get();
+		process.end().setCause((cut == 0) ? "drained" : "the stop reached its bound");
 		return ExitCode.DONE;
 	}
 
--- a/src/main/java/sycamorehill/entry/CallerServer.java
+++ b/src/main/java/sycamorehill/entry/CallerServer.java
@@ -156,6 +156,10 @@
 		List.copyOf(this.callerConnections).forEach(CallerConnection::closeIfIdle);
 	}
 
+	int connections() {
+		return this.callerConnections.size();
+	}
+
 	boolean hasCallers() {
 		return !this.callerConnections.isEmpty();
 	}
--- a/src/main/java/sycamorehill/entry/EntryNode.java
+++ b/src/main/java/sycamorehill/entry/EntryNode.java
@@ -113,7 +113,7 @@
 		this.messenger = NodeMessenger.of(this.loop, this);
 		this.metrics = EntryMetrics.of(this.reducer);
 		this.plannedStop = PlannedStop.of(this.loop, this.clock, settings, this.callerServer, this.proxyServer,
-				this.metrics);
+				this.exchanges, this.metrics);
 		this.readinessServer = PageServer.of(this.loop, this::readinessPage);
 		this.metricsServer = PageServer.of(this.loop, this::metricsPage);
 	}
@@ -423,9 +423,10 @@
 
 	/**
 	 * Returns a future that completes when the node has stopped.
-	 * @return the future
+	 * @return the number of callers' requests that were cut off when the stop reached its
+	 * bound
 	 */
-	public CompletableFuture<Void> whenStopped() {
+	public CompletableFuture<Integer> whenStopped() {
 		return this.plannedStop.whenFinished();
 	}
 
--- a/src/main/java/sycamorehill/entry/PlannedStop.java
+++ b/src/main/java/sycamorehill/entry/PlannedStop.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
@@ -35,9 +36,11 @@
 
 	private final ProxyServer proxyServer;
 
+	private final ExchangeRegistry exchanges;
+
 	private final EntryMetrics metrics;
 
-	private final CompletableFuture<Void> finished = new CompletableFuture<>();
+	private final CompletableFuture<Integer> finished = new CompletableFuture<>();
 
 	private EntrySettings settings;
 
@@ -46,18 +49,19 @@
 	private ScheduledFuture<?> checks;
 
 	private PlannedStop(EventLoop loop, InstantSource clock, EntrySettings settings, CallerServer callerServer,
-			ProxyServer proxyServer, EntryMetrics metrics) {
+			ProxyServer proxyServer, ExchangeRegistry exchanges, EntryMetrics metrics) {
 		this.loop = loop;
 		this.clock = clock;
 		this.settings = settings;
 		this.callerServer = callerServer;
 		this.proxyServer = proxyServer;
+		this.exchanges = exchanges;
 		this.metrics = metrics;
 	}
 
 	static PlannedStop of(EventLoop loop, InstantSource clock, EntrySettings settings, CallerServer callerServer,
-			ProxyServer proxyServer, EntryMetrics metrics) {
-		return new PlannedStop(loop, clock, settings, callerServer, proxyServer, metrics);
+			ProxyServer proxyServer, ExchangeRegistry exchanges, EntryMetrics metrics) {
+		return new PlannedStop(loop, clock, settings, callerServer, proxyServer, exchanges, metrics);
 	}
 
 	/**
@@ -84,7 +88,11 @@
 		this.settings = changed;
 	}
 
-	CompletableFuture<Void> whenFinished() {
+	/**
+	 * Returns a future that completes when the stop is over.
+	 * @return the number of callers' requests that were cut off at the bound
+	 */
+	CompletableFuture<Integer> whenFinished() {
 		return this.finished;
 	}
 
@@ -102,10 +110,23 @@
 
 	private void finish(Duration since) {
 		this.checks.cancel(false);
+		int callers = logCut("caller", this.exchanges.identifiers(CallerExchange.class), since);
+		int proxied = logCut("node", this.exchanges.identifiers(ProxiedExchange.class), since);
 		log(LogLine.of(LogEvent.REQUESTS_DRAINED,
-				"node=" + this.settings.nodeName() + " millis=" + since.toMillis() + " callers-left="
-						+ this.callerServer.hasCallers() + " proxied-left=" + this.proxyServer.hasRequests()));
-		this.finished.complete(null);
+				"node=" + this.settings.nodeName() + " millis=" + since.toMillis() + " cut=" + callers
+						+ " cut-of-nodes=" + proxied + " connections-left=" + this.callerServer.connections()));
+		this.finished.complete(callers);
+	}
+
+	// The process ends next, and with it these requests.
+	private int logCut(String origin, List<String> identifiers, Duration since) {
+		int number = 0;
+		for (String identifier : identifiers) {
+			number++;
+			log(LogLine.of(LogEvent.REQUEST_CUT, "request=" + identifier + " of=" + origin + " number=" + number + '/'
+					+ identifiers.size() + " cause='the stop reached its bound' millis=" + since.toMillis()));
+		}
+		return number;
 	}
 
 	private void log(LogLine line) {
