--- a/src/main/java/sycamorehill/entry/EntryNode.java
+++ b/src/main/java/sycamorehill/entry/EntryNode.java
@@ -22,7 +22,6 @@
 import sycamorehill.model.serving.EntryEvent;
 import sycamorehill.model.serving.EntrySettings;
 import sycamorehill.model.serving.NodeMessage;
-import sycamorehill.model.serving.NodeRecord;
 import sycamorehill.model.serving.StoredConfiguration;
 import sycamorehill.model.serving.TargetChange;
 import sycamorehill.model.serving.TargetEntry;
@@ -40,15 +39,6 @@
 
 	private static final Duration TICK_INTERVAL = Duration.ofMillis(100);
 
-	/** Delay before a failed call to the registry of entry nodes is retried. */
-	private static final Duration REGISTRY_RETRY_DELAY = Duration.ofSeconds(1);
-
-	/**
-	 * Interval at which the entry nodes are listed. Nodes introduce themselves to each
-	 * other; the list covers lost introductions and nodes that are gone.
-	 */
-	private static final Duration NODE_LIST_INTERVAL = Duration.ofSeconds(20);
-
 	/** Time allowed for the loop to list the requests in flight when the process ends. */
 	private static final Duration LIST_REQUESTS_TIMEOUT = Duration.ofMillis(150);
 
@@ -94,6 +84,8 @@
 
 	private StoredConfiguration latestConfiguration;
 
+	private final NodeRegistration registration;
+
 	private final PlannedStop plannedStop;
 
 	private EntryNode(EntrySettings settings, EntryPorts.Factory factory, InstantSource wallClock,
@@ -112,6 +104,8 @@
 		this.proxyServer = ProxyServer.of(this.loop, this.exchanges, this, this.reducer::isNodeHost);
 		this.messenger = NodeMessenger.of(this.loop, this);
 		this.metrics = EntryMetrics.of(this.reducer);
+		this.registration = NodeRegistration.of(this.ports.nodeRegistry(), settings.toNodeRecord(), this.incarnation,
+				this.loop, (nodes) -> processEvent(new EntryEvent.NodesListed(nodes)));
 		this.plannedStop = PlannedStop.of(this.loop, this.clock, settings, this.callerServer, this.proxyServer,
 				this.exchanges, this.metrics);
 		this.readinessServer = PageServer.of(this.loop, this::readinessPage);
@@ -143,7 +137,7 @@
 		this.targetReader = FeedReader.of(() -> readPace(EntryReducer.STORE_LONG_POLL_WAIT), "targets",
 				this.ports.targets(), this.loop, new TargetListener());
 		this.messenger.start(this.settings.peerAddress());
-		registerNode();
+		this.registration.start();
 		this.configurationReader.start();
 		this.targetReader.start();
 		this.loop.scheduleAtFixedRate(this::tick, 0, TICK_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
@@ -188,45 +182,6 @@
 		return new FeedReader.Pace(maximumWait, this.reducer.readPause(now), this.reducer.reliesOnReader(now));
 	}
 
-	// Lists the nodes after this one is registered. Of two nodes that start at the same
-	// time, the one that lists later finds the other and introduces itself.
-	private void registerNode() {
-		NodeRecord self = this.settings.toNodeRecord();
-		this.ports.nodeRegistry().register(self, this.incarnation).whenCompleteAsync((earlier, failure) -> {
-			if (failure != null) {
-				EventLog
-					.write(LogLine.of(LogEvent.STORE_CONTACT, "registering this node failed: " + failure.getMessage()));
-				schedule(this::registerNode, REGISTRY_RETRY_DELAY);
-			}
-			else {
-				earlier.ifPresent(this::logEarlierLife);
-				listNodes(true);
-			}
-		}, this.loop);
-	}
-
-	private void logEarlierLife(NodeRegistry.EarlierEntry earlier) {
-		EventLog.write(LogLine.of(LogEvent.EARLIER_LIFE_UNPLANNED, "node=" + this.settings.nodeName() + " incarnation="
-				+ earlier.incarnation().orElse("unknown") + " registered-at-revision=" + earlier.revision()));
-	}
-
-	private void listNodes(boolean consistent) {
-		this.ports.nodeRegistry().list(consistent).whenCompleteAsync((nodes, failure) -> {
-			if (failure != null) {
-				EventLog.write(LogLine.of(LogEvent.STORE_CONTACT, "listing the nodes failed: " + failure.getMessage()));
-				schedule(() -> listNodes(consistent), REGISTRY_RETRY_DELAY);
-			}
-			else {
-				processEvent(new EntryEvent.NodesListed(nodes));
-				schedule(() -> listNodes(false), NODE_LIST_INTERVAL);
-			}
-		}, this.loop);
-	}
-
-	private void schedule(Runnable task, Duration pause) {
-		this.loop.schedule(task, pause.toMillis(), TimeUnit.MILLISECONDS);
-	}
-
 	@Override
 	public void post(EntryEvent event) {
 		this.loop.execute(() -> processEvent(event));
@@ -398,19 +353,11 @@
 			if (this.plannedStop.begin()) {
 				EventLog.write(LogLine.of(LogEvent.NODE_STOPPING, "node=" + this.settings.nodeName()));
 				processEvent(new EntryEvent.StopRequested());
-				deregisterNode();
+				this.registration.remove();
 			}
 		});
 	}
 
-	private void deregisterNode() {
-		this.ports.nodeRegistry().deregister(this.settings.nodeName()).exceptionally((failure) -> {
-			EventLog
-				.write(LogLine.of(LogEvent.STORE_CONTACT, "deregistering this node failed: " + failure.getMessage()));
-			return null;
-		});
-	}
-
 	/**
 	 * Lists the requests of callers that have no final answer.
 	 * @return the callers' identifiers of the requests
