--- a/src/main/java/sycamorehill/entry/CallerServer.java
+++ b/src/main/java/sycamorehill/entry/CallerServer.java
@@ -182,6 +182,10 @@
 		this.callerConnections.forEach(CallerConnection::reportUnfinished);
 	}
 
+	int connections() {
+		return this.callerConnections.size();
+	}
+
 	boolean hasCallers() {
 		return !this.callerConnections.isEmpty();
 	}
--- a/src/main/java/sycamorehill/model/log/LogEvent.java
+++ b/src/main/java/sycamorehill/model/log/LogEvent.java
@@ -27,10 +27,10 @@
 	EARLIER_LIFE_UNPLANNED(1009, LogLevel.WARN),
 
 	/** The process ends; no caller waits for an answer. */
-	PROCESS_ENDS(1010, LogLevel.INFO),
+	PROCESS_ENDS(1012, LogLevel.INFO),
 
 	/** An error that no code handles ended a thread or a command that serves. */
-	THREAD_FAILED(1011, LogLevel.ERROR),
+	THREAD_FAILED(1013, LogLevel.ERROR),
 
 	/** An effect could not be executed. */
 	EFFECT_FAILED(1003, LogLevel.ERROR),
@@ -42,10 +42,10 @@
 	INVARIANT_BROKEN(1004, LogLevel.ERROR),
 
 	/** The virtual machine threw an error, such as one of memory, stack or classes. */
-	ERROR_THROWN(1012, LogLevel.ERROR),
+	ERROR_THROWN(1010, LogLevel.ERROR),
 
 	/** Log lines were dropped, because the output was not read or memory was short. */
-	LOG_LINES_DROPPED(1013, LogLevel.WARN),
+	LOG_LINES_DROPPED(1011, LogLevel.WARN),
 
 	/**
 	 * No request is in flight any more, or the time limit has passed; the stopping node
--- a/src/test/java/sycamorehill/runtime/BoundedLogWriterTests.java
+++ b/src/test/java/sycamorehill/runtime/BoundedLogWriterTests.java
@@ -44,7 +44,7 @@
 		this.output.readable.countDown();
 		this.writer.close();
 		assertThat(this.output.text()).contains("INFO first", "WARN a warning")
-			.containsPattern("WARN SYC-1013 LOG_LINES_DROPPED lines=\\d{6}");
+			.containsPattern("WARN SYC-1011 LOG_LINES_DROPPED lines=\\d{6}");
 	}
 
 	// An error while a line is written must not end the log: without any line, nobody
