Keep connections of other nodes until their answers are out and for idle time alone

What callers of other nodes saw, over a node that their own node sends through because it reaches no target: (1) That node stops: 3 s after its SIGTERM it exits while the last bytes and the End frame of an answer wait for a slow link. The request counted as ended when End was handed to Netty. The origin sees a closed connection: a stream is broken off or moved, a plain request fails or is sent again. (2) An answer that takes longer than 6 s: the idle time of its connection counted from the last frame received, which is the request. The next check, at most 0.1 s after the end, closed the connection, with frames unsent or the origin's next request on its way, while the origin takes it for usable for 3 s.

Fix: (1) `hasRequests` counts connections with unsent bytes. (2) the time of a running request is no idle time. What a stalled origin leaves unsent is still bounded: 6 s after the end of the request.

Tests, red before on with the tests: aStoppingNodeWaitsUntilTheOtherNodeHasTheWholeAnswer (the drain had ended with 12 MiB under way) aConnectionIsKeptBehindAnAnswerThatTookLongerThanItMayBeIdle (broken pipe at the next request, 2 s after an answer of 6.5 s) Green now, with ProxyAttemptTests and NodesWithoutPathTests.

Ruled out by reading: closeExpired with a running request (it is passed over), ProxyConnectionPool and TargetConnectionPool closing one in use (a connection leaves the pool when it is acquired).

--- a/src/main/java/sycamorehill/entry/ProxyChannel.java
+++ b/src/main/java/sycamorehill/entry/ProxyChannel.java
@@ -83,6 +83,10 @@
 		return this.context.channel().isWritable();
 	}
 
+	boolean hasUnsentBytes() {
+		return UnsentOutput.bytes(this.context.channel()) > 0;
+	}
+
 	void pause(boolean paused) {
 		this.context.channel().config().setAutoRead(!paused);
 	}
--- a/src/main/java/sycamorehill/entry/ProxyServer.java
+++ b/src/main/java/sycamorehill/entry/ProxyServer.java
@@ -130,8 +130,12 @@
 		return this.eventSink;
 	}
 
+	/**
+	 * Returns whether other nodes lack answers, or bytes of them.
+	 * @return true if they do
+	 */
 	boolean hasRequests() {
-		return this.requests > 0;
+		return this.requests > 0 || this.connections.stream().anyMatch(ProxyServerConnection::hasUnsentBytes);
 	}
 
 	/** Closes connections that have been idle for too long. */
--- a/src/main/java/sycamorehill/entry/ProxyServerConnection.java
+++ b/src/main/java/sycamorehill/entry/ProxyServerConnection.java
@@ -29,7 +29,7 @@
 
 	private boolean started;
 
-	private long lastFrameNanos = System.nanoTime();
+	private long idleSinceNanos = System.nanoTime();
 
 	private ProxyServerConnection(ProxyServer server, ProxyChannel connection) {
 		this.server = server;
@@ -42,7 +42,7 @@
 
 	@Override
 	public void handleFrame(ProxyFrame frame) {
-		this.lastFrameNanos = System.nanoTime();
+		this.idleSinceNanos = System.nanoTime();
 		if (frame instanceof ProxyFrame.Request request && isIdle()) {
 			startRequest(request);
 		}
@@ -134,9 +134,18 @@
 		}
 	}
 
+	boolean hasUnsentBytes() {
+		return this.connection.hasUnsentBytes();
+	}
+
+	// The time of a running request is not idle, or a connection would be closed as soon
+	// as a long answer has ended: with its last frames unsent, or the next request on its
+	// way.
 	void closeIfExpired(long nowNanos) {
-		boolean running = this.started && !this.exchange.isFinished();
-		if (!running && nowNanos - this.lastFrameNanos > MAXIMUM_IDLE_TIME.toNanos()) {
+		if (this.started && !this.exchange.isFinished()) {
+			this.idleSinceNanos = nowNanos;
+		}
+		else if (nowNanos - this.idleSinceNanos > MAXIMUM_IDLE_TIME.toNanos()) {
 			this.connection.close();
 			handleClosed("idle");
 		}
--- /dev/null
+++ b/src/test/java/sycamorehill/entry/ProxyServerConnectionTests.java
@@ -0,0 +1,130 @@
+package sycamorehill.entry;
+
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+import sycamorehill.logic.entry.EntryReducer;
+import sycamorehill.model.identity.Address;
+import sycamorehill.model.serving.AttemptEnd;
+import sycamorehill.model.serving.CallerLimits;
+import sycamorehill.model.serving.ProxiedRequest;
+import sycamorehill.model.serving.RequestKind;
+import sycamorehill.support.ServingSamples;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests the connection over which another node, played by the test, sends requests
+ * through a node.
+ */
+class ProxyServerConnectionTests {
+
+	/** More than the buffers of both sockets hold. */
+	private static final int LARGE_ANSWER_BYTES = 12 * 1024 * 1024;
+
+	private static final int SMALL_BUFFER_BYTES = 4096;
+
+	/** Longer than a connection may be idle. */
+	private static final Duration LONG_ANSWER_TIME = Duration.ofMillis(6500);
+
+	/** Time for which an idle connection is used again by the other node. */
+	private static final Duration REUSE_TIME = Duration.ofSeconds(2);
+
+	private CallerNode node;
+
+	@AfterEach
+	void end() throws IOException {
+		this.node.close();
+	}
+
+	private Socket connect() throws IOException {
+		Address address = this.node.proxyAddress();
+		Socket socket = new Socket();
+		socket.setReceiveBufferSize(SMALL_BUFFER_BYTES);
+		socket.setSoTimeout(10_000);
+		socket.connect(new InetSocketAddress(address.host(), address.port()));
+		return socket;
+	}
+
+	private static void send(Socket socket, String identifier) throws IOException {
+		ProxiedRequest request = new ProxiedRequest("two", identifier, "/again/", RequestKind.IDEMPOTENT,
+				ServingSamples.DESK, Optional.empty(), 1, Duration.ofMillis(300), Duration.ofSeconds(20),
+				Duration.ofSeconds(20), Duration.ZERO, Optional.empty(), Optional.empty(), 1, Set.of(), false, false);
+		byte[] bytes = ProxyFrameCodec.create()
+			.write(new ProxyFrame.Request(request, "GET", "/again/x", List
+				.of(new ProxyFrame.Header("Host", "feed.example"), new ProxyFrame.Header("Attempt-Id", identifier)),
+					Optional.empty(), Optional.empty(), 0));
+		DataOutputStream out = new DataOutputStream(socket.getOutputStream());
+		out.writeInt(bytes.length);
+		out.write(bytes);
+		out.flush();
+	}
+
+	private static ProxyFrame.End readToEnd(Socket socket) throws IOException {
+		DataInputStream in = new DataInputStream(socket.getInputStream());
+		while (true) {
+			byte[] bytes = new byte[in.readInt()];
+			in.readFully(bytes);
+			if (ProxyFrameCodec.read(bytes) instanceof ProxyFrame.End end) {
+				return end;
+			}
+		}
+	}
+
+	// A node that stops exits while the other node has not received the whole answer.
+	@Test
+	void aStoppingNodeWaitsUntilTheOtherNodeHasTheWholeAnswer() throws Exception {
+		this.node = CallerNode.start(CallerLimits.INITIAL,
+				(request) -> "HTTP/1.1 200 OK\r\nAttempt-Id: slow\r\nServer-Signature: s\r\nContent-Length: "
+						+ LARGE_ANSWER_BYTES + "\r\n\r\n" + "x".repeat(LARGE_ANSWER_BYTES));
+		try (Socket socket = connect()) {
+			send(socket, "slow");
+			Thread.sleep(300);
+			this.node.node().stop();
+			Thread.sleep(EntryReducer.ACCEPTANCE_AFTER_STOP.plusMillis(300).toMillis());
+			assertThat(this.node.node().whenStopped()).isNotDone();
+			assertThat(readToEnd(socket).end()).isInstanceOf(AttemptEnd.Delivered.class);
+			this.node.node().whenStopped().get(1, TimeUnit.SECONDS);
+		}
+	}
+
+	// The time of the answer counted as idle: the connection was closed as soon as a long
+	// answer had ended, with its last frames unsent or the next request on its way.
+	@Test
+	void aConnectionIsKeptBehindAnAnswerThatTookLongerThanItMayBeIdle() throws Exception {
+		this.node = CallerNode.start(CallerLimits.INITIAL, (request) -> {
+			if (LoopbackCluster.identifier(request).equals("long")) {
+				sleep(LONG_ANSWER_TIME);
+			}
+			return LoopbackCluster.hello(request);
+		});
+		try (Socket socket = connect()) {
+			send(socket, "long");
+			assertThat(readToEnd(socket).end()).isInstanceOf(AttemptEnd.Delivered.class);
+			Thread.sleep(REUSE_TIME.toMillis());
+			send(socket, "next");
+			assertThat(readToEnd(socket).end()).isInstanceOf(AttemptEnd.Delivered.class);
+		}
+	}
+
+	private static void sleep(Duration time) {
+		try {
+			Thread.sleep(time.toMillis());
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+}
