Start a stream through another node with its first event, as the decisions do

What callers saw: a connection that closes within or right behind the head of a stream, with a status of success and no line that names it.

Cause: the head frame of another node started the caller's answer, but the decisions learnt of it only with the first event. If the other node was lost, or the time ended, between the two, they decided an answer of the node's own (502, 503, 504) or another attempt. That full answer was written within the chunked one; the encoder refuses this, the write failed and CLOSE_ON_FAILURE cut the connection. No second head was sent: that is refuted, the encoder's state forbids it.

Fix: the stream starts with the first event or its end, as it does for a target's own stream, so that the decisions and the connection agree. The caller gets the node's answer, whole.

Tests: ProxyAttemptTests#aStreamThatBreaksOffBeforeItsFirstEventIsAnswered, red before on (ANSWER_CUT request=headless cause=WRITE_FAILED, "unexpected message type: DefaultFullHttpResponse, state: 2"; the caller got nothing but a close), green now; aStreamWithoutEventsIsWhole was green before and is now.

--- a/src/main/java/sycamorehill/entry/ProxyAttempt.java
+++ b/src/main/java/sycamorehill/entry/ProxyAttempt.java
@@ -201,9 +201,12 @@
 		this.head = new DefaultHttpResponse(HttpVersion.HTTP_1_1,
 				new HttpResponseStatus(received.status(), received.reason()), headers);
 		this.streaming = received.streaming();
-		if (this.streaming) {
-			this.exchange.startStream(this.head, this.codec.readTargetResponse(this.head));
-		}
+	}
+
+	// Called with the first event or the end, as the decisions learn of it then. The
+	// caller of a stream that ends before gets an answer instead.
+	private void startStream() {
+		this.exchange.startStream(this.head, this.codec.readTargetResponse(this.head));
 	}
 
 	private void handleBody(ProxyFrame.Body part) {
@@ -217,6 +220,7 @@
 		this.allEventsNumbered &= event.number().isPresent();
 		if (!this.answerStarted) {
 			this.answerStarted = true;
+			startStream();
 			this.activity.recordStreamStarted(this.start.node().name(), System.nanoTime());
 			this.eventSink.post(new EntryEvent.AnswerStarted(this.start.number()));
 		}
@@ -248,6 +252,7 @@
 			this.exchange.deliver(this.head, this.body.retain());
 			return delivered;
 		}
+		startStream();
 		this.exchange.endStream();
 		return new AttemptEnd.Delivered(delivered.status(), this.exchange.maximumPause());
 	}
--- a/src/test/java/sycamorehill/entry/ProxyAttemptTests.java
+++ b/src/test/java/sycamorehill/entry/ProxyAttemptTests.java
@@ -25,6 +25,7 @@
 import sycamorehill.model.serving.AttemptEnd;
 import sycamorehill.model.serving.NodeRecord;
 import sycamorehill.model.serving.NotRunCause;
+import sycamorehill.support.RecordedLog;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -273,6 +274,35 @@
 		assertThat(this.cluster.ask("one", "/stream/x", "a1")).contains("data: e1").doesNotEndWith("0\r\n\r\n");
 	}
 
+	// The other node ends behind the head of a stream: the node's own answer was written
+	// within the stream, and the caller got a closed connection.
+	@Test
+	void aStreamThatBreaksOffBeforeItsFirstEventIsAnswered() throws Exception {
+		start((frame, node) -> {
+			if (endsBody(frame)) {
+				node.send(new ProxyFrame.Accepted());
+				node.send(head(true));
+				sleep(100);
+				node.close();
+			}
+		});
+		assertThat(this.cluster.ask("one", "/single/x", "headless")).startsWith("HTTP/1.1 50")
+			.containsPattern("(?i)content-length: [1-9]");
+		assertThat(RecordedLog.lines("ANSWER_CUT", "request=headless ")).isEmpty();
+	}
+
+	@Test
+	void aStreamWithoutEventsIsWhole() throws Exception {
+		start((frame, node) -> {
+			if (endsBody(frame)) {
+				node.send(new ProxyFrame.Accepted());
+				node.send(head(true));
+				node.send(delivered());
+			}
+		});
+		assertThat(this.cluster.ask("one", "/single/x", "a1")).startsWith("HTTP/1.1 200").endsWith("\r\n\r\n0\r\n\r\n");
+	}
+
 	private static void sleep(long millis) {
 		try {
 			Thread.sleep(millis);
