Never write an answer of the node's own within a stream

What callers would see: a stream cut at its start by a failed write, logged as 504 or 502 "outcome=unknown".

Cause: a request's time limit and the start of its stream are handed over to the decisions by tasks of the loop. If input is read between the task of the limit and the task of its effects, the stream starts in between, and the decided answer reaches a connection that is within a chunked one. On the one loop this needs a run of tasks that is ended by its time budget, so a busy loop. The encoder refused the second head: it never reached a caller, but the refusal cut the connection as a failed write.

Fix: a final answer that finds the stream started ends it, by the same close as a request that is given up (ANSWER_CUT cause=GAVE_UP), with nothing sent to the encoder. The stream can't go on: its time is over and its attempt was cancelled in the same step.

Test: CallerConnectionTests#ownAnswerThatCrossesTheStartOfTheStreamEndsTheStream, red before (ANSWER_CUT cause=WRITE_FAILED parts=2, with "unexpected message type: DefaultFullHttpResponse, state: 2"), green now. The crossing itself was not played over sockets.

--- a/src/main/java/sycamorehill/entry/CallerExchange.java
+++ b/src/main/java/sycamorehill/entry/CallerExchange.java
@@ -186,7 +186,14 @@
 				Unpooled.copiedBuffer(detail + "\n", CharsetUtil.UTF_8));
 	}
 
+	// A final answer that was decided while the start of the stream was on its way to the
+	// decisions can't be sent any more. The caller must not take the stream for complete.
 	private void finishWithFullAnswer(HttpResponseStatus status, HttpHeaders headers, ByteBuf body) {
+		if (this.streamStarted) {
+			body.release();
+			abortAnswer();
+			return;
+		}
 		headers.set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
 		finish();
 		this.callerConnection.finish(
--- a/src/test/java/sycamorehill/entry/CallerConnectionTests.java
+++ b/src/test/java/sycamorehill/entry/CallerConnectionTests.java
@@ -5,11 +5,14 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Random;
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
@@ -35,8 +38,10 @@
 	private final EntryMetrics metrics = EntryMetrics
 		.of(EntryReducer.of(ServingSamples.settings("one"), "one#1", new Random(1), Instant.EPOCH));
 
+	private final ExchangeRegistry exchanges = ExchangeRegistry.create();
+
 	private final CallerServer server = CallerServer.of(null, PlatformTestCodec.create(), this.events::add,
-			ExchangeRegistry.create(), AnswerCutLog.of(this.metrics));
+			this.exchanges, AnswerCutLog.of(this.metrics));
 
 	private final CallerConnection connection = CallerConnection.of(this.server, CallerLimits.INITIAL);
 
@@ -70,6 +75,25 @@
 		assertCut("cut-unwritable", CutCause.WRITE_FAILED);
 	}
 
+	// The time limit and the start of the stream cross: the node's own answer is written
+	// within the stream.
+	@Test
+	void ownAnswerThatCrossesTheStartOfTheStreamEndsTheStream() throws Exception {
+		EmbeddedChannel channel = open("cut-crossed");
+		CallerExchange exchange = this.exchanges.find(1, CallerExchange.class).orElseThrow();
+		HttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+		exchange.startStream(head, PlatformTestCodec.create().readTargetResponse(head));
+		exchange.forwardEvent(Unpooled.copiedBuffer("data: e1\n\n", StandardCharsets.ISO_8859_1), OptionalLong.of(1));
+		exchange.flush();
+		exchange.answerLocally(504, "no answer in time", Optional.empty());
+		channel.runPendingTasks();
+		assertThat(channel.isOpen()).isFalse();
+		assertThat(RecordedLog.await("ANSWER_CUT", "request=cut-crossed ")).singleElement()
+			.asString()
+			.contains("cause=GAVE_UP parts=1 ");
+		assertThat(RecordedLog.lines("REQUEST_FAILED", "requests=cut-crossed ")).isEmpty();
+	}
+
 	// An error of the process ends the answer, and the line says that the caller left.
 	@Test
 	void answerWhoseConnectionFailsIsReported() throws Exception {
