Log and count each answer to another node that a node cuts

What the logs lacked: a node that closes the connection over which another node has sent a request (faulty frame, write that can't be encoded, answer not taken, end of a stopping process) named neither the request nor the node. The origin logs the end of its attempt with a cause, but not which end closed.

ProxyChannel now tells its listener whether this end closed it. The serving end writes ANSWER_CUT with the request, the cause, parts, bytes, age and `to=NODE`, and counts `proxied-answers.cut.CAUSE`. A connection that the other node or the network closes has no line.

Tests: ProxyServerConnectionTests, the causes CONNECTION_FAILED, IDLE_TIMER and DRAIN_BOUND with request, node and count, and none where the other node left or had its answer whole.

--- a/src/main/java/sycamorehill/entry/AnswerCutLog.java
+++ b/src/main/java/sycamorehill/entry/AnswerCutLog.java
@@ -26,7 +26,18 @@
 	 */
 	void recordCallerCut(UnwrittenAnswer answer, CutCause cause) {
 		EventLog.write(LogLine.of(LogEvent.ANSWER_CUT, answer.describeCut(cause) + " to=caller"));
-		this.metrics.countCutAnswer(cause);
+		this.metrics.countCutAnswer("answers", cause);
+	}
+
+	/**
+	 * Records an answer to a request of another node that was cut.
+	 * @param answer the answer
+	 * @param cause why the connection is closed
+	 * @param node name of the other node
+	 */
+	void recordNodeCut(UnwrittenAnswer answer, CutCause cause, String node) {
+		EventLog.write(LogLine.of(LogEvent.ANSWER_CUT, answer.describeCut(cause) + " to=" + node));
+		this.metrics.countCutAnswer("proxied-answers", cause);
 	}
 
 }
--- a/src/main/java/sycamorehill/entry/EntryMetrics.java
+++ b/src/main/java/sycamorehill/entry/EntryMetrics.java
@@ -73,11 +73,12 @@
 	}
 
 	/**
-	 * Counts an answer to a caller that this node broke off.
+	 * Counts an answer that this node broke off.
+	 * @param kind first part of the name of the metric
 	 * @param cause why its connection was closed
 	 */
-	void countCutAnswer(CutCause cause) {
-		this.registry.counter("answers.cut." + cause).inc();
+	void countCutAnswer(String kind, CutCause cause) {
+		this.registry.counter(kind + ".cut." + cause).inc();
 	}
 
 	/**
--- a/src/main/java/sycamorehill/entry/EntryNode.java
+++ b/src/main/java/sycamorehill/entry/EntryNode.java
@@ -107,9 +107,9 @@
 		this.exchangeEffects = ExchangeEffects.of(exchanges, this.targetConnections, this.proxyConnections,
 				this.streamMonitor, this.ports.codec(), this);
 		this.metrics = EntryMetrics.of(this.reducer);
-		this.callerServer = CallerServer.of(this.loop, this.ports.codec(), this, exchanges,
-				AnswerCutLog.of(this.metrics));
-		this.proxyServer = ProxyServer.of(this.loop, exchanges, this, this.reducer::isNodeHost);
+		AnswerCutLog cutLog = AnswerCutLog.of(this.metrics);
+		this.callerServer = CallerServer.of(this.loop, this.ports.codec(), this, exchanges, cutLog);
+		this.proxyServer = ProxyServer.of(this.loop, exchanges, this, this.reducer::isNodeHost, cutLog);
 		this.messenger = NodeMessenger.of(this.loop, this);
 		this.readinessServer = PageServer.of(this.loop, this::readinessPage);
 		this.metricsServer = PageServer.of(this.loop, this::metricsPage);
@@ -401,6 +401,7 @@
 		boolean deadlineReached = since.compareTo(this.settings.stopTime().minus(KILL_MARGIN)) > 0;
 		if (deadlineReached) {
 			this.callerServer.reportUnfinished();
+			this.proxyServer.reportUnfinished();
 		}
 		if (deadlineReached || (!this.callerServer.hasCallers() && !this.proxyServer.hasRequests())) {
 			EventLog.write(LogLine.of(LogEvent.REQUESTS_DRAINED,
--- a/src/main/java/sycamorehill/entry/ProxiedExchange.java
+++ b/src/main/java/sycamorehill/entry/ProxiedExchange.java
@@ -40,6 +40,8 @@
 
 	private final TimeLimit timeLimit = TimeLimit.since(System.nanoTime());
 
+	private final UnwrittenAnswer answer;
+
 	private Attempt attempt;
 
 	private boolean streamStarted;
@@ -54,6 +56,8 @@
 		this.completion = completion;
 		this.body = Unpooled.buffer(received.bodyBytes());
 		this.streamStarted = received.request().answerStarted();
+		this.answer = UnwrittenAnswer.of(System.nanoTime());
+		this.answer.identify(received.request().identifier());
 		HttpHeaders headers = new DefaultHttpHeaders(false);
 		received.headers().forEach((header) -> headers.add(header.name(), header.value()));
 		this.request = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.valueOf(received.method()),
@@ -81,6 +85,10 @@
 		return this.received.bodyBytes() - this.body.readableBytes();
 	}
 
+	UnwrittenAnswer answer() {
+		return this.answer;
+	}
+
 	ProxyFrame.Request received() {
 		return this.received;
 	}
@@ -213,6 +221,7 @@
 		if (!this.finished) {
 			byte[] bytes = new byte[event.readableBytes()];
 			event.readBytes(bytes);
+			this.answer.countBytes(bytes.length);
 			this.connection.write(new ProxyFrame.Event(eventNumber, bytes));
 		}
 		event.release();
@@ -236,18 +245,19 @@
 	}
 
 	@Override
-	public void deliver(HttpResponse head, ByteBuf answer) {
+	public void deliver(HttpResponse head, ByteBuf content) {
 		if (!this.finished) {
+			this.answer.countBytes(content.readableBytes());
 			sendHead(head, false);
-			this.connection.writeBody(answer);
+			this.connection.writeBody(content);
 			this.connection.flush();
 		}
-		answer.release();
+		content.release();
 	}
 
 	@Override
-	public void holdFailure(HttpResponse head, ByteBuf answer) {
-		deliver(head, answer);
+	public void holdFailure(HttpResponse head, ByteBuf content) {
+		deliver(head, content);
 	}
 
 }
--- a/src/main/java/sycamorehill/entry/ProxyAttempt.java
+++ b/src/main/java/sycamorehill/entry/ProxyAttempt.java
@@ -258,7 +258,7 @@
 	}
 
 	@Override
-	public void handleClosed(String cause) {
+	public void handleClosed(String cause, boolean closedHere) {
 		handleLost(cause);
 	}
 
--- a/src/main/java/sycamorehill/entry/ProxyChannel.java
+++ b/src/main/java/sycamorehill/entry/ProxyChannel.java
@@ -119,12 +119,12 @@
 		try {
 			this.context.write(Unpooled.wrappedBuffer(this.codec.write(frame))).addListener((written) -> {
 				if (!written.isSuccess()) {
-					fail("write failed: " + written.cause().getMessage());
+					fail("write failed: " + written.cause().getMessage(), !(written.cause() instanceof IOException));
 				}
 			});
 		}
 		catch (IOException ex) {
-			fail("a frame can't be encoded: " + ex.getMessage());
+			fail("a frame can't be encoded: " + ex.getMessage(), true);
 		}
 	}
 
@@ -173,7 +173,7 @@
 
 	@Override
 	public void channelInactive(ChannelHandlerContext ctx) {
-		fail("connection closed");
+		fail("connection closed", false);
 		ctx.fireChannelInactive();
 	}
 
@@ -183,21 +183,21 @@
 			failUnreadable(cause);
 		}
 		else {
-			fail(String.valueOf(cause.getMessage()));
+			fail(String.valueOf(cause.getMessage()), !(cause instanceof IOException));
 		}
 	}
 
 	private void failUnreadable(Throwable cause) {
 		EventLog.write(LogLine.of(LogEvent.NODE_MESSAGE_UNREADABLE,
 				"frame from=" + this.context.channel().remoteAddress() + " cause='" + cause + "'"));
-		fail("not a frame: " + cause);
+		fail("not a frame: " + cause, true);
 	}
 
-	private void fail(String cause) {
+	private void fail(String cause, boolean closedHere) {
 		Listener notified = this.listener;
 		close();
 		if (notified != null) {
-			notified.handleClosed(cause);
+			notified.handleClosed(cause, closedHere);
 		}
 	}
 
@@ -215,8 +215,10 @@
 		/**
 		 * Handles the end of the connection.
 		 * @param cause the description of the failure
+		 * @param closedHere whether this end closed it, rather than the other end or the
+		 * network
 		 */
-		void handleClosed(String cause);
+		void handleClosed(String cause, boolean closedHere);
 
 		/**
 		 * Handles a change of the room for unsent bytes.
--- a/src/main/java/sycamorehill/entry/ProxyServer.java
+++ b/src/main/java/sycamorehill/entry/ProxyServer.java
@@ -47,18 +47,23 @@
 
 	private final Predicate<String> isNodeHost;
 
+	private final AnswerCutLog cutLog;
+
 	private final Set<ProxyServerConnection> connections = new HashSet<>();
 
+	private boolean unfinishedReported;
+
 	private int requests;
 
 	private int bodyBytes;
 
 	private ProxyServer(EventLoop loop, ExchangeRegistry exchanges, EntryEventSink eventSink,
-			Predicate<String> isNodeHost) {
+			Predicate<String> isNodeHost, AnswerCutLog cutLog) {
 		this.loop = loop;
 		this.exchanges = exchanges;
 		this.eventSink = eventSink;
 		this.isNodeHost = isNodeHost;
+		this.cutLog = cutLog;
 	}
 
 	/**
@@ -67,11 +72,12 @@
 	 * @param exchanges registers the requests
 	 * @param eventSink receives the requests
 	 * @param isNodeHost tells whether a host is that of a known node
+	 * @param cutLog records the answers that are broken off
 	 * @return the server
 	 */
 	static ProxyServer of(EventLoop loop, ExchangeRegistry exchanges, EntryEventSink eventSink,
-			Predicate<String> isNodeHost) {
-		return new ProxyServer(loop, exchanges, eventSink, isNodeHost);
+			Predicate<String> isNodeHost, AnswerCutLog cutLog) {
+		return new ProxyServer(loop, exchanges, eventSink, isNodeHost, cutLog);
 	}
 
 	void start(Address address) throws InterruptedException {
@@ -126,6 +132,10 @@
 		return this.exchanges;
 	}
 
+	AnswerCutLog cutLog() {
+		return this.cutLog;
+	}
+
 	EntryEventSink eventSink() {
 		return this.eventSink;
 	}
@@ -138,6 +148,14 @@
 		return this.requests > 0 || this.connections.stream().anyMatch(ProxyServerConnection::hasUnsentBytes);
 	}
 
+	/** Reports once the answers that the end of the process breaks off. */
+	void reportUnfinished() {
+		if (!this.unfinishedReported) {
+			this.unfinishedReported = true;
+			this.connections.forEach(ProxyServerConnection::reportUnfinished);
+		}
+	}
+
 	/** Closes connections that have been idle for too long. */
 	void closeExpired() {
 		long now = System.nanoTime();
--- a/src/main/java/sycamorehill/entry/ProxyServerConnection.java
+++ b/src/main/java/sycamorehill/entry/ProxyServerConnection.java
@@ -115,10 +115,13 @@
 	}
 
 	@Override
-	public void handleClosed(String cause) {
+	public void handleClosed(String cause, boolean closedHere) {
 		if (this.exchange == null || this.exchange.isFinished()) {
 			return;
 		}
+		if (closedHere) {
+			reportCut(CutCause.CONNECTION_FAILED);
+		}
 		if (this.started) {
 			this.exchange.handleOriginDisconnected(this.server.eventSink());
 		}
@@ -146,8 +149,25 @@
 			this.idleSinceNanos = nowNanos;
 		}
 		else if (nowNanos - this.idleSinceNanos > MAXIMUM_IDLE_TIME.toNanos()) {
+			if (hasUnsentBytes()) {
+				reportCut(CutCause.IDLE_TIMER);
+			}
 			this.connection.close();
-			handleClosed("idle");
+			handleClosed("idle", false);
+		}
+	}
+
+	/** Reports the answer that the end of the process breaks off, if there is one. */
+	void reportUnfinished() {
+		if (this.exchange != null && (!this.exchange.isFinished() || hasUnsentBytes())) {
+			reportCut(CutCause.DRAIN_BOUND);
+		}
+	}
+
+	private void reportCut(CutCause cause) {
+		if (this.exchange != null) {
+			this.server.cutLog()
+				.recordNodeCut(this.exchange.answer(), cause, this.exchange.received().request().origin());
 		}
 	}
 
--- a/src/main/java/sycamorehill/entry/UnwrittenAnswer.java
+++ b/src/main/java/sycamorehill/entry/UnwrittenAnswer.java
@@ -49,11 +49,19 @@
 	 */
 	void countPart(Object message) {
 		if (message instanceof HttpContent content && content.content().isReadable()) {
-			this.parts++;
-			this.bytes += content.content().readableBytes();
+			countBytes(content.content().readableBytes());
 		}
 	}
 
+	/**
+	 * Counts a part of the answer that is handed to the socket.
+	 * @param partBytes its bytes
+	 */
+	void countBytes(int partBytes) {
+		this.parts++;
+		this.bytes += partBytes;
+	}
+
 	/**
 	 * Describes the answer in a log line.
 	 * @param cause why the connection is closed
--- a/src/test/java/sycamorehill/entry/ProxyServerConnectionTests.java
+++ b/src/test/java/sycamorehill/entry/ProxyServerConnectionTests.java
@@ -20,6 +20,7 @@
 import sycamorehill.model.serving.CallerLimits;
 import sycamorehill.model.serving.ProxiedRequest;
 import sycamorehill.model.serving.RequestKind;
+import sycamorehill.support.RecordedLog;
 import sycamorehill.support.ServingSamples;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -85,9 +86,7 @@
 	// A node that stops exits while the other node has not received the whole answer.
 	@Test
 	void aStoppingNodeWaitsUntilTheOtherNodeHasTheWholeAnswer() throws Exception {
-		this.node = CallerNode.start(CallerLimits.INITIAL,
-				(request) -> "HTTP/1.1 200 OK\r\nAttempt-Id: slow\r\nServer-Signature: s\r\nContent-Length: "
-						+ LARGE_ANSWER_BYTES + "\r\n\r\n" + "x".repeat(LARGE_ANSWER_BYTES));
+		this.node = CallerNode.start(CallerLimits.INITIAL, ProxyServerConnectionTests::largeAnswer);
 		try (Socket socket = connect()) {
 			send(socket, "slow");
 			Thread.sleep(300);
@@ -118,6 +117,71 @@
 		}
 	}
 
+	private static String largeAnswer(String request) {
+		return "HTTP/1.1 200 OK\r\nAttempt-Id: " + LoopbackCluster.identifier(request)
+				+ "\r\nServer-Signature: s\r\nContent-Length: " + LARGE_ANSWER_BYTES + "\r\n\r\n"
+				+ "x".repeat(LARGE_ANSWER_BYTES);
+	}
+
+	private void assertCut(String identifier, CutCause cause) throws Exception {
+		assertThat(RecordedLog.await("SYC-1914 ANSWER_CUT", "request=" + identifier + ' ')).singleElement()
+			.asString()
+			.contains("cause=" + cause + ' ', "to=two");
+		assertThat(this.node.metrics()).contains("proxied_answers_cut_" + cause + " 1.0");
+	}
+
+	// A connection that is closed for a faulty frame takes a running request with it.
+	@Test
+	void anAnswerWhoseConnectionIsClosedForAFaultyFrameIsReported() throws Exception {
+		this.node = CallerNode.start(CallerLimits.INITIAL, (request) -> "HTTP/1.1 200 OK\r\n");
+		try (Socket socket = connect()) {
+			send(socket, "node-faulty");
+			Thread.sleep(300);
+			socket.getOutputStream().write(new byte[] { 0, 0, 0, 1, 0 });
+			assertCut("node-faulty", CutCause.CONNECTION_FAILED);
+		}
+	}
+
+	// A node that takes nothing of an answer loses it without a line.
+	@Test
+	void anAnswerThatTheOtherNodeDoesNotTakeIsReportedAtTheIdleTimeout() throws Exception {
+		this.node = CallerNode.start(CallerLimits.INITIAL, ProxyServerConnectionTests::largeAnswer);
+		try (Socket socket = connect()) {
+			send(socket, "node-untaken");
+			Thread.sleep(LONG_ANSWER_TIME.toMillis());
+			assertCut("node-untaken", CutCause.IDLE_TIMER);
+		}
+	}
+
+	// A stopping node exits with requests of other nodes in flight, and names none.
+	@Test
+	void anAnswerInFlightAtTheBoundOfAStopIsReported() throws Exception {
+		this.node = CallerNode.start(CallerLimits.INITIAL, (request) -> "HTTP/1.1 200 OK\r\n");
+		try (Socket socket = connect()) {
+			send(socket, "node-bound");
+			Thread.sleep(300);
+			this.node.node().stop();
+			this.node.node().whenStopped().get(10, TimeUnit.SECONDS);
+			assertCut("node-bound", CutCause.DRAIN_BOUND);
+		}
+	}
+
+	// A node that leaves must not look like one that was cut off.
+	@Test
+	void aNodeThatLeavesOrHasItsAnswerIsNotReported() throws Exception {
+		this.node = CallerNode.start(CallerLimits.INITIAL,
+				(request) -> LoopbackCluster.identifier(request).equals("node-left") ? "HTTP/1.1 200 OK\r\n"
+						: LoopbackCluster.hello(request));
+		try (Socket socket = connect()) {
+			send(socket, "node-whole");
+			readToEnd(socket);
+			send(socket, "node-left");
+			Thread.sleep(300);
+		}
+		Thread.sleep(300);
+		assertThat(this.node.metrics()).doesNotContain("answers_cut");
+	}
+
 	private static void sleep(Duration time) {
 		try {
 			Thread.sleep(time.toMillis());
