--- a/src/main/java/sycamorehill/entry/EntryNode.java
+++ b/src/main/java/sycamorehill/entry/EntryNode.java
@@ -115,9 +115,9 @@
 				this.streamMonitor, this.ports.codec(), this);
 		this.guard = LoopGuard.of(this.clock, this::stopAfterErrors);
 		this.metrics = EntryMetrics.of(this.reducer, this.guard);
-		this.callerServer = CallerServer.of(this.loop, this.ports.codec(), this, this.exchanges,
-				AnswerCutLog.of(this.metrics));
-		this.proxyServer = ProxyServer.of(this.loop, this.exchanges, this, this.reducer::isNodeHost);
+		AnswerCutLog cutLog = AnswerCutLog.of(this.metrics);
+		this.callerServer = CallerServer.of(this.loop, this.ports.codec(), this, this.exchanges, cutLog);
+		this.proxyServer = ProxyServer.of(this.loop, this.exchanges, this, this.reducer::isNodeHost, cutLog);
 		this.messenger = NodeMessenger.of(this.loop, this);
 		this.registration = NodeRegistration.of(this.ports.nodeRegistry(), settings.toNodeRecord(), this.incarnation,
 				this.loop, (nodes) -> processEvent(new EntryEvent.NodesListed(nodes)));
--- a/src/main/java/sycamorehill/entry/PlannedStop.java
+++ b/src/main/java/sycamorehill/entry/PlannedStop.java
@@ -105,6 +105,7 @@
 		boolean boundReached = since.compareTo(this.settings.stopTime().minus(KILL_MARGIN)) > 0;
 		if (boundReached) {
 			this.callerServer.reportUnfinished();
+			this.proxyServer.reportUnfinished();
 		}
 		if (boundReached || (!this.callerServer.hasCallers() && !this.proxyServer.hasRequests())) {
 			finish(since);
--- a/src/main/java/sycamorehill/entry/ProxyServerConnection.java
+++ b/src/main/java/sycamorehill/entry/ProxyServerConnection.java
@@ -29,7 +29,7 @@
 
 	private boolean started;
 
-	private long lastFrameNanos = System.nanoTime();
+	private long idleSinceNanos = System.nanoTime();
 
 	private ProxyServerConnection(ProxyServer server, ProxyChannel connection) {
 		this.server = server;
@@ -42,7 +42,7 @@
 
 	@Override
 	public void handleFrame(ProxyFrame frame) {
-		this.lastFrameNanos = System.nanoTime();
+		this.idleSinceNanos = System.nanoTime();
 		if (frame instanceof ProxyFrame.Request request && isIdle()) {
 			startRequest(request);
 		}
@@ -115,10 +115,13 @@
 	}
 
 	@Override
-	public void handleClosed(String cause) {
+	public void handleClosed(String cause, boolean closedHere) {
 		if (this.exchange == null || this.exchange.isFinished()) {
 			return;
 		}
+		if (closedHere) {
+			reportCut(CutCause.CONNECTION_FAILED);
+		}
 		if (this.started) {
 			this.exchange.handleOriginDisconnected(this.server.eventSink());
 		}
@@ -134,11 +137,37 @@
 		}
 	}
 
+	boolean hasUnsentBytes() {
+		return this.connection.hasUnsentBytes();
+	}
+
+	// The time of a running request is not idle, or a connection would be closed as soon
+	// as a long answer has ended: with its last frames unsent, or the next request on its
+	// way.
 	void closeIfExpired(long nowNanos) {
-		boolean running = this.started && !this.exchange.isFinished();
-		if (!running && nowNanos - this.lastFrameNanos > MAXIMUM_IDLE_TIME.toNanos()) {
+		if (this.started && !this.exchange.isFinished()) {
+			this.idleSinceNanos = nowNanos;
+		}
+		else if (nowNanos - this.idleSinceNanos > MAXIMUM_IDLE_TIME.toNanos()) {
+			if (hasUnsentBytes()) {
+				reportCut(CutCause.IDLE_TIMER);
+			}
 			this.connection.close();
-			handleClosed("idle");
+			handleClosed("idle", false);
+		}
+	}
+
+	/** Reports the answer that the end of the process breaks off, if there is one. */
+	void reportUnfinished() {
+		if (this.exchange != null && (!this.exchange.isFinished() || hasUnsentBytes())) {
+			reportCut(CutCause.DRAIN_BOUND);
+		}
+	}
+
+	private void reportCut(CutCause cause) {
+		if (this.exchange != null) {
+			this.server.cutLog()
+				.recordNodeCut(this.exchange.answer(), cause, this.exchange.received().request().origin());
 		}
 	}
 
