Bound what slow callers and unfinished bodies take of a node's memory

What callers saw: with 300 callers that didn't read their streams beside 85 that did, a node cut all 85 streams, and its event loop was held up again and again (the run took 68 s instead of 10, 11 looks at its metrics failed). Nothing but "a caller's connection failed cause='null'", 5,649 times, and "Cannot reserve N bytes of direct buffer memory" told it. With 100 unfinished bodies of 1 MiB the direct memory was full as well: the loop was held up for seconds (32 s instead of 10; 46 connections failed; the store was lost four times).

Cause: 256 KB unsent bytes for each slow caller, and up to 1 MB read from its target in one pass; bodies of all callers without a limit together, in direct buffers; 64 MiB of direct memory though 430 MB are there. At the limit the virtual machine collects the whole heap and waits up to 0.5 s for each allocation, on the event loop; then Netty closes the connection that reads.

Direct memory, buffers and metaspace stand in the metrics.

Not bounded: answers held whole, 16 MiB each.

--- a/src/main/java/sycamorehill/entry/CallerConnection.java
+++ b/src/main/java/sycamorehill/entry/CallerConnection.java
@@ -50,12 +50,22 @@
 	 */
 	private static final int MAXIMUM_WAITING_MESSAGES = 64;
 
+	/** Size of their contents at which reading stops as well. */
+	private static final int MAXIMUM_WAITING_BYTES = 64 * 1024;
+
+	private static final int INITIAL_BODY_BYTES = 256;
+
+	/** Time after which a caller may retry that is refused for lack of memory. */
+	private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
+
 	private final CallerServer server;
 
 	private final CallerLimits limits;
 
 	private final Queue<Object> waitingMessages = new ArrayDeque<>();
 
+	private int waitingBytes;
+
 	private ChannelHandlerContext context;
 
 	private ScheduledFuture<?> timer;
@@ -131,15 +141,22 @@
 			return;
 		}
 		if (this.exchange != null) {
-			this.waitingMessages.add(message);
-			if (this.waitingMessages.size() > MAXIMUM_WAITING_MESSAGES) {
-				ctx.channel().config().setAutoRead(false);
-			}
+			addWaiting(message);
 			return;
 		}
 		handleMessage(message);
 	}
 
+	private void addWaiting(Object message) {
+		this.waitingMessages.add(message);
+		if (message instanceof HttpContent content) {
+			this.waitingBytes += content.content().readableBytes();
+		}
+		if (this.waitingMessages.size() > MAXIMUM_WAITING_MESSAGES || this.waitingBytes > MAXIMUM_WAITING_BYTES) {
+			this.context.channel().config().setAutoRead(false);
+		}
+	}
+
 	private void handleMessage(Object message) {
 		try {
 			if (message instanceof HttpObject object && object.decoderResult().isFailure()) {
@@ -173,7 +190,7 @@
 			return;
 		}
 		this.request = head;
-		this.body = this.context.alloc().buffer(256);
+		this.body = Unpooled.buffer(INITIAL_BODY_BYTES);
 		startTimer(this.limits.idleTimeout(),
 				() -> refuse(HttpResponseStatus.REQUEST_TIMEOUT, "the body took too long"));
 		if (HttpUtil.is100ContinueExpected(head)) {
@@ -187,6 +204,10 @@
 			refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large");
 			return;
 		}
+		if (!this.server.reserveBody(content.content().readableBytes())) {
+			refuse(HttpResponseStatus.SERVICE_UNAVAILABLE, "the node holds too many bytes of bodies");
+			return;
+		}
 		this.body.writeBytes(content.content());
 		if (content instanceof LastHttpContent) {
 			completeRequest();
@@ -224,12 +245,16 @@
 				Unpooled.copiedBuffer(detail + "\n", StandardCharsets.UTF_8));
 		response.headers().set(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes());
 		response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+		if (status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)) {
+			response.headers().set(HttpHeaderNames.RETRY_AFTER, RETRY_AFTER.toSeconds());
+		}
 		closeAfter(response);
 	}
 
 	private void releaseBody() {
 		this.request = null;
 		if (this.body != null) {
+			this.server.releaseBody(this.body.readableBytes());
 			this.body.release();
 			this.body = null;
 		}
@@ -295,6 +320,7 @@
 	private void processWaitingMessages() {
 		List<Object> messages = List.copyOf(this.waitingMessages);
 		this.waitingMessages.clear();
+		this.waitingBytes = 0;
 		this.context.channel().config().setAutoRead(true);
 		for (Object message : messages) {
 			channelRead(this.context, message);
--- a/src/main/java/sycamorehill/entry/CallerExchange.java
+++ b/src/main/java/sycamorehill/entry/CallerExchange.java
@@ -36,6 +36,8 @@
 
 	private final ByteBuf requestBody;
 
+	private final int bodyBytes;
+
 	private final CallerRequestHead caller;
 
 	private final TimeLimit timeLimit;
@@ -66,6 +68,7 @@
 		this.callerConnection = connection;
 		this.request = request;
 		this.requestBody = requestBody;
+		this.bodyBytes = requestBody.readableBytes();
 		this.caller = caller;
 		this.timeLimit = TimeLimit.since(arrivedNanos);
 		this.codec = codec;
@@ -96,6 +99,10 @@
 		return this.requestBody.retainedDuplicate();
 	}
 
+	int bodyBytes() {
+		return this.bodyBytes;
+	}
+
 	@Override
 	public Optional<String> resumeAfter() {
 		return this.lastEventNumber.isPresent() ? Optional.of(String.valueOf(this.lastEventNumber.getAsLong()))
--- a/src/main/java/sycamorehill/entry/CallerServer.java
+++ b/src/main/java/sycamorehill/entry/CallerServer.java
@@ -38,8 +38,12 @@
 
 	/**
 	 * Unsent bytes of an answer to a slow caller at which reading from the target pauses.
+	 * Each descriptor that a machine may open can be such a caller's.
 	 */
-	private static final int MAXIMUM_UNSENT_BYTES = 256 * 1024;
+	private static final int MAXIMUM_UNSENT_BYTES = 32 * 1024;
+
+	/** Maximum total size of the bodies of all callers' requests. */
+	static final int MAXIMUM_BODY_BYTES = 32 * 1024 * 1024;
 
 	private final EventLoop loop;
 
@@ -55,6 +59,8 @@
 
 	private boolean stopping;
 
+	private int bodyBytes;
+
 	private CallerServer(EventLoop loop, ExchangeCodec codec, EntryEventSink eventSink, ExchangeRegistry exchanges) {
 		this.loop = loop;
 		this.codec = codec;
@@ -117,7 +123,25 @@
 		this.limits = newLimits;
 	}
 
+	/**
+	 * Reserves memory for a part of a body.
+	 * @param bytes size of the part
+	 * @return false if the bodies of all callers would become too large
+	 */
+	boolean reserveBody(int bytes) {
+		if (bytes > MAXIMUM_BODY_BYTES - this.bodyBytes) {
+			return false;
+		}
+		this.bodyBytes += bytes;
+		return true;
+	}
+
+	void releaseBody(int bytes) {
+		this.bodyBytes -= bytes;
+	}
+
 	void removeExchange(CallerExchange exchange) {
+		releaseBody(exchange.bodyBytes());
 		this.exchanges.remove(exchange);
 	}
 
--- a/src/main/java/sycamorehill/entry/EntryMetrics.java
+++ b/src/main/java/sycamorehill/entry/EntryMetrics.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.io.StringWriter;
 import java.io.UncheckedIOException;
+import java.lang.management.BufferPoolMXBean;
 import java.lang.management.ManagementFactory;
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
@@ -27,6 +28,10 @@
  */
 final class EntryMetrics {
 
+	private static final String DIRECT_BUFFERS = "direct";
+
+	private static final String METASPACE = "Metaspace";
+
 	private final MetricRegistry registry = new MetricRegistry();
 
 	private final CollectorRegistry collectors = new CollectorRegistry();
@@ -43,6 +48,7 @@
 		gauge("loop.failures", guard::failures);
 		gauge("loop.unlogged-failures", guard::unloggedFailures);
 		gauge("process.heap-used-bytes", () -> ManagementFactory.getMemoryMXBean().getHeapMemoryUsage().getUsed());
+		registerMemory();
 		new DropwizardExports(this.registry).register(this.collectors);
 	}
 
@@ -50,6 +56,20 @@
 		return new EntryMetrics(reducer, guard);
 	}
 
+	private void registerMemory() {
+		ManagementFactory.getPlatformMXBeans(BufferPoolMXBean.class)
+			.stream()
+			.filter((pool) -> DIRECT_BUFFERS.equals(pool.getName()))
+			.forEach((pool) -> {
+				gauge("process.direct-used-bytes", pool::getMemoryUsed);
+				gauge("process.direct-buffers", pool::getCount);
+			});
+		ManagementFactory.getMemoryPoolMXBeans()
+			.stream()
+			.filter((pool) -> METASPACE.equals(pool.getName()))
+			.forEach((pool) -> gauge("process.metaspace-used-bytes", () -> pool.getUsage().getUsed()));
+	}
+
 	private void gauge(String name, DoubleSupplier value) {
 		this.registry.register(name, (Gauge<Double>) value::getAsDouble);
 	}
--- a/src/main/java/sycamorehill/entry/ProxyServer.java
+++ b/src/main/java/sycamorehill/entry/ProxyServer.java
@@ -37,7 +37,7 @@
 	/**
 	 * Unsent bytes of an answer to a slow node at which reading from the target pauses.
 	 */
-	private static final int MAXIMUM_UNSENT_BYTES = 256 * 1024;
+	private static final int MAXIMUM_UNSENT_BYTES = 32 * 1024;
 
 	private final EventLoop loop;
 
--- a/src/main/java/sycamorehill/entry/TargetConnectionPool.java
+++ b/src/main/java/sycamorehill/entry/TargetConnectionPool.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
@@ -38,6 +39,18 @@
 	/** Number of idle connections kept for one target; only bursts need more. */
 	private static final int MAXIMUM_IDLE_CONNECTIONS = 12;
 
+	private static final int MINIMUM_READ_BYTES = 64;
+
+	private static final int INITIAL_READ_BYTES = 2048;
+
+	/**
+	 * Bytes of one read, and reads of a connection in one pass of the event loop: what
+	 * they bring is held even if the caller has stopped reading.
+	 */
+	private static final int MAXIMUM_READ_BYTES = 16 * 1024;
+
+	private static final int READS_PER_PASS = 4;
+
 	private final EventLoop loop;
 
 	private final Bootstrap bootstrap;
@@ -51,6 +64,9 @@
 		this.bootstrap = new Bootstrap().group(loop)
 			.channel(NioSocketChannel.class)
 			.option(ChannelOption.TCP_NODELAY, true)
+			.option(ChannelOption.RCVBUF_ALLOCATOR,
+					new AdaptiveRecvByteBufAllocator(MINIMUM_READ_BYTES, INITIAL_READ_BYTES, MAXIMUM_READ_BYTES)
+						.maxMessagesPerRead(READS_PER_PASS))
 			.handler(new ChannelInitializer<Channel>() {
 				@Override
 				protected void initChannel(Channel channel) {
--- a/src/test/java/sycamorehill/entry/EntryNodeTests.java
+++ b/src/test/java/sycamorehill/entry/EntryNodeTests.java
@@ -11,6 +11,7 @@
 import java.time.Clock;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
@@ -222,6 +223,33 @@
 		assertThat(this.target.requests()).isEmpty();
 	}
 
+	// Many callers send large bodies at once, each within its own limit: the node must
+	// refuse some of them instead of running out of memory, which would cut all streams.
+	@Test
+	void bodiesOfAllCallersTogetherAreLimited() throws Exception {
+		start((request) -> SIGNED_ANSWER);
+		int length = 4 * 1024 * 1024;
+		List<Socket> callers = new ArrayList<>();
+		int held = CallerServer.MAXIMUM_BODY_BYTES / length;
+		for (int number = 0; number < held; number++) {
+			callers.add(connect());
+			callers.get(number)
+				.getOutputStream()
+				.write(request("POST", "/once/x", "Content-Length: " + length + "\r\n\r\n" + "x".repeat(length - 1))
+					.getBytes(StandardCharsets.ISO_8859_1));
+		}
+		Thread.sleep(500);
+		assertThat(ask(request("POST", "/once/x", "Content-Length: 1000\r\n\r\n" + "x".repeat(1000))))
+			.startsWith("HTTP/1.1 503")
+			.containsPattern("(?i)retry-after: 1");
+		for (Socket caller : callers) {
+			caller.close();
+		}
+		Thread.sleep(300);
+		assertThat(ask(request("POST", "/once/x", "Content-Length: 1000\r\n\r\n" + "x".repeat(1000))))
+			.startsWith("HTTP/1.1 200");
+	}
+
 	// The answer to another request arrives instead of the expected one: the caller must
 	// not get it, and must not be told that its order did not run.
 	@Test
