Parse only the newest of the configurations that wait

Change: a text is parsed in a task behind the messages that were read already; of those that wait only the one with the highest version is kept.

The new effect field is the version; StoreRelayTests names it, as strict as before.

--- a/src/main/java/sycamorehill/entry/EntryNode.java
+++ b/src/main/java/sycamorehill/entry/EntryNode.java
@@ -94,6 +94,8 @@
 
 	private final LoopGuard guard;
 
+	private final WaitingConfiguration waitingConfiguration;
+
 	private boolean ready;
 
 	private final NodeMessenger messenger;
@@ -123,6 +125,8 @@
 		this.proxyServer = ProxyServer.of(this.loop, exchanges, this, this.reducer::isNodeHost);
 		this.messenger = NodeMessenger.of(this.loop, this);
 		this.guard = LoopGuard.of(this.clock, this::stopAfterErrors);
+		this.waitingConfiguration = WaitingConfiguration.of(this.loop, (parse) -> this.guard.run(LogEvent.EFFECT_FAILED,
+				"parsing a configuration", () -> parseConfiguration(parse)));
 		this.metrics = EntryMetrics.of(this.reducer, this.guard);
 		this.readinessServer = PageServer.of(this.loop, this::readinessPage);
 		this.metricsServer = PageServer.of(this.loop, this::metricsPage);
@@ -329,7 +333,7 @@
 			sendConfiguration(send);
 		}
 		else if (effect instanceof EntryEffect.ParseConfiguration parse) {
-			parseConfiguration(parse.sender(), parse.text());
+			this.waitingConfiguration.add(parse);
 		}
 		else if (effect instanceof EntryEffect.ReadConfiguration) {
 			this.configurationReader.readNow();
@@ -362,15 +366,18 @@
 
 	// Ignores a text that can't be parsed. This node reads the store instead when the
 	// peer reports the version again.
-	private void parseConfiguration(String sender, String text) {
+	private void parseConfiguration(EntryEffect.ParseConfiguration parse) {
+		if (parse.version() <= this.reducer.configurationVersion()) {
+			return;
+		}
 		try {
-			StoredConfiguration received = this.ports.configurationReader().apply(text);
+			StoredConfiguration received = this.ports.configurationReader().apply(parse.text());
 			keepLatest(received);
-			processEvent(new EntryEvent.ConfigurationReceived(received.configuration(), sender));
+			processEvent(new EntryEvent.ConfigurationReceived(received.configuration(), parse.sender()));
 		}
 		catch (IllegalArgumentException ex) {
 			EventLog.write(LogLine.of(LogEvent.STORE_CONTENT_UNREADABLE,
-					"configuration sent by " + sender + " cause='" + ex.getMessage() + "'"));
+					"configuration sent by " + parse.sender() + " cause='" + ex.getMessage() + "'"));
 		}
 	}
 
--- a/src/main/java/sycamorehill/logic/entry/EntryReducer.java
+++ b/src/main/java/sycamorehill/logic/entry/EntryReducer.java
@@ -195,7 +195,7 @@
 		}
 		else if (message instanceof NodeMessage.ConfigurationText received) {
 			if (received.version() > configurationVersion()) {
-				effects.add(new EntryEffect.ParseConfiguration(received.sender(), received.text()));
+				effects.add(new EntryEffect.ParseConfiguration(received.sender(), received.version(), received.text()));
 			}
 		}
 		else if (message instanceof NodeMessage.ConfigurationRequest wanted) {
--- a/src/main/java/sycamorehill/model/serving/EntryEffect.java
+++ b/src/main/java/sycamorehill/model/serving/EntryEffect.java
@@ -207,9 +207,10 @@
 	 * Parses a configuration that another node has sent.
 	 *
 	 * @param sender the node that sent it
+	 * @param version its version
 	 * @param text text of the configuration
 	 */
-	record ParseConfiguration(String sender, String text) implements EntryEffect {
+	record ParseConfiguration(String sender, long version, String text) implements EntryEffect {
 	}
 
 	/**
--- a/src/test/java/sycamorehill/logic/entry/StoreRelayTests.java
+++ b/src/test/java/sycamorehill/logic/entry/StoreRelayTests.java
@@ -407,7 +407,7 @@
 	// once, and never an older one.
 	@Test
 	void appliesTheReceivedTextOfANewerConfiguration() {
-		assertThat(receiveConfiguration(6, 100)).contains(new EntryEffect.ParseConfiguration("a", "text of 6"));
+		assertThat(receiveConfiguration(6, 100)).contains(new EntryEffect.ParseConfiguration("a", 6, "text of 6"));
 		accept(new EntryEvent.ConfigurationRead(ServingSamples.configuration(6), 1), 110);
 		assertThat(receiveConfiguration(6, 120)).isEmpty();
 		assertThat(receiveConfiguration(5, 130)).isEmpty();
