--- a/src/main/java/sycamorehill/entry/CallerConnection.java
+++ b/src/main/java/sycamorehill/entry/CallerConnection.java
@@ -41,6 +41,11 @@
 	/** Time that a caller has to read the last answer before the connection is closed. */
 	private static final Duration LINGER_TIMEOUT = Duration.ofMillis(1000);
 
+	private static final int INITIAL_BODY_BYTES = 256;
+
+	/** Time after which a caller may retry that is refused for lack of memory. */
+	private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
+
 	private final CallerServer server;
 
 	private final CallerLimits limits;
@@ -166,7 +171,7 @@
 			return;
 		}
 		this.request = head;
-		this.body = this.context.alloc().buffer(256);
+		this.body = Unpooled.buffer(INITIAL_BODY_BYTES);
 		this.timer.start(this.limits.idleTimeout(),
 				() -> refuse(HttpResponseStatus.REQUEST_TIMEOUT, "the body took too long"));
 		if (HttpUtil.is100ContinueExpected(head)) {
@@ -180,6 +185,10 @@
 			refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large");
 			return;
 		}
+		if (!this.server.reserveBody(content.content().readableBytes())) {
+			refuse(HttpResponseStatus.SERVICE_UNAVAILABLE, "the node holds too many bytes of bodies");
+			return;
+		}
 		this.body.writeBytes(content.content());
 		if (content instanceof LastHttpContent) {
 			completeRequest();
@@ -219,12 +228,16 @@
 				Unpooled.copiedBuffer(detail + "\n", StandardCharsets.UTF_8));
 		response.headers().set(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes());
 		response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+		if (status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)) {
+			response.headers().set(HttpHeaderNames.RETRY_AFTER, RETRY_AFTER.toSeconds());
+		}
 		closeAfter(response);
 	}
 
 	private void releaseBody() {
 		this.request = null;
 		if (this.body != null) {
+			this.server.releaseBody(this.body.readableBytes());
 			this.body.release();
 			this.body = null;
 		}
--- a/src/main/java/sycamorehill/entry/WaitingMessages.java
+++ b/src/main/java/sycamorehill/entry/WaitingMessages.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Queue;
 
+import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
@@ -17,10 +18,15 @@
 	/** Number of messages at which reading from the connection stops. */
 	private static final int MAXIMUM_MESSAGES = 64;
 
+	/** Size of their contents at which reading stops as well. */
+	private static final int MAXIMUM_BYTES = 64 * 1024;
+
 	private final CallerServer server;
 
 	private final Queue<Object> messages = new ArrayDeque<>();
 
+	private int bytes;
+
 	private boolean dropsReported;
 
 	private UnwrittenAnswer dropped;
@@ -40,12 +46,16 @@
 	 */
 	boolean add(Object message) {
 		this.messages.add(message);
-		return this.messages.size() > MAXIMUM_MESSAGES;
+		if (message instanceof HttpContent content) {
+			this.bytes += content.content().readableBytes();
+		}
+		return this.messages.size() > MAXIMUM_MESSAGES || this.bytes > MAXIMUM_BYTES;
 	}
 
 	List<Object> takeAll() {
 		List<Object> taken = List.copyOf(this.messages);
 		this.messages.clear();
+		this.bytes = 0;
 		return taken;
 	}
 
--- a/src/test/java/sycamorehill/entry/CallerConnectionTests.java
+++ b/src/test/java/sycamorehill/entry/CallerConnectionTests.java
@@ -12,7 +12,13 @@
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -34,6 +40,8 @@
  */
 class CallerConnectionTests {
 
+	private static final int PART_BYTES = 32 * 1024;
+
 	private final List<EntryEvent> events = new ArrayList<>();
 
 	private final EntryMetrics metrics = EntryMetrics.of(
@@ -118,4 +126,24 @@
 		assertThat(this.events).last().isEqualTo(new EntryEvent.CallerDisconnected(1, false));
 	}
 
+	// A caller sends its next request with a large body before it has the answer: the
+	// parts must wait in its own socket, not in the memory of the node.
+	@Test
+	void readingStopsWhileTheBodyOfTheNextRequestWaits() {
+		EmbeddedChannel channel = new EmbeddedChannel(this.connection);
+		HttpRequest served = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/");
+		served.headers().set(HttpHeaderNames.HOST, "feed.example");
+		channel.writeInbound(served);
+		assertThat(this.events).hasSize(1);
+		HttpRequest next = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/");
+		next.headers().set(HttpHeaderNames.HOST, "feed.example").set(HttpHeaderNames.CONTENT_LENGTH, 20 * PART_BYTES);
+		channel.writeInbound(next);
+		assertThat(channel.config().isAutoRead()).isTrue();
+		for (int part = 0; part < 3; part++) {
+			channel.writeInbound(new DefaultHttpContent(Unpooled.buffer(PART_BYTES).writeZero(PART_BYTES)));
+		}
+		assertThat(channel.config().isAutoRead()).isFalse();
+		channel.finishAndReleaseAll();
+	}
+
 }
