--- a/src/main/java/sycamorehill/cli/LocalCommand.java
+++ b/src/main/java/sycamorehill/cli/LocalCommand.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.time.format.DateTimeParseException;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 
 import com.github.rvesse.airline.annotations.Command;
@@ -20,7 +21,7 @@
  */
 @Command(name = "local",
 		description = "The whole system in one process on loopback: three data centres of two nodes, with stand-ins")
-public final class LocalCommand implements CliCommand {
+public final class LocalCommand implements ServingCommand {
 
 	@Option(name = "--run-for", title = "DURATION",
 			description = "Drives a small load for an ISO 8601 duration such as PT20S, prints a report and ends")
@@ -36,8 +37,9 @@
 	private long seed = 1;
 
 	@Override
-	public int run() throws Exception {
+	public int serve(ServingProcess process) throws Exception {
 		Duration duration = duration();
+		process.signals().ignoreReload();
 		try (LocalSystem system = LocalSystem.start()) {
 			TicketRollout force = system.fileFirstTicket();
 			print(force);
@@ -45,16 +47,29 @@
 			System.out.println(serving ? "model groups serve" : "model groups do not serve");
 			print(system);
 			if (duration.isZero()) {
-				new CountDownLatch(1).await();
+				return awaitStop(system, process);
 			}
 			LoadReport report = system.load(duration, this.chatsPerSecond, this.ordersPerSecond, this.seed);
 			System.out.print(report.text());
+			process.end().setCause("--run-for is over");
 			boolean good = LocalSystem.inForce(force) && serving && good(report);
 			System.out.println(good ? "everything held" : "something did not hold");
 			return good ? ExitCode.DONE : ExitCode.REFUSED;
 		}
 	}
 
+	private static int awaitStop(LocalSystem system, ServingProcess process) throws InterruptedException {
+		process.end()
+			.setRequestsInFlight(
+					() -> system.nodes().stream().flatMap((node) -> node.requestsInFlight().stream()).toList());
+		CountDownLatch stop = new CountDownLatch(1);
+		process.signals().onStop(stop::countDown);
+		stop.await();
+		system.nodes().stream().map(Node::stop).toList().forEach(CompletableFuture::join);
+		process.end().setCause("drained");
+		return ExitCode.DONE;
+	}
+
 	private Duration duration() {
 		try {
 			return this.runFor.isEmpty() ? Duration.ZERO : Duration.parse(this.runFor);
--- a/src/main/java/sycamorehill/cli/SycamorehillCommand.java
+++ b/src/main/java/sycamorehill/cli/SycamorehillCommand.java
@@ -5,6 +5,8 @@
 import com.github.rvesse.airline.help.Help;
 import com.github.rvesse.airline.parser.errors.ParseException;
 
+import sycamorehill.runtime.EventLog;
+
 /**
  * Entry point of the binary.
  */
@@ -14,22 +16,35 @@
 	}
 
 	/**
-	 * Runs one command.
+	 * Runs one command. Signals are handled before anything else: the command line of a
+	 * command that serves is parsed in a time in which a slow VM may already receive
+	 * them.
 	 * @param arguments the command line
+	 * @throws InterruptedException if the thread is interrupted while it ends the log
 	 */
-	public static void main(String[] arguments) {
-		System.exit(run(arguments));
+	public static void main(String[] arguments) throws InterruptedException {
+		ServingProcess process = ServingProcess.create();
+		boolean serving = arguments.length > 0 && ServingCommand.NAMES.contains(arguments[0]);
+		if (serving) {
+			process.watch();
+		}
+		int exitCode = run(process, arguments);
+		if (!serving) {
+			EventLog.close();
+		}
+		System.exit(exitCode);
 	}
 
 	/**
 	 * Runs one command.
+	 * @param process the process, for commands that serve
 	 * @param arguments the command line
 	 * @return the exit code
 	 */
-	static int run(String... arguments) {
+	static int run(ServingProcess process, String... arguments) {
 		try {
 			Object command = cli().parse(arguments);
-			return execute(command);
+			return execute(command, process);
 		}
 		catch (ParseException ex) {
 			System.err.println(ex.getMessage() + " ('sycamorehill help' lists the commands)");
@@ -37,15 +52,20 @@
 		}
 		catch (CommandException ex) {
 			System.err.println(ex.getMessage());
+			process.end().setCause(ex.getMessage());
 			return ex.exitCode();
 		}
-		catch (Exception ex) {
+		catch (Exception | LinkageError | VirtualMachineError ex) {
 			System.err.println("failed: " + ex);
+			process.end().setCause("failed: " + ex);
 			return ExitCode.NOT_KNOWN;
 		}
 	}
 
-	private static int execute(Object command) throws Exception {
+	private static int execute(Object command, ServingProcess process) throws Exception {
+		if (command instanceof ServingCommand serving) {
+			return serving.serve(process);
+		}
 		if (command instanceof CliCommand ours) {
 			return ours.run();
 		}
--- a/src/main/java/sycamorehill/entry/EntryNode.java
+++ b/src/main/java/sycamorehill/entry/EntryNode.java
@@ -5,6 +5,7 @@
 import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
@@ -18,10 +19,13 @@
 import sycamorehill.logic.entry.EntryReducer;
 import sycamorehill.model.log.LogEvent;
 import sycamorehill.model.log.LogLine;
+import sycamorehill.model.serving.AttemptEnd;
 import sycamorehill.model.serving.EntryEffect;
 import sycamorehill.model.serving.EntryEvent;
 import sycamorehill.model.serving.EntrySettings;
 import sycamorehill.model.serving.NodeMessage;
+import sycamorehill.model.serving.NodeRecord;
+import sycamorehill.model.serving.NotRunCause;
 import sycamorehill.model.serving.StoredConfiguration;
 import sycamorehill.model.serving.TargetChange;
 import sycamorehill.model.serving.TargetEntry;
@@ -39,11 +43,6 @@
 
 	private static final Duration TICK_INTERVAL = Duration.ofMillis(100);
 
-	/** Margin before the process is killed at which it stops by itself. */
-	private static final Duration KILL_MARGIN = Duration.ofMillis(300);
-
-	private static final Duration STOP_CHECK_INTERVAL = Duration.ofMillis(100);
-
 	/** Delay before a failed call to the registry of entry nodes is retried. */
 	private static final Duration REGISTRY_RETRY_DELAY = Duration.ofSeconds(1);
 
@@ -53,8 +52,21 @@
 	 */
 	private static final Duration NODE_LIST_INTERVAL = Duration.ofSeconds(20);
 
+	/** Time allowed for the loop to list the requests in flight when the process ends. */
+	private static final Duration LIST_REQUESTS_TIMEOUT = Duration.ofMillis(150);
+
+	/** Time after which a caller may retry a request that this node failed to handle. */
+	private static final Duration RETRY_AFTER_FAILURE = Duration.ofMillis(300);
+
+	/**
+	 * A timer that is due later than now runs after the event loop has read once more.
+	 */
+	private static final Duration READ_PASS_DELAY = Duration.ofMillis(1);
+
 	private final EntrySettings settings;
 
+	private final String incarnation;
+
 	private final InstantSource clock;
 
 	private final EntryReducer reducer;
@@ -63,6 +75,8 @@
 
 	private final EntryPorts ports;
 
+	private final ExchangeRegistry exchanges = ExchangeRegistry.create();
+
 	private final CallerServer callerServer;
 
 	private final ProxyServer proxyServer;
@@ -81,6 +95,8 @@
 
 	private final EntryMetrics metrics;
 
+	private final LoopGuard guard;
+
 	private boolean ready;
 
 	private final NodeMessenger messenger;
@@ -91,25 +107,28 @@
 
 	private StoredConfiguration latestConfiguration;
 
-	private final CompletableFuture<Void> stopped = new CompletableFuture<>();
+	private final PlannedStop plannedStop;
 
 	private EntryNode(EntrySettings settings, EntryPorts.Factory factory, InstantSource wallClock,
 			RandomGenerator random) {
 		this.settings = settings;
 		this.clock = MonotonicClock.start(wallClock);
-		String self = settings.nodeName() + '#' + Long.toHexString(random.nextLong());
-		this.reducer = EntryReducer.of(settings, self, random, this.clock.instant());
+		this.incarnation = settings.nodeName() + '#' + Long.toHexString(random.nextLong());
+		this.reducer = EntryReducer.of(settings, this.incarnation, random, this.clock.instant());
 		this.ports = factory.create(CallClient.of(TargetConnectionPool.of(this.loop)));
-		ExchangeRegistry exchanges = ExchangeRegistry.create();
 		this.targetConnections = TargetConnectionPool.of(this.loop);
 		this.proxyConnections = ProxyConnectionPool.of(this.loop);
-		this.streamMonitor = StreamMonitor.of(this);
-		this.exchangeEffects = ExchangeEffects.of(exchanges, this.targetConnections, this.proxyConnections,
+		this.streamMonitor = StreamMonitor.of(this, System::nanoTime, (task) -> schedule(task, READ_PASS_DELAY));
+		this.exchangeEffects = ExchangeEffects.of(this.exchanges, this.targetConnections, this.proxyConnections,
 				this.streamMonitor, this.ports.codec(), this);
-		this.callerServer = CallerServer.of(this.loop, this.ports.codec(), this, exchanges);
-		this.proxyServer = ProxyServer.of(this.loop, exchanges, this, this.reducer::isNodeHost);
+		this.guard = LoopGuard.of(this.clock, this::stopAfterErrors);
+		this.metrics = EntryMetrics.of(this.reducer, this.guard);
+		this.callerServer = CallerServer.of(this.loop, this.ports.codec(), this, this.exchanges,
+				AnswerCutLog.of(this.metrics));
+		this.proxyServer = ProxyServer.of(this.loop, this.exchanges, this, this.reducer::isNodeHost);
 		this.messenger = NodeMessenger.of(this.loop, this);
-		this.metrics = EntryMetrics.of(this.reducer);
+		this.plannedStop = PlannedStop.of(this.loop, this.clock, settings, this.callerServer, this.proxyServer,
+				this.metrics);
 		this.readinessServer = PageServer.of(this.loop, this::readinessPage);
 		this.metricsServer = PageServer.of(this.loop, this::metricsPage);
 	}
@@ -131,12 +150,14 @@
 	}
 
 	private void start() throws InterruptedException {
-		EventLog.write(LogLine.of(LogEvent.NODE_STARTED, "node=" + this.settings.nodeName() + " callers="
-				+ this.settings.callerAddress() + " store=" + this.settings.storeAddress()));
+		EventLog.write(LogLine.of(LogEvent.NODE_STARTED,
+				"node=" + this.settings.nodeName() + " incarnation=" + this.incarnation + " callers="
+						+ this.settings.callerAddress() + " store=" + this.settings.storeAddress()));
 		this.configurationReader = FeedReader.of(() -> readPace(EntryReducer.STORE_LONG_POLL_WAIT), "configuration",
 				this.ports.configurations(), this.loop, new ConfigurationListener());
 		this.targetReader = FeedReader.of(() -> readPace(EntryReducer.STORE_LONG_POLL_WAIT), "targets",
 				this.ports.targets(), this.loop, new TargetListener());
+		this.loop.terminationFuture().addListener((ended) -> handleLoopEnd());
 		this.messenger.start(this.settings.peerAddress());
 		registerNode();
 		this.configurationReader.start();
@@ -149,22 +170,18 @@
 	}
 
 	// Runs all periodic checks in one task, because each further timer would wake the
-	// process several more times a second. Logs failures and continues: an exception that
-	// left this method would cancel the timer, and the node would never read from the
-	// store or send messages again.
+	// process several more times a second.
 	private void tick() {
-		try {
-			processEvent(new EntryEvent.Ticked());
-			this.targetConnections.closeExpired();
-			this.proxyConnections.closeExpired();
-			this.proxyServer.closeExpired();
-			this.streamMonitor.check();
-			this.configurationReader.resumeIfNeeded();
-			this.targetReader.resumeIfNeeded();
-		}
-		catch (RuntimeException ex) {
-			EventLog.failure(LogEvent.INVARIANT_BROKEN, "periodic checks", ex);
-		}
+		this.guard.runPeriodicStep(() -> step(new EntryEvent.Ticked()));
+		List<Runnable> checks = List.of(this.targetConnections::closeExpired, this.proxyConnections::closeExpired,
+				this.proxyServer::closeExpired, this.streamMonitor::check, this.configurationReader::resumeIfNeeded,
+				this.targetReader::resumeIfNeeded);
+		checks.forEach((check) -> this.guard.run(LogEvent.INVARIANT_BROKEN, "periodic checks", check));
+	}
+
+	private void stopAfterErrors() {
+		this.ready = false;
+		stop();
 	}
 
 	private PageServer.Page readinessPage(String path) {
@@ -186,18 +203,25 @@
 	// Lists the nodes after this one is registered. Of two nodes that start at the same
 	// time, the one that lists later finds the other and introduces itself.
 	private void registerNode() {
-		this.ports.nodeRegistry().register(this.settings.toNodeRecord()).whenCompleteAsync((entered, failure) -> {
+		NodeRecord self = this.settings.toNodeRecord();
+		this.ports.nodeRegistry().register(self, this.incarnation).whenCompleteAsync((earlier, failure) -> {
 			if (failure != null) {
 				EventLog
 					.write(LogLine.of(LogEvent.STORE_CONTACT, "registering this node failed: " + failure.getMessage()));
 				schedule(this::registerNode, REGISTRY_RETRY_DELAY);
 			}
 			else {
+				earlier.ifPresent(this::logEarlierLife);
 				listNodes(true);
 			}
 		}, this.loop);
 	}
 
+	private void logEarlierLife(NodeRegistry.EarlierEntry earlier) {
+		EventLog.write(LogLine.of(LogEvent.EARLIER_LIFE_UNPLANNED, "node=" + this.settings.nodeName() + " incarnation="
+				+ earlier.incarnation().orElse("unknown") + " registered-at-revision=" + earlier.revision()));
+	}
+
 	private void listNodes(boolean consistent) {
 		this.ports.nodeRegistry().list(consistent).whenCompleteAsync((nodes, failure) -> {
 			if (failure != null) {
@@ -211,6 +235,11 @@
 		}, this.loop);
 	}
 
+	// Without its event loop the process would live on and serve nobody.
+	private void handleLoopEnd() {
+		this.plannedStop.whenFinished().completeExceptionally(new IllegalStateException("the event loop ended"));
+	}
+
 	private void schedule(Runnable task, Duration pause) {
 		this.loop.schedule(task, pause.toMillis(), TimeUnit.MILLISECONDS);
 	}
@@ -221,22 +250,52 @@
 	}
 
 	private void processEvent(EntryEvent event) {
-		List<EntryEffect> effects;
 		try {
-			effects = this.reducer.accept(event, this.clock.instant());
+			step(event);
 		}
-		catch (RuntimeException ex) {
-			EventLog.failure(LogEvent.INVARIANT_BROKEN, "event " + event, ex);
-			return;
+		catch (Throwable ex) {
+			this.guard.report(LogEvent.INVARIANT_BROKEN, "event " + EventDescription.of(event), ex);
+			refuseUndecided(event);
 		}
+	}
+
+	private void step(EntryEvent event) {
+		List<EntryEffect> effects = this.reducer.accept(event, this.clock.instant());
 		List<EntryEffect> forExchanges = new ArrayList<>();
 		for (EntryEffect effect : effects) {
-			if (!execute(effect)) {
-				forExchanges.add(effect);
-			}
+			executeGuarded(effect, () -> {
+				if (!execute(effect)) {
+					forExchanges.add(effect);
+				}
+			});
 		}
 		if (!forExchanges.isEmpty()) {
-			this.loop.execute(() -> this.exchangeEffects.execute(forExchanges));
+			this.loop.execute(() -> executeForExchanges(forExchanges));
+		}
+	}
+
+	private void executeForExchanges(List<EntryEffect> effects) {
+		effects.forEach((effect) -> executeGuarded(effect, () -> this.exchangeEffects.execute(effect)));
+	}
+
+	private void executeGuarded(EntryEffect effect, Runnable execution) {
+		this.guard.run(LogEvent.EFFECT_FAILED, "effect " + effect.getClass().getSimpleName(), execution);
+	}
+
+	// A request whose first step failed has no time limit and would wait until its caller
+	// gives up. It has not run, and can't run later: the exchange that an attempt needs
+	// ends here.
+	private void refuseUndecided(EntryEvent event) {
+		if (event instanceof EntryEvent.RequestArrived arrived) {
+			long number = arrived.request().number();
+			executeForExchanges(List.of(new EntryEffect.Answer(number, HttpResponseStatus.SERVICE_UNAVAILABLE.code(),
+					"the node failed to handle the request", Optional.of(RETRY_AFTER_FAILURE))));
+			post(new EntryEvent.CallerDisconnected(number, true));
+		}
+		else if (event instanceof EntryEvent.ProxiedRequestArrived arrived) {
+			executeForExchanges(List.of(new EntryEffect.EndProxiedRequest(arrived.number(), Optional.empty(),
+					new AttemptEnd.NotRun(NotRunCause.NODE_UNAVAILABLE))));
+			post(new EntryEvent.OriginDisconnected(arrived.number()));
 		}
 	}
 
@@ -375,35 +434,35 @@
 	/**
 	 * Starts a planned stop. The node still accepts connections until the load balancer
 	 * has noticed the stop, then closes idle ones, and serves requests on open
-	 * connections until shortly before the process is killed.
+	 * connections until shortly before the process is killed. A further call does
+	 * nothing.
 	 */
 	public void stop() {
-		EventLog.write(LogLine.of(LogEvent.NODE_STOPPING, "node=" + this.settings.nodeName()));
-		post(new EntryEvent.StopRequested());
+		this.loop.execute(() -> {
+			if (this.plannedStop.begin()) {
+				EventLog.write(LogLine.of(LogEvent.NODE_STOPPING, "node=" + this.settings.nodeName()));
+				processEvent(new EntryEvent.StopRequested());
+				deregisterNode();
+			}
+		});
+	}
+
+	private void deregisterNode() {
 		this.ports.nodeRegistry().deregister(this.settings.nodeName()).exceptionally((failure) -> {
 			EventLog
 				.write(LogLine.of(LogEvent.STORE_CONTACT, "deregistering this node failed: " + failure.getMessage()));
 			return null;
 		});
-		Instant stopRequested = this.clock.instant();
-		this.loop.execute(this.callerServer::startStopping);
-		this.loop.scheduleWithFixedDelay(() -> checkDrained(stopRequested), STOP_CHECK_INTERVAL.toMillis(),
-				STOP_CHECK_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
 	}
 
-	private void checkDrained(Instant stopRequested) {
-		Duration since = Duration.between(stopRequested, this.clock.instant());
-		if (since.compareTo(EntryReducer.ACCEPTANCE_AFTER_STOP) < 0) {
-			return;
-		}
-		this.callerServer.closeIdle();
-		boolean deadlineReached = since.compareTo(this.settings.stopTime().minus(KILL_MARGIN)) > 0;
-		if (deadlineReached || (!this.callerServer.hasCallers() && !this.proxyServer.hasRequests())) {
-			EventLog.write(LogLine.of(LogEvent.REQUESTS_DRAINED,
-					"node=" + this.settings.nodeName() + " millis=" + since.toMillis() + " callers-left="
-							+ this.callerServer.hasCallers() + " proxied-left=" + this.proxyServer.hasRequests()));
-			this.stopped.complete(null);
-		}
+	/**
+	 * Lists the requests of callers that have no final answer.
+	 * @return the callers' identifiers of the requests
+	 * @throws Exception if the loop does not list them in time
+	 */
+	public List<String> requestsInFlight() throws Exception {
+		return this.loop.submit(() -> this.exchanges.identifiers(CallerExchange.class))
+			.get(LIST_REQUESTS_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
 	}
 
 	/**
@@ -411,7 +470,7 @@
 	 * @return the future
 	 */
 	public CompletableFuture<Void> whenStopped() {
-		return this.stopped;
+		return this.plannedStop.whenFinished();
 	}
 
 	/**
--- a/src/main/java/sycamorehill/entry/StreamActivity.java
+++ b/src/main/java/sycamorehill/entry/StreamActivity.java
@@ -90,6 +90,31 @@
 		}
 	}
 
+	/**
+	 * Records that nothing is read of a started stream, because its receiver is slow. Its
+	 * silence is not the sender's.
+	 * @param sender the sender
+	 */
+	void recordPaused(S sender) {
+		StreamProgress progress = this.bySender.get(sender);
+		if (progress != null) {
+			progress.pausedStreams++;
+		}
+	}
+
+	/**
+	 * Records that a paused stream is read again.
+	 * @param sender the sender
+	 * @param nowNanos the current time, in nanoseconds
+	 */
+	void recordResumed(S sender, long nowNanos) {
+		StreamProgress progress = this.bySender.get(sender);
+		if (progress != null) {
+			progress.pausedStreams--;
+			progress.lastProgressNanos = nowNanos;
+		}
+	}
+
 	void recordRequestEnded(S sender, boolean streamStarted, long nowNanos) {
 		StreamProgress progress = this.bySender.get(sender);
 		if (progress == null) {
@@ -106,15 +131,35 @@
 		}
 	}
 
+	/**
+	 * Returns whether a sender or the path may have become silent. What waits in the
+	 * sockets must be read before it is reported.
+	 * @param nowNanos the current time, in nanoseconds
+	 * @return whether there may be a new silence
+	 */
+	boolean mayBeSilent(long nowNanos) {
+		if (isCheckDelayed(nowNanos)) {
+			return false;
+		}
+		boolean pathMayBeSilent = !this.pathSilenceReported && isSilent(startedStreams(), nowNanos);
+		return pathMayBeSilent || this.bySender.values()
+			.stream()
+			.anyMatch((progress) -> isNewlySilent(progress, this.silenceTimeout, this.firstEventTimeout, nowNanos));
+	}
+
+	private boolean isCheckDelayed(long nowNanos) {
+		boolean delayed = nowNanos - this.lastCheckNanos > MAXIMUM_CHECK_INTERVAL.toNanos();
+		this.lastCheckNanos = nowNanos;
+		return delayed;
+	}
+
 	/**
 	 * Returns the senders that have become silent since the last call.
 	 * @param nowNanos the current time, in nanoseconds
 	 * @return the senders, each once per silence
 	 */
 	List<Silence<S>> findSilentSenders(long nowNanos) {
-		boolean delayed = nowNanos - this.lastCheckNanos > MAXIMUM_CHECK_INTERVAL.toNanos();
-		this.lastCheckNanos = nowNanos;
-		if (delayed) {
+		if (isCheckDelayed(nowNanos)) {
 			return List.of();
 		}
 		boolean pathInDoubt = !this.pathProven && isSilent(startedStreams(), nowNanos);
@@ -137,18 +182,25 @@
 	private List<Silence<S>> findSilentSenders(Duration startedTimeout, Duration waitingTimeout, long nowNanos) {
 		List<Silence<S>> silences = new ArrayList<>();
 		this.bySender.forEach((sender, progress) -> {
-			boolean started = progress.startedStreams > 0;
-			Duration timeout = started ? startedTimeout : waitingTimeout;
-			if (!progress.reported && nowNanos - progress.lastProgressNanos > timeout.toNanos()) {
+			if (isNewlySilent(progress, startedTimeout, waitingTimeout, nowNanos)) {
 				progress.reported = true;
-				silences.add(new Silence<>(sender, started));
+				silences.add(new Silence<>(sender, progress.startedStreams > 0));
 			}
 		});
 		return silences;
 	}
 
+	private static boolean isNewlySilent(StreamProgress progress, Duration startedTimeout, Duration waitingTimeout,
+			long nowNanos) {
+		if (progress.startedStreams > 0 && !progress.isRead()) {
+			return false;
+		}
+		Duration timeout = (progress.startedStreams > 0) ? startedTimeout : waitingTimeout;
+		return !progress.reported && nowNanos - progress.lastProgressNanos > timeout.toNanos();
+	}
+
 	private List<StreamProgress> startedStreams() {
-		return this.bySender.values().stream().filter((progress) -> progress.startedStreams > 0).toList();
+		return this.bySender.values().stream().filter(StreamProgress::isRead).toList();
 	}
 
 	private static boolean isSilent(List<StreamProgress> started, long nowNanos) {
@@ -194,10 +246,16 @@
 
 		private int startedStreams;
 
+		private int pausedStreams;
+
 		private long lastProgressNanos;
 
 		private boolean reported;
 
+		private boolean isRead() {
+			return this.startedStreams > this.pausedStreams;
+		}
+
 		private boolean isSilent(long nowNanos) {
 			return nowNanos - this.lastProgressNanos > PATH_SILENCE_TIMEOUT.toNanos();
 		}
--- a/src/main/java/sycamorehill/logic/dispatch/AttemptScheduler.java
+++ b/src/main/java/sycamorehill/logic/dispatch/AttemptScheduler.java
@@ -4,13 +4,11 @@
 import java.time.Instant;
 import java.util.Map;
 import java.util.Optional;
-import java.util.function.Supplier;
 
 import sycamorehill.logic.Effects;
 import sycamorehill.model.identity.TargetName;
 import sycamorehill.model.log.LogEvent;
 import sycamorehill.model.serving.AttemptEnd;
-import sycamorehill.model.serving.Configuration;
 import sycamorehill.model.serving.EntryEffect;
 import sycamorehill.model.serving.NotRunCause;
 import sycamorehill.model.serving.RequestKind;
@@ -43,8 +41,6 @@
 	 */
 	private static final Duration NO_PATH_RETRY_AFTER = Duration.ofSeconds(1);
 
-	private final Supplier<Configuration> configuration;
-
 	private final TargetSelector targetSelector;
 
 	private final AttemptStarter attemptStarter;
@@ -59,10 +55,8 @@
 
 	private final Map<Long, DispatchedRequest> activeRequests;
 
-	private AttemptScheduler(Supplier<Configuration> configuration, TargetSelector targetSelector,
-			AttemptStarter attemptStarter, TargetPaths paths, RetryBudgets retryBudgets, FinalAnswers finalAnswers,
-			Map<Long, DispatchedRequest> activeRequests) {
-		this.configuration = configuration;
+	private AttemptScheduler(TargetSelector targetSelector, AttemptStarter attemptStarter, TargetPaths paths,
+			RetryBudgets retryBudgets, FinalAnswers finalAnswers, Map<Long, DispatchedRequest> activeRequests) {
 		this.targetSelector = targetSelector;
 		this.attemptStarter = attemptStarter;
 		this.reachability = paths.reachability();
@@ -74,7 +68,6 @@
 
 	/**
 	 * Creates a scheduler.
-	 * @param configuration supplies the configuration in effect
 	 * @param targetSelector selects targets
 	 * @param attemptStarter starts attempts
 	 * @param paths tells which services this node reaches, and selects other nodes
@@ -84,11 +77,9 @@
 	 * get one are removed
 	 * @return the scheduler
 	 */
-	static AttemptScheduler of(Supplier<Configuration> configuration, TargetSelector targetSelector,
-			AttemptStarter attemptStarter, TargetPaths paths, RetryBudgets retryBudgets, FinalAnswers finalAnswers,
-			Map<Long, DispatchedRequest> activeRequests) {
-		return new AttemptScheduler(configuration, targetSelector, attemptStarter, paths, retryBudgets, finalAnswers,
-				activeRequests);
+	static AttemptScheduler of(TargetSelector targetSelector, AttemptStarter attemptStarter, TargetPaths paths,
+			RetryBudgets retryBudgets, FinalAnswers finalAnswers, Map<Long, DispatchedRequest> activeRequests) {
+		return new AttemptScheduler(targetSelector, attemptStarter, paths, retryBudgets, finalAnswers, activeRequests);
 	}
 
 	/**
@@ -103,9 +94,9 @@
 			placeThroughAnotherNode(request, fallbackCause, now, effects);
 			return;
 		}
-		TargetSelector.Selection selection = this.targetSelector.select(request, this.configuration.get(), now);
+		TargetSelector.Selection selection = this.targetSelector.select(request, now);
 		if (selection.admission() != Admission.Decision.REFUSED) {
-			this.attemptStarter.start(request, selection, this.configuration.get(), now, effects);
+			this.attemptStarter.start(request, selection, now, effects);
 		}
 		else if (request.proxied().isPresent()) {
 			endProxied(request, Optional.empty(), new AttemptEnd.NotRun(NotRunCause.NO_TARGET), now, effects);
@@ -124,8 +115,7 @@
 		Optional<EntryEffect.ProxyNode> node = (request.triedNodes().size() < MAXIMUM_UNAVAILABLE_NODES)
 				? this.proxySelector.select(request.service(), request.triedNodes(), now) : Optional.empty();
 		if (node.isPresent()) {
-			this.proxySelector.recordSent(node.get().name());
-			this.attemptStarter.startThrough(request, node.get(), now, effects);
+			startThrough(request, node.get(), now, effects);
 		}
 		else if (this.proxySelector.isReachedElsewhere(request.service(), now)) {
 			giveUp(request, fallbackCause, now, effects);
@@ -239,18 +229,44 @@
 	}
 
 	/**
-	 * Returns whether a request could be sent to another target if it left its own.
+	 * Finds where a request could go on if it left its own target. The place is selected
+	 * once: a second selection might find none after the request has left.
 	 * @param request the request
 	 * @param now the current time
-	 * @return true if there is one
+	 * @return the place; empty if there is none
 	 */
-	boolean hasAlternative(DispatchedRequest request, Instant now) {
+	Optional<AlternativePlace> findAlternative(DispatchedRequest request, Instant now) {
 		if (request.targetsReached() + 1 >= request.route().maximumAttempts()) {
-			return false;
+			return Optional.empty();
+		}
+		if (this.reachability.isUnreachable(request.service())) {
+			return this.proxySelector.select(request.service(), request.triedNodes(), now)
+				.map(AlternativePlace.Through::new);
+		}
+		TargetSelector.Selection selection = this.targetSelector.selectOther(request, now);
+		return (selection.admission() != Admission.Decision.REFUSED) ? Optional.of(new AlternativePlace.At(selection))
+				: Optional.empty();
+	}
+
+	/**
+	 * Starts the next attempt of a request at the place that was found for it.
+	 * @param request the request, which has left its target
+	 * @param place the place
+	 * @param now the current time
+	 * @param effects receives the resulting effects
+	 */
+	void startAt(DispatchedRequest request, AlternativePlace place, Instant now, Effects effects) {
+		if (place instanceof AlternativePlace.Through through) {
+			startThrough(request, through.node(), now, effects);
 		}
-		return this.reachability.isUnreachable(request.service())
-				? this.proxySelector.select(request.service(), request.triedNodes(), now).isPresent()
-				: this.targetSelector.hasTarget(request, this.configuration.get(), now);
+		else if (place instanceof AlternativePlace.At at) {
+			this.attemptStarter.start(request, at.selection(), now, effects);
+		}
+	}
+
+	private void startThrough(DispatchedRequest request, EntryEffect.ProxyNode node, Instant now, Effects effects) {
+		this.proxySelector.recordSent(node.name());
+		this.attemptStarter.startThrough(request, node, now, effects);
 	}
 
 	/**
@@ -263,7 +279,7 @@
 	void giveUp(DispatchedRequest request, String cause, Instant now, Effects effects) {
 		putBackRetry(request);
 		this.activeRequests.remove(request.request().number());
-		Duration restLeft = this.targetSelector.restLeft(request, this.configuration.get(), now);
+		Duration restLeft = this.targetSelector.restLeft(request, now);
 		String fullCause = cause + (request.retryRefused() ? ", the retry budget is used up" : "")
 				+ (restLeft.isZero() ? "" : ", all targets rest");
 		this.finalAnswers.giveUp(request, fullCause, restLeft, now, effects);
--- a/src/main/java/sycamorehill/logic/dispatch/StalledStreams.java
+++ b/src/main/java/sycamorehill/logic/dispatch/StalledStreams.java
@@ -8,6 +8,7 @@
 import java.util.function.Predicate;
 
 import sycamorehill.logic.Effects;
+import sycamorehill.logic.directory.GroupKey;
 import sycamorehill.model.identity.TargetName;
 import sycamorehill.model.log.LogEvent;
 import sycamorehill.model.serving.AttemptEnd;
@@ -50,7 +51,7 @@
 		status.eject(now, SILENT_TARGET_EJECTION);
 		effects.log(LogEvent.TARGET_SILENT,
 				"target=" + target + " in-flight=" + status.inFlight() + " source=" + source);
-		moveStreams(target, now, effects);
+		moveStreams(target, (request) -> true, now, effects);
 	}
 
 	void handleReportedSilence(TargetName target, String source, Instant now, Effects effects) {
@@ -67,21 +68,29 @@
 	}
 
 	/**
-	 * Moves the streams of a target.
-	 * @param target the target
+	 * Moves the streams of a group that has ended. Its head may already have streams of
+	 * its next group.
+	 * @param head the head of the group
+	 * @param group the group
 	 * @param now the current time
 	 * @param effects receives the resulting effects
 	 */
-	void moveStreams(TargetName target, Instant now, Effects effects) {
-		for (DispatchedRequest request : resumableStreams((each) -> isAt(target, each))) {
+	void moveStreamsOfGroup(TargetName head, GroupKey group, Instant now, Effects effects) {
+		moveStreams(head, (request) -> request.group().filter(group::equals).isPresent(), now, effects);
+	}
+
+	private void moveStreams(TargetName target, Predicate<DispatchedRequest> condition, Instant now, Effects effects) {
+		for (DispatchedRequest request : resumableStreams(condition.and((each) -> isAt(target, each)))) {
 			if (request.proxied().isPresent()) {
 				endProxied(request, target, now, effects);
 			}
-			else if (this.scheduler.hasAlternative(request, now) && this.scheduler.takeRetry(request, now, effects)) {
-				effects.add(new EntryEffect.CancelAttempt(request.request().number(), request.attempts()));
-				this.targetSelector.status(target).recordEnded();
-				request.endAttempt();
-				moveOn(request, AttemptPlace.at(target), now, effects);
+			else {
+				takeAlternative(request, now, effects).ifPresent((next) -> {
+					effects.add(new EntryEffect.CancelAttempt(request.request().number(), request.attempts()));
+					this.targetSelector.status(target).recordEnded();
+					request.endAttempt();
+					moveOn(request, AttemptPlace.at(target), next, now, effects);
+				});
 			}
 		}
 	}
@@ -96,15 +105,20 @@
 		this.proxySelector.eject(node, now);
 		effects.log(LogEvent.PROXY_SILENT, "node=" + node);
 		for (DispatchedRequest request : resumableStreams((each) -> each.proxy().filter(node::equals).isPresent())) {
-			if (this.scheduler.hasAlternative(request, now) && this.scheduler.takeRetry(request, now, effects)) {
+			takeAlternative(request, now, effects).ifPresent((next) -> {
 				effects.add(new EntryEffect.CancelAttempt(request.request().number(), request.attempts()));
 				this.proxySelector.recordEnded(node);
 				request.endProxiedAttempt(Optional.empty());
-				moveOn(request, AttemptPlace.through(node, Optional.empty()), now, effects);
-			}
+				moveOn(request, AttemptPlace.through(node, Optional.empty()), next, now, effects);
+			});
 		}
 	}
 
+	private Optional<AlternativePlace> takeAlternative(DispatchedRequest request, Instant now, Effects effects) {
+		return this.scheduler.findAlternative(request, now)
+			.filter((place) -> this.scheduler.takeRetry(request, now, effects));
+	}
+
 	private List<DispatchedRequest> resumableStreams(Predicate<DispatchedRequest> condition) {
 		return this.activeRequests.values()
 			.stream()
@@ -113,11 +127,12 @@
 			.toList();
 	}
 
-	private void moveOn(DispatchedRequest request, AttemptPlace place, Instant now, Effects effects) {
+	private void moveOn(DispatchedRequest request, AttemptPlace place, AlternativePlace next, Instant now,
+			Effects effects) {
 		request.countReachedTarget();
 		request.markMayHaveRun();
 		this.scheduler.logRetry(request, place, "silent", now, effects);
-		this.scheduler.place(request, "the target fell silent", now, effects);
+		this.scheduler.startAt(request, next, now, effects);
 	}
 
 	// Whether the stream goes on elsewhere is the decision of the node that has the
--- a/src/main/java/sycamorehill/model/log/LogEvent.java
+++ b/src/main/java/sycamorehill/model/log/LogEvent.java
@@ -17,12 +17,36 @@
 	/** The reloaded settings are invalid and were rejected. */
 	SETTINGS_REFUSED(1006, LogLevel.ERROR),
 
+	/** The process received a signal that asks it to stop or to read its settings. */
+	SIGNAL_RECEIVED(1007, LogLevel.INFO),
+
+	/** The process ends while callers wait for answers. */
+	PROCESS_ENDS_WITH_REQUESTS(1008, LogLevel.WARN),
+
+	/** The life of this node before this one ended without a planned stop. */
+	EARLIER_LIFE_UNPLANNED(1009, LogLevel.WARN),
+
+	/** The process ends; no caller waits for an answer. */
+	PROCESS_ENDS(1010, LogLevel.INFO),
+
+	/** An error that no code handles ended a thread or a command that serves. */
+	THREAD_FAILED(1011, LogLevel.ERROR),
+
 	/** An effect could not be executed. */
 	EFFECT_FAILED(1003, LogLevel.ERROR),
 
-	/** A step of the logic threw an exception; every process but an entry node ends. */
+	/**
+	 * A step of the logic threw an exception; every process but an entry node stops as
+	 * planned.
+	 */
 	INVARIANT_BROKEN(1004, LogLevel.ERROR),
 
+	/** The virtual machine threw an error, such as one of memory, stack or classes. */
+	ERROR_THROWN(1012, LogLevel.ERROR),
+
+	/** Log lines were dropped, because the output was not read or memory was short. */
+	LOG_LINES_DROPPED(1013, LogLevel.WARN),
+
 	/**
 	 * No request is in flight any more, or the time limit has passed; the stopping node
 	 * exits.
@@ -177,7 +201,10 @@
 	PROXY_SILENT(1912, LogLevel.WARN),
 
 	/** The node's share of the retries that all nodes may send together has changed. */
-	RETRY_SHARE_CHANGED(1913, LogLevel.INFO);
+	RETRY_SHARE_CHANGED(1913, LogLevel.INFO),
+
+	/** This node closed a connection within an answer. */
+	ANSWER_CUT(1914, LogLevel.WARN);
 
 	private final int number;
 
--- a/src/main/java/sycamorehill/runtime/Node.java
+++ b/src/main/java/sycamorehill/runtime/Node.java
@@ -5,8 +5,11 @@
 import java.security.SecureRandom;
 import java.time.Duration;
 import java.time.InstantSource;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 
 import com.codahale.metrics.MetricRegistry;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -23,6 +26,7 @@
 import sycamorehill.model.identity.Address;
 import sycamorehill.model.identity.NodeIdentity;
 import sycamorehill.model.identity.NodeIncarnation;
+import sycamorehill.model.identity.RequestIdentifier;
 import sycamorehill.model.log.LogEvent;
 import sycamorehill.model.log.LogLine;
 import sycamorehill.objectapi.HttpPlatformClient;
@@ -45,6 +49,10 @@
 
 	private final CompletableFuture<NodeTermination> termination = new CompletableFuture<>();
 
+	private final AtomicBoolean stopping = new AtomicBoolean();
+
+	private final AtomicBoolean failed = new AtomicBoolean();
+
 	private final HttpClientPool httpClients = HttpClientPool.create(CONNECT_TIMEOUT);
 
 	private final ControlLoop loop;
@@ -73,8 +81,7 @@
 		EffectDispatcher effectDispatcher = new EffectDispatcher(events, clock,
 				HttpPlatformClient.create(httpClient, settings.platformAddress(), json),
 				HttpVmListClient.create(httpClient, settings.platformAddress(), json), engineClient,
-				this.peerTransport::send, this.gateway.requests(), pendingCalls,
-				() -> this.termination.complete(NodeTermination.STOPPED), this.metrics);
+				this.peerTransport::send, this.gateway.requests(), pendingCalls, this::handleDrained, this.metrics);
 		this.loop = ControlLoop.create(NodeState.initial(self, settings.policy()), clock, wallClock, effectDispatcher,
 				this.metrics, this::handleInvariantViolation);
 		events.connect(this.loop);
@@ -109,13 +116,16 @@
 	}
 
 	/**
-	 * Starts a planned shutdown.
+	 * Starts a planned shutdown. A further call does nothing: it would begin the time in
+	 * which the node still accepts requests anew.
 	 * @return a future that completes when nothing is in flight any more or the time
 	 * limit of the shutdown has passed
 	 */
 	public CompletableFuture<NodeTermination> stop() {
-		EventLog.write(LogLine.of(LogEvent.NODE_STOPPING, this.settings.name().value()));
-		this.loop.post(new NodeEvent.StopRequested());
+		if (this.stopping.compareAndSet(false, true)) {
+			EventLog.write(LogLine.of(LogEvent.NODE_STOPPING, this.settings.name().value()));
+			this.loop.post(new NodeEvent.StopRequested());
+		}
 		return this.termination;
 	}
 
@@ -143,6 +153,14 @@
 		return this.loop.state();
 	}
 
+	/**
+	 * Lists the requests of callers that have no final answer.
+	 * @return the identifiers of the requests
+	 */
+	public List<String> requestsInFlight() {
+		return state().request().active().keySet().stream().map(RequestIdentifier::toString).sorted().toList();
+	}
+
 	/**
 	 * Returns the names of all metrics that are registered so far.
 	 * @return the names
@@ -155,9 +173,20 @@
 		return this.loop.state().ready();
 	}
 
-	private void handleInvariantViolation(Event event, RuntimeException cause) {
-		EventLog.failure(LogEvent.INVARIANT_BROKEN, event.getClass().getSimpleName(), cause);
-		this.termination.complete(NodeTermination.FAILED);
+	// An end at once would cut all streams: the node stops as planned. If steps of the
+	// stop throw as well, its time limit still ends the process.
+	private void handleInvariantViolation(Event event, Throwable cause) {
+		LogEvent logged = (cause instanceof Error) ? LogEvent.ERROR_THROWN : LogEvent.INVARIANT_BROKEN;
+		EventLog.failure(logged, event.getClass().getSimpleName(), cause);
+		if (this.failed.compareAndSet(false, true)) {
+			this.termination.completeOnTimeout(NodeTermination.FAILED,
+					this.settings.policy().request().stopBound().toMillis(), TimeUnit.MILLISECONDS);
+			stop();
+		}
+	}
+
+	private void handleDrained() {
+		this.termination.complete(this.failed.get() ? NodeTermination.FAILED : NodeTermination.STOPPED);
 	}
 
 	private static InetSocketAddress socketAddress(Address address) {
