Keep a connection of another node while that node takes the rest of an answer

What callers of the other node would see: a stream broken off or moved, or a request sent again, because the way to their node is slow. The answer had ended here; 6 s later its connection was closed as idle, though its bytes were still being taken.

Test: ProxyServerConnectionTests #anAnswerThatTheOtherNodeTakesSlowlyIsWholeBeyondTheIdleTimeout, 12 MiB at about 0.6 MB/s. The class doc of CallerConnection says what a half-close means.

--- a/src/main/java/sycamorehill/entry/CallerConnection.java
+++ b/src/main/java/sycamorehill/entry/CallerConnection.java
@@ -34,7 +34,8 @@
 /**
  * Connection of a caller. Reads one request after another within the configured limits
  * and writes the answers. A request is forwarded to a target only after it has been read
- * completely.
+ * completely. A caller that closes its output has left, because that can't be told from a
+ * close.
  */
 final class CallerConnection extends ChannelInboundHandlerAdapter {
 
--- a/src/main/java/sycamorehill/entry/ProxyChannel.java
+++ b/src/main/java/sycamorehill/entry/ProxyChannel.java
@@ -83,8 +83,8 @@
 		return this.context.channel().isWritable();
 	}
 
-	boolean hasUnsentBytes() {
-		return UnsentOutput.bytes(this.context.channel()) > 0;
+	long unsentBytes() {
+		return UnsentOutput.bytes(this.context.channel());
 	}
 
 	void pause(boolean paused) {
--- a/src/main/java/sycamorehill/entry/ProxyServerConnection.java
+++ b/src/main/java/sycamorehill/entry/ProxyServerConnection.java
@@ -31,6 +31,9 @@
 
 	private long idleSinceNanos = System.nanoTime();
 
+	/** Unsent bytes at the last check. */
+	private long unsentBytes;
+
 	private ProxyServerConnection(ProxyServer server, ProxyChannel connection) {
 		this.server = server;
 		this.connection = connection;
@@ -138,14 +141,17 @@
 	}
 
 	boolean hasUnsentBytes() {
-		return this.connection.hasUnsentBytes();
+		return this.connection.unsentBytes() > 0;
 	}
 
 	// The time of a running request is not idle, or a connection would be closed as soon
 	// as a long answer has ended: with its last frames unsent, or the next request on its
-	// way.
+	// way. The same holds while the other node takes what is unsent.
 	void closeIfExpired(long nowNanos) {
-		if (this.started && !this.exchange.isFinished()) {
+		long unsentBefore = this.unsentBytes;
+		this.unsentBytes = this.connection.unsentBytes();
+		boolean running = this.started && !this.exchange.isFinished();
+		if (running || this.unsentBytes < unsentBefore) {
 			this.idleSinceNanos = nowNanos;
 		}
 		else if (nowNanos - this.idleSinceNanos > MAXIMUM_IDLE_TIME.toNanos()) {
--- a/src/test/java/sycamorehill/entry/ProxyServerConnectionTests.java
+++ b/src/test/java/sycamorehill/entry/ProxyServerConnectionTests.java
@@ -1,11 +1,16 @@
 package sycamorehill.entry;
 
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
 import java.io.DataInputStream;
 import java.io.DataOutputStream;
 import java.io.IOException;
+import java.io.InputStream;
+import java.io.SequenceInputStream;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -73,7 +78,10 @@
 	}
 
 	private static ProxyFrame.End readToEnd(Socket socket) throws IOException {
-		DataInputStream in = new DataInputStream(socket.getInputStream());
+		return readToEnd(new DataInputStream(socket.getInputStream()));
+	}
+
+	private static ProxyFrame.End readToEnd(DataInputStream in) throws IOException {
 		while (true) {
 			byte[] bytes = new byte[in.readInt()];
 			in.readFully(bytes);
@@ -153,6 +161,24 @@
 		}
 	}
 
+	// A node that takes an answer slowly, over a link that loses packets, loses the rest.
+	@Test
+	void anAnswerThatTheOtherNodeTakesSlowlyIsWholeBeyondTheIdleTimeout() throws Exception {
+		this.node = CallerNode.start(CallerLimits.INITIAL, ProxyServerConnectionTests::largeAnswer);
+		try (Socket socket = connect()) {
+			send(socket, "node-slow");
+			DataInputStream in = new DataInputStream(socket.getInputStream());
+			ByteArrayOutputStream received = new ByteArrayOutputStream();
+			for (Instant end = Instant.now().plus(LONG_ANSWER_TIME); Instant.now().isBefore(end);) {
+				received.write(in.readNBytes(60_000));
+				Thread.sleep(100);
+			}
+			InputStream whole = new SequenceInputStream(new ByteArrayInputStream(received.toByteArray()), in);
+			assertThat(readToEnd(new DataInputStream(whole)).end()).isInstanceOf(AttemptEnd.Delivered.class);
+		}
+		assertThat(RecordedLog.lines("ANSWER_CUT", "request=node-slow ")).isEmpty();
+	}
+
 	// A stopping node exits with requests of other nodes in flight, and names none.
 	@Test
 	void anAnswerInFlightAtTheBoundOfAStopIsReported() throws Exception {
