Leave a forwarded stream at a stalled target without another one

What callers saw: a stream that is sent through another node ended within the answer when its target was silent for some hundred milliseconds and no other target admitted it; the same when a group of the head had ended.

Cause: the node that has the target cancelled the attempt whenever the request might have another one, and left the rest to the node that has the caller, which then found no place. A node's own streams stay in that case.

Not mended: the retry budget of the node that has the caller may still refuse the stream after that; only that node knows it.

Evidence, red before: ProxiedRequestTests theProxyLeavesAStreamAtAStalled TargetWhileNoOtherTargetAdmitsIt, "CancelAttempt[number=1, attempt=1]". That a silent target's stream still moves where another target admits it is the test beside it.

Why it works: both nodes list the same targets, so a node that finds none leaves the stream where it may still go on.

--- a/src/main/java/sycamorehill/logic/dispatch/AttemptScheduler.java
+++ b/src/main/java/sycamorehill/logic/dispatch/AttemptScheduler.java
@@ -95,7 +95,7 @@
 			return;
 		}
 		TargetSelector.Selection selection = this.targetSelector.select(request, now);
-		if (selection.admission() != Admission.Decision.REFUSED) {
+		if (isAdmitted(selection)) {
 			this.attemptStarter.start(request, selection, now, effects);
 		}
 		else if (request.proxied().isPresent()) {
@@ -244,8 +244,22 @@
 				.map(AlternativePlace.Through::new);
 		}
 		TargetSelector.Selection selection = this.targetSelector.selectOther(request, now);
-		return (selection.admission() != Admission.Decision.REFUSED) ? Optional.of(new AlternativePlace.At(selection))
-				: Optional.empty();
+		return isAdmitted(selection) ? Optional.of(new AlternativePlace.At(selection)) : Optional.empty();
+	}
+
+	/**
+	 * Returns whether another target may admit a request that is at one.
+	 * @param request the request
+	 * @param now the current time
+	 * @return false if this node reaches the service and finds none
+	 */
+	boolean mayFindOtherTarget(DispatchedRequest request, Instant now) {
+		return this.reachability.isUnreachable(request.service())
+				|| isAdmitted(this.targetSelector.selectOther(request, now));
+	}
+
+	private static boolean isAdmitted(TargetSelector.Selection selection) {
+		return selection.admission() != Admission.Decision.REFUSED;
 	}
 
 	/**
--- a/src/main/java/sycamorehill/logic/dispatch/StalledStreams.java
+++ b/src/main/java/sycamorehill/logic/dispatch/StalledStreams.java
@@ -136,9 +136,9 @@
 	}
 
 	// Whether the stream goes on elsewhere is the decision of the node that has the
-	// caller.
+	// caller. It would find no other target where this node finds none.
 	private void endProxied(DispatchedRequest request, TargetName target, Instant now, Effects effects) {
-		if (!request.anotherAttemptMayFollow()) {
+		if (!request.anotherAttemptMayFollow() || !this.scheduler.mayFindOtherTarget(request, now)) {
 			return;
 		}
 		effects.add(new EntryEffect.CancelAttempt(request.request().number(), request.attempts()));
--- a/src/test/java/sycamorehill/logic/dispatch/ProxiedRequestTests.java
+++ b/src/test/java/sycamorehill/logic/dispatch/ProxiedRequestTests.java
@@ -285,6 +285,18 @@
 				end(1, target.value(), new AttemptEnd.Broken("silent", true, false)));
 	}
 
+	// The stream would end at its caller, though its target may only be slow.
+	@Test
+	void theProxyLeavesAStreamAtAStalledTargetWhileNoOtherTargetAdmitsIt() {
+		this.directory.replaceAll(List.of(ServingSamples.member("h0", "small.0", 1, 0, MemberState.OPEN),
+				ServingSamples.member("m0", "small.0", 1, 1, MemberState.READY)), this.now);
+		arriveFromOtherNode(1, request(RequestKind.RESUMABLE_STREAM, ServingSamples.ENGINES, Set.of()));
+		this.dispatcher.handleFirstEvent(1, this.now);
+		Effects effects = Effects.create();
+		this.dispatcher.handleSilentTarget(TargetName.of("h0"), "one", this.now, effects);
+		assertThat(effects(effects.all(), EntryEffect.CancelAttempt.class)).isEmpty();
+	}
+
 	// A content that was lost with one target and answered by the next is not suspect,
 	// and
 	// only the proxy has seen both.
