Test groups that end and are formed anew with their streams

Over loopback: the heads of three groups with streams of both kinds get the message that their groups have ended, one of them is listed with its next group, and the configuration drops the model. Each answer is whole.

--- a/src/test/java/sycamorehill/entry/TargetChangesInFlightTests.java
+++ b/src/test/java/sycamorehill/entry/TargetChangesInFlightTests.java
@@ -10,7 +10,11 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 
+import sycamorehill.model.identity.TargetName;
 import sycamorehill.model.serving.Configuration;
+import sycamorehill.model.serving.EntryEvent;
+import sycamorehill.model.serving.Membership;
+import sycamorehill.model.serving.NodeMessage;
 import sycamorehill.model.serving.TargetEntry;
 import sycamorehill.support.ConfigurationChange;
 import sycamorehill.support.ServingSamples;
@@ -24,6 +28,8 @@
 
 	private static final Configuration FIRST = ServingSamples.configuration(1);
 
+	private static final String NEXT_GROUP = "small.9";
+
 	private static final Duration DIRECTORY_READ_TIME = Duration.ofMillis(300);
 
 	private final SteppedAnswers answers = new SteppedAnswers();
@@ -86,6 +92,30 @@
 		changeTargets((target) -> Optional.of(target.withReport(target.staged(), Optional.empty())));
 	}
 
+	// Of groups that have ended, one head is in its next group and receives requests.
+	@Test
+	void streamsGoOnWhenTheirGroupsHaveEndedAndAreFormedAnew() throws Exception {
+		start("one");
+		this.cluster.awaitRetryShare("one");
+		this.requests.sendUndisturbed();
+		this.requests.awaitStarted();
+		this.cluster
+			.changeTargets((target) -> Optional.of(target.name().value().endsWith("0") ? inNextGroup(target) : target));
+		Thread.sleep(DIRECTORY_READ_TIME.toMillis());
+		for (int number = 0; number < 3; number++) {
+			this.cluster.node("one")
+				.post(new EntryEvent.MessageReceived(
+						new NodeMessage.GroupEnded("two", TargetName.of("h" + number), "small." + number, 1)));
+		}
+		storeAndAwait(ConfigurationChange.MODEL_REMOVED, "one");
+		this.requests.assertWhole();
+	}
+
+	private static TargetEntry inNextGroup(TargetEntry target) {
+		return target.withReport(target.staged(), target.membership()
+			.map((membership) -> new Membership(NEXT_GROUP, 2, membership.rank(), membership.state())));
+	}
+
 	private void changeTargets(Function<TargetEntry, Optional<TargetEntry>> change) throws Exception {
 		start("one");
 		this.requests.sendUndisturbed();
