Show that a raised body limit doesn't hold for kept connections

What callers see: 413, which is never retried, for a body that the configuration in force allows, on a connection that was opened under a lower limit. Cause: CallerConnection and StrictRequestDecoder keep the limits of the moment at which the connection was accepted; by the code the same holds for the size of heads and for the idle time (not run). Nothing in flight is cut, and lowered limits do no harm in this way.

--- a/src/test/java/sycamorehill/entry/KeptConnection.java
+++ b/src/test/java/sycamorehill/entry/KeptConnection.java
@@ -30,10 +30,15 @@
 	}
 
 	void send(String path, String identifier) throws IOException {
+		send(path, identifier, "abc");
+	}
+
+	void send(String path, String identifier, String body) throws IOException {
 		String model = path.startsWith("/s") ? "Model: small\r\n" : "";
 		this.socket.getOutputStream()
 			.write(("POST " + path + " HTTP/1.1\r\nHost: feed.example\r\nAttempt-Id: " + identifier
-					+ "\r\nAuthorization: Token key\r\nDeadline-Ms: 4000\r\n" + model + "Content-Length: 3\r\n\r\nabc")
+					+ "\r\nAuthorization: Token key\r\nDeadline-Ms: 4000\r\n" + model + "Content-Length: "
+					+ body.length() + "\r\n\r\n" + body)
 				.getBytes(StandardCharsets.ISO_8859_1));
 	}
 
--- /dev/null
+++ b/src/test/java/sycamorehill/entry/RaisedLimitsTests.java
@@ -0,0 +1,45 @@
+package sycamorehill.entry;
+
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+
+import sycamorehill.model.serving.CallerLimits;
+import sycamorehill.model.serving.Configuration;
+import sycamorehill.support.ServingSamples;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests kept connections of callers whose limits a configuration raises.
+ */
+class RaisedLimitsTests {
+
+	private static Configuration withBodyLimit(long version, int bytes) {
+		Configuration sample = ServingSamples.configuration(version);
+		CallerLimits limits = new CallerLimits(16 * 1024, bytes, sample.limits().headerTimeout(),
+				sample.limits().idleTimeout());
+		return new Configuration(version, sample.routes(), sample.services(), limits, sample.workspacesByApiKey(),
+				true);
+	}
+
+	// A request that the configuration allows is refused for good, because its connection
+	// was opened under the limits before.
+	@Test
+	void aKeptConnectionTakesBodiesWithinTheRaisedLimit() throws Exception {
+		try (LoopbackCluster cluster = LoopbackCluster.start(LoopbackCluster::hello, LoopbackCluster::hello, List.of(),
+				"one")) {
+			cluster.store(withBodyLimit(2, 10));
+			cluster.awaitVersion("one", 2);
+			try (KeptConnection kept = KeptConnection.open(cluster.settingsOf("one").callerAddress().port())) {
+				kept.send("/again/x", "small");
+				assertThat(kept.read().hasStatus(200)).isTrue();
+				cluster.store(withBodyLimit(3, 1000));
+				cluster.awaitVersion("one", 3);
+				kept.send("/again/x", "large", "x".repeat(500));
+				assertThat(kept.read()).matches((answer) -> answer.hasStatus(200));
+			}
+		}
+	}
+
+}
