Read a Connection header that names a header twice

What callers saw: an answer whose Connection header names a token twice ("close, close"), or a request with such a header, threw IllegalArgumentException in the handler (Set.of refuses duplicates), which closes the connection of a request that was read.

Change: the names are added to a set one by one.

Red before, with the test alone on a copy: CallerRequestHeaderTests, its new case.

--- a/src/main/java/sycamorehill/platform/PlatformExchangeCodec.java
+++ b/src/main/java/sycamorehill/platform/PlatformExchangeCodec.java
@@ -2,6 +2,7 @@
 
 import java.math.BigDecimal;
 import java.time.Duration;
+import java.util.Collections;
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
@@ -146,8 +147,8 @@
 	private static HttpHeaders forwardedHeaders(HttpHeaders received, boolean toTarget) {
 		Set<String> connectionHeaders = new HashSet<>();
 		received.getAll(HttpHeaderNames.CONNECTION)
-			.forEach((value) -> Set.of(PlatformHeaders.lowerCase(value).split("\\s*,\\s*"))
-				.forEach(connectionHeaders::add));
+			.forEach((value) -> Collections.addAll(connectionHeaders,
+					PlatformHeaders.lowerCase(value).split("\\s*,\\s*")));
 		HttpHeaders headers = new DefaultHttpHeaders(false);
 		for (Map.Entry<String, String> header : received) {
 			boolean dropped = PlatformHeaders.isHopByHop(header.getKey())
--- a/src/test/java/sycamorehill/platform/CallerRequestHeaderTests.java
+++ b/src/test/java/sycamorehill/platform/CallerRequestHeaderTests.java
@@ -52,4 +52,12 @@
 		assertThat(readTimeLeft(value)).contains(Duration.ZERO);
 	}
 
+	// An exception while a head is read closes the connection of a request in flight.
+	@Test
+	void aConnectionHeaderThatNamesAHeaderTwiceIsRead() {
+		HttpRequest request = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/");
+		request.headers().set("Connection", "x-hop, close, x-hop").set("X-Hop", "1").set("X-Kept", "2");
+		assertThat(PlatformExchangeCodec.create().forwardableHeaders(request).names()).containsExactly("X-Kept");
+	}
+
 }
