Refuse a request whose arrival throws, and release its body

What callers saw: an error or exception between the last byte of a request and its event (a head that can't be read, no memory for the hash of its body) closed the connection without an answer, though the request had not been passed on. Since bodies are counted, its bytes would also have counted as held for good.

--- a/src/main/java/sycamorehill/entry/CallerConnection.java
+++ b/src/main/java/sycamorehill/entry/CallerConnection.java
@@ -221,7 +221,16 @@
 		this.request = null;
 		this.body = null;
 		this.keepAlive = HttpUtil.isKeepAlive(completeRequest);
-		this.exchange = this.server.acceptRequest(this, completeRequest, completeBody, this.arrivedNanos);
+		try {
+			this.exchange = this.server.acceptRequest(this, completeRequest, completeBody, this.arrivedNanos);
+		}
+		catch (Throwable ex) {
+			// The request has not been passed on, and its body would count as held for
+			// good.
+			this.server.logFailedRequest(ex);
+			this.body = completeBody;
+			refuse(HttpResponseStatus.SERVICE_UNAVAILABLE, "the node failed to handle the request");
+		}
 	}
 
 	private void refuseMalformed(Throwable cause) {
--- a/src/main/java/sycamorehill/entry/CallerServer.java
+++ b/src/main/java/sycamorehill/entry/CallerServer.java
@@ -98,12 +98,13 @@
 		CallerRequestHead head = this.codec.readCallerRequest(request);
 		CallerExchange exchange = CallerExchange.of(this.exchanges.nextNumber(), connection, request, body, head,
 				arrivedNanos, this.codec);
-		this.exchanges.add(exchange);
 		String uri = request.uri();
 		int query = uri.indexOf('?');
-		this.eventSink.post(new EntryEvent.RequestArrived(new CallerRequest(exchange.number(), head.identifier(),
+		EntryEvent arrived = new EntryEvent.RequestArrived(new CallerRequest(exchange.number(), head.identifier(),
 				CallerConnection.lowerCaseHost(request), (query < 0) ? uri : uri.substring(0, query), head.apiKey(),
-				head.model(), head.tokenCounts(), head.timeLeft(), contentHash(request, body))));
+				head.model(), head.tokenCounts(), head.timeLeft(), contentHash(request, body)));
+		this.eventSink.post(arrived);
+		this.exchanges.add(exchange);
 		return exchange;
 	}
 
@@ -158,6 +159,11 @@
 				"status=" + status + " cause='" + detail + "' before it was read"));
 	}
 
+	void logFailedRequest(Throwable cause) {
+		EventLog.failure((cause instanceof Error) ? LogEvent.ERROR_THROWN : LogEvent.INVARIANT_BROKEN,
+				"a request that was read", cause);
+	}
+
 	void logConnectionFailure(Throwable cause) {
 		EventLog.write(
 				LogLine.of(LogEvent.REQUEST_FAILED, "a caller's connection failed cause='" + cause.getMessage() + "'"));
--- a/src/test/java/sycamorehill/entry/CallerConnectionTests.java
+++ b/src/test/java/sycamorehill/entry/CallerConnectionTests.java
@@ -8,9 +8,11 @@
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -30,9 +32,19 @@
 
 	private final List<EntryEvent> events = new ArrayList<>();
 
-	private final EmbeddedChannel channel = new EmbeddedChannel(CallerConnection.of(
-			CallerServer.of(null, PlatformTestCodec.create(), this.events::add, ExchangeRegistry.create()),
-			CallerLimits.INITIAL));
+	private boolean memoryIsShort;
+
+	private final CallerServer server = CallerServer.of(null, PlatformTestCodec.create(), this::post,
+			ExchangeRegistry.create());
+
+	private final EmbeddedChannel channel = new EmbeddedChannel(CallerConnection.of(this.server, CallerLimits.INITIAL));
+
+	private void post(EntryEvent event) {
+		if (this.memoryIsShort) {
+			throw new OutOfMemoryError("thrown by a test");
+		}
+		this.events.add(event);
+	}
 
 	@AfterEach
 	void end() {
@@ -57,4 +69,19 @@
 		assertThat(this.channel.config().isAutoRead()).isFalse();
 	}
 
+	// An error after a request was read must not close its connection without an answer,
+	// nor count its body as held for good.
+	@Test
+	void aRequestThatCanNotBeHandledIsRefusedAndItsBodyReleased() {
+		this.memoryIsShort = true;
+		DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/",
+				Unpooled.buffer(PART_BYTES).writeZero(PART_BYTES));
+		request.headers().set(HttpHeaderNames.HOST, "feed.example").set(HttpHeaderNames.CONTENT_LENGTH, PART_BYTES);
+		this.channel.writeInbound(request);
+		FullHttpResponse answer = this.channel.readOutbound();
+		assertThat(answer.status()).isEqualTo(HttpResponseStatus.SERVICE_UNAVAILABLE);
+		answer.release();
+		assertThat(this.server.reserveBody(CallerServer.MAXIMUM_BODY_BYTES)).isTrue();
+	}
+
 }
