--- a/src/main/java/sycamorehill/entry/CallerConnection.java
+++ b/src/main/java/sycamorehill/entry/CallerConnection.java
@@ -204,8 +204,17 @@
 		this.body = null;
 		this.keepAlive = HttpUtil.isKeepAlive(completeRequest);
 		this.answer = this.unwrittenAnswers.begin(this.arrivedNanos);
-		this.exchange = this.server.acceptRequest(this, completeRequest, completeBody, this.arrivedNanos);
-		this.answer.identify(this.exchange.identifier());
+		try {
+			this.exchange = this.server.acceptRequest(this, completeRequest, completeBody, this.arrivedNanos);
+			this.answer.identify(this.exchange.identifier());
+		}
+		catch (Throwable ex) {
+			// The request has not been passed on, and its body would count as held for
+			// good.
+			this.server.logFailedRequest(ex);
+			this.body = completeBody;
+			refuse(HttpResponseStatus.SERVICE_UNAVAILABLE, "the node failed to handle the request");
+		}
 	}
 
 	private void refuseMalformed(Throwable cause) {
--- a/src/test/java/sycamorehill/entry/CallerConnectionTests.java
+++ b/src/test/java/sycamorehill/entry/CallerConnectionTests.java
@@ -16,6 +16,7 @@
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
@@ -51,11 +52,20 @@
 
 	private final ExchangeRegistry exchanges = ExchangeRegistry.create();
 
-	private final CallerServer server = CallerServer.of(null, PlatformTestCodec.create(), this.events::add,
-			this.exchanges, AnswerCutLog.of(this.metrics));
+	private final CallerServer server = CallerServer.of(null, PlatformTestCodec.create(), this::post, this.exchanges,
+			AnswerCutLog.of(this.metrics));
+
+	private boolean memoryIsShort;
 
 	private final CallerConnection connection = CallerConnection.of(this.server, CallerLimits.INITIAL);
 
+	private void post(EntryEvent event) {
+		if (this.memoryIsShort) {
+			throw new OutOfMemoryError("thrown by a test");
+		}
+		this.events.add(event);
+	}
+
 	private EmbeddedChannel open(String identifier) {
 		EmbeddedChannel channel = new EmbeddedChannel(StrictRequestDecoder.of(CallerLimits.INITIAL),
 				new HttpResponseEncoder(), this.connection);
@@ -146,4 +156,21 @@
 		channel.finishAndReleaseAll();
 	}
 
+	// An error after a request was read must not close its connection without an answer,
+	// nor count its body as held for good.
+	@Test
+	void aRequestThatCanNotBeHandledIsRefusedAndItsBodyReleased() {
+		EmbeddedChannel channel = new EmbeddedChannel(this.connection);
+		this.memoryIsShort = true;
+		DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/",
+				Unpooled.buffer(PART_BYTES).writeZero(PART_BYTES));
+		request.headers().set(HttpHeaderNames.HOST, "feed.example").set(HttpHeaderNames.CONTENT_LENGTH, PART_BYTES);
+		channel.writeInbound(request);
+		FullHttpResponse answer = channel.readOutbound();
+		assertThat(answer.status()).isEqualTo(HttpResponseStatus.SERVICE_UNAVAILABLE);
+		answer.release();
+		assertThat(this.server.reserveBody(CallerServer.MAXIMUM_BODY_BYTES)).isTrue();
+		channel.finishAndReleaseAll();
+	}
+
 }
