Log a cut at the bound of a stop once, and keep the check of a stop alive

An exception in the periodic check of a stop cancelled it, so that the process never ended by its stop and the kill cut what ran: the check is guarded (found by review, not seen).

--- a/src/main/java/sycamorehill/entry/EntryNode.java
+++ b/src/main/java/sycamorehill/entry/EntryNode.java
@@ -126,7 +126,7 @@
 		this.registration = NodeRegistration.of(this.ports.nodeRegistry(), settings.toNodeRecord(), this.incarnation,
 				this.loop, (nodes) -> processEvent(new EntryEvent.NodesListed(nodes)));
 		this.plannedStop = PlannedStop.of(this.loop, this.clock, settings, this.callerServer, this.proxyServer,
-				this.exchanges, this.metrics);
+				this.exchanges, this.metrics, this.guard);
 		this.readinessServer = PageServer.of(this.loop, this::readinessPage);
 		this.metricsServer = PageServer.of(this.loop, this::metricsPage);
 	}
--- a/src/main/java/sycamorehill/entry/PlannedStop.java
+++ b/src/main/java/sycamorehill/entry/PlannedStop.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
-import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
@@ -40,6 +39,8 @@
 
 	private final EntryMetrics metrics;
 
+	private final LoopGuard guard;
+
 	private final CompletableFuture<Integer> finished = new CompletableFuture<>();
 
 	private EntrySettings settings;
@@ -49,7 +50,7 @@
 	private ScheduledFuture<?> checks;
 
 	private PlannedStop(EventLoop loop, InstantSource clock, EntrySettings settings, CallerServer callerServer,
-			ProxyServer proxyServer, ExchangeRegistry exchanges, EntryMetrics metrics) {
+			ProxyServer proxyServer, ExchangeRegistry exchanges, EntryMetrics metrics, LoopGuard guard) {
 		this.loop = loop;
 		this.clock = clock;
 		this.settings = settings;
@@ -57,11 +58,12 @@
 		this.proxyServer = proxyServer;
 		this.exchanges = exchanges;
 		this.metrics = metrics;
+		this.guard = guard;
 	}
 
 	static PlannedStop of(EventLoop loop, InstantSource clock, EntrySettings settings, CallerServer callerServer,
-			ProxyServer proxyServer, ExchangeRegistry exchanges, EntryMetrics metrics) {
-		return new PlannedStop(loop, clock, settings, callerServer, proxyServer, exchanges, metrics);
+			ProxyServer proxyServer, ExchangeRegistry exchanges, EntryMetrics metrics, LoopGuard guard) {
+		return new PlannedStop(loop, clock, settings, callerServer, proxyServer, exchanges, metrics, guard);
 	}
 
 	/**
@@ -74,8 +76,9 @@
 		}
 		this.begun = this.clock.instant();
 		this.callerServer.startStopping();
-		this.checks = this.loop.scheduleWithFixedDelay(this::finishIfDrained, CHECK_INTERVAL.toMillis(),
-				CHECK_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
+		this.checks = this.loop.scheduleWithFixedDelay(
+				() -> this.guard.run(LogEvent.INVARIANT_BROKEN, "planned stop", this::finishIfDrained),
+				CHECK_INTERVAL.toMillis(), CHECK_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
 		return true;
 	}
 
@@ -112,30 +115,17 @@
 		}
 	}
 
+	// The process ends next, and with it the requests that are left.
 	private void finish(Duration since) {
 		this.checks.cancel(false);
-		int callers = logCut("caller", this.exchanges.identifiers(CallerExchange.class), since);
-		int proxied = logCut("node", this.exchanges.identifiers(ProxiedExchange.class), since);
-		log(LogLine.of(LogEvent.REQUESTS_DRAINED,
+		int callers = this.exchanges.identifiers(CallerExchange.class).size();
+		int proxied = this.exchanges.identifiers(ProxiedExchange.class).size();
+		LogLine line = LogLine.of(LogEvent.REQUESTS_DRAINED,
 				"node=" + this.settings.nodeName() + " millis=" + since.toMillis() + " cut=" + callers
-						+ " cut-of-nodes=" + proxied + " connections-left=" + this.callerServer.connections()));
-		this.finished.complete(callers);
-	}
-
-	// The process ends next, and with it these requests.
-	private int logCut(String origin, List<String> identifiers, Duration since) {
-		int number = 0;
-		for (String identifier : identifiers) {
-			number++;
-			log(LogLine.of(LogEvent.REQUEST_CUT, "request=" + identifier + " of=" + origin + " number=" + number + '/'
-					+ identifiers.size() + " cause='the stop reached its bound' millis=" + since.toMillis()));
-		}
-		return number;
-	}
-
-	private void log(LogLine line) {
+						+ " cut-of-nodes=" + proxied + " connections-left=" + this.callerServer.connections());
 		this.metrics.countEvent(line);
 		EventLog.write(line);
+		this.finished.complete(callers);
 	}
 
 }
