--- a/src/main/java/sycamorehill/cli/LocalCommand.java
+++ b/src/main/java/sycamorehill/cli/LocalCommand.java
@@ -2,8 +2,9 @@
 
 import java.time.Duration;
 import java.time.format.DateTimeParseException;
+import java.util.Optional;
+import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CountDownLatch;
 
 import com.github.rvesse.airline.annotations.Command;
 import com.github.rvesse.airline.annotations.Option;
@@ -40,34 +41,48 @@
 	public int serve(ServingProcess process) throws Exception {
 		Duration duration = duration();
 		process.signals().ignoreReload();
+		CompletableFuture<Optional<Integer>> end = new CompletableFuture<>();
+		process.signals().onStop(() -> end.complete(Optional.empty()));
 		try (LocalSystem system = LocalSystem.start()) {
-			TicketRollout force = system.fileFirstTicket();
-			print(force);
-			boolean serving = system.awaitServing();
-			System.out.println(serving ? "model groups serve" : "model groups do not serve");
-			print(system);
-			if (duration.isZero()) {
-				return awaitStop(system, process);
+			process.end()
+				.setRequestsInFlight(
+						() -> system.nodes().stream().flatMap((node) -> node.requestsInFlight().stream()).toList());
+			Thread thread = new Thread(() -> completeWith(end, () -> use(system, duration)), "local");
+			thread.setDaemon(true);
+			thread.start();
+			Optional<Integer> exitCode = end.get();
+			if (exitCode.isEmpty()) {
+				system.nodes().stream().map(Node::stop).toList().forEach(CompletableFuture::join);
 			}
-			LoadReport report = system.load(duration, this.chatsPerSecond, this.ordersPerSecond, this.seed);
-			System.out.print(report.text());
-			process.end().setCause("--run-for is over");
-			boolean good = LocalSystem.inForce(force) && serving && good(report);
-			System.out.println(good ? "everything held" : "something did not hold");
-			return good ? ExitCode.DONE : ExitCode.REFUSED;
+			process.end().setCause(exitCode.isEmpty() ? "drained" : "--run-for is over");
+			return exitCode.orElse(ExitCode.DONE);
 		}
 	}
 
-	private static int awaitStop(LocalSystem system, ServingProcess process) throws InterruptedException {
-		process.end()
-			.setRequestsInFlight(
-					() -> system.nodes().stream().flatMap((node) -> node.requestsInFlight().stream()).toList());
-		CountDownLatch stop = new CountDownLatch(1);
-		process.signals().onStop(stop::countDown);
-		stop.await();
-		system.nodes().stream().map(Node::stop).toList().forEach(CompletableFuture::join);
-		process.end().setCause("drained");
-		return ExitCode.DONE;
+	private static void completeWith(CompletableFuture<Optional<Integer>> end, Callable<Optional<Integer>> work) {
+		try {
+			work.call().ifPresent((exitCode) -> end.complete(Optional.of(exitCode)));
+		}
+		catch (Throwable ex) {
+			end.completeExceptionally(ex);
+		}
+	}
+
+	// Returns no exit code if the system stays up until it is told to stop.
+	private Optional<Integer> use(LocalSystem system, Duration duration) throws Exception {
+		TicketRollout force = system.fileFirstTicket();
+		print(force);
+		boolean serving = system.awaitServing();
+		System.out.println(serving ? "model groups serve" : "model groups do not serve");
+		print(system);
+		if (duration.isZero()) {
+			return Optional.empty();
+		}
+		LoadReport report = system.load(duration, this.chatsPerSecond, this.ordersPerSecond, this.seed);
+		System.out.print(report.text());
+		boolean good = LocalSystem.inForce(force) && serving && good(report);
+		System.out.println(good ? "everything held" : "something did not hold");
+		return Optional.of(good ? ExitCode.DONE : ExitCode.REFUSED);
 	}
 
 	private Duration duration() {
--- a/src/main/java/sycamorehill/cli/ServeCommand.java
+++ b/src/main/java/sycamorehill/cli/ServeCommand.java
@@ -3,6 +3,8 @@
 import java.nio.file.Path;
 import java.time.Clock;
 import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.random.RandomGenerator;
 
 import com.github.rvesse.airline.annotations.Command;
@@ -51,15 +53,24 @@
 		file.watch(process.signals(), node::reload);
 		if (this.runFor != null) {
 			ArchivedClasses.load();
-			Thread.sleep(Duration.parse(this.runFor).toMillis());
-			process.end().setCause("--run-for is over");
-			return ExitCode.DONE;
+			return awaitStop(process, node, Duration.parse(this.runFor));
 		}
 		int cut = node.whenStopped().get();
 		process.end().setCause((cut == 0) ? "drained" : "the stop reached its bound");
 		return ExitCode.DONE;
 	}
 
+	private static int awaitStop(ServingProcess process, EntryNode node, Duration maximum) throws Exception {
+		try {
+			node.whenStopped().get(maximum.toMillis(), TimeUnit.MILLISECONDS);
+			process.end().setCause("drained");
+		}
+		catch (TimeoutException ex) {
+			process.end().setCause("--run-for is over");
+		}
+		return ExitCode.DONE;
+	}
+
 	private int serveFromFile(ServingProcess process) throws Exception {
 		NodeSettings sound = SoundSettings.of(NodeSettingsReader.read(Path.of(this.settings)));
 		Node node = Node.start(sound, Clock.systemUTC());
