Count the bound of a stop from its request, and end the stop whatever its report throws

The platform counts its grace from its signal; the node counted from when its loop got to the stop, which is later while a large configuration is parsed. Over 300 ms late, the kill came before the bound, and cut without a line. A grace of 3.3 s or less never reached the bound, as the time of acceptance was asked first. And an error in the report of a stop left a node that was not ready and never ended.

--- a/src/main/java/sycamorehill/entry/EntryNode.java
+++ b/src/main/java/sycamorehill/entry/EntryNode.java
@@ -407,8 +407,9 @@
 	 * nothing.
 	 */
 	public void stop() {
+		Instant requested = this.clock.instant();
 		this.loop.execute(() -> {
-			if (this.plannedStop.begin()) {
+			if (this.plannedStop.begin(requested)) {
 				EventLog.write(LogLine.of(LogEvent.NODE_STOPPING, "node=" + this.settings.nodeName()));
 				processEvent(new EntryEvent.StopRequested());
 				this.registration.remove();
--- a/src/main/java/sycamorehill/entry/PlannedStop.java
+++ b/src/main/java/sycamorehill/entry/PlannedStop.java
@@ -68,13 +68,14 @@
 
 	/**
 	 * Begins the stop.
+	 * @param requested when it was requested, from which the platform counts its grace
 	 * @return false if it has begun before
 	 */
-	boolean begin() {
-		if (this.begun != null) {
+	boolean begin(Instant requested) {
+		if (this.checks != null) {
 			return false;
 		}
-		this.begun = this.clock.instant();
+		this.begun = requested;
 		this.callerServer.startStopping();
 		this.checks = this.loop.scheduleWithFixedDelay(
 				() -> this.guard.run(LogEvent.INVARIANT_BROKEN, "planned stop", this::finishIfDrained),
@@ -101,31 +102,38 @@
 
 	private void finishIfDrained() {
 		Duration since = Duration.between(this.begun, this.clock.instant());
-		if (since.compareTo(EntryReducer.ACCEPTANCE_AFTER_STOP) < 0) {
-			return;
-		}
-		this.callerServer.closeIdle();
-		boolean boundReached = since.compareTo(this.settings.stopTime().minus(KILL_MARGIN)) > 0;
-		if (boundReached) {
-			this.callerServer.reportUnfinished();
-			this.proxyServer.reportUnfinished();
-		}
-		if (boundReached || (!this.callerServer.hasCallers() && !this.proxyServer.hasRequests())) {
+		if (since.compareTo(this.settings.stopTime().minus(KILL_MARGIN)) > 0) {
+			this.guard.run(LogEvent.EFFECT_FAILED, "report of cut answers", this::reportUnfinished);
 			finish(since);
 		}
+		else if (since.compareTo(EntryReducer.ACCEPTANCE_AFTER_STOP) >= 0) {
+			this.callerServer.closeIdle();
+			if (!this.callerServer.hasCallers() && !this.proxyServer.hasRequests()) {
+				finish(since);
+			}
+		}
+	}
+
+	private void reportUnfinished() {
+		this.callerServer.reportUnfinished();
+		this.proxyServer.reportUnfinished();
 	}
 
 	// The process ends next, and with it the requests that are left.
 	private void finish(Duration since) {
-		this.checks.cancel(false);
 		int callers = this.exchanges.identifiers(CallerExchange.class).size();
-		int proxied = this.exchanges.identifiers(ProxiedExchange.class).size();
-		LogLine line = LogLine.of(LogEvent.REQUESTS_DRAINED,
-				"node=" + this.settings.nodeName() + " millis=" + since.toMillis() + " cut=" + callers
-						+ " cut-of-nodes=" + proxied + " connections-left=" + this.callerServer.connections());
-		this.metrics.countEvent(line);
-		EventLog.write(line);
-		this.finished.complete(callers);
+		try {
+			int proxied = this.exchanges.identifiers(ProxiedExchange.class).size();
+			LogLine line = LogLine.of(LogEvent.REQUESTS_DRAINED,
+					"node=" + this.settings.nodeName() + " millis=" + since.toMillis() + " cut=" + callers
+							+ " cut-of-nodes=" + proxied + " connections-left=" + this.callerServer.connections());
+			this.metrics.countEvent(line);
+			EventLog.write(line);
+		}
+		finally {
+			this.checks.cancel(false);
+			this.finished.complete(callers);
+		}
 	}
 
 }
