Act on a signal or a failed step before it is logged

A line that can't be written, for lack of memory, lost the stop that it was about: the first TERM was noted as taken, and each later one did nothing. The same for a failed step of the product's own interface, for the report of silent targets and for waiting configurations, whose pending mark stayed set when their task could not be scheduled. Found by review, not seen in a run.

--- a/src/main/java/sycamorehill/cli/ProcessSignals.java
+++ b/src/main/java/sycamorehill/cli/ProcessSignals.java
@@ -81,8 +81,8 @@
 			return;
 		}
 		this.stopRequested = true;
-		log(name, this.stop.isPresent() ? "planned stop" : "planned stop after the start");
 		this.stop.ifPresent(Runnable::run);
+		log(name, this.stop.isPresent() ? "planned stop" : "planned stop after the start");
 	}
 
 	private synchronized void requestReload() {
@@ -91,8 +91,8 @@
 			return;
 		}
 		this.reloadRequested = true;
-		log(RELOAD_SIGNAL, this.reload.isPresent() ? "settings are read" : "settings are read after the start");
 		this.reload.ifPresent(Runnable::run);
+		log(RELOAD_SIGNAL, this.reload.isPresent() ? "settings are read" : "settings are read after the start");
 	}
 
 	private static void log(String name, String effect) {
--- a/src/main/java/sycamorehill/entry/StreamMonitor.java
+++ b/src/main/java/sycamorehill/entry/StreamMonitor.java
@@ -88,9 +88,20 @@
 		long now = this.nanoClock.getAsLong();
 		boolean mayBeSilent = this.targets.mayBeSilent(now) | this.nodes.mayBeSilent(now);
 		if (mayBeSilent && !this.checkPending) {
-			this.checkPending = true;
+			scheduleReport();
+		}
+	}
+
+	private void scheduleReport() {
+		this.checkPending = true;
+		try {
 			this.afterNextRead.accept(this::reportSilences);
 		}
+		catch (Throwable ex) {
+			// Else no silence would be reported any more.
+			this.checkPending = false;
+			throw ex;
+		}
 	}
 
 	private void reportSilences() {
--- a/src/main/java/sycamorehill/entry/WaitingConfiguration.java
+++ b/src/main/java/sycamorehill/entry/WaitingConfiguration.java
@@ -43,8 +43,19 @@
 			this.newest = received;
 		}
 		if (!scheduled) {
+			scheduleParsing();
+		}
+	}
+
+	private void scheduleParsing() {
+		try {
 			this.executor.execute(this::parseNewest);
 		}
+		catch (Throwable ex) {
+			// Else no configuration of a peer would be parsed any more.
+			this.newest = null;
+			throw ex;
+		}
 	}
 
 	private void parseNewest() {
--- a/src/main/java/sycamorehill/runtime/Node.java
+++ b/src/main/java/sycamorehill/runtime/Node.java
@@ -176,13 +176,13 @@
 	// An end at once would cut all streams: the node stops as planned. If steps of the
 	// stop throw as well, its time limit still ends the process.
 	private void handleInvariantViolation(Event event, Throwable cause) {
-		LogEvent logged = (cause instanceof Error) ? LogEvent.ERROR_THROWN : LogEvent.INVARIANT_BROKEN;
-		EventLog.failure(logged, event.getClass().getSimpleName(), cause);
 		if (this.failed.compareAndSet(false, true)) {
 			this.termination.completeOnTimeout(NodeTermination.FAILED,
 					this.settings.policy().request().stopBound().toMillis(), TimeUnit.MILLISECONDS);
 			stop();
 		}
+		LogEvent logged = (cause instanceof Error) ? LogEvent.ERROR_THROWN : LogEvent.INVARIANT_BROKEN;
+		EventLog.failure(logged, event.getClass().getSimpleName(), cause);
 	}
 
 	private void handleDrained() {
