--- a/src/main/java/sycamorehill/entry/NodeRegistration.java
+++ b/src/main/java/sycamorehill/entry/NodeRegistration.java
@@ -2,6 +2,8 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -37,6 +39,11 @@
 
 	private final Consumer<List<NodeRecord>> listener;
 
+	private CompletableFuture<Optional<NodeRegistry.EarlierEntry>> registering = CompletableFuture
+		.completedFuture(Optional.empty());
+
+	private boolean removed;
+
 	private NodeRegistration(NodeRegistry registry, NodeRecord self, String incarnation, EventLoop loop,
 			Consumer<List<NodeRecord>> listener) {
 		this.registry = registry;
@@ -65,7 +72,13 @@
 	 * the one that lists later finds the other and introduces itself.
 	 */
 	void start() {
-		this.registry.register(this.self, this.incarnation).whenCompleteAsync((earlier, failure) -> {
+		CompletableFuture<Optional<NodeRegistry.EarlierEntry>> call = this.registry.register(this.self,
+				this.incarnation);
+		this.registering = call;
+		call.whenCompleteAsync((earlier, failure) -> {
+			if (this.removed) {
+				return;
+			}
 			if (failure != null) {
 				logFailure("registering this node", failure);
 				schedule(this::start, RETRY_DELAY);
@@ -95,16 +108,28 @@
 		}, this.loop);
 	}
 
-	/** Removes the node from the registry. */
+	/**
+	 * Removes the node from the registry, after a registration that is under way: it
+	 * would outlast the process.
+	 */
 	void remove() {
-		this.registry.deregister(this.self.name()).exceptionally((failure) -> {
-			logFailure("deregistering this node", failure);
-			return null;
-		});
+		this.removed = true;
+		this.registering.handle((earlier, failure) -> this.self.name())
+			.thenCompose(this.registry::deregister)
+			.exceptionally((failure) -> {
+				logFailure("deregistering this node", failure);
+				return null;
+			});
 	}
 
 	private void schedule(Runnable task, Duration pause) {
-		this.loop.schedule(task, pause.toMillis(), TimeUnit.MILLISECONDS);
+		this.loop.schedule(() -> runUnlessRemoved(task), pause.toMillis(), TimeUnit.MILLISECONDS);
+	}
+
+	private void runUnlessRemoved(Runnable task) {
+		if (!this.removed) {
+			task.run();
+		}
 	}
 
 	private static void logFailure(String call, Throwable failure) {
