Cut also a connection that is accepted while a test's link is cut

The link closed its listening socket and reset the connections it knew while its accepting thread could still take one more. It waits for that thread now; no check is changed.

--- a/src/test/java/sycamorehill/entry/TargetLink.java
+++ b/src/test/java/sycamorehill/entry/TargetLink.java
@@ -40,6 +40,8 @@
 
 	private ServerSocket server;
 
+	private Thread accepting;
+
 	private volatile boolean hanging;
 
 	private TargetLink(Address target) {
@@ -62,6 +64,7 @@
 	 */
 	void cut(Way way) throws IOException {
 		this.server.close();
+		awaitLastAccept();
 		switch (way) {
 			case RESET -> reset();
 			case HANG -> hang();
@@ -70,6 +73,16 @@
 		}
 	}
 
+	// A connection that is accepted while the server is closed is cut with the others.
+	private void awaitLastAccept() {
+		try {
+			this.accepting.join();
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
 	private void reset() throws IOException {
 		for (Socket socket : this.sockets) {
 			try {
@@ -131,7 +144,7 @@
 	private void listen() throws IOException {
 		this.server = bind(ACCEPT_BACKLOG);
 		ServerSocket listening = this.server;
-		start(() -> accept(listening));
+		this.accepting = start(() -> accept(listening));
 	}
 
 	private void accept(ServerSocket listening) {
@@ -171,10 +184,11 @@
 		}
 	}
 
-	private static void start(Runnable work) {
+	private static Thread start(Runnable work) {
 		Thread thread = new Thread(work, "target-link");
 		thread.setDaemon(true);
 		thread.start();
+		return thread;
 	}
 
 	@Override
