--- a/src/test/java/sycamorehill/process/KeptConnection.java
+++ b/src/test/java/sycamorehill/process/KeptConnection.java
@@ -45,11 +45,22 @@
 	 */
 	String readAnswer(StringBuffer received) throws IOException {
 		String head = readHead();
+		readBody(head, received);
+		return head;
+	}
+
+	/**
+	 * Reads the body of an answer.
+	 * @param head the head of the answer
+	 * @param received receives the body as far as it has come
+	 * @throws IOException if the answer breaks off
+	 */
+	void readBody(String head, StringBuffer received) throws IOException {
 		int length = head.toLowerCase(Locale.ROOT).indexOf("content-length:");
 		if (length >= 0) {
 			int end = head.indexOf("\r\n", length);
 			received.append(readBytes(Integer.parseInt(head.substring(length + 15, end).trim())));
-			return head;
+			return;
 		}
 		int chunk = Integer.parseInt(readUntil("\r\n").trim(), 16);
 		while (chunk > 0) {
@@ -58,7 +69,6 @@
 			chunk = Integer.parseInt(readUntil("\r\n").trim(), 16);
 		}
 		readUntil("\r\n");
-		return head;
 	}
 
 	String readHead() throws IOException {
