--- a/src/main/java/sycamorehill/logic/dispatch/AttemptOutcomes.java
+++ b/src/main/java/sycamorehill/logic/dispatch/AttemptOutcomes.java
@@ -108,7 +108,7 @@
 	private void recordLost(DispatchedRequest request, TargetName target, boolean connectionLost, Instant now,
 			Effects effects) {
 		this.targetSelector.status(target).recordFailure(now);
-		this.crashSuspicions.suspect(request, target, now);
+		this.crashSuspicions.suspect(request, target, now, effects);
 		if (connectionLost) {
 			this.reachability.recordLostConnection(target, now, effects);
 		}
--- a/src/main/java/sycamorehill/logic/dispatch/CrashHistory.java
+++ b/src/main/java/sycamorehill/logic/dispatch/CrashHistory.java
@@ -54,8 +54,11 @@
 	}
 
 	boolean isRefused(long content) {
-		Set<TargetName> crashedTargets = this.crashedTargetsByContent.get(content);
-		return crashedTargets != null && crashedTargets.size() >= CRASHED_TARGETS_BEFORE_REFUSAL;
+		return countTargets(content) >= CRASHED_TARGETS_BEFORE_REFUSAL;
+	}
+
+	int countTargets(long content) {
+		return this.crashedTargetsByContent.getOrDefault(content, Set.of()).size();
 	}
 
 	/**
--- a/src/main/java/sycamorehill/logic/dispatch/CrashSuspicions.java
+++ b/src/main/java/sycamorehill/logic/dispatch/CrashSuspicions.java
@@ -7,6 +7,7 @@
 
 import sycamorehill.logic.Effects;
 import sycamorehill.model.identity.TargetName;
+import sycamorehill.model.log.LogEvent;
 import sycamorehill.model.serving.EntryEffect;
 import sycamorehill.model.serving.NodeMessage;
 
@@ -49,8 +50,11 @@
 		return new CrashSuspicions(nodeName, history, reachability);
 	}
 
-	void suspect(DispatchedRequest request, TargetName target, Instant now) {
-		this.unconfirmed.add(new Suspicion(request, target, now));
+	void suspect(DispatchedRequest request, TargetName target, Instant now, Effects effects) {
+		Suspicion suspicion = new Suspicion(request, target, now);
+		this.unconfirmed.add(suspicion);
+		effects.log(LogEvent.SUSPICION_RAISED,
+				"request=" + request.request().identifier() + " " + suspicion.describe(now));
 	}
 
 	/**
@@ -61,16 +65,22 @@
 	void clear(long content, Effects effects) {
 		this.unconfirmed.removeIf((suspicion) -> suspicion.content() == content);
 		if (this.history.isSuspect(content)) {
-			handleCleared(content);
+			handleCleared(content, this.nodeName, effects);
 			effects.add(new EntryEffect.Broadcast(new NodeMessage.SuspicionCleared(this.nodeName, content)));
 		}
 	}
 
 	/**
-	 * Handles a content whose request was answered at another node.
+	 * Handles a content whose request was answered at a node.
 	 * @param content hash of the content
+	 * @param node the node, for the log
+	 * @param effects receives the resulting effects
 	 */
-	void handleCleared(long content) {
+	void handleCleared(long content, String node, Effects effects) {
+		if (this.history.isSuspect(content)) {
+			effects.log(LogEvent.SUSPICION_DROPPED,
+					"content=" + Long.toHexString(content) + " cause='answered at " + node + "'");
+		}
 		this.history.clear(content);
 		this.broadcasts.removeIf((broadcast) -> broadcast.suspicion().contentHash() == content);
 	}
@@ -86,14 +96,20 @@
 		if (this.unconfirmed.isEmpty()) {
 			return;
 		}
-		this.unconfirmed.removeIf(
-				(suspicion) -> this.reachability.wasUnreachableAfter(suspicion.request().service(), suspicion.since()));
+		List<Suspicion> explained = this.unconfirmed.stream().filter(this::isExplainedByPath).toList();
+		explained.forEach((suspicion) -> effects.log(LogEvent.SUSPICION_DROPPED,
+				suspicion.describe(now) + " cause='the service was unreachable'"));
+		this.unconfirmed.removeAll(explained);
 		List<Suspicion> due = this.unconfirmed.stream().filter((suspicion) -> isDue(suspicion, now)).toList();
 		this.unconfirmed.removeAll(due);
-		due.forEach((suspicion) -> confirm(suspicion, now));
+		due.forEach((suspicion) -> confirm(suspicion, now, effects));
 		sendDue(now, effects);
 	}
 
+	private boolean isExplainedByPath(Suspicion suspicion) {
+		return this.reachability.wasUnreachableAfter(suspicion.request().service(), suspicion.since());
+	}
+
 	private void sendDue(Instant now, Effects effects) {
 		this.broadcasts.replaceAll((broadcast) -> {
 			if (now.isBefore(broadcast.dueAt())) {
@@ -124,8 +140,10 @@
 				&& !this.reachability.isInDoubt(suspicion.request().service(), now));
 	}
 
-	private void confirm(Suspicion suspicion, Instant now) {
+	private void confirm(Suspicion suspicion, Instant now, Effects effects) {
 		this.history.recordCrash(suspicion.content(), suspicion.target());
+		effects.log(LogEvent.SUSPICION_CONFIRMED,
+				suspicion.describe(now) + " targets=" + this.history.countTargets(suspicion.content()));
 		this.broadcasts.add(new Broadcast(
 				new NodeMessage.Suspicion(this.nodeName, suspicion.content(), suspicion.target()), BROADCASTS, now));
 	}
@@ -143,6 +161,11 @@
 			return this.request.request().contentHash();
 		}
 
+		String describe(Instant now) {
+			return "content=" + Long.toHexString(content()) + " target=" + this.target + " age-millis="
+					+ Duration.between(this.since, now).toMillis();
+		}
+
 	}
 
 	/**
--- a/src/main/java/sycamorehill/logic/dispatch/RequestDispatcher.java
+++ b/src/main/java/sycamorehill/logic/dispatch/RequestDispatcher.java
@@ -262,7 +262,7 @@
 			this.crashHistory.recordCrash(suspicion.contentHash(), suspicion.target());
 		}
 		else if (message instanceof NodeMessage.SuspicionCleared cleared) {
-			this.crashSuspicions.handleCleared(cleared.contentHash());
+			this.crashSuspicions.handleCleared(cleared.contentHash(), cleared.sender(), effects);
 		}
 		else if (message instanceof NodeMessage.ServicesUnreachable report) {
 			this.paths.proxySelector().handleMessage(report, now);
--- a/src/main/java/sycamorehill/logic/dispatch/RequestRouter.java
+++ b/src/main/java/sycamorehill/logic/dispatch/RequestRouter.java
@@ -86,8 +86,8 @@
 			return new Refused(UNAUTHORIZED, "the key is not known", Optional.empty());
 		}
 		if (this.crashHistory.isRefused(request.contentHash())) {
-			return new Refused(UNAVAILABLE, "not run: this content was lost with several targets",
-					Optional.of(SUSPECT_RETRY_AFTER));
+			return new Refused(UNAVAILABLE, "not run: this content was lost with several targets, content="
+					+ Long.toHexString(request.contentHash()), Optional.of(SUSPECT_RETRY_AFTER));
 		}
 		return new Routed(route.get(), workspace, this.configuration.get());
 	}
--- a/src/main/java/sycamorehill/model/log/LogEvent.java
+++ b/src/main/java/sycamorehill/model/log/LogEvent.java
@@ -204,7 +204,16 @@
 	RETRY_SHARE_CHANGED(1913, LogLevel.INFO),
 
 	/** This node closed a connection within an answer. */
-	ANSWER_CUT(1914, LogLevel.WARN);
+	ANSWER_CUT(1914, LogLevel.WARN),
+
+	/** A target was lost while it ran a request. */
+	SUSPICION_RAISED(1915, LogLevel.WARN),
+
+	/** What was lost with a target doesn't count as its cause any more. */
+	SUSPICION_DROPPED(1916, LogLevel.INFO),
+
+	/** A target that was lost counts as ended by what it ran. */
+	SUSPICION_CONFIRMED(1917, LogLevel.WARN);
 
 	private final int number;
 
