Test that a content which crashed all targets of a service is refused, red

Three requests with one content are lost at three targets, whose connections are then refused; the targets end in the store and come back as new ones at their addresses. The fourth request starts an attempt.

--- a/src/test/java/sycamorehill/logic/entry/CrashSuspicionTests.java
+++ b/src/test/java/sycamorehill/logic/entry/CrashSuspicionTests.java
@@ -4,7 +4,10 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
+import java.util.stream.Stream;
 
 import org.junit.jupiter.api.Test;
 
@@ -14,6 +17,8 @@
 import sycamorehill.model.serving.EntryEffect;
 import sycamorehill.model.serving.EntryEvent;
 import sycamorehill.model.serving.NodeMessage;
+import sycamorehill.model.serving.TargetChange;
+import sycamorehill.model.serving.TargetEntry;
 import sycamorehill.support.ServingSamples;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -100,4 +105,50 @@
 		assertThat(told).hasSize(3).containsOnly(new NodeMessage.Suspicion("one", CRASHING.contentHash(), target));
 	}
 
+	private static CallerRequest crashing(long number) {
+		CallerRequest sample = ServingSamples.request(number, "/again/x");
+		return new CallerRequest(number, sample.identifier(), sample.host(), sample.path(), sample.apiKey(),
+				sample.model(), sample.tokenCounts(), sample.timeLeft(), CRASHING.contentHash());
+	}
+
+	private List<EntryEffect> run(EntryReducer node, Duration duration) {
+		List<EntryEffect> effects = new ArrayList<>();
+		for (Instant end = this.now.plus(duration); this.now.isBefore(end);) {
+			this.now = this.now.plusMillis(20);
+			effects.addAll(node.accept(new EntryEvent.Ticked(), this.now));
+		}
+		return effects;
+	}
+
+	// All targets of a small service crash one after the other, so that the node reaches
+	// none. It would take its path for lost, and forget which content ran on them.
+	@Test
+	void aContentThatCrashedAllTargetsOfAServiceIsRefusedWhenTheyAreBack() {
+		EntryReducer one = start("one");
+		for (int number = 1; number <= 3; number++) {
+			one.accept(new EntryEvent.RequestArrived(crashing(number)), this.now);
+			one.accept(new EntryEvent.AttemptEnded(number, 1, new AttemptEnd.Unknown("closed", true)), this.now);
+			run(one, Duration.ofMillis(40));
+		}
+		List.of("p1", "p2", "p3")
+			.forEach((target) -> one.accept(new EntryEvent.TargetUnreached(TargetName.of(target)), this.now));
+		run(one, Duration.ofMillis(2500));
+		List<TargetChange> restarts = Stream.of("p1", "p2", "p3")
+			.flatMap((name) -> Stream.of(new TargetChange(TargetName.of(name), Optional.empty()),
+					new TargetChange(TargetName.of(name + "b"), Optional.of(restarted(name)))))
+			.toList();
+		one.accept(new EntryEvent.TargetsChanged(restarts, 10, 11), this.now);
+		one.accept(new EntryEvent.TargetConnected(TargetName.of("p1b")), this.now);
+		run(one, Duration.ofMillis(300));
+		assertThat(one.accept(new EntryEvent.RequestArrived(crashing(4)), this.now))
+			.noneMatch(EntryEffect.StartAttempt.class::isInstance)
+			.anyMatch((effect) -> effect instanceof EntryEffect.Answer answer && answer.status() == 503);
+	}
+
+	private static TargetEntry restarted(String name) {
+		TargetEntry before = ServingSamples.plain(name);
+		return new TargetEntry(TargetName.of(name + "b"), before.service(), before.address(), before.dataCentre(),
+				before.slots(), false, 5_000, Optional.empty(), Set.of(), Optional.empty(), Optional.empty());
+	}
+
 }
