--- a/src/main/java/sycamorehill/entry/NodeMessageFields.java
+++ b/src/main/java/sycamorehill/entry/NodeMessageFields.java
@@ -35,8 +35,6 @@
 
 	private static final String TARGET = "target";
 
-	private static final String CONTENT = "content";
-
 	private static final String GROUP = "group";
 
 	private static final String EPOCH = "epoch";
@@ -114,8 +112,8 @@
 			case GROUP_ENDED -> writeEndedGroup((NodeMessage.GroupEnded) message, body);
 			case TARGET_LIMITED -> writeRateLimit((NodeMessage.TargetLimited) message, body);
 			case TARGET_LEAVING -> writeLeaving((NodeMessage.TargetLeaving) message, body);
-			case SUSPICION -> writeSuspicion((NodeMessage.Suspicion) message, body);
-			case CLEARED -> body.put(CONTENT, ((NodeMessage.SuspicionCleared) message).contentHash());
+			case TARGET_LOST -> CrashMessageFields.write((NodeMessage.TargetLost) message, body);
+			case TRAITS_SOUND -> CrashMessageFields.write((NodeMessage.TraitsSound) message, body);
 		}
 	}
 
@@ -139,8 +137,8 @@
 			case GROUP_ENDED -> readEndedGroup(sender, body);
 			case TARGET_LIMITED -> readRateLimit(sender, body);
 			case TARGET_LEAVING -> new NodeMessage.TargetLeaving(sender, readTarget(body), body.path(STARTED).asLong());
-			case SUSPICION -> new NodeMessage.Suspicion(sender, body.path(CONTENT).asLong(), readTarget(body));
-			case CLEARED -> new NodeMessage.SuspicionCleared(sender, body.path(CONTENT).asLong());
+			case TARGET_LOST -> CrashMessageFields.readTargetLost(sender, body);
+			case TRAITS_SOUND -> CrashMessageFields.readTraitsSound(sender, body);
 		};
 	}
 
@@ -293,8 +291,4 @@
 		writeTarget(leaving.target(), body).put(STARTED, leaving.startMillis());
 	}
 
-	private static void writeSuspicion(NodeMessage.Suspicion suspicion, ObjectNode body) {
-		writeTarget(suspicion.target(), body).put(CONTENT, suspicion.contentHash());
-	}
-
 }
--- a/src/main/java/sycamorehill/entry/NodeMessageKind.java
+++ b/src/main/java/sycamorehill/entry/NodeMessageKind.java
@@ -43,9 +43,9 @@
 
 	TARGET_LEAVING(NodeMessage.TargetLeaving.class),
 
-	SUSPICION(NodeMessage.Suspicion.class),
+	TARGET_LOST(NodeMessage.TargetLost.class),
 
-	CLEARED(NodeMessage.SuspicionCleared.class);
+	TRAITS_SOUND(NodeMessage.TraitsSound.class);
 
 	private final Class<? extends NodeMessage> type;
 
--- /dev/null
+++ b/src/main/java/sycamorehill/logic/crash/CrashReports.java
@@ -0,0 +1,166 @@
+package sycamorehill.logic.crash;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import sycamorehill.logic.Effects;
+import sycamorehill.model.serving.EntryEffect;
+import sycamorehill.model.serving.NodeMessage;
+import sycamorehill.model.serving.RequestTrait;
+import sycamorehill.model.serving.TargetIncarnation;
+
+/**
+ * Tells the other nodes which targets were lost with which requests, and what was run
+ * without a crash. Messages may be lost, so each is repeated.
+ */
+final class CrashReports {
+
+	/** How often a message is sent. */
+	private static final int BROADCASTS = 3;
+
+	private static final Duration BROADCAST_INTERVAL = Duration.ofSeconds(1);
+
+	/**
+	 * Maximum number of undecided losses of this node that others are told of. Where more
+	 * targets are lost at once, it is most likely this node that has lost its path.
+	 */
+	private static final int MAXIMUM_UNDECIDED_TOLD = 3;
+
+	/** Maximum number of losses of which a node is told at once, the newest ones. */
+	private static final int MAXIMUM_LOSSES_TOLD = 50;
+
+	private final String nodeName;
+
+	private final CrashEvidence evidence;
+
+	/** How often crashes have still to be sent. */
+	private final Map<TargetIncarnation, Repetition> crashes = new HashMap<>();
+
+	private final Set<TargetIncarnation> toldUndecided = new HashSet<>();
+
+	private final List<SoundReport> soundReports = new ArrayList<>();
+
+	private CrashReports(String nodeName, CrashEvidence evidence) {
+		this.nodeName = nodeName;
+		this.evidence = evidence;
+	}
+
+	static CrashReports of(String nodeName, CrashEvidence evidence) {
+		return new CrashReports(nodeName, evidence);
+	}
+
+	/**
+	 * Reports that a lost process has ended.
+	 * @param target the process
+	 * @param now the current time
+	 */
+	void addCrash(TargetIncarnation target, Instant now) {
+		this.crashes.put(target, new Repetition(BROADCASTS, now));
+	}
+
+	/**
+	 * Reports that requests with some properties were run without a crash.
+	 * @param traits the properties
+	 * @param at when their targets began to run them, at the earliest
+	 * @param now the current time
+	 */
+	void addSound(Set<RequestTrait> traits, Instant at, Instant now) {
+		this.soundReports.add(new SoundReport(traits, at, new Repetition(BROADCASTS, now)));
+	}
+
+	/**
+	 * Sends what is due.
+	 * @param undecided the undecided targets that this node has lost
+	 * @param now the current time
+	 * @param effects receives the resulting effects
+	 */
+	void tick(Set<TargetIncarnation> undecided, Instant now, Effects effects) {
+		sendUndecided(undecided, now, effects);
+		this.crashes.replaceAll((target, repetition) -> {
+			if (!repetition.isDue(now)) {
+				return repetition;
+			}
+			send(target, now, effects);
+			return repetition.next(now);
+		});
+		this.crashes.values().removeIf(Repetition::isOver);
+		this.soundReports.replaceAll((report) -> {
+			if (!report.repetition().isDue(now)) {
+				return report;
+			}
+			effects.add(new EntryEffect.Broadcast(
+					new NodeMessage.TraitsSound(this.nodeName, report.traits(), Duration.between(report.at(), now))));
+			return new SoundReport(report.traits(), report.at(), report.repetition().next(now));
+		});
+		this.soundReports.removeIf((report) -> report.repetition().isOver());
+	}
+
+	// A node that is killed before the loss is decided must not take along what it knows.
+	private void sendUndecided(Set<TargetIncarnation> undecided, Instant now, Effects effects) {
+		this.toldUndecided.retainAll(undecided);
+		if (undecided.size() <= MAXIMUM_UNDECIDED_TOLD) {
+			undecided.stream().filter(this.toldUndecided::add).forEach((target) -> send(target, now, effects));
+		}
+	}
+
+	private void send(TargetIncarnation target, Instant now, Effects effects) {
+		this.evidence.find(target)
+			.filter((loss) -> !loss.traits().isEmpty())
+			.ifPresent((loss) -> effects.add(new EntryEffect.Broadcast(loss.toMessage(this.nodeName, now))));
+	}
+
+	/**
+	 * Returns the newest losses, as messages.
+	 * @param now the current time
+	 * @return the messages
+	 */
+	List<NodeMessage> createReports(Instant now) {
+		return this.evidence.losses()
+			.stream()
+			.filter((loss) -> loss.crashed() && !loss.traits().isEmpty())
+			.sorted(Comparator.comparing(TargetLoss::seenAt).reversed())
+			.limit(MAXIMUM_LOSSES_TOLD)
+			.<NodeMessage>map((loss) -> loss.toMessage(this.nodeName, now))
+			.toList();
+	}
+
+	/**
+	 * Counts how often a message has still to be sent.
+	 *
+	 * @param timesLeft how often it is still sent
+	 * @param dueAt when it is sent next
+	 */
+	private record Repetition(int timesLeft, Instant dueAt) {
+
+		boolean isDue(Instant now) {
+			return !now.isBefore(this.dueAt);
+		}
+
+		Repetition next(Instant now) {
+			return new Repetition(this.timesLeft - 1, now.plus(BROADCAST_INTERVAL));
+		}
+
+		boolean isOver() {
+			return this.timesLeft == 0;
+		}
+
+	}
+
+	/**
+	 * Properties of requests that were run without a crash.
+	 *
+	 * @param traits the properties
+	 * @param at when their targets began to run them, at the earliest
+	 * @param repetition how often this has still to be sent
+	 */
+	private record SoundReport(Set<RequestTrait> traits, Instant at, Repetition repetition) {
+	}
+
+}
--- /dev/null
+++ b/src/main/java/sycamorehill/logic/crash/CrashSuspicions.java
@@ -0,0 +1,333 @@
+package sycamorehill.logic.crash;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+import sycamorehill.logic.Effects;
+import sycamorehill.logic.directory.TargetDirectory;
+import sycamorehill.model.identity.Address;
+import sycamorehill.model.identity.ServiceName;
+import sycamorehill.model.identity.TargetName;
+import sycamorehill.model.log.LogEvent;
+import sycamorehill.model.serving.LostRequest;
+import sycamorehill.model.serving.NodeMessage;
+import sycamorehill.model.serving.RequestTrait;
+import sycamorehill.model.serving.TargetEntry;
+import sycamorehill.model.serving.TargetIncarnation;
+
+/**
+ * Decides which requests crash the targets that run them, together with all other nodes.
+ *
+ * A lost connection doesn't show whether the target has crashed or the path to it is
+ * broken, and where all targets of a service are lost, neither do the others. A loss is
+ * therefore kept until it is decided: the target's process has ended, or it answers
+ * again. A path that has proved to work decides sooner.
+ */
+public final class CrashSuspicions {
+
+	/** Time in which a broken path is noticed. */
+	private static final Duration CONFIRMATION_TIME = Duration.ofMillis(200);
+
+	/** Maximum time for which a loss waits while the path is in doubt. */
+	private static final Duration MAXIMUM_CONFIRMATION_TIME = Duration.ofSeconds(1);
+
+	/** Interval at which undecided losses are compared with the directory. */
+	private static final Duration CHECK_INTERVAL = Duration.ofMillis(100);
+
+	/**
+	 * Time after an answer in which the start of a new process under the target's old
+	 * name becomes known.
+	 */
+	private static final Duration RESTART_NOTICE_TIME = Duration.ofSeconds(1);
+
+	private final TargetDirectory directory;
+
+	private final PathState paths;
+
+	private final CrashEvidence evidence = CrashEvidence.create();
+
+	private final CrashReports reports;
+
+	/** The undecided targets that this node itself has lost. */
+	private final Map<TargetIncarnation, OwnLoss> ownLosses = new HashMap<>();
+
+	/** The first answers of targets that this node had lost. */
+	private final Map<TargetIncarnation, SignOfLife> signsOfLife = new HashMap<>();
+
+	private Instant checkedAt = Instant.MIN;
+
+	private Set<String> loggedCauses = Set.of();
+
+	private CrashSuspicions(String nodeName, TargetDirectory directory, PathState paths) {
+		this.directory = directory;
+		this.paths = paths;
+		this.reports = CrashReports.of(nodeName, this.evidence);
+	}
+
+	/**
+	 * Creates the suspicions of a node that knows of no crash.
+	 * @param nodeName the node's name
+	 * @param directory the known targets
+	 * @param paths tells whether this node's paths to the targets work
+	 * @return the suspicions
+	 */
+	public static CrashSuspicions of(String nodeName, TargetDirectory directory, PathState paths) {
+		return new CrashSuspicions(nodeName, directory, paths);
+	}
+
+	/**
+	 * Records that this node has lost a target that was running a request.
+	 * @param request the request
+	 * @param service the target's service
+	 * @param target the process of the target to which the request was sent
+	 * @param now the current time
+	 * @param effects receives the resulting effects
+	 */
+	public void suspect(LostRequest request, ServiceName service, TargetIncarnation target, Instant now,
+			Effects effects) {
+		effects.log(LogEvent.SUSPICION_RAISED, "request=" + request.identifier() + " traits="
+				+ RequestTrait.describe(request.traits()) + " target=" + target.name());
+		this.evidence.add(new TargetLoss(target, now, false, Map.of(request.identifier(), LostRun.of(request, now))));
+		this.ownLosses.put(target, new OwnLoss(service, now));
+		if (!isKnown(target)) {
+			decideCrash(target, "its entry has ended", now, effects);
+		}
+	}
+
+	private boolean isKnown(TargetIncarnation target) {
+		return this.directory.find(target.name()).map(TargetIncarnation::of).filter(target::equals).isPresent();
+	}
+
+	/**
+	 * Records that a target ran a request without a crash.
+	 * @param traits the request's properties
+	 * @param startedAt when the request was sent to the target
+	 * @param now the current time
+	 * @param effects receives the resulting effects
+	 */
+	public void recordSound(Set<RequestTrait> traits, Instant startedAt, Instant now, Effects effects) {
+		Set<RequestTrait> cleared = this.evidence.recordSound(traits, startedAt);
+		if (!cleared.isEmpty()) {
+			effects.log(LogEvent.SUSPICION_DROPPED,
+					"traits=" + RequestTrait.describe(cleared) + " cause='answered by a target'");
+			this.reports.addSound(cleared, startedAt, now);
+			logCauses(now, effects);
+		}
+	}
+
+	/**
+	 * Records that a target has answered a request.
+	 * @param target the target
+	 * @param sentAt when the request was sent to it
+	 * @param now the current time
+	 */
+	public void recordAnswer(TargetName target, Instant sentAt, Instant now) {
+		if (this.evidence.isEmpty()) {
+			return;
+		}
+		this.directory.find(target)
+			.map(TargetIncarnation::of)
+			.flatMap(this.evidence::find)
+			.filter((loss) -> sentAt.isAfter(loss.lostAt()))
+			.ifPresent((loss) -> this.signsOfLife.putIfAbsent(loss.target(), new SignOfLife(sentAt, now)));
+	}
+
+	/**
+	 * Handles the end of a target's process, as the store shows it.
+	 * @param entry the last entry of the process
+	 * @param now the current time
+	 * @param effects receives the resulting effects
+	 */
+	public void handleTargetEnded(TargetEntry entry, Instant now, Effects effects) {
+		TargetIncarnation target = TargetIncarnation.of(entry);
+		this.signsOfLife.remove(target);
+		if (isUndecided(target)) {
+			decideCrash(target, "its entry has ended", now, effects);
+		}
+	}
+
+	private boolean isUndecided(TargetIncarnation target) {
+		return this.evidence.find(target).filter((loss) -> !loss.crashed()).isPresent();
+	}
+
+	/**
+	 * Handles the loss of a target at another node.
+	 * @param message the other node's message
+	 * @param now the current time
+	 * @param effects receives the resulting effects
+	 */
+	public void handleMessage(NodeMessage.TargetLost message, Instant now, Effects effects) {
+		this.evidence.add(TargetLoss.of(message, now));
+		logCauses(now, effects);
+	}
+
+	/**
+	 * Handles requests that a target ran without a crash at another node.
+	 * @param message the other node's message
+	 * @param now the current time
+	 * @param effects receives the resulting effects
+	 */
+	public void handleMessage(NodeMessage.TraitsSound message, Instant now, Effects effects) {
+		Set<RequestTrait> cleared = this.evidence.recordSound(message.traits(), now.minus(message.age()));
+		if (!cleared.isEmpty()) {
+			effects.log(LogEvent.SUSPICION_DROPPED, "traits=" + RequestTrait.describe(cleared)
+					+ " cause='answered by a target' told-by=" + message.sender());
+			logCauses(now, effects);
+		}
+	}
+
+	/**
+	 * Finds why a request must not be sent to any target.
+	 * @param traits the request's properties
+	 * @param now the current time
+	 * @return the reason, for the caller and the log; empty if it may be sent
+	 */
+	public Optional<String> findRefusal(Set<RequestTrait> traits, Instant now) {
+		return this.evidence.findCause(traits, now)
+			.map((cause) -> cause.name() + " was lost with " + cause.losses().size() + " targets: "
+					+ cause.describeCrashes(now));
+	}
+
+	/**
+	 * Decides the losses that can be decided now, and tells the other nodes.
+	 * @param now the current time
+	 * @param effects receives the resulting effects
+	 */
+	public void tick(Instant now, Effects effects) {
+		if (this.evidence.isEmpty()) {
+			return;
+		}
+		dropAnswering(now, effects);
+		confirmByPath(now, effects);
+		if (!now.isBefore(this.checkedAt.plus(CHECK_INTERVAL))) {
+			this.checkedAt = now;
+			confirmReplaced(now, effects);
+			this.evidence.expire(now);
+			logCauses(now, effects);
+		}
+		this.ownLosses.keySet().removeIf((target) -> !isUndecided(target));
+		this.reports.tick(this.ownLosses.keySet(), now, effects);
+	}
+
+	// A process that answers has not crashed, unless it is a new one under the old name.
+	private void dropAnswering(Instant now, Effects effects) {
+		List<TargetIncarnation> answering = this.signsOfLife.entrySet()
+			.stream()
+			.filter((sign) -> !now.isBefore(sign.getValue().answeredAt().plus(RESTART_NOTICE_TIME)))
+			.map(Map.Entry::getKey)
+			.toList();
+		for (TargetIncarnation target : answering) {
+			SignOfLife sign = this.signsOfLife.remove(target);
+			if (isKnown(target)) {
+				this.evidence.recordAlive(target, sign.sentAt());
+				effects.log(LogEvent.SUSPICION_DROPPED, "target=" + target.name() + " cause='it answers again'");
+			}
+		}
+	}
+
+	private void confirmByPath(Instant now, Effects effects) {
+		List<TargetIncarnation> confirmed = this.ownLosses.entrySet()
+			.stream()
+			.filter((own) -> isUndecided(own.getKey()) && !hasAnsweredAfter(own.getKey(), own.getValue().since()))
+			.filter((own) -> isPathProved(own.getValue(), now))
+			.map(Map.Entry::getKey)
+			.toList();
+		confirmed.forEach((target) -> decideCrash(target, "the path works", now, effects));
+	}
+
+	private boolean hasAnsweredAfter(TargetIncarnation target, Instant since) {
+		SignOfLife sign = this.signsOfLife.get(target);
+		return sign != null && sign.sentAt().isAfter(since);
+	}
+
+	private boolean isPathProved(OwnLoss loss, Instant now) {
+		if (this.paths.wasUnreachableAfter(loss.service(), loss.since())) {
+			return false;
+		}
+		Duration waited = Duration.between(loss.since(), now);
+		return waited.compareTo(MAXIMUM_CONFIRMATION_TIME) >= 0
+				|| (waited.compareTo(CONFIRMATION_TIME) >= 0 && !this.paths.isInDoubt(loss.service(), now));
+	}
+
+	// The address of a target is used again only after its process has ended, and the new
+	// process is known before the old entry has expired.
+	private void confirmReplaced(Instant now, Effects effects) {
+		List<TargetLoss> undecided = this.evidence.losses().stream().filter((loss) -> !loss.crashed()).toList();
+		if (undecided.isEmpty()) {
+			return;
+		}
+		Map<Address, Set<TargetIncarnation>> processes = this.directory.all()
+			.stream()
+			.map(TargetIncarnation::of)
+			.collect(Collectors.groupingBy(TargetIncarnation::address, Collectors.toCollection(HashSet::new)));
+		for (TargetLoss loss : undecided) {
+			Set<TargetIncarnation> atAddress = processes.getOrDefault(loss.target().address(), Set.of());
+			boolean replaced = atAddress.stream()
+				.anyMatch((process) -> process.startMillis() > loss.target().startMillis());
+			if (replaced) {
+				decideCrash(loss.target(), "another process has its address", now, effects);
+			}
+		}
+	}
+
+	private void decideCrash(TargetIncarnation target, String cause, Instant now, Effects effects) {
+		this.evidence.recordCrash(target);
+		this.evidence.find(target).ifPresent((loss) -> {
+			this.reports.addCrash(target, now);
+			effects.log(LogEvent.SUSPICION_CONFIRMED, "target=" + target.name() + " cause='" + cause + "' requests="
+					+ loss.runs().size() + " lost-millis=" + Duration.between(loss.lostAt(), now).toMillis());
+		});
+		logCauses(now, effects);
+	}
+
+	private void logCauses(Instant now, Effects effects) {
+		List<CrashCause> causes = this.evidence.causes();
+		Set<String> names = causes.stream().map(CrashCause::name).collect(Collectors.toSet());
+		if (names.equals(this.loggedCauses)) {
+			return;
+		}
+		causes.stream()
+			.filter((cause) -> !this.loggedCauses.contains(cause.name()))
+			.forEach((cause) -> effects.log(LogEvent.CRASH_CAUSE_FOUND, "traits=" + cause.name() + " targets="
+					+ cause.losses().size() + " crashes=" + cause.describeCrashes(now)));
+		this.loggedCauses.stream()
+			.filter((name) -> !names.contains(name))
+			.forEach((name) -> effects.log(LogEvent.CRASH_CAUSE_DROPPED, "traits=" + name));
+		this.loggedCauses = names;
+	}
+
+	/**
+	 * Returns what a node has to know that has just started, or has missed messages.
+	 * @param now the current time
+	 * @return the messages
+	 */
+	public List<NodeMessage> createReports(Instant now) {
+		return this.reports.createReports(now);
+	}
+
+	/**
+	 * An answer of a target that had been lost.
+	 *
+	 * @param sentAt when the request was sent to it
+	 * @param answeredAt when the answer began
+	 */
+	private record SignOfLife(Instant sentAt, Instant answeredAt) {
+	}
+
+	/**
+	 * A target that this node has lost.
+	 *
+	 * @param service the target's service
+	 * @param since when it was lost
+	 */
+	private record OwnLoss(ServiceName service, Instant since) {
+	}
+
+}
--- a/src/main/java/sycamorehill/logic/dispatch/AttemptOutcomes.java
+++ b/src/main/java/sycamorehill/logic/dispatch/AttemptOutcomes.java
@@ -4,6 +4,7 @@
 import java.time.Instant;
 
 import sycamorehill.logic.Effects;
+import sycamorehill.logic.crash.CrashSuspicions;
 import sycamorehill.logic.directory.TargetDirectory;
 import sycamorehill.model.identity.TargetName;
 import sycamorehill.model.serving.AttemptEnd;
@@ -70,7 +71,7 @@
 	}
 
 	private void recordDelivered(DispatchedRequest request, TargetName target, Instant now, Effects effects) {
-		this.crashSuspicions.clear(request.request().contentHash(), effects);
+		this.crashSuspicions.recordSound(request.request().traits(), request.attemptStartedAt(), now, effects);
 		if (!request.route().kind().isStreaming()) {
 			this.targetSelector.status(target)
 				.recordFirstAnswer(Duration.between(request.attemptStartedAt(), now), now);
@@ -108,7 +109,9 @@
 	private void recordLost(DispatchedRequest request, TargetName target, boolean connectionLost, Instant now,
 			Effects effects) {
 		this.targetSelector.status(target).recordFailure(now);
-		this.crashSuspicions.suspect(request, target, now, effects);
+		request.attemptTarget()
+			.ifPresent((incarnation) -> this.crashSuspicions.suspect(request.toLostRequest(), request.service(),
+					incarnation, now, effects));
 		if (connectionLost) {
 			this.reachability.recordLostConnection(target, now, effects);
 		}
--- a/src/main/java/sycamorehill/logic/dispatch/DispatchedRequest.java
+++ b/src/main/java/sycamorehill/logic/dispatch/DispatchedRequest.java
@@ -11,10 +11,12 @@
 import sycamorehill.model.identity.ServiceName;
 import sycamorehill.model.identity.TargetName;
 import sycamorehill.model.serving.CallerRequest;
+import sycamorehill.model.serving.LostRequest;
 import sycamorehill.model.serving.ProxiedRequest;
 import sycamorehill.model.serving.Route;
 import sycamorehill.model.serving.ServiceParameters;
 import sycamorehill.model.serving.TargetEntry;
+import sycamorehill.model.serving.TargetIncarnation;
 import sycamorehill.model.serving.WeightedService;
 import sycamorehill.model.serving.Workspace;
 
@@ -46,6 +48,9 @@
 
 	private Optional<TargetName> target = Optional.empty();
 
+	/** The target of the current or last attempt. */
+	private Optional<TargetIncarnation> attemptTarget = Optional.empty();
+
 	/** The group of the current target when the attempt started. */
 	private Optional<GroupKey> group = Optional.empty();
 
@@ -128,6 +133,7 @@
 
 	int startAttempt(TargetEntry chosen, Instant now) {
 		this.target = Optional.of(chosen.name());
+		this.attemptTarget = Optional.of(TargetIncarnation.of(chosen));
 		this.group = chosen.membership().map(GroupKey::of);
 		this.attemptStartedAt = now;
 		this.attempts++;
@@ -245,6 +251,22 @@
 		return this.target;
 	}
 
+	/**
+	 * Returns the process of the target to which the last attempt of this node was sent.
+	 * @return the process; empty if there was no such attempt
+	 */
+	Optional<TargetIncarnation> attemptTarget() {
+		return this.attemptTarget;
+	}
+
+	/**
+	 * Returns what may have crashed the target of the last attempt.
+	 * @return this request
+	 */
+	LostRequest toLostRequest() {
+		return new LostRequest(this.request.identifier(), Duration.ZERO, this.request.traits());
+	}
+
 	/**
 	 * Returns the group to which the current attempt was sent.
 	 * @return the group; empty if the target was in none
--- a/src/main/java/sycamorehill/logic/dispatch/RequestDispatcher.java
+++ b/src/main/java/sycamorehill/logic/dispatch/RequestDispatcher.java
@@ -9,6 +9,7 @@
 import java.util.random.RandomGenerator;
 
 import sycamorehill.logic.Effects;
+import sycamorehill.logic.crash.CrashSuspicions;
 import sycamorehill.logic.directory.GroupKey;
 import sycamorehill.logic.directory.TargetDirectory;
 import sycamorehill.model.identity.ServiceName;
@@ -23,6 +24,7 @@
 import sycamorehill.model.serving.NodeMessage;
 import sycamorehill.model.serving.NodeRecord;
 import sycamorehill.model.serving.ServiceParameters;
+import sycamorehill.model.serving.TargetEntry;
 import sycamorehill.model.serving.TargetReport;
 
 /**
@@ -52,8 +54,6 @@
 
 	private final FinalAnswers finalAnswers;
 
-	private final CrashHistory crashHistory = CrashHistory.create();
-
 	private final RequestRouter router;
 
 	private final TargetPaths paths;
@@ -73,10 +73,10 @@
 		this.random = random;
 		this.retryBudgets = RetryBudgets.of(settings);
 		this.finalAnswers = FinalAnswers.of(random);
-		this.router = RequestRouter.of(this.crashHistory, this.finalAnswers::retryAfter);
 		this.targetSelector = TargetSelector.of(settings, directory, random);
 		this.paths = TargetPaths.of(settings, directory, this.targetSelector, random);
-		this.crashSuspicions = CrashSuspicions.of(settings.nodeName(), this.crashHistory, this.paths.reachability());
+		this.crashSuspicions = CrashSuspicions.of(settings.nodeName(), directory, this.paths.reachability());
+		this.router = RequestRouter.of(this.crashSuspicions, this.finalAnswers::retryAfter);
 		this.outcomes = AttemptOutcomes.of(directory, this.targetSelector, this.paths.reachability(),
 				this.crashSuspicions);
 		this.scheduler = AttemptScheduler.of(this.targetSelector,
@@ -139,7 +139,7 @@
 	 * @param effects receives the resulting effects
 	 */
 	public void handleRequest(CallerRequest request, Instant arrivedAt, Instant now, Effects effects) {
-		RequestRouter.Decision decision = this.router.route(request);
+		RequestRouter.Decision decision = this.router.route(request, now);
 		if (decision instanceof RequestRouter.Refused refused) {
 			refuseUnrouted(request, refused, effects);
 		}
@@ -181,8 +181,8 @@
 	}
 
 	/**
-	 * Tests and reports the paths to unreachable services, confirms which contents were
-	 * lost with targets, and logs the share of the retry budget.
+	 * Tests and reports the paths to unreachable services, decides which targets have
+	 * crashed, and logs the share of the retry budget.
 	 * @param now the current time
 	 * @param effects receives the resulting effects
 	 */
@@ -258,11 +258,11 @@
 		else if (message instanceof NodeMessage.TargetLimited limited) {
 			this.targetSelector.rateLimits().handleMessage(limited, now, effects);
 		}
-		else if (message instanceof NodeMessage.Suspicion suspicion) {
-			this.crashHistory.recordCrash(suspicion.contentHash(), suspicion.target());
+		else if (message instanceof NodeMessage.TargetLost lost) {
+			this.crashSuspicions.handleMessage(lost, now, effects);
 		}
-		else if (message instanceof NodeMessage.SuspicionCleared cleared) {
-			this.crashSuspicions.handleCleared(cleared.contentHash(), cleared.sender(), effects);
+		else if (message instanceof NodeMessage.TraitsSound sound) {
+			this.crashSuspicions.handleMessage(sound, now, effects);
 		}
 		else if (message instanceof NodeMessage.ServicesUnreachable report) {
 			this.paths.proxySelector().handleMessage(report, now);
@@ -271,10 +271,11 @@
 
 	/**
 	 * Returns what a node has to know of this one's requests that has just started.
+	 * @param now the current time
 	 * @return the messages to it
 	 */
-	public List<NodeMessage> createReportsForNewNode() {
-		return this.crashSuspicions.createReports();
+	public List<NodeMessage> createReportsForNewNode(Instant now) {
+		return this.crashSuspicions.createReports(now);
 	}
 
 	/**
@@ -452,6 +453,7 @@
 			.filter((request) -> request.target().filter(told.target()::equals).isPresent());
 		answered.ifPresent((request) -> request.recordArrival(now));
 		Instant sentAt = answered.map(DispatchedRequest::attemptStartedAt).orElse(Instant.MIN);
+		this.crashSuspicions.recordAnswer(told.target(), sentAt, now);
 		this.targetSelector.rateLimits().handleTargetReport(told.target(), report.rateLimit(), sentAt, now, effects);
 	}
 
@@ -461,12 +463,15 @@
 	}
 
 	/**
-	 * Removes the rate limit of a target that has ended, and its status unless requests
-	 * are in flight there.
-	 * @param target the target
+	 * Handles the end of a target's process: removes its rate limit, and its status
+	 * unless requests are in flight there.
+	 * @param entry the last entry of the process
+	 * @param now the current time
+	 * @param effects receives the resulting effects
 	 */
-	public void forget(TargetName target) {
-		this.targetSelector.forget(target);
+	public void handleTargetEnded(TargetEntry entry, Instant now, Effects effects) {
+		this.targetSelector.forget(entry.name());
+		this.crashSuspicions.handleTargetEnded(entry, now, effects);
 	}
 
 	private TargetStatus status(TargetName target) {
--- a/src/main/java/sycamorehill/logic/dispatch/RequestRouter.java
+++ b/src/main/java/sycamorehill/logic/dispatch/RequestRouter.java
@@ -1,10 +1,12 @@
 package sycamorehill.logic.dispatch;
 
 import java.time.Duration;
+import java.time.Instant;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Supplier;
 
+import sycamorehill.logic.crash.CrashSuspicions;
 import sycamorehill.model.serving.CallerRequest;
 import sycamorehill.model.serving.Configuration;
 import sycamorehill.model.serving.Route;
@@ -28,7 +30,7 @@
 	 */
 	private static final Duration SUSPECT_RETRY_AFTER = Duration.ofSeconds(30);
 
-	private final CrashHistory crashHistory;
+	private final CrashSuspicions crashSuspicions;
 
 	private final Supplier<Duration> retryAfter;
 
@@ -38,20 +40,20 @@
 
 	private final KnownServices knownServices = KnownServices.create();
 
-	private RequestRouter(CrashHistory crashHistory, Supplier<Duration> retryAfter) {
-		this.crashHistory = crashHistory;
+	private RequestRouter(CrashSuspicions crashSuspicions, Supplier<Duration> retryAfter) {
+		this.crashSuspicions = crashSuspicions;
 		this.retryAfter = retryAfter;
 	}
 
 	/**
 	 * Creates a router, which refuses all requests until it has a configuration.
-	 * @param crashHistory contents that were lost with targets
+	 * @param crashSuspicions tells which requests crash targets
 	 * @param retryAfter supplies the Retry-After for requests that arrive before the
 	 * configuration
 	 * @return the router
 	 */
-	static RequestRouter of(CrashHistory crashHistory, Supplier<Duration> retryAfter) {
-		return new RequestRouter(crashHistory, retryAfter);
+	static RequestRouter of(CrashSuspicions crashSuspicions, Supplier<Duration> retryAfter) {
+		return new RequestRouter(crashSuspicions, retryAfter);
 	}
 
 	void adopt(Configuration newConfiguration) {
@@ -72,7 +74,7 @@
 		return this.knownServices;
 	}
 
-	Decision route(CallerRequest request) {
+	Decision route(CallerRequest request, Instant now) {
 		if (this.configuration.isEmpty()) {
 			return new Refused(UNAVAILABLE, "no configuration yet", Optional.of(this.retryAfter.get()));
 		}
@@ -85,9 +87,9 @@
 				&& !route.get().allowsAnonymousCallers()) {
 			return new Refused(UNAUTHORIZED, "the key is not known", Optional.empty());
 		}
-		if (this.crashHistory.isRefused(request.contentHash())) {
-			return new Refused(UNAVAILABLE, "not run: this content was lost with several targets, content="
-					+ Long.toHexString(request.contentHash()), Optional.of(SUSPECT_RETRY_AFTER));
+		Optional<String> crashes = this.crashSuspicions.findRefusal(request.traits(), now);
+		if (crashes.isPresent()) {
+			return new Refused(UNAVAILABLE, "not run: " + crashes.get(), Optional.of(SUSPECT_RETRY_AFTER));
 		}
 		return new Routed(route.get(), workspace, this.configuration.get());
 	}
--- a/src/main/java/sycamorehill/logic/dispatch/TargetReachability.java
+++ b/src/main/java/sycamorehill/logic/dispatch/TargetReachability.java
@@ -12,6 +12,7 @@
 import java.util.stream.Stream;
 
 import sycamorehill.logic.Effects;
+import sycamorehill.logic.crash.PathState;
 import sycamorehill.logic.directory.TargetDirectory;
 import sycamorehill.model.identity.ServiceName;
 import sycamorehill.model.identity.TargetName;
@@ -27,7 +28,7 @@
  * several targets do. When failures raise a doubt, connections are opened for this
  * purpose alone, so that a few milliseconds decide.
  */
-final class TargetReachability {
+final class TargetReachability implements PathState {
 
 	/** Number of targets of a service that are connected to settle a doubt. */
 	private static final int PROBES_IN_DOUBT = 3;
@@ -82,25 +83,14 @@
 		return (path != null) ? path.unreachableFor(now) : Duration.ZERO;
 	}
 
-	/**
-	 * Returns whether the failures of a service's targets may be the fault of this node's
-	 * path.
-	 * @param service the service
-	 * @param now the current time
-	 * @return true if the service is unreachable, or may be
-	 */
-	boolean isInDoubt(ServiceName service, Instant now) {
+	@Override
+	public boolean isInDoubt(ServiceName service, Instant now) {
 		ServicePath path = this.paths.get(service);
 		return this.allTargetsSilent || (path != null && (path.isUnreachable() || path.isInDoubt(now)));
 	}
 
-	/**
-	 * Returns whether a service has been unreachable at some time since a moment.
-	 * @param service the service
-	 * @param since the moment
-	 * @return true if it is unreachable, or was restored later
-	 */
-	boolean wasUnreachableAfter(ServiceName service, Instant since) {
+	@Override
+	public boolean wasUnreachableAfter(ServiceName service, Instant since) {
 		ServicePath path = this.paths.get(service);
 		return path != null && path.wasUnreachableAfter(since);
 	}
--- a/src/main/java/sycamorehill/logic/entry/DirectoryUpdates.java
+++ b/src/main/java/sycamorehill/logic/entry/DirectoryUpdates.java
@@ -72,7 +72,7 @@
 		this.storeUpdateLog.logLeavingTargets(
 				entries.stream().map((entry) -> new TargetChange(entry.name(), Optional.of(entry))).toList(), now,
 				effects);
-		removeEnded(this.directory.replaceAll(entries, now), effects);
+		removeEnded(this.directory.replaceAll(entries, now), now, effects);
 	}
 
 	/**
@@ -83,7 +83,7 @@
 	 */
 	void applyStored(List<TargetChange> changes, Instant now, Effects effects) {
 		this.storeUpdateLog.logLeavingTargets(changes, now, effects);
-		removeEnded(this.directory.apply(changes, now), effects);
+		removeEnded(this.directory.apply(changes, now), now, effects);
 	}
 
 	/**
@@ -95,7 +95,7 @@
 	 */
 	void applyObserved(List<TargetChange> changes, Instant now, Effects effects) {
 		if (!this.storeReachable) {
-			removeEnded(this.directory.apply(changes, now), effects);
+			removeEnded(this.directory.apply(changes, now), now, effects);
 		}
 	}
 
@@ -134,14 +134,14 @@
 	 * @param effects receives the resulting effects
 	 */
 	void dropMissing(Instant now, Effects effects) {
-		removeEnded(this.directory.dropMissing(now), effects);
+		removeEnded(this.directory.dropMissing(now), now, effects);
 	}
 
-	private void removeEnded(List<TargetEntry> ended, Effects effects) {
+	private void removeEnded(List<TargetEntry> ended, Instant now, Effects effects) {
 		for (TargetEntry entry : ended) {
 			effects.add(new EntryEffect.CloseTargetConnections(new TargetAddress(entry.name(), entry.address())));
 			effects.log(LogEvent.TARGET_CHANGED, "target=" + entry.name() + " ended address=" + entry.address());
-			this.requests.forget(entry.name());
+			this.requests.handleTargetEnded(entry, now, effects);
 		}
 	}
 
--- a/src/main/java/sycamorehill/logic/entry/EntryReducer.java
+++ b/src/main/java/sycamorehill/logic/entry/EntryReducer.java
@@ -176,7 +176,7 @@
 			updateRetryShare(now);
 			this.peers.sendTo(message.sender(), new NodeMessage.IntroductionConfirmed(this.settings.nodeName()),
 					effects);
-			this.requests.createReportsForNewNode()
+			this.requests.createReportsForNewNode(now)
 				.forEach((report) -> this.peers.sendTo(message.sender(), report, effects));
 		}
 		else if (message instanceof NodeMessage.IntroductionConfirmed) {
--- a/src/main/java/sycamorehill/model/log/LogEvent.java
+++ b/src/main/java/sycamorehill/model/log/LogEvent.java
@@ -212,8 +212,14 @@
 	/** What was lost with a target doesn't count as its cause any more. */
 	SUSPICION_DROPPED(1916, LogLevel.INFO),
 
-	/** A target that was lost counts as ended by what it ran. */
-	SUSPICION_CONFIRMED(1917, LogLevel.WARN);
+	/** A target that was lost has crashed. */
+	SUSPICION_CONFIRMED(1917, LogLevel.WARN),
+
+	/** Requests have something in common with which targets crash, and are refused. */
+	CRASH_CAUSE_FOUND(1918, LogLevel.ERROR),
+
+	/** What was held to crash targets is no longer refused. */
+	CRASH_CAUSE_DROPPED(1919, LogLevel.WARN);
 
 	private final int number;
 
--- a/src/main/java/sycamorehill/model/serving/CallerRequest.java
+++ b/src/main/java/sycamorehill/model/serving/CallerRequest.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * The properties of a caller's request that decide how it is served. The bytes to forward
@@ -20,4 +21,13 @@
  */
 public record CallerRequest(long number, String identifier, String host, String path, Optional<String> apiKey,
 		Optional<String> model, Optional<TokenCounts> tokenCounts, Optional<Duration> timeLeft, long contentHash) {
+
+	/**
+	 * Returns the properties that may crash targets.
+	 * @return the properties
+	 */
+	public Set<RequestTrait> traits() {
+		return Set.of(RequestTrait.content(this.contentHash));
+	}
+
 }
--- a/src/main/java/sycamorehill/model/serving/NodeMessage.java
+++ b/src/main/java/sycamorehill/model/serving/NodeMessage.java
@@ -279,22 +279,42 @@
 	}
 
 	/**
-	 * A target was lost while it ran a request.
+	 * A target was lost while it ran requests.
 	 *
 	 * @param sender the sender
-	 * @param contentHash hash of the request's content
-	 * @param target the target
+	 * @param target the lost process
+	 * @param unseenFor time since a request that the loss is held against was last seen
+	 * @param crashed whether the process is known to have ended
+	 * @param requests the requests that may have crashed it
 	 */
-	record Suspicion(String sender, long contentHash, TargetName target) implements NodeMessage {
+	record TargetLost(String sender, TargetIncarnation target, Duration unseenFor, boolean crashed,
+			Set<LostRequest> requests) implements NodeMessage {
+
+		/**
+		 * Copies the requests.
+		 */
+		public TargetLost {
+			requests = Set.copyOf(requests);
+		}
+
 	}
 
 	/**
-	 * A suspected request was answered.
+	 * Targets ran requests with suspected properties without a crash.
 	 *
 	 * @param sender the sender
-	 * @param contentHash hash of the request's content
+	 * @param traits the properties
+	 * @param age time since the targets began to run them, at most
 	 */
-	record SuspicionCleared(String sender, long contentHash) implements NodeMessage {
+	record TraitsSound(String sender, Set<RequestTrait> traits, Duration age) implements NodeMessage {
+
+		/**
+		 * Copies the properties.
+		 */
+		public TraitsSound {
+			traits = Set.copyOf(traits);
+		}
+
 	}
 
 }
--- a/src/test/java/sycamorehill/entry/NodeMessageCodecTests.java
+++ b/src/test/java/sycamorehill/entry/NodeMessageCodecTests.java
@@ -17,8 +17,10 @@
 import sycamorehill.model.serving.MemberState;
 import sycamorehill.model.serving.NodeMessage;
 import sycamorehill.model.serving.RequestRate;
+import sycamorehill.model.serving.RequestTrait;
 import sycamorehill.model.serving.TargetChange;
 import sycamorehill.model.serving.TargetEntry;
+import sycamorehill.support.CrashMessages;
 import sycamorehill.support.ServingSamples;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -56,7 +58,8 @@
 				new NodeMessage.TargetLimited("n1", TARGET, Optional.of(new RequestRate(1.4))),
 				new NodeMessage.TargetLimited("n1", TARGET, Optional.empty()),
 				new NodeMessage.TargetLeaving("n1", TARGET, 1_700_000_000_000L),
-				new NodeMessage.Suspicion("n1", Long.MIN_VALUE, TARGET), new NodeMessage.SuspicionCleared("n1", 7));
+				CrashMessages.crash("n1", member, Set.of(RequestTrait.content(Long.MIN_VALUE))),
+				new NodeMessage.TraitsSound("n1", Set.of(RequestTrait.content(7)), Duration.ofMillis(40)));
 	}
 
 	@Test
--- a/src/test/java/sycamorehill/logic/dispatch/ProxiedRequestTests.java
+++ b/src/test/java/sycamorehill/logic/dispatch/ProxiedRequestTests.java
@@ -309,7 +309,7 @@
 		this.dispatcher.handleAttemptEnd(2, 1, new AttemptEnd.Delivered(200, Duration.ZERO), this.now, effects);
 		this.dispatcher.tick(this.now.plusMillis(300), effects);
 		assertThat(effects.all()).noneMatch((effect) -> effect instanceof EntryEffect.Broadcast broadcast
-				&& broadcast.message() instanceof NodeMessage.Suspicion);
+				&& broadcast.message() instanceof NodeMessage.TargetLost);
 	}
 
 	@Test
--- a/src/test/java/sycamorehill/logic/dispatch/RequestDispatcherTests.java
+++ b/src/test/java/sycamorehill/logic/dispatch/RequestDispatcherTests.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import java.util.stream.Collectors;
 import java.util.stream.LongStream;
 import java.util.stream.Stream;
@@ -24,10 +25,11 @@
 import sycamorehill.model.serving.EntryEffect;
 import sycamorehill.model.serving.EntryEvent;
 import sycamorehill.model.serving.MemberState;
-import sycamorehill.model.serving.NodeMessage;
 import sycamorehill.model.serving.NotRunCause;
+import sycamorehill.model.serving.RequestTrait;
 import sycamorehill.model.serving.TargetEntry;
 import sycamorehill.model.serving.TargetReport;
+import sycamorehill.support.CrashMessages;
 import sycamorehill.support.ServingSamples;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -152,7 +154,7 @@
 	void aRestEndsWithTheTarget() {
 		reportRest("p1", Duration.ofDays(1));
 		reportRest("p2", Duration.ofDays(1));
-		this.dispatcher.forget(TargetName.of("p1"));
+		this.dispatcher.handleTargetEnded(ServingSamples.plain("p1"), this.now, Effects.create());
 		assertThat(target(arrive(1, "/once/x"))).isEqualTo(TargetName.of("p1"));
 	}
 
@@ -358,13 +360,13 @@
 	// beside it is cleared once that request is answered.
 	@Test
 	void aContentThatCrashedThreeTargetsIsRefusedUntilCleared() {
-		long content = ServingSamples.request(7, "/again/x").contentHash();
+		Set<RequestTrait> content = ServingSamples.request(7, "/again/x").traits();
 		for (String target : List.of("p1", "p2", "p3")) {
-			this.dispatcher.handleMessage(new NodeMessage.Suspicion("two", content, TargetName.of(target)), this.now,
+			this.dispatcher.handleMessage(CrashMessages.crash("two", ServingSamples.plain(target), content), this.now,
 					Effects.create());
 		}
 		assertThat(answer(arrive(7, "/again/x")).status()).isEqualTo(503);
-		this.dispatcher.handleMessage(new NodeMessage.SuspicionCleared("two", content), this.now, Effects.create());
+		this.dispatcher.handleMessage(CrashMessages.sound("two", content), this.now, Effects.create());
 		assertThat(starts(arrive(7, "/again/x"))).hasSize(1);
 	}
 
--- a/src/test/java/sycamorehill/logic/entry/CrashSuspicionTests.java
+++ b/src/test/java/sycamorehill/logic/entry/CrashSuspicionTests.java
@@ -16,9 +16,14 @@
 import sycamorehill.model.serving.CallerRequest;
 import sycamorehill.model.serving.EntryEffect;
 import sycamorehill.model.serving.EntryEvent;
+import sycamorehill.model.serving.LostRequest;
 import sycamorehill.model.serving.NodeMessage;
+import sycamorehill.model.serving.RequestTrait;
 import sycamorehill.model.serving.TargetChange;
 import sycamorehill.model.serving.TargetEntry;
+import sycamorehill.model.serving.TargetIncarnation;
+import sycamorehill.model.serving.TargetReport;
+import sycamorehill.support.CrashMessages;
 import sycamorehill.support.ServingSamples;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -30,6 +35,9 @@
 
 	private static final CallerRequest CRASHING = ServingSamples.request(7, "/again/x");
 
+	private static final TargetReport NO_REPORT = new TargetReport(Optional.empty(), Optional.empty(), Optional.empty(),
+			false);
+
 	private static final Duration TICK = Duration.ofMillis(100);
 
 	private Instant now = Instant.ofEpochSecond(1000);
@@ -48,17 +56,21 @@
 
 	private static void suspect(EntryReducer node, String target, Instant now) {
 		node.accept(new EntryEvent.MessageReceived(
-				new NodeMessage.Suspicion("two", CRASHING.contentHash(), TargetName.of(target))), now);
+				CrashMessages.crash("two", ServingSamples.plain(target), CRASHING.traits())), now);
 	}
 
 	private static List<NodeMessage> suspicions(List<EntryEffect> effects) {
 		return effects.stream()
 			.filter(EntryEffect.Send.class::isInstance)
 			.map((effect) -> ((EntryEffect.Send) effect).message())
-			.filter(NodeMessage.Suspicion.class::isInstance)
+			.filter(NodeMessage.TargetLost.class::isInstance)
 			.toList();
 	}
 
+	private static List<Set<RequestTrait>> traits(NodeMessage.TargetLost lost) {
+		return lost.requests().stream().map(LostRequest::traits).toList();
+	}
+
 	// A restarted process has forgotten which contents crash targets, and would let each
 	// crash some more.
 	@Test
@@ -79,8 +91,7 @@
 	void aNodeIsNotToldOfContentsThatServeAgain() {
 		EntryReducer one = start("one");
 		List.of("p1", "p2", "p3").forEach((target) -> suspect(one, target, this.now));
-		one.accept(new EntryEvent.MessageReceived(new NodeMessage.SuspicionCleared("two", CRASHING.contentHash())),
-				this.now);
+		one.accept(new EntryEvent.MessageReceived(CrashMessages.sound("two", CRASHING.traits())), this.now);
 		assertThat(suspicions(one.accept(
 				new EntryEvent.MessageReceived(new NodeMessage.Introduction(ServingSamples.node("two", 7102))),
 				this.now)))
@@ -102,7 +113,10 @@
 		for (Instant end = this.now.plusSeconds(10); this.now.isBefore(end); this.now = this.now.plus(TICK)) {
 			told.addAll(suspicions(one.accept(new EntryEvent.Ticked(), this.now)));
 		}
-		assertThat(told).hasSize(3).containsOnly(new NodeMessage.Suspicion("one", CRASHING.contentHash(), target));
+		assertThat(told).allSatisfy((message) -> assertThat((NodeMessage.TargetLost) message)
+			.returns(TargetIncarnation.of(ServingSamples.plain(target.value())), NodeMessage.TargetLost::target)
+			.returns(List.of(CRASHING.traits()), CrashSuspicionTests::traits));
+		assertThat(told).filteredOn((message) -> ((NodeMessage.TargetLost) message).crashed()).hasSize(3);
 	}
 
 	private static CallerRequest crashing(long number) {
@@ -125,24 +139,113 @@
 	@Test
 	void aContentThatCrashedAllTargetsOfAServiceIsRefusedWhenTheyAreBack() {
 		EntryReducer one = start("one");
-		for (int number = 1; number <= 3; number++) {
-			one.accept(new EntryEvent.RequestArrived(crashing(number)), this.now);
-			one.accept(new EntryEvent.AttemptEnded(number, 1, new AttemptEnd.Unknown("closed", true)), this.now);
-			run(one, Duration.ofMillis(40));
+		loseTargets(one, 3);
+		losePath(one);
+		run(one, Duration.ofMillis(2500));
+		restartTargets(one, "p1", "p2", "p3");
+		run(one, Duration.ofMillis(300));
+		assertThat(refuses(one, 4)).isTrue();
+	}
+
+	// A node is killed before it has decided whether targets have crashed; the others
+	// would
+	// not know with what it lost them.
+	@Test
+	void whatAKilledNodeHadNotDecidedIsKnownToTheOthers() {
+		List<NodeMessage> told = loseTargets(start("one"), 3);
+		EntryReducer two = start("two");
+		told.forEach((message) -> two.accept(new EntryEvent.MessageReceived(message), this.now));
+		assertThat(refuses(two, 10)).isFalse();
+		two.accept(new EntryEvent.CallerDisconnected(10, false), this.now);
+		restartTargets(two, "p1", "p2", "p3");
+		assertThat(refuses(two, 11)).isTrue();
+	}
+
+	// A path breaks and comes back: the targets that were lost with it answer, and their
+	// entries end for other reasons much later.
+	@Test
+	void targetsThatAnswerAgainCountForNothing() {
+		EntryReducer one = start("one");
+		List<NodeMessage> told = loseTargets(one, 3);
+		losePath(one);
+		run(one, Duration.ofSeconds(2));
+		one.accept(new EntryEvent.TargetConnected(TargetName.of("p1")), this.now);
+		for (int number = 21; number <= 23; number++) {
+			List<EntryEffect> effects = one.accept(new EntryEvent.RequestArrived(sound(number)), this.now);
+			TargetName target = effects.stream()
+				.filter(EntryEffect.StartAttempt.class::isInstance)
+				.map((effect) -> ((EntryEffect.StartAttempt) effect).target().name())
+				.findFirst()
+				.orElseThrow();
+			one.accept(new EntryEvent.TargetReported(number, target, NO_REPORT), this.now);
+		}
+		told = Stream.concat(told.stream(), suspicions(run(one, Duration.ofMillis(1200))).stream()).toList();
+		restartTargets(one, "p1", "p2", "p3");
+		run(one, Duration.ofMillis(300));
+		assertThat(refuses(one, 30)).isFalse();
+		assertThat(told).noneMatch((message) -> ((NodeMessage.TargetLost) message).crashed());
+	}
+
+	// A content runs on two targets at once, crashes one, and had begun to run on the
+	// other
+	// before that.
+	@Test
+	void anAnswerThatBeganBeforeACrashClearsNothing() {
+		EntryReducer one = start("one");
+		one.accept(new EntryEvent.RequestArrived(crashing(20)), this.now);
+		this.now = this.now.plusMillis(10);
+		loseTargets(one, 2);
+		one.accept(new EntryEvent.AttemptEnded(20, 1, new AttemptEnd.Delivered(200, Duration.ZERO)), this.now);
+		run(one, Duration.ofMillis(1500));
+		suspect(one, "p9", this.now);
+		assertThat(refuses(one, 30)).isTrue();
+	}
+
+	// The answer that shows a content to be sound overtakes the news of the loss.
+	@Test
+	void aLossThatIsToldAfterALaterAnswerCountsForNothing() {
+		EntryReducer one = start("one");
+		List<NodeMessage> told = Stream.of("p1", "p2", "p3")
+			.<NodeMessage>map((name) -> CrashMessages.crash("two", ServingSamples.plain(name), CRASHING.traits()))
+			.toList();
+		one.accept(new EntryEvent.MessageReceived(CrashMessages.sound("two", CRASHING.traits())), this.now);
+		told.forEach((message) -> one.accept(new EntryEvent.MessageReceived(message), this.now));
+		assertThat(refuses(one, 30)).isFalse();
+	}
+
+	private static CallerRequest sound(long number) {
+		return ServingSamples.request(number, "/again/y");
+	}
+
+	private List<NodeMessage> loseTargets(EntryReducer node, int count) {
+		List<EntryEffect> effects = new ArrayList<>();
+		for (int number = 1; number <= count; number++) {
+			node.accept(new EntryEvent.RequestArrived(crashing(number)), this.now);
+			node.accept(new EntryEvent.AttemptEnded(number, 1, new AttemptEnd.Unknown("closed", true)), this.now);
+			effects.addAll(run(node, Duration.ofMillis(40)));
 		}
+		return suspicions(effects);
+	}
+
+	private void losePath(EntryReducer node) {
 		List.of("p1", "p2", "p3")
-			.forEach((target) -> one.accept(new EntryEvent.TargetUnreached(TargetName.of(target)), this.now));
-		run(one, Duration.ofMillis(2500));
-		List<TargetChange> restarts = Stream.of("p1", "p2", "p3")
+			.forEach((target) -> node.accept(new EntryEvent.TargetUnreached(TargetName.of(target)), this.now));
+	}
+
+	private void restartTargets(EntryReducer node, String... names) {
+		List<TargetChange> restarts = Stream.of(names)
 			.flatMap((name) -> Stream.of(new TargetChange(TargetName.of(name), Optional.empty()),
 					new TargetChange(TargetName.of(name + "b"), Optional.of(restarted(name)))))
 			.toList();
-		one.accept(new EntryEvent.TargetsChanged(restarts, 10, 11), this.now);
-		one.accept(new EntryEvent.TargetConnected(TargetName.of("p1b")), this.now);
-		run(one, Duration.ofMillis(300));
-		assertThat(one.accept(new EntryEvent.RequestArrived(crashing(4)), this.now))
-			.noneMatch(EntryEffect.StartAttempt.class::isInstance)
-			.anyMatch((effect) -> effect instanceof EntryEffect.Answer answer && answer.status() == 503);
+		node.accept(new EntryEvent.TargetsChanged(restarts, 10, 11), this.now);
+		node.accept(new EntryEvent.TargetConnected(TargetName.of(names[0] + "b")), this.now);
+	}
+
+	private boolean refuses(EntryReducer node, long number) {
+		List<EntryEffect> effects = node.accept(new EntryEvent.RequestArrived(crashing(number)), this.now);
+		return effects.stream().noneMatch(EntryEffect.StartAttempt.class::isInstance) && effects.stream()
+			.anyMatch((effect) -> effect instanceof EntryEffect.Answer answer && answer.status() == 503
+					&& answer.detail().contains("lost with"));
 	}
 
 	private static TargetEntry restarted(String name) {
--- a/src/test/java/sycamorehill/logic/entry/NodeWithoutPathTests.java
+++ b/src/test/java/sycamorehill/logic/entry/NodeWithoutPathTests.java
@@ -187,7 +187,7 @@
 	}
 
 	private static boolean isSuspicion(EntryEffect effect) {
-		return effect instanceof EntryEffect.Send send && send.message() instanceof NodeMessage.Suspicion;
+		return effect instanceof EntryEffect.Send send && send.message() instanceof NodeMessage.TargetLost;
 	}
 
 	private List<EntryEffect> breakStreams(int count) {
