Tell nodes that start or were cut off of all crashes, not of refused contents alone

Two sides of a cut, or a killed process, hid crashes for good: a loss was told three times within two seconds, and a process that started was told of contents from three crashes on. So each kill or cut between the crashes gave a content up to two more targets.

--- a/src/main/java/sycamorehill/logic/crash/CrashReports.java
+++ b/src/main/java/sycamorehill/logic/crash/CrashReports.java
@@ -121,14 +121,15 @@
 	 * @param now the current time
 	 * @return the messages
 	 */
-	List<NodeMessage> createReports(Instant now) {
-		return this.evidence.losses()
-			.stream()
-			.filter((loss) -> loss.crashed() && !loss.traits().isEmpty())
-			.sorted(Comparator.comparing(TargetLoss::seenAt).reversed())
-			.limit(MAXIMUM_LOSSES_TOLD)
-			.<NodeMessage>map((loss) -> loss.toMessage(this.nodeName, now))
-			.toList();
+	List<NodeMessage.TargetLost> createReports(Instant now) {
+		return this.evidence.isEmpty() ? List.of()
+				: this.evidence.losses()
+					.stream()
+					.filter((loss) -> loss.crashed() && !loss.traits().isEmpty())
+					.sorted(Comparator.comparing(TargetLoss::seenAt).reversed())
+					.limit(MAXIMUM_LOSSES_TOLD)
+					.map((loss) -> loss.toMessage(this.nodeName, now))
+					.toList();
 	}
 
 	/**
--- a/src/main/java/sycamorehill/logic/crash/CrashSuspicions.java
+++ b/src/main/java/sycamorehill/logic/crash/CrashSuspicions.java
@@ -308,7 +308,7 @@
 	 * @param now the current time
 	 * @return the messages
 	 */
-	public List<NodeMessage> createReports(Instant now) {
+	public List<NodeMessage.TargetLost> createReports(Instant now) {
 		return this.reports.createReports(now);
 	}
 
--- a/src/main/java/sycamorehill/logic/dispatch/RequestDispatcher.java
+++ b/src/main/java/sycamorehill/logic/dispatch/RequestDispatcher.java
@@ -270,11 +270,11 @@
 	}
 
 	/**
-	 * Returns what a node has to know of this one's requests that has just started.
+	 * Returns which targets were lost and with which requests, for another node.
 	 * @param now the current time
-	 * @return the messages to it
+	 * @return the messages to it, the newest losses first
 	 */
-	public List<NodeMessage> createReportsForNewNode(Instant now) {
+	public List<NodeMessage.TargetLost> createCrashReports(Instant now) {
 		return this.crashSuspicions.createReports(now);
 	}
 
--- a/src/main/java/sycamorehill/logic/entry/EntryReducer.java
+++ b/src/main/java/sycamorehill/logic/entry/EntryReducer.java
@@ -64,6 +64,8 @@
 
 	private final RetryShares retryShares;
 
+	private final CrashReportExchange crashReports;
+
 	private final LoadAggregation loadAggregation;
 
 	private final ConfigurationDistribution configurationDistribution;
@@ -100,6 +102,7 @@
 		this.configurationDistribution = ConfigurationDistribution.of(settings.nodeName(), this.peers, this.relay);
 		this.loadAggregation = LoadAggregation.of(settings.toNodeRecord(), this.peers, this.relay);
 		this.requests = RequestDispatcher.of(settings, this.directory, random);
+		this.crashReports = CrashReportExchange.of(settings.nodeName(), this.peers, this.requests, random);
 		this.directoryUpdates = DirectoryUpdates.of(settings.nodeName(), this.directory, this.requests,
 				this.storeUpdateLog);
 		this.groups = GroupController.of(settings, this.directory, self, started);
@@ -176,8 +179,7 @@
 			updateRetryShare(now);
 			this.peers.sendTo(message.sender(), new NodeMessage.IntroductionConfirmed(this.settings.nodeName()),
 					effects);
-			this.requests.createReportsForNewNode(now)
-				.forEach((report) -> this.peers.sendTo(message.sender(), report, effects));
+			this.crashReports.tellNewNode(message.sender(), now, effects);
 		}
 		else if (message instanceof NodeMessage.IntroductionConfirmed) {
 			this.registeredNodes.handleConfirmation(message.sender(), now);
@@ -341,6 +343,7 @@
 		this.directoryUpdates.dropMissing(now, effects);
 		introduceIfDue(now, effects);
 		this.requests.tick(now, effects);
+		this.crashReports.tick(now, effects);
 		this.requestEvents.releaseStartupRequests(now, effects);
 		this.configurationDistribution.requestMissing(now, effects);
 		tickGroups(now, effects);
--- a/src/main/java/sycamorehill/logic/entry/PeerNodes.java
+++ b/src/main/java/sycamorehill/logic/entry/PeerNodes.java
@@ -186,6 +186,14 @@
 		return this.nodes.values().stream().filter((node) -> node.dataCentre().equals(this.localDataCentre));
 	}
 
+	/**
+	 * Returns the names of all other nodes.
+	 * @return their names
+	 */
+	List<String> names() {
+		return List.copyOf(this.nodes.keySet());
+	}
+
 	/**
 	 * Returns the names of the other nodes of the local data centre.
 	 * @return their names
