--- a/src/main/java/sycamorehill/entry/CallerServer.java
+++ b/src/main/java/sycamorehill/entry/CallerServer.java
@@ -5,8 +5,6 @@
 import java.util.Locale;
 import java.util.Set;
 
-import com.dynatrace.hash4j.hashing.HashStream64;
-import com.dynatrace.hash4j.hashing.Hashing;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
@@ -109,7 +107,7 @@
 		int query = uri.indexOf('?');
 		EntryEvent arrived = new EntryEvent.RequestArrived(new CallerRequest(exchange.number(), head.identifier(),
 				lowerCaseHost(request), (query < 0) ? uri : uri.substring(0, query), head.apiKey(), head.model(),
-				head.tokenCounts(), head.timeLeft(), contentHash(request, body)));
+				head.tokenCounts(), head.timeLeft(), ContentHash.of(request, head, body)));
 		this.eventSink.post(arrived);
 		this.exchanges.add(exchange);
 		return exchange;
@@ -121,14 +119,6 @@
 		return (colon > 0 && !host.endsWith("]")) ? host.substring(0, colon) : host;
 	}
 
-	private static long contentHash(HttpRequest request, ByteBuf body) {
-		HashStream64 hash = Hashing.xxh3_64().hashStream();
-		hash.putString(request.method().name()).putString(request.uri());
-		byte[] bytes = new byte[body.readableBytes()];
-		body.getBytes(body.readerIndex(), bytes);
-		return hash.putBytes(bytes).getAsLong();
-	}
-
 	/**
 	 * Applies limits to connections that are accepted from now on.
 	 * @param newLimits the limits
--- a/src/main/java/sycamorehill/model/serving/CallerRequest.java
+++ b/src/main/java/sycamorehill/model/serving/CallerRequest.java
@@ -17,7 +17,7 @@
  * @param tokenCounts sizes of the prompt and the answer
  * @param timeLeft how long the caller waits for the answer, from the first byte of the
  * request
- * @param contentHash hash of the method, the path and the body
+ * @param contentHash hash of the method, the host, the path, the caller and the body
  */
 public record CallerRequest(long number, String identifier, String host, String path, Optional<String> apiKey,
 		Optional<String> model, Optional<TokenCounts> tokenCounts, Optional<Duration> timeLeft, long contentHash) {
--- a/src/main/java/sycamorehill/model/serving/ProxiedRequest.java
+++ b/src/main/java/sycamorehill/model/serving/ProxiedRequest.java
@@ -24,7 +24,7 @@
  * @param elapsed time since the request arrived at the origin
  * @param model requested model
  * @param tokenCounts sizes of the prompt and the answer
- * @param contentHash hash of the method, the path and the body
+ * @param contentHash hash of the method, the host, the path, the caller and the body
  * @param triedTargets targets that must not receive the request again
  * @param answerStarted whether the caller has received part of the answer
  * @param anotherAttemptMayFollow whether the origin can make another attempt
