Let one refused request run from time to time, to end a wrong refusal

A content that is held to crash targets is refused for as long as it comes, and nothing could show the refusal to be wrong, as no such request runs. Ten minutes after the last crash one request runs, at one node; the others are told. If a target answers it whole the refusal ends at all nodes, if it crashes one the next trial waits twice as long, up to 160 minutes. So a wrong refusal costs ten minutes and no target, a right one four targets in the first two and a half hours. Crashes are kept for 30 minutes after the last such request, so that a content that comes every quarter of an hour isn't forgotten between two requests.

--- a/src/main/java/sycamorehill/entry/CrashMessageFields.java
+++ b/src/main/java/sycamorehill/entry/CrashMessageFields.java
@@ -63,8 +63,7 @@
 	static NodeMessage readTargetLost(String sender, JsonNode body) {
 		Set<LostRequest> requests = new HashSet<>();
 		for (JsonNode request : body.path(REQUESTS)) {
-			requests.add(new LostRequest(request.path(REQUEST).asText(), readMillis(request, AGE_MILLIS),
-					readTraits(request)));
+			requests.add(new LostRequest(request.path(REQUEST).asText(), readAge(request), readTraits(request)));
 		}
 		TargetIncarnation target = new TargetIncarnation(TargetName.of(body.path(TARGET).asText()),
 				body.path(STARTED).asLong(), Address.parse(body.path(ADDRESS).asText()));
@@ -72,13 +71,13 @@
 				body.path(CRASHED).asBoolean(), requests);
 	}
 
-	static void write(NodeMessage.TraitsSound sound, ObjectNode body) {
-		body.put(AGE_MILLIS, sound.age().toMillis());
-		writeTraits(sound.traits(), body);
+	static void write(Set<RequestTrait> traits, Duration age, ObjectNode body) {
+		body.put(AGE_MILLIS, age.toMillis());
+		writeTraits(traits, body);
 	}
 
-	static NodeMessage readTraitsSound(String sender, JsonNode body) {
-		return new NodeMessage.TraitsSound(sender, readTraits(body), readMillis(body, AGE_MILLIS));
+	static Duration readAge(JsonNode body) {
+		return readMillis(body, AGE_MILLIS);
 	}
 
 	private static Duration readMillis(JsonNode body, String field) {
@@ -92,7 +91,7 @@
 		}
 	}
 
-	private static Set<RequestTrait> readTraits(JsonNode body) {
+	static Set<RequestTrait> readTraits(JsonNode body) {
 		Set<RequestTrait> traits = new HashSet<>();
 		for (JsonNode trait : body.path(TRAITS)) {
 			traits.add(
--- a/src/main/java/sycamorehill/entry/NodeMessageFields.java
+++ b/src/main/java/sycamorehill/entry/NodeMessageFields.java
@@ -113,7 +113,10 @@
 			case TARGET_LIMITED -> writeRateLimit((NodeMessage.TargetLimited) message, body);
 			case TARGET_LEAVING -> writeLeaving((NodeMessage.TargetLeaving) message, body);
 			case TARGET_LOST -> CrashMessageFields.write((NodeMessage.TargetLost) message, body);
-			case TRAITS_SOUND -> CrashMessageFields.write((NodeMessage.TraitsSound) message, body);
+			case TRAITS_SOUND -> CrashMessageFields.write(((NodeMessage.TraitsSound) message).traits(),
+					((NodeMessage.TraitsSound) message).age(), body);
+			case TRAITS_TRIED -> CrashMessageFields.write(((NodeMessage.TraitsTried) message).traits(),
+					((NodeMessage.TraitsTried) message).age(), body);
 		}
 	}
 
@@ -138,7 +141,10 @@
 			case TARGET_LIMITED -> readRateLimit(sender, body);
 			case TARGET_LEAVING -> new NodeMessage.TargetLeaving(sender, readTarget(body), body.path(STARTED).asLong());
 			case TARGET_LOST -> CrashMessageFields.readTargetLost(sender, body);
-			case TRAITS_SOUND -> CrashMessageFields.readTraitsSound(sender, body);
+			case TRAITS_SOUND -> new NodeMessage.TraitsSound(sender, CrashMessageFields.readTraits(body),
+					CrashMessageFields.readAge(body));
+			case TRAITS_TRIED -> new NodeMessage.TraitsTried(sender, CrashMessageFields.readTraits(body),
+					CrashMessageFields.readAge(body));
 		};
 	}
 
--- a/src/main/java/sycamorehill/entry/NodeMessageKind.java
+++ b/src/main/java/sycamorehill/entry/NodeMessageKind.java
@@ -45,7 +45,9 @@
 
 	TARGET_LOST(NodeMessage.TargetLost.class),
 
-	TRAITS_SOUND(NodeMessage.TraitsSound.class);
+	TRAITS_SOUND(NodeMessage.TraitsSound.class),
+
+	TRAITS_TRIED(NodeMessage.TraitsTried.class);
 
 	private final Class<? extends NodeMessage> type;
 
--- a/src/main/java/sycamorehill/logic/crash/CrashCauseFinder.java
+++ b/src/main/java/sycamorehill/logic/crash/CrashCauseFinder.java
@@ -21,7 +21,7 @@
 	 * Number of targets that must have crashed with a content; one or two may be
 	 * coincidence.
 	 */
-	private static final int MINIMUM_CRASHES_OF_CONTENT = 3;
+	static final int MINIMUM_CRASHES_OF_CONTENT = 3;
 
 	private CrashCauseFinder() {
 	}
--- a/src/main/java/sycamorehill/logic/crash/CrashEvidence.java
+++ b/src/main/java/sycamorehill/logic/crash/CrashEvidence.java
@@ -26,7 +26,7 @@
 	/**
 	 * How long a crash is kept after a request that it is held against was last seen.
 	 */
-	private static final Duration RETENTION_TIME = Duration.ofMinutes(10);
+	private static final Duration RETENTION_TIME = Duration.ofMinutes(30);
 
 	/**
 	 * How long the end of a process may take to be known: its entry expires within
--- a/src/main/java/sycamorehill/logic/crash/CrashReports.java
+++ b/src/main/java/sycamorehill/logic/crash/CrashReports.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Function;
 
 import sycamorehill.logic.Effects;
 import sycamorehill.model.serving.EntryEffect;
@@ -45,7 +46,7 @@
 
 	private final Set<TargetIncarnation> toldUndecided = new HashSet<>();
 
-	private final List<SoundReport> soundReports = new ArrayList<>();
+	private final List<RepeatedReport> repeatedReports = new ArrayList<>();
 
 	private CrashReports(String nodeName, CrashEvidence evidence) {
 		this.nodeName = nodeName;
@@ -72,7 +73,20 @@
 	 * @param now the current time
 	 */
 	void addSound(Set<RequestTrait> traits, Instant at, Instant now) {
-		this.soundReports.add(new SoundReport(traits, at, new Repetition(BROADCASTS, now)));
+		repeat((age) -> new NodeMessage.TraitsSound(this.nodeName, traits, age), at, now);
+	}
+
+	/**
+	 * Reports that a request with some properties may run although it is refused.
+	 * @param traits the properties
+	 * @param now the current time
+	 */
+	void addTrial(Set<RequestTrait> traits, Instant now) {
+		repeat((age) -> new NodeMessage.TraitsTried(this.nodeName, traits, age), now, now);
+	}
+
+	private void repeat(Function<Duration, NodeMessage> message, Instant at, Instant now) {
+		this.repeatedReports.add(new RepeatedReport(message, at, new Repetition(BROADCASTS, now)));
 	}
 
 	/**
@@ -91,15 +105,14 @@
 			return repetition.next(now);
 		});
 		this.crashes.values().removeIf(Repetition::isOver);
-		this.soundReports.replaceAll((report) -> {
+		this.repeatedReports.replaceAll((report) -> {
 			if (!report.repetition().isDue(now)) {
 				return report;
 			}
-			effects.add(new EntryEffect.Broadcast(
-					new NodeMessage.TraitsSound(this.nodeName, report.traits(), Duration.between(report.at(), now))));
-			return new SoundReport(report.traits(), report.at(), report.repetition().next(now));
+			effects.add(new EntryEffect.Broadcast(report.message().apply(Duration.between(report.at(), now))));
+			return new RepeatedReport(report.message(), report.at(), report.repetition().next(now));
 		});
-		this.soundReports.removeIf((report) -> report.repetition().isOver());
+		this.repeatedReports.removeIf((report) -> report.repetition().isOver());
 	}
 
 	// A node that is killed before the loss is decided must not take along what it knows.
@@ -155,13 +168,13 @@
 	}
 
 	/**
-	 * Properties of requests that were run without a crash.
+	 * A message that is sent several times.
 	 *
-	 * @param traits the properties
-	 * @param at when their targets began to run them, at the earliest
-	 * @param repetition how often this has still to be sent
+	 * @param message creates the message by its age
+	 * @param at when it was true
+	 * @param repetition how often it has still to be sent
 	 */
-	private record SoundReport(Set<RequestTrait> traits, Instant at, Repetition repetition) {
+	private record RepeatedReport(Function<Duration, NodeMessage> message, Instant at, Repetition repetition) {
 	}
 
 }
--- a/src/main/java/sycamorehill/logic/crash/CrashSuspicions.java
+++ b/src/main/java/sycamorehill/logic/crash/CrashSuspicions.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
 
 import sycamorehill.logic.Effects;
@@ -55,6 +56,8 @@
 
 	private final CrashReports reports;
 
+	private final CrashTrials trials;
+
 	/** The undecided targets that this node itself has lost. */
 	private final Map<TargetIncarnation, OwnLoss> ownLosses = new HashMap<>();
 
@@ -65,10 +68,11 @@
 
 	private Set<String> loggedCauses = Set.of();
 
-	private CrashSuspicions(String nodeName, TargetDirectory directory, PathState paths) {
+	private CrashSuspicions(String nodeName, TargetDirectory directory, PathState paths, RandomGenerator random) {
 		this.directory = directory;
 		this.paths = paths;
 		this.reports = CrashReports.of(nodeName, this.evidence);
+		this.trials = CrashTrials.of(random);
 	}
 
 	/**
@@ -76,10 +80,12 @@
 	 * @param nodeName the node's name
 	 * @param directory the known targets
 	 * @param paths tells whether this node's paths to the targets work
+	 * @param random the source of all random choices
 	 * @return the suspicions
 	 */
-	public static CrashSuspicions of(String nodeName, TargetDirectory directory, PathState paths) {
-		return new CrashSuspicions(nodeName, directory, paths);
+	public static CrashSuspicions of(String nodeName, TargetDirectory directory, PathState paths,
+			RandomGenerator random) {
+		return new CrashSuspicions(nodeName, directory, paths, random);
 	}
 
 	/**
@@ -187,12 +193,32 @@
 	 * Finds why a request must not be sent to any target.
 	 * @param traits the request's properties
 	 * @param now the current time
+	 * @param effects receives the resulting effects
 	 * @return the reason, for the caller and the log; empty if it may be sent
 	 */
-	public Optional<String> findRefusal(Set<RequestTrait> traits, Instant now) {
-		return this.evidence.findCause(traits, now)
-			.map((cause) -> cause.name() + " was lost with " + cause.losses().size() + " targets: "
-					+ cause.describeCrashes(now));
+	public Optional<String> findRefusal(Set<RequestTrait> traits, Instant now, Effects effects) {
+		Optional<CrashCause> found = this.evidence.findCause(traits, now);
+		if (found.filter((cause) -> this.trials.isDue(cause, now)).isPresent()) {
+			letThrough(found.get(), now, effects);
+			return Optional.empty();
+		}
+		return found.map((cause) -> cause.name() + " was lost with " + cause.losses().size() + " targets: "
+				+ cause.describeCrashes(now));
+	}
+
+	private void letThrough(CrashCause cause, Instant now, Effects effects) {
+		this.trials.record(cause.traits(), now);
+		this.reports.addTrial(cause.traits(), now);
+		effects.log(LogEvent.CRASH_CAUSE_TRIED, "traits=" + cause.name() + " crashes=" + cause.describeCrashes(now));
+	}
+
+	/**
+	 * Handles a request that another node has let through although it is refused.
+	 * @param message the other node's message
+	 * @param now the current time
+	 */
+	public void handleMessage(NodeMessage.TraitsTried message, Instant now) {
+		this.trials.record(message.traits(), now.minus(message.age()));
 	}
 
 	/**
@@ -301,6 +327,7 @@
 			.filter((name) -> !names.contains(name))
 			.forEach((name) -> effects.log(LogEvent.CRASH_CAUSE_DROPPED, "traits=" + name));
 		this.loggedCauses = names;
+		this.trials.retain(causes.stream().map(CrashCause::traits).collect(Collectors.toSet()));
 	}
 
 	/**
--- a/src/main/java/sycamorehill/logic/dispatch/RequestDispatcher.java
+++ b/src/main/java/sycamorehill/logic/dispatch/RequestDispatcher.java
@@ -75,7 +75,7 @@
 		this.finalAnswers = FinalAnswers.of(random);
 		this.targetSelector = TargetSelector.of(settings, directory, random);
 		this.paths = TargetPaths.of(settings, directory, this.targetSelector, random);
-		this.crashSuspicions = CrashSuspicions.of(settings.nodeName(), directory, this.paths.reachability());
+		this.crashSuspicions = CrashSuspicions.of(settings.nodeName(), directory, this.paths.reachability(), random);
 		this.router = RequestRouter.of(this.crashSuspicions, this.finalAnswers::retryAfter);
 		this.outcomes = AttemptOutcomes.of(directory, this.targetSelector, this.paths.reachability(),
 				this.crashSuspicions);
@@ -139,7 +139,7 @@
 	 * @param effects receives the resulting effects
 	 */
 	public void handleRequest(CallerRequest request, Instant arrivedAt, Instant now, Effects effects) {
-		RequestRouter.Decision decision = this.router.route(request, now);
+		RequestRouter.Decision decision = this.router.route(request, now, effects);
 		if (decision instanceof RequestRouter.Refused refused) {
 			refuseUnrouted(request, refused, effects);
 		}
@@ -264,6 +264,9 @@
 		else if (message instanceof NodeMessage.TraitsSound sound) {
 			this.crashSuspicions.handleMessage(sound, now, effects);
 		}
+		else if (message instanceof NodeMessage.TraitsTried tried) {
+			this.crashSuspicions.handleMessage(tried, now);
+		}
 		else if (message instanceof NodeMessage.ServicesUnreachable report) {
 			this.paths.proxySelector().handleMessage(report, now);
 		}
--- a/src/main/java/sycamorehill/logic/dispatch/RequestRouter.java
+++ b/src/main/java/sycamorehill/logic/dispatch/RequestRouter.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.function.Supplier;
 
+import sycamorehill.logic.Effects;
 import sycamorehill.logic.crash.CrashSuspicions;
 import sycamorehill.model.serving.CallerRequest;
 import sycamorehill.model.serving.Configuration;
@@ -74,7 +75,7 @@
 		return this.knownServices;
 	}
 
-	Decision route(CallerRequest request, Instant now) {
+	Decision route(CallerRequest request, Instant now, Effects effects) {
 		if (this.configuration.isEmpty()) {
 			return new Refused(UNAVAILABLE, "no configuration yet", Optional.of(this.retryAfter.get()));
 		}
@@ -87,7 +88,7 @@
 				&& !route.get().allowsAnonymousCallers()) {
 			return new Refused(UNAUTHORIZED, "the key is not known", Optional.empty());
 		}
-		Optional<String> crashes = this.crashSuspicions.findRefusal(request.traits(), now);
+		Optional<String> crashes = this.crashSuspicions.findRefusal(request.traits(), now, effects);
 		if (crashes.isPresent()) {
 			return new Refused(UNAVAILABLE, "not run: " + crashes.get(), Optional.of(SUSPECT_RETRY_AFTER));
 		}
--- a/src/main/java/sycamorehill/model/log/LogEvent.java
+++ b/src/main/java/sycamorehill/model/log/LogEvent.java
@@ -219,7 +219,10 @@
 	CRASH_CAUSE_FOUND(1918, LogLevel.ERROR),
 
 	/** What was held to crash targets is no longer refused. */
-	CRASH_CAUSE_DROPPED(1919, LogLevel.WARN);
+	CRASH_CAUSE_DROPPED(1919, LogLevel.WARN),
+
+	/** A request runs to test whether such requests still crash targets. */
+	CRASH_CAUSE_TRIED(1920, LogLevel.WARN);
 
 	private final int number;
 
--- a/src/main/java/sycamorehill/model/serving/NodeMessage.java
+++ b/src/main/java/sycamorehill/model/serving/NodeMessage.java
@@ -317,4 +317,22 @@
 
 	}
 
+	/**
+	 * A request was sent to a target although requests with these properties are refused.
+	 *
+	 * @param sender the sender
+	 * @param traits the properties
+	 * @param age time since it was let through
+	 */
+	record TraitsTried(String sender, Set<RequestTrait> traits, Duration age) implements NodeMessage {
+
+		/**
+		 * Copies the properties.
+		 */
+		public TraitsTried {
+			traits = Set.copyOf(traits);
+		}
+
+	}
+
 }
--- a/src/test/java/sycamorehill/entry/NodeMessageCodecTests.java
+++ b/src/test/java/sycamorehill/entry/NodeMessageCodecTests.java
@@ -59,7 +59,8 @@
 				new NodeMessage.TargetLimited("n1", TARGET, Optional.empty()),
 				new NodeMessage.TargetLeaving("n1", TARGET, 1_700_000_000_000L),
 				CrashMessages.crash("n1", member, Set.of(RequestTrait.content(Long.MIN_VALUE))),
-				new NodeMessage.TraitsSound("n1", Set.of(RequestTrait.content(7)), Duration.ofMillis(40)));
+				new NodeMessage.TraitsSound("n1", Set.of(RequestTrait.content(7)), Duration.ofMillis(40)),
+				new NodeMessage.TraitsTried("n1", Set.of(RequestTrait.content(7)), Duration.ofMillis(40)));
 	}
 
 	@Test
--- a/src/test/java/sycamorehill/logic/entry/CrashSuspicionTests.java
+++ b/src/test/java/sycamorehill/logic/entry/CrashSuspicionTests.java
@@ -265,6 +265,62 @@
 		assertThat(suspicions(run(one, Duration.ofSeconds(60)))).hasSizeLessThanOrEqualTo(60 / 5 * 8);
 	}
 
+	private long countStarts(EntryReducer node, int firstNumber, Duration duration) {
+		long starts = 0;
+		int number = firstNumber;
+		for (Instant end = this.now.plus(duration); this.now.isBefore(end);) {
+			this.now = this.now.plusSeconds(1);
+			node.accept(new EntryEvent.Ticked(), this.now);
+			starts += node.accept(new EntryEvent.RequestArrived(crashing(number++)), this.now)
+				.stream()
+				.filter(EntryEffect.StartAttempt.class::isInstance)
+				.count();
+		}
+		return starts;
+	}
+
+	// A refusal would never end, right or wrong, as no such request runs any more.
+	@Test
+	void oneOfTheRefusedRequestsRunsAfterTenMinutes() {
+		EntryReducer one = start("one");
+		List.of("p1", "p2", "p3").forEach((target) -> suspect(one, target, this.now));
+		assertThat(countStarts(one, 1000, Duration.ofMinutes(10))).isZero();
+		assertThat(countStarts(one, 2000, Duration.ofMinutes(9))).isOne();
+	}
+
+	// Each trial of a content that still crashes targets costs one.
+	@Test
+	void trialsBecomeRarerWithEachCrash() {
+		EntryReducer one = start("one");
+		List.of("p1", "p2", "p3", "p4", "p5").forEach((target) -> suspect(one, target, this.now));
+		assertThat(countStarts(one, 1000, Duration.ofMinutes(40))).isZero();
+		assertThat(countStarts(one, 4000, Duration.ofMinutes(30))).isOne();
+	}
+
+	@Test
+	void anotherNodeDoesNotRepeatATrial() {
+		EntryReducer one = start("one");
+		List.of("p1", "p2", "p3").forEach((target) -> suspect(one, target, this.now));
+		countStarts(one, 1000, Duration.ofMinutes(9));
+		one.accept(new EntryEvent.MessageReceived(
+				new NodeMessage.TraitsTried("two", CRASHING.traits(), Duration.ofSeconds(1))), this.now);
+		assertThat(countStarts(one, 2000, Duration.ofMinutes(9))).isZero();
+	}
+
+	@Test
+	void aContentIsServedAgainOnceATrialIsAnswered() {
+		EntryReducer one = start("one");
+		List.of("p1", "p2", "p3").forEach((target) -> suspect(one, target, this.now));
+		int number = 1000;
+		while (refuses(one, number)) {
+			this.now = this.now.plusSeconds(1);
+			one.accept(new EntryEvent.Ticked(), this.now);
+			number++;
+		}
+		one.accept(new EntryEvent.AttemptEnded(number, 1, new AttemptEnd.Delivered(200, Duration.ZERO)), this.now);
+		assertThat(refuses(one, 9000)).isFalse();
+	}
+
 	private static CallerRequest sound(long number) {
 		return ServingSamples.request(number, "/again/y");
 	}
