Decide by the end of its process whether a target has crashed that stopped sending

A run that is lost without its connection counted in two wrong ways. A target that answers garbage counted as crashed after 0.2 s, though it lives: three such answers refused a sound content. A target that fell silent with streams never counted, even if it had crashed: streams that are moved away raised no suspicion. Both are now undecided until the store shows the target's process to have ended, or it answers.

--- a/src/main/java/sycamorehill/logic/crash/CrashSuspicions.java
+++ b/src/main/java/sycamorehill/logic/crash/CrashSuspicions.java
@@ -89,19 +89,23 @@
 	}
 
 	/**
-	 * Records that this node has lost a target that was running a request.
+	 * Records that this node has lost a run of a request, and possibly the target.
 	 * @param request the request
 	 * @param service the target's service
 	 * @param target the process of the target to which the request was sent
+	 * @param connectionLost whether the connection was lost; a target that only stopped
+	 * sending, or sent garbage, counts as crashed once its process has ended
 	 * @param now the current time
 	 * @param effects receives the resulting effects
 	 */
-	public void suspect(LostRequest request, ServiceName service, TargetIncarnation target, Instant now,
-			Effects effects) {
+	public void suspect(LostRequest request, ServiceName service, TargetIncarnation target, boolean connectionLost,
+			Instant now, Effects effects) {
 		effects.log(LogEvent.SUSPICION_RAISED, "request=" + request.identifier() + " traits="
 				+ RequestTrait.describe(request.traits()) + " target=" + target.name());
 		this.evidence.add(new TargetLoss(target, now, false, Map.of(request.identifier(), LostRun.of(request, now))));
-		this.ownLosses.put(target, new OwnLoss(service, now));
+		if (connectionLost) {
+			this.ownLosses.put(target, new OwnLoss(service, now));
+		}
 		if (!isKnown(target)) {
 			decideCrash(target, "its entry has ended", now, effects);
 		}
--- a/src/main/java/sycamorehill/logic/dispatch/AttemptOutcomes.java
+++ b/src/main/java/sycamorehill/logic/dispatch/AttemptOutcomes.java
@@ -109,12 +109,23 @@
 	private void recordLost(DispatchedRequest request, TargetName target, boolean connectionLost, Instant now,
 			Effects effects) {
 		this.targetSelector.status(target).recordFailure(now);
-		request.attemptTarget()
-			.ifPresent((incarnation) -> this.crashSuspicions.suspect(request.toLostRequest(), request.service(),
-					incarnation, now, effects));
+		suspect(request, connectionLost, now, effects);
 		if (connectionLost) {
 			this.reachability.recordLostConnection(target, now, effects);
 		}
 	}
 
+	/**
+	 * Records that a run of a request was lost, possibly with its target.
+	 * @param request the request
+	 * @param connectionLost whether the connection was lost
+	 * @param now the current time
+	 * @param effects receives the resulting effects
+	 */
+	void suspect(DispatchedRequest request, boolean connectionLost, Instant now, Effects effects) {
+		request.attemptTarget()
+			.ifPresent((target) -> this.crashSuspicions.suspect(request.toLostRequest(), request.service(), target,
+					connectionLost, now, effects));
+	}
+
 }
--- a/src/main/java/sycamorehill/logic/dispatch/RequestDispatcher.java
+++ b/src/main/java/sycamorehill/logic/dispatch/RequestDispatcher.java
@@ -83,7 +83,7 @@
 				AttemptStarter.of(settings.nodeName(), this.targetSelector), this.paths, this.retryBudgets,
 				this.finalAnswers, this.activeRequests);
 		this.stalledStreams = StalledStreams.of(this.activeRequests, this.targetSelector, this.paths.proxySelector(),
-				this.scheduler);
+				this.scheduler, this.outcomes);
 		this.proxiedRequests = ProxiedRequests.of(this.router.knownServices(), this.targetSelector,
 				this.paths.proxySelector(), this.scheduler, this.stalledStreams, this.activeRequests);
 	}
--- a/src/main/java/sycamorehill/logic/dispatch/StalledStreams.java
+++ b/src/main/java/sycamorehill/logic/dispatch/StalledStreams.java
@@ -33,17 +33,20 @@
 
 	private final AttemptScheduler scheduler;
 
+	private final AttemptOutcomes outcomes;
+
 	private StalledStreams(Map<Long, DispatchedRequest> activeRequests, TargetSelector targetSelector,
-			ProxySelector proxySelector, AttemptScheduler scheduler) {
+			ProxySelector proxySelector, AttemptScheduler scheduler, AttemptOutcomes outcomes) {
 		this.activeRequests = activeRequests;
 		this.targetSelector = targetSelector;
 		this.proxySelector = proxySelector;
 		this.scheduler = scheduler;
+		this.outcomes = outcomes;
 	}
 
 	static StalledStreams of(Map<Long, DispatchedRequest> activeRequests, TargetSelector targetSelector,
-			ProxySelector proxySelector, AttemptScheduler scheduler) {
-		return new StalledStreams(activeRequests, targetSelector, proxySelector, scheduler);
+			ProxySelector proxySelector, AttemptScheduler scheduler, AttemptOutcomes outcomes) {
+		return new StalledStreams(activeRequests, targetSelector, proxySelector, scheduler, outcomes);
 	}
 
 	void handleSilentTarget(TargetName target, String source, Instant now, Effects effects) {
@@ -51,6 +54,8 @@
 		status.eject(now, SILENT_TARGET_EJECTION);
 		effects.log(LogEvent.TARGET_SILENT,
 				"target=" + target + " in-flight=" + status.inFlight() + " source=" + source);
+		resumableStreams((request) -> isAt(target, request))
+			.forEach((request) -> this.outcomes.suspect(request, false, now, effects));
 		moveStreams(target, (request) -> true, now, effects);
 	}
 
--- a/src/test/java/sycamorehill/logic/entry/CrashSuspicionTests.java
+++ b/src/test/java/sycamorehill/logic/entry/CrashSuspicionTests.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
@@ -18,6 +19,7 @@
 import sycamorehill.model.serving.EntryEffect;
 import sycamorehill.model.serving.EntryEvent;
 import sycamorehill.model.serving.LostRequest;
+import sycamorehill.model.serving.MemberState;
 import sycamorehill.model.serving.NodeMessage;
 import sycamorehill.model.serving.RequestTrait;
 import sycamorehill.model.serving.TargetChange;
@@ -103,12 +105,7 @@
 	@Test
 	void aSuspicionIsRepeatedInCaseItIsLost() {
 		EntryReducer one = start("one");
-		TargetName target = one.accept(new EntryEvent.RequestArrived(CRASHING), this.now)
-			.stream()
-			.filter(EntryEffect.StartAttempt.class::isInstance)
-			.map((effect) -> ((EntryEffect.StartAttempt) effect).target().name())
-			.findFirst()
-			.orElseThrow();
+		TargetName target = startedAt(one.accept(new EntryEvent.RequestArrived(CRASHING), this.now));
 		one.accept(new EntryEvent.AttemptEnded(7, 1, new AttemptEnd.Unknown("reset", true)), this.now);
 		List<NodeMessage> told = new ArrayList<>();
 		for (Instant end = this.now.plusSeconds(10); this.now.isBefore(end); this.now = this.now.plus(TICK)) {
@@ -122,9 +119,7 @@
 	}
 
 	private static CallerRequest crashing(long number) {
-		CallerRequest sample = ServingSamples.request(number, "/again/x");
-		return new CallerRequest(number, sample.identifier(), sample.host(), sample.path(), sample.apiKey(),
-				sample.model(), sample.tokenCounts(), sample.timeLeft(), CRASHING.contentHash());
+		return repeat(CRASHING, number);
 	}
 
 	private List<EntryEffect> run(EntryReducer node, Duration duration) {
@@ -174,11 +169,7 @@
 		one.accept(new EntryEvent.TargetConnected(TargetName.of("p1")), this.now);
 		for (int number = 21; number <= 23; number++) {
 			List<EntryEffect> effects = one.accept(new EntryEvent.RequestArrived(sound(number)), this.now);
-			TargetName target = effects.stream()
-				.filter(EntryEffect.StartAttempt.class::isInstance)
-				.map((effect) -> ((EntryEffect.StartAttempt) effect).target().name())
-				.findFirst()
-				.orElseThrow();
+			TargetName target = startedAt(effects);
 			one.accept(new EntryEvent.TargetReported(number, target, NO_REPORT), this.now);
 		}
 		told = Stream.concat(told.stream(), suspicions(run(one, Duration.ofMillis(1200))).stream()).toList();
@@ -321,6 +312,61 @@
 		assertThat(refuses(one, 9000)).isFalse();
 	}
 
+	// Targets that answer garbage have not crashed, and the content is as sound as any.
+	@Test
+	void aContentThatTargetsAnswerWithGarbageIsNotRefused() {
+		EntryReducer one = start("one");
+		for (int number = 1; number <= 3; number++) {
+			one.accept(new EntryEvent.RequestArrived(crashing(number)), this.now);
+			one.accept(new EntryEvent.AttemptEnded(number, 1, new AttemptEnd.Unknown("garbage", false)), this.now);
+			run(one, Duration.ofMillis(500));
+		}
+		run(one, Duration.ofSeconds(2));
+		assertThat(refuses(one, 10)).isFalse();
+	}
+
+	// A target that falls silent while it runs a content, and whose process ends, has
+	// crashed like one that closes its connections.
+	@Test
+	void aContentUnderWhichTargetsFallSilentAndEndIsRefused() {
+		EntryReducer one = start("one");
+		List<TargetEntry> heads = IntStream.range(0, 4)
+			.mapToObj((group) -> ServingSamples.member("h" + group, "small." + group, group + 1, 0, MemberState.OPEN))
+			.toList();
+		List<TargetEntry> members = IntStream.range(0, 4)
+			.mapToObj((group) -> ServingSamples.member("m" + group, "small." + group, group + 1, 1, MemberState.READY))
+			.toList();
+		one.accept(new EntryEvent.TargetsListed(Stream.concat(heads.stream(), members.stream()).toList(), 10),
+				this.now);
+		CallerRequest stream = ServingSamples.request(1, "/stream/x");
+		Set<TargetName> silent = new HashSet<>();
+		for (int number = 1; number <= 3; number++) {
+			TargetName target = startedAt(one.accept(new EntryEvent.RequestArrived(repeat(stream, number)), this.now));
+			silent.add(target);
+			one.accept(new EntryEvent.TargetSilent(target, true), this.now);
+			one.accept(new EntryEvent.CallerDisconnected(number, false), this.now);
+			one.accept(new EntryEvent.TargetsChanged(List.of(new TargetChange(target, Optional.empty())), 10, 11),
+					this.now);
+			run(one, Duration.ofMillis(100));
+		}
+		assertThat(silent).hasSize(3);
+		assertThat(refuses(one, repeat(stream, 9))).isTrue();
+		assertThat(refuses(one, ServingSamples.request(10, "/stream/y"))).isFalse();
+	}
+
+	private static TargetName startedAt(List<EntryEffect> effects) {
+		return effects.stream()
+			.filter(EntryEffect.StartAttempt.class::isInstance)
+			.map((effect) -> ((EntryEffect.StartAttempt) effect).target().name())
+			.findFirst()
+			.orElseThrow();
+	}
+
+	private static CallerRequest repeat(CallerRequest request, long number) {
+		return new CallerRequest(number, "r" + number, request.host(), request.path(), request.apiKey(),
+				request.model(), request.tokenCounts(), request.timeLeft(), request.contentHash());
+	}
+
 	private static CallerRequest sound(long number) {
 		return ServingSamples.request(number, "/again/y");
 	}
@@ -350,7 +396,11 @@
 	}
 
 	private boolean refuses(EntryReducer node, long number) {
-		List<EntryEffect> effects = node.accept(new EntryEvent.RequestArrived(crashing(number)), this.now);
+		return refuses(node, crashing(number));
+	}
+
+	private boolean refuses(EntryReducer node, CallerRequest request) {
+		List<EntryEffect> effects = node.accept(new EntryEvent.RequestArrived(request), this.now);
 		return effects.stream().noneMatch(EntryEffect.StartAttempt.class::isInstance) && effects.stream()
 			.anyMatch((effect) -> effect instanceof EntryEffect.Answer answer && answer.status() == 503
 					&& answer.detail().contains("lost with"));
