Log the prompt parts of a lost request, and whether its target had answered

The record can't tell whether bystanders hide the culprit, as no line names the parts of a prompt that ran on a lost target, nor whether its answer had begun there. No decision is changed.

--- a/src/main/java/sycamorehill/entry/CallerServer.java
+++ b/src/main/java/sycamorehill/entry/CallerServer.java
@@ -107,7 +107,7 @@
 		int query = uri.indexOf('?');
 		EntryEvent arrived = new EntryEvent.RequestArrived(new CallerRequest(exchange.number(), head.identifier(),
 				lowerCaseHost(request), (query < 0) ? uri : uri.substring(0, query), head.apiKey(), head.model(),
-				head.tokenCounts(), head.timeLeft(), ContentHash.of(request, head, body)));
+				head.tokenCounts(), head.sharedPromptParts(), head.timeLeft(), ContentHash.of(request, head, body)));
 		this.eventSink.post(arrived);
 		this.exchanges.add(exchange);
 		return exchange;
--- a/src/main/java/sycamorehill/entry/ProxyFrame.java
+++ b/src/main/java/sycamorehill/entry/ProxyFrame.java
@@ -29,6 +29,12 @@
 	 */
 	record Request(ProxiedRequest request, String method, String uri, List<Header> headers,
 			Optional<String> resumeAfter, Optional<String> weightsVersion, int bodyBytes) implements ProxyFrame {
+
+		Request withSharedPromptParts(List<String> parts) {
+			return new Request(this.request.withSharedPromptParts(parts), this.method, this.uri, this.headers,
+					this.resumeAfter, this.weightsVersion, this.bodyBytes);
+		}
+
 	}
 
 	/**
--- a/src/main/java/sycamorehill/entry/ProxyFrameCodec.java
+++ b/src/main/java/sycamorehill/entry/ProxyFrameCodec.java
@@ -71,6 +71,7 @@
 		ProxyFrameFields.writeOptional(request.resumeAfter(), packer);
 		ProxyFrameFields.writeOptional(request.weightsVersion(), packer);
 		packer.packInt(request.bodyBytes());
+		ProxyFrameFields.writePromptParts(request.request().sharedPromptParts(), packer);
 	}
 
 	private static void writeHeaders(List<ProxyFrame.Header> headers, MessagePacker packer) throws IOException {
@@ -108,9 +109,10 @@
 	}
 
 	private static ProxyFrame readRequest(MessageUnpacker unpacker) throws IOException {
-		return new ProxyFrame.Request(ProxyFrameFields.readRequest(unpacker), unpacker.unpackString(),
-				unpacker.unpackString(), readHeaders(unpacker), ProxyFrameFields.readOptional(unpacker),
-				ProxyFrameFields.readOptional(unpacker), unpacker.unpackInt());
+		ProxyFrame.Request request = new ProxyFrame.Request(ProxyFrameFields.readRequest(unpacker),
+				unpacker.unpackString(), unpacker.unpackString(), readHeaders(unpacker),
+				ProxyFrameFields.readOptional(unpacker), ProxyFrameFields.readOptional(unpacker), unpacker.unpackInt());
+		return request.withSharedPromptParts(ProxyFrameFields.readPromptParts(unpacker));
 	}
 
 	private static ProxyFrame readHead(MessageUnpacker unpacker) throws IOException {
--- a/src/main/java/sycamorehill/entry/ProxyFrameFields.java
+++ b/src/main/java/sycamorehill/entry/ProxyFrameFields.java
@@ -2,7 +2,9 @@
 
 import java.io.IOException;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 
@@ -80,7 +82,8 @@
 				RequestKind.valueOf(unpacker.unpackString()), ServiceName.of(unpacker.unpackString()),
 				readWorkspace(unpacker), unpacker.unpackInt(), readDuration(unpacker), readDuration(unpacker),
 				readDuration(unpacker), readDuration(unpacker), readOptional(unpacker), readTokenCounts(unpacker),
-				unpacker.unpackLong(), readTargets(unpacker), unpacker.unpackBoolean(), unpacker.unpackBoolean());
+				List.of(), unpacker.unpackLong(), readTargets(unpacker), unpacker.unpackBoolean(),
+				unpacker.unpackBoolean());
 	}
 
 	private static Optional<Workspace> readWorkspace(MessageUnpacker unpacker) throws IOException {
@@ -95,6 +98,28 @@
 		return (promptTokens < 0) ? Optional.empty() : Optional.of(new TokenCounts(promptTokens, answerTokens));
 	}
 
+	static void writePromptParts(List<String> parts, MessagePacker packer) throws IOException {
+		packer.packArrayHeader(parts.size());
+		for (String part : parts) {
+			packer.packString(part);
+		}
+	}
+
+	/**
+	 * Reads the parts of a prompt, which nodes of earlier versions don't send.
+	 * @param unpacker the rest of the frame
+	 * @return the identifiers of the parts
+	 * @throws IOException if they can't be read
+	 */
+	static List<String> readPromptParts(MessageUnpacker unpacker) throws IOException {
+		int count = unpacker.hasNext() ? unpacker.unpackArrayHeader() : 0;
+		List<String> parts = new ArrayList<>();
+		for (int index = 0; index < count; index++) {
+			parts.add(unpacker.unpackString());
+		}
+		return parts;
+	}
+
 	private static Set<TargetName> readTargets(MessageUnpacker unpacker) throws IOException {
 		int count = unpacker.unpackArrayHeader();
 		Set<TargetName> targets = new HashSet<>();
--- a/src/main/java/sycamorehill/logic/crash/CrashSuspicions.java
+++ b/src/main/java/sycamorehill/logic/crash/CrashSuspicions.java
@@ -100,8 +100,6 @@
 	 */
 	public void suspect(LostRequest request, ServiceName service, TargetIncarnation target, boolean connectionLost,
 			Instant now, Effects effects) {
-		effects.log(LogEvent.SUSPICION_RAISED, "request=" + request.identifier() + " traits="
-				+ RequestTrait.describe(request.traits()) + " target=" + target.name());
 		this.evidence.add(new TargetLoss(target, now, false, Map.of(request.identifier(), LostRun.of(request, now))));
 		if (connectionLost) {
 			this.ownLosses.put(target, new OwnLoss(service, now));
--- a/src/main/java/sycamorehill/logic/dispatch/AttemptOutcomes.java
+++ b/src/main/java/sycamorehill/logic/dispatch/AttemptOutcomes.java
@@ -7,9 +7,12 @@
 import sycamorehill.logic.crash.CrashSuspicions;
 import sycamorehill.logic.directory.TargetDirectory;
 import sycamorehill.model.identity.TargetName;
+import sycamorehill.model.log.LogEvent;
 import sycamorehill.model.serving.AttemptEnd;
 import sycamorehill.model.serving.NotRunCause;
+import sycamorehill.model.serving.RequestTrait;
 import sycamorehill.model.serving.TargetEntry;
+import sycamorehill.model.serving.TargetIncarnation;
 
 /**
  * Records what the end of an attempt shows about its target, about the path to the
@@ -123,9 +126,18 @@
 	 * @param effects receives the resulting effects
 	 */
 	void suspect(DispatchedRequest request, boolean connectionLost, Instant now, Effects effects) {
-		request.attemptTarget()
-			.ifPresent((target) -> this.crashSuspicions.suspect(request.toLostRequest(), request.service(), target,
-					connectionLost, now, effects));
+		request.attemptTarget().ifPresent((target) -> {
+			effects.log(LogEvent.SUSPICION_RAISED, describe(request, target, now));
+			this.crashSuspicions.suspect(request.toLostRequest(), request.service(), target, connectionLost, now,
+					effects);
+		});
+	}
+
+	private static String describe(DispatchedRequest request, TargetIncarnation target, Instant now) {
+		return "request=" + request.request().identifier() + " target=" + target.name() + " traits="
+				+ RequestTrait.describe(request.request().traits()) + " prompt-parts="
+				+ String.join(",", request.request().sharedPromptParts()) + " answered-millis="
+				+ request.attemptAnsweredAt().map((at) -> Duration.between(at, now).toMillis()).orElse(-1L);
 	}
 
 }
--- a/src/main/java/sycamorehill/logic/dispatch/DispatchedRequest.java
+++ b/src/main/java/sycamorehill/logic/dispatch/DispatchedRequest.java
@@ -59,6 +59,9 @@
 
 	private Instant attemptStartedAt = Instant.MIN;
 
+	/** When the first event of the current or last attempt arrived. */
+	private Optional<Instant> attemptAnsweredAt = Optional.empty();
+
 	private int attempts;
 
 	private int targetsReached;
@@ -105,7 +108,8 @@
 	 */
 	static DispatchedRequest of(long number, ProxiedRequest proxied, ServiceParameters service, Instant now) {
 		CallerRequest request = new CallerRequest(number, proxied.identifier(), "", "", Optional.empty(),
-				proxied.model(), proxied.tokenCounts(), Optional.of(proxied.timeout()), proxied.contentHash());
+				proxied.model(), proxied.tokenCounts(), proxied.sharedPromptParts(), Optional.of(proxied.timeout()),
+				proxied.contentHash());
 		Route route = new Route(proxied.route(), "", "", proxied.kind(), proxied.routeTimeout(),
 				proxied.latencyTarget(), Optional.empty(), proxied.priority(),
 				List.of(new WeightedService(proxied.service(), 1)), 1, true);
@@ -127,13 +131,14 @@
 		return new ProxiedRequest(origin, this.request.identifier(), this.route.name(), this.route.kind(), service(),
 				this.workspace, this.route.priority(), this.route.latencyTarget(), this.route.timeout(),
 				effectiveTimeout(), Duration.between(this.arrivedAt, now), this.request.model(),
-				this.request.tokenCounts(), this.request.contentHash(), excluded, answerStarted(),
-				this.targetsReached + 1 < this.route.maximumAttempts());
+				this.request.tokenCounts(), this.request.sharedPromptParts(), this.request.contentHash(), excluded,
+				answerStarted(), this.targetsReached + 1 < this.route.maximumAttempts());
 	}
 
 	int startAttempt(TargetEntry chosen, Instant now) {
 		this.target = Optional.of(chosen.name());
 		this.attemptTarget = Optional.of(TargetIncarnation.of(chosen));
+		this.attemptAnsweredAt = Optional.empty();
 		this.group = chosen.membership().map(GroupKey::of);
 		this.attemptStartedAt = now;
 		this.attempts++;
@@ -215,6 +220,18 @@
 		this.retryRefused = refused;
 	}
 
+	void markAttemptAnswered(Instant now) {
+		this.attemptAnsweredAt = Optional.of(now);
+	}
+
+	/**
+	 * Returns when the target of the last attempt sent its first event.
+	 * @return the time; empty if it has sent none
+	 */
+	Optional<Instant> attemptAnsweredAt() {
+		return this.attemptAnsweredAt;
+	}
+
 	void markAnswerStarted(Duration elapsed) {
 		this.timeToFirstAnswer = Optional.of(elapsed);
 	}
--- a/src/main/java/sycamorehill/logic/dispatch/RequestDispatcher.java
+++ b/src/main/java/sycamorehill/logic/dispatch/RequestDispatcher.java
@@ -203,6 +203,7 @@
 			return;
 		}
 		request.recordArrival(now);
+		request.markAttemptAnswered(now);
 		if (!request.answerStarted()) {
 			request.markAnswerStarted(Duration.between(request.arrivedAt(), now));
 		}
--- a/src/main/java/sycamorehill/model/serving/CallerRequest.java
+++ b/src/main/java/sycamorehill/model/serving/CallerRequest.java
@@ -1,6 +1,7 @@
 package sycamorehill.model.serving;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 
@@ -15,12 +16,22 @@
  * @param apiKey API key of the caller
  * @param model requested model
  * @param tokenCounts sizes of the prompt and the answer
+ * @param sharedPromptParts identifiers of the parts of its prompt that other requests may
+ * have too, in order
  * @param timeLeft how long the caller waits for the answer, from the first byte of the
  * request
  * @param contentHash hash of the method, the host, the path, the caller and the body
  */
 public record CallerRequest(long number, String identifier, String host, String path, Optional<String> apiKey,
-		Optional<String> model, Optional<TokenCounts> tokenCounts, Optional<Duration> timeLeft, long contentHash) {
+		Optional<String> model, Optional<TokenCounts> tokenCounts, List<String> sharedPromptParts,
+		Optional<Duration> timeLeft, long contentHash) {
+
+	/**
+	 * Copies the parts.
+	 */
+	public CallerRequest {
+		sharedPromptParts = List.copyOf(sharedPromptParts);
+	}
 
 	/**
 	 * Returns the properties that may crash targets.
--- a/src/main/java/sycamorehill/model/serving/ProxiedRequest.java
+++ b/src/main/java/sycamorehill/model/serving/ProxiedRequest.java
@@ -1,6 +1,7 @@
 package sycamorehill.model.serving;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 
@@ -24,6 +25,8 @@
  * @param elapsed time since the request arrived at the origin
  * @param model requested model
  * @param tokenCounts sizes of the prompt and the answer
+ * @param sharedPromptParts identifiers of the parts of its prompt that other requests may
+ * have too, in order
  * @param contentHash hash of the method, the host, the path, the caller and the body
  * @param triedTargets targets that must not receive the request again
  * @param answerStarted whether the caller has received part of the answer
@@ -31,14 +34,27 @@
  */
 public record ProxiedRequest(String origin, String identifier, String route, RequestKind kind, ServiceName service,
 		Optional<Workspace> workspace, int priority, Duration latencyTarget, Duration routeTimeout, Duration timeout,
-		Duration elapsed, Optional<String> model, Optional<TokenCounts> tokenCounts, long contentHash,
-		Set<TargetName> triedTargets, boolean answerStarted, boolean anotherAttemptMayFollow) {
+		Duration elapsed, Optional<String> model, Optional<TokenCounts> tokenCounts, List<String> sharedPromptParts,
+		long contentHash, Set<TargetName> triedTargets, boolean answerStarted, boolean anotherAttemptMayFollow) {
 
 	/**
-	 * Copies the targets.
+	 * Copies the parts and the targets.
 	 */
 	public ProxiedRequest {
+		sharedPromptParts = List.copyOf(sharedPromptParts);
 		triedTargets = Set.copyOf(triedTargets);
 	}
 
+	/**
+	 * Returns this request with parts of its prompt.
+	 * @param parts identifiers of the parts that other requests may have too
+	 * @return the request
+	 */
+	public ProxiedRequest withSharedPromptParts(List<String> parts) {
+		return new ProxiedRequest(this.origin, this.identifier, this.route, this.kind, this.service, this.workspace,
+				this.priority, this.latencyTarget, this.routeTimeout, this.timeout, this.elapsed, this.model,
+				this.tokenCounts, parts, this.contentHash, this.triedTargets, this.answerStarted,
+				this.anotherAttemptMayFollow);
+	}
+
 }
--- a/src/main/java/sycamorehill/platform/PlatformExchangeCodec.java
+++ b/src/main/java/sycamorehill/platform/PlatformExchangeCodec.java
@@ -2,8 +2,10 @@
 
 import java.math.BigDecimal;
 import java.time.Duration;
+import java.util.Arrays;
 import java.util.Collections;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -38,6 +40,12 @@
 
 	private static final int MISDIRECTED_REQUEST = 421;
 
+	/** Maximum number of parts of a prompt that are told apart. */
+	private static final int MAXIMUM_PROMPT_PARTS = 32;
+
+	/** Maximum length of the identifier of a part; longer ones are not told apart. */
+	private static final int MAXIMUM_PART_LENGTH = 64;
+
 	/**
 	 * Longest time in seconds that is read from a header; a longer one counts as this.
 	 */
@@ -61,7 +69,7 @@
 		HttpHeaders headers = request.headers();
 		return new CallerRequestHead(headers.get(PlatformHeaders.ATTEMPT_IDENTIFIER, ""), apiKey(headers),
 				Optional.ofNullable(headers.get(PlatformHeaders.MODEL)), tokenCounts(headers),
-				parseMilliseconds(headers.get(PlatformHeaders.TIME_LEFT)),
+				sharedPromptParts(headers), parseMilliseconds(headers.get(PlatformHeaders.TIME_LEFT)),
 				Optional.ofNullable(headers.get(PlatformHeaders.RESUME_AFTER)));
 	}
 
@@ -78,6 +86,19 @@
 		return (numbers != null) ? Optional.of(new TokenCounts(numbers[0], numbers[1])) : Optional.empty();
 	}
 
+	private static List<String> sharedPromptParts(HttpHeaders headers) {
+		List<String> identifiers = headers.getAll(PlatformHeaders.PROMPT_PARTS)
+			.stream()
+			.flatMap((value) -> Arrays.stream(value.split(",")))
+			.map((part) -> PlatformHeaders.lowerCase(part.split(":", 2)[0].trim()))
+			.limit(MAXIMUM_PROMPT_PARTS)
+			.toList();
+		return identifiers.stream()
+			.limit(Math.max(0, identifiers.size() - 1))
+			.filter((identifier) -> !identifier.isEmpty() && identifier.length() <= MAXIMUM_PART_LENGTH)
+			.toList();
+	}
+
 	private static int[] parseNumbers(String text, int count) {
 		String[] elements = (text != null) ? text.split(",") : new String[0];
 		if (elements.length < count) {
--- a/src/main/java/sycamorehill/platform/PlatformHeaders.java
+++ b/src/main/java/sycamorehill/platform/PlatformHeaders.java
@@ -30,6 +30,11 @@
 	 */
 	static final String TOKEN_COUNTS = "Token-Usage";
 
+	/**
+	 * Parts of the prompt in order, as ID:TOKENS; the last one belongs to the request.
+	 */
+	static final String PROMPT_PARTS = "Prompt-Prefix";
+
 	static final String RESUME_AFTER = "Last-Event-Id";
 
 	static final String PRIORITY = "Request-Priority";
--- a/src/test/java/sycamorehill/entry/ContentHashTests.java
+++ b/src/test/java/sycamorehill/entry/ContentHashTests.java
@@ -1,6 +1,7 @@
 package sycamorehill.entry;
 
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Optional;
 
 import io.netty.buffer.Unpooled;
@@ -22,7 +23,7 @@
 		HttpRequest request = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, path);
 		request.headers().set(HttpHeaderNames.HOST, host);
 		CallerRequestHead head = new CallerRequestHead("any", Optional.of(key), Optional.empty(), Optional.empty(),
-				Optional.empty(), Optional.empty());
+				List.of(), Optional.empty(), Optional.empty());
 		return ContentHash.of(request, head, Unpooled.copiedBuffer(body, StandardCharsets.UTF_8));
 	}
 
--- a/src/test/java/sycamorehill/entry/ProxyFrameCodecTests.java
+++ b/src/test/java/sycamorehill/entry/ProxyFrameCodecTests.java
@@ -35,8 +35,8 @@
 	private static ProxiedRequest request(Optional<Workspace> workspace, Optional<TokenCounts> tokenCounts) {
 		return new ProxiedRequest("one", "a1", "r", RequestKind.RESUMABLE_STREAM, ServingSamples.ENGINES, workspace, 1,
 				Duration.ofMillis(300), Duration.ofSeconds(8), Duration.ofMillis(5999), Duration.ofNanos(1234567),
-				Optional.of("small"), tokenCounts, Long.MIN_VALUE, Set.of(TargetName.of("h1"), TargetName.of("h2")),
-				true, false);
+				Optional.of("small"), tokenCounts, List.of("5c1e07a2", "91bd3f06"), Long.MIN_VALUE,
+				Set.of(TargetName.of("h1"), TargetName.of("h2")), true, false);
 	}
 
 	private static List<ProxyFrame> frames() {
--- a/src/test/java/sycamorehill/logic/dispatch/ProxiedRequestTests.java
+++ b/src/test/java/sycamorehill/logic/dispatch/ProxiedRequestTests.java
@@ -202,7 +202,8 @@
 	private static ProxiedRequest request(RequestKind kind, ServiceName service, Set<TargetName> tried) {
 		return new ProxiedRequest("two", "a1", "r", kind, service, Optional.empty(), 1, Duration.ofMillis(300),
 				Duration.ofSeconds(6), Duration.ofSeconds(6), Duration.ofMillis(5),
-				kind.isStreaming() ? Optional.of("small") : Optional.empty(), Optional.empty(), 7, tried, false, true);
+				kind.isStreaming() ? Optional.of("small") : Optional.empty(), Optional.empty(), List.of(), 7, tried,
+				false, true);
 	}
 
 	private List<EntryEffect> arriveFromOtherNode(long number, ProxiedRequest request) {
--- a/src/test/java/sycamorehill/logic/dispatch/RequestDispatcherTests.java
+++ b/src/test/java/sycamorehill/logic/dispatch/RequestDispatcherTests.java
@@ -376,7 +376,7 @@
 		Effects effects = Effects.create();
 		var request = ServingSamples.request(2, "/once/x");
 		this.dispatcher.handleRequest(new CallerRequest(2, "r2", request.host(), request.path(), Optional.of("other"),
-				Optional.empty(), Optional.empty(), Optional.empty(), 1), this.now, this.now, effects);
+				Optional.empty(), Optional.empty(), List.of(), Optional.empty(), 1), this.now, this.now, effects);
 		assertThat(answer(effects.all()).status()).isEqualTo(401);
 	}
 
--- a/src/test/java/sycamorehill/logic/entry/CrashSuspicionTests.java
+++ b/src/test/java/sycamorehill/logic/entry/CrashSuspicionTests.java
@@ -364,7 +364,8 @@
 
 	private static CallerRequest repeat(CallerRequest request, long number) {
 		return new CallerRequest(number, "r" + number, request.host(), request.path(), request.apiKey(),
-				request.model(), request.tokenCounts(), request.timeLeft(), request.contentHash());
+				request.model(), request.tokenCounts(), request.sharedPromptParts(), request.timeLeft(),
+				request.contentHash());
 	}
 
 	private static CallerRequest sound(long number) {
--- a/src/test/java/sycamorehill/platform/CallerRequestHeaderTests.java
+++ b/src/test/java/sycamorehill/platform/CallerRequestHeaderTests.java
@@ -1,7 +1,10 @@
 package sycamorehill.platform;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 
 import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.HttpMethod;
@@ -60,4 +63,28 @@
 		assertThat(PlatformExchangeCodec.create().forwardableHeaders(request).names()).containsExactly("X-Kept");
 	}
 
+	private static List<String> readSharedParts(String... values) {
+		HttpRequest request = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/");
+		request.headers().set("Prompt-Prefix", List.of(values));
+		return PlatformExchangeCodec.create().readCallerRequest(request).sharedPromptParts();
+	}
+
+	@Test
+	void allPartsOfAPromptButTheLastMayBeShared() {
+		assertThat(readSharedParts("5c1e07a2:800,91bd3f06:410,e4402b7d:250")).containsExactly("5c1e07a2", "91bd3f06");
+		assertThat(readSharedParts("5C1E07A2:800 , 91bd3f06:410")).containsExactly("5c1e07a2");
+		assertThat(readSharedParts("5c1e07a2:800", "91bd3f06:410,e4402b7d:250")).containsExactly("5c1e07a2",
+				"91bd3f06");
+		assertThat(readSharedParts("5c1e07a2:800")).isEmpty();
+	}
+
+	// Parts are kept for minutes and sent to all nodes; a caller could fill their memory.
+	@Test
+	void onlySoManyAndSoLongPartsAreRead() {
+		String many = IntStream.range(0, 1000).mapToObj((part) -> part + ":1").collect(Collectors.joining(","));
+		assertThat(readSharedParts(many)).hasSizeLessThanOrEqualTo(32);
+		assertThat(readSharedParts("a".repeat(10_000) + ":5,b:3,c:4")).containsExactly("b");
+		assertThat(readSharedParts(",:,:5,,")).isEmpty();
+	}
+
 }
--- a/src/test/java/sycamorehill/support/ServingSamples.java
+++ b/src/test/java/sycamorehill/support/ServingSamples.java
@@ -153,7 +153,7 @@
 	public static CallerRequest request(long number, String path) {
 		Optional<String> model = path.startsWith("/s") ? Optional.of(SMALL.name()) : Optional.empty();
 		return new CallerRequest(number, "r" + number, "feed.example", path, Optional.of("key"), model,
-				Optional.of(new TokenCounts(700, 175)), Optional.of(Duration.ofSeconds(6)), number * 31);
+				Optional.of(new TokenCounts(700, 175)), List.of(), Optional.of(Duration.ofSeconds(6)), number * 31);
 	}
 
 	/**
