Refuse requests with a part of the prompt under which targets crash

Cause: what a request has in common with others was its whole content alone, and no two of these are alike (hypothesis 1); and a stream that fell before its first event was handed to the next target at once (hypothesis 2: each such request ended two). Class: a recognition by identity where the harm lies in a part.

Now the parts of a prompt, but the last, are properties like the content. A run whose first event came 0.25 s ago or more, or that ended whole, shows its parts to be sound at that time: it clears them of all earlier losses, at all nodes, and is itself no suspect when its target falls. So of a target that falls with a dozen streams the one to three that had not begun are suspects, and their common parts are cleared by other streams within 0.3 s. What is left after three crashes (five for a part that was sound before) is the cause. Crashes within 0.2 s count as one for parts, as a domain that fails ends many targets at once, and the verdict waits 0.3 s for a whole run. Parts that always come together are refused together only, until a request with one of them shows which it is. A lost request that had not begun is not sent to another target once two were lost with a part that is not known to be sound.

Ruled out: counting every stream on the lost target (5 to 17 suspects a crash, all with the first part), and clearing by whole answers alone (a stream lasts 1 to 2 s, five targets fell within 1.7 s).

PromptPartCrashTests: the red one is green (8 of 8 reached a target, 3 do now); bystanders, parts that come together, a part that was sound, a domain that fails, second tries are new.

--- a/src/main/java/sycamorehill/logic/crash/CrashEvidence.java
+++ b/src/main/java/sycamorehill/logic/crash/CrashEvidence.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -10,6 +11,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 import sycamorehill.model.serving.RequestTrait;
 import sycamorehill.model.serving.TargetIncarnation;
@@ -23,6 +25,12 @@
 	/** Maximum number of lost targets kept; the oldest is evicted first. */
 	private static final int MAXIMUM_LOSSES = 300;
 
+	/**
+	 * Number of targets that were lost with a property from which on a lost request is
+	 * not sent to another one.
+	 */
+	private static final int MINIMUM_RISKY_LOSSES = 2;
+
 	/**
 	 * How long a crash is kept after a request that it is held against was last seen.
 	 */
@@ -43,6 +51,12 @@
 
 	private List<CrashCause> causes = List.of();
 
+	/** Whether the causes may have changed since they were last found. */
+	private boolean stale;
+
+	/** All properties that are suspect of a loss, and some that were. */
+	private Set<RequestTrait> suspectTraits = new HashSet<>();
+
 	private CrashEvidence() {
 	}
 
@@ -59,7 +73,8 @@
 		told.lostAfter(alive).map((loss) -> loss.withRuns(this.soundTraits::removeSound)).ifPresent((loss) -> {
 			this.losses.merge(loss.target(), loss, TargetLoss::merge);
 			evict();
-			updateCauses();
+			this.suspectTraits.addAll(loss.traits());
+			this.stale = true;
 		});
 	}
 
@@ -72,8 +87,22 @@
 		}
 	}
 
-	private void updateCauses() {
-		this.causes = CrashCauseFinder.find(this.losses.values().stream().filter(TargetLoss::crashed).toList());
+	/**
+	 * Returns what crashed targets, as far as it is known now.
+	 * @param now the current time
+	 * @return the causes
+	 */
+	List<CrashCause> causes(Instant now) {
+		if (this.stale) {
+			CrashCauseFinder finder = CrashCauseFinder.of((trait) -> this.soundTraits.soundAt(trait).isPresent(), now);
+			this.causes = finder.find(this.losses.values().stream().filter(TargetLoss::crashed).toList());
+			this.stale = finder.isWaiting();
+			this.suspectTraits = this.losses.values()
+				.stream()
+				.flatMap((loss) -> loss.traits().stream())
+				.collect(Collectors.toSet());
+		}
+		return this.causes;
 	}
 
 	Optional<TargetLoss> find(TargetIncarnation target) {
@@ -86,7 +115,7 @@
 	 */
 	void recordCrash(TargetIncarnation target) {
 		this.losses.computeIfPresent(target, (key, loss) -> loss.asCrash());
-		updateCauses();
+		this.stale = true;
 	}
 
 	/**
@@ -97,7 +126,7 @@
 	void recordAlive(TargetIncarnation target, Instant at) {
 		this.aliveAt.put(target, at);
 		this.losses.computeIfPresent(target, (key, loss) -> loss.lostAfter(at).orElse(null));
-		updateCauses();
+		this.stale = true;
 	}
 
 	/**
@@ -108,6 +137,10 @@
 	 * @return the properties that were suspect
 	 */
 	Set<RequestTrait> recordSound(Set<RequestTrait> traits, Instant at) {
+		this.soundTraits.record(traits, at);
+		if (Collections.disjoint(this.suspectTraits, traits)) {
+			return Set.of();
+		}
 		Set<RequestTrait> cleared = new HashSet<>();
 		this.losses.replaceAll((target, loss) -> {
 			Set<RequestTrait> before = loss.traits();
@@ -116,13 +149,28 @@
 			cleared.addAll(before);
 			return left;
 		});
-		this.soundTraits.record(traits, at);
 		if (!cleared.isEmpty()) {
-			updateCauses();
+			this.stale = true;
 		}
 		return cleared;
 	}
 
+	/**
+	 * Returns whether targets may crash under a request: several were lost with a
+	 * property of it that is not known to be sound.
+	 * @param traits the request's properties
+	 * @return true if another target must not be risked
+	 */
+	boolean isRisky(Set<RequestTrait> traits) {
+		return traits.stream()
+			.filter(this.suspectTraits::contains)
+			.filter((trait) -> this.soundTraits.soundAt(trait).isEmpty())
+			.anyMatch((trait) -> this.losses.values()
+				.stream()
+				.filter((loss) -> loss.traits().contains(trait))
+				.count() >= MINIMUM_RISKY_LOSSES);
+	}
+
 	/**
 	 * Finds why a request must not run.
 	 * @param traits the request's properties
@@ -131,7 +179,7 @@
 	 * none
 	 */
 	Optional<CrashCause> findCause(Set<RequestTrait> traits, Instant now) {
-		Optional<CrashCause> found = this.causes.stream().filter((cause) -> cause.matches(traits)).findFirst();
+		Optional<CrashCause> found = causes(now).stream().filter((cause) -> cause.matches(traits)).findFirst();
 		found.ifPresent((cause) -> cause.losses()
 			.forEach((explained) -> this.losses.computeIfPresent(explained.target(), (key, loss) -> loss.seen(now))));
 		return found;
@@ -143,9 +191,7 @@
 	 */
 	void expire(Instant now) {
 		this.aliveAt.values().removeIf((alive) -> now.isAfter(alive.plus(RETENTION_TIME)));
-		if (this.losses.values().removeIf((loss) -> isExpired(loss, now))) {
-			updateCauses();
-		}
+		this.stale |= this.losses.values().removeIf((loss) -> isExpired(loss, now));
 	}
 
 	private static boolean isExpired(TargetLoss loss, Instant now) {
@@ -156,10 +202,6 @@
 		return List.copyOf(this.losses.values());
 	}
 
-	List<CrashCause> causes() {
-		return this.causes;
-	}
-
 	boolean isEmpty() {
 		return this.losses.isEmpty();
 	}
--- a/src/main/java/sycamorehill/logic/crash/CrashSuspicions.java
+++ b/src/main/java/sycamorehill/logic/crash/CrashSuspicions.java
@@ -169,11 +169,9 @@
 	 * Handles the loss of a target at another node.
 	 * @param message the other node's message
 	 * @param now the current time
-	 * @param effects receives the resulting effects
 	 */
-	public void handleMessage(NodeMessage.TargetLost message, Instant now, Effects effects) {
+	public void handleMessage(NodeMessage.TargetLost message, Instant now) {
 		this.evidence.add(TargetLoss.of(message, now));
-		logCauses(now, effects);
 	}
 
 	/**
@@ -191,6 +189,24 @@
 		}
 	}
 
+	/**
+	 * Returns whether a lost request must not be sent to another target, because several
+	 * were lost with what it has in common with others.
+	 * @param traits the request's properties
+	 * @return true if it may crash the next target too
+	 */
+	public boolean isRisky(Set<RequestTrait> traits) {
+		return this.evidence.isRisky(traits);
+	}
+
+	/**
+	 * Returns whether anything is suspect, so that sound runs have to be reported early.
+	 * @return true if targets were lost with requests
+	 */
+	public boolean hasSuspicions() {
+		return !this.evidence.isEmpty();
+	}
+
 	/**
 	 * Finds why a request must not be sent to any target.
 	 * @param traits the request's properties
@@ -238,8 +254,8 @@
 			this.checkedAt = now;
 			confirmReplaced(now, effects);
 			this.evidence.expire(now);
-			logCauses(now, effects);
 		}
+		logCauses(now, effects);
 		this.ownLosses.keySet().removeIf((target) -> !isUndecided(target));
 		this.reports.tick(this.ownLosses.keySet(), now, effects);
 	}
@@ -316,7 +332,7 @@
 	}
 
 	private void logCauses(Instant now, Effects effects) {
-		List<CrashCause> causes = this.evidence.causes();
+		List<CrashCause> causes = this.evidence.causes(now);
 		Set<String> names = causes.stream().map(CrashCause::name).collect(Collectors.toSet());
 		if (names.equals(this.loggedCauses)) {
 			return;
--- a/src/main/java/sycamorehill/logic/crash/CrashTrials.java
+++ b/src/main/java/sycamorehill/logic/crash/CrashTrials.java
@@ -54,7 +54,7 @@
 		Instant lastTrial = this.triedAt.getOrDefault(cause.traits(), lastCrash);
 		Instant last = lastTrial.isAfter(lastCrash) ? lastTrial : lastCrash;
 		int doublings = Math.min(MAXIMUM_DOUBLINGS,
-				Math.max(0, cause.losses().size() - CrashCauseFinder.MINIMUM_CRASHES_OF_CONTENT));
+				Math.max(0, cause.losses().size() - CrashCauseFinder.MINIMUM_CRASHES));
 		Duration delay = this.delays.computeIfAbsent(cause.traits(),
 				(traits) -> Duration.ofMillis(this.random.nextLong(MAXIMUM_DELAY.toMillis())));
 		return !now.isBefore(last.plus(MINIMUM_INTERVAL.multipliedBy(1L << doublings)).plus(delay));
--- a/src/main/java/sycamorehill/logic/crash/SoundTraits.java
+++ b/src/main/java/sycamorehill/logic/crash/SoundTraits.java
@@ -15,19 +15,15 @@
  */
 final class SoundTraits {
 
-	/**
-	 * Maximum number of properties kept; the one that was sound longest ago is evicted.
-	 */
-	private static final int MAXIMUM_TRAITS = 10_000;
+	/** Maximum number of contents kept; most come only once. */
+	private static final int MAXIMUM_CONTENTS = 1_000;
 
-	private final Map<RequestTrait, Instant> soundAt = new LinkedHashMap<>(16, 0.75f, true) {
+	/** Maximum number of parts of prompts kept. */
+	private static final int MAXIMUM_PROMPT_PARTS = 10_000;
 
-		@Override
-		protected boolean removeEldestEntry(Map.Entry<RequestTrait, Instant> eldest) {
-			return size() > MAXIMUM_TRAITS;
-		}
+	private final Map<RequestTrait, Instant> contents = leastRecentlySound(MAXIMUM_CONTENTS);
 
-	};
+	private final Map<RequestTrait, Instant> promptParts = leastRecentlySound(MAXIMUM_PROMPT_PARTS);
 
 	private SoundTraits() {
 	}
@@ -36,17 +32,37 @@
 		return new SoundTraits();
 	}
 
+	private static Map<RequestTrait, Instant> leastRecentlySound(int maximumSize) {
+		return new LinkedHashMap<>(16, 0.75f, true) {
+
+			@Override
+			protected boolean removeEldestEntry(Map.Entry<RequestTrait, Instant> eldest) {
+				return size() > maximumSize;
+			}
+
+		};
+	}
+
+	private Map<RequestTrait, Instant> all(RequestTrait trait) {
+		return (trait.kind() == RequestTrait.Kind.CONTENT) ? this.contents : this.promptParts;
+	}
+
 	/**
 	 * Records that requests with some properties were run without a crash.
 	 * @param traits the properties
 	 * @param at when their targets began to run them, at the earliest
 	 */
 	void record(Set<RequestTrait> traits, Instant at) {
-		traits.forEach((trait) -> this.soundAt.merge(trait, at, (one, other) -> one.isAfter(other) ? one : other));
+		traits.forEach((trait) -> all(trait).merge(trait, at, (one, other) -> one.isAfter(other) ? one : other));
 	}
 
+	/**
+	 * Returns when requests with a property were last run without a crash.
+	 * @param trait the property
+	 * @return the time; empty if none is remembered
+	 */
 	Optional<Instant> soundAt(RequestTrait trait) {
-		return Optional.ofNullable(this.soundAt.get(trait));
+		return Optional.ofNullable(all(trait).get(trait));
 	}
 
 	/**
--- a/src/main/java/sycamorehill/logic/dispatch/AttemptOutcomes.java
+++ b/src/main/java/sycamorehill/logic/dispatch/AttemptOutcomes.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Collection;
 
 import sycamorehill.logic.Effects;
 import sycamorehill.logic.crash.CrashSuspicions;
@@ -29,6 +30,18 @@
 	/** How long a target is ejected that does not match its directory entry. */
 	private static final Duration WRONG_TARGET_EJECTION = Duration.ofMillis(500);
 
+	/**
+	 * Time after its first event from which on a stream has not crashed its target, which
+	 * would have ended as it began to answer.
+	 */
+	private static final Duration SOUND_STREAM_TIME = Duration.ofMillis(250);
+
+	/**
+	 * Longest time from the moment at which a target begins to answer to the arrival of
+	 * its first event.
+	 */
+	private static final Duration FIRST_EVENT_TIME = Duration.ofMillis(200);
+
 	private final TargetDirectory directory;
 
 	private final TargetSelector targetSelector;
@@ -74,8 +87,11 @@
 	}
 
 	private void recordDelivered(DispatchedRequest request, TargetName target, Instant now, Effects effects) {
-		this.crashSuspicions.recordSound(request.request().traits(), request.attemptStartedAt(), now, effects);
-		if (!request.route().kind().isStreaming()) {
+		boolean streaming = request.route().kind().isStreaming();
+		if (!streaming || request.attemptAnsweredAt().isPresent()) {
+			reportSound(request, now, effects);
+		}
+		if (!streaming) {
 			this.targetSelector.status(target)
 				.recordFirstAnswer(Duration.between(request.attemptStartedAt(), now), now);
 		}
@@ -126,6 +142,10 @@
 	 * @param effects receives the resulting effects
 	 */
 	void suspect(DispatchedRequest request, boolean connectionLost, Instant now, Effects effects) {
+		if (isSound(request, now)) {
+			reportSound(request, now, effects);
+			return;
+		}
 		request.attemptTarget().ifPresent((target) -> {
 			effects.log(LogEvent.SUSPICION_RAISED, describe(request, target, now));
 			this.crashSuspicions.suspect(request.toLostRequest(), request.service(), target, connectionLost, now,
@@ -133,6 +153,33 @@
 		});
 	}
 
+	/**
+	 * Reports the streams that have not crashed their targets, as far as anything is
+	 * suspect.
+	 * @param requests the requests without a final answer
+	 * @param now the current time
+	 * @param effects receives the resulting effects
+	 */
+	void reportSoundRuns(Collection<DispatchedRequest> requests, Instant now, Effects effects) {
+		if (this.crashSuspicions.hasSuspicions()) {
+			requests.stream()
+				.filter((request) -> !request.attemptFoundSound() && isSound(request, now))
+				.forEach((request) -> reportSound(request, now, effects));
+		}
+	}
+
+	private static boolean isSound(DispatchedRequest request, Instant now) {
+		return request.attemptAnsweredAt().filter((at) -> !now.isBefore(at.plus(SOUND_STREAM_TIME))).isPresent();
+	}
+
+	private void reportSound(DispatchedRequest request, Instant now, Effects effects) {
+		request.markAttemptFoundSound();
+		Instant started = request.attemptStartedAt();
+		Instant begun = request.attemptAnsweredAt().map((at) -> at.minus(FIRST_EVENT_TIME)).orElse(started);
+		this.crashSuspicions.recordSound(request.request().traits(), begun.isAfter(started) ? begun : started, now,
+				effects);
+	}
+
 	private static String describe(DispatchedRequest request, TargetIncarnation target, Instant now) {
 		return "request=" + request.request().identifier() + " target=" + target.name() + " traits="
 				+ RequestTrait.describe(request.request().traits()) + " prompt-parts="
--- a/src/main/java/sycamorehill/logic/dispatch/AttemptScheduler.java
+++ b/src/main/java/sycamorehill/logic/dispatch/AttemptScheduler.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 
 import sycamorehill.logic.Effects;
+import sycamorehill.logic.crash.CrashSuspicions;
 import sycamorehill.model.identity.TargetName;
 import sycamorehill.model.log.LogEvent;
 import sycamorehill.model.serving.AttemptEnd;
@@ -53,16 +54,20 @@
 
 	private final FinalAnswers finalAnswers;
 
+	private final CrashSuspicions crashSuspicions;
+
 	private final Map<Long, DispatchedRequest> activeRequests;
 
 	private AttemptScheduler(TargetSelector targetSelector, AttemptStarter attemptStarter, TargetPaths paths,
-			RetryBudgets retryBudgets, FinalAnswers finalAnswers, Map<Long, DispatchedRequest> activeRequests) {
+			RetryBudgets retryBudgets, FinalAnswers finalAnswers, CrashSuspicions crashSuspicions,
+			Map<Long, DispatchedRequest> activeRequests) {
 		this.targetSelector = targetSelector;
 		this.attemptStarter = attemptStarter;
 		this.reachability = paths.reachability();
 		this.proxySelector = paths.proxySelector();
 		this.retryBudgets = retryBudgets;
 		this.finalAnswers = finalAnswers;
+		this.crashSuspicions = crashSuspicions;
 		this.activeRequests = activeRequests;
 	}
 
@@ -73,13 +78,16 @@
 	 * @param paths tells which services this node reaches, and selects other nodes
 	 * @param retryBudgets limits retries
 	 * @param finalAnswers creates final answers
+	 * @param crashSuspicions tells which requests may crash targets
 	 * @param activeRequests the requests without a final answer, by number; those that
 	 * get one are removed
 	 * @return the scheduler
 	 */
 	static AttemptScheduler of(TargetSelector targetSelector, AttemptStarter attemptStarter, TargetPaths paths,
-			RetryBudgets retryBudgets, FinalAnswers finalAnswers, Map<Long, DispatchedRequest> activeRequests) {
-		return new AttemptScheduler(targetSelector, attemptStarter, paths, retryBudgets, finalAnswers, activeRequests);
+			RetryBudgets retryBudgets, FinalAnswers finalAnswers, CrashSuspicions crashSuspicions,
+			Map<Long, DispatchedRequest> activeRequests) {
+		return new AttemptScheduler(targetSelector, attemptStarter, paths, retryBudgets, finalAnswers, crashSuspicions,
+				activeRequests);
 	}
 
 	/**
@@ -158,14 +166,22 @@
 			retryOrGiveUp(request, place, "status " + failed.status(), repeatable, now, effects);
 		}
 		else if (end instanceof AttemptEnd.Unknown unknown) {
-			retryOrGiveUp(request, place, unknown.cause(), repeatable, now, effects);
+			retryOrGiveUpLost(request, place, unknown.cause(), repeatable, now, effects);
 		}
 		else if (end instanceof AttemptEnd.Broken broken) {
 			boolean resumable = broken.resumable() && request.route().kind() == RequestKind.RESUMABLE_STREAM;
-			retryOrGiveUp(request, place, broken.cause(), resumable, now, effects);
+			retryOrGiveUpLost(request, place, broken.cause(), resumable, now, effects);
 		}
 	}
 
+	private void retryOrGiveUpLost(DispatchedRequest request, AttemptPlace place, String cause, boolean allowed,
+			Instant now, Effects effects) {
+		boolean risky = request.attemptAnsweredAt().isEmpty()
+				&& this.crashSuspicions.isRisky(request.request().traits());
+		retryOrGiveUp(request, place, risky ? cause + ", the next target may crash too" : cause, allowed && !risky, now,
+				effects);
+	}
+
 	private void handleNotRun(DispatchedRequest request, AttemptPlace place, NotRunCause cause, Instant now,
 			Effects effects) {
 		String description = "not run by " + place + ": " + cause;
--- a/src/main/java/sycamorehill/logic/dispatch/DispatchedRequest.java
+++ b/src/main/java/sycamorehill/logic/dispatch/DispatchedRequest.java
@@ -62,6 +62,9 @@
 	/** When the first event of the current or last attempt arrived. */
 	private Optional<Instant> attemptAnsweredAt = Optional.empty();
 
+	/** Whether the current or last attempt is known to have crashed no target. */
+	private boolean attemptFoundSound;
+
 	private int attempts;
 
 	private int targetsReached;
@@ -147,6 +150,12 @@
 
 	int startAttemptThrough(String node, Instant now) {
 		this.proxy = Optional.of(node);
+		return countAttempt(now);
+	}
+
+	private int countAttempt(Instant now) {
+		this.attemptAnsweredAt = Optional.empty();
+		this.attemptFoundSound = false;
 		this.attemptStartedAt = now;
 		this.attempts++;
 		return this.attempts;
@@ -232,6 +241,14 @@
 		return this.attemptAnsweredAt;
 	}
 
+	void markAttemptFoundSound() {
+		this.attemptFoundSound = true;
+	}
+
+	boolean attemptFoundSound() {
+		return this.attemptFoundSound;
+	}
+
 	void markAnswerStarted(Duration elapsed) {
 		this.timeToFirstAnswer = Optional.of(elapsed);
 	}
--- a/src/main/java/sycamorehill/logic/dispatch/RequestDispatcher.java
+++ b/src/main/java/sycamorehill/logic/dispatch/RequestDispatcher.java
@@ -81,7 +81,7 @@
 				this.crashSuspicions);
 		this.scheduler = AttemptScheduler.of(this.targetSelector,
 				AttemptStarter.of(settings.nodeName(), this.targetSelector), this.paths, this.retryBudgets,
-				this.finalAnswers, this.activeRequests);
+				this.finalAnswers, this.crashSuspicions, this.activeRequests);
 		this.stalledStreams = StalledStreams.of(this.activeRequests, this.targetSelector, this.paths.proxySelector(),
 				this.scheduler, this.outcomes);
 		this.proxiedRequests = ProxiedRequests.of(this.router.knownServices(), this.targetSelector,
@@ -189,6 +189,7 @@
 	public void tick(Instant now, Effects effects) {
 		this.retryBudgets.logShare(now, effects);
 		this.paths.tick(now, effects);
+		this.outcomes.reportSoundRuns(this.activeRequests.values(), now, effects);
 		this.crashSuspicions.tick(now, effects);
 	}
 
@@ -260,7 +261,7 @@
 			this.targetSelector.rateLimits().handleMessage(limited, now, effects);
 		}
 		else if (message instanceof NodeMessage.TargetLost lost) {
-			this.crashSuspicions.handleMessage(lost, now, effects);
+			this.crashSuspicions.handleMessage(lost, now);
 		}
 		else if (message instanceof NodeMessage.TraitsSound sound) {
 			this.crashSuspicions.handleMessage(sound, now, effects);
--- a/src/main/java/sycamorehill/model/serving/CallerRequest.java
+++ b/src/main/java/sycamorehill/model/serving/CallerRequest.java
@@ -4,6 +4,8 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 /**
  * The properties of a caller's request that decide how it is served. The bytes to forward
@@ -38,7 +40,10 @@
 	 * @return the properties
 	 */
 	public Set<RequestTrait> traits() {
-		return Set.of(RequestTrait.content(this.contentHash));
+		return Stream
+			.concat(Stream.of(RequestTrait.content(this.contentHash)),
+					this.sharedPromptParts.stream().map(RequestTrait::promptPart))
+			.collect(Collectors.toSet());
 	}
 
 }
--- a/src/main/java/sycamorehill/model/serving/RequestTrait.java
+++ b/src/main/java/sycamorehill/model/serving/RequestTrait.java
@@ -21,6 +21,15 @@
 		return new RequestTrait(Kind.CONTENT, Long.toHexString(hash));
 	}
 
+	/**
+	 * Returns the property of having a part in the prompt.
+	 * @param identifier identifies the part
+	 * @return the property
+	 */
+	public static RequestTrait promptPart(String identifier) {
+		return new RequestTrait(Kind.PROMPT_PART, identifier);
+	}
+
 	/**
 	 * Formats properties for a log line.
 	 * @param traits the properties
@@ -41,7 +50,10 @@
 	public enum Kind {
 
 		/** The whole request, as one caller repeats it. */
-		CONTENT("content");
+		CONTENT("content"),
+
+		/** A part of the prompt, which other requests may have too. */
+		PROMPT_PART("part");
 
 		private final String label;
 
--- a/src/test/java/sycamorehill/logic/entry/PromptPartCrashTests.java
+++ b/src/test/java/sycamorehill/logic/entry/PromptPartCrashTests.java
@@ -118,4 +118,100 @@
 		serve(request("system", "yard", "good"));
 	}
 
+	private boolean reachesTarget(CallerRequest request) {
+		Optional<TargetName> target = start(request);
+		accept(new EntryEvent.CallerDisconnected(request.number(), false));
+		return target.isPresent();
+	}
+
+	// All crashed targets ran sound requests too, which share the caller and all other
+	// parts
+	// with the one that crashes them. Their parts come again at once.
+	@Test
+	void partsThatRanBesideTheOneThatCrashesTargetsAreServed() {
+		for (int time = 0; time < 5; time++) {
+			List<CallerRequest> bystanders = Stream.generate(() -> request("system", "yard", "doc"))
+				.limit(GROUPS)
+				.toList();
+			bystanders.forEach(this::start);
+			crash(request("system", "yard", "bad", "doc"));
+			bystanders.forEach((bystander) -> accept(new EntryEvent.CallerDisconnected(bystander.number(), false)));
+			serve(request("system", "yard", "doc"));
+		}
+		assertThat(reachesTarget(request("system", "yard", "bad"))).isFalse();
+		assertThat(reachesTarget(request("system", "yard", "doc"))).isTrue();
+	}
+
+	// Two parts always come together, so that either may be the cause. Requests with one
+	// of
+	// them show which; until then only those with both are refused.
+	@Test
+	void partsThatAlwaysCameTogetherAreRefusedTogether() {
+		IntStream.range(0, 3).forEach((time) -> crash(request("system", "one", "two")));
+		run(400);
+		assertThat(reachesTarget(request("system", "one", "two"))).isFalse();
+		serve(request("system", "one"));
+		assertThat(reachesTarget(request("system", "two", "three"))).isFalse();
+	}
+
+	// The targets have other software, under which a part crashes them that was sound.
+	@Test
+	void aPartThatWasSoundIsRefusedAfterFiveCrashes() {
+		serve(request("system", "yard", "doc"));
+		long reached = Stream.generate(() -> request("system", "yard", "doc"))
+			.limit(9)
+			.filter((request) -> crash(request) && servesAnother())
+			.count();
+		assertThat(reached).isEqualTo(5);
+		serve(request("system", "yard"));
+	}
+
+	private boolean servesAnother() {
+		serve(request("system", "yard"));
+		return true;
+	}
+
+	// A fabric domain fails, and with it all targets that a part was running on.
+	@Test
+	void aPartThatRanOnManyTargetsThatEndedTogetherIsServed() {
+		List<CallerRequest> running = Stream.generate(() -> request("system", "doc")).limit(GROUPS).toList();
+		List<TargetName> targets = running.stream().map((request) -> start(request).orElseThrow()).distinct().toList();
+		run(100);
+		running.stream()
+			.limit(6)
+			.forEach((request) -> accept(new EntryEvent.AttemptEnded(request.number(), 1,
+					new AttemptEnd.Unknown("connection closed", true))));
+		accept(new EntryEvent.TargetsChanged(
+				targets.stream().limit(6).map((name) -> new TargetChange(name, Optional.empty())).toList(), 10, 11));
+		run(1000);
+		assertThat(targets).hasSizeGreaterThan(5);
+		assertThat(reachesTarget(request("system", "doc"))).isTrue();
+	}
+
+	// Each request with the part would cost two targets.
+	@Test
+	void aLostRequestIsNotSentOnOnceTwoTargetsWereLostWithItsPart() {
+		serve(request("system"));
+		crash(request("system", "bad"));
+		CallerRequest second = request("system", "bad");
+		start(second);
+		List<EntryEffect> effects = accept(
+				new EntryEvent.AttemptEnded(second.number(), 1, new AttemptEnd.Unknown("connection closed", true)));
+		assertThat(effects).noneMatch(EntryEffect.StartAttempt.class::isInstance)
+			.anyMatch((effect) -> effect instanceof EntryEffect.Answer answer && answer.status() == 502);
+	}
+
+	// A sound bystander of crashes goes on elsewhere, as its parts are known to be sound.
+	@Test
+	void aLostRequestWithSoundPartsIsSentOn() {
+		serve(request("system", "yard"));
+		crash(request("system", "yard", "bad"));
+		run(10_000);
+		CallerRequest bystander = request("system", "yard");
+		start(bystander);
+		List<EntryEffect> effects = accept(
+				new EntryEvent.AttemptEnded(bystander.number(), 1, new AttemptEnd.Unknown("connection closed", true)));
+		assertThat(effects).anyMatch(EntryEffect.StartAttempt.class::isInstance);
+	}
+
 }
