Find the part that crashes targets among bystanders, at all nodes, in many histories

By cause, one after the other:

- Targets that crash quickly one after the other count once only if others crashed without the part in the same 0.2 s, or all within 50 ms.
Before, five targets with the part within 1.5 s counted as two.
- Three crashed targets that refuse connections within a second look like a lost path for a moment, and the losses waited for their entries to end.
A target that still can't be connected since the path is back counts as crashed.

--- a/src/main/java/sycamorehill/entry/CrashMessageFields.java
+++ b/src/main/java/sycamorehill/entry/CrashMessageFields.java
@@ -38,6 +38,8 @@
 
 	private static final String TRAITS = "traits";
 
+	private static final String SOUND_TRAITS = "sound-traits";
+
 	private static final String KIND = "kind";
 
 	private static final String VALUE = "value";
@@ -56,14 +58,16 @@
 			ObjectNode element = requests.addObject()
 				.put(REQUEST, request.identifier())
 				.put(AGE_MILLIS, request.age().toMillis());
-			writeTraits(request.traits(), element);
+			writeTraits(request.traits(), element.putArray(TRAITS));
+			writeTraits(request.soundTraits(), element.putArray(SOUND_TRAITS));
 		}
 	}
 
 	static NodeMessage readTargetLost(String sender, JsonNode body) {
 		Set<LostRequest> requests = new HashSet<>();
 		for (JsonNode request : body.path(REQUESTS)) {
-			requests.add(new LostRequest(request.path(REQUEST).asText(), readAge(request), readTraits(request)));
+			requests.add(new LostRequest(request.path(REQUEST).asText(), readAge(request), readTraits(request),
+					readElements(request.path(SOUND_TRAITS))));
 		}
 		TargetIncarnation target = new TargetIncarnation(TargetName.of(body.path(TARGET).asText()),
 				body.path(STARTED).asLong(), Address.parse(body.path(ADDRESS).asText()));
@@ -73,7 +77,7 @@
 
 	static void write(Set<RequestTrait> traits, Duration age, ObjectNode body) {
 		body.put(AGE_MILLIS, age.toMillis());
-		writeTraits(traits, body);
+		writeTraits(traits, body.putArray(TRAITS));
 	}
 
 	static Duration readAge(JsonNode body) {
@@ -84,16 +88,19 @@
 		return Duration.ofMillis(Math.max(0, body.path(field).asLong()));
 	}
 
-	private static void writeTraits(Set<RequestTrait> traits, ObjectNode body) {
-		ArrayNode elements = body.putArray(TRAITS);
+	private static void writeTraits(Set<RequestTrait> traits, ArrayNode elements) {
 		for (RequestTrait trait : traits) {
 			elements.addObject().put(KIND, trait.kind().name()).put(VALUE, trait.value());
 		}
 	}
 
 	static Set<RequestTrait> readTraits(JsonNode body) {
+		return readElements(body.path(TRAITS));
+	}
+
+	private static Set<RequestTrait> readElements(JsonNode elements) {
 		Set<RequestTrait> traits = new HashSet<>();
-		for (JsonNode trait : body.path(TRAITS)) {
+		for (JsonNode trait : elements) {
 			traits.add(
 					new RequestTrait(RequestTrait.Kind.valueOf(trait.path(KIND).asText()), trait.path(VALUE).asText()));
 		}
--- a/src/main/java/sycamorehill/logic/crash/CrashCauseFinder.java
+++ b/src/main/java/sycamorehill/logic/crash/CrashCauseFinder.java
@@ -12,6 +12,8 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Predicate;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 import sycamorehill.model.serving.RequestTrait;
 
@@ -40,7 +42,10 @@
 	 * Crashes within this time count as one for parts of prompts, which run on many
 	 * targets at once: a fabric domain that fails ends all of its targets.
 	 */
-	private static final Duration COMMON_FAILURE_TIME = Duration.ofMillis(200);
+	private static final Duration COMMON_FAILURE_TIME = Duration.ofMillis(50);
+
+	/** The same where targets crash that ran no request with the part. */
+	private static final Duration MIXED_FAILURE_TIME = Duration.ofMillis(200);
 
 	/**
 	 * Time after the last necessary crash in which a sound part of prompts is cleared by
@@ -91,21 +96,21 @@
 	}
 
 	private Optional<Suspect> findMostSuspect(List<TargetLoss> crashes) {
-		Map<RequestTrait, Suspect> suspects = new HashMap<>();
-		for (TargetLoss loss : crashes) {
-			for (RequestTrait trait : loss.traits()) {
-				suspects.computeIfAbsent(trait, (key) -> new Suspect(key, new ArrayList<>(), new ArrayList<>()))
-					.add(loss);
-			}
-		}
-		return suspects.values().stream().filter(this::isCause).max(this::compare);
+		Map<RequestTrait, Integer> counts = new HashMap<>();
+		crashes.forEach((loss) -> loss.traits().forEach((trait) -> counts.merge(trait, 1, Integer::sum)));
+		return counts.entrySet()
+			.stream()
+			.filter((count) -> count.getValue() >= MINIMUM_CRASHES)
+			.map((count) -> Suspect.of(count.getKey(), crashes))
+			.filter(this::isCause)
+			.max(this::compare);
 	}
 
 	// Of equally suspect properties the one in fewer requests explains as much with less.
 	private int compare(Suspect one, Suspect other) {
 		return Comparator.<Suspect, Boolean>comparing((suspect) -> !this.hasBeenSound.test(suspect.trait()))
-			.thenComparingInt(Suspect::countCrashes)
-			.thenComparingInt((suspect) -> -suspect.runs().size())
+			.thenComparingInt((suspect) -> suspect.crashTimes().size())
+			.thenComparingLong((suspect) -> -suspect.runs().count())
 			.thenComparing((suspect) -> suspect.trait().toString())
 			.compare(one, other);
 	}
@@ -135,44 +140,60 @@
 	 * A property of runs on crashed targets.
 	 *
 	 * @param trait the property
-	 * @param lostAt when each of the targets was lost
-	 * @param runs the runs with the property
+	 * @param crashes the crashed targets that ran requests with it
+	 * @param others the other crashed targets
 	 */
-	private record Suspect(RequestTrait trait, List<Instant> lostAt, List<LostRun> runs) {
-
-		void add(TargetLoss loss) {
-			List<LostRun> lost = loss.runs()
-				.values()
-				.stream()
-				.filter((run) -> run.traits().contains(this.trait))
-				.toList();
-			this.runs.addAll(lost);
-			lost.stream().map(LostRun::lostAt).min(Comparator.naturalOrder()).ifPresent(this.lostAt::add);
+	private record Suspect(RequestTrait trait, List<TargetLoss> crashes, List<TargetLoss> others) {
+
+		static Suspect of(RequestTrait trait, List<TargetLoss> all) {
+			Map<Boolean, List<TargetLoss>> crashes = all.stream()
+				.sorted(Comparator.comparing(TargetLoss::lostAt))
+				.collect(Collectors.partitioningBy((loss) -> loss.traits().contains(trait)));
+			return new Suspect(trait, crashes.get(true), crashes.get(false));
+		}
+
+		Stream<LostRun> runs() {
+			return this.crashes.stream().flatMap(this::runs);
 		}
 
-		int countCrashes() {
-			return crashTimes().size();
+		private Stream<LostRun> runs(TargetLoss loss) {
+			return loss.runs().values().stream().filter((run) -> run.traits().contains(this.trait));
 		}
 
+		// A sound request that runs beside the cause is sent again, by this node or by
+		// its
+		// caller, and may be lost with several targets; the cause comes in many requests.
 		List<Instant> crashTimes() {
-			List<Instant> sorted = this.lostAt.stream().sorted().toList();
 			if (this.trait.kind() == RequestTrait.Kind.CONTENT) {
-				return sorted;
+				return this.crashes.stream().map(TargetLoss::lostAt).toList();
 			}
-			List<Instant> crashes = new ArrayList<>();
-			for (Instant each : sorted) {
-				if (crashes.isEmpty() || !each.isBefore(crashes.get(crashes.size() - 1).plus(COMMON_FAILURE_TIME))) {
-					crashes.add(each);
+			List<Instant> times = new ArrayList<>();
+			Set<Set<RequestTrait>> contents = new HashSet<>();
+			for (TargetLoss loss : this.crashes) {
+				boolean newContent = contents.addAll(runs(loss).map(LostRun::identity).toList());
+				boolean sameFailure = !times.isEmpty() && isSameFailure(times.get(times.size() - 1), loss.lostAt());
+				if (newContent && !sameFailure) {
+					times.add(loss.lostAt());
 				}
 			}
-			return crashes;
+			return times;
+		}
+
+		private boolean isSameFailure(Instant before, Instant lostAt) {
+			return isWithin(COMMON_FAILURE_TIME, before, lostAt) || (isWithin(MIXED_FAILURE_TIME, before, lostAt)
+					&& this.others.stream().anyMatch((other) -> isWithin(MIXED_FAILURE_TIME, other.lostAt(), lostAt)));
+		}
+
+		private static boolean isWithin(Duration time, Instant one, Instant other) {
+			return Duration.between(one, other).abs().compareTo(time) < 0;
 		}
 
 		// Properties that always come together can't be told apart. Only requests that
 		// have all of them are refused: those with some of them show which is the cause.
 		Set<RequestTrait> commonTraits() {
-			Set<RequestTrait> common = new HashSet<>(this.runs.get(0).traits());
-			this.runs.forEach((run) -> common.retainAll(run.traits()));
+			Set<RequestTrait> common = new HashSet<>();
+			runs().findFirst().ifPresent((run) -> common.addAll(run.traits()));
+			runs().forEach((run) -> common.retainAll(run.traits()));
 			return common;
 		}
 
--- a/src/main/java/sycamorehill/logic/crash/CrashEvidence.java
+++ b/src/main/java/sycamorehill/logic/crash/CrashEvidence.java
@@ -13,6 +13,7 @@
 import java.util.Set;
 import java.util.stream.Collectors;
 
+import sycamorehill.model.serving.LostRequest;
 import sycamorehill.model.serving.RequestTrait;
 import sycamorehill.model.serving.TargetIncarnation;
 
@@ -42,6 +43,8 @@
 	 */
 	private static final Duration UNDECIDED_RETENTION_TIME = Duration.ofMinutes(1);
 
+	private static final Duration JUST_BEFORE = Duration.ofMillis(1);
+
 	private final Map<TargetIncarnation, TargetLoss> losses = new HashMap<>();
 
 	private final SoundTraits soundTraits = SoundTraits.create();
@@ -94,7 +97,7 @@
 	 */
 	List<CrashCause> causes(Instant now) {
 		if (this.stale) {
-			CrashCauseFinder finder = CrashCauseFinder.of((trait) -> this.soundTraits.soundAt(trait).isPresent(), now);
+			CrashCauseFinder finder = CrashCauseFinder.of(this::hasBeenSound, now);
 			this.causes = finder.find(this.losses.values().stream().filter(TargetLoss::crashed).toList());
 			this.stale = finder.isWaiting();
 			this.suspectTraits = this.losses.values()
@@ -155,6 +158,25 @@
 		return cleared;
 	}
 
+	/**
+	 * Returns whether requests with a property are known to have run without a crash, be
+	 * it before or after losses.
+	 * @param trait the property
+	 * @return true if they are
+	 */
+	boolean hasBeenSound(RequestTrait trait) {
+		return this.soundTraits.soundAt(trait).isPresent();
+	}
+
+	/**
+	 * Records which properties another node knows to have been sound before a loss.
+	 * @param request a request of the loss
+	 * @param now the current time
+	 */
+	void recordSoundBefore(LostRequest request, Instant now) {
+		this.soundTraits.record(request.soundTraits(), now.minus(request.age()).minus(JUST_BEFORE));
+	}
+
 	/**
 	 * Returns whether targets may crash under a request: several were lost with a
 	 * property of it that is not known to be sound.
@@ -164,7 +186,7 @@
 	boolean isRisky(Set<RequestTrait> traits) {
 		return traits.stream()
 			.filter(this.suspectTraits::contains)
-			.filter((trait) -> this.soundTraits.soundAt(trait).isEmpty())
+			.filter((trait) -> !hasBeenSound(trait))
 			.anyMatch((trait) -> this.losses.values()
 				.stream()
 				.filter((loss) -> loss.traits().contains(trait))
--- a/src/main/java/sycamorehill/logic/crash/CrashReports.java
+++ b/src/main/java/sycamorehill/logic/crash/CrashReports.java
@@ -126,7 +126,11 @@
 	private void send(TargetIncarnation target, Instant now, Effects effects) {
 		this.evidence.find(target)
 			.filter((loss) -> !loss.traits().isEmpty())
-			.ifPresent((loss) -> effects.add(new EntryEffect.Broadcast(loss.toMessage(this.nodeName, now))));
+			.ifPresent((loss) -> effects.add(new EntryEffect.Broadcast(toMessage(loss, now))));
+	}
+
+	private NodeMessage.TargetLost toMessage(TargetLoss loss, Instant now) {
+		return loss.toMessage(this.nodeName, this.evidence::hasBeenSound, now);
 	}
 
 	/**
@@ -141,7 +145,7 @@
 					.filter((loss) -> loss.crashed() && !loss.traits().isEmpty())
 					.sorted(Comparator.comparing(TargetLoss::seenAt).reversed())
 					.limit(MAXIMUM_LOSSES_TOLD)
-					.map((loss) -> loss.toMessage(this.nodeName, now))
+					.map((loss) -> toMessage(loss, now))
 					.toList();
 	}
 
--- a/src/main/java/sycamorehill/logic/crash/CrashSuspicions.java
+++ b/src/main/java/sycamorehill/logic/crash/CrashSuspicions.java
@@ -17,9 +17,11 @@
 import sycamorehill.model.identity.ServiceName;
 import sycamorehill.model.identity.TargetName;
 import sycamorehill.model.log.LogEvent;
+import sycamorehill.model.serving.EntryEffect;
 import sycamorehill.model.serving.LostRequest;
 import sycamorehill.model.serving.NodeMessage;
 import sycamorehill.model.serving.RequestTrait;
+import sycamorehill.model.serving.TargetAddress;
 import sycamorehill.model.serving.TargetEntry;
 import sycamorehill.model.serving.TargetIncarnation;
 
@@ -39,6 +41,9 @@
 	/** Maximum time for which a loss waits while the path is in doubt. */
 	private static final Duration MAXIMUM_CONFIRMATION_TIME = Duration.ofSeconds(1);
 
+	/** Maximum number of lost targets that are connected at once to decide about them. */
+	private static final int MAXIMUM_PROBES = 3;
+
 	/** Interval at which undecided losses are compared with the directory. */
 	private static final Duration CHECK_INTERVAL = Duration.ofMillis(100);
 
@@ -102,7 +107,7 @@
 			Instant now, Effects effects) {
 		this.evidence.add(new TargetLoss(target, now, false, Map.of(request.identifier(), LostRun.of(request, now))));
 		if (connectionLost) {
-			this.ownLosses.put(target, new OwnLoss(service, now));
+			this.ownLosses.put(target, new OwnLoss(service, now, Instant.MIN));
 		}
 		if (!isKnown(target)) {
 			decideCrash(target, "its entry has ended", now, effects);
@@ -171,6 +176,7 @@
 	 * @param now the current time
 	 */
 	public void handleMessage(NodeMessage.TargetLost message, Instant now) {
+		message.requests().forEach((request) -> this.evidence.recordSoundBefore(request, now));
 		this.evidence.add(TargetLoss.of(message, now));
 	}
 
@@ -253,6 +259,7 @@
 		if (!now.isBefore(this.checkedAt.plus(CHECK_INTERVAL))) {
 			this.checkedAt = now;
 			confirmReplaced(now, effects);
+			probeLost(now, effects);
 			this.evidence.expire(now);
 		}
 		logCauses(now, effects);
@@ -291,15 +298,46 @@
 		return sign != null && sign.sentAt().isAfter(since);
 	}
 
+	// A path that was lost meanwhile explains the loss, unless the target still can't be
+	// connected since the path is back.
 	private boolean isPathProved(OwnLoss loss, Instant now) {
-		if (this.paths.wasUnreachableAfter(loss.service(), loss.since())) {
+		Optional<Instant> reachableSince = this.paths.reachableSince(loss.service());
+		if (reachableSince.isEmpty()) {
+			return false;
+		}
+		boolean pathWasLost = reachableSince.get().isAfter(loss.since());
+		if (pathWasLost && !loss.refusedAt().isAfter(reachableSince.get())) {
 			return false;
 		}
-		Duration waited = Duration.between(loss.since(), now);
+		Duration waited = Duration.between(pathWasLost ? reachableSince.get() : loss.since(), now);
 		return waited.compareTo(MAXIMUM_CONFIRMATION_TIME) >= 0
 				|| (waited.compareTo(CONFIRMATION_TIME) >= 0 && !this.paths.isInDoubt(loss.service(), now));
 	}
 
+	private void probeLost(Instant now, Effects effects) {
+		List<TargetAddress> lost = this.ownLosses.entrySet()
+			.stream()
+			.filter((own) -> isUndecided(own.getKey()))
+			.filter((own) -> this.paths.reachableSince(own.getValue().service())
+				.filter((since) -> since.isAfter(own.getValue().since()) && !own.getValue().refusedAt().isAfter(since))
+				.isPresent())
+			.limit(MAXIMUM_PROBES)
+			.map((own) -> new TargetAddress(own.getKey().name(), own.getKey().address()))
+			.toList();
+		if (!lost.isEmpty()) {
+			effects.add(new EntryEffect.ProbeTargets(lost));
+		}
+	}
+
+	/**
+	 * Records that a target could not be connected.
+	 * @param target the target
+	 * @param now the current time
+	 */
+	public void recordRefused(TargetName target, Instant now) {
+		this.ownLosses.replaceAll((lost, loss) -> lost.name().equals(target) ? loss.refused(now) : loss);
+	}
+
 	// The address of a target is used again only after its process has ended, and the new
 	// process is known before the old entry has expired.
 	private void confirmReplaced(Instant now, Effects effects) {
@@ -371,8 +409,14 @@
 	 *
 	 * @param service the target's service
 	 * @param since when it was lost
+	 * @param refusedAt when it could last not be connected
 	 */
-	private record OwnLoss(ServiceName service, Instant since) {
+	private record OwnLoss(ServiceName service, Instant since, Instant refusedAt) {
+
+		OwnLoss refused(Instant at) {
+			return new OwnLoss(this.service, this.since, at);
+		}
+
 	}
 
 }
--- a/src/main/java/sycamorehill/logic/crash/LostRun.java
+++ b/src/main/java/sycamorehill/logic/crash/LostRun.java
@@ -4,6 +4,7 @@
 import java.time.Instant;
 import java.util.HashSet;
 import java.util.Set;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 
 import sycamorehill.model.serving.LostRequest;
@@ -25,8 +26,16 @@
 		return new LostRun(now.minus(request.age()), request.traits());
 	}
 
-	LostRequest toRequest(String identifier, Instant now) {
-		return new LostRequest(identifier, Duration.between(this.lostAt, now), this.traits);
+	/**
+	 * Returns what other nodes have to know of this run.
+	 * @param identifier the identifier of its request
+	 * @param hasBeenSound tells whether requests with a property ran before
+	 * @param now the current time
+	 * @return the request
+	 */
+	LostRequest toRequest(String identifier, Predicate<RequestTrait> hasBeenSound, Instant now) {
+		return new LostRequest(identifier, Duration.between(this.lostAt, now), this.traits,
+				this.traits.stream().filter(hasBeenSound).collect(Collectors.toSet()));
 	}
 
 	/**
@@ -45,4 +54,14 @@
 				this.traits.stream().filter((trait) -> !sound.contains(trait)).collect(Collectors.toSet()));
 	}
 
+	/**
+	 * Returns what tells requests apart that are not repetitions of each other.
+	 * @return the content; empty if it is known to be sound
+	 */
+	Set<RequestTrait> identity() {
+		return this.traits.stream()
+			.filter((trait) -> trait.kind() == RequestTrait.Kind.CONTENT)
+			.collect(Collectors.toSet());
+	}
+
 }
--- a/src/main/java/sycamorehill/logic/crash/PathState.java
+++ b/src/main/java/sycamorehill/logic/crash/PathState.java
@@ -1,6 +1,7 @@
 package sycamorehill.logic.crash;
 
 import java.time.Instant;
+import java.util.Optional;
 
 import sycamorehill.model.identity.ServiceName;
 
@@ -19,11 +20,10 @@
 	boolean isInDoubt(ServiceName service, Instant now);
 
 	/**
-	 * Returns whether the service has been unreachable at some time since a moment.
+	 * Returns since when the service has been reachable.
 	 * @param service the service
-	 * @param since the moment
-	 * @return true if it is unreachable, or was restored later
+	 * @return the time, in the distant past if it always was; empty if it is unreachable
 	 */
-	boolean wasUnreachableAfter(ServiceName service, Instant since);
+	Optional<Instant> reachableSince(ServiceName service);
 
 }
--- a/src/main/java/sycamorehill/logic/crash/TargetLoss.java
+++ b/src/main/java/sycamorehill/logic/crash/TargetLoss.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import java.util.function.UnaryOperator;
 import java.util.stream.Collectors;
 
@@ -40,10 +41,17 @@
 		return new TargetLoss(message.target(), now.minus(message.unseenFor()), message.crashed(), runs);
 	}
 
-	NodeMessage.TargetLost toMessage(String sender, Instant now) {
+	/**
+	 * Returns what other nodes have to know of this loss.
+	 * @param sender name of this node
+	 * @param hasBeenSound tells whether requests with a property ran before
+	 * @param now the current time
+	 * @return the message
+	 */
+	NodeMessage.TargetLost toMessage(String sender, Predicate<RequestTrait> hasBeenSound, Instant now) {
 		Set<LostRequest> requests = this.runs.entrySet()
 			.stream()
-			.map((run) -> run.getValue().toRequest(run.getKey(), now))
+			.map((run) -> run.getValue().toRequest(run.getKey(), hasBeenSound, now))
 			.collect(Collectors.toSet());
 		return new NodeMessage.TargetLost(sender, this.target, Duration.between(this.seenAt, now), this.crashed,
 				requests);
--- a/src/main/java/sycamorehill/logic/dispatch/DispatchedRequest.java
+++ b/src/main/java/sycamorehill/logic/dispatch/DispatchedRequest.java
@@ -298,7 +298,7 @@
 	 * @return this request
 	 */
 	LostRequest toLostRequest() {
-		return new LostRequest(this.request.identifier(), Duration.ZERO, this.request.traits());
+		return LostRequest.now(this.request.identifier(), this.request.traits());
 	}
 
 	/**
--- a/src/main/java/sycamorehill/logic/dispatch/RequestDispatcher.java
+++ b/src/main/java/sycamorehill/logic/dispatch/RequestDispatcher.java
@@ -107,6 +107,17 @@
 		return this.paths;
 	}
 
+	/**
+	 * Handles a target that could not be connected when its path was tested.
+	 * @param target the target
+	 * @param now the current time
+	 * @param effects receives the resulting effects
+	 */
+	public void handleUnreached(TargetName target, Instant now, Effects effects) {
+		this.paths.handleUnreached(target, now, effects);
+		this.crashSuspicions.recordRefused(target, now);
+	}
+
 	/**
 	 * Returns the requests that are sent through other nodes, or come through them.
 	 * @return the requests
--- a/src/main/java/sycamorehill/logic/dispatch/ServicePath.java
+++ b/src/main/java/sycamorehill/logic/dispatch/ServicePath.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
 import sycamorehill.model.identity.TargetName;
@@ -59,12 +60,11 @@
 	}
 
 	/**
-	 * Returns whether the service has been unreachable at some time since a moment.
-	 * @param since the moment
-	 * @return true if it is unreachable, or was restored later
+	 * Returns since when the service has been reachable.
+	 * @return the time; empty if it is unreachable
 	 */
-	boolean wasUnreachableAfter(Instant since) {
-		return this.unreachable || this.changedAt.isAfter(since);
+	Optional<Instant> reachableSince() {
+		return this.unreachable ? Optional.empty() : Optional.of(this.changedAt);
 	}
 
 	/**
--- a/src/main/java/sycamorehill/logic/dispatch/TargetPaths.java
+++ b/src/main/java/sycamorehill/logic/dispatch/TargetPaths.java
@@ -75,7 +75,7 @@
 	 * @param now the current time
 	 * @param effects receives the resulting effects
 	 */
-	public void handleUnreached(TargetName target, Instant now, Effects effects) {
+	void handleUnreached(TargetName target, Instant now, Effects effects) {
 		this.reachability.recordFailedConnect(target, now, effects);
 	}
 
--- a/src/main/java/sycamorehill/logic/dispatch/TargetReachability.java
+++ b/src/main/java/sycamorehill/logic/dispatch/TargetReachability.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
@@ -90,9 +91,9 @@
 	}
 
 	@Override
-	public boolean wasUnreachableAfter(ServiceName service, Instant since) {
+	public Optional<Instant> reachableSince(ServiceName service) {
 		ServicePath path = this.paths.get(service);
-		return path != null && path.wasUnreachableAfter(since);
+		return (path != null) ? path.reachableSince() : Optional.of(Instant.MIN);
 	}
 
 	private ServicePath path(ServiceName service) {
--- a/src/main/java/sycamorehill/logic/entry/RequestEvents.java
+++ b/src/main/java/sycamorehill/logic/entry/RequestEvents.java
@@ -74,7 +74,7 @@
 			this.requests.paths().handleConnected(connected.target(), now, effects);
 		}
 		else if (event instanceof EntryEvent.TargetUnreached unreached) {
-			this.requests.paths().handleUnreached(unreached.target(), now, effects);
+			this.requests.handleUnreached(unreached.target(), now, effects);
 		}
 		else if (event instanceof EntryEvent.AllTargetsSilent) {
 			this.requests.paths().handleAllTargetsSilent(now, effects);
--- a/src/test/java/sycamorehill/entry/NodeMessageCodecTests.java
+++ b/src/test/java/sycamorehill/entry/NodeMessageCodecTests.java
@@ -14,12 +14,14 @@
 import sycamorehill.model.identity.TargetName;
 import sycamorehill.model.serving.Lease;
 import sycamorehill.model.serving.LoadSum;
+import sycamorehill.model.serving.LostRequest;
 import sycamorehill.model.serving.MemberState;
 import sycamorehill.model.serving.NodeMessage;
 import sycamorehill.model.serving.RequestRate;
 import sycamorehill.model.serving.RequestTrait;
 import sycamorehill.model.serving.TargetChange;
 import sycamorehill.model.serving.TargetEntry;
+import sycamorehill.model.serving.TargetIncarnation;
 import sycamorehill.support.CrashMessages;
 import sycamorehill.support.ServingSamples;
 
@@ -59,6 +61,10 @@
 				new NodeMessage.TargetLimited("n1", TARGET, Optional.empty()),
 				new NodeMessage.TargetLeaving("n1", TARGET, 1_700_000_000_000L),
 				CrashMessages.crash("n1", member, Set.of(RequestTrait.content(Long.MIN_VALUE))),
+				new NodeMessage.TargetLost("n1", TargetIncarnation.of(member), Duration.ofMillis(70), false,
+						Set.of(new LostRequest("a1", Duration.ofMillis(90),
+								Set.of(RequestTrait.promptPart("5c1e07a2"), RequestTrait.promptPart("91bd3f06")),
+								Set.of(RequestTrait.promptPart("5c1e07a2"))))),
 				new NodeMessage.TraitsSound("n1", Set.of(RequestTrait.content(7)), Duration.ofMillis(40)),
 				new NodeMessage.TraitsTried("n1", Set.of(RequestTrait.content(7)), Duration.ofMillis(40)));
 	}
--- a/src/test/java/sycamorehill/support/CrashMessages.java
+++ b/src/test/java/sycamorehill/support/CrashMessages.java
@@ -25,7 +25,7 @@
 	 * @return the message
 	 */
 	public static NodeMessage.TargetLost crash(String sender, TargetEntry target, Set<RequestTrait> traits) {
-		LostRequest request = new LostRequest("request-at-" + target.name(), Duration.ZERO, traits);
+		LostRequest request = LostRequest.now("request-at-" + target.name(), traits);
 		return new NodeMessage.TargetLost(sender, TargetIncarnation.of(target), Duration.ZERO, true, Set.of(request));
 	}
 
