Find a part that turns bad, and decide sooner that a lost target has crashed

A lost target counts as crashed as soon as it refuses a connection and another target of its service then accepts one; both are tried at once if few were lost.

--- a/src/main/java/sycamorehill/logic/crash/CrashCauseFinder.java
+++ b/src/main/java/sycamorehill/logic/crash/CrashCauseFinder.java
@@ -36,16 +36,14 @@
 	 * Number of crashes for a part of prompts that has been sound before. It may crash
 	 * targets since they have other software, but has most likely run beside the cause.
 	 */
-	static final int MINIMUM_CRASHES_OF_SOUND_PART = 5;
+	static final int MINIMUM_CRASHES_OF_SOUND_PART = 4;
 
 	/**
-	 * Crashes within this time count as one for parts of prompts, which run on many
-	 * targets at once: a fabric domain that fails ends all of its targets.
+	 * Crashes within this time count as one for a part of prompts that was sound before,
+	 * or if targets without it crashed as well: a fabric domain that fails ends all of
+	 * its targets, and most of them run requests with the common parts.
 	 */
-	private static final Duration COMMON_FAILURE_TIME = Duration.ofMillis(50);
-
-	/** The same where targets crash that ran no request with the part. */
-	private static final Duration MIXED_FAILURE_TIME = Duration.ofMillis(200);
+	private static final Duration COMMON_FAILURE_TIME = Duration.ofMillis(200);
 
 	/**
 	 * Time after the last necessary crash in which a sound part of prompts is cleared by
@@ -109,7 +107,7 @@
 	// Of equally suspect properties the one in fewer requests explains as much with less.
 	private int compare(Suspect one, Suspect other) {
 		return Comparator.<Suspect, Boolean>comparing((suspect) -> !this.hasBeenSound.test(suspect.trait()))
-			.thenComparingInt((suspect) -> suspect.crashTimes().size())
+			.thenComparingInt((suspect) -> crashTimes(suspect).size())
 			.thenComparingLong((suspect) -> -suspect.runs().count())
 			.thenComparing((suspect) -> suspect.trait().toString())
 			.compare(one, other);
@@ -119,7 +117,7 @@
 		boolean isPart = suspect.trait().kind() == RequestTrait.Kind.PROMPT_PART;
 		int minimum = (isPart && this.hasBeenSound.test(suspect.trait())) ? MINIMUM_CRASHES_OF_SOUND_PART
 				: MINIMUM_CRASHES;
-		List<Instant> crashes = suspect.crashTimes();
+		List<Instant> crashes = crashTimes(suspect);
 		if (crashes.size() < minimum) {
 			return false;
 		}
@@ -128,6 +126,34 @@
 		return !mayBeCleared;
 	}
 
+	// A sound request that runs beside the cause is sent again, by a node or by its
+	// caller,
+	// and may be lost with several targets; the cause comes in many requests.
+	private List<Instant> crashTimes(Suspect suspect) {
+		if (suspect.trait().kind() == RequestTrait.Kind.CONTENT) {
+			return suspect.crashes().stream().map(TargetLoss::lostAt).toList();
+		}
+		List<Instant> times = new ArrayList<>();
+		Set<Set<RequestTrait>> contents = new HashSet<>();
+		for (TargetLoss loss : suspect.crashes()) {
+			boolean newContent = contents.addAll(suspect.runs(loss).map(LostRun::identity).toList());
+			boolean sameFailure = !times.isEmpty() && isSameFailure(suspect, times.get(times.size() - 1), loss);
+			if (newContent && !sameFailure) {
+				times.add(loss.lostAt());
+			}
+		}
+		return times;
+	}
+
+	private boolean isSameFailure(Suspect suspect, Instant before, TargetLoss loss) {
+		return isClose(before, loss.lostAt()) && (this.hasBeenSound.test(suspect.trait())
+				|| suspect.others().stream().anyMatch((other) -> isClose(other.lostAt(), loss.lostAt())));
+	}
+
+	private static boolean isClose(Instant one, Instant other) {
+		return Duration.between(one, other).abs().compareTo(COMMON_FAILURE_TIME) < 0;
+	}
+
 	/**
 	 * Returns whether more may be found a little later.
 	 * @return true if a property may still be cleared that would be a cause
@@ -156,38 +182,10 @@
 			return this.crashes.stream().flatMap(this::runs);
 		}
 
-		private Stream<LostRun> runs(TargetLoss loss) {
+		Stream<LostRun> runs(TargetLoss loss) {
 			return loss.runs().values().stream().filter((run) -> run.traits().contains(this.trait));
 		}
 
-		// A sound request that runs beside the cause is sent again, by this node or by
-		// its
-		// caller, and may be lost with several targets; the cause comes in many requests.
-		List<Instant> crashTimes() {
-			if (this.trait.kind() == RequestTrait.Kind.CONTENT) {
-				return this.crashes.stream().map(TargetLoss::lostAt).toList();
-			}
-			List<Instant> times = new ArrayList<>();
-			Set<Set<RequestTrait>> contents = new HashSet<>();
-			for (TargetLoss loss : this.crashes) {
-				boolean newContent = contents.addAll(runs(loss).map(LostRun::identity).toList());
-				boolean sameFailure = !times.isEmpty() && isSameFailure(times.get(times.size() - 1), loss.lostAt());
-				if (newContent && !sameFailure) {
-					times.add(loss.lostAt());
-				}
-			}
-			return times;
-		}
-
-		private boolean isSameFailure(Instant before, Instant lostAt) {
-			return isWithin(COMMON_FAILURE_TIME, before, lostAt) || (isWithin(MIXED_FAILURE_TIME, before, lostAt)
-					&& this.others.stream().anyMatch((other) -> isWithin(MIXED_FAILURE_TIME, other.lostAt(), lostAt)));
-		}
-
-		private static boolean isWithin(Duration time, Instant one, Instant other) {
-			return Duration.between(one, other).abs().compareTo(time) < 0;
-		}
-
 		// Properties that always come together can't be told apart. Only requests that
 		// have all of them are refused: those with some of them show which is the cause.
 		Set<RequestTrait> commonTraits() {
--- a/src/main/java/sycamorehill/logic/crash/CrashEvidence.java
+++ b/src/main/java/sycamorehill/logic/crash/CrashEvidence.java
@@ -13,7 +13,6 @@
 import java.util.Set;
 import java.util.stream.Collectors;
 
-import sycamorehill.model.serving.LostRequest;
 import sycamorehill.model.serving.RequestTrait;
 import sycamorehill.model.serving.TargetIncarnation;
 
@@ -32,6 +31,9 @@
 	 */
 	private static final int MINIMUM_RISKY_LOSSES = 2;
 
+	/** The same for a property that was sound before. */
+	private static final int MINIMUM_RISKY_LOSSES_OF_SOUND = 3;
+
 	/**
 	 * How long a crash is kept after a request that it is held against was last seen.
 	 */
@@ -43,8 +45,6 @@
 	 */
 	private static final Duration UNDECIDED_RETENTION_TIME = Duration.ofMinutes(1);
 
-	private static final Duration JUST_BEFORE = Duration.ofMillis(1);
-
 	private final Map<TargetIncarnation, TargetLoss> losses = new HashMap<>();
 
 	private final SoundTraits soundTraits = SoundTraits.create();
@@ -169,12 +169,12 @@
 	}
 
 	/**
-	 * Records which properties another node knows to have been sound before a loss.
-	 * @param request a request of the loss
-	 * @param now the current time
+	 * Records which properties another node knows to have been sound, it is not told
+	 * when.
+	 * @param traits the properties
 	 */
-	void recordSoundBefore(LostRequest request, Instant now) {
-		this.soundTraits.record(request.soundTraits(), now.minus(request.age()).minus(JUST_BEFORE));
+	void recordSoundOnce(Set<RequestTrait> traits) {
+		this.soundTraits.record(traits, Instant.MIN);
 	}
 
 	/**
@@ -186,11 +186,12 @@
 	boolean isRisky(Set<RequestTrait> traits) {
 		return traits.stream()
 			.filter(this.suspectTraits::contains)
-			.filter((trait) -> !hasBeenSound(trait))
-			.anyMatch((trait) -> this.losses.values()
-				.stream()
-				.filter((loss) -> loss.traits().contains(trait))
-				.count() >= MINIMUM_RISKY_LOSSES);
+			.anyMatch((trait) -> countLosses(
+					trait) >= (hasBeenSound(trait) ? MINIMUM_RISKY_LOSSES_OF_SOUND : MINIMUM_RISKY_LOSSES));
+	}
+
+	private long countLosses(RequestTrait trait) {
+		return this.losses.values().stream().filter((loss) -> loss.traits().contains(trait)).count();
 	}
 
 	/**
--- a/src/main/java/sycamorehill/logic/crash/CrashSuspicions.java
+++ b/src/main/java/sycamorehill/logic/crash/CrashSuspicions.java
@@ -63,6 +63,8 @@
 
 	private final CrashTrials trials;
 
+	private final RandomGenerator random;
+
 	/** The undecided targets that this node itself has lost. */
 	private final Map<TargetIncarnation, OwnLoss> ownLosses = new HashMap<>();
 
@@ -78,6 +80,7 @@
 		this.paths = paths;
 		this.reports = CrashReports.of(nodeName, this.evidence);
 		this.trials = CrashTrials.of(random);
+		this.random = random;
 	}
 
 	/**
@@ -107,7 +110,8 @@
 			Instant now, Effects effects) {
 		this.evidence.add(new TargetLoss(target, now, false, Map.of(request.identifier(), LostRun.of(request, now))));
 		if (connectionLost) {
-			this.ownLosses.put(target, new OwnLoss(service, now, Instant.MIN));
+			OwnLoss known = this.ownLosses.put(target, new OwnLoss(service, now, Instant.MIN));
+			probe(Optional.of(TargetAddress.of(target)).filter((address) -> known == null), effects);
 		}
 		if (!isKnown(target)) {
 			decideCrash(target, "its entry has ended", now, effects);
@@ -176,7 +180,7 @@
 	 * @param now the current time
 	 */
 	public void handleMessage(NodeMessage.TargetLost message, Instant now) {
-		message.requests().forEach((request) -> this.evidence.recordSoundBefore(request, now));
+		message.requests().forEach((request) -> this.evidence.recordSoundOnce(request.soundTraits()));
 		this.evidence.add(TargetLoss.of(message, now));
 	}
 
@@ -298,6 +302,13 @@
 		return sign != null && sign.sentAt().isAfter(since);
 	}
 
+	// Where many targets are lost at once the path is, most likely.
+	private void probe(Optional<TargetAddress> target, Effects effects) {
+		if (this.ownLosses.size() <= MAXIMUM_PROBES) {
+			target.ifPresent((address) -> effects.add(new EntryEffect.ProbeTargets(List.of(address))));
+		}
+	}
+
 	// A path that was lost meanwhile explains the loss, unless the target still can't be
 	// connected since the path is back.
 	private boolean isPathProved(OwnLoss loss, Instant now) {
@@ -305,6 +316,10 @@
 		if (reachableSince.isEmpty()) {
 			return false;
 		}
+		if (loss.refusedAt().isAfter(loss.since())
+				&& this.paths.connectedAt(loss.service()).isAfter(loss.refusedAt())) {
+			return true;
+		}
 		boolean pathWasLost = reachableSince.get().isAfter(loss.since());
 		if (pathWasLost && !loss.refusedAt().isAfter(reachableSince.get())) {
 			return false;
@@ -322,7 +337,7 @@
 				.filter((since) -> since.isAfter(own.getValue().since()) && !own.getValue().refusedAt().isAfter(since))
 				.isPresent())
 			.limit(MAXIMUM_PROBES)
-			.map((own) -> new TargetAddress(own.getKey().name(), own.getKey().address()))
+			.map((own) -> TargetAddress.of(own.getKey()))
 			.toList();
 		if (!lost.isEmpty()) {
 			effects.add(new EntryEffect.ProbeTargets(lost));
@@ -330,12 +345,33 @@
 	}
 
 	/**
-	 * Records that a target could not be connected.
+	 * Records that a target could not be connected. If it was lost before, another target
+	 * of the service is connected: if that succeeds it is not the path that is broken.
 	 * @param target the target
 	 * @param now the current time
+	 * @param effects receives the resulting effects
 	 */
-	public void recordRefused(TargetName target, Instant now) {
-		this.ownLosses.replaceAll((lost, loss) -> lost.name().equals(target) ? loss.refused(now) : loss);
+	public void recordRefused(TargetName target, Instant now, Effects effects) {
+		this.ownLosses.replaceAll((lost, loss) -> {
+			if (!lost.name().equals(target)) {
+				return loss;
+			}
+			if (!loss.refusedAt().isAfter(loss.since())) {
+				probe(drawOther(loss.service()), effects);
+			}
+			return loss.refused(now);
+		});
+	}
+
+	private Optional<TargetAddress> drawOther(ServiceName service) {
+		List<TargetIncarnation> others = this.directory.all()
+			.stream()
+			.filter((entry) -> entry.service().equals(service) && !entry.leaving())
+			.map(TargetIncarnation::of)
+			.filter((other) -> this.evidence.find(other).isEmpty())
+			.toList();
+		return others.isEmpty() ? Optional.empty()
+				: Optional.of(TargetAddress.of(others.get(this.random.nextInt(others.size()))));
 	}
 
 	// The address of a target is used again only after its process has ended, and the new
--- a/src/main/java/sycamorehill/logic/crash/PathState.java
+++ b/src/main/java/sycamorehill/logic/crash/PathState.java
@@ -26,4 +26,11 @@
 	 */
 	Optional<Instant> reachableSince(ServiceName service);
 
+	/**
+	 * Returns when a target of the service was last connected.
+	 * @param service the service
+	 * @return the time, in the distant past if it is not known
+	 */
+	Instant connectedAt(ServiceName service);
+
 }
--- a/src/main/java/sycamorehill/logic/dispatch/AttemptOutcomes.java
+++ b/src/main/java/sycamorehill/logic/dispatch/AttemptOutcomes.java
@@ -104,7 +104,7 @@
 				request.markUnconnected(target);
 				this.targetSelector.status(target).recordFailure(now);
 				this.reachability.recordFailedConnect(target, now, effects);
-				this.crashSuspicions.recordRefused(target, now);
+				this.crashSuspicions.recordRefused(target, now, effects);
 			}
 			case WRONG_TARGET -> recordWrongTarget(request, target, now);
 			case REFUSED -> this.targetSelector.status(target).eject(now, FULL_TARGET_EJECTION);
--- a/src/main/java/sycamorehill/logic/dispatch/RequestDispatcher.java
+++ b/src/main/java/sycamorehill/logic/dispatch/RequestDispatcher.java
@@ -115,7 +115,7 @@
 	 */
 	public void handleUnreached(TargetName target, Instant now, Effects effects) {
 		this.paths.handleUnreached(target, now, effects);
-		this.crashSuspicions.recordRefused(target, now);
+		this.crashSuspicions.recordRefused(target, now, effects);
 	}
 
 	/**
--- a/src/main/java/sycamorehill/logic/dispatch/ServicePath.java
+++ b/src/main/java/sycamorehill/logic/dispatch/ServicePath.java
@@ -44,6 +44,8 @@
 
 	private Instant changedAt = Instant.MIN;
 
+	private Instant connectedAt = Instant.MIN;
+
 	private int requiredConnections = 1;
 
 	private int connectionsInRow;
@@ -67,6 +69,10 @@
 		return this.unreachable ? Optional.empty() : Optional.of(this.changedAt);
 	}
 
+	Instant connectedAt() {
+		return this.connectedAt;
+	}
+
 	/**
 	 * Returns for how long the service has been unreachable.
 	 * @param now the current time
@@ -144,6 +150,7 @@
 	 * @return true if the service has just become reachable again
 	 */
 	boolean recordConnected(Instant now) {
+		this.connectedAt = now;
 		this.connectionsInRow++;
 		if (this.unreachable && this.connectionsInRow < this.requiredConnections) {
 			return false;
--- a/src/main/java/sycamorehill/logic/dispatch/TargetReachability.java
+++ b/src/main/java/sycamorehill/logic/dispatch/TargetReachability.java
@@ -96,6 +96,12 @@
 		return (path != null) ? path.reachableSince() : Optional.of(Instant.MIN);
 	}
 
+	@Override
+	public Instant connectedAt(ServiceName service) {
+		ServicePath path = this.paths.get(service);
+		return (path != null) ? path.connectedAt() : Instant.MIN;
+	}
+
 	private ServicePath path(ServiceName service) {
 		return this.paths.computeIfAbsent(service, (name) -> ServicePath.create());
 	}
--- a/src/main/java/sycamorehill/model/serving/TargetAddress.java
+++ b/src/main/java/sycamorehill/model/serving/TargetAddress.java
@@ -10,4 +10,14 @@
  * @param address where it accepts requests
  */
 public record TargetAddress(TargetName name, Address address) {
+
+	/**
+	 * Returns the address of a process.
+	 * @param target the process
+	 * @return its address
+	 */
+	public static TargetAddress of(TargetIncarnation target) {
+		return new TargetAddress(target.name(), target.address());
+	}
+
 }
--- a/src/test/java/sycamorehill/logic/entry/CrashingPartsWorld.java
+++ b/src/test/java/sycamorehill/logic/entry/CrashingPartsWorld.java
@@ -226,6 +226,18 @@
 		}));
 	}
 
+	private void recordArrival(String part, Node node) {
+		List<Instant> ended = this.crashes.getOrDefault(part, List.of());
+		if (ended.size() >= 5 && now().isAfter(ended.get(4).plus(CONTACT_TIME)) && node.isInTouch()) {
+			this.report.lateArrivalsByPart.merge(part, 1, Integer::sum);
+		}
+	}
+
+	private void recordCrash(String part) {
+		this.crashes.computeIfAbsent(part, (key) -> new ArrayList<>()).add(now());
+		this.report.crashesByPart.merge(part, 1, Integer::sum);
+	}
+
 	/**
 	 * A deployment.
 	 *
@@ -370,18 +382,6 @@
 
 	}
 
-	private void recordArrival(String part, Node node) {
-		List<Instant> ended = this.crashes.getOrDefault(part, List.of());
-		if (ended.size() >= 5 && now().isAfter(ended.get(4).plus(CONTACT_TIME)) && node.isInTouch()) {
-			this.report.lateArrivalsByPart.merge(part, 1, Integer::sum);
-		}
-	}
-
-	private void recordCrash(String part) {
-		this.crashes.computeIfAbsent(part, (key) -> new ArrayList<>()).add(now());
-		this.report.crashesByPart.merge(part, 1, Integer::sum);
-	}
-
 	/**
 	 * A node, over several processes.
 	 */
