Take an answer that ends with its target's process for broken off

An answer without a length and without chunks ends with its connection. A process that ends closes its connections too, some in order, and such an answer was delivered as whole: half a body with status 200, a stream that stopped between two events, and one of a target that crashed as it began to answer as an empty stream. Each also cleared what had crashed the target.

Now a stream that ends with its connection before its first event, or within one, is a lost connection; otherwise the target is connected once more before the answer is called whole, which takes one round trip at the end of such an answer, and keeps the connection for the next request. If it is refused, the answer was broken off: a resumable stream goes on elsewhere, others get 502 or are cut. Only a connection that times out leaves it whole, as the end itself came in order. The probe of paths and this one are one class.

--- a/src/main/java/sycamorehill/entry/ExchangeEffects.java
+++ b/src/main/java/sycamorehill/entry/ExchangeEffects.java
@@ -2,8 +2,6 @@
 
 import java.util.function.Consumer;
 
-import io.netty.channel.ChannelFuture;
-
 import sycamorehill.model.serving.EntryEffect;
 import sycamorehill.model.serving.EntryEvent;
 import sycamorehill.model.serving.TargetAddress;
@@ -70,18 +68,9 @@
 	}
 
 	private void probe(TargetAddress target) {
-		ChannelFuture connecting = this.targetConnections.connect(target);
-		connecting.addListener((future) -> {
-			if (future.isSuccess()) {
-				this.targetConnections.release(target, connecting.channel().pipeline().get(TargetConnection.class),
-						null);
-				this.streamMonitor.markPathProven();
-				this.eventSink.post(new EntryEvent.TargetConnected(target.name()));
-			}
-			else {
-				this.eventSink.post(new EntryEvent.TargetUnreached(target.name()));
-			}
-		});
+		TargetProbe.of(this.targetConnections, this.eventSink)
+			.connect(target, this.streamMonitor::markPathProven,
+					(cause) -> this.eventSink.post(new EntryEvent.TargetUnreached(target.name())));
 	}
 
 	private boolean executeForAttempt(EntryEffect effect) {
--- a/src/main/java/sycamorehill/entry/TargetAttempt.java
+++ b/src/main/java/sycamorehill/entry/TargetAttempt.java
@@ -6,6 +6,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -230,7 +231,46 @@
 		if (this.finished) {
 			return;
 		}
+		boolean endedByConnection = endedByConnection();
 		releaseConnection();
+		if (endedByConnection) {
+			checkTargetIsAlive();
+		}
+		else {
+			completeAnswer();
+		}
+	}
+
+	private boolean endedByConnection() {
+		return !HttpUtil.isContentLengthSet(this.head) && !HttpUtil.isTransferEncodingChunked(this.head)
+				&& !this.connection.isOpen() && !this.parsedHead.otherTarget() && !this.parsedHead.notRun();
+	}
+
+	// A process that ends closes its connections too, and its answer would pass for a
+	// whole one.
+	private void checkTargetIsAlive() {
+		if (this.streaming && !this.answerStarted) {
+			handleStreamFailure("the stream ends before its first event", true);
+			return;
+		}
+		TargetProbe.of(this.connectionPool, this.eventSink)
+			.connect(this.start.target(), () -> endChecked(true),
+					(cause) -> endChecked(cause instanceof ConnectTimeoutException));
+	}
+
+	private void endChecked(boolean mayBeAlive) {
+		if (this.finished) {
+			return;
+		}
+		if (mayBeAlive) {
+			completeAnswer();
+		}
+		else {
+			handleFailure("the target ended with its answer", true);
+		}
+	}
+
+	private void completeAnswer() {
 		int status = this.head.status().code();
 		if (this.parsedHead.otherTarget()) {
 			finish(new AttemptEnd.NotRun(NotRunCause.WRONG_TARGET));
@@ -256,7 +296,7 @@
 
 	private void endStream(int status) {
 		if (this.events.hasPartialEvent()) {
-			handleStreamFailure("the stream ends within an event", false);
+			handleStreamFailure("the stream ends within an event", endedByConnection());
 			return;
 		}
 		if (!this.answerStarted) {
