Leave descriptors for targets however many connections callers open

A load balancer that hands most new connections to one node for some seconds gives it more than it has descriptors for, as callers keep theirs for up to 12 s. The node accepted until none was left; then it could connect no target, store or node: it took its paths for lost, refused what it had read, and accepted nothing for a second at a time.

Callers get 0.6 of the descriptors that the platform's settings name (limits.max_fds), less 200 for files. At the limit the connection that has been idle longest is closed for a new one; if none has been idle for 0.2 s, whose next request may be on its way, the new one is reset unread, and the caller goes to another node as it always may. From three quarters of the limit on answers ask to close. Ruled out: leaving the rotation (the next node would get them all) and refusing to accept (a node that says it is ready takes no connection).

--- a/src/main/java/sycamorehill/entry/CallerConnection.java
+++ b/src/main/java/sycamorehill/entry/CallerConnection.java
@@ -11,6 +11,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.EncoderException;
 import io.netty.handler.codec.TooLongFrameException;
@@ -97,26 +98,42 @@
 
 	@Override
 	public void channelActive(ChannelHandlerContext ctx) {
-		this.server.addConnection(this);
+		if (!this.server.addConnection(this)) {
+			closeUnread(ctx);
+			return;
+		}
 		awaitRequest();
 		ctx.fireChannelActive();
 	}
 
+	// A reset tells the caller that nothing was read, and leaves nothing to wait for.
+	private void closeUnread(ChannelHandlerContext ctx) {
+		this.closing = true;
+		ctx.channel().config().setOption(ChannelOption.SO_LINGER, 0);
+		ctx.close();
+	}
+
 	/**
 	 * Starts the timeout of the request head with the first bytes, before they are
 	 * decoded.
 	 */
 	void handleFirstBytes() {
 		if (!this.readStarted && this.exchange == null && !this.closing) {
-			this.readStarted = true;
-			this.arrivedNanos = System.nanoTime();
+			markReadStarted();
 			this.timer.start(this.limits.headerTimeout(),
 					() -> refuse(HttpResponseStatus.REQUEST_TIMEOUT, "the head took too long"));
 		}
 	}
 
+	private void markReadStarted() {
+		this.readStarted = true;
+		this.arrivedNanos = System.nanoTime();
+		this.server.markBusy(this);
+	}
+
 	private void awaitRequest() {
 		this.readStarted = false;
+		this.server.markIdle(this);
 		startIdleTimer();
 	}
 
@@ -159,8 +176,7 @@
 
 	private void startRequest(HttpRequest head) {
 		if (!this.readStarted) {
-			this.readStarted = true;
-			this.arrivedNanos = System.nanoTime();
+			markReadStarted();
 		}
 		Optional<String> violation = RequestValidator.findViolation(head);
 		if (violation.isPresent()) {
@@ -308,7 +324,7 @@
 	void write(Object message) {
 		this.answer.countPart(message);
 		if (message instanceof HttpResponse response) {
-			closeIfStopping(response.headers());
+			askToClose(response.headers());
 		}
 		this.context.write(message, this.context.voidPromise());
 		if (!this.context.channel().isWritable() && this.exchange != null) {
@@ -326,7 +342,7 @@
 	 */
 	void finish(Object last) {
 		if (last instanceof FullHttpResponse response) {
-			closeIfStopping(response.headers());
+			askToClose(response.headers());
 		}
 		this.exchange = null;
 		UnwrittenAnswer finished = this.answer;
@@ -348,8 +364,8 @@
 		processWaitingMessages();
 	}
 
-	private void closeIfStopping(HttpHeaders headers) {
-		if (this.server.stopping()) {
+	private void askToClose(HttpHeaders headers) {
+		if (this.server.asksToClose()) {
 			this.keepAlive = false;
 		}
 		if (!this.keepAlive) {
@@ -374,12 +390,18 @@
 		cut(CutCause.GAVE_UP);
 	}
 
-	/** Closes the connection if it carries no request and all answers are written. */
-	void closeIfIdle() {
-		if (this.exchange == null && this.request == null && !this.readStarted && this.unwrittenAnswers.isEmpty()) {
+	/**
+	 * Closes the connection if it carries no request and all answers are written.
+	 * @return whether it was closed
+	 */
+	boolean closeIfIdle() {
+		boolean idle = this.exchange == null && this.request == null && !this.readStarted
+				&& this.unwrittenAnswers.isEmpty();
+		if (idle) {
 			this.closing = true;
 			this.context.close();
 		}
+		return idle;
 	}
 
 	@Override
--- a/src/main/java/sycamorehill/entry/CallerServer.java
+++ b/src/main/java/sycamorehill/entry/CallerServer.java
@@ -55,6 +55,8 @@
 
 	private final AnswerCutLog cutLog;
 
+	private final CallerConnectionLimit connectionLimit;
+
 	private final Set<CallerConnection> callerConnections = new HashSet<>();
 
 	private CallerLimits limits = CallerLimits.INITIAL;
@@ -64,17 +66,18 @@
 	private int bodyBytes;
 
 	private CallerServer(EventLoop loop, ExchangeCodec codec, EntryEventSink eventSink, ExchangeRegistry exchanges,
-			AnswerCutLog cutLog) {
+			AnswerCutLog cutLog, CallerConnectionLimit connectionLimit) {
 		this.loop = loop;
 		this.codec = codec;
 		this.eventSink = eventSink;
 		this.exchanges = exchanges;
 		this.cutLog = cutLog;
+		this.connectionLimit = connectionLimit;
 	}
 
 	static CallerServer of(EventLoop loop, ExchangeCodec codec, EntryEventSink eventSink, ExchangeRegistry exchanges,
-			AnswerCutLog cutLog) {
-		return new CallerServer(loop, codec, eventSink, exchanges, cutLog);
+			AnswerCutLog cutLog, CallerConnectionLimit connectionLimit) {
+		return new CallerServer(loop, codec, eventSink, exchanges, cutLog, connectionLimit);
 	}
 
 	void start(Address address) throws InterruptedException {
@@ -149,14 +152,28 @@
 		this.exchanges.remove(exchange);
 	}
 
-	void addConnection(CallerConnection connection) {
-		this.callerConnections.add(connection);
+	/**
+	 * Adds a connection that was accepted.
+	 * @param connection the connection
+	 * @return false if there is no room for it, and it must be closed unread
+	 */
+	boolean addConnection(CallerConnection connection) {
+		return this.connectionLimit.makeRoom(this.callerConnections.size()) && this.callerConnections.add(connection);
 	}
 
 	void removeConnection(CallerConnection connection) {
+		this.connectionLimit.markBusy(connection);
 		this.callerConnections.remove(connection);
 	}
 
+	void markIdle(CallerConnection connection) {
+		this.connectionLimit.markIdle(connection);
+	}
+
+	void markBusy(CallerConnection connection) {
+		this.connectionLimit.markBusy(connection);
+	}
+
 	void logRefusal(int status, String detail) {
 		EventLog.write(LogLine.of(LogEvent.REQUEST_REFUSED,
 				"status=" + status + " cause='" + detail + "' before it was read"));
@@ -184,8 +201,12 @@
 		return this.eventSink;
 	}
 
-	boolean stopping() {
-		return this.stopping;
+	/**
+	 * Returns whether answers ask their callers to close the connection.
+	 * @return true if this node stops, or holds many connections
+	 */
+	boolean asksToClose() {
+		return this.stopping || this.connectionLimit.isCrowded(this.callerConnections.size());
 	}
 
 	/** Makes each further answer close its connection. */
--- a/src/main/java/sycamorehill/entry/EntryMetrics.java
+++ b/src/main/java/sycamorehill/entry/EntryMetrics.java
@@ -70,7 +70,12 @@
 			.forEach((pool) -> gauge("process.metaspace-used-bytes", () -> pool.getUsage().getUsed()));
 	}
 
-	private void gauge(String name, DoubleSupplier value) {
+	/**
+	 * Registers a value that is read when the metrics are.
+	 * @param name name of the metric
+	 * @param value supplies the value
+	 */
+	void gauge(String name, DoubleSupplier value) {
 		this.registry.register(name, (Gauge<Double>) value::getAsDouble);
 	}
 
--- a/src/main/java/sycamorehill/entry/EntryNode.java
+++ b/src/main/java/sycamorehill/entry/EntryNode.java
@@ -120,7 +120,12 @@
 				"parsing a configuration", () -> parseConfiguration(parse)));
 		this.metrics = EntryMetrics.of(this.reducer, this.guard);
 		AnswerCutLog cutLog = AnswerCutLog.of(this.metrics);
-		this.callerServer = CallerServer.of(this.loop, this.ports.codec(), this, this.exchanges, cutLog);
+		CallerConnectionLimit connectionLimit = CallerConnectionLimit.of(settings.maximumDescriptors(),
+				System::nanoTime);
+		this.callerServer = CallerServer.of(this.loop, this.ports.codec(), this, this.exchanges, cutLog,
+				connectionLimit);
+		this.metrics.gauge("callers.connections", this.callerServer::connections);
+		this.metrics.gauge("callers.connections-closed-unread", connectionLimit::unread);
 		this.proxyServer = ProxyServer.of(this.loop, this.exchanges, this, this.reducer::isNodeHost, cutLog);
 		this.messenger = NodeMessenger.of(this.loop, this);
 		this.registration = NodeRegistration.of(this.ports.nodeRegistry(), settings.toNodeRecord(), this.incarnation,
--- a/src/main/java/sycamorehill/model/log/LogEvent.java
+++ b/src/main/java/sycamorehill/model/log/LogEvent.java
@@ -222,7 +222,10 @@
 	CRASH_CAUSE_DROPPED(1919, LogLevel.WARN),
 
 	/** A request runs to test whether such requests still crash targets. */
-	CRASH_CAUSE_TRIED(1920, LogLevel.WARN);
+	CRASH_CAUSE_TRIED(1920, LogLevel.WARN),
+
+	/** Connections of callers are closed unread, because the node holds too many. */
+	CONNECTIONS_CLOSED_UNREAD(1921, LogLevel.WARN);
 
 	private final int number;
 
--- a/src/main/java/sycamorehill/model/serving/EntrySettings.java
+++ b/src/main/java/sycamorehill/model/serving/EntrySettings.java
@@ -14,6 +14,7 @@
  * @param dataCentre data centre in which it runs
  * @param dataCentres all data centres
  * @param processorCores its share of a processor, in cores of normal speed
+ * @param maximumDescriptors how many files and sockets it may open
  * @param callerAddress where it accepts connections of callers
  * @param readinessAddress where the load balancer queries its readiness
  * @param peerAddress where it receives messages of other nodes
@@ -28,9 +29,9 @@
  * @param loadWindow length of the window in which loads from the weight store are limited
  */
 public record EntrySettings(String nodeName, DataCentreName dataCentre, List<DataCentreName> dataCentres,
-		double processorCores, Address callerAddress, Address readinessAddress, Address peerAddress,
-		Address proxyAddress, Address storeAddress, boolean firstStart, Duration stopTime, Duration retryWindow,
-		double retryRatio, double retryAllowance, Duration stallTime, Duration loadWindow) {
+		double processorCores, int maximumDescriptors, Address callerAddress, Address readinessAddress,
+		Address peerAddress, Address proxyAddress, Address storeAddress, boolean firstStart, Duration stopTime,
+		Duration retryWindow, double retryRatio, double retryAllowance, Duration stallTime, Duration loadWindow) {
 
 	/**
 	 * Returns the record that this node publishes to other nodes.
--- a/src/main/java/sycamorehill/platform/PlatformSettings.java
+++ b/src/main/java/sycamorehill/platform/PlatformSettings.java
@@ -26,6 +26,11 @@
 
 	private static final String CPU_CORES = "limits.cpu_cores";
 
+	private static final String MAXIMUM_DESCRIPTORS = "limits.max_fds";
+
+	/** Limit of most systems for a process. */
+	private static final int DEFAULT_DESCRIPTORS = 1024;
+
 	private final Properties values;
 
 	private PlatformSettings(Properties values) {
@@ -60,7 +65,7 @@
 
 	private EntrySettings toEntrySettings() {
 		return new EntrySettings(text("node_name"), DataCentreName.of(text("zone")), dataCentres(), processorCores(),
-				address("bind.front"), address("bind.ready"), nodeAddress(0), nodeAddress(1),
+				descriptors(), address("bind.front"), address("bind.ready"), nodeAddress(0), nodeAddress(1),
 				address("platform.address"), Boolean.parseBoolean(text("first_start")),
 				seconds("bounds.grace_period_s"), seconds("bounds.budget_window_s"),
 				number("bounds.retry_budget_ratio"), number("bounds.retry_budget_extra"),
@@ -82,6 +87,10 @@
 		return configured ? number(CPU_SHARE) * number(CPU_CORES) : 1;
 	}
 
+	private int descriptors() {
+		return this.values.containsKey(MAXIMUM_DESCRIPTORS) ? (int) number(MAXIMUM_DESCRIPTORS) : DEFAULT_DESCRIPTORS;
+	}
+
 	// The platform leaves this range of ports to the nodes. The first one receives
 	// messages, the second one requests of other nodes.
 	private Address nodeAddress(int index) {
--- a/src/test/java/sycamorehill/entry/CallerConnectionTests.java
+++ b/src/test/java/sycamorehill/entry/CallerConnectionTests.java
@@ -53,7 +53,7 @@
 	private final ExchangeRegistry exchanges = ExchangeRegistry.create();
 
 	private final CallerServer server = CallerServer.of(null, PlatformTestCodec.create(), this::post, this.exchanges,
-			AnswerCutLog.of(this.metrics));
+			AnswerCutLog.of(this.metrics), CallerConnectionLimit.of(4200, System::nanoTime));
 
 	private boolean memoryIsShort;
 
--- a/src/test/java/sycamorehill/entry/CallerNode.java
+++ b/src/test/java/sycamorehill/entry/CallerNode.java
@@ -47,11 +47,11 @@
 
 	private final EntryNode node;
 
-	private CallerNode(RawTarget target, CallerLimits limits) throws Exception {
+	private CallerNode(RawTarget target, CallerLimits limits, int descriptors) throws Exception {
 		this.target = target;
 		List<Address> free = FreePorts.find(5);
 		this.settings = new EntrySettings("one", DataCentreName.of("north"), List.of(DataCentreName.of("north")), 0.75,
-				free.get(0), free.get(1), free.get(2), free.get(4), free.get(3), true, STOP_TIME,
+				descriptors, free.get(0), free.get(1), free.get(2), free.get(4), free.get(3), true, STOP_TIME,
 				Duration.ofMillis(100), 0.2, 60, Duration.ofSeconds(5), Duration.ofSeconds(5));
 		Configuration sample = ServingSamples.configuration(1);
 		Configuration configuration = new Configuration(1, sample.routes(), sample.services(), limits,
@@ -74,7 +74,18 @@
 	 * @return the node
 	 */
 	static CallerNode start(CallerLimits limits, UnaryOperator<String> answers) throws Exception {
-		CallerNode node = new CallerNode(RawTarget.start(answers), limits);
+		return start(limits, answers, 4200);
+	}
+
+	/**
+	 * Starts a node that may open only so many files and sockets, and its target.
+	 * @param limits limits of callers
+	 * @param answers answers of the target, as in {@link RawTarget}
+	 * @param descriptors the number of descriptors
+	 * @return the node
+	 */
+	static CallerNode start(CallerLimits limits, UnaryOperator<String> answers, int descriptors) throws Exception {
+		CallerNode node = new CallerNode(RawTarget.start(answers), limits, descriptors);
 		node.awaitRoutes();
 		return node;
 	}
--- a/src/test/java/sycamorehill/entry/ConfigurationCatchUpTests.java
+++ b/src/test/java/sycamorehill/entry/ConfigurationCatchUpTests.java
@@ -56,9 +56,10 @@
 	private static EntrySettings settings(String name) {
 		List<Address> free = FreePorts.find(5);
 		EntrySettings sample = ServingSamples.settings(name);
-		return new EntrySettings(name, sample.dataCentre(), List.of(DataCentreName.of("north")), 0.75, free.get(0),
-				free.get(1), free.get(2), free.get(4), free.get(3), true, sample.stopTime(), sample.retryWindow(),
-				sample.retryRatio(), sample.retryAllowance(), sample.stallTime(), sample.loadWindow());
+		return new EntrySettings(name, sample.dataCentre(), List.of(DataCentreName.of("north")), 0.75, 4200,
+				free.get(0), free.get(1), free.get(2), free.get(4), free.get(3), true, sample.stopTime(),
+				sample.retryWindow(), sample.retryRatio(), sample.retryAllowance(), sample.stallTime(),
+				sample.loadWindow());
 	}
 
 	private void start(EntrySettings node, ChangingConfigurations configurations) throws InterruptedException {
--- a/src/test/java/sycamorehill/entry/EntryNodeErrorTests.java
+++ b/src/test/java/sycamorehill/entry/EntryNodeErrorTests.java
@@ -55,7 +55,7 @@
 		this.target = RawTarget.start(LoopbackCluster::hello);
 		List<Address> free = FreePorts.find(5);
 		this.settings = new EntrySettings("one", DataCentreName.of("north"), List.of(DataCentreName.of("north")), 0.75,
-				free.get(0), free.get(1), free.get(2), free.get(4), free.get(3), true, Duration.ofSeconds(8),
+				4200, free.get(0), free.get(1), free.get(2), free.get(4), free.get(3), true, Duration.ofSeconds(8),
 				Duration.ofMillis(100), 0.2, 60, Duration.ofSeconds(5), Duration.ofSeconds(5));
 		EntryNode.start(this.settings, (client) -> ports(), Clock.systemUTC(), this.random);
 		for (int attempt = 0; attempt < 100 && !ask(REQUEST).startsWith("HTTP/1.1 200"); attempt++) {
--- a/src/test/java/sycamorehill/entry/EntryNodeTests.java
+++ b/src/test/java/sycamorehill/entry/EntryNodeTests.java
@@ -82,7 +82,7 @@
 
 	private static EntrySettings settings() {
 		List<Address> free = FreePorts.find(5);
-		return new EntrySettings("one", DataCentreName.of("north"), List.of(DataCentreName.of("north")), 0.75,
+		return new EntrySettings("one", DataCentreName.of("north"), List.of(DataCentreName.of("north")), 0.75, 4200,
 				free.get(0), free.get(1), free.get(2), free.get(4), free.get(3), true, Duration.ofSeconds(8),
 				Duration.ofMillis(100), 0.2, 60, Duration.ofSeconds(5), Duration.ofSeconds(5));
 	}
--- a/src/test/java/sycamorehill/entry/PlannedStopTests.java
+++ b/src/test/java/sycamorehill/entry/PlannedStopTests.java
@@ -137,8 +137,8 @@
 		});
 		List<Address> free = FreePorts.find(5);
 		this.settings = new EntrySettings("one", DataCentreName.of("north"), List.of(DataCentreName.of("north")), 0.75,
-				free.get(0), free.get(1), free.get(2), free.get(4), free.get(3), true, stopTime, Duration.ofMillis(100),
-				0.2, 60, Duration.ofSeconds(5), Duration.ofSeconds(5));
+				4200, free.get(0), free.get(1), free.get(2), free.get(4), free.get(3), true, stopTime,
+				Duration.ofMillis(100), 0.2, 60, Duration.ofSeconds(5), Duration.ofSeconds(5));
 		InstantSource wallClock = () -> Clock.systemUTC().instant().plus(this.wallClockJump.get());
 		this.node = EntryNode.start(this.settings, (client) -> ports(), wallClock, new Random(1));
 		for (int attempt = 0; attempt < 100 && !send("/nowhere/").startsWith("HTTP/1.1 404"); attempt++) {
@@ -149,9 +149,9 @@
 	private EntrySettings withStopTime(Duration stopTime) {
 		EntrySettings now = this.settings;
 		return new EntrySettings(now.nodeName(), now.dataCentre(), now.dataCentres(), now.processorCores(),
-				now.callerAddress(), now.readinessAddress(), now.peerAddress(), now.proxyAddress(), now.storeAddress(),
-				now.firstStart(), stopTime, now.retryWindow(), now.retryRatio(), now.retryAllowance(), now.stallTime(),
-				now.loadWindow());
+				now.maximumDescriptors(), now.callerAddress(), now.readinessAddress(), now.peerAddress(),
+				now.proxyAddress(), now.storeAddress(), now.firstStart(), stopTime, now.retryWindow(), now.retryRatio(),
+				now.retryAllowance(), now.stallTime(), now.loadWindow());
 	}
 
 	private EntryPorts ports() {
--- a/src/test/java/sycamorehill/logic/entry/RetryBudgetWorld.java
+++ b/src/test/java/sycamorehill/logic/entry/RetryBudgetWorld.java
@@ -268,9 +268,9 @@
 				.toList();
 			EntrySettings sample = ServingSamples.settings(number, "dc" + number % this.dataCentres);
 			return new EntrySettings(sample.nodeName(), sample.dataCentre(), all, sample.processorCores(),
-					sample.callerAddress(), sample.readinessAddress(), sample.peerAddress(), sample.proxyAddress(),
-					sample.storeAddress(), sample.firstStart(), sample.stopTime(), window(), ratio(), this.allowance,
-					sample.stallTime(), sample.loadWindow());
+					sample.maximumDescriptors(), sample.callerAddress(), sample.readinessAddress(),
+					sample.peerAddress(), sample.proxyAddress(), sample.storeAddress(), sample.firstStart(),
+					sample.stopTime(), window(), ratio(), this.allowance, sample.stallTime(), sample.loadWindow());
 		}
 
 		Duration window() {
--- a/src/test/java/sycamorehill/process/BinaryProcess.java
+++ b/src/test/java/sycamorehill/process/BinaryProcess.java
@@ -46,6 +46,23 @@
 		return new BinaryProcess(builder.start());
 	}
 
+	/**
+	 * Starts a process that may open only so many files and sockets.
+	 * @param descriptors the number of descriptors
+	 * @param environment more environment variables
+	 * @param arguments the arguments
+	 * @return the process
+	 * @throws IOException if it can't be started
+	 */
+	static BinaryProcess startLimited(int descriptors, Map<String, String> environment, String... arguments)
+			throws IOException {
+		String limited = "ulimit -n " + descriptors + "; exec sh " + BINARY + " " + String.join(" ", arguments);
+		ProcessBuilder builder = new ProcessBuilder("sh", "-c", limited).redirectErrorStream(true);
+		builder.environment().put("SYCAMOREHILL_JAVA_OPTIONS", JAVA_OPTIONS);
+		builder.environment().putAll(environment);
+		return new BinaryProcess(builder.start());
+	}
+
 	static int run(String... arguments) throws Exception {
 		try (BinaryProcess process = start(arguments)) {
 			return process.awaitExit();
--- a/src/test/java/sycamorehill/process/PlatformNodes.java
+++ b/src/test/java/sycamorehill/process/PlatformNodes.java
@@ -51,16 +51,36 @@
 	 * @throws IOException if a port can't be bound
 	 */
 	static PlatformNodes start(Path folder) throws IOException {
-		PlatformNodes system = new PlatformNodes(folder, StoreStandIn.start());
+		PlatformNodes system = startBare(folder);
 		for (int number = 1; number <= ENGINES; number++) {
 			StreamingEngine engine = StreamingEngine.start();
 			system.engines.add(engine);
-			system.store.write("servers", "engine-" + number, system.engineEntry(engine.address()));
+			system.addEngine("engine-" + number, engine.address());
 		}
+		return system;
+	}
+
+	/**
+	 * Starts the store.
+	 * @param folder the folder for settings files
+	 * @return the system, without engines and nodes
+	 * @throws IOException if a port can't be bound
+	 */
+	static PlatformNodes startBare(Path folder) throws IOException {
+		PlatformNodes system = new PlatformNodes(folder, StoreStandIn.start());
 		system.configure(FIRST_VERSION, 0);
 		return system;
 	}
 
+	/**
+	 * Registers an engine.
+	 * @param name its name
+	 * @param address where it takes requests
+	 */
+	void addEngine(String name, Address address) {
+		this.store.write("servers", name, engineEntry(address));
+	}
+
 	StoreStandIn store() {
 		return this.store;
 	}
@@ -119,9 +139,21 @@
 	 * @throws IOException if it can't be started
 	 */
 	PlatformNode startNode(String name) throws IOException {
+		return startNode(name, PlatformNode.DESCRIPTORS);
+	}
+
+	/**
+	 * Starts a node that may open only so many files and sockets.
+	 * @param name the node's name
+	 * @param descriptors the number of descriptors
+	 * @return the node, which may not serve yet
+	 * @throws IOException if it can't be started
+	 */
+	PlatformNode startNode(String name, int descriptors) throws IOException {
 		List<Address> addresses = freeAddresses();
 		Path file = this.folder.resolve(name + ".conf");
-		PlatformNode node = new PlatformNode(name, addresses.get(0), addresses.get(1), file, settings(name, addresses));
+		PlatformNode node = new PlatformNode(name, addresses.get(0), addresses.get(1), file,
+				settings(name, addresses) + "limits.max_fds=" + descriptors + "\n", descriptors);
 		node.writeSettings(PlatformNode.GRACE_SECONDS);
 		node.start();
 		this.nodes.add(node);
@@ -163,6 +195,9 @@
 		/** A busy machine may hold up a stream of some seconds for several more. */
 		static final int GRACE_SECONDS = 12;
 
+		/** As on the platform's smaller machines. */
+		static final int DESCRIPTORS = 4100;
+
 		private final String name;
 
 		private final Address callers;
@@ -173,14 +208,18 @@
 
 		private final String settings;
 
+		private final int descriptors;
+
 		private BinaryProcess process;
 
-		private PlatformNode(String name, Address callers, Address readiness, Path file, String settings) {
+		private PlatformNode(String name, Address callers, Address readiness, Path file, String settings,
+				int descriptors) {
 			this.name = name;
 			this.callers = callers;
 			this.readiness = readiness;
 			this.file = file;
 			this.settings = settings;
+			this.descriptors = descriptors;
 		}
 
 		String name() {
@@ -209,7 +248,8 @@
 		}
 
 		void start() throws IOException {
-			this.process = BinaryProcess.start(Map.of("SYCAMOREHILL_CONFIG", this.file.toString()), "serve");
+			this.process = BinaryProcess.startLimited(this.descriptors,
+					Map.of("SYCAMOREHILL_CONFIG", this.file.toString()), "serve");
 		}
 
 		/**
--- a/src/test/java/sycamorehill/support/ServingSamples.java
+++ b/src/test/java/sycamorehill/support/ServingSamples.java
@@ -58,10 +58,10 @@
 	 */
 	public static EntrySettings settings(String name) {
 		return new EntrySettings(name, DataCentreName.of("north"),
-				List.of(DataCentreName.of("north"), DataCentreName.of("south")), 0.75, Address.of("127.0.0.1", 7001),
-				Address.of("127.0.0.1", 7002), Address.of("127.0.0.1", 7003), Address.of("127.0.0.1", 7005),
-				Address.of("127.0.0.1", 7004), true, Duration.ofSeconds(8), Duration.ofSeconds(10), 0.2, 60,
-				Duration.ofSeconds(5), Duration.ofSeconds(5));
+				List.of(DataCentreName.of("north"), DataCentreName.of("south")), 0.75, 4200,
+				Address.of("127.0.0.1", 7001), Address.of("127.0.0.1", 7002), Address.of("127.0.0.1", 7003),
+				Address.of("127.0.0.1", 7005), Address.of("127.0.0.1", 7004), true, Duration.ofSeconds(8),
+				Duration.ofSeconds(10), 0.2, 60, Duration.ofSeconds(5), Duration.ofSeconds(5));
 	}
 
 	/**
@@ -73,7 +73,7 @@
 	public static EntrySettings settings(int number, String dataCentre) {
 		EntrySettings sample = settings("any");
 		return new EntrySettings(dataCentre + "-" + (100 + number), DataCentreName.of(dataCentre), sample.dataCentres(),
-				sample.processorCores(), sample.callerAddress(), sample.readinessAddress(),
+				sample.processorCores(), sample.maximumDescriptors(), sample.callerAddress(), sample.readinessAddress(),
 				Address.of("127.0.0.1", 8000 + number), Address.of("127.0.0.1", 9000 + number), sample.storeAddress(),
 				true, sample.stopTime(), sample.retryWindow(), sample.retryRatio(), sample.retryAllowance(),
 				sample.stallTime(), sample.loadWindow());
