Take no target for crashed that accepts connections after its connections were reset

Reset connections of living targets counted as crashes from 0.2 s on until the targets answered a second later: three resets refused a sound content for that time. A target that accepts a connection after a loss is alive, as a new process takes seconds to start; its loss stays undecided until it answers or its process ends. targetsThatAcceptConnectionsHaveNotCrashed was red on the commit before.

--- a/src/main/java/sycamorehill/logic/crash/CrashSuspicions.java
+++ b/src/main/java/sycamorehill/logic/crash/CrashSuspicions.java
@@ -110,7 +110,7 @@
 			Instant now, Effects effects) {
 		this.evidence.add(new TargetLoss(target, now, false, Map.of(request.identifier(), LostRun.of(request, now))));
 		if (connectionLost) {
-			OwnLoss known = this.ownLosses.put(target, new OwnLoss(service, now, Instant.MIN));
+			OwnLoss known = this.ownLosses.put(target, new OwnLoss(service, now, Instant.MIN, Instant.MIN));
 			probe(Optional.of(TargetAddress.of(target)).filter((address) -> known == null), effects);
 		}
 		if (!isKnown(target)) {
@@ -320,6 +320,9 @@
 				&& this.paths.connectedAt(loss.service()).isAfter(loss.refusedAt())) {
 			return true;
 		}
+		if (loss.connectedAt().isAfter(loss.since()) && !loss.refusedAt().isAfter(loss.connectedAt())) {
+			return false;
+		}
 		boolean pathWasLost = reachableSince.get().isAfter(loss.since());
 		if (pathWasLost && !loss.refusedAt().isAfter(reachableSince.get())) {
 			return false;
@@ -363,6 +366,16 @@
 		});
 	}
 
+	/**
+	 * Records that a target accepted a connection. One that was lost just before is
+	 * alive: a new process takes longer to start. Only its connections were reset.
+	 * @param target the target
+	 * @param now the current time
+	 */
+	public void recordConnected(TargetName target, Instant now) {
+		this.ownLosses.replaceAll((lost, loss) -> lost.name().equals(target) ? loss.connected(now) : loss);
+	}
+
 	private Optional<TargetAddress> drawOther(ServiceName service) {
 		List<TargetIncarnation> others = this.directory.all()
 			.stream()
@@ -446,11 +459,16 @@
 	 * @param service the target's service
 	 * @param since when it was lost
 	 * @param refusedAt when it could last not be connected
+	 * @param connectedAt when it last accepted a connection
 	 */
-	private record OwnLoss(ServiceName service, Instant since, Instant refusedAt) {
+	private record OwnLoss(ServiceName service, Instant since, Instant refusedAt, Instant connectedAt) {
 
 		OwnLoss refused(Instant at) {
-			return new OwnLoss(this.service, this.since, at);
+			return new OwnLoss(this.service, this.since, at, this.connectedAt);
+		}
+
+		OwnLoss connected(Instant at) {
+			return new OwnLoss(this.service, this.since, this.refusedAt, at);
 		}
 
 	}
--- a/src/main/java/sycamorehill/logic/dispatch/RequestDispatcher.java
+++ b/src/main/java/sycamorehill/logic/dispatch/RequestDispatcher.java
@@ -107,6 +107,17 @@
 		return this.paths;
 	}
 
+	/**
+	 * Handles a new connection to a target.
+	 * @param target the target
+	 * @param now the current time
+	 * @param effects receives the resulting effects
+	 */
+	public void handleConnected(TargetName target, Instant now, Effects effects) {
+		this.paths.handleConnected(target, now, effects);
+		this.crashSuspicions.recordConnected(target, now);
+	}
+
 	/**
 	 * Handles a target that could not be connected when its path was tested.
 	 * @param target the target
--- a/src/main/java/sycamorehill/logic/dispatch/TargetPaths.java
+++ b/src/main/java/sycamorehill/logic/dispatch/TargetPaths.java
@@ -56,7 +56,7 @@
 	 * @param now the current time
 	 * @param effects receives the resulting effects
 	 */
-	public void handleConnected(TargetName target, Instant now, Effects effects) {
+	void handleConnected(TargetName target, Instant now, Effects effects) {
 		if (this.reachability.recordConnected(target, now, effects)) {
 			service(target).ifPresent(this::endEjections);
 		}
--- a/src/main/java/sycamorehill/logic/entry/RequestEvents.java
+++ b/src/main/java/sycamorehill/logic/entry/RequestEvents.java
@@ -71,7 +71,7 @@
 
 	private boolean handleTargetEvent(EntryEvent event, Instant now, Effects effects) {
 		if (event instanceof EntryEvent.TargetConnected connected) {
-			this.requests.paths().handleConnected(connected.target(), now, effects);
+			this.requests.handleConnected(connected.target(), now, effects);
 		}
 		else if (event instanceof EntryEvent.TargetUnreached unreached) {
 			this.requests.handleUnreached(unreached.target(), now, effects);
--- a/src/test/java/sycamorehill/logic/entry/CrashSuspicionTests.java
+++ b/src/test/java/sycamorehill/logic/entry/CrashSuspicionTests.java
@@ -194,6 +194,22 @@
 		assertThat(refuses(one, 30)).isTrue();
 	}
 
+	// Connections are reset while the targets live on.
+	@Test
+	void targetsThatAcceptConnectionsHaveNotCrashed() {
+		EntryReducer one = start("one");
+		for (int number = 1; number <= 3; number++) {
+			TargetName target = startedAt(one.accept(new EntryEvent.RequestArrived(crashing(number)), this.now));
+			one.accept(new EntryEvent.AttemptEnded(number, 1, new AttemptEnd.Unknown("Connection reset", true)),
+					this.now);
+			this.now = this.now.plusMillis(10);
+			one.accept(new EntryEvent.TargetConnected(target), this.now);
+			run(one, Duration.ofMillis(500));
+		}
+		run(one, Duration.ofMillis(1500));
+		assertThat(refuses(one, 9)).isFalse();
+	}
+
 	// The answer that shows a content to be sound overtakes the news of the loss.
 	@Test
 	void aLossThatIsToldAfterALaterAnswerCountsForNothing() {
