Send a lost request on while no loss of its kind is known to be a crash

Two reset connections within a request were two losses with its content, and kept it from a third target that its route allows. At least one of them must be a crash now. Tests of the evidence by itself: the risk, its bounds, and by property that the order in which a node is told makes no difference.

--- a/src/main/java/sycamorehill/logic/crash/CrashEvidence.java
+++ b/src/main/java/sycamorehill/logic/crash/CrashEvidence.java
@@ -184,14 +184,13 @@
 	 * @return true if another target must not be risked
 	 */
 	boolean isRisky(Set<RequestTrait> traits) {
-		return traits.stream()
-			.filter(this.suspectTraits::contains)
-			.anyMatch((trait) -> countLosses(
-					trait) >= (hasBeenSound(trait) ? MINIMUM_RISKY_LOSSES_OF_SOUND : MINIMUM_RISKY_LOSSES));
+		return traits.stream().filter(this.suspectTraits::contains).anyMatch(this::isRisky);
 	}
 
-	private long countLosses(RequestTrait trait) {
-		return this.losses.values().stream().filter((loss) -> loss.traits().contains(trait)).count();
+	private boolean isRisky(RequestTrait trait) {
+		List<TargetLoss> lost = this.losses.values().stream().filter((loss) -> loss.traits().contains(trait)).toList();
+		int minimum = hasBeenSound(trait) ? MINIMUM_RISKY_LOSSES_OF_SOUND : MINIMUM_RISKY_LOSSES;
+		return lost.size() >= minimum && lost.stream().anyMatch(TargetLoss::crashed);
 	}
 
 	/**
