Apply a configuration's limits of callers to connections that are kept

A connection now takes the limits in force with the first bytes of each request, and gets a decoder with the new length of heads; bytes of that request that the old one held go to the new one.

--- a/src/main/java/sycamorehill/entry/CallerConnection.java
+++ b/src/main/java/sycamorehill/entry/CallerConnection.java
@@ -50,7 +50,7 @@
 
 	private final CallerServer server;
 
-	private final CallerLimits limits;
+	private CallerLimits limits;
 
 	private final WaitingMessages waitingMessages;
 
@@ -119,12 +119,24 @@
 	 */
 	void handleFirstBytes() {
 		if (!this.readStarted && this.exchange == null && !this.closing) {
+			takeCurrentLimits();
 			markReadStarted();
 			this.timer.start(this.limits.headerTimeout(),
 					() -> refuse(HttpResponseStatus.REQUEST_TIMEOUT, "the head took too long"));
 		}
 	}
 
+	// A caller may keep its connection over many configurations. Bytes of this request
+	// that
+	// the replaced decoder holds go to the new one.
+	private void takeCurrentLimits() {
+		CallerLimits current = this.server.limits();
+		if (current.maximumHeaderBytes() != this.limits.maximumHeaderBytes()) {
+			this.context.pipeline().replace(StrictRequestDecoder.class, null, StrictRequestDecoder.of(current));
+		}
+		this.limits = current;
+	}
+
 	private void markReadStarted() {
 		this.readStarted = true;
 		this.arrivedNanos = System.nanoTime();
--- a/src/main/java/sycamorehill/entry/CallerServer.java
+++ b/src/main/java/sycamorehill/entry/CallerServer.java
@@ -122,8 +122,12 @@
 		return (colon > 0 && !host.endsWith("]")) ? host.substring(0, colon) : host;
 	}
 
+	CallerLimits limits() {
+		return this.limits;
+	}
+
 	/**
-	 * Applies limits to connections that are accepted from now on.
+	 * Applies limits to requests that arrive from now on.
 	 * @param newLimits the limits
 	 */
 	void setLimits(CallerLimits newLimits) {
--- a/src/test/java/sycamorehill/entry/RaisedLimitsTests.java
+++ b/src/test/java/sycamorehill/entry/RaisedLimitsTests.java
@@ -42,4 +42,46 @@
 		}
 	}
 
+	private static Configuration withHeaderLimit(long version, int bytes) {
+		Configuration sample = ServingSamples.configuration(version);
+		CallerLimits limits = new CallerLimits(bytes, sample.limits().maximumBodyBytes(),
+				sample.limits().headerTimeout(), sample.limits().idleTimeout());
+		return new Configuration(version, sample.routes(), sample.services(), limits, sample.workspacesByApiKey(),
+				true);
+	}
+
+	// The decoder of a connection has its limit from the start.
+	@Test
+	void aKeptConnectionTakesHeadsWithinTheRaisedLimit() throws Exception {
+		try (LoopbackCluster cluster = LoopbackCluster.start(LoopbackCluster::hello, LoopbackCluster::hello, List.of(),
+				"one")) {
+			cluster.store(withHeaderLimit(2, 600));
+			cluster.awaitVersion("one", 2);
+			try (KeptConnection kept = KeptConnection.open(cluster.settingsOf("one").callerAddress().port())) {
+				kept.send("/again/x", "small");
+				assertThat(kept.read().hasStatus(200)).isTrue();
+				cluster.store(withHeaderLimit(3, 8000));
+				cluster.awaitVersion("one", 3);
+				kept.send("/again/" + "x".repeat(2000), "large");
+				assertThat(kept.read()).matches((answer) -> answer.hasStatus(200));
+			}
+		}
+	}
+
+	// Configurations that lower a limit are in force for kept connections as well.
+	@Test
+	void aKeptConnectionRefusesBodiesBeyondTheLoweredLimit() throws Exception {
+		try (LoopbackCluster cluster = LoopbackCluster.start(LoopbackCluster::hello, LoopbackCluster::hello, List.of(),
+				"one")) {
+			try (KeptConnection kept = KeptConnection.open(cluster.settingsOf("one").callerAddress().port())) {
+				kept.send("/again/x", "before", "x".repeat(500));
+				assertThat(kept.read().hasStatus(200)).isTrue();
+				cluster.store(withBodyLimit(2, 100));
+				cluster.awaitVersion("one", 2);
+				kept.send("/again/x", "after", "x".repeat(500));
+				assertThat(kept.read()).matches((answer) -> answer.hasStatus(413));
+			}
+		}
+	}
+
 }
