--- a/src/main/java/sycamorehill/gateway/CallerGateway.java
+++ b/src/main/java/sycamorehill/gateway/CallerGateway.java
@@ -27,6 +27,9 @@
 import sycamorehill.model.identity.Address;
 import sycamorehill.model.identity.NodeIncarnation;
 import sycamorehill.model.identity.RequestIdentifier;
+import sycamorehill.model.log.LogEvent;
+import sycamorehill.model.log.LogLine;
+import sycamorehill.runtime.EventLog;
 import sycamorehill.runtime.EventSink;
 import sycamorehill.runtime.RequestPort;
 
@@ -43,6 +46,12 @@
 
 	private static final Duration BODY_TIMEOUT = Duration.ofSeconds(30);
 
+	/**
+	 * How long a stop waits for callers to take answers that are ready. One that never
+	 * reads must not keep the process.
+	 */
+	private static final Duration MAXIMUM_WAIT_FOR_CALLERS = Duration.ofSeconds(5);
+
 	private static final String NO_REQUEST = "";
 
 	private final ExchangeTable exchanges = ExchangeTable.create();
@@ -61,6 +70,8 @@
 
 	private final BooleanSupplier ready;
 
+	private final PendingWrites pendingWrites = PendingWrites.create();
+
 	private HttpServerContext server;
 
 	private CallerGateway(NodeIncarnation self, InstantSource clock, InstantSource wallClock, ObjectMapper json,
@@ -112,6 +123,7 @@
 	public Address listen(InetSocketAddress address) throws Exception {
 		this.server = HttpServers.forAddress(address)
 			.executionStrategy(HttpExecutionStrategies.offloadNone())
+			.transportObserver(this.pendingWrites)
 			.listenStreamingAndAwait(this::handle);
 		InetSocketAddress bound = (InetSocketAddress) this.server.listenAddress();
 		return Address.of(bound.getAddress().getHostAddress(), bound.getPort());
@@ -203,9 +215,13 @@
 
 	@Override
 	public void close() throws Exception {
-		if (this.server != null) {
-			this.server.close();
+		if (this.server == null) {
+			return;
+		}
+		if (!this.pendingWrites.await(MAXIMUM_WAIT_FOR_CALLERS)) {
+			EventLog.write(LogLine.of(LogEvent.ANSWERS_NOT_TAKEN, "parts=" + this.pendingWrites.count()));
 		}
+		this.server.close();
 	}
 
 }
--- a/src/main/java/sycamorehill/model/log/LogEvent.java
+++ b/src/main/java/sycamorehill/model/log/LogEvent.java
@@ -56,6 +56,9 @@
 	/** A stopping node aborted a request at its time limit. */
 	REQUEST_CUT(1102, LogLevel.WARN),
 
+	/** A stopping node closes connections whose callers have not taken their answers. */
+	ANSWERS_NOT_TAKEN(1103, LogLevel.WARN),
+
 	/** This node ejected a target, which receives no requests for a while. */
 	TARGET_ASIDE(1111, LogLevel.WARN),
 
