Tell in the storm test how long its own targets were silent

Whether the test's targets themselves stood still could not be told. The target now records the longest time without an event while streams with pauses are open, and the assertion prints it when it fails. No check is changed.

--- a/src/test/java/sycamorehill/process/ConfigurationStormProcessTests.java
+++ b/src/test/java/sycamorehill/process/ConfigurationStormProcessTests.java
@@ -130,7 +130,10 @@
 		first.startBodies(Integer.getInteger("storm.bodies", 100), BODY_BYTES);
 		storm(2);
 		assertSound(VERSIONS + 1);
-		assertThat(this.nodes.get(0).logText()).doesNotContain("TARGET_SILENT");
+		assertThat(this.nodes.get(0).logText())
+			.as("longest time without an event, in ms, of each target: %s",
+					this.targets.stream().map(StormTarget::longestSilenceMillis).toList())
+			.doesNotContain("TARGET_SILENT");
 	}
 
 	private void assertSound(int lastVersion) throws Exception {
--- a/src/test/java/sycamorehill/process/StormTarget.java
+++ b/src/test/java/sycamorehill/process/StormTarget.java
@@ -21,6 +21,8 @@
 
 	private final AtomicInteger requests = new AtomicInteger();
 
+	private final PacedWrites pacedWrites = new PacedWrites();
+
 	private StormTarget(ServerSocket server) {
 		this.server = server;
 	}
@@ -45,6 +47,15 @@
 		return this.requests.get();
 	}
 
+	/**
+	 * Returns the longest time without an event while streams with pauses were open, so
+	 * that a silence that a node reports can be told from one of this target.
+	 * @return the time, in milliseconds
+	 */
+	long longestSilenceMillis() {
+		return this.pacedWrites.longestSilenceMillis();
+	}
+
 	private void accept() {
 		while (!this.server.isClosed()) {
 			try {
@@ -79,12 +90,25 @@
 		int events = number(head, "[?&]n=", 1);
 		int bytes = number(head, "[?&]b=", 40);
 		int pause = number(head, "[?&]p=", 0);
-		for (int event = 1; event <= events; event++) {
-			String text = "id: " + event + "\ndata: " + "x".repeat(bytes) + "\n\n";
-			out.write((Integer.toHexString(text.length()) + "\r\n" + text + "\r\n")
-				.getBytes(StandardCharsets.ISO_8859_1));
-			out.flush();
-			Thread.sleep(pause);
+		if (pause > 0) {
+			this.pacedWrites.begin();
+		}
+		try {
+			for (int event = 1; event <= events; event++) {
+				String text = "id: " + event + "\ndata: " + "x".repeat(bytes) + "\n\n";
+				out.write((Integer.toHexString(text.length()) + "\r\n" + text + "\r\n")
+					.getBytes(StandardCharsets.ISO_8859_1));
+				out.flush();
+				if (pause > 0) {
+					this.pacedWrites.record();
+				}
+				Thread.sleep(pause);
+			}
+		}
+		finally {
+			if (pause > 0) {
+				this.pacedWrites.end();
+			}
 		}
 		out.write("0\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1));
 		out.flush();
@@ -112,4 +136,35 @@
 		this.server.close();
 	}
 
+	private static final class PacedWrites {
+
+		private int openStreams;
+
+		private long lastNanos;
+
+		private long longestNanos;
+
+		private synchronized void begin() {
+			if (this.openStreams == 0) {
+				this.lastNanos = System.nanoTime();
+			}
+			this.openStreams++;
+		}
+
+		private synchronized void record() {
+			long now = System.nanoTime();
+			this.longestNanos = Math.max(this.longestNanos, now - this.lastNanos);
+			this.lastNanos = now;
+		}
+
+		private synchronized void end() {
+			this.openStreams--;
+		}
+
+		private synchronized long longestSilenceMillis() {
+			return this.longestNanos / 1_000_000;
+		}
+
+	}
+
 }
