Read home regions, warm-ups, evacuation bounds and regions from configuration and settings

Interfaces for the parts of docs/design/uneven-load.md, agreed before they are built side by side: routes and workspaces have home regions, services a warm-up, entries of targets the time for which they stay cold, settings the regions and the two bounds. Nothing uses them yet, so nothing changes for a deployment. A selection removes candidates through filters; the rate limits are the first one.

--- a/src/main/java/sycamorehill/entry/TargetCodec.java
+++ b/src/main/java/sycamorehill/entry/TargetCodec.java
@@ -1,5 +1,6 @@
 package sycamorehill.entry;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -52,6 +53,8 @@
 
 	private static final String STATE = "state";
 
+	private static final String WARM_UP_MILLIS = "warm-up-millis";
+
 	private TargetCodec() {
 	}
 
@@ -69,6 +72,9 @@
 			.put(SLOTS, entry.slots())
 			.put(LEAVING, entry.leaving())
 			.put(BORN, entry.startMillis());
+		if (!entry.warmUpLeft().isZero()) {
+			node.put(WARM_UP_MILLIS, entry.warmUpLeft().toMillis());
+		}
 		entry.domain().ifPresent((domain) -> node.put(DOMAIN, domain));
 		entry.loaded().ifPresent((model) -> node.put(LOADED, model));
 		ArrayNode staged = node.putArray(STAGED);
@@ -100,7 +106,7 @@
 		return new TargetEntry(name, ServiceName.of(node.path(SERVICE).asText()),
 				Address.parse(node.path(ADDRESS).asText()), DataCentreName.of(node.path(DATA_CENTRE).asText()),
 				node.path(SLOTS).asInt(), node.path(LEAVING).asBoolean(), node.path(BORN).asLong(), text(node, DOMAIN),
-				staged, text(node, LOADED), membership(node));
+				staged, text(node, LOADED), membership(node), Duration.ofMillis(node.path(WARM_UP_MILLIS).asLong()));
 	}
 
 	private static Optional<String> text(JsonNode node, String field) {
--- a/src/main/java/sycamorehill/logic/dispatch/TargetRateLimits.java
+++ b/src/main/java/sycamorehill/logic/dispatch/TargetRateLimits.java
@@ -30,7 +30,7 @@
  * the others send it nothing. Nodes in the target's own data centre come first. All nodes
  * that know the same nodes select the same ones.
  */
-final class TargetRateLimits {
+final class TargetRateLimits implements CandidateFilter {
 
 	/** Time between two broadcasts of the same limit, for nodes that missed a message. */
 	private static final Duration BROADCAST_INTERVAL = Duration.ofSeconds(3);
@@ -175,13 +175,8 @@
 		limit.assignShare(sharingNodes.size(), sharingNodes.contains(this.self.name()), now);
 	}
 
-	/**
-	 * Removes the targets that may receive no request from this node now.
-	 * @param candidates the serving targets
-	 * @param now the current time
-	 * @return the targets that may receive a request
-	 */
-	List<Candidate> withinLimits(List<Candidate> candidates, Instant now) {
+	@Override
+	public List<Candidate> filter(List<Candidate> candidates, DispatchedRequest request, Instant now) {
 		if (this.limits.isEmpty()) {
 			return candidates;
 		}
@@ -193,7 +188,8 @@
 		return limit == null || limit.allowsRequest(now);
 	}
 
-	void recordSent(TargetName target, Instant now) {
+	@Override
+	public void recordSent(TargetName target, Instant now) {
 		Optional.ofNullable(this.limits.get(target)).ifPresent((limit) -> limit.recordSent(now));
 	}
 
--- a/src/main/java/sycamorehill/logic/dispatch/TargetSelector.java
+++ b/src/main/java/sycamorehill/logic/dispatch/TargetSelector.java
@@ -29,10 +29,13 @@
 
 	private final TargetRateLimits rateLimits;
 
+	private final List<CandidateFilter> filters;
+
 	private TargetSelector(EntrySettings settings, TargetDirectory directory, RandomGenerator random) {
 		this.servingTargets = ServingTargets.of(directory);
 		this.placement = Placement.of(settings.dataCentre(), random);
 		this.rateLimits = TargetRateLimits.of(settings.toNodeRecord(), directory);
+		this.filters = List.of(this.rateLimits);
 	}
 
 	static TargetSelector of(EntrySettings settings, TargetDirectory directory, RandomGenerator random) {
@@ -85,7 +88,11 @@
 	}
 
 	private List<Candidate> candidates(DispatchedRequest request, Instant now) {
-		return this.rateLimits.withinLimits(servingTargets(request, now), now);
+		List<Candidate> candidates = servingTargets(request, now);
+		for (CandidateFilter filter : this.filters) {
+			candidates = filter.filter(candidates, request, now);
+		}
+		return candidates;
 	}
 
 	private List<Candidate> servingTargets(DispatchedRequest request, Instant now) {
@@ -115,7 +122,7 @@
 	void recordSent(Candidate candidate, Instant now) {
 		TargetName name = candidate.entry().name();
 		status(name).recordSent(candidate.slots());
-		this.rateLimits.recordSent(name, now);
+		this.filters.forEach((filter) -> filter.recordSent(name, now));
 	}
 
 	/**
--- a/src/main/java/sycamorehill/model/serving/TargetEntry.java
+++ b/src/main/java/sycamorehill/model/serving/TargetEntry.java
@@ -1,5 +1,6 @@
 package sycamorehill.model.serving;
 
+import java.time.Duration;
 import java.util.Optional;
 import java.util.Set;
 
@@ -23,10 +24,32 @@
  * @param staged models whose weights are stored on the engine's host
  * @param loaded model that the engine has loaded
  * @param membership the engine's membership in a group
+ * @param warmUpLeft how much longer the target was cold when the entry was written
  */
 public record TargetEntry(TargetName name, ServiceName service, Address address, DataCentreName dataCentre, int slots,
 		boolean leaving, long startMillis, Optional<String> domain, Set<String> staged, Optional<String> loaded,
-		Optional<Membership> membership) {
+		Optional<Membership> membership, Duration warmUpLeft) {
+
+	/**
+	 * Creates the entry of a target that is not cold.
+	 * @param name the target's name
+	 * @param service the service to which it belongs
+	 * @param address where it accepts requests
+	 * @param dataCentre data centre in which it runs
+	 * @param slots number of requests that it runs at once
+	 * @param leaving whether it is about to stop
+	 * @param startMillis start time of the target's process in milliseconds
+	 * @param domain fabric domain of an engine
+	 * @param staged models whose weights are stored on the engine's host
+	 * @param loaded model that the engine has loaded
+	 * @param membership the engine's membership in a group
+	 */
+	public TargetEntry(TargetName name, ServiceName service, Address address, DataCentreName dataCentre, int slots,
+			boolean leaving, long startMillis, Optional<String> domain, Set<String> staged, Optional<String> loaded,
+			Optional<Membership> membership) {
+		this(name, service, address, dataCentre, slots, leaving, startMillis, domain, staged, loaded, membership,
+				Duration.ZERO);
+	}
 
 	/**
 	 * Copies the staged models.
@@ -62,7 +85,7 @@
 	 */
 	public TargetEntry asLeaving() {
 		return new TargetEntry(this.name, this.service, this.address, this.dataCentre, this.slots, true,
-				this.startMillis, this.domain, this.staged, this.loaded, this.membership);
+				this.startMillis, this.domain, this.staged, this.loaded, this.membership, this.warmUpLeft);
 	}
 
 	/**
@@ -73,7 +96,17 @@
 	 */
 	public TargetEntry withReport(Set<String> stagedModels, Optional<Membership> reportedMembership) {
 		return new TargetEntry(this.name, this.service, this.address, this.dataCentre, this.slots, this.leaving,
-				this.startMillis, this.domain, stagedModels, this.loaded, reportedMembership);
+				this.startMillis, this.domain, stagedModels, this.loaded, reportedMembership, this.warmUpLeft);
+	}
+
+	/**
+	 * Returns this entry with another time for which the target stays cold.
+	 * @param left the time
+	 * @return the entry
+	 */
+	public TargetEntry withWarmUpLeft(Duration left) {
+		return new TargetEntry(this.name, this.service, this.address, this.dataCentre, this.slots, this.leaving,
+				this.startMillis, this.domain, this.staged, this.loaded, this.membership, left);
 	}
 
 }
--- a/src/main/java/sycamorehill/platform/ConfigurationDecoder.java
+++ b/src/main/java/sycamorehill/platform/ConfigurationDecoder.java
@@ -3,13 +3,16 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 import com.fasterxml.jackson.databind.JsonNode;
 
+import sycamorehill.model.identity.RegionName;
 import sycamorehill.model.identity.ServiceName;
 import sycamorehill.model.identity.WorkspaceName;
 import sycamorehill.model.serving.CallerLimits;
@@ -19,6 +22,7 @@
 import sycamorehill.model.serving.RequestKind;
 import sycamorehill.model.serving.Route;
 import sycamorehill.model.serving.ServiceParameters;
+import sycamorehill.model.serving.WarmUp;
 import sycamorehill.model.serving.WeightedService;
 import sycamorehill.model.serving.Workspace;
 
@@ -30,6 +34,12 @@
 	/** Priority of a workspace whose entry specifies none; 0 is the most urgent. */
 	private static final int DEFAULT_PRIORITY = 1;
 
+	private static final String HOMES = "allowed_regions";
+
+	private static final String WARM_UP_SECONDS = "warmup_s";
+
+	private static final String WARM_UP_RATE = "warmup_per_s";
+
 	private ConfigurationDecoder() {
 	}
 
@@ -53,7 +63,21 @@
 				JsonFields.text(route, "path_prefix"), requestKind(route), JsonFields.milliseconds(route, "timeout_ms"),
 				JsonFields.milliseconds(route, "target_latency_ms"), pauseTarget,
 				(int) JsonFields.wholeNumber(route, "priority"), weightedServices(route),
-				(int) JsonFields.wholeNumber(route, "max_attempts"), JsonFields.flag(route, "public"));
+				(int) JsonFields.wholeNumber(route, "max_attempts"), JsonFields.flag(route, "public"), homes(route));
+	}
+
+	// A missing list allows all regions.
+	private static Set<RegionName> homes(JsonNode owner) {
+		Set<RegionName> homes = new HashSet<>();
+		if (owner.hasNonNull(HOMES)) {
+			for (JsonNode region : JsonFields.list(owner, HOMES)) {
+				if (!region.isTextual()) {
+					throw new IllegalArgumentException("field '" + HOMES + "' must hold texts, not " + region);
+				}
+				homes.add(RegionName.of(region.textValue()));
+			}
+		}
+		return homes;
 	}
 
 	private static RequestKind requestKind(JsonNode route) {
@@ -84,7 +108,23 @@
 		Optional<EngineParameters> engineParameters = (engine.isObject() && engine.path("models").isArray()
 				&& !engine.path("models").isEmpty()) ? Optional.of(engineParameters(engine)) : Optional.empty();
 		return new ServiceParameters(ServiceName.of(JsonFields.text(service, "name")),
-				(int) JsonFields.wholeNumber(service, "max_connections"), engineParameters);
+				(int) JsonFields.wholeNumber(service, "max_connections"), engineParameters, warmUp(service));
+	}
+
+	// A rate of 0 stands for targets that are never cold, as no request could ever be
+	// sent to one that is.
+	private static Optional<WarmUp> warmUp(JsonNode service) {
+		if (!service.hasNonNull(WARM_UP_SECONDS) || !service.hasNonNull(WARM_UP_RATE)) {
+			return Optional.empty();
+		}
+		Duration time = JsonFields.seconds(service, WARM_UP_SECONDS);
+		double requestsPerSecond = JsonFields.number(service, WARM_UP_RATE);
+		if (time.isNegative() || requestsPerSecond < 0) {
+			throw new IllegalArgumentException(
+					"fields '" + WARM_UP_SECONDS + "' and '" + WARM_UP_RATE + "' must not be negative");
+		}
+		return (time.isZero() || requestsPerSecond == 0) ? Optional.empty()
+				: Optional.of(new WarmUp(time, requestsPerSecond));
 	}
 
 	private static EngineParameters engineParameters(JsonNode engine) {
@@ -115,7 +155,8 @@
 		tenants.forEach((tenant) -> {
 			int priority = tenant.path("priority").isIntegralNumber() ? tenant.path("priority").intValue()
 					: DEFAULT_PRIORITY;
-			Workspace workspace = new Workspace(WorkspaceName.of(JsonFields.text(tenant, "name")), priority);
+			Workspace workspace = new Workspace(WorkspaceName.of(JsonFields.text(tenant, "name")), priority,
+					homes(tenant));
 			JsonFields.list(tenant, "api_keys").forEach((apiKey) -> workspaces.put(apiKey.asText(), workspace));
 		});
 		return workspaces;
--- a/src/main/java/sycamorehill/platform/PlatformSettings.java
+++ b/src/main/java/sycamorehill/platform/PlatformSettings.java
@@ -5,11 +5,16 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
 import java.util.Properties;
 
 import sycamorehill.model.identity.Address;
 import sycamorehill.model.identity.DataCentreName;
+import sycamorehill.model.identity.RegionName;
+import sycamorehill.model.serving.ColdTargetTolerance;
 import sycamorehill.model.serving.EntrySettings;
 
 /**
@@ -22,6 +27,12 @@
 
 	private static final String ZONE_PREFIX = "zones.";
 
+	private static final String COLD_TARGET_OVERSHOOT = "bounds.warmup_overshoot";
+
+	private static final String COLD_TARGET_SLACK = "bounds.warmup_slack";
+
+	private static final String EVACUATION_TIME = "bounds.evacuate_ms";
+
 	private static final String CPU_SHARE = "limits.cpu_share";
 
 	private static final String CPU_CORES = "limits.cpu_cores";
@@ -69,7 +80,37 @@
 				address("platform.address"), Boolean.parseBoolean(text("first_start")),
 				seconds("bounds.grace_period_s"), seconds("bounds.budget_window_s"),
 				number("bounds.retry_budget_ratio"), number("bounds.retry_budget_extra"),
-				milliseconds("bounds.stall_ms"), seconds("bounds.ceiling_window_s"));
+				milliseconds("bounds.stall_ms"), seconds("bounds.ceiling_window_s"), regions(), coldTargetTolerance(),
+				this.values.containsKey(EVACUATION_TIME) ? Optional.of(milliseconds(EVACUATION_TIME))
+						: Optional.empty());
+	}
+
+	private Map<DataCentreName, RegionName> regions() {
+		Map<DataCentreName, RegionName> regions = new HashMap<>();
+		dataCentres().forEach((dataCentre) -> {
+			String region = this.values.getProperty(ZONE_PREFIX + dataCentre.value()).trim();
+			if (!region.isEmpty()) {
+				regions.put(dataCentre, RegionName.of(region));
+			}
+		});
+		return regions;
+	}
+
+	private Optional<ColdTargetTolerance> coldTargetTolerance() {
+		boolean configured = this.values.containsKey(COLD_TARGET_OVERSHOOT)
+				&& this.values.containsKey(COLD_TARGET_SLACK);
+		return configured
+				? Optional
+					.of(new ColdTargetTolerance(nonNegative(COLD_TARGET_OVERSHOOT), nonNegative(COLD_TARGET_SLACK)))
+				: Optional.empty();
+	}
+
+	private double nonNegative(String name) {
+		double value = number(name);
+		if (!Double.isFinite(value) || value < 0) {
+			throw new IllegalArgumentException("setting '" + name + "': expected 0 or more, not '" + value + "'");
+		}
+		return value;
 	}
 
 	private List<DataCentreName> dataCentres() {
--- a/src/main/java/sycamorehill/platform/TargetDecoder.java
+++ b/src/main/java/sycamorehill/platform/TargetDecoder.java
@@ -1,5 +1,6 @@
 package sycamorehill.platform;
 
+import java.time.Duration;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
@@ -27,7 +28,15 @@
 		return new TargetEntry(TargetName.of(name), ServiceName.of(JsonFields.text(spec, "service")),
 				Address.parse(JsonFields.text(spec, "address")), DataCentreName.of(JsonFields.text(spec, "zone")),
 				(int) JsonFields.wholeNumber(spec, "batch_slots"), isLeaving(spec), startMillis(spec),
-				JsonFields.optionalText(spec, "domain"), stagedModels(spec), loadedModel(spec), membership(spec));
+				JsonFields.optionalText(spec, "domain"), stagedModels(spec), loadedModel(spec), membership(spec),
+				warmUpLeft(spec));
+	}
+
+	// A value that can't be read says nothing about the target, which is used like any
+	// other.
+	private static Duration warmUpLeft(JsonNode spec) {
+		JsonNode left = spec.path("warmup_left_ms");
+		return left.isNumber() ? Duration.ofMillis(Math.max(0, Math.round(left.doubleValue()))) : Duration.ZERO;
 	}
 
 	// In a report, the field 'sequence' counts accepted commands; in the store, it counts
