Send nothing to targets in evacuated data centres

Each node follows the kind as a third feed, where bounds.evacuate_ms is set; the reader sends the complete set with its revision in each store update, and is the reader only while this feed is answered as well. A filter removes the targets there; the controller of the groups forms, converts and takes none there. Verify with StoreRelayTests, ManyNodesTests, NodeMessageCodecTests, FeedReaderTests, GroupConversionTests, GroupControllerTests and the checks of layers, comments, log and metrics: green.

--- a/src/main/java/sycamorehill/entry/EntryMetrics.java
+++ b/src/main/java/sycamorehill/entry/EntryMetrics.java
@@ -45,6 +45,7 @@
 		gauge("retries.share-unconfirmed", () -> reducer.retryShare().unconfirmedNodes());
 		gauge("configuration.version", reducer::configurationVersion);
 		gauge("store.reached", () -> reducer.isStoreReachable() ? 1 : 0);
+		gauge("data-centres.evacuated", reducer::evacuatedDataCentres);
 		gauge("loop.failures", guard::failures);
 		gauge("loop.unlogged-failures", guard::unloggedFailures);
 		gauge("process.heap-used-bytes", () -> ManagementFactory.getMemoryMXBean().getHeapMemoryUsage().getUsed());
--- a/src/main/java/sycamorehill/entry/EntryNode.java
+++ b/src/main/java/sycamorehill/entry/EntryNode.java
@@ -23,6 +23,7 @@
 import sycamorehill.model.serving.EntryEffect;
 import sycamorehill.model.serving.EntryEvent;
 import sycamorehill.model.serving.EntrySettings;
+import sycamorehill.model.serving.EvacuationChange;
 import sycamorehill.model.serving.NodeMessage;
 import sycamorehill.model.serving.NotRunCause;
 import sycamorehill.model.serving.StoredConfiguration;
@@ -48,6 +49,9 @@
 	/** Time after which a caller may retry a request that this node failed to handle. */
 	private static final Duration RETRY_AFTER_FAILURE = Duration.ofMillis(300);
 
+	/** Pause between two reads of evacuations if the first one returned some. */
+	private static final Duration PAUSE_AFTER_EVACUATION = Duration.ofMillis(50);
+
 	/**
 	 * A timer that is due later than now runs after the event loop has read once more.
 	 */
@@ -97,6 +101,8 @@
 
 	private FeedReader<TargetChange> targetReader;
 
+	private Optional<FeedReader<EvacuationChange>> evacuationReader = Optional.empty();
+
 	private StoredConfiguration latestConfiguration;
 
 	private final NodeRegistration registration;
@@ -160,11 +166,15 @@
 				this.ports.configurations(), this.loop, new ConfigurationListener());
 		this.targetReader = FeedReader.of(() -> readPace(EntryReducer.STORE_LONG_POLL_WAIT), "targets",
 				this.ports.targets(), this.loop, new TargetListener());
+		this.evacuationReader = this.ports.evacuations()
+			.map((feed) -> FeedReader.of(this::evacuationPace, "evacuations", feed, this.loop,
+					new EvacuationListener()));
 		this.loop.terminationFuture().addListener((ended) -> handleLoopEnd());
 		this.messenger.start(this.settings.peerAddress());
 		this.registration.start();
 		this.configurationReader.start();
 		this.targetReader.start();
+		this.evacuationReader.ifPresent(FeedReader::start);
 		this.loop.scheduleAtFixedRate(this::tick, 0, TICK_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
 		this.proxyServer.start(this.settings.proxyAddress());
 		this.callerServer.start(this.settings.callerAddress());
@@ -178,7 +188,7 @@
 		this.guard.runPeriodicStep(() -> step(new EntryEvent.Ticked()));
 		List<Runnable> checks = List.of(this.targetConnections::closeExpired, this.proxyConnections::closeExpired,
 				this.proxyServer::closeExpired, this.streamMonitor::check, this.configurationReader::resumeIfNeeded,
-				this.targetReader::resumeIfNeeded);
+				this.targetReader::resumeIfNeeded, () -> this.evacuationReader.ifPresent(FeedReader::resumeIfNeeded));
 		checks.forEach((check) -> this.guard.run(LogEvent.INVARIANT_BROKEN, "periodic checks", check));
 	}
 
@@ -203,6 +213,12 @@
 		return new FeedReader.Pace(maximumWait, this.reducer.readPause(now), this.reducer.reliesOnReader(now));
 	}
 
+	private FeedReader.Pace evacuationPace() {
+		Instant now = this.clock.instant();
+		return new FeedReader.Pace(this.reducer.evacuationsWait(now), PAUSE_AFTER_EVACUATION,
+				this.reducer.receivesEvacuations(now));
+	}
+
 	// Without its event loop the process would live on and serve nobody.
 	private void handleLoopEnd() {
 		this.plannedStop.whenFinished().completeExceptionally(new IllegalStateException("the event loop ended"));
@@ -321,6 +337,9 @@
 		else if (effect instanceof EntryEffect.AdvanceTargetRevision advance) {
 			this.targetReader.advanceRevision(advance.revision());
 		}
+		else if (effect instanceof EntryEffect.AdvanceEvacuationRevision advance) {
+			this.evacuationReader.ifPresent((reader) -> reader.advanceRevision(advance.revision()));
+		}
 		else {
 			return false;
 		}
@@ -486,4 +505,27 @@
 
 	}
 
+	/**
+	 * Posts the evacuations and their changes to the reducer.
+	 */
+	private final class EvacuationListener implements FeedReader.Listener<EvacuationChange> {
+
+		@Override
+		public void handleList(Feed.Page<EvacuationChange> all) {
+			processEvent(new EntryEvent.EvacuationsListed(
+					all.items().stream().map(EvacuationChange::dataCentre).toList(), all.revision()));
+		}
+
+		@Override
+		public void handleChanges(Feed.Page<EvacuationChange> changes, long since) {
+			processEvent(new EntryEvent.EvacuationsChanged(changes.items(), changes.revision()));
+		}
+
+		@Override
+		public void handleUnreachable() {
+			processEvent(new EntryEvent.EvacuationsUnreachable());
+		}
+
+	}
+
 }
--- a/src/main/java/sycamorehill/entry/NodeMessageFields.java
+++ b/src/main/java/sycamorehill/entry/NodeMessageFields.java
@@ -19,6 +19,7 @@
 import sycamorehill.model.identity.DataCentreName;
 import sycamorehill.model.identity.ServiceName;
 import sycamorehill.model.identity.TargetName;
+import sycamorehill.model.serving.EvacuatedDataCentres;
 import sycamorehill.model.serving.Lease;
 import sycamorehill.model.serving.LoadSum;
 import sycamorehill.model.serving.NodeMessage;
@@ -87,6 +88,12 @@
 
 	private static final String AGE_MILLIS = "age-millis";
 
+	private static final String EVACUATED = "evacuated";
+
+	private static final String RETURNED = "returned";
+
+	private static final String EVACUATIONS_REVISION = "evacuations-revision";
+
 	private NodeMessageFields() {
 	}
 
@@ -224,13 +231,35 @@
 				.put(TERM, lease.term())
 				.put(LEASE_REVISION, lease.revision())
 				.put(RECENT_TERMS, lease.recentTerms()));
+		update.evacuations().ifPresent((evacuations) -> writeEvacuations(evacuations, body));
+	}
+
+	private static void writeEvacuations(EvacuatedDataCentres evacuations, ObjectNode body) {
+		body.put(EVACUATIONS_REVISION, evacuations.revision());
+		ArrayNode names = body.putArray(EVACUATED);
+		evacuations.sortedNames().forEach((name) -> names.add(name.value()));
+		ObjectNode returned = body.putObject(RETURNED);
+		evacuations.sortedReturned().forEach((name, revision) -> returned.put(name.value(), revision));
+	}
+
+	private static Optional<EvacuatedDataCentres> readEvacuations(JsonNode body) {
+		if (!body.has(EVACUATIONS_REVISION)) {
+			return Optional.empty();
+		}
+		Set<DataCentreName> names = new HashSet<>();
+		body.path(EVACUATED).forEach((name) -> names.add(DataCentreName.of(name.asText())));
+		Map<DataCentreName, Long> returned = new HashMap<>();
+		body.path(RETURNED)
+			.fields()
+			.forEachRemaining((field) -> returned.put(DataCentreName.of(field.getKey()), field.getValue().asLong()));
+		return Optional.of(new EvacuatedDataCentres(names, returned, body.path(EVACUATIONS_REVISION).asLong()));
 	}
 
 	private static NodeMessage readUpdate(String sender, JsonNode body) {
 		return new NodeMessage.StoreUpdate(sender, readDataCentre(body), body.path(CONFIGURATION).asLong(),
 				body.path(CONFIGURATION_REVISION).asLong(), body.path(CHANGED_BEFORE).asLong(),
 				body.path(SINCE).asLong(), body.path(REVISION).asLong(), TargetCodec.read(body.path(CHANGES)),
-				readLease(body), Duration.ofMillis(body.path(AGE_MILLIS).asLong()));
+				readLease(body), Duration.ofMillis(body.path(AGE_MILLIS).asLong()), readEvacuations(body));
 	}
 
 	private static Optional<Lease> readLease(JsonNode body) {
--- a/src/main/java/sycamorehill/logic/directory/TargetDirectory.java
+++ b/src/main/java/sycamorehill/logic/directory/TargetDirectory.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.Set;
 
+import sycamorehill.model.identity.DataCentreName;
 import sycamorehill.model.identity.TargetName;
 import sycamorehill.model.serving.EngineReport;
 import sycamorehill.model.serving.TargetChange;
@@ -39,6 +40,8 @@
 
 	private final LeavingTargets leaving = new LeavingTargets();
 
+	private Set<DataCentreName> evacuated = Set.of();
+
 	private boolean storeUnreachable;
 
 	private Instant storeReachableSince = Instant.MIN;
@@ -56,6 +59,31 @@
 		return new TargetDirectory();
 	}
 
+	/**
+	 * Replaces the evacuated data centres.
+	 * @param dataCentres all data centres that are evacuated
+	 */
+	public void updateEvacuated(Set<DataCentreName> dataCentres) {
+		this.evacuated = Set.copyOf(dataCentres);
+	}
+
+	/**
+	 * Returns the evacuated data centres.
+	 * @return their names
+	 */
+	public Set<DataCentreName> evacuated() {
+		return this.evacuated;
+	}
+
+	/**
+	 * Returns whether a target's data centre is evacuated.
+	 * @param target the target
+	 * @return true if nothing more may be sent to it
+	 */
+	public boolean isEvacuated(TargetEntry target) {
+		return this.evacuated.contains(target.dataCentre());
+	}
+
 	/**
 	 * Records whether the store answered.
 	 * @param reachable whether it did
--- a/src/main/java/sycamorehill/logic/dispatch/AttemptScheduler.java
+++ b/src/main/java/sycamorehill/logic/dispatch/AttemptScheduler.java
@@ -98,6 +98,11 @@
 	 * @param effects receives the resulting effects
 	 */
 	void place(DispatchedRequest request, String fallbackCause, Instant now, Effects effects) {
+		Optional<String> evacuated = this.targetSelector.findEvacuationCause(request, now);
+		if (evacuated.isPresent()) {
+			endWithoutTarget(request, evacuated.get(), now, effects);
+			return;
+		}
 		if (this.reachability.isUnreachable(request.service())) {
 			placeThroughAnotherNode(request, fallbackCause, now, effects);
 			return;
@@ -106,11 +111,18 @@
 		if (isAdmitted(selection)) {
 			this.attemptStarter.start(request, selection, now, effects);
 		}
-		else if (request.proxied().isPresent()) {
+		else {
+			endWithoutTarget(request, selection.choice().isEmpty() ? fallbackCause : "all targets are full", now,
+					effects);
+		}
+	}
+
+	private void endWithoutTarget(DispatchedRequest request, String cause, Instant now, Effects effects) {
+		if (request.proxied().isPresent()) {
 			endProxied(request, Optional.empty(), new AttemptEnd.NotRun(NotRunCause.NO_TARGET), now, effects);
 		}
 		else {
-			giveUp(request, selection.choice().isEmpty() ? fallbackCause : "all targets are full", now, effects);
+			giveUp(request, cause, now, effects);
 		}
 	}
 
@@ -252,7 +264,8 @@
 	 * @return the place; empty if there is none
 	 */
 	Optional<AlternativePlace> findAlternative(DispatchedRequest request, Instant now) {
-		if (request.targetsReached() + 1 >= request.route().maximumAttempts()) {
+		if (request.targetsReached() + 1 >= request.route().maximumAttempts()
+				|| this.targetSelector.findEvacuationCause(request, now).isPresent()) {
 			return Optional.empty();
 		}
 		if (this.reachability.isUnreachable(request.service())) {
--- a/src/main/java/sycamorehill/logic/dispatch/RequestDispatcher.java
+++ b/src/main/java/sycamorehill/logic/dispatch/RequestDispatcher.java
@@ -6,12 +6,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.random.RandomGenerator;
 
 import sycamorehill.logic.Effects;
 import sycamorehill.logic.crash.CrashSuspicions;
 import sycamorehill.logic.directory.GroupKey;
 import sycamorehill.logic.directory.TargetDirectory;
+import sycamorehill.model.identity.DataCentreName;
 import sycamorehill.model.identity.ServiceName;
 import sycamorehill.model.identity.TargetName;
 import sycamorehill.model.log.LogEvent;
@@ -360,6 +362,15 @@
 		this.retryBudgets.updateSettings(settings);
 	}
 
+	/**
+	 * Handles the end of evacuations. The targets of these data centres may be cold.
+	 * @param dataCentres the data centres, to which requests may be sent again
+	 * @param now the current time
+	 */
+	public void handleEvacuationsEnded(Set<DataCentreName> dataCentres, Instant now) {
+		this.targetSelector.handleEvacuationsEnded(dataCentres, now);
+	}
+
 	/**
 	 * Handles the end of a group before the directory lists it.
 	 * @param head the engine that received the group's requests
--- a/src/main/java/sycamorehill/logic/dispatch/TargetSelector.java
+++ b/src/main/java/sycamorehill/logic/dispatch/TargetSelector.java
@@ -11,6 +11,7 @@
 
 import sycamorehill.logic.Effects;
 import sycamorehill.logic.directory.TargetDirectory;
+import sycamorehill.model.identity.DataCentreName;
 import sycamorehill.model.identity.TargetName;
 import sycamorehill.model.serving.EntrySettings;
 import sycamorehill.model.serving.NodeRecord;
@@ -29,13 +30,18 @@
 
 	private final TargetRateLimits rateLimits;
 
+	private final EvacuationFilter evacuations;
+
 	private final List<CandidateFilter> filters;
 
+	private final List<ReturnedDataCentres> returnListeners = List.of();
+
 	private TargetSelector(EntrySettings settings, TargetDirectory directory, RandomGenerator random) {
 		this.servingTargets = ServingTargets.of(directory);
 		this.placement = Placement.of(settings.dataCentre(), random);
 		this.rateLimits = TargetRateLimits.of(settings.toNodeRecord(), directory);
-		this.filters = List.of(this.rateLimits);
+		this.evacuations = EvacuationFilter.of(directory, settings.dataCentres());
+		this.filters = List.of(this.evacuations, this.rateLimits);
 	}
 
 	static TargetSelector of(EntrySettings settings, TargetDirectory directory, RandomGenerator random) {
@@ -87,6 +93,26 @@
 			.orElse(Duration.ZERO);
 	}
 
+	/**
+	 * Returns why evacuations leave no target for a request.
+	 * @param request the request
+	 * @param now the current time
+	 * @return the cause; empty unless it is the evacuations that leave none
+	 */
+	Optional<String> findEvacuationCause(DispatchedRequest request, Instant now) {
+		return this.evacuations.isActive() ? this.evacuations.findCause(servingTargets(request, now))
+				: Optional.empty();
+	}
+
+	/**
+	 * Handles the end of evacuations.
+	 * @param dataCentres the data centres
+	 * @param now the current time
+	 */
+	void handleEvacuationsEnded(Set<DataCentreName> dataCentres, Instant now) {
+		this.returnListeners.forEach((listener) -> listener.handleReturned(dataCentres, now));
+	}
+
 	private List<Candidate> candidates(DispatchedRequest request, Instant now) {
 		List<Candidate> candidates = servingTargets(request, now);
 		for (CandidateFilter filter : this.filters) {
--- a/src/main/java/sycamorehill/logic/entry/EntryReducer.java
+++ b/src/main/java/sycamorehill/logic/entry/EntryReducer.java
@@ -76,6 +76,8 @@
 
 	private final RequestEvents requestEvents;
 
+	private final Evacuations evacuations;
+
 	private final StoreRelay relay;
 
 	private final StoreUpdateLog storeUpdateLog;
@@ -97,11 +99,16 @@
 		this.peers = PeerNodes.of(settings.toNodeRecord());
 		this.registeredNodes = RegisteredNodes.of(settings.nodeName());
 		this.retryShares = RetryShares.of(settings, this.registeredNodes);
-		this.relay = StoreRelay.of(settings.nodeName(), settings.dataCentre(), this.peers::takesPrecedence);
+		this.requests = RequestDispatcher.of(settings, this.directory, random);
+		this.evacuations = Evacuations.of(settings, this.directory, this.requests);
+		if (this.evacuations.isEnabled()) {
+			this.stage.awaitEvacuations();
+		}
+		this.relay = StoreRelay.of(settings.nodeName(), settings.dataCentre(), this.peers::takesPrecedence,
+				this.evacuations::isRecentlyRead);
 		this.storeUpdateLog = StoreUpdateLog.of(settings.nodeName(), this.relay, this.directory);
 		this.configurationDistribution = ConfigurationDistribution.of(settings.nodeName(), this.peers, this.relay);
 		this.loadAggregation = LoadAggregation.of(settings.toNodeRecord(), this.peers, this.relay);
-		this.requests = RequestDispatcher.of(settings, this.directory, random);
 		this.crashReports = CrashReportExchange.of(settings.nodeName(), this.peers, this.requests, random);
 		this.directoryUpdates = DirectoryUpdates.of(settings.nodeName(), this.directory, this.requests,
 				this.storeUpdateLog);
@@ -110,7 +117,7 @@
 		this.requestEvents = RequestEvents.of(this.stage, this.requests, this.groups, this.directoryUpdates,
 				this.silentTargets);
 		this.storeUpdates = StoreUpdates.of(settings.nodeName(), this.peers, this.relay, this.storeUpdateLog,
-				this.directoryUpdates, this.configurationDistribution, this.groups);
+				this.directoryUpdates, this.configurationDistribution, this.groups, this.evacuations);
 	}
 
 	/**
@@ -134,7 +141,8 @@
 	 */
 	public List<EntryEffect> accept(EntryEvent event, Instant now) {
 		Effects effects = Effects.create();
-		if (!this.requestEvents.handle(event, now, effects) && !handleGroupEvent(event, now, effects)) {
+		if (!this.requestEvents.handle(event, now, effects) && !handleGroupEvent(event, now, effects)
+				&& !handleEvacuationEvent(event, now, effects)) {
 			handleNodeEvent(event, now, effects);
 		}
 		return resolveBroadcasts(effects.all());
@@ -268,6 +276,29 @@
 		return true;
 	}
 
+	private boolean handleEvacuationEvent(EntryEvent event, Instant now, Effects effects) {
+		boolean changed = false;
+		if (event instanceof EntryEvent.EvacuationsListed all) {
+			changed = this.evacuations.handleList(all.dataCentres(), all.revision(), now, effects);
+		}
+		else if (event instanceof EntryEvent.EvacuationsChanged read) {
+			changed = this.evacuations.handleChanges(read.changes(), read.revision(), now, effects);
+		}
+		else if (event instanceof EntryEvent.EvacuationsUnreachable) {
+			this.evacuations.recordReadFailure();
+			return true;
+		}
+		else {
+			return false;
+		}
+		this.relay.recordEvacuationsRead(now);
+		if (changed) {
+			this.storeUpdates.sendProgress(nodeState(), now, effects);
+		}
+		tick(now, effects);
+		return true;
+	}
+
 	private void handleNodeEvent(EntryEvent event, Instant now, Effects effects) {
 		if (event instanceof EntryEvent.ConfigurationRead read) {
 			this.relay.recordConfigurationRead(read.revision(), now);
@@ -339,6 +370,7 @@
 	}
 
 	private void tick(Instant now, Effects effects) {
+		updateStage(now, effects);
 		this.storeUpdateLog.logReaderChange(now, effects);
 		this.directoryUpdates.dropMissing(now, effects);
 		introduceIfDue(now, effects);
@@ -361,6 +393,16 @@
 		}
 	}
 
+	private void updateStage(Instant now, Effects effects) {
+		if (this.evacuations.isKnown()) {
+			this.stage.markEvacuationsKnown();
+		}
+		else if (this.stage.stopAwaitingEvacuations(now)) {
+			effects.log(LogEvent.STORE_CONTACT, "evacuations: not listed within "
+					+ NodeStage.MAXIMUM_EVACUATIONS_WAIT.toMillis() + " ms; the node serves without them");
+		}
+	}
+
 	// Versions only increase within one incarnation of the process, whatever the store
 	// returns.
 	private void applyConfiguration(Configuration read, String source, Instant now, Effects effects) {
@@ -412,6 +454,32 @@
 		return this.relay.reliesOnReader(now);
 	}
 
+	/**
+	 * Returns whether another node reads the evacuations for this one.
+	 * @param now the current time
+	 * @return true if this node need not read them
+	 */
+	public boolean receivesEvacuations(Instant now) {
+		return reliesOnReader(now) && this.evacuations.areReceived(now);
+	}
+
+	/**
+	 * Returns how long the next call for evacuations may wait in the store.
+	 * @param now the current time
+	 * @return the time
+	 */
+	public Duration evacuationsWait(Instant now) {
+		return this.evacuations.longPollWait(now);
+	}
+
+	/**
+	 * Returns the number of evacuated data centres that this node knows.
+	 * @return the number
+	 */
+	public long evacuatedDataCentres() {
+		return this.evacuations.count();
+	}
+
 	/**
 	 * Returns whether a host is that of another node.
 	 * @param host the host
--- a/src/main/java/sycamorehill/logic/entry/NodeStage.java
+++ b/src/main/java/sycamorehill/logic/entry/NodeStage.java
@@ -8,12 +8,48 @@
  */
 final class NodeStage {
 
+	/**
+	 * How long a node with configuration and targets waits for the evacuations. They are
+	 * requested at the same time as the others, and a call fails after 0.8 s.
+	 */
+	static final Duration MAXIMUM_EVACUATIONS_WAIT = Duration.ofMillis(1000);
+
 	private boolean configured;
 
 	private boolean targetsListed;
 
+	private boolean evacuationsAwaited;
+
+	private Instant servableSince = Instant.MIN;
+
 	private Instant stopRequestedAt;
 
+	/** Has the node become ready only after the evacuations are known. */
+	void awaitEvacuations() {
+		this.evacuationsAwaited = true;
+	}
+
+	void markEvacuationsKnown() {
+		this.evacuationsAwaited = false;
+	}
+
+	/**
+	 * Stops waiting for the evacuations if they are the only thing that is missing for
+	 * too long.
+	 * @param now the current time
+	 * @return true if the node becomes ready without them now
+	 */
+	boolean stopAwaitingEvacuations(Instant now) {
+		if (!this.evacuationsAwaited || !this.configured || !this.targetsListed) {
+			return false;
+		}
+		if (this.servableSince == Instant.MIN) {
+			this.servableSince = now;
+		}
+		this.evacuationsAwaited = now.isBefore(this.servableSince.plus(MAXIMUM_EVACUATIONS_WAIT));
+		return !this.evacuationsAwaited;
+	}
+
 	void markConfigured() {
 		this.configured = true;
 	}
@@ -27,11 +63,12 @@
 	}
 
 	/**
-	 * Returns whether the node knows its configuration and the targets.
+	 * Returns whether the node knows its configuration, the targets and, unless they
+	 * didn't come in time, the evacuations.
 	 * @return true if it can serve requests
 	 */
 	boolean isInitialized() {
-		return this.configured && this.targetsListed;
+		return this.configured && this.targetsListed && !this.evacuationsAwaited;
 	}
 
 	boolean isStopping() {
--- a/src/main/java/sycamorehill/logic/entry/StoreRelay.java
+++ b/src/main/java/sycamorehill/logic/entry/StoreRelay.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.BiPredicate;
+import java.util.function.Predicate;
 
 import sycamorehill.model.identity.DataCentreName;
 import sycamorehill.model.serving.NodeMessage;
@@ -57,6 +58,8 @@
 
 	private final BiPredicate<String, String> takesPrecedence;
 
+	private final Predicate<Instant> evacuationsRead;
+
 	private final RecentChanges recentChanges = new RecentChanges();
 
 	private long revision = -1;
@@ -75,14 +78,26 @@
 
 	private Source source = Source.NONE;
 
-	private StoreRelay(String self, DataCentreName dataCentre, BiPredicate<String, String> takesPrecedence) {
+	private StoreRelay(String self, DataCentreName dataCentre, BiPredicate<String, String> takesPrecedence,
+			Predicate<Instant> evacuationsRead) {
 		this.self = self;
 		this.dataCentre = dataCentre;
 		this.takesPrecedence = takesPrecedence;
+		this.evacuationsRead = evacuationsRead;
 	}
 
-	static StoreRelay of(String self, DataCentreName dataCentre, BiPredicate<String, String> takesPrecedence) {
-		return new StoreRelay(self, dataCentre, takesPrecedence);
+	/**
+	 * Creates a relay.
+	 * @param self the node's name
+	 * @param dataCentre the node's data centre
+	 * @param takesPrecedence whether the first node reads rather than the second one
+	 * @param evacuationsRead whether the store has answered this node's last call for
+	 * evacuations at a time
+	 * @return the relay
+	 */
+	static StoreRelay of(String self, DataCentreName dataCentre, BiPredicate<String, String> takesPrecedence,
+			Predicate<Instant> evacuationsRead) {
+		return new StoreRelay(self, dataCentre, takesPrecedence, evacuationsRead);
 	}
 
 	/**
@@ -159,7 +174,15 @@
 		replaceSource(now);
 	}
 
-	// Once the store answers both kinds of calls, this node reads for the others again.
+	/**
+	 * Records that the store answered a call for the evacuations.
+	 * @param now the current time
+	 */
+	void recordEvacuationsRead(Instant now) {
+		replaceSource(now);
+	}
+
+	// Once the store answers all kinds of calls, this node reads for the others again.
 	private void replaceSource(Instant now) {
 		if (receivesStoreUpdates(now) && takesPrecedenceOverSource() && hasRecentReads(now)) {
 			this.source = Source.NONE;
@@ -237,19 +260,19 @@
 	}
 
 	/**
-	 * Returns whether this node is the reader for others. The others make neither kind of
-	 * call, so a call that hangs must keep this node from sending updates, even if calls
-	 * of the other kind are answered.
+	 * Returns whether this node is the reader for others. The others make no calls of any
+	 * kind, so a call that hangs must keep this node from sending updates, even if calls
+	 * of the other kinds are answered.
 	 * @param now the current time
-	 * @return true if no node reads for this one and the store answers both kinds of
-	 * calls
+	 * @return true if no node reads for this one and the store answers all kinds of calls
 	 */
 	boolean isReader(Instant now) {
 		return !receivesStoreUpdates(now) && hasRecentReads(now);
 	}
 
 	private boolean hasRecentReads(Instant now) {
-		return isRecent(this.targetsReadAt, now) && isRecent(this.configurationReadAt, now);
+		return isRecent(this.targetsReadAt, now) && isRecent(this.configurationReadAt, now)
+				&& this.evacuationsRead.test(now);
 	}
 
 	private static boolean isRecent(Instant readAt, Instant now) {
--- a/src/main/java/sycamorehill/logic/entry/StoreUpdates.java
+++ b/src/main/java/sycamorehill/logic/entry/StoreUpdates.java
@@ -28,8 +28,10 @@
 
 	private final GroupController groups;
 
+	private final Evacuations evacuations;
+
 	private StoreUpdates(String self, PeerNodes peers, StoreRelay relay, StoreUpdateLog log, DirectoryUpdates directory,
-			ConfigurationDistribution configurations, GroupController groups) {
+			ConfigurationDistribution configurations, GroupController groups, Evacuations evacuations) {
 		this.self = self;
 		this.peers = peers;
 		this.relay = relay;
@@ -37,11 +39,13 @@
 		this.directory = directory;
 		this.configurations = configurations;
 		this.groups = groups;
+		this.evacuations = evacuations;
 	}
 
 	static StoreUpdates of(String self, PeerNodes peers, StoreRelay relay, StoreUpdateLog log,
-			DirectoryUpdates directory, ConfigurationDistribution configurations, GroupController groups) {
-		return new StoreUpdates(self, peers, relay, log, directory, configurations, groups);
+			DirectoryUpdates directory, ConfigurationDistribution configurations, GroupController groups,
+			Evacuations evacuations) {
+		return new StoreUpdates(self, peers, relay, log, directory, configurations, groups, evacuations);
 	}
 
 	/**
@@ -53,6 +57,7 @@
 	 * @return whether the update changed any targets
 	 */
 	boolean handleUpdate(NodeMessage.StoreUpdate update, NodeState node, Instant now, Effects effects) {
+		boolean evacuationsChanged = handleEvacuations(update, now, effects);
 		StoreRelay.UpdateResult result = this.relay.handleUpdate(update, now);
 		if (!result.accepted()) {
 			return false;
@@ -64,13 +69,40 @@
 			this.directory.applyStored(update.changes(), now, effects);
 		}
 		if (!node.stopping()) {
-			result.relayedUpdate().ifPresent((relayed) -> this.peers.sendToLocalPeers(relayed, effects));
+			result.relayedUpdate()
+				.ifPresent((relayed) -> this.peers.sendToLocalPeers(relayed.withEvacuations(this.evacuations.state()),
+						effects));
+		}
+		if (evacuationsChanged && result.relayedUpdate().isEmpty()) {
+			sendProgress(node, now, effects);
 		}
 		advanceReads(update, node, effects);
 		requestMissed(update, result, now, effects);
 		return result.applyChanges();
 	}
 
+	// The state with the highest revision is the newest one, whichever node sends it.
+	private boolean handleEvacuations(NodeMessage.StoreUpdate update, Instant now, Effects effects) {
+		boolean changed = this.evacuations.handleUpdate(update.evacuations(), update.sender(), now, effects);
+		this.evacuations.state()
+			.filter((state) -> update.evacuations().isPresent())
+			.ifPresent((state) -> effects.add(new EntryEffect.AdvanceEvacuationRevision(state.revision())));
+		return changed;
+	}
+
+	/**
+	 * Reports this node's progress at once to the nodes that it reads for or relays to,
+	 * because the evacuations have changed.
+	 * @param node the state of this node
+	 * @param now the current time
+	 * @param effects receives the resulting effects
+	 */
+	void sendProgress(NodeState node, Instant now, Effects effects) {
+		if (!node.stopping() && (this.relay.isReader(now) || this.relay.isRelay(now))) {
+			send(this.relay.createProgressUpdate(now), now, effects);
+		}
+	}
+
 	private void advanceReads(NodeMessage.StoreUpdate update, NodeState node, Effects effects) {
 		effects.add(new EntryEffect.AdvanceTargetRevision(this.relay.revision()));
 		if (update.configurationVersion() == node.configurationVersion()) {
@@ -99,7 +131,8 @@
 	 */
 	void repeatChanges(NodeMessage.ChangesRequest wanted, Instant now, Effects effects) {
 		this.relay.repeatChanges(wanted.since(), now)
-			.ifPresent((update) -> this.peers.sendTo(wanted.sender(), update, effects));
+			.ifPresent((update) -> this.peers.sendTo(wanted.sender(), update.withEvacuations(this.evacuations.state()),
+					effects));
 	}
 
 	/**
@@ -134,7 +167,8 @@
 	}
 
 	private void send(NodeMessage.StoreUpdate update, Instant now, Effects effects) {
-		NodeMessage.StoreUpdate complete = update.withLease(this.groups.lease());
+		NodeMessage.StoreUpdate complete = update.withLease(this.groups.lease())
+			.withEvacuations(this.evacuations.state());
 		this.relay.recordUpdateSent(now);
 		this.peers.sendToLocalPeers(complete, effects);
 		if (this.relay.isReader(now)) {
--- a/src/main/java/sycamorehill/logic/layout/GroupConversions.java
+++ b/src/main/java/sycamorehill/logic/layout/GroupConversions.java
@@ -13,6 +13,7 @@
 import sycamorehill.logic.Effects;
 import sycamorehill.logic.directory.GroupKey;
 import sycamorehill.logic.directory.GroupView;
+import sycamorehill.logic.directory.TargetDirectory;
 import sycamorehill.model.log.LogEvent;
 import sycamorehill.model.serving.EngineParameters;
 import sycamorehill.model.serving.ModelParameters;
@@ -37,15 +38,18 @@
 
 	private final WeightLoadTracker loads;
 
+	private final TargetDirectory directory;
+
 	private final Map<GroupKey, ModelParameters> conversions = new HashMap<>();
 
-	private GroupConversions(ModelDemand demand, WeightLoadTracker loads) {
+	private GroupConversions(ModelDemand demand, WeightLoadTracker loads, TargetDirectory directory) {
 		this.demand = demand;
 		this.loads = loads;
+		this.directory = directory;
 	}
 
-	static GroupConversions of(ModelDemand demand, WeightLoadTracker loads) {
-		return new GroupConversions(demand, loads);
+	static GroupConversions of(ModelDemand demand, WeightLoadTracker loads, TargetDirectory directory) {
+		return new GroupConversions(demand, loads, directory);
 	}
 
 	void clear() {
@@ -64,7 +68,8 @@
 	 */
 	boolean isPrepared(GroupView group) {
 		ModelParameters model = this.conversions.get(group.key());
-		return model != null && group.members().stream().allMatch((member) -> member.staged().contains(model.name()));
+		return model != null && !this.directory.isEvacuated(group.head())
+				&& group.members().stream().allMatch((member) -> member.staged().contains(model.name()));
 	}
 
 	/**
@@ -100,7 +105,7 @@
 	private void cancelUnneeded(LayoutPlan.DesiredGroupCounts counts, List<GroupView> groups) {
 		for (GroupView group : groups) {
 			boolean surplus = count(group.model(), groups) > counts.desired(group.model());
-			if (!surplus && !isPrepared(group)) {
+			if ((!surplus && !isPrepared(group)) || this.directory.isEvacuated(group.head())) {
 				this.conversions.remove(group.key());
 			}
 		}
@@ -134,7 +139,7 @@
 	private Optional<GroupView> chooseGroup(ModelParameters model, List<GroupView> groups) {
 		return groups.stream()
 			.filter((group) -> group.model().equals(model) && group.serving()
-					&& !this.conversions.containsKey(group.key()))
+					&& !this.conversions.containsKey(group.key()) && !this.directory.isEvacuated(group.head()))
 			.min(Comparator.comparing(GroupView::name));
 	}
 
--- a/src/main/java/sycamorehill/logic/layout/ServiceGroups.java
+++ b/src/main/java/sycamorehill/logic/layout/ServiceGroups.java
@@ -58,7 +58,7 @@
 		this.service = service;
 		this.shared = shared;
 		this.loads = WeightLoadTracker.of(LoadBudget.of(settings.loadWindow()), shared.phase());
-		this.conversions = GroupConversions.of(this.demand, this.loads);
+		this.conversions = GroupConversions.of(this.demand, this.loads, shared.directory());
 		this.builder = GroupBuilder.of(shared.directory(), shared.commandSender(), shared.unreachable());
 		this.disbander = GroupDisbander.of(shared.directory(), shared.commandSender(), settings.stallTime());
 		this.summary = GroupSummary.of(service);
@@ -195,6 +195,9 @@
 	private void endUnconfigured(GroupView group, Set<TargetName> claimed, Instant now, Effects effects) {
 		if (!this.disbander.hasEnded(group)) {
 			claim(group, claimed);
+			if (isEvacuated(group.head()) && !isDisbanding(group)) {
+				return;
+			}
 			this.builder.drop(group);
 			this.disbander.proceed(group, reachability(group), now, effects);
 		}
@@ -241,16 +244,22 @@
 			.filter((group) -> !isDisbanding(group) && !this.builder.isForming(group))
 			.forEach((group) -> inventories.addGroup(group.model(), group.head()));
 		this.builder.formingGroups().forEach((group) -> inventories.addGroup(group.model(), group.members().get(0)));
-		freeEngines.forEach(
-				(engine) -> inventories.addSpare(spare(engine, !this.shared.detached().isBlocked(engine, now), now)));
+		freeEngines.stream()
+			.filter((engine) -> !isEvacuated(engine))
+			.forEach((engine) -> inventories
+				.addSpare(spare(engine, !this.shared.detached().isBlocked(engine, now), now)));
 		groups.stream()
 			.filter(this.disbander::isDisbanding)
 			.flatMap((group) -> group.members().stream())
-			.filter((member) -> !this.shared.unreachable().isUnusable(member))
+			.filter((member) -> !this.shared.unreachable().isUnusable(member) && !isEvacuated(member))
 			.forEach((survivor) -> inventories.addSpare(spare(survivor, false, now)));
 		return LayoutPlan.of(parameters, counts, inventories.all());
 	}
 
+	private boolean isEvacuated(TargetEntry engine) {
+		return this.shared.directory().isEvacuated(engine);
+	}
+
 	private SpareEngine spare(TargetEntry engine, boolean usable, Instant now) {
 		return new SpareEngine(engine, this.loads.loadingModel(engine), usable,
 				this.freeEngines.isReassignable(engine, now));
--- a/src/main/java/sycamorehill/model/log/LogEvent.java
+++ b/src/main/java/sycamorehill/model/log/LogEvent.java
@@ -228,7 +228,16 @@
 	CRASH_CAUSE_TRIED(1920, LogLevel.WARN),
 
 	/** Connections of callers are closed unread, because the node holds too many. */
-	CONNECTIONS_CLOSED_UNREAD(1921, LogLevel.WARN);
+	CONNECTIONS_CLOSED_UNREAD(1921, LogLevel.WARN),
+
+	/** From now on this node sends nothing to targets in a data centre. */
+	EVACUATION_BEGUN(1922, LogLevel.WARN),
+
+	/** This node may send to targets in a data centre again. */
+	EVACUATION_ENDED(1923, LogLevel.INFO),
+
+	/** The store holds an evacuation of a data centre that does not exist. */
+	EVACUATION_UNKNOWN(1924, LogLevel.WARN);
 
 	private final int number;
 
--- a/src/main/java/sycamorehill/model/serving/EntryEffect.java
+++ b/src/main/java/sycamorehill/model/serving/EntryEffect.java
@@ -234,6 +234,15 @@
 	record AdvanceTargetRevision(long revision) implements EntryEffect {
 	}
 
+	/**
+	 * Continues reading evacuations after a revision up to which another node has
+	 * reported them.
+	 *
+	 * @param revision the revision
+	 */
+	record AdvanceEvacuationRevision(long revision) implements EntryEffect {
+	}
+
 	/**
 	 * Continues reading changes of the configuration after a revision, because the
 	 * configuration in effect is the newest one up to it.
--- a/src/main/java/sycamorehill/model/serving/EntryEvent.java
+++ b/src/main/java/sycamorehill/model/serving/EntryEvent.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 
+import sycamorehill.model.identity.DataCentreName;
 import sycamorehill.model.identity.TargetName;
 
 /**
@@ -52,6 +53,28 @@
 	record DirectoryUnreachable() implements EntryEvent {
 	}
 
+	/**
+	 * All evacuations were read.
+	 *
+	 * @param dataCentres the names of the objects, which may be no data centres
+	 * @param revision the store's revision of the list
+	 */
+	record EvacuationsListed(List<DataCentreName> dataCentres, long revision) implements EntryEvent {
+	}
+
+	/**
+	 * Changes of the evacuations were read.
+	 *
+	 * @param changes the changes in their order; empty if there were none
+	 * @param revision the store's revision after the changes
+	 */
+	record EvacuationsChanged(List<EvacuationChange> changes, long revision) implements EntryEvent {
+	}
+
+	/** The store did not answer a read of the evacuations. */
+	record EvacuationsUnreachable() implements EntryEvent {
+	}
+
 	/**
 	 * A caller's request was read completely.
 	 *
--- a/src/main/java/sycamorehill/model/serving/NodeMessage.java
+++ b/src/main/java/sycamorehill/model/serving/NodeMessage.java
@@ -85,10 +85,12 @@
 	 * @param changes all changes of targets between these two revisions, in their order
 	 * @param lease the last known lease for the control of the groups
 	 * @param age time since the store answered the node that read this
+	 * @param evacuations the evacuated data centres as far as the sender knows them;
+	 * empty if it knows none or if there are none in this deployment
 	 */
 	record StoreUpdate(String sender, DataCentreName dataCentre, long configurationVersion, long configurationRevision,
 			long previousChangeRevision, long since, long revision, List<TargetChange> changes, Optional<Lease> lease,
-			Duration age) implements NodeMessage {
+			Duration age, Optional<EvacuatedDataCentres> evacuations) implements NodeMessage {
 
 		/**
 		 * Copies the changes.
@@ -97,6 +99,39 @@
 			changes = List.copyOf(changes);
 		}
 
+		/**
+		 * Creates an update without evacuations.
+		 * @param sender the sender
+		 * @param dataCentre the sender's data centre
+		 * @param configurationVersion version of the configuration in effect at the
+		 * sender
+		 * @param configurationRevision the revision up to which this is the newest
+		 * version
+		 * @param previousChangeRevision revision of the last change before those in this
+		 * message
+		 * @param since the revision after which the changes were read
+		 * @param revision the revision that the sender has reached
+		 * @param changes all changes of targets between these two revisions
+		 * @param lease the last known lease for the control of the groups
+		 * @param age time since the store answered the node that read this
+		 */
+		public StoreUpdate(String sender, DataCentreName dataCentre, long configurationVersion,
+				long configurationRevision, long previousChangeRevision, long since, long revision,
+				List<TargetChange> changes, Optional<Lease> lease, Duration age) {
+			this(sender, dataCentre, configurationVersion, configurationRevision, previousChangeRevision, since,
+					revision, changes, lease, age, Optional.empty());
+		}
+
+		/**
+		 * Returns this update with evacuations.
+		 * @param known the evacuated data centres as far as the sender knows them
+		 * @return the update
+		 */
+		public StoreUpdate withEvacuations(Optional<EvacuatedDataCentres> known) {
+			return new StoreUpdate(this.sender, this.dataCentre, this.configurationVersion, this.configurationRevision,
+					this.previousChangeRevision, this.since, this.revision, this.changes, this.lease, this.age, known);
+		}
+
 		/**
 		 * Returns this update with a lease.
 		 * @param knownLease the last known lease
@@ -104,7 +139,8 @@
 		 */
 		public StoreUpdate withLease(Optional<Lease> knownLease) {
 			return new StoreUpdate(this.sender, this.dataCentre, this.configurationVersion, this.configurationRevision,
-					this.previousChangeRevision, this.since, this.revision, this.changes, knownLease, this.age);
+					this.previousChangeRevision, this.since, this.revision, this.changes, knownLease, this.age,
+					this.evacuations);
 		}
 
 		/**
@@ -114,7 +150,7 @@
 		 */
 		public StoreUpdate withoutChanges() {
 			return new StoreUpdate(this.sender, this.dataCentre, this.configurationVersion, this.configurationRevision,
-					this.revision, this.revision, this.revision, List.of(), this.lease, this.age);
+					this.revision, this.revision, this.revision, List.of(), this.lease, this.age, this.evacuations);
 		}
 
 		/**
@@ -125,7 +161,8 @@
 		 */
 		public StoreUpdate relayedBy(String relay, DataCentreName relayDataCentre) {
 			return new StoreUpdate(relay, relayDataCentre, this.configurationVersion, this.configurationRevision,
-					this.previousChangeRevision, this.since, this.revision, this.changes, this.lease, this.age);
+					this.previousChangeRevision, this.since, this.revision, this.changes, this.lease, this.age,
+					this.evacuations);
 		}
 
 	}
--- a/src/main/java/sycamorehill/platform/PlatformAdapter.java
+++ b/src/main/java/sycamorehill/platform/PlatformAdapter.java
@@ -24,7 +24,8 @@
 		ObjectMapper json = new ObjectMapper();
 		PlatformStore store = PlatformStore.of(client, settings.storeAddress(), json);
 		return new EntryPorts(PlatformExchangeCodec.create(), store.configurations(), store::decodeConfiguration,
-				store.targets(), store, store, PlatformEngineClient.of(client, json));
+				store.targets(), store, store, PlatformEngineClient.of(client, json),
+				settings.evacuationTime().map((time) -> store.evacuations()));
 	}
 
 }
--- a/src/main/java/sycamorehill/platform/PlatformStore.java
+++ b/src/main/java/sycamorehill/platform/PlatformStore.java
@@ -28,6 +28,7 @@
 import sycamorehill.model.identity.TargetName;
 import sycamorehill.model.log.LogEvent;
 import sycamorehill.model.log.LogLine;
+import sycamorehill.model.serving.EvacuationChange;
 import sycamorehill.model.serving.Lease;
 import sycamorehill.model.serving.LeaseAnswer;
 import sycamorehill.model.serving.NodeRecord;
@@ -51,6 +52,8 @@
 
 	private static final String TARGETS = "servers";
 
+	private static final String EVACUATIONS = "evacuations";
+
 	private static final String NODES = "nodes";
 
 	private static final String NODE_ADDRESS = "address";
@@ -118,6 +121,10 @@
 		return new ObjectFeed<>(TARGETS, PlatformStore::decodeTarget);
 	}
 
+	Feed<EvacuationChange> evacuations() {
+		return new ObjectFeed<>(EVACUATIONS, PlatformStore::decodeEvacuation);
+	}
+
 	@Override
 	public CompletableFuture<List<NodeRecord>> list(boolean current) {
 		Feed<NodeRecord> nodes = new ObjectFeed<>(NODES, PlatformStore::decodeNode);
@@ -254,6 +261,17 @@
 		}
 	}
 
+	// The name of the object and its presence say everything.
+	private static Optional<EvacuationChange> decodeEvacuation(StoredObject object) {
+		try {
+			return Optional.of(new EvacuationChange(DataCentreName.of(object.name()), !object.deleted()));
+		}
+		catch (IllegalArgumentException ex) {
+			logUnreadable(EVACUATIONS, object.name(), ex);
+			return Optional.empty();
+		}
+	}
+
 	private static void logUnreadable(String kind, String name, RuntimeException failure) {
 		EventLog.write(LogLine.of(LogEvent.STORE_CONTENT_UNREADABLE,
 				"kind=" + kind + " name=" + name + " cause='" + failure.getMessage() + "'"));
