--- a/src/test/java/sycamorehill/entry/NodeMessageCodecTests.java
+++ b/src/test/java/sycamorehill/entry/NodeMessageCodecTests.java
@@ -8,10 +8,13 @@
 import java.util.Set;
 import java.util.stream.Collectors;
 
+import com.fasterxml.jackson.databind.ObjectMapper;
 import org.junit.jupiter.api.Test;
+import org.msgpack.jackson.dataformat.MessagePackFactory;
 
 import sycamorehill.model.identity.DataCentreName;
 import sycamorehill.model.identity.TargetName;
+import sycamorehill.model.serving.EvacuatedDataCentres;
 import sycamorehill.model.serving.Lease;
 import sycamorehill.model.serving.LoadSum;
 import sycamorehill.model.serving.LostRequest;
@@ -48,6 +51,9 @@
 				new NodeMessage.RequestPlaced("n1", TARGET, Duration.ofMillis(14)),
 				new NodeMessage.StoreUpdate("n1", NORTH, 5, 1, 90, 100, 110, changes,
 						Optional.of(new Lease("n2#a", 3, 99, 2)), Duration.ofMillis(210)),
+				new NodeMessage.StoreUpdate("n1", NORTH, 5, 1, 90, 100, 110, List.of(), Optional.empty(), Duration.ZERO)
+					.withEvacuations(Optional
+						.of(new EvacuatedDataCentres(Set.of(NORTH), Map.of(DataCentreName.of("south"), 90L), 107))),
 				new NodeMessage.ConfigurationText("n1", 5, "{\"routes\": [\"näher\"]}"),
 				new NodeMessage.ChangesRequest("n1", 90), new NodeMessage.ConfigurationRequest("n1", 5),
 				new NodeMessage.TargetsObserved("n1", changes),
@@ -78,6 +84,17 @@
 		}
 	}
 
+	// Nodes of earlier deployments get the same bytes as before.
+	@Test
+	void anUpdateWithoutEvacuationsContainsNoFieldForThem() throws IOException {
+		NodeMessage update = new NodeMessage.StoreUpdate("n1", NORTH, 5, 1, 90, 100, 110, List.of(), Optional.empty(),
+				Duration.ZERO);
+		assertThat(new ObjectMapper(new MessagePackFactory()).readTree(this.codec.write(update)).fieldNames())
+			.toIterable()
+			.containsExactly("kind", "sender", "data-centre", "configuration", "configuration-revision",
+					"changed-before", "since", "revision", "age-millis", "changes");
+	}
+
 	// A node of a later version sends a kind of message that this version does not know.
 	@Test
 	void refusesUnknownKind() throws IOException {
--- a/src/test/java/sycamorehill/logic/layout/FakeFleet.java
+++ b/src/test/java/sycamorehill/logic/layout/FakeFleet.java
@@ -14,6 +14,7 @@
 
 import sycamorehill.logic.Effects;
 import sycamorehill.logic.directory.TargetDirectory;
+import sycamorehill.model.identity.DataCentreName;
 import sycamorehill.model.identity.TargetName;
 import sycamorehill.model.serving.EngineCommandAnswer;
 import sycamorehill.model.serving.EngineCommandRequest;
@@ -359,6 +360,10 @@
 			this.partitionedFromStore = partitioned;
 		}
 
+		void evacuate(Set<DataCentreName> dataCentres) {
+			this.directory.updateEvacuated(dataCentres);
+		}
+
 		void checkMembers(String head) {
 			Effects effects = Effects.create();
 			this.control.checkMembers(TargetName.of(head), FakeFleet.this.now, effects);
