Evacuate a data centre in processes, also while planned work goes on

The second engine of the process tests is in a data centre of its own, and their settings contain the time for an evacuation.

--- a/src/test/java/sycamorehill/process/PlannedWorkSoakProcessTests.java
+++ b/src/test/java/sycamorehill/process/PlannedWorkSoakProcessTests.java
@@ -24,9 +24,9 @@
 import sycamorehill.process.StreamCaller.StreamAnswer;
 
 /**
- * Planned work at random while streams run: stops, reloads and configurations come in
- * series and overlap. The property {@code soak.seeds} gives the number of seeds, of one
- * run each.
+ * Planned work at random while streams run: stops, reloads, configurations and the
+ * evacuation of a data centre come in series and overlap. The property {@code soak.seeds}
+ * gives the number of seeds, of one run each.
  */
 class PlannedWorkSoakProcessTests {
 
@@ -121,10 +121,11 @@
 		}
 
 		private void disturb(PlatformNodes system, PlatformNode node) throws Exception {
-			switch (this.random.nextInt(4)) {
+			switch (this.random.nextInt(5)) {
 				case 0 -> sendSignals(node, this.random.nextInt(4) + 1);
 				case 1 -> changeConfiguration(system, this.random.nextInt(10) + 1);
 				case 2 -> reload(node);
+				case 3 -> system.evacuate(this.random.nextBoolean());
 				default -> {
 					changeConfiguration(system, 2);
 					sendSignals(node, 2);
--- a/src/test/java/sycamorehill/process/PlatformNodes.java
+++ b/src/test/java/sycamorehill/process/PlatformNodes.java
@@ -27,6 +27,9 @@
 
 	private static final int ENGINES = 2;
 
+	/** Data centre of the second engine. */
+	private static final String EVACUATED_ZONE = "south";
+
 	private static final int START_TRIALS = 400;
 
 	private final ObjectMapper json = new ObjectMapper();
@@ -55,7 +58,7 @@
 		for (int number = 1; number <= ENGINES; number++) {
 			StreamingEngine engine = StreamingEngine.start();
 			system.engines.add(engine);
-			system.addEngine("engine-" + number, engine.address());
+			system.addEngine("engine-" + number, engine.address(), (number == 1) ? "north" : EVACUATED_ZONE);
 		}
 		return system;
 	}
@@ -78,18 +81,44 @@
 	 * @param address where it takes requests
 	 */
 	void addEngine(String name, Address address) {
-		this.store.write("servers", name, engineEntry(address));
+		addEngine(name, address, "north");
+	}
+
+	private void addEngine(String name, Address address, String zone) {
+		this.store.write("servers", name, engineEntry(address, zone));
+	}
+
+	/**
+	 * Evacuates the data centre of the second engine, or ends that.
+	 * @param evacuated whether nothing more may be sent to the engine
+	 */
+	void evacuate(boolean evacuated) {
+		if (evacuated) {
+			this.store.write("evacuations", EVACUATED_ZONE, this.json.createObjectNode());
+		}
+		else {
+			this.store.remove("evacuations", EVACUATED_ZONE);
+		}
+	}
+
+	/**
+	 * Returns how many requests an engine has received.
+	 * @param engine number of the engine, from 1
+	 * @return the number of requests
+	 */
+	int requests(int engine) {
+		return this.engines.get(engine - 1).requests();
 	}
 
 	StoreStandIn store() {
 		return this.store;
 	}
 
-	private ObjectNode engineEntry(Address address) {
+	private ObjectNode engineEntry(Address address, String zone) {
 		ObjectNode entry = this.json.createObjectNode();
 		return entry.put("service", "streams")
 			.put("address", address.toString())
-			.put("zone", "north")
+			.put("zone", zone)
 			.put("version", 1)
 			.put("batch_slots", 64)
 			.put("state", "ready")
@@ -171,11 +200,11 @@
 
 	private String settings(String name, List<Address> addresses) {
 		int port = addresses.get(2).port();
-		return "node_name=" + name + "\nip=127.0.0.1\nzone=north\nzones.north=region\nbind.front=" + addresses.get(0)
-				+ "\nbind.ready=" + addresses.get(1) + "\nport_range=" + port + "," + (port + 1)
+		return "node_name=" + name + "\nip=127.0.0.1\nzone=north\nzones.north=region\nzones.south=region\nbind.front="
+				+ addresses.get(0) + "\nbind.ready=" + addresses.get(1) + "\nport_range=" + port + "," + (port + 1)
 				+ "\nfirst_start=true\nplatform.address=" + this.store.address()
 				+ "\nbounds.budget_window_s=10\nbounds.retry_budget_ratio=0.2\nbounds.retry_budget_extra=103"
-				+ "\nbounds.stall_ms=5000\nbounds.ceiling_window_s=5\n";
+				+ "\nbounds.stall_ms=5000\nbounds.ceiling_window_s=5\nbounds.evacuate_ms=5000\n";
 	}
 
 	@Override
--- a/src/test/java/sycamorehill/process/StoreStandIn.java
+++ b/src/test/java/sycamorehill/process/StoreStandIn.java
@@ -77,6 +77,15 @@
 		notifyAll();
 	}
 
+	/**
+	 * Deletes an object if it is there.
+	 * @param kind the object's kind
+	 * @param name the object's name
+	 */
+	void remove(String kind, String name) {
+		delete(kind, name);
+	}
+
 	synchronized List<String> names(String kind) {
 		return List.copyOf(objects(kind).keySet());
 	}
--- a/src/test/java/sycamorehill/process/StreamingEngine.java
+++ b/src/test/java/sycamorehill/process/StreamingEngine.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import com.sun.net.httpserver.HttpExchange;
 import com.sun.net.httpserver.HttpServer;
@@ -33,6 +34,8 @@
 
 	private final HttpServer server;
 
+	private final AtomicInteger requests = new AtomicInteger();
+
 	private StreamingEngine(HttpServer server) {
 		this.server = server;
 	}
@@ -50,7 +53,12 @@
 		return Address.of("127.0.0.1", this.server.getAddress().getPort());
 	}
 
+	int requests() {
+		return this.requests.get();
+	}
+
 	private void stream(HttpExchange exchange) throws IOException {
+		this.requests.incrementAndGet();
 		String path = exchange.getRequestURI().getPath();
 		int events = Integer.parseInt(path.substring(path.lastIndexOf('/') + 1));
 		exchange.getRequestBody().readAllBytes();
