Test paths at no target in an evacuated data centre

Targets there may be switched off once their streams have ended, and failed connections to them would count against this node's path to the service. Ruled out: leaving them out of the number of known targets too, which would be 0 if all data centres are evacuated.

--- a/src/main/java/sycamorehill/logic/dispatch/TargetReachability.java
+++ b/src/main/java/sycamorehill/logic/dispatch/TargetReachability.java
@@ -222,7 +222,8 @@
 		}
 	}
 
-	// Targets that have just failed are tested only if there are too few others.
+	// Targets that have just failed are tested only if there are too few others. Those in
+	// evacuated data centres are not, because they may be switched off there.
 	private void probe(ServiceName service, int count, Instant now, Effects effects) {
 		Instant last = this.probedAt.get(service);
 		if (last != null && now.isBefore(last.plus(PROBE_INTERVAL))) {
@@ -231,6 +232,7 @@
 		this.probedAt.put(service, now);
 		Set<TargetName> failed = path(service).unconnectedTargets();
 		Map<Boolean, List<TargetAddress>> targets = targetsOf(service).stream()
+			.filter((target) -> !isEvacuated(target.name()))
 			.collect(Collectors.partitioningBy((target) -> failed.contains(target.name())));
 		List<TargetAddress> chosen = Stream.of(false, true)
 			.flatMap((hasFailed) -> draw(targets.get(hasFailed), count).stream())
@@ -241,6 +243,10 @@
 		}
 	}
 
+	private boolean isEvacuated(TargetName target) {
+		return this.directory.find(target).filter(this.directory::isEvacuated).isPresent();
+	}
+
 	private List<TargetAddress> draw(List<TargetAddress> targets, int count) {
 		List<TargetAddress> remaining = new ArrayList<>(targets);
 		List<TargetAddress> drawn = new ArrayList<>();
--- a/src/test/java/sycamorehill/logic/dispatch/EvacuationFilterTests.java
+++ b/src/test/java/sycamorehill/logic/dispatch/EvacuationFilterTests.java
@@ -195,4 +195,17 @@
 			.isEqualTo("not run: all data centres with targets for it are evacuated: [north]");
 	}
 
+	// The targets there may be switched off: their failures would count against the path.
+	@Test
+	void thePathIsTestedAtNoTargetInAnEvacuatedDataCentre() {
+		this.directory.replaceAll(List.of(ServingSamples.plain("p1"), inSouth(ServingSamples.plain("p2")),
+				inSouth(ServingSamples.plain("p3")), inSouth(ServingSamples.plain("p4"))), this.now);
+		evacuate(NORTH);
+		Effects effects = Effects.create();
+		this.dispatcher.paths().handleUnreached(TargetName.of("p2"), this.now, effects);
+		this.dispatcher.paths().handleUnreached(TargetName.of("p3"), this.now, effects);
+		assertThat(effects(effects.all(), EntryEffect.ProbeTargets.class).flatMap((probe) -> probe.targets().stream())
+			.map((target) -> target.name().value())).isNotEmpty().doesNotContain("p1");
+	}
+
 }
