Serve requests only in the home regions of their route and workspace

Routes and workspaces name the regions in which their requests may be served, and nothing applied them. A rule now answers for targets and for nodes; a filter, the first of each selection, removes targets outside the regions that both lists allow, and a request goes only through nodes of these regions or of this node's own. Both lists travel with a request that is sent through another node, which applies them too; frames without them still decode. Requests without a target there are refused at once with the lists in the cause. The share of a rate limit is computed without changing it when a target is only considered, so that selections have no side effect.

Ruled out: one set with the intersection, which is empty both for two lists without a common region and for no lists; a cache of filtered lists for each pair of lists, which grows with the pairs. Not covered: paths are tracked by service and not by region.

--- a/src/main/java/sycamorehill/entry/ProxyFrame.java
+++ b/src/main/java/sycamorehill/entry/ProxyFrame.java
@@ -6,6 +6,7 @@
 
 import sycamorehill.model.identity.TargetName;
 import sycamorehill.model.serving.AttemptEnd;
+import sycamorehill.model.serving.HomeRegions;
 import sycamorehill.model.serving.ProxiedRequest;
 
 /**
@@ -35,6 +36,11 @@
 					this.resumeAfter, this.weightsVersion, this.bodyBytes);
 		}
 
+		Request withHomes(HomeRegions homes) {
+			return new Request(this.request.withHomes(homes), this.method, this.uri, this.headers, this.resumeAfter,
+					this.weightsVersion, this.bodyBytes);
+		}
+
 	}
 
 	/**
--- a/src/main/java/sycamorehill/entry/ProxyFrameCodec.java
+++ b/src/main/java/sycamorehill/entry/ProxyFrameCodec.java
@@ -72,6 +72,7 @@
 		ProxyFrameFields.writeOptional(request.weightsVersion(), packer);
 		packer.packInt(request.bodyBytes());
 		ProxyFrameFields.writePromptParts(request.request().sharedPromptParts(), packer);
+		ProxyFrameFields.writeHomes(request.request().homes(), packer);
 	}
 
 	private static void writeHeaders(List<ProxyFrame.Header> headers, MessagePacker packer) throws IOException {
@@ -112,7 +113,8 @@
 		ProxyFrame.Request request = new ProxyFrame.Request(ProxyFrameFields.readRequest(unpacker),
 				unpacker.unpackString(), unpacker.unpackString(), readHeaders(unpacker),
 				ProxyFrameFields.readOptional(unpacker), ProxyFrameFields.readOptional(unpacker), unpacker.unpackInt());
-		return request.withSharedPromptParts(ProxyFrameFields.readPromptParts(unpacker));
+		return request.withSharedPromptParts(ProxyFrameFields.readPromptParts(unpacker))
+			.withHomes(ProxyFrameFields.readHomes(unpacker));
 	}
 
 	private static ProxyFrame readHead(MessageUnpacker unpacker) throws IOException {
--- a/src/main/java/sycamorehill/entry/ProxyFrameFields.java
+++ b/src/main/java/sycamorehill/entry/ProxyFrameFields.java
@@ -11,10 +11,12 @@
 import org.msgpack.core.MessagePacker;
 import org.msgpack.core.MessageUnpacker;
 
+import sycamorehill.model.identity.RegionName;
 import sycamorehill.model.identity.ServiceName;
 import sycamorehill.model.identity.TargetName;
 import sycamorehill.model.identity.WorkspaceName;
 import sycamorehill.model.serving.AttemptEnd;
+import sycamorehill.model.serving.HomeRegions;
 import sycamorehill.model.serving.NotRunCause;
 import sycamorehill.model.serving.ProxiedRequest;
 import sycamorehill.model.serving.RequestKind;
@@ -83,7 +85,7 @@
 				readWorkspace(unpacker), unpacker.unpackInt(), readDuration(unpacker), readDuration(unpacker),
 				readDuration(unpacker), readDuration(unpacker), readOptional(unpacker), readTokenCounts(unpacker),
 				List.of(), unpacker.unpackLong(), readTargets(unpacker), unpacker.unpackBoolean(),
-				unpacker.unpackBoolean());
+				unpacker.unpackBoolean(), Set.of());
 	}
 
 	private static Optional<Workspace> readWorkspace(MessageUnpacker unpacker) throws IOException {
@@ -120,6 +122,37 @@
 		return parts;
 	}
 
+	static void writeHomes(HomeRegions homes, MessagePacker packer) throws IOException {
+		writeRegions(homes.ofRoute(), packer);
+		writeRegions(homes.ofWorkspace(), packer);
+	}
+
+	private static void writeRegions(Set<RegionName> regions, MessagePacker packer) throws IOException {
+		packer.packArrayHeader(regions.size());
+		for (RegionName region : regions) {
+			packer.packString(region.value());
+		}
+	}
+
+	/**
+	 * Reads the home regions of a request, which nodes of earlier versions don't send.
+	 * @param unpacker the rest of the frame
+	 * @return the home regions
+	 * @throws IOException if they can't be read
+	 */
+	static HomeRegions readHomes(MessageUnpacker unpacker) throws IOException {
+		return unpacker.hasNext() ? new HomeRegions(readRegions(unpacker), readRegions(unpacker)) : HomeRegions.ALL;
+	}
+
+	private static Set<RegionName> readRegions(MessageUnpacker unpacker) throws IOException {
+		int count = unpacker.unpackArrayHeader();
+		Set<RegionName> regions = new HashSet<>();
+		for (int index = 0; index < count; index++) {
+			regions.add(RegionName.of(unpacker.unpackString()));
+		}
+		return regions;
+	}
+
 	private static Set<TargetName> readTargets(MessageUnpacker unpacker) throws IOException {
 		int count = unpacker.unpackArrayHeader();
 		Set<TargetName> targets = new HashSet<>();
--- a/src/main/java/sycamorehill/logic/dispatch/AttemptScheduler.java
+++ b/src/main/java/sycamorehill/logic/dispatch/AttemptScheduler.java
@@ -110,10 +110,25 @@
 			endProxied(request, Optional.empty(), new AttemptEnd.NotRun(NotRunCause.NO_TARGET), now, effects);
 		}
 		else {
-			giveUp(request, selection.choice().isEmpty() ? fallbackCause : "all targets are full", now, effects);
+			giveUp(request, refusalCause(request, selection, fallbackCause), now, effects);
 		}
 	}
 
+	/**
+	 * Returns why a request is refused that no target admits.
+	 * @param request the request
+	 * @param selection the selection that admits it to no target
+	 * @param fallbackCause the cause if there is no target at all
+	 * @return the cause, which names the home regions of the request if it has any
+	 */
+	static String refusalCause(DispatchedRequest request, TargetSelector.Selection selection, String fallbackCause) {
+		return withHomes(request, selection.choice().isEmpty() ? fallbackCause : "all targets are full");
+	}
+
+	private static String withHomes(DispatchedRequest request, String cause) {
+		return request.homes().isRestricted() ? cause + ", " + request.homes().describe() : cause;
+	}
+
 	private void placeThroughAnotherNode(DispatchedRequest request, String fallbackCause, Instant now,
 			Effects effects) {
 		if (request.proxied().isPresent()) {
@@ -121,20 +136,33 @@
 			return;
 		}
 		Optional<EntryEffect.ProxyNode> node = (request.triedNodes().size() < MAXIMUM_UNAVAILABLE_NODES)
-				? this.proxySelector.select(request.service(), request.triedNodes(), now) : Optional.empty();
+				? this.proxySelector.select(request.service(), request.homes(), request.triedNodes(), now)
+				: Optional.empty();
 		if (node.isPresent()) {
 			startThrough(request, node.get(), now, effects);
 		}
-		else if (this.proxySelector.isReachedElsewhere(request.service(), now)) {
-			giveUp(request, fallbackCause, now, effects);
+		else if (this.proxySelector.isReachedElsewhere(request.service(), request.homes(), now)) {
+			giveUp(request, withHomes(request, fallbackCause), now, effects);
 		}
 		else {
 			putBackRetry(request);
 			this.activeRequests.remove(request.request().number());
-			this.finalAnswers.giveUp(request, "no node reaches a target", NO_PATH_RETRY_AFTER, now, effects);
+			this.finalAnswers.giveUp(request, noPathCause(request), NO_PATH_RETRY_AFTER, now, effects);
 		}
 	}
 
+	/**
+	 * Returns why a request is refused if this node and those through which it may be
+	 * sent reach no target.
+	 * @param request the request
+	 * @return the cause
+	 */
+	static String noPathCause(DispatchedRequest request) {
+		return request.homes().isRestricted()
+				? withHomes(request, "no node of this region or of the home regions reaches a target")
+				: "no node reaches a target";
+	}
+
 	/**
 	 * Decides after an attempt of a caller's request.
 	 * @param request the request
@@ -256,7 +284,7 @@
 			return Optional.empty();
 		}
 		if (this.reachability.isUnreachable(request.service())) {
-			return this.proxySelector.select(request.service(), request.triedNodes(), now)
+			return this.proxySelector.select(request.service(), request.homes(), request.triedNodes(), now)
 				.map(AlternativePlace.Through::new);
 		}
 		TargetSelector.Selection selection = this.targetSelector.selectOther(request, now);
--- a/src/main/java/sycamorehill/logic/dispatch/CandidateFilter.java
+++ b/src/main/java/sycamorehill/logic/dispatch/CandidateFilter.java
@@ -2,11 +2,14 @@
 
 import java.time.Instant;
 import java.util.List;
+import java.util.Optional;
 
 import sycamorehill.model.identity.TargetName;
 
 /**
  * Removes the serving targets that may not receive a request now, whatever their load.
+ * Only {@link #recordSent} changes the state of a filter: selections are also made to be
+ * explained.
  */
 interface CandidateFilter {
 
@@ -19,6 +22,24 @@
 	 */
 	List<Candidate> filter(List<Candidate> candidates, DispatchedRequest request, Instant now);
 
+	/**
+	 * Returns why the filter removes targets, for operators.
+	 * @return the reason, without the name of a target
+	 */
+	default String reason() {
+		return "left out by " + getClass().getSimpleName();
+	}
+
+	/**
+	 * Describes how the filter limits the requests to a target, for operators.
+	 * @param candidate the target, removed or not
+	 * @param now the current time
+	 * @return the limit; empty if the filter sets none
+	 */
+	default Optional<String> describeLimit(Candidate candidate, Instant now) {
+		return Optional.empty();
+	}
+
 	/**
 	 * Records that a request is sent to a target.
 	 * @param target the target
--- a/src/main/java/sycamorehill/logic/dispatch/DispatchedRequest.java
+++ b/src/main/java/sycamorehill/logic/dispatch/DispatchedRequest.java
@@ -11,6 +11,7 @@
 import sycamorehill.model.identity.ServiceName;
 import sycamorehill.model.identity.TargetName;
 import sycamorehill.model.serving.CallerRequest;
+import sycamorehill.model.serving.HomeRegions;
 import sycamorehill.model.serving.LostRequest;
 import sycamorehill.model.serving.ProxiedRequest;
 import sycamorehill.model.serving.Route;
@@ -115,7 +116,7 @@
 				proxied.contentHash());
 		Route route = new Route(proxied.route(), "", "", proxied.kind(), proxied.routeTimeout(),
 				proxied.latencyTarget(), Optional.empty(), proxied.priority(),
-				List.of(new WeightedService(proxied.service(), 1)), 1, true);
+				List.of(new WeightedService(proxied.service(), 1)), 1, true, proxied.routeHomes());
 		DispatchedRequest dispatched = new DispatchedRequest(request, route, service, proxied.workspace(),
 				now.minus(proxied.elapsed()), Optional.of(proxied));
 		dispatched.triedTargets.addAll(proxied.triedTargets());
@@ -135,7 +136,7 @@
 				this.workspace, this.route.priority(), this.route.latencyTarget(), this.route.timeout(),
 				effectiveTimeout(), Duration.between(this.arrivedAt, now), this.request.model(),
 				this.request.tokenCounts(), this.request.sharedPromptParts(), this.request.contentHash(), excluded,
-				answerStarted(), this.targetsReached + 1 < this.route.maximumAttempts());
+				answerStarted(), this.targetsReached + 1 < this.route.maximumAttempts(), this.route.homes());
 	}
 
 	int startAttempt(TargetEntry chosen, Instant now) {
@@ -273,6 +274,14 @@
 		return this.workspace;
 	}
 
+	/**
+	 * Returns the regions in which the request may be served.
+	 * @return the regions of the route and the workspace under which it arrived
+	 */
+	HomeRegions homes() {
+		return HomeRegions.of(this.route, this.workspace);
+	}
+
 	Instant arrivedAt() {
 		return this.arrivedAt;
 	}
--- a/src/main/java/sycamorehill/logic/dispatch/ProxySelector.java
+++ b/src/main/java/sycamorehill/logic/dispatch/ProxySelector.java
@@ -13,6 +13,7 @@
 import sycamorehill.model.identity.DataCentreName;
 import sycamorehill.model.identity.ServiceName;
 import sycamorehill.model.serving.EntryEffect;
+import sycamorehill.model.serving.HomeRegions;
 import sycamorehill.model.serving.NodeMessage;
 import sycamorehill.model.serving.NodeRecord;
 
@@ -41,6 +42,8 @@
 
 	private final DataCentreName localDataCentre;
 
+	private final HomeRegionRule homeRegionRule;
+
 	private final RandomGenerator random;
 
 	private final Map<String, UnreachableServices> reports = new HashMap<>();
@@ -51,13 +54,14 @@
 
 	private List<NodeRecord> peers = List.of();
 
-	private ProxySelector(DataCentreName localDataCentre, RandomGenerator random) {
+	private ProxySelector(DataCentreName localDataCentre, HomeRegionRule homeRegionRule, RandomGenerator random) {
 		this.localDataCentre = localDataCentre;
+		this.homeRegionRule = homeRegionRule;
 		this.random = random;
 	}
 
-	static ProxySelector of(DataCentreName localDataCentre, RandomGenerator random) {
-		return new ProxySelector(localDataCentre, random);
+	static ProxySelector of(DataCentreName localDataCentre, HomeRegionRule homeRegionRule, RandomGenerator random) {
+		return new ProxySelector(localDataCentre, homeRegionRule, random);
 	}
 
 	void updateNodes(List<NodeRecord> newPeers) {
@@ -77,15 +81,30 @@
 	 * Selects a node that accepts requests of others and reaches the service, as far as
 	 * known.
 	 * @param service the service
+	 * @param homes the home regions of the request
+	 * @param excluded names of nodes that have not accepted the request
+	 * @param now the current time
+	 * @return the node; empty if there is none
+	 */
+	Optional<EntryEffect.ProxyNode> select(ServiceName service, HomeRegions homes, Set<String> excluded, Instant now) {
+		return select(service, homes, excluded, this.random, now);
+	}
+
+	/**
+	 * Selects a node by other random numbers, which leaves later selections as they are.
+	 * @param service the service
+	 * @param homes the home regions of the request
 	 * @param excluded names of nodes that have not accepted the request
+	 * @param otherRandom the source of the random numbers
 	 * @param now the current time
 	 * @return the node; empty if there is none
 	 */
-	Optional<EntryEffect.ProxyNode> select(ServiceName service, Set<String> excluded, Instant now) {
+	Optional<EntryEffect.ProxyNode> select(ServiceName service, HomeRegions homes, Set<String> excluded,
+			RandomGenerator otherRandom, Instant now) {
 		NodeRecord best = null;
 		double lowestScore = Double.MAX_VALUE;
-		for (NodeRecord node : candidates(service, now).toList()) {
-			double score = score(node);
+		for (NodeRecord node : candidates(service, homes, now).toList()) {
+			double score = score(node, otherRandom);
 			if (!excluded.contains(node.name()) && score < lowestScore) {
 				lowestScore = score;
 				best = node;
@@ -102,11 +121,24 @@
 	 * @return true if one does
 	 */
 	boolean isReachedElsewhere(ServiceName service, Instant now) {
-		return candidates(service, now).findAny().isPresent();
+		return isReachedElsewhere(service, HomeRegions.ALL, now);
+	}
+
+	/**
+	 * Returns whether another node through which a request may be sent reaches a service,
+	 * as far as known.
+	 * @param service the service
+	 * @param homes the home regions of the request
+	 * @param now the current time
+	 * @return true if one does
+	 */
+	boolean isReachedElsewhere(ServiceName service, HomeRegions homes, Instant now) {
+		return candidates(service, homes, now).findAny().isPresent();
 	}
 
-	private Stream<NodeRecord> candidates(ServiceName service, Instant now) {
+	private Stream<NodeRecord> candidates(ServiceName service, HomeRegions homes, Instant now) {
 		return this.peers.stream()
+			.filter((node) -> this.homeRegionRule.allowsNode(homes, node.dataCentre()))
 			.filter((node) -> node.proxyAddress().isPresent())
 			.filter((node) -> !isEjected(node.name(), now))
 			.filter((node) -> !hasReported(node.name(), service, now));
@@ -124,9 +156,9 @@
 	}
 
 	// The random part keeps nodes from all choosing the same one.
-	private double score(NodeRecord node) {
+	private double score(NodeRecord node, RandomGenerator otherRandom) {
 		double penalty = node.dataCentre().equals(this.localDataCentre) ? 0 : REMOTE_PENALTY_REQUESTS;
-		return this.inFlight.getOrDefault(node.name(), 0) + penalty + this.random.nextDouble();
+		return this.inFlight.getOrDefault(node.name(), 0) + penalty + otherRandom.nextDouble();
 	}
 
 	void recordSent(String node) {
--- a/src/main/java/sycamorehill/logic/dispatch/RequestDispatcher.java
+++ b/src/main/java/sycamorehill/logic/dispatch/RequestDispatcher.java
@@ -44,6 +44,8 @@
 
 	private final TargetDirectory directory;
 
+	private final HomeRegionRule homeRegionRule;
+
 	private final TargetSelector targetSelector;
 
 	private final RandomGenerator random;
@@ -73,8 +75,9 @@
 		this.random = random;
 		this.retryBudgets = RetryBudgets.of(settings);
 		this.finalAnswers = FinalAnswers.of(random);
-		this.targetSelector = TargetSelector.of(settings, directory, random);
-		this.paths = TargetPaths.of(settings, directory, this.targetSelector, random);
+		this.homeRegionRule = HomeRegionRule.of(settings);
+		this.targetSelector = TargetSelector.of(settings, directory, this.homeRegionRule, random);
+		this.paths = TargetPaths.of(settings, directory, this.targetSelector, this.homeRegionRule, random);
 		this.crashSuspicions = CrashSuspicions.of(settings.nodeName(), directory, this.paths.reachability(), random);
 		this.router = RequestRouter.of(this.crashSuspicions, this.finalAnswers::retryAfter);
 		this.outcomes = AttemptOutcomes.of(directory, this.targetSelector, this.paths.reachability(),
@@ -107,6 +110,14 @@
 		return this.paths;
 	}
 
+	/**
+	 * Returns the rule by which home regions restrict requests.
+	 * @return the rule
+	 */
+	public HomeRegionRule homeRegions() {
+		return this.homeRegionRule;
+	}
+
 	/**
 	 * Handles a new connection to a target.
 	 * @param target the target
@@ -358,6 +369,7 @@
 	 */
 	public void updateSettings(EntrySettings settings) {
 		this.retryBudgets.updateSettings(settings);
+		this.homeRegionRule.updateRegions(settings.regions());
 	}
 
 	/**
--- a/src/main/java/sycamorehill/logic/dispatch/TargetPaths.java
+++ b/src/main/java/sycamorehill/logic/dispatch/TargetPaths.java
@@ -26,16 +26,16 @@
 	private final ProxySelector proxySelector;
 
 	private TargetPaths(EntrySettings settings, TargetDirectory directory, TargetSelector targetSelector,
-			RandomGenerator random) {
+			HomeRegionRule homeRegionRule, RandomGenerator random) {
 		this.directory = directory;
 		this.targetSelector = targetSelector;
 		this.reachability = TargetReachability.of(settings.nodeName(), directory, random);
-		this.proxySelector = ProxySelector.of(settings.dataCentre(), random);
+		this.proxySelector = ProxySelector.of(settings.dataCentre(), homeRegionRule, random);
 	}
 
 	static TargetPaths of(EntrySettings settings, TargetDirectory directory, TargetSelector targetSelector,
-			RandomGenerator random) {
-		return new TargetPaths(settings, directory, targetSelector, random);
+			HomeRegionRule homeRegionRule, RandomGenerator random) {
+		return new TargetPaths(settings, directory, targetSelector, homeRegionRule, random);
 	}
 
 	TargetReachability reachability() {
--- a/src/main/java/sycamorehill/logic/dispatch/TargetRateLimit.java
+++ b/src/main/java/sycamorehill/logic/dispatch/TargetRateLimit.java
@@ -89,8 +89,7 @@
 	}
 
 	boolean allowsRequest(Instant now) {
-		refill(now);
-		return this.tokens >= MAXIMUM_BURST;
+		return tokens(now) >= MAXIMUM_BURST;
 	}
 
 	void recordSent(Instant now) {
@@ -99,11 +98,19 @@
 	}
 
 	private void refill(Instant now) {
-		double seconds = Duration.between(this.refilledAt, now).toNanos() / 1e9;
-		this.tokens = Math.min(MAXIMUM_BURST, this.tokens + seconds * this.localRequestsPerSecond);
+		this.tokens = tokens(now);
 		this.refilledAt = now;
 	}
 
+	private double tokens(Instant now) {
+		double seconds = Duration.between(this.refilledAt, now).toNanos() / 1e9;
+		return Math.min(MAXIMUM_BURST, this.tokens + seconds * this.localRequestsPerSecond);
+	}
+
+	double localRequestsPerSecond() {
+		return this.localRequestsPerSecond;
+	}
+
 	boolean hasShare() {
 		return this.localRequestsPerSecond > 0;
 	}
--- a/src/main/java/sycamorehill/logic/dispatch/TargetRateLimits.java
+++ b/src/main/java/sycamorehill/logic/dispatch/TargetRateLimits.java
@@ -183,6 +183,18 @@
 		return candidates.stream().filter((candidate) -> allowsRequest(candidate.entry().name(), now)).toList();
 	}
 
+	@Override
+	public String reason() {
+		return "the rate limit of the target";
+	}
+
+	@Override
+	public Optional<String> describeLimit(Candidate candidate, Instant now) {
+		return Optional.ofNullable(this.limits.get(candidate.entry().name()))
+			.map((limit) -> "rate limit of " + limit.rate().perSecond() + " requests/s, of which "
+					+ limit.localRequestsPerSecond() + " for this node");
+	}
+
 	private boolean allowsRequest(TargetName target, Instant now) {
 		TargetRateLimit limit = this.limits.get(target);
 		return limit == null || limit.allowsRequest(now);
--- a/src/main/java/sycamorehill/logic/dispatch/TargetSelector.java
+++ b/src/main/java/sycamorehill/logic/dispatch/TargetSelector.java
@@ -29,17 +29,22 @@
 
 	private final TargetRateLimits rateLimits;
 
+	private final HomeRegionFilter homeRegions;
+
 	private final List<CandidateFilter> filters;
 
-	private TargetSelector(EntrySettings settings, TargetDirectory directory, RandomGenerator random) {
+	private TargetSelector(EntrySettings settings, TargetDirectory directory, HomeRegionRule homeRegionRule,
+			RandomGenerator random) {
 		this.servingTargets = ServingTargets.of(directory);
 		this.placement = Placement.of(settings.dataCentre(), random);
 		this.rateLimits = TargetRateLimits.of(settings.toNodeRecord(), directory);
-		this.filters = List.of(this.rateLimits);
+		this.homeRegions = HomeRegionFilter.of(homeRegionRule);
+		this.filters = List.of(this.homeRegions, this.rateLimits);
 	}
 
-	static TargetSelector of(EntrySettings settings, TargetDirectory directory, RandomGenerator random) {
-		return new TargetSelector(settings, directory, random);
+	static TargetSelector of(EntrySettings settings, TargetDirectory directory, HomeRegionRule homeRegionRule,
+			RandomGenerator random) {
+		return new TargetSelector(settings, directory, homeRegionRule, random);
 	}
 
 	/**
@@ -74,14 +79,15 @@
 	}
 
 	/**
-	 * Returns how long all targets of a request still rest.
+	 * Returns how long all targets in the home regions of a request still rest.
 	 * @param request the request
 	 * @param now the current time
 	 * @return the time until the first of them accepts requests; zero if one does now, or
 	 * if there is none
 	 */
 	Duration restLeft(DispatchedRequest request, Instant now) {
-		return servingTargets(request, now).stream()
+		return this.homeRegions.filter(servingTargets(request, now), request, now)
+			.stream()
 			.map((candidate) -> this.statuses.restLeft(candidate.entry().name(), now))
 			.min(Comparator.naturalOrder())
 			.orElse(Duration.ZERO);
--- a/src/main/java/sycamorehill/logic/entry/EntryReducer.java
+++ b/src/main/java/sycamorehill/logic/entry/EntryReducer.java
@@ -379,6 +379,7 @@
 		effects.add(new EntryEffect.SetCallerLimits(read.limits()));
 		effects.log(LogEvent.CONFIGURATION_IN_FORCE, "version=" + read.version() + " routes=" + read.routes().size()
 				+ " told-by=" + source + " late-millis=" + this.configurationDistribution.timeBehind(now).toMillis());
+		this.requests.homeRegions().logUnknownRegions(read, effects);
 		this.configurationDistribution.recordApplied(read.version(), now);
 		if (!this.stage.isStopping() && !first) {
 			this.configurationDistribution.send(read.version(), now, effects);
--- a/src/main/java/sycamorehill/model/log/LogEvent.java
+++ b/src/main/java/sycamorehill/model/log/LogEvent.java
@@ -228,7 +228,10 @@
 	CRASH_CAUSE_TRIED(1920, LogLevel.WARN),
 
 	/** Connections of callers are closed unread, because the node holds too many. */
-	CONNECTIONS_CLOSED_UNREAD(1921, LogLevel.WARN);
+	CONNECTIONS_CLOSED_UNREAD(1921, LogLevel.WARN),
+
+	/** A configuration names a home region that no data centre has. */
+	HOME_REGION_UNKNOWN(1927, LogLevel.WARN);
 
 	private final int number;
 
--- a/src/main/java/sycamorehill/model/serving/ProxiedRequest.java
+++ b/src/main/java/sycamorehill/model/serving/ProxiedRequest.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.Set;
 
+import sycamorehill.model.identity.RegionName;
 import sycamorehill.model.identity.ServiceName;
 import sycamorehill.model.identity.TargetName;
 
@@ -31,18 +32,21 @@
  * @param triedTargets targets that must not receive the request again
  * @param answerStarted whether the caller has received part of the answer
  * @param anotherAttemptMayFollow whether the origin can make another attempt
+ * @param routeHomes regions in which the route lets it be served; empty if in all
  */
 public record ProxiedRequest(String origin, String identifier, String route, RequestKind kind, ServiceName service,
 		Optional<Workspace> workspace, int priority, Duration latencyTarget, Duration routeTimeout, Duration timeout,
 		Duration elapsed, Optional<String> model, Optional<TokenCounts> tokenCounts, List<String> sharedPromptParts,
-		long contentHash, Set<TargetName> triedTargets, boolean answerStarted, boolean anotherAttemptMayFollow) {
+		long contentHash, Set<TargetName> triedTargets, boolean answerStarted, boolean anotherAttemptMayFollow,
+		Set<RegionName> routeHomes) {
 
 	/**
-	 * Copies the parts and the targets.
+	 * Copies the parts, the targets and the regions.
 	 */
 	public ProxiedRequest {
 		sharedPromptParts = List.copyOf(sharedPromptParts);
 		triedTargets = Set.copyOf(triedTargets);
+		routeHomes = Set.copyOf(routeHomes);
 	}
 
 	/**
@@ -54,7 +58,28 @@
 		return new ProxiedRequest(this.origin, this.identifier, this.route, this.kind, this.service, this.workspace,
 				this.priority, this.latencyTarget, this.routeTimeout, this.timeout, this.elapsed, this.model,
 				this.tokenCounts, parts, this.contentHash, this.triedTargets, this.answerStarted,
-				this.anotherAttemptMayFollow);
+				this.anotherAttemptMayFollow, this.routeHomes);
+	}
+
+	/**
+	 * Returns this request with home regions.
+	 * @param homes the home regions of its route and its workspace
+	 * @return the request
+	 */
+	public ProxiedRequest withHomes(HomeRegions homes) {
+		return new ProxiedRequest(this.origin, this.identifier, this.route, this.kind, this.service,
+				this.workspace.map((caller) -> new Workspace(caller.name(), caller.priority(), homes.ofWorkspace())),
+				this.priority, this.latencyTarget, this.routeTimeout, this.timeout, this.elapsed, this.model,
+				this.tokenCounts, this.sharedPromptParts, this.contentHash, this.triedTargets, this.answerStarted,
+				this.anotherAttemptMayFollow, homes.ofRoute());
+	}
+
+	/**
+	 * Returns the home regions of this request.
+	 * @return the regions of its route and its workspace
+	 */
+	public HomeRegions homes() {
+		return new HomeRegions(this.routeHomes, this.workspace.map(Workspace::homes).orElse(Set.of()));
 	}
 
 }
--- a/src/test/java/sycamorehill/entry/ProxyFrameCodecTests.java
+++ b/src/test/java/sycamorehill/entry/ProxyFrameCodecTests.java
@@ -11,9 +11,11 @@
 
 import org.junit.jupiter.api.Test;
 
+import sycamorehill.model.identity.RegionName;
 import sycamorehill.model.identity.TargetName;
 import sycamorehill.model.identity.WorkspaceName;
 import sycamorehill.model.serving.AttemptEnd;
+import sycamorehill.model.serving.HomeRegions;
 import sycamorehill.model.serving.NotRunCause;
 import sycamorehill.model.serving.ProxiedRequest;
 import sycamorehill.model.serving.RequestKind;
@@ -36,7 +38,7 @@
 		return new ProxiedRequest("one", "a1", "r", RequestKind.RESUMABLE_STREAM, ServingSamples.ENGINES, workspace, 1,
 				Duration.ofMillis(300), Duration.ofSeconds(8), Duration.ofMillis(5999), Duration.ofNanos(1234567),
 				Optional.of("small"), tokenCounts, List.of("5c1e07a2", "91bd3f06"), Long.MIN_VALUE,
-				Set.of(TargetName.of("h1"), TargetName.of("h2")), true, false);
+				Set.of(TargetName.of("h1"), TargetName.of("h2")), true, false, Set.of());
 	}
 
 	private static List<ProxyFrame> frames() {
@@ -70,6 +72,32 @@
 		assertThat(ends).containsExactlyInAnyOrder(AttemptEnd.class.getPermittedSubclasses());
 	}
 
+	@Test
+	void roundTripsHomeRegions() throws IOException {
+		HomeRegions homes = new HomeRegions(Set.of(RegionName.of("eu"), RegionName.of("us")),
+				Set.of(RegionName.of("eu")));
+		ProxiedRequest request = request(Optional.of(new Workspace(WorkspaceName.of("yard"), 2)), Optional.empty())
+			.withHomes(homes);
+		ProxyFrame read = ProxyFrameCodec.read(this.codec
+			.write(new ProxyFrame.Request(request, "GET", "/", List.of(), Optional.empty(), Optional.empty(), 0)));
+		assertThat(((ProxyFrame.Request) read).request()).isEqualTo(request);
+		assertThat(((ProxyFrame.Request) read).request().homes()).isEqualTo(homes);
+	}
+
+	// Nodes of earlier versions end a request with the parts of its prompt, or before
+	// them.
+	@Test
+	void readsRequestsOfEarlierVersions() throws IOException {
+		ProxyFrame.Request request = new ProxyFrame.Request(request(Optional.empty(), Optional.empty()), "GET", "/",
+				List.of(), Optional.empty(), Optional.empty(), 0);
+		byte[] whole = this.codec.write(request);
+		byte[] withoutHomes = Arrays.copyOf(whole, whole.length - 2);
+		assertThat(ProxyFrameCodec.read(withoutHomes)).isEqualTo(request);
+		int partsBytes = 1 + 2 * (1 + "5c1e07a2".length());
+		assertThat(ProxyFrameCodec.read(Arrays.copyOf(withoutHomes, withoutHomes.length - partsBytes)))
+			.isEqualTo(request.withSharedPromptParts(List.of()));
+	}
+
 	@Test
 	void roundTripsBytes() throws IOException {
 		byte[] bytes = { 0, 1, -1, '\n' };
--- a/src/test/java/sycamorehill/entry/ProxyServerConnectionTests.java
+++ b/src/test/java/sycamorehill/entry/ProxyServerConnectionTests.java
@@ -67,7 +67,7 @@
 		ProxiedRequest request = new ProxiedRequest("two", identifier, "/again/", RequestKind.IDEMPOTENT,
 				ServingSamples.DESK, Optional.empty(), 1, Duration.ofMillis(300), Duration.ofSeconds(20),
 				Duration.ofSeconds(20), Duration.ZERO, Optional.empty(), Optional.empty(), List.of(), 1, Set.of(),
-				false, false);
+				false, false, Set.of());
 		byte[] bytes = ProxyFrameCodec.create()
 			.write(new ProxyFrame.Request(request, "GET", "/again/x", List
 				.of(new ProxyFrame.Header("Host", "feed.example"), new ProxyFrame.Header("Attempt-Id", identifier)),
--- a/src/test/java/sycamorehill/logic/dispatch/ProxiedRequestTests.java
+++ b/src/test/java/sycamorehill/logic/dispatch/ProxiedRequestTests.java
@@ -203,7 +203,7 @@
 		return new ProxiedRequest("two", "a1", "r", kind, service, Optional.empty(), 1, Duration.ofMillis(300),
 				Duration.ofSeconds(6), Duration.ofSeconds(6), Duration.ofMillis(5),
 				kind.isStreaming() ? Optional.of("small") : Optional.empty(), Optional.empty(), List.of(), 7, tried,
-				false, true);
+				false, true, Set.of());
 	}
 
 	private List<EntryEffect> arriveFromOtherNode(long number, ProxiedRequest request) {
--- a/src/test/java/sycamorehill/logic/dispatch/ProxySelectorTests.java
+++ b/src/test/java/sycamorehill/logic/dispatch/ProxySelectorTests.java
@@ -12,6 +12,7 @@
 import sycamorehill.model.identity.Address;
 import sycamorehill.model.identity.DataCentreName;
 import sycamorehill.model.serving.EntryEffect;
+import sycamorehill.model.serving.HomeRegions;
 import sycamorehill.model.serving.NodeMessage;
 import sycamorehill.model.serving.NodeRecord;
 import sycamorehill.support.ServingSamples;
@@ -23,7 +24,8 @@
  */
 class ProxySelectorTests {
 
-	private final ProxySelector selector = ProxySelector.of(DataCentreName.of("north"), new Random(1));
+	private final ProxySelector selector = ProxySelector.of(DataCentreName.of("north"),
+			HomeRegionRule.of(ServingSamples.settings("one")), new Random(1));
 
 	private Instant now = Instant.ofEpochSecond(1000);
 
@@ -33,7 +35,7 @@
 	}
 
 	private Optional<String> select(String... excluded) {
-		return this.selector.select(ServingSamples.ENGINES, Set.of(excluded), this.now)
+		return this.selector.select(ServingSamples.ENGINES, HomeRegions.ALL, Set.of(excluded), this.now)
 			.map(EntryEffect.ProxyNode::name);
 	}
 
--- a/src/test/java/sycamorehill/platform/DecoderTests.java
+++ b/src/test/java/sycamorehill/platform/DecoderTests.java
@@ -4,6 +4,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.List;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -11,7 +12,10 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
+import sycamorehill.model.identity.RegionName;
 import sycamorehill.model.identity.ServiceName;
 import sycamorehill.model.serving.Configuration;
 import sycamorehill.model.serving.EntrySettings;
@@ -73,6 +77,35 @@
 		assertThat(configuration.workspacesByApiKey()).containsKey("k");
 	}
 
+	@Test
+	void readsHomeRegionsOfRoutesAndWorkspaces() {
+		String text = CONFIGURATION.replace("'public':false", "'public':false,'allowed_regions':['eu','us']")
+			.replace("'api_keys':['k']", "'api_keys':['k'],'allowed_regions':['eu']");
+		Configuration configuration = ConfigurationDecoder.decode(json(text));
+		assertThat(configuration.routes().get(0).homes()).containsExactlyInAnyOrder(RegionName.of("eu"),
+				RegionName.of("us"));
+		assertThat(configuration.workspacesByApiKey().get("k").homes()).containsExactly(RegionName.of("eu"));
+		for (String none : List.of("[]", "null")) {
+			assertThat(ConfigurationDecoder
+				.decode(json(CONFIGURATION.replace("'public':false", "'public':false,'allowed_regions':" + none)))
+				.routes()
+				.get(0)
+				.homes()).isEmpty();
+		}
+	}
+
+	// A list that can't be read must not be taken for one that allows all regions.
+	@ParameterizedTest
+	@ValueSource(strings = { "[1]", "['eu',null]", "[['eu']]", "'eu'", "{'eu':1}", "true", "['']" })
+	void refusesUnreadableHomeRegions(String homes) {
+		for (String field : List.of("'public':false", "'api_keys':['k']")) {
+			String text = CONFIGURATION.replace(field, field + ",'allowed_regions':" + homes);
+			assertThatThrownBy(() -> ConfigurationDecoder.decode(json(text)))
+				.isInstanceOf(IllegalArgumentException.class)
+				.hasMessageMatching(".*(allowed_regions|name must not be blank).*");
+		}
+	}
+
 	// Other writers may store entries that lack fields or are not JSON. Decoding one must
 	// fail with an IllegalArgumentException, the only failure that the store client
 	// handles; the entry then names no target.
