Explain where a request would go now, by a command and a page of each node

To learn why a request is refused or goes to some target, an operator had to read logs of requests that had failed already. `sycamorehill placement` asks a node's page server, which makes the same selection as for a caller and returns the route, the workspace, the home regions, the targets with what is known of them and why they are left out, and the choice or the refusal with the cause that the caller would get. Nothing is sent or changed: random numbers come from a generator of their own. The key is in a header; a key in the query is refused, and no message repeats what was asked.

Open: the workspace's share, which fair shares have to fill in PlacementExplainer.workspace.

--- a/src/main/java/sycamorehill/cli/NodeCommand.java
+++ b/src/main/java/sycamorehill/cli/NodeCommand.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.time.Duration;
+import java.util.List;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeoutException;
 
@@ -14,6 +15,7 @@
 import sycamorehill.http.HttpAnswer;
 import sycamorehill.http.HttpCall;
 import sycamorehill.http.HttpClientPool;
+import sycamorehill.http.HttpHeader;
 import sycamorehill.http.NotSentException;
 import sycamorehill.json.ModelJson;
 import sycamorehill.model.identity.Address;
@@ -29,7 +31,8 @@
 
 	private final ObjectMapper json = ModelJson.json();
 
-	@Option(name = "--node", title = "HOST:PORT", description = "Operators' address of any node")
+	@Option(name = "--node", title = "HOST:PORT",
+			description = "Operators' address of any node; for placement, the message address of the node that is asked")
 	@Required
 	private String node;
 
@@ -40,6 +43,14 @@
 		return call(HttpCall.of(address(), "GET", path, TIMEOUT));
 	}
 
+	protected final HttpAnswer get(String path, List<HttpHeader> headers) throws InterruptedException {
+		HttpCall call = HttpCall.of(address(), "GET", path, TIMEOUT);
+		for (HttpHeader header : headers) {
+			call = call.withHeader(header.name(), header.value());
+		}
+		return call(call);
+	}
+
 	protected final HttpAnswer post(String path, String body) throws InterruptedException {
 		return call(HttpCall.of(address(), "POST", path, TIMEOUT).withBody(body, "application/json"));
 	}
--- a/src/main/java/sycamorehill/cli/SycamorehillCommand.java
+++ b/src/main/java/sycamorehill/cli/SycamorehillCommand.java
@@ -79,7 +79,8 @@
 			.withDescription("Serving system for models whose replicas span several VMs")
 			.withDefaultCommand((Class<Object>) (Class<?>) Help.class)
 			.withCommands(Help.class, ServeCommand.class, StateCommand.class, DumpCommand.class, LocalCommand.class,
-					StandInCommand.class, LoadCommand.class, ExperimentCommand.class, ExplainCommand.class);
+					StandInCommand.class, LoadCommand.class, ExperimentCommand.class, ExplainCommand.class,
+					PlacementCommand.class);
 		builder.withGroup("ticket")
 			.withDescription("File and read change tickets")
 			.withCommands(TicketFileCommand.class, TicketShowCommand.class, TicketListCommand.class,
--- a/src/main/java/sycamorehill/entry/EntryNode.java
+++ b/src/main/java/sycamorehill/entry/EntryNode.java
@@ -13,6 +13,7 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.util.concurrent.DefaultThreadFactory;
 
@@ -85,6 +86,8 @@
 
 	private final EntryMetrics metrics;
 
+	private final PlacementPage placementPage;
+
 	private final LoopGuard guard;
 
 	private final WaitingConfiguration waitingConfiguration;
@@ -119,6 +122,7 @@
 		this.waitingConfiguration = WaitingConfiguration.of(this.loop, (parse) -> this.guard.run(LogEvent.EFFECT_FAILED,
 				"parsing a configuration", () -> parseConfiguration(parse)));
 		this.metrics = EntryMetrics.of(this.reducer, this.guard);
+		this.placementPage = PlacementPage.of((request) -> this.reducer.explain(request, this.clock.instant()));
 		AnswerCutLog cutLog = AnswerCutLog.of(this.metrics);
 		CallerConnectionLimit connectionLimit = CallerConnectionLimit.of(settings.maximumDescriptors(),
 				System::nanoTime);
@@ -187,15 +191,18 @@
 		stop();
 	}
 
-	private PageServer.Page readinessPage(String path) {
+	private PageServer.Page readinessPage(String path, HttpHeaders headers) {
 		if (!path.equals(this.ports.codec().readinessPath())) {
 			return PageServer.Page.NOT_FOUND;
 		}
 		return PageServer.Page.empty(this.ready ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE);
 	}
 
-	private PageServer.Page metricsPage(String path) {
-		return path.equals(METRICS_PATH) ? this.metrics.page() : PageServer.Page.NOT_FOUND;
+	private PageServer.Page metricsPage(String uri, HttpHeaders headers) {
+		if (PlacementPage.isAskedFor(uri)) {
+			return this.placementPage.read(uri, headers);
+		}
+		return uri.equals(METRICS_PATH) ? this.metrics.page() : PageServer.Page.NOT_FOUND;
 	}
 
 	private FeedReader.Pace readPace(Duration maximumWait) {
--- a/src/main/java/sycamorehill/entry/PageServer.java
+++ b/src/main/java/sycamorehill/entry/PageServer.java
@@ -15,6 +15,7 @@
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpServerCodec;
@@ -69,10 +70,11 @@
 
 		/**
 		 * Returns a page.
-		 * @param path the requested path
+		 * @param uri the requested path and query
+		 * @param headers the headers, which may contain a key
 		 * @return the page
 		 */
-		Page read(String path);
+		Page read(String uri, HttpHeaders headers);
 
 	}
 
@@ -101,12 +103,12 @@
 		@Override
 		protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
 			boolean keepAlive = HttpUtil.isKeepAlive(request);
-			answer(ctx, page(request.uri()), keepAlive);
+			answer(ctx, page(request.uri(), request.headers()), keepAlive);
 		}
 
-		private Page page(String path) {
+		private Page page(String uri, HttpHeaders headers) {
 			try {
-				return PageServer.this.pages.read(path);
+				return PageServer.this.pages.read(uri, headers);
 			}
 			catch (RuntimeException ex) {
 				EventLog.failure(LogEvent.EFFECT_FAILED, "a page could not be created", ex);
--- a/src/main/java/sycamorehill/json/IdentifierModule.java
+++ b/src/main/java/sycamorehill/json/IdentifierModule.java
@@ -22,6 +22,7 @@
 import sycamorehill.model.identity.GroupSetName;
 import sycamorehill.model.identity.NodeIncarnation;
 import sycamorehill.model.identity.NodeName;
+import sycamorehill.model.identity.RegionName;
 import sycamorehill.model.identity.RequestIdentifier;
 import sycamorehill.model.identity.ServiceName;
 import sycamorehill.model.identity.TargetName;
@@ -50,6 +51,7 @@
 		module.registerValueAndKey(FilingIdentifier.class, FilingIdentifier::value, FilingIdentifier::of);
 		module.registerValueAndKey(GroupSetName.class, GroupSetName::value, GroupSetName::of);
 		module.registerValueAndKey(NodeName.class, NodeName::value, NodeName::of);
+		module.registerValueAndKey(RegionName.class, RegionName::value, RegionName::of);
 		module.registerValueAndKey(ServiceName.class, ServiceName::value, ServiceName::of);
 		module.registerValueAndKey(TargetName.class, TargetName::value, TargetName::of);
 		module.registerValueAndKey(VmName.class, VmName::value, VmName::of);
--- a/src/main/java/sycamorehill/logic/dispatch/AttemptScheduler.java
+++ b/src/main/java/sycamorehill/logic/dispatch/AttemptScheduler.java
@@ -21,6 +21,9 @@
  */
 final class AttemptScheduler {
 
+	/** Why a new request is refused if there is no target at all. */
+	static final String NO_TARGET_CAUSE = "no target can take it";
+
 	/**
 	 * Maximum number of attempts of a request that reach no target, for example because
 	 * the connection is refused. Each costs a connection and runs nothing.
@@ -339,10 +342,19 @@
 		this.activeRequests.remove(request.request().number());
 		Duration restLeft = this.targetSelector.restLeft(request, now);
 		String fullCause = cause + (request.retryRefused() ? ", the retry budget is used up" : "")
-				+ (restLeft.isZero() ? "" : ", all targets rest");
+				+ describeRest(restLeft);
 		this.finalAnswers.giveUp(request, fullCause, restLeft, now, effects);
 	}
 
+	/**
+	 * Describes the rest of all targets as the end of a cause.
+	 * @param restLeft how long all targets of a request still rest
+	 * @return the end of the cause; empty if a target doesn't rest
+	 */
+	static String describeRest(Duration restLeft) {
+		return restLeft.isZero() ? "" : ", all targets rest";
+	}
+
 	/**
 	 * Reports the end of its only attempt to the node that has sent a request through
 	 * this one.
--- a/src/main/java/sycamorehill/logic/dispatch/FinalAnswers.java
+++ b/src/main/java/sycamorehill/logic/dispatch/FinalAnswers.java
@@ -18,6 +18,9 @@
  */
 final class FinalAnswers {
 
+	/** Beginning of the causes of refused requests. */
+	static final String NOT_RUN_PREFIX = "not run: ";
+
 	private static final int BAD_GATEWAY = 502;
 
 	private static final int UNAVAILABLE = 503;
@@ -108,7 +111,7 @@
 		}
 		else {
 			Duration retryAfter = retryAfter(restLeft);
-			effects.add(new EntryEffect.Answer(number, UNAVAILABLE, "not run: " + cause, Optional.of(retryAfter)));
+			effects.add(new EntryEffect.Answer(number, UNAVAILABLE, NOT_RUN_PREFIX + cause, Optional.of(retryAfter)));
 			effects.log(LogEvent.REQUEST_REFUSED, fields + " come-back-millis=" + retryAfter.toMillis());
 		}
 	}
--- a/src/main/java/sycamorehill/logic/dispatch/Placement.java
+++ b/src/main/java/sycamorehill/logic/dispatch/Placement.java
@@ -88,6 +88,17 @@
 		return new Placement(localDataCentre, random);
 	}
 
+	/**
+	 * Returns a copy that draws its random numbers elsewhere.
+	 * @param otherRandom the source of the random numbers
+	 * @return the copy
+	 */
+	Placement withRandom(RandomGenerator otherRandom) {
+		Placement copy = of(this.localDataCentre, otherRandom);
+		copy.setNodeCount(this.nodeCount);
+		return copy;
+	}
+
 	/**
 	 * Sets the number of nodes that place requests.
 	 * @param liveNodes number of live nodes
@@ -150,6 +161,20 @@
 		return Optional.ofNullable(best);
 	}
 
+	/**
+	 * Returns the expected time to the first answer of a target.
+	 * @param candidate the target
+	 * @param status its status; empty if nothing is known of it
+	 * @param size the sizes of prompt and answer
+	 * @param now the current time
+	 * @return the time, including that in its queue
+	 */
+	static Duration expectedTime(Candidate candidate, Optional<TargetStatus> status, Optional<TokenCounts> size,
+			Instant now) {
+		return ofMillis(queueingMillis(candidate, status.orElse(null), now)
+				+ timeToFirstAnswerMillis(candidate, status.orElse(null), size, now));
+	}
+
 	private double penaltyMillis(Candidate candidate, TargetStatus status) {
 		double penalty = this.random.nextDouble() * JITTER_MILLIS;
 		if (!candidate.entry().dataCentre().equals(this.localDataCentre)) {
--- a/src/main/java/sycamorehill/logic/dispatch/ProxiedRequests.java
+++ b/src/main/java/sycamorehill/logic/dispatch/ProxiedRequests.java
@@ -66,7 +66,7 @@
 		}
 		this.activeRequests.put(number, active);
 		effects.add(new EntryEffect.LimitRequestTime(number, active.timeLeft(now)));
-		this.scheduler.place(active, "no target can take it", now, effects);
+		this.scheduler.place(active, AttemptScheduler.NO_TARGET_CAUSE, now, effects);
 	}
 
 	/**
--- a/src/main/java/sycamorehill/logic/dispatch/RequestDispatcher.java
+++ b/src/main/java/sycamorehill/logic/dispatch/RequestDispatcher.java
@@ -23,7 +23,7 @@
 import sycamorehill.model.serving.EntrySettings;
 import sycamorehill.model.serving.NodeMessage;
 import sycamorehill.model.serving.NodeRecord;
-import sycamorehill.model.serving.ServiceParameters;
+import sycamorehill.model.serving.PlacementExplanation;
 import sycamorehill.model.serving.TargetEntry;
 import sycamorehill.model.serving.TargetReport;
 
@@ -36,6 +36,8 @@
 
 	private static final int UNAVAILABLE = 503;
 
+	private static final String STOPPING_CAUSE = "not run: this node stops";
+
 	/**
 	 * Retry-After for requests that another node can serve: almost at once, but not in a
 	 * tight loop.
@@ -70,6 +72,8 @@
 
 	private final ProxiedRequests proxiedRequests;
 
+	private final PlacementExplainer explainer;
+
 	private RequestDispatcher(EntrySettings settings, TargetDirectory directory, RandomGenerator random) {
 		this.directory = directory;
 		this.random = random;
@@ -89,6 +93,8 @@
 				this.scheduler, this.outcomes);
 		this.proxiedRequests = ProxiedRequests.of(this.router.knownServices(), this.targetSelector,
 				this.paths.proxySelector(), this.scheduler, this.stalledStreams, this.activeRequests);
+		this.explainer = PlacementExplainer.of(settings, this.router, this.targetSelector, this.paths,
+				this.homeRegionRule);
 	}
 
 	/**
@@ -184,15 +190,12 @@
 	private void dispatch(CallerRequest request, RequestRouter.Routed routed, Instant arrivedAt, Instant now,
 			Effects effects) {
 		ServiceName service = routed.route().selectService(this.random.nextDouble());
-		ServiceParameters parameters = routed.configuration()
-			.service(service)
-			.orElseGet(() -> ServiceParameters.unknown(service));
-		DispatchedRequest active = DispatchedRequest.of(request, routed.route(), parameters, routed.workspace(),
-				arrivedAt);
+		DispatchedRequest active = DispatchedRequest.of(request, routed.route(), routed.parameters(service),
+				routed.workspace(), arrivedAt);
 		this.activeRequests.put(request.number(), active);
 		effects.add(new EntryEffect.LimitRequestTime(request.number(), active.timeLeft(now)));
 		this.retryBudgets.of(service).recordRequest(now);
-		this.scheduler.place(active, "no target can take it", now, effects);
+		this.scheduler.place(active, AttemptScheduler.NO_TARGET_CAUSE, now, effects);
 	}
 
 	/**
@@ -202,8 +205,18 @@
 	 */
 	public void refuseStopping(CallerRequest request, Effects effects) {
 		refuseUnrouted(request,
-				new RequestRouter.Refused(UNAVAILABLE, "not run: this node stops", Optional.of(RETRY_ELSEWHERE_AFTER)),
-				effects);
+				new RequestRouter.Refused(UNAVAILABLE, STOPPING_CAUSE, Optional.of(RETRY_ELSEWHERE_AFTER)), effects);
+	}
+
+	/**
+	 * Explains where a request would go now, without any effect.
+	 * @param request the request
+	 * @param accepts whether this node accepts new requests
+	 * @param now the current time
+	 * @return the explanation
+	 */
+	public PlacementExplanation explain(CallerRequest request, boolean accepts, Instant now) {
+		return accepts ? this.explainer.explain(request, now) : this.explainer.refused(UNAVAILABLE, STOPPING_CAUSE);
 	}
 
 	private void refuseUnrouted(CallerRequest request, RequestRouter.Refused refused, Effects effects) {
--- a/src/main/java/sycamorehill/logic/dispatch/RequestRouter.java
+++ b/src/main/java/sycamorehill/logic/dispatch/RequestRouter.java
@@ -8,9 +8,11 @@
 
 import sycamorehill.logic.Effects;
 import sycamorehill.logic.crash.CrashSuspicions;
+import sycamorehill.model.identity.ServiceName;
 import sycamorehill.model.serving.CallerRequest;
 import sycamorehill.model.serving.Configuration;
 import sycamorehill.model.serving.Route;
+import sycamorehill.model.serving.ServiceParameters;
 import sycamorehill.model.serving.Workspace;
 
 /**
@@ -76,6 +78,22 @@
 	}
 
 	Decision route(CallerRequest request, Instant now, Effects effects) {
+		Decision found = find(request);
+		if (found instanceof Routed) {
+			Optional<String> crashes = this.crashSuspicions.findRefusal(request.traits(), now, effects);
+			if (crashes.isPresent()) {
+				return new Refused(UNAVAILABLE, "not run: " + crashes.get(), Optional.of(SUSPECT_RETRY_AFTER));
+			}
+		}
+		return found;
+	}
+
+	/**
+	 * Finds the route and the workspace of a request, whatever its content.
+	 * @param request the request
+	 * @return the route and the workspace, or the refusal
+	 */
+	Decision find(CallerRequest request) {
 		if (this.configuration.isEmpty()) {
 			return new Refused(UNAVAILABLE, "no configuration yet", Optional.of(this.retryAfter.get()));
 		}
@@ -88,10 +106,6 @@
 				&& !route.get().allowsAnonymousCallers()) {
 			return new Refused(UNAUTHORIZED, "the key is not known", Optional.empty());
 		}
-		Optional<String> crashes = this.crashSuspicions.findRefusal(request.traits(), now, effects);
-		if (crashes.isPresent()) {
-			return new Refused(UNAVAILABLE, "not run: " + crashes.get(), Optional.of(SUSPECT_RETRY_AFTER));
-		}
 		return new Routed(route.get(), workspace, this.configuration.get());
 	}
 
@@ -111,6 +125,11 @@
 	 * @param configuration the configuration that contains them
 	 */
 	record Routed(Route route, Optional<Workspace> workspace, Configuration configuration) implements Decision {
+
+		ServiceParameters parameters(ServiceName service) {
+			return this.configuration.service(service).orElseGet(() -> ServiceParameters.unknown(service));
+		}
+
 	}
 
 	/**
--- a/src/main/java/sycamorehill/logic/dispatch/TargetSelector.java
+++ b/src/main/java/sycamorehill/logic/dispatch/TargetSelector.java
@@ -55,7 +55,18 @@
 	 * @return the target, and whether the request is admitted there
 	 */
 	Selection select(DispatchedRequest request, Instant now) {
-		return select(request, request.triedTargets(), now);
+		return select(request, request.triedTargets(), this.placement, now);
+	}
+
+	/**
+	 * Selects a target as {@link #select} does, without any effect on later selections.
+	 * @param request the request
+	 * @param otherRandom the source of the random numbers for this selection alone
+	 * @param now the current time
+	 * @return the target, and whether the request would be admitted there
+	 */
+	Selection preview(DispatchedRequest request, RandomGenerator otherRandom, Instant now) {
+		return select(request, request.triedTargets(), this.placement.withRandom(otherRandom), now);
 	}
 
 	/**
@@ -67,15 +78,15 @@
 	Selection selectOther(DispatchedRequest request, Instant now) {
 		Set<TargetName> excluded = new HashSet<>(request.triedTargets());
 		request.target().ifPresent(excluded::add);
-		return select(request, excluded, now);
+		return select(request, excluded, this.placement, now);
 	}
 
-	private Selection select(DispatchedRequest request, Set<TargetName> excluded, Instant now) {
+	private Selection select(DispatchedRequest request, Set<TargetName> excluded, Placement comparison, Instant now) {
 		List<Candidate> all = candidates(request, now);
-		List<Candidate> sampled = this.placement.sample(all);
-		Selection selection = selectBest(request, sampled, excluded, now);
+		List<Candidate> sampled = comparison.sample(all);
+		Selection selection = selectBest(request, sampled, excluded, comparison, now);
 		return (selection.admission() == Admission.Decision.REFUSED && sampled.size() < all.size())
-				? selectBest(request, all, excluded, now) : selection;
+				? selectBest(request, all, excluded, comparison, now) : selection;
 	}
 
 	/**
@@ -101,13 +112,19 @@
 		return candidates;
 	}
 
-	private List<Candidate> servingTargets(DispatchedRequest request, Instant now) {
+	/**
+	 * Returns the serving targets of a request before any filter.
+	 * @param request the request
+	 * @param now the current time
+	 * @return the targets
+	 */
+	List<Candidate> servingTargets(DispatchedRequest request, Instant now) {
 		return this.servingTargets.find(request.serviceParameters(), request.request().model(), now);
 	}
 
 	private Selection selectBest(DispatchedRequest request, List<Candidate> candidates, Set<TargetName> excluded,
-			Instant now) {
-		Optional<Placement.Choice> choice = this.placement.choose(candidates, excluded, this.statuses.byTarget(),
+			Placement comparison, Instant now) {
+		Optional<Placement.Choice> choice = comparison.choose(candidates, excluded, this.statuses.byTarget(),
 				request.request().tokenCounts(), now);
 		return new Selection(choice,
 				choice.map((best) -> decideAdmission(request, best, now)).orElse(Admission.Decision.REFUSED));
@@ -163,6 +180,14 @@
 		return this.statuses;
 	}
 
+	/**
+	 * Returns the filters of candidates, in the order in which they are applied.
+	 * @return the filters
+	 */
+	List<CandidateFilter> filters() {
+		return this.filters;
+	}
+
 	TargetRateLimits rateLimits() {
 		return this.rateLimits;
 	}
--- a/src/main/java/sycamorehill/logic/dispatch/TargetStatus.java
+++ b/src/main/java/sycamorehill/logic/dispatch/TargetStatus.java
@@ -4,6 +4,7 @@
 import java.time.Instant;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 
 import sycamorehill.model.serving.EngineLoad;
 
@@ -202,6 +203,25 @@
 		return now.isBefore(this.restUntil) ? Duration.between(now, this.restUntil) : Duration.ZERO;
 	}
 
+	/**
+	 * Returns how long this node still sends the target no requests because of failures.
+	 * @param now the current time
+	 * @return the time; zero if it is not ejected
+	 */
+	Duration ejectionLeft(Instant now) {
+		return now.isBefore(this.ejectedUntil) ? Duration.between(now, this.ejectedUntil) : Duration.ZERO;
+	}
+
+	/**
+	 * Returns the age of the target's own last report of its load.
+	 * @param now the current time
+	 * @return the age; empty if there was no report
+	 */
+	Optional<Duration> reportAge(Instant now) {
+		return (this.reportedAt == Instant.MIN) ? Optional.empty()
+				: Optional.of(Duration.between(this.reportedAt, now));
+	}
+
 	/**
 	 * Returns whether this node may send requests to the target.
 	 * @param now the current time
--- a/src/main/java/sycamorehill/logic/dispatch/TargetStatusRegistry.java
+++ b/src/main/java/sycamorehill/logic/dispatch/TargetStatusRegistry.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
 import sycamorehill.model.identity.DataCentreName;
@@ -57,6 +58,15 @@
 		return this.statuses.computeIfAbsent(target, (name) -> new TargetStatus());
 	}
 
+	/**
+	 * Finds the status of a target.
+	 * @param target the target
+	 * @return its status; empty if nothing is known of the target
+	 */
+	Optional<TargetStatus> find(TargetName target) {
+		return Optional.ofNullable(this.statuses.get(target));
+	}
+
 	/**
 	 * Returns the known statuses.
 	 * @return the statuses by target
--- a/src/main/java/sycamorehill/logic/entry/EntryReducer.java
+++ b/src/main/java/sycamorehill/logic/entry/EntryReducer.java
@@ -14,12 +14,14 @@
 import sycamorehill.logic.dispatch.RetryShare;
 import sycamorehill.logic.layout.GroupController;
 import sycamorehill.model.log.LogEvent;
+import sycamorehill.model.serving.CallerRequest;
 import sycamorehill.model.serving.Configuration;
 import sycamorehill.model.serving.EntryEffect;
 import sycamorehill.model.serving.EntryEvent;
 import sycamorehill.model.serving.EntrySettings;
 import sycamorehill.model.serving.NodeMessage;
 import sycamorehill.model.serving.NodeRecord;
+import sycamorehill.model.serving.PlacementExplanation;
 
 /**
  * Makes all decisions of an entry node: handles one event after the other and returns the
@@ -422,6 +424,16 @@
 		return this.peers.isNodeHost(host);
 	}
 
+	/**
+	 * Explains where a request would go now. Nothing is sent, and nothing changes.
+	 * @param request the request
+	 * @param now the current time
+	 * @return the explanation
+	 */
+	public PlacementExplanation explain(CallerRequest request, Instant now) {
+		return this.requests.explain(request, !this.stage.isStoppingLongerThan(ACCEPTANCE_AFTER_STOP, now), now);
+	}
+
 	/**
 	 * Returns the number of requests without a final answer.
 	 * @return the number of requests
