Share capacity fairly among workspaces under overload

Cause: while all slots are taken, a workspace that asks for ten times its load takes what the others would have had.

Each node counts what workspaces ask for and what is admitted, by service and model, and reports it in the load messages. A request that the max-min fair share of its workspace doesn't cover takes a free slot only and yields at the target; one within its share may queue. Nothing changes below 0.75 requests per slot, or with one workspace.

Not yet run on this state: the whole unit tests.

--- a/src/main/java/sycamorehill/entry/EntryMetrics.java
+++ b/src/main/java/sycamorehill/entry/EntryMetrics.java
@@ -6,8 +6,10 @@
 import java.lang.management.BufferPoolMXBean;
 import java.lang.management.ManagementFactory;
 import java.time.Duration;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.DoubleSupplier;
+import java.util.stream.Collectors;
 
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
@@ -19,6 +21,7 @@
 import org.mpierce.metrics.reservoir.hdrhistogram.HdrHistogramResetOnSnapshotReservoir;
 
 import sycamorehill.logic.entry.EntryReducer;
+import sycamorehill.model.identity.WorkspaceName;
 import sycamorehill.model.log.LogLine;
 import sycamorehill.model.serving.EntryEffect;
 
@@ -32,6 +35,8 @@
 
 	private static final String METASPACE = "Metaspace";
 
+	private static final String REFUSED_OVER_SHARE = "requests.refused-over-share.";
+
 	private final MetricRegistry registry = new MetricRegistry();
 
 	private final CollectorRegistry collectors = new CollectorRegistry();
@@ -117,6 +122,25 @@
 		this.registry.counter("retries." + decided.service() + '.' + outcome).inc();
 	}
 
+	/**
+	 * Counts a refusal of a request whose workspace was over its fair share.
+	 * @param refused the refusal
+	 */
+	void countRefusalOverShare(EntryEffect.RefusedOverShare refused) {
+		this.registry.counter(REFUSED_OVER_SHARE + refused.workspace()).inc();
+	}
+
+	/**
+	 * Removes the counters of other workspaces.
+	 * @param workspaces the workspaces of the configuration
+	 */
+	void retainWorkspaces(Set<WorkspaceName> workspaces) {
+		Set<String> retained = workspaces.stream()
+			.map((workspace) -> REFUSED_OVER_SHARE + workspace)
+			.collect(Collectors.toSet());
+		this.registry.removeMatching((name, metric) -> name.startsWith(REFUSED_OVER_SHARE) && !retained.contains(name));
+	}
+
 	private void recordTime(String name, Duration time) {
 		this.registry.timer(name, () -> new Timer(new HdrHistogramResetOnSnapshotReservoir()))
 			.update(time.toNanos(), TimeUnit.NANOSECONDS);
--- a/src/main/java/sycamorehill/entry/EntryNode.java
+++ b/src/main/java/sycamorehill/entry/EntryNode.java
@@ -284,6 +284,12 @@
 		else if (effect instanceof EntryEffect.SetCallerLimits set) {
 			this.callerServer.setLimits(set.limits());
 		}
+		else if (effect instanceof EntryEffect.RefusedOverShare refused) {
+			this.metrics.countRefusalOverShare(refused);
+		}
+		else if (effect instanceof EntryEffect.RetainWorkspaceMetrics retained) {
+			this.metrics.retainWorkspaces(retained.workspaces());
+		}
 		else if (effect instanceof EntryEffect.Send send) {
 			this.messenger.send(send.nodes(), send.message());
 		}
--- a/src/main/java/sycamorehill/entry/NodeMessageFields.java
+++ b/src/main/java/sycamorehill/entry/NodeMessageFields.java
@@ -163,11 +163,12 @@
 	private static void writeLoads(NodeMessage.Loads loads, ObjectNode body) {
 		body.put(DATA_CENTRE, loads.dataCentre().value()).put(STORE_REACHED, loads.storeReachable());
 		writeRequests(loads.requests(), body);
+		UseReportFields.write(loads.use(), body);
 	}
 
 	private static NodeMessage readLoads(String sender, JsonNode body) {
 		return new NodeMessage.Loads(sender, readDataCentre(body), body.path(STORE_REACHED).asBoolean(),
-				readRequests(body));
+				readRequests(body), UseReportFields.read(body));
 	}
 
 	private static void writeSums(NodeMessage.SummedLoads aggregated, ObjectNode body) {
@@ -176,6 +177,7 @@
 			ObjectNode element = sums.addObject();
 			element.put(NODE, sum.aggregator()).put(DATA_CENTRE, sum.dataCentre().value()).put(NODES, sum.liveNodes());
 			writeRequests(sum.requests(), element);
+			UseReportFields.write(sum.use(), element);
 		}
 	}
 
@@ -183,7 +185,7 @@
 		List<LoadSum> sums = new ArrayList<>();
 		for (JsonNode sum : body.path(SUMS)) {
 			sums.add(new LoadSum(sum.path(NODE).asText(), readDataCentre(sum), sum.path(NODES).asInt(),
-					readRequests(sum)));
+					readRequests(sum), UseReportFields.read(sum)));
 		}
 		return new NodeMessage.SummedLoads(sender, sums);
 	}
--- a/src/main/java/sycamorehill/logic/dispatch/Admission.java
+++ b/src/main/java/sycamorehill/logic/dispatch/Admission.java
@@ -13,6 +13,10 @@
  * a refusal take precedence over new requests that would be late too. A stream that has
  * started is admitted up to a higher load, because aborting it costs its caller more than
  * the wait.
+ *
+ * A request over the fair share of its workspace takes a free slot only, and yields to
+ * all others in the target's queue, even if it can be on time. While there are such
+ * requests, those within their shares may queue where they would otherwise be refused.
  */
 final class Admission {
 
@@ -27,6 +31,26 @@
 	 */
 	private static final double MAXIMUM_LOAD_FOR_RETRIES = 1.0;
 
+	/**
+	 * Number of requests per slot from which on the shares of workspaces matter. With
+	 * fewer, no request queues, even though the requests of other nodes become known
+	 * late.
+	 */
+	private static final double MINIMUM_LOAD_FOR_SHARES = 0.75;
+
+	/**
+	 * Maximum number of requests per slot at which a request over the share of its
+	 * workspace is admitted: it takes a free slot, but doesn't queue.
+	 */
+	private static final double MAXIMUM_LOAD_FOR_OVER_SHARE = 1.0;
+
+	/**
+	 * Requests per slot beyond its other limit up to which a request within the share of
+	 * its workspace is admitted. It queues before the requests that are over a share. The
+	 * known load is often too high, because reports are old.
+	 */
+	private static final double ADDITIONAL_LOAD_WITHIN_SHARE = 0.6;
+
 	/** Maximum number of requests per slot at which a started stream is admitted. */
 	private static final double MAXIMUM_LOAD_FOR_STARTED_STREAMS = 1.4;
 
@@ -49,10 +73,23 @@
 		boolean onTime = !estimate.isRetry() && estimate.elapsed()
 			.plus(estimate.timeToFirstAnswer())
 			.compareTo(estimate.firstAnswerObjective()) <= 0;
+		boolean sharesMatter = !hasRoomFor(estimate, MINIMUM_LOAD_FOR_SHARES);
+		if (sharesMatter && estimate.isRestrictedToFreeSlots()) {
+			double load = onTime ? MAXIMUM_LOAD_FOR_OVER_SHARE : maximumLoad(estimate);
+			return hasRoomFor(estimate, load) ? Decision.LATE : Decision.REFUSED;
+		}
 		if (onTime) {
 			return Decision.ON_TIME;
 		}
-		return (estimate.requests() < maximumLoad(estimate) * estimate.slots()) ? Decision.LATE : Decision.REFUSED;
+		if (sharesMatter && estimate.standing() == WorkspaceStanding.Level.WITHIN_SHARE
+				&& hasRoomFor(estimate, maximumLoad(estimate) + ADDITIONAL_LOAD_WITHIN_SHARE)) {
+			return Decision.WITHIN_SHARE;
+		}
+		return hasRoomFor(estimate, maximumLoad(estimate)) ? Decision.LATE : Decision.REFUSED;
+	}
+
+	private static boolean hasRoomFor(Estimate estimate, double load) {
+		return estimate.requests() < load * estimate.slots();
 	}
 
 	private static double maximumLoad(Estimate estimate) {
@@ -76,6 +113,12 @@
 		 */
 		LATE,
 
+		/**
+		 * The request may be late, because other workspaces use more than their shares,
+		 * and doesn't yield to them.
+		 */
+		WITHIN_SHARE,
+
 		/** The request is not admitted. */
 		REFUSED
 
@@ -92,9 +135,31 @@
 	 * @param requests requests that the target has
 	 * @param slots requests that the target runs concurrently
 	 * @param answerStarted whether the caller has received part of the answer
+	 * @param standing how the request stands to the fair share of its workspace
 	 */
 	record Estimate(Duration timeToFirstAnswer, Duration firstAnswerObjective, Duration elapsed, Duration timeLeft,
-			Duration timeout, int requests, int slots, boolean answerStarted) {
+			Duration timeout, int requests, int slots, boolean answerStarted, WorkspaceStanding.Level standing) {
+
+		/**
+		 * Creates the estimate of a request that no share concerns.
+		 * @param timeToFirstAnswer expected time to the first answer
+		 * @param firstAnswerObjective longest time to the first answer that is on time
+		 * @param elapsed time since the request arrived
+		 * @param timeLeft time that the caller and the route still allow
+		 * @param timeout total time that the route allows
+		 * @param requests requests that the target has
+		 * @param slots requests that the target runs concurrently
+		 * @param answerStarted whether the caller has received part of the answer
+		 */
+		Estimate(Duration timeToFirstAnswer, Duration firstAnswerObjective, Duration elapsed, Duration timeLeft,
+				Duration timeout, int requests, int slots, boolean answerStarted) {
+			this(timeToFirstAnswer, firstAnswerObjective, elapsed, timeLeft, timeout, requests, slots, answerStarted,
+					WorkspaceStanding.Level.UNCONTESTED);
+		}
+
+		private boolean isRestrictedToFreeSlots() {
+			return this.standing == WorkspaceStanding.Level.OVER_SHARE && !this.answerStarted;
+		}
 
 		private boolean isRetry() {
 			return this.timeLeft.plus(this.elapsed).toMillis() < MINIMUM_TIMEOUT_SHARE_OF_NEW_REQUESTS
--- a/src/main/java/sycamorehill/logic/dispatch/AttemptScheduler.java
+++ b/src/main/java/sycamorehill/logic/dispatch/AttemptScheduler.java
@@ -110,7 +110,18 @@
 			endProxied(request, Optional.empty(), new AttemptEnd.NotRun(NotRunCause.NO_TARGET), now, effects);
 		}
 		else {
-			giveUp(request, selection.choice().isEmpty() ? fallbackCause : "all targets are full", now, effects);
+			selection.exceededShare().ifPresent((share) -> addRefusal(request, share, effects));
+			giveUp(request, selection.choice().isEmpty() ? fallbackCause : describeFull(selection), now, effects);
+		}
+	}
+
+	private static String describeFull(TargetSelector.Selection selection) {
+		return "all targets are full" + selection.exceededShare().map((share) -> ", " + share).orElse("");
+	}
+
+	private static void addRefusal(DispatchedRequest request, WorkspaceStanding.Share share, Effects effects) {
+		if (!request.mayHaveRun() && !request.answerStarted()) {
+			effects.add(new EntryEffect.RefusedOverShare(share.workspace()));
 		}
 	}
 
--- a/src/main/java/sycamorehill/logic/dispatch/AttemptStarter.java
+++ b/src/main/java/sycamorehill/logic/dispatch/AttemptStarter.java
@@ -58,7 +58,7 @@
 		Candidate candidate = selection.choice().orElseThrow().candidate();
 		TargetName name = candidate.entry().name();
 		int attempt = request.startAttempt(candidate.entry(), now);
-		this.targetSelector.recordSent(candidate, now);
+		this.targetSelector.recordSent(request, candidate, now);
 		candidate.engines().ifPresent((engines) -> recordPrefill(request, candidate, engines, now, effects));
 		int connections = request.serviceParameters().maximumConnections();
 		RequestKind kind = request.route().kind();
--- a/src/main/java/sycamorehill/logic/dispatch/DispatchedRequest.java
+++ b/src/main/java/sycamorehill/logic/dispatch/DispatchedRequest.java
@@ -84,6 +84,12 @@
 	/** Whether the retry budget has refused the last retry. */
 	private boolean retryRefused;
 
+	/** Whether the use of the workspace contains what this request asks for. */
+	private boolean asked;
+
+	/** Whether the use of the workspace contains this request as admitted. */
+	private boolean admitted;
+
 	private Optional<Duration> timeToFirstAnswer = Optional.empty();
 
 	private DispatchedRequest(CallerRequest request, Route route, ServiceParameters service,
@@ -249,6 +255,26 @@
 		return this.attemptFoundSound;
 	}
 
+	/**
+	 * Marks what this request asks for as contained in the use of its workspace.
+	 * @return false if it was before
+	 */
+	boolean markAsked() {
+		boolean first = !this.asked;
+		this.asked = true;
+		return first;
+	}
+
+	/**
+	 * Marks this request as contained in the admitted use of its workspace.
+	 * @return false if it was before
+	 */
+	boolean markAdmitted() {
+		boolean first = !this.admitted;
+		this.admitted = true;
+		return first;
+	}
+
 	void markAnswerStarted(Duration elapsed) {
 		this.timeToFirstAnswer = Optional.of(elapsed);
 	}
--- a/src/main/java/sycamorehill/logic/dispatch/RequestDispatcher.java
+++ b/src/main/java/sycamorehill/logic/dispatch/RequestDispatcher.java
@@ -21,11 +21,13 @@
 import sycamorehill.model.serving.EntryEffect;
 import sycamorehill.model.serving.EntryEvent;
 import sycamorehill.model.serving.EntrySettings;
+import sycamorehill.model.serving.LoadSum;
 import sycamorehill.model.serving.NodeMessage;
 import sycamorehill.model.serving.NodeRecord;
 import sycamorehill.model.serving.ServiceParameters;
 import sycamorehill.model.serving.TargetEntry;
 import sycamorehill.model.serving.TargetReport;
+import sycamorehill.model.serving.UseReport;
 
 /**
  * Handles each request from its arrival to its final answer: finds its route and
@@ -143,6 +145,7 @@
 	 */
 	public void adopt(Configuration configuration) {
 		this.router.adopt(configuration);
+		this.targetSelector.shares().adopt(configuration);
 	}
 
 	/**
@@ -272,9 +275,10 @@
 	public void handleMessage(NodeMessage message, Instant now, Effects effects) {
 		if (message instanceof NodeMessage.Loads loads) {
 			this.targetSelector.statuses().handleReport(loads, now);
+			this.targetSelector.shares().handleReport(loads, now);
 		}
 		else if (message instanceof NodeMessage.SummedLoads added) {
-			added.sums().forEach((sum) -> this.targetSelector.statuses().handleReport(sum, now));
+			added.sums().forEach((sum) -> handleSum(sum, now));
 		}
 		else if (message instanceof NodeMessage.RequestPlaced placed) {
 			this.targetSelector.statuses().handleReport(placed, now);
@@ -296,6 +300,11 @@
 		}
 	}
 
+	private void handleSum(LoadSum sum, Instant now) {
+		this.targetSelector.statuses().handleReport(sum, now);
+		this.targetSelector.shares().handleReport(sum, now);
+	}
+
 	/**
 	 * Returns which targets were lost and with which requests, for another node.
 	 * @param now the current time
@@ -324,6 +333,15 @@
 		return this.targetSelector.statuses().inFlightByTarget();
 	}
 
+	/**
+	 * Returns the recent use at this node by workspace.
+	 * @param now the current time
+	 * @return the use; empty if there was none, or there is only one workspace
+	 */
+	public UseReport workspaceUse(Instant now) {
+		return this.targetSelector.shares().report(now);
+	}
+
 	/**
 	 * Divides the rate limits among the current nodes.
 	 * @param liveNodes number of live nodes, including this one
--- a/src/main/java/sycamorehill/logic/dispatch/TargetSelector.java
+++ b/src/main/java/sycamorehill/logic/dispatch/TargetSelector.java
@@ -31,6 +31,8 @@
 
 	private final List<CandidateFilter> filters;
 
+	private final WorkspaceShares shares = WorkspaceShares.create();
+
 	private TargetSelector(EntrySettings settings, TargetDirectory directory, RandomGenerator random) {
 		this.servingTargets = ServingTargets.of(directory);
 		this.placement = Placement.of(settings.dataCentre(), random);
@@ -103,24 +105,33 @@
 			Instant now) {
 		Optional<Placement.Choice> choice = this.placement.choose(candidates, excluded, this.statuses.byTarget(),
 				request.request().tokenCounts(), now);
-		return new Selection(choice,
-				choice.map((best) -> decideAdmission(request, best, now)).orElse(Admission.Decision.REFUSED));
+		return choice.map((best) -> decideAdmission(request, best, now))
+			.orElseGet(() -> new Selection(choice, Admission.Decision.REFUSED, Optional.empty()));
 	}
 
-	private Admission.Decision decideAdmission(DispatchedRequest request, Placement.Choice choice, Instant now) {
+	private Selection decideAdmission(DispatchedRequest request, Placement.Choice choice, Instant now) {
 		Candidate candidate = choice.candidate();
-		return Admission.decide(new Admission.Estimate(choice.timeToFirstAnswer(), request.route().latencyTarget(),
-				Duration.between(request.arrivedAt(), now), request.timeLeft(now), request.route().timeout(),
-				this.statuses.requests(candidate.entry().name(), now), candidate.slots(), request.answerStarted()));
+		this.shares.recordAsked(request, candidate, now);
+		WorkspaceStanding standing = this.shares.standing(request, candidate, now);
+		Admission.Estimate estimate = new Admission.Estimate(choice.timeToFirstAnswer(),
+				request.route().latencyTarget(), Duration.between(request.arrivedAt(), now), request.timeLeft(now),
+				request.route().timeout(), this.statuses.requests(candidate.entry().name(), now), candidate.slots(),
+				request.answerStarted(), standing.level());
+		Admission.Decision decision = Admission.decide(estimate);
+		boolean overShare = decision == Admission.Decision.REFUSED
+				&& standing.level() == WorkspaceStanding.Level.OVER_SHARE;
+		return new Selection(Optional.of(choice), decision, overShare ? standing.share() : Optional.empty());
 	}
 
 	/**
 	 * Records that a request is sent to a target.
+	 * @param request the request
 	 * @param candidate the target
 	 * @param now the current time
 	 */
-	void recordSent(Candidate candidate, Instant now) {
+	void recordSent(DispatchedRequest request, Candidate candidate, Instant now) {
 		TargetName name = candidate.entry().name();
+		this.shares.recordAdmitted(request, candidate, now);
 		status(name).recordSent(candidate.slots());
 		this.filters.forEach((filter) -> filter.recordSent(name, now));
 	}
@@ -161,6 +172,10 @@
 		return this.rateLimits;
 	}
 
+	WorkspaceShares shares() {
+		return this.shares;
+	}
+
 	void forget(TargetName target) {
 		this.statuses.forget(target);
 		this.rateLimits.forget(target);
@@ -171,8 +186,11 @@
 	 *
 	 * @param choice the best target; empty if none may receive the request
 	 * @param admission whether the request is admitted there
+	 * @param exceededShare the share that the workspace exceeds, if the request is
+	 * refused and is over it
 	 */
-	record Selection(Optional<Placement.Choice> choice, Admission.Decision admission) {
+	record Selection(Optional<Placement.Choice> choice, Admission.Decision admission,
+			Optional<WorkspaceStanding.Share> exceededShare) {
 	}
 
 }
--- a/src/main/java/sycamorehill/logic/entry/EntryReducer.java
+++ b/src/main/java/sycamorehill/logic/entry/EntryReducer.java
@@ -49,6 +49,12 @@
 	 */
 	private static final Duration MAXIMUM_READ_PAUSE = Duration.ofMillis(1000);
 
+	/**
+	 * Number of workspaces that a node's load message names for each model. Callers are
+	 * bound to nodes, so that a node has the requests of few workspaces.
+	 */
+	private static final int MAXIMUM_WORKSPACES_IN_LOADS = 8;
+
 	/** Number of nodes up to which all may read at the minimum pause. */
 	private static final int NODES_AT_MINIMUM_PAUSE = 9;
 
@@ -236,7 +242,8 @@
 
 	private void sendLoads(Instant now, Effects effects) {
 		NodeMessage.Loads loads = new NodeMessage.Loads(this.settings.nodeName(), this.settings.dataCentre(),
-				this.directoryUpdates.isStoreReachable(), this.requests.inFlightByTarget());
+				this.directoryUpdates.isStoreReachable(), this.requests.inFlightByTarget(),
+				this.requests.workspaceUse(now).bounded(MAXIMUM_WORKSPACES_IN_LOADS));
 		this.loadAggregation.send(loads, this.stage.isStopping(), now, effects);
 		this.liveNodes = this.peers.countLiveNodes(now);
 		this.requests.updateNodes(this.liveNodes, this.peers.sharingNodes(now), now, effects);
@@ -377,6 +384,7 @@
 		this.relay.recordAppliedConfiguration(read.version());
 		this.requests.adopt(read);
 		effects.add(new EntryEffect.SetCallerLimits(read.limits()));
+		effects.add(new EntryEffect.RetainWorkspaceMetrics(read.workspaces()));
 		effects.log(LogEvent.CONFIGURATION_IN_FORCE, "version=" + read.version() + " routes=" + read.routes().size()
 				+ " told-by=" + source + " late-millis=" + this.configurationDistribution.timeBehind(now).toMillis());
 		this.configurationDistribution.recordApplied(read.version(), now);
--- a/src/main/java/sycamorehill/logic/entry/LoadAggregation.java
+++ b/src/main/java/sycamorehill/logic/entry/LoadAggregation.java
@@ -14,6 +14,7 @@
 import sycamorehill.model.serving.LoadSum;
 import sycamorehill.model.serving.NodeMessage;
 import sycamorehill.model.serving.NodeRecord;
+import sycamorehill.model.serving.UseReport;
 
 /**
  * Exchanges loads in a large cluster. In each data centre, the node that distributes
@@ -43,6 +44,9 @@
 	 */
 	private static final int SENDS_PER_REMOTE_SEND = 2;
 
+	/** Number of workspaces that a data centre's sum names for each model. */
+	private static final int MAXIMUM_WORKSPACES_IN_SUM = 24;
+
 	private final String self;
 
 	private final DataCentreName localDataCentre;
@@ -77,7 +81,7 @@
 	 */
 	void handleMessage(NodeMessage.Loads loads, Instant now) {
 		if (loads.dataCentre().equals(this.localDataCentre)) {
-			this.localLoads.put(loads.sender(), new ReceivedLoads(loads.requests(), now));
+			this.localLoads.put(loads.sender(), new ReceivedLoads(loads.requests(), loads.use(), now));
 		}
 	}
 
@@ -168,19 +172,31 @@
 		this.localLoads.values()
 			.forEach((received) -> received.requests()
 				.forEach((target, count) -> all.merge(target, count, Integer::sum)));
+		UseReport use = sumOfUse(loads);
 		for (String node : this.peers.localNames()) {
 			List<LoadSum> sums = new ArrayList<>(this.remoteSums.values());
-			sums.add(createSum(withoutLoadsOf(all, node)));
+			sums.add(createSum(withoutLoadsOf(all, node), withoutUseOf(use, node)));
 			this.peers.sendTo(node, new NodeMessage.SummedLoads(this.self, sums), effects);
 		}
 		this.remoteSums.clear();
 		if (this.sendCount % SENDS_PER_REMOTE_SEND == 0) {
-			this.peers.sendToRelays(new NodeMessage.SummedLoads(this.self, List.of(createSum(all))), now, effects);
+			this.peers.sendToRelays(new NodeMessage.SummedLoads(this.self, List.of(createSum(all, use))), now, effects);
 		}
 	}
 
-	private LoadSum createSum(Map<TargetName, Integer> requests) {
-		return new LoadSum(this.self, this.localDataCentre, this.localLoads.size() + 1, requests);
+	private LoadSum createSum(Map<TargetName, Integer> requests, UseReport use) {
+		return new LoadSum(this.self, this.localDataCentre, this.localLoads.size() + 1, requests,
+				use.bounded(MAXIMUM_WORKSPACES_IN_SUM));
+	}
+
+	private UseReport sumOfUse(NodeMessage.Loads loads) {
+		List<UseReport> uses = new ArrayList<>(this.localLoads.values().stream().map(ReceivedLoads::use).toList());
+		uses.add(loads.use());
+		return UseReport.sum(uses);
+	}
+
+	private UseReport withoutUseOf(UseReport use, String node) {
+		return Optional.ofNullable(this.localLoads.get(node)).map((received) -> use.minus(received.use())).orElse(use);
 	}
 
 	// A node adds its own current requests itself.
@@ -197,9 +213,10 @@
 	 * Holds the last loads received from a node of the local data centre.
 	 *
 	 * @param requests its number of requests by target
+	 * @param use its recent use by workspace
 	 * @param receivedAt when they were received
 	 */
-	private record ReceivedLoads(Map<TargetName, Integer> requests, Instant receivedAt) {
+	private record ReceivedLoads(Map<TargetName, Integer> requests, UseReport use, Instant receivedAt) {
 	}
 
 }
--- a/src/main/java/sycamorehill/model/serving/Configuration.java
+++ b/src/main/java/sycamorehill/model/serving/Configuration.java
@@ -3,8 +3,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 import sycamorehill.model.identity.ServiceName;
+import sycamorehill.model.identity.WorkspaceName;
 
 /**
  * A complete version of the configuration.
@@ -38,4 +41,12 @@
 		return Optional.ofNullable(this.services.get(name));
 	}
 
+	/**
+	 * Returns the names of all workspaces.
+	 * @return the names
+	 */
+	public Set<WorkspaceName> workspaces() {
+		return this.workspacesByApiKey.values().stream().map(Workspace::name).collect(Collectors.toUnmodifiableSet());
+	}
+
 }
--- a/src/main/java/sycamorehill/model/serving/EntryEffect.java
+++ b/src/main/java/sycamorehill/model/serving/EntryEffect.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 
 import sycamorehill.model.identity.Address;
 import sycamorehill.model.identity.ServiceName;
@@ -315,6 +316,30 @@
 	record RetryDecided(ServiceName service, boolean allowed) implements EntryEffect {
 	}
 
+	/**
+	 * Records that a request was refused while its workspace was over its fair share.
+	 *
+	 * @param workspace the workspace
+	 */
+	record RefusedOverShare(WorkspaceName workspace) implements EntryEffect {
+	}
+
+	/**
+	 * Removes the metrics of workspaces that the configuration no longer contains.
+	 *
+	 * @param workspaces the workspaces that it contains
+	 */
+	record RetainWorkspaceMetrics(Set<WorkspaceName> workspaces) implements EntryEffect {
+
+		/**
+		 * Copies the workspaces.
+		 */
+		public RetainWorkspaceMetrics {
+			workspaces = Set.copyOf(workspaces);
+		}
+
+	}
+
 	/**
 	 * Writes a log line.
 	 *
--- a/src/main/java/sycamorehill/model/serving/LoadSum.java
+++ b/src/main/java/sycamorehill/model/serving/LoadSum.java
@@ -6,15 +6,17 @@
 import sycamorehill.model.identity.TargetName;
 
 /**
- * Sum of the requests that the nodes of a data centre have in flight at targets.
+ * Sum of the loads of the nodes of a data centre.
  *
  * @param aggregator node that computed the sum
  * @param dataCentre the data centre
  * @param liveNodes number of live nodes of the data centre that are known to the
  * aggregator
- * @param requests number of requests by target
+ * @param requests number of requests in flight by target
+ * @param use recent use by workspace
  */
-public record LoadSum(String aggregator, DataCentreName dataCentre, int liveNodes, Map<TargetName, Integer> requests) {
+public record LoadSum(String aggregator, DataCentreName dataCentre, int liveNodes, Map<TargetName, Integer> requests,
+		UseReport use) {
 
 	/**
 	 * Copies the numbers.
@@ -23,4 +25,16 @@
 		requests = Map.copyOf(requests);
 	}
 
+	/**
+	 * Creates a sum that contains no use by workspace.
+	 * @param aggregator node that computed the sum
+	 * @param dataCentre the data centre
+	 * @param liveNodes number of live nodes of the data centre that are known to the
+	 * aggregator
+	 * @param requests number of requests in flight by target
+	 */
+	public LoadSum(String aggregator, DataCentreName dataCentre, int liveNodes, Map<TargetName, Integer> requests) {
+		this(aggregator, dataCentre, liveNodes, requests, UseReport.NONE);
+	}
+
 }
--- a/src/main/java/sycamorehill/model/serving/NodeMessage.java
+++ b/src/main/java/sycamorehill/model/serving/NodeMessage.java
@@ -29,9 +29,10 @@
 	 * @param dataCentre the sender's data centre
 	 * @param storeReachable whether the sender knows the current state of the store
 	 * @param requests number of requests by target
+	 * @param use recent use of the sender by workspace
 	 */
-	record Loads(String sender, DataCentreName dataCentre, boolean storeReachable,
-			Map<TargetName, Integer> requests) implements NodeMessage {
+	record Loads(String sender, DataCentreName dataCentre, boolean storeReachable, Map<TargetName, Integer> requests,
+			UseReport use) implements NodeMessage {
 
 		/**
 		 * Copies the numbers.
@@ -40,6 +41,18 @@
 			requests = Map.copyOf(requests);
 		}
 
+		/**
+		 * Creates a message that reports no use by workspace.
+		 * @param sender the sender
+		 * @param dataCentre the sender's data centre
+		 * @param storeReachable whether the sender knows the current state of the store
+		 * @param requests number of requests by target
+		 */
+		public Loads(String sender, DataCentreName dataCentre, boolean storeReachable,
+				Map<TargetName, Integer> requests) {
+			this(sender, dataCentre, storeReachable, requests, UseReport.NONE);
+		}
+
 	}
 
 	/**
--- a/src/test/java/sycamorehill/entry/NodeMessageCodecTests.java
+++ b/src/test/java/sycamorehill/entry/NodeMessageCodecTests.java
@@ -1,7 +1,9 @@
 package sycamorehill.entry;
 
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -12,16 +14,21 @@
 
 import sycamorehill.model.identity.DataCentreName;
 import sycamorehill.model.identity.TargetName;
+import sycamorehill.model.identity.WorkspaceName;
 import sycamorehill.model.serving.Lease;
 import sycamorehill.model.serving.LoadSum;
 import sycamorehill.model.serving.LostRequest;
 import sycamorehill.model.serving.MemberState;
+import sycamorehill.model.serving.ModelUse;
 import sycamorehill.model.serving.NodeMessage;
 import sycamorehill.model.serving.RequestRate;
 import sycamorehill.model.serving.RequestTrait;
+import sycamorehill.model.serving.ServedModel;
 import sycamorehill.model.serving.TargetChange;
 import sycamorehill.model.serving.TargetEntry;
 import sycamorehill.model.serving.TargetIncarnation;
+import sycamorehill.model.serving.UseReport;
+import sycamorehill.model.serving.WorkspaceUse;
 import sycamorehill.support.CrashMessages;
 import sycamorehill.support.ServingSamples;
 
@@ -37,6 +44,12 @@
 
 	private static final TargetName TARGET = TargetName.of("e1");
 
+	private static final UseReport USE = new UseReport(List.of(
+			new ModelUse(new ServedModel(ServingSamples.ENGINES, Optional.of("small")),
+					Map.of(WorkspaceName.of("a"), new WorkspaceUse(875, 437.5)), new WorkspaceUse(40, 20), 3),
+			new ModelUse(new ServedModel(ServingSamples.DESK, Optional.empty()),
+					Map.of(WorkspaceName.of("b"), new WorkspaceUse(2.5, 2.5)))));
+
 	private final NodeMessageCodec codec = NodeMessageCodec.create();
 
 	private static List<NodeMessage> oneOfEachKind() {
@@ -44,7 +57,9 @@
 		List<TargetChange> changes = List.of(new TargetChange(TARGET, Optional.of(member)),
 				new TargetChange(TargetName.of("gone"), Optional.empty()));
 		return List.of(new NodeMessage.Loads("n1", NORTH, true, Map.of(TARGET, 3)),
+				new NodeMessage.Loads("n1", NORTH, true, Map.of(TARGET, 3), USE),
 				new NodeMessage.SummedLoads("n1", List.of(new LoadSum("n2", NORTH, 7, Map.of(TARGET, 3)))),
+				new NodeMessage.SummedLoads("n1", List.of(new LoadSum("n2", NORTH, 7, Map.of(TARGET, 3), USE))),
 				new NodeMessage.RequestPlaced("n1", TARGET, Duration.ofMillis(14)),
 				new NodeMessage.StoreUpdate("n1", NORTH, 5, 1, 90, 100, 110, changes,
 						Optional.of(new Lease("n2#a", 3, 99, 2)), Duration.ofMillis(210)),
@@ -69,6 +84,31 @@
 				new NodeMessage.TraitsTried("n1", Set.of(RequestTrait.content(7)), Duration.ofMillis(40)));
 	}
 
+	// Nodes of the version before read no use.
+	@Test
+	void aLoadMessageWithoutUseContainsNothingMore() throws IOException {
+		byte[] bytes = this.codec.write(new NodeMessage.Loads("n1", NORTH, true, Map.of(TARGET, 3)));
+		assertThat(new String(bytes, StandardCharsets.ISO_8859_1)).doesNotContain("use", "workspaces");
+	}
+
+	@Test
+	void theUseOfFortyWorkspacesTakesAFewHundredBytes() throws IOException {
+		Map<WorkspaceName, WorkspaceUse> uses = new HashMap<>();
+		for (int index = 0; index < 40; index++) {
+			uses.put(WorkspaceName.of("workspace-" + (100 + index)), new WorkspaceUse(1000.0 / (index + 1), 500));
+		}
+		ModelUse use = new ModelUse(new ServedModel(ServingSamples.ENGINES, Optional.of("small")), uses);
+		assertThat(bytesOfUse(use.bounded(8))).isLessThan(300);
+		assertThat(bytesOfUse(use.bounded(24))).isLessThan(750);
+	}
+
+	private int bytesOfUse(ModelUse use) throws IOException {
+		UseReport report = new UseReport(List.of(use));
+		int bytes = this.codec.write(new NodeMessage.Loads("n1", NORTH, true, Map.of(TARGET, 3), report)).length
+				- this.codec.write(new NodeMessage.Loads("n1", NORTH, true, Map.of(TARGET, 3))).length;
+		return bytes;
+	}
+
 	@Test
 	void roundTripsEveryKind() throws IOException {
 		Set<Class<?>> kinds = oneOfEachKind().stream().map(Object::getClass).collect(Collectors.toSet());
--- a/src/test/java/sycamorehill/logic/dispatch/AdmissionTests.java
+++ b/src/test/java/sycamorehill/logic/dispatch/AdmissionTests.java
@@ -46,6 +46,68 @@
 		assertThat(Admission.decide(begun)).isEqualTo(Admission.Decision.LATE);
 	}
 
+	private static Admission.Decision decide(long expectedMillis, int requests, long leftMillis,
+			WorkspaceStanding.Level standing) {
+		Admission.Estimate plain = estimate(expectedMillis, requests, leftMillis);
+		return Admission.decide(new Admission.Estimate(plain.timeToFirstAnswer(), plain.firstAnswerObjective(),
+				plain.elapsed(), plain.timeLeft(), plain.timeout(), requests, plain.slots(), false, standing));
+	}
+
+	// A flood that can be answered on time would fill the queue of each target.
+	@Test
+	void aRequestOverItsShareTakesFreeSlotsOnlyAndYieldsToOthers() {
+		WorkspaceStanding.Level over = WorkspaceStanding.Level.OVER_SHARE;
+		assertThat(decide(180, 8, 6000, over)).isEqualTo(Admission.Decision.ON_TIME);
+		assertThat(decide(180, 11, 6000, over)).isEqualTo(Admission.Decision.LATE);
+		assertThat(decide(180, 12, 6000, over)).isEqualTo(Admission.Decision.REFUSED);
+		assertThat(decide(900, 11, 5200, over)).isEqualTo(Admission.Decision.LATE);
+		assertThat(decide(900, 12, 5200, over)).isEqualTo(Admission.Decision.REFUSED);
+	}
+
+	// All slots are taken by a workspace over its share.
+	@Test
+	void aRequestWithinItsShareFindsAPlace() {
+		WorkspaceStanding.Level within = WorkspaceStanding.Level.WITHIN_SHARE;
+		assertThat(decide(900, 13, 6000, within)).isEqualTo(Admission.Decision.WITHIN_SHARE);
+		assertThat(decide(900, 18, 6000, within)).isEqualTo(Admission.Decision.REFUSED);
+	}
+
+	@Test
+	void noRequestWithinItsShareIsRefusedThatWouldBeAdmittedWithoutShares() {
+		for (int requests = 0; requests < 30; requests++) {
+			for (long expected = 100; expected < 2000; expected += 50) {
+				for (long left : new long[] { 6000, 5200, 2000 }) {
+					if (Admission.decide(estimate(expected, requests, left)) != Admission.Decision.REFUSED) {
+						assertThat(decide(expected, requests, left, WorkspaceStanding.Level.WITHIN_SHARE))
+							.isNotEqualTo(Admission.Decision.REFUSED);
+					}
+				}
+			}
+		}
+	}
+
+	// Aborting a stream costs its caller more than the wait, whatever its workspace uses.
+	@Test
+	void aStartedStreamOverItsShareKeepsItsHigherBound() {
+		Admission.Estimate full = estimate(900, 15, 5200);
+		assertThat(Admission.decide(new Admission.Estimate(full.timeToFirstAnswer(), full.firstAnswerObjective(),
+				full.elapsed(), full.timeLeft(), full.timeout(), full.requests(), full.slots(), true,
+				WorkspaceStanding.Level.OVER_SHARE)))
+			.isEqualTo(Admission.Decision.LATE);
+	}
+
+	@Test
+	void nothingChangesWhileSlotsAreFree() {
+		for (WorkspaceStanding.Level standing : WorkspaceStanding.Level.values()) {
+			for (int requests = 0; requests < 9; requests++) {
+				for (long expected : new long[] { 180, 900 }) {
+					assertThat(decide(expected, requests, 6000, standing))
+						.isEqualTo(Admission.decide(estimate(expected, requests, 6000)));
+				}
+			}
+		}
+	}
+
 	@Test
 	void aRequestWithLittleTimeLeftIsRefused() {
 		assertThat(Admission.decide(estimate(400, 5, 700))).isEqualTo(Admission.Decision.REFUSED);
--- a/src/test/java/sycamorehill/logic/dispatch/RequestDispatcherTests.java
+++ b/src/test/java/sycamorehill/logic/dispatch/RequestDispatcherTests.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
@@ -17,18 +18,27 @@
 
 import sycamorehill.logic.Effects;
 import sycamorehill.logic.directory.TargetDirectory;
+import sycamorehill.model.identity.DataCentreName;
 import sycamorehill.model.identity.TargetName;
+import sycamorehill.model.identity.WorkspaceName;
 import sycamorehill.model.log.LogEvent;
 import sycamorehill.model.log.LogLine;
 import sycamorehill.model.serving.AttemptEnd;
 import sycamorehill.model.serving.CallerRequest;
+import sycamorehill.model.serving.Configuration;
 import sycamorehill.model.serving.EntryEffect;
 import sycamorehill.model.serving.EntryEvent;
 import sycamorehill.model.serving.MemberState;
+import sycamorehill.model.serving.ModelUse;
+import sycamorehill.model.serving.NodeMessage;
 import sycamorehill.model.serving.NotRunCause;
 import sycamorehill.model.serving.RequestTrait;
+import sycamorehill.model.serving.ServedModel;
 import sycamorehill.model.serving.TargetEntry;
 import sycamorehill.model.serving.TargetReport;
+import sycamorehill.model.serving.UseReport;
+import sycamorehill.model.serving.Workspace;
+import sycamorehill.model.serving.WorkspaceUse;
 import sycamorehill.support.CrashMessages;
 import sycamorehill.support.ServingSamples;
 
@@ -457,4 +467,33 @@
 		assertThat(retryDecisions(end(3, 1, new AttemptEnd.NotRun(NotRunCause.REFUSED)))).containsExactly(false);
 	}
 
+	private void adoptTwoWorkspaces() {
+		Configuration sample = ServingSamples.configuration(2);
+		this.dispatcher.adopt(new Configuration(2, sample.routes(), sample.services(), sample.limits(), Map.of("key",
+				new Workspace(WorkspaceName.of("yard"), 1), "other", new Workspace(WorkspaceName.of("shop"), 1)),
+				true));
+	}
+
+	// An operator must see from a refusal that it was the workspace's use that led to it.
+	@Test
+	void aRefusalNamesTheWorkspaceItsUseAndItsShare() {
+		adoptTwoWorkspaces();
+		WorkspaceUse unserved = new WorkspaceUse(90_000, 1);
+		this.dispatcher.handleMessage(new NodeMessage.Loads("two", DataCentreName.of("north"), true, Map.of(),
+				new UseReport(List.of(new ModelUse(new ServedModel(ServingSamples.ENGINES, Optional.of("small")),
+						Map.of(WorkspaceName.of("shop"), unserved))))),
+				this.now, Effects.create());
+		List<EntryEffect> refusal = List.of();
+		for (long number = 1; number < 200 && refusal.isEmpty(); number++) {
+			this.now = this.now.plusMillis(5);
+			List<EntryEffect> effects = arrive(number, "/stream/x");
+			refusal = effects.contains(new EntryEffect.RefusedOverShare(WorkspaceName.of("yard"))) ? effects : refusal;
+		}
+		assertThat(answer(refusal).status()).isEqualTo(503);
+		assertThat(answer(refusal).detail()).matches("not run: all targets are full, workspace yard uses "
+				+ "[0-9.]+ tokens/s of engines/small, its fair share is [0-9.]+");
+		assertThat(refusal).anyMatch((effect) -> effect instanceof EntryEffect.Log log
+				&& log.line().event() == LogEvent.REQUEST_REFUSED && log.line().toString().contains("workspace yard"));
+	}
+
 }
--- a/src/test/java/sycamorehill/logic/entry/ManyNodesTests.java
+++ b/src/test/java/sycamorehill/logic/entry/ManyNodesTests.java
@@ -19,7 +19,10 @@
 
 import sycamorehill.model.identity.Address;
 import sycamorehill.model.identity.TargetName;
+import sycamorehill.model.identity.WorkspaceName;
 import sycamorehill.model.log.LogEvent;
+import sycamorehill.model.serving.CallerRequest;
+import sycamorehill.model.serving.Configuration;
 import sycamorehill.model.serving.EntryEffect;
 import sycamorehill.model.serving.EntryEvent;
 import sycamorehill.model.serving.EntrySettings;
@@ -27,6 +30,8 @@
 import sycamorehill.model.serving.NodeMessage;
 import sycamorehill.model.serving.TargetChange;
 import sycamorehill.model.serving.TargetEntry;
+import sycamorehill.model.serving.UseReport;
+import sycamorehill.model.serving.Workspace;
 import sycamorehill.support.ServingSamples;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -291,6 +296,62 @@
 			.allMatch((sum) -> sum.requests().equals(Map.of(TARGET, 2)));
 	}
 
+	private void adoptWorkspaces(String... names) {
+		Configuration sample = ServingSamples.configuration(2);
+		Map<String, Workspace> workspaces = new HashMap<>();
+		for (String name : names) {
+			workspaces.put(name, new Workspace(WorkspaceName.of(name), 1));
+		}
+		Configuration adopted = new Configuration(2, sample.routes(), sample.services(), sample.limits(), workspaces,
+				true);
+		this.textsLost.addAll(this.nodes.keySet());
+		this.nodes.keySet().forEach((node) -> accept(node, new EntryEvent.ConfigurationRead(adopted, this.revision)));
+	}
+
+	private void request(String node, long number, String workspace) {
+		CallerRequest sample = ServingSamples.request(number, "/again/x");
+		accept(node,
+				new EntryEvent.RequestArrived(new CallerRequest(number, sample.identifier(), sample.host(),
+						sample.path(), Optional.of(workspace), sample.model(), sample.tokenCounts(),
+						sample.sharedPromptParts(), sample.timeLeft(), sample.contentHash())));
+	}
+
+	private Set<WorkspaceName> workspacesUsed(String node, String dataCentre) {
+		Set<WorkspaceName> names = new HashSet<>();
+		receivedSums(node).stream()
+			.filter((sum) -> sum.dataCentre().value().equals(dataCentre))
+			.flatMap((sum) -> sum.use().models().stream())
+			.forEach((use) -> names.addAll(use.byWorkspace().keySet()));
+		return names;
+	}
+
+	// Callers are bound to nodes: a node knows the use of most workspaces by the others'
+	// reports only.
+	@Test
+	void aNodeReceivesTheUseOfAllOthersButNotItsOwn() {
+		adoptWorkspaces("a", "b", "c");
+		run(Duration.ofSeconds(5));
+		assertThat(receivedSums("north-107")).allMatch((sum) -> sum.use().equals(UseReport.NONE));
+		request("north-107", 1, "a");
+		request("north-108", 2, "b");
+		request("south-130", 3, "c");
+		run(Duration.ofSeconds(2));
+		this.receivedMessages.clear();
+		run(Duration.ofSeconds(2));
+		assertThat(workspacesUsed("north-107", "north")).containsExactly(WorkspaceName.of("b"));
+		assertThat(workspacesUsed("north-107", "south")).containsExactly(WorkspaceName.of("c"));
+		assertThat(workspacesUsed("south-130", "north")).containsExactlyInAnyOrder(WorkspaceName.of("a"),
+				WorkspaceName.of("b"));
+		assertThat(workspacesUsed("south-130", "south")).isEmpty();
+	}
+
+	@Test
+	void aConfigurationWithOneWorkspaceAddsNothingToTheMessages() {
+		request("north-108", 1, "key");
+		run(Duration.ofSeconds(5));
+		assertThat(receivedSums("north-107")).isNotEmpty().allMatch((sum) -> sum.use().equals(UseReport.NONE));
+	}
+
 	// The retry budget is divided among the live nodes. Nodes that no longer receive
 	// messages from each other must not consider each other as failed.
 	@Test
