--- a/src/main/java/sycamorehill/model/serving/ModelUse.java
+++ b/src/main/java/sycamorehill/model/serving/ModelUse.java
@@ -41,19 +41,19 @@
 	 * @param uses the uses of the same model, at least one
 	 * @return the sum
 	 */
-	static ModelUse sum(List<ModelUse> uses) {
+	public static ModelUse sum(List<ModelUse> uses) {
 		if (uses.size() == 1) {
 			return uses.get(0);
 		}
 		Map<WorkspaceName, WorkspaceUse> sum = new HashMap<>();
-		WorkspaceUse rest = WorkspaceUse.NONE;
-		int restWorkspaces = 0;
+		WorkspaceUse others = WorkspaceUse.NONE;
+		int otherWorkspaces = 0;
 		for (ModelUse use : uses) {
-			use.byWorkspace.forEach((name, amounts) -> sum.merge(name, amounts, WorkspaceUse::plus));
-			rest = rest.plus(use.rest);
-			restWorkspaces = Math.max(restWorkspaces, use.restWorkspaces);
+			use.byWorkspace().forEach((name, amounts) -> sum.merge(name, amounts, WorkspaceUse::plus));
+			others = others.plus(use.rest());
+			otherWorkspaces = Math.max(otherWorkspaces, use.restWorkspaces());
 		}
-		return new ModelUse(uses.get(0).model, sum, rest, restWorkspaces);
+		return new ModelUse(uses.get(0).model(), sum, others, otherWorkspaces);
 	}
 
 	/**
