Merge fair shares of workspaces

What a request asks for is recorded by real selections only, so that an explanation changes nothing; the explanation shows the workspace's use and share; refusals of proxied requests are counted by the node that has the caller.

--- a/src/main/java/sycamorehill/logic/dispatch/AttemptScheduler.java
+++ b/src/main/java/sycamorehill/logic/dispatch/AttemptScheduler.java
@@ -115,10 +115,18 @@
 			this.attemptStarter.start(request, selection, now, effects);
 		}
 		else {
+			selection.exceededShare().ifPresent((share) -> addRefusal(request, share, effects));
 			endWithoutTarget(request, refusalCause(request, selection, fallbackCause), now, effects);
 		}
 	}
 
+	// The node that has the caller of a proxied request may find a place for it elsewhere.
+	private static void addRefusal(DispatchedRequest request, WorkspaceStanding.Share share, Effects effects) {
+		if (request.proxied().isEmpty() && !request.mayHaveRun() && !request.answerStarted()) {
+			effects.add(new EntryEffect.RefusedOverShare(share.workspace()));
+		}
+	}
+
 	private void endWithoutTarget(DispatchedRequest request, String cause, Instant now, Effects effects) {
 		if (request.proxied().isPresent()) {
 			endProxied(request, Optional.empty(), new AttemptEnd.NotRun(NotRunCause.NO_TARGET), now, effects);
@@ -136,7 +144,11 @@
 	 * @return the cause, which names the home regions of the request if it has any
 	 */
 	static String refusalCause(DispatchedRequest request, TargetSelector.Selection selection, String fallbackCause) {
-		return withHomes(request, selection.choice().isEmpty() ? fallbackCause : "all targets are full");
+		return withHomes(request, selection.choice().isEmpty() ? fallbackCause : describeFull(selection));
+	}
+
+	private static String describeFull(TargetSelector.Selection selection) {
+		return "all targets are full" + selection.exceededShare().map((share) -> ", " + share).orElse("");
 	}
 
 	private static String withHomes(DispatchedRequest request, String cause) {
--- a/src/main/java/sycamorehill/logic/dispatch/PlacementExplainer.java
+++ b/src/main/java/sycamorehill/logic/dispatch/PlacementExplainer.java
@@ -123,7 +123,8 @@
 		return new PlacementExplanation(node(), configurationVersion(),
 				Optional.of(new RouteView(request.route().name(), request.service(), request.request().model(),
 						request.homes())),
-				request.workspace().map(PlacementExplainer::workspace), targets(request, now), choice, refusal);
+				request.workspace().map((workspace) -> workspace(workspace, request, now)), targets(request, now),
+				choice, refusal);
 	}
 
 	private Place node() {
@@ -135,8 +136,13 @@
 		return this.router.configuration().map(Configuration::version).orElse(0L);
 	}
 
-	private static WorkspaceView workspace(Workspace workspace) {
-		return new WorkspaceView(workspace.name(), workspace.priority(), Optional.empty());
+	private WorkspaceView workspace(Workspace workspace, DispatchedRequest request, Instant now) {
+		Optional<String> share = this.targetSelector.servingTargets(request, now)
+			.stream()
+			.findFirst()
+			.flatMap((candidate) -> this.targetSelector.shares().standing(request, candidate, now).share())
+			.map(WorkspaceStanding.Share::toString);
+		return new WorkspaceView(workspace.name(), workspace.priority(), share);
 	}
 
 	private List<TargetView> targets(DispatchedRequest request, Instant now) {
--- a/src/main/java/sycamorehill/logic/dispatch/TargetSelector.java
+++ b/src/main/java/sycamorehill/logic/dispatch/TargetSelector.java
@@ -38,6 +38,8 @@
 
 	private final List<ReturnedDataCentres> returnListeners = List.of();
 
+	private final WorkspaceShares shares = WorkspaceShares.create();
+
 	private TargetSelector(EntrySettings settings, TargetDirectory directory, HomeRegionRule homeRegionRule,
 			RandomGenerator random) {
 		this.servingTargets = ServingTargets.of(directory);
@@ -61,7 +63,7 @@
 	 * @return the target, and whether the request is admitted there
 	 */
 	Selection select(DispatchedRequest request, Instant now) {
-		return select(request, request.triedTargets(), this.placement, now);
+		return selectRecorded(request, request.triedTargets(), now);
 	}
 
 	/**
@@ -72,7 +74,8 @@
 	 * @return the target, and whether the request would be admitted there
 	 */
 	Selection preview(DispatchedRequest request, RandomGenerator otherRandom, Instant now) {
-		return select(request, request.triedTargets(), this.placement.withRandom(otherRandom), now);
+		return select(request, request.triedTargets(), candidates(request, now),
+				this.placement.withRandom(otherRandom), now);
 	}
 
 	/**
@@ -84,11 +87,17 @@
 	Selection selectOther(DispatchedRequest request, Instant now) {
 		Set<TargetName> excluded = new HashSet<>(request.triedTargets());
 		request.target().ifPresent(excluded::add);
-		return select(request, excluded, this.placement, now);
+		return selectRecorded(request, excluded, now);
 	}
 
-	private Selection select(DispatchedRequest request, Set<TargetName> excluded, Placement comparison, Instant now) {
+	private Selection selectRecorded(DispatchedRequest request, Set<TargetName> excluded, Instant now) {
 		List<Candidate> all = candidates(request, now);
+		all.stream().findFirst().ifPresent((candidate) -> this.shares.recordAsked(request, candidate, now));
+		return select(request, excluded, all, this.placement, now);
+	}
+
+	private Selection select(DispatchedRequest request, Set<TargetName> excluded, List<Candidate> all,
+			Placement comparison, Instant now) {
 		List<Candidate> sampled = comparison.sample(all);
 		Selection selection = selectBest(request, sampled, excluded, comparison, now);
 		return (selection.admission() == Admission.Decision.REFUSED && sampled.size() < all.size())
@@ -154,24 +163,32 @@
 			Placement comparison, Instant now) {
 		Optional<Placement.Choice> choice = comparison.choose(candidates, excluded, this.statuses.byTarget(),
 				request.request().tokenCounts(), now);
-		return new Selection(choice,
-				choice.map((best) -> decideAdmission(request, best, now)).orElse(Admission.Decision.REFUSED));
+		return choice.map((best) -> decideAdmission(request, best, now))
+			.orElseGet(() -> new Selection(choice, Admission.Decision.REFUSED, Optional.empty()));
 	}
 
-	private Admission.Decision decideAdmission(DispatchedRequest request, Placement.Choice choice, Instant now) {
+	private Selection decideAdmission(DispatchedRequest request, Placement.Choice choice, Instant now) {
 		Candidate candidate = choice.candidate();
-		return Admission.decide(new Admission.Estimate(choice.timeToFirstAnswer(), request.route().latencyTarget(),
-				Duration.between(request.arrivedAt(), now), request.timeLeft(now), request.route().timeout(),
-				this.statuses.requests(candidate.entry().name(), now), candidate.slots(), request.answerStarted()));
+		WorkspaceStanding standing = this.shares.standing(request, candidate, now);
+		Admission.Estimate estimate = new Admission.Estimate(choice.timeToFirstAnswer(),
+				request.route().latencyTarget(), Duration.between(request.arrivedAt(), now), request.timeLeft(now),
+				request.route().timeout(), this.statuses.requests(candidate.entry().name(), now), candidate.slots(),
+				request.answerStarted(), standing.level());
+		Admission.Decision decision = Admission.decide(estimate);
+		boolean overShare = decision == Admission.Decision.REFUSED
+				&& standing.level() == WorkspaceStanding.Level.OVER_SHARE;
+		return new Selection(Optional.of(choice), decision, overShare ? standing.share() : Optional.empty());
 	}
 
 	/**
 	 * Records that a request is sent to a target.
+	 * @param request the request
 	 * @param candidate the target
 	 * @param now the current time
 	 */
-	void recordSent(Candidate candidate, Instant now) {
+	void recordSent(DispatchedRequest request, Candidate candidate, Instant now) {
 		TargetName name = candidate.entry().name();
+		this.shares.recordAdmitted(request, candidate, now);
 		status(name).recordSent(candidate.slots());
 		this.filters.forEach((filter) -> filter.recordSent(name, now));
 	}
@@ -220,6 +237,10 @@
 		return this.rateLimits;
 	}
 
+	WorkspaceShares shares() {
+		return this.shares;
+	}
+
 	void forget(TargetName target) {
 		this.statuses.forget(target);
 		this.rateLimits.forget(target);
@@ -230,8 +251,11 @@
 	 *
 	 * @param choice the best target; empty if none may receive the request
 	 * @param admission whether the request is admitted there
+	 * @param exceededShare the share that the workspace exceeds, if the request is
+	 * refused and is over it
 	 */
-	record Selection(Optional<Placement.Choice> choice, Admission.Decision admission) {
+	record Selection(Optional<Placement.Choice> choice, Admission.Decision admission,
+			Optional<WorkspaceStanding.Share> exceededShare) {
 	}
 
 }
