Keep to the bound of cold targets over all nodes, and start targets slowly

A target that has just started tolerates few requests, and all nodes prefer it because it is empty. The requests of a cold target are now divided among a few registered nodes, each with a token bucket; a bucket isn't refilled while one of its requests is overdue, so that requests held up by a slow connection or a partition don't arrive on top of later ones. Slow start gives targets that open or come back a quarter of their slots, and more as answers arrive on time.

--- a/src/main/java/sycamorehill/entry/EntryMetrics.java
+++ b/src/main/java/sycamorehill/entry/EntryMetrics.java
@@ -39,6 +39,8 @@
 	private EntryMetrics(EntryReducer reducer, LoopGuard guard) {
 		gauge("requests.active", reducer::activeRequests);
 		gauge("targets.known", reducer::knownTargets);
+		gauge("targets.cold", reducer::coldTargets);
+		gauge("targets.slow-start", reducer::slowStarts);
 		gauge("nodes.living", reducer::liveNodes);
 		gauge("retries.share", () -> reducer.retryShare().retries());
 		gauge("retries.share-nodes", () -> reducer.retryShare().nodes());
--- a/src/main/java/sycamorehill/logic/directory/TargetDirectory.java
+++ b/src/main/java/sycamorehill/logic/directory/TargetDirectory.java
@@ -20,7 +20,8 @@
  * Holds the targets that this node knows. While the store is unreachable, entries of live
  * targets may expire there: they are kept until the targets have had time to register
  * again, so that a store outage never empties the directory. An entry that is still
- * missing after that is removed.
+ * missing after that is removed. Entries are kept without the remaining time of a
+ * warm-up, which differs in each of them: its changes are no changes of the directory.
  */
 public final class TargetDirectory {
 
@@ -171,7 +172,8 @@
 	}
 
 	private Optional<TargetEntry> put(TargetEntry listed) {
-		TargetEntry entry = this.leaving.contains(listed) ? listed.asLeaving() : listed;
+		TargetEntry kept = listed.withWarmUpLeft(Duration.ZERO);
+		TargetEntry entry = this.leaving.contains(kept) ? kept.asLeaving() : kept;
 		this.missing.remove(entry.name());
 		this.vanished.remove(entry.name());
 		TargetEntry previous = this.entries.put(entry.name(), entry);
--- a/src/main/java/sycamorehill/logic/dispatch/AttemptOutcomes.java
+++ b/src/main/java/sycamorehill/logic/dispatch/AttemptOutcomes.java
@@ -92,8 +92,9 @@
 			reportSound(request, now, effects);
 		}
 		if (!streaming) {
-			this.targetSelector.status(target)
-				.recordFirstAnswer(Duration.between(request.attemptStartedAt(), now), now);
+			Duration time = Duration.between(request.attemptStartedAt(), now);
+			this.targetSelector.status(target).recordFirstAnswer(time, now);
+			this.targetSelector.slowStarts().recordFirstAnswer(request, target, time, now);
 		}
 	}
 
@@ -107,7 +108,10 @@
 				this.crashSuspicions.recordRefused(target, now, effects);
 			}
 			case WRONG_TARGET -> recordWrongTarget(request, target, now);
-			case REFUSED -> this.targetSelector.status(target).eject(now, FULL_TARGET_EJECTION);
+			case REFUSED -> {
+				this.targetSelector.status(target).eject(now, FULL_TARGET_EJECTION);
+				this.targetSelector.slowStarts().recordRefusal(target, now);
+			}
 			case EXPIRED, NO_TARGET, NODE_UNAVAILABLE -> {
 			}
 		}
--- a/src/main/java/sycamorehill/logic/dispatch/AttemptScheduler.java
+++ b/src/main/java/sycamorehill/logic/dispatch/AttemptScheduler.java
@@ -327,6 +327,7 @@
 	void endProxied(DispatchedRequest request, Optional<TargetName> target, AttemptEnd end, Instant now,
 			Effects effects) {
 		long number = request.request().number();
+		request.transit().settle(now);
 		this.activeRequests.remove(number);
 		effects.add(new EntryEffect.EndProxiedRequest(number, target, end));
 		effects.log(LogEvent.PROXIED_REQUEST_ENDED,
--- a/src/main/java/sycamorehill/logic/dispatch/AttemptStarter.java
+++ b/src/main/java/sycamorehill/logic/dispatch/AttemptStarter.java
@@ -57,8 +57,9 @@
 	void start(DispatchedRequest request, TargetSelector.Selection selection, Instant now, Effects effects) {
 		Candidate candidate = selection.choice().orElseThrow().candidate();
 		TargetName name = candidate.entry().name();
-		int attempt = request.startAttempt(candidate.entry(), now);
-		this.targetSelector.recordSent(candidate, now);
+		int attempt = request.startAttempt(candidate.entry(), selection.choice().orElseThrow().timeToFirstAnswer(),
+				now);
+		this.targetSelector.recordSent(candidate, request.transit(), now);
 		candidate.engines().ifPresent((engines) -> recordPrefill(request, candidate, engines, now, effects));
 		int connections = request.serviceParameters().maximumConnections();
 		RequestKind kind = request.route().kind();
--- a/src/main/java/sycamorehill/logic/dispatch/DispatchedRequest.java
+++ b/src/main/java/sycamorehill/logic/dispatch/DispatchedRequest.java
@@ -59,6 +59,12 @@
 
 	private Instant attemptStartedAt = Instant.MIN;
 
+	/** Whether the current attempt has arrived at its target. */
+	private Transit transit = Transit.startedAt(Instant.MIN);
+
+	/** Time to the first answer that was expected when the attempt was started. */
+	private Duration expectedFirstAnswer = Duration.ZERO;
+
 	/** When the first event of the current or last attempt arrived. */
 	private Optional<Instant> attemptAnsweredAt = Optional.empty();
 
@@ -138,7 +144,9 @@
 				answerStarted(), this.targetsReached + 1 < this.route.maximumAttempts());
 	}
 
-	int startAttempt(TargetEntry chosen, Instant now) {
+	int startAttempt(TargetEntry chosen, Duration firstAnswer, Instant now) {
+		this.transit = Transit.startedAt(now);
+		this.expectedFirstAnswer = firstAnswer;
 		this.target = Optional.of(chosen.name());
 		this.attemptTarget = Optional.of(TargetIncarnation.of(chosen));
 		this.attemptAnsweredAt = Optional.empty();
@@ -214,9 +222,22 @@
 	 * @param now the current time
 	 */
 	void recordArrival(Instant now) {
+		this.transit.settle(now);
 		this.retry.ifPresent((granted) -> granted.recordArrival(now));
 	}
 
+	/**
+	 * Returns the way of the current attempt to its target.
+	 * @return whether it has arrived
+	 */
+	Transit transit() {
+		return this.transit;
+	}
+
+	Duration expectedFirstAnswer() {
+		return this.expectedFirstAnswer;
+	}
+
 	/**
 	 * Returns the last retry if none of its attempts has reached a target.
 	 * @return the retry; empty if there is none, or it may have arrived
--- a/src/main/java/sycamorehill/logic/dispatch/Placement.java
+++ b/src/main/java/sycamorehill/logic/dispatch/Placement.java
@@ -73,6 +73,9 @@
 	 */
 	private static final int REMOTE_SAMPLE_SIZE = 1;
 
+	/** Number of cold targets and targets in slow start that such a node adds. */
+	private static final int LIMITED_SAMPLE_SIZE = 2;
+
 	private final DataCentreName localDataCentre;
 
 	private final RandomGenerator random;
@@ -111,6 +114,28 @@
 		return sampled;
 	}
 
+	/**
+	 * Draws the targets that are compared for one request, and adds some that few nodes
+	 * may use now: those nodes would rarely draw them.
+	 * @param candidates all targets
+	 * @param limited the targets among them that few nodes may use
+	 * @return a random sample, or all targets if few nodes place requests
+	 */
+	List<Candidate> sample(List<Candidate> candidates, List<Candidate> limited) {
+		List<Candidate> sampled = sample(candidates);
+		if (hasFewNodes() || limited.isEmpty()) {
+			return sampled;
+		}
+		int first = this.random.nextInt(limited.size());
+		for (int index = 0; index < Math.min(LIMITED_SAMPLE_SIZE, limited.size()); index++) {
+			Candidate added = limited.get((first + index) % limited.size());
+			if (!sampled.contains(added)) {
+				sampled.add(added);
+			}
+		}
+		return sampled;
+	}
+
 	private List<Candidate> sample(List<Candidate> candidates, boolean local, int size) {
 		List<Candidate> remaining = new ArrayList<>(candidates);
 		remaining.removeIf((candidate) -> candidate.entry().dataCentre().equals(this.localDataCentre) != local);
--- a/src/main/java/sycamorehill/logic/dispatch/RequestDispatcher.java
+++ b/src/main/java/sycamorehill/logic/dispatch/RequestDispatcher.java
@@ -143,6 +143,7 @@
 	 */
 	public void adopt(Configuration configuration) {
 		this.router.adopt(configuration);
+		this.targetSelector.coldTargets().adopt(configuration);
 	}
 
 	/**
@@ -210,6 +211,7 @@
 	 */
 	public void tick(Instant now, Effects effects) {
 		this.retryBudgets.logShare(now, effects);
+		this.targetSelector.tick(now, effects);
 		this.paths.tick(now, effects);
 		this.outcomes.reportSoundRuns(this.activeRequests.values(), now, effects);
 		this.crashSuspicions.tick(now, effects);
@@ -230,9 +232,11 @@
 		if (!request.answerStarted()) {
 			request.markAnswerStarted(Duration.between(request.arrivedAt(), now));
 		}
-		request.target()
-			.ifPresent((target) -> status(target).recordFirstAnswer(Duration.between(request.attemptStartedAt(), now),
-					now));
+		Duration time = Duration.between(request.attemptStartedAt(), now);
+		request.target().ifPresent((target) -> {
+			status(target).recordFirstAnswer(time, now);
+			this.targetSelector.slowStarts().recordFirstAnswer(request, target, time, now);
+		});
 	}
 
 	/**
@@ -251,6 +255,7 @@
 		TargetName target = request.target().get();
 		status(target).recordEnded();
 		request.endAttempt();
+		request.transit().settle(now);
 		if (end.mayHaveArrived()) {
 			request.recordArrival(now);
 		}
@@ -344,6 +349,56 @@
 		this.retryBudgets.updateShare(share);
 	}
 
+	/**
+	 * Changes the nodes among which the requests of cold targets are divided.
+	 * @param nodes the nodes
+	 */
+	public void updateCountedNodes(CountedNodes nodes) {
+		this.targetSelector.coldTargets().updateNodes(nodes);
+	}
+
+	/**
+	 * Handles a list of all targets that the store has returned.
+	 * @param entries the targets
+	 * @param now the current time
+	 */
+	public void handleTargetList(List<TargetEntry> entries, Instant now) {
+		this.targetSelector.coldTargets().handleList(entries, now);
+	}
+
+	/**
+	 * Handles the entry of a target that the store has returned.
+	 * @param entry the entry
+	 * @param now the current time
+	 */
+	public void handleTargetEntry(TargetEntry entry, Instant now) {
+		this.targetSelector.coldTargets().handleEntry(entry, now);
+	}
+
+	/**
+	 * Returns what has to be notified of data centres whose evacuation has ended.
+	 * @return the listener
+	 */
+	public ReturnedDataCentres returnedDataCentres() {
+		return this.targetSelector.coldTargets();
+	}
+
+	/**
+	 * Returns the number of targets that are cold.
+	 * @return the number of targets
+	 */
+	public int countColdTargets() {
+		return this.targetSelector.coldTargets().count();
+	}
+
+	/**
+	 * Returns the number of targets in slow start.
+	 * @return the number of targets
+	 */
+	public int countSlowStarts() {
+		return this.targetSelector.slowStarts().count();
+	}
+
 	/**
 	 * Returns this node's share of the retries of all nodes.
 	 * @return the share
@@ -358,6 +413,7 @@
 	 */
 	public void updateSettings(EntrySettings settings) {
 		this.retryBudgets.updateSettings(settings);
+		this.targetSelector.coldTargets().updateSettings(settings);
 	}
 
 	/**
@@ -474,7 +530,10 @@
 	public void handleTargetReport(EntryEvent.TargetReported told, Instant now, Effects effects) {
 		TargetReport report = told.report();
 		this.paths.reachability().recordAnswer(told.target());
-		report.load().ifPresent((load) -> status(told.target()).recordReport(load, now));
+		report.load().ifPresent((load) -> {
+			status(told.target()).recordReport(load, now);
+			this.targetSelector.slowStarts().recordReport(told.target(), load, now);
+		});
 		report.rest().ifPresent((rest) -> handleRest(told.target(), rest, now, effects));
 		Optional<DispatchedRequest> answered = Optional.ofNullable(this.activeRequests.get(told.number()))
 			.filter((request) -> request.target().filter(told.target()::equals).isPresent());
@@ -498,6 +557,7 @@
 	 */
 	public void handleTargetEnded(TargetEntry entry, Instant now, Effects effects) {
 		this.targetSelector.forget(entry.name());
+		this.targetSelector.coldTargets().handleTargetEnded(entry, now);
 		this.crashSuspicions.handleTargetEnded(entry, now, effects);
 	}
 
--- a/src/main/java/sycamorehill/logic/dispatch/TargetSelector.java
+++ b/src/main/java/sycamorehill/logic/dispatch/TargetSelector.java
@@ -29,13 +29,20 @@
 
 	private final TargetRateLimits rateLimits;
 
+	private final SlowStarts slowStarts;
+
+	private final ColdTargets coldTargets;
+
 	private final List<CandidateFilter> filters;
 
 	private TargetSelector(EntrySettings settings, TargetDirectory directory, RandomGenerator random) {
 		this.servingTargets = ServingTargets.of(directory);
 		this.placement = Placement.of(settings.dataCentre(), random);
 		this.rateLimits = TargetRateLimits.of(settings.toNodeRecord(), directory);
-		this.filters = List.of(this.rateLimits);
+		this.slowStarts = SlowStarts.of(settings.toNodeRecord(), this.statuses);
+		this.coldTargets = ColdTargets.of(settings, this.slowStarts::handleWarm);
+		this.slowStarts.setColdTargets(this.coldTargets::isCold);
+		this.filters = List.of(this.rateLimits, this.coldTargets, this.slowStarts);
 	}
 
 	static TargetSelector of(EntrySettings settings, TargetDirectory directory, RandomGenerator random) {
@@ -67,12 +74,21 @@
 
 	private Selection select(DispatchedRequest request, Set<TargetName> excluded, Instant now) {
 		List<Candidate> all = candidates(request, now);
-		List<Candidate> sampled = this.placement.sample(all);
+		List<Candidate> sampled = this.placement.sample(all, limited(all));
 		Selection selection = selectBest(request, sampled, excluded, now);
 		return (selection.admission() == Admission.Decision.REFUSED && sampled.size() < all.size())
 				? selectBest(request, all, excluded, now) : selection;
 	}
 
+	private List<Candidate> limited(List<Candidate> candidates) {
+		return (this.coldTargets.count() + this.slowStarts.count() == 0) ? List.of()
+				: candidates.stream().filter((candidate) -> isLimited(candidate.entry().name())).toList();
+	}
+
+	private boolean isLimited(TargetName target) {
+		return this.coldTargets.isCold(target) || this.slowStarts.isActive(target);
+	}
+
 	/**
 	 * Returns how long all targets of a request still rest.
 	 * @param request the request
@@ -117,12 +133,14 @@
 	/**
 	 * Records that a request is sent to a target.
 	 * @param candidate the target
+	 * @param transit the request, on its way
 	 * @param now the current time
 	 */
-	void recordSent(Candidate candidate, Instant now) {
+	void recordSent(Candidate candidate, Transit transit, Instant now) {
 		TargetName name = candidate.entry().name();
 		status(name).recordSent(candidate.slots());
 		this.filters.forEach((filter) -> filter.recordSent(name, now));
+		this.coldTargets.recordSent(name, transit, now);
 	}
 
 	/**
@@ -138,6 +156,17 @@
 	void updateNodes(int liveNodes, List<NodeRecord> peers, Instant now, Effects effects) {
 		this.placement.setNodeCount(liveNodes);
 		this.rateLimits.updateNodes(peers, now, effects);
+		this.slowStarts.updateNodes(peers);
+	}
+
+	/**
+	 * Logs and forgets the targets that are warm again.
+	 * @param now the current time
+	 * @param effects receives the resulting effects
+	 */
+	void tick(Instant now, Effects effects) {
+		this.coldTargets.tick(now, effects);
+		this.slowStarts.tick(now, effects);
 	}
 
 	/**
@@ -157,6 +186,14 @@
 		return this.statuses;
 	}
 
+	ColdTargets coldTargets() {
+		return this.coldTargets;
+	}
+
+	SlowStarts slowStarts() {
+		return this.slowStarts;
+	}
+
 	TargetRateLimits rateLimits() {
 		return this.rateLimits;
 	}
@@ -164,6 +201,7 @@
 	void forget(TargetName target) {
 		this.statuses.forget(target);
 		this.rateLimits.forget(target);
+		this.slowStarts.forget(target);
 	}
 
 	/**
--- a/src/main/java/sycamorehill/logic/dispatch/TargetStatus.java
+++ b/src/main/java/sycamorehill/logic/dispatch/TargetStatus.java
@@ -47,6 +47,9 @@
 
 	private Instant restUntil = Instant.MIN;
 
+	/** End of the last ejection or rest that was no mere sign of a full target. */
+	private Instant awayUntil = Instant.MIN;
+
 	private int consecutiveFailures;
 
 	private double failureRate;
@@ -163,6 +166,9 @@
 
 	void eject(Instant now, Duration time) {
 		this.ejectedUntil = later(this.ejectedUntil, now.plus(time));
+		if (time.compareTo(BASE_EJECTION_TIME) >= 0) {
+			this.awayUntil = later(this.awayUntil, this.ejectedUntil);
+		}
 	}
 
 	/**
@@ -171,10 +177,19 @@
 	 */
 	void endEjection() {
 		this.ejectedUntil = Instant.MIN;
+		this.awayUntil = this.restUntil;
 		this.consecutiveFailures = 0;
 		this.failureRate = 0;
 	}
 
+	/**
+	 * Forgets how often the target failed, because its slow start limits its requests.
+	 * With the penalty for earlier failures it would receive none that could succeed.
+	 */
+	void clearFailureRate() {
+		this.failureRate = 0;
+	}
+
 	private static Instant later(Instant one, Instant other) {
 		return one.isAfter(other) ? one : other;
 	}
@@ -187,6 +202,7 @@
 	 */
 	void rest(Instant now, Duration time) {
 		this.restUntil = later(this.restUntil, now.plus(time));
+		this.awayUntil = later(this.awayUntil, this.restUntil);
 	}
 
 	void endRest() {
@@ -202,6 +218,14 @@
 		return now.isBefore(this.restUntil) ? Duration.between(now, this.restUntil) : Duration.ZERO;
 	}
 
+	/**
+	 * Returns until when the target last received no requests of this node.
+	 * @return the time, possibly in the future
+	 */
+	Instant awayUntil() {
+		return this.awayUntil;
+	}
+
 	/**
 	 * Returns whether this node may send requests to the target.
 	 * @param now the current time
--- a/src/main/java/sycamorehill/logic/entry/DirectoryUpdates.java
+++ b/src/main/java/sycamorehill/logic/entry/DirectoryUpdates.java
@@ -73,6 +73,7 @@
 				entries.stream().map((entry) -> new TargetChange(entry.name(), Optional.of(entry))).toList(), now,
 				effects);
 		removeEnded(this.directory.replaceAll(entries, now), now, effects);
+		this.requests.handleTargetList(entries, now);
 	}
 
 	/**
@@ -84,6 +85,7 @@
 	void applyStored(List<TargetChange> changes, Instant now, Effects effects) {
 		this.storeUpdateLog.logLeavingTargets(changes, now, effects);
 		removeEnded(this.directory.apply(changes, now), now, effects);
+		changes.forEach((change) -> change.entry().ifPresent((entry) -> this.requests.handleTargetEntry(entry, now)));
 	}
 
 	/**
--- a/src/main/java/sycamorehill/logic/entry/EntryReducer.java
+++ b/src/main/java/sycamorehill/logic/entry/EntryReducer.java
@@ -64,6 +64,8 @@
 
 	private final RetryShares retryShares;
 
+	private final ColdTargetShares coldTargetShares;
+
 	private final CrashReportExchange crashReports;
 
 	private final LoadAggregation loadAggregation;
@@ -97,6 +99,7 @@
 		this.peers = PeerNodes.of(settings.toNodeRecord());
 		this.registeredNodes = RegisteredNodes.of(settings.nodeName());
 		this.retryShares = RetryShares.of(settings, this.registeredNodes);
+		this.coldTargetShares = ColdTargetShares.of(this.registeredNodes);
 		this.relay = StoreRelay.of(settings.nodeName(), settings.dataCentre(), this.peers::takesPrecedence);
 		this.storeUpdateLog = StoreUpdateLog.of(settings.nodeName(), this.relay, this.directory);
 		this.configurationDistribution = ConfigurationDistribution.of(settings.nodeName(), this.peers, this.relay);
@@ -245,6 +248,7 @@
 
 	private void updateRetryShare(Instant now) {
 		this.requests.updateRetryShare(this.retryShares.share(now));
+		this.requests.updateCountedNodes(this.coldTargetShares.countedNodes(now));
 	}
 
 	private boolean handleGroupEvent(EntryEvent event, Instant now, Effects effects) {
@@ -304,6 +308,7 @@
 		else if (event instanceof EntryEvent.StopRequested) {
 			this.stage.requestStop(now);
 			this.retryShares.stop();
+			this.coldTargetShares.stop();
 			updateRetryShare(now);
 			this.groups.stop(now, effects);
 		}
@@ -445,6 +450,22 @@
 		return this.liveNodes;
 	}
 
+	/**
+	 * Returns the number of targets that are cold.
+	 * @return the number of targets
+	 */
+	public long coldTargets() {
+		return this.requests.countColdTargets();
+	}
+
+	/**
+	 * Returns the number of targets in slow start.
+	 * @return the number of targets
+	 */
+	public long slowStarts() {
+		return this.requests.countSlowStarts();
+	}
+
 	/**
 	 * Returns this node's share of the retries of all nodes.
 	 * @return the share
--- a/src/main/java/sycamorehill/logic/entry/RegisteredNodes.java
+++ b/src/main/java/sycamorehill/logic/entry/RegisteredNodes.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -176,6 +177,21 @@
 		return new Place(nodes, before);
 	}
 
+	/**
+	 * Returns the names of the nodes that may use shares.
+	 * @param since nodes count that were registered after this time
+	 * @return the names, including this node's
+	 */
+	Set<String> countedNames(Instant since) {
+		Set<String> names = new HashSet<>(Set.of(this.self));
+		this.others.forEach((name, other) -> {
+			if (!other.isMissingBefore(since)) {
+				names.add(name);
+			}
+		});
+		return names;
+	}
+
 	/**
 	 * This node's place among all that are counted.
 	 *
--- a/src/main/java/sycamorehill/model/log/LogEvent.java
+++ b/src/main/java/sycamorehill/model/log/LogEvent.java
@@ -228,7 +228,13 @@
 	CRASH_CAUSE_TRIED(1920, LogLevel.WARN),
 
 	/** Connections of callers are closed unread, because the node holds too many. */
-	CONNECTIONS_CLOSED_UNREAD(1921, LogLevel.WARN);
+	CONNECTIONS_CLOSED_UNREAD(1921, LogLevel.WARN),
+
+	/** A target is cold, and receives few requests. */
+	TARGET_COLD(1925, LogLevel.INFO),
+
+	/** A target is warm again, or its slow start is over. */
+	TARGET_WARM(1926, LogLevel.INFO);
 
 	private final int number;
 
