--- a/src/main/java/sycamorehill/logic/dispatch/Placement.java
+++ b/src/main/java/sycamorehill/logic/dispatch/Placement.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 
 import sycamorehill.model.identity.DataCentreName;
@@ -26,6 +27,12 @@
 	 */
 	private static final double REMOTE_DATA_CENTRE_PENALTY_MILLIS = 30;
 
+	/**
+	 * Preference for a cold target if there are many nodes: about as much as the random
+	 * part of the score, so that targets that are equal otherwise come after it.
+	 */
+	private static final double COLD_TARGET_PREFERENCE_MILLIS = 8;
+
 	/**
 	 * Penalty for a target that fails every request; a lower failure rate counts in
 	 * proportion.
@@ -82,6 +89,8 @@
 
 	private int nodeCount = 1;
 
+	private Predicate<TargetName> coldTargets = (target) -> false;
+
 	private Placement(DataCentreName localDataCentre, RandomGenerator random) {
 		this.localDataCentre = localDataCentre;
 		this.random = random;
@@ -99,6 +108,15 @@
 		this.nodeCount = liveNodes;
 	}
 
+	/**
+	 * Sets which targets are cold. Few nodes may use them: these are in all data centres,
+	 * so no penalty for other data centres applies, and they prefer the cold targets.
+	 * @param cold tells whether a target is cold
+	 */
+	void setColdTargets(Predicate<TargetName> cold) {
+		this.coldTargets = cold;
+	}
+
 	/**
 	 * Draws the targets that are compared for one request.
 	 * @param candidates all targets
@@ -177,7 +195,10 @@
 
 	private double penaltyMillis(Candidate candidate, TargetStatus status) {
 		double penalty = this.random.nextDouble() * JITTER_MILLIS;
-		if (!candidate.entry().dataCentre().equals(this.localDataCentre)) {
+		if (this.coldTargets.test(candidate.entry().name())) {
+			penalty -= hasFewNodes() ? 0 : COLD_TARGET_PREFERENCE_MILLIS;
+		}
+		else if (!candidate.entry().dataCentre().equals(this.localDataCentre)) {
 			penalty += REMOTE_DATA_CENTRE_PENALTY_MILLIS;
 		}
 		if (status != null) {
--- a/src/main/java/sycamorehill/logic/dispatch/TargetSelector.java
+++ b/src/main/java/sycamorehill/logic/dispatch/TargetSelector.java
@@ -42,6 +42,7 @@
 		this.slowStarts = SlowStarts.of(settings.toNodeRecord(), this.statuses);
 		this.coldTargets = ColdTargets.of(settings, this.slowStarts::handleWarm);
 		this.slowStarts.setColdTargets(this.coldTargets::isCold);
+		this.placement.setColdTargets(this.coldTargets::isCold);
 		this.filters = List.of(this.rateLimits, this.coldTargets, this.slowStarts);
 	}
 
--- a/src/test/java/sycamorehill/logic/dispatch/SlowStartSimulation.java
+++ b/src/test/java/sycamorehill/logic/dispatch/SlowStartSimulation.java
@@ -335,6 +335,9 @@
 			this.slowStarts = SlowStarts.of(this.node, this.statuses);
 			this.coldTargets = ColdTargets.of(settings, this.slowStarts::handleWarm);
 			this.slowStarts.setColdTargets(this.coldTargets::isCold);
+			if (SlowStartSimulation.this.scenario.method() != Method.NONE) {
+				this.placement.setColdTargets(this.coldTargets::isCold);
+			}
 		}
 
 		void begin() {
