--- a/src/main/java/sycamorehill/logic/dispatch/AttemptStarter.java
+++ b/src/main/java/sycamorehill/logic/dispatch/AttemptStarter.java
@@ -57,7 +57,8 @@
 	void start(DispatchedRequest request, TargetSelector.Selection selection, Instant now, Effects effects) {
 		Candidate candidate = selection.choice().orElseThrow().candidate();
 		TargetName name = candidate.entry().name();
-		int attempt = request.startAttempt(candidate.entry(), now);
+		int attempt = request.startAttempt(candidate.entry(), selection.choice().orElseThrow().timeToFirstAnswer(),
+				now);
 		this.targetSelector.recordSent(request, candidate, now);
 		candidate.engines().ifPresent((engines) -> recordPrefill(request, candidate, engines, now, effects));
 		int connections = request.serviceParameters().maximumConnections();
--- a/src/main/java/sycamorehill/logic/dispatch/Placement.java
+++ b/src/main/java/sycamorehill/logic/dispatch/Placement.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 
 import sycamorehill.model.identity.DataCentreName;
@@ -26,6 +27,12 @@
 	 */
 	private static final double REMOTE_DATA_CENTRE_PENALTY_MILLIS = 30;
 
+	/**
+	 * Preference for a cold target if there are many nodes: about as much as the random
+	 * part of the score, so that targets that are equal otherwise come after it.
+	 */
+	private static final double COLD_TARGET_PREFERENCE_MILLIS = 8;
+
 	/**
 	 * Penalty for a target that fails every request; a lower failure rate counts in
 	 * proportion.
@@ -73,12 +80,17 @@
 	 */
 	private static final int REMOTE_SAMPLE_SIZE = 1;
 
+	/** Number of cold targets and targets in slow start that such a node adds. */
+	private static final int LIMITED_SAMPLE_SIZE = 2;
+
 	private final DataCentreName localDataCentre;
 
 	private final RandomGenerator random;
 
 	private int nodeCount = 1;
 
+	private Predicate<TargetName> coldTargets = (target) -> false;
+
 	private Placement(DataCentreName localDataCentre, RandomGenerator random) {
 		this.localDataCentre = localDataCentre;
 		this.random = random;
@@ -107,6 +119,15 @@
 		this.nodeCount = liveNodes;
 	}
 
+	/**
+	 * Sets which targets are cold. Few nodes may use them: these are in all data centres,
+	 * so no penalty for other data centres applies, and they prefer the cold targets.
+	 * @param cold tells whether a target is cold
+	 */
+	void setColdTargets(Predicate<TargetName> cold) {
+		this.coldTargets = cold;
+	}
+
 	/**
 	 * Draws the targets that are compared for one request.
 	 * @param candidates all targets
@@ -122,6 +143,28 @@
 		return sampled;
 	}
 
+	/**
+	 * Draws the targets that are compared for one request, and adds some that few nodes
+	 * may use now: those nodes would rarely draw them.
+	 * @param candidates all targets
+	 * @param limited the targets among them that few nodes may use
+	 * @return a random sample, or all targets if few nodes place requests
+	 */
+	List<Candidate> sample(List<Candidate> candidates, List<Candidate> limited) {
+		List<Candidate> sampled = sample(candidates);
+		if (hasFewNodes() || limited.isEmpty()) {
+			return sampled;
+		}
+		int first = this.random.nextInt(limited.size());
+		for (int index = 0; index < Math.min(LIMITED_SAMPLE_SIZE, limited.size()); index++) {
+			Candidate added = limited.get((first + index) % limited.size());
+			if (!sampled.contains(added)) {
+				sampled.add(added);
+			}
+		}
+		return sampled;
+	}
+
 	private List<Candidate> sample(List<Candidate> candidates, boolean local, int size) {
 		List<Candidate> remaining = new ArrayList<>(candidates);
 		remaining.removeIf((candidate) -> candidate.entry().dataCentre().equals(this.localDataCentre) != local);
@@ -177,7 +220,10 @@
 
 	private double penaltyMillis(Candidate candidate, TargetStatus status) {
 		double penalty = this.random.nextDouble() * JITTER_MILLIS;
-		if (!candidate.entry().dataCentre().equals(this.localDataCentre)) {
+		if (this.coldTargets.test(candidate.entry().name())) {
+			penalty -= hasFewNodes() ? 0 : COLD_TARGET_PREFERENCE_MILLIS;
+		}
+		else if (!candidate.entry().dataCentre().equals(this.localDataCentre)) {
 			penalty += REMOTE_DATA_CENTRE_PENALTY_MILLIS;
 		}
 		if (status != null) {
--- a/src/main/java/sycamorehill/logic/dispatch/TargetSelector.java
+++ b/src/main/java/sycamorehill/logic/dispatch/TargetSelector.java
@@ -34,9 +34,11 @@
 
 	private final EvacuationFilter evacuations;
 
-	private final List<CandidateFilter> filters;
+	private final SlowStarts slowStarts;
+
+	private final ColdTargets coldTargets;
 
-	private final List<ReturnedDataCentres> returnListeners = List.of();
+	private final List<CandidateFilter> filters;
 
 	private final WorkspaceShares shares = WorkspaceShares.create();
 
@@ -47,7 +49,11 @@
 		this.rateLimits = TargetRateLimits.of(settings.toNodeRecord(), directory);
 		this.homeRegions = HomeRegionFilter.of(homeRegionRule);
 		this.evacuations = EvacuationFilter.of(directory, settings.dataCentres());
-		this.filters = List.of(this.homeRegions, this.evacuations, this.rateLimits);
+		this.slowStarts = SlowStarts.of(settings.toNodeRecord(), this.statuses);
+		this.coldTargets = ColdTargets.of(settings, this.slowStarts::handleWarm);
+		this.slowStarts.setColdTargets(this.coldTargets::isCold);
+		this.placement.setColdTargets(this.coldTargets::isCold);
+		this.filters = List.of(this.homeRegions, this.evacuations, this.rateLimits, this.coldTargets, this.slowStarts);
 	}
 
 	static TargetSelector of(EntrySettings settings, TargetDirectory directory, HomeRegionRule homeRegionRule,
@@ -91,6 +97,9 @@
 	}
 
 	private Selection selectRecorded(DispatchedRequest request, Set<TargetName> excluded, Instant now) {
+		if (request.serviceParameters().warmUp().isPresent()) {
+			this.slowStarts.observe(servingTargets(request, now), request, now);
+		}
 		List<Candidate> all = candidates(request, now);
 		all.stream().findFirst().ifPresent((candidate) -> this.shares.recordAsked(request, candidate, now));
 		return select(request, excluded, all, this.placement, now);
@@ -98,12 +107,21 @@
 
 	private Selection select(DispatchedRequest request, Set<TargetName> excluded, List<Candidate> all,
 			Placement comparison, Instant now) {
-		List<Candidate> sampled = comparison.sample(all);
+		List<Candidate> sampled = comparison.sample(all, limited(all));
 		Selection selection = selectBest(request, sampled, excluded, comparison, now);
 		return (selection.admission() == Admission.Decision.REFUSED && sampled.size() < all.size())
 				? selectBest(request, all, excluded, comparison, now) : selection;
 	}
 
+	private List<Candidate> limited(List<Candidate> candidates) {
+		return (this.coldTargets.count() + this.slowStarts.count() == 0) ? List.of()
+				: candidates.stream().filter((candidate) -> isLimited(candidate.entry().name())).toList();
+	}
+
+	private boolean isLimited(TargetName target) {
+		return this.coldTargets.isCold(target) || this.slowStarts.isActive(target);
+	}
+
 	/**
 	 * Returns how long all targets in the home regions of a request still rest.
 	 * @param request the request
@@ -138,7 +156,7 @@
 	 * @param now the current time
 	 */
 	void handleEvacuationsEnded(Set<DataCentreName> dataCentres, Instant now) {
-		this.returnListeners.forEach((listener) -> listener.handleReturned(dataCentres, now));
+		this.coldTargets.handleReturn(dataCentres, now);
 	}
 
 	private List<Candidate> candidates(DispatchedRequest request, Instant now) {
@@ -191,6 +209,7 @@
 		this.shares.recordAdmitted(request, candidate, now);
 		status(name).recordSent(candidate.slots());
 		this.filters.forEach((filter) -> filter.recordSent(name, now));
+		this.coldTargets.recordSent(name, request.transit(), now);
 	}
 
 	/**
@@ -206,6 +225,17 @@
 	void updateNodes(int liveNodes, List<NodeRecord> peers, Instant now, Effects effects) {
 		this.placement.setNodeCount(liveNodes);
 		this.rateLimits.updateNodes(peers, now, effects);
+		this.slowStarts.updateNodes(peers);
+	}
+
+	/**
+	 * Logs and forgets the targets that are warm again.
+	 * @param now the current time
+	 * @param effects receives the resulting effects
+	 */
+	void tick(Instant now, Effects effects) {
+		this.coldTargets.tick(now, effects);
+		this.slowStarts.tick(now, effects);
 	}
 
 	/**
@@ -233,6 +263,14 @@
 		return this.filters;
 	}
 
+	ColdTargets coldTargets() {
+		return this.coldTargets;
+	}
+
+	SlowStarts slowStarts() {
+		return this.slowStarts;
+	}
+
 	TargetRateLimits rateLimits() {
 		return this.rateLimits;
 	}
@@ -244,6 +282,7 @@
 	void forget(TargetName target) {
 		this.statuses.forget(target);
 		this.rateLimits.forget(target);
+		this.slowStarts.forget(target);
 	}
 
 	/**
--- a/src/main/java/sycamorehill/model/log/LogEvent.java
+++ b/src/main/java/sycamorehill/model/log/LogEvent.java
@@ -240,7 +240,13 @@
 	EVACUATION_UNKNOWN(1924, LogLevel.WARN),
 
 	/** A configuration names a home region that no data centre has. */
-	HOME_REGION_UNKNOWN(1927, LogLevel.WARN);
+	HOME_REGION_UNKNOWN(1927, LogLevel.WARN),
+
+	/** A target is cold, and receives few requests. */
+	TARGET_COLD(1925, LogLevel.INFO),
+
+	/** A target is warm again, or its slow start is over. */
+	TARGET_WARM(1926, LogLevel.INFO);
 
 	private final int number;
 
