Let groups serve that finish loading while the platform is down

Cause: the test goes on as soon as requests are served, which the groups of one data centre are enough for. Their allocations hold the groups as FORMING until the platform is back, although all members are ready. The new node then has its configuration and hears of no group.

Ruled out: a lost message. The stewards repeat the facts of the groups every 20 s at the latest and when a node is new, so 148 s would need seven losses. Ruled out as well: the replacement long after the start of the outage, since the state is decided when the outage begins.

No command to an engine is needed, so a data centre with one node may do it, unlike a repair. The change is kept in memory and written when the platform is back (decision 0052).

What remains: loads that had not been ordered before the outage wait for the platform, as before. If no other data centre has ordered its loads, a replaced node finds no group.

--- a/src/main/java/sycamorehill/logic/group/AllocationController.java
+++ b/src/main/java/sycamorehill/logic/group/AllocationController.java
@@ -46,8 +46,18 @@
 		boolean offline = !step.state().lease().isHeld(step.now()) && OfflineController.mayRepair(step);
 		updateObservations(step, offline);
 		decide(step);
-		if (offline && step.view().desiredState().isPresent()) {
-			OfflineController.repairGroups(step, context(step, step.view().desiredState().get()));
+		decideOffline(step, offline);
+	}
+
+	private static void decideOffline(GroupStep step, boolean mayRepair) {
+		Optional<DesiredState> desiredState = step.view().desiredState();
+		boolean mayDecide = !step.state().lease().isHeld(step.now()) && OfflineController.mayDecide(step);
+		if (desiredState.isEmpty() || !mayDecide) {
+			return;
+		}
+		OfflineController.serveLoadedGroups(step, context(step, desiredState.get()));
+		if (mayRepair) {
+			OfflineController.repairGroups(step, context(step, desiredState.get()));
 		}
 	}
 
--- a/src/main/java/sycamorehill/logic/group/OfflineController.java
+++ b/src/main/java/sycamorehill/logic/group/OfflineController.java
@@ -20,7 +20,8 @@
 
 /**
  * Repairs groups while the platform answers no node of the data centre. It uses only
- * standbys that the allocation had claimed before, so that no new claim is needed.
+ * standbys that the allocation had claimed before, so that no new claim is needed. Groups
+ * whose members have finished loading meanwhile start to serve.
  */
 final class OfflineController {
 
@@ -63,10 +64,20 @@
 
 	// If only this node has lost its link to the platform, another node may acquire the
 	// lease and repair the same group with the same standby. Each would then remove the
-	// VMs from the other's group. So this node repairs groups only if it was the last
-	// holder of the lease and all other stewards, of which there must be at least one,
-	// report that the platform does not answer them either.
+	// VMs from the other's group. So this node repairs groups only if it may decide at
+	// all and at least one other steward confirms that the platform does not answer.
 	static boolean mayRepair(GroupStep step) {
+		return mayDecide(step) && !otherStewards(step).isEmpty();
+	}
+
+	/**
+	 * Returns whether this node may decide about groups in a way that needs no command to
+	 * an engine.
+	 * @param step the current step
+	 * @return true if this node was the last holder of the lease, and all other stewards,
+	 * if there are any, report that the platform does not answer them either
+	 */
+	static boolean mayDecide(GroupStep step) {
 		GroupState state = step.state();
 		Optional<Allocation> known = state.allocation().known();
 		boolean heldLast = state.lease()
@@ -79,8 +90,7 @@
 			return false;
 		}
 		Instant oldestValid = step.now().minus(REPORT_VALIDITY);
-		List<NodeIdentity> others = otherStewards(step);
-		return !others.isEmpty() && others.stream()
+		return otherStewards(step).stream()
 			.allMatch((other) -> state.offline()
 				.silentPeers()
 				.getOrDefault(other.incarnation(), Instant.MIN)
@@ -98,6 +108,31 @@
 			.toList();
 	}
 
+	/**
+	 * Lets the recorded groups serve that have finished loading. The record that they
+	 * serve can't be written, and without it a data centre whose groups were being loaded
+	 * when the platform went down would refuse all requests until it is back.
+	 * @param step the current step
+	 * @param context the state that the decision is based on
+	 */
+	static void serveLoadedGroups(GroupStep step, PlanContext context) {
+		for (GroupRecord record : step.state().effectiveAllocation().orElseThrow().groups().values()) {
+			if (!isRepair(record) && record.phase() == GroupPhase.FORMING && context.isComplete(record)) {
+				serve(step, record.withPhase(GroupPhase.SERVING, "all members ready while the platform is silent"));
+			}
+		}
+	}
+
+	private static boolean isRepair(GroupRecord record) {
+		return record.identity().generation() >= OfflineState.FIRST_OFFLINE_GENERATION;
+	}
+
+	private static void serve(GroupStep step, GroupRecord record) {
+		recordChange(step, record, false);
+		step.log(LogEvent.GROUP_CHANGED, record.identity().name() + " generation " + record.identity().generation()
+				+ " " + record.phase() + ": " + record.reason());
+	}
+
 	/**
 	 * Repairs groups that the claimed standbys can complete, and sends the commands for
 	 * these repairs.
@@ -107,8 +142,7 @@
 	static void repairGroups(GroupStep step, PlanContext context) {
 		Allocation allocation = step.state().effectiveAllocation().orElseThrow();
 		for (GroupRecord record : allocation.groups().values()) {
-			boolean offline = record.identity().generation() >= OfflineState.FIRST_OFFLINE_GENERATION;
-			if (offline && record.phase() == GroupPhase.FORMING && context.isComplete(record)) {
+			if (isRepair(record) && record.phase() == GroupPhase.FORMING && context.isComplete(record)) {
 				recordRepair(step, record.withPhase(GroupPhase.SERVING, record.reason()), false);
 			}
 			else if (record.phase() == GroupPhase.SERVING && record.members().stream().anyMatch(context::isDead)) {
@@ -120,6 +154,7 @@
 			.offline()
 			.currentRepairs(step.state().allocation().version())
 			.stream()
+			.filter(OfflineController::isRepair)
 			.flatMap((record) -> record.members().stream())
 			.toList();
 		List<EngineReconciler.RequiredCommand> commands = EngineReconciler.requiredCommands(repaired, context)
@@ -160,9 +195,13 @@
 	}
 
 	private static void recordRepair(GroupStep step, GroupRecord record, boolean isNew) {
-		step.update(step.state()
-			.withOffline(step.state().offline().withRepair(step.state().allocation().version(), record, isNew)));
+		recordChange(step, record, isNew);
 		step.log(LogEvent.GROUP_REPAIRED_OFFLINE, record.identity().name() + " " + record.phase());
 	}
 
+	private static void recordChange(GroupStep step, GroupRecord record, boolean isNewRepair) {
+		step.update(step.state()
+			.withOffline(step.state().offline().withRepair(step.state().allocation().version(), record, isNewRepair)));
+	}
+
 }
--- a/src/main/java/sycamorehill/logic/group/OfflineState.java
+++ b/src/main/java/sycamorehill/logic/group/OfflineState.java
@@ -17,11 +17,11 @@
 
 /**
  * Holds the repairs made while the platform does not answer, with standbys that the
- * allocation had claimed before.
+ * allocation had claimed before, and the groups that began to serve meanwhile.
  *
  * @param baseVersion the version of the allocation that the repairs are based on
  * @param repairs the number of repairs in this incarnation of the node
- * @param repaired the repaired groups
+ * @param repaired the repaired groups, and those that began to serve
  * @param silentPeers the time at which each other steward last reported that the platform
  * does not answer it
  * @param nextWordAt the time of this node's next report that the platform does not answer
@@ -58,7 +58,8 @@
 	}
 
 	/**
-	 * Returns the allocation with the repairs applied to it.
+	 * Returns the allocation with the repairs and the groups that began to serve applied
+	 * to it.
 	 * @param allocation the known allocation
 	 * @param version its version
 	 * @return the allocation, the same instance if no repair is based on this version
--- a/src/test/java/sycamorehill/logic/group/GroupOfflineTests.java
+++ b/src/test/java/sycamorehill/logic/group/GroupOfflineTests.java
@@ -4,18 +4,30 @@
 
 import org.assertj.core.api.Assertions;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import sycamorehill.experiment.group.GroupTrial;
 import sycamorehill.experiment.group.PlainTrialPlatform;
 import sycamorehill.experiment.group.TrialEngine;
+import sycamorehill.experiment.group.TrialSettings;
 import sycamorehill.model.group.Allocation;
+import sycamorehill.model.group.GroupPhase;
 import sycamorehill.model.group.GroupRecord;
+import sycamorehill.model.identity.ServiceName;
 import sycamorehill.model.identity.VmName;
 
 class GroupOfflineTests {
 
 	private static final Duration REPAIR_TIME = Duration.ofSeconds(60);
 
+	private static final Duration STEP = Duration.ofMillis(100);
+
+	private static final int RECOVERY_STEPS = 300;
+
+	/** Less than a load takes, and enough for the commands after the allocation. */
+	private static final Duration COMMANDS_SENT = Duration.ofSeconds(4);
+
 	private final PlainTrialPlatform platform = PlainTrialPlatform.create();
 
 	private GroupTrial formed(int standbys) {
@@ -63,6 +75,31 @@
 		trial.run(REPAIR_TIME);
 	}
 
+	private GroupTrial loading(int nodes) {
+		TrialSettings settings = GroupTrials.settings(21);
+		GroupTrial trial = GroupTrials.create(
+				new TrialSettings(settings.policy(), settings.dataCentres(), nodes, settings.domains(), settings.vms(),
+						settings.load(), settings.storeLoads(), settings.listLag(), settings.seed()),
+				this.platform);
+		trial.file(GroupTrials.service("1"), GroupTrials.set(1, 0));
+		for (int step = 0; step < RECOVERY_STEPS && allocation(trial).groups().isEmpty(); step++) {
+			trial.run(STEP);
+		}
+		trial.run(COMMANDS_SENT);
+		Assertions.assertThat(allocation(trial).groups().values())
+			.singleElement()
+			.matches((group) -> group.phase() == GroupPhase.FORMING);
+		return trial;
+	}
+
+	private static long targets(GroupTrial trial) {
+		return trial.nodes()
+			.stream()
+			.mapToLong((node) -> node.targets(ServiceName.of("drafts"), trial.now()).size())
+			.min()
+			.orElseThrow();
+	}
+
 	// The data centre is partitioned from the platform and a member fails. A standby that
 	// was claimed before replaces it, which needs no write.
 	@Test
@@ -86,6 +123,53 @@
 			.anyMatch((group) -> group.identity().generation() >= OfflineState.FIRST_OFFLINE_GENERATION);
 	}
 
+	// The platform goes down after the groups of a data centre were recorded and before
+	// the record that they serve. All members are loaded, and no request is served until
+	// the platform is back.
+	@ParameterizedTest
+	@ValueSource(ints = { 1, 2, 3 })
+	void groupsThatFinishLoadingWhileThePlatformIsDownServe(int nodes) {
+		GroupTrial trial = loading(nodes);
+		this.platform.down(true);
+		trial.run(REPAIR_TIME);
+		Assertions.assertThat(targets(trial)).isOne();
+		Assertions.assertThat(trial.figures().violations()).isEmpty();
+	}
+
+	// Guards against a gap in which the groups are known only as forming again: the
+	// platform answers before the controller may write.
+	@ParameterizedTest
+	@ValueSource(ints = { 1, 2 })
+	void groupsThatBeganToServeWhileThePlatformWasDownServeOnWhenItRecovers(int nodes) {
+		GroupTrial trial = loading(nodes);
+		this.platform.down(true);
+		trial.run(REPAIR_TIME);
+		this.platform.down(false);
+		for (int step = 0; step < RECOVERY_STEPS; step++) {
+			trial.run(STEP);
+			Assertions.assertThat(targets(trial)).isOne();
+		}
+		Assertions.assertThat(allocation(trial).groups().values())
+			.allMatch((group) -> group.phase() == GroupPhase.SERVING);
+		Assertions.assertThat(trial.figures().violations()).isEmpty();
+	}
+
+	// Only the controller is partitioned from the platform. Another node takes over and
+	// may remove the group, so the old controller must not decide that it serves.
+	@Test
+	void aControllerThatAloneLosesThePlatformPutsNoGroupIntoService() {
+		GroupTrial trial = loading(2);
+		trial.nodes()
+			.stream()
+			.filter((node) -> node.controls(trial.now()))
+			.findFirst()
+			.orElseThrow()
+			.cutFromPlatform(true);
+		trial.run(REPAIR_TIME);
+		Assertions.assertThat(trial.log()).noneMatch((line) -> line.contains("while the platform is silent"));
+		Assertions.assertThat(targets(trial)).isOne();
+	}
+
 	// Guards against using an unclaimed VM, which another controller may have claimed
 	// meanwhile.
 	@Test
