Leave the time of a node's own pauses out of its targets' silence

KNOWN-RED lists ConfigurationStormProcessTests#slowCallersCutNoStreamOfOthers: three targets counted as silent. A fault found while tracing it: after a pause of the process of over 250 ms, only the one check right after the pause reported nothing. The next check, which follows at once because the timer makes up for missed ticks, counted the whole pause. What stops the process, as a busy machine does, often stops its targets as well, and then nothing has arrived that the pass over the sockets could read. The pause is now taken off each sender's silence.

Test: StreamActivityTests#theTimeOfAPauseOfThisProcessDoesNotCountAsSilence, red before and green after.

The entry in KNOWN-RED stays, since this is not shown to be the cause of the listed failure.

--- a/src/main/java/sycamorehill/entry/StreamActivity.java
+++ b/src/main/java/sycamorehill/entry/StreamActivity.java
@@ -24,7 +24,7 @@
 
 	/**
 	 * Checks are several times as frequent. After a longer pause of this process, bytes
-	 * that have arrived have not been read yet.
+	 * that have arrived have not been read yet, and the time of the pause is no silence.
 	 */
 	private static final Duration MAXIMUM_CHECK_INTERVAL = Duration.ofMillis(250);
 
@@ -148,11 +148,24 @@
 	}
 
 	private boolean isCheckDelayed(long nowNanos) {
-		boolean delayed = nowNanos - this.lastCheckNanos > MAXIMUM_CHECK_INTERVAL.toNanos();
+		long sinceLastCheck = nowNanos - this.lastCheckNanos;
+		boolean delayed = sinceLastCheck > MAXIMUM_CHECK_INTERVAL.toNanos();
+		if (delayed) {
+			excludeFromSilences(sinceLastCheck, nowNanos);
+		}
 		this.lastCheckNanos = nowNanos;
 		return delayed;
 	}
 
+	// What stopped this process, as a busy machine does, may have stopped the senders as
+	// well: right after the pause they have sent nothing that could be read.
+	private void excludeFromSilences(long pauseNanos, long nowNanos) {
+		for (StreamProgress progress : this.bySender.values()) {
+			long silence = nowNanos - progress.lastProgressNanos;
+			progress.lastProgressNanos = nowNanos - Math.max(0, silence - pauseNanos);
+		}
+	}
+
 	/**
 	 * Returns the senders that have become silent since the last call.
 	 * @param nowNanos the current time, in nanoseconds
--- a/src/test/java/sycamorehill/entry/StreamActivityTests.java
+++ b/src/test/java/sycamorehill/entry/StreamActivityTests.java
@@ -90,6 +90,37 @@
 		assertThat(this.activity.findSilentSenders(this.now)).isEmpty();
 	}
 
+	// A busy machine stopped this process and its targets. The checks after the pause
+	// come
+	// in time, and the targets have not sent anything yet.
+	@Test
+	void theTimeOfAPauseOfThisProcessDoesNotCountAsSilence() {
+		startStream("a");
+		startStream("b");
+		this.activity.recordRequestSent("waiting", this.now);
+		assertThat(pass(100, "a", "b")).isEmpty();
+		assertThat(pass(200, "b")).isEmpty();
+		this.now += 1500 * MILLI;
+		assertThat(this.activity.findSilentSenders(this.now)).isEmpty();
+		assertThat(pass(200, "b")).isEmpty();
+		assertThat(pass(100, "b")).containsExactly("a");
+		assertThat(pass(400, "a", "b")).isEmpty();
+		assertThat(pass(200, "a", "b")).containsExactly("waiting");
+	}
+
+	// The time before a request was sent must not be taken off its silence.
+	@Test
+	void aPauseBeforeARequestDoesNotDelayItsSilence() {
+		startStream("b");
+		pass(100, "b");
+		this.now += 1500 * MILLI;
+		this.activity.recordProgress("b", this.now);
+		startStream("a");
+		assertThat(this.activity.findSilentSenders(this.now)).isEmpty();
+		assertThat(pass(400, "b")).isEmpty();
+		assertThat(pass(100, "b")).containsExactly("a");
+	}
+
 	@Test
 	void withABrokenPathShortSilencesAreReported() {
 		startStream("a");
