Tell in the storm test how late threads of its own process ran

The longest silences of the test's targets begin with a first event. A trial that was red because no first event came for 1.1 s could be told from a fault of the node only by the log of the store's calls. A thread that sleeps 10 ms at a time now measures the longest delay in the test's process, and the assertion prints it when it fails. No check, bound or seed is changed.

--- a/src/test/java/sycamorehill/process/ConfigurationStormProcessTests.java
+++ b/src/test/java/sycamorehill/process/ConfigurationStormProcessTests.java
@@ -48,6 +48,8 @@
 
 	private final List<StormCallers> callers = new ArrayList<>();
 
+	private final ThreadDelays delays = ThreadDelays.start();
+
 	private StormStore store;
 
 	@BeforeEach
@@ -69,6 +71,7 @@
 
 	@AfterEach
 	void end() throws Exception {
+		this.delays.close();
 		for (StormCallers each : this.callers) {
 			each.close();
 		}
@@ -131,8 +134,8 @@
 		storm(2);
 		assertSound(VERSIONS + 1);
 		assertThat(this.nodes.get(0).logText())
-			.as("longest time without an event, in ms, of each target: %s",
-					this.targets.stream().map(StormTarget::longestSilenceMillis).toList())
+			.as("longest time without an event, in ms, of each target: %s; longest delay of a thread of the test: %d ms",
+					this.targets.stream().map(StormTarget::longestSilenceMillis).toList(), this.delays.longestMillis())
 			.doesNotContain("TARGET_SILENT");
 	}
 
