--- a/src/main/java/sycamorehill/logic/dispatch/AttemptScheduler.java
+++ b/src/main/java/sycamorehill/logic/dispatch/AttemptScheduler.java
@@ -120,7 +120,8 @@
 		}
 	}
 
-	// The node that has the caller of a proxied request may find a place for it elsewhere.
+	// The node that has the caller of a proxied request may find a place for it
+	// elsewhere.
 	private static void addRefusal(DispatchedRequest request, WorkspaceStanding.Share share, Effects effects) {
 		if (request.proxied().isEmpty() && !request.mayHaveRun() && !request.answerStarted()) {
 			effects.add(new EntryEffect.RefusedOverShare(share.workspace()));
--- a/src/main/java/sycamorehill/logic/dispatch/TargetSelector.java
+++ b/src/main/java/sycamorehill/logic/dispatch/TargetSelector.java
@@ -80,8 +80,8 @@
 	 * @return the target, and whether the request would be admitted there
 	 */
 	Selection preview(DispatchedRequest request, RandomGenerator otherRandom, Instant now) {
-		return select(request, request.triedTargets(), candidates(request, now),
-				this.placement.withRandom(otherRandom), now);
+		return select(request, request.triedTargets(), candidates(request, now), this.placement.withRandom(otherRandom),
+				now);
 	}
 
 	/**
--- a/src/main/java/sycamorehill/logic/dispatch/WorkspaceShares.java
+++ b/src/main/java/sycamorehill/logic/dispatch/WorkspaceShares.java
@@ -193,7 +193,8 @@
 				: WorkspaceStanding.Level.UNCONTESTED;
 	}
 
-	// Spreads consecutive numbers evenly between 0 and 1. All selections for a request use
+	// Spreads consecutive numbers evenly between 0 and 1. All selections for a request
+	// use
 	// the same value.
 	private static double draw(DispatchedRequest request) {
 		return ((request.request().number() * SPREADING_FACTOR) >>> 11) * 0x1.0p-53;
--- a/src/test/java/sycamorehill/entry/NodeMessageCodecTests.java
+++ b/src/test/java/sycamorehill/entry/NodeMessageCodecTests.java
@@ -16,8 +16,8 @@
 
 import sycamorehill.model.identity.DataCentreName;
 import sycamorehill.model.identity.TargetName;
-import sycamorehill.model.serving.EvacuatedDataCentres;
 import sycamorehill.model.identity.WorkspaceName;
+import sycamorehill.model.serving.EvacuatedDataCentres;
 import sycamorehill.model.serving.Lease;
 import sycamorehill.model.serving.LoadSum;
 import sycamorehill.model.serving.LostRequest;
