--- a/src/test/java/sycamorehill/logic/dispatch/FairShareSimulation.java
+++ b/src/test/java/sycamorehill/logic/dispatch/FairShareSimulation.java
@@ -20,6 +20,7 @@
 import sycamorehill.model.serving.Configuration;
 import sycamorehill.model.serving.EngineLoad;
 import sycamorehill.model.serving.EntryEffect;
+import sycamorehill.model.serving.EntrySettings;
 import sycamorehill.model.serving.LoadSum;
 import sycamorehill.model.serving.MemberState;
 import sycamorehill.model.serving.NodeMessage;
@@ -416,8 +417,8 @@
 
 		Node(int index, TargetDirectory directory, long seed) {
 			this.index = index;
-			this.selector = TargetSelector.of(ServingSamples.settings(index, dataCentre(index)), directory,
-					new Random(seed));
+			EntrySettings settings = ServingSamples.settings(index, dataCentre(index));
+			this.selector = TargetSelector.of(settings, directory, HomeRegionRule.of(settings), new Random(seed));
 			this.starter = AttemptStarter.of("n" + index, this.selector);
 		}
 
