--- a/src/test/java/sycamorehill/logic/dispatch/WorkspaceSharesTests.java
+++ b/src/test/java/sycamorehill/logic/dispatch/WorkspaceSharesTests.java
@@ -238,7 +238,6 @@
 		}
 		measure(names);
 		double micros = measure(names);
-		System.out.println("micros per request " + micros);
 		assertThat(micros).isLessThan(50);
 	}
 
