Let only real selections begin slow starts

An explanation of a placement must change nothing, but the filter of slow starts noted the targets that it saw. Filters now take note of targets by a call of their own, which explanations don't make. Ruled out: observing before the filter of cold targets, by which a cold target that this node may not use began its slow start (ColdTargetsOfAllNodesTests red). The tests call both; no check is changed. PlacementTests, SlowStart, ColdTarget and fair-share simulations green.

--- a/src/main/java/sycamorehill/logic/dispatch/CandidateFilter.java
+++ b/src/main/java/sycamorehill/logic/dispatch/CandidateFilter.java
@@ -8,11 +8,21 @@
 
 /**
  * Removes the serving targets that may not receive a request now, whatever their load.
- * Only {@link #recordSent} changes the state of a filter: selections are also made to be
- * explained.
+ * Only {@link #observe} and {@link #recordSent} change the state of a filter: selections
+ * are also made to be explained.
  */
 interface CandidateFilter {
 
+	/**
+	 * Takes note of the targets that a request finds, before some of them are removed for
+	 * it. Not called for selections that are only explained.
+	 * @param candidates the targets that earlier filters have left
+	 * @param request the request
+	 * @param now the current time
+	 */
+	default void observe(List<Candidate> candidates, DispatchedRequest request, Instant now) {
+	}
+
 	/**
 	 * Removes targets.
 	 * @param candidates the serving targets
--- a/src/main/java/sycamorehill/logic/dispatch/SlowStarts.java
+++ b/src/main/java/sycamorehill/logic/dispatch/SlowStarts.java
@@ -105,16 +105,15 @@
 		});
 	}
 
-	/**
-	 * Begins the slow start of targets that have opened or come back since the last
-	 * request for them.
-	 * @param serving the serving targets of a request
-	 * @param request the request
-	 * @param now the current time
-	 */
-	void observe(List<Candidate> serving, DispatchedRequest request, Instant now) {
+	// Begins the slow start of targets that have opened or come back since the last
+	// request for them.
+	@Override
+	public void observe(List<Candidate> candidates, DispatchedRequest request, Instant now) {
+		if (request.serviceParameters().warmUp().isEmpty()) {
+			return;
+		}
 		boolean firstLook = this.knownGroups.add(new TargetGroup(request.service(), request.request().model()));
-		serving.forEach((candidate) -> observe(candidate, firstLook, now));
+		candidates.forEach((candidate) -> observe(candidate, firstLook, now));
 	}
 
 	@Override
--- a/src/main/java/sycamorehill/logic/dispatch/TargetSelector.java
+++ b/src/main/java/sycamorehill/logic/dispatch/TargetSelector.java
@@ -97,10 +97,7 @@
 	}
 
 	private Selection selectRecorded(DispatchedRequest request, Set<TargetName> excluded, Instant now) {
-		if (request.serviceParameters().warmUp().isPresent()) {
-			this.slowStarts.observe(servingTargets(request, now), request, now);
-		}
-		List<Candidate> all = candidates(request, now);
+		List<Candidate> all = observeCandidates(request, now);
 		all.stream().findFirst().ifPresent((candidate) -> this.shares.recordAsked(request, candidate, now));
 		return select(request, excluded, all, this.placement, now);
 	}
@@ -159,6 +156,15 @@
 		this.coldTargets.handleReturn(dataCentres, now);
 	}
 
+	private List<Candidate> observeCandidates(DispatchedRequest request, Instant now) {
+		List<Candidate> candidates = servingTargets(request, now);
+		for (CandidateFilter filter : this.filters) {
+			filter.observe(candidates, request, now);
+			candidates = filter.filter(candidates, request, now);
+		}
+		return candidates;
+	}
+
 	private List<Candidate> candidates(DispatchedRequest request, Instant now) {
 		List<Candidate> candidates = servingTargets(request, now);
 		for (CandidateFilter filter : this.filters) {
--- a/src/test/java/sycamorehill/logic/dispatch/SlowStartSimulation.java
+++ b/src/test/java/sycamorehill/logic/dispatch/SlowStartSimulation.java
@@ -408,6 +408,7 @@
 		private void place(DispatchedRequest request, long now) {
 			List<Candidate> allowed = this.candidates;
 			for (CandidateFilter filter : this.filters) {
+				filter.observe(allowed, request, at(now));
 				allowed = filter.filter(allowed, request, at(now));
 			}
 			Optional<Placement.Choice> choice = choose(request, this.placement.sample(allowed, limited(allowed)), now);
--- a/src/test/java/sycamorehill/logic/dispatch/SlowStartTests.java
+++ b/src/test/java/sycamorehill/logic/dispatch/SlowStartTests.java
@@ -60,8 +60,9 @@
 	}
 
 	private List<Candidate> filter(List<Candidate> candidates, Duration since) {
-		return this.slowStarts.filter(candidates, request(Optional.of(new WarmUp(Duration.ofSeconds(3), 26))),
-				START.plus(since));
+		DispatchedRequest request = request(Optional.of(new WarmUp(Duration.ofSeconds(3), 26)));
+		this.slowStarts.observe(candidates, request, START.plus(since));
+		return this.slowStarts.filter(candidates, request, START.plus(since));
 	}
 
 	private void tick(Duration since) {
@@ -102,8 +103,11 @@
 
 	@Test
 	void aTargetWithoutWarmUpHasNoSlowStart() {
-		this.slowStarts.filter(candidates(4, 1), request(Optional.empty()), START);
-		this.slowStarts.filter(candidates(4, 2), request(Optional.empty()), START);
+		for (int startMillis = 1; startMillis <= 2; startMillis++) {
+			DispatchedRequest request = request(Optional.empty());
+			this.slowStarts.observe(candidates(4, startMillis), request, START);
+			this.slowStarts.filter(candidates(4, startMillis), request, START);
+		}
 		assertThat(this.slowStarts.count()).isZero();
 	}
 
