Clarify comments and design notes of uneven load

The formatter had left a comment of WorkspaceShares with one word on a line. RequestDispatcher repeated the prefix of refusals.

--- a/src/main/java/sycamorehill/logic/directory/TargetDirectory.java
+++ b/src/main/java/sycamorehill/logic/directory/TargetDirectory.java
@@ -22,7 +22,8 @@
  * targets may expire there: they are kept until the targets have had time to register
  * again, so that a store outage never empties the directory. An entry that is still
  * missing after that is removed. Entries are kept without the remaining time of a
- * warm-up, which differs in each of them: its changes are no changes of the directory.
+ * warm-up, which differs in each update of an entry, so that it alone never counts as a
+ * change.
  */
 public final class TargetDirectory {
 
--- a/src/main/java/sycamorehill/logic/dispatch/AttemptScheduler.java
+++ b/src/main/java/sycamorehill/logic/dispatch/AttemptScheduler.java
@@ -120,8 +120,7 @@
 		}
 	}
 
-	// The node that has the caller of a proxied request may find a place for it
-	// elsewhere.
+	// Proxied requests don't count: the node that sent one here may still place it.
 	private static void addRefusal(DispatchedRequest request, WorkspaceStanding.Share share, Effects effects) {
 		if (request.proxied().isEmpty() && !request.mayHaveRun() && !request.answerStarted()) {
 			effects.add(new EntryEffect.RefusedOverShare(share.workspace()));
--- a/src/main/java/sycamorehill/logic/dispatch/ColdTargets.java
+++ b/src/main/java/sycamorehill/logic/dispatch/ColdTargets.java
@@ -45,8 +45,8 @@
 	private static final Duration ENDED_RETENTION_TIME = Duration.ofMinutes(10);
 
 	/**
-	 * Number of targets whose sharing nodes are determined in one tick. Until then this
-	 * node sends them nothing.
+	 * Number of targets whose sharing nodes are determined in one tick, because each
+	 * takes a hash per node. Until then this node sends them nothing.
 	 */
 	private static final int ASSIGNMENTS_PER_TICK = 32;
 
@@ -284,8 +284,7 @@
 					target.bucket.share().requestsPerSecond()));
 	}
 
-	// A target stays limited until the tick that finds it warm, which begins its slow
-	// start.
+	// A target stays limited until the tick that begins its slow start.
 	private boolean allowsRequest(TargetName name, Instant now) {
 		ColdTarget target = this.coldTargets.get(name);
 		return target == null || (target.assignedVersion == this.assignmentVersion && target.bucket.allowsRequest(now));
--- a/src/main/java/sycamorehill/logic/dispatch/DispatchedRequest.java
+++ b/src/main/java/sycamorehill/logic/dispatch/DispatchedRequest.java
@@ -60,7 +60,7 @@
 
 	private Instant attemptStartedAt = Instant.MIN;
 
-	/** Whether the current attempt has arrived at its target. */
+	/** Tracks whether the current attempt has arrived at its target. */
 	private Transit transit = Transit.startedAt(Instant.MIN);
 
 	/** Time to the first answer that was expected when the attempt was started. */
@@ -234,8 +234,8 @@
 	}
 
 	/**
-	 * Returns the way of the current attempt to its target.
-	 * @return whether it has arrived
+	 * Returns the tracker of the current attempt's arrival at its target.
+	 * @return the tracker
 	 */
 	Transit transit() {
 		return this.transit;
--- a/src/main/java/sycamorehill/logic/dispatch/Placement.java
+++ b/src/main/java/sycamorehill/logic/dispatch/Placement.java
@@ -101,7 +101,7 @@
 	}
 
 	/**
-	 * Returns a copy that draws its random numbers elsewhere.
+	 * Returns a copy with another source of random numbers.
 	 * @param otherRandom the source of the random numbers
 	 * @return the copy
 	 */
--- a/src/main/java/sycamorehill/logic/dispatch/PriorityUse.java
+++ b/src/main/java/sycamorehill/logic/dispatch/PriorityUse.java
@@ -13,8 +13,8 @@
 final class PriorityUse {
 
 	/**
-	 * Time in which an amount falls to 1/e: some answers long, so that a share follows a
-	 * burst within seconds and single requests don't change it.
+	 * Time in which an amount falls to 1/e. It covers the duration of several answers, so
+	 * that a share follows a burst within seconds, but not single requests.
 	 */
 	static final Duration DECAY_TIME = Duration.ofSeconds(3);
 
--- a/src/main/java/sycamorehill/logic/dispatch/RequestDispatcher.java
+++ b/src/main/java/sycamorehill/logic/dispatch/RequestDispatcher.java
@@ -40,7 +40,7 @@
 
 	private static final int UNAVAILABLE = 503;
 
-	private static final String STOPPING_CAUSE = "not run: this node stops";
+	private static final String STOPPING_CAUSE = FinalAnswers.NOT_RUN_PREFIX + "this node stops";
 
 	/**
 	 * Retry-After for requests that another node can serve: almost at once, but not in a
--- a/src/main/java/sycamorehill/logic/dispatch/SlowStart.java
+++ b/src/main/java/sycamorehill/logic/dispatch/SlowStart.java
@@ -20,8 +20,8 @@
 	private static final double INITIAL_SHARE = 0.25;
 
 	/**
-	 * Time for which a load must have been carried before more is sent: load reports of
-	 * other nodes and first events take less.
+	 * Time for which a load must have been carried before more is sent. Load reports of
+	 * other nodes and first events arrive within it.
 	 */
 	private static final Duration STEP = Duration.ofMillis(400);
 
@@ -32,8 +32,9 @@
 	private static final double DECREASE = 0.5;
 
 	/**
-	 * Time after a decrease without further ones, because the requests that were sent
-	 * before it are late as well, and without growth by the carried load.
+	 * Time after a decrease in which late answers and refusals cause no further one,
+	 * because the requests that were sent before it are late as well. The level doesn't
+	 * grow by the carried load either.
 	 */
 	private static final Duration HOLD = Duration.ofSeconds(1);
 
--- a/src/main/java/sycamorehill/logic/dispatch/SlowStarts.java
+++ b/src/main/java/sycamorehill/logic/dispatch/SlowStarts.java
@@ -33,13 +33,16 @@
  */
 final class SlowStarts implements CandidateFilter {
 
-	/** Share of a caller's latency target within which an answer is surely on time. */
+	/** Share of a route's latency target within which an answer is always on time. */
 	private static final double SURELY_ON_TIME_SHARE = 0.5;
 
 	/** Ratio of the time to the first event to the expected one that is on time. */
 	private static final double ON_TIME_RATIO = 1.5;
 
-	/** Number of targets in which this node's place is determined in one tick. */
+	/**
+	 * Number of targets for which this node's place is determined in one tick, because
+	 * each takes a hash per node.
+	 */
 	private static final int PLACES_PER_TICK = 32;
 
 	private static final String HASH_KEY_PREFIX = "slow-start/";
--- a/src/main/java/sycamorehill/logic/dispatch/TargetStatus.java
+++ b/src/main/java/sycamorehill/logic/dispatch/TargetStatus.java
@@ -48,7 +48,9 @@
 
 	private Instant restUntil = Instant.MIN;
 
-	/** End of the last ejection or rest that was no mere sign of a full target. */
+	/**
+	 * End of the last rest or ejection. The short ejections of full targets don't count.
+	 */
 	private Instant awayUntil = Instant.MIN;
 
 	private int consecutiveFailures;
--- a/src/main/java/sycamorehill/logic/dispatch/WorkspaceShares.java
+++ b/src/main/java/sycamorehill/logic/dispatch/WorkspaceShares.java
@@ -41,8 +41,8 @@
 	private static final double SHARE_USED_PART = 0.95;
 
 	/**
-	 * Part of what a workspace asks for that its more urgent routes need for the less
-	 * urgent ones to yield to them.
+	 * Minimum part of what a workspace asks for that is due to more urgent routes. With
+	 * less, the shares don't apply to a workspace that has no others beside it.
 	 */
 	private static final double MINIMUM_URGENT_PART = 0.01;
 
@@ -193,9 +193,8 @@
 				: WorkspaceStanding.Level.UNCONTESTED;
 	}
 
-	// Spreads consecutive numbers evenly between 0 and 1. All selections for a request
-	// use
-	// the same value.
+	// Spreads consecutive request numbers evenly between 0 and 1. A request keeps its
+	// value, so its selections agree.
 	private static double draw(DispatchedRequest request) {
 		return ((request.request().number() * SPREADING_FACTOR) >>> 11) * 0x1.0p-53;
 	}
--- a/src/main/java/sycamorehill/logic/entry/ColdTargetShares.java
+++ b/src/main/java/sycamorehill/logic/entry/ColdTargetShares.java
@@ -9,9 +9,9 @@
  * Determines the nodes among which the requests that cold targets may receive are
  * divided, and whether this node is counted by all of them.
  *
- * A new process isn't until a window has passed since all others have confirmed that they
- * count it: the process that ran before on this node may have sent requests just before
- * it ended, and the others while they divided by fewer nodes.
+ * A new process may use its shares only when a window has passed since all others have
+ * confirmed that they count it. Until then, requests may still arrive that the previous
+ * process of this node sent, or the others while they divided by fewer nodes.
  */
 final class ColdTargetShares {
 
@@ -34,7 +34,8 @@
 	}
 
 	/**
-	 * Gives this node's shares up: it deregisters, and the others then divide without it.
+	 * Gives up this node's shares, because it deregisters and the others then divide the
+	 * requests without it.
 	 */
 	void stop() {
 		this.stopping = true;
--- a/src/main/java/sycamorehill/logic/entry/Evacuations.java
+++ b/src/main/java/sycamorehill/logic/entry/Evacuations.java
@@ -155,8 +155,7 @@
 		return known;
 	}
 
-	// A store that shows an older state than another node has received does not answer
-	// this node currently.
+	// A state older than the known one doesn't count as a current answer of the store.
 	private boolean recordRead(EvacuatedDataCentres read, Instant now, Effects effects) {
 		this.answeredAt = now;
 		if (read.revision() < this.state.revision()) {
--- a/src/main/java/sycamorehill/logic/entry/NodeStage.java
+++ b/src/main/java/sycamorehill/logic/entry/NodeStage.java
@@ -24,7 +24,7 @@
 
 	private Instant stopRequestedAt;
 
-	/** Has the node become ready only after the evacuations are known. */
+	/** Delays readiness until the evacuations are known. */
 	void awaitEvacuations() {
 		this.evacuationsAwaited = true;
 	}
--- a/src/main/java/sycamorehill/platform/PlatformStore.java
+++ b/src/main/java/sycamorehill/platform/PlatformStore.java
@@ -261,7 +261,7 @@
 		}
 	}
 
-	// The name of the object and its presence say everything.
+	// Only the name and the presence of the object matter; its content isn't read.
 	private static Optional<EvacuationChange> decodeEvacuation(StoredObject object) {
 		try {
 			return Optional.of(new EvacuationChange(DataCentreName.of(object.name()), !object.deleted()));
