Explain placements without touching the buckets of cold targets

Found by a newcomer's reading: an explanation scored cold targets by other penalties than a real selection, because the copy of the placement lacked them, and it refilled their buckets, which can change the refill while requests are overdue. Buckets are refilled by real selections alone. The loop over the filters stands once.

--- a/src/main/java/sycamorehill/logic/dispatch/ColdTargetBucket.java
+++ b/src/main/java/sycamorehill/logic/dispatch/ColdTargetBucket.java
@@ -59,8 +59,7 @@
 	}
 
 	boolean allowsRequest(Instant now) {
-		refill(now);
-		return this.share.burst() >= 1 && this.tokens >= 1;
+		return this.share.burst() >= 1 && tokens(now) >= 1;
 	}
 
 	/**
@@ -74,18 +73,27 @@
 		this.transits.add(transit);
 	}
 
-	private void refill(Instant now) {
+	/**
+	 * Adds the tokens of the time since the last refill.
+	 * @param now the current time
+	 */
+	void refill(Instant now) {
+		this.tokens = tokens(now);
+		this.refilledAt = now;
+		this.transits.removeIf(Transit::isSettled);
+	}
+
+	private double tokens(Instant now) {
 		Duration elapsed = Duration.between(this.refilledAt, now);
 		Duration held = this.transits.stream()
 			.map((transit) -> transit.overdue(this.share.transitTime(), this.refilledAt, now))
 			.reduce(Duration.ZERO, Duration::plus);
-		if (held.compareTo(elapsed) < 0) {
-			double seconds = elapsed.minus(held).toNanos() / 1e9;
-			this.tokens = Math.min(Math.max(this.tokens, this.share.burst()),
-					this.tokens + seconds * this.share.requestsPerSecond());
+		if (held.compareTo(elapsed) >= 0) {
+			return this.tokens;
 		}
-		this.refilledAt = now;
-		this.transits.removeIf(Transit::isSettled);
+		double seconds = elapsed.minus(held).toNanos() / 1e9;
+		return Math.min(Math.max(this.tokens, this.share.burst()),
+				this.tokens + seconds * this.share.requestsPerSecond());
 	}
 
 	ColdTargetBudget.Share share() {
--- a/src/main/java/sycamorehill/logic/dispatch/ColdTargets.java
+++ b/src/main/java/sycamorehill/logic/dispatch/ColdTargets.java
@@ -263,6 +263,15 @@
 		return (before < budget.maximumNodes()) ? budget.share(this.nodes.names().size()) : ColdTargetBudget.Share.NONE;
 	}
 
+	@Override
+	public void observe(List<Candidate> candidates, DispatchedRequest request, Instant now) {
+		if (!this.coldTargets.isEmpty()) {
+			candidates.stream()
+				.flatMap((candidate) -> Optional.ofNullable(this.coldTargets.get(candidate.entry().name())).stream())
+				.forEach((target) -> target.bucket.refill(now));
+		}
+	}
+
 	@Override
 	public List<Candidate> filter(List<Candidate> candidates, DispatchedRequest request, Instant now) {
 		if (this.coldTargets.isEmpty()) {
--- a/src/main/java/sycamorehill/logic/dispatch/Placement.java
+++ b/src/main/java/sycamorehill/logic/dispatch/Placement.java
@@ -108,6 +108,7 @@
 	Placement withRandom(RandomGenerator otherRandom) {
 		Placement copy = of(this.localDataCentre, otherRandom);
 		copy.setNodeCount(this.nodeCount);
+		copy.setColdTargets(this.coldTargets);
 		return copy;
 	}
 
--- a/src/main/java/sycamorehill/logic/dispatch/TargetSelector.java
+++ b/src/main/java/sycamorehill/logic/dispatch/TargetSelector.java
@@ -80,8 +80,8 @@
 	 * @return the target, and whether the request would be admitted there
 	 */
 	Selection preview(DispatchedRequest request, RandomGenerator otherRandom, Instant now) {
-		return select(request, request.triedTargets(), candidates(request, now), this.placement.withRandom(otherRandom),
-				now);
+		return select(request, request.triedTargets(), candidates(request, true, now),
+				this.placement.withRandom(otherRandom), now);
 	}
 
 	/**
@@ -97,7 +97,7 @@
 	}
 
 	private Selection selectRecorded(DispatchedRequest request, Set<TargetName> excluded, Instant now) {
-		List<Candidate> all = observeCandidates(request, now);
+		List<Candidate> all = candidates(request, false, now);
 		all.stream().findFirst().ifPresent((candidate) -> this.shares.recordAsked(request, candidate, now));
 		return select(request, excluded, all, this.placement, now);
 	}
@@ -156,18 +156,12 @@
 		this.coldTargets.handleReturn(dataCentres, now);
 	}
 
-	private List<Candidate> observeCandidates(DispatchedRequest request, Instant now) {
-		List<Candidate> candidates = servingTargets(request, now);
-		for (CandidateFilter filter : this.filters) {
-			filter.observe(candidates, request, now);
-			candidates = filter.filter(candidates, request, now);
-		}
-		return candidates;
-	}
-
-	private List<Candidate> candidates(DispatchedRequest request, Instant now) {
+	private List<Candidate> candidates(DispatchedRequest request, boolean explained, Instant now) {
 		List<Candidate> candidates = servingTargets(request, now);
 		for (CandidateFilter filter : this.filters) {
+			if (!explained) {
+				filter.observe(candidates, request, now);
+			}
 			candidates = filter.filter(candidates, request, now);
 		}
 		return candidates;
