Tell apart in the logs why streams are moved and why members count as lost

The hypotheses of the incident can't be told apart without these three. Decisions are unchanged: NOT_CONNECTED is treated like NOT_KNOWN was.

--- a/src/main/java/sycamorehill/logic/dispatch/StalledStreams.java
+++ b/src/main/java/sycamorehill/logic/dispatch/StalledStreams.java
@@ -25,6 +25,12 @@
 	/** How long a target is ejected whose answers have all paused. */
 	private static final Duration SILENT_TARGET_EJECTION = Duration.ofSeconds(2);
 
+	private static final String TARGET_SILENT = "target silent";
+
+	private static final String PROXY_SILENT = "proxy silent";
+
+	private static final String GROUP_ENDED = "group ended";
+
 	private final Map<Long, DispatchedRequest> activeRequests;
 
 	private final TargetSelector targetSelector;
@@ -56,7 +62,7 @@
 				"target=" + target + " in-flight=" + status.inFlight() + " source=" + source);
 		resumableStreams((request) -> isAt(target, request))
 			.forEach((request) -> this.outcomes.suspect(request, false, now, effects));
-		moveStreams(target, (request) -> true, now, effects);
+		moveStreams(target, (request) -> true, TARGET_SILENT + " by " + source, now, effects);
 	}
 
 	void handleReportedSilence(TargetName target, String source, Instant now, Effects effects) {
@@ -81,10 +87,11 @@
 	 * @param effects receives the resulting effects
 	 */
 	void moveStreamsOfGroup(TargetName head, GroupKey group, Instant now, Effects effects) {
-		moveStreams(head, (request) -> request.group().filter(group::equals).isPresent(), now, effects);
+		moveStreams(head, (request) -> request.group().filter(group::equals).isPresent(), GROUP_ENDED, now, effects);
 	}
 
-	private void moveStreams(TargetName target, Predicate<DispatchedRequest> condition, Instant now, Effects effects) {
+	private void moveStreams(TargetName target, Predicate<DispatchedRequest> condition, String cause, Instant now,
+			Effects effects) {
 		for (DispatchedRequest request : resumableStreams(condition.and((each) -> isAt(target, each)))) {
 			if (request.proxied().isPresent()) {
 				endProxied(request, target, now, effects);
@@ -94,7 +101,7 @@
 					effects.add(new EntryEffect.CancelAttempt(request.request().number(), request.attempts()));
 					this.targetSelector.status(target).recordEnded();
 					request.endAttempt();
-					moveOn(request, AttemptPlace.at(target), next, now, effects);
+					moveOn(request, AttemptPlace.at(target), next, cause, now, effects);
 				});
 			}
 		}
@@ -114,7 +121,7 @@
 				effects.add(new EntryEffect.CancelAttempt(request.request().number(), request.attempts()));
 				this.proxySelector.recordEnded(node);
 				request.endProxiedAttempt(Optional.empty());
-				moveOn(request, AttemptPlace.through(node, Optional.empty()), next, now, effects);
+				moveOn(request, AttemptPlace.through(node, Optional.empty()), next, PROXY_SILENT, now, effects);
 			});
 		}
 	}
@@ -132,11 +139,11 @@
 			.toList();
 	}
 
-	private void moveOn(DispatchedRequest request, AttemptPlace place, AlternativePlace next, Instant now,
+	private void moveOn(DispatchedRequest request, AttemptPlace place, AlternativePlace next, String cause, Instant now,
 			Effects effects) {
 		request.countReachedTarget();
 		request.markMayHaveRun();
-		this.scheduler.logRetry(request, place, "silent", now, effects);
+		this.scheduler.logRetry(request, place, cause, now, effects);
 		this.scheduler.startAt(request, next, now, effects);
 	}
 
--- a/src/main/java/sycamorehill/logic/layout/GroupDisbander.java
+++ b/src/main/java/sycamorehill/logic/layout/GroupDisbander.java
@@ -140,7 +140,8 @@
 	 * @param effects receives the resulting effects
 	 */
 	void proceed(GroupView group, MemberReachability reachability, Instant now, Effects effects) {
-		Disbanding state = this.disbanding.computeIfAbsent(group.key(), (key) -> start(group, now, effects));
+		Disbanding state = this.disbanding.computeIfAbsent(group.key(),
+				(key) -> start(group, reachability, now, effects));
 		if (group.headReported()) {
 			state.head = group.head();
 		}
@@ -170,9 +171,11 @@
 		}
 	}
 
-	private static Disbanding start(GroupView group, Instant now, Effects effects) {
-		effects.log(LogEvent.GROUP_CHANGED, "group=" + group.name() + " epoch=" + group.epoch() + " disbanding seen="
-				+ group.members().size() + " of=" + group.model().groupSize() + " head-seen=" + group.headReported());
+	private static Disbanding start(GroupView group, MemberReachability reachability, Instant now, Effects effects) {
+		effects.log(LogEvent.GROUP_CHANGED,
+				"group=" + group.name() + " epoch=" + group.epoch() + " disbanding seen=" + group.members().size()
+						+ " of=" + group.model().groupSize() + " head-seen=" + group.headReported() + " unreachable="
+						+ reachability.unreachable());
 		return new Disbanding(now);
 	}
 
@@ -234,7 +237,7 @@
 			EngineCommandAnswer answer, Instant now) {
 		boolean confirmed = switch (answer) {
 			case BEGUN, HOLDS_ALREADY, CONFLICT, OTHER_TARGET -> true;
-			case OUTDATED, NOTHING_LISTENS, NOT_KNOWN, UNSUPPORTED -> false;
+			case OUTDATED, NOTHING_LISTENS, NOT_CONNECTED, NOT_KNOWN, UNSUPPORTED -> false;
 		};
 		GroupKey key = new GroupKey(command.group(), command.epoch());
 		Disbanding state = this.disbanding.get(key);
--- a/src/main/java/sycamorehill/model/serving/EngineCommandAnswer.java
+++ b/src/main/java/sycamorehill/model/serving/EngineCommandAnswer.java
@@ -23,6 +23,9 @@
 	/** No process listens at the address. */
 	NOTHING_LISTENS,
 
+	/** No connection was established: nothing was sent. */
+	NOT_CONNECTED,
+
 	/**
 	 * No answer arrived: the engine may still execute the command, even seconds later.
 	 */
--- a/src/main/java/sycamorehill/platform/PlatformEngineClient.java
+++ b/src/main/java/sycamorehill/platform/PlatformEngineClient.java
@@ -114,9 +114,14 @@
 
 	private static EngineCommandAnswer failureAnswer(Throwable failure) {
 		Throwable cause = (failure instanceof CompletionException) ? failure.getCause() : failure;
-		boolean nothingListens = cause instanceof CallFailedException failed
-				&& failed.failureCause() == CallFailedException.Cause.NOTHING_LISTENS;
-		return nothingListens ? EngineCommandAnswer.NOTHING_LISTENS : EngineCommandAnswer.NOT_KNOWN;
+		if (!(cause instanceof CallFailedException failed)) {
+			return EngineCommandAnswer.NOT_KNOWN;
+		}
+		return switch (failed.failureCause()) {
+			case NOTHING_LISTENS -> EngineCommandAnswer.NOTHING_LISTENS;
+			case NOT_CONNECTED -> EngineCommandAnswer.NOT_CONNECTED;
+			case NO_ANSWER -> EngineCommandAnswer.NOT_KNOWN;
+		};
 	}
 
 	@Override
