--- /dev/null
+++ b/src/test/java/sycamorehill/entry/SilentEngineStreamTests.java
@@ -0,0 +1,101 @@
+package sycamorehill.entry;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests over loopback what callers get of streams whose engine sends nothing for a while.
+ */
+class SilentEngineStreamTests {
+
+	private static final int EVENTS_BEFORE = 2;
+
+	private static final int LAST_EVENT = 5;
+
+	private static final int PAUSE_MILLIS = 1200;
+
+	private static final int REFUSAL_MILLIS = 300;
+
+	private static final int EVENT_INTERVAL_MILLIS = 20;
+
+	private LoopbackCluster cluster;
+
+	@AfterEach
+	void close() throws IOException {
+		this.cluster.close();
+	}
+
+	private void start(RawTarget.Responder engines, String... nodes) throws Exception {
+		this.cluster = LoopbackCluster.start(RawTarget.responder(LoopbackCluster::hello), engines, List.of(), nodes);
+		this.cluster.awaitRetryShare(nodes[0]);
+	}
+
+	private static boolean isResumed(String request) {
+		return request.contains("Last-Event-Id: ");
+	}
+
+	private static void sleep(int millis) throws IOException {
+		try {
+			Thread.sleep(millis);
+		}
+		catch (InterruptedException ex) {
+			throw new IOException(ex);
+		}
+	}
+
+	private static void write(OutputStream out, String text) throws IOException {
+		out.write(text.getBytes(StandardCharsets.ISO_8859_1));
+		out.flush();
+	}
+
+	private static void writeEvents(OutputStream out, int first, int last) throws IOException {
+		for (int number = first; number <= last; number++) {
+			sleep(EVENT_INTERVAL_MILLIS);
+			String event = "id: " + number + "\ndata: e" + number + "\n\n";
+			write(out, Integer.toHexString(event.length()) + "\r\n" + event + "\r\n");
+		}
+	}
+
+	// Sends some events, nothing for the pause, and then the rest.
+	private static boolean streamWithPause(String request, OutputStream out) throws IOException {
+		write(out, LoopbackCluster.events(request, 1, EVENTS_BEFORE, true).replace("0\r\n\r\n", ""));
+		sleep(PAUSE_MILLIS);
+		writeEvents(out, EVENTS_BEFORE + 1, LAST_EVENT);
+		write(out, "0\r\n\r\n");
+		return true;
+	}
+
+	private static boolean refuse(String request, OutputStream out) throws IOException {
+		write(out, "HTTP/1.1 503 Full\r\nAttempt-Id: " + LoopbackCluster.identifier(request)
+				+ "\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+		return true;
+	}
+
+	private static void assertWhole(String answer) {
+		assertThat(answer).startsWith("HTTP/1.1 200").endsWith("0\r\n\r\n");
+		assertThat(answer.lines().filter((line) -> line.startsWith("data: "))).containsExactly("data: e1", "data: e2",
+				"data: e3", "data: e4", "data: e5");
+	}
+
+	// Guards against an answer cut because a second engine refuses while the first wakes.
+	@Test
+	void aStreamGoesOnAtItsEngineIfAnotherRefusesIt() throws Exception {
+		start((request, out) -> {
+			if (isResumed(request)) {
+				sleep(REFUSAL_MILLIS);
+				return refuse(request, out);
+			}
+			return streamWithPause(request, out);
+		}, "one");
+		assertWhole(this.cluster.ask("one", "/stream/x", "silent-refused"));
+		assertThat(this.cluster.streamRequests()).anyMatch(SilentEngineStreamTests::isResumed);
+	}
+
+}
--- a/src/test/java/sycamorehill/logic/layout/FakeEngine.java
+++ b/src/test/java/sycamorehill/logic/layout/FakeEngine.java
@@ -55,6 +55,9 @@
 
 	private boolean leaving;
 
+	/** Whether the process stands still. Its connections are accepted, and wait. */
+	private boolean paused;
+
 	FakeEngine(String name, String domain, EngineParameters parameters) {
 		this.name = TargetName.of(name);
 		this.domain = domain;
@@ -105,6 +108,14 @@
 		return this.partitionName.equals(other.partitionName);
 	}
 
+	void setPaused(boolean paused) {
+		this.paused = paused;
+	}
+
+	boolean isPaused() {
+		return this.paused;
+	}
+
 	void breakGroup() {
 		changeState(MemberState.BROKEN);
 	}
--- a/src/test/java/sycamorehill/logic/layout/FakeFleet.java
+++ b/src/test/java/sycamorehill/logic/layout/FakeFleet.java
@@ -221,7 +221,7 @@
 			this.engines.values().stream().filter(FakeEngine::isOpen).forEach(this::breakIfStalled);
 			executeDelayed();
 			for (FakeEngine engine : this.engines.values()) {
-				if (engine.isReachable()) {
+				if (engine.isReachable() && !engine.isPaused()) {
 					this.lastHeartbeats.put(engine.name(), this.now);
 				}
 			}
@@ -249,9 +249,9 @@
 
 	private void executeDelayed() {
 		for (DelayedCommand delayed : List.copyOf(this.delayedCommands)) {
-			if (!delayed.executeAt().isAfter(this.now)) {
+			FakeEngine engine = this.engines.get(delayed.engine());
+			if (!delayed.executeAt().isAfter(this.now) && !engine.isPaused()) {
 				this.delayedCommands.remove(delayed);
-				FakeEngine engine = this.engines.get(delayed.engine());
 				if (engine.isReachable()) {
 					execute(engine, delayed.command(), delayed.expectedCount());
 				}
@@ -423,6 +423,11 @@
 			if (!engine.isReachable()) {
 				answer = EngineCommandAnswer.NOTHING_LISTENS;
 			}
+			else if (engine.isPaused()) {
+				FakeFleet.this.delayedCommands.add(new DelayedCommand(engine.name(), command.command(),
+						command.acceptedCommands(), FakeFleet.this.now));
+				answer = EngineCommandAnswer.NOT_KNOWN;
+			}
 			else if (FakeFleet.this.random.nextDouble() < FakeFleet.this.delayedShare) {
 				long millis = 2000 + FakeFleet.this.random.nextInt(10_000);
 				FakeFleet.this.delayedCommands.add(new DelayedCommand(engine.name(), command.command(),
@@ -438,7 +443,7 @@
 
 		private void report(EntryEffect.ReadReport read, Effects next) {
 			FakeEngine engine = FakeFleet.this.engines.get(read.target().name());
-			if (engine.isReachable()) {
+			if (engine.isReachable() && !engine.isPaused()) {
 				this.control.handleReport(engine.name(), engine.report(), FakeFleet.this.now, next);
 			}
 			else {
