Take a member that doesn't answer for lost only after the stall time

A sound member left at once; the heads, awake again, were told to leave 0.5 s later, refused what waited there and reset what they streamed.

Cause: a silence was taken for a loss. A call that was sent and not answered looked like a connection that could not be established.

Now a member that can't be connected, or where nothing listens, counts as lost at once as before. One that accepts the connection and doesn't answer is asked again on a new connection (the first may have led nowhere), polled while it is silent, gets no new group, and counts as lost after the stall time, when its group would break by itself, or when its entry ends as well. Until then nothing that its group has is given up.

--- a/src/main/java/sycamorehill/logic/layout/GroupController.java
+++ b/src/main/java/sycamorehill/logic/layout/GroupController.java
@@ -23,6 +23,7 @@
 import sycamorehill.model.serving.Membership;
 import sycamorehill.model.serving.NodeMessage;
 import sycamorehill.model.serving.ServiceParameters;
+import sycamorehill.model.serving.TargetAddress;
 import sycamorehill.model.serving.TargetEntry;
 
 /**
@@ -56,6 +57,8 @@
 
 	private final UnreachableEngines unreachable;
 
+	private final UnresponsiveEngines unresponsive;
+
 	private final StartupPhase phase;
 
 	private final DetachedMembers detached;
@@ -72,6 +75,7 @@
 		this.lease = GroupLeaseManager.of(ownIdentity, settings.loadWindow());
 		this.vanished = VanishedMembers.of(directory, this.commandSender);
 		this.unreachable = UnreachableEngines.of(directory, this.vanished);
+		this.unresponsive = UnresponsiveEngines.of(directory, settings.stallTime());
 		this.phase = StartupPhase.of(settings, started);
 		this.detached = DetachedMembers.of(settings.stallTime(), settings.firstStart());
 	}
@@ -182,6 +186,7 @@
 		long startMillis = this.directory.find(engine).map(TargetEntry::startMillis).orElse(0L);
 		this.commandTracker.recordCount(engine, startMillis, report.acceptedCommands());
 		this.unreachable.recordReached(engine, now);
+		this.unresponsive.forget(engine);
 		this.vanished.handleReport(engine, report);
 		report.membership()
 			.ifPresent((membership) -> this.services.values()
@@ -190,7 +195,8 @@
 
 	/**
 	 * Requests the reports of all members of a group whose answers have all stalled. A
-	 * member that cannot be reached counts as lost.
+	 * member that cannot be connected counts as lost, one that doesn't answer only after
+	 * the stall time.
 	 * @param head the head of the group
 	 * @param now the current time
 	 * @param effects receives the resulting effects
@@ -246,13 +252,39 @@
 		if (pathInDoubt) {
 			return;
 		}
+		this.directory.findVanished(engine)
+			.filter(this.unresponsive::contains)
+			.ifPresent((entry) -> this.vanished.suspect(entry, now));
 		this.vanished.handleReportFailure(engine, now);
 		this.directory.find(engine).ifPresent((entry) -> {
-			this.unreachable.add(entry, now);
-			effects.log(LogEvent.TARGET_CHANGED, "engine=" + engine + " lost: its report can't be read: " + answer);
+			if (answer == EngineCommandAnswer.NOT_KNOWN && !this.unreachable.contains(entry)) {
+				handleUnanswered(entry, now, effects);
+			}
+			else {
+				recordLost(entry, answer, now, effects);
+			}
 		});
 	}
 
+	// The call may have been sent on a connection that no longer leads anywhere. The next
+	// one takes a new connection.
+	private void handleUnanswered(TargetEntry engine, Instant now, Effects effects) {
+		if (this.unresponsive.recordUnanswered(engine, now)) {
+			effects.log(LogEvent.TARGET_CHANGED, "engine=" + engine.name() + " doesn't answer");
+			effects.add(new EntryEffect.CloseTargetConnections(new TargetAddress(engine.name(), engine.address())));
+			this.commandSender.requestReport(engine, now, effects);
+		}
+		else if (this.unresponsive.isLost(engine, now)) {
+			recordLost(engine, EngineCommandAnswer.NOT_KNOWN, now, effects);
+		}
+	}
+
+	private void recordLost(TargetEntry engine, EngineCommandAnswer answer, Instant now, Effects effects) {
+		this.unresponsive.forget(engine.name());
+		this.unreachable.add(engine, now);
+		effects.log(LogEvent.TARGET_CHANGED, "engine=" + engine.name() + " lost: its report can't be read: " + answer);
+	}
+
 	/**
 	 * Checks all groups and sends the commands that are due.
 	 * @param status the state of the node besides its targets
@@ -278,6 +310,7 @@
 		}
 		this.lastPlanned = now;
 		this.unreachable.keepOnlyPresent();
+		this.unresponsive.keepOnlyKnown();
 		for (ServiceParameters service : status.configuration().get().services().values()) {
 			service.engines()
 				.ifPresent((parameters) -> groupsOf(service.name()).control(parameters, status.groupActivity(), now,
@@ -288,7 +321,8 @@
 	private ServiceGroups groupsOf(ServiceName service) {
 		return this.services.computeIfAbsent(service, (name) -> {
 			ServiceGroups groups = ServiceGroups.of(name, new ServiceGroups.SharedState(this.directory,
-					this.commandSender, this.unreachable, this.vanished, this.detached, this.phase), this.settings);
+					this.commandSender, this.unreachable, this.unresponsive, this.vanished, this.detached, this.phase),
+					this.settings);
 			groups.startTerm(this.term, this.lease.recentTerms());
 			return groups;
 		});
--- a/src/main/java/sycamorehill/logic/layout/ServiceGroups.java
+++ b/src/main/java/sycamorehill/logic/layout/ServiceGroups.java
@@ -123,7 +123,7 @@
 			.filter((group) -> FormedGroups.isConfigured(group, parameters))
 			.toList();
 		this.demand.update(parameters, groups, groupActivity, now);
-		pollUnreachable(engines, now, effects);
+		pollNotAnswering(engines, now, effects);
 		if (!directory.isStoreReachable()) {
 			this.transitionPoller.poll(engines, this.builder.formingGroups(), now, effects);
 		}
@@ -164,10 +164,12 @@
 		return engine.service().equals(this.service);
 	}
 
-	private void pollUnreachable(List<TargetEntry> engines, Instant now, Effects effects) {
+	private void pollNotAnswering(List<TargetEntry> engines, Instant now, Effects effects) {
 		EngineCommandSender commandSender = this.shared.commandSender();
 		engines.stream()
-			.filter((engine) -> this.shared.unreachable().isPollDue(engine, now) && commandSender.isFree(engine, now))
+			.filter((engine) -> this.shared.unreachable().isPollDue(engine, now)
+					|| this.shared.unresponsive().contains(engine))
+			.filter((engine) -> commandSender.isFree(engine, now))
 			.forEach((engine) -> commandSender.requestReport(engine, now, effects));
 	}
 
@@ -230,7 +232,7 @@
 
 	private boolean isFree(TargetEntry engine, Set<TargetName> claimed) {
 		return !claimed.contains(engine.name()) && !this.shared.unreachable().isUnusable(engine)
-				&& !this.shared.directory().isMissing(engine.name());
+				&& !this.shared.unresponsive().contains(engine) && !this.shared.directory().isMissing(engine.name());
 	}
 
 	private boolean isDisbanding(GroupView group) {
@@ -286,12 +288,13 @@
 	 * @param directory the directory of targets
 	 * @param commandSender sends commands to engines
 	 * @param unreachable engines that could not be reached
+	 * @param unresponsive engines that accept connections but don't answer
 	 * @param vanished members whose directory entries vanished
 	 * @param detached engines that left a group whose head may still serve
 	 * @param phase the startup phase of the system
 	 */
 	record SharedState(TargetDirectory directory, EngineCommandSender commandSender, UnreachableEngines unreachable,
-			VanishedMembers vanished, DetachedMembers detached, StartupPhase phase) {
+			UnresponsiveEngines unresponsive, VanishedMembers vanished, DetachedMembers detached, StartupPhase phase) {
 	}
 
 }
