Keep the state of an attempt apart from that of its request

A stream whose target has gone silent is to have a second attempt beside the first, which needs two such states. Behaviour is unchanged but for one flag: an attempt at a target now begins without having been found sound, as one through another node did before.

--- a/src/main/java/sycamorehill/logic/dispatch/DispatchedRequest.java
+++ b/src/main/java/sycamorehill/logic/dispatch/DispatchedRequest.java
@@ -47,30 +47,8 @@
 
 	private final Set<String> triedNodes = new HashSet<>();
 
-	private Optional<TargetName> target = Optional.empty();
-
-	/** The target of the current or last attempt. */
-	private Optional<TargetIncarnation> attemptTarget = Optional.empty();
-
-	/** The group of the current target when the attempt started. */
-	private Optional<GroupKey> group = Optional.empty();
-
-	/** The node through which the current attempt is sent. */
-	private Optional<String> proxy = Optional.empty();
-
-	private Instant attemptStartedAt = Instant.MIN;
-
-	/** Tracks whether the current attempt has arrived at its target. */
-	private Transit transit = Transit.startedAt(Instant.MIN);
-
-	/** Time to the first answer that was expected when the attempt was started. */
-	private Duration expectedFirstAnswer = Duration.ZERO;
-
-	/** When the first event of the current or last attempt arrived. */
-	private Optional<Instant> attemptAnsweredAt = Optional.empty();
-
-	/** Whether the current or last attempt is known to have crashed no target. */
-	private boolean attemptFoundSound;
+	/** The current or last attempt. */
+	private AttemptState attempt = AttemptState.none();
 
 	private int attempts;
 
@@ -152,33 +130,20 @@
 	}
 
 	int startAttempt(TargetEntry chosen, Duration firstAnswer, Instant now) {
-		this.transit = Transit.startedAt(now);
-		this.expectedFirstAnswer = firstAnswer;
-		this.target = Optional.of(chosen.name());
-		this.attemptTarget = Optional.of(TargetIncarnation.of(chosen));
-		this.attemptAnsweredAt = Optional.empty();
-		this.group = chosen.membership().map(GroupKey::of);
-		this.attemptStartedAt = now;
 		this.attempts++;
+		this.attempt = AttemptState.at(this.attempts, chosen, firstAnswer, now);
 		return this.attempts;
 	}
 
 	int startAttemptThrough(String node, Instant now) {
-		this.proxy = Optional.of(node);
-		return countAttempt(now);
-	}
-
-	private int countAttempt(Instant now) {
-		this.attemptAnsweredAt = Optional.empty();
-		this.attemptFoundSound = false;
-		this.attemptStartedAt = now;
 		this.attempts++;
+		this.attempt = AttemptState.through(this.attempts, node, this.attempt, now);
 		return this.attempts;
 	}
 
 	void endAttempt() {
-		this.target.ifPresent(this.triedTargets::add);
-		this.target = Optional.empty();
+		this.attempt.target().ifPresent(this.triedTargets::add);
+		this.attempt.end();
 	}
 
 	/**
@@ -187,7 +152,7 @@
 	 */
 	void endProxiedAttempt(Optional<TargetName> selected) {
 		selected.ifPresent(this.triedTargets::add);
-		this.proxy = Optional.empty();
+		this.attempt.end();
 	}
 
 	void markUnconnected(TargetName unconnected) {
@@ -229,7 +194,7 @@
 	 * @param now the current time
 	 */
 	void recordArrival(Instant now) {
-		this.transit.settle(now);
+		this.attempt.transit().settle(now);
 		this.retry.ifPresent((granted) -> granted.recordArrival(now));
 	}
 
@@ -238,11 +203,11 @@
 	 * @return the tracker
 	 */
 	Transit transit() {
-		return this.transit;
+		return this.attempt.transit();
 	}
 
 	Duration expectedFirstAnswer() {
-		return this.expectedFirstAnswer;
+		return this.attempt.expectedFirstAnswer();
 	}
 
 	/**
@@ -258,7 +223,7 @@
 	}
 
 	void markAttemptAnswered(Instant now) {
-		this.attemptAnsweredAt = Optional.of(now);
+		this.attempt.markAnswered(now);
 	}
 
 	/**
@@ -266,15 +231,15 @@
 	 * @return the time; empty if it has sent none
 	 */
 	Optional<Instant> attemptAnsweredAt() {
-		return this.attemptAnsweredAt;
+		return this.attempt.answeredAt();
 	}
 
 	void markAttemptFoundSound() {
-		this.attemptFoundSound = true;
+		this.attempt.markFoundSound();
 	}
 
 	boolean attemptFoundSound() {
-		return this.attemptFoundSound;
+		return this.attempt.isFoundSound();
 	}
 
 	/**
@@ -338,7 +303,7 @@
 	}
 
 	Optional<TargetName> target() {
-		return this.target;
+		return this.attempt.target();
 	}
 
 	/**
@@ -346,7 +311,7 @@
 	 * @return the process; empty if there was no such attempt
 	 */
 	Optional<TargetIncarnation> attemptTarget() {
-		return this.attemptTarget;
+		return this.attempt.incarnation();
 	}
 
 	/**
@@ -362,11 +327,11 @@
 	 * @return the group; empty if the target was in none
 	 */
 	Optional<GroupKey> group() {
-		return this.group;
+		return this.attempt.group();
 	}
 
 	Optional<String> proxy() {
-		return this.proxy;
+		return this.attempt.proxy();
 	}
 
 	/**
@@ -387,7 +352,7 @@
 	}
 
 	Instant attemptStartedAt() {
-		return this.attemptStartedAt;
+		return this.attempt.startedAt();
 	}
 
 	int attempts() {
