Keep a stream at its silent target until another one goes on with it

If that one refused, was reset or was suspected to crash, the attempts or the retries were used up and the answer was cut, though the first target was awake again and would have gone on.

Cause: a silence was taken for a loss, and an attempt was given up for one that nobody had accepted yet.

Now the second attempt runs beside the first. Whichever sends the next event goes on, the other is cancelled at once on the event loop, so that events come once and in order; the decisions learn of it by AttemptPrevailed. The end of one of two attempts never ends the answer: the stream goes on at the other, and after a refusal may be tried at a third target if route and budget allow it. Both count for the attempts, the retries and the loads; the caller's leaving and the deadline end both. The same holds for silences that other nodes report, for groups that have ended and for silent proxies, which all went through the same move. There are at most two attempts at a time.

--- a/src/main/java/sycamorehill/entry/AttemptExchange.java
+++ b/src/main/java/sycamorehill/entry/AttemptExchange.java
@@ -55,6 +55,13 @@
 	 */
 	boolean streamStarted();
 
+	/**
+	 * Ends all attempts but one, which is about to go on with the answer.
+	 * @param attemptNumber number of the attempt that goes on
+	 * @return whether another one was running
+	 */
+	boolean cancelOtherAttempts(int attemptNumber);
+
 	/**
 	 * Starts the stream with the head of the first target that sent an event.
 	 * @param head the head of the target's answer
--- a/src/main/java/sycamorehill/entry/CallerExchange.java
+++ b/src/main/java/sycamorehill/entry/CallerExchange.java
@@ -44,7 +44,7 @@
 
 	private final ExchangeCodec codec;
 
-	private Attempt attempt;
+	private final ConcurrentAttempts attempts = ConcurrentAttempts.create();
 
 	private HttpResponse heldHead;
 
@@ -135,21 +135,22 @@
 	}
 
 	@Override
-	public void setAttempt(Attempt started) {
-		this.attempt = started;
+	public void addAttempt(int attemptNumber, Attempt attempt) {
+		this.attempts.add(attemptNumber, attempt);
 	}
 
 	@Override
-	public void cancelAttempt() {
-		if (this.attempt != null) {
-			this.attempt.cancel();
-		}
+	public void cancelAttempt(int attemptNumber) {
+		this.attempts.cancel(attemptNumber);
+	}
+
+	@Override
+	public boolean cancelOtherAttempts(int attemptNumber) {
+		return this.attempts.cancelOthers(attemptNumber);
 	}
 
 	void pause(boolean paused) {
-		if (this.attempt != null) {
-			this.attempt.pause(paused);
-		}
+		this.attempts.pause(paused);
 	}
 
 	@Override
@@ -270,10 +271,10 @@
 		}
 	}
 
-	// Cancels the attempt after the caller's connection was closed.
+	// Cancels the attempts after the caller's connection was closed.
 	void handleDisconnected(boolean cutByNode, EntryEventSink eventSink) {
 		if (!this.finished) {
-			cancelAttempt();
+			this.attempts.cancelAll();
 			finish();
 			eventSink.post(new EntryEvent.CallerDisconnected(this.number, cutByNode));
 		}
--- a/src/main/java/sycamorehill/entry/ExchangeEffects.java
+++ b/src/main/java/sycamorehill/entry/ExchangeEffects.java
@@ -85,7 +85,7 @@
 			forCaller(start.number(), (exchange) -> start(start, exchange));
 		}
 		else if (effect instanceof EntryEffect.CancelAttempt cancel) {
-			forExchange(cancel.number(), RunningExchange::cancelAttempt);
+			forExchange(cancel.number(), (exchange) -> exchange.cancelAttempt(cancel.attempt()));
 		}
 		else {
 			return false;
@@ -95,15 +95,15 @@
 
 	private void start(EntryEffect.StartAttempt start, RunningExchange exchange) {
 		if (!exchange.isFinished()) {
-			exchange.setAttempt(TargetAttempt.start(start, exchange, this.targetConnections,
+			exchange.addAttempt(start.attempt(), TargetAttempt.start(start, exchange, this.targetConnections,
 					this.streamMonitor.targets(), this.codec, this.eventSink));
 		}
 	}
 
 	private void start(EntryEffect.StartProxiedAttempt start, CallerExchange exchange) {
 		if (!exchange.isFinished()) {
-			exchange.setAttempt(ProxyAttempt.start(start, exchange, this.proxyConnections, this.streamMonitor.nodes(),
-					this.codec, this.eventSink));
+			exchange.addAttempt(start.attempt(), ProxyAttempt.start(start, exchange, this.proxyConnections,
+					this.streamMonitor.nodes(), this.codec, this.eventSink));
 		}
 	}
 
--- a/src/main/java/sycamorehill/entry/ProxiedExchange.java
+++ b/src/main/java/sycamorehill/entry/ProxiedExchange.java
@@ -42,7 +42,7 @@
 
 	private final UnwrittenAnswer answer;
 
-	private Attempt attempt;
+	private final ConcurrentAttempts attempts = ConcurrentAttempts.create();
 
 	private boolean streamStarted;
 
@@ -107,7 +107,7 @@
 
 	void handleOriginDisconnected(EntryEventSink eventSink) {
 		if (!this.finished) {
-			cancelAttempt();
+			this.attempts.cancelAll();
 			finish();
 			eventSink.post(new EntryEvent.OriginDisconnected(this.number));
 		}
@@ -128,9 +128,7 @@
 	}
 
 	void pause(boolean paused) {
-		if (this.attempt != null) {
-			this.attempt.pause(paused);
-		}
+		this.attempts.pause(paused);
 	}
 
 	@Override
@@ -149,18 +147,21 @@
 	}
 
 	@Override
-	public void setAttempt(Attempt started) {
-		this.attempt = started;
+	public void addAttempt(int attemptNumber, Attempt attempt) {
+		this.attempts.add(attemptNumber, attempt);
 		if (!this.connection.isWritable()) {
-			started.pause(true);
+			attempt.pause(true);
 		}
 	}
 
 	@Override
-	public void cancelAttempt() {
-		if (this.attempt != null) {
-			this.attempt.cancel();
-		}
+	public void cancelAttempt(int attemptNumber) {
+		this.attempts.cancel(attemptNumber);
+	}
+
+	@Override
+	public boolean cancelOtherAttempts(int attemptNumber) {
+		return this.attempts.cancelOthers(attemptNumber);
 	}
 
 	@Override
--- a/src/main/java/sycamorehill/entry/ProxyAttempt.java
+++ b/src/main/java/sycamorehill/entry/ProxyAttempt.java
@@ -220,6 +220,7 @@
 
 	private void handleEvent(ProxyFrame.Event event) {
 		this.allEventsNumbered &= event.number().isPresent();
+		cancelOtherAttempts();
 		if (!this.answerStarted) {
 			this.answerStarted = true;
 			startStream();
@@ -249,7 +250,14 @@
 		finish(ended.target(), end);
 	}
 
+	private void cancelOtherAttempts() {
+		if (this.exchange.cancelOtherAttempts(this.start.attempt())) {
+			this.eventSink.post(new EntryEvent.AttemptPrevailed(this.start.number(), this.start.attempt()));
+		}
+	}
+
 	private AttemptEnd deliver(AttemptEnd.Delivered delivered) {
+		cancelOtherAttempts();
 		if (!this.streaming) {
 			this.exchange.deliver(this.head, this.body.retain());
 			return delivered;
@@ -298,6 +306,11 @@
 		}
 	}
 
+	@Override
+	public boolean isEnded() {
+		return this.finished;
+	}
+
 	@Override
 	public void pause(boolean paused) {
 		if (this.connection != null && !this.finished) {
--- a/src/main/java/sycamorehill/entry/RunningExchange.java
+++ b/src/main/java/sycamorehill/entry/RunningExchange.java
@@ -30,12 +30,16 @@
 	boolean isFinished();
 
 	/**
-	 * Sets the current attempt.
+	 * Adds an attempt, beside those that are running.
+	 * @param attemptNumber number of the attempt
 	 * @param attempt the attempt
 	 */
-	void setAttempt(Attempt attempt);
+	void addAttempt(int attemptNumber, Attempt attempt);
 
-	/** Cancels the current attempt. */
-	void cancelAttempt();
+	/**
+	 * Cancels an attempt.
+	 * @param attemptNumber number of the attempt
+	 */
+	void cancelAttempt(int attemptNumber);
 
 }
--- a/src/main/java/sycamorehill/entry/TargetAttempt.java
+++ b/src/main/java/sycamorehill/entry/TargetAttempt.java
@@ -217,6 +217,7 @@
 			return;
 		}
 		this.allEventsNumbered &= number.isPresent();
+		cancelOtherAttempts();
 		if (!this.answerStarted) {
 			this.answerStarted = true;
 			this.activity.recordStreamStarted(this.start.target().name(), System.nanoTime());
@@ -226,6 +227,12 @@
 		this.exchange.forwardEvent(event, number);
 	}
 
+	private void cancelOtherAttempts() {
+		if (this.exchange.cancelOtherAttempts(this.start.attempt())) {
+			this.eventSink.post(new EntryEvent.AttemptPrevailed(this.start.number(), this.start.attempt()));
+		}
+	}
+
 	@Override
 	public void handleEnd() {
 		if (this.finished) {
@@ -289,6 +296,7 @@
 			finish(new AttemptEnd.Broken("a resumed stream was answered with status " + status, true, false));
 		}
 		else {
+			cancelOtherAttempts();
 			this.exchange.deliver(this.head, this.body.retain());
 			finish(new AttemptEnd.Delivered(status, Duration.ZERO));
 		}
@@ -299,6 +307,7 @@
 			handleStreamFailure("the stream ends within an event", endedByConnection());
 			return;
 		}
+		cancelOtherAttempts();
 		if (!this.answerStarted) {
 			this.exchange.startStream(this.head, this.parsedHead);
 		}
@@ -359,6 +368,11 @@
 		finish();
 	}
 
+	@Override
+	public boolean isEnded() {
+		return this.finished;
+	}
+
 	@Override
 	public void pause(boolean paused) {
 		if (this.connection != null && !this.finished) {
--- a/src/main/java/sycamorehill/logic/dispatch/AttemptScheduler.java
+++ b/src/main/java/sycamorehill/logic/dispatch/AttemptScheduler.java
@@ -28,7 +28,7 @@
 	 * Maximum number of attempts of a request that reach no target, for example because
 	 * the connection is refused. Each costs a connection and runs nothing.
 	 */
-	private static final int MAXIMUM_UNREACHED_TARGETS = 4;
+	static final int MAXIMUM_UNREACHED_TARGETS = 4;
 
 	/** Maximum number of nodes that may fail to accept a request. */
 	private static final int MAXIMUM_UNAVAILABLE_NODES = 3;
@@ -288,8 +288,11 @@
 		return granted.isPresent();
 	}
 
-	// A retry that reached no target leaves room for another one.
-	private void putBackRetry(DispatchedRequest request) {
+	/**
+	 * Returns the last retry of a request to the budget if it has reached no target.
+	 * @param request the request
+	 */
+	void putBackRetry(DispatchedRequest request) {
 		request.unsentRetry().ifPresent(this.retryBudgets.of(request.service())::putBack);
 	}
 
@@ -306,7 +309,7 @@
 	 * @return the place; empty if there is none
 	 */
 	Optional<AlternativePlace> findAlternative(DispatchedRequest request, Instant now) {
-		if (request.targetsReached() + 1 >= request.route().maximumAttempts()
+		if (request.targetsCounted() + 1 >= request.route().maximumAttempts()
 				|| this.targetSelector.findEvacuationCause(request, now).isPresent()) {
 			return Optional.empty();
 		}
--- a/src/main/java/sycamorehill/logic/dispatch/DispatchedRequest.java
+++ b/src/main/java/sycamorehill/logic/dispatch/DispatchedRequest.java
@@ -50,6 +50,9 @@
 	/** The current or last attempt. */
 	private AttemptState attempt = AttemptState.none();
 
+	/** An attempt that runs beside the current one. */
+	private Optional<AttemptState> otherAttempt = Optional.empty();
+
 	private int attempts;
 
 	private int targetsReached;
@@ -126,7 +129,7 @@
 				this.workspace, this.route.priority(), this.route.latencyTarget(), this.route.timeout(),
 				effectiveTimeout(), Duration.between(this.arrivedAt, now), this.request.model(),
 				this.request.tokenCounts(), this.request.sharedPromptParts(), this.request.contentHash(), excluded,
-				answerStarted(), this.targetsReached + 1 < this.route.maximumAttempts(), this.route.homes());
+				answerStarted(), targetsCounted() + 1 < this.route.maximumAttempts(), this.route.homes());
 	}
 
 	int startAttempt(TargetEntry chosen, Duration firstAnswer, Instant now) {
@@ -146,6 +149,60 @@
 		this.attempt.end();
 	}
 
+	/** Keeps the current attempt, which is stalled, beside the next one. */
+	void setAsideAttempt() {
+		this.attempt.target().ifPresent(this.triedTargets::add);
+		this.attempt.setStalled(true);
+		this.otherAttempt = Optional.of(this.attempt);
+	}
+
+	/**
+	 * Makes the running attempt with a number the current one.
+	 * @param number number of the attempt
+	 * @return false if it doesn't run any more
+	 */
+	boolean makeCurrent(int number) {
+		if (this.otherAttempt.filter((other) -> other.number() == number).isPresent()) {
+			AttemptState other = this.otherAttempt.get();
+			this.otherAttempt = Optional.of(this.attempt);
+			this.attempt = other;
+		}
+		return this.attempt.number() == number;
+	}
+
+	/** Continues with the other attempt alone, after the current one has ended. */
+	void continueWithOtherAttempt() {
+		this.attempt = this.otherAttempt.orElseThrow();
+		this.otherAttempt = Optional.empty();
+	}
+
+	/** Continues with the current attempt alone, after the other one has ended. */
+	void dropOtherAttempt() {
+		this.otherAttempt.flatMap(AttemptState::target).ifPresent(this.triedTargets::add);
+		this.otherAttempt = Optional.empty();
+		this.attempt.setStalled(false);
+	}
+
+	AttemptState currentAttempt() {
+		return this.attempt;
+	}
+
+	/**
+	 * Returns the attempt that runs beside the current one.
+	 * @return the attempt; empty if there is none
+	 */
+	Optional<AttemptState> otherAttempt() {
+		return this.otherAttempt;
+	}
+
+	/**
+	 * Returns how many targets the request has reached without its current attempt.
+	 * @return the number, with the target of the other attempt
+	 */
+	int targetsCounted() {
+		return this.targetsReached + (this.otherAttempt.isPresent() ? 1 : 0);
+	}
+
 	/**
 	 * Ends an attempt through another node.
 	 * @param selected the target that the node selected; empty if it is not known
@@ -348,7 +405,7 @@
 
 	boolean anotherAttemptMayFollow() {
 		return this.proxied.map(ProxiedRequest::anotherAttemptMayFollow)
-			.orElse(this.targetsReached + 1 < this.route.maximumAttempts());
+			.orElse(targetsCounted() + 1 < this.route.maximumAttempts());
 	}
 
 	Instant attemptStartedAt() {
--- a/src/main/java/sycamorehill/logic/dispatch/ProxiedRequests.java
+++ b/src/main/java/sycamorehill/logic/dispatch/ProxiedRequests.java
@@ -26,24 +26,29 @@
 
 	private final AttemptScheduler scheduler;
 
+	private final ParallelAttempts parallelAttempts;
+
 	private final StalledStreams stalledStreams;
 
 	private final Map<Long, DispatchedRequest> activeRequests;
 
 	private ProxiedRequests(KnownServices knownServices, TargetSelector targetSelector, ProxySelector proxySelector,
-			AttemptScheduler scheduler, StalledStreams stalledStreams, Map<Long, DispatchedRequest> activeRequests) {
+			AttemptScheduler scheduler, ParallelAttempts parallelAttempts, StalledStreams stalledStreams,
+			Map<Long, DispatchedRequest> activeRequests) {
 		this.knownServices = knownServices;
 		this.targetSelector = targetSelector;
 		this.proxySelector = proxySelector;
 		this.scheduler = scheduler;
+		this.parallelAttempts = parallelAttempts;
 		this.stalledStreams = stalledStreams;
 		this.activeRequests = activeRequests;
 	}
 
 	static ProxiedRequests of(KnownServices knownServices, TargetSelector targetSelector, ProxySelector proxySelector,
-			AttemptScheduler scheduler, StalledStreams stalledStreams, Map<Long, DispatchedRequest> activeRequests) {
-		return new ProxiedRequests(knownServices, targetSelector, proxySelector, scheduler, stalledStreams,
-				activeRequests);
+			AttemptScheduler scheduler, ParallelAttempts parallelAttempts, StalledStreams stalledStreams,
+			Map<Long, DispatchedRequest> activeRequests) {
+		return new ProxiedRequests(knownServices, targetSelector, proxySelector, scheduler, parallelAttempts,
+				stalledStreams, activeRequests);
 	}
 
 	/**
@@ -92,7 +97,7 @@
 	 */
 	public void handleAttemptEnd(EntryEvent.ProxiedAttemptEnded ended, Instant now, Effects effects) {
 		DispatchedRequest request = this.activeRequests.get(ended.number());
-		if (request == null || request.attempts() != ended.attempt() || request.proxy().isEmpty()) {
+		if (request == null || !request.makeCurrent(ended.attempt()) || request.proxy().isEmpty()) {
 			return;
 		}
 		String node = request.proxy().get();
@@ -107,7 +112,8 @@
 		else if (ended.target().isEmpty()) {
 			recordNodeFailure(request, node, ended.end(), now);
 		}
-		this.scheduler.handleAttemptEnd(request, AttemptPlace.through(node, ended.target()), ended.end(), now, effects);
+		this.parallelAttempts.handleAttemptEnd(request, AttemptPlace.through(node, ended.target()), ended.end(), now,
+				effects);
 	}
 
 	// An end without a target is that of the other node, or of the way to it.
--- a/src/main/java/sycamorehill/logic/dispatch/RequestDispatcher.java
+++ b/src/main/java/sycamorehill/logic/dispatch/RequestDispatcher.java
@@ -72,6 +72,8 @@
 
 	private final AttemptScheduler scheduler;
 
+	private final ParallelAttempts parallelAttempts;
+
 	private final StalledStreams stalledStreams;
 
 	private final ProxiedRequests proxiedRequests;
@@ -93,10 +95,12 @@
 		this.scheduler = AttemptScheduler.of(this.targetSelector,
 				AttemptStarter.of(settings.nodeName(), this.targetSelector), this.paths, this.retryBudgets,
 				this.finalAnswers, this.crashSuspicions, this.activeRequests);
+		this.parallelAttempts = ParallelAttempts.of(this.targetSelector, this.paths.proxySelector(), this.scheduler);
 		this.stalledStreams = StalledStreams.of(this.activeRequests, this.targetSelector, this.paths.proxySelector(),
-				this.scheduler, this.outcomes);
+				this.scheduler, this.parallelAttempts, this.outcomes);
 		this.proxiedRequests = ProxiedRequests.of(this.router.knownServices(), this.targetSelector,
-				this.paths.proxySelector(), this.scheduler, this.stalledStreams, this.activeRequests);
+				this.paths.proxySelector(), this.scheduler, this.parallelAttempts, this.stalledStreams,
+				this.activeRequests);
 		this.explainer = PlacementExplainer.of(settings, this.router, this.targetSelector, this.paths,
 				this.homeRegionRule);
 	}
@@ -278,7 +282,7 @@
 	 */
 	public void handleAttemptEnd(long number, int attempt, AttemptEnd end, Instant now, Effects effects) {
 		DispatchedRequest request = this.activeRequests.get(number);
-		if (request == null || request.attempts() != attempt || request.target().isEmpty()) {
+		if (request == null || !request.makeCurrent(attempt) || request.target().isEmpty()) {
 			return;
 		}
 		TargetName target = request.target().get();
@@ -293,10 +297,22 @@
 			this.scheduler.endProxied(request, Optional.of(target), end, now, effects);
 		}
 		else {
-			this.scheduler.handleAttemptEnd(request, AttemptPlace.at(target), end, now, effects);
+			this.parallelAttempts.handleAttemptEnd(request, AttemptPlace.at(target), end, now, effects);
 		}
 	}
 
+	/**
+	 * Handles that one of two attempts of a request went on with the answer.
+	 * @param number the request's number
+	 * @param attempt the attempt's number
+	 * @param now the current time
+	 * @param effects receives the resulting effects
+	 */
+	public void handleAttemptPrevailed(long number, int attempt, Instant now, Effects effects) {
+		Optional.ofNullable(this.activeRequests.get(number))
+			.ifPresent((request) -> this.parallelAttempts.handlePrevailed(request, attempt, now, effects));
+	}
+
 	/**
 	 * Handles a message from another node.
 	 * @param message the message
@@ -472,7 +488,7 @@
 	 */
 	public void handleGroupEnded(TargetName head, String group, long epoch, Instant now, Effects effects) {
 		this.targetSelector.markGroupEnded(group, epoch, now);
-		this.stalledStreams.moveStreamsOfGroup(head, new GroupKey(group, epoch), now, effects);
+		this.stalledStreams.resumeStreamsOfGroup(head, new GroupKey(group, epoch), now, effects);
 	}
 
 	/**
@@ -487,10 +503,11 @@
 			return;
 		}
 		if (request.target().isPresent() || request.proxy().isPresent()) {
-			releaseAttempt(request);
+			this.parallelAttempts.cancelOther(request, now, effects);
+			this.parallelAttempts.release(request.currentAttempt(), now);
 			request.recordArrival(now);
 			request.markMayHaveRun();
-			effects.add(new EntryEffect.CancelAttempt(number, request.attempts()));
+			effects.add(new EntryEffect.CancelAttempt(number, request.currentAttempt().number()));
 		}
 		if (request.proxied().isPresent()) {
 			this.scheduler.endProxied(request, request.target(), new AttemptEnd.Unknown("time is over", false), now,
@@ -505,11 +522,6 @@
 		this.finalAnswers.answerTimeout(request, now, effects);
 	}
 
-	private void releaseAttempt(DispatchedRequest request) {
-		request.target().ifPresent((target) -> status(target).recordEnded());
-		request.proxy().ifPresent(this.paths.proxySelector()::recordEnded);
-	}
-
 	/**
 	 * Drops a request whose caller's connection was closed.
 	 * @param number the request's number
@@ -520,7 +532,8 @@
 	public void handleCallerDisconnected(long number, boolean cutByNode, Instant now, Effects effects) {
 		DispatchedRequest request = this.activeRequests.remove(number);
 		if (request != null) {
-			releaseAttempt(request);
+			this.parallelAttempts.cancelOther(request, now, effects);
+			this.parallelAttempts.release(request.currentAttempt(), now);
 			request.recordArrival(now);
 			if (cutByNode) {
 				this.finalAnswers.recordCut(request, now, effects);
--- a/src/main/java/sycamorehill/logic/dispatch/StalledStreams.java
+++ b/src/main/java/sycamorehill/logic/dispatch/StalledStreams.java
@@ -16,9 +16,9 @@
 import sycamorehill.model.serving.RequestKind;
 
 /**
- * Moves streams whose target, or whose proxy, has stopped sending. Streams that can be
- * resumed elsewhere are moved. Other requests wait, because silence alone is no reason to
- * end an answer.
+ * Starts second attempts of streams whose target, or whose proxy, has stopped sending, if
+ * they can be resumed elsewhere. Other requests wait, because silence alone is no reason
+ * to end an answer.
  */
 final class StalledStreams {
 
@@ -39,20 +39,25 @@
 
 	private final AttemptScheduler scheduler;
 
+	private final ParallelAttempts parallelAttempts;
+
 	private final AttemptOutcomes outcomes;
 
 	private StalledStreams(Map<Long, DispatchedRequest> activeRequests, TargetSelector targetSelector,
-			ProxySelector proxySelector, AttemptScheduler scheduler, AttemptOutcomes outcomes) {
+			ProxySelector proxySelector, AttemptScheduler scheduler, ParallelAttempts parallelAttempts,
+			AttemptOutcomes outcomes) {
 		this.activeRequests = activeRequests;
 		this.targetSelector = targetSelector;
 		this.proxySelector = proxySelector;
 		this.scheduler = scheduler;
+		this.parallelAttempts = parallelAttempts;
 		this.outcomes = outcomes;
 	}
 
 	static StalledStreams of(Map<Long, DispatchedRequest> activeRequests, TargetSelector targetSelector,
-			ProxySelector proxySelector, AttemptScheduler scheduler, AttemptOutcomes outcomes) {
-		return new StalledStreams(activeRequests, targetSelector, proxySelector, scheduler, outcomes);
+			ProxySelector proxySelector, AttemptScheduler scheduler, ParallelAttempts parallelAttempts,
+			AttemptOutcomes outcomes) {
+		return new StalledStreams(activeRequests, targetSelector, proxySelector, scheduler, parallelAttempts, outcomes);
 	}
 
 	void handleSilentTarget(TargetName target, String source, Instant now, Effects effects) {
@@ -62,7 +67,7 @@
 				"target=" + target + " in-flight=" + status.inFlight() + " source=" + source);
 		resumableStreams((request) -> isAt(target, request))
 			.forEach((request) -> this.outcomes.suspect(request, false, now, effects));
-		moveStreams(target, (request) -> true, TARGET_SILENT + " by " + source, now, effects);
+		resumeElsewhere(target, (request) -> true, TARGET_SILENT + " by " + source, now, effects);
 	}
 
 	void handleReportedSilence(TargetName target, String source, Instant now, Effects effects) {
@@ -79,36 +84,32 @@
 	}
 
 	/**
-	 * Moves the streams of a group that has ended. Its head may already have streams of
-	 * its next group.
+	 * Resumes the streams of a group that has ended elsewhere. Its head may already have
+	 * streams of its next group.
 	 * @param head the head of the group
 	 * @param group the group
 	 * @param now the current time
 	 * @param effects receives the resulting effects
 	 */
-	void moveStreamsOfGroup(TargetName head, GroupKey group, Instant now, Effects effects) {
-		moveStreams(head, (request) -> request.group().filter(group::equals).isPresent(), GROUP_ENDED, now, effects);
+	void resumeStreamsOfGroup(TargetName head, GroupKey group, Instant now, Effects effects) {
+		resumeElsewhere(head, (request) -> request.group().filter(group::equals).isPresent(), GROUP_ENDED, now,
+				effects);
 	}
 
-	private void moveStreams(TargetName target, Predicate<DispatchedRequest> condition, String cause, Instant now,
+	private void resumeElsewhere(TargetName target, Predicate<DispatchedRequest> condition, String cause, Instant now,
 			Effects effects) {
 		for (DispatchedRequest request : resumableStreams(condition.and((each) -> isAt(target, each)))) {
 			if (request.proxied().isPresent()) {
 				endProxied(request, target, now, effects);
 			}
 			else {
-				takeAlternative(request, now, effects).ifPresent((next) -> {
-					effects.add(new EntryEffect.CancelAttempt(request.request().number(), request.attempts()));
-					this.targetSelector.status(target).recordEnded();
-					request.endAttempt();
-					moveOn(request, AttemptPlace.at(target), next, cause, now, effects);
-				});
+				this.parallelAttempts.start(request, cause, now, effects);
 			}
 		}
 	}
 
 	/**
-	 * Moves the streams that are sent through a node.
+	 * Resumes the streams that are sent through a node elsewhere.
 	 * @param node name of the node
 	 * @param now the current time
 	 * @param effects receives the resulting effects
@@ -117,20 +118,10 @@
 		this.proxySelector.eject(node, now);
 		effects.log(LogEvent.PROXY_SILENT, "node=" + node);
 		for (DispatchedRequest request : resumableStreams((each) -> each.proxy().filter(node::equals).isPresent())) {
-			takeAlternative(request, now, effects).ifPresent((next) -> {
-				effects.add(new EntryEffect.CancelAttempt(request.request().number(), request.attempts()));
-				this.proxySelector.recordEnded(node);
-				request.endProxiedAttempt(Optional.empty());
-				moveOn(request, AttemptPlace.through(node, Optional.empty()), next, PROXY_SILENT, now, effects);
-			});
+			this.parallelAttempts.start(request, PROXY_SILENT, now, effects);
 		}
 	}
 
-	private Optional<AlternativePlace> takeAlternative(DispatchedRequest request, Instant now, Effects effects) {
-		return this.scheduler.findAlternative(request, now)
-			.filter((place) -> this.scheduler.takeRetry(request, now, effects));
-	}
-
 	private List<DispatchedRequest> resumableStreams(Predicate<DispatchedRequest> condition) {
 		return this.activeRequests.values()
 			.stream()
@@ -139,14 +130,6 @@
 			.toList();
 	}
 
-	private void moveOn(DispatchedRequest request, AttemptPlace place, AlternativePlace next, String cause, Instant now,
-			Effects effects) {
-		request.countReachedTarget();
-		request.markMayHaveRun();
-		this.scheduler.logRetry(request, place, cause, now, effects);
-		this.scheduler.startAt(request, next, now, effects);
-	}
-
 	// Whether the stream goes on elsewhere is the decision of the node that has the
 	// caller. It would find no other target where this node finds none.
 	private void endProxied(DispatchedRequest request, TargetName target, Instant now, Effects effects) {
--- a/src/main/java/sycamorehill/model/log/LogEvent.java
+++ b/src/main/java/sycamorehill/model/log/LogEvent.java
@@ -246,7 +246,10 @@
 	TARGET_COLD(1925, LogLevel.INFO),
 
 	/** A target is warm again, or its slow start is over. */
-	TARGET_WARM(1926, LogLevel.INFO);
+	TARGET_WARM(1926, LogLevel.INFO),
+
+	/** One of two attempts of a stream has ended, and the stream goes on at the other. */
+	STREAM_CONTINUED(1928, LogLevel.WARN);
 
 	private final int number;
 
--- a/src/main/java/sycamorehill/model/serving/EntryEvent.java
+++ b/src/main/java/sycamorehill/model/serving/EntryEvent.java
@@ -99,6 +99,16 @@
 	record AnswerStarted(long number) implements EntryEvent {
 	}
 
+	/**
+	 * One of several attempts of a request went on with the answer. The runtime has
+	 * already cancelled the others.
+	 *
+	 * @param number the request
+	 * @param attempt number of the attempt, starting at 1
+	 */
+	record AttemptPrevailed(long number, int attempt) implements EntryEvent {
+	}
+
 	/**
 	 * An attempt at a target ended.
 	 *
--- a/src/test/java/sycamorehill/entry/SilentEngineStreamTests.java
+++ b/src/test/java/sycamorehill/entry/SilentEngineStreamTests.java
@@ -2,8 +2,14 @@
 
 import java.io.IOException;
 import java.io.OutputStream;
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.Instant;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -19,6 +25,12 @@
 
 	private static final int LAST_EVENT = 5;
 
+	private static final int MANY_EVENTS = 1000;
+
+	private static final int RACES = 12;
+
+	private static final Duration MAXIMUM_CANCELLATION_TIME = Duration.ofMillis(500);
+
 	private static final int PAUSE_MILLIS = 1200;
 
 	private static final int REFUSAL_MILLIS = 300;
@@ -72,6 +84,14 @@
 		return true;
 	}
 
+	// Sends events all the time, for longer than any test.
+	private static boolean streamForLong(String request, OutputStream out) throws IOException {
+		write(out,
+				LoopbackCluster.events(request, EVENTS_BEFORE + 1, EVENTS_BEFORE + 1, true).replace("0\r\n\r\n", ""));
+		writeEvents(out, EVENTS_BEFORE + 2, MANY_EVENTS);
+		return true;
+	}
+
 	private static boolean refuse(String request, OutputStream out) throws IOException {
 		write(out, "HTTP/1.1 503 Full\r\nAttempt-Id: " + LoopbackCluster.identifier(request)
 				+ "\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n");
@@ -98,4 +118,73 @@
 		assertThat(this.cluster.streamRequests()).anyMatch(SilentEngineStreamTests::isResumed);
 	}
 
+	// Guards against an answer cut because a second engine breaks off while the first
+	// wakes.
+	@Test
+	void aStreamGoesOnAtItsEngineIfAnotherBreaksOff() throws Exception {
+		start((request, out) -> {
+			if (isResumed(request)) {
+				sleep(REFUSAL_MILLIS);
+				return false;
+			}
+			return streamWithPause(request, out);
+		}, "one");
+		assertWhole(this.cluster.ask("one", "/stream/x", "silent-broken"));
+	}
+
+	// Guards against events that come twice or out of order when both engines go on at
+	// about the same time.
+	@Test
+	void eventsComeOnceAndInOrderWhenBothEnginesGoOn() throws Exception {
+		AtomicLong pauseStarted = new AtomicLong();
+		AtomicInteger lead = new AtomicInteger();
+		start((request, out) -> {
+			if (!isResumed(request)) {
+				pauseStarted.set(System.nanoTime());
+				return streamWithPause(request, out);
+			}
+			long elapsed = Duration.ofNanos(System.nanoTime() - pauseStarted.get()).toMillis();
+			sleep((int) Math.max(0, PAUSE_MILLIS - elapsed + lead.get()));
+			write(out, LoopbackCluster.events(request, EVENTS_BEFORE + 1, LAST_EVENT, true));
+			return true;
+		}, "one");
+		for (int race = 0; race < RACES; race++) {
+			lead.set(EVENT_INTERVAL_MILLIS + race - RACES / 2);
+			assertWhole(this.cluster.ask("one", "/stream/x", "silent-race-" + race));
+		}
+	}
+
+	// Guards against engines that work on for a caller that has left.
+	@Test
+	void bothEnginesAreLeftWhenTheCallerLeaves() throws Exception {
+		AtomicReference<Instant> secondAsked = new AtomicReference<>();
+		start((request, out) -> {
+			if (isResumed(request)) {
+				secondAsked.set(Instant.now());
+				sleep(REFUSAL_MILLIS);
+			}
+			else {
+				write(out, LoopbackCluster.events(request, 1, EVENTS_BEFORE, true).replace("0\r\n\r\n", ""));
+				sleep(PAUSE_MILLIS);
+			}
+			return streamForLong(request, out);
+		}, "one");
+		Instant left;
+		try (Socket caller = this.cluster.open("one", "/stream/x", "silent-left", "abc")) {
+			CallerNode.readUntil(caller, "data: e2");
+			while (secondAsked.get() == null) {
+				sleep(EVENT_INTERVAL_MILLIS);
+			}
+			left = Instant.now();
+		}
+		while (closedEngines() < 2) {
+			assertThat(Instant.now()).isBefore(left.plusMillis(PAUSE_MILLIS).plus(MAXIMUM_CANCELLATION_TIME));
+			sleep(EVENT_INTERVAL_MILLIS);
+		}
+	}
+
+	private long closedEngines() {
+		return this.cluster.streamRequests().stream().filter("closed"::equals).count();
+	}
+
 }
