Let the origin of a request keep a stream whose target is silent behind a proxy

Now the proxy tells the origin which target has stopped sending (a new frame, STALLED) and goes on; the origin starts a second attempt beside it, at another target, and whichever sends the next event goes on. Origins tell in their requests that they understand the frame; for those of earlier versions the attempt ends as before, and requests of earlier versions are read as before.

Red before: theProxyKeepsAStreamThatItsTargetStallsAndTellsItsOrigin can't hold on the old code, which ends the attempt (theProxyReportsAStreamThatItsTargetStalls still asks for that with an origin of an earlier version). The test of earlier versions' frames now takes off the new field as well.

--- a/src/main/java/sycamorehill/entry/ExchangeEffects.java
+++ b/src/main/java/sycamorehill/entry/ExchangeEffects.java
@@ -118,6 +118,10 @@
 		else if (effect instanceof EntryEffect.AbortAnswer abort) {
 			forCaller(abort.number(), CallerExchange::abortAnswer);
 		}
+		else if (effect instanceof EntryEffect.ReportProxiedStall stall) {
+			this.exchanges.find(stall.number(), ProxiedExchange.class)
+				.ifPresent((exchange) -> exchange.reportStall(stall.target()));
+		}
 		else if (effect instanceof EntryEffect.EndProxiedRequest end) {
 			this.exchanges.find(end.number(), ProxiedExchange.class)
 				.ifPresent((exchange) -> exchange.end(end.target(), end.end()));
--- a/src/main/java/sycamorehill/entry/ProxiedExchange.java
+++ b/src/main/java/sycamorehill/entry/ProxiedExchange.java
@@ -105,6 +105,16 @@
 		}
 	}
 
+	/**
+	 * Reports to the other node that the target has stopped sending.
+	 * @param target the target
+	 */
+	void reportStall(TargetName target) {
+		if (!this.finished) {
+			this.connection.send(new ProxyFrame.Stalled(target));
+		}
+	}
+
 	void handleOriginDisconnected(EntryEventSink eventSink) {
 		if (!this.finished) {
 			this.attempts.cancelAll();
--- a/src/main/java/sycamorehill/entry/ProxyAttempt.java
+++ b/src/main/java/sycamorehill/entry/ProxyAttempt.java
@@ -181,6 +181,10 @@
 		else if (frame instanceof ProxyFrame.Event event) {
 			handleEvent(event);
 		}
+		else if (frame instanceof ProxyFrame.Stalled stalled) {
+			this.eventSink.post(
+					new EntryEvent.ProxiedAttemptStalled(this.start.number(), this.start.attempt(), stalled.target()));
+		}
 		else if (frame instanceof ProxyFrame.End end) {
 			handleEnd(end);
 		}
--- a/src/main/java/sycamorehill/entry/ProxyFrame.java
+++ b/src/main/java/sycamorehill/entry/ProxyFrame.java
@@ -13,7 +13,8 @@
  * Frame between the origin of a request and the node through which it is sent. The origin
  * sends {@link Request}, {@link Body} until the body is complete, and {@link Confirmed}
  * where required. The other node answers {@link Accepted}, the answer as {@link Head} and
- * {@link Body} or {@link Event} frames, and {@link End}.
+ * {@link Body} or {@link Event} frames, {@link Stalled} while no event comes, and
+ * {@link End}.
  */
 sealed interface ProxyFrame {
 
@@ -36,6 +37,11 @@
 					this.resumeAfter, this.weightsVersion, this.bodyBytes);
 		}
 
+		Request withStallReports(boolean accepted) {
+			return new Request(this.request.withStallReports(accepted), this.method, this.uri, this.headers,
+					this.resumeAfter, this.weightsVersion, this.bodyBytes);
+		}
+
 		Request withHomes(HomeRegions homes) {
 			return new Request(this.request.withHomes(homes), this.method, this.uri, this.headers, this.resumeAfter,
 					this.weightsVersion, this.bodyBytes);
@@ -88,6 +94,14 @@
 	record Event(OptionalLong number, byte[] bytes) implements ProxyFrame {
 	}
 
+	/**
+	 * The target has stopped sending. The attempt goes on.
+	 *
+	 * @param target the target of the attempt
+	 */
+	record Stalled(TargetName target) implements ProxyFrame {
+	}
+
 	/**
 	 * The attempt has ended.
 	 *
--- a/src/main/java/sycamorehill/entry/ProxyFrameCodec.java
+++ b/src/main/java/sycamorehill/entry/ProxyFrameCodec.java
@@ -57,6 +57,9 @@
 			this.packer.packLong(event.number().orElse(-1));
 			writeBytes(event.bytes(), this.packer);
 		}
+		else if (frame instanceof ProxyFrame.Stalled stalled) {
+			this.packer.packString(stalled.target().value());
+		}
 		else if (frame instanceof ProxyFrame.End end) {
 			ProxyFrameFields.writeOptional(end.target().map(TargetName::value), this.packer);
 			ProxyFrameFields.writeEnd(end.end(), this.packer);
@@ -73,6 +76,7 @@
 		packer.packInt(request.bodyBytes());
 		ProxyFrameFields.writePromptParts(request.request().sharedPromptParts(), packer);
 		ProxyFrameFields.writeHomes(request.request().homes(), packer);
+		packer.packBoolean(request.request().acceptsStallReports());
 	}
 
 	private static void writeHeaders(List<ProxyFrame.Header> headers, MessagePacker packer) throws IOException {
@@ -103,6 +107,7 @@
 				case CONFIRMED -> new ProxyFrame.Confirmed();
 				case HEAD -> readHead(unpacker);
 				case EVENT -> readEvent(unpacker);
+				case STALLED -> new ProxyFrame.Stalled(TargetName.of(unpacker.unpackString()));
 				case END -> new ProxyFrame.End(ProxyFrameFields.readOptional(unpacker).map(TargetName::of),
 						ProxyFrameFields.readEnd(unpacker));
 			};
@@ -114,7 +119,8 @@
 				unpacker.unpackString(), unpacker.unpackString(), readHeaders(unpacker),
 				ProxyFrameFields.readOptional(unpacker), ProxyFrameFields.readOptional(unpacker), unpacker.unpackInt());
 		return request.withSharedPromptParts(ProxyFrameFields.readPromptParts(unpacker))
-			.withHomes(ProxyFrameFields.readHomes(unpacker));
+			.withHomes(ProxyFrameFields.readHomes(unpacker))
+			.withStallReports(unpacker.hasNext() && unpacker.unpackBoolean());
 	}
 
 	private static ProxyFrame readHead(MessageUnpacker unpacker) throws IOException {
--- a/src/main/java/sycamorehill/entry/ProxyFrameKind.java
+++ b/src/main/java/sycamorehill/entry/ProxyFrameKind.java
@@ -19,6 +19,8 @@
 
 	EVENT(ProxyFrame.Event.class),
 
+	STALLED(ProxyFrame.Stalled.class),
+
 	END(ProxyFrame.End.class);
 
 	private final Class<? extends ProxyFrame> type;
--- a/src/main/java/sycamorehill/logic/dispatch/DispatchedRequest.java
+++ b/src/main/java/sycamorehill/logic/dispatch/DispatchedRequest.java
@@ -129,7 +129,7 @@
 				this.workspace, this.route.priority(), this.route.latencyTarget(), this.route.timeout(),
 				effectiveTimeout(), Duration.between(this.arrivedAt, now), this.request.model(),
 				this.request.tokenCounts(), this.request.sharedPromptParts(), this.request.contentHash(), excluded,
-				answerStarted(), targetsCounted() + 1 < this.route.maximumAttempts(), this.route.homes());
+				answerStarted(), targetsCounted() + 1 < this.route.maximumAttempts(), this.route.homes(), true);
 	}
 
 	int startAttempt(TargetEntry chosen, Duration firstAnswer, Instant now) {
@@ -224,6 +224,10 @@
 		this.unreachedTargets++;
 	}
 
+	void excludeTarget(TargetName excluded) {
+		this.triedTargets.add(excluded);
+	}
+
 	void excludeNode(String node) {
 		this.triedNodes.add(node);
 	}
--- a/src/main/java/sycamorehill/logic/dispatch/ProxiedRequests.java
+++ b/src/main/java/sycamorehill/logic/dispatch/ProxiedRequests.java
@@ -125,6 +125,19 @@
 		}
 	}
 
+	/**
+	 * Handles that the target of an attempt through another node has stopped sending.
+	 * @param stalled the stalled attempt
+	 * @param now the current time
+	 * @param effects receives the resulting effects
+	 */
+	public void handleStalled(EntryEvent.ProxiedAttemptStalled stalled, Instant now, Effects effects) {
+		DispatchedRequest request = this.activeRequests.get(stalled.number());
+		if (request != null && request.currentAttempt().number() == stalled.attempt()) {
+			this.stalledStreams.handleStalledBehindProxy(request, stalled.target(), now, effects);
+		}
+	}
+
 	/**
 	 * Handles a node that forwards streams to this one and has stopped sending.
 	 * @param node the node's name
--- a/src/main/java/sycamorehill/logic/dispatch/StalledStreams.java
+++ b/src/main/java/sycamorehill/logic/dispatch/StalledStreams.java
@@ -13,6 +13,7 @@
 import sycamorehill.model.log.LogEvent;
 import sycamorehill.model.serving.AttemptEnd;
 import sycamorehill.model.serving.EntryEffect;
+import sycamorehill.model.serving.ProxiedRequest;
 import sycamorehill.model.serving.RequestKind;
 
 /**
@@ -100,7 +101,7 @@
 			Effects effects) {
 		for (DispatchedRequest request : resumableStreams(condition.and((each) -> isAt(target, each)))) {
 			if (request.proxied().isPresent()) {
-				endProxied(request, target, now, effects);
+				reportStall(request, target, now, effects);
 			}
 			else {
 				this.parallelAttempts.start(request, cause, now, effects);
@@ -122,6 +123,21 @@
 		}
 	}
 
+	/**
+	 * Resumes a stream elsewhere whose target has stopped sending to the node through
+	 * which it is sent.
+	 * @param request the request
+	 * @param target the target
+	 * @param now the current time
+	 * @param effects receives the resulting effects
+	 */
+	void handleStalledBehindProxy(DispatchedRequest request, TargetName target, Instant now, Effects effects) {
+		request.excludeTarget(target);
+		if (request.route().kind() == RequestKind.RESUMABLE_STREAM) {
+			this.parallelAttempts.start(request, TARGET_SILENT + " " + target, now, effects);
+		}
+	}
+
 	private List<DispatchedRequest> resumableStreams(Predicate<DispatchedRequest> condition) {
 		return this.activeRequests.values()
 			.stream()
@@ -132,10 +148,19 @@
 
 	// Whether the stream goes on elsewhere is the decision of the node that has the
 	// caller. It would find no other target where this node finds none.
-	private void endProxied(DispatchedRequest request, TargetName target, Instant now, Effects effects) {
+	private void reportStall(DispatchedRequest request, TargetName target, Instant now, Effects effects) {
 		if (!request.anotherAttemptMayFollow() || !this.scheduler.mayFindOtherTarget(request, now)) {
 			return;
 		}
+		if (request.proxied().filter(ProxiedRequest::acceptsStallReports).isPresent()) {
+			effects.add(new EntryEffect.ReportProxiedStall(request.request().number(), target));
+		}
+		else {
+			endProxied(request, target, now, effects);
+		}
+	}
+
+	private void endProxied(DispatchedRequest request, TargetName target, Instant now, Effects effects) {
 		effects.add(new EntryEffect.CancelAttempt(request.request().number(), request.attempts()));
 		this.targetSelector.status(target).recordEnded();
 		request.endAttempt();
--- a/src/main/java/sycamorehill/logic/entry/RequestEvents.java
+++ b/src/main/java/sycamorehill/logic/entry/RequestEvents.java
@@ -106,6 +106,9 @@
 			boolean accepts = this.stage.isInitialized() && !this.stage.isStopping();
 			this.requests.proxiedRequests().handleArrival(arrived.number(), arrived.request(), accepts, now, effects);
 		}
+		else if (event instanceof EntryEvent.ProxiedAttemptStalled stalled) {
+			this.requests.proxiedRequests().handleStalled(stalled, now, effects);
+		}
 		else if (event instanceof EntryEvent.ProxiedAttemptEnded ended) {
 			this.requests.proxiedRequests().handleAttemptEnd(ended, now, effects);
 		}
--- a/src/main/java/sycamorehill/model/serving/EntryEffect.java
+++ b/src/main/java/sycamorehill/model/serving/EntryEffect.java
@@ -62,6 +62,16 @@
 	record ProxyNode(String name, Address address) {
 	}
 
+	/**
+	 * Reports to the origin of a request that its target has stopped sending. The attempt
+	 * goes on.
+	 *
+	 * @param number the request
+	 * @param target the target of the attempt
+	 */
+	record ReportProxiedStall(long number, TargetName target) implements EntryEffect {
+	}
+
 	/**
 	 * Reports to the origin of a request how its attempt ended, after the answer's bytes.
 	 *
--- a/src/main/java/sycamorehill/model/serving/EntryEvent.java
+++ b/src/main/java/sycamorehill/model/serving/EntryEvent.java
@@ -152,6 +152,16 @@
 	record OriginDisconnected(long number) implements EntryEvent {
 	}
 
+	/**
+	 * The target of an attempt through another node has stopped sending to that node.
+	 *
+	 * @param number the request
+	 * @param attempt number of the attempt, starting at 1
+	 * @param target the target
+	 */
+	record ProxiedAttemptStalled(long number, int attempt, TargetName target) implements EntryEvent {
+	}
+
 	/**
 	 * An attempt through another node ended.
 	 *
--- a/src/test/java/sycamorehill/entry/ProxyFrameCodecTests.java
+++ b/src/test/java/sycamorehill/entry/ProxyFrameCodecTests.java
@@ -38,7 +38,7 @@
 		return new ProxiedRequest("one", "a1", "r", RequestKind.RESUMABLE_STREAM, ServingSamples.ENGINES, workspace, 1,
 				Duration.ofMillis(300), Duration.ofSeconds(8), Duration.ofMillis(5999), Duration.ofNanos(1234567),
 				Optional.of("small"), tokenCounts, List.of("5c1e07a2", "91bd3f06"), Long.MIN_VALUE,
-				Set.of(TargetName.of("h1"), TargetName.of("h2")), true, false, Set.of());
+				Set.of(TargetName.of("h1"), TargetName.of("h2")), true, false, Set.of(), true);
 	}
 
 	private static List<ProxyFrame> frames() {
@@ -51,7 +51,8 @@
 						"POST", "/x?y=1", headers, Optional.of("12"), Optional.of("3"), 4000),
 				new ProxyFrame.Request(request(Optional.empty(), Optional.empty()), "GET", "/", List.of(),
 						Optional.empty(), Optional.empty(), 0),
-				new ProxyFrame.Accepted(), new ProxyFrame.Confirmed(), new ProxyFrame.Head(200, "OK", headers, true),
+				new ProxyFrame.Stalled(TargetName.of("h1")), new ProxyFrame.Accepted(), new ProxyFrame.Confirmed(),
+				new ProxyFrame.Head(200, "OK", headers, true),
 				new ProxyFrame.End(Optional.empty(), new AttemptEnd.NotRun(NotRunCause.NODE_UNAVAILABLE)),
 				new ProxyFrame.End(Optional.of(TargetName.of("h1")),
 						new AttemptEnd.Delivered(200, Duration.ofMillis(61))),
@@ -84,18 +85,21 @@
 		assertThat(((ProxyFrame.Request) read).request().homes()).isEqualTo(homes);
 	}
 
-	// Nodes of earlier versions end a request with the parts of its prompt, or before
-	// them.
+	// Nodes of earlier versions end a request with its homes, the parts of its prompt, or
+	// before them.
 	@Test
 	void readsRequestsOfEarlierVersions() throws IOException {
 		ProxyFrame.Request request = new ProxyFrame.Request(request(Optional.empty(), Optional.empty()), "GET", "/",
 				List.of(), Optional.empty(), Optional.empty(), 0);
 		byte[] whole = this.codec.write(request);
-		byte[] withoutHomes = Arrays.copyOf(whole, whole.length - 2);
-		assertThat(ProxyFrameCodec.read(withoutHomes)).isEqualTo(request);
+		byte[] withoutStalls = Arrays.copyOf(whole, whole.length - 1);
+		ProxyFrame.Request earlier = request.withStallReports(false);
+		assertThat(ProxyFrameCodec.read(withoutStalls)).isEqualTo(earlier);
+		byte[] withoutHomes = Arrays.copyOf(withoutStalls, withoutStalls.length - 2);
+		assertThat(ProxyFrameCodec.read(withoutHomes)).isEqualTo(earlier);
 		int partsBytes = 1 + 2 * (1 + "5c1e07a2".length());
 		assertThat(ProxyFrameCodec.read(Arrays.copyOf(withoutHomes, withoutHomes.length - partsBytes)))
-			.isEqualTo(request.withSharedPromptParts(List.of()));
+			.isEqualTo(earlier.withSharedPromptParts(List.of()));
 	}
 
 	@Test
--- a/src/test/java/sycamorehill/logic/dispatch/ProxiedRequestTests.java
+++ b/src/test/java/sycamorehill/logic/dispatch/ProxiedRequestTests.java
@@ -289,6 +289,40 @@
 				end(1, target.value(), new AttemptEnd.Broken("silent", true, false)));
 	}
 
+	// Guards against an answer cut because a proxy ends its attempt before the origin has
+	// another place.
+	@Test
+	void theProxyKeepsAStreamThatItsTargetStallsAndTellsItsOrigin() {
+		List<EntryEffect> started = arriveFromOtherNode(1,
+				request(RequestKind.RESUMABLE_STREAM, ServingSamples.ENGINES, Set.of()).withStallReports(true));
+		TargetName target = effects(started, EntryEffect.StartAttempt.class).findFirst().orElseThrow().target().name();
+		this.dispatcher.handleFirstEvent(1, this.now);
+		Effects effects = Effects.create();
+		this.dispatcher.handleSilentTarget(target, "one", this.now, effects);
+		assertThat(effects.all()).contains(new EntryEffect.ReportProxiedStall(1, target))
+			.noneMatch(EntryEffect.CancelAttempt.class::isInstance)
+			.noneMatch(EntryEffect.EndProxiedRequest.class::isInstance);
+	}
+
+	// Guards against an origin that leaves the proxy's target for one that is as silent.
+	@Test
+	void theOriginTriesAnotherTargetBesideOneThatStallsBehindAProxy() {
+		losePath();
+		arrive(1, "/stream/x");
+		this.dispatcher.handleFirstEvent(1, this.now);
+		Effects effects = Effects.create();
+		this.dispatcher.proxiedRequests()
+			.handleStalled(new EntryEvent.ProxiedAttemptStalled(1, 1, TargetName.of("h1")), this.now, effects);
+		ProxiedRequest sent = effects(effects.all(), EntryEffect.StartProxiedAttempt.class).findFirst()
+			.orElseThrow()
+			.request();
+		assertThat(sent.triedTargets()).containsExactly(TargetName.of("h1"));
+		assertThat(sent.anotherAttemptMayFollow()).isFalse();
+		List<EntryEffect> refused = endProxied(1, 2, "h0", new AttemptEnd.NotRun(NotRunCause.REFUSED));
+		assertThat(effects(refused, EntryEffect.AbortAnswer.class)).isEmpty();
+		assertThat(effects(refused, EntryEffect.CancelAttempt.class)).isEmpty();
+	}
+
 	// The stream would end at its caller, though its target may only be slow.
 	@Test
 	void theProxyLeavesAStreamAtAStalledTargetWhileNoOtherTargetAdmitsIt() {
