Try second attempts only at targets that send, and wait while all are silent

A silence was reported once, so that a stream that found no place then never left a target that hung, and a target that went on was left out until 2 s had passed, while new requests were refused.

Now the targets that have sent nothing for 250 ms are known before any stream is tried elsewhere, and none of them is chosen. If all targets with streams are silent, and several, streams wait at first: nothing tells a loss from a pause of all, or of the path. A silence that lasts is reported again each second, and then a second attempt may start even so. A target that sends again gets requests at once.

--- a/src/main/java/sycamorehill/entry/StreamActivity.java
+++ b/src/main/java/sycamorehill/entry/StreamActivity.java
@@ -3,8 +3,11 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
  * Tracks whether the senders of streams make progress: targets, or nodes through which
@@ -31,6 +34,9 @@
 	/** Additional time in which a test of the path decides. */
 	private static final Duration PATH_TEST_TIME = Duration.ofMillis(200);
 
+	/** Interval in which a silence that lasts is reported again. */
+	private static final Duration REPEAT_INTERVAL = Duration.ofSeconds(1);
+
 	/** Number of senders of started streams whose silence puts the path in doubt. */
 	private static final int MINIMUM_SENDERS = 2;
 
@@ -40,6 +46,9 @@
 
 	private final Map<S, StreamProgress> bySender = new HashMap<>();
 
+	/** Senders that have sent something after their silence was reported. */
+	private final Set<S> resumed = new HashSet<>();
+
 	private long lastCheckNanos;
 
 	private boolean pathSilenceReported;
@@ -86,10 +95,23 @@
 		StreamProgress progress = this.bySender.get(sender);
 		if (progress != null) {
 			progress.lastProgressNanos = nowNanos;
-			progress.reported = false;
+			if (progress.reported) {
+				progress.reported = false;
+				this.resumed.add(sender);
+			}
 		}
 	}
 
+	/**
+	 * Returns the senders that have sent something after their silence was reported.
+	 * @return the senders, each once
+	 */
+	Set<S> takeResumed() {
+		Set<S> senders = Set.copyOf(this.resumed);
+		this.resumed.clear();
+		return senders;
+	}
+
 	/**
 	 * Records that nothing is read of a started stream, because its receiver is slow. Its
 	 * silence is not the sender's.
@@ -144,7 +166,8 @@
 		boolean pathMayBeSilent = !this.pathSilenceReported && isSilent(startedStreams(), nowNanos);
 		return pathMayBeSilent || this.bySender.values()
 			.stream()
-			.anyMatch((progress) -> isNewlySilent(progress, this.silenceTimeout, this.firstEventTimeout, nowNanos));
+			.anyMatch((progress) -> progress.isLasting(nowNanos)
+					|| isNewlySilent(progress, this.silenceTimeout, this.firstEventTimeout, nowNanos));
 	}
 
 	private boolean isCheckDelayed(long nowNanos) {
@@ -192,11 +215,50 @@
 				nowNanos);
 	}
 
+	/**
+	 * Returns the senders whose reported silence still lasts, each once per interval.
+	 * @param nowNanos the current time, in nanoseconds
+	 * @return the senders
+	 */
+	List<Silence<S>> findLastingSilences(long nowNanos) {
+		List<Silence<S>> silences = new ArrayList<>();
+		this.bySender.forEach((sender, progress) -> {
+			if (progress.isLasting(nowNanos)) {
+				progress.reportedNanos = nowNanos;
+				silences.add(new Silence<>(sender, progress.startedStreams > 0));
+			}
+		});
+		return silences;
+	}
+
+	/**
+	 * Returns the senders of started streams that have sent nothing for a short time.
+	 * @param nowNanos the current time, in nanoseconds
+	 * @return the senders, silent or not
+	 */
+	Set<S> findStalledNow(long nowNanos) {
+		return this.bySender.entrySet()
+			.stream()
+			.filter((entry) -> entry.getValue().isRead() && entry.getValue().isSilent(nowNanos))
+			.map(Map.Entry::getKey)
+			.collect(Collectors.toSet());
+	}
+
+	/**
+	 * Returns whether the started streams of several senders are all silent.
+	 * @param nowNanos the current time, in nanoseconds
+	 * @return true as long as the silence lasts
+	 */
+	boolean areAllSilent(long nowNanos) {
+		return isSilent(startedStreams(), nowNanos);
+	}
+
 	private List<Silence<S>> findSilentSenders(Duration startedTimeout, Duration waitingTimeout, long nowNanos) {
 		List<Silence<S>> silences = new ArrayList<>();
 		this.bySender.forEach((sender, progress) -> {
 			if (isNewlySilent(progress, startedTimeout, waitingTimeout, nowNanos)) {
 				progress.reported = true;
+				progress.reportedNanos = nowNanos;
 				silences.add(new Silence<>(sender, progress.startedStreams > 0));
 			}
 		});
@@ -265,10 +327,16 @@
 
 		private boolean reported;
 
+		private long reportedNanos;
+
 		private boolean isRead() {
 			return this.startedStreams > this.pausedStreams;
 		}
 
+		private boolean isLasting(long nowNanos) {
+			return this.reported && nowNanos - this.reportedNanos > REPEAT_INTERVAL.toNanos();
+		}
+
 		private boolean isSilent(long nowNanos) {
 			return nowNanos - this.lastProgressNanos > PATH_SILENCE_TIMEOUT.toNanos();
 		}
--- a/src/main/java/sycamorehill/entry/StreamMonitor.java
+++ b/src/main/java/sycamorehill/entry/StreamMonitor.java
@@ -1,6 +1,7 @@
 package sycamorehill.entry;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 
@@ -86,6 +87,7 @@
 	 */
 	void check() {
 		long now = this.nanoClock.getAsLong();
+		this.targets.takeResumed().forEach((target) -> this.eventSink.post(new EntryEvent.TargetResumed(target)));
 		boolean mayBeSilent = this.targets.mayBeSilent(now) | this.nodes.mayBeSilent(now);
 		if (mayBeSilent && !this.checkPending) {
 			scheduleReport();
@@ -110,7 +112,15 @@
 		if (this.targets.isPathSilent(now)) {
 			this.eventSink.post(new EntryEvent.AllTargetsSilent());
 		}
-		this.targets.findSilentSenders(now).forEach(this::report);
+		List<StreamActivity.Silence<TargetName>> silences = this.targets.findSilentSenders(now);
+		List<StreamActivity.Silence<TargetName>> lasting = this.targets.findLastingSilences(now);
+		if (!silences.isEmpty() || !lasting.isEmpty()) {
+			this.eventSink
+				.post(new EntryEvent.TargetsStalled(this.targets.findStalledNow(now), this.targets.areAllSilent(now)));
+		}
+		silences.forEach(this::report);
+		lasting.forEach((silence) -> this.eventSink
+			.post(new EntryEvent.TargetStillSilent(silence.sender(), silence.streamsStarted())));
 		this.nodes.findSilentSenders(now)
 			.forEach((silence) -> this.eventSink.post(new EntryEvent.ProxySilent(silence.sender())));
 	}
--- a/src/main/java/sycamorehill/logic/dispatch/RequestDispatcher.java
+++ b/src/main/java/sycamorehill/logic/dispatch/RequestDispatcher.java
@@ -557,6 +557,35 @@
 		this.stalledStreams.handleSilentTarget(target, source, now, effects);
 	}
 
+	/**
+	 * Handles a target whose silence lasts. Its streams wait no longer for it, even if
+	 * all other targets were silent too.
+	 * @param target the target
+	 * @param now the current time
+	 * @param effects receives the resulting effects
+	 */
+	public void handleLastingSilence(TargetName target, Instant now, Effects effects) {
+		this.stalledStreams.handleLastingSilence(target, now, effects);
+	}
+
+	/**
+	 * Handles a silent target that has sent something again.
+	 * @param target the target
+	 */
+	public void handleResumedTarget(TargetName target) {
+		status(target).endSilence();
+	}
+
+	/**
+	 * Handles targets that have sent nothing for a short time. No stream leaves another
+	 * target for them.
+	 * @param stalled the targets
+	 * @param now the current time
+	 */
+	public void handleStalledTargets(EntryEvent.TargetsStalled stalled, Instant now) {
+		this.stalledStreams.handleStalledTargets(stalled, now);
+	}
+
 	/**
 	 * Returns whether requests may wait in a target's queue.
 	 * @param target the target
--- a/src/main/java/sycamorehill/logic/dispatch/StalledStreams.java
+++ b/src/main/java/sycamorehill/logic/dispatch/StalledStreams.java
@@ -13,6 +13,7 @@
 import sycamorehill.model.log.LogEvent;
 import sycamorehill.model.serving.AttemptEnd;
 import sycamorehill.model.serving.EntryEffect;
+import sycamorehill.model.serving.EntryEvent;
 import sycamorehill.model.serving.ProxiedRequest;
 import sycamorehill.model.serving.RequestKind;
 
@@ -23,7 +24,10 @@
  */
 final class StalledStreams {
 
-	/** How long a target is ejected whose answers have all paused. */
+	/** How long an observation of stalled targets is valid. */
+	private static final Duration OBSERVATION_VALIDITY = Duration.ofMillis(300);
+
+	/** How long a target is ejected whose answers have all paused, unless one goes on. */
 	private static final Duration SILENT_TARGET_EJECTION = Duration.ofSeconds(2);
 
 	private static final String TARGET_SILENT = "target silent";
@@ -44,6 +48,8 @@
 
 	private final AttemptOutcomes outcomes;
 
+	private Instant allStalledUntil = Instant.MIN;
+
 	private StalledStreams(Map<Long, DispatchedRequest> activeRequests, TargetSelector targetSelector,
 			ProxySelector proxySelector, AttemptScheduler scheduler, ParallelAttempts parallelAttempts,
 			AttemptOutcomes outcomes) {
@@ -63,12 +69,38 @@
 
 	void handleSilentTarget(TargetName target, String source, Instant now, Effects effects) {
 		TargetStatus status = this.targetSelector.status(target);
-		status.eject(now, SILENT_TARGET_EJECTION);
+		status.ejectSilent(now, SILENT_TARGET_EJECTION);
 		effects.log(LogEvent.TARGET_SILENT,
 				"target=" + target + " in-flight=" + status.inFlight() + " source=" + source);
 		resumableStreams((request) -> isAt(target, request))
 			.forEach((request) -> this.outcomes.suspect(request, false, now, effects));
-		resumeElsewhere(target, (request) -> true, TARGET_SILENT + " by " + source, now, effects);
+		if (!now.isBefore(this.allStalledUntil)) {
+			resumeElsewhere(target, (request) -> true, TARGET_SILENT + " by " + source, now, effects);
+		}
+	}
+
+	/**
+	 * Handles a target whose silence lasts.
+	 * @param target the target
+	 * @param now the current time
+	 * @param effects receives the resulting effects
+	 */
+	void handleLastingSilence(TargetName target, Instant now, Effects effects) {
+		this.targetSelector.status(target).ejectSilent(now, SILENT_TARGET_EJECTION);
+		resumeElsewhere(target, (request) -> true, TARGET_SILENT + " for long", now, effects);
+	}
+
+	/**
+	 * Handles targets that have sent nothing for a short time. If these are all targets
+	 * with streams, nothing tells a loss of the targets from a pause of them or of the
+	 * path, and streams wait for a while: any other target may be as silent.
+	 * @param stalled the targets
+	 * @param now the current time
+	 */
+	void handleStalledTargets(EntryEvent.TargetsStalled stalled, Instant now) {
+		Instant until = now.plus(OBSERVATION_VALIDITY);
+		stalled.targets().forEach((target) -> this.targetSelector.status(target).markStalled(until));
+		this.allStalledUntil = stalled.all() ? until : Instant.MIN;
 	}
 
 	void handleReportedSilence(TargetName target, String source, Instant now, Effects effects) {
--- a/src/main/java/sycamorehill/logic/dispatch/TargetSelector.java
+++ b/src/main/java/sycamorehill/logic/dispatch/TargetSelector.java
@@ -85,7 +85,8 @@
 	}
 
 	/**
-	 * Selects another target for a request that is at one.
+	 * Selects another target for a request that is at one, but none that has stopped
+	 * sending as well.
 	 * @param request the request
 	 * @param now the current time
 	 * @return the target, and whether the request is admitted there
@@ -93,6 +94,11 @@
 	Selection selectOther(DispatchedRequest request, Instant now) {
 		Set<TargetName> excluded = new HashSet<>(request.triedTargets());
 		request.target().ifPresent(excluded::add);
+		this.statuses.byTarget().forEach((target, status) -> {
+			if (status.isStalled(now)) {
+				excluded.add(target);
+			}
+		});
 		return selectRecorded(request, excluded, now);
 	}
 
--- a/src/main/java/sycamorehill/logic/dispatch/TargetStatus.java
+++ b/src/main/java/sycamorehill/logic/dispatch/TargetStatus.java
@@ -46,6 +46,9 @@
 
 	private Instant ejectedUntil = Instant.MIN;
 
+	/** Until when the target receives no requests because it is silent. */
+	private Instant silentUntil = Instant.MIN;
+
 	private Instant restUntil = Instant.MIN;
 
 	/**
@@ -53,6 +56,9 @@
 	 */
 	private Instant awayUntil = Instant.MIN;
 
+	/** Until when the target counts as stalled, having sent nothing for a short time. */
+	private Instant stalledUntil = Instant.MIN;
+
 	private int consecutiveFailures;
 
 	private double failureRate;
@@ -174,12 +180,29 @@
 		}
 	}
 
+	/**
+	 * Stops requests of this node because the target sends nothing.
+	 * @param now the current time
+	 * @param time how long it receives no requests unless it sends something
+	 */
+	void ejectSilent(Instant now, Duration time) {
+		this.silentUntil = later(this.silentUntil, now.plus(time));
+		this.awayUntil = later(this.awayUntil, this.silentUntil);
+	}
+
+	/** Ends the ejection of a target that was silent. */
+	void endSilence() {
+		this.silentUntil = Instant.MIN;
+		this.stalledUntil = Instant.MIN;
+	}
+
 	/**
 	 * Ends an ejection and forgets the failures that led to it, because they were those
 	 * of the path and not of the target.
 	 */
 	void endEjection() {
 		this.ejectedUntil = Instant.MIN;
+		this.silentUntil = Instant.MIN;
 		this.awayUntil = this.restUntil;
 		this.consecutiveFailures = 0;
 		this.failureRate = 0;
@@ -227,7 +250,8 @@
 	 * @return the time; zero if it is not ejected
 	 */
 	Duration ejectionLeft(Instant now) {
-		return now.isBefore(this.ejectedUntil) ? Duration.between(now, this.ejectedUntil) : Duration.ZERO;
+		Instant until = later(this.ejectedUntil, this.silentUntil);
+		return now.isBefore(until) ? Duration.between(now, until) : Duration.ZERO;
 	}
 
 	/**
@@ -254,7 +278,15 @@
 	 * @return false while it is ejected or rests
 	 */
 	boolean acceptsRequests(Instant now) {
-		return !now.isBefore(this.ejectedUntil) && !now.isBefore(this.restUntil);
+		return ejectionLeft(now).isZero() && !now.isBefore(this.restUntil);
+	}
+
+	void markStalled(Instant until) {
+		this.stalledUntil = until;
+	}
+
+	boolean isStalled(Instant now) {
+		return now.isBefore(this.stalledUntil);
 	}
 
 	double failureRate() {
--- a/src/main/java/sycamorehill/logic/entry/RequestEvents.java
+++ b/src/main/java/sycamorehill/logic/entry/RequestEvents.java
@@ -91,6 +91,15 @@
 		else if (event instanceof EntryEvent.TargetReported received) {
 			handleTargetReport(received, now, effects);
 		}
+		else if (event instanceof EntryEvent.TargetsStalled stalled) {
+			this.requests.handleStalledTargets(stalled, now);
+		}
+		else if (event instanceof EntryEvent.TargetResumed resumed) {
+			this.requests.handleResumedTarget(resumed.target());
+		}
+		else if (event instanceof EntryEvent.TargetStillSilent silent) {
+			this.silentTargets.handleLastingSilence(silent, now, effects);
+		}
 		else if (event instanceof EntryEvent.TargetSilent silent) {
 			this.silentTargets.handleSilence(silent, now, effects);
 		}
--- a/src/main/java/sycamorehill/logic/entry/SilentTargets.java
+++ b/src/main/java/sycamorehill/logic/entry/SilentTargets.java
@@ -49,8 +49,7 @@
 	 */
 	void handleSilence(EntryEvent.TargetSilent silent, Instant now, Effects effects) {
 		TargetName target = silent.target();
-		boolean mayBeQueued = !silent.answersStarted() && this.requests.mayQueue(target, now);
-		if (mayBeQueued && !this.requests.paths().isUnreachable(target)) {
+		if (mayBeQueued(target, silent.answersStarted(), now)) {
 			return;
 		}
 		this.requests.handleSilentTarget(target, this.nodeName, now, effects);
@@ -59,6 +58,22 @@
 		}
 	}
 
+	private boolean mayBeQueued(TargetName target, boolean answersStarted, Instant now) {
+		return !answersStarted && this.requests.mayQueue(target, now) && !this.requests.paths().isUnreachable(target);
+	}
+
+	/**
+	 * Handles a silence that was reported before and still lasts.
+	 * @param silent the silent target
+	 * @param now the current time
+	 * @param effects receives the resulting effects
+	 */
+	void handleLastingSilence(EntryEvent.TargetStillSilent silent, Instant now, Effects effects) {
+		if (!mayBeQueued(silent.target(), silent.answersStarted(), now)) {
+			this.requests.handleLastingSilence(silent.target(), now, effects);
+		}
+	}
+
 	private void report(TargetName target, Instant now, Effects effects) {
 		handleReport(new NodeMessage.Silence(this.nodeName, target), now, effects);
 		this.groups.controller()
--- a/src/main/java/sycamorehill/model/serving/EntryEvent.java
+++ b/src/main/java/sycamorehill/model/serving/EntryEvent.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 
 import sycamorehill.model.identity.DataCentreName;
 import sycamorehill.model.identity.TargetName;
@@ -127,6 +128,41 @@
 	record TargetUnreached(TargetName target) implements EntryEvent {
 	}
 
+	/**
+	 * Targets have sent nothing for a short time on streams that had started. Comes
+	 * before the silences that are reported at the same moment.
+	 *
+	 * @param targets the targets
+	 * @param all whether these are all targets with such streams, and several
+	 */
+	record TargetsStalled(Set<TargetName> targets, boolean all) implements EntryEvent {
+
+		/**
+		 * Copies the targets.
+		 */
+		public TargetsStalled {
+			targets = Set.copyOf(targets);
+		}
+
+	}
+
+	/**
+	 * A silence of a target that was reported before still lasts.
+	 *
+	 * @param target the target
+	 * @param answersStarted whether any of the answers had started
+	 */
+	record TargetStillSilent(TargetName target, boolean answersStarted) implements EntryEvent {
+	}
+
+	/**
+	 * A target whose silence was reported has sent something again.
+	 *
+	 * @param target the target
+	 */
+	record TargetResumed(TargetName target) implements EntryEvent {
+	}
+
 	/**
 	 * Nothing was received for long on all streams that had started, whatever their
 	 * target.
--- a/src/test/java/sycamorehill/entry/SilentEngineStreamTests.java
+++ b/src/test/java/sycamorehill/entry/SilentEngineStreamTests.java
@@ -29,6 +29,8 @@
 
 	private static final int RACES = 12;
 
+	private static final int REQUESTS_UNTIL_DETECTED = 10;
+
 	private static final Duration MAXIMUM_CANCELLATION_TIME = Duration.ofMillis(500);
 
 	private static final int PAUSE_MILLIS = 1200;
@@ -187,4 +189,28 @@
 		return this.cluster.streamRequests().stream().filter("closed"::equals).count();
 	}
 
+	// Guards against an answer cut because a proxy ends its attempt before another target
+	// has taken the stream.
+	@Test
+	void aStreamThroughAnotherNodeGoesOnAtItsEngineIfAnotherRefusesIt() throws Exception {
+		start((request, out) -> {
+			if (isResumed(request)) {
+				sleep(REFUSAL_MILLIS);
+				return refuse(request, out);
+			}
+			if (request.contains("silent-")) {
+				return streamWithPause(request, out);
+			}
+			write(out, LoopbackCluster.events(request, 1, EVENTS_BEFORE, true));
+			return true;
+		}, "one", "two");
+		this.cluster.cut("one", TargetLink.Way.RESET);
+		for (int asked = 0; asked < REQUESTS_UNTIL_DETECTED; asked++) {
+			this.cluster.ask("one", "/again/x", "lost-" + asked);
+			this.cluster.ask("one", "/stream/x", "lost-stream-" + asked);
+		}
+		assertWhole(this.cluster.ask("one", "/stream/x", "silent-proxied"));
+		assertThat(this.cluster.streamRequests()).anyMatch(SilentEngineStreamTests::isResumed);
+	}
+
 }
--- a/src/test/java/sycamorehill/entry/StreamMonitorTests.java
+++ b/src/test/java/sycamorehill/entry/StreamMonitorTests.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Queue;
+import java.util.Set;
 
 import org.junit.jupiter.api.Test;
 
@@ -78,8 +79,8 @@
 			runAfterNextRead();
 		}
 		assertThat(this.reported).containsExactlyInAnyOrder(new EntryEvent.AllTargetsSilent(),
-				new EntryEvent.TargetSilent(FIRST, true), new EntryEvent.TargetSilent(SECOND, true),
-				new EntryEvent.ProxySilent("n"));
+				new EntryEvent.TargetsStalled(Set.of(FIRST, SECOND), true), new EntryEvent.TargetSilent(FIRST, true),
+				new EntryEvent.TargetSilent(SECOND, true), new EntryEvent.ProxySilent("n"));
 	}
 
 	// Each additional timer wakes the process.
@@ -93,4 +94,47 @@
 		assertThat(this.afterNextRead).isEmpty();
 	}
 
+	// Guards against streams that leave a target for one that is as silent.
+	@Test
+	void stalledTargetsAreReportedBeforeTheSilences() {
+		startStreams();
+		for (int number = 0; number < 7; number++) {
+			pass(Duration.ofMillis(100));
+			if (number < 2) {
+				this.monitor.targets().recordProgress(SECOND, this.now);
+			}
+			runAfterNextRead();
+		}
+		assertThat(this.reported).startsWith(new EntryEvent.AllTargetsSilent());
+		assertThat(this.reported.indexOf(new EntryEvent.TargetsStalled(Set.of(FIRST, SECOND), true))).isPositive()
+			.isLessThan(this.reported.indexOf(new EntryEvent.TargetSilent(FIRST, true)));
+		assertThat(this.reported).doesNotContain(new EntryEvent.TargetSilent(SECOND, true));
+	}
+
+	// Guards against streams that wait for ever because a silence is reported once only.
+	@Test
+	void aSilenceThatLastsIsReportedAgain() {
+		startStreams();
+		for (int number = 0; number < 26; number++) {
+			pass(Duration.ofMillis(100));
+			runAfterNextRead();
+		}
+		assertThat(this.reported.stream().filter(new EntryEvent.TargetStillSilent(FIRST, true)::equals)).hasSize(1);
+		assertThat(this.reported.stream().filter(new EntryEvent.TargetSilent(FIRST, true)::equals)).hasSize(1);
+	}
+
+	// Guards against targets that stay ejected after they have gone on.
+	@Test
+	void aSilentTargetThatGoesOnIsReported() {
+		startStreams();
+		for (int number = 0; number < 8; number++) {
+			pass(Duration.ofMillis(100));
+			runAfterNextRead();
+		}
+		recordProgress();
+		pass(Duration.ofMillis(100));
+		assertThat(this.reported).filteredOn(EntryEvent.TargetResumed.class::isInstance)
+			.containsExactlyInAnyOrder(new EntryEvent.TargetResumed(FIRST), new EntryEvent.TargetResumed(SECOND));
+	}
+
 }
--- a/src/test/java/sycamorehill/logic/dispatch/ParallelAttemptTests.java
+++ b/src/test/java/sycamorehill/logic/dispatch/ParallelAttemptTests.java
@@ -4,6 +4,7 @@
 import java.time.Instant;
 import java.util.List;
 import java.util.Random;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
 import org.junit.jupiter.api.BeforeEach;
@@ -17,6 +18,7 @@
 import sycamorehill.model.identity.TargetName;
 import sycamorehill.model.serving.AttemptEnd;
 import sycamorehill.model.serving.EntryEffect;
+import sycamorehill.model.serving.EntryEvent;
 import sycamorehill.model.serving.MemberState;
 import sycamorehill.model.serving.NotRunCause;
 import sycamorehill.model.serving.TargetEntry;
@@ -225,4 +227,49 @@
 		assertThat(requestsInFlight()).isZero();
 	}
 
+	private void reportStalled(boolean all, String... targets) {
+		this.dispatcher.handleStalledTargets(
+				new EntryEvent.TargetsStalled(Stream.of(targets).map(TargetName::of).collect(Collectors.toSet()), all),
+				this.now);
+	}
+
+	// Guards against a second attempt at a target that is as silent as the first.
+	@Test
+	void theSecondAttemptGoesToNoStalledTarget() {
+		this.firstTarget = startStream();
+		String sound = Stream.of("a1", "b1", "c1")
+			.filter((name) -> !name.equals(this.firstTarget.value()))
+			.toList()
+			.get(1);
+		reportStalled(false, Stream.of("a1", "b1", "c1").filter((name) -> !name.equals(sound)).toArray(String[]::new));
+		assertThat(startedAt(reportSilent(this.firstTarget))).isEqualTo(TargetName.of(sound));
+	}
+
+	// Guards against streams that change places among targets that all pause.
+	@Test
+	void theStreamWaitsForAWhileIfAllTargetsAreStalled() {
+		this.firstTarget = startStream();
+		reportStalled(true, this.firstTarget.value());
+		assertThat(ofStream(reportSilent(this.firstTarget))).isEmpty();
+		pass(Duration.ofSeconds(1));
+		reportStalled(true, this.firstTarget.value());
+		Effects effects = Effects.create();
+		this.dispatcher.handleLastingSilence(this.firstTarget, this.now, effects);
+		assertThat(ofStream(effects.all())).containsExactly("StartAttempt");
+	}
+
+	// Guards against new requests refused by targets that have gone on.
+	@Test
+	void aTargetThatGoesOnGetsRequestsAtOnce() {
+		this.directory.replaceAll(group("a").toList(), this.now);
+		startSilentStream();
+		Effects refused = Effects.create();
+		this.dispatcher.handleRequest(ServingSamples.request(2, "/stream/x"), this.now, this.now, refused);
+		assertThat(refused.all()).noneMatch(EntryEffect.StartAttempt.class::isInstance);
+		this.dispatcher.handleResumedTarget(this.firstTarget);
+		Effects started = Effects.create();
+		this.dispatcher.handleRequest(ServingSamples.request(3, "/stream/x"), this.now, this.now, started);
+		assertThat(startedAt(started.all())).isEqualTo(this.firstTarget);
+	}
+
 }
