Search each line of a pending event once

A target that sends lines without a blank line, at 50 connections at once, kept the event loop busy: each read searched the pending event from its start again, up to a megabyte. Callers got their end after 3.1 s, at their deadline of 3 s, where 2.7 s are asked (EndlessAnswerTests, COMMENTS, red before). The search now goes on where it stopped.

--- a/src/main/java/sycamorehill/entry/EventSplitter.java
+++ b/src/main/java/sycamorehill/entry/EventSplitter.java
@@ -23,6 +23,9 @@
 
 	private final ByteBuf pending;
 
+	/** Bytes of whole lines of the first pending event that have been searched. */
+	private int searchedBytes;
+
 	private EventSplitter(ByteBuf pending) {
 		this.pending = pending;
 	}
@@ -42,6 +45,7 @@
 		int end = endOfEvent();
 		while (end > 0) {
 			ByteBuf event = this.pending.readBytes(end - this.pending.readerIndex());
+			this.searchedBytes = 0;
 			sink.accept(event, eventNumber(event));
 			end = endOfEvent();
 		}
@@ -51,6 +55,10 @@
 		this.pending.discardSomeReadBytes();
 	}
 
+	int pendingBytes() {
+		return this.pending.readableBytes();
+	}
+
 	boolean hasPartialEvent() {
 		return this.pending.isReadable();
 	}
@@ -61,7 +69,7 @@
 
 	// Returns the index after the blank line that ends the first event, or -1.
 	private int endOfEvent() {
-		int lineStart = this.pending.readerIndex();
+		int lineStart = this.pending.readerIndex() + this.searchedBytes;
 		int lineEnd = endOfLine(this.pending, lineStart);
 		while (lineEnd >= 0) {
 			int length = lineEnd - lineStart;
@@ -72,6 +80,7 @@
 			lineStart = lineEnd + 1;
 			lineEnd = endOfLine(this.pending, lineStart);
 		}
+		this.searchedBytes = lineStart - this.pending.readerIndex();
 		return -1;
 	}
 
