--- a/src/main/java/sycamorehill/logic/dispatch/AttemptScheduler.java
+++ b/src/main/java/sycamorehill/logic/dispatch/AttemptScheduler.java
@@ -262,7 +262,7 @@
 	private void retryOrGiveUp(DispatchedRequest request, AttemptPlace place, String cause, boolean allowed,
 			Instant now, Effects effects) {
 		if (!allowed || !takeRetry(request, now, effects)) {
-			giveUp(request, cause, now, effects);
+			giveUp(request, cause + " at " + place, now, effects);
 			return;
 		}
 		logRetry(request, place, cause, now, effects);
