Bound what targets may send before a head and hold before their answers are complete

The users' new passage: bytes that are no answer may come without end, in a head or a body, until the caller closes. With 50 connections at once, control characters before the status line and interim answers (1xx) were read until the callers' deadlines, and beside interim answers other callers waited for over a second; answers that are held until they are complete, 16 MiB each, had no limit together, where a node has 128 MB of direct memory.

Now a connection that brings 256 KiB without a whole head is closed as one with an invalid answer, and answers and events that are held share 32 MiB; each may hold 64 KiB besides, so that endless ones don't fail small ones.

EndlessAnswerTests, 50 connections at once over loopback, others served meanwhile within a second: CONTROL_CHARACTERS, INTERIM_ANSWERS and COMMENTS red before; status line, header line, header lines, chunk size, chunk extension, trailers and one event without end were bounded before. A body without end, of a failure and of a refusal, was bounded for each answer alone (AnswerMemoryTests has the sum). Not tested: the node's usual memory in a process of its own, answers of the store, of other nodes and of probes, tiny events without end, callers that read slowly beside them.

--- a/src/main/java/sycamorehill/entry/TargetAttempt.java
+++ b/src/main/java/sycamorehill/entry/TargetAttempt.java
@@ -44,6 +44,8 @@
 
 	private static final Duration MAXIMUM_IDLE_TIME_IDEMPOTENT = Duration.ofMinutes(10);
 
+	private static final String NO_MEMORY_CAUSE = "the answers of all targets hold too much memory";
+
 	private final EntryEffect.StartAttempt start;
 
 	private final AttemptExchange exchange;
@@ -76,6 +78,9 @@
 
 	private ByteBuf body;
 
+	/** Bytes of the answer that are held until more of it arrives. */
+	private int heldBytes;
+
 	private EventSplitter events;
 
 	private boolean allEventsNumbered = true;
@@ -192,11 +197,7 @@
 			return;
 		}
 		if (!this.streaming) {
-			this.body.writeBytes(bytes);
-			if (this.body.readableBytes() > MAXIMUM_ANSWER_BYTES) {
-				closeConnection();
-				finish(new AttemptEnd.Unknown("the answer is longer than " + MAXIMUM_ANSWER_BYTES + " bytes", false));
-			}
+			handlePart(bytes);
 			return;
 		}
 		this.activity.recordProgress(this.start.target().name(), System.nanoTime());
@@ -208,9 +209,32 @@
 			handleStreamFailure(ex.getMessage(), false);
 			return;
 		}
+		if (!this.finished && !hold(this.events.pendingBytes())) {
+			closeConnection();
+			handleStreamFailure(NO_MEMORY_CAUSE, false);
+			return;
+		}
 		this.exchange.flush();
 	}
 
+	private void handlePart(ByteBuf bytes) {
+		int size = this.body.readableBytes() + bytes.readableBytes();
+		boolean tooLong = size > MAXIMUM_ANSWER_BYTES;
+		if (tooLong || !hold(size)) {
+			closeConnection();
+			finish(new AttemptEnd.Unknown(
+					tooLong ? "the answer is longer than " + MAXIMUM_ANSWER_BYTES + " bytes" : NO_MEMORY_CAUSE, false));
+			return;
+		}
+		this.body.writeBytes(bytes);
+	}
+
+	private boolean hold(int bytes) {
+		boolean held = this.connectionPool.answerMemory().resize(this.heldBytes, bytes);
+		this.heldBytes = held ? bytes : this.heldBytes;
+		return held;
+	}
+
 	private void handleEvent(ByteBuf event, OptionalLong number) {
 		if (this.finished) {
 			event.release();
@@ -410,6 +434,7 @@
 
 	private void finish() {
 		this.finished = true;
+		hold(0);
 		if (this.activityTracked) {
 			recordPaused(false);
 			this.activity.recordRequestEnded(this.start.target().name(), this.answerStarted, System.nanoTime());
--- a/src/main/java/sycamorehill/entry/TargetConnection.java
+++ b/src/main/java/sycamorehill/entry/TargetConnection.java
@@ -20,6 +20,12 @@
  */
 final class TargetConnection extends ChannelInboundHandlerAdapter {
 
+	/**
+	 * Maximum number of bytes before the head of an answer is complete: room for a head
+	 * of the largest size and some interim answers.
+	 */
+	private static final int MAXIMUM_BYTES_BEFORE_HEAD = 256 * 1024;
+
 	private ChannelHandlerContext context;
 
 	private AnswerHandler answerHandler;
@@ -28,6 +34,8 @@
 
 	private boolean answerStarted;
 
+	private int bytesBeforeHead;
+
 	@Override
 	public void handlerAdded(ChannelHandlerContext addedContext) {
 		this.context = addedContext;
@@ -36,6 +44,25 @@
 	void expectAnswer(AnswerHandler handler) {
 		this.answerHandler = handler;
 		this.answerStarted = false;
+		this.bytesBeforeHead = 0;
+	}
+
+	/**
+	 * Counts received bytes while the head of an answer is awaited. Too many end the
+	 * answer and close the connection.
+	 * @param bytes number of bytes that have arrived
+	 * @return false if they are too many
+	 */
+	boolean admitBytes(int bytes) {
+		if (this.answerStarted) {
+			return true;
+		}
+		this.bytesBeforeHead += bytes;
+		if (this.bytesBeforeHead <= MAXIMUM_BYTES_BEFORE_HEAD) {
+			return true;
+		}
+		handleInvalidAnswer("no head of an answer within " + MAXIMUM_BYTES_BEFORE_HEAD + " bytes");
+		return false;
 	}
 
 	boolean isOpen() {
--- a/src/main/java/sycamorehill/entry/TargetConnectionPool.java
+++ b/src/main/java/sycamorehill/entry/TargetConnectionPool.java
@@ -57,6 +57,8 @@
 
 	private final ConnectTimeout connectTimeout = ConnectTimeout.create();
 
+	private final AnswerMemory answerMemory = AnswerMemory.create();
+
 	private final Map<TargetAddress, Deque<IdleConnection>> idleConnections = new HashMap<>();
 
 	private TargetConnectionPool(EventLoop loop) {
@@ -70,8 +72,10 @@
 			.handler(new ChannelInitializer<Channel>() {
 				@Override
 				protected void initChannel(Channel channel) {
+					TargetConnection connection = new TargetConnection();
 					channel.pipeline()
-						.addLast(StrictResponseDecoder.create(), new HttpRequestEncoder(), new TargetConnection());
+						.addLast(AnswerHeadLimit.of(connection), StrictResponseDecoder.create(),
+								new HttpRequestEncoder(), connection);
 				}
 			});
 	}
@@ -80,6 +84,14 @@
 		return new TargetConnectionPool(loop);
 	}
 
+	/**
+	 * Returns the memory of answers that are held until they are complete.
+	 * @return the memory
+	 */
+	AnswerMemory answerMemory() {
+		return this.answerMemory;
+	}
+
 	/**
 	 * Returns an idle connection and removes it from the pool.
 	 * @param target the target
