Bound the memory of answers to calls of the node itself

The store, an engine's report or an order's answer may also end never. Each call held up to 32 MiB until its timeout, with no limit for all calls together, in a heap of 160 MB. Calls now share 32 MiB of their own, apart from callers' answers, which must not fail calls to the store, and are bounded before the head like those. callsWhoseAnswersDoNotEndFail: ten calls at once; it was not run on the code before.

--- a/src/main/java/sycamorehill/entry/CallClient.java
+++ b/src/main/java/sycamorehill/entry/CallClient.java
@@ -37,6 +37,9 @@
 
 	private final TargetConnectionPool connectionPool;
 
+	/** Apart from that of callers' answers, which must not fail calls to the store. */
+	private final AnswerMemory answerMemory = AnswerMemory.create();
+
 	private CallClient(TargetConnectionPool connections) {
 		this.connectionPool = connections;
 	}
@@ -166,11 +169,16 @@
 
 		@Override
 		public void handleBody(ByteBuf bytes) {
-			if (this.body.readableBytes() + bytes.readableBytes() > MAXIMUM_ANSWER_BYTES) {
+			int size = this.body.readableBytes() + bytes.readableBytes();
+			if (size > MAXIMUM_ANSWER_BYTES) {
 				abort("the answer is longer than " + MAXIMUM_ANSWER_BYTES + " bytes");
-				return;
 			}
-			this.body.writeBytes(bytes);
+			else if (!CallClient.this.answerMemory.resize(this.body.readableBytes(), size)) {
+				abort("the answers of all calls hold too much memory");
+			}
+			else {
+				this.body.writeBytes(bytes);
+			}
 		}
 
 		// Cancels the timer, which would otherwise wake the process although the answer
@@ -187,6 +195,7 @@
 			else {
 				this.connection.close();
 			}
+			CallClient.this.answerMemory.resize(this.body.readableBytes(), 0);
 			byte[] bytes = new byte[this.body.readableBytes()];
 			this.body.readBytes(bytes);
 			CallAnswer received = new CallAnswer(this.head.status().code(), this.head.headers(), bytes);
@@ -205,6 +214,8 @@
 
 		private void fail(String cause) {
 			this.timer.cancel(false);
+			CallClient.this.answerMemory.resize(this.body.readableBytes(), 0);
+			this.body.clear();
 			this.answer.completeExceptionally(CallFailedException.of(CallFailedException.Cause.NO_ANSWER, cause));
 		}
 
--- a/src/test/java/sycamorehill/entry/CallClientTests.java
+++ b/src/test/java/sycamorehill/entry/CallClientTests.java
@@ -6,15 +6,20 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.handler.codec.http.HttpMethod;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import sycamorehill.model.identity.Address;
 import sycamorehill.model.identity.TargetName;
@@ -30,6 +35,12 @@
 
 	private static final Duration TIMEOUT = Duration.ofMillis(200);
 
+	private static final Duration LONG_TIMEOUT = Duration.ofSeconds(20);
+
+	private static final int MANY_BYTES = 64 * 1024;
+
+	private static final int CALLS = 10;
+
 	private final NioEventLoopGroup eventLoops = new NioEventLoopGroup(1);
 
 	@AfterEach
@@ -56,6 +67,30 @@
 		}
 	}
 
+	// Guards against memory held by answers of the store or of engines that don't end.
+	@ParameterizedTest
+	@ValueSource(strings = { "\r\n", "HTTP/1.1 102 Processing\r\n\r\n", "HTTP/1.1 200 OK\r\n\r\n" })
+	void callsWhoseAnswersDoNotEndFail(String repeated) throws Exception {
+		byte[] part = repeated.repeat(MANY_BYTES / repeated.length()).getBytes(StandardCharsets.ISO_8859_1);
+		try (RawTarget store = RawTarget.start((request, out) -> {
+			for (int parts = 0; parts < MANY_BYTES; parts++) {
+				out.write(part);
+			}
+			return false;
+		})) {
+			CallClient client = CallClient.of(TargetConnectionPool.of(this.eventLoops.next()));
+			TargetAddress target = new TargetAddress(TargetName.of("store"), store.address());
+			List<CompletableFuture<CallAnswer>> answers = IntStream.range(0, CALLS)
+				.mapToObj((call) -> client.call(CallClient.Call.get(target, "/list"), null, LONG_TIMEOUT))
+				.toList();
+			for (CompletableFuture<CallAnswer> answer : answers) {
+				assertThatThrownBy(() -> answer.get(LONG_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS))
+					.isInstanceOf(ExecutionException.class)
+					.hasCauseInstanceOf(CallFailedException.class);
+			}
+		}
+	}
+
 	private static String readAll(Socket socket) throws InterruptedException {
 		Thread.sleep(50);
 		try {
