End the absence of a silent target when it sends again

Where targets are warmed up slowly, a slow start then began up to 2 s after it had taken work again.

--- a/src/main/java/sycamorehill/logic/dispatch/RequestDispatcher.java
+++ b/src/main/java/sycamorehill/logic/dispatch/RequestDispatcher.java
@@ -571,9 +571,10 @@
 	/**
 	 * Handles a silent target that has sent something again.
 	 * @param target the target
+	 * @param now the current time
 	 */
-	public void handleResumedTarget(TargetName target) {
-		status(target).endSilence();
+	public void handleResumedTarget(TargetName target, Instant now) {
+		status(target).endSilence(now);
 	}
 
 	/**
--- a/src/main/java/sycamorehill/logic/dispatch/TargetStatus.java
+++ b/src/main/java/sycamorehill/logic/dispatch/TargetStatus.java
@@ -190,8 +190,14 @@
 		this.awayUntil = later(this.awayUntil, this.silentUntil);
 	}
 
-	/** Ends the ejection of a target that was silent. */
-	void endSilence() {
+	/**
+	 * Ends the ejection of a target that was silent.
+	 * @param now the current time
+	 */
+	void endSilence(Instant now) {
+		if (this.awayUntil.equals(this.silentUntil) && now.isBefore(this.silentUntil)) {
+			this.awayUntil = now;
+		}
 		this.silentUntil = Instant.MIN;
 		this.stalledUntil = Instant.MIN;
 	}
--- a/src/main/java/sycamorehill/logic/entry/RequestEvents.java
+++ b/src/main/java/sycamorehill/logic/entry/RequestEvents.java
@@ -95,7 +95,7 @@
 			this.requests.handleStalledTargets(stalled, now);
 		}
 		else if (event instanceof EntryEvent.TargetResumed resumed) {
-			this.requests.handleResumedTarget(resumed.target());
+			this.requests.handleResumedTarget(resumed.target(), now);
 		}
 		else if (event instanceof EntryEvent.TargetStillSilent silent) {
 			this.silentTargets.handleLastingSilence(silent, now, effects);
--- a/src/test/java/sycamorehill/entry/SilentEngineWorld.java
+++ b/src/test/java/sycamorehill/entry/SilentEngineWorld.java
@@ -529,7 +529,7 @@
 				this.dispatcher.handleStalledTargets(stalled, SilentEngineWorld.this.now);
 			}
 			else if (event instanceof EntryEvent.TargetResumed resumed) {
-				this.dispatcher.handleResumedTarget(resumed.target());
+				this.dispatcher.handleResumedTarget(resumed.target(), SilentEngineWorld.this.now);
 			}
 			else if (event instanceof EntryEvent.TargetStillSilent silent) {
 				handle((effects) -> this.dispatcher.handleLastingSilence(silent.target(), SilentEngineWorld.this.now,
--- a/src/test/java/sycamorehill/logic/dispatch/ParallelAttemptTests.java
+++ b/src/test/java/sycamorehill/logic/dispatch/ParallelAttemptTests.java
@@ -258,6 +258,17 @@
 		assertThat(ofStream(effects.all())).containsExactly("StartAttempt");
 	}
 
+	// Guards against a slow start long after the target has gone on.
+	@Test
+	void aTargetThatGoesOnIsAwayUntilThen() {
+		TargetStatus status = new TargetStatus();
+		status.ejectSilent(this.now, Duration.ofSeconds(2));
+		pass(Duration.ofMillis(700));
+		status.endSilence(this.now);
+		assertThat(status.acceptsRequests(this.now)).isTrue();
+		assertThat(status.awayUntil()).isEqualTo(this.now);
+	}
+
 	// Guards against new requests refused by targets that have gone on.
 	@Test
 	void aTargetThatGoesOnGetsRequestsAtOnce() {
@@ -266,7 +277,7 @@
 		Effects refused = Effects.create();
 		this.dispatcher.handleRequest(ServingSamples.request(2, "/stream/x"), this.now, this.now, refused);
 		assertThat(refused.all()).noneMatch(EntryEffect.StartAttempt.class::isInstance);
-		this.dispatcher.handleResumedTarget(this.firstTarget);
+		this.dispatcher.handleResumedTarget(this.firstTarget, this.now);
 		Effects started = Effects.create();
 		this.dispatcher.handleRequest(ServingSamples.request(3, "/stream/x"), this.now, this.now, started);
 		assertThat(startedAt(started.all())).isEqualTo(this.firstTarget);
