Report the silence of a proxy again while it lasts

A stream through a silent proxy that found no other place had no second chance, unlike one at a silent target, and the monitor asked for a report at each check. Found on reading the change again; the second report was absent before by construction.

--- a/src/main/java/sycamorehill/entry/StreamMonitor.java
+++ b/src/main/java/sycamorehill/entry/StreamMonitor.java
@@ -121,8 +121,12 @@
 		silences.forEach(this::report);
 		lasting.forEach((silence) -> this.eventSink
 			.post(new EntryEvent.TargetStillSilent(silence.sender(), silence.streamsStarted())));
-		this.nodes.findSilentSenders(now)
-			.forEach((silence) -> this.eventSink.post(new EntryEvent.ProxySilent(silence.sender())));
+		this.nodes.findSilentSenders(now).forEach(this::reportProxy);
+		this.nodes.findLastingSilences(now).forEach(this::reportProxy);
+	}
+
+	private void reportProxy(StreamActivity.Silence<String> silence) {
+		this.eventSink.post(new EntryEvent.ProxySilent(silence.sender()));
 	}
 
 	/** Records that a target was connected although all streams are silent. */
--- a/src/test/java/sycamorehill/entry/StreamMonitorTests.java
+++ b/src/test/java/sycamorehill/entry/StreamMonitorTests.java
@@ -121,6 +121,7 @@
 		}
 		assertThat(this.reported.stream().filter(new EntryEvent.TargetStillSilent(FIRST, true)::equals)).hasSize(1);
 		assertThat(this.reported.stream().filter(new EntryEvent.TargetSilent(FIRST, true)::equals)).hasSize(1);
+		assertThat(this.reported.stream().filter(new EntryEvent.ProxySilent("n")::equals)).hasSize(2);
 	}
 
 	// Guards against targets that stay ejected after they have gone on.
