--- a/src/test/java/sycamorehill/logic/layout/FakeFleet.java
+++ b/src/test/java/sycamorehill/logic/layout/FakeFleet.java
@@ -370,6 +370,12 @@
 			executeAll(effects);
 		}
 
+		void failReport(TargetName engine, EngineCommandAnswer answer) {
+			Effects effects = Effects.create();
+			this.control.handleReportFailure(engine, answer, false, FakeFleet.this.now, effects);
+			executeAll(effects);
+		}
+
 		void startTraffic() {
 			this.control.recordTraffic(FakeFleet.this.now);
 		}
--- a/src/test/java/sycamorehill/logic/layout/SilentMemberTests.java
+++ b/src/test/java/sycamorehill/logic/layout/SilentMemberTests.java
@@ -8,6 +8,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
+import sycamorehill.model.serving.EngineCommandAnswer;
 import sycamorehill.model.serving.Membership;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -89,4 +90,17 @@
 		assertThat(this.fleet.countServing()).isGreaterThanOrEqualTo(serving - 1);
 	}
 
+	// Guards against a whole group being disbanded because one connection took too long.
+	@Test
+	void aGroupIsKeptWhenOneConnectionAttemptTimesOut() {
+		this.controller.startTraffic();
+		this.fleet.run(FORMING_TIME);
+		List<FakeEngine> heads = heads();
+		List<Optional<Membership>> before = memberships(heads);
+		this.controller.failReport(heads.get(0).members().get(1), EngineCommandAnswer.NOT_CONNECTED);
+		this.fleet.run(SETTLING_TIME);
+		assertThat(memberships(heads)).isEqualTo(before);
+		assertThat(this.fleet.interruptedGroups()).isZero();
+	}
+
 }
