--- a/review/common/Deployment.java
+++ b/review/common/Deployment.java
@@ -87,6 +87,10 @@
 	}
 
 	void startNode(Node node) throws Exception {
+		startNode(node, 20);
+	}
+
+	void startNode(Node node, int patienceSeconds) throws Exception {
 		String run = Files.readAllLines(Path.of("deploy/system.toml")).stream()
 			.filter((line) -> line.startsWith("run = ")).findFirst().orElseThrow();
 		String command = run.substring(run.indexOf('"') + 1, run.lastIndexOf('"'));
@@ -95,14 +99,14 @@
 		builder.environment().put("SYCAMOREHILL_CONFIG", node.file().toString());
 		node.process = start(builder);
 		log("node " + node.name() + " started");
-		for (int trial = 0; trial < 400; trial++) {
+		for (int trial = 0; trial < 20 * patienceSeconds; trial++) {
 			if (node.isReady()) {
 				log("node " + node.name() + " is ready");
 				return;
 			}
 			Thread.sleep(50);
 		}
-		log("node " + node.name() + " isn't ready after 20 s");
+		log("node " + node.name() + " isn't ready after " + patienceSeconds + " s");
 	}
 
 	/** Starts an engine as a process of its own, and waits until it listens. */
--- a/review/common/EngineProcess.java
+++ b/review/common/EngineProcess.java
@@ -84,7 +84,7 @@
 
 	private static void run(OutputStream output, String attempt, String line) throws IOException, InterruptedException {
 		System.out.println("run " + attempt + " " + line);
-		Thread.sleep(20);
+		Thread.sleep(40);
 		write(output, "HTTP/1.1 200 OK\r\nAttempt-Id: " + attempt + "\r\nServer-Signature: " + id + "." + attempt
 				+ "\r\nContent-Length: 2\r\nKeep-Alive: timeout=5\r\n\r\nok");
 		System.out.println("done " + attempt);
