--- a/review/common/Deployment.java
+++ b/review/common/Deployment.java
@@ -9,6 +9,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 
 /** The store, the node processes and the engine processes of one script, on loopback addresses. */
@@ -69,7 +70,7 @@
 	Node startNode(String name, String ip, String zone) throws Exception {
 		int front = freePort(ip);
 		int ready = freePort(ip);
-		int range = freePort(ip);
+		int range = freePorts(ip, 16);
 		Path file = this.folder.resolve(name + ".conf");
 		Files.writeString(file, String.join("\n", "node_name=" + name, "role=entry", "machine_class=front",
 				"serves=front,control", "ip=" + ip, "zone=" + zone, "region=bengal", "zones.kolkata=bengal",
@@ -82,15 +83,13 @@
 				"bounds.retry_budget_extra=103", "bounds.recovery_s=12", "bounds.stall_ms=5000",
 				"bounds.ceiling_window_s=5", "platform.address=" + this.store.address(), "platform.form=objects", ""));
 		Node node = new Node(name, ip, front, ready, file, this.folder.resolve(name + ".log"));
-		startNode(node);
+		if (!startNode(node, 20)) {
+			throw new IllegalStateException(name + " doesn't become ready: " + Files.readString(node.log()));
+		}
 		return node;
 	}
 
-	void startNode(Node node) throws Exception {
-		startNode(node, 20);
-	}
-
-	void startNode(Node node, int patienceSeconds) throws Exception {
+	boolean startNode(Node node, int patienceSeconds) throws Exception {
 		String run = Files.readAllLines(Path.of("deploy/system.toml")).stream()
 			.filter((line) -> line.startsWith("run = ")).findFirst().orElseThrow();
 		String command = run.substring(run.indexOf('"') + 1, run.lastIndexOf('"'));
@@ -102,11 +101,15 @@
 		for (int trial = 0; trial < 20 * patienceSeconds; trial++) {
 			if (node.isReady()) {
 				log("node " + node.name() + " is ready");
-				return;
+				return true;
 			}
 			Thread.sleep(50);
 		}
+		if (patienceSeconds == 0) {
+			return false;
+		}
 		log("node " + node.name() + " isn't ready after " + patienceSeconds + " s");
+		return false;
 	}
 
 	/** Starts an engine as a process of its own, and waits until it listens. */
@@ -145,10 +148,27 @@
 	}
 
 	static int freePort(String ip) throws IOException {
-		try (ServerSocket socket = new ServerSocket()) {
-			socket.bind(new InetSocketAddress(ip, 0));
-			return socket.getLocalPort();
+		return freePorts(ip, 1);
+	}
+
+	// Below the ports that the system gives to outgoing connections, which could take one before it is bound.
+	private static int freePorts(String ip, int count) throws IOException {
+		for (int trial = 0; trial < 200; trial++) {
+			int first = 12000 + ThreadLocalRandom.current().nextInt(18000);
+			boolean free = true;
+			for (int port = first; free && port < first + count; port++) {
+				try (ServerSocket socket = new ServerSocket()) {
+					socket.bind(new InetSocketAddress(ip, port));
+				}
+				catch (IOException ex) {
+					free = false;
+				}
+			}
+			if (free) {
+				return first;
+			}
 		}
+		throw new IOException("no free ports");
 	}
 
 	private synchronized void endProcesses() {
--- a/review/common/EngineProcess.java
+++ b/review/common/EngineProcess.java
@@ -19,14 +19,21 @@
 
 	private static int pauseMillis;
 
+	/** Bytes a second that an engine in trouble sends on all its connections; 0 for a sound engine. */
+	private static int troubleBytesPerSecond;
+
 	private EngineProcess() {
 	}
 
-	/** Arguments: id, port, number of events of a stream, pause between them in milliseconds. */
+	/**
+	 * Arguments: id, port, number of events of a stream, pause between them in milliseconds, and for an engine in
+	 * trouble the bytes a second that it sends without end.
+	 */
 	public static void main(String[] arguments) throws IOException {
 		id = arguments[0];
 		events = (arguments.length > 2) ? Integer.parseInt(arguments[2]) : 0;
 		pauseMillis = (arguments.length > 3) ? Integer.parseInt(arguments[3]) : 0;
+		troubleBytesPerSecond = (arguments.length > 4) ? Integer.parseInt(arguments[4]) : 0;
 		ServerSocket listener = new ServerSocket();
 		listener.setReuseAddress(true);
 		listener.bind(new InetSocketAddress("127.0.0.1", Integer.parseInt(arguments[1])), 128);
@@ -58,6 +65,9 @@
 					stream(output, attempt);
 					return;
 				}
+				else if (troubleBytesPerSecond > 0) {
+					sendWithoutEnd(output, attempt);
+				}
 				else {
 					run(output, attempt, head.get(""));
 				}
@@ -82,6 +92,32 @@
 		System.out.println("done " + attempt);
 	}
 
+	// A body without end, in chunks of one byte.
+	private static void sendWithoutEnd(OutputStream output, String attempt) throws IOException, InterruptedException {
+		System.out.println("run " + attempt + " without end");
+		write(output, "HTTP/1.1 200 OK\r\nAttempt-Id: " + attempt + "\r\nServer-Signature: " + id + "." + attempt
+				+ "\r\nTransfer-Encoding: chunked\r\n\r\n");
+		byte[] block = "1\r\nx\r\n".repeat(2000).getBytes(StandardCharsets.ISO_8859_1);
+		while (true) {
+			takeBytes(block.length);
+			output.write(block);
+		}
+	}
+
+	private static long nextBlockNanos = System.nanoTime();
+
+	private static void takeBytes(int count) throws InterruptedException {
+		long wait;
+		synchronized (EngineProcess.class) {
+			long now = System.nanoTime();
+			nextBlockNanos = Math.max(now - 20_000_000, nextBlockNanos) + count * 1_000_000_000L / troubleBytesPerSecond;
+			wait = nextBlockNanos - now;
+		}
+		if (wait > 0) {
+			Thread.sleep(wait / 1_000_000, (int) (wait % 1_000_000));
+		}
+	}
+
 	private static void run(OutputStream output, String attempt, String line) throws IOException, InterruptedException {
 		System.out.println("run " + attempt + " " + line);
 		Thread.sleep(40);
