Say on which connection a request was served, and log answers that nobody waits for

A line is written once for each such answer, after which the connection is closed, so that a target can cause at most one for each connection. No decision changes.

--- a/src/main/java/sycamorehill/entry/CallClient.java
+++ b/src/main/java/sycamorehill/entry/CallClient.java
@@ -70,7 +70,7 @@
 		ChannelFuture connecting = this.connectionPool.connect(call.address());
 		connecting.addListener((future) -> {
 			if (future.isSuccess()) {
-				send(connecting.channel().pipeline().get(TargetConnection.class), call, header, timeout, answer);
+				send(TargetConnection.of(connecting.channel()), call, header, timeout, answer);
 			}
 			else {
 				answer.completeExceptionally(notConnected(future.cause()));
@@ -98,7 +98,7 @@
 			request.headers().set(header.name(), header.value());
 		}
 		AnswerCollector reading = new AnswerCollector(connection, call.address(), answer);
-		connection.expectAnswer(reading);
+		connection.expectAnswer(ExpectedAnswer.unidentified(reading));
 		reading.startTimer(timeout);
 		connection.context().writeAndFlush(request);
 	}
--- a/src/main/java/sycamorehill/entry/EntryNode.java
+++ b/src/main/java/sycamorehill/entry/EntryNode.java
@@ -134,6 +134,7 @@
 				System::nanoTime);
 		this.callerServer = CallerServer.of(this.loop, this.ports.codec(), this, this.exchanges, cutLog,
 				connectionLimit);
+		this.metrics.gauge("targets.unmatched-answers", this.targetConnections.unmatchedAnswers()::count);
 		this.metrics.gauge("callers.connections", this.callerServer::connections);
 		this.metrics.gauge("callers.connections-closed-unread", connectionLimit::unread);
 		this.proxyServer = ProxyServer.of(this.loop, this.exchanges, this, this.reducer::isNodeHost, cutLog);
--- a/src/main/java/sycamorehill/entry/ExchangeCodec.java
+++ b/src/main/java/sycamorehill/entry/ExchangeCodec.java
@@ -42,6 +42,13 @@
 	 */
 	TargetResponseHead readTargetResponse(HttpResponse response);
 
+	/**
+	 * Reads the identifier of the request that a target's answer names.
+	 * @param response the head of the answer
+	 * @return the identifier; empty if it names none
+	 */
+	Optional<String> readAnswerIdentifier(HttpResponse response);
+
 	/**
 	 * Creates the headers with which a target's answer is returned to the caller.
 	 * @param response the target's answer
--- a/src/main/java/sycamorehill/entry/TargetAttempt.java
+++ b/src/main/java/sycamorehill/entry/TargetAttempt.java
@@ -123,7 +123,7 @@
 				connecting.channel().close();
 			}
 			else {
-				send(connecting.channel().pipeline().get(TargetConnection.class));
+				send(TargetConnection.of(connecting.channel()));
 			}
 		});
 	}
@@ -136,7 +136,8 @@
 			return;
 		}
 		this.connection = openConnection;
-		openConnection.expectAnswer(this);
+		openConnection
+			.expectAnswer(ExpectedAnswer.of(this.exchange.identifier(), this.codec::readAnswerIdentifier, this));
 		if (this.start.handling().kind().isStreaming()) {
 			this.activityTracked = true;
 			this.activity.recordRequestSent(this.start.target().name(), System.nanoTime());
@@ -167,6 +168,7 @@
 		this.parsedHead = this.codec.readTargetResponse(response);
 		boolean matches = this.parsedHead.identifier().map(this.exchange.identifier()::equals).orElse(!this.reused);
 		if (!matches) {
+			this.connection.recordUnmatched(response);
 			closeConnection();
 			finish(new AttemptEnd.Unknown("an answer to another request", false));
 			return;
@@ -322,7 +324,7 @@
 		else {
 			cancelOtherAttempts();
 			this.exchange.deliver(this.head, this.body.retain());
-			finish(new AttemptEnd.Delivered(status, Duration.ZERO));
+			finish(new AttemptEnd.Delivered(status, Duration.ZERO, Optional.of(this.connection.use())));
 		}
 	}
 
@@ -336,7 +338,7 @@
 			this.exchange.startStream(this.head, this.parsedHead);
 		}
 		this.exchange.endStream();
-		finish(new AttemptEnd.Delivered(status, this.exchange.maximumPause()));
+		finish(new AttemptEnd.Delivered(status, this.exchange.maximumPause(), Optional.of(this.connection.use())));
 	}
 
 	private void releaseConnection() {
--- a/src/main/java/sycamorehill/entry/TargetConnection.java
+++ b/src/main/java/sycamorehill/entry/TargetConnection.java
@@ -2,6 +2,7 @@
 
 import java.util.function.Consumer;
 
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
@@ -13,6 +14,9 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 
+import sycamorehill.model.identity.TargetName;
+import sycamorehill.model.serving.ConnectionUse;
+
 /**
  * Connection to a target or another HTTP server. Data that arrives while no answer is
  * expected belongs to no request. The connection is then closed, so that the data can't
@@ -26,8 +30,19 @@
 	 */
 	private static final int MAXIMUM_BYTES_BEFORE_HEAD = 256 * 1024;
 
+	private final long number;
+
+	private final UnmatchedAnswers unmatchedAnswers;
+
+	private TargetName target;
+
 	private ChannelHandlerContext context;
 
+	private long requests;
+
+	/** What the last request on the connection waits or waited for; null before it. */
+	private ExpectedAnswer lastExpected;
+
 	private AnswerHandler answerHandler;
 
 	private boolean interimResponse;
@@ -36,13 +51,45 @@
 
 	private int bytesBeforeHead;
 
+	private TargetConnection(long number, UnmatchedAnswers unmatchedAnswers) {
+		this.number = number;
+		this.unmatchedAnswers = unmatchedAnswers;
+	}
+
+	static TargetConnection of(long number, UnmatchedAnswers unmatchedAnswers) {
+		return new TargetConnection(number, unmatchedAnswers);
+	}
+
+	/**
+	 * Returns the connection of a channel.
+	 * @param channel the channel
+	 * @return the connection
+	 */
+	static TargetConnection of(Channel channel) {
+		return channel.pipeline().get(TargetConnection.class);
+	}
+
 	@Override
 	public void handlerAdded(ChannelHandlerContext addedContext) {
 		this.context = addedContext;
 	}
 
-	void expectAnswer(AnswerHandler handler) {
-		this.answerHandler = handler;
+	void assignTarget(TargetName connected) {
+		this.target = connected;
+	}
+
+	/**
+	 * Returns the last use of the connection.
+	 * @return the use
+	 */
+	ConnectionUse use() {
+		return new ConnectionUse(this.number, this.requests);
+	}
+
+	void expectAnswer(ExpectedAnswer expected) {
+		this.requests++;
+		this.lastExpected = expected;
+		this.answerHandler = expected.handler();
 		this.answerStarted = false;
 		this.bytesBeforeHead = 0;
 	}
@@ -99,7 +146,7 @@
 	public void channelRead(ChannelHandlerContext ctx, Object message) {
 		try {
 			if (this.answerHandler == null) {
-				ctx.close();
+				handleUnexpected(message);
 			}
 			else if (message instanceof HttpObject object && object.decoderResult().isFailure()) {
 				handleInvalidAnswer("not an answer: " + object.decoderResult().cause().getMessage());
@@ -113,6 +160,22 @@
 		}
 	}
 
+	// Bytes that were in transit when this side closed the connection are not recorded.
+	private void handleUnexpected(Object message) {
+		if (isOpen() && this.lastExpected != null) {
+			this.unmatchedAnswers.record(this.target, use(), message, this.lastExpected, false);
+		}
+		this.context.close();
+	}
+
+	/**
+	 * Records a head that doesn't answer the request that waits.
+	 * @param head the head
+	 */
+	void recordUnmatched(HttpResponse head) {
+		this.unmatchedAnswers.record(this.target, use(), head, this.lastExpected, true);
+	}
+
 	private void dispatch(Object message) {
 		if (message instanceof HttpResponse response) {
 			this.interimResponse = response.status().codeClass() == HttpStatusClass.INFORMATIONAL
--- a/src/main/java/sycamorehill/entry/TargetConnectionPool.java
+++ b/src/main/java/sycamorehill/entry/TargetConnectionPool.java
@@ -59,6 +59,10 @@
 
 	private final AnswerMemory answerMemory = AnswerMemory.create();
 
+	private final UnmatchedAnswers unmatchedAnswers = UnmatchedAnswers.create();
+
+	private long connections;
+
 	private final Map<TargetAddress, Deque<IdleConnection>> idleConnections = new HashMap<>();
 
 	private TargetConnectionPool(EventLoop loop) {
@@ -72,7 +76,7 @@
 			.handler(new ChannelInitializer<Channel>() {
 				@Override
 				protected void initChannel(Channel channel) {
-					TargetConnection connection = new TargetConnection();
+					TargetConnection connection = createConnection();
 					channel.pipeline()
 						.addLast(AnswerHeadLimit.of(connection), StrictResponseDecoder.create(),
 								new HttpRequestEncoder(), connection);
@@ -84,6 +88,19 @@
 		return new TargetConnectionPool(loop);
 	}
 
+	private TargetConnection createConnection() {
+		this.connections++;
+		return TargetConnection.of(this.connections, this.unmatchedAnswers);
+	}
+
+	/**
+	 * Returns what targets have sent that no request waited for.
+	 * @return the record
+	 */
+	UnmatchedAnswers unmatchedAnswers() {
+		return this.unmatchedAnswers;
+	}
+
 	/**
 	 * Returns the memory of answers that are held until they are complete.
 	 * @return the memory
@@ -122,6 +139,7 @@
 			.connect(new InetSocketAddress(target.address().host(), target.address().port()));
 		connecting.addListener((future) -> {
 			if (future.isSuccess()) {
+				TargetConnection.of(connecting.channel()).assignTarget(target.name());
 				this.connectTimeout.recordConnection(System.nanoTime() - startNanos);
 			}
 		});
--- a/src/main/java/sycamorehill/entry/TargetProbe.java
+++ b/src/main/java/sycamorehill/entry/TargetProbe.java
@@ -39,7 +39,7 @@
 				failed.accept(future.cause());
 				return;
 			}
-			this.connectionPool.release(target, connecting.channel().pipeline().get(TargetConnection.class), null);
+			this.connectionPool.release(target, TargetConnection.of(connecting.channel()), null);
 			connected.run();
 			this.eventSink.post(new EntryEvent.TargetConnected(target.name()));
 		});
--- a/src/main/java/sycamorehill/logic/dispatch/FinalAnswers.java
+++ b/src/main/java/sycamorehill/logic/dispatch/FinalAnswers.java
@@ -78,7 +78,8 @@
 		effects.log(LogEvent.REQUEST_SERVED,
 				describe(request, now) + " " + place.fields("target") + " status=" + delivered.status()
 						+ " first-millis=" + request.timeToFirstAnswer().map(Duration::toMillis).orElse(-1L)
-						+ " pause-millis=" + delivered.longestPause().toMillis());
+						+ " pause-millis=" + delivered.longestPause().toMillis()
+						+ delivered.connection().map((use) -> " connection=" + use).orElse(""));
 		addFinished(request, Outcome.SERVED, now, effects);
 	}
 
--- a/src/main/java/sycamorehill/model/log/LogEvent.java
+++ b/src/main/java/sycamorehill/model/log/LogEvent.java
@@ -249,7 +249,10 @@
 	TARGET_WARM(1926, LogLevel.INFO),
 
 	/** One of two attempts of a stream has ended, and the stream goes on at the other. */
-	STREAM_CONTINUED(1928, LogLevel.WARN);
+	STREAM_CONTINUED(1928, LogLevel.WARN),
+
+	/** A target sent an answer that no request on its connection waits for. */
+	ANSWER_UNMATCHED(1929, LogLevel.WARN);
 
 	private final int number;
 
--- a/src/main/java/sycamorehill/model/serving/AttemptEnd.java
+++ b/src/main/java/sycamorehill/model/serving/AttemptEnd.java
@@ -1,6 +1,7 @@
 package sycamorehill.model.serving;
 
 import java.time.Duration;
+import java.util.Optional;
 
 /**
  * Result of one attempt to send a request to a target.
@@ -21,8 +22,20 @@
 	 * @param status HTTP status of the answer
 	 * @param longestPause longest pause between two events of a stream, from its first
 	 * event to its last, over all attempts
+	 * @param connection the connection on which the answer came; empty if another node
+	 * received it
 	 */
-	record Delivered(int status, Duration longestPause) implements AttemptEnd {
+	record Delivered(int status, Duration longestPause, Optional<ConnectionUse> connection) implements AttemptEnd {
+
+		/**
+		 * Creates the end of an attempt whose connection is not known.
+		 * @param status the HTTP status of the answer
+		 * @param longestPause longest pause between two events of a stream
+		 */
+		public Delivered(int status, Duration longestPause) {
+			this(status, longestPause, Optional.empty());
+		}
+
 	}
 
 	/**
--- a/src/main/java/sycamorehill/platform/PlatformExchangeCodec.java
+++ b/src/main/java/sycamorehill/platform/PlatformExchangeCodec.java
@@ -185,14 +185,18 @@
 	@Override
 	public TargetResponseHead readTargetResponse(HttpResponse response) {
 		HttpHeaders headers = response.headers();
-		return new TargetResponseHead(Optional.ofNullable(headers.get(PlatformHeaders.ATTEMPT_IDENTIFIER)),
-				headers.contains(PlatformHeaders.NOT_EXECUTED), response.status().code() == MISDIRECTED_REQUEST,
-				headers.contains(PlatformHeaders.SERVER_SIGNATURE),
+		return new TargetResponseHead(readAnswerIdentifier(response), headers.contains(PlatformHeaders.NOT_EXECUTED),
+				response.status().code() == MISDIRECTED_REQUEST, headers.contains(PlatformHeaders.SERVER_SIGNATURE),
 				new TargetReport(engineLoad(headers), rateLimit(headers), rest(response),
 						LEAVING.equals(headers.get(PlatformHeaders.LEAVING, "").trim())),
 				Optional.ofNullable(headers.get(PlatformHeaders.WEIGHTS_VERSION)), idleTimeout(headers));
 	}
 
+	@Override
+	public Optional<String> readAnswerIdentifier(HttpResponse response) {
+		return Optional.ofNullable(response.headers().get(PlatformHeaders.ATTEMPT_IDENTIFIER));
+	}
+
 	private static Optional<Duration> rest(HttpResponse response) {
 		boolean refused = response.status().equals(HttpResponseStatus.SERVICE_UNAVAILABLE)
 				|| response.status().equals(HttpResponseStatus.TOO_MANY_REQUESTS);
--- a/src/test/java/sycamorehill/entry/BusyLoopTests.java
+++ b/src/test/java/sycamorehill/entry/BusyLoopTests.java
@@ -165,6 +165,11 @@
 			return this.codec.readTargetResponse(response);
 		}
 
+		@Override
+		public Optional<String> readAnswerIdentifier(HttpResponse response) {
+			return this.codec.readAnswerIdentifier(response);
+		}
+
 		@Override
 		public HttpHeaders callerHeaders(HttpResponse response) {
 			return this.codec.callerHeaders(response);
--- a/src/test/java/sycamorehill/entry/CallerNode.java
+++ b/src/test/java/sycamorehill/entry/CallerNode.java
@@ -35,6 +35,8 @@
 
 	private static final Duration STOP_TIME = Duration.ofSeconds(5);
 
+	private static final int DESCRIPTORS = 4200;
+
 	private static final int SMALL_BUFFER_BYTES = 4096;
 
 	/** Node that a test may play at the node's address for requests of other nodes. */
@@ -74,7 +76,7 @@
 	 * @return the node
 	 */
 	static CallerNode start(CallerLimits limits, UnaryOperator<String> answers) throws Exception {
-		return start(limits, answers, 4200);
+		return start(limits, answers, DESCRIPTORS);
 	}
 
 	/**
@@ -85,7 +87,21 @@
 	 * @return the node
 	 */
 	static CallerNode start(CallerLimits limits, UnaryOperator<String> answers, int descriptors) throws Exception {
-		CallerNode node = new CallerNode(RawTarget.start(answers), limits, descriptors);
+		return start(limits, RawTarget.responder(answers), descriptors);
+	}
+
+	/**
+	 * Starts a node and a target that may write its answers in parts.
+	 * @param responder answers of the target
+	 * @return the node
+	 */
+	static CallerNode start(RawTarget.Responder responder) throws Exception {
+		return start(CallerLimits.INITIAL, responder, DESCRIPTORS);
+	}
+
+	private static CallerNode start(CallerLimits limits, RawTarget.Responder responder, int descriptors)
+			throws Exception {
+		CallerNode node = new CallerNode(RawTarget.start(responder), limits, descriptors);
 		node.awaitRoutes();
 		return node;
 	}
@@ -196,6 +212,23 @@
 		return text.toString();
 	}
 
+	/**
+	 * Sends a request on a connection of its own and reads its answer.
+	 * @param path the path
+	 * @param identifier identifier of the request
+	 * @return the answer
+	 */
+	String ask(String path, String identifier) throws IOException {
+		try (Socket socket = connect()) {
+			send(socket, request(path, identifier, "Connection: close"));
+			return readAll(socket);
+		}
+	}
+
+	List<String> targetRequests() {
+		return this.target.requests();
+	}
+
 	String metrics() throws IOException {
 		try (Socket socket = new Socket("127.0.0.1", this.settings.peerAddress().port())) {
 			socket.setSoTimeout(3000);
