--- a/src/test/java/sycamorehill/entry/CallClientTests.java
+++ b/src/test/java/sycamorehill/entry/CallClientTests.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.IntStream;
 
 import io.netty.channel.EventLoop;
@@ -91,6 +92,25 @@
 		}
 	}
 
+	// Guards against an order that counts as begun although the engine rejected it.
+	@Test
+	void aLateAnswerToAnEarlierCallIsNotTakenForTheNextOne() throws Exception {
+		AtomicInteger calls = new AtomicInteger();
+		String accepted = "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n";
+		String rejected = "HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n";
+		try (RawTarget engine = RawTarget
+			.start(RawTarget.responder((request) -> (calls.incrementAndGet() == 1) ? accepted : accepted + rejected))) {
+			CallClient client = CallClient.of(TargetConnectionPool.of(this.eventLoops.next()));
+			TargetAddress target = new TargetAddress(TargetName.of("engine"), engine.address());
+			CallClient.Call call = new CallClient.Call(target, HttpMethod.POST, "/order",
+					"open".getBytes(StandardCharsets.UTF_8));
+			assertThat(client.call(call, null, LONG_TIMEOUT).join().status()).isEqualTo(202);
+			assertThat(client.call(call, null, LONG_TIMEOUT)
+				.handle((answer, failure) -> (failure != null) ? 0 : answer.status())
+				.join()).isNotEqualTo(202);
+		}
+	}
+
 	private static String readAll(Socket socket) throws InterruptedException {
 		Thread.sleep(50);
 		try {
--- a/src/test/java/sycamorehill/entry/SecondAnswerTests.java
+++ b/src/test/java/sycamorehill/entry/SecondAnswerTests.java
@@ -3,9 +3,13 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import sycamorehill.support.RecordedLog;
 
@@ -18,6 +22,9 @@
 
 	private static final String SECOND_BODY = "second";
 
+	/** The last request on each connection to the target. */
+	private final Map<OutputStream, String> lastRequests = new ConcurrentHashMap<>();
+
 	private CallerNode node;
 
 	@AfterEach
@@ -34,11 +41,72 @@
 				+ body.length() + "\r\n\r\n" + body;
 	}
 
+	private static String notRun(String identifier) {
+		return "HTTP/1.1 503 Full\r\nAttempt-Id: " + identifier + "\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+	}
+
 	private static void write(OutputStream out, String text) throws IOException {
 		out.write(text.getBytes(StandardCharsets.ISO_8859_1));
 		out.flush();
 	}
 
+	// Answers the request before it on the connection once more, and then the request.
+	private boolean repeatEarlier(String request, OutputStream out, String status) throws IOException {
+		String identifier = LoopbackCluster.identifier(request);
+		String earlier = this.lastRequests.put(out, identifier);
+		if (earlier != null) {
+			write(out, answer("200 OK", earlier, SECOND_BODY));
+			write(out, answer(status, identifier, "own"));
+		}
+		else {
+			write(out, answer("200 OK", identifier, "first"));
+		}
+		return true;
+	}
+
+	// Guards against a success where the target fails, if a caller uses an identifier
+	// twice.
+	@ParameterizedTest
+	@ValueSource(strings = { "/once/x", "/again/x" })
+	void aLateAnswerToAnEarlierRequestOfTheSameIdentifierIsNotDelivered(String path) throws Exception {
+		start((request, out) -> repeatEarlier(request, out, "500 Error"));
+		assertThat(this.node.ask(path, "same")).endsWith("first");
+		assertThat(this.node.ask(path, "same")).doesNotContain(SECOND_BODY);
+	}
+
+	// Guards against an order that fails because the one before it was answered twice.
+	@ParameterizedTest
+	@ValueSource(strings = { "/once/x", "/again/x" })
+	void aLateAnswerToAnEarlierRequestLeavesTheNextOneItsOwn(String path) throws Exception {
+		start((request, out) -> repeatEarlier(request, out, "200 OK"));
+		assertThat(this.node.ask(path, "one")).endsWith("first");
+		assertThat(this.node.ask(path, "two")).startsWith("HTTP/1.1 200").endsWith("own");
+		assertThat(this.node.ask(path, "three")).startsWith("HTTP/1.1 200").endsWith("first");
+	}
+
+	// Guards against a success where the target also answers with a failure.
+	@ParameterizedTest
+	@ValueSource(strings = { "/once/x", "/again/x" })
+	void aSuccessThatTheTargetContradictsAtOnceIsNotDelivered(String path) throws Exception {
+		start((request, out) -> {
+			String identifier = LoopbackCluster.identifier(request);
+			write(out, answer("200 OK", identifier, "first") + answer("500 Error", identifier, ""));
+			return true;
+		});
+		assertThat(this.node.ask(path, "one")).startsWith("HTTP/1.1 502");
+	}
+
+	// Guards against "not run" for an order that the target also answers as done.
+	@Test
+	void aRefusalThatTheTargetContradictsAtOnceIsNoPromise() throws Exception {
+		start((request, out) -> {
+			String identifier = LoopbackCluster.identifier(request);
+			write(out, notRun(identifier) + answer("200 OK", identifier, SECOND_BODY));
+			return true;
+		});
+		assertThat(this.node.ask("/once/x", "one")).startsWith("HTTP/1.1 502");
+	}
+
 	// Guards against second answers that leave no trace.
 	@Test
 	void aSecondAnswerIsLoggedWithItsConnection() throws Exception {
