Let a connection carry an identifier only once, and decide in one place which bytes are the answer

What callers saw: a success where the target had answered with a failure. Cause, as far as it can be shown here: an answer is recognized by the identifier of its request, which the caller chooses, and nothing kept a connection from carrying one identifier twice, so that a late second answer to the first request passed for the answer to the other one.

An answer ends when all bytes that arrived in the same read have been looked at, and a connection is used again only if nothing stood behind the answer, the request had been sent whole, and the answer bore its identifier. Requests, streams and calls use the same class.

--- a/src/main/java/sycamorehill/entry/CallClient.java
+++ b/src/main/java/sycamorehill/entry/CallClient.java
@@ -16,7 +16,6 @@
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 
 import sycamorehill.model.serving.TargetAddress;
@@ -62,7 +61,7 @@
 	}
 
 	private void start(Call call, Header header, Duration timeout, CompletableFuture<CallAnswer> answer) {
-		TargetConnection idle = this.connectionPool.acquireIdle(call.address(), MAXIMUM_IDLE_TIME);
+		TargetConnection idle = this.connectionPool.acquireIdle(call.address(), MAXIMUM_IDLE_TIME, "");
 		if (idle != null) {
 			send(idle, call, header, timeout, answer);
 			return;
@@ -98,9 +97,8 @@
 			request.headers().set(header.name(), header.value());
 		}
 		AnswerCollector reading = new AnswerCollector(connection, call.address(), answer);
-		connection.expectAnswer(ExpectedAnswer.unidentified(reading));
 		reading.startTimer(timeout);
-		connection.context().writeAndFlush(request);
+		connection.send(request, ExpectedAnswer.unidentified(reading));
 	}
 
 	/**
@@ -188,7 +186,7 @@
 		@Override
 		public void handleEnd() {
 			this.timer.cancel(false);
-			if (HttpUtil.isKeepAlive(this.head)) {
+			if (this.connection.isReusable()) {
 				CallClient.this.connectionPool.release(this.address, this.connection,
 						MAXIMUM_IDLE_TIME.multipliedBy(2));
 			}
--- a/src/main/java/sycamorehill/entry/TargetAttempt.java
+++ b/src/main/java/sycamorehill/entry/TargetAttempt.java
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 
@@ -28,8 +29,6 @@
  */
 final class TargetAttempt implements Attempt, AnswerHandler {
 
-	private static final int SUCCESS_CLASS = 2;
-
 	private static final int MINIMUM_SERVER_ERROR_STATUS = 500;
 
 	/** Maximum size of a non-streaming answer, which is held until it is complete. */
@@ -60,8 +59,6 @@
 
 	private TargetConnection connection;
 
-	private boolean reused;
-
 	private boolean finished;
 
 	private boolean activityTracked;
@@ -106,9 +103,9 @@
 	private void start() {
 		Duration maximumIdle = this.start.handling().kind().isRepeatable() ? MAXIMUM_IDLE_TIME_IDEMPOTENT
 				: MAXIMUM_IDLE_TIME_NON_IDEMPOTENT;
-		TargetConnection idle = this.connectionPool.acquireIdle(this.start.target(), maximumIdle);
+		TargetConnection idle = this.connectionPool.acquireIdle(this.start.target(), maximumIdle,
+				this.exchange.identifier());
 		if (idle != null) {
-			this.reused = true;
 			send(idle);
 			return;
 		}
@@ -136,15 +133,14 @@
 			return;
 		}
 		this.connection = openConnection;
-		openConnection
-			.expectAnswer(ExpectedAnswer.of(this.exchange.identifier(), this.codec::readAnswerIdentifier, this));
 		if (this.start.handling().kind().isStreaming()) {
 			this.activityTracked = true;
 			this.activity.recordRequestSent(this.start.target().name(), System.nanoTime());
 		}
 		ForwardingMetadata forwarding = new ForwardingMetadata(this.start.target().name(), left, this.start.workspace(),
 				this.start.priority(), this.exchange.resumeAfter(), this.exchange.weightsVersion());
-		openConnection.context().writeAndFlush(request(forwarding)).addListener((future) -> {
+		ExpectedAnswer answer = ExpectedAnswer.of(this.exchange.identifier(), this.codec::readAnswerIdentifier, this);
+		openConnection.send(request(forwarding), answer).addListener((future) -> {
 			if (!future.isSuccess()) {
 				handleConnectionLost("write failed: " + future.cause().getMessage());
 			}
@@ -166,19 +162,12 @@
 	public void handleHead(HttpResponse response) {
 		this.head = response;
 		this.parsedHead = this.codec.readTargetResponse(response);
-		boolean matches = this.parsedHead.identifier().map(this.exchange.identifier()::equals).orElse(!this.reused);
-		if (!matches) {
-			this.connection.recordUnmatched(response);
-			closeConnection();
-			finish(new AttemptEnd.Unknown("an answer to another request", false));
-			return;
-		}
 		boolean fromTarget = this.parsedHead.signed() || this.parsedHead.notRun();
 		if (fromTarget && !this.parsedHead.otherTarget()) {
 			this.eventSink.post(new EntryEvent.TargetReported(this.start.number(), this.start.target().name(),
 					this.parsedHead.report()));
 		}
-		boolean success = response.status().code() / 100 == SUCCESS_CLASS;
+		boolean success = response.status().codeClass() == HttpStatusClass.SUCCESS;
 		if (success && (!this.parsedHead.signed() || this.parsedHead.identifier().isEmpty())) {
 			closeConnection();
 			finish(new AttemptEnd.Unknown("a success without the target's signature", false));
@@ -342,7 +331,7 @@
 	}
 
 	private void releaseConnection() {
-		if (HttpUtil.isKeepAlive(this.head) && this.connection.isOpen()) {
+		if (this.connection.isReusable()) {
 			this.connection.pause(false);
 			this.connectionPool.release(this.start.target(), this.connection,
 					this.parsedHead.idleTimeout().orElse(null));
--- a/src/main/java/sycamorehill/entry/TargetConnection.java
+++ b/src/main/java/sycamorehill/entry/TargetConnection.java
@@ -1,16 +1,20 @@
 package sycamorehill.entry;
 
+import java.util.Optional;
 import java.util.function.Consumer;
 
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
+import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 
@@ -18,14 +22,15 @@
 import sycamorehill.model.serving.ConnectionUse;
 
 /**
- * Connection to a target or another HTTP server. Data that arrives while no answer is
- * expected belongs to no request. The connection is then closed, so that the data can't
- * be mistaken for the answer to the next request.
+ * Connection to a target or another HTTP server, which carries one request at a time. It
+ * alone decides which bytes are the whole answer to that request, and whether another
+ * request may follow. A target may answer twice, the second time late: an answer is
+ * recognized by the identifier of its request, which a connection carries only once.
  */
 final class TargetConnection extends ChannelInboundHandlerAdapter {
 
 	/**
-	 * Maximum number of bytes before the head of an answer is complete: room for a head
+	 * Maximum number of bytes before the head of the answer is complete: room for a head
 	 * of the largest size and some interim answers.
 	 */
 	private static final int MAXIMUM_BYTES_BEFORE_HEAD = 256 * 1024;
@@ -34,23 +39,30 @@
 
 	private final UnmatchedAnswers unmatchedAnswers;
 
+	private final CarriedRequests carried = CarriedRequests.create();
+
 	private TargetName target;
 
 	private ChannelHandlerContext context;
 
 	private long requests;
 
+	private ChannelFuture sending;
+
 	/** What the last request on the connection waits or waited for; null before it. */
-	private ExpectedAnswer lastExpected;
+	private ExpectedAnswer expected;
 
-	private AnswerHandler answerHandler;
+	private Phase phase = Phase.IDLE;
 
 	private boolean interimResponse;
 
-	private boolean answerStarted;
-
 	private int bytesBeforeHead;
 
+	private HttpResponse head;
+
+	/** Whether something arrived that belongs to no request that waited. */
+	private boolean unmatched;
+
 	private TargetConnection(long number, UnmatchedAnswers unmatchedAnswers) {
 		this.number = number;
 		this.unmatchedAnswers = unmatchedAnswers;
@@ -86,22 +98,41 @@
 		return new ConnectionUse(this.number, this.requests);
 	}
 
-	void expectAnswer(ExpectedAnswer expected) {
+	/**
+	 * Returns whether a request may be sent on the connection. A second answer to a
+	 * request that it carried could not be told from the answer to another one with the
+	 * same identifier.
+	 * @param identifier identifier of the request
+	 * @return whether it may be sent
+	 */
+	boolean mayCarry(String identifier) {
+		return !this.carried.mayContain(identifier);
+	}
+
+	/**
+	 * Sends a request.
+	 * @param request the request
+	 * @param answer the answer that it waits for
+	 * @return the end of the sending
+	 */
+	ChannelFuture send(FullHttpRequest request, ExpectedAnswer answer) {
 		this.requests++;
-		this.lastExpected = expected;
-		this.answerHandler = expected.handler();
-		this.answerStarted = false;
+		this.expected = answer;
+		this.phase = Phase.AWAITING_HEAD;
 		this.bytesBeforeHead = 0;
+		this.head = null;
+		this.sending = this.context.writeAndFlush(request);
+		return this.sending;
 	}
 
 	/**
-	 * Counts received bytes while the head of an answer is awaited. Too many end the
+	 * Counts received bytes while the head of the answer is awaited. Too many end the
 	 * answer and close the connection.
 	 * @param bytes number of bytes that have arrived
 	 * @return false if they are too many
 	 */
 	boolean admitBytes(int bytes) {
-		if (this.answerStarted) {
+		if (this.phase != Phase.AWAITING_HEAD) {
 			return true;
 		}
 		this.bytesBeforeHead += bytes;
@@ -116,13 +147,24 @@
 		return this.context.channel().isActive();
 	}
 
+	/**
+	 * Returns whether another request may be sent on the connection, whose answer is
+	 * complete. An answer that came before its request was sent whole, without the
+	 * request's identifier, or with anything behind it makes the next one uncertain.
+	 * @return whether one may be sent
+	 */
+	boolean isReusable() {
+		return isOpen() && !this.unmatched && HttpUtil.isKeepAlive(this.head) && this.sending.isDone()
+				&& (this.expected.identifier().isEmpty() || readIdentifier(this.head).isPresent());
+	}
+
 	ChannelHandlerContext context() {
 		return this.context;
 	}
 
-	/** Closes the connection without notifying its handler. */
+	/** Closes the connection without notifying the receiver of its answer. */
 	void close() {
-		this.answerHandler = null;
+		this.phase = Phase.IDLE;
 		this.context.close();
 	}
 
@@ -145,9 +187,12 @@
 	@Override
 	public void channelRead(ChannelHandlerContext ctx, Object message) {
 		try {
-			if (this.answerHandler == null) {
+			if (this.phase == Phase.IDLE) {
 				handleUnexpected(message);
 			}
+			else if (this.phase == Phase.COMPLETE) {
+				handleBehindAnswer(message);
+			}
 			else if (message instanceof HttpObject object && object.decoderResult().isFailure()) {
 				handleInvalidAnswer("not an answer: " + object.decoderResult().cause().getMessage());
 			}
@@ -162,18 +207,17 @@
 
 	// Bytes that were in transit when this side closed the connection are not recorded.
 	private void handleUnexpected(Object message) {
-		if (isOpen() && this.lastExpected != null) {
-			this.unmatchedAnswers.record(this.target, use(), message, this.lastExpected, false);
+		if (isOpen() && this.expected != null) {
+			this.unmatchedAnswers.record(this.target, use(), message, this.expected, false);
 		}
 		this.context.close();
 	}
 
-	/**
-	 * Records a head that doesn't answer the request that waits.
-	 * @param head the head
-	 */
-	void recordUnmatched(HttpResponse head) {
-		this.unmatchedAnswers.record(this.target, use(), head, this.lastExpected, true);
+	private void handleBehindAnswer(Object message) {
+		if (!this.unmatched) {
+			this.unmatched = true;
+			this.unmatchedAnswers.record(this.target, use(), message, this.expected, false);
+		}
 	}
 
 	private void dispatch(Object message) {
@@ -181,25 +225,66 @@
 			this.interimResponse = response.status().codeClass() == HttpStatusClass.INFORMATIONAL
 					&& response.status().code() != HttpResponseStatus.SWITCHING_PROTOCOLS.code();
 			if (!this.interimResponse) {
-				this.answerStarted = true;
-				this.answerHandler.handleHead(response);
+				handleHead(response);
 			}
 		}
-		if (message instanceof HttpContent content && !this.interimResponse && this.answerHandler != null
-				&& this.answerStarted) {
-			if (content.content().isReadable()) {
-				this.answerHandler.handleBody(content.content());
-			}
-			if (message instanceof LastHttpContent && this.answerHandler != null) {
-				AnswerHandler handler = this.answerHandler;
-				this.answerHandler = null;
-				handler.handleEnd();
-			}
+		if (message instanceof HttpContent content && !this.interimResponse) {
+			handleContent(content);
+		}
+	}
+
+	private void handleHead(HttpResponse response) {
+		if (isOwn(response)) {
+			this.phase = Phase.READING;
+			this.head = response;
+			this.expected.handler().handleHead(response);
+		}
+		else {
+			this.unmatchedAnswers.record(this.target, use(), response, this.expected, true);
+			handleInvalidAnswer("an answer to another request");
 		}
 	}
 
+	// Without an identifier, only the first answer on a connection is certain: it can't
+	// be a second one to an earlier request.
+	private boolean isOwn(HttpResponse response) {
+		Optional<String> identifier = readIdentifier(response);
+		return this.expected.identifier().isEmpty() || identifier.equals(this.expected.identifier())
+				|| (identifier.isEmpty() && this.requests == 1);
+	}
+
+	private Optional<String> readIdentifier(HttpResponse response) {
+		return this.expected.identifierReader().apply(response);
+	}
+
+	private void handleContent(HttpContent content) {
+		if (this.phase == Phase.READING && content.content().isReadable()) {
+			this.expected.handler().handleBody(content.content());
+		}
+		if (content instanceof LastHttpContent && this.phase == Phase.READING) {
+			this.phase = Phase.COMPLETE;
+		}
+	}
+
+	/** Ends an answer when all bytes that arrived with its end have been looked at. */
+	@Override
+	public void channelReadComplete(ChannelHandlerContext ctx) {
+		completeAnswer();
+		ctx.fireChannelReadComplete();
+	}
+
+	private void completeAnswer() {
+		if (this.phase != Phase.COMPLETE) {
+			return;
+		}
+		this.phase = Phase.IDLE;
+		this.expected.identifier().ifPresent(this.carried::add);
+		this.expected.handler().handleEnd();
+	}
+
 	@Override
 	public void channelInactive(ChannelHandlerContext ctx) {
+		completeAnswer();
 		handleLost("connection closed");
 		ctx.fireChannelInactive();
 	}
@@ -218,12 +303,30 @@
 	}
 
 	private void fail(Consumer<AnswerHandler> notification) {
-		AnswerHandler handler = this.answerHandler;
-		this.answerHandler = null;
-		this.context.close();
-		if (handler != null) {
-			notification.accept(handler);
+		boolean waiting = this.phase != Phase.IDLE;
+		close();
+		if (waiting) {
+			notification.accept(this.expected.handler());
 		}
 	}
 
+	/**
+	 * What the connection waits for.
+	 */
+	private enum Phase {
+
+		/** No request waits. */
+		IDLE,
+
+		/** The head of the answer has not arrived. */
+		AWAITING_HEAD,
+
+		/** The head of the answer has arrived. */
+		READING,
+
+		/** The answer has arrived; what arrived with its end is not looked at yet. */
+		COMPLETE
+
+	}
+
 }
--- a/src/main/java/sycamorehill/entry/TargetConnectionPool.java
+++ b/src/main/java/sycamorehill/entry/TargetConnectionPool.java
@@ -113,21 +113,28 @@
 	 * Returns an idle connection and removes it from the pool.
 	 * @param target the target
 	 * @param maximumIdle the longest time that it may have been idle
+	 * @param identifier identifier of the request that is to be sent on it
 	 * @return the connection, or null if there is none
 	 */
-	TargetConnection acquireIdle(TargetAddress target, Duration maximumIdle) {
+	TargetConnection acquireIdle(TargetAddress target, Duration maximumIdle, String identifier) {
 		Deque<IdleConnection> connections = this.idleConnections.get(target);
 		if (connections == null) {
 			return null;
 		}
 		long now = System.nanoTime();
-		while (!connections.isEmpty()) {
-			IdleConnection last = connections.removeLast();
-			boolean usable = now - last.sinceNanos < Math.min(last.usableNanos, maximumIdle.toNanos());
-			if (usable && last.connection.isOpen()) {
-				return last.connection;
+		Iterator<IdleConnection> newestFirst = connections.descendingIterator();
+		while (newestFirst.hasNext()) {
+			IdleConnection idle = newestFirst.next();
+			boolean usable = now - idle.sinceNanos < Math.min(idle.usableNanos, maximumIdle.toNanos())
+					&& idle.connection.isOpen();
+			if (!usable) {
+				newestFirst.remove();
+				idle.connection.close();
+			}
+			else if (idle.connection.mayCarry(identifier)) {
+				newestFirst.remove();
+				return idle.connection;
 			}
-			last.connection.close();
 		}
 		return null;
 	}
