Skip a late answer to an earlier request and wait for the request's own

What callers saw: a target that answers a request twice, the second time late, cost the next request on that connection its answer: 502 for an order that the target ran and answered, a retry for a request that may be repeated; the target then counted as faulty.

Cause: any answer with another identifier ended the attempt. The identifier says which request the answer belongs to; if the connection has carried that request, the answer is complete in itself, and the awaited one follows. An identifier that the connection has not carried still ends the attempt.

Red before: SecondAnswerTests.aLateAnswerToAnEarlierRequestLeavesTheNextOneItsOwn, 2 of 2.

--- a/src/main/java/sycamorehill/entry/TargetConnection.java
+++ b/src/main/java/sycamorehill/entry/TargetConnection.java
@@ -25,13 +25,14 @@
  * Connection to a target or another HTTP server, which carries one request at a time. It
  * alone decides which bytes are the whole answer to that request, and whether another
  * request may follow. A target may answer twice, the second time late: an answer is
- * recognized by the identifier of its request, which a connection carries only once.
+ * recognized by the identifier of its request, which a connection carries only once, and
+ * a late one to an earlier request is skipped.
  */
 final class TargetConnection extends ChannelInboundHandlerAdapter {
 
 	/**
 	 * Maximum number of bytes before the head of the answer is complete: room for a head
-	 * of the largest size and some interim answers.
+	 * of the largest size, some interim answers and a late answer to an earlier request.
 	 */
 	private static final int MAXIMUM_BYTES_BEFORE_HEAD = 256 * 1024;
 
@@ -132,7 +133,7 @@
 	 * @return false if they are too many
 	 */
 	boolean admitBytes(int bytes) {
-		if (this.phase != Phase.AWAITING_HEAD) {
+		if (this.phase != Phase.AWAITING_HEAD && this.phase != Phase.SKIPPING) {
 			return true;
 		}
 		this.bytesBeforeHead += bytes;
@@ -240,8 +241,7 @@
 			this.expected.handler().handleHead(response);
 		}
 		else {
-			this.unmatchedAnswers.record(this.target, use(), response, this.expected, true);
-			handleInvalidAnswer("an answer to another request");
+			handleOther(response);
 		}
 	}
 
@@ -257,13 +257,33 @@
 		return this.expected.identifierReader().apply(response);
 	}
 
+	private void handleOther(HttpResponse response) {
+		this.unmatchedAnswers.record(this.target, use(), response, this.expected, true);
+		this.unmatched = true;
+		if (readIdentifier(response).filter(this.carried::mayContain).isPresent()) {
+			this.phase = Phase.SKIPPING;
+		}
+		else {
+			handleInvalidAnswer("an answer to another request");
+		}
+	}
+
 	private void handleContent(HttpContent content) {
 		if (this.phase == Phase.READING && content.content().isReadable()) {
 			this.expected.handler().handleBody(content.content());
 		}
-		if (content instanceof LastHttpContent && this.phase == Phase.READING) {
+		if (content instanceof LastHttpContent) {
+			handleLastContent();
+		}
+	}
+
+	private void handleLastContent() {
+		if (this.phase == Phase.READING) {
 			this.phase = Phase.COMPLETE;
 		}
+		else if (this.phase == Phase.SKIPPING) {
+			this.phase = Phase.AWAITING_HEAD;
+		}
 	}
 
 	/** Ends an answer when all bytes that arrived with its end have been looked at. */
@@ -321,6 +341,9 @@
 		/** The head of the answer has not arrived. */
 		AWAITING_HEAD,
 
+		/** A late answer to an earlier request arrives before the awaited one. */
+		SKIPPING,
+
 		/** The head of the answer has arrived. */
 		READING,
 
