Rely on no success and no refusal that the target contradicts in the same read

What callers saw: a success where the target had answered with a failure, with no line at the node, as of one sending that was served. One way to that is a target that sends both answers to one sending together: the node took the first that bore the identifier and closed the connection for the rest. A refusal with a success behind it was told as 'not run', which promises that the request never runs.

If a second answer of the same identifier and another status stands there, a success and a refusal become an invalid answer: 502, or a retry where the request may be repeated. A failure of the target's own stays what it is, as does an answer that is repeated with the same status. A second answer in a later read can't be seen in time; it never reaches a caller.

--- a/src/main/java/sycamorehill/entry/AnswerHandler.java
+++ b/src/main/java/sycamorehill/entry/AnswerHandler.java
@@ -20,6 +20,14 @@
 	 */
 	void handleBody(ByteBuf bytes);
 
+	/**
+	 * Returns whether the answer can't be relied on beside a second answer to the same
+	 * request, which arrived with its end.
+	 * @param second the head of the second answer
+	 * @return whether the answer becomes an invalid one
+	 */
+	boolean isContradictedBy(HttpResponse second);
+
 	/** Handles the end of a complete answer. */
 	void handleEnd();
 
--- a/src/main/java/sycamorehill/entry/CallClient.java
+++ b/src/main/java/sycamorehill/entry/CallClient.java
@@ -179,6 +179,11 @@
 			}
 		}
 
+		@Override
+		public boolean isContradictedBy(HttpResponse second) {
+			return second.status().code() != this.head.status().code();
+		}
+
 		// Cancels the timer, which would otherwise wake the process although the answer
 		// has arrived. Completes the call in a task: after tasks the event loop reads
 		// before it runs timers, so that decoding a large answer lets no timer of another
--- a/src/main/java/sycamorehill/entry/TargetAttempt.java
+++ b/src/main/java/sycamorehill/entry/TargetAttempt.java
@@ -167,7 +167,7 @@
 			this.eventSink.post(new EntryEvent.TargetReported(this.start.number(), this.start.target().name(),
 					this.parsedHead.report()));
 		}
-		boolean success = response.status().codeClass() == HttpStatusClass.SUCCESS;
+		boolean success = isSuccess(response);
 		if (success && (!this.parsedHead.signed() || this.parsedHead.identifier().isEmpty())) {
 			closeConnection();
 			finish(new AttemptEnd.Unknown("a success without the target's signature", false));
@@ -248,6 +248,17 @@
 		}
 	}
 
+	// A success, and the promise that the request did not run, must be true.
+	@Override
+	public boolean isContradictedBy(HttpResponse second) {
+		return second.status().code() != this.head.status().code()
+				&& (isSuccess(this.head) || this.parsedHead.notRun() || this.parsedHead.otherTarget());
+	}
+
+	private static boolean isSuccess(HttpResponse response) {
+		return response.status().codeClass() == HttpStatusClass.SUCCESS;
+	}
+
 	@Override
 	public void handleEnd() {
 		if (this.finished) {
--- a/src/main/java/sycamorehill/entry/TargetConnection.java
+++ b/src/main/java/sycamorehill/entry/TargetConnection.java
@@ -64,6 +64,9 @@
 	/** Whether something arrived that belongs to no request that waited. */
 	private boolean unmatched;
 
+	/** Second answer that can't be true beside the answer; null if there is none. */
+	private HttpResponse contradiction;
+
 	private TargetConnection(long number, UnmatchedAnswers unmatchedAnswers) {
 		this.number = number;
 		this.unmatchedAnswers = unmatchedAnswers;
@@ -219,6 +222,15 @@
 			this.unmatched = true;
 			this.unmatchedAnswers.record(this.target, use(), message, this.expected, false);
 		}
+		if (isContradiction(message)) {
+			this.contradiction = (HttpResponse) message;
+		}
+	}
+
+	private boolean isContradiction(Object message) {
+		return message instanceof HttpResponse second && second.decoderResult().isSuccess()
+				&& readIdentifier(second).equals(this.expected.identifier())
+				&& this.expected.handler().isContradictedBy(second);
 	}
 
 	private void dispatch(Object message) {
@@ -297,6 +309,10 @@
 		if (this.phase != Phase.COMPLETE) {
 			return;
 		}
+		if (this.contradiction != null) {
+			handleInvalidAnswer("answered " + this.head.status().code() + " and " + this.contradiction.status().code());
+			return;
+		}
 		this.phase = Phase.IDLE;
 		this.expected.identifier().ifPresent(this.carried::add);
 		this.expected.handler().handleEnd();
