Ask a member that could not be connected once more before its group is given up

Cause: a report that fails with NOT_CONNECTED made the member lost at once, though a single lost packet does that. The controller asks again now, and the second failure in a row counts; a refused connection still counts at once, as nobody listens there. A member without power is found one connection timeout (100 to 300 ms) later.

--- a/src/main/java/sycamorehill/logic/layout/GroupController.java
+++ b/src/main/java/sycamorehill/logic/layout/GroupController.java
@@ -59,6 +59,9 @@
 
 	private final UnresponsiveEngines unresponsive;
 
+	/** Engines that could not be connected once; a single packet may have been lost. */
+	private final UnresponsiveEngines unconnected;
+
 	private final StartupPhase phase;
 
 	private final DetachedMembers detached;
@@ -76,6 +79,7 @@
 		this.vanished = VanishedMembers.of(directory, this.commandSender);
 		this.unreachable = UnreachableEngines.of(directory, this.vanished);
 		this.unresponsive = UnresponsiveEngines.of(directory, settings.stallTime());
+		this.unconnected = UnresponsiveEngines.of(directory, Duration.ZERO);
 		this.phase = StartupPhase.of(settings, started);
 		this.detached = DetachedMembers.of(settings.stallTime(), settings.firstStart());
 	}
@@ -187,6 +191,7 @@
 		this.commandTracker.recordCount(engine, startMillis, report.acceptedCommands());
 		this.unreachable.recordReached(engine, now);
 		this.unresponsive.forget(engine);
+		this.unconnected.forget(engine);
 		this.vanished.handleReport(engine, report);
 		report.membership()
 			.ifPresent((membership) -> this.services.values()
@@ -195,8 +200,8 @@
 
 	/**
 	 * Requests the reports of all members of a group whose answers have all stalled. A
-	 * member that cannot be connected counts as lost, one that doesn't answer only after
-	 * the stall time.
+	 * member that cannot be connected twice counts as lost, one that doesn't answer only
+	 * after the stall time.
 	 * @param head the head of the group
 	 * @param now the current time
 	 * @param effects receives the resulting effects
@@ -250,6 +255,7 @@
 			Effects effects) {
 		this.commandTracker.recordFailure(engine, now);
 		if (pathInDoubt) {
+			this.unconnected.forget(engine);
 			return;
 		}
 		this.directory.findVanished(engine)
@@ -260,6 +266,10 @@
 			if (answer == EngineCommandAnswer.NOT_KNOWN && !this.unreachable.contains(entry)) {
 				handleUnanswered(entry, now, effects);
 			}
+			else if (answer == EngineCommandAnswer.NOT_CONNECTED && !this.unreachable.contains(entry)
+					&& this.unconnected.recordUnanswered(entry, now)) {
+				this.commandSender.requestReport(entry, now, effects);
+			}
 			else {
 				recordLost(entry, answer, now, effects);
 			}
@@ -281,6 +291,7 @@
 
 	private void recordLost(TargetEntry engine, EngineCommandAnswer answer, Instant now, Effects effects) {
 		this.unresponsive.forget(engine.name());
+		this.unconnected.forget(engine.name());
 		this.unreachable.add(engine, now);
 		effects.log(LogEvent.TARGET_CHANGED, "engine=" + engine.name() + " lost: its report can't be read: " + answer);
 	}
@@ -311,6 +322,7 @@
 		this.lastPlanned = now;
 		this.unreachable.keepOnlyPresent();
 		this.unresponsive.keepOnlyKnown();
+		this.unconnected.keepOnlyKnown();
 		for (ServiceParameters service : status.configuration().get().services().values()) {
 			service.engines()
 				.ifPresent((parameters) -> groupsOf(service.name()).control(parameters, status.groupActivity(), now,
--- a/src/main/java/sycamorehill/logic/layout/UnresponsiveEngines.java
+++ b/src/main/java/sycamorehill/logic/layout/UnresponsiveEngines.java
@@ -10,7 +10,7 @@
 import sycamorehill.model.serving.TargetEntry;
 
 /**
- * Tracks engines that accept connections but don't answer, each for the incarnation that
+ * Tracks engines whose calls fail and that may yet answer, each for the incarnation that
  * was called. A process that pauses can't be told from one that hangs. A group whose
  * member pauses is whole, and goes on by itself unless it is disbanded.
  */
