Give each order and each report of an engine a connection of its own

What could follow: a group taken for open that isn't, an order for begun that was rejected, a decision on an old report.

Only the first answer on a connection certainly belongs to its request; so a call to an engine takes a connection of its own, which is closed after the answer.

The known-red test now asks that the second call returns its own 409, which is stricter than before, and also with a pause between the two answers.

--- a/src/main/java/sycamorehill/entry/CallClient.java
+++ b/src/main/java/sycamorehill/entry/CallClient.java
@@ -61,7 +61,8 @@
 	}
 
 	private void start(Call call, Header header, Duration timeout, CompletableFuture<CallAnswer> answer) {
-		TargetConnection idle = this.connectionPool.acquireIdle(call.address(), MAXIMUM_IDLE_TIME, "");
+		TargetConnection idle = call.ownConnection() ? null
+				: this.connectionPool.acquireIdle(call.address(), MAXIMUM_IDLE_TIME, "");
 		if (idle != null) {
 			send(idle, call, header, timeout, answer);
 			return;
@@ -96,7 +97,7 @@
 		if (header != null) {
 			request.headers().set(header.name(), header.value());
 		}
-		AnswerCollector reading = new AnswerCollector(connection, call.address(), answer);
+		AnswerCollector reading = new AnswerCollector(connection, call, answer);
 		reading.startTimer(timeout);
 		connection.send(request, ExpectedAnswer.unidentified(reading));
 	}
@@ -108,8 +109,21 @@
 	 * @param method the HTTP method
 	 * @param path the path, with the query
 	 * @param body the JSON body; empty for none
+	 * @param ownConnection whether the call has a connection of its own
 	 */
-	public record Call(TargetAddress address, HttpMethod method, String path, byte[] body) {
+	public record Call(TargetAddress address, HttpMethod method, String path, byte[] body, boolean ownConnection) {
+
+		/**
+		 * Creates a call.
+		 * @param address the server to call
+		 * @param method the HTTP method
+		 * @param path the path, with the query
+		 * @param body the JSON body; empty for none
+		 * @return the call
+		 */
+		public static Call of(TargetAddress address, HttpMethod method, String path, byte[] body) {
+			return new Call(address, method, path, body, false);
+		}
 
 		/**
 		 * Creates a GET call without a body.
@@ -118,7 +132,17 @@
 		 * @return the call
 		 */
 		public static Call get(TargetAddress address, String path) {
-			return new Call(address, HttpMethod.GET, path, new byte[0]);
+			return of(address, HttpMethod.GET, path, new byte[0]);
+		}
+
+		/**
+		 * Returns this call on a connection of its own, for a server that may answer
+		 * twice. Answers to calls have no identifiers, so that only the first one on a
+		 * connection certainly answers its call.
+		 * @return the call
+		 */
+		public Call onOwnConnection() {
+			return new Call(this.address, this.method, this.path, this.body, true);
 		}
 
 	}
@@ -139,7 +163,7 @@
 
 		private final TargetConnection connection;
 
-		private final TargetAddress address;
+		private final Call call;
 
 		private final CompletableFuture<CallAnswer> answer;
 
@@ -149,9 +173,9 @@
 
 		private ScheduledFuture<?> timer;
 
-		AnswerCollector(TargetConnection connection, TargetAddress address, CompletableFuture<CallAnswer> answer) {
+		AnswerCollector(TargetConnection connection, Call call, CompletableFuture<CallAnswer> answer) {
 			this.connection = connection;
-			this.address = address;
+			this.call = call;
 			this.answer = answer;
 		}
 
@@ -191,8 +215,8 @@
 		@Override
 		public void handleEnd() {
 			this.timer.cancel(false);
-			if (this.connection.isReusable()) {
-				CallClient.this.connectionPool.release(this.address, this.connection,
+			if (this.connection.isReusable() && !this.call.ownConnection()) {
+				CallClient.this.connectionPool.release(this.call.address(), this.connection,
 						MAXIMUM_IDLE_TIME.multipliedBy(2));
 			}
 			else {
--- a/src/main/java/sycamorehill/platform/PlatformEngineClient.java
+++ b/src/main/java/sycamorehill/platform/PlatformEngineClient.java
@@ -64,8 +64,8 @@
 		}
 		byte[] bytes = body.toString().getBytes(StandardCharsets.UTF_8);
 		return this.client
-			.call(new CallClient.Call(engine, HttpMethod.POST, COMMAND_PATH, bytes), expectedInstance(engine),
-					COMMAND_TIMEOUT)
+			.call(CallClient.Call.of(engine, HttpMethod.POST, COMMAND_PATH, bytes).onOwnConnection(),
+					expectedInstance(engine), COMMAND_TIMEOUT)
 			.thenApply((answer) -> commandAnswer(answer.status()))
 			.exceptionally(PlatformEngineClient::failureAnswer);
 	}
@@ -126,7 +126,8 @@
 
 	@Override
 	public CompletableFuture<EngineReport> readReport(TargetAddress engine) {
-		return this.client.call(CallClient.Call.get(engine, REPORT_PATH), expectedInstance(engine), REPORT_TIMEOUT)
+		return this.client
+			.call(CallClient.Call.get(engine, REPORT_PATH).onOwnConnection(), expectedInstance(engine), REPORT_TIMEOUT)
 			.handle((answer, failure) -> {
 				if (failure != null) {
 					throw new CompletionException(new ReportUnavailableException(failureAnswer(failure)));
--- a/src/main/java/sycamorehill/platform/PlatformStore.java
+++ b/src/main/java/sycamorehill/platform/PlatformStore.java
@@ -207,7 +207,7 @@
 	}
 
 	private CompletableFuture<CallAnswer> call(HttpMethod method, String path, byte[] body) {
-		return this.client.call(new CallClient.Call(this.store, method, OBJECTS_PATH + path, body), null, CALL_TIMEOUT);
+		return this.client.call(CallClient.Call.of(this.store, method, OBJECTS_PATH + path, body), null, CALL_TIMEOUT);
 	}
 
 	private static void requireSuccess(int status) {
@@ -287,7 +287,7 @@
 		ObjectNode body = this.json.createObjectNode();
 		body.putObject("metadata").put("name", GROUP_CONTROL);
 		body.putObject("spec").put("holder", holder).put("term", 1).put("renewal", 0).put(RECENT_TERMS, 0);
-		return callForLease(new CallClient.Call(this.store, HttpMethod.POST, OBJECTS_PATH + DUTIES, toBytes(body)),
+		return callForLease(CallClient.Call.of(this.store, HttpMethod.POST, OBJECTS_PATH + DUTIES, toBytes(body)),
 				true);
 	}
 
@@ -304,7 +304,7 @@
 			.put("term", lease.term())
 			.put("renewal", lease.revision())
 			.put(RECENT_TERMS, lease.recentTerms());
-		return callForLease(new CallClient.Call(this.store, HttpMethod.PUT, leasePath(), toBytes(body)), true);
+		return callForLease(CallClient.Call.of(this.store, HttpMethod.PUT, leasePath(), toBytes(body)), true);
 	}
 
 	private static String leasePath() {
--- a/src/test/java/sycamorehill/entry/CallClientTests.java
+++ b/src/test/java/sycamorehill/entry/CallClientTests.java
@@ -1,14 +1,17 @@
 package sycamorehill.entry;
 
 import java.io.IOException;
+import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -59,7 +62,7 @@
 			TargetAddress target = new TargetAddress(TargetName.of("engine"),
 					Address.of("127.0.0.1", listener.getLocalPort()));
 			CompletableFuture<CallAnswer> answer = CallClient.of(TargetConnectionPool.of(loop))
-				.call(new CallClient.Call(target, HttpMethod.POST, "/order", "leave".getBytes(StandardCharsets.UTF_8)),
+				.call(CallClient.Call.of(target, HttpMethod.POST, "/order", "leave".getBytes(StandardCharsets.UTF_8)),
 						null, TIMEOUT);
 			Socket accepted = listener.accept();
 			assertThatThrownBy(answer::join).isInstanceOf(CompletionException.class)
@@ -93,21 +96,37 @@
 	}
 
 	// Guards against an order that counts as begun although the engine rejected it.
-	@Test
-	void aLateAnswerToAnEarlierCallIsNotTakenForTheNextOne() throws Exception {
-		AtomicInteger calls = new AtomicInteger();
+	@ParameterizedTest
+	@ValueSource(longs = { 0, 30 })
+	void aLateAnswerToAnEarlierCallIsNotTakenForTheNextOne(long pauseMillis) throws Exception {
 		String accepted = "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n";
 		String rejected = "HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n";
-		try (RawTarget engine = RawTarget
-			.start(RawTarget.responder((request) -> (calls.incrementAndGet() == 1) ? accepted : accepted + rejected))) {
+		AtomicInteger calls = new AtomicInteger();
+		Set<OutputStream> used = ConcurrentHashMap.newKeySet();
+		try (RawTarget engine = RawTarget.start((request, out) -> {
+			if (!used.add(out)) {
+				out.write(accepted.getBytes(StandardCharsets.ISO_8859_1));
+				pause(pauseMillis);
+			}
+			out.write(((calls.incrementAndGet() == 1) ? accepted : rejected).getBytes(StandardCharsets.ISO_8859_1));
+			return true;
+		})) {
 			CallClient client = CallClient.of(TargetConnectionPool.of(this.eventLoops.next()));
 			TargetAddress target = new TargetAddress(TargetName.of("engine"), engine.address());
-			CallClient.Call call = new CallClient.Call(target, HttpMethod.POST, "/order",
-					"open".getBytes(StandardCharsets.UTF_8));
+			CallClient.Call call = CallClient.Call
+				.of(target, HttpMethod.POST, "/order", "open".getBytes(StandardCharsets.UTF_8))
+				.onOwnConnection();
 			assertThat(client.call(call, null, LONG_TIMEOUT).join().status()).isEqualTo(202);
-			assertThat(client.call(call, null, LONG_TIMEOUT)
-				.handle((answer, failure) -> (failure != null) ? 0 : answer.status())
-				.join()).isNotEqualTo(202);
+			assertThat(client.call(call, null, LONG_TIMEOUT).join().status()).isEqualTo(409);
+		}
+	}
+
+	private static void pause(long millis) {
+		try {
+			Thread.sleep(millis);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
 		}
 	}
 
