Use no connection again on which a target has begun to send more than the answer

Cause: bytes that make no whole message stay in the decoder of a connection, and only whole messages were looked at, behind an answer and on an idle connection alike. A second answer that stopped within its head was thus put before the next answer on the connection: 'HTTP/1.1 200 OK' and 'HTTP/1.1 500 Error' read as a 200.

If such bytes meet a request that already waits, the head that is put together contains a second status line, and is no answer (JoinedHeads).

Why here and not in a check of the reason alone: the state that lies is the connection's, and whatever is left on it is put before any later answer, as headers or as bytes of a length too.

--- a/src/main/java/sycamorehill/entry/StrictResponseDecoder.java
+++ b/src/main/java/sycamorehill/entry/StrictResponseDecoder.java
@@ -1,5 +1,9 @@
 package sycamorehill.entry;
 
+import java.util.List;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponseDecoder;
@@ -13,6 +17,9 @@
 
 	private static final int MAXIMUM_CHUNK_BYTES = 64 * 1024;
 
+	/** Whether the first line of a head has arrived, and its other lines have not. */
+	private boolean headBegun;
+
 	private StrictResponseDecoder(HttpDecoderConfig config) {
 		super(config);
 	}
@@ -24,6 +31,27 @@
 			.setAllowDuplicateContentLengths(false));
 	}
 
+	/**
+	 * Returns whether bytes have arrived that are no whole part of an answer yet.
+	 * @return whether there are such bytes
+	 */
+	boolean hasPartialInput() {
+		return this.headBegun || actualReadableBytes() > 0;
+	}
+
+	@Override
+	protected HttpMessage createMessage(String[] initialLine) {
+		this.headBegun = true;
+		return super.createMessage(initialLine);
+	}
+
+	@Override
+	protected void decode(ChannelHandlerContext context, ByteBuf buffer, List<Object> out) throws Exception {
+		int before = out.size();
+		super.decode(context, buffer, out);
+		this.headBegun &= out.size() == before;
+	}
+
 	@Override
 	protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
 		throw new IllegalArgumentException("both a length and chunks");
--- a/src/main/java/sycamorehill/entry/TargetConnection.java
+++ b/src/main/java/sycamorehill/entry/TargetConnection.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -38,6 +39,8 @@
 
 	private final long number;
 
+	private final StrictResponseDecoder decoder;
+
 	private final UnmatchedAnswers unmatchedAnswers;
 
 	private final CarriedRequests carried = CarriedRequests.create();
@@ -64,16 +67,20 @@
 	/** Whether something arrived that belongs to no request that waited. */
 	private boolean unmatched;
 
+	/** Whether bytes have arrived while no request waited. */
+	private boolean unexpectedBytes;
+
 	/** Second answer that can't be true beside the answer; null if there is none. */
 	private HttpResponse contradiction;
 
-	private TargetConnection(long number, UnmatchedAnswers unmatchedAnswers) {
+	private TargetConnection(long number, StrictResponseDecoder decoder, UnmatchedAnswers unmatchedAnswers) {
 		this.number = number;
+		this.decoder = decoder;
 		this.unmatchedAnswers = unmatchedAnswers;
 	}
 
-	static TargetConnection of(long number, UnmatchedAnswers unmatchedAnswers) {
-		return new TargetConnection(number, unmatchedAnswers);
+	static TargetConnection of(long number, StrictResponseDecoder decoder, UnmatchedAnswers unmatchedAnswers) {
+		return new TargetConnection(number, decoder, unmatchedAnswers);
 	}
 
 	/**
@@ -130,12 +137,13 @@
 	}
 
 	/**
-	 * Counts received bytes while the head of the answer is awaited. Too many end the
-	 * answer and close the connection.
+	 * Admits bytes that have arrived. Too many before the head of the answer end the
+	 * answer and close the connection, as does any byte while no request waits.
 	 * @param bytes number of bytes that have arrived
 	 * @return false if they are too many
 	 */
 	boolean admitBytes(int bytes) {
+		this.unexpectedBytes |= this.phase == Phase.IDLE;
 		if (this.phase != Phase.AWAITING_HEAD && this.phase != Phase.SKIPPING) {
 			return true;
 		}
@@ -212,19 +220,23 @@
 	// Bytes that were in transit when this side closed the connection are not recorded.
 	private void handleUnexpected(Object message) {
 		if (isOpen() && this.expected != null) {
-			this.unmatchedAnswers.record(this.target, use(), message, this.expected, false);
+			recordBehindAnswer(message);
 		}
 		this.context.close();
 	}
 
 	private void handleBehindAnswer(Object message) {
+		recordBehindAnswer(message);
+		if (isContradiction(message)) {
+			this.contradiction = (HttpResponse) message;
+		}
+	}
+
+	private void recordBehindAnswer(Object message) {
 		if (!this.unmatched) {
 			this.unmatched = true;
 			this.unmatchedAnswers.record(this.target, use(), message, this.expected, false);
 		}
-		if (isContradiction(message)) {
-			this.contradiction = (HttpResponse) message;
-		}
 	}
 
 	private boolean isContradiction(Object message) {
@@ -234,7 +246,10 @@
 	}
 
 	private void dispatch(Object message) {
-		if (message instanceof HttpResponse response) {
+		if (message instanceof HttpResponse response && JoinedHeads.isJoined(response)) {
+			handleInvalidAnswer("two heads run into one");
+		}
+		else if (message instanceof HttpResponse response) {
 			this.interimResponse = response.status().codeClass() == HttpStatusClass.INFORMATIONAL
 					&& response.status().code() != HttpResponseStatus.SWITCHING_PROTOCOLS.code();
 			if (!this.interimResponse) {
@@ -301,6 +316,12 @@
 	/** Ends an answer when all bytes that arrived with its end have been looked at. */
 	@Override
 	public void channelReadComplete(ChannelHandlerContext ctx) {
+		if (this.unexpectedBytes) {
+			handleUnexpected(Unpooled.EMPTY_BUFFER);
+		}
+		if (this.phase == Phase.COMPLETE && this.decoder.hasPartialInput()) {
+			recordBehindAnswer(Unpooled.EMPTY_BUFFER);
+		}
 		completeAnswer();
 		ctx.fireChannelReadComplete();
 	}
--- a/src/main/java/sycamorehill/entry/TargetConnectionPool.java
+++ b/src/main/java/sycamorehill/entry/TargetConnectionPool.java
@@ -76,10 +76,10 @@
 			.handler(new ChannelInitializer<Channel>() {
 				@Override
 				protected void initChannel(Channel channel) {
-					TargetConnection connection = createConnection();
+					StrictResponseDecoder decoder = StrictResponseDecoder.create();
+					TargetConnection connection = createConnection(decoder);
 					channel.pipeline()
-						.addLast(AnswerHeadLimit.of(connection), StrictResponseDecoder.create(),
-								new HttpRequestEncoder(), connection);
+						.addLast(AnswerHeadLimit.of(connection), decoder, new HttpRequestEncoder(), connection);
 				}
 			});
 	}
@@ -88,9 +88,9 @@
 		return new TargetConnectionPool(loop);
 	}
 
-	private TargetConnection createConnection() {
+	private TargetConnection createConnection(StrictResponseDecoder decoder) {
 		this.connections++;
-		return TargetConnection.of(this.connections, this.unmatchedAnswers);
+		return TargetConnection.of(this.connections, decoder, this.unmatchedAnswers);
 	}
 
 	/**
--- a/src/test/java/sycamorehill/entry/CutSecondAnswerTests.java
+++ b/src/test/java/sycamorehill/entry/CutSecondAnswerTests.java
@@ -11,6 +11,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -33,24 +34,35 @@
 		this.node.close();
 	}
 
-	private void start(String left, long pauseMillis) throws Exception {
+	private void startSecondHead(String left, long pauseMillis) throws Exception {
 		this.node = CallerNode.start((request, out) -> {
-			boolean first = this.requests.merge(out, 1, Integer::sum) == 1
-					&& LoopbackCluster.identifier(request).startsWith("one");
-			String answer = "HTTP/1.1 " + (first ? "200 OK" : "500 Error") + "\r\nAttempt-Id: "
-					+ LoopbackCluster.identifier(request) + "\r\nServer-Signature: s\r\nContent-Length: 0\r\n\r\n";
-			if (pauseMillis > 0) {
-				write(out, answer);
+			boolean first = isFirst(request, out);
+			write(out, answer(request, first) + ((first && pauseMillis == 0) ? left : ""));
+			if (first && pauseMillis > 0) {
 				pause(pauseMillis);
-				write(out, first ? left : "");
-			}
-			else {
-				write(out, answer + (first ? left : ""));
+				write(out, left);
 			}
 			return true;
 		});
 	}
 
+	private void startSecondHeadBeforeNextAnswer(String left) throws Exception {
+		this.node = CallerNode.start((request, out) -> {
+			boolean first = isFirst(request, out);
+			write(out, (first ? "" : left) + answer(request, first));
+			return true;
+		});
+	}
+
+	private boolean isFirst(String request, OutputStream out) {
+		return this.requests.merge(out, 1, Integer::sum) == 1 && LoopbackCluster.identifier(request).equals("one");
+	}
+
+	private static String answer(String request, boolean success) {
+		return "HTTP/1.1 " + (success ? "200 OK" : "500 Error") + "\r\nAttempt-Id: "
+				+ LoopbackCluster.identifier(request) + "\r\nServer-Signature: s\r\nContent-Length: 0\r\n\r\n";
+	}
+
 	private static void write(OutputStream out, String text) throws IOException {
 		out.write(text.getBytes(StandardCharsets.ISO_8859_1));
 		out.flush();
@@ -65,20 +77,40 @@
 		}
 	}
 
+	private String askTwice(String path, long pauseMillis) throws Exception {
+		assertThat(this.node.ask(path, "one")).startsWith("HTTP/1.1 200 OK");
+		pause(2 * pauseMillis);
+		String answer = this.node.ask(path, "two");
+		this.node.close();
+		return answer;
+	}
+
 	// Guards against a success that is put together from two answers of the target.
 	@ParameterizedTest
 	@CsvSource({ "/once/x,0", "/once/x,5", "/again/x,0", "/again/x,5" })
 	void theNextRequestGetsNoSuccessWhereTheTargetFails(String path, long pauseMillis) throws Exception {
-		List<String> successes = new ArrayList<>();
+		List<String> others = new ArrayList<>();
 		for (int length = 1; length <= SECOND_HEAD.length(); length++) {
-			start(SECOND_HEAD.substring(0, length), pauseMillis);
-			assertThat(this.node.ask(path, "one")).startsWith("HTTP/1.1 200 OK");
-			pause(2 * pauseMillis);
-			String answer = this.node.ask(path, "two");
+			startSecondHead(SECOND_HEAD.substring(0, length), pauseMillis);
+			String answer = askTwice(path, pauseMillis);
 			if (!answer.startsWith("HTTP/1.1 500 Error")) {
+				others.add(length + ": " + answer);
+			}
+		}
+		assertThat(others).isEmpty();
+	}
+
+	// Guards against the same while the next request already waits on the connection.
+	@ParameterizedTest
+	@ValueSource(strings = { "/once/x", "/again/x" })
+	void aWaitingRequestGetsNoSuccessWhereTheTargetFails(String path) throws Exception {
+		List<String> successes = new ArrayList<>();
+		for (int length = 1; length <= SECOND_HEAD.length(); length++) {
+			startSecondHeadBeforeNextAnswer(SECOND_HEAD.substring(0, length));
+			String answer = askTwice(path, 0);
+			if (answer.startsWith("HTTP/1.1 2")) {
 				successes.add(length + ": " + answer);
 			}
-			this.node.close();
 		}
 		assertThat(successes).isEmpty();
 	}
