--- a/src/main/java/sycamorehill/entry/StrictResponseDecoder.java
+++ b/src/main/java/sycamorehill/entry/StrictResponseDecoder.java
@@ -20,6 +20,8 @@
 	/** Whether the first line of a head has arrived, and its other lines have not. */
 	private boolean headBegun;
 
+	private boolean headOnly;
+
 	private StrictResponseDecoder(HttpDecoderConfig config) {
 		super(config);
 	}
@@ -31,6 +33,20 @@
 			.setAllowDuplicateContentLengths(false));
 	}
 
+	/**
+	 * Sets whether the next answer is one to a HEAD request, which has no body whatever
+	 * its head says.
+	 * @param headOnly whether it is
+	 */
+	void expectHeadOnly(boolean headOnly) {
+		this.headOnly = headOnly;
+	}
+
+	@Override
+	protected boolean isContentAlwaysEmpty(HttpMessage message) {
+		return this.headOnly || super.isContentAlwaysEmpty(message);
+	}
+
 	/**
 	 * Returns whether bytes have arrived that are no whole part of an answer yet.
 	 * @return whether there are such bytes
--- a/src/main/java/sycamorehill/entry/TargetConnection.java
+++ b/src/main/java/sycamorehill/entry/TargetConnection.java
@@ -11,6 +11,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -129,6 +130,7 @@
 	ChannelFuture send(FullHttpRequest request, ExpectedAnswer answer) {
 		this.requests++;
 		this.expected = answer;
+		this.decoder.expectHeadOnly(HttpMethod.HEAD.equals(request.method()));
 		this.phase = Phase.AWAITING_HEAD;
 		this.bytesBeforeHead = 0;
 		this.head = null;
