Take a switch to another protocol for no answer

No request asks to switch, as the headers for it are not forwarded; so a 101 is no answer, and ends the attempt and the connection.

Red before: AnswersWithoutBodyTests.aSwitchToAnotherProtocolIsNoAnswer (the caller got 101).

--- a/src/main/java/sycamorehill/entry/TargetConnection.java
+++ b/src/main/java/sycamorehill/entry/TargetConnection.java
@@ -264,7 +264,10 @@
 	}
 
 	private void handleHead(HttpResponse response) {
-		if (isOwn(response)) {
+		if (response.status().code() == HttpResponseStatus.SWITCHING_PROTOCOLS.code()) {
+			handleInvalidAnswer("another protocol, which was not asked for");
+		}
+		else if (isOwn(response)) {
 			this.phase = Phase.READING;
 			this.head = response;
 			this.expected.handler().handleHead(response);
--- a/src/test/java/sycamorehill/entry/AnswersWithoutBodyTests.java
+++ b/src/test/java/sycamorehill/entry/AnswersWithoutBodyTests.java
@@ -20,6 +20,11 @@
 
 	private static final int REQUESTS = 3;
 
+	/** A target that failed is left alone for a while. */
+	private static final int MAXIMUM_REFUSALS = 50;
+
+	private static final long REFUSAL_PAUSE_MILLIS = 100;
+
 	/** Connections to the target that have carried a request. */
 	private final Set<OutputStream> connections = ConcurrentHashMap.newKeySet();
 
@@ -71,4 +76,18 @@
 		assertThat(this.connections).hasSize(REQUESTS);
 	}
 
+	// Guards against a connection of another protocol that later requests wait on.
+	@Test
+	void aSwitchToAnotherProtocolIsNoAnswer() throws Exception {
+		start("HTTP/1.1 101 Switching Protocols", "Upgrade: other\r\nConnection: upgrade\r\n", "");
+		assertThat(this.node.ask("/once/x", "other")).startsWith("HTTP/1.1 502");
+		String next = this.node.ask("/once/x", "next-0");
+		for (int number = 1; next.startsWith("HTTP/1.1 503") && number < MAXIMUM_REFUSALS; number++) {
+			Thread.sleep(REFUSAL_PAUSE_MILLIS);
+			next = this.node.ask("/once/x", "next-" + number);
+		}
+		assertThat(next).startsWith("HTTP/1.1 502");
+		assertThat(this.connections).hasSize(2);
+	}
+
 }
