Confirm a lease only by an answer that holds what was written

Calls to the store name no request, so that an answer is matched by its place on the connection. A late answer to the renewal before passed for that to this one while the store said conflict: two controllers at once. The store is not known to answer twice; no caller has seen this.

Each write stores the revision that it replaces as the number of the renewal, so that its answer can be told from any other at no cost: holder, term and renewal must be those written, and a conflict must name a newer lease. Otherwise the outcome is unknown, as for an answer that was lost.

--- a/src/main/java/sycamorehill/platform/PlatformStore.java
+++ b/src/main/java/sycamorehill/platform/PlatformStore.java
@@ -76,8 +76,6 @@
 
 	private static final String GROUP_CONTROL = "group-control";
 
-	private static final String RECENT_TERMS = "recent_terms";
-
 	/**
 	 * Timeout of a call that the store answers without waiting for changes. Even a slow
 	 * store answers well within it.
@@ -279,16 +277,18 @@
 
 	@Override
 	public CompletableFuture<LeaseAnswer> read() {
-		return callForLease(CallClient.Call.get(this.store, leasePath() + '?' + STALE_READ_ALLOWED), false);
+		return callForLease(CallClient.Call.get(this.store, leasePath() + '?' + STALE_READ_ALLOWED),
+				this::answerToRead);
 	}
 
 	@Override
 	public CompletableFuture<LeaseAnswer> create(String holder) {
+		LeaseWrite write = LeaseWrite.creating(holder);
 		ObjectNode body = this.json.createObjectNode();
 		body.putObject("metadata").put("name", GROUP_CONTROL);
-		body.putObject("spec").put("holder", holder).put("term", 1).put("renewal", 0).put(RECENT_TERMS, 0);
+		body.set("spec", write.encode(this.json));
 		return callForLease(new CallClient.Call(this.store, HttpMethod.POST, OBJECTS_PATH + DUTIES, toBytes(body)),
-				true);
+				(answer) -> answerToWrite(answer, write));
 	}
 
 	/**
@@ -297,40 +297,59 @@
 	 */
 	@Override
 	public CompletableFuture<LeaseAnswer> replace(Lease lease) {
+		LeaseWrite write = LeaseWrite.replacing(lease);
 		ObjectNode body = this.json.createObjectNode();
 		body.putObject("metadata").put("name", GROUP_CONTROL).put("rev", lease.revision());
-		body.putObject("spec")
-			.put("holder", lease.holder())
-			.put("term", lease.term())
-			.put("renewal", lease.revision())
-			.put(RECENT_TERMS, lease.recentTerms());
-		return callForLease(new CallClient.Call(this.store, HttpMethod.PUT, leasePath(), toBytes(body)), true);
+		body.set("spec", write.encode(this.json));
+		return callForLease(new CallClient.Call(this.store, HttpMethod.PUT, leasePath(), toBytes(body)),
+				(answer) -> answerToWrite(answer, write));
 	}
 
 	private static String leasePath() {
 		return OBJECTS_PATH + DUTIES + '/' + GROUP_CONTROL;
 	}
 
-	private CompletableFuture<LeaseAnswer> callForLease(CallClient.Call call, boolean write) {
+	private CompletableFuture<LeaseAnswer> callForLease(CallClient.Call call,
+			Function<CallAnswer, LeaseAnswer> decoder) {
 		return this.client.call(call, null, CALL_TIMEOUT)
-			.thenApply((answer) -> leaseAnswer(answer, write))
+			.thenApply(decoder)
 			.exceptionally((failure) -> new LeaseAnswer.Unavailable(String.valueOf(failure.getMessage())));
 	}
 
-	private LeaseAnswer leaseAnswer(CallAnswer answer, boolean write) {
+	private LeaseAnswer answerToRead(CallAnswer answer) {
+		return switch (answer.status()) {
+			case OK -> new LeaseAnswer.Present(LeaseWrite.decodeLease(leaseObject(answer)), false);
+			case NOT_FOUND -> new LeaseAnswer.Absent();
+			default -> unavailable(answer);
+		};
+	}
+
+	// The answers of the store don't name their calls. One that can't be that of this
+	// write leaves its outcome unknown.
+	private LeaseAnswer answerToWrite(CallAnswer answer, LeaseWrite write) {
 		return switch (answer.status()) {
-			case OK, CREATED -> new LeaseAnswer.Present(decodeLease(parseBody(answer)), write);
-			case CONFLICT -> new LeaseAnswer.Conflict(decodeLease(parseBody(answer)));
+			case OK, CREATED -> {
+				JsonNode object = leaseObject(answer);
+				yield write.isIn(object) ? new LeaseAnswer.Present(LeaseWrite.decodeLease(object), true)
+						: new LeaseAnswer.Unavailable("the answer to another write");
+			}
+			case CONFLICT -> {
+				Lease current = LeaseWrite.decodeLease(leaseObject(answer));
+				yield write.conflictsWith(current) ? new LeaseAnswer.Conflict(current)
+						: new LeaseAnswer.Unavailable("a conflict with revision " + current.revision());
+			}
 			case NOT_FOUND -> new LeaseAnswer.Absent();
-			default -> new LeaseAnswer.Unavailable("status " + answer.status());
+			default -> unavailable(answer);
 		};
 	}
 
-	private static Lease decodeLease(JsonNode answer) {
-		JsonNode object = answer.path("object").isObject() ? answer.path("object") : answer;
-		JsonNode spec = object.path("spec");
-		return new Lease(JsonFields.optionalText(spec, "holder").orElse(""), JsonFields.wholeNumber(spec, "term"),
-				JsonFields.wholeNumber(object.path("metadata"), "rev"), spec.path(RECENT_TERMS).asInt());
+	private static LeaseAnswer unavailable(CallAnswer answer) {
+		return new LeaseAnswer.Unavailable("status " + answer.status());
+	}
+
+	private JsonNode leaseObject(CallAnswer answer) {
+		JsonNode body = parseBody(answer);
+		return body.path("object").isObject() ? body.path("object") : body;
 	}
 
 	private JsonNode parseBody(CallAnswer answer) {
