Take frames of another node for an answer only in the order of one

Frames between nodes carry no number of their request. A node that answers twice, or whose frames arrive late on a kept connection, gave the caller the body of two answers under the status of the second, another status than that at the end, or the answer to an earlier sending of the request; an order was answered that the other node had not accepted. Found by test; nodes of this code send one answer a request, as far as reading shows.

The other node accepts a request before anything else of it, and TCP keeps the order, so that frames of an earlier request come before the acceptance. ProxiedAnswer checks this, one head with the identifier of the request, body or events as the head says, and an end with the status of the head. Other frames close the connection; the outcome is unknown, or not run for an order that was not confirmed. A frame that no request waits for leaves a line.

PlayedNode is the node that ProxyAttemptTests played within itself, unchanged. One of its tests sent a head with the identifier of another request, which is refused now for that; it sends its own, and tests what it tested.

--- a/src/main/java/sycamorehill/entry/ProxyAttempt.java
+++ b/src/main/java/sycamorehill/entry/ProxyAttempt.java
@@ -9,14 +9,9 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
-import io.netty.handler.codec.http.DefaultHttpHeaders;
-import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.ScheduledFuture;
 
 import sycamorehill.model.identity.TargetName;
@@ -40,9 +35,6 @@
 	/** Rate that is expected of the link when a large body is sent. */
 	private static final int MINIMUM_BYTES_PER_MILLISECOND = 10_000;
 
-	/** Maximum size of a non-streaming answer, which is held until it is complete. */
-	private static final int MAXIMUM_ANSWER_BYTES = 16 * 1024 * 1024;
-
 	private final EntryEffect.StartProxiedAttempt start;
 
 	private final CallerExchange exchange;
@@ -57,6 +49,8 @@
 
 	private final boolean confirmationRequired;
 
+	private final ProxiedAnswer answer;
+
 	private ProxyChannel connection;
 
 	private ScheduledFuture<?> acceptTimer;
@@ -73,12 +67,6 @@
 
 	private boolean allEventsNumbered = true;
 
-	private HttpResponse head;
-
-	private boolean streaming;
-
-	private final ByteBuf body = Unpooled.buffer();
-
 	private ProxyAttempt(EntryEffect.StartProxiedAttempt start, CallerExchange exchange,
 			ProxyConnectionPool connections, StreamActivity<String> activity, ExchangeCodec codec,
 			EntryEventSink eventSink) {
@@ -89,6 +77,7 @@
 		this.codec = codec;
 		this.eventSink = eventSink;
 		this.confirmationRequired = !start.request().kind().isRepeatable();
+		this.answer = ProxiedAnswer.of(exchange.identifier(), codec);
 	}
 
 	static ProxyAttempt start(EntryEffect.StartProxiedAttempt start, CallerExchange exchange,
@@ -173,15 +162,16 @@
 			handleAccepted();
 		}
 		else if (frame instanceof ProxyFrame.Head received) {
-			handleHead(received);
+			this.answer.setHead(received);
 		}
 		else if (frame instanceof ProxyFrame.Body part) {
-			handleBody(part);
+			this.answer.append(part);
 		}
 		else if (frame instanceof ProxyFrame.Event event) {
 			handleEvent(event);
 		}
 		else if (frame instanceof ProxyFrame.Stalled stalled) {
+			this.answer.checkStall();
 			this.eventSink.post(
 					new EntryEvent.ProxiedAttemptStalled(this.start.number(), this.start.attempt(), stalled.target()));
 		}
@@ -194,6 +184,7 @@
 	}
 
 	private void handleAccepted() {
+		this.answer.accept();
 		this.acceptTimer.cancel(false);
 		if (this.confirmationRequired && !this.confirmed) {
 			this.confirmed = true;
@@ -201,28 +192,14 @@
 		}
 	}
 
-	private void handleHead(ProxyFrame.Head received) {
-		HttpHeaders headers = new DefaultHttpHeaders(false);
-		received.headers().forEach((header) -> headers.add(header.name(), header.value()));
-		this.head = new DefaultHttpResponse(HttpVersion.HTTP_1_1,
-				new HttpResponseStatus(received.status(), received.reason()), headers);
-		this.streaming = received.streaming();
-	}
-
 	// Called with the first event or the end, as the decisions learn of it then. The
 	// caller of a stream that ends before gets an answer instead.
 	private void startStream() {
-		this.exchange.startStream(this.head, this.codec.readTargetResponse(this.head));
-	}
-
-	private void handleBody(ProxyFrame.Body part) {
-		this.body.writeBytes(part.bytes());
-		if (this.body.readableBytes() > MAXIMUM_ANSWER_BYTES) {
-			handleLost("the answer is longer than " + MAXIMUM_ANSWER_BYTES + " bytes");
-		}
+		this.exchange.startStream(this.answer.head(), this.codec.readTargetResponse(this.answer.head()));
 	}
 
 	private void handleEvent(ProxyFrame.Event event) {
+		this.answer.checkEvent();
 		this.allEventsNumbered &= event.number().isPresent();
 		cancelOtherAttempts();
 		if (!this.answerStarted) {
@@ -238,18 +215,14 @@
 
 	private void handleEnd(ProxyFrame.End ended) {
 		AttemptEnd end = ended.end();
-		boolean answered = end instanceof AttemptEnd.Delivered || end instanceof AttemptEnd.Failed;
-		if (answered && this.head == null) {
-			handleLost("an end without an answer");
-			return;
-		}
+		this.answer.checkEnd(end);
 		this.connectionPool.release(this.start.node().address(), this.connection);
 		if (end instanceof AttemptEnd.Delivered delivered) {
 			finish(ended.target(), deliver(delivered));
 			return;
 		}
 		if (end instanceof AttemptEnd.Failed) {
-			this.exchange.holdFailure(this.head, this.body.retain());
+			this.exchange.holdFailure(this.answer.head(), this.answer.retainBody());
 		}
 		finish(ended.target(), end);
 	}
@@ -262,8 +235,8 @@
 
 	private AttemptEnd deliver(AttemptEnd.Delivered delivered) {
 		cancelOtherAttempts();
-		if (!this.streaming) {
-			this.exchange.deliver(this.head, this.body.retain());
+		if (!this.answer.isStreaming()) {
+			this.exchange.deliver(this.answer.head(), this.answer.retainBody());
 			return delivered;
 		}
 		startStream();
@@ -302,7 +275,7 @@
 	}
 
 	private void abandonConnection() {
-		if (this.connection != null && this.head == null) {
+		if (this.connection != null && !this.answer.isBegun()) {
 			this.connection.reset();
 		}
 		else if (this.connection != null) {
@@ -353,7 +326,7 @@
 			recordPaused(false);
 			this.activity.recordRequestEnded(this.start.node().name(), this.answerStarted, System.nanoTime());
 		}
-		this.body.release();
+		this.answer.release();
 	}
 
 }
--- a/src/main/java/sycamorehill/entry/ProxyChannel.java
+++ b/src/main/java/sycamorehill/entry/ProxyChannel.java
@@ -152,7 +152,7 @@
 	@Override
 	protected void channelRead0(ChannelHandlerContext ctx, ByteBuf bytes) {
 		if (this.listener == null) {
-			ctx.close();
+			closeUnexpected();
 			return;
 		}
 		try {
@@ -163,6 +163,15 @@
 		}
 	}
 
+	// Frames that were in transit when this side closed the connection are not reported.
+	private void closeUnexpected() {
+		if (isOpen()) {
+			EventLog.write(LogLine.of(LogEvent.NODE_MESSAGE_UNREADABLE, "frame from="
+					+ this.context.channel().remoteAddress() + " cause='no request waits on the connection'"));
+			this.context.close();
+		}
+	}
+
 	@Override
 	public void channelWritabilityChanged(ChannelHandlerContext ctx) {
 		if (this.listener != null) {
--- a/src/test/java/sycamorehill/entry/ProxyAttemptTests.java
+++ b/src/test/java/sycamorehill/entry/ProxyAttemptTests.java
@@ -1,30 +1,19 @@
 package sycamorehill.entry;
 
-import java.io.DataInputStream;
-import java.io.DataOutputStream;
-import java.io.EOFException;
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
-import java.net.SocketException;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.BiConsumer;
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
-import sycamorehill.model.identity.Address;
-import sycamorehill.model.identity.DataCentreName;
 import sycamorehill.model.identity.TargetName;
 import sycamorehill.model.serving.AttemptEnd;
-import sycamorehill.model.serving.NodeRecord;
-import sycamorehill.model.serving.NotRunCause;
 import sycamorehill.support.RecordedLog;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -35,41 +24,18 @@
  */
 class ProxyAttemptTests {
 
-	private final List<ProxyFrame> received = new CopyOnWriteArrayList<>();
-
-	/** Until then, the other node has no target. */
-	private volatile boolean tested;
-
-	/** Number of connections that the node has reset. */
-	private volatile int resets;
-
-	private ServerSocket server;
+	private PlayedNode otherNode;
 
 	private LoopbackCluster cluster;
 
-	// The other node answers each frame as the test says.
-	private void start(BiConsumer<ProxyFrame, OtherNode> behaviour) throws Exception {
-		this.server = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
-		Thread thread = new Thread(() -> acceptAll(behaviour), "other-node");
-		thread.setDaemon(true);
-		thread.start();
-		NodeRecord other = new NodeRecord("two", Address.of("127.0.0.1", 1), DataCentreName.of("north"), 0.75,
-				Optional.of(Address.of("127.0.0.1", this.server.getLocalPort())));
-		this.cluster = LoopbackCluster.start(LoopbackCluster::hello,
-				(request) -> LoopbackCluster.events(request, 1, 2, true), List.of(other), "one");
-		this.cluster.cut("one", TargetLink.Way.RESET);
-		for (int request = 0; request < 8; request++) {
-			this.cluster.ask("one", "/again/x", "warm" + request);
-			this.cluster.ask("one", "/stream/x", "warm" + request);
-		}
-		Thread.sleep(500);
-		this.received.clear();
-		this.tested = true;
+	private void start(BiConsumer<ProxyFrame, PlayedNode.Connection> behaviour) throws Exception {
+		this.otherNode = PlayedNode.start(behaviour);
+		this.cluster = this.otherNode.startOrigin();
 	}
 
 	@AfterEach
 	void end() throws IOException {
-		this.server.close();
+		this.otherNode.close();
 		this.cluster.close();
 	}
 
@@ -80,65 +46,18 @@
 	void aRequestThatIsCancelledBeforeItsAnswerIsReset() throws Exception {
 		start((frame, node) -> {
 		});
-		int before = this.resets;
+		int before = this.otherNode.resets();
 		Socket caller = this.cluster.open("one", "/again/x", "left", "abc");
-		for (int attempt = 0; attempt < 20 && this.received.size() < 2; attempt++) {
+		for (int attempt = 0; attempt < 20 && this.otherNode.received().size() < 2; attempt++) {
 			Thread.sleep(5);
 		}
 		caller.close();
 		Thread.sleep(150);
-		assertThat(this.resets).isEqualTo(before + 1);
-	}
-
-	private void acceptAll(BiConsumer<ProxyFrame, OtherNode> behaviour) {
-		while (!this.server.isClosed()) {
-			try {
-				Socket socket = this.server.accept();
-				Thread thread = new Thread(() -> serve(socket, behaviour), "other-node-connection");
-				thread.setDaemon(true);
-				thread.start();
-			}
-			catch (IOException ex) {
-				return;
-			}
-		}
-	}
-
-	private void serve(Socket socket, BiConsumer<ProxyFrame, OtherNode> behaviour) {
-		try (socket) {
-			OtherNode node = new OtherNode(socket, new DataOutputStream(socket.getOutputStream()));
-			DataInputStream in = new DataInputStream(socket.getInputStream());
-			while (true) {
-				byte[] bytes = new byte[in.readInt()];
-				in.readFully(bytes);
-				ProxyFrame frame = ProxyFrameCodec.read(bytes);
-				this.received.add(frame);
-				if (this.tested) {
-					behaviour.accept(frame, node);
-				}
-				else if (endsBody(frame)) {
-					node.send(new ProxyFrame.End(Optional.empty(), new AttemptEnd.NotRun(NotRunCause.NO_TARGET)));
-				}
-			}
-		}
-		catch (EOFException ex) {
-			this.received.add(null);
-		}
-		catch (SocketException ex) {
-			this.resets++;
-			this.received.add(null);
-		}
-		catch (IOException ex) {
-			throw new IllegalStateException(ex);
-		}
+		assertThat(this.otherNode.resets()).isEqualTo(before + 1);
 	}
 
 	private boolean wasConfirmed() {
-		return this.received.stream().anyMatch(ProxyFrame.Confirmed.class::isInstance);
-	}
-
-	private static boolean endsBody(ProxyFrame frame) {
-		return frame instanceof ProxyFrame.Body;
+		return this.otherNode.received().stream().anyMatch(ProxyFrame.Confirmed.class::isInstance);
 	}
 
 	private static boolean mustBeConfirmed(List<ProxyFrame> frames) {
@@ -152,7 +71,7 @@
 	@Test
 	void anOrderThatWasNotConfirmedIsRefusedAsNotRun() throws Exception {
 		start((frame, node) -> {
-			if (endsBody(frame)) {
+			if (PlayedNode.endsBody(frame)) {
 				node.close();
 			}
 		});
@@ -165,7 +84,7 @@
 	@Test
 	void anOrderThatAPausedNodeDoesNotAcceptIsRefusedSoonAndNeverConfirmed() throws Exception {
 		start((frame, node) -> {
-			if (endsBody(frame) && mustBeConfirmed(this.received)) {
+			if (PlayedNode.endsBody(frame) && mustBeConfirmed(this.otherNode.received())) {
 				sleep(800);
 				node.send(new ProxyFrame.Accepted());
 			}
@@ -181,7 +100,7 @@
 	@Test
 	void anOrderThatWasConfirmedHasAnUnknownOutcome() throws Exception {
 		start((frame, node) -> {
-			if (endsBody(frame)) {
+			if (PlayedNode.endsBody(frame)) {
 				node.send(new ProxyFrame.Accepted());
 			}
 			else if (frame instanceof ProxyFrame.Confirmed) {
@@ -189,13 +108,16 @@
 			}
 		});
 		assertThat(this.cluster.ask("one", "/once/x", "a1")).startsWith("HTTP/1.1 502");
-		assertThat(this.received.stream().filter(ProxyFrame.Request.class::isInstance)).hasSize(1);
+		assertThat(this.otherNode.received().stream().filter(ProxyFrame.Request.class::isInstance)).hasSize(1);
 	}
 
 	private static ProxyFrame.Head head(boolean streaming) {
-		return new ProxyFrame.Head(200, "OK",
-				List.of(new ProxyFrame.Header("Attempt-Id", "a1"), new ProxyFrame.Header("Server-Signature", "s")),
-				streaming);
+		return head("a1", streaming);
+	}
+
+	private static ProxyFrame.Head head(String identifier, boolean streaming) {
+		return new ProxyFrame.Head(200, "OK", List.of(new ProxyFrame.Header("Attempt-Id", identifier),
+				new ProxyFrame.Header("Server-Signature", "s")), streaming);
 	}
 
 	private static ProxyFrame delivered() {
@@ -206,7 +128,7 @@
 	@Test
 	void anAnswerThatBreaksOffIsNotDelivered() throws Exception {
 		start((frame, node) -> {
-			if (endsBody(frame)) {
+			if (PlayedNode.endsBody(frame)) {
 				node.send(new ProxyFrame.Accepted());
 			}
 			else if (frame instanceof ProxyFrame.Confirmed) {
@@ -222,7 +144,7 @@
 	@Test
 	void aConnectionServesOneRequestAfterAnother() throws Exception {
 		start((frame, node) -> {
-			if (endsBody(frame)) {
+			if (PlayedNode.endsBody(frame)) {
 				node.send(new ProxyFrame.Accepted());
 			}
 			else if (frame instanceof ProxyFrame.Confirmed) {
@@ -235,14 +157,14 @@
 		for (int request = 0; request < 3; request++) {
 			assertThat(this.cluster.ask("one", "/once/x", "a1")).startsWith("HTTP/1.1 200").endsWith("hello");
 		}
-		assertThat(this.received).doesNotContainNull();
+		assertThat(this.otherNode.received()).doesNotContainNull();
 	}
 
 	// Bytes after the end belong to no request: the next one must not get them.
 	@Test
 	void framesAfterTheEndCloseTheConnection() throws Exception {
 		start((frame, node) -> {
-			if (endsBody(frame)) {
+			if (PlayedNode.endsBody(frame)) {
 				node.send(new ProxyFrame.Accepted());
 			}
 			else if (frame instanceof ProxyFrame.Confirmed) {
@@ -256,7 +178,7 @@
 			assertThat(this.cluster.ask("one", "/once/x", "a1")).startsWith("HTTP/1.1 200").endsWith("\r\nhello");
 			Thread.sleep(50);
 		}
-		assertThat(this.received).containsNull();
+		assertThat(this.otherNode.received()).containsNull();
 	}
 
 	// The stream of a node that breaks off can't be resumed without another node; it must
@@ -264,7 +186,7 @@
 	@Test
 	void aStreamThatBreaksOffDoesNotLookComplete() throws Exception {
 		start((frame, node) -> {
-			if (endsBody(frame)) {
+			if (PlayedNode.endsBody(frame)) {
 				node.send(new ProxyFrame.Accepted());
 				node.send(head(true));
 				node.send(new ProxyFrame.Event(OptionalLong.of(1), "id: 1\ndata: e1\n\n".getBytes()));
@@ -279,9 +201,9 @@
 	@Test
 	void aStreamThatBreaksOffBeforeItsFirstEventIsAnswered() throws Exception {
 		start((frame, node) -> {
-			if (endsBody(frame)) {
+			if (PlayedNode.endsBody(frame)) {
 				node.send(new ProxyFrame.Accepted());
-				node.send(head(true));
+				node.send(head("headless", true));
 				sleep(100);
 				node.close();
 			}
@@ -294,7 +216,7 @@
 	@Test
 	void aStreamWithoutEventsIsWhole() throws Exception {
 		start((frame, node) -> {
-			if (endsBody(frame)) {
+			if (PlayedNode.endsBody(frame)) {
 				node.send(new ProxyFrame.Accepted());
 				node.send(head(true));
 				node.send(delivered());
@@ -312,35 +234,4 @@
 		}
 	}
 
-	/**
-	 * The other node's end of a connection.
-	 *
-	 * @param socket the connection
-	 * @param out writes to it
-	 */
-	private record OtherNode(Socket socket, DataOutputStream out) {
-
-		void send(ProxyFrame frame) {
-			try {
-				byte[] bytes = ProxyFrameCodec.create().write(frame);
-				this.out.writeInt(bytes.length);
-				this.out.write(bytes);
-				this.out.flush();
-			}
-			catch (IOException ex) {
-				close();
-			}
-		}
-
-		void close() {
-			try {
-				this.socket.close();
-			}
-			catch (IOException ex) {
-				throw new IllegalStateException(ex);
-			}
-		}
-
-	}
-
 }
