Deliver no answer that names two requests

Of two identifiers in an answer the first alone was read, and the answer delivered as that to its request. Several lines of a header are one list: the answer is that to neither. AnswerHeadTests.anAnswerWithTwoIdentifiersIsNoAnswer was red before, in both cases.

The other tests were green before and show: identifiers are compared with their case and without blanks around them, bytes behind a 204 or 304 reach nobody, and callers that use one identifier at once, or pipeline it, get their own answers.

--- a/src/main/java/sycamorehill/platform/PlatformExchangeCodec.java
+++ b/src/main/java/sycamorehill/platform/PlatformExchangeCodec.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -192,9 +193,13 @@
 				Optional.ofNullable(headers.get(PlatformHeaders.WEIGHTS_VERSION)), idleTimeout(headers));
 	}
 
+	// Several lines of a header are one list: an answer that names two requests is the
+	// answer to neither.
 	@Override
 	public Optional<String> readAnswerIdentifier(HttpResponse response) {
-		return Optional.ofNullable(response.headers().get(PlatformHeaders.ATTEMPT_IDENTIFIER));
+		List<String> identifiers = response.headers().getAll(PlatformHeaders.ATTEMPT_IDENTIFIER);
+		return identifiers.isEmpty() ? Optional.empty()
+				: Optional.of(identifiers.stream().distinct().collect(Collectors.joining(", ")));
 	}
 
 	private static Optional<Duration> rest(HttpResponse response) {
