Deliver no encoded body

Targets encode no bodies: an answer with a Content-Encoding is not the target's, and reached the caller as a success, or as the target's failure. It is treated like one without a signature now.

--- a/src/main/java/sycamorehill/entry/TargetAttempt.java
+++ b/src/main/java/sycamorehill/entry/TargetAttempt.java
@@ -167,13 +167,13 @@
 			this.eventSink.post(new EntryEvent.TargetReported(this.start.number(), this.start.target().name(),
 					this.parsedHead.report()));
 		}
-		boolean success = isSuccess(response);
-		if (success && (!this.parsedHead.signed() || this.parsedHead.identifier().isEmpty())) {
+		Optional<String> violation = findViolation(response);
+		if (violation.isPresent()) {
 			closeConnection();
-			finish(new AttemptEnd.Unknown("a success without the target's signature", false));
+			handleInvalidAnswer(violation.get());
 			return;
 		}
-		this.streaming = success && this.start.handling().kind().isStreaming();
+		this.streaming = isSuccess(response) && this.start.handling().kind().isStreaming();
 		if (this.streaming) {
 			this.events = EventSplitter.create(this.connection.context().alloc());
 		}
@@ -182,6 +182,16 @@
 		}
 	}
 
+	// Targets don't encode bodies: one that is encoded comes from somewhere else.
+	private Optional<String> findViolation(HttpResponse response) {
+		if (isSuccess(response) && (!this.parsedHead.signed() || this.parsedHead.identifier().isEmpty())) {
+			return Optional.of("a success without the target's signature");
+		}
+		boolean refused = this.parsedHead.notRun() || this.parsedHead.otherTarget();
+		return (!refused && response.headers().contains(HttpHeaderNames.CONTENT_ENCODING))
+				? Optional.of("an encoded body, which is not the target's") : Optional.empty();
+	}
+
 	@Override
 	public void handleBody(ByteBuf bytes) {
 		if (this.finished) {
--- a/src/test/java/sycamorehill/entry/AnswerHeadTests.java
+++ b/src/test/java/sycamorehill/entry/AnswerHeadTests.java
@@ -42,6 +42,28 @@
 		return RawTarget.responder((request) -> answer(request, status, headers, body));
 	}
 
+	// Guards against a success whose body is not the target's.
+	@ParameterizedTest
+	@ValueSource(strings = { "/once/x", "/again/x", "/single/x" })
+	void anEncodedBodyIsNoAnswer(String path) throws Exception {
+		start(answering("200 OK", "Content-Encoding: gzip\r\n", "hello"));
+		assertThat(this.node.ask(path, "one")).startsWith("HTTP/1.1 502");
+	}
+
+	// Guards against a failure whose body is not the target's.
+	@Test
+	void aFailureWithAnEncodedBodyIsNoAnswer() throws Exception {
+		start(answering("404 Not Found", "Content-Encoding: gzip\r\n", "hello"));
+		assertThat(this.node.ask("/once/x", "one")).startsWith("HTTP/1.1 502");
+	}
+
+	// Guards against an order that is told unknown although its target did not run it.
+	@Test
+	void aRefusalStaysOneWhateverItsBody() throws Exception {
+		start(answering("503 Full", "Content-Encoding: gzip\r\nNot-Executed: 1\r\n", "hello"));
+		assertThat(this.node.ask("/once/x", "one")).startsWith("HTTP/1.1 503");
+	}
+
 	// Guards against an answer that names two requests and is delivered to one of them.
 	@ParameterizedTest
 	@ValueSource(strings = { "/once/x", "/again/x" })
