Go on elsewhere with a stream whose numbers don't increase

A target that answers a second time within its stream sends the same numbers again. The events up to the last number were dropped as known, and those behind it forwarded: the caller got one stream of two runs, which looked whole.

The numbers of one attempt must increase. Otherwise the stream is broken off there, and resumed elsewhere behind its last event where it may be. A resumed stream that begins anew at another target is another attempt: its known events are dropped as before.

TwoSendingsTests.aSecondAnswerWithinAStreamIsNotJoinedToTheFirst and aStreamWithASecondAnswerWithinDoesNotLookWhole were red before.

--- a/src/main/java/sycamorehill/entry/ProxyAttempt.java
+++ b/src/main/java/sycamorehill/entry/ProxyAttempt.java
@@ -65,7 +65,7 @@
 
 	private boolean paused;
 
-	private boolean allEventsNumbered = true;
+	private final EventNumbers eventNumbers = EventNumbers.create();
 
 	private ProxyAttempt(EntryEffect.StartProxiedAttempt start, CallerExchange exchange,
 			ProxyConnectionPool connections, StreamActivity<String> activity, ExchangeCodec codec,
@@ -200,7 +200,9 @@
 
 	private void handleEvent(ProxyFrame.Event event) {
 		this.answer.checkEvent();
-		this.allEventsNumbered &= event.number().isPresent();
+		if (!this.eventNumbers.mayBeNext(event.number())) {
+			throw new IllegalStateException(EventNumbers.VIOLATION);
+		}
 		cancelOtherAttempts();
 		if (!this.answerStarted) {
 			this.answerStarted = true;
@@ -208,6 +210,7 @@
 			this.activity.recordStreamStarted(this.start.node().name(), System.nanoTime());
 			this.eventSink.post(new EntryEvent.AnswerStarted(this.start.number()));
 		}
+		this.eventNumbers.add(event.number());
 		this.activity.recordProgress(this.start.node().name(), System.nanoTime());
 		this.exchange.forwardEvent(Unpooled.wrappedBuffer(event.bytes()), event.number());
 		this.exchange.flush();
@@ -258,7 +261,7 @@
 			finish(Optional.empty(), new AttemptEnd.NotRun(NotRunCause.NODE_UNAVAILABLE));
 		}
 		else if (this.exchange.streamStarted()) {
-			finish(Optional.empty(), new AttemptEnd.Broken(cause, this.allEventsNumbered, false));
+			finish(Optional.empty(), new AttemptEnd.Broken(cause, this.eventNumbers.isComplete(), false));
 		}
 		else {
 			finish(Optional.empty(), new AttemptEnd.Unknown(cause, false));
--- a/src/main/java/sycamorehill/entry/TargetAttempt.java
+++ b/src/main/java/sycamorehill/entry/TargetAttempt.java
@@ -80,7 +80,7 @@
 
 	private EventSplitter events;
 
-	private boolean allEventsNumbered = true;
+	private final EventNumbers eventNumbers = EventNumbers.create();
 
 	private TargetAttempt(EntryEffect.StartAttempt start, AttemptExchange exchange, TargetConnectionPool connections,
 			StreamActivity<TargetName> activity, ExchangeCodec codec, EntryEventSink eventSink) {
@@ -206,6 +206,7 @@
 			this.events.append(bytes, this::handleEvent);
 		}
 		catch (IllegalStateException ex) {
+			this.exchange.flush();
 			closeConnection();
 			handleStreamFailure(ex.getMessage(), false);
 			return;
@@ -241,7 +242,10 @@
 			event.release();
 			return;
 		}
-		this.allEventsNumbered &= number.isPresent();
+		if (!this.eventNumbers.mayBeNext(number)) {
+			event.release();
+			throw new IllegalStateException(EventNumbers.VIOLATION);
+		}
 		cancelOtherAttempts();
 		if (!this.answerStarted) {
 			this.answerStarted = true;
@@ -249,6 +253,7 @@
 			this.exchange.startStream(this.head, this.parsedHead);
 			this.eventSink.post(new EntryEvent.AnswerStarted(this.start.number()));
 		}
+		this.eventNumbers.add(number);
 		this.exchange.forwardEvent(event, number);
 	}
 
@@ -386,7 +391,7 @@
 
 	private void handleStreamFailure(String cause, boolean connectionLost) {
 		boolean streamStarted = this.exchange.streamStarted();
-		finish(streamStarted ? new AttemptEnd.Broken(cause, this.allEventsNumbered, connectionLost)
+		finish(streamStarted ? new AttemptEnd.Broken(cause, this.eventNumbers.isComplete(), connectionLost)
 				: new AttemptEnd.Unknown(cause, connectionLost));
 	}
 
--- a/src/test/java/sycamorehill/entry/TwoSendingsTests.java
+++ b/src/test/java/sycamorehill/entry/TwoSendingsTests.java
@@ -188,6 +188,41 @@
 		assertEvents(answer, "data: own1");
 	}
 
+	// Sends three events, and then a second answer of five as part of the first.
+	private static void answerTwiceWithin(String request, OutputStream out) throws IOException {
+		StringBuilder text = new StringBuilder(openStream(request, 1, 3));
+		for (int number = 1; number <= 5; number++) {
+			text.append(event(number, "second"));
+		}
+		write(out, text + END);
+	}
+
+	// Guards against a stream that goes on with the second answer of a target.
+	@Test
+	void aSecondAnswerWithinAStreamIsNotJoinedToTheFirst() throws Exception {
+		startEngines((request, out) -> {
+			if (isResumed(request)) {
+				return writeEvents(request, out, 4, 5);
+			}
+			answerTwiceWithin(request, out);
+			return true;
+		});
+		assertEvents(this.cluster.ask("one", "/stream/x", "repeated"), "data: e1", "data: e2", "data: e3", "data: e4",
+				"data: e5");
+	}
+
+	// Guards against the same where the stream can't be resumed.
+	@Test
+	void aStreamWithASecondAnswerWithinDoesNotLookWhole() throws Exception {
+		startEngines((request, out) -> {
+			answerTwiceWithin(request, out);
+			return true;
+		});
+		assertThat(this.cluster.ask("one", "/single/x", "repeated")).contains("data: e3")
+			.doesNotContain("data: second")
+			.doesNotEndWith(END);
+	}
+
 	@Test
 	void aResumedStreamThatBeginsAnewRepeatsNothing() throws Exception {
 		startEngines((request, out) -> {
