Resume no silent stream that had an event without a number

A stream is resumed behind the number of its last event. While its target was silent, a second attempt was started even if an event had come without a number, and the caller got that event twice. A stream that broke off was not resumed then already.

The first event without a number tells the decisions that the answer can't be resumed. TwoSendingsTests.aSilentStreamWithAnUnnumberedEventIsNotResumedElsewhere was red before.

--- a/src/main/java/sycamorehill/entry/EventNumbers.java
+++ b/src/main/java/sycamorehill/entry/EventNumbers.java
@@ -34,10 +34,13 @@
 	/**
 	 * Adds the next event.
 	 * @param number its number; empty if it has none
+	 * @return whether it is the first without a number
 	 */
-	void add(OptionalLong number) {
+	boolean add(OptionalLong number) {
+		boolean firstWithout = this.complete && number.isEmpty();
 		this.complete &= number.isPresent();
 		this.last = number.isPresent() ? number : this.last;
+		return firstWithout;
 	}
 
 	/**
--- a/src/main/java/sycamorehill/entry/ProxyAttempt.java
+++ b/src/main/java/sycamorehill/entry/ProxyAttempt.java
@@ -210,7 +210,9 @@
 			this.activity.recordStreamStarted(this.start.node().name(), System.nanoTime());
 			this.eventSink.post(new EntryEvent.AnswerStarted(this.start.number()));
 		}
-		this.eventNumbers.add(event.number());
+		if (this.eventNumbers.add(event.number())) {
+			this.eventSink.post(new EntryEvent.AnswerNotResumable(this.start.number()));
+		}
 		this.activity.recordProgress(this.start.node().name(), System.nanoTime());
 		this.exchange.forwardEvent(Unpooled.wrappedBuffer(event.bytes()), event.number());
 		this.exchange.flush();
--- a/src/main/java/sycamorehill/entry/TargetAttempt.java
+++ b/src/main/java/sycamorehill/entry/TargetAttempt.java
@@ -253,7 +253,9 @@
 			this.exchange.startStream(this.head, this.parsedHead);
 			this.eventSink.post(new EntryEvent.AnswerStarted(this.start.number()));
 		}
-		this.eventNumbers.add(number);
+		if (this.eventNumbers.add(number)) {
+			this.eventSink.post(new EntryEvent.AnswerNotResumable(this.start.number()));
+		}
 		this.exchange.forwardEvent(event, number);
 	}
 
--- a/src/main/java/sycamorehill/logic/dispatch/DispatchedRequest.java
+++ b/src/main/java/sycamorehill/logic/dispatch/DispatchedRequest.java
@@ -14,6 +14,7 @@
 import sycamorehill.model.serving.HomeRegions;
 import sycamorehill.model.serving.LostRequest;
 import sycamorehill.model.serving.ProxiedRequest;
+import sycamorehill.model.serving.RequestKind;
 import sycamorehill.model.serving.Route;
 import sycamorehill.model.serving.ServiceParameters;
 import sycamorehill.model.serving.TargetEntry;
@@ -78,6 +79,8 @@
 	/** Whether the use of the workspace contains this request as admitted. */
 	private boolean admitted;
 
+	private boolean resumable = true;
+
 	private Optional<Duration> timeToFirstAnswer = Optional.empty();
 
 	private DispatchedRequest(CallerRequest request, Route route, ServiceParameters service,
@@ -323,6 +326,18 @@
 		return first;
 	}
 
+	void markNotResumable() {
+		this.resumable = false;
+	}
+
+	/**
+	 * Returns whether another target may go on with the answer.
+	 * @return false unless it is a stream whose events so far were all numbered
+	 */
+	boolean isResumable() {
+		return this.resumable && this.route.kind() == RequestKind.RESUMABLE_STREAM;
+	}
+
 	void markAnswerStarted(Duration elapsed) {
 		this.timeToFirstAnswer = Optional.of(elapsed);
 	}
--- a/src/main/java/sycamorehill/logic/dispatch/RequestDispatcher.java
+++ b/src/main/java/sycamorehill/logic/dispatch/RequestDispatcher.java
@@ -272,6 +272,14 @@
 		});
 	}
 
+	/**
+	 * Handles an event without a number, which another target would send once more.
+	 * @param number the request's number
+	 */
+	public void handleNotResumable(long number) {
+		Optional.ofNullable(this.activeRequests.get(number)).ifPresent(DispatchedRequest::markNotResumable);
+	}
+
 	/**
 	 * Handles the end of an attempt.
 	 * @param number the request's number
--- a/src/main/java/sycamorehill/logic/dispatch/StalledStreams.java
+++ b/src/main/java/sycamorehill/logic/dispatch/StalledStreams.java
@@ -15,7 +15,6 @@
 import sycamorehill.model.serving.EntryEffect;
 import sycamorehill.model.serving.EntryEvent;
 import sycamorehill.model.serving.ProxiedRequest;
-import sycamorehill.model.serving.RequestKind;
 
 /**
  * Starts second attempts of streams whose target, or whose proxy, has stopped sending, if
@@ -165,17 +164,13 @@
 	 */
 	void handleStalledBehindProxy(DispatchedRequest request, TargetName target, Instant now, Effects effects) {
 		request.excludeTarget(target);
-		if (request.route().kind() == RequestKind.RESUMABLE_STREAM) {
+		if (request.isResumable()) {
 			this.parallelAttempts.start(request, TARGET_SILENT + " " + target, now, effects);
 		}
 	}
 
 	private List<DispatchedRequest> resumableStreams(Predicate<DispatchedRequest> condition) {
-		return this.activeRequests.values()
-			.stream()
-			.filter((request) -> request.route().kind() == RequestKind.RESUMABLE_STREAM)
-			.filter(condition)
-			.toList();
+		return this.activeRequests.values().stream().filter(DispatchedRequest::isResumable).filter(condition).toList();
 	}
 
 	// Whether the stream goes on elsewhere is the decision of the node that has the
--- a/src/main/java/sycamorehill/logic/entry/RequestEvents.java
+++ b/src/main/java/sycamorehill/logic/entry/RequestEvents.java
@@ -82,6 +82,9 @@
 		else if (event instanceof EntryEvent.AnswerStarted begun) {
 			this.requests.handleFirstEvent(begun.number(), now);
 		}
+		else if (event instanceof EntryEvent.AnswerNotResumable unnumbered) {
+			this.requests.handleNotResumable(unnumbered.number());
+		}
 		else if (event instanceof EntryEvent.AttemptPrevailed prevailed) {
 			this.requests.handleAttemptPrevailed(prevailed.number(), prevailed.attempt(), now, effects);
 		}
--- a/src/main/java/sycamorehill/model/serving/EntryEvent.java
+++ b/src/main/java/sycamorehill/model/serving/EntryEvent.java
@@ -100,6 +100,15 @@
 	record AnswerStarted(long number) implements EntryEvent {
 	}
 
+	/**
+	 * An event without a number was forwarded to the caller. The answer can't be resumed
+	 * elsewhere, where the event would come once more.
+	 *
+	 * @param number the request
+	 */
+	record AnswerNotResumable(long number) implements EntryEvent {
+	}
+
 	/**
 	 * One of several attempts of a request went on with the answer. The runtime has
 	 * already cancelled the others.
--- a/src/test/java/sycamorehill/entry/TwoSendingsTests.java
+++ b/src/test/java/sycamorehill/entry/TwoSendingsTests.java
@@ -22,6 +22,8 @@
 
 	private static final int REQUESTS_UNTIL_DETECTED = 10;
 
+	private static final int SILENCE_MILLIS = 1200;
+
 	private static final int GAP_MILLIS = 100;
 
 	private static final String LATE = "late";
@@ -235,4 +237,22 @@
 		assertEvents(this.cluster.ask("one", "/stream/x", "anew"), "data: e1", "data: e2", "data: e3", "data: e4");
 	}
 
+	// Guards against events that come twice because a stream without numbers is resumed.
+	@Test
+	void aSilentStreamWithAnUnnumberedEventIsNotResumedElsewhere() throws Exception {
+		AtomicInteger sendings = new AtomicInteger();
+		startEngines((request, out) -> {
+			String own = chunk("data: unnumbered\n\n");
+			if (sendings.incrementAndGet() > 1) {
+				write(out, openStream(request, 1, 0) + own + END);
+				return true;
+			}
+			write(out, openStream(request, 1, 0) + own);
+			sleep(SILENCE_MILLIS);
+			write(out, chunk("data: last\n\n") + END);
+			return true;
+		});
+		assertEvents(this.cluster.ask("one", "/stream/x", "unnumbered"), "data: unnumbered", "data: last");
+	}
+
 }
