Make each call of a node with an interface of its own on a connection of its own

ServiceTalk takes any answer on a connection for that to its next request, also one that arrives between two requests, and doesn't close the connection. A late second answer to an order, a claim or a report was taken for that to the next call: an order counted as accepted that was refused. The wire format has no identifiers.

Node asks for the connection to be closed behind each answer. Clients of the load tool and of operators keep theirs, as they call nodes.

--- a/src/main/java/sycamorehill/http/HttpClientPool.java
+++ b/src/main/java/sycamorehill/http/HttpClientPool.java
@@ -5,9 +5,18 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentMap;
 
+import io.servicetalk.concurrent.api.Single;
+import io.servicetalk.http.api.FilterableStreamingHttpClient;
 import io.servicetalk.http.api.FilterableStreamingHttpLoadBalancedConnection;
 import io.servicetalk.http.api.HttpExecutionStrategies;
+import io.servicetalk.http.api.HttpHeaderNames;
+import io.servicetalk.http.api.HttpHeaderValues;
+import io.servicetalk.http.api.SingleAddressHttpClientBuilder;
 import io.servicetalk.http.api.StreamingHttpClient;
+import io.servicetalk.http.api.StreamingHttpClientFilter;
+import io.servicetalk.http.api.StreamingHttpRequest;
+import io.servicetalk.http.api.StreamingHttpRequester;
+import io.servicetalk.http.api.StreamingHttpResponse;
 import io.servicetalk.http.netty.DefaultHttpLoadBalancerFactory;
 import io.servicetalk.http.netty.HttpClients;
 import io.servicetalk.http.netty.RetryingHttpRequesterFilter;
@@ -32,17 +41,32 @@
 
 	private final Duration connectTimeout;
 
-	private HttpClientPool(Duration connectTimeout) {
+	private final boolean reusesConnections;
+
+	private HttpClientPool(Duration connectTimeout, boolean reusesConnections) {
 		this.connectTimeout = connectTimeout;
+		this.reusesConnections = reusesConnections;
 	}
 
 	/**
-	 * Creates an empty pool.
+	 * Creates an empty pool whose clients reuse connections. ServiceTalk takes any answer
+	 * on a connection for that to its next request, also a second one to a request
+	 * before.
 	 * @param connectTimeout the maximum time to establish a connection
 	 * @return the pool
 	 */
 	public static HttpClientPool create(Duration connectTimeout) {
-		return new HttpClientPool(connectTimeout);
+		return new HttpClientPool(connectTimeout, true);
+	}
+
+	/**
+	 * Creates an empty pool whose clients use a connection for each request, for servers
+	 * that may answer a request twice.
+	 * @param connectTimeout the maximum time to establish a connection
+	 * @return the pool
+	 */
+	public static HttpClientPool createWithoutReuse(Duration connectTimeout) {
+		return new HttpClientPool(connectTimeout, false);
 	}
 
 	/**
@@ -58,7 +82,8 @@
 	}
 
 	private StreamingHttpClient createClient(Address address) {
-		return HttpClients.forResolvedAddress(new InetSocketAddress(address.host(), address.port()))
+		SingleAddressHttpClientBuilder<InetSocketAddress, InetSocketAddress> builder = HttpClients
+			.forResolvedAddress(new InetSocketAddress(address.host(), address.port()))
 			.executionStrategy(HttpExecutionStrategies.offloadNone())
 			.socketOption(ServiceTalkSocketOptions.CONNECT_TIMEOUT, (int) this.connectTimeout.toMillis())
 			.loadBalancerFactory(DefaultHttpLoadBalancerFactory.Builder
@@ -67,8 +92,22 @@
 					.healthCheckFailedConnectionsThreshold(HEALTH_CHECKS_OFF)
 					.build())
 				.build())
-			.appendClientFilter(RetryingHttpRequesterFilter.disableAutoRetries())
-			.buildStreaming();
+			.appendClientFilter(RetryingHttpRequesterFilter.disableAutoRetries());
+		return this.reusesConnections ? builder.buildStreaming()
+				: builder.appendClientFilter(HttpClientPool::closeAfterAnswer).buildStreaming();
+	}
+
+	private static StreamingHttpClientFilter closeAfterAnswer(FilterableStreamingHttpClient client) {
+		return new StreamingHttpClientFilter(client) {
+
+			@Override
+			protected Single<StreamingHttpResponse> request(StreamingHttpRequester delegate,
+					StreamingHttpRequest request) {
+				request.setHeader(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+				return delegate.request(request);
+			}
+
+		};
 	}
 
 	private void closeAll() {
--- a/src/main/java/sycamorehill/runtime/Node.java
+++ b/src/main/java/sycamorehill/runtime/Node.java
@@ -53,7 +53,7 @@
 
 	private final AtomicBoolean failed = new AtomicBoolean();
 
-	private final HttpClientPool httpClients = HttpClientPool.create(CONNECT_TIMEOUT);
+	private final HttpClientPool httpClients = HttpClientPool.createWithoutReuse(CONNECT_TIMEOUT);
 
 	private final ControlLoop loop;
 
