--- a/src/main/java/sycamorehill/entry/TargetAttempt.java
+++ b/src/main/java/sycamorehill/entry/TargetAttempt.java
@@ -80,7 +80,7 @@
 
 	private EventSplitter events;
 
-	private boolean allEventsNumbered = true;
+	private final EventNumbers eventNumbers = EventNumbers.create();
 
 	private TargetAttempt(EntryEffect.StartAttempt start, AttemptExchange exchange, TargetConnectionPool connections,
 			StreamActivity<TargetName> activity, ExchangeCodec codec, EntryEventSink eventSink) {
@@ -167,13 +167,13 @@
 			this.eventSink.post(new EntryEvent.TargetReported(this.start.number(), this.start.target().name(),
 					this.parsedHead.report()));
 		}
-		boolean success = isSuccess(response);
-		if (success && (!this.parsedHead.signed() || this.parsedHead.identifier().isEmpty())) {
+		Optional<String> violation = findViolation(response);
+		if (violation.isPresent()) {
 			closeConnection();
-			finish(new AttemptEnd.Unknown("a success without the target's signature", false));
+			handleInvalidAnswer(violation.get());
 			return;
 		}
-		this.streaming = success && this.start.handling().kind().isStreaming();
+		this.streaming = isSuccess(response) && this.start.handling().kind().isStreaming();
 		if (this.streaming) {
 			this.events = EventSplitter.create(this.connection.context().alloc());
 		}
@@ -182,6 +182,16 @@
 		}
 	}
 
+	// Targets don't encode bodies: one that is encoded comes from somewhere else.
+	private Optional<String> findViolation(HttpResponse response) {
+		if (isSuccess(response) && (!this.parsedHead.signed() || this.parsedHead.identifier().isEmpty())) {
+			return Optional.of("a success without the target's signature");
+		}
+		boolean refused = this.parsedHead.notRun() || this.parsedHead.otherTarget();
+		return (!refused && response.headers().contains(HttpHeaderNames.CONTENT_ENCODING))
+				? Optional.of("an encoded body, which is not the target's") : Optional.empty();
+	}
+
 	@Override
 	public void handleBody(ByteBuf bytes) {
 		if (this.finished) {
@@ -196,6 +206,7 @@
 			this.events.append(bytes, this::handleEvent);
 		}
 		catch (IllegalStateException ex) {
+			this.exchange.flush();
 			closeConnection();
 			handleStreamFailure(ex.getMessage(), false);
 			return;
@@ -231,7 +242,10 @@
 			event.release();
 			return;
 		}
-		this.allEventsNumbered &= number.isPresent();
+		if (!this.eventNumbers.mayBeNext(number)) {
+			event.release();
+			throw new IllegalStateException(EventNumbers.VIOLATION);
+		}
 		cancelOtherAttempts();
 		if (!this.answerStarted) {
 			this.answerStarted = true;
@@ -239,6 +253,9 @@
 			this.exchange.startStream(this.head, this.parsedHead);
 			this.eventSink.post(new EntryEvent.AnswerStarted(this.start.number()));
 		}
+		if (this.eventNumbers.add(number)) {
+			this.eventSink.post(new EntryEvent.AnswerNotResumable(this.start.number()));
+		}
 		this.exchange.forwardEvent(event, number);
 	}
 
@@ -376,7 +393,7 @@
 
 	private void handleStreamFailure(String cause, boolean connectionLost) {
 		boolean streamStarted = this.exchange.streamStarted();
-		finish(streamStarted ? new AttemptEnd.Broken(cause, this.allEventsNumbered, connectionLost)
+		finish(streamStarted ? new AttemptEnd.Broken(cause, this.eventNumbers.isComplete(), connectionLost)
 				: new AttemptEnd.Unknown(cause, connectionLost));
 	}
 
