Write the detail of a log line as one line of bounded length

What operators could have seen (by reading): a name or value that another writer chose breaks a log line in two, so that a second line looked like an event of ours, or fill the log with a megabyte.

Cause: details were written as they came.

Why this works: EventLog is the only writer of these lines, and escapes and cuts there. Stack traces of exceptions are not escaped.

--- a/src/main/java/sycamorehill/runtime/EventLog.java
+++ b/src/main/java/sycamorehill/runtime/EventLog.java
@@ -19,7 +19,7 @@
 	 * @param line the log line
 	 */
 	public static void write(LogLine line) {
-		String text = line.event().code() + " " + line.event() + " " + line.detail();
+		String text = line.event().code() + " " + line.event() + " " + LogText.oneLine(line.detail());
 		switch (line.event().level()) {
 			case INFO -> Logger.info(text);
 			case WARN -> Logger.warn(text);
@@ -34,7 +34,7 @@
 	 * @param cause the exception
 	 */
 	public static void failure(LogEvent event, String detail, Throwable cause) {
-		Logger.error(cause, event.code() + " " + event + " " + detail);
+		Logger.error(cause, event.code() + " " + event + " " + LogText.oneLine(detail));
 	}
 
 	/**
