Read each object of the store by itself, so that an odd one fails no other

What callers saw: one entry of another writer, nested deeply or with bytes that are no UTF-8, stopped all nodes from learning anything of any target. Work went on to targets that had begun to drain, a node that started never got ready, and a target stayed in use when its own entry became unreadable. Entries with numbers that wrap or are out of range, host names as addresses (looked up on the event loop) and names with line breaks (they go into a header and the log) were let in.

Cause: an answer of the store was parsed as one document, within the parser's limits; numbers were narrowed without a check; FeedReader read unreadable changes again and again; a list whose continuation doesn't advance never ended.

Why this works: JsonText finds the extents of the objects without parsing or recursion, so that an object's name can be read though its content can't: its target counts as removed. Parsed values are limited to 100 levels, numbers are narrowed in JsonFields only. A fault is logged once, until it changes or is gone. A page without JSON around its objects is a failed call as before, and changes that can't be read lead to a list.

--- a/src/main/java/sycamorehill/entry/Feed.java
+++ b/src/main/java/sycamorehill/entry/Feed.java
@@ -58,4 +58,21 @@
 
 	}
 
+	/**
+	 * Thrown when the store answered, and no objects can be told apart in its answer.
+	 */
+	final class UnreadablePageException extends Exception {
+
+		private static final long serialVersionUID = 1L;
+
+		/**
+		 * Creates the exception.
+		 * @param message the fault
+		 */
+		public UnreadablePageException(String message) {
+			super(message);
+		}
+
+	}
+
 }
--- a/src/main/java/sycamorehill/entry/FeedReader.java
+++ b/src/main/java/sycamorehill/entry/FeedReader.java
@@ -181,6 +181,8 @@
 		scheduleNext((listing || !page.items().isEmpty()) ? this.pace.get().pauseAfterChange() : Duration.ZERO);
 	}
 
+	// Changes that can't be read would be read again and again. A list doesn't contain
+	// them any more.
 	private void handleFailure(Throwable failure) {
 		Throwable cause = (failure instanceof CompletionException) ? failure.getCause() : failure;
 		if (cause instanceof Feed.HistoryGoneException) {
@@ -192,6 +194,9 @@
 			EventLog.write(LogLine.of(LogEvent.STORE_CONTACT,
 					this.name + ": a call failed since=" + this.revision + " cause='" + cause.getMessage() + "'"));
 		}
+		if (cause instanceof Feed.UnreadablePageException) {
+			this.revision = -1;
+		}
 		this.storeUnreachable = true;
 		this.listener.handleUnreachable();
 		scheduleNext(this.retryDelay);
--- a/src/main/java/sycamorehill/model/serving/TargetEntry.java
+++ b/src/main/java/sycamorehill/model/serving/TargetEntry.java
@@ -30,6 +30,12 @@
 		boolean leaving, long startMillis, Optional<String> domain, Set<String> staged, Optional<String> loaded,
 		Optional<Membership> membership, Duration warmUpLeft) {
 
+	/** Maximum number of slots; no target runs more requests at once. */
+	public static final int MAXIMUM_SLOTS = 1_000_000;
+
+	/** Maximum time for which a target is cold. */
+	public static final Duration MAXIMUM_WARM_UP = Duration.ofDays(1);
+
 	/**
 	 * Creates the entry of a target that is not cold.
 	 * @param name the target's name
@@ -52,9 +58,16 @@
 	}
 
 	/**
-	 * Copies the staged models.
+	 * Copies the staged models and checks that the numbers are in range.
 	 */
 	public TargetEntry {
+		if (slots < 1 || slots > MAXIMUM_SLOTS) {
+			throw new IllegalArgumentException("a target has 1 to " + MAXIMUM_SLOTS + " slots, not " + slots);
+		}
+		if (warmUpLeft.isNegative() || warmUpLeft.compareTo(MAXIMUM_WARM_UP) > 0) {
+			throw new IllegalArgumentException(
+					"a target is cold for at most " + MAXIMUM_WARM_UP + ", not for " + warmUpLeft);
+		}
 		staged = Set.copyOf(staged);
 	}
 
--- a/src/main/java/sycamorehill/platform/PlatformAdapter.java
+++ b/src/main/java/sycamorehill/platform/PlatformAdapter.java
@@ -4,6 +4,7 @@
 
 import sycamorehill.entry.CallClient;
 import sycamorehill.entry.EntryPorts;
+import sycamorehill.json.BoundedJson;
 import sycamorehill.model.serving.EntrySettings;
 
 /**
@@ -21,10 +22,10 @@
 	 * @return the interfaces
 	 */
 	public static EntryPorts createPorts(EntrySettings settings, CallClient client) {
-		ObjectMapper json = new ObjectMapper();
+		ObjectMapper json = BoundedJson.create();
 		PlatformStore store = PlatformStore.of(client, settings.storeAddress(), json);
 		return new EntryPorts(PlatformExchangeCodec.create(), store.configurations(), store::decodeConfiguration,
-				store.targets(), store, store, PlatformEngineClient.of(client, json),
+				store.targets(), store.nodes(), store.lease(), PlatformEngineClient.of(client, json),
 				settings.evacuationTime().map((time) -> store.evacuations()));
 	}
 
--- a/src/main/java/sycamorehill/platform/TargetDecoder.java
+++ b/src/main/java/sycamorehill/platform/TargetDecoder.java
@@ -7,7 +7,6 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 
-import sycamorehill.model.identity.Address;
 import sycamorehill.model.identity.DataCentreName;
 import sycamorehill.model.identity.ServiceName;
 import sycamorehill.model.identity.TargetName;
@@ -21,22 +20,42 @@
  */
 final class TargetDecoder {
 
+	private static final int MAXIMUM_STAGED_MODELS = 1000;
+
+	private static final int MAXIMUM_RANK = 100_000;
+
 	private TargetDecoder() {
 	}
 
 	static TargetEntry decodeEntry(String name, JsonNode spec) {
+		checkUnusedFields(spec);
 		return new TargetEntry(TargetName.of(name), ServiceName.of(JsonFields.text(spec, "service")),
-				Address.parse(JsonFields.text(spec, "address")), DataCentreName.of(JsonFields.text(spec, "zone")),
-				(int) JsonFields.wholeNumber(spec, "batch_slots"), isLeaving(spec), startMillis(spec),
-				JsonFields.optionalText(spec, "domain"), stagedModels(spec), loadedModel(spec), membership(spec),
-				warmUpLeft(spec));
+				JsonFields.address(spec, "address"), DataCentreName.of(JsonFields.text(spec, "zone")),
+				(int) JsonFields.wholeNumber(spec, "batch_slots", 1, TargetEntry.MAXIMUM_SLOTS), isLeaving(spec),
+				startMillis(spec), JsonFields.optionalName(spec, "domain"), stagedModels(spec), loadedModel(spec),
+				membership(spec), warmUpLeft(spec));
+	}
+
+	// An entry whose other fields have the wrong type comes from another writer as well.
+	private static void checkUnusedFields(JsonNode spec) {
+		JsonNode version = spec.path("version");
+		if (!version.isMissingNode() && !version.isTextual() && !version.isNumber()) {
+			throw JsonFields.invalidField("version", "a text");
+		}
+		if (spec.hasNonNull("sequence")) {
+			JsonFields.wholeNumber(spec, "sequence");
+		}
 	}
 
-	// A value that can't be read says nothing about the target, which is used like any
-	// other.
 	private static Duration warmUpLeft(JsonNode spec) {
-		JsonNode left = spec.path("warmup_left_ms");
-		return left.isNumber() ? Duration.ofMillis(Math.max(0, Math.round(left.doubleValue()))) : Duration.ZERO;
+		if (!spec.hasNonNull("warmup_left_ms")) {
+			return Duration.ZERO;
+		}
+		double millis = JsonFields.number(spec, "warmup_left_ms");
+		if (millis > TargetEntry.MAXIMUM_WARM_UP.toMillis()) {
+			throw JsonFields.invalidField("warmup_left_ms", "at most " + TargetEntry.MAXIMUM_WARM_UP);
+		}
+		return Duration.ofMillis(Math.max(0, Math.round(millis)));
 	}
 
 	// In a report, the field 'sequence' counts accepted commands; in the store, it counts
@@ -50,33 +69,45 @@
 		return switch (state) {
 			case "ready" -> false;
 			case "draining" -> true;
-			default -> throw new IllegalArgumentException("field 'state' has the unknown value '" + state + "'");
+			default -> throw new IllegalArgumentException(
+					"field 'state' has the unknown value '" + JsonFields.abbreviated(state) + "'");
 		};
 	}
 
 	private static long startMillis(JsonNode spec) {
-		JsonNode startMillis = spec.path("born");
-		return startMillis.isIntegralNumber() ? startMillis.longValue() : 0;
+		return spec.hasNonNull("born") ? JsonFields.wholeNumber(spec, "born") : 0;
 	}
 
 	private static Set<String> stagedModels(JsonNode spec) {
+		if (!spec.hasNonNull("staged")) {
+			return Set.of();
+		}
 		Set<String> staged = new HashSet<>();
-		spec.path("staged")
-			.forEach((model) -> staged.add(model.isTextual() ? model.textValue() : model.path("name").asText()));
+		JsonNode models = JsonFields.list(spec, "staged");
+		if (models.size() > MAXIMUM_STAGED_MODELS) {
+			throw JsonFields.invalidField("staged", "a list of at most " + MAXIMUM_STAGED_MODELS + " models");
+		}
+		models
+			.forEach((model) -> staged.add(JsonFields.nameOf(model.isObject() ? model.path("name") : model, "staged")));
 		return staged;
 	}
 
 	private static Optional<String> loadedModel(JsonNode spec) {
-		return JsonFields.optionalText(spec.path("models").path(0), "name");
+		if (!spec.hasNonNull("models")) {
+			return Optional.empty();
+		}
+		return JsonFields.optionalName(JsonFields.list(spec, "models").path(0), "name");
 	}
 
 	private static Optional<Membership> membership(JsonNode spec) {
 		JsonNode group = spec.path("group");
-		if (!group.isObject() || JsonFields.optionalText(group, "name").filter((name) -> !name.isEmpty()).isEmpty()) {
-			return Optional.empty();
+		if (!group.isObject() && !group.isMissingNode() && !group.isNull()) {
+			throw JsonFields.invalidField("group", "an object");
 		}
-		return Optional.of(new Membership(JsonFields.text(group, "name"), JsonFields.wholeNumber(group, "epoch"),
-				(int) JsonFields.wholeNumber(group, "rank"), memberState(JsonFields.text(group, "state"))));
+		return JsonFields.optionalName(group, "name")
+			.map((name) -> new Membership(name, JsonFields.wholeNumber(group, "epoch"),
+					(int) JsonFields.wholeNumber(group, "rank", 0, MAXIMUM_RANK),
+					memberState(JsonFields.text(group, "state"))));
 	}
 
 	private static MemberState memberState(String state) {
@@ -86,7 +117,8 @@
 			case "open" -> MemberState.OPEN;
 			case "closing" -> MemberState.CLOSING;
 			case "broken" -> MemberState.BROKEN;
-			default -> throw new IllegalArgumentException("a group's state has the unknown value '" + state + "'");
+			default -> throw new IllegalArgumentException(
+					"a group's state has the unknown value '" + JsonFields.abbreviated(state) + "'");
 		};
 	}
 
--- a/src/test/java/sycamorehill/entry/FeedReaderTests.java
+++ b/src/test/java/sycamorehill/entry/FeedReaderTests.java
@@ -112,6 +112,23 @@
 		assertThat(listedTwice.await(5, TimeUnit.SECONDS)).isTrue();
 	}
 
+	// Guards against changes that can't be read and are read again and again: the node
+	// would take the store for unreachable for good.
+	@Test
+	void listsAgainWhenTheChangesAreUnreadable() throws Exception {
+		CountDownLatch listedTwice = new CountDownLatch(2);
+		ListedFeed feed = new ListedFeed() {
+
+			@Override
+			public CompletableFuture<Page<String>> changes(long since, Duration wait) {
+				return CompletableFuture.failedFuture(new UnreadablePageException("written by a test"));
+			}
+
+		};
+		FeedReader.of(() -> PACE, "test", feed, this.executor, listener(listedTwice, new CountDownLatch(1))).start();
+		assertThat(listedTwice.await(5, TimeUnit.SECONDS)).isTrue();
+	}
+
 	// The store no longer holds the changes that this node missed, while another node
 	// reports later revisions. The removal of a target in between is visible only in a
 	// list: without it, the node would send requests to that target indefinitely.
