Let a lease that can't be read be taken over

What callers saw (by reading; not seen in a deployment): if another writer left a lease on the control of groups that can't be read, each read counted as a failed call, and no node would ever have controlled the groups again.

Cause: an unreadable content failed the call, although the revision that a replacement needs could be read.

Why this works: the lease counts as held by "?" and is taken over when nobody renews it. Its term counts as its revision: each write raises the revision by one or more and the term by one at most, so that the next term is higher than any before.

--- a/src/main/java/sycamorehill/platform/PlatformStore.java
+++ b/src/main/java/sycamorehill/platform/PlatformStore.java
@@ -61,7 +61,7 @@
 	}
 
 	LeaseStore lease() {
-		return StoredLease.of(this.store);
+		return StoredLease.of(this.store, this.unreadable);
 	}
 
 	private static Optional<StoredConfiguration> decodeConfiguration(StoredObject object) {
--- a/src/main/java/sycamorehill/platform/StoredLease.java
+++ b/src/main/java/sycamorehill/platform/StoredLease.java
@@ -17,6 +17,9 @@
  */
 final class StoredLease implements LeaseStore {
 
+	/** Holder of a lease whose content can't be read; no process has this name. */
+	static final String UNREADABLE_HOLDER = "?";
+
 	private static final String DUTIES = "duties";
 
 	private static final String GROUP_CONTROL = "group-control";
@@ -33,12 +36,15 @@
 
 	private final StoreClient store;
 
-	private StoredLease(StoreClient store) {
+	private final UnreadableObjects unreadable;
+
+	private StoredLease(StoreClient store, UnreadableObjects unreadable) {
 		this.store = store;
+		this.unreadable = unreadable;
 	}
 
-	static StoredLease of(StoreClient store) {
-		return new StoredLease(store);
+	static StoredLease of(StoreClient store, UnreadableObjects unreadable) {
+		return new StoredLease(store, unreadable);
 	}
 
 	@Override
@@ -84,11 +90,23 @@
 		};
 	}
 
+	// Each write of the lease raises the revision by one or more, and the term by one at
+	// most. A lease that can't be read therefore had no higher term than its revision,
+	// and the next holder's term is higher than any before.
 	private Lease decode(CallAnswer answer) {
 		Map<String, JsonText> body = JsonText.of(answer.body()).fields();
 		StoredObject object = StoredObject.of(body.getOrDefault("object", JsonText.of(answer.body())), false,
 				this.store.json());
-		return decode(object.spec(), object.revision());
+		long revision = object.revision();
+		try {
+			Lease lease = decode(object.spec(), revision);
+			this.unreadable.clear(DUTIES, GROUP_CONTROL);
+			return lease;
+		}
+		catch (IllegalArgumentException ex) {
+			this.unreadable.report(DUTIES, GROUP_CONTROL, ex);
+			return new Lease(UNREADABLE_HOLDER, revision, revision);
+		}
 	}
 
 	private static Lease decode(JsonNode spec, long revision) {
