Refuse numbers out of range in configurations and settings by their field

What callers saw (by reading): a configuration with a number beyond int came into force with the number that was left after wrapping, negative or endless times were let in, and an API key that is null or a number became a key that any caller can guess ("null", "1"). Settings with NaN became times of 0.

Cause: unchecked narrowing, and asText() on what is no text.

Why this works: all numbers pass JsonFields or PlatformSettings.number, which refuse them by name. A configuration is refused whole, and the accepted one stays in force.

--- a/src/main/java/sycamorehill/platform/ConfigurationDecoder.java
+++ b/src/main/java/sycamorehill/platform/ConfigurationDecoder.java
@@ -34,6 +34,12 @@
 	/** Priority of a workspace whose entry specifies none; 0 is the most urgent. */
 	private static final int DEFAULT_PRIORITY = 1;
 
+	/** Maximum weight of a service, so that the weights of a route can be added up. */
+	private static final int MAXIMUM_WEIGHT = 1_000_000;
+
+	/** Maximum mean number of tokens; a larger one counts as this. */
+	private static final int MAXIMUM_TOKENS = 1_000_000_000;
+
 	private static final String HOMES = "allowed_regions";
 
 	private static final String WARM_UP_SECONDS = "warmup_s";
@@ -62,8 +68,8 @@
 		return new Route(JsonFields.text(route, "name"), JsonFields.text(route, "host").toLowerCase(Locale.ROOT),
 				JsonFields.text(route, "path_prefix"), requestKind(route), JsonFields.milliseconds(route, "timeout_ms"),
 				JsonFields.milliseconds(route, "target_latency_ms"), pauseTarget,
-				(int) JsonFields.wholeNumber(route, "priority"), weightedServices(route),
-				(int) JsonFields.wholeNumber(route, "max_attempts"), JsonFields.flag(route, "public"), homes(route));
+				JsonFields.count(route, "priority", 0), weightedServices(route),
+				JsonFields.count(route, "max_attempts", 0), JsonFields.flag(route, "public"), homes(route));
 	}
 
 	// A missing list allows all regions.
@@ -72,7 +78,8 @@
 		if (owner.hasNonNull(HOMES)) {
 			for (JsonNode region : JsonFields.list(owner, HOMES)) {
 				if (!region.isTextual()) {
-					throw new IllegalArgumentException("field '" + HOMES + "' must hold texts, not " + region);
+					throw new IllegalArgumentException(
+							"field '" + HOMES + "' must hold texts, not " + JsonFields.abbreviated(region.toString()));
 				}
 				homes.add(RegionName.of(region.textValue()));
 			}
@@ -86,7 +93,8 @@
 			case "idempotent" -> RequestKind.IDEMPOTENT;
 			case "non_idempotent" -> RequestKind.NON_IDEMPOTENT;
 			case "streaming" -> JsonFields.flag(route, "resumable") ? RequestKind.RESUMABLE_STREAM : RequestKind.STREAM;
-			default -> throw new IllegalArgumentException("field 'kind' has the unknown value '" + kind + "'");
+			default -> throw new IllegalArgumentException(
+					"field 'kind' has the unknown value '" + JsonFields.abbreviated(kind) + "'");
 		};
 	}
 
@@ -99,7 +107,7 @@
 		List<WeightedService> services = new ArrayList<>();
 		backends
 			.forEach((backend) -> services.add(new WeightedService(ServiceName.of(JsonFields.text(backend, "service")),
-					(int) JsonFields.wholeNumber(backend, "weight"))));
+					(int) JsonFields.wholeNumber(backend, "weight", 0, MAXIMUM_WEIGHT))));
 		return services;
 	}
 
@@ -108,7 +116,7 @@
 		Optional<EngineParameters> engineParameters = (engine.isObject() && engine.path("models").isArray()
 				&& !engine.path("models").isEmpty()) ? Optional.of(engineParameters(engine)) : Optional.empty();
 		return new ServiceParameters(ServiceName.of(JsonFields.text(service, "name")),
-				(int) JsonFields.wholeNumber(service, "max_connections"), engineParameters, warmUp(service));
+				JsonFields.count(service, "max_connections", 0), engineParameters, warmUp(service));
 	}
 
 	// A rate of 0 stands for targets that are never cold, as no request could ever be
@@ -118,11 +126,7 @@
 			return Optional.empty();
 		}
 		Duration time = JsonFields.seconds(service, WARM_UP_SECONDS);
-		double requestsPerSecond = JsonFields.number(service, WARM_UP_RATE);
-		if (time.isNegative() || requestsPerSecond < 0) {
-			throw new IllegalArgumentException(
-					"fields '" + WARM_UP_SECONDS + "' and '" + WARM_UP_RATE + "' must not be negative");
-		}
+		double requestsPerSecond = JsonFields.nonNegative(service, WARM_UP_RATE);
 		return (time.isZero() || requestsPerSecond == 0) ? Optional.empty()
 				: Optional.of(new WarmUp(time, requestsPerSecond));
 	}
@@ -131,33 +135,37 @@
 		List<ModelParameters> models = new ArrayList<>();
 		engine.path("models")
 			.forEach((model) -> models
-				.add(new ModelParameters(JsonFields.text(model, "name"), (int) JsonFields.wholeNumber(model, "size"),
-						JsonFields.number(model, "share"), JsonFields.number(model, "pace"),
+				.add(new ModelParameters(JsonFields.text(model, "name"), JsonFields.count(model, "size", 1),
+						JsonFields.nonNegative(model, "share"), JsonFields.nonNegative(model, "pace"),
 						JsonFields.seconds(model, "load_s"), JsonFields.seconds(model, "warm_s"))));
 		JsonNode means = engine.path("usual");
-		return new EngineParameters((int) JsonFields.wholeNumber(engine, "batch_slots"),
-				JsonFields.wholeNumber(engine, "kv_capacity"), models, (int) JsonFields.wholeNumber(engine, "stride"),
+		return new EngineParameters(JsonFields.count(engine, "batch_slots", 1),
+				JsonFields.wholeNumber(engine, "kv_capacity"), models, JsonFields.count(engine, "stride", 0),
 				JsonFields.milliseconds(engine, "step_ms"), JsonFields.milliseconds(engine, "per_seq_ms"),
-				JsonFields.number(engine, "read_per_s"), JsonFields.number(engine, "loads_per_s"),
-				(int) JsonFields.wholeNumber(engine, "loads_at_once"), JsonFields.milliseconds(engine, "form_ms"),
-				(int) JsonFields.number(means, "prompt"), (int) JsonFields.number(means, "answer"));
+				JsonFields.nonNegative(engine, "read_per_s"), JsonFields.nonNegative(engine, "loads_per_s"),
+				JsonFields.count(engine, "loads_at_once", 0), JsonFields.milliseconds(engine, "form_ms"),
+				meanTokens(means, "prompt"), meanTokens(means, "answer"));
+	}
+
+	private static int meanTokens(JsonNode means, String field) {
+		return (int) Math.min(JsonFields.nonNegative(means, field), MAXIMUM_TOKENS);
 	}
 
 	private static CallerLimits callerLimits(JsonNode limits) {
-		return new CallerLimits((int) JsonFields.wholeNumber(limits, "max_header_bytes"),
-				(int) JsonFields.wholeNumber(limits, "max_body_bytes"),
-				JsonFields.milliseconds(limits, "header_timeout_ms"),
+		return new CallerLimits(JsonFields.count(limits, "max_header_bytes", 0),
+				JsonFields.count(limits, "max_body_bytes", 0), JsonFields.milliseconds(limits, "header_timeout_ms"),
 				JsonFields.milliseconds(limits, "idle_timeout_ms"));
 	}
 
 	private static Map<String, Workspace> workspaces(JsonNode tenants) {
 		Map<String, Workspace> workspaces = new HashMap<>();
 		tenants.forEach((tenant) -> {
-			int priority = tenant.path("priority").isIntegralNumber() ? tenant.path("priority").intValue()
+			int priority = tenant.path("priority").isIntegralNumber() ? JsonFields.count(tenant, "priority", 0)
 					: DEFAULT_PRIORITY;
 			Workspace workspace = new Workspace(WorkspaceName.of(JsonFields.text(tenant, "name")), priority,
 					homes(tenant));
-			JsonFields.list(tenant, "api_keys").forEach((apiKey) -> workspaces.put(apiKey.asText(), workspace));
+			JsonFields.list(tenant, "api_keys")
+				.forEach((apiKey) -> workspaces.put(JsonFields.elementText(apiKey, "api_keys"), workspace));
 		});
 		return workspaces;
 	}
--- a/src/main/java/sycamorehill/platform/PlatformSettings.java
+++ b/src/main/java/sycamorehill/platform/PlatformSettings.java
@@ -42,6 +42,9 @@
 	/** Limit of most systems for a process. */
 	private static final int DEFAULT_DESCRIPTORS = 1024;
 
+	/** Largest number of any setting, so that times can be added up. */
+	private static final double MAXIMUM_NUMBER = 4e9;
+
 	private final Properties values;
 
 	private PlatformSettings(Properties values) {
@@ -100,19 +103,10 @@
 		boolean configured = this.values.containsKey(COLD_TARGET_OVERSHOOT)
 				&& this.values.containsKey(COLD_TARGET_SLACK);
 		return configured
-				? Optional
-					.of(new ColdTargetTolerance(nonNegative(COLD_TARGET_OVERSHOOT), nonNegative(COLD_TARGET_SLACK)))
+				? Optional.of(new ColdTargetTolerance(number(COLD_TARGET_OVERSHOOT), number(COLD_TARGET_SLACK)))
 				: Optional.empty();
 	}
 
-	private double nonNegative(String name) {
-		double value = number(name);
-		if (!Double.isFinite(value) || value < 0) {
-			throw new IllegalArgumentException("setting '" + name + "': expected 0 or more, not '" + value + "'");
-		}
-		return value;
-	}
-
 	private List<DataCentreName> dataCentres() {
 		return this.values.stringPropertyNames()
 			.stream()
@@ -168,7 +162,12 @@
 
 	private double number(String name) {
 		try {
-			return Double.parseDouble(text(name));
+			double value = Double.parseDouble(text(name));
+			if (!Double.isFinite(value) || value < 0 || value > MAXIMUM_NUMBER) {
+				throw new IllegalArgumentException("setting '" + name + "': expected 0 or more, and at most "
+						+ MAXIMUM_NUMBER + ", not '" + value + "'");
+			}
+			return value;
 		}
 		catch (NumberFormatException ex) {
 			throw new IllegalArgumentException("setting '" + name + "': expected a number, not '" + text(name) + "'",
