Refuse messages of nodes with numbers that later decisions can't use

What callers saw (by reading): nothing yet; amounts of NaN, endless or negative numbers of other nodes' messages went into sums of load and use, and a host name in an address would have been looked up on the event loop.

Cause: asInt, asLong and asDouble take any type and wrap.

--- a/src/main/java/sycamorehill/entry/CrashMessageFields.java
+++ b/src/main/java/sycamorehill/entry/CrashMessageFields.java
@@ -8,7 +8,6 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 
-import sycamorehill.model.identity.Address;
 import sycamorehill.model.identity.TargetName;
 import sycamorehill.model.serving.LostRequest;
 import sycamorehill.model.serving.NodeMessage;
@@ -70,8 +69,8 @@
 					readElements(request.path(SOUND_TRAITS))));
 		}
 		TargetIncarnation target = new TargetIncarnation(TargetName.of(body.path(TARGET).asText()),
-				body.path(STARTED).asLong(), Address.parse(body.path(ADDRESS).asText()));
-		return new NodeMessage.TargetLost(sender, target, readMillis(body, UNSEEN_MILLIS),
+				MessageNumbers.wholeNumber(body, STARTED), NumericAddress.parse(body.path(ADDRESS).asText()));
+		return new NodeMessage.TargetLost(sender, target, MessageNumbers.milliseconds(body, UNSEEN_MILLIS),
 				body.path(CRASHED).asBoolean(), requests);
 	}
 
@@ -81,11 +80,7 @@
 	}
 
 	static Duration readAge(JsonNode body) {
-		return readMillis(body, AGE_MILLIS);
-	}
-
-	private static Duration readMillis(JsonNode body, String field) {
-		return Duration.ofMillis(Math.max(0, body.path(field).asLong()));
+		return MessageNumbers.milliseconds(body, AGE_MILLIS);
 	}
 
 	private static void writeTraits(Set<RequestTrait> traits, ArrayNode elements) {
--- a/src/main/java/sycamorehill/entry/NodeMessageFields.java
+++ b/src/main/java/sycamorehill/entry/NodeMessageFields.java
@@ -1,8 +1,6 @@
 package sycamorehill.entry;
 
 import java.io.IOException;
-import java.time.Duration;
-import java.time.temporal.ChronoUnit;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -15,7 +13,6 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 
-import sycamorehill.model.identity.Address;
 import sycamorehill.model.identity.DataCentreName;
 import sycamorehill.model.identity.ServiceName;
 import sycamorehill.model.identity.TargetName;
@@ -133,10 +130,10 @@
 			case LOADS_ADDED -> readSums(sender, body);
 			case PLACED -> readPlaced(sender, body);
 			case STORE_NEWS -> readUpdate(sender, body);
-			case CHANGES_REQUEST -> new NodeMessage.ChangesRequest(sender, body.path(SINCE).asLong());
+			case CHANGES_REQUEST -> new NodeMessage.ChangesRequest(sender, MessageNumbers.wholeNumber(body, SINCE));
 			case CONFIGURATION_TOLD -> readConfiguration(sender, body);
 			case CONFIGURATION_REQUEST ->
-				new NodeMessage.ConfigurationRequest(sender, body.path(CONFIGURATION).asLong());
+				new NodeMessage.ConfigurationRequest(sender, MessageNumbers.wholeNumber(body, CONFIGURATION));
 			case TARGETS_SEEN -> new NodeMessage.TargetsObserved(sender, TargetCodec.read(body.path(CHANGES)));
 			case INTRODUCTION -> readNode(sender, body);
 			case INTRODUCTION_CONFIRMED -> new NodeMessage.IntroductionConfirmed(sender);
@@ -146,7 +143,8 @@
 			case SERVICES_UNREACHABLE -> readServices(sender, body);
 			case GROUP_ENDED -> readEndedGroup(sender, body);
 			case TARGET_LIMITED -> readRateLimit(sender, body);
-			case TARGET_LEAVING -> new NodeMessage.TargetLeaving(sender, readTarget(body), body.path(STARTED).asLong());
+			case TARGET_LEAVING ->
+				new NodeMessage.TargetLeaving(sender, readTarget(body), MessageNumbers.wholeNumber(body, STARTED));
 			case TARGET_LOST -> CrashMessageFields.readTargetLost(sender, body);
 			case TRAITS_SOUND -> new NodeMessage.TraitsSound(sender, CrashMessageFields.readTraits(body),
 					CrashMessageFields.readAge(body));
@@ -191,7 +189,7 @@
 	private static NodeMessage readSums(String sender, JsonNode body) {
 		List<LoadSum> sums = new ArrayList<>();
 		for (JsonNode sum : body.path(SUMS)) {
-			sums.add(new LoadSum(sum.path(NODE).asText(), readDataCentre(sum), sum.path(NODES).asInt(),
+			sums.add(new LoadSum(sum.path(NODE).asText(), readDataCentre(sum), MessageNumbers.count(sum, NODES),
 					readRequests(sum), UseReportFields.read(sum)));
 		}
 		return new NodeMessage.SummedLoads(sender, sums);
@@ -206,7 +204,8 @@
 		Map<TargetName, Integer> requests = new HashMap<>();
 		body.path(REQUESTS)
 			.fields()
-			.forEachRemaining((field) -> requests.put(TargetName.of(field.getKey()), field.getValue().asInt()));
+			.forEachRemaining(
+					(field) -> requests.put(TargetName.of(field.getKey()), MessageNumbers.count(field.getValue())));
 		return requests;
 	}
 
@@ -216,7 +215,7 @@
 
 	private static NodeMessage readPlaced(String sender, JsonNode body) {
 		return new NodeMessage.RequestPlaced(sender, readTarget(body),
-				Duration.of(body.path(READING_MICROS).asLong(), ChronoUnit.MICROS));
+				MessageNumbers.microseconds(body, READING_MICROS));
 	}
 
 	private static void writeUpdate(NodeMessage.StoreUpdate update, ObjectNode body) {
@@ -253,20 +252,26 @@
 		Map<DataCentreName, Long> returned = new HashMap<>();
 		body.path(RETURNED)
 			.fields()
-			.forEachRemaining((field) -> returned.put(DataCentreName.of(field.getKey()), field.getValue().asLong()));
-		return Optional.of(new EvacuatedDataCentres(names, returned, body.path(EVACUATIONS_REVISION).asLong()));
+			.forEachRemaining((field) -> returned.put(DataCentreName.of(field.getKey()),
+					MessageNumbers.wholeNumber(body.path(RETURNED), field.getKey())));
+		return Optional
+			.of(new EvacuatedDataCentres(names, returned, MessageNumbers.wholeNumber(body, EVACUATIONS_REVISION)));
 	}
 
 	private static NodeMessage readUpdate(String sender, JsonNode body) {
-		return new NodeMessage.StoreUpdate(sender, readDataCentre(body), body.path(CONFIGURATION).asLong(),
-				body.path(CONFIGURATION_REVISION).asLong(), body.path(CHANGED_BEFORE).asLong(),
-				body.path(SINCE).asLong(), body.path(REVISION).asLong(), TargetCodec.read(body.path(CHANGES)),
-				readLease(body), Duration.ofMillis(body.path(AGE_MILLIS).asLong()), readEvacuations(body));
+		return new NodeMessage.StoreUpdate(sender, readDataCentre(body),
+				MessageNumbers.wholeNumber(body, CONFIGURATION),
+				MessageNumbers.wholeNumber(body, CONFIGURATION_REVISION),
+				MessageNumbers.wholeNumber(body, CHANGED_BEFORE), MessageNumbers.wholeNumber(body, SINCE),
+				MessageNumbers.wholeNumber(body, REVISION), TargetCodec.read(body.path(CHANGES)), readLease(body),
+				MessageNumbers.milliseconds(body, AGE_MILLIS), readEvacuations(body));
 	}
 
 	private static Optional<Lease> readLease(JsonNode body) {
-		return body.has(HOLDER) ? Optional.of(new Lease(body.path(HOLDER).asText(), body.path(TERM).asLong(),
-				body.path(LEASE_REVISION).asLong(), body.path(RECENT_TERMS).asInt())) : Optional.empty();
+		return body.has(HOLDER)
+				? Optional.of(new Lease(body.path(HOLDER).asText(), MessageNumbers.wholeNumber(body, TERM),
+						MessageNumbers.wholeNumber(body, LEASE_REVISION), MessageNumbers.count(body, RECENT_TERMS)))
+				: Optional.empty();
 	}
 
 	private static void writeConfiguration(NodeMessage.ConfigurationText configuration, ObjectNode body)
@@ -275,7 +280,7 @@
 	}
 
 	private static NodeMessage readConfiguration(String sender, JsonNode body) throws IOException {
-		return new NodeMessage.ConfigurationText(sender, body.path(CONFIGURATION).asLong(),
+		return new NodeMessage.ConfigurationText(sender, MessageNumbers.wholeNumber(body, CONFIGURATION),
 				CompressedText.decompress(body.path(TEXT).binaryValue()));
 	}
 
@@ -288,9 +293,9 @@
 	}
 
 	private static NodeMessage readNode(String sender, JsonNode body) {
-		return new NodeMessage.Introduction(new NodeRecord(sender, Address.parse(body.path(ADDRESS).asText()),
-				readDataCentre(body), body.path(PROCESSOR).asDouble(), body.has(PROXY_ADDRESS)
-						? Optional.of(Address.parse(body.path(PROXY_ADDRESS).asText())) : Optional.empty()));
+		return new NodeMessage.Introduction(new NodeRecord(sender, NumericAddress.parse(body.path(ADDRESS).asText()),
+				readDataCentre(body), MessageNumbers.amount(body.path(PROCESSOR)), body.has(PROXY_ADDRESS)
+						? Optional.of(NumericAddress.parse(body.path(PROXY_ADDRESS).asText())) : Optional.empty()));
 	}
 
 	private static void writeServices(NodeMessage.ServicesUnreachable unreachable, ObjectNode body) {
@@ -310,7 +315,7 @@
 
 	private static NodeMessage readEndedGroup(String sender, JsonNode body) {
 		return new NodeMessage.GroupEnded(sender, readTarget(body), body.path(GROUP).asText(),
-				body.path(EPOCH).asLong());
+				MessageNumbers.wholeNumber(body, EPOCH));
 	}
 
 	private static void writeRateLimit(NodeMessage.TargetLimited limited, ObjectNode body) {
--- a/src/main/java/sycamorehill/entry/TargetCodec.java
+++ b/src/main/java/sycamorehill/entry/TargetCodec.java
@@ -1,6 +1,5 @@
 package sycamorehill.entry;
 
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -11,7 +10,6 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 
-import sycamorehill.model.identity.Address;
 import sycamorehill.model.identity.DataCentreName;
 import sycamorehill.model.identity.ServiceName;
 import sycamorehill.model.identity.TargetName;
@@ -104,9 +102,10 @@
 		Set<String> staged = new HashSet<>();
 		node.path(STAGED).forEach((model) -> staged.add(model.asText()));
 		return new TargetEntry(name, ServiceName.of(node.path(SERVICE).asText()),
-				Address.parse(node.path(ADDRESS).asText()), DataCentreName.of(node.path(DATA_CENTRE).asText()),
-				node.path(SLOTS).asInt(), node.path(LEAVING).asBoolean(), node.path(BORN).asLong(), text(node, DOMAIN),
-				staged, text(node, LOADED), membership(node), Duration.ofMillis(node.path(WARM_UP_MILLIS).asLong()));
+				NumericAddress.parse(node.path(ADDRESS).asText()), DataCentreName.of(node.path(DATA_CENTRE).asText()),
+				MessageNumbers.count(node, SLOTS), node.path(LEAVING).asBoolean(),
+				MessageNumbers.wholeNumber(node, BORN), text(node, DOMAIN), staged, text(node, LOADED),
+				membership(node), MessageNumbers.milliseconds(node, WARM_UP_MILLIS));
 	}
 
 	private static Optional<String> text(JsonNode node, String field) {
@@ -114,8 +113,8 @@
 	}
 
 	private static Optional<Membership> membership(JsonNode node) {
-		return text(node, GROUP).map((group) -> new Membership(group, node.path(EPOCH).asLong(),
-				node.path(RANK).asInt(), MemberState.valueOf(node.path(STATE).asText())));
+		return text(node, GROUP).map((group) -> new Membership(group, MessageNumbers.wholeNumber(node, EPOCH),
+				MessageNumbers.count(node, RANK), MemberState.valueOf(node.path(STATE).asText())));
 	}
 
 }
--- a/src/main/java/sycamorehill/entry/UseReportFields.java
+++ b/src/main/java/sycamorehill/entry/UseReportFields.java
@@ -71,13 +71,13 @@
 				.forEachRemaining(
 						(field) -> byWorkspace.put(WorkspaceName.of(field.getKey()), readAmounts(field.getValue())));
 			models.add(new ModelUse(new ServedModel(ServiceName.of(element.path(SERVICE).asText()), model), byWorkspace,
-					readAmounts(element.path(REST)), element.path(REST_WORKSPACES).asInt()));
+					readAmounts(element.path(REST)), MessageNumbers.count(element, REST_WORKSPACES)));
 		}
 		return models.isEmpty() ? UseReport.NONE : new UseReport(models);
 	}
 
 	private static WorkspaceUse readAmounts(JsonNode amounts) {
-		return new WorkspaceUse(amounts.path(0).asDouble(), amounts.path(1).asDouble());
+		return new WorkspaceUse(MessageNumbers.amount(amounts.path(0)), MessageNumbers.amount(amounts.path(1)));
 	}
 
 }
