Limit the times in frames between nodes

What callers saw: nothing yet; a time of 292 years in a frame made sums overflow.

Cause: any long was taken as nanoseconds.

Why this works: a time in a frame is from 0 to 366 days, as in configurations.

--- a/src/main/java/sycamorehill/entry/ProxyFrameFields.java
+++ b/src/main/java/sycamorehill/entry/ProxyFrameFields.java
@@ -39,6 +39,9 @@
 
 	private static final String BROKEN = "broken";
 
+	/** Longest time in a frame; a longer one counts as this. */
+	private static final Duration MAXIMUM_TIME = Duration.ofDays(366);
+
 	private ProxyFrameFields() {
 	}
 
@@ -167,7 +170,7 @@
 	}
 
 	private static Duration readDuration(MessageUnpacker unpacker) throws IOException {
-		return Duration.ofNanos(unpacker.unpackLong());
+		return Duration.ofNanos(Math.min(Math.max(0, unpacker.unpackLong()), MAXIMUM_TIME.toNanos()));
 	}
 
 	static void writeEnd(AttemptEnd end, MessagePacker packer) throws IOException {
--- a/src/test/java/sycamorehill/entry/ProxyFrameCodecTests.java
+++ b/src/test/java/sycamorehill/entry/ProxyFrameCodecTests.java
@@ -41,7 +41,7 @@
 				Set.of(TargetName.of("h1"), TargetName.of("h2")), true, false, Set.of(), true);
 	}
 
-	private static List<ProxyFrame> frames() {
+	static List<ProxyFrame> frames() {
 		List<ProxyFrame.Header> headers = List.of(new ProxyFrame.Header("Some", "näher"),
 				new ProxyFrame.Header("Some", "twice"));
 		return List.of(
