Take counts in headers that are negative or too large for malformed

What callers saw (by reading): "Engine-Load: 4294967299,0,8" counted as 3 running requests, and negative counts as a target with more than all its slots free.

Cause: BigDecimal.intValue() wraps.

Why this works: a count outside 0 to 1,000,000,000 makes its header malformed, which is ignored, as documented there. Two such counts can be added up.

--- a/src/main/java/sycamorehill/platform/PlatformExchangeCodec.java
+++ b/src/main/java/sycamorehill/platform/PlatformExchangeCodec.java
@@ -46,6 +46,12 @@
 	/** Maximum length of the identifier of a part; longer ones are not told apart. */
 	private static final int MAXIMUM_PART_LENGTH = 64;
 
+	/**
+	 * Largest count that is read from a header, so that two can be added up; a larger one
+	 * counts as malformed.
+	 */
+	private static final BigDecimal MAXIMUM_COUNT = BigDecimal.valueOf(1_000_000_000);
+
 	/**
 	 * Longest time in seconds that is read from a header; a longer one counts as this.
 	 */
@@ -106,7 +112,8 @@
 		}
 		int[] numbers = new int[count];
 		for (int index = 0; index < count; index++) {
-			Optional<BigDecimal> number = parseNumber(elements[index]);
+			Optional<BigDecimal> number = parseNumber(elements[index])
+				.filter((value) -> value.signum() >= 0 && value.compareTo(MAXIMUM_COUNT) <= 0);
 			if (number.isEmpty()) {
 				return null;
 			}
--- a/src/test/java/sycamorehill/platform/TargetReportHeaderTests.java
+++ b/src/test/java/sycamorehill/platform/TargetReportHeaderTests.java
@@ -3,7 +3,9 @@
 import java.time.Duration;
 import java.util.Optional;
 
+import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
@@ -11,6 +13,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
+import sycamorehill.model.serving.EngineLoad;
 import sycamorehill.model.serving.RequestRate;
 import sycamorehill.model.serving.TargetReport;
 
@@ -50,6 +53,28 @@
 		assertThat(readRateLimit(limit)).isEmpty();
 	}
 
+	@Test
+	void readsEngineLoad() {
+		assertThat(read(HttpResponseStatus.OK, "Engine-Load", "3,0,8").load()).contains(new EngineLoad(3, 0, 8));
+	}
+
+	// Guards against counts that wrap: a full target would count as idle, or the reverse.
+	@ParameterizedTest
+	@ValueSource(strings = { "4294967299,0,8", "-1,0,8", "3,-1,8", "3,0,-8", "1e999,0,8", "1e999999999,0,8",
+			"2147483648,0,8", "2147483647,2147483647,8", "3,0", "NaN,0,8", ",,", "" })
+	void ignoresInvalidEngineLoad(String load) {
+		assertThat(read(HttpResponseStatus.OK, "Engine-Load", load).load()).isEmpty();
+	}
+
+	// Guards against token counts of a caller that wrap.
+	@ParameterizedTest
+	@ValueSource(strings = { "4294967299,80", "-1,80", "1460,-80", "1e999999999,80", "2147483647,2147483647" })
+	void ignoresInvalidTokenCounts(String counts) {
+		DefaultHttpRequest request = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/");
+		request.headers().set("Token-Usage", counts);
+		assertThat(PlatformExchangeCodec.create().readCallerRequest(request).tokenCounts()).isEmpty();
+	}
+
 	@Test
 	void readsRestOfARefusal() {
 		assertThat(readRest(HttpResponseStatus.SERVICE_UNAVAILABLE, "3")).contains(Duration.ofSeconds(3));
