Search free ports for the node of OddEntryNodeTests below the range of connections

Seen: one of four tests failed in one run at a load of 38: "Address already in use". Cause: the test took ports that the system had picked and closed, which it may give to a connection. FreePorts searches below that range.

--- a/src/test/java/sycamorehill/platform/OddEntryNodeTests.java
+++ b/src/test/java/sycamorehill/platform/OddEntryNodeTests.java
@@ -1,7 +1,6 @@
 package sycamorehill.platform;
 
 import java.io.IOException;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -19,6 +18,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 import sycamorehill.entry.EntryNode;
+import sycamorehill.local.FreePorts;
 import sycamorehill.model.identity.Address;
 import sycamorehill.model.serving.EntrySettings;
 
@@ -79,10 +79,9 @@
 		}
 	}
 
-	private static int freePort() throws IOException {
-		try (ServerSocket socket = new ServerSocket(0)) {
-			return socket.getLocalPort();
-		}
+	// Outgoing connections don't take the ports that are searched here.
+	private static int freePort() {
+		return FreePorts.find(1).get(0).port();
 	}
 
 	private static EntrySettings settings(Address store, int callerPort, int readinessPort) throws IOException {
