--- a/src/main/java/sycamorehill/platform/LeaseWrite.java
+++ b/src/main/java/sycamorehill/platform/LeaseWrite.java
@@ -17,13 +17,13 @@
  */
 record LeaseWrite(String holder, long term, long renewal, int recentTerms) {
 
-	private static final String HOLDER = "holder";
+	static final String HOLDER = "holder";
 
-	private static final String TERM = "term";
+	static final String TERM = "term";
 
 	private static final String RENEWAL = "renewal";
 
-	private static final String RECENT_TERMS = "recent_terms";
+	static final String RECENT_TERMS = "recent_terms";
 
 	static LeaseWrite creating(String holder) {
 		return new LeaseWrite(holder, 1, 0, 0);
@@ -46,26 +46,14 @@
 			.put(RECENT_TERMS, this.recentTerms);
 	}
 
-	/**
-	 * Decodes the lease.
-	 * @param object the object in the store
-	 * @return the lease
-	 */
-	static Lease decodeLease(JsonNode object) {
-		JsonNode spec = object.path("spec");
-		return new Lease(JsonFields.optionalText(spec, HOLDER).orElse(""), JsonFields.wholeNumber(spec, TERM),
-				JsonFields.wholeNumber(object.path("metadata"), "rev"), spec.path(RECENT_TERMS).asInt());
-	}
-
 	/**
 	 * Returns whether an object holds what this call has written.
-	 * @param object the object in the store
+	 * @param content the content of the object in the store
 	 * @return false if another call has written it
 	 */
-	boolean isIn(JsonNode object) {
-		JsonNode spec = object.path("spec");
-		return this.holder.equals(spec.path(HOLDER).asText()) && JsonFields.wholeNumber(spec, TERM) == this.term
-				&& JsonFields.wholeNumber(spec, RENEWAL) == this.renewal;
+	boolean isIn(JsonNode content) {
+		return this.holder.equals(content.path(HOLDER).textValue()) && content.path(TERM).longValue() == this.term
+				&& content.path(RENEWAL).longValue() == this.renewal;
 	}
 
 	/**
