Answer a request for a head without a body

Callers saw bytes with no request waiting: the node's own answer to a HEAD request (404, 502, 504) was written with its text as body, which a caller on a kept connection reads as the start of the answer to its next request. An answer of a target to HEAD was sent on with Content-Length 0 instead of the target's length, and a stream would have ended with a last chunk.

Cause: CallerExchange wrote every answer as if it had been asked for by GET.

Now the exchange knows that only a head was asked for: it keeps the length that the answer states and writes no body, no chunks and no events, on each of the three ways an answer takes.

--- a/src/main/java/sycamorehill/entry/CallerExchange.java
+++ b/src/main/java/sycamorehill/entry/CallerExchange.java
@@ -14,6 +14,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -175,8 +176,18 @@
 			body.release();
 			return;
 		}
-		HttpHeaders headers = this.codec.callerHeaders(head);
-		finishWithFullAnswer(head.status(), headers, body);
+		finishWithFullAnswer(head.status(), this.codec.callerHeaders(head), lengthOf(head, body), body);
+	}
+
+	// The answer to a request for a head states the length of a body that it doesn't
+	// have.
+	private Optional<String> lengthOf(HttpResponse head, ByteBuf body) {
+		return asksForHead() ? Optional.ofNullable(head.headers().get(HttpHeaderNames.CONTENT_LENGTH))
+				: Optional.of(String.valueOf(body.readableBytes()));
+	}
+
+	private boolean asksForHead() {
+		return this.request.method().equals(HttpMethod.HEAD);
 	}
 
 	/**
@@ -190,19 +201,24 @@
 			return;
 		}
 		HttpHeaders headers = this.codec.localAnswerHeaders(identifier(), retryAfter);
+		ByteBuf body = Unpooled.copiedBuffer(detail + "\n", CharsetUtil.UTF_8);
 		finishWithFullAnswer(HttpResponseStatus.valueOf(status), headers,
-				Unpooled.copiedBuffer(detail + "\n", CharsetUtil.UTF_8));
+				Optional.of(String.valueOf(body.readableBytes())), body);
 	}
 
 	// A final answer that was decided while the start of the stream was on its way to the
 	// decisions can't be sent any more. The caller must not take the stream for complete.
-	private void finishWithFullAnswer(HttpResponseStatus status, HttpHeaders headers, ByteBuf body) {
+	private void finishWithFullAnswer(HttpResponseStatus status, HttpHeaders headers, Optional<String> length,
+			ByteBuf body) {
 		if (this.streamStarted) {
 			body.release();
 			abortAnswer();
 			return;
 		}
-		headers.set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
+		length.ifPresent((bytes) -> headers.set(HttpHeaderNames.CONTENT_LENGTH, bytes));
+		if (asksForHead()) {
+			body.clear();
+		}
 		finish();
 		this.callerConnection.finish(
 				new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body, headers, EmptyHttpHeaders.INSTANCE));
@@ -216,7 +232,9 @@
 		this.streamStarted = true;
 		this.weightsVersion = parsedHead.weightsVersion();
 		HttpHeaders headers = this.codec.callerHeaders(head);
-		headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+		if (!asksForHead()) {
+			headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+		}
 		this.callerConnection.write(new DefaultHttpResponse(HttpVersion.HTTP_1_1, head.status(), headers));
 	}
 
@@ -225,7 +243,7 @@
 	public void forwardEvent(ByteBuf event, OptionalLong eventNumber) {
 		boolean known = eventNumber.isPresent() && this.lastEventNumber.isPresent()
 				&& eventNumber.getAsLong() <= this.lastEventNumber.getAsLong();
-		if (this.finished || known) {
+		if (this.finished || known || asksForHead()) {
 			event.release();
 			return;
 		}
