--- a/src/test/java/sycamorehill/entry/HeadRequestTests.java
+++ b/src/test/java/sycamorehill/entry/HeadRequestTests.java
@@ -1,6 +1,7 @@
 package sycamorehill.entry;
 
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -17,7 +18,13 @@
 
 	@BeforeEach
 	void start() throws Exception {
-		this.node = CallerNode.start((request, out) -> false);
+		this.node = CallerNode.start((request, out) -> {
+			String body = request.startsWith("HEAD") ? "" : "own body";
+			out.write(("HTTP/1.1 200 OK\r\nAttempt-Id: " + LoopbackCluster.identifier(request)
+					+ "\r\nServer-Signature: s\r\nContent-Length: 8\r\n\r\n" + body)
+				.getBytes(StandardCharsets.ISO_8859_1));
+			return true;
+		});
 	}
 
 	@AfterEach
@@ -41,4 +48,15 @@
 		}
 	}
 
+	// Guards against a target's answer that is given up because its body never comes.
+	@Test
+	void aTargetsAnswerToARequestForAHeadKeepsItsLength() throws Exception {
+		try (Socket socket = this.node.connect()) {
+			CallerNode.send(socket,
+					request("HEAD", "/again/x", "") + request("GET", "/again/x", "Connection: close\r\n"));
+			assertThat(CallerNode.readAll(socket).toLowerCase()).matches(
+					"(?s)http/1.1 200 (?:(?!\r\n\r\n).)*content-length: 8\r\n(?:(?!\r\n\r\n).)*\r\n\r\nhttp/1.1 200 .*own body");
+		}
+	}
+
 }
--- a/src/test/java/sycamorehill/process/KeptConnection.java
+++ b/src/test/java/sycamorehill/process/KeptConnection.java
@@ -71,6 +71,15 @@
 		readUntil("\r\n");
 	}
 
+	/**
+	 * Returns whether bytes have arrived that are not read yet.
+	 * @return whether there are any
+	 * @throws IOException if the connection is closed
+	 */
+	boolean hasBytes() throws IOException {
+		return this.input.available() > 0;
+	}
+
 	String readHead() throws IOException {
 		return readUntil("\r\n\r\n");
 	}
