Try cut answers to callers at every byte

Each cut goes to a target of its own, as the node avoids those that failed, and each request has a path of its own, as a repeated one is held to crash targets.

--- a/src/test/java/sycamorehill/entry/CallerNode.java
+++ b/src/test/java/sycamorehill/entry/CallerNode.java
@@ -8,10 +8,12 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Clock;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
 import java.util.function.UnaryOperator;
+import java.util.stream.IntStream;
 
 import sycamorehill.local.FreePorts;
 import sycamorehill.model.identity.Address;
@@ -49,7 +51,7 @@
 
 	private final EntryNode node;
 
-	private CallerNode(RawTarget target, CallerLimits limits, int descriptors) throws Exception {
+	private CallerNode(RawTarget target, CallerLimits limits, int descriptors, int moreTargets) throws Exception {
 		this.target = target;
 		List<Address> free = FreePorts.find(5);
 		this.settings = new EntrySettings("one", DataCentreName.of("north"), List.of(DataCentreName.of("north")), 0.75,
@@ -58,9 +60,10 @@
 		Configuration sample = ServingSamples.configuration(1);
 		Configuration configuration = new Configuration(1, sample.routes(), sample.services(), limits,
 				sample.workspacesByApiKey(), true);
-		List<TargetChange> entries = List.of(change(ServingSamples.plain("p1")),
+		List<TargetChange> entries = new ArrayList<>(List.of(change(ServingSamples.plain("p1")),
 				change(ServingSamples.member("h0", "small.0", 1, 0, MemberState.OPEN)),
-				change(ServingSamples.member("m0", "small.0", 1, 1, MemberState.READY)));
+				change(ServingSamples.member("m0", "small.0", 1, 1, MemberState.READY))));
+		IntStream.range(0, moreTargets).forEach((number) -> entries.add(change(ServingSamples.plain("more" + number))));
 		EntryPorts ports = new EntryPorts(PlatformTestCodec.create(),
 				FakePorts.FixedFeed.of(new StoredConfiguration(configuration, "")),
 				(text) -> new StoredConfiguration(configuration, text), new FakePorts.FixedFeed<>(entries),
@@ -99,9 +102,25 @@
 		return start(CallerLimits.INITIAL, responder, DESCRIPTORS);
 	}
 
+	/**
+	 * Starts a node before many plain targets with the same answers, so that some are
+	 * left when the node avoids those that fail.
+	 * @param responder answers of the targets
+	 * @param moreTargets how many more there are
+	 * @return the node
+	 */
+	static CallerNode startWithTargets(RawTarget.Responder responder, int moreTargets) throws Exception {
+		return start(CallerLimits.INITIAL, responder, DESCRIPTORS, moreTargets);
+	}
+
 	private static CallerNode start(CallerLimits limits, RawTarget.Responder responder, int descriptors)
 			throws Exception {
-		CallerNode node = new CallerNode(RawTarget.start(responder), limits, descriptors);
+		return start(limits, responder, descriptors, 0);
+	}
+
+	private static CallerNode start(CallerLimits limits, RawTarget.Responder responder, int descriptors,
+			int moreTargets) throws Exception {
+		CallerNode node = new CallerNode(RawTarget.start(responder), limits, descriptors, moreTargets);
 		node.awaitRoutes();
 		return node;
 	}
@@ -237,6 +256,10 @@
 		}
 	}
 
+	Address callerAddress() {
+		return this.settings.callerAddress();
+	}
+
 	Address proxyAddress() {
 		return this.settings.proxyAddress();
 	}
--- a/src/test/java/sycamorehill/entry/KeptConnection.java
+++ b/src/test/java/sycamorehill/entry/KeptConnection.java
@@ -34,9 +34,13 @@
 	}
 
 	void send(String path, String identifier, String body) throws IOException {
+		send("POST", path, identifier, body);
+	}
+
+	void send(String method, String path, String identifier, String body) throws IOException {
 		String model = path.startsWith("/s") ? "Model: small\r\n" : "";
 		this.socket.getOutputStream()
-			.write(("POST " + path + " HTTP/1.1\r\nHost: feed.example\r\nAttempt-Id: " + identifier
+			.write((method + " " + path + " HTTP/1.1\r\nHost: feed.example\r\nAttempt-Id: " + identifier
 					+ "\r\nAuthorization: Token key\r\nDeadline-Ms: 4000\r\n" + model + "Content-Length: "
 					+ body.length() + "\r\n\r\n" + body)
 				.getBytes(StandardCharsets.ISO_8859_1));
@@ -54,6 +58,9 @@
 			InputStream in = this.socket.getInputStream();
 			readLines(in, head);
 			Matcher length = LENGTH.matcher(head);
+			if (hasNoBody(head)) {
+				return new Answer(head.toString(), "", true);
+			}
 			if (length.find()) {
 				read(in, Integer.parseInt(length.group(1)), body);
 			}
@@ -67,6 +74,10 @@
 		}
 	}
 
+	private static boolean hasNoBody(StringBuilder head) {
+		return head.indexOf("HTTP/1.1 204") == 0 || head.indexOf("HTTP/1.1 304") == 0;
+	}
+
 	private static void readLines(InputStream in, StringBuilder head) throws IOException {
 		while (!head.toString().endsWith("\r\n\r\n")) {
 			read(in, 1, head);
--- a/src/test/java/sycamorehill/entry/RawTarget.java
+++ b/src/test/java/sycamorehill/entry/RawTarget.java
@@ -1,5 +1,6 @@
 package sycamorehill.entry;
 
+import java.io.FilterOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
@@ -94,10 +95,11 @@
 	private void serve(Socket socket) {
 		try (socket) {
 			InputStream in = socket.getInputStream();
+			OutputStream out = new ConnectionOutput(socket);
 			String request = readRequest(in);
 			while (request != null) {
 				this.requests.add(request);
-				if (!this.responder.respond(request, socket.getOutputStream())) {
+				if (!this.responder.respond(request, out)) {
 					return;
 				}
 				request = readRequest(in);
@@ -132,6 +134,39 @@
 		this.server.close();
 	}
 
+	/**
+	 * Resets a connection.
+	 * @param out the output that a responder received
+	 * @throws IOException if the node closed the connection
+	 */
+	static void reset(OutputStream out) throws IOException {
+		((ConnectionOutput) out).reset();
+	}
+
+	/**
+	 * Output of a connection that can be reset.
+	 */
+	private static final class ConnectionOutput extends FilterOutputStream {
+
+		private final Socket socket;
+
+		ConnectionOutput(Socket socket) throws IOException {
+			super(socket.getOutputStream());
+			this.socket = socket;
+		}
+
+		@Override
+		public void write(byte[] bytes, int offset, int length) throws IOException {
+			this.out.write(bytes, offset, length);
+		}
+
+		void reset() throws IOException {
+			this.socket.setSoLinger(true, 0);
+			this.socket.close();
+		}
+
+	}
+
 	/**
 	 * Answers the requests of a connection.
 	 */
