Count no answer to a call whose end is only that of its connection

A call of the node itself (order, report, store) took an answer without a length or chunks as whole when its connection ended, so also when the server ended within it: a 202 without its body, an empty or partial list. A partial list is mostly JSON that can't be read; calls that look at the status alone believed it.

CutCallTests was red before for UNFRAMED and UNFRAMED_REFUSAL, a close behind each byte from the end of the head on, and green for all other framings and for resets. AnswerFraming says which answers only their connection ends, and such an answer to a call is a lost one.

--- a/src/main/java/sycamorehill/entry/CallClient.java
+++ b/src/main/java/sycamorehill/entry/CallClient.java
@@ -190,6 +190,10 @@
 		// connection expire whose bytes have arrived.
 		@Override
 		public void handleEnd() {
+			if (AnswerFraming.endsWithConnection(this.head)) {
+				fail("the answer ends with its connection");
+				return;
+			}
 			this.timer.cancel(false);
 			if (this.connection.isReusable()) {
 				CallClient.this.connectionPool.release(this.address, this.connection,
