--- a/src/test/java/sycamorehill/entry/CallerNode.java
+++ b/src/test/java/sycamorehill/entry/CallerNode.java
@@ -63,11 +63,15 @@
 		List<TargetChange> entries = new ArrayList<>(List.of(change(ServingSamples.plain("p1")),
 				change(ServingSamples.member("h0", "small.0", 1, 0, MemberState.OPEN)),
 				change(ServingSamples.member("m0", "small.0", 1, 1, MemberState.READY))));
-		IntStream.range(0, moreTargets).forEach((number) -> entries.add(change(ServingSamples.plain("more" + number))));
+		IntStream.rangeClosed(1, moreTargets).forEach((number) -> {
+			entries.add(change(ServingSamples.plain("more" + number)));
+			entries.add(change(ServingSamples.member("h" + number, "small." + number, 1, 0, MemberState.OPEN)));
+			entries.add(change(ServingSamples.member("m" + number, "small." + number, 1, 1, MemberState.READY)));
+		});
 		EntryPorts ports = new EntryPorts(PlatformTestCodec.create(),
 				FakePorts.FixedFeed.of(new StoredConfiguration(configuration, "")),
 				(text) -> new StoredConfiguration(configuration, text), new FakePorts.FixedFeed<>(entries),
-				FakePorts.registry(this.settings.toNodeRecord(), OTHER_NODE), new FakePorts.UnavailableLeaseStore(),
+				registry(this.settings.toNodeRecord(), moreTargets == 0), new FakePorts.UnavailableLeaseStore(),
 				new FakePorts.UnreachableEngines());
 		this.node = EntryNode.start(this.settings, (client) -> ports, Clock.systemUTC(), new Random(1));
 	}
@@ -103,14 +107,26 @@
 	}
 
 	/**
-	 * Starts a node before many plain targets with the same answers, so that some are
-	 * left when the node avoids those that fail.
+	 * Starts a node before many targets of both kinds with the same answers, so that some
+	 * are left when the node avoids those that fail.
 	 * @param responder answers of the targets
 	 * @param moreTargets how many more there are
 	 * @return the node
 	 */
 	static CallerNode startWithTargets(RawTarget.Responder responder, int moreTargets) throws Exception {
-		return start(CallerLimits.INITIAL, responder, DESCRIPTORS, moreTargets);
+		CallerNode node = start(CallerLimits.INITIAL, responder, DESCRIPTORS, moreTargets);
+		node.awaitRetryShare();
+		return node;
+	}
+
+	private void awaitRetryShare() throws Exception {
+		for (int attempt = 0; attempt < 300; attempt++) {
+			if (!metrics().contains("retries_share 0.0")) {
+				return;
+			}
+			Thread.sleep(20);
+		}
+		throw new AssertionError("the node has no share of the retries");
 	}
 
 	private static CallerNode start(CallerLimits limits, RawTarget.Responder responder, int descriptors)
@@ -125,6 +141,11 @@
 		return node;
 	}
 
+	// A node that another one doesn't confirm has no share of the retries.
+	private static NodeRegistry registry(NodeRecord self, boolean others) {
+		return others ? FakePorts.registry(self, OTHER_NODE) : FakePorts.registry(self);
+	}
+
 	private TargetChange change(TargetEntry entry) {
 		return new TargetChange(entry.name(),
 				Optional.of(new TargetEntry(entry.name(), entry.service(), this.target.address(), entry.dataCentre(),
