Believe the end of an unframed answer only from the process that sent it

A stream or an answer without a length or chunks ended as complete before its last piece when its engine crashed behind a cut and started again: whoever accepted a connection at the address, or left the attempt unanswered, was taken for the process that had sent the answer.

A second connection (TargetWitness) is opened when the head of such an answer arrives, in place of the one that was opened at its end. When the answer has ended, the target is asked which process answers. It is the same one if it reports the start that the directory names. If it reports none, it is the same if it accepted the connection within 0.3 s of the request or 0.3 s before the end, so that it can't have replaced another process; what a cut held up arrives at once when it ends. Otherwise a stream goes on elsewhere or breaks off, and an answer becomes 502 or is tried again. A late answer in one piece of a target without reports can't be confirmed and is given up; the test says so.

The tests' targets answer the question as sound ones do. TargetAttempt loses its requests and its activity to classes of their own; ProxyAttempt uses the latter too.

--- a/src/main/java/sycamorehill/entry/ExchangeCodec.java
+++ b/src/main/java/sycamorehill/entry/ExchangeCodec.java
@@ -70,4 +70,10 @@
 	 */
 	String readinessPath();
 
+	/**
+	 * Returns the translation of the question which process of a target answers.
+	 * @return the translation
+	 */
+	IncarnationCodec incarnations();
+
 }
--- a/src/main/java/sycamorehill/entry/ProxyAttempt.java
+++ b/src/main/java/sycamorehill/entry/ProxyAttempt.java
@@ -49,7 +49,7 @@
 
 	private final ProxyConnectionPool connectionPool;
 
-	private final StreamActivity<String> activity;
+	private final AttemptActivity<String> activity;
 
 	private final ExchangeCodec codec;
 
@@ -63,14 +63,8 @@
 
 	private boolean finished;
 
-	private boolean activityTracked;
-
 	private boolean confirmed;
 
-	private boolean answerStarted;
-
-	private boolean paused;
-
 	private boolean allEventsNumbered = true;
 
 	private HttpResponse head;
@@ -85,7 +79,7 @@
 		this.start = start;
 		this.exchange = exchange;
 		this.connectionPool = connections;
-		this.activity = activity;
+		this.activity = AttemptActivity.of(activity, start.node().name());
 		this.codec = codec;
 		this.eventSink = eventSink;
 		this.confirmationRequired = !start.request().kind().isRepeatable();
@@ -123,8 +117,7 @@
 		this.connection = openConnection;
 		openConnection.listen(this);
 		if (this.start.request().kind().isStreaming()) {
-			this.activityTracked = true;
-			this.activity.recordRequestSent(this.start.node().name(), System.nanoTime());
+			this.activity.recordSent();
 		}
 		ByteBuf content = this.exchange.requestBody();
 		try {
@@ -225,13 +218,12 @@
 	private void handleEvent(ProxyFrame.Event event) {
 		this.allEventsNumbered &= event.number().isPresent();
 		cancelOtherAttempts();
-		if (!this.answerStarted) {
-			this.answerStarted = true;
+		if (!this.activity.isStarted()) {
 			startStream();
-			this.activity.recordStreamStarted(this.start.node().name(), System.nanoTime());
+			this.activity.recordStarted();
 			this.eventSink.post(new EntryEvent.AnswerStarted(this.start.number()));
 		}
-		this.activity.recordProgress(this.start.node().name(), System.nanoTime());
+		this.activity.recordProgress();
 		this.exchange.forwardEvent(Unpooled.wrappedBuffer(event.bytes()), event.number());
 		this.exchange.flush();
 	}
@@ -319,20 +311,7 @@
 	public void pause(boolean paused) {
 		if (this.connection != null && !this.finished) {
 			this.connection.pause(paused);
-			recordPaused(paused);
-		}
-	}
-
-	private void recordPaused(boolean pausedNow) {
-		if (this.paused == pausedNow || !this.answerStarted) {
-			return;
-		}
-		this.paused = pausedNow;
-		if (pausedNow) {
-			this.activity.recordPaused(this.start.node().name());
-		}
-		else {
-			this.activity.recordResumed(this.start.node().name(), System.nanoTime());
+			this.activity.recordPaused(paused);
 		}
 	}
 
@@ -349,10 +328,7 @@
 		if (this.acceptTimer != null) {
 			this.acceptTimer.cancel(false);
 		}
-		if (this.activityTracked) {
-			recordPaused(false);
-			this.activity.recordRequestEnded(this.start.node().name(), this.answerStarted, System.nanoTime());
-		}
+		this.activity.recordEnded();
 		this.body.release();
 	}
 
--- a/src/main/java/sycamorehill/entry/TargetAttempt.java
+++ b/src/main/java/sycamorehill/entry/TargetAttempt.java
@@ -6,16 +6,9 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ConnectTimeoutException;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
-import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
 
 import sycamorehill.model.identity.TargetName;
 import sycamorehill.model.serving.AttemptEnd;
@@ -45,13 +38,15 @@
 
 	private static final String NO_MEMORY_CAUSE = "the answers of all targets hold too much memory";
 
+	private static final String PARTIAL_EVENT_CAUSE = "the stream ends within an event";
+
 	private final EntryEffect.StartAttempt start;
 
 	private final AttemptExchange exchange;
 
 	private final TargetConnectionPool connectionPool;
 
-	private final StreamActivity<TargetName> activity;
+	private final AttemptActivity<TargetName> activity;
 
 	private final ExchangeCodec codec;
 
@@ -61,11 +56,10 @@
 
 	private boolean finished;
 
-	private boolean activityTracked;
-
-	private boolean answerStarted;
+	private long sentNanos;
 
-	private boolean paused;
+	/** Null unless the answer ends with its connection. */
+	private TargetWitness witness;
 
 	private HttpResponse head;
 
@@ -87,7 +81,7 @@
 		this.start = start;
 		this.exchange = exchange;
 		this.connectionPool = connections;
-		this.activity = activity;
+		this.activity = AttemptActivity.of(activity, start.target().name());
 		this.codec = codec;
 		this.eventSink = eventSink;
 	}
@@ -134,30 +128,20 @@
 		}
 		this.connection = openConnection;
 		if (this.start.handling().kind().isStreaming()) {
-			this.activityTracked = true;
-			this.activity.recordRequestSent(this.start.target().name(), System.nanoTime());
+			this.activity.recordSent();
 		}
 		ForwardingMetadata forwarding = new ForwardingMetadata(this.start.target().name(), left, this.start.workspace(),
 				this.start.priority(), this.exchange.resumeAfter(), this.exchange.weightsVersion());
 		ExpectedAnswer answer = ExpectedAnswer.of(this.exchange.identifier(), this.codec::readAnswerIdentifier, this);
-		openConnection.send(request(forwarding), answer).addListener((future) -> {
+		FullHttpRequest request = TargetRequests.create(this.exchange, this.codec, forwarding);
+		this.sentNanos = System.nanoTime();
+		openConnection.send(request, answer).addListener((future) -> {
 			if (!future.isSuccess()) {
 				handleConnectionLost("write failed: " + future.cause().getMessage());
 			}
 		});
 	}
 
-	private FullHttpRequest request(ForwardingMetadata forwarding) {
-		ByteBuf content = this.exchange.requestBody();
-		HttpHeaders headers = this.codec.targetHeaders(this.exchange.request(), forwarding);
-		if (content.isReadable() || HttpUtil.isContentLengthSet(this.exchange.request())
-				|| HttpUtil.isTransferEncodingChunked(this.exchange.request())) {
-			headers.set(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes());
-		}
-		return new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, this.exchange.request().method(),
-				this.exchange.request().uri(), content, headers, EmptyHttpHeaders.INSTANCE);
-	}
-
 	@Override
 	public void handleHead(HttpResponse response) {
 		this.head = response;
@@ -173,6 +157,10 @@
 			finish(new AttemptEnd.Unknown("a success without the target's signature", false));
 			return;
 		}
+		if (AnswerFraming.endsWithConnection(response) && !this.parsedHead.otherTarget() && !this.parsedHead.notRun()) {
+			this.witness = TargetWitness.connect(this.start, this.sentNanos, this.connectionPool,
+					this.codec.incarnations(), this.eventSink);
+		}
 		this.streaming = success && this.start.handling().kind().isStreaming();
 		if (this.streaming) {
 			this.events = EventSplitter.create(this.connection.context().alloc());
@@ -191,18 +179,18 @@
 			handlePart(bytes);
 			return;
 		}
-		this.activity.recordProgress(this.start.target().name(), System.nanoTime());
+		this.activity.recordProgress();
 		try {
 			this.events.append(bytes, this::handleEvent);
 		}
 		catch (IllegalStateException ex) {
 			closeConnection();
-			handleStreamFailure(ex.getMessage(), false);
+			handleFailure(ex.getMessage(), false);
 			return;
 		}
 		if (!this.finished && !hold(this.events.pendingBytes())) {
 			closeConnection();
-			handleStreamFailure(NO_MEMORY_CAUSE, false);
+			handleFailure(NO_MEMORY_CAUSE, false);
 			return;
 		}
 		this.exchange.flush();
@@ -233,9 +221,8 @@
 		}
 		this.allEventsNumbered &= number.isPresent();
 		cancelOtherAttempts();
-		if (!this.answerStarted) {
-			this.answerStarted = true;
-			this.activity.recordStreamStarted(this.start.target().name(), System.nanoTime());
+		if (!this.activity.isStarted()) {
+			this.activity.recordStarted();
 			this.exchange.startStream(this.head, this.parsedHead);
 			this.eventSink.post(new EntryEvent.AnswerStarted(this.start.number()));
 		}
@@ -264,42 +251,24 @@
 		if (this.finished) {
 			return;
 		}
-		boolean endedByConnection = endedByConnection();
 		releaseConnection();
-		if (endedByConnection) {
-			checkTargetIsAlive();
-		}
-		else {
+		if (this.witness == null) {
 			completeAnswer();
 		}
-	}
-
-	private boolean endedByConnection() {
-		return !HttpUtil.isContentLengthSet(this.head) && !HttpUtil.isTransferEncodingChunked(this.head)
-				&& !this.connection.isOpen() && !this.parsedHead.otherTarget() && !this.parsedHead.notRun();
-	}
-
-	// A process that ends closes its connections too, and its answer would pass for a
-	// whole one.
-	private void checkTargetIsAlive() {
-		if (this.streaming && !this.answerStarted) {
-			handleStreamFailure("the stream ends before its first event", true);
-			return;
-		}
-		TargetProbe.of(this.connectionPool, this.eventSink)
-			.connect(this.start.target(), () -> endChecked(true),
-					(cause) -> endChecked(cause instanceof ConnectTimeoutException));
-	}
-
-	private void endChecked(boolean mayBeAlive) {
-		if (this.finished) {
-			return;
+		else if (this.streaming && !this.activity.isStarted()) {
+			handleFailure("the stream ends before its first event", true);
 		}
-		if (mayBeAlive) {
-			completeAnswer();
+		else if (this.streaming && this.events.hasPartialEvent()) {
+			handleFailure(PARTIAL_EVENT_CAUSE, true);
 		}
 		else {
-			handleFailure("the target ended with its answer", true);
+			this.witness.confirm(this::handleConfirmed);
+		}
+	}
+
+	private void handleConfirmed(Optional<String> uncertain) {
+		if (!this.finished) {
+			uncertain.ifPresentOrElse((cause) -> handleFailure(cause, true), this::completeAnswer);
 		}
 	}
 
@@ -330,11 +299,11 @@
 
 	private void endStream(int status) {
 		if (this.events.hasPartialEvent()) {
-			handleStreamFailure("the stream ends within an event", endedByConnection());
+			handleFailure(PARTIAL_EVENT_CAUSE, false);
 			return;
 		}
 		cancelOtherAttempts();
-		if (!this.answerStarted) {
+		if (!this.activity.isStarted()) {
 			this.exchange.startStream(this.head, this.parsedHead);
 		}
 		this.exchange.endStream();
@@ -363,20 +332,7 @@
 	}
 
 	private void handleFailure(String cause, boolean connectionLost) {
-		if (this.finished) {
-			return;
-		}
-		if (this.head == null || !this.streaming) {
-			finish(this.exchange.streamStarted() ? new AttemptEnd.Broken(cause, true, connectionLost)
-					: new AttemptEnd.Unknown(cause, connectionLost));
-			return;
-		}
-		handleStreamFailure(cause, connectionLost);
-	}
-
-	private void handleStreamFailure(String cause, boolean connectionLost) {
-		boolean streamStarted = this.exchange.streamStarted();
-		finish(streamStarted ? new AttemptEnd.Broken(cause, this.allEventsNumbered, connectionLost)
+		finish(this.exchange.streamStarted() ? new AttemptEnd.Broken(cause, this.allEventsNumbered, connectionLost)
 				: new AttemptEnd.Unknown(cause, connectionLost));
 	}
 
@@ -403,20 +359,7 @@
 	public void pause(boolean paused) {
 		if (this.connection != null && !this.finished) {
 			this.connection.pause(paused);
-			recordPaused(paused);
-		}
-	}
-
-	private void recordPaused(boolean pausedNow) {
-		if (this.paused == pausedNow || !this.answerStarted) {
-			return;
-		}
-		this.paused = pausedNow;
-		if (pausedNow) {
-			this.activity.recordPaused(this.start.target().name());
-		}
-		else {
-			this.activity.recordResumed(this.start.target().name(), System.nanoTime());
+			this.activity.recordPaused(paused);
 		}
 	}
 
@@ -437,9 +380,9 @@
 	private void finish() {
 		this.finished = true;
 		hold(0);
-		if (this.activityTracked) {
-			recordPaused(false);
-			this.activity.recordRequestEnded(this.start.target().name(), this.answerStarted, System.nanoTime());
+		this.activity.recordEnded();
+		if (this.witness != null) {
+			this.witness.close();
 		}
 		if (this.body != null) {
 			this.body.release();
--- a/src/main/java/sycamorehill/logic/dispatch/AttemptStarter.java
+++ b/src/main/java/sycamorehill/logic/dispatch/AttemptStarter.java
@@ -72,7 +72,7 @@
 		RequestKind kind = request.route().kind();
 		boolean anotherAttemptMayFollow = kind == RequestKind.IDEMPOTENT && request.anotherAttemptMayFollow();
 		effects.add(new EntryEffect.StartAttempt(request.request().number(), attempt,
-				new TargetAddress(name, candidate.entry().address()), connections,
+				new TargetAddress(name, candidate.entry().address()), candidate.entry().startMillis(), connections,
 				new EntryEffect.Handling(kind, anotherAttemptMayFollow), request.workspace().map(Workspace::name),
 				priority(request, selection.admission())));
 	}
--- a/src/main/java/sycamorehill/model/serving/EntryEffect.java
+++ b/src/main/java/sycamorehill/model/serving/EntryEffect.java
@@ -32,14 +32,16 @@
 	 * @param number the request
 	 * @param attempt number of the attempt, starting at 1
 	 * @param target the target
+	 * @param startMillis start time of the target's process by its own wall clock; 0 if
+	 * unknown
 	 * @param maximumConnections number of connections that the target accepts from all
 	 * callers together
 	 * @param handling how the answer is forwarded
 	 * @param workspace the caller's workspace
 	 * @param priority priority among the target's requests, 0 is the most urgent
 	 */
-	record StartAttempt(long number, int attempt, TargetAddress target, int maximumConnections, Handling handling,
-			Optional<WorkspaceName> workspace, int priority) implements EntryEffect {
+	record StartAttempt(long number, int attempt, TargetAddress target, long startMillis, int maximumConnections,
+			Handling handling, Optional<WorkspaceName> workspace, int priority) implements EntryEffect {
 	}
 
 	/**
--- a/src/main/java/sycamorehill/platform/PlatformEngineClient.java
+++ b/src/main/java/sycamorehill/platform/PlatformEngineClient.java
@@ -28,7 +28,7 @@
 
 	private static final String COMMAND_PATH = "/-/order";
 
-	private static final String REPORT_PATH = "/-/report";
+	static final String REPORT_PATH = "/-/report";
 
 	/**
 	 * Timeout of a command, including the time to connect. Engines answer commands
--- a/src/main/java/sycamorehill/platform/PlatformExchangeCodec.java
+++ b/src/main/java/sycamorehill/platform/PlatformExchangeCodec.java
@@ -20,6 +20,7 @@
 import sycamorehill.entry.CallerRequestHead;
 import sycamorehill.entry.ExchangeCodec;
 import sycamorehill.entry.ForwardingMetadata;
+import sycamorehill.entry.IncarnationCodec;
 import sycamorehill.entry.TargetResponseHead;
 import sycamorehill.model.serving.EngineLoad;
 import sycamorehill.model.serving.RequestRate;
@@ -57,6 +58,8 @@
 	 */
 	private static final BigDecimal MAXIMUM_MILLISECONDS = MAXIMUM_SECONDS.movePointRight(3);
 
+	private final IncarnationCodec incarnations = PlatformIncarnationCodec.create();
+
 	private PlatformExchangeCodec() {
 	}
 
@@ -250,4 +253,9 @@
 		return READINESS_PATH;
 	}
 
+	@Override
+	public IncarnationCodec incarnations() {
+		return this.incarnations;
+	}
+
 }
--- a/src/main/java/sycamorehill/platform/TargetDecoder.java
+++ b/src/main/java/sycamorehill/platform/TargetDecoder.java
@@ -54,7 +54,7 @@
 		};
 	}
 
-	private static long startMillis(JsonNode spec) {
+	static long startMillis(JsonNode spec) {
 		JsonNode startMillis = spec.path("born");
 		return startMillis.isIntegralNumber() ? startMillis.longValue() : 0;
 	}
--- a/src/test/java/sycamorehill/entry/BusyLoopTests.java
+++ b/src/test/java/sycamorehill/entry/BusyLoopTests.java
@@ -137,6 +137,11 @@
 
 		private static final String SLOW_REQUEST = "slow";
 
+		@Override
+		public IncarnationCodec incarnations() {
+			return this.codec.incarnations();
+		}
+
 		@Override
 		public CallerRequestHead readCallerRequest(HttpRequest request) {
 			if (SLOW_REQUEST.equals(request.headers().get("Attempt-Id"))) {
--- a/src/test/java/sycamorehill/entry/CallerNode.java
+++ b/src/test/java/sycamorehill/entry/CallerNode.java
@@ -37,6 +37,9 @@
 
 	private static final Duration STOP_TIME = Duration.ofSeconds(5);
 
+	/** Start of the target's process, as the directory names it. */
+	private static final long START_MILLIS = 1;
+
 	private static final int DESCRIPTORS = 4200;
 
 	private static final int SMALL_BUFFER_BYTES = 4096;
@@ -129,6 +132,17 @@
 		throw new AssertionError("the node has no share of the retries");
 	}
 
+	/**
+	 * Starts a node and a target that also answers which process of it runs, or doesn't.
+	 * @param responder answers of the target
+	 * @return the node
+	 */
+	static CallerNode startWithoutReports(RawTarget.Responder responder) throws Exception {
+		CallerNode node = new CallerNode(RawTarget.start(responder), CallerLimits.INITIAL, DESCRIPTORS, 0);
+		node.awaitRoutes();
+		return node;
+	}
+
 	private static CallerNode start(CallerLimits limits, RawTarget.Responder responder, int descriptors)
 			throws Exception {
 		return start(limits, responder, descriptors, 0);
@@ -136,7 +150,8 @@
 
 	private static CallerNode start(CallerLimits limits, RawTarget.Responder responder, int descriptors,
 			int moreTargets) throws Exception {
-		CallerNode node = new CallerNode(RawTarget.start(responder), limits, descriptors, moreTargets);
+		CallerNode node = new CallerNode(RawTarget.start(RawTarget.withReports(responder, START_MILLIS)), limits,
+				descriptors, moreTargets);
 		node.awaitRoutes();
 		return node;
 	}
@@ -149,7 +164,8 @@
 	private TargetChange change(TargetEntry entry) {
 		return new TargetChange(entry.name(),
 				Optional.of(new TargetEntry(entry.name(), entry.service(), this.target.address(), entry.dataCentre(),
-						entry.slots(), false, 1, entry.domain(), entry.staged(), entry.loaded(), entry.membership())));
+						entry.slots(), false, START_MILLIS, entry.domain(), entry.staged(), entry.loaded(),
+						entry.membership())));
 	}
 
 	// Waits until the node has read its configuration and targets; before, it answers
--- a/src/test/java/sycamorehill/entry/LoopbackCluster.java
+++ b/src/test/java/sycamorehill/entry/LoopbackCluster.java
@@ -39,6 +39,9 @@
 
 	private static final int TARGETS = 3;
 
+	/** Start of each target's process, as the directory names it. */
+	private static final long START_MILLIS = 1;
+
 	/** A new process sends no retries beyond the ratio for as long. */
 	private static final Duration RETRY_WINDOW = Duration.ofMillis(100);
 
@@ -89,8 +92,8 @@
 			String... names) throws Exception {
 		LoopbackCluster cluster = new LoopbackCluster();
 		for (int number = 0; number < TARGETS; number++) {
-			cluster.plainTargets.add(RawTarget.start(plainAnswers));
-			cluster.engines.add(RawTarget.start(streams));
+			cluster.plainTargets.add(RawTarget.start(RawTarget.withReports(plainAnswers, START_MILLIS)));
+			cluster.engines.add(RawTarget.start(RawTarget.withReports(streams, START_MILLIS)));
 		}
 		List<NodeRecord> records = new ArrayList<>(others);
 		for (String name : names) {
@@ -189,7 +192,8 @@
 	private static TargetChange change(TargetEntry entry, TargetLink link) {
 		return new TargetChange(entry.name(),
 				Optional.of(new TargetEntry(entry.name(), entry.service(), link.address(), entry.dataCentre(),
-						entry.slots(), false, 1, entry.domain(), entry.staged(), entry.loaded(), entry.membership())));
+						entry.slots(), false, START_MILLIS, entry.domain(), entry.staged(), entry.loaded(),
+						entry.membership())));
 	}
 
 	// Waits until the node has read its configuration and targets; before, it answers
--- a/src/test/java/sycamorehill/entry/RawTarget.java
+++ b/src/test/java/sycamorehill/entry/RawTarget.java
@@ -70,6 +70,34 @@
 		};
 	}
 
+	/**
+	 * Creates a responder that also answers the question which process of a target runs.
+	 * @param responder answers the other requests
+	 * @param startMillis start time of the process
+	 * @return the responder
+	 */
+	static Responder withReports(Responder responder, long startMillis) {
+		String report = "{\"born\":" + startMillis + "}";
+		byte[] answer = ("HTTP/1.1 200 OK\r\nContent-Length: " + report.length() + "\r\n\r\n" + report)
+			.getBytes(StandardCharsets.ISO_8859_1);
+		return (request, out) -> {
+			if (!isQuestion(request)) {
+				return responder.respond(request, out);
+			}
+			out.write(answer);
+			return true;
+		};
+	}
+
+	/**
+	 * Returns whether a request asks which process of a target runs.
+	 * @param request the request
+	 * @return whether it does
+	 */
+	static boolean isQuestion(String request) {
+		return request.startsWith("GET /-/report ");
+	}
+
 	Address address() {
 		return Address.of("127.0.0.1", this.server.getLocalPort());
 	}
