Discard a part of a report before its target is asked again

The question is asked once more on a new connection if the older one ends within the report; its part stayed in front of the second one, which then could not be read. Found by reading; no test shows it. ReplacedTargetTests is green with it.

--- a/src/main/java/sycamorehill/entry/TargetWitness.java
+++ b/src/main/java/sycamorehill/entry/TargetWitness.java
@@ -139,6 +139,7 @@
 	}
 
 	private void ask() {
+		this.body.clear();
 		this.connection.send(this.codec.question(this.start.target()), ExpectedAnswer.unidentified(this));
 	}
 
