--- /dev/null
+++ b/src/main/java/sycamorehill/entry/AnswerRules.java
@@ -0,0 +1,52 @@
+package sycamorehill.entry;
+
+import java.util.Optional;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
+
+/**
+ * Rules that the head of a target's answer must keep, and that a second answer may break.
+ */
+final class AnswerRules {
+
+	private AnswerRules() {
+	}
+
+	static boolean isSuccess(HttpResponse head) {
+		return head.status().codeClass() == HttpStatusClass.SUCCESS;
+	}
+
+	/**
+	 * Finds out why a head can't be that of the target's answer. Targets don't encode
+	 * bodies: one that is encoded comes from somewhere else.
+	 * @param head the head
+	 * @param parsedHead the parsed head
+	 * @return the reason; empty if it may be
+	 */
+	static Optional<String> findViolation(HttpResponse head, TargetResponseHead parsedHead) {
+		if (isSuccess(head) && (!parsedHead.signed() || parsedHead.identifier().isEmpty())) {
+			return Optional.of("a success without the target's signature");
+		}
+		return (!isRefusal(parsedHead) && head.headers().contains(HttpHeaderNames.CONTENT_ENCODING))
+				? Optional.of("an encoded body, which is not the target's") : Optional.empty();
+	}
+
+	/**
+	 * Returns whether an answer can't be relied on beside a second one. A success, and
+	 * the promise that the request did not run, must be true.
+	 * @param head the head of the answer
+	 * @param parsedHead the parsed head of the answer
+	 * @param second the head of the second answer
+	 * @return whether the second one contradicts it
+	 */
+	static boolean isContradiction(HttpResponse head, TargetResponseHead parsedHead, HttpResponse second) {
+		return second.status().code() != head.status().code() && (isSuccess(head) || isRefusal(parsedHead));
+	}
+
+	private static boolean isRefusal(TargetResponseHead parsedHead) {
+		return parsedHead.notRun() || parsedHead.otherTarget();
+	}
+
+}
--- a/src/main/java/sycamorehill/entry/CallClient.java
+++ b/src/main/java/sycamorehill/entry/CallClient.java
@@ -214,6 +214,10 @@
 		// connection expire whose bytes have arrived.
 		@Override
 		public void handleEnd() {
+			if (AnswerFraming.endsWithConnection(this.head)) {
+				fail("the answer ends with its connection");
+				return;
+			}
 			this.timer.cancel(false);
 			if (this.connection.isReusable() && !this.call.ownConnection()) {
 				CallClient.this.connectionPool.release(this.call.address(), this.connection,
--- a/src/main/java/sycamorehill/platform/PlatformExchangeCodec.java
+++ b/src/main/java/sycamorehill/platform/PlatformExchangeCodec.java
@@ -21,6 +21,7 @@
 import sycamorehill.entry.CallerRequestHead;
 import sycamorehill.entry.ExchangeCodec;
 import sycamorehill.entry.ForwardingMetadata;
+import sycamorehill.entry.IncarnationCodec;
 import sycamorehill.entry.TargetResponseHead;
 import sycamorehill.model.serving.EngineLoad;
 import sycamorehill.model.serving.RequestRate;
@@ -64,6 +65,8 @@
 	 */
 	private static final BigDecimal MAXIMUM_MILLISECONDS = MAXIMUM_SECONDS.movePointRight(3);
 
+	private final IncarnationCodec incarnations = PlatformIncarnationCodec.create();
+
 	private PlatformExchangeCodec() {
 	}
 
@@ -262,4 +265,9 @@
 		return READINESS_PATH;
 	}
 
+	@Override
+	public IncarnationCodec incarnations() {
+		return this.incarnations;
+	}
+
 }
--- a/src/main/java/sycamorehill/platform/TargetDecoder.java
+++ b/src/main/java/sycamorehill/platform/TargetDecoder.java
@@ -74,7 +74,7 @@
 		};
 	}
 
-	private static long startMillis(JsonNode spec) {
+	static long startMillis(JsonNode spec) {
 		return spec.hasNonNull("born") ? JsonFields.wholeNumber(spec, "born") : 0;
 	}
 
--- a/src/test/java/sycamorehill/entry/CallerNode.java
+++ b/src/test/java/sycamorehill/entry/CallerNode.java
@@ -8,10 +8,12 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Clock;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
 import java.util.function.UnaryOperator;
+import java.util.stream.IntStream;
 
 import sycamorehill.local.FreePorts;
 import sycamorehill.model.identity.Address;
@@ -35,6 +37,9 @@
 
 	private static final Duration STOP_TIME = Duration.ofSeconds(5);
 
+	/** Start of the target's process, as the directory names it. */
+	private static final long START_MILLIS = 1;
+
 	private static final int DESCRIPTORS = 4200;
 
 	private static final int SMALL_BUFFER_BYTES = 4096;
@@ -49,7 +54,7 @@
 
 	private final EntryNode node;
 
-	private CallerNode(RawTarget target, CallerLimits limits, int descriptors) throws Exception {
+	private CallerNode(RawTarget target, CallerLimits limits, int descriptors, int moreTargets) throws Exception {
 		this.target = target;
 		List<Address> free = FreePorts.find(5);
 		this.settings = new EntrySettings("one", DataCentreName.of("north"), List.of(DataCentreName.of("north")), 0.75,
@@ -58,13 +63,18 @@
 		Configuration sample = ServingSamples.configuration(1);
 		Configuration configuration = new Configuration(1, sample.routes(), sample.services(), limits,
 				sample.workspacesByApiKey(), true);
-		List<TargetChange> entries = List.of(change(ServingSamples.plain("p1")),
+		List<TargetChange> entries = new ArrayList<>(List.of(change(ServingSamples.plain("p1")),
 				change(ServingSamples.member("h0", "small.0", 1, 0, MemberState.OPEN)),
-				change(ServingSamples.member("m0", "small.0", 1, 1, MemberState.READY)));
+				change(ServingSamples.member("m0", "small.0", 1, 1, MemberState.READY))));
+		IntStream.rangeClosed(1, moreTargets).forEach((number) -> {
+			entries.add(change(ServingSamples.plain("more" + number)));
+			entries.add(change(ServingSamples.member("h" + number, "small." + number, 1, 0, MemberState.OPEN)));
+			entries.add(change(ServingSamples.member("m" + number, "small." + number, 1, 1, MemberState.READY)));
+		});
 		EntryPorts ports = new EntryPorts(PlatformTestCodec.create(),
 				FakePorts.FixedFeed.of(new StoredConfiguration(configuration, "")),
 				(text) -> new StoredConfiguration(configuration, text), new FakePorts.FixedFeed<>(entries),
-				FakePorts.registry(this.settings.toNodeRecord(), OTHER_NODE), new FakePorts.UnavailableLeaseStore(),
+				registry(this.settings.toNodeRecord(), moreTargets == 0), new FakePorts.UnavailableLeaseStore(),
 				new FakePorts.UnreachableEngines());
 		this.node = EntryNode.start(this.settings, (client) -> ports, Clock.systemUTC(), new Random(1));
 	}
@@ -99,17 +109,63 @@
 		return start(CallerLimits.INITIAL, responder, DESCRIPTORS);
 	}
 
+	/**
+	 * Starts a node before many targets of both kinds with the same answers, so that some
+	 * are left when the node avoids those that fail.
+	 * @param responder answers of the targets
+	 * @param moreTargets how many more there are
+	 * @return the node
+	 */
+	static CallerNode startWithTargets(RawTarget.Responder responder, int moreTargets) throws Exception {
+		CallerNode node = start(CallerLimits.INITIAL, responder, DESCRIPTORS, moreTargets);
+		node.awaitRetryShare();
+		return node;
+	}
+
+	private void awaitRetryShare() throws Exception {
+		for (int attempt = 0; attempt < 300; attempt++) {
+			if (!metrics().contains("retries_share 0.0")) {
+				return;
+			}
+			Thread.sleep(20);
+		}
+		throw new AssertionError("the node has no share of the retries");
+	}
+
+	/**
+	 * Starts a node and a target that also answers which process of it runs, or doesn't.
+	 * @param responder answers of the target
+	 * @return the node
+	 */
+	static CallerNode startWithoutReports(RawTarget.Responder responder) throws Exception {
+		CallerNode node = new CallerNode(RawTarget.start(responder), CallerLimits.INITIAL, DESCRIPTORS, 0);
+		node.awaitRoutes();
+		return node;
+	}
+
 	private static CallerNode start(CallerLimits limits, RawTarget.Responder responder, int descriptors)
 			throws Exception {
-		CallerNode node = new CallerNode(RawTarget.start(responder), limits, descriptors);
+		return start(limits, responder, descriptors, 0);
+	}
+
+	private static CallerNode start(CallerLimits limits, RawTarget.Responder responder, int descriptors,
+			int moreTargets) throws Exception {
+		CallerNode node = new CallerNode(RawTarget.start(RawTarget.withReports(responder, START_MILLIS)), limits,
+				descriptors, moreTargets);
 		node.awaitRoutes();
 		return node;
 	}
 
+	// A node that another one doesn't confirm has no share of the retries.
+	private static NodeRegistry registry(NodeRecord self, boolean others) {
+		return others ? FakePorts.registry(self, OTHER_NODE) : FakePorts.registry(self);
+	}
+
 	private TargetChange change(TargetEntry entry) {
 		return new TargetChange(entry.name(),
 				Optional.of(new TargetEntry(entry.name(), entry.service(), this.target.address(), entry.dataCentre(),
-						entry.slots(), false, 1, entry.domain(), entry.staged(), entry.loaded(), entry.membership())));
+						entry.slots(), false, START_MILLIS, entry.domain(), entry.staged(), entry.loaded(),
+						entry.membership())));
 	}
 
 	// Waits until the node has read its configuration and targets; before, it answers
@@ -237,6 +293,10 @@
 		}
 	}
 
+	Address callerAddress() {
+		return this.settings.callerAddress();
+	}
+
 	Address proxyAddress() {
 		return this.settings.proxyAddress();
 	}
