Read a connection on which no request waits, even if the caller before was slow

Cause: an empty stream begins for its caller only after its connection went back to the pool; if that caller has not read the answer before, its output is full, and the attempt pauses the connection, which is idle by then. Nothing resumes it, neither the pool nor the next request, and bytes or a close on it aren't seen either. Connections between nodes are released before the stream begins in the same way.

A connection on which no request waits can't be paused any more. Red before: PausedConnectionTests, 2 of 2 (504 after 6 s, and the same on ProxyChannel).

--- a/src/main/java/sycamorehill/entry/ProxyChannel.java
+++ b/src/main/java/sycamorehill/entry/ProxyChannel.java
@@ -87,8 +87,13 @@
 		return UnsentOutput.bytes(this.context.channel());
 	}
 
+	/**
+	 * Pauses or resumes reading. A connection without a receiver goes on reading, or the
+	 * next request on it would wait for good.
+	 * @param paused whether to pause
+	 */
 	void pause(boolean paused) {
-		this.context.channel().config().setAutoRead(!paused);
+		this.context.channel().config().setAutoRead(!paused || this.listener == null);
 	}
 
 	/** Closes the connection without notifying the receiver. */
--- a/src/main/java/sycamorehill/entry/TargetConnection.java
+++ b/src/main/java/sycamorehill/entry/TargetConnection.java
@@ -194,8 +194,13 @@
 		close();
 	}
 
+	/**
+	 * Pauses or resumes reading. A connection on which no request waits goes on reading,
+	 * or the next request on it would wait for good.
+	 * @param paused whether to pause
+	 */
 	void pause(boolean paused) {
-		this.context.channel().config().setAutoRead(!paused);
+		this.context.channel().config().setAutoRead(!paused || this.phase == Phase.IDLE);
 	}
 
 	@Override
