Skip a late answer only if it is certain where it ends

What callers saw: 504 at the deadline although the target's answer had come, as it was taken for the body of a late one: of one without a length, or of one to a HEAD request whose length names a body that doesn't follow. The other way round, the body of a late answer before the answer to a HEAD request was read as an answer; one that looked like an answer with the request's identifier reached the caller as a 200.

A late answer is skipped only if it has a length or chunks, or no body by its status, and if the connection has not carried both HEAD and other requests; else the attempt ends with an invalid answer.

--- a/src/main/java/sycamorehill/entry/StrictResponseDecoder.java
+++ b/src/main/java/sycamorehill/entry/StrictResponseDecoder.java
@@ -6,7 +6,9 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpUtil;
 
 /**
  * Decodes answers of targets and refuses those whose length is ambiguous.
@@ -22,6 +24,11 @@
 
 	private boolean headOnly;
 
+	private boolean requestSent;
+
+	/** Whether requests for a head alone and others were sent on the connection. */
+	private boolean headsAndBodies;
+
 	private StrictResponseDecoder(HttpDecoderConfig config) {
 		super(config);
 	}
@@ -39,9 +46,23 @@
 	 * @param headOnly whether it is
 	 */
 	void expectHeadOnly(boolean headOnly) {
+		this.headsAndBodies |= this.requestSent && headOnly != this.headOnly;
+		this.requestSent = true;
 		this.headOnly = headOnly;
 	}
 
+	/**
+	 * Returns whether it is certain where an answer ends that is not the expected one.
+	 * Without a length it would take the expected one for its body, and with one too if
+	 * its request was for a head alone.
+	 * @param response the head of the answer
+	 * @return whether it is certain
+	 */
+	boolean hasCertainEnd(HttpResponse response) {
+		return !this.headsAndBodies && (isContentAlwaysEmpty(response) || HttpUtil.isContentLengthSet(response)
+				|| HttpUtil.isTransferEncodingChunked(response));
+	}
+
 	@Override
 	protected boolean isContentAlwaysEmpty(HttpMessage message) {
 		return this.headOnly || super.isContentAlwaysEmpty(message);
--- a/src/main/java/sycamorehill/entry/TargetConnection.java
+++ b/src/main/java/sycamorehill/entry/TargetConnection.java
@@ -297,7 +297,8 @@
 	private void handleOther(HttpResponse response) {
 		this.unmatchedAnswers.record(this.target, use(), response, this.expected, true);
 		this.unmatched = true;
-		if (readIdentifier(response).filter(this.carried::mayContain).isPresent()) {
+		if (readIdentifier(response).filter(this.carried::mayContain).isPresent()
+				&& this.decoder.hasCertainEnd(response)) {
 			this.phase = Phase.SKIPPING;
 		}
 		else {
