Log late answers once for a connection

The first of a connection is logged and counted now, as the connection isn't used again. Red before: LateAnswerTests.manyLateAnswersOnAConnectionAreLoggedOnce (500 late answers, 500 lines).

--- a/src/main/java/sycamorehill/entry/TargetConnection.java
+++ b/src/main/java/sycamorehill/entry/TargetConnection.java
@@ -227,22 +227,23 @@
 	// Bytes that were in transit when this side closed the connection are not recorded.
 	private void handleUnexpected(Object message) {
 		if (isOpen() && this.expected != null) {
-			recordBehindAnswer(message);
+			recordUnmatched(message, false);
 		}
 		this.context.close();
 	}
 
 	private void handleBehindAnswer(Object message) {
-		recordBehindAnswer(message);
+		recordUnmatched(message, false);
 		if (isContradiction(message)) {
 			this.contradiction = (HttpResponse) message;
 		}
 	}
 
-	private void recordBehindAnswer(Object message) {
+	// Once for a connection: a target may send many answers before the awaited one.
+	private void recordUnmatched(Object message, boolean waiting) {
 		if (!this.unmatched) {
 			this.unmatched = true;
-			this.unmatchedAnswers.record(this.target, use(), message, this.expected, false);
+			this.unmatchedAnswers.record(this.target, use(), message, this.expected, waiting);
 		}
 	}
 
@@ -295,8 +296,7 @@
 	}
 
 	private void handleOther(HttpResponse response) {
-		this.unmatchedAnswers.record(this.target, use(), response, this.expected, true);
-		this.unmatched = true;
+		recordUnmatched(response, true);
 		if (readIdentifier(response).filter(this.carried::mayContain).isPresent()
 				&& this.decoder.hasCertainEnd(response)) {
 			this.phase = Phase.SKIPPING;
@@ -331,7 +331,7 @@
 			handleUnexpected(Unpooled.EMPTY_BUFFER);
 		}
 		if (this.phase == Phase.COMPLETE && this.decoder.hasPartialInput()) {
-			recordBehindAnswer(Unpooled.EMPTY_BUFFER);
+			recordUnmatched(Unpooled.EMPTY_BUFFER, false);
 		}
 		completeAnswer();
 		ctx.fireChannelReadComplete();
--- a/src/test/java/sycamorehill/entry/LateAnswerTests.java
+++ b/src/test/java/sycamorehill/entry/LateAnswerTests.java
@@ -12,6 +12,8 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
+import sycamorehill.support.RecordedLog;
+
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
@@ -19,6 +21,8 @@
  */
 class LateAnswerTests {
 
+	private static final int MANY = 500;
+
 	private final Map<OutputStream, Integer> requests = new ConcurrentHashMap<>();
 
 	private CallerNode node;
@@ -97,4 +101,13 @@
 		assertThat(ask("GET", "two")).startsWith("HTTP/1.1 200").endsWith("own");
 	}
 
+	// Guards against a target that fills the log.
+	@Test
+	void manyLateAnswersOnAConnectionAreLoggedOnce() throws Exception {
+		start(answer("200 OK", "many-1", "second").repeat(MANY));
+		assertThat(ask("GET", "many-1")).startsWith("HTTP/1.1 200");
+		assertThat(ask("GET", "many-2")).startsWith("HTTP/1.1 200").endsWith("own");
+		assertThat(RecordedLog.await("ANSWER_UNMATCHED", "identifier=many-1")).hasSize(1);
+	}
+
 }
