Promise no refusal beside a failure of the same status

What callers saw: 503 with the promise that the request never runs, where the target refused it and answered 503 for having run it, both in one read. Cause: only the status was compared. A refusal is now contradicted by any second answer that isn't one. Red before: SecondAnswerTests.aRefusalBesideAFailureOfTheSameStatusIsNoPromise (503).

--- a/src/main/java/sycamorehill/entry/TargetAttempt.java
+++ b/src/main/java/sycamorehill/entry/TargetAttempt.java
@@ -248,11 +248,20 @@
 		}
 	}
 
-	// A success, and the promise that the request did not run, must be true.
+	// A success, and the promise that the request did not run, must be true. A target
+	// that
+	// has run a request may answer with the status of a refusal.
 	@Override
 	public boolean isContradictedBy(HttpResponse second) {
-		return second.status().code() != this.head.status().code()
-				&& (isSuccess(this.head) || this.parsedHead.notRun() || this.parsedHead.otherTarget());
+		boolean otherStatus = second.status().code() != this.head.status().code();
+		if (isRefusal(this.parsedHead)) {
+			return otherStatus || !isRefusal(this.codec.readTargetResponse(second));
+		}
+		return otherStatus && isSuccess(this.head);
+	}
+
+	private static boolean isRefusal(TargetResponseHead head) {
+		return head.notRun() || head.otherTarget();
 	}
 
 	private static boolean isSuccess(HttpResponse response) {
--- a/src/test/java/sycamorehill/entry/SecondAnswerTests.java
+++ b/src/test/java/sycamorehill/entry/SecondAnswerTests.java
@@ -107,6 +107,18 @@
 		assertThat(this.node.ask("/once/x", "one")).startsWith("HTTP/1.1 502");
 	}
 
+	// Guards against "not run" for an order that the target ran, whose failure has the
+	// status of a refusal.
+	@Test
+	void aRefusalBesideAFailureOfTheSameStatusIsNoPromise() throws Exception {
+		start((request, out) -> {
+			String identifier = LoopbackCluster.identifier(request);
+			write(out, notRun(identifier) + answer("503 Error", identifier, "failed"));
+			return true;
+		});
+		assertThat(this.node.ask("/once/x", "one")).startsWith("HTTP/1.1 502");
+	}
+
 	// Guards against second answers that leave no trace.
 	@Test
 	void aSecondAnswerIsLoggedWithItsConnection() throws Exception {
