Take an address behind a version for no second head

What callers saw: 502 for each sound answer with 'Via: HTTP/1.1 192.168.10.20', as three digits behind the version passed for a status. A status ends with a blank or the line. What stays: a header whose text quotes a whole status line ('HTTP/1.1 503 of the upstream') is refused, as it can't be told from a joined head. Red before: SecondAnswerTests.anAddressBehindAVersionIsNoSecondHead, 2 of 2.

--- a/src/main/java/sycamorehill/entry/JoinedHeads.java
+++ b/src/main/java/sycamorehill/entry/JoinedHeads.java
@@ -13,7 +13,7 @@
 
 	private static final String VERSION = "HTTP/1.";
 
-	private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.\\d \\d{3}");
+	private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.\\d \\d{3}(?: |$)");
 
 	private JoinedHeads() {
 	}
--- a/src/test/java/sycamorehill/entry/SecondAnswerTests.java
+++ b/src/test/java/sycamorehill/entry/SecondAnswerTests.java
@@ -119,6 +119,19 @@
 		assertThat(this.node.ask("/once/x", "one")).startsWith("HTTP/1.1 502");
 	}
 
+	// Guards against a sound answer that is refused because a proxy added its address.
+	@ParameterizedTest
+	@ValueSource(strings = { "192.168.10.20", "192.168.10.20:3128 (squid)" })
+	void anAddressBehindAVersionIsNoSecondHead(String proxy) throws Exception {
+		start((request, out) -> {
+			String identifier = LoopbackCluster.identifier(request);
+			write(out,
+					answer("200 OK", identifier, "own").replace("\r\n\r\n", "\r\nVia: HTTP/1.1 " + proxy + "\r\n\r\n"));
+			return true;
+		});
+		assertThat(this.node.ask("/once/x", "one")).startsWith("HTTP/1.1 200").endsWith("own");
+	}
+
 	// Guards against second answers that leave no trace.
 	@Test
 	void aSecondAnswerIsLoggedWithItsConnection() throws Exception {
