Show a head whose first line is lost with its decoder, known red

A request that is begun behind another on its connection has its first line in the decoder when the other ends; if the limit of heads changed in between, the next bytes replace the decoder. The caller gets 400.

--- a/src/test/java/sycamorehill/entry/RaisedLimitsTests.java
+++ b/src/test/java/sycamorehill/entry/RaisedLimitsTests.java
@@ -1,5 +1,6 @@
 package sycamorehill.entry;
 
+import java.net.Socket;
 import java.util.List;
 
 import org.junit.jupiter.api.Test;
@@ -15,6 +16,8 @@
  */
 class RaisedLimitsTests {
 
+	private static final long SLOW_MILLIS = 1500;
+
 	private static Configuration withBodyLimit(long version, int bytes) {
 		Configuration sample = ServingSamples.configuration(version);
 		CallerLimits limits = new CallerLimits(16 * 1024, bytes, sample.limits().headerTimeout(),
@@ -84,4 +87,33 @@
 		}
 	}
 
+	private static String slowHello(String request) {
+		try {
+			Thread.sleep(request.contains("Attempt-Id: slow") ? SLOW_MILLIS : 0);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+		return LoopbackCluster.hello(request);
+	}
+
+	// Guards against a refused request whose first line was lost with the replaced
+	// decoder.
+	@Test
+	void aHeadThatBeganUnderTheLimitsBeforeIsRead() throws Exception {
+		try (LoopbackCluster cluster = LoopbackCluster.start(RaisedLimitsTests::slowHello, LoopbackCluster::hello,
+				List.of(), "one")) {
+			try (Socket caller = new Socket("127.0.0.1", cluster.settingsOf("one").callerAddress().port())) {
+				String next = CallerNode.request("/again/x", "next", "Connection: close");
+				int cut = next.indexOf("Host:");
+				CallerNode.send(caller, CallerNode.request("/again/x", "slow") + next.substring(0, cut));
+				cluster.store(withHeaderLimit(2, 9000));
+				cluster.awaitVersion("one", 2);
+				CallerNode.readUntil(caller, "hello");
+				CallerNode.send(caller, next.substring(cut));
+				assertThat(CallerNode.readAll(caller)).startsWith("HTTP/1.1 200");
+			}
+		}
+	}
+
 }
