--- a/src/main/java/sycamorehill/entry/AnswerRules.java
+++ b/src/main/java/sycamorehill/entry/AnswerRules.java
@@ -35,14 +35,21 @@
 
 	/**
 	 * Returns whether an answer can't be relied on beside a second one. A success, and
-	 * the promise that the request did not run, must be true.
+	 * the promise that the request did not run, must be true. A target that has run a
+	 * request may answer with the status of a refusal.
 	 * @param head the head of the answer
 	 * @param parsedHead the parsed head of the answer
 	 * @param second the head of the second answer
+	 * @param parsedSecond the parsed head of the second answer
 	 * @return whether the second one contradicts it
 	 */
-	static boolean isContradiction(HttpResponse head, TargetResponseHead parsedHead, HttpResponse second) {
-		return second.status().code() != head.status().code() && (isSuccess(head) || isRefusal(parsedHead));
+	static boolean isContradiction(HttpResponse head, TargetResponseHead parsedHead, HttpResponse second,
+			TargetResponseHead parsedSecond) {
+		boolean otherStatus = second.status().code() != head.status().code();
+		if (isRefusal(parsedHead)) {
+			return otherStatus || !isRefusal(parsedSecond);
+		}
+		return otherStatus && isSuccess(head);
 	}
 
 	private static boolean isRefusal(TargetResponseHead parsedHead) {
--- a/src/main/java/sycamorehill/entry/TargetAttempt.java
+++ b/src/main/java/sycamorehill/entry/TargetAttempt.java
@@ -243,7 +243,7 @@
 
 	@Override
 	public boolean isContradictedBy(HttpResponse second) {
-		return AnswerRules.isContradiction(this.head, this.parsedHead, second);
+		return AnswerRules.isContradiction(this.head, this.parsedHead, second, this.codec.readTargetResponse(second));
 	}
 
 	@Override
--- a/src/main/java/sycamorehill/entry/TargetConnection.java
+++ b/src/main/java/sycamorehill/entry/TargetConnection.java
@@ -194,8 +194,13 @@
 		close();
 	}
 
+	/**
+	 * Pauses or resumes reading. A connection on which no request waits goes on reading,
+	 * or the next request on it would wait for good.
+	 * @param paused whether to pause
+	 */
 	void pause(boolean paused) {
-		this.context.channel().config().setAutoRead(!paused);
+		this.context.channel().config().setAutoRead(!paused || this.phase == Phase.IDLE);
 	}
 
 	@Override
@@ -222,22 +227,23 @@
 	// Bytes that were in transit when this side closed the connection are not recorded.
 	private void handleUnexpected(Object message) {
 		if (isOpen() && this.expected != null) {
-			recordBehindAnswer(message);
+			recordUnmatched(message, false);
 		}
 		this.context.close();
 	}
 
 	private void handleBehindAnswer(Object message) {
-		recordBehindAnswer(message);
+		recordUnmatched(message, false);
 		if (isContradiction(message)) {
 			this.contradiction = (HttpResponse) message;
 		}
 	}
 
-	private void recordBehindAnswer(Object message) {
+	// Once for a connection: a target may send many answers before the awaited one.
+	private void recordUnmatched(Object message, boolean waiting) {
 		if (!this.unmatched) {
 			this.unmatched = true;
-			this.unmatchedAnswers.record(this.target, use(), message, this.expected, false);
+			this.unmatchedAnswers.record(this.target, use(), message, this.expected, waiting);
 		}
 	}
 
@@ -290,9 +296,9 @@
 	}
 
 	private void handleOther(HttpResponse response) {
-		this.unmatchedAnswers.record(this.target, use(), response, this.expected, true);
-		this.unmatched = true;
-		if (readIdentifier(response).filter(this.carried::mayContain).isPresent()) {
+		recordUnmatched(response, true);
+		if (readIdentifier(response).filter(this.carried::mayContain).isPresent()
+				&& this.decoder.hasCertainEnd(response)) {
 			this.phase = Phase.SKIPPING;
 		}
 		else {
@@ -325,7 +331,7 @@
 			handleUnexpected(Unpooled.EMPTY_BUFFER);
 		}
 		if (this.phase == Phase.COMPLETE && this.decoder.hasPartialInput()) {
-			recordBehindAnswer(Unpooled.EMPTY_BUFFER);
+			recordUnmatched(Unpooled.EMPTY_BUFFER, false);
 		}
 		completeAnswer();
 		ctx.fireChannelReadComplete();
