End an answer whose chunks take more bytes than they contain

What callers saw: while one engine of three sent bodies without end in chunks of one byte, most requests of its service, and many of another one, had no final answer half a second after their route's timeout. Cause: the limits on answers counted content only; a chunk of one byte takes six bytes and a message through the pipeline, and the event loop decoded chunks all the time.

A body may have 32 KiB of framing besides as many bytes as it contains (AnswerBytes, which counts the bytes before the head as well); more ends the answer, the target is ejected, and the request goes elsewhere where it may. Chunks of a stream that bring an event each stay far below.

Red before, with the limit switched off: EndlessAnswerTests, TINY_CHUNKS and TINY_CHUNKS_OF_A_STREAM, 2 of 15; all 15 green now (load 3).

--- a/src/main/java/sycamorehill/entry/TargetConnection.java
+++ b/src/main/java/sycamorehill/entry/TargetConnection.java
@@ -32,12 +32,6 @@
  */
 final class TargetConnection extends ChannelInboundHandlerAdapter {
 
-	/**
-	 * Maximum number of bytes before the head of the answer is complete: room for a head
-	 * of the largest size, some interim answers and a late answer to an earlier request.
-	 */
-	private static final int MAXIMUM_BYTES_BEFORE_HEAD = 256 * 1024;
-
 	private final long number;
 
 	private final StrictResponseDecoder decoder;
@@ -57,11 +51,11 @@
 	/** What the last request on the connection waits or waited for; null before it. */
 	private ExpectedAnswer expected;
 
-	private Phase phase = Phase.IDLE;
+	private AnswerPhase phase = AnswerPhase.IDLE;
 
 	private boolean interimResponse;
 
-	private int bytesBeforeHead;
+	private AnswerBytes bytes = AnswerBytes.create();
 
 	private HttpResponse head;
 
@@ -131,30 +125,32 @@
 		this.requests++;
 		this.expected = answer;
 		this.decoder.expectHeadOnly(HttpMethod.HEAD.equals(request.method()));
-		this.phase = Phase.AWAITING_HEAD;
-		this.bytesBeforeHead = 0;
+		this.phase = AnswerPhase.AWAITING_HEAD;
+		this.bytes = AnswerBytes.create();
 		this.head = null;
 		this.sending = this.context.writeAndFlush(request);
 		return this.sending;
 	}
 
 	/**
-	 * Admits bytes that have arrived. Too many before the head of the answer end the
-	 * answer and close the connection, as does any byte while no request waits.
+	 * Admits bytes that have arrived. Too many that bring nothing of the answer end it
+	 * and close the connection, as does any byte while no request waits.
 	 * @param bytes number of bytes that have arrived
 	 * @return false if they are too many
 	 */
 	boolean admitBytes(int bytes) {
-		this.unexpectedBytes |= this.phase == Phase.IDLE;
-		if (this.phase != Phase.AWAITING_HEAD && this.phase != Phase.SKIPPING) {
+		if (this.phase == AnswerPhase.IDLE || this.phase == AnswerPhase.COMPLETE) {
+			this.unexpectedBytes |= this.phase == AnswerPhase.IDLE;
 			return true;
 		}
-		this.bytesBeforeHead += bytes;
-		if (this.bytesBeforeHead <= MAXIMUM_BYTES_BEFORE_HEAD) {
-			return true;
+		this.bytes.addReceived(bytes);
+		if (this.bytes.exceedsHeadLimit()) {
+			handleInvalidAnswer("no head of an answer within " + AnswerBytes.MAXIMUM_BEFORE_HEAD + " bytes");
+		}
+		else if (this.bytes.exceedsFramingLimit()) {
+			handleInvalidAnswer("a body of many tiny chunks");
 		}
-		handleInvalidAnswer("no head of an answer within " + MAXIMUM_BYTES_BEFORE_HEAD + " bytes");
-		return false;
+		return this.phase != AnswerPhase.IDLE;
 	}
 
 	boolean isOpen() {
@@ -178,7 +174,7 @@
 
 	/** Closes the connection without notifying the receiver of its answer. */
 	void close() {
-		this.phase = Phase.IDLE;
+		this.phase = AnswerPhase.IDLE;
 		this.context.close();
 	}
 
@@ -200,16 +196,16 @@
 	 * @param paused whether to pause
 	 */
 	void pause(boolean paused) {
-		this.context.channel().config().setAutoRead(!paused || this.phase == Phase.IDLE);
+		this.context.channel().config().setAutoRead(!paused || this.phase == AnswerPhase.IDLE);
 	}
 
 	@Override
 	public void channelRead(ChannelHandlerContext ctx, Object message) {
 		try {
-			if (this.phase == Phase.IDLE) {
+			if (this.phase == AnswerPhase.IDLE) {
 				handleUnexpected(message);
 			}
-			else if (this.phase == Phase.COMPLETE) {
+			else if (this.phase == AnswerPhase.COMPLETE) {
 				handleBehindAnswer(message);
 			}
 			else if (message instanceof HttpObject object && object.decoderResult().isFailure()) {
@@ -259,7 +255,7 @@
 		}
 		else if (message instanceof HttpResponse response) {
 			this.interimResponse = response.status().codeClass() == HttpStatusClass.INFORMATIONAL
-					&& response.status().code() != HttpResponseStatus.SWITCHING_PROTOCOLS.code();
+					&& !isSwitch(response);
 			if (!this.interimResponse) {
 				handleHead(response);
 			}
@@ -270,11 +266,12 @@
 	}
 
 	private void handleHead(HttpResponse response) {
-		if (response.status().code() == HttpResponseStatus.SWITCHING_PROTOCOLS.code()) {
+		if (isSwitch(response)) {
 			handleInvalidAnswer("another protocol, which was not asked for");
 		}
 		else if (isOwn(response)) {
-			this.phase = Phase.READING;
+			this.phase = AnswerPhase.READING;
+			this.bytes.completeHead();
 			this.head = response;
 			this.expected.handler().handleHead(response);
 		}
@@ -283,6 +280,10 @@
 		}
 	}
 
+	private static boolean isSwitch(HttpResponse response) {
+		return response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS);
+	}
+
 	// Without an identifier, only the first answer on a connection is certain: it can't
 	// be a second one to an earlier request.
 	private boolean isOwn(HttpResponse response) {
@@ -299,7 +300,7 @@
 		recordUnmatched(response, true);
 		if (readIdentifier(response).filter(this.carried::mayContain).isPresent()
 				&& this.decoder.hasCertainEnd(response)) {
-			this.phase = Phase.SKIPPING;
+			this.phase = AnswerPhase.SKIPPING;
 		}
 		else {
 			handleInvalidAnswer("an answer to another request");
@@ -307,7 +308,8 @@
 	}
 
 	private void handleContent(HttpContent content) {
-		if (this.phase == Phase.READING && content.content().isReadable()) {
+		this.bytes.addContained(content.content().readableBytes());
+		if (this.phase == AnswerPhase.READING && content.content().isReadable()) {
 			this.expected.handler().handleBody(content.content());
 		}
 		if (content instanceof LastHttpContent) {
@@ -316,11 +318,11 @@
 	}
 
 	private void handleLastContent() {
-		if (this.phase == Phase.READING) {
-			this.phase = Phase.COMPLETE;
+		if (this.phase == AnswerPhase.READING) {
+			this.phase = AnswerPhase.COMPLETE;
 		}
-		else if (this.phase == Phase.SKIPPING) {
-			this.phase = Phase.AWAITING_HEAD;
+		else if (this.phase == AnswerPhase.SKIPPING) {
+			this.phase = AnswerPhase.AWAITING_HEAD;
 		}
 	}
 
@@ -330,7 +332,7 @@
 		if (this.unexpectedBytes) {
 			handleUnexpected(Unpooled.EMPTY_BUFFER);
 		}
-		if (this.phase == Phase.COMPLETE && this.decoder.hasPartialInput()) {
+		if (this.phase == AnswerPhase.COMPLETE && this.decoder.hasPartialInput()) {
 			recordUnmatched(Unpooled.EMPTY_BUFFER, false);
 		}
 		completeAnswer();
@@ -338,14 +340,14 @@
 	}
 
 	private void completeAnswer() {
-		if (this.phase != Phase.COMPLETE) {
+		if (this.phase != AnswerPhase.COMPLETE) {
 			return;
 		}
 		if (this.contradiction != null) {
 			handleInvalidAnswer("answered " + this.head.status().code() + " and " + this.contradiction.status().code());
 			return;
 		}
-		this.phase = Phase.IDLE;
+		this.phase = AnswerPhase.IDLE;
 		this.expected.identifier().ifPresent(this.carried::add);
 		this.expected.handler().handleEnd();
 	}
@@ -371,33 +373,11 @@
 	}
 
 	private void fail(Consumer<AnswerHandler> notification) {
-		boolean waiting = this.phase != Phase.IDLE;
+		boolean waiting = this.phase != AnswerPhase.IDLE;
 		close();
 		if (waiting) {
 			notification.accept(this.expected.handler());
 		}
 	}
 
-	/**
-	 * What the connection waits for.
-	 */
-	private enum Phase {
-
-		/** No request waits. */
-		IDLE,
-
-		/** The head of the answer has not arrived. */
-		AWAITING_HEAD,
-
-		/** A late answer to an earlier request arrives before the awaited one. */
-		SKIPPING,
-
-		/** The head of the answer has arrived. */
-		READING,
-
-		/** The answer has arrived; what arrived with its end is not looked at yet. */
-		COMPLETE
-
-	}
-
 }
--- a/src/test/java/sycamorehill/entry/EndlessAnswerTests.java
+++ b/src/test/java/sycamorehill/entry/EndlessAnswerTests.java
@@ -136,6 +136,15 @@
 				"HTTP/1.1 200 OK\r\nAttempt-Id: ID\r\nServer-Signature: s\r\n" + "Transfer-Encoding: chunked\r\n\r\n4;",
 				"x"),
 
+		TINY_CHUNKS("/single/x",
+				"HTTP/1.1 500 Error\r\nAttempt-Id: ID\r\nServer-Signature: s\r\n"
+						+ "Transfer-Encoding: chunked\r\n\r\n",
+				"1\r\nx\r\n"),
+
+		TINY_CHUNKS_OF_A_STREAM("/single/x",
+				"HTTP/1.1 200 OK\r\nAttempt-Id: ID\r\nServer-Signature: s\r\n" + "Transfer-Encoding: chunked\r\n\r\n",
+				"1\r\nx\r\n"),
+
 		TRAILERS("/single/x",
 				"HTTP/1.1 200 OK\r\nAttempt-Id: ID\r\nServer-Signature: s\r\n"
 						+ "Transfer-Encoding: chunked\r\n\r\n0\r\n",
