Skip a late answer only if it arrives whole in one read

What callers saw: 504 at the deadline, as a late answer that was cut in its body took the answer behind it for the rest. A late answer that is not complete when its read ends ends the attempt now, as any answer to another request did before: 502, or another target at once.

--- a/src/main/java/sycamorehill/entry/TargetConnection.java
+++ b/src/main/java/sycamorehill/entry/TargetConnection.java
@@ -335,6 +335,9 @@
 		if (this.phase == AnswerPhase.COMPLETE && this.decoder.hasPartialInput()) {
 			recordUnmatched(Unpooled.EMPTY_BUFFER, false);
 		}
+		if (this.phase == AnswerPhase.SKIPPING) {
+			handleInvalidAnswer("a late answer to an earlier request that doesn't end");
+		}
 		completeAnswer();
 		ctx.fireChannelReadComplete();
 	}
--- a/src/test/java/sycamorehill/entry/LateAnswerTests.java
+++ b/src/test/java/sycamorehill/entry/LateAnswerTests.java
@@ -33,7 +33,8 @@
 	}
 
 	private static String head(String status, String identifier, String more) {
-		return "HTTP/1.1 " + status + "\r\nAttempt-Id: " + identifier + "\r\nServer-Signature: s\r\n" + more + "\r\n";
+		return "HTTP/1.1 " + status + "\r\nAttempt-Id: " + identifier
+				+ "\r\nServer-Signature: s\r\nKeep-Alive: timeout=60\r\n" + more + "\r\n";
 	}
 
 	private static String answer(String status, String identifier, String body) {
@@ -59,7 +60,7 @@
 
 	private String ask(String method, String identifier) throws IOException {
 		try (Socket caller = this.node.connect()) {
-			CallerNode.send(caller, method + " /once/x HTTP/1.1\r\nHost: feed.example\r\nAuthorization: Token key\r\n"
+			CallerNode.send(caller, method + " /again/x HTTP/1.1\r\nHost: feed.example\r\nAuthorization: Token key\r\n"
 					+ "Attempt-Id: " + identifier + "\r\nDeadline-Ms: 1500\r\nConnection: close\r\n\r\n");
 			return CallerNode.readAll(caller);
 		}
--- a/src/test/java/sycamorehill/entry/SecondAnswerTests.java
+++ b/src/test/java/sycamorehill/entry/SecondAnswerTests.java
@@ -37,8 +37,9 @@
 	}
 
 	private static String answer(String status, String identifier, String body) {
-		return "HTTP/1.1 " + status + "\r\nAttempt-Id: " + identifier + "\r\nServer-Signature: s\r\nContent-Length: "
-				+ body.length() + "\r\n\r\n" + body;
+		return "HTTP/1.1 " + status + "\r\nAttempt-Id: " + identifier
+				+ "\r\nServer-Signature: s\r\nKeep-Alive: timeout=60\r\nContent-Length: " + body.length() + "\r\n\r\n"
+				+ body;
 	}
 
 	private static String notRun(String identifier) {
