Take a body that contains a second answer to its request for no answer

What callers saw: a target that breaks off an answer, keeps the connection and answers again completes the announced length, the chunk or the unframed body of the first with the head of the second: a 200 whose body ends with 'HTTP/1.1 500 Error', or such an event. Cause: bytes of a body are taken by their place alone.

A status line with the identifier of the request behind it, within a held body or an event, makes the answer an invalid one (JoinedAnswers): 502, a retry, or a stream that goes on elsewhere or breaks off. What stays open: a length that ends before the identifier can't be told from a whole body. A target that quotes its own answer's head in its body would be hurt; none is known.

--- a/src/main/java/sycamorehill/entry/TargetAttempt.java
+++ b/src/main/java/sycamorehill/entry/TargetAttempt.java
@@ -26,15 +26,6 @@
 	/** Maximum size of a non-streaming answer, which is held until it is complete. */
 	private static final int MAXIMUM_ANSWER_BYTES = 16 * 1024 * 1024;
 
-	/**
-	 * Maximum idle time of a connection that is reused for a non-idempotent request: if
-	 * the target closes the connection while the request is in transit, the outcome is
-	 * unknown.
-	 */
-	private static final Duration MAXIMUM_IDLE_TIME_NON_IDEMPOTENT = Duration.ofMillis(400);
-
-	private static final Duration MAXIMUM_IDLE_TIME_IDEMPOTENT = Duration.ofMinutes(10);
-
 	private static final String NO_MEMORY_CAUSE = "the answers of all targets hold too much memory";
 
 	private static final String PARTIAL_EVENT_CAUSE = "the stream ends within an event";
@@ -94,8 +85,7 @@
 	}
 
 	private void start() {
-		Duration maximumIdle = this.start.handling().kind().isRepeatable() ? MAXIMUM_IDLE_TIME_IDEMPOTENT
-				: MAXIMUM_IDLE_TIME_NON_IDEMPOTENT;
+		Duration maximumIdle = ConnectionReuse.maximumIdleTime(this.start.handling().kind());
 		TargetConnection idle = this.connectionPool.acquireIdle(this.start.target(), maximumIdle,
 				this.exchange.identifier());
 		if (idle != null) {
@@ -219,9 +209,9 @@
 			event.release();
 			return;
 		}
-		if (!this.eventNumbers.mayBeNext(number)) {
+		if (!this.eventNumbers.mayBeNext(number) || containsAnswer(event)) {
 			event.release();
-			throw new IllegalStateException(EventNumbers.VIOLATION);
+			throw new IllegalStateException("an event that can't be the next one of its stream");
 		}
 		cancelOtherAttempts();
 		if (!this.activity.isStarted()) {
@@ -283,6 +273,10 @@
 		else if (this.streaming) {
 			endStream(status);
 		}
+		else if (containsAnswer(this.body)) {
+			closeConnection();
+			handleFailure("a second answer within the body", false);
+		}
 		else if (status >= MINIMUM_SERVER_ERROR_STATUS && this.start.handling().holdFailures()) {
 			this.exchange.holdFailure(this.head, this.body.retain());
 			finish(new AttemptEnd.Failed(status));
@@ -297,6 +291,10 @@
 		}
 	}
 
+	private boolean containsAnswer(ByteBuf content) {
+		return JoinedAnswers.containsAnswer(content, this.exchange.identifier());
+	}
+
 	private void endStream(int status) {
 		if (this.events.hasPartialEvent()) {
 			handleFailure(PARTIAL_EVENT_CAUSE, false);
