--- a/src/test/java/sycamorehill/entry/CallClientTests.java
+++ b/src/test/java/sycamorehill/entry/CallClientTests.java
@@ -106,7 +106,7 @@
 		try (RawTarget engine = RawTarget.start((request, out) -> {
 			if (!used.add(out)) {
 				out.write(accepted.getBytes(StandardCharsets.ISO_8859_1));
-				pause(pauseMillis);
+				RawTarget.pause(pauseMillis);
 			}
 			out.write(((calls.incrementAndGet() == 1) ? accepted : rejected).getBytes(StandardCharsets.ISO_8859_1));
 			return true;
@@ -121,15 +121,6 @@
 		}
 	}
 
-	private static void pause(long millis) {
-		try {
-			Thread.sleep(millis);
-		}
-		catch (InterruptedException ex) {
-			Thread.currentThread().interrupt();
-		}
-	}
-
 	private static String readAll(Socket socket) throws InterruptedException {
 		Thread.sleep(50);
 		try {
--- a/src/test/java/sycamorehill/entry/CompletedBodyTests.java
+++ b/src/test/java/sycamorehill/entry/CompletedBodyTests.java
@@ -1,9 +1,7 @@
 package sycamorehill.entry;
 
-import java.io.IOException;
 import java.io.OutputStream;
 import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 
@@ -38,29 +36,15 @@
 		return head(status, identifier, "Content-Length: " + body.length() + "\r\n") + body;
 	}
 
-	private static void write(OutputStream out, String text) throws IOException {
-		out.write(text.getBytes(StandardCharsets.ISO_8859_1));
-		out.flush();
-	}
-
-	private static void pause(long millis) {
-		try {
-			Thread.sleep(millis);
-		}
-		catch (InterruptedException ex) {
-			Thread.currentThread().interrupt();
-		}
-	}
-
 	// Guards against a success whose body is not the whole body of the target.
 	@ParameterizedTest
 	@ValueSource(longs = { 0, 5 })
 	void aBodyThatWasCutIsNotCompletedByTheSecondAnswer(long pauseMillis) throws Exception {
 		this.node = CallerNode.start((request, out) -> {
 			String identifier = LoopbackCluster.identifier(request);
-			write(out, head("200 OK", identifier, "Content-Length: 40\r\n") + "abc");
-			pause(pauseMillis);
-			write(out, answer("500 Error", identifier, "failed"));
+			RawTarget.write(out, head("200 OK", identifier, "Content-Length: 40\r\n") + "abc");
+			RawTarget.pause(pauseMillis);
+			RawTarget.write(out, answer("500 Error", identifier, "failed"));
 			return true;
 		});
 		assertThat(this.node.ask("/once/x", "cut")).doesNotStartWith("HTTP/1.1 200");
@@ -71,7 +55,7 @@
 	void anAnswerThatEndsWithItsConnectionIsNotJoinedWithTheSecond() throws Exception {
 		this.node = CallerNode.start((request, out) -> {
 			String identifier = LoopbackCluster.identifier(request);
-			write(out, head("200 OK", identifier, "Connection: close\r\n") + "whole"
+			RawTarget.write(out, head("200 OK", identifier, "Connection: close\r\n") + "whole"
 					+ answer("500 Error", identifier, "failed"));
 			return false;
 		});
@@ -83,10 +67,10 @@
 	void anEventThatWasCutIsNotCompletedByTheSecondAnswer() throws Exception {
 		this.node = CallerNode.start((request, out) -> {
 			String identifier = LoopbackCluster.identifier(request);
-			write(out, head("200 OK", identifier, "Transfer-Encoding: chunked\r\n") + "13\r\nid: 1\ndata: whole\n\n\r\n"
-					+ "c8\r\nid: 2\ndata: cut");
-			pause(STREAM_PAUSE_MILLIS);
-			write(out, answer("500 Error", identifier, ""));
+			RawTarget.write(out, head("200 OK", identifier, "Transfer-Encoding: chunked\r\n")
+					+ "13\r\nid: 1\ndata: whole\n\n\r\n" + "c8\r\nid: 2\ndata: cut");
+			RawTarget.pause(STREAM_PAUSE_MILLIS);
+			RawTarget.write(out, answer("500 Error", identifier, ""));
 			return false;
 		});
 		assertThat(this.node.ask("/single/x", "stream")).contains("data: whole").doesNotContain("500 Error");
@@ -99,7 +83,7 @@
 		this.node = CallerNode.start((request, out) -> {
 			String identifier = LoopbackCluster.identifier(request);
 			boolean first = this.requests.merge(out, 1, Integer::sum) == 1;
-			write(out, (first ? "" : head("200 OK", "one", "Content-Length: 5000\r\n") + "abc")
+			RawTarget.write(out, (first ? "" : head("200 OK", "one", "Content-Length: 5000\r\n") + "abc")
 					+ answer("200 OK", identifier, "own"));
 			return true;
 		});
--- a/src/test/java/sycamorehill/entry/CutSecondAnswerTests.java
+++ b/src/test/java/sycamorehill/entry/CutSecondAnswerTests.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.io.OutputStream;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -47,10 +46,11 @@
 	private void startSecondHead(String left, long pauseMillis) throws Exception {
 		this.node = CallerNode.start((request, out) -> {
 			boolean first = isFirst(request, out);
-			write(out, answer(request, first ? SUCCESS : FAILURE) + ((first && pauseMillis == 0) ? left : ""));
+			RawTarget.write(out,
+					answer(request, first ? SUCCESS : FAILURE) + ((first && pauseMillis == 0) ? left : ""));
 			if (first && pauseMillis > 0) {
-				pause(pauseMillis);
-				write(out, left);
+				RawTarget.pause(pauseMillis);
+				RawTarget.write(out, left);
 			}
 			return true;
 		});
@@ -59,7 +59,7 @@
 	private void startSecondHeadBeforeNextAnswer(String left, String nextStatus) throws Exception {
 		this.node = CallerNode.start((request, out) -> {
 			boolean first = isFirst(request, out);
-			write(out, (first ? "" : left) + answer(request, first ? SUCCESS : nextStatus));
+			RawTarget.write(out, (first ? "" : left) + answer(request, first ? SUCCESS : nextStatus));
 			return true;
 		});
 	}
@@ -73,25 +73,11 @@
 				+ "\r\nServer-Signature: s\r\nContent-Length: 0\r\n\r\n";
 	}
 
-	private static void write(OutputStream out, String text) throws IOException {
-		out.write(text.getBytes(StandardCharsets.ISO_8859_1));
-		out.flush();
-	}
-
-	private static void pause(long millis) {
-		try {
-			Thread.sleep(millis);
-		}
-		catch (InterruptedException ex) {
-			Thread.currentThread().interrupt();
-		}
-	}
-
 	// The next request is sent after the node has seen the beginning of the second head.
 	private String askTwice(String path, long pauseMillis) throws Exception {
 		assertThat(this.node.ask(path, "one")).startsWith("HTTP/1.1 200 OK");
 		for (int polls = 0; pauseMillis > 0 && polls < MAXIMUM_POLLS && !isSecondHeadSeen(); polls++) {
-			pause(pauseMillis);
+			RawTarget.pause(pauseMillis);
 		}
 		String answer = this.node.ask(path, "two");
 		this.node.close();
--- a/src/test/java/sycamorehill/entry/EngineAnswerTests.java
+++ b/src/test/java/sycamorehill/entry/EngineAnswerTests.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.io.OutputStream;
-import java.nio.charset.StandardCharsets;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
@@ -42,18 +41,13 @@
 	private RawTarget startEngine(String first, String next) throws IOException {
 		return RawTarget.start((request, out) -> {
 			if (!this.usedConnections.add(out)) {
-				write(out, first);
+				RawTarget.write(out, first);
 			}
-			write(out, (this.calls.incrementAndGet() == 1) ? first : next);
+			RawTarget.write(out, (this.calls.incrementAndGet() == 1) ? first : next);
 			return true;
 		});
 	}
 
-	private static void write(OutputStream out, String answer) throws IOException {
-		out.write(answer.getBytes(StandardCharsets.ISO_8859_1));
-		out.flush();
-	}
-
 	private static String report(int acceptedCommands) {
 		String body = "{\"sequence\":" + acceptedCommands + "}";
 		return "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
--- a/src/test/java/sycamorehill/entry/LateAnswerTests.java
+++ b/src/test/java/sycamorehill/entry/LateAnswerTests.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 
@@ -41,11 +40,6 @@
 		return head(status, identifier, "Content-Length: " + body.length() + "\r\n") + body;
 	}
 
-	private static void write(OutputStream out, String text) throws IOException {
-		out.write(text.getBytes(StandardCharsets.ISO_8859_1));
-		out.flush();
-	}
-
 	// Writes the late answers before the answer to each request but the first.
 	private void start(String late) throws Exception {
 		this.node = CallerNode.start((request, out) -> {
@@ -53,7 +47,7 @@
 			boolean first = this.requests.merge(out, 1, Integer::sum) == 1;
 			String own = request.startsWith("HEAD") ? head("200 OK", identifier, "Content-Length: 3\r\n")
 					: answer("200 OK", identifier, "own");
-			write(out, (first ? "" : late) + own);
+			RawTarget.write(out, (first ? "" : late) + own);
 			return true;
 		});
 	}
--- a/src/test/java/sycamorehill/entry/OwnInterfaceAnswerTests.java
+++ b/src/test/java/sycamorehill/entry/OwnInterfaceAnswerTests.java
@@ -1,8 +1,6 @@
 package sycamorehill.entry;
 
-import java.io.IOException;
 import java.io.OutputStream;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.Set;
@@ -40,11 +38,6 @@
 		this.clients.close();
 	}
 
-	private static void write(OutputStream out, String text) throws IOException {
-		out.write(text.getBytes(StandardCharsets.ISO_8859_1));
-		out.flush();
-	}
-
 	private Optional<RecordedAnswer> ask(RawTarget service, String path) {
 		PlainCall call = new PlainCall("GET", path, Optional.empty(), Optional.empty(), Optional.empty(), TIMEOUT);
 		return HttpPlainService.create(BufferedHttpClient.create(this.clients))
@@ -59,9 +52,9 @@
 	void whatIsLeftOfAnEarlierAnswerIsNotTakenForTheNextOne(String left) throws Exception {
 		try (RawTarget service = RawTarget.start((request, out) -> {
 			if (!this.usedConnections.add(out)) {
-				write(out, left);
+				RawTarget.write(out, left);
 			}
-			write(out, request.startsWith("GET /one") ? SUCCESS : FAILURE);
+			RawTarget.write(out, request.startsWith("GET /one") ? SUCCESS : FAILURE);
 			return true;
 		})) {
 			assertThat(ask(service, "/one").map(RecordedAnswer::status)).contains(200);
--- a/src/test/java/sycamorehill/entry/RawTarget.java
+++ b/src/test/java/sycamorehill/entry/RawTarget.java
@@ -98,6 +98,30 @@
 		return request.startsWith("GET /-/report ");
 	}
 
+	/**
+	 * Writes a part of an answer.
+	 * @param out the connection
+	 * @param text the part, of one byte for each character
+	 * @throws IOException if the node closed the connection
+	 */
+	static void write(OutputStream out, String text) throws IOException {
+		out.write(text.getBytes(StandardCharsets.ISO_8859_1));
+		out.flush();
+	}
+
+	/**
+	 * Waits between two parts of an answer.
+	 * @param millis the time in milliseconds
+	 */
+	static void pause(long millis) {
+		try {
+			Thread.sleep(millis);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
 	Address address() {
 		return Address.of("127.0.0.1", this.server.getLocalPort());
 	}
--- a/src/test/java/sycamorehill/entry/SecondAnswerTests.java
+++ b/src/test/java/sycamorehill/entry/SecondAnswerTests.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.io.OutputStream;
-import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 
@@ -46,21 +45,16 @@
 		return "HTTP/1.1 503 Full\r\nAttempt-Id: " + identifier + "\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
 	}
 
-	private static void write(OutputStream out, String text) throws IOException {
-		out.write(text.getBytes(StandardCharsets.ISO_8859_1));
-		out.flush();
-	}
-
 	// Answers the request before it on the connection once more, and then the request.
 	private boolean repeatEarlier(String request, OutputStream out, String status) throws IOException {
 		String identifier = LoopbackCluster.identifier(request);
 		String earlier = this.lastRequests.put(out, identifier);
 		if (earlier != null) {
-			write(out, answer("200 OK", earlier, SECOND_BODY));
-			write(out, answer(status, identifier, "own"));
+			RawTarget.write(out, answer("200 OK", earlier, SECOND_BODY));
+			RawTarget.write(out, answer(status, identifier, "own"));
 		}
 		else {
-			write(out, answer("200 OK", identifier, "first"));
+			RawTarget.write(out, answer("200 OK", identifier, "first"));
 		}
 		return true;
 	}
@@ -91,7 +85,7 @@
 	void aSuccessThatTheTargetContradictsAtOnceIsNotDelivered(String path) throws Exception {
 		start((request, out) -> {
 			String identifier = LoopbackCluster.identifier(request);
-			write(out, answer("200 OK", identifier, "first") + answer("500 Error", identifier, ""));
+			RawTarget.write(out, answer("200 OK", identifier, "first") + answer("500 Error", identifier, ""));
 			return true;
 		});
 		assertThat(this.node.ask(path, "one")).startsWith("HTTP/1.1 502");
@@ -102,7 +96,7 @@
 	void aRefusalThatTheTargetContradictsAtOnceIsNoPromise() throws Exception {
 		start((request, out) -> {
 			String identifier = LoopbackCluster.identifier(request);
-			write(out, notRun(identifier) + answer("200 OK", identifier, SECOND_BODY));
+			RawTarget.write(out, notRun(identifier) + answer("200 OK", identifier, SECOND_BODY));
 			return true;
 		});
 		assertThat(this.node.ask("/once/x", "one")).startsWith("HTTP/1.1 502");
@@ -114,7 +108,7 @@
 	void aRefusalBesideAFailureOfTheSameStatusIsNoPromise() throws Exception {
 		start((request, out) -> {
 			String identifier = LoopbackCluster.identifier(request);
-			write(out, notRun(identifier) + answer("503 Error", identifier, "failed"));
+			RawTarget.write(out, notRun(identifier) + answer("503 Error", identifier, "failed"));
 			return true;
 		});
 		assertThat(this.node.ask("/once/x", "one")).startsWith("HTTP/1.1 502");
@@ -126,7 +120,7 @@
 	void anAddressBehindAVersionIsNoSecondHead(String proxy) throws Exception {
 		start((request, out) -> {
 			String identifier = LoopbackCluster.identifier(request);
-			write(out,
+			RawTarget.write(out,
 					answer("200 OK", identifier, "own").replace("\r\n\r\n", "\r\nVia: HTTP/1.1 " + proxy + "\r\n\r\n"));
 			return true;
 		});
@@ -138,8 +132,8 @@
 	void aSecondAnswerIsLoggedWithItsConnection() throws Exception {
 		start((request, out) -> {
 			String identifier = LoopbackCluster.identifier(request);
-			write(out, answer("200 OK", identifier, "first"));
-			write(out, answer("200 OK", identifier, SECOND_BODY));
+			RawTarget.write(out, answer("200 OK", identifier, "first"));
+			RawTarget.write(out, answer("200 OK", identifier, SECOND_BODY));
 			return true;
 		});
 		assertThat(this.node.ask("/once/x", "twice")).endsWith("first");
--- a/src/test/java/sycamorehill/entry/SilentEngineStreamTests.java
+++ b/src/test/java/sycamorehill/entry/SilentEngineStreamTests.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
@@ -64,38 +63,33 @@
 		}
 	}
 
-	private static void write(OutputStream out, String text) throws IOException {
-		out.write(text.getBytes(StandardCharsets.ISO_8859_1));
-		out.flush();
-	}
-
 	private static void writeEvents(OutputStream out, int first, int last) throws IOException {
 		for (int number = first; number <= last; number++) {
 			sleep(EVENT_INTERVAL_MILLIS);
 			String event = "id: " + number + "\ndata: e" + number + "\n\n";
-			write(out, Integer.toHexString(event.length()) + "\r\n" + event + "\r\n");
+			RawTarget.write(out, Integer.toHexString(event.length()) + "\r\n" + event + "\r\n");
 		}
 	}
 
 	// Sends some events, nothing for the pause, and then the rest.
 	private static boolean streamWithPause(String request, OutputStream out) throws IOException {
-		write(out, LoopbackCluster.events(request, 1, EVENTS_BEFORE, true).replace("0\r\n\r\n", ""));
+		RawTarget.write(out, LoopbackCluster.events(request, 1, EVENTS_BEFORE, true).replace("0\r\n\r\n", ""));
 		sleep(PAUSE_MILLIS);
 		writeEvents(out, EVENTS_BEFORE + 1, LAST_EVENT);
-		write(out, "0\r\n\r\n");
+		RawTarget.write(out, "0\r\n\r\n");
 		return true;
 	}
 
 	// Sends events all the time, for longer than any test.
 	private static boolean streamForLong(String request, OutputStream out) throws IOException {
-		write(out,
+		RawTarget.write(out,
 				LoopbackCluster.events(request, EVENTS_BEFORE + 1, EVENTS_BEFORE + 1, true).replace("0\r\n\r\n", ""));
 		writeEvents(out, EVENTS_BEFORE + 2, MANY_EVENTS);
 		return true;
 	}
 
 	private static boolean refuse(String request, OutputStream out) throws IOException {
-		write(out, "HTTP/1.1 503 Full\r\nAttempt-Id: " + LoopbackCluster.identifier(request)
+		RawTarget.write(out, "HTTP/1.1 503 Full\r\nAttempt-Id: " + LoopbackCluster.identifier(request)
 				+ "\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n");
 		return true;
 	}
@@ -147,7 +141,7 @@
 			}
 			long elapsed = Duration.ofNanos(System.nanoTime() - pauseStarted.get()).toMillis();
 			sleep((int) Math.max(0, PAUSE_MILLIS - elapsed + lead.get()));
-			write(out, LoopbackCluster.events(request, EVENTS_BEFORE + 1, LAST_EVENT, true));
+			RawTarget.write(out, LoopbackCluster.events(request, EVENTS_BEFORE + 1, LAST_EVENT, true));
 			return true;
 		}, "one");
 		for (int race = 0; race < RACES; race++) {
@@ -166,7 +160,7 @@
 				sleep(REFUSAL_MILLIS);
 			}
 			else {
-				write(out, LoopbackCluster.events(request, 1, EVENTS_BEFORE, true).replace("0\r\n\r\n", ""));
+				RawTarget.write(out, LoopbackCluster.events(request, 1, EVENTS_BEFORE, true).replace("0\r\n\r\n", ""));
 				sleep(PAUSE_MILLIS);
 			}
 			return streamForLong(request, out);
@@ -201,7 +195,7 @@
 			if (request.contains("silent-")) {
 				return streamWithPause(request, out);
 			}
-			write(out, LoopbackCluster.events(request, 1, EVENTS_BEFORE, true));
+			RawTarget.write(out, LoopbackCluster.events(request, 1, EVENTS_BEFORE, true));
 			return true;
 		}, "one", "two");
 		this.cluster.cut("one", TargetLink.Way.RESET);
--- a/src/test/java/sycamorehill/entry/SteppedAnswers.java
+++ b/src/test/java/sycamorehill/entry/SteppedAnswers.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.io.OutputStream;
-import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -80,13 +79,13 @@
 	boolean answerPlain(String request, OutputStream out) throws IOException {
 		String identifier = LoopbackCluster.identifier(request);
 		if (identifier.startsWith("before")) {
-			write(out, LoopbackCluster.hello(request));
+			RawTarget.write(out, LoopbackCluster.hello(request));
 			return true;
 		}
 		boolean first = recordStarted(identifier);
 		awaitGoingOn();
 		boolean fails = first && identifier.startsWith("failing");
-		write(out,
+		RawTarget.write(out,
 				fails ? LoopbackCluster.hello(request).replace("200 OK", "500 Error") : LoopbackCluster.hello(request));
 		return true;
 	}
@@ -94,7 +93,7 @@
 	boolean answerStream(String request, OutputStream out) throws IOException {
 		String identifier = LoopbackCluster.identifier(request);
 		if (identifier.startsWith("before")) {
-			write(out, LoopbackCluster.events(request, 1, 2, true));
+			RawTarget.write(out, LoopbackCluster.events(request, 1, 2, true));
 			return true;
 		}
 		if (!request.contains("Expect-Instance: h")) {
@@ -117,7 +116,7 @@
 	private boolean writeEvents(String request, String identifier, OutputStream out) throws IOException {
 		Matcher resumed = RESUMED.matcher(request);
 		int next = resumed.find() ? Integer.parseInt(resumed.group(1)) + 1 : 1;
-		write(out, LoopbackCluster.events(request, next, next, true).replace("0\r\n\r\n", ""));
+		RawTarget.write(out, LoopbackCluster.events(request, next, next, true).replace("0\r\n\r\n", ""));
 		int last = writeEvents(next, EVENTS_BEFORE, out);
 		boolean first = recordStarted(identifier);
 		for (int waited = 0; waited < MAXIMUM_PAUSES && !this.goesOn; waited++) {
@@ -129,7 +128,7 @@
 		}
 		last = writeEvents(last, EVENTS_AFTER, out);
 		this.lastEvents.put(identifier, last);
-		write(out, "0\r\n\r\n");
+		RawTarget.write(out, "0\r\n\r\n");
 		return true;
 	}
 
@@ -137,13 +136,13 @@
 		for (int number = last + 1; number <= last + count; number++) {
 			pause();
 			String event = event(number);
-			write(out, Integer.toHexString(event.length()) + "\r\n" + event + "\r\n");
+			RawTarget.write(out, Integer.toHexString(event.length()) + "\r\n" + event + "\r\n");
 		}
 		return last + count;
 	}
 
 	private static void refuse(String status, String identifier, OutputStream out) throws IOException {
-		write(out, "HTTP/1.1 " + status + "\r\nAttempt-Id: " + identifier
+		RawTarget.write(out, "HTTP/1.1 " + status + "\r\nAttempt-Id: " + identifier
 				+ "\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n");
 	}
 
@@ -171,9 +170,4 @@
 		}
 	}
 
-	private static void write(OutputStream out, String text) throws IOException {
-		out.write(text.getBytes(StandardCharsets.ISO_8859_1));
-		out.flush();
-	}
-
 }
--- a/src/test/java/sycamorehill/entry/TwoSendingsTests.java
+++ b/src/test/java/sycamorehill/entry/TwoSendingsTests.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
 
@@ -56,13 +55,8 @@
 				+ "\r\nServer-Signature: " + signature + "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
 	}
 
-	private static void write(OutputStream out, String text) throws IOException {
-		out.write(text.getBytes(StandardCharsets.ISO_8859_1));
-		out.flush();
-	}
-
 	private static boolean writeEvents(String request, OutputStream out, int first, int last) throws IOException {
-		write(out, LoopbackCluster.events(request, first, last, true));
+		RawTarget.write(out, LoopbackCluster.events(request, first, last, true));
 		return true;
 	}
 
@@ -100,21 +94,21 @@
 	private static RawTarget.Responder failingThen(AtomicInteger sendings, int secondStatus) {
 		return (request, out) -> {
 			if (!request.contains("Attempt-Id: two-")) {
-				write(out, answer(request, 200, "w", "warm"));
+				RawTarget.write(out, answer(request, 200, "w", "warm"));
 				return true;
 			}
 			if (sendings.incrementAndGet() == 1) {
-				write(out, answer(request, 500, "s1", "failure 1"));
+				RawTarget.write(out, answer(request, 500, "s1", "failure 1"));
 				sleep(GAP_MILLIS / 2);
-				write(out, answer(request, 200, "s1", LATE));
+				RawTarget.write(out, answer(request, 200, "s1", LATE));
 				return true;
 			}
 			sleep(GAP_MILLIS);
 			if (secondStatus == 0) {
 				return false;
 			}
-			write(out, answer(request, secondStatus, "s2", "answer 2"));
-			write(out, answer(request, 200, "s2", LATE));
+			RawTarget.write(out, answer(request, secondStatus, "s2", "answer 2"));
+			RawTarget.write(out, answer(request, 200, "s2", LATE));
 			return true;
 		};
 	}
@@ -160,7 +154,7 @@
 		startPlain((request, out) -> {
 			int sending = sendings.incrementAndGet();
 			sleep((sending == 1) ? 3 * GAP_MILLIS : 0);
-			write(out, answer(request, 200, "s" + sending, "answer " + sending));
+			RawTarget.write(out, answer(request, 200, "s" + sending, "answer " + sending));
 			return true;
 		}, "one", "two");
 		try (Socket left = this.cluster.open("one", "/again/x", "moved", "abc")) {
@@ -178,11 +172,11 @@
 		AtomicInteger sendings = new AtomicInteger();
 		startEngines((request, out) -> {
 			int sending = sendings.incrementAndGet();
-			write(out, openStream(request, 1, 0).replace("Signature: s", "Signature: s" + sending));
+			RawTarget.write(out, openStream(request, 1, 0).replace("Signature: s", "Signature: s" + sending));
 			if (sending == 1) {
 				return false;
 			}
-			write(out, event(1, "own") + END);
+			RawTarget.write(out, event(1, "own") + END);
 			return true;
 		});
 		String answer = this.cluster.ask("one", "/stream/x", "heads");
@@ -196,7 +190,7 @@
 		for (int number = 1; number <= 5; number++) {
 			text.append(event(number, "second"));
 		}
-		write(out, text + END);
+		RawTarget.write(out, text + END);
 	}
 
 	// Guards against a stream that goes on with the second answer of a target.
@@ -231,7 +225,7 @@
 			if (isResumed(request)) {
 				return writeEvents(request, out, 1, 4);
 			}
-			write(out, openStream(request, 1, 2));
+			RawTarget.write(out, openStream(request, 1, 2));
 			return false;
 		});
 		assertEvents(this.cluster.ask("one", "/stream/x", "anew"), "data: e1", "data: e2", "data: e3", "data: e4");
@@ -244,12 +238,12 @@
 		startEngines((request, out) -> {
 			String own = chunk("data: unnumbered\n\n");
 			if (sendings.incrementAndGet() > 1) {
-				write(out, openStream(request, 1, 0) + own + END);
+				RawTarget.write(out, openStream(request, 1, 0) + own + END);
 				return true;
 			}
-			write(out, openStream(request, 1, 0) + own);
+			RawTarget.write(out, openStream(request, 1, 0) + own);
 			sleep(SILENCE_MILLIS);
-			write(out, chunk("data: last\n\n") + END);
+			RawTarget.write(out, chunk("data: last\n\n") + END);
 			return true;
 		});
 		assertEvents(this.cluster.ask("one", "/stream/x", "unnumbered"), "data: unnumbered", "data: last");
