Keep the decoder of a request whose head has begun

Callers that sent the first lines of a request behind another one got 400 ("not a request") for it when a configuration changed the limit of heads before the rest of it arrived.

Cause: takeCurrentLimits replaces the decoder with the first bytes that arrive while no request is served. Bytes that the decoder holds go to the new one, lines that it has read don't, so that the new decoder began with the second line.

StrictRequestDecoder now knows whether it has begun a head, and is then replaced with the request behind it. StrictResponseDecoder knew the same: both share HeadProgress.

--- a/src/main/java/sycamorehill/entry/CallerConnection.java
+++ b/src/main/java/sycamorehill/entry/CallerConnection.java
@@ -127,11 +127,14 @@
 	}
 
 	// A caller may keep its connection over many configurations. Bytes of this request
-	// that
-	// the replaced decoder holds go to the new one.
+	// that the replaced decoder holds go to the new one, but not lines that it has read:
+	// a request that was begun behind another one has the limits of that one.
 	private void takeCurrentLimits() {
 		CallerLimits current = this.server.limits();
 		if (current.maximumHeaderBytes() != this.limits.maximumHeaderBytes()) {
+			if (this.context.pipeline().get(StrictRequestDecoder.class).hasBegunHead()) {
+				return;
+			}
 			this.context.pipeline().replace(StrictRequestDecoder.class, null, StrictRequestDecoder.of(current));
 		}
 		this.limits = current;
--- a/src/main/java/sycamorehill/entry/StrictRequestDecoder.java
+++ b/src/main/java/sycamorehill/entry/StrictRequestDecoder.java
@@ -1,5 +1,9 @@
 package sycamorehill.entry;
 
+import java.util.List;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequestDecoder;
@@ -15,6 +19,8 @@
 
 	private static final int MAXIMUM_CHUNK_BYTES = 64 * 1024;
 
+	private final HeadProgress headProgress = HeadProgress.create();
+
 	private StrictRequestDecoder(HttpDecoderConfig config) {
 		super(config);
 	}
@@ -27,6 +33,26 @@
 			.setStrictLineParsing(true));
 	}
 
+	/**
+	 * Returns whether the first line of a request has been read and its head has not. The
+	 * line is in this decoder alone, which can't be replaced then.
+	 * @return whether it is so
+	 */
+	boolean hasBegunHead() {
+		return this.headProgress.isBegun();
+	}
+
+	@Override
+	protected HttpMessage createMessage(String[] initialLine) throws Exception {
+		this.headProgress.begin();
+		return super.createMessage(initialLine);
+	}
+
+	@Override
+	protected void decode(ChannelHandlerContext context, ByteBuf buffer, List<Object> out) throws Exception {
+		this.headProgress.decode(out, () -> super.decode(context, buffer, out));
+	}
+
 	@Override
 	protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
 		throw new IllegalArgumentException("both a length and chunks");
--- a/src/main/java/sycamorehill/entry/StrictResponseDecoder.java
+++ b/src/main/java/sycamorehill/entry/StrictResponseDecoder.java
@@ -19,8 +19,7 @@
 
 	private static final int MAXIMUM_CHUNK_BYTES = 64 * 1024;
 
-	/** Whether the first line of a head has arrived, and its other lines have not. */
-	private boolean headBegun;
+	private final HeadProgress headProgress = HeadProgress.create();
 
 	private boolean headOnly;
 
@@ -73,20 +72,18 @@
 	 * @return whether there are such bytes
 	 */
 	boolean hasPartialInput() {
-		return this.headBegun || actualReadableBytes() > 0;
+		return this.headProgress.isBegun() || actualReadableBytes() > 0;
 	}
 
 	@Override
 	protected HttpMessage createMessage(String[] initialLine) {
-		this.headBegun = true;
+		this.headProgress.begin();
 		return super.createMessage(initialLine);
 	}
 
 	@Override
 	protected void decode(ChannelHandlerContext context, ByteBuf buffer, List<Object> out) throws Exception {
-		int before = out.size();
-		super.decode(context, buffer, out);
-		this.headBegun &= out.size() == before;
+		this.headProgress.decode(out, () -> super.decode(context, buffer, out));
 	}
 
 	@Override
--- a/src/test/java/sycamorehill/entry/RaisedLimitsTests.java
+++ b/src/test/java/sycamorehill/entry/RaisedLimitsTests.java
@@ -116,4 +116,27 @@
 		}
 	}
 
+	// Guards against a connection that keeps its limits for good after a head that began
+	// under them.
+	@Test
+	void theRequestBehindABegunHeadHasTheRaisedLimit() throws Exception {
+		try (LoopbackCluster cluster = LoopbackCluster.start(RaisedLimitsTests::slowHello, LoopbackCluster::hello,
+				List.of(), "one")) {
+			cluster.store(withHeaderLimit(2, 600));
+			cluster.awaitVersion("one", 2);
+			try (Socket caller = new Socket("127.0.0.1", cluster.settingsOf("one").callerAddress().port())) {
+				String begun = CallerNode.request("/again/x", "begun");
+				int cut = begun.indexOf("Host:");
+				CallerNode.send(caller, CallerNode.request("/again/x", "slow") + begun.substring(0, cut));
+				cluster.store(withHeaderLimit(3, 8000));
+				cluster.awaitVersion("one", 3);
+				CallerNode.readUntil(caller, "hello");
+				CallerNode.send(caller, begun.substring(cut));
+				assertThat(CallerNode.readUntil(caller, "hello")).contains("HTTP/1.1 200");
+				CallerNode.send(caller, CallerNode.request("/again/" + "x".repeat(2000), "large", "Connection: close"));
+				assertThat(CallerNode.readAll(caller)).contains("HTTP/1.1 200");
+			}
+		}
+	}
+
 }
