Split CallerConnection by job

It keeps the order of requests on a connection; the rest goes to CallerOutput (writes answers, closes behind the last one, reports those that are broken off), IncomingRequest (a head and its body, within the limits), RequestLimits (takes the limits of the configuration) and Refusal (answers to requests that were not read).

No change of behaviour. Green: CallerConnectionTests, CallerConnectionLimitTests, RaisedLimitsTests, AnswerCutTests, PlannedStopTests, EntryNodeTests, HeadRequestTests, AnswerHeadTests (66 tests). The whole suite was not run.

--- a/src/main/java/sycamorehill/entry/CallerConnection.java
+++ b/src/main/java/sycamorehill/entry/CallerConnection.java
@@ -1,29 +1,15 @@
 package sycamorehill.entry;
 
-import java.io.IOException;
-import java.nio.charset.StandardCharsets;
-import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 
-import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelOption;
-import io.netty.channel.socket.SocketChannel;
-import io.netty.handler.codec.EncoderException;
-import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
-import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
@@ -40,29 +26,20 @@
  */
 final class CallerConnection extends ChannelInboundHandlerAdapter {
 
-	/** Time that a caller has to read the last answer before the connection is closed. */
-	private static final Duration LINGER_TIMEOUT = Duration.ofMillis(1000);
-
-	private static final int INITIAL_BODY_BYTES = 256;
-
-	/** Time after which a caller may retry that is refused for lack of memory. */
-	private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
-
 	private final CallerServer server;
 
-	private CallerLimits limits;
+	private final RequestLimits limits;
 
 	private final WaitingMessages waitingMessages;
 
-	private final UnwrittenAnswers unwrittenAnswers;
-
 	private ChannelHandlerContext context;
 
 	private ConnectionTimer timer;
 
-	private HttpRequest request;
+	private CallerOutput output;
 
-	private ByteBuf body;
+	/** Request whose body arrives. */
+	private IncomingRequest request;
 
 	private long arrivedNanos;
 
@@ -70,19 +47,9 @@
 
 	private CallerExchange exchange;
 
-	/** Answer to the request that is being served. */
-	private UnwrittenAnswer answer;
-
-	private boolean keepAlive;
-
-	private boolean closing;
-
-	private boolean cutByNode;
-
 	private CallerConnection(CallerServer server, CallerLimits limits) {
 		this.server = server;
-		this.limits = limits;
-		this.unwrittenAnswers = UnwrittenAnswers.of(server.cutLog());
+		this.limits = RequestLimits.of(server, limits);
 		this.waitingMessages = WaitingMessages.of(server);
 	}
 
@@ -94,52 +61,31 @@
 	public void handlerAdded(ChannelHandlerContext addedContext) {
 		this.context = addedContext;
 		this.timer = ConnectionTimer.of(addedContext.channel());
+		this.output = CallerOutput.of(this.server, addedContext, this.timer, this.limits);
 	}
 
 	@Override
 	public void channelActive(ChannelHandlerContext ctx) {
 		if (!this.server.addConnection(this)) {
-			closeUnread(ctx);
+			this.output.reset();
 			return;
 		}
 		awaitRequest();
 		ctx.fireChannelActive();
 	}
 
-	// A reset tells the caller that nothing was read, and leaves nothing to wait for.
-	private void closeUnread(ChannelHandlerContext ctx) {
-		this.closing = true;
-		ctx.channel().config().setOption(ChannelOption.SO_LINGER, 0);
-		ctx.close();
-	}
-
 	/**
 	 * Starts the timeout of the request head with the first bytes, before they are
 	 * decoded.
 	 */
 	void handleFirstBytes() {
-		if (!this.readStarted && this.exchange == null && !this.closing) {
-			takeCurrentLimits();
+		if (!this.readStarted && this.exchange == null && !this.output.isClosing()) {
+			this.limits.takeConfigured(this.context.pipeline());
 			markReadStarted();
-			this.timer.start(this.limits.headerTimeout(),
-					() -> refuse(HttpResponseStatus.REQUEST_TIMEOUT, "the head took too long"));
+			this.timer.start(this.limits.current().headerTimeout(), () -> refuse(Refusal.SLOW_HEAD));
 		}
 	}
 
-	// A caller may keep its connection over many configurations. Bytes of this request
-	// that the replaced decoder holds go to the new one, but not lines that it has read:
-	// a request that was begun behind another one has the limits of that one.
-	private void takeCurrentLimits() {
-		CallerLimits current = this.server.limits();
-		if (current.maximumHeaderBytes() != this.limits.maximumHeaderBytes()) {
-			if (this.context.pipeline().get(StrictRequestDecoder.class).hasBegunHead()) {
-				return;
-			}
-			this.context.pipeline().replace(StrictRequestDecoder.class, null, StrictRequestDecoder.of(current));
-		}
-		this.limits = current;
-	}
-
 	private void markReadStarted() {
 		this.readStarted = true;
 		this.arrivedNanos = System.nanoTime();
@@ -149,16 +95,12 @@
 	private void awaitRequest() {
 		this.readStarted = false;
 		this.server.markIdle(this);
-		startIdleTimer();
-	}
-
-	private void startIdleTimer() {
-		this.timer.startIdle(this.limits.idleTimeout(), () -> cut(CutCause.IDLE_TIMER));
+		this.output.startIdleTimer();
 	}
 
 	@Override
 	public void channelRead(ChannelHandlerContext ctx, Object message) {
-		if (this.closing) {
+		if (this.output.isClosing()) {
 			this.waitingMessages.drop(message);
 			return;
 		}
@@ -174,7 +116,7 @@
 	private void handleMessage(Object message) {
 		try {
 			if (message instanceof HttpObject object && object.decoderResult().isFailure()) {
-				refuseMalformed(object.decoderResult().cause());
+				refuse(Refusal.ofMalformed(object.decoderResult().cause()));
 				return;
 			}
 			if (message instanceof HttpRequest head) {
@@ -193,19 +135,13 @@
 		if (!this.readStarted) {
 			markReadStarted();
 		}
-		Optional<String> violation = RequestValidator.findViolation(head);
-		if (violation.isPresent()) {
-			refuse(HttpResponseStatus.BAD_REQUEST, violation.get());
+		Optional<Refusal> refusal = IncomingRequest.findRefusal(head, this.limits.current());
+		if (refusal.isPresent()) {
+			refuse(refusal.get());
 			return;
 		}
-		if (HttpUtil.getContentLength(head, 0L) > this.limits.maximumBodyBytes()) {
-			refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large");
-			return;
-		}
-		this.request = head;
-		this.body = Unpooled.buffer(INITIAL_BODY_BYTES);
-		this.timer.start(this.limits.idleTimeout(),
-				() -> refuse(HttpResponseStatus.REQUEST_TIMEOUT, "the body took too long"));
+		this.request = IncomingRequest.of(this.server, head, this.limits.current());
+		this.timer.start(this.limits.current().idleTimeout(), () -> refuse(Refusal.SLOW_BODY));
 		if (HttpUtil.is100ContinueExpected(head)) {
 			this.context.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE,
 					Unpooled.EMPTY_BUFFER));
@@ -213,142 +149,65 @@
 	}
 
 	private void appendBody(HttpContent content) {
-		if (this.body.readableBytes() + content.content().readableBytes() > this.limits.maximumBodyBytes()) {
-			refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large");
-			return;
+		Optional<Refusal> refusal = this.request.append(content.content());
+		if (refusal.isPresent()) {
+			refuse(refusal.get());
 		}
-		if (!this.server.reserveBody(content.content().readableBytes())) {
-			refuse(HttpResponseStatus.SERVICE_UNAVAILABLE, "the node holds too many bytes of bodies");
-			return;
-		}
-		this.body.writeBytes(content.content());
-		if (content instanceof LastHttpContent) {
+		else if (content instanceof LastHttpContent) {
 			completeRequest();
 		}
 	}
 
 	private void completeRequest() {
 		this.timer.stop();
-		HttpRequest completeRequest = this.request;
-		ByteBuf completeBody = this.body;
+		IncomingRequest complete = this.request;
 		this.request = null;
-		this.body = null;
-		this.keepAlive = HttpUtil.isKeepAlive(completeRequest);
-		this.answer = this.unwrittenAnswers.begin(this.arrivedNanos);
+		this.output.begin(this.arrivedNanos, HttpUtil.isKeepAlive(complete.head()));
 		try {
-			this.exchange = this.server.acceptRequest(this, completeRequest, completeBody, this.arrivedNanos);
-			this.answer.identify(this.exchange.identifier());
+			this.exchange = this.server.acceptRequest(this, complete.head(), complete.body(), this.arrivedNanos);
+			this.output.identify(this.exchange.identifier());
 		}
 		catch (Throwable ex) {
 			// The request has not been passed on, and its body would count as held for
 			// good.
 			this.server.logFailedRequest(ex);
-			this.body = completeBody;
-			refuse(HttpResponseStatus.SERVICE_UNAVAILABLE, "the node failed to handle the request");
-		}
-	}
-
-	private void refuseMalformed(Throwable cause) {
-		if (cause instanceof TooLongFrameException) {
-			refuse(HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "the head is too large");
-		}
-		else {
-			refuse(HttpResponseStatus.BAD_REQUEST, "not a request: " + cause.getMessage());
+			this.request = complete;
+			refuse(Refusal.FAILED);
 		}
 	}
 
 	// Answers a request that was not read completely, and closes the connection.
-	private void refuse(HttpResponseStatus status, String detail) {
-		if (this.closing || this.exchange != null) {
+	private void refuse(Refusal refusal) {
+		if (this.output.isClosing() || this.exchange != null) {
 			return;
 		}
 		this.timer.stop();
-		this.server.logRefusal(status.code(), detail);
-		releaseBody();
-		FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
-				Unpooled.copiedBuffer(detail + "\n", StandardCharsets.UTF_8));
-		response.headers().set(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes());
-		response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-		if (status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)) {
-			response.headers().set(HttpHeaderNames.RETRY_AFTER, RETRY_AFTER.toSeconds());
-		}
-		closeAfter(response);
+		this.server.logRefusal(refusal.status().code(), refusal.detail());
+		releaseRequest();
+		this.output.closeAfter(refusal.toAnswer());
 	}
 
-	private void releaseBody() {
-		this.request = null;
-		if (this.body != null) {
-			this.server.releaseBody(this.body.readableBytes());
-			this.body.release();
-			this.body = null;
-		}
-	}
-
-	// Writes the last message, then shuts down only the output: closing a socket that has
-	// unread input resets the connection, and the caller would lose the answer.
-	private void closeAfter(Object last) {
-		this.closing = true;
-		this.context.channel().config().setAutoRead(true);
-		ChannelFuture writing = this.context.writeAndFlush(last);
-		startIdleTimer();
-		writing.addListener((future) -> {
-			if (future.isSuccess()) {
-				closeWritten();
-			}
-			else {
-				handleFailedWrite(future.cause());
-			}
-		});
-	}
-
-	private void closeWritten() {
-		this.unwrittenAnswers.clear();
-		if (this.context.channel() instanceof SocketChannel socket) {
-			socket.shutdownOutput();
-			this.timer.start(LINGER_TIMEOUT, this.context::close);
-		}
-		else {
-			this.context.close();
-		}
-	}
-
-	// Netty fails all waiting writes with an input or output error when the connection is
-	// lost or closed.
-	private void handleFailedWrite(Throwable cause) {
-		if (cause instanceof IOException) {
-			this.context.close();
-			return;
+	private void releaseRequest() {
+		if (this.request != null) {
+			this.request.release();
+			this.request = null;
 		}
-		this.server.logConnectionFailure(this.unwrittenAnswers.identifiers(), cause);
-		cut(CutCause.WRITE_FAILED);
-	}
-
-	// Closes the connection, and reports the answers that are broken off by that.
-	private void cut(CutCause cause) {
-		this.closing = true;
-		this.cutByNode = true;
-		this.unwrittenAnswers.reportCut(cause);
-		this.context.close();
 	}
 
 	/** Reports the answers that the end of the process breaks off. */
 	void reportUnfinished() {
-		this.unwrittenAnswers.reportCut(CutCause.DRAIN_BOUND);
+		this.output.reportUnfinished();
 	}
 
 	void write(Object message) {
-		this.answer.countPart(message);
-		if (message instanceof HttpResponse response) {
-			askToClose(response.headers());
-		}
-		this.context.write(message, this.context.voidPromise());
-		if (!this.context.channel().isWritable() && this.exchange != null) {
+		this.output.write(message);
+		if (this.output.isFull() && this.exchange != null) {
 			this.exchange.pause(true);
 		}
 	}
 
 	void flush() {
-		this.context.flush();
+		this.output.flush();
 	}
 
 	/**
@@ -356,38 +215,18 @@
 	 * @param last the last message of the answer
 	 */
 	void finish(Object last) {
-		if (last instanceof FullHttpResponse response) {
-			askToClose(response.headers());
-		}
+		boolean kept = this.output.isKeptBehind(last);
 		this.exchange = null;
-		UnwrittenAnswer finished = this.answer;
-		finished.countPart(last);
-		if (!this.keepAlive || this.closing) {
+		if (!kept) {
 			this.waitingMessages.dropReported();
-			closeAfter(last);
+			this.output.finishAndClose(last);
 			return;
 		}
-		this.context.writeAndFlush(last).addListener((future) -> {
-			if (future.isSuccess()) {
-				this.unwrittenAnswers.markWritten(finished);
-			}
-			else {
-				handleFailedWrite(future.cause());
-			}
-		});
+		this.output.finish(last);
 		awaitRequest();
 		processWaitingMessages();
 	}
 
-	private void askToClose(HttpHeaders headers) {
-		if (this.server.asksToClose()) {
-			this.keepAlive = false;
-		}
-		if (!this.keepAlive) {
-			headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-		}
-	}
-
 	private void processWaitingMessages() {
 		List<Object> messages = this.waitingMessages.takeAll();
 		this.context.channel().config().setAutoRead(true);
@@ -402,7 +241,7 @@
 
 	void abort() {
 		this.exchange = null;
-		cut(CutCause.GAVE_UP);
+		this.output.cut(CutCause.GAVE_UP);
 	}
 
 	/**
@@ -410,11 +249,9 @@
 	 * @return whether it was closed
 	 */
 	boolean closeIfIdle() {
-		boolean idle = this.exchange == null && this.request == null && !this.readStarted
-				&& this.unwrittenAnswers.isEmpty();
+		boolean idle = this.exchange == null && this.request == null && !this.readStarted && this.output.isWritten();
 		if (idle) {
-			this.closing = true;
-			this.context.close();
+			this.output.close();
 		}
 		return idle;
 	}
@@ -422,7 +259,7 @@
 	@Override
 	public void channelWritabilityChanged(ChannelHandlerContext ctx) {
 		if (this.exchange != null) {
-			this.exchange.pause(!ctx.channel().isWritable());
+			this.exchange.pause(this.output.isFull());
 		}
 		ctx.fireChannelWritabilityChanged();
 	}
@@ -430,26 +267,21 @@
 	@Override
 	public void channelInactive(ChannelHandlerContext ctx) {
 		this.timer.stop();
-		releaseBody();
+		releaseRequest();
 		this.waitingMessages.release();
-		this.unwrittenAnswers.clear();
+		this.output.forgetAnswers();
 		this.server.removeConnection(this);
 		if (this.exchange != null) {
 			CallerExchange abandoned = this.exchange;
 			this.exchange = null;
-			abandoned.handleDisconnected(this.cutByNode, this.server.eventSink());
+			abandoned.handleDisconnected(this.output.isCutByNode(), this.server.eventSink());
 		}
 		ctx.fireChannelInactive();
 	}
 
 	@Override
 	public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-		this.server.logConnectionFailure(this.unwrittenAnswers.identifiers(), cause);
-		if (cause instanceof IOException) {
-			ctx.close();
-			return;
-		}
-		cut((cause instanceof EncoderException) ? CutCause.WRITE_FAILED : CutCause.CONNECTION_FAILED);
+		this.output.fail(cause);
 	}
 
 }
