Send no body with the refusal of a request for a head

A HEAD request that the node refused before it had read it (400, 413, 431, 503) got the reason as a body behind the head. Nothing could be taken for the next answer: such a refusal shuts the output down, and what the caller sends behind it is dropped. But an answer to HEAD has no body.

CallerConnection knows the method of the head that it refuses, also of one that is too large. A head that ends in a timeout, or whose first line can't be read, has no known method: its refusal keeps its body.

--- a/src/main/java/sycamorehill/entry/CallerConnection.java
+++ b/src/main/java/sycamorehill/entry/CallerConnection.java
@@ -8,6 +8,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -45,6 +46,9 @@
 
 	private boolean readStarted;
 
+	/** Whether the request that arrives is known to be one for a head. */
+	private boolean headOnly;
+
 	private CallerExchange exchange;
 
 	private CallerConnection(CallerServer server, CallerLimits limits) {
@@ -94,6 +98,7 @@
 
 	private void awaitRequest() {
 		this.readStarted = false;
+		this.headOnly = false;
 		this.server.markIdle(this);
 		this.output.startIdleTimer();
 	}
@@ -115,6 +120,9 @@
 
 	private void handleMessage(Object message) {
 		try {
+			if (message instanceof HttpRequest head) {
+				this.headOnly = HttpMethod.HEAD.equals(head.method());
+			}
 			if (message instanceof HttpObject object && object.decoderResult().isFailure()) {
 				refuse(Refusal.ofMalformed(object.decoderResult().cause()));
 				return;
@@ -184,7 +192,7 @@
 		this.timer.stop();
 		this.server.logRefusal(refusal.status().code(), refusal.detail());
 		releaseRequest();
-		this.output.closeAfter(refusal.toAnswer());
+		this.output.closeAfter(refusal.toAnswer(this.headOnly));
 	}
 
 	private void releaseRequest() {
--- a/src/main/java/sycamorehill/entry/Refusal.java
+++ b/src/main/java/sycamorehill/entry/Refusal.java
@@ -58,13 +58,16 @@
 	}
 
 	/**
-	 * Creates the answer.
+	 * Creates the answer. The one to a request for a head states the length of a body
+	 * that it doesn't have.
+	 * @param headOnly whether the request is one for a head
 	 * @return the answer
 	 */
-	FullHttpResponse toAnswer() {
+	FullHttpResponse toAnswer(boolean headOnly) {
+		byte[] body = (this.detail + "\n").getBytes(StandardCharsets.UTF_8);
 		FullHttpResponse answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, this.status,
-				Unpooled.copiedBuffer(this.detail + "\n", StandardCharsets.UTF_8));
-		answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, answer.content().readableBytes());
+				headOnly ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(body));
+		answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
 		answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
 		if (this.status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)) {
 			answer.headers().set(HttpHeaderNames.RETRY_AFTER, RETRY_AFTER.toSeconds());
--- a/src/test/java/sycamorehill/entry/HeadRequestTests.java
+++ b/src/test/java/sycamorehill/entry/HeadRequestTests.java
@@ -6,6 +6,10 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import sycamorehill.model.serving.CallerLimits;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -59,4 +63,41 @@
 		}
 	}
 
+	private String refusal(String headers) throws Exception {
+		try (Socket socket = this.node.connect()) {
+			CallerNode.send(socket, request("HEAD", "/again/x", headers) + request("GET", "/again/x", ""));
+			return CallerNode.readAll(socket);
+		}
+	}
+
+	// Guards against a body behind the refusal of a request for a head, and against an
+	// answer behind it.
+	@ParameterizedTest
+	@CsvSource({ "400, Host: other.example", "400, Transfer-Encoding: gzip", "413, Content-Length: 999999999" })
+	void aRefusedRequestForAHeadGetsNoBodyAndEndsItsConnection(int status, String header) throws Exception {
+		assertThat(refusal(header + "\r\n")).startsWith("HTTP/1.1 " + status)
+			.contains("content-length: ", "connection: close")
+			.matches("(?s)(?:(?!\r\n\r\n).)*\r\n\r\n");
+	}
+
+	// Guards against a body behind the refusal of a head that is too large.
+	@Test
+	void aTooLargeRequestForAHeadGetsNoBodyAndEndsItsConnection() throws Exception {
+		assertThat(refusal("Large: " + "x".repeat(CallerLimits.INITIAL.maximumHeaderBytes()) + "\r\n"))
+			.startsWith("HTTP/1.1 431")
+			.contains("content-length: ", "connection: close")
+			.matches("(?s)(?:(?!\r\n\r\n).)*\r\n\r\n");
+	}
+
+	// Guards against a refusal without its reason after a request for a head.
+	@Test
+	void aRefusedRequestBehindOneForAHeadGetsItsBody() throws Exception {
+		try (Socket socket = this.node.connect()) {
+			CallerNode.send(socket,
+					request("HEAD", "/again/x", "") + request("GET", "/again/x", "Host: other.example\r\n"));
+			assertThat(CallerNode.readAll(socket))
+				.matches("(?s)HTTP/1.1 200 (?:(?!\r\n\r\n).)*\r\n\r\nHTTP/1.1 400 (?:(?!\r\n\r\n).)*\r\n\r\n[^\r]+");
+		}
+	}
+
 }
