Take an answer that only its connection ends for cut off

A server that ended within an answer without a length or chunks passed for one that was done: a part of the body was the caller's whole answer, an order to an engine counted as accepted, and a refusal, which lets the request go elsewhere, was taken from such an answer. Cause: BufferedHttpClient and CompletionStream took the end of the connection for that of the body. Now the head is checked behind the body (AnswerFraming), and the call fails with UnframedAnswerException, which is neither NotSentException nor a timeout, so that the outcome is unknown.

RawTarget reads chunked requests whole: else its close resets the connection, and a case passed for that reason.

--- a/src/main/java/sycamorehill/engine/CompletionStream.java
+++ b/src/main/java/sycamorehill/engine/CompletionStream.java
@@ -13,6 +13,7 @@
 import io.servicetalk.http.api.StreamingHttpClient;
 import io.servicetalk.http.api.StreamingHttpResponse;
 
+import sycamorehill.http.AnswerFraming;
 import sycamorehill.http.BodyReader;
 import sycamorehill.http.BufferedHttpClient;
 import sycamorehill.http.EventStreamReader;
@@ -49,7 +50,7 @@
 			AttemptListener listener) {
 		CompletionStream stream = new CompletionStream(json, listener);
 		stream.cancellable = client.request(BufferedHttpClient.request(client, call))
-			.flatMapPublisher(stream::payload)
+			.flatMapPublisher((response) -> stream.payload(response, call.method()))
 			.timeout(call.timeout())
 			.whenFinally(stream.terminalSignals())
 			.forEach(stream::read);
@@ -61,11 +62,12 @@
 		this.cancellable.cancel();
 	}
 
-	private Publisher<Buffer> payload(StreamingHttpResponse response) {
+	private Publisher<Buffer> payload(StreamingHttpResponse response, String method) {
 		if (response.status().code() == OK) {
 			return response.payloadBody();
 		}
 		return BodyReader.readText(response.payloadBody(), MAXIMUM_REFUSAL_BYTES).flatMapPublisher((body) -> {
+			AnswerFraming.check(response, method);
 			end(refusal(response, body));
 			return Publisher.<Buffer>empty();
 		});
--- a/src/main/java/sycamorehill/http/BufferedHttpClient.java
+++ b/src/main/java/sycamorehill/http/BufferedHttpClient.java
@@ -46,12 +46,13 @@
 	 * Makes a call.
 	 * @param call the call
 	 * @return a future with the complete answer, which fails with
-	 * {@link NotSentException} if nothing was sent
+	 * {@link NotSentException} if nothing was sent, and with
+	 * {@link UnframedAnswerException} if the answer may have been cut off
 	 */
 	public CompletableFuture<HttpAnswer> call(HttpCall call) {
 		StreamingHttpClient client = this.pool.client(call.address());
 		return client.request(request(client, call))
-			.flatMap(BufferedHttpClient::readAnswer)
+			.flatMap((response) -> readAnswer(response, call.method()))
 			.timeout(call.timeout())
 			.onErrorMap(BufferedHttpClient::classifyFailure)
 			.toCompletionStage()
@@ -87,9 +88,11 @@
 		return notSent ? NotSentException.of(failure) : failure;
 	}
 
-	private static Single<HttpAnswer> readAnswer(StreamingHttpResponse response) {
-		return BodyReader.readText(response.payloadBody(), MAXIMUM_ANSWER_BYTES)
-			.map((body) -> new HttpAnswer(response.status().code(), headers(response), body));
+	private static Single<HttpAnswer> readAnswer(StreamingHttpResponse response, String method) {
+		return BodyReader.readText(response.payloadBody(), MAXIMUM_ANSWER_BYTES).map((body) -> {
+			AnswerFraming.check(response, method);
+			return new HttpAnswer(response.status().code(), headers(response), body);
+		});
 	}
 
 	private static List<HttpHeader> headers(StreamingHttpResponse response) {
--- a/src/test/java/sycamorehill/entry/OwnInterfaceAnswerTests.java
+++ b/src/test/java/sycamorehill/entry/OwnInterfaceAnswerTests.java
@@ -6,22 +6,40 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 
+import com.fasterxml.jackson.databind.ObjectMapper;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
+import sycamorehill.engine.AttemptListener;
+import sycamorehill.engine.CompletionCall;
+import sycamorehill.engine.HttpEngine;
 import sycamorehill.engine.HttpPlainService;
+import sycamorehill.engine.PlainAnswer;
 import sycamorehill.engine.PlainCall;
 import sycamorehill.http.BufferedHttpClient;
 import sycamorehill.http.HttpClientPool;
+import sycamorehill.model.group.EngineCommand;
+import sycamorehill.model.group.EngineCommandResult;
+import sycamorehill.model.group.GroupIdentity;
+import sycamorehill.model.identity.AttemptIdentifier;
+import sycamorehill.model.identity.GroupName;
+import sycamorehill.model.identity.GroupSetName;
+import sycamorehill.model.identity.NodeIncarnation;
+import sycamorehill.model.identity.NodeName;
+import sycamorehill.model.request.AttemptResult;
+import sycamorehill.model.request.Priority;
 import sycamorehill.model.request.RecordedAnswer;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Tests over loopback of plain services that answer the product's own interface twice.
+ * Tests over loopback of plain services that answer the product's own interface twice,
+ * and of services and engines whose answers only their connections end.
  */
 class OwnInterfaceAnswerTests {
 
@@ -31,6 +49,10 @@
 
 	private static final Duration TIMEOUT = Duration.ofSeconds(2);
 
+	private static final CompletionCall COMPLETION = new CompletionCall(
+			AttemptIdentifier.of(NodeIncarnation.of(NodeName.of("node-1"), 1), 1), 1, "prompt", 1, 0, Priority.NORMAL,
+			TIMEOUT);
+
 	private final HttpClientPool clients = HttpClientPool.createWithoutReuse(TIMEOUT);
 
 	private final Set<OutputStream> usedConnections = ConcurrentHashMap.newKeySet();
@@ -69,4 +91,64 @@
 		}
 	}
 
+	private RawTarget startUnframed(String status) throws IOException {
+		return RawTarget.start((request, out) -> {
+			write(out, "HTTP/1.1 " + status + "\r\nNot-Run: true\r\nConnection: close\r\n\r\nbo");
+			return false;
+		});
+	}
+
+	// Guards against an order that counts as done, or as refused, by a part of an answer.
+	@ParameterizedTest
+	@ValueSource(strings = { "200 OK", "503 Unavailable" })
+	void anOrderWhoseAnswerMayBeCutOffHasAnUnknownOutcome(String status) throws Exception {
+		PlainCall order = new PlainCall("POST", "/order", Optional.empty(), Optional.empty(), Optional.of("{}"),
+				TIMEOUT);
+		try (RawTarget service = startUnframed(status)) {
+			PlainAnswer answer = HttpPlainService.create(BufferedHttpClient.create(this.clients))
+				.send(service.address(), order)
+				.join();
+			assertThat(answer.answer()).isEmpty();
+			assertThat(answer.result()).isInstanceOf(AttemptResult.Interrupted.class);
+		}
+	}
+
+	// Guards against the same for an order to an engine.
+	@ParameterizedTest
+	@ValueSource(strings = { "202 Accepted", "409 Conflict" })
+	void anOrderToAnEngineWhoseAnswerMayBeCutOffHasAnUnknownOutcome(String status) throws Exception {
+		GroupIdentity group = GroupIdentity.of(GroupName.of(GroupSetName.of("small"), 0), 1);
+		EngineCommand leave = new EngineCommand.Leave(group, 1);
+		try (RawTarget engine = startUnframed(status)) {
+			assertThat(HttpEngine.create(this.clients, new ObjectMapper()).sendCommand(engine.address(), leave))
+				.succeedsWithin(TIMEOUT)
+				.isEqualTo(EngineCommandResult.NOT_KNOWN);
+		}
+	}
+
+	// Guards against a completion that counts as refused, and goes elsewhere, by a part
+	// of
+	// an answer.
+	@Test
+	void aRefusalOfAnEngineThatMayBeCutOffIsAnInterruption() throws Exception {
+		CompletableFuture<AttemptResult> end = new CompletableFuture<>();
+		AttemptListener listener = new AttemptListener() {
+
+			@Override
+			public void handleToken(int index, String token) {
+				end.completeExceptionally(new AssertionError(token));
+			}
+
+			@Override
+			public void handleEnd(AttemptResult result) {
+				end.complete(result);
+			}
+
+		};
+		try (RawTarget engine = startUnframed("503 Unavailable")) {
+			HttpEngine.create(this.clients, new ObjectMapper()).complete(engine.address(), COMPLETION, listener);
+			assertThat(end).succeedsWithin(TIMEOUT).isInstanceOf(AttemptResult.Interrupted.class);
+		}
+	}
+
 }
--- a/src/test/java/sycamorehill/entry/RawTarget.java
+++ b/src/test/java/sycamorehill/entry/RawTarget.java
@@ -19,6 +19,8 @@
  */
 final class RawTarget implements AutoCloseable {
 
+	private static final String LAST_CHUNK = "\r\n0\r\n\r\n";
+
 	private final ServerSocket server;
 
 	private final Responder responder;
@@ -154,9 +156,23 @@
 		for (int index = 0; index < bodyLength; index++) {
 			text.append((char) in.read());
 		}
+		if (text.toString().toLowerCase().contains("transfer-encoding: chunked")) {
+			readChunks(in, text);
+		}
 		return text.toString();
 	}
 
+	// A connection that is closed with unread bytes is reset.
+	private static void readChunks(InputStream in, StringBuilder text) throws IOException {
+		while (!text.substring(text.length() - LAST_CHUNK.length()).equals(LAST_CHUNK)) {
+			int next = in.read();
+			if (next < 0) {
+				return;
+			}
+			text.append((char) next);
+		}
+	}
+
 	@Override
 	public void close() throws IOException {
 		this.server.close();
