Say 'not sent' of a call at the own interface only where there was no connection

What callers saw: an order that a service had received and answered could be told 'not run', and be sent again. Cause: ServiceTalk marks a connection that closes before it has noted the end of a write as retryable (RetryableClosedChannelException, AbortedFirstWriteException), also when the server has the bytes and has answered; we took that for 'not sent'. Only a connection that was never there is 'not sent' now.

--- a/src/main/java/sycamorehill/http/BufferedHttpClient.java
+++ b/src/main/java/sycamorehill/http/BufferedHttpClient.java
@@ -7,6 +7,9 @@
 
 import io.servicetalk.buffer.api.BufferAllocator;
 import io.servicetalk.buffer.netty.BufferAllocators;
+import io.servicetalk.client.api.ConnectionRejectedException;
+import io.servicetalk.client.api.NoActiveHostException;
+import io.servicetalk.client.api.NoAvailableHostException;
 import io.servicetalk.concurrent.api.Publisher;
 import io.servicetalk.concurrent.api.Single;
 import io.servicetalk.http.api.HttpProtocolVersion;
@@ -14,7 +17,6 @@
 import io.servicetalk.http.api.StreamingHttpClient;
 import io.servicetalk.http.api.StreamingHttpRequest;
 import io.servicetalk.http.api.StreamingHttpResponse;
-import io.servicetalk.transport.api.RetryableException;
 
 /**
  * Makes HTTP calls and collects each answer in memory. It distinguishes failures before
@@ -78,13 +80,15 @@
 	}
 
 	/**
-	 * Classifies a failure by whether the request was sent.
+	 * Classifies a failure by whether the request was sent. That a connection was closed
+	 * before a write had ended shows nothing: the bytes may be with the server already.
 	 * @param failure the failure that ServiceTalk reported
-	 * @return a {@link NotSentException} if no byte was written, otherwise the failure
-	 * itself
+	 * @return a {@link NotSentException} if there was no connection, otherwise the
+	 * failure itself
 	 */
 	public static Throwable classifyFailure(Throwable failure) {
-		boolean notSent = failure instanceof ConnectException || failure instanceof RetryableException;
+		boolean notSent = failure instanceof ConnectException || failure instanceof NoAvailableHostException
+				|| failure instanceof NoActiveHostException || failure instanceof ConnectionRejectedException;
 		return notSent ? NotSentException.of(failure) : failure;
 	}
 
