--- a/src/main/java/sycamorehill/engine/CompletionStream.java
+++ b/src/main/java/sycamorehill/engine/CompletionStream.java
@@ -13,11 +13,11 @@
 import io.servicetalk.http.api.StreamingHttpClient;
 import io.servicetalk.http.api.StreamingHttpResponse;
 
-import sycamorehill.http.AnswerFraming;
 import sycamorehill.http.BodyReader;
 import sycamorehill.http.BufferedHttpClient;
 import sycamorehill.http.EventStreamReader;
 import sycamorehill.http.HttpCall;
+import sycamorehill.http.UnframedAnswers;
 import sycamorehill.model.request.AttemptResult;
 
 /**
@@ -67,7 +67,7 @@
 			return response.payloadBody();
 		}
 		return BodyReader.readText(response.payloadBody(), MAXIMUM_REFUSAL_BYTES).flatMapPublisher((body) -> {
-			AnswerFraming.check(response, method);
+			UnframedAnswers.check(response, method);
 			end(refusal(response, body));
 			return Publisher.<Buffer>empty();
 		});
--- a/src/main/java/sycamorehill/entry/TargetConnection.java
+++ b/src/main/java/sycamorehill/entry/TargetConnection.java
@@ -55,7 +55,7 @@
 
 	private boolean interimResponse;
 
-	private AnswerBytes bytes = AnswerBytes.create();
+	private AnswerBytes answerBytes = AnswerBytes.create();
 
 	private HttpResponse head;
 
@@ -126,7 +126,7 @@
 		this.expected = answer;
 		this.decoder.expectHeadOnly(HttpMethod.HEAD.equals(request.method()));
 		this.phase = AnswerPhase.AWAITING_HEAD;
-		this.bytes = AnswerBytes.create();
+		this.answerBytes = AnswerBytes.create();
 		this.head = null;
 		this.sending = this.context.writeAndFlush(request);
 		return this.sending;
@@ -143,11 +143,11 @@
 			this.unexpectedBytes |= this.phase == AnswerPhase.IDLE;
 			return true;
 		}
-		this.bytes.addReceived(bytes);
-		if (this.bytes.exceedsHeadLimit()) {
+		this.answerBytes.addReceived(bytes);
+		if (this.answerBytes.exceedsHeadLimit()) {
 			handleInvalidAnswer("no head of an answer within " + AnswerBytes.MAXIMUM_BEFORE_HEAD + " bytes");
 		}
-		else if (this.bytes.exceedsFramingLimit()) {
+		else if (this.answerBytes.exceedsFramingLimit()) {
 			handleInvalidAnswer("a body of many tiny chunks");
 		}
 		return this.phase != AnswerPhase.IDLE;
@@ -271,7 +271,7 @@
 		}
 		else if (isOwn(response)) {
 			this.phase = AnswerPhase.READING;
-			this.bytes.completeHead();
+			this.answerBytes.completeHead();
 			this.head = response;
 			this.expected.handler().handleHead(response);
 		}
@@ -308,7 +308,7 @@
 	}
 
 	private void handleContent(HttpContent content) {
-		this.bytes.addContained(content.content().readableBytes());
+		this.answerBytes.addContained(content.content().readableBytes());
 		if (this.phase == AnswerPhase.READING && content.content().isReadable()) {
 			this.expected.handler().handleBody(content.content());
 		}
--- a/src/main/java/sycamorehill/http/BufferedHttpClient.java
+++ b/src/main/java/sycamorehill/http/BufferedHttpClient.java
@@ -94,7 +94,7 @@
 
 	private static Single<HttpAnswer> readAnswer(StreamingHttpResponse response, String method) {
 		return BodyReader.readText(response.payloadBody(), MAXIMUM_ANSWER_BYTES).map((body) -> {
-			AnswerFraming.check(response, method);
+			UnframedAnswers.check(response, method);
 			return new HttpAnswer(response.status().code(), headers(response), body);
 		});
 	}
--- a/src/main/java/sycamorehill/http/AnswerFraming.java
+++ b/src/main/java/sycamorehill/http/UnframedAnswers.java
@@ -11,9 +11,9 @@
  * connections too, so that a part of an answer without a length or chunks looks like the
  * whole.
  */
-public final class AnswerFraming {
+public final class UnframedAnswers {
 
-	private AnswerFraming() {
+	private UnframedAnswers() {
 	}
 
 	/**
