Show that an order runs twice whose refusal was broken off before it ran

Rule TWICE breaks where an engine breaks one refusal in twenty off within its body, runs the order and answers 200: the node sends the order to another engine. Where no retry is left, its client gets 503 for an order that has run (REFUSED).

At fault: entry.TargetAttempt.completeAnswer, which looks for no second answer in a refusal, and entry.TargetConnection.isContradiction, which looks at whole heads only.

--- a/review/stand-ins-2/Desk.java
+++ b/review/stand-ins-2/Desk.java
@@ -36,6 +36,8 @@
 	/** Number of runs at which a server becomes the one that spoils answers. */
 	private static final int FIRST_SPOILT = 20;
 
+	private static final String REFUSAL = "all slots and all places to wait are taken; come back later\n";
+
 	private final Fault fault;
 
 	/** The server that spoils answers, of all that may. */
@@ -60,7 +62,10 @@
 		BODY_STOPS,
 
 		/** The answer is a failure, behind the start of a head of a success. */
-		HEAD_BEFORE_FAILURE
+		HEAD_BEFORE_FAILURE,
+
+		/** A refusal stops within its body, and the request is run and answered. */
+		REFUSAL_STOPS
 
 	}
 
@@ -150,6 +155,13 @@
 			return "HTTP/1.1 200 OK\r\nServer-Signature " + failure;
 		}
 		int missing = 1 + (number * 7) % MAXIMUM_MISSING;
+		if (this.fault == Fault.REFUSAL_STOPS) {
+			this.trace.write(this.id + " breaks off a refusal of " + attempt + ", " + missing
+					+ " bytes before the end, runs it and answers with 200");
+			String refusal = "HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: " + attempt
+					+ "\r\nNot-Executed: 1\r\nContent-Length: " + REFUSAL.length() + "\r\n\r\n" + REFUSAL;
+			return refusal.substring(0, refusal.length() - missing) + wholeAnswer(attempt);
+		}
 		this.trace.write(this.id + " breaks off its answer to " + attempt + ", " + missing
 				+ " bytes before the end, and answers again with 500");
 		String whole = wholeAnswer(attempt);
--- a/review/stand-ins-2/SpoiltAnswersTrial.java
+++ b/review/stand-ins-2/SpoiltAnswersTrial.java
@@ -16,7 +16,8 @@
 /**
  * Clients call a service of three servers through two nodes; one of the servers spoils one
  * answer in twenty, in the way that the second argument names. Ends with 1 if a client
- * gets a success that isn't the server's whole answer.
+ * gets a success that isn't the server's whole answer, or if an order is refused as not
+ * run that was run, or is run twice.
  */
 public final class SpoiltAnswersTrial {
 
@@ -44,6 +45,10 @@
 
 	private final AtomicInteger wrong = new AtomicInteger();
 
+	private final AtomicInteger refused = new AtomicInteger();
+
+	private final AtomicInteger twice = new AtomicInteger();
+
 	private SpoiltAnswersTrial(Path folder, Desk.Fault fault) throws Exception {
 		this.fault = this.trouble ? fault : Desk.Fault.NONE;
 		this.trace = new Trace(folder.resolve("record.txt"));
@@ -90,8 +95,9 @@
 		this.trace.write(CLIENTS * REQUESTS + " requests; " + this.successes + " got a success, " + this.others
 				+ " something else; " + ((spoiling == null) ? "no answer was spoilt"
 						: spoilt + " of " + spoiling.runs + " answers of " + spoiling.id + " were spoilt")
-				+ "; MIXED broken " + this.wrong + " times");
-		if (this.wrong.get() > 0) {
+				+ "; broken: MIXED " + this.wrong + " times, REFUSED " + this.refused + " times, TWICE " + this.twice
+				+ " times");
+		if (this.wrong.get() + this.refused.get() + this.twice.get() > 0) {
 			return 1;
 		}
 		return (this.successes.get() > 0 && (spoilt > 0 || !this.trouble)) ? 0 : 2;
@@ -131,6 +137,16 @@
 
 	private void judge(String attempt, boolean order, String answer) {
 		int end = answer.indexOf("\r\n\r\n");
+		long runs = this.desks.stream().filter((desk) -> desk.bodies.containsKey(attempt)).count();
+		if (order && runs > 1) {
+			this.twice.incrementAndGet();
+			this.trace.write("TWICE: order " + attempt + " was run by " + runs + " servers");
+		}
+		if (order && runs > 0 && answer.matches("(?s)HTTP/1\\.1 (503|429|408|421) .*")) {
+			this.refused.incrementAndGet();
+			this.trace.write("REFUSED: order " + attempt + " was run, and its client gets '"
+					+ answer.substring(0, answer.indexOf('\r')) + "'");
+		}
 		if (!answer.startsWith("HTTP/1.1 200") || end < 0) {
 			this.others.incrementAndGet();
 			return;
