Search each byte of an unfinished event once

Cause: EventSplitter searched the unfinished line again from its begin with each chunk, on the only event loop, so that the work grew with the square of the line. It now remembers how far it has searched.

Evidence: the new test counts the bytes that searches look at.

--- a/src/main/java/sycamorehill/entry/EventSplitter.java
+++ b/src/main/java/sycamorehill/entry/EventSplitter.java
@@ -23,7 +23,10 @@
 
 	private final ByteBuf pending;
 
-	/** Bytes of whole lines of the first pending event that have been searched. */
+	/** Bytes of whole lines of the first pending event. */
+	private int wholeLinesBytes;
+
+	/** Bytes of the first pending event in which no further end of a line is. */
 	private int searchedBytes;
 
 	private EventSplitter(ByteBuf pending) {
@@ -45,6 +48,7 @@
 		int end = endOfEvent();
 		while (end > 0) {
 			ByteBuf event = this.pending.readBytes(end - this.pending.readerIndex());
+			this.wholeLinesBytes = 0;
 			this.searchedBytes = 0;
 			sink.accept(event, eventNumber(event));
 			end = endOfEvent();
@@ -67,10 +71,12 @@
 		this.pending.release();
 	}
 
-	// Returns the index after the blank line that ends the first event, or -1.
+	// Returns the index after the blank line that ends the first event, or -1. No byte is
+	// searched twice, however many pieces a line arrives in.
 	private int endOfEvent() {
-		int lineStart = this.pending.readerIndex() + this.searchedBytes;
-		int lineEnd = endOfLine(this.pending, lineStart);
+		int begin = this.pending.readerIndex();
+		int lineStart = begin + this.wholeLinesBytes;
+		int lineEnd = endOfLine(this.pending, begin + this.searchedBytes);
 		while (lineEnd >= 0) {
 			int length = lineEnd - lineStart;
 			boolean blank = length == 0 || (length == 1 && this.pending.getByte(lineStart) == '\r');
@@ -80,7 +86,8 @@
 			lineStart = lineEnd + 1;
 			lineEnd = endOfLine(this.pending, lineStart);
 		}
-		this.searchedBytes = lineStart - this.pending.readerIndex();
+		this.wholeLinesBytes = lineStart - begin;
+		this.searchedBytes = this.pending.readableBytes();
 		return -1;
 	}
 
--- a/src/test/java/sycamorehill/entry/EventSplitterTests.java
+++ b/src/test/java/sycamorehill/entry/EventSplitterTests.java
@@ -8,6 +8,10 @@
 import io.netty.buffer.Unpooled;
 import io.netty.buffer.UnpooledByteBufAllocator;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import sycamorehill.support.CountingAllocator;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -43,6 +47,27 @@
 		splitter.release();
 	}
 
+	// Guards against an event loop that searches an unfinished line again with each piece
+	// of it, so that the work grows with the square of the line.
+	@ParameterizedTest
+	@ValueSource(strings = { "token ", "data: token\n", "data: token \r", "\r", "id: 7" })
+	void twiceTheBytesOfAnEndlessEventTakeTwiceTheWork(String piece) {
+		long once = searchedBytes(piece, 20_000);
+		long twice = searchedBytes(piece, 40_000);
+		assertThat(once).isLessThanOrEqualTo(2L * 20_000 * piece.length());
+		assertThat(twice).isLessThanOrEqualTo(2 * once + 100);
+	}
+
+	private static long searchedBytes(String piece, int pieces) {
+		CountingAllocator allocator = CountingAllocator.create();
+		EventSplitter splitter = EventSplitter.create(allocator);
+		for (int index = 0; index < pieces; index++) {
+			splitter.append(Unpooled.copiedBuffer(piece, StandardCharsets.UTF_8), (event, number) -> event.release());
+		}
+		splitter.release();
+		return allocator.searchedBytes();
+	}
+
 	private static List<String> split(String stream, Random random) {
 		EventSplitter splitter = EventSplitter.create(UnpooledByteBufAllocator.DEFAULT);
 		List<String> events = new ArrayList<>();
