Let learned answer times age

The excess of a learned time over the assumed one now halves each second once it is 3 s old, and a later answer is averaged with the aged value.

Evidence: AnswerTimeAgeTests, five of six cases red on the code before (all four kinds of requests, and a target whose first answer was slow and that was never tried again); green after. The sixth shows that a target that stays slow isn't taken for sound at once.

--- a/src/main/java/sycamorehill/logic/dispatch/Placement.java
+++ b/src/main/java/sycamorehill/logic/dispatch/Placement.java
@@ -237,7 +237,7 @@
 		if (status == null) {
 			return 0;
 		}
-		double millisPerFreeSlot = slotHoldMillis(candidate, status) / candidate.slots();
+		double millisPerFreeSlot = slotHoldMillis(candidate, status, now) / candidate.slots();
 		int requests = status.requests(now);
 		int excess = requests + 1 - candidate.slots();
 		double queued = (excess > 0) ? excess : 0;
@@ -246,9 +246,9 @@
 	}
 
 	// Returns the time that a request occupies a slot.
-	private static double slotHoldMillis(Candidate candidate, TargetStatus status) {
+	private static double slotHoldMillis(Candidate candidate, TargetStatus status, Instant now) {
 		if (candidate.engines().isEmpty()) {
-			return (status.firstAnswerMillis() > 0) ? status.firstAnswerMillis() : DEFAULT_ANSWER_MILLIS;
+			return status.firstAnswerMillis(DEFAULT_ANSWER_MILLIS, now);
 		}
 		EngineParameters engines = candidate.engines().get();
 		return engines.meanAnswerTokens() * stepMillis(engines, candidate.model().orElseThrow(), candidate.slots());
@@ -257,8 +257,7 @@
 	private static double timeToFirstAnswerMillis(Candidate candidate, TargetStatus status, Optional<TokenCounts> size,
 			Instant now) {
 		if (candidate.engines().isEmpty()) {
-			return (status != null && status.firstAnswerMillis() > 0) ? status.firstAnswerMillis()
-					: DEFAULT_ANSWER_MILLIS;
+			return (status != null) ? status.firstAnswerMillis(DEFAULT_ANSWER_MILLIS, now) : DEFAULT_ANSWER_MILLIS;
 		}
 		EngineParameters engines = candidate.engines().get();
 		ModelParameters model = candidate.model().orElseThrow();
@@ -268,7 +267,7 @@
 		double predicted = FIRST_EVENT_OVERHEAD_MILLIS * model.timeFactor() + prefillLeft + prefill
 				+ engines.stepsPerEvent() * stepMillis(engines, model, runningRequests);
 		// Observed times reveal an engine that is slower than its parameters.
-		double observed = (status != null) ? status.firstAnswerMillis() : 0;
+		double observed = (status != null) ? status.firstAnswerMillis(0, now) : 0;
 		return Math.max(predicted, observed + prefillLeft);
 	}
 
--- a/src/main/java/sycamorehill/logic/dispatch/TargetStatus.java
+++ b/src/main/java/sycamorehill/logic/dispatch/TargetStatus.java
@@ -19,6 +19,15 @@
 	/** Weight of a new sample in an exponential moving average. */
 	private static final double SMOOTHING_FACTOR = 0.2;
 
+	/** How long an observed answer time is taken as it is. */
+	private static final Duration ANSWER_TIME_VALIDITY = Duration.ofSeconds(3);
+
+	/**
+	 * Time in which the excess of an older one halves. Only answers renew it, and a
+	 * target that is thought slow gets no requests.
+	 */
+	private static final Duration ANSWER_TIME_HALF_LIFE = Duration.ofSeconds(1);
+
 	/**
 	 * Share of the slots up to which no request queues, even though the requests of other
 	 * nodes become known late.
@@ -65,6 +74,8 @@
 
 	private double firstAnswerMillis;
 
+	private Instant firstAnswerAt = Instant.MIN;
+
 	void recordSent(int targetSlots) {
 		this.slots = targetSlots;
 		this.inFlight++;
@@ -162,8 +173,9 @@
 			return;
 		}
 		double millis = time.toNanos() / 1e6;
-		this.firstAnswerMillis = (this.firstAnswerMillis == 0) ? millis
-				: this.firstAnswerMillis + SMOOTHING_FACTOR * (millis - this.firstAnswerMillis);
+		double earlierMillis = firstAnswerMillis(millis, now);
+		this.firstAnswerMillis = earlierMillis + SMOOTHING_FACTOR * (millis - earlierMillis);
+		this.firstAnswerAt = now;
 	}
 
 	void recordFailure(Instant now) {
@@ -299,8 +311,24 @@
 		return this.failureRate;
 	}
 
-	double firstAnswerMillis() {
-		return this.firstAnswerMillis;
+	/**
+	 * Returns the time to a first answer that is to be expected by earlier ones. A longer
+	 * time than the assumed one approaches it while no answer renews it.
+	 * @param assumedMillis time in milliseconds that is assumed without observations
+	 * @param now the current time
+	 * @return the time in milliseconds
+	 */
+	double firstAnswerMillis(double assumedMillis, Instant now) {
+		if (this.firstAnswerMillis == 0) {
+			return assumedMillis;
+		}
+		double excess = this.firstAnswerMillis - assumedMillis;
+		return (excess <= 0) ? this.firstAnswerMillis : assumedMillis + excess * Math.pow(0.5, halvings(now));
+	}
+
+	private double halvings(Instant now) {
+		Duration overdue = Duration.between(this.firstAnswerAt.plus(ANSWER_TIME_VALIDITY), now);
+		return overdue.isNegative() ? 0 : (double) overdue.toNanos() / ANSWER_TIME_HALF_LIFE.toNanos();
 	}
 
 	int inFlight() {
