Decide a join with the group of the report that gave its count

The repeat of the new group's join read the count of accepted commands again, so that the count no longer protected, and nobody looked at the group that the same report named.

A group that is being formed is now dropped once the directory, or the report that gave the count, shows a member in another group that may serve. As each join changes the count, a join decided before can't be carried out there. That a group is presumed broken is revised in one place, before decisions.

--- a/src/main/java/sycamorehill/logic/layout/EngineCommandSender.java
+++ b/src/main/java/sycamorehill/logic/layout/EngineCommandSender.java
@@ -2,8 +2,10 @@
 
 import java.time.Instant;
 import java.util.OptionalLong;
+import java.util.function.Predicate;
 
 import sycamorehill.logic.Effects;
+import sycamorehill.logic.directory.GroupKey;
 import sycamorehill.model.serving.EngineCommandRequest;
 import sycamorehill.model.serving.EntryEffect;
 import sycamorehill.model.serving.TargetAddress;
@@ -28,6 +30,10 @@
 		return this.tracker.isFree(engine.name(), now);
 	}
 
+	boolean isBoundByReport(TargetEntry engine, Predicate<GroupKey> allowed, Instant now) {
+		return this.tracker.isBoundByReport(engine.name(), engine.startMillis(), allowed, now);
+	}
+
 	/**
 	 * Sends a command that names the engine's command count, so that it has no effect if
 	 * it arrives after a newer one. If the count is not known, requests the engine's
--- a/src/main/java/sycamorehill/logic/layout/FormingGroup.java
+++ b/src/main/java/sycamorehill/logic/layout/FormingGroup.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Set;
 
+import sycamorehill.logic.directory.GroupKey;
 import sycamorehill.model.identity.TargetName;
 import sycamorehill.model.serving.EngineCommandRequest;
 import sycamorehill.model.serving.ModelParameters;
@@ -52,6 +53,10 @@
 		return this.members.stream().anyMatch((entry) -> entry.name().equals(member));
 	}
 
+	GroupKey key() {
+		return new GroupKey(this.name, this.epoch);
+	}
+
 	String name() {
 		return this.name;
 	}
--- a/src/main/java/sycamorehill/logic/layout/GroupBuilder.java
+++ b/src/main/java/sycamorehill/logic/layout/GroupBuilder.java
@@ -4,7 +4,9 @@
 import java.time.Instant;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.function.Predicate;
 
 import sycamorehill.logic.Effects;
 import sycamorehill.logic.directory.GroupKey;
@@ -44,6 +46,9 @@
 
 	private final UnreachableEngines unreachableEngines;
 
+	/** Tells whether the head of a group certainly no longer serves. */
+	private final Predicate<GroupKey> endedGroups;
+
 	private final Map<GroupKey, FormingGroup> formingGroups = new HashMap<>();
 
 	private final Map<GroupKey, Instant> joiningSince = new HashMap<>();
@@ -55,15 +60,16 @@
 	private long epochsUsed;
 
 	private GroupBuilder(TargetDirectory directory, EngineCommandSender commandSender,
-			UnreachableEngines unreachableEngines) {
+			UnreachableEngines unreachableEngines, Predicate<GroupKey> endedGroups) {
 		this.directory = directory;
 		this.commandSender = commandSender;
 		this.unreachableEngines = unreachableEngines;
+		this.endedGroups = endedGroups;
 	}
 
 	static GroupBuilder of(TargetDirectory directory, EngineCommandSender commandSender,
-			UnreachableEngines unreachableEngines) {
-		return new GroupBuilder(directory, commandSender, unreachableEngines);
+			UnreachableEngines unreachableEngines, Predicate<GroupKey> endedGroups) {
+		return new GroupBuilder(directory, commandSender, unreachableEngines, endedGroups);
 	}
 
 	/**
@@ -84,18 +90,42 @@
 		long epoch = this.term * EPOCHS_PER_TERM + this.epochsUsed;
 		FormingGroup group = FormingGroup.of(GroupNames.name(formation.model().name(), epoch), epoch, formation.model(),
 				formation.members());
-		this.formingGroups.put(new GroupKey(group.name(), epoch), group);
+		this.formingGroups.put(group.key(), group);
 		effects.log(LogEvent.GROUP_CHANGED, "group=" + group.name() + " forming members="
 				+ group.members().stream().map(TargetEntry::name).toList());
 		sendJoins(group, now, effects);
 	}
 
 	/**
-	 * Stops forming the groups of which a member can no longer be used.
+	 * Stops forming the groups of which a member can no longer be used, or is in another
+	 * group that may serve: a command to join that one was carried out late. Another
+	 * command would take the member out of it.
+	 * @param now the current time
+	 * @param effects receives the resulting effects
 	 */
-	void dropUnformable() {
-		this.formingGroups.values()
-			.removeIf((group) -> group.members().stream().anyMatch(this.unreachableEngines::isUnusable));
+	void dropUnformable(Instant now, Effects effects) {
+		List<FormingGroup> dropped = this.formingGroups.values()
+			.stream()
+			.filter((group) -> group.members()
+				.stream()
+				.anyMatch((member) -> this.unreachableEngines.isUnusable(member)
+						|| isInOtherGroup(member, group.key(), now)))
+			.toList();
+		for (FormingGroup group : dropped) {
+			this.formingGroups.remove(group.key());
+			effects.log(LogEvent.GROUP_CHANGED, "group=" + group.name() + " epoch=" + group.epoch()
+					+ " is not formed: a member is unusable or in another group");
+		}
+	}
+
+	private boolean isInOtherGroup(TargetEntry member, GroupKey forming, Instant now) {
+		Predicate<GroupKey> allowed = this.endedGroups.or(forming::equals);
+		boolean listedInOther = this.directory.find(member.name())
+			.flatMap(TargetEntry::membership)
+			.map((membership) -> new GroupKey(membership.group(), membership.epoch()))
+			.filter(allowed.negate())
+			.isPresent();
+		return listedInOther || this.commandSender.isBoundByReport(member, allowed, now);
 	}
 
 	void drop(GroupView group) {
--- a/src/main/java/sycamorehill/logic/layout/GroupController.java
+++ b/src/main/java/sycamorehill/logic/layout/GroupController.java
@@ -165,7 +165,7 @@
 			Instant now, Effects effects) {
 		effects.log(LogEvent.ENGINE_ORDER, "engine=" + engine + " order=" + command + " answer=" + answer);
 		switch (answer) {
-			case BEGUN -> this.commandTracker.recordAccepted(engine);
+			case BEGUN -> this.commandTracker.recordAccepted(engine, command, now);
 			case HOLDS_ALREADY -> this.commandTracker.recordAlreadyInEffect(engine);
 			default -> this.commandTracker.recordFailure(engine, now);
 		}
@@ -188,7 +188,7 @@
 			.ifPresent((change) -> effects.add(new EntryEffect.Broadcast(
 					new NodeMessage.TargetsObserved(this.settings.nodeName(), List.of(change)))));
 		long startMillis = this.directory.find(engine).map(TargetEntry::startMillis).orElse(0L);
-		this.commandTracker.recordCount(engine, startMillis, report.acceptedCommands());
+		this.commandTracker.recordReport(engine, startMillis, report.acceptedCommands(), report.membership(), now);
 		this.unreachable.recordReached(engine, now);
 		this.unresponsive.forget(engine);
 		this.unconnected.forget(engine);
--- a/src/main/java/sycamorehill/logic/layout/GroupDisbander.java
+++ b/src/main/java/sycamorehill/logic/layout/GroupDisbander.java
@@ -4,9 +4,11 @@
 import java.time.Instant;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 import sycamorehill.logic.Effects;
 import sycamorehill.logic.directory.GroupKey;
@@ -77,29 +79,25 @@
 	}
 
 	/**
-	 * Forgets groups that no engine reports any more. If they appear again, what was
-	 * concluded from their absence no longer holds.
-	 * @param seen the keys of the groups as currently seen
+	 * Forgets groups that no engine reports any more, and that a group is presumed broken
+	 * whose head reports it again. What was concluded from their absence no longer holds.
+	 * @param seen the groups as currently seen
 	 */
-	void keepOnly(Set<GroupKey> seen) {
-		this.disbanding.keySet().retainAll(seen);
-		this.endedGroups.retainAll(seen);
-		this.presumedBroken.retainAll(seen);
+	void keepOnly(List<GroupView> seen) {
+		Set<GroupKey> keys = seen.stream().map(GroupView::key).collect(Collectors.toSet());
+		this.disbanding.keySet().retainAll(keys);
+		this.endedGroups.retainAll(keys);
+		this.presumedBroken.retainAll(keys);
+		seen.stream().filter(GroupView::headReported).map(GroupView::key).forEach(this.presumedBroken::remove);
 	}
 
 	/**
 	 * Returns whether the members of a group may be reused.
-	 * @param group the group as currently seen
+	 * @param group the group
 	 * @return true if its head certainly no longer serves
 	 */
-	boolean hasEnded(GroupView group) {
-		if (this.endedGroups.contains(group.key())) {
-			return true;
-		}
-		if (this.presumedBroken.contains(group.key()) && group.headReported()) {
-			this.presumedBroken.remove(group.key());
-		}
-		return this.presumedBroken.contains(group.key());
+	boolean hasEnded(GroupKey group) {
+		return this.endedGroups.contains(group) || this.presumedBroken.contains(group);
 	}
 
 	boolean isDisbanding(GroupView group) {
--- a/src/main/java/sycamorehill/logic/layout/ServiceGroups.java
+++ b/src/main/java/sycamorehill/logic/layout/ServiceGroups.java
@@ -59,8 +59,9 @@
 		this.shared = shared;
 		this.loads = WeightLoadTracker.of(LoadBudget.of(settings.loadWindow()), shared.phase());
 		this.conversions = GroupConversions.of(this.demand, this.loads, shared.directory());
-		this.builder = GroupBuilder.of(shared.directory(), shared.commandSender(), shared.unreachable());
 		this.disbander = GroupDisbander.of(shared.directory(), shared.commandSender(), settings.stallTime());
+		this.builder = GroupBuilder.of(shared.directory(), shared.commandSender(), shared.unreachable(),
+				this.disbander::hasEnded);
 		this.summary = GroupSummary.of(service);
 		this.transitionPoller = TransitionPoller.of(shared.commandSender(), this.loads);
 	}
@@ -128,8 +129,8 @@
 			this.transitionPoller.poll(engines, this.builder.formingGroups(), now, effects);
 		}
 		this.shared.vanished().update(groups, groupActivity, now, effects);
-		this.builder.dropUnformable();
-		keepOnly(allGroups.stream().map(GroupView::key).collect(Collectors.toSet()));
+		keepOnly(allGroups);
+		this.builder.dropUnformable(now, effects);
 		Set<TargetName> claimed = new HashSet<>();
 		groups.forEach((group) -> updateGroup(group, claimed, now, effects));
 		allGroups.stream()
@@ -139,7 +140,7 @@
 		this.builder.formingGroups()
 			.forEach((group) -> group.members().forEach((member) -> claimed.add(member.name())));
 		this.loads.removeFinished(engines, now);
-		List<TargetEntry> freeEngines = engines.stream().filter((engine) -> isFree(engine, claimed)).toList();
+		List<TargetEntry> freeEngines = engines.stream().filter((engine) -> isFree(engine, claimed, now)).toList();
 		this.freeEngines.update(freeEngines, now);
 		List<GroupView> activeGroups = groups.stream().filter((group) -> !isDisbanding(group)).toList();
 		LayoutPlan.DesiredGroupCounts counts = DemandBasedGroupCounts.of(parameters, this.demand, engines.size());
@@ -153,8 +154,9 @@
 		}
 	}
 
-	private void keepOnly(Set<GroupKey> seen) {
-		this.disbander.keepOnly(seen);
+	private void keepOnly(List<GroupView> groups) {
+		Set<GroupKey> seen = groups.stream().map(GroupView::key).collect(Collectors.toSet());
+		this.disbander.keepOnly(groups);
 		this.completeness.keepOnly(seen);
 		this.conversions.keepOnly(seen);
 		this.formedGroups.keepOnly(seen);
@@ -174,7 +176,7 @@
 	}
 
 	private void updateGroup(GroupView group, Set<TargetName> claimed, Instant now, Effects effects) {
-		if (this.disbander.hasEnded(group)) {
+		if (this.disbander.hasEnded(group.key())) {
 			return;
 		}
 		claim(group, claimed);
@@ -195,7 +197,7 @@
 	}
 
 	private void endUnconfigured(GroupView group, Set<TargetName> claimed, Instant now, Effects effects) {
-		if (!this.disbander.hasEnded(group)) {
+		if (!this.disbander.hasEnded(group.key())) {
 			claim(group, claimed);
 			if (isEvacuated(group.head()) && !isDisbanding(group)) {
 				return;
@@ -230,13 +232,14 @@
 		group.members().forEach((member) -> claimed.add(member.name()));
 	}
 
-	private boolean isFree(TargetEntry engine, Set<TargetName> claimed) {
+	private boolean isFree(TargetEntry engine, Set<TargetName> claimed, Instant now) {
 		return !claimed.contains(engine.name()) && !this.shared.unreachable().isUnusable(engine)
+				&& !this.shared.commandSender().isBoundByReport(engine, this.disbander::hasEnded, now)
 				&& !this.shared.unresponsive().contains(engine) && !this.shared.directory().isMissing(engine.name());
 	}
 
 	private boolean isDisbanding(GroupView group) {
-		return this.disbander.isDisbanding(group) || this.disbander.hasEnded(group);
+		return this.disbander.isDisbanding(group) || this.disbander.hasEnded(group.key());
 	}
 
 	private LayoutPlan.Steps plan(EngineParameters parameters, LayoutPlan.DesiredGroupCounts counts,
--- a/src/test/java/sycamorehill/logic/layout/FakeEngine.java
+++ b/src/test/java/sycamorehill/logic/layout/FakeEngine.java
@@ -124,6 +124,10 @@
 		this.leaving = true;
 	}
 
+	void stage(ModelParameters model) {
+		this.staged = Set.of(model.name());
+	}
+
 	void crash() {
 		this.running = false;
 	}
--- a/src/test/java/sycamorehill/logic/layout/FakeFleet.java
+++ b/src/test/java/sycamorehill/logic/layout/FakeFleet.java
@@ -2,15 +2,19 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.NavigableMap;
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
+import java.util.TreeMap;
 
 import sycamorehill.logic.Effects;
 import sycamorehill.logic.directory.TargetDirectory;
@@ -69,10 +73,15 @@
 
 	private double delayedShare;
 
+	/** Delays of the next commands to join, which get no answer, by engine. */
+	private final Map<TargetName, Deque<Duration>> delayedJoins = new HashMap<>();
+
 	private int requestsPerGroup = 6;
 
 	private Map<String, Integer> requestsByModel = Map.of();
 
+	private Duration listingDelay = Duration.ZERO;
+
 	private int conflicts;
 
 	private int interruptedGroups;
@@ -190,6 +199,34 @@
 		return (int) (this.requestsByModel.getOrDefault(model.name(), 0) / Math.max(1, countServing(model)));
 	}
 
+	/**
+	 * Lets the next commands to join a group that an engine gets be carried out late and
+	 * without an answer.
+	 * @param engine the engine
+	 * @param delays the delay of each command in order
+	 */
+	void delayJoins(String engine, Duration... delays) {
+		this.delayedJoins.put(TargetName.of(engine), new ArrayDeque<>(List.of(delays)));
+	}
+
+	private Optional<Duration> commandDelay(EntryEffect.SendCommand command) {
+		Deque<Duration> delays = this.delayedJoins.getOrDefault(command.target().name(), new ArrayDeque<>());
+		if (command.command() instanceof EngineCommandRequest.Join && !delays.isEmpty()) {
+			return Optional.of(delays.poll());
+		}
+		return (this.random.nextDouble() < this.delayedShare)
+				? Optional.of(Duration.ofMillis(2000 + this.random.nextInt(10_000))) : Optional.empty();
+	}
+
+	/**
+	 * Sets how much older the directory of each controller is than what the engines
+	 * report to the store.
+	 * @param delay the delay
+	 */
+	void delayListings(Duration delay) {
+		this.listingDelay = delay;
+	}
+
 	void delayCommands(double share) {
 		this.delayedShare = share;
 	}
@@ -233,6 +270,13 @@
 		}
 	}
 
+	/** Runs until the first engine has joined a group. */
+	void runUntilFirstJoin() {
+		while (this.engines.values().stream().allMatch((engine) -> engine.membership().isEmpty())) {
+			run(STEP);
+		}
+	}
+
 	// A head that cannot reach a member stalls, and breaks after the stall time.
 	private void breakIfStalled(FakeEngine head) {
 		boolean joined = isComplete(head)
@@ -347,6 +391,8 @@
 
 		private boolean partitionedFromStore;
 
+		private final NavigableMap<Instant, List<TargetEntry>> listings = new TreeMap<>();
+
 		Controller(String name) {
 			this.control = GroupController.of(ServingSamples.settings(name), this.directory, name + "#1",
 					FakeFleet.this.now);
@@ -383,7 +429,13 @@
 		private void step() {
 			this.directory.recordStoreContact(!this.partitionedFromStore, FakeFleet.this.now);
 			if (!this.partitionedFromStore) {
-				this.directory.replaceAll(entries(), FakeFleet.this.now);
+				this.listings.put(FakeFleet.this.now, entries());
+				Map.Entry<Instant, List<TargetEntry>> listing = this.listings
+					.floorEntry(FakeFleet.this.now.minus(FakeFleet.this.listingDelay));
+				if (listing != null) {
+					this.listings.headMap(listing.getKey()).clear();
+					this.directory.replaceAll(listing.getValue(), FakeFleet.this.now);
+				}
 			}
 			Effects effects = Effects.create();
 			this.control.tick(
@@ -426,6 +478,8 @@
 		private void send(EntryEffect.SendCommand command, Effects next) {
 			FakeEngine engine = FakeFleet.this.engines.get(command.target().name());
 			EngineCommandAnswer answer;
+			Optional<Duration> delay = engine.isReachable() && !engine.isPaused() ? commandDelay(command)
+					: Optional.empty();
 			if (!engine.isReachable()) {
 				answer = EngineCommandAnswer.NOTHING_LISTENS;
 			}
@@ -434,10 +488,9 @@
 						command.acceptedCommands(), FakeFleet.this.now));
 				answer = EngineCommandAnswer.NOT_KNOWN;
 			}
-			else if (FakeFleet.this.random.nextDouble() < FakeFleet.this.delayedShare) {
-				long millis = 2000 + FakeFleet.this.random.nextInt(10_000);
+			else if (delay.isPresent()) {
 				FakeFleet.this.delayedCommands.add(new DelayedCommand(engine.name(), command.command(),
-						command.acceptedCommands(), FakeFleet.this.now.plusMillis(millis)));
+						command.acceptedCommands(), FakeFleet.this.now.plus(delay.get())));
 				answer = EngineCommandAnswer.NOT_KNOWN;
 			}
 			else {
