Read header values in linear time

Cause: the header was split by a regular expression that tries each blank of a run as its begin, on the event loop.

Lists are now split at their commas alone and trimmed. The search for the same cause found numbers in headers, whose digits were read in quadratic time: more than 64 characters are malformed now.

--- a/src/main/java/sycamorehill/platform/PlatformExchangeCodec.java
+++ b/src/main/java/sycamorehill/platform/PlatformExchangeCodec.java
@@ -3,13 +3,12 @@
 import java.math.BigDecimal;
 import java.time.Duration;
 import java.util.Arrays;
-import java.util.Collections;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -54,6 +53,12 @@
 	 */
 	private static final BigDecimal MAXIMUM_COUNT = BigDecimal.valueOf(1_000_000_000);
 
+	/**
+	 * Maximum length of a number in a header, in characters. Reading a long one takes
+	 * time that grows with the square of its digits.
+	 */
+	private static final int MAXIMUM_NUMBER_LENGTH = 64;
+
 	/**
 	 * Longest time in seconds that is read from a header; a longer one counts as this.
 	 */
@@ -99,7 +104,7 @@
 	private static List<String> sharedPromptParts(HttpHeaders headers) {
 		List<String> identifiers = headers.getAll(PlatformHeaders.PROMPT_PARTS)
 			.stream()
-			.flatMap((value) -> Arrays.stream(value.split(",")))
+			.flatMap(PlatformExchangeCodec::elements)
 			.map((part) -> PlatformHeaders.lowerCase(part.split(":", 2)[0].trim()))
 			.limit(MAXIMUM_PROMPT_PARTS)
 			.toList();
@@ -109,6 +114,12 @@
 			.toList();
 	}
 
+	// A regular expression that takes the blanks around a comma as well would try each
+	// blank as the begin of a run, on the event loop.
+	private static Stream<String> elements(String list) {
+		return Arrays.stream(list.split(",")).map(String::trim);
+	}
+
 	private static int[] parseNumbers(String text, int count) {
 		String[] elements = (text != null) ? text.split(",") : new String[0];
 		if (elements.length < count) {
@@ -129,7 +140,7 @@
 	// A malformed number is treated as missing. It doesn't affect whether its header is
 	// forwarded.
 	private static Optional<BigDecimal> parseNumber(String text) {
-		if (text == null) {
+		if (text == null || text.length() > MAXIMUM_NUMBER_LENGTH) {
 			return Optional.empty();
 		}
 		try {
@@ -177,10 +188,11 @@
 	}
 
 	private static HttpHeaders forwardedHeaders(HttpHeaders received, boolean toTarget) {
-		Set<String> connectionHeaders = new HashSet<>();
-		received.getAll(HttpHeaderNames.CONNECTION)
-			.forEach((value) -> Collections.addAll(connectionHeaders,
-					PlatformHeaders.lowerCase(value).split("\\s*,\\s*")));
+		Set<String> connectionHeaders = received.getAll(HttpHeaderNames.CONNECTION)
+			.stream()
+			.flatMap(PlatformExchangeCodec::elements)
+			.map(PlatformHeaders::lowerCase)
+			.collect(Collectors.toSet());
 		HttpHeaders headers = new DefaultHttpHeaders(false);
 		for (Map.Entry<String, String> header : received) {
 			boolean dropped = PlatformHeaders.isHopByHop(header.getKey())
@@ -234,13 +246,9 @@
 		if (value == null) {
 			return Optional.empty();
 		}
-		for (String parameter : value.split(",")) {
-			String trimmed = parameter.trim();
-			if (trimmed.startsWith(IDLE_TIMEOUT_PARAMETER)) {
-				return parseSeconds(trimmed.substring(IDLE_TIMEOUT_PARAMETER.length()));
-			}
-		}
-		return Optional.empty();
+		return elements(value).filter((parameter) -> parameter.startsWith(IDLE_TIMEOUT_PARAMETER))
+			.findFirst()
+			.flatMap((parameter) -> parseSeconds(parameter.substring(IDLE_TIMEOUT_PARAMETER.length())));
 	}
 
 	@Override
