Read heads, chunk sizes and trailers strictly before they are decoded

A caller got an answer with the status 000, and on other systems one whose head had a field name with a blank or a control byte (MIXED). The library's decoder corrects such bytes, and each later check works on what it made of them.

MessageSyntax now checks the bytes first, in one place for answers of targets, calls, probes and requests of callers; heads in frames of other nodes and answers at the own interface are checked by the same rules. What RFC 9110 and 9112 don't allow is no answer (or 400). Other transfer codings than chunks are refused too: the body would have reached the caller encoded and unmarked.

--- a/src/main/java/sycamorehill/engine/CompletionStream.java
+++ b/src/main/java/sycamorehill/engine/CompletionStream.java
@@ -17,7 +17,7 @@
 import sycamorehill.http.BufferedHttpClient;
 import sycamorehill.http.EventStreamReader;
 import sycamorehill.http.HttpCall;
-import sycamorehill.http.UnframedAnswers;
+import sycamorehill.http.AnswerHeads;
 import sycamorehill.model.request.AttemptResult;
 
 /**
@@ -67,7 +67,7 @@
 			return response.payloadBody();
 		}
 		return BodyReader.readText(response.payloadBody(), MAXIMUM_REFUSAL_BYTES).flatMapPublisher((body) -> {
-			UnframedAnswers.check(response, method);
+			AnswerHeads.check(response, method);
 			end(refusal(response, body));
 			return Publisher.<Buffer>empty();
 		});
--- a/src/main/java/sycamorehill/entry/AnswerRules.java
+++ b/src/main/java/sycamorehill/entry/AnswerRules.java
@@ -1,8 +1,10 @@
 package sycamorehill.entry;
 
+import java.util.List;
 import java.util.Optional;
 
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 
@@ -29,8 +31,15 @@
 		if (isSuccess(head) && (!parsedHead.signed() || parsedHead.identifier().isEmpty())) {
 			return Optional.of("a success without the target's signature");
 		}
-		return (!isRefusal(parsedHead) && head.headers().contains(HttpHeaderNames.CONTENT_ENCODING))
-				? Optional.of("an encoded body, which is not the target's") : Optional.empty();
+		boolean encoded = head.headers().contains(HttpHeaderNames.CONTENT_ENCODING) || hasOtherCodingThanChunks(head);
+		return (!isRefusal(parsedHead) && encoded) ? Optional.of("an encoded body, which is not the target's")
+				: Optional.empty();
+	}
+
+	private static boolean hasOtherCodingThanChunks(HttpResponse head) {
+		List<String> codings = head.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
+		return codings.size() > 1
+				|| codings.stream().anyMatch((coding) -> !HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(coding));
 	}
 
 	/**
--- a/src/main/java/sycamorehill/entry/ProxiedAnswer.java
+++ b/src/main/java/sycamorehill/entry/ProxiedAnswer.java
@@ -11,6 +11,8 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 
+import sycamorehill.http.AnswerHeads;
+import sycamorehill.http.FieldCharacters;
 import sycamorehill.model.serving.AttemptEnd;
 
 /**
@@ -60,6 +62,9 @@
 	void setHead(ProxyFrame.Head received) {
 		require(this.accepted, "an answer to a request that is not accepted");
 		require(this.head == null, "a second answer");
+		require(AnswerHeads.isStatus(received.status()), "an answer with no status");
+		require(FieldCharacters.isValue(received.reason())
+				&& received.headers().stream().allMatch(ProxiedAnswer::isField), "a head that is none");
 		HttpHeaders headers = new DefaultHttpHeaders(false);
 		received.headers().forEach((header) -> headers.add(header.name(), header.value()));
 		HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1,
@@ -70,6 +75,10 @@
 		this.streaming = received.streaming();
 	}
 
+	private static boolean isField(ProxyFrame.Header header) {
+		return FieldCharacters.isName(header.name()) && FieldCharacters.isValue(header.value());
+	}
+
 	void append(ProxyFrame.Body part) {
 		require(this.head != null && !this.streaming, "a body without its head");
 		require(this.body.readableBytes() + part.bytes().length <= MAXIMUM_BYTES,
--- a/src/main/java/sycamorehill/entry/StrictRequestDecoder.java
+++ b/src/main/java/sycamorehill/entry/StrictRequestDecoder.java
@@ -21,6 +21,8 @@
 
 	private final HeadProgress headProgress = HeadProgress.create();
 
+	private final MessageSyntax syntax = MessageSyntax.of(FirstLineSyntax.REQUEST_LINE, this::createInvalidMessage);
+
 	private StrictRequestDecoder(HttpDecoderConfig config) {
 		super(config);
 	}
@@ -50,7 +52,7 @@
 
 	@Override
 	protected void decode(ChannelHandlerContext context, ByteBuf buffer, List<Object> out) throws Exception {
-		this.headProgress.decode(out, () -> super.decode(context, buffer, out));
+		this.syntax.decode(buffer, out, () -> this.headProgress.decode(out, () -> super.decode(context, buffer, out)));
 	}
 
 	@Override
--- a/src/main/java/sycamorehill/entry/StrictResponseDecoder.java
+++ b/src/main/java/sycamorehill/entry/StrictResponseDecoder.java
@@ -11,7 +11,8 @@
 import io.netty.handler.codec.http.HttpUtil;
 
 /**
- * Decodes answers of targets and refuses those whose length is ambiguous.
+ * Decodes answers of targets and refuses those that are malformed or whose length is
+ * ambiguous.
  */
 final class StrictResponseDecoder extends HttpResponseDecoder {
 
@@ -21,6 +22,8 @@
 
 	private final HeadProgress headProgress = HeadProgress.create();
 
+	private final MessageSyntax syntax = MessageSyntax.of(StatusLineSyntax.create(), this::createInvalidMessage);
+
 	private boolean headOnly;
 
 	private boolean requestSent;
@@ -83,7 +86,7 @@
 
 	@Override
 	protected void decode(ChannelHandlerContext context, ByteBuf buffer, List<Object> out) throws Exception {
-		this.headProgress.decode(out, () -> super.decode(context, buffer, out));
+		this.syntax.decode(buffer, out, () -> this.headProgress.decode(out, () -> super.decode(context, buffer, out)));
 	}
 
 	@Override
--- a/src/main/java/sycamorehill/http/BufferedHttpClient.java
+++ b/src/main/java/sycamorehill/http/BufferedHttpClient.java
@@ -49,7 +49,8 @@
 	 * @param call the call
 	 * @return a future with the complete answer, which fails with
 	 * {@link NotSentException} if nothing was sent, and with
-	 * {@link UnframedAnswerException} if the answer may have been cut off
+	 * {@link UnframedAnswerException} if the answer may have been cut off, or with
+	 * {@link MalformedAnswerException} if its head is none
 	 */
 	public CompletableFuture<HttpAnswer> call(HttpCall call) {
 		StreamingHttpClient client = this.pool.client(call.address());
@@ -94,7 +95,7 @@
 
 	private static Single<HttpAnswer> readAnswer(StreamingHttpResponse response, String method) {
 		return BodyReader.readText(response.payloadBody(), MAXIMUM_ANSWER_BYTES).map((body) -> {
-			UnframedAnswers.check(response, method);
+			AnswerHeads.check(response, method);
 			return new HttpAnswer(response.status().code(), headers(response), body);
 		});
 	}
--- a/src/main/java/sycamorehill/http/UnframedAnswers.java
+++ b/src/main/java/sycamorehill/http/UnframedAnswers.java
@@ -11,7 +11,7 @@
  * connections too, so that a part of an answer without a length or chunks looks like the
  * whole.
  */
-public final class UnframedAnswers {
+final class UnframedAnswers {
 
 	private UnframedAnswers() {
 	}
@@ -23,7 +23,7 @@
 	 * @throws UnframedAnswerException if the answer has neither a length nor chunks, and
 	 * may have a body
 	 */
-	public static void check(HttpResponseMetaData response, String method) {
+	static void check(HttpResponseMetaData response, String method) {
 		boolean framed = response.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
 				|| HeaderUtils.isTransferEncodingChunked(response.headers());
 		if (!framed && !hasNoBody(response.status(), method)) {
--- a/src/test/java/sycamorehill/entry/OwnInterfaceAnswerTests.java
+++ b/src/test/java/sycamorehill/entry/OwnInterfaceAnswerTests.java
@@ -85,6 +85,24 @@
 		}
 	}
 
+	// Guards against an answer whose head is none, which a caller gets as an answer with
+	// that status, that line or a part of the body.
+	@ParameterizedTest
+	@ValueSource(strings = { "HTTP/1.1 000 OK", "HTTP/1.1 001 OK", "HTTP/1.1 99 OK", "HTTP/1.1 20 OK",
+			"HTTP/1.1 2000 OK", "HTTP/1.1 600 OK", "HTTP/1.1 999 OK", "HTTP/1.1 0200 OK", "HTTP/1.1 +200 OK",
+			"HTTP/9.9 200 OK", "HTTP/2.0 200 OK", "HTTP/1.1 200 OK\r\nSo me: x", "HTTP/1.1 200 OK\r\nSome : x",
+			"HTTP/1.1 200 OK\r\nSo\u0000me: x", "HTTP/1.1 200 OK\r\nSome\u0001: x", "HTTP/1.1 200 OK\r\n\u0000Some: x",
+			"HTTP/1.1 200 OK\r\nContent-Length\u0000: 2", "HTTP/1.1 200 OK\r\nContent-Length\t: 2",
+			"HTTP/1.1 200 OK\r\nSome: a\u0000b" })
+	void anAnswerWithAMalformedHeadIsNoAnswer(String head) throws Exception {
+		try (RawTarget service = RawTarget.start((request, out) -> {
+			RawTarget.write(out, head + "\r\nContent-Length: 5\r\n\r\nfirst");
+			return true;
+		})) {
+			assertThat(ask(service, "/one")).isEmpty();
+		}
+	}
+
 	private RawTarget startUnframed(String status) throws IOException {
 		return RawTarget.start((request, out) -> {
 			RawTarget.write(out, "HTTP/1.1 " + status + "\r\nNot-Run: true\r\nConnection: close\r\n\r\nbo");
@@ -120,6 +138,21 @@
 		}
 	}
 
+	// Guards against the same by an answer whose head is none.
+	@Test
+	void anOrderToAnEngineWhoseAnswerHasNoStatusHasAnUnknownOutcome() throws Exception {
+		EngineCommand leave = new EngineCommand.Leave(GroupIdentity.of(GroupName.of(GroupSetName.of("small"), 0), 1),
+				1);
+		try (RawTarget engine = RawTarget.start((request, out) -> {
+			RawTarget.write(out, "HTTP/1.1 600 Done\r\nContent-Length: 2\r\n\r\n{}");
+			return true;
+		})) {
+			assertThat(HttpEngine.create(this.clients, new ObjectMapper()).sendCommand(engine.address(), leave))
+				.succeedsWithin(TIMEOUT)
+				.isEqualTo(EngineCommandResult.NOT_KNOWN);
+		}
+	}
+
 	// Guards against a completion that counts as refused, and goes elsewhere, by a part
 	// of
 	// an answer.
--- a/src/test/java/sycamorehill/entry/ProxiedAnswerTests.java
+++ b/src/test/java/sycamorehill/entry/ProxiedAnswerTests.java
@@ -8,6 +8,7 @@
 import java.util.OptionalLong;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BiConsumer;
+import java.util.stream.IntStream;
 import java.util.stream.Stream;
 
 import org.junit.jupiter.api.AfterEach;
@@ -107,6 +108,32 @@
 		assertThat(this.cluster.ask("one", "/once/x", IDENTIFIER)).startsWith("HTTP/1.1 502");
 	}
 
+	private static ProxyFrame head(int status, String reason, String fieldName, String fieldValue) {
+		return new ProxyFrame.Head(
+				status, reason, List.of(new ProxyFrame.Header("Attempt-Id", IDENTIFIER),
+						new ProxyFrame.Header("Server-Signature", "s"), new ProxyFrame.Header(fieldName, fieldValue)),
+				false);
+	}
+
+	static Stream<Named<List<ProxyFrame>>> malformedHeads() {
+		return Stream.concat(
+				IntStream.of(0, 1, 99, 600, 999, -200)
+					.mapToObj((status) -> frames("status " + status, head(status), body("hello"), delivered(status))),
+				Stream
+					.of(head(200, "O\rK", "Some", "x"), head(200, "OK", "", "x"), head(200, "OK", "So me", "x"),
+							head(200, "OK", "Some\0", "x"), head(200, "OK", "Some:", "x"),
+							head(200, "OK", "Some", "x\r\nA: b"), head(200, "OK", "Some", "x\0"))
+					.map((head) -> frames(head.toString(), head, body("hello"), delivered(200))));
+	}
+
+	// Guards against a head that is none and reaches a caller from another node.
+	@ParameterizedTest
+	@MethodSource("malformedHeads")
+	void anAnswerWithAMalformedHeadIsNotDelivered(List<ProxyFrame> answer) throws Exception {
+		startAccepting(answer);
+		assertThat(this.cluster.ask("one", "/once/x", IDENTIFIER)).startsWith("HTTP/1.1 502");
+	}
+
 	static Stream<Named<List<ProxyFrame>>> streamsOutOfOrder() {
 		return Stream.of(frames("event of no stream", head(200), event(1), delivered(200)),
 				frames("event before the head", event(1), head(200, IDENTIFIER, true), delivered(200)),
