Take requests for a part of the grace, and orders only if they fit into it

A stopping node now takes requests for 3 s, but for no more than three eighths of its grace, and an order that may run once only while its whole time limit fits into the rest. The rest is refused as not run at once. Settings that are read within the stop count.

--- a/src/main/java/sycamorehill/entry/PlannedStop.java
+++ b/src/main/java/sycamorehill/entry/PlannedStop.java
@@ -9,7 +9,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.ScheduledFuture;
 
-import sycamorehill.logic.entry.EntryReducer;
+import sycamorehill.logic.entry.StopTimes;
 import sycamorehill.model.log.LogEvent;
 import sycamorehill.model.log.LogLine;
 import sycamorehill.model.serving.EntrySettings;
@@ -22,9 +22,6 @@
  */
 final class PlannedStop {
 
-	/** Margin before the process is killed at which it stops by itself. */
-	private static final Duration KILL_MARGIN = Duration.ofMillis(300);
-
 	private static final Duration CHECK_INTERVAL = Duration.ofMillis(100);
 
 	private final EventLoop loop;
@@ -102,11 +99,12 @@
 
 	private void finishIfDrained() {
 		Duration since = Duration.between(this.begun, this.clock.instant());
-		if (since.compareTo(this.settings.stopTime().minus(KILL_MARGIN)) > 0) {
+		StopTimes times = new StopTimes(this.settings.stopTime());
+		if (since.compareTo(times.end()) > 0) {
 			this.guard.run(LogEvent.EFFECT_FAILED, "report of cut answers", this::reportUnfinished);
 			finish(since);
 		}
-		else if (since.compareTo(EntryReducer.ACCEPTANCE_AFTER_STOP) >= 0) {
+		else if (since.compareTo(times.acceptance()) >= 0) {
 			this.callerServer.closeIdle();
 			if (!this.callerServer.hasCallers() && !this.proxyServer.hasRequests()) {
 				finish(since);
--- a/src/main/java/sycamorehill/logic/dispatch/RequestDispatcher.java
+++ b/src/main/java/sycamorehill/logic/dispatch/RequestDispatcher.java
@@ -27,6 +27,7 @@
 import sycamorehill.model.serving.NodeMessage;
 import sycamorehill.model.serving.NodeRecord;
 import sycamorehill.model.serving.PlacementExplanation;
+import sycamorehill.model.serving.RequestKind;
 import sycamorehill.model.serving.TargetEntry;
 import sycamorehill.model.serving.TargetReport;
 import sycamorehill.model.serving.UseReport;
@@ -80,6 +81,8 @@
 
 	private final PlacementExplainer explainer;
 
+	private Optional<Instant> endsAt = Optional.empty();
+
 	private RequestDispatcher(EntrySettings settings, TargetDirectory directory, RandomGenerator random) {
 		this.directory = directory;
 		this.random = random;
@@ -202,12 +205,31 @@
 		ServiceName service = routed.route().selectService(this.random.nextDouble());
 		DispatchedRequest active = DispatchedRequest.of(request, routed.route(), routed.parameters(service),
 				routed.workspace(), arrivedAt);
+		if (!fitsBeforeEnd(active, now)) {
+			refuseStopping(request, effects);
+			return;
+		}
 		this.activeRequests.put(request.number(), active);
 		effects.add(new EntryEffect.LimitRequestTime(request.number(), active.timeLeft(now)));
 		this.retryBudgets.of(service).recordRequest(now);
 		this.scheduler.place(active, AttemptScheduler.NO_TARGET_CAUSE, now, effects);
 	}
 
+	// An order that is cut off may not be repeated. Other requests last far less than
+	// their time limit, as a rule, and the time behind the last one taken is for them.
+	private boolean fitsBeforeEnd(DispatchedRequest request, Instant now) {
+		return request.route().kind() != RequestKind.NON_IDEMPOTENT
+				|| this.endsAt.filter((end) -> now.plus(request.timeLeft(now)).isAfter(end)).isEmpty();
+	}
+
+	/**
+	 * Sets when this node ends. What could run until later is refused.
+	 * @param end the time; empty if the node isn't stopping
+	 */
+	public void setEnd(Optional<Instant> end) {
+		this.endsAt = end;
+	}
+
 	/**
 	 * Refuses a request because this node is stopping; another node can serve it at once.
 	 * @param request the request
--- a/src/main/java/sycamorehill/logic/entry/EntryReducer.java
+++ b/src/main/java/sycamorehill/logic/entry/EntryReducer.java
@@ -30,12 +30,6 @@
  */
 public final class EntryReducer {
 
-	/**
-	 * How long requests are still accepted after the request to stop: the load balancer
-	 * checks the node each second and sends no new connections after two failed checks.
-	 */
-	public static final Duration ACCEPTANCE_AFTER_STOP = Duration.ofMillis(3000);
-
 	/**
 	 * How long a call may wait in the store for a change. A call that does not return in
 	 * time shows a node that the store has stopped answering it.
@@ -82,7 +76,7 @@
 
 	private final SilentTargets silentTargets;
 
-	private final NodeStage stage = new NodeStage();
+	private final NodeStage stage;
 
 	private final RequestEvents requestEvents;
 
@@ -106,6 +100,7 @@
 
 	private EntryReducer(EntrySettings settings, String self, RandomGenerator random, Instant started) {
 		this.settings = settings;
+		this.stage = NodeStage.of(new StopTimes(settings.stopTime()));
 		this.peers = PeerNodes.of(settings.toNodeRecord());
 		this.registeredNodes = RegisteredNodes.of(settings.nodeName());
 		this.retryShares = RetryShares.of(settings, this.registeredNodes);
@@ -343,6 +338,7 @@
 		else if (event instanceof EntryEvent.SettingsRead read) {
 			this.requests.updateSettings(read.settings());
 			this.retryShares.updateSettings(read.settings());
+			this.stage.updateStopTimes(new StopTimes(read.settings().stopTime()));
 			effects.log(LogEvent.SETTINGS_RELOADED, "node=" + read.settings().nodeName());
 		}
 		else if (event instanceof EntryEvent.StopRequested) {
@@ -513,7 +509,7 @@
 	 * @return the explanation
 	 */
 	public PlacementExplanation explain(CallerRequest request, Instant now) {
-		return this.requests.explain(request, !this.stage.isStoppingLongerThan(ACCEPTANCE_AFTER_STOP, now), now);
+		return this.requests.explain(request, this.stage.takesRequests(now), now);
 	}
 
 	/**
--- a/src/main/java/sycamorehill/logic/entry/NodeStage.java
+++ b/src/main/java/sycamorehill/logic/entry/NodeStage.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Optional;
 
 /**
  * Tells how far a node has come between its start and its stop.
@@ -24,6 +25,20 @@
 
 	private Instant stopRequestedAt;
 
+	private StopTimes stopTimes;
+
+	private NodeStage(StopTimes stopTimes) {
+		this.stopTimes = stopTimes;
+	}
+
+	static NodeStage of(StopTimes stopTimes) {
+		return new NodeStage(stopTimes);
+	}
+
+	void updateStopTimes(StopTimes changed) {
+		this.stopTimes = changed;
+	}
+
 	/** Delays readiness until the evacuations are known. */
 	void awaitEvacuations() {
 		this.evacuationsAwaited = true;
@@ -75,8 +90,21 @@
 		return this.stopRequestedAt != null;
 	}
 
-	boolean isStoppingLongerThan(Duration time, Instant now) {
-		return isStopping() && now.isAfter(this.stopRequestedAt.plus(time));
+	/**
+	 * Returns whether the node still takes requests.
+	 * @param now the current time
+	 * @return false late in a planned stop
+	 */
+	boolean takesRequests(Instant now) {
+		return !isStopping() || !now.isAfter(this.stopRequestedAt.plus(this.stopTimes.acceptance()));
+	}
+
+	/**
+	 * Returns when a planned stop ends, by the present settings.
+	 * @return the time; empty if the node isn't stopping
+	 */
+	Optional<Instant> endsAt() {
+		return Optional.ofNullable(this.stopRequestedAt).map((requested) -> requested.plus(this.stopTimes.end()));
 	}
 
 }
--- a/src/main/java/sycamorehill/logic/entry/RequestEvents.java
+++ b/src/main/java/sycamorehill/logic/entry/RequestEvents.java
@@ -137,9 +137,10 @@
 	}
 
 	// A request that arrives late in a planned stop could be aborted when the process
-	// exits: answers take up to 4 s, and another node can serve the caller at once.
+	// exits, and another node can serve the caller at once.
 	private void handleRequest(CallerRequest request, Instant now, Effects effects) {
-		if (this.stage.isStoppingLongerThan(EntryReducer.ACCEPTANCE_AFTER_STOP, now)) {
+		this.requests.setEnd(this.stage.endsAt());
+		if (!this.stage.takesRequests(now)) {
 			this.requests.refuseStopping(request, effects);
 			return;
 		}
--- a/src/test/java/sycamorehill/entry/AnswerCutTests.java
+++ b/src/test/java/sycamorehill/entry/AnswerCutTests.java
@@ -13,7 +13,6 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
-import sycamorehill.logic.entry.EntryReducer;
 import sycamorehill.model.serving.CallerLimits;
 import sycamorehill.support.RecordedLog;
 
@@ -25,6 +24,9 @@
  */
 class AnswerCutTests {
 
+	/** Time for which a stopping node takes requests, at most. */
+	private static final Duration ACCEPTANCE_TIME = Duration.ofMillis(3000);
+
 	private static final Duration IDLE_TIMEOUT = Duration.ofMillis(700);
 
 	private static final CallerLimits SHORT_IDLE = new CallerLimits(16 * 1024, 4 * 1024 * 1024, Duration.ofSeconds(3),
@@ -124,7 +126,7 @@
 			CallerNode.send(socket, CallerNode.request("/again/x", "slow-stop"));
 			Thread.sleep(SETTLING_TIME.toMillis());
 			this.node.node().stop();
-			Thread.sleep(EntryReducer.ACCEPTANCE_AFTER_STOP.plus(SETTLING_TIME).toMillis());
+			Thread.sleep(ACCEPTANCE_TIME.plus(SETTLING_TIME).toMillis());
 			assertThat(this.node.node().whenStopped()).isNotDone();
 			assertThat(readLength(CallerNode.readAll(socket))).isEqualTo(LARGE_ANSWER_BYTES);
 			this.node.node().whenStopped().get(1, TimeUnit.SECONDS);
--- a/src/test/java/sycamorehill/entry/PlannedStopTests.java
+++ b/src/test/java/sycamorehill/entry/PlannedStopTests.java
@@ -7,16 +7,21 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import sycamorehill.local.FreePorts;
 import sycamorehill.model.identity.Address;
@@ -44,6 +49,13 @@
 
 	private static final Duration LONG = Duration.ofSeconds(12);
 
+	/** Time that the caller of an order gives it. */
+	private static final Duration ORDER_TIMEOUT = Duration.ofMillis(1500);
+
+	private final ExecutorService callers = Executors.newCachedThreadPool();
+
+	private Duration answerAfter = ANSWER_AFTER;
+
 	private final AtomicInteger deregistrations = new AtomicInteger();
 
 	private final AtomicReference<Duration> wallClockJump = new AtomicReference<>(Duration.ZERO);
@@ -57,6 +69,7 @@
 	@AfterEach
 	void end() throws IOException {
 		this.target.close();
+		this.callers.shutdownNow();
 	}
 
 	// The platform allows a longer grace by changed settings, and the node still ends by
@@ -124,6 +137,44 @@
 		assertThat(metrics()).contains("answers_cut_DRAIN_BOUND 2.0");
 	}
 
+	// Guards against orders that are taken late in the grace and cut at its end with no
+	// answer, whatever the grace is.
+	@ParameterizedTest
+	@ValueSource(longs = { 1500, 2000, 3000, 4000, 6000, 8000 })
+	void ordersThatComeWithinTheStopAreAnsweredOrNotRun(long graceMillis) throws Exception {
+		this.answerAfter = Duration.ofSeconds(1);
+		start(Duration.ofMillis(graceMillis));
+		this.node.stop();
+		List<CompletableFuture<String>> answers = new ArrayList<>();
+		while (!this.node.whenStopped().isDone()) {
+			answers.add(CompletableFuture.supplyAsync(() -> send("/once/x", ORDER_TIMEOUT), this.callers));
+			TimeUnit.MILLISECONDS.sleep(50);
+		}
+		assertThat(this.node.whenStopped().get(1, TimeUnit.SECONDS)).as("cut").isZero();
+		List<String> texts = answers.stream().map(CompletableFuture::join).toList();
+		// A connection that is closed before its request is read brings nothing.
+		assertThat(texts).filteredOn((text) -> text.startsWith("HTTP"))
+			.isNotEmpty()
+			.filteredOn((text) -> !(text.startsWith("HTTP/1.1 200") && text.endsWith("hello"))
+					&& !(text.startsWith("HTTP/1.1 503") && text.contains("not run")))
+			.isEmpty();
+		assertThat(this.target.requests())
+			.hasSize((int) texts.stream().filter((text) -> text.startsWith("HTTP/1.1 200")).count());
+	}
+
+	// Guards against an order that is taken by a grace which changed settings have made
+	// shorter within the stop.
+	@Test
+	void ordersFitIntoTheGraceOfTheLastSettings() throws Exception {
+		this.answerAfter = Duration.ofSeconds(1);
+		start(LONG);
+		this.node.stop();
+		this.node.reload(withStopTime(Duration.ofMillis(1500)));
+		TimeUnit.MILLISECONDS.sleep(100);
+		assertThat(send("/once/x", ORDER_TIMEOUT)).startsWith("HTTP/1.1 503").contains("not run");
+		assertThat(this.target.requests()).isEmpty();
+	}
+
 	private void assertAnsweredBeforeTheEnd(CompletableFuture<String> answer) throws Exception {
 		CompletableFuture<Boolean> answeredAtTheEnd = this.node.whenStopped().thenApply((ended) -> answer.isDone());
 		assertThat(answeredAtTheEnd.get(20, TimeUnit.SECONDS)).isTrue();
@@ -132,7 +183,7 @@
 
 	private void start(Duration stopTime) throws Exception {
 		this.target = RawTarget.start((request) -> {
-			sleep(ANSWER_AFTER);
+			sleep(this.answerAfter);
 			return LoopbackCluster.hello(request);
 		});
 		List<Address> free = FreePorts.find(5);
@@ -177,12 +228,16 @@
 	}
 
 	private String send(String path) {
-		return exchange(this.settings.callerAddress(), request(path));
+		return send(path, Duration.ofSeconds(6));
+	}
+
+	private String send(String path, Duration timeout) {
+		return exchange(this.settings.callerAddress(), request(path, timeout));
 	}
 
-	private static String request(String path) {
+	private static String request(String path, Duration timeout) {
 		return "POST " + path + " HTTP/1.1\r\nHost: feed.example\r\nAttempt-Id: a1\r\nAuthorization: Token key\r\n"
-				+ "Deadline-Ms: 6000\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+				+ "Deadline-Ms: " + timeout.toMillis() + "\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
 	}
 
 	private String metrics() {
--- a/src/test/java/sycamorehill/entry/ProxyServerConnectionTests.java
+++ b/src/test/java/sycamorehill/entry/ProxyServerConnectionTests.java
@@ -19,7 +19,6 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
-import sycamorehill.logic.entry.EntryReducer;
 import sycamorehill.model.identity.Address;
 import sycamorehill.model.serving.AttemptEnd;
 import sycamorehill.model.serving.CallerLimits;
@@ -36,6 +35,9 @@
  */
 class ProxyServerConnectionTests {
 
+	/** Time for which a stopping node takes requests, at most. */
+	private static final Duration ACCEPTANCE_TIME = Duration.ofMillis(3000);
+
 	/** More than the buffers of both sockets hold. */
 	private static final int LARGE_ANSWER_BYTES = 12 * 1024 * 1024;
 
@@ -100,7 +102,7 @@
 			send(socket, "slow");
 			Thread.sleep(300);
 			this.node.node().stop();
-			Thread.sleep(EntryReducer.ACCEPTANCE_AFTER_STOP.plusMillis(300).toMillis());
+			Thread.sleep(ACCEPTANCE_TIME.plusMillis(300).toMillis());
 			assertThat(this.node.node().whenStopped()).isNotDone();
 			assertThat(readToEnd(socket).end()).isInstanceOf(AttemptEnd.Delivered.class);
 			this.node.node().whenStopped().get(1, TimeUnit.SECONDS);
