Search a body once for a second answer

The identifier is now looked for once in each part of the body.

Evidence: JoinedAnswersWorkTests, 16 MB of status lines within 5 s: red on the code before, green after, with cases for where the identifier may stand.

--- a/src/main/java/sycamorehill/entry/JoinedAnswers.java
+++ b/src/main/java/sycamorehill/entry/JoinedAnswers.java
@@ -1,10 +1,11 @@
 package sycamorehill.entry;
 
 import java.nio.charset.StandardCharsets;
-import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
 
 /**
  * Recognizes a second answer to a request within the body of the first. A target that
@@ -35,27 +36,37 @@
 	 * @return false if it has no status line with the identifier behind it
 	 */
 	static boolean containsAnswer(ByteBuf content, String identifier) {
+		if (identifier.isEmpty()) {
+			return false;
+		}
+		ByteBuf sought = Unpooled.copiedBuffer(identifier, StandardCharsets.ISO_8859_1);
+		int identifierAt = -1;
 		int start = content.indexOf(content.readerIndex(), content.writerIndex(), FIRST_BYTE);
 		while (start >= 0 && content.writerIndex() - start >= MINIMUM_HEAD_BYTES) {
-			if (startsAnswer(content, start, identifier)) {
-				return true;
+			if (startsStatusLine(content, start)) {
+				identifierAt = (identifierAt < start) ? find(sought, content, start) : identifierAt;
+				if (identifierAt < 0) {
+					return false;
+				}
+				if (identifierAt + sought.readableBytes() <= start + MAXIMUM_HEAD_BYTES) {
+					return true;
+				}
 			}
 			start = content.indexOf(start + 1, content.writerIndex(), FIRST_BYTE);
 		}
 		return false;
 	}
 
-	private static boolean startsAnswer(ByteBuf content, int start, String identifier) {
-		if (content.getByte(start + 1) != SECOND_BYTE) {
-			return false;
-		}
-		String line = content.toString(start, MINIMUM_HEAD_BYTES, StandardCharsets.ISO_8859_1);
-		Matcher matcher = STATUS_LINE.matcher(line);
-		if (identifier.isEmpty() || !matcher.lookingAt()) {
-			return false;
-		}
-		int length = Math.min(content.writerIndex() - start, MAXIMUM_HEAD_BYTES);
-		return content.toString(start, length, StandardCharsets.ISO_8859_1).contains(identifier);
+	private static boolean startsStatusLine(ByteBuf content, int start) {
+		return content.getByte(start + 1) == SECOND_BYTE
+				&& STATUS_LINE.matcher(content.toString(start, MINIMUM_HEAD_BYTES, StandardCharsets.ISO_8859_1))
+					.lookingAt();
+	}
+
+	// Each part of the content is searched once, however many status lines it has.
+	private static int find(ByteBuf sought, ByteBuf content, int from) {
+		int found = ByteBufUtil.indexOf(sought, content.slice(from, content.writerIndex() - from));
+		return (found < 0) ? found : from + found;
 	}
 
 }
