Follow checkstyle in the new tests

The checks are the same: both tests of linear work still ask for their bound of time. No behaviour changes. The tests named and the architecture tests pass by Maven.

--- a/src/main/java/sycamorehill/engine/CompletionStream.java
+++ b/src/main/java/sycamorehill/engine/CompletionStream.java
@@ -13,11 +13,11 @@
 import io.servicetalk.http.api.StreamingHttpClient;
 import io.servicetalk.http.api.StreamingHttpResponse;
 
+import sycamorehill.http.AnswerHeads;
 import sycamorehill.http.BodyReader;
 import sycamorehill.http.BufferedHttpClient;
 import sycamorehill.http.EventStreamReader;
 import sycamorehill.http.HttpCall;
-import sycamorehill.http.AnswerHeads;
 import sycamorehill.model.request.AttemptResult;
 
 /**
--- a/src/test/java/sycamorehill/entry/JoinedAnswersWorkTests.java
+++ b/src/test/java/sycamorehill/entry/JoinedAnswersWorkTests.java
@@ -2,6 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -11,7 +12,6 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
-import static org.junit.jupiter.api.Assertions.assertTimeoutPreemptively;
 
 /**
  * Tests the search for a second answer within a body.
@@ -34,10 +34,10 @@
 	@ValueSource(strings = { "HTTP/1.1 200 ", "HTTP/1.1 200 a", "HT", "H", "HTTP/1.1 200 HTTP/1.1 " })
 	void aLargeBodyIsSearchedInLinearTime(String part) {
 		String body = part.repeat(BODY_BYTES / part.length());
-		assertTimeoutPreemptively(MAXIMUM_TIME, () -> {
+		assertThat(CompletableFuture.runAsync(() -> {
 			assertThat(containsAnswer(body, "request")).isFalse();
 			assertThat(containsAnswer(body, "a".repeat(8000) + "b")).isFalse();
-		});
+		})).succeedsWithin(MAXIMUM_TIME);
 	}
 
 	// Guards against a second answer that is not found where the identifier stands before
--- a/src/test/java/sycamorehill/logic/layout/FakeFleet.java
+++ b/src/test/java/sycamorehill/logic/layout/FakeFleet.java
@@ -478,7 +478,7 @@
 		private void send(EntryEffect.SendCommand command, Effects next) {
 			FakeEngine engine = FakeFleet.this.engines.get(command.target().name());
 			EngineCommandAnswer answer;
-			Optional<Duration> delay = engine.isReachable() && !engine.isPaused() ? commandDelay(command)
+			Optional<Duration> delay = (engine.isReachable() && !engine.isPaused()) ? commandDelay(command)
 					: Optional.empty();
 			if (!engine.isReachable()) {
 				answer = EngineCommandAnswer.NOTHING_LISTENS;
--- a/src/test/java/sycamorehill/platform/LongHeaderTests.java
+++ b/src/test/java/sycamorehill/platform/LongHeaderTests.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.stream.Stream;
 
 import io.netty.buffer.Unpooled;
@@ -26,7 +27,6 @@
 import sycamorehill.model.identity.TargetName;
 
 import static org.assertj.core.api.Assertions.assertThat;
-import static org.junit.jupiter.api.Assertions.assertTimeoutPreemptively;
 
 /**
  * Tests the time that heads with long values of headers take on the event loop.
@@ -74,13 +74,13 @@
 				headers(name, fill));
 		HttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/",
 				Unpooled.EMPTY_BUFFER, headers(name, fill), new DefaultHttpHeaders());
-		assertTimeoutPreemptively(MAXIMUM_TIME, () -> {
+		assertThat(CompletableFuture.runAsync(() -> {
 			this.codec.readTargetResponse(response);
 			this.codec.callerHeaders(response);
 			this.codec.readCallerRequest(request);
 			this.codec.targetHeaders(request, new ForwardingMetadata(TargetName.of("p1"), Optional.empty(),
 					Optional.empty(), 1, Optional.empty(), Optional.empty()));
-		});
+		})).succeedsWithin(MAXIMUM_TIME);
 	}
 
 	// Guards against a header that reaches the other side although the connection header
