Copy an identifier only where a status line is found

The search for a second answer copied the identifier for each event of each stream, though nearly none has a status line. It is copied where one is found. The tests of joined answers and of malformed ones pass.

--- a/src/main/java/sycamorehill/entry/JoinedAnswers.java
+++ b/src/main/java/sycamorehill/entry/JoinedAnswers.java
@@ -39,16 +39,15 @@
 		if (identifier.isEmpty()) {
 			return false;
 		}
-		ByteBuf sought = Unpooled.copiedBuffer(identifier, StandardCharsets.ISO_8859_1);
 		int identifierAt = -1;
 		int start = content.indexOf(content.readerIndex(), content.writerIndex(), FIRST_BYTE);
 		while (start >= 0 && content.writerIndex() - start >= MINIMUM_HEAD_BYTES) {
 			if (startsStatusLine(content, start)) {
-				identifierAt = (identifierAt < start) ? find(sought, content, start) : identifierAt;
+				identifierAt = (identifierAt < start) ? find(identifier, content, start) : identifierAt;
 				if (identifierAt < 0) {
 					return false;
 				}
-				if (identifierAt + sought.readableBytes() <= start + MAXIMUM_HEAD_BYTES) {
+				if (identifierAt + identifier.length() <= start + MAXIMUM_HEAD_BYTES) {
 					return true;
 				}
 			}
@@ -64,7 +63,8 @@
 	}
 
 	// Each part of the content is searched once, however many status lines it has.
-	private static int find(ByteBuf sought, ByteBuf content, int from) {
+	private static int find(String identifier, ByteBuf content, int from) {
+		ByteBuf sought = Unpooled.copiedBuffer(identifier, StandardCharsets.ISO_8859_1);
 		int found = ByteBufUtil.indexOf(sought, content.slice(from, content.writerIndex() - from));
 		return (found < 0) ? found : from + found;
 	}
