Limit what an engine may answer to a call of the node

Calls to the store failed while faulty engines sent long reports: an answer of an engine could be as long as a list of the store, and all answers to calls share 32 MB ('the answers of all calls hold too much memory').

Evidence: CallClientTests.longReportsOfEnginesDoNotFailCallsToTheStore, red on the code before, green after.

--- a/src/main/java/sycamorehill/entry/CallClient.java
+++ b/src/main/java/sycamorehill/entry/CallClient.java
@@ -110,8 +110,10 @@
 	 * @param path the path, with the query
 	 * @param body the JSON body; empty for none
 	 * @param ownConnection whether the call has a connection of its own
+	 * @param maximumAnswerBytes maximum size of the body of the answer in bytes
 	 */
-	public record Call(TargetAddress address, HttpMethod method, String path, byte[] body, boolean ownConnection) {
+	public record Call(TargetAddress address, HttpMethod method, String path, byte[] body, boolean ownConnection,
+			int maximumAnswerBytes) {
 
 		/**
 		 * Creates a call.
@@ -122,7 +124,7 @@
 		 * @return the call
 		 */
 		public static Call of(TargetAddress address, HttpMethod method, String path, byte[] body) {
-			return new Call(address, method, path, body, false);
+			return new Call(address, method, path, body, false, MAXIMUM_ANSWER_BYTES);
 		}
 
 		/**
@@ -136,13 +138,14 @@
 		}
 
 		/**
-		 * Returns this call on a connection of its own, for a server that may answer
-		 * twice. Answers to calls have no identifiers, so that only the first one on a
-		 * connection certainly answers its call.
+		 * Returns this call as one to an engine: on a connection of its own, because an
+		 * engine may answer twice, and answers to calls have no identifiers; and with an
+		 * answer so short that it takes nothing of the memory that the answers of the
+		 * store need.
 		 * @return the call
 		 */
-		public Call onOwnConnection() {
-			return new Call(this.address, this.method, this.path, this.body, true);
+		public Call toEngine() {
+			return new Call(this.address, this.method, this.path, this.body, true, AnswerMemory.FREE_BYTES_PER_ANSWER);
 		}
 
 	}
@@ -192,8 +195,8 @@
 		@Override
 		public void handleBody(ByteBuf bytes) {
 			int size = this.body.readableBytes() + bytes.readableBytes();
-			if (size > MAXIMUM_ANSWER_BYTES) {
-				abort("the answer is longer than " + MAXIMUM_ANSWER_BYTES + " bytes");
+			if (size > this.call.maximumAnswerBytes()) {
+				abort("the answer is longer than " + this.call.maximumAnswerBytes() + " bytes");
 			}
 			else if (!CallClient.this.answerMemory.resize(this.body.readableBytes(), size)) {
 				abort("the answers of all calls hold too much memory");
--- a/src/main/java/sycamorehill/platform/PlatformEngineClient.java
+++ b/src/main/java/sycamorehill/platform/PlatformEngineClient.java
@@ -64,8 +64,8 @@
 		}
 		byte[] bytes = body.toString().getBytes(StandardCharsets.UTF_8);
 		return this.client
-			.call(CallClient.Call.of(engine, HttpMethod.POST, COMMAND_PATH, bytes).onOwnConnection(),
-					expectedInstance(engine), COMMAND_TIMEOUT)
+			.call(CallClient.Call.of(engine, HttpMethod.POST, COMMAND_PATH, bytes).toEngine(), expectedInstance(engine),
+					COMMAND_TIMEOUT)
 			.thenApply((answer) -> commandAnswer(answer.status()))
 			.exceptionally(PlatformEngineClient::failureAnswer);
 	}
@@ -127,7 +127,7 @@
 	@Override
 	public CompletableFuture<EngineReport> readReport(TargetAddress engine) {
 		return this.client
-			.call(CallClient.Call.get(engine, REPORT_PATH).onOwnConnection(), expectedInstance(engine), REPORT_TIMEOUT)
+			.call(CallClient.Call.get(engine, REPORT_PATH).toEngine(), expectedInstance(engine), REPORT_TIMEOUT)
 			.handle((answer, failure) -> {
 				if (failure != null) {
 					throw new CompletionException(new ReportUnavailableException(failureAnswer(failure)));
--- a/src/test/java/sycamorehill/entry/CallClientTests.java
+++ b/src/test/java/sycamorehill/entry/CallClientTests.java
@@ -45,6 +45,10 @@
 
 	private static final int CALLS = 10;
 
+	private static final int LIST_BYTES = 5 * 1024 * 1024;
+
+	private static final long SILENCE_MILLIS = 2000;
+
 	private final NioEventLoopGroup eventLoops = new NioEventLoopGroup(1);
 
 	@AfterEach
@@ -95,6 +99,34 @@
 		}
 	}
 
+	// Guards against calls to the store that fail because long answers of engines hold
+	// the memory for all answers.
+	@Test
+	void longReportsOfEnginesDoNotFailCallsToTheStore() throws Exception {
+		byte[] part = "x".repeat(MANY_BYTES).getBytes(StandardCharsets.ISO_8859_1);
+		String list = "y".repeat(LIST_BYTES);
+		try (RawTarget engine = RawTarget.start((request, out) -> {
+			RawTarget.write(out, "HTTP/1.1 200 OK\r\nContent-Length: 100000000000000\r\n\r\n");
+			for (int parts = 0; parts < LIST_BYTES / MANY_BYTES; parts++) {
+				out.write(part);
+			}
+			RawTarget.pause(SILENCE_MILLIS);
+			return false;
+		});
+				RawTarget store = RawTarget
+					.start((request) -> "HTTP/1.1 200 OK\r\nContent-Length: " + LIST_BYTES + "\r\n\r\n" + list)) {
+			CallClient client = CallClient.of(TargetConnectionPool.of(this.eventLoops.next()));
+			TargetAddress target = new TargetAddress(TargetName.of("engine"), engine.address());
+			for (int report = 0; report < CALLS; report++) {
+				client.call(CallClient.Call.get(target, "/-/report").toEngine(), null, LONG_TIMEOUT);
+			}
+			RawTarget.pause(SILENCE_MILLIS / 4);
+			CallClient.Call call = CallClient.Call.get(new TargetAddress(TargetName.of("store"), store.address()),
+					"/list");
+			assertThat(client.call(call, null, LONG_TIMEOUT).join().body()).hasSize(LIST_BYTES);
+		}
+	}
+
 	// Guards against an order that counts as begun although the engine rejected it.
 	@ParameterizedTest
 	@ValueSource(longs = { 0, 30 })
@@ -115,7 +147,7 @@
 			TargetAddress target = new TargetAddress(TargetName.of("engine"), engine.address());
 			CallClient.Call call = CallClient.Call
 				.of(target, HttpMethod.POST, "/order", "open".getBytes(StandardCharsets.UTF_8))
-				.onOwnConnection();
+				.toEngine();
 			assertThat(client.call(call, null, LONG_TIMEOUT).join().status()).isEqualTo(202);
 			assertThat(client.call(call, null, LONG_TIMEOUT).join().status()).isEqualTo(409);
 		}
